--- /dev/null
+++ b/include/chervilferry.h
@@ -0,0 +1,565 @@
+/*
+ * chervilferry: coordination parts for dispatching sub-second tasks.
+ *
+ * The parts do no input or output, start no thread and read no clock:
+ * messages and the present time go in, decisions come out. All times
+ * are milliseconds; "now_ms" is on the monotonic clock, "wall_ms" is
+ * Unix time. An object may be used by one thread at a time unless its
+ * comment says otherwise; different objects are independent.
+ *
+ * Memory comes from GLib, which ends the process when there is none.
+ * Link with: pkg-config --cflags --libs chervilferry
+ */
+#ifndef CHERVILFERRY_H
+#define CHERVILFERRY_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#define CF_API __attribute__((visibility("default")))
+
+/* One line a function: clang-format would fold them. */
+/* clang-format off */
+
+/* ---- Limits and defaults ------------------------------------------- */
+
+#define CF_NAME_SIZE 64 /* bytes of a name with its final NUL */
+#define CF_KEY_SIZE 16 /* bytes of a job key */
+#define CF_KEY_TEXT_SIZE 37 /* a UUID as text, with its final NUL */
+#define CF_MEMBERS_MAX 7 /* coordinators in a group */
+#define CF_JOB_TASKS_MAX 4096 /* upper bound of the setting */
+#define CF_LEASE_MS 2000 /* duration of a lease */
+#define CF_CLOCK_SKEW_MS 2000 /* wall clocks differ by less */
+#define CF_LEDGER_HORIZON_MS 600000 /* votes are remembered this long */
+
+/* ---- Job keys (src/lib/key.c), UUIDv7 of RFC 9562 ------------------- */
+
+struct cf_key {
+	uint8_t bytes[CF_KEY_SIZE];
+};
+
+CF_API bool cf_key_parse(const char *text, struct cf_key *key); /* false unless a UUIDv7 */
+CF_API void cf_key_format(const struct cf_key *key, char text[CF_KEY_TEXT_SIZE]); /* lower-case text */
+CF_API void cf_key_make(struct cf_key *key, int64_t wall_ms, uint64_t random_a, uint64_t random_b); /* new key */
+CF_API int64_t cf_key_time_ms(const struct cf_key *key); /* its Unix time */
+CF_API bool cf_key_equal(const struct cf_key *a, const struct cf_key *b); /* same bytes */
+CF_API guint cf_key_hash(gconstpointer key); /* for GHashTable */
+CF_API gboolean cf_key_hash_equal(gconstpointer a, gconstpointer b); /* for GHashTable */
+
+/* ---- Replicated log (src/lib/replog.c) ------------------------------ */
+/* Raft (Ongaro and Ousterhout, 2014) with pre-vote, check-quorum,
+ * learners and one-at-a-time membership changes. */
+
+enum cf_entry_kind {
+	CF_ENTRY_NOOP, /* first entry of a term */
+	CF_ENTRY_COMMAND, /* data is the embedder's */
+	CF_ENTRY_MEMBERS, /* data is a packed struct cf_members */
+};
+
+struct cf_entry {
+	uint64_t index; /* from 1 */
+	uint64_t term;
+	enum cf_entry_kind kind;
+	int64_t wall_ms; /* of the leader that proposed it */
+	GBytes *data; /* may be NULL; entries hold a reference */
+};
+
+struct cf_members {
+	uint32_t voters[CF_MEMBERS_MAX];
+	uint32_t n_voters;
+	uint32_t learners[CF_MEMBERS_MAX];
+	uint32_t n_learners;
+};
+
+enum cf_replog_kind {
+	CF_REPLOG_PREVOTE,
+	CF_REPLOG_PREVOTE_REPLY,
+	CF_REPLOG_VOTE,
+	CF_REPLOG_VOTE_REPLY,
+	CF_REPLOG_APPEND,
+	CF_REPLOG_APPEND_REPLY,
+	CF_REPLOG_SNAPSHOT,
+	CF_REPLOG_SNAPSHOT_REPLY,
+};
+
+struct cf_replog_message {
+	enum cf_replog_kind kind;
+	uint32_t from, to; /* member ids, from 1 */
+	uint64_t term;
+	uint64_t index; /* append: entry before; replies: match; votes: last */
+	uint64_t log_term; /* term of that entry */
+	uint64_t commit;
+	bool reject;
+	uint64_t hint; /* rejected append: last index of the follower */
+	int64_t sent_ms; /* leader's now_ms, echoed in the reply */
+	struct cf_entry *entries;
+	size_t n_entries;
+	struct cf_members members; /* snapshot only */
+	GBytes *snapshot; /* snapshot only */
+};
+
+/* What must be on disk before the messages of the same ready may go. */
+struct cf_hard_state {
+	uint64_t term;
+	uint32_t vote; /* member voted for in the term, 0 none */
+	uint64_t commit;
+};
+
+struct cf_snapshot {
+	uint64_t index, term;
+	struct cf_members members;
+	GBytes *data;
+};
+
+struct cf_replog_options {
+	uint32_t id; /* of this member, from 1 */
+	struct cf_members members; /* at the very first start; else empty */
+	int64_t heartbeat_ms; /* 0: 100 */
+	int64_t election_ms; /* 0: 600; randomised up to twice this */
+	uint64_t seed; /* of the election jitter */
+	size_t batch_bytes; /* 0: 256 KiB, entries an append carries */
+};
+
+/* Work for the embedder: persist, then send, then apply, then advance. */
+struct cf_replog_ready {
+	bool hard_state_changed;
+	struct cf_hard_state hard_state;
+	const struct cf_entry
+		*entries; /* to persist; overwrite from entries[0].index */
+	size_t n_entries;
+	const struct cf_snapshot
+		*snapshot; /* received: persist and load, or NULL */
+	const struct cf_replog_message *messages;
+	size_t n_messages;
+	const struct cf_entry *committed; /* to apply, in order */
+	size_t n_committed;
+	bool must_sync; /* entries or the hard state's term or vote changed */
+};
+
+struct cf_replog;
+
+CF_API struct cf_replog * cf_replog_create(const struct cf_replog_options *options, int64_t now_ms); /* a follower */
+CF_API void cf_replog_destroy(struct cf_replog *log); /* NULL is allowed */
+CF_API void cf_replog_restore(struct cf_replog *log, const struct cf_hard_state *state, const struct cf_snapshot *snapshot, const struct cf_entry *entries, size_t n_entries); /* once, before the first step */
+CF_API void cf_replog_tick(struct cf_replog *log, int64_t now_ms); /* every 20 ms or so */
+CF_API void cf_replog_step(struct cf_replog *log, const struct cf_replog_message *message, int64_t now_ms); /* a message came in */
+CF_API uint64_t cf_replog_propose(struct cf_replog *log, GBytes *data, int64_t wall_ms, int64_t now_ms); /* its index, or 0: not the leader */
+CF_API uint64_t cf_replog_propose_members(struct cf_replog *log, const struct cf_members *members, int64_t wall_ms, int64_t now_ms); /* 0: not the leader, one pending, or more than one voter changed */
+CF_API bool cf_replog_has_ready(const struct cf_replog *log); /* anything to do? */
+CF_API void cf_replog_get_ready(struct cf_replog *log, struct cf_replog_ready *ready); /* valid until advance */
+CF_API void cf_replog_advance(struct cf_replog *log, int64_t now_ms); /* all of the last ready is done */
+CF_API void cf_replog_compact(struct cf_replog *log, uint64_t index, GBytes *snapshot); /* state at an applied index */
+CF_API bool cf_replog_is_leader(const struct cf_replog *log); /* and its first entry of the term is applied */
+CF_API uint32_t cf_replog_leader(const struct cf_replog *log); /* member id, 0 unknown */
+CF_API uint64_t cf_replog_term(const struct cf_replog *log); /* current term */
+CF_API uint64_t cf_replog_commit(const struct cf_replog *log); /* highest committed index */
+CF_API uint64_t cf_replog_last(const struct cf_replog *log); /* highest index held */
+CF_API int64_t cf_replog_quorum_ms(const struct cf_replog *log); /* leader: a quorum acknowledged what was sent at or after this now_ms; else INT64_MIN */
+CF_API bool cf_replog_caught_up(const struct cf_replog *log, uint32_t member); /* leader: within 64 entries of the end */
+CF_API void cf_replog_get_members(const struct cf_replog *log, struct cf_members *members); /* in use, committed or not */
+
+/* ---- Configuration (src/lib/config.c) ------------------------------- */
+/* The state machine of the replicated log. A revision is a log index. */
+
+struct cf_class {
+	char name[CF_NAME_SIZE];
+	uint32_t target_ms; /* 1..3600000 */
+	uint32_t percentile_milli; /* 1000..99999: 99.5 % is 99500 */
+	bool idempotent;
+};
+
+struct cf_data_centre {
+	char name[CF_NAME_SIZE];
+	bool in_service;
+};
+
+struct cf_team {
+	char name[CF_NAME_SIZE];
+	uint32_t share_milli; /* of capacity, 1..1000 */
+};
+
+struct cf_view {
+	uint64_t number; /* revision that made it */
+	struct cf_members members;
+	int64_t horizon_ms; /* keys up to this time need the view before too */
+};
+
+enum cf_command_status {
+	CF_COMMAND_DONE,
+	CF_COMMAND_CONFLICT, /* base revision is not the subject's newest */
+	CF_COMMAND_INVALID, /* the message names the field */
+	CF_COMMAND_NOT_FOUND,
+};
+
+struct cf_command_result {
+	enum cf_command_status status;
+	uint64_t revision; /* that the change made, or is in force */
+	char message[160];
+};
+
+struct cf_config;
+
+CF_API struct cf_config *cf_config_create(void); /* empty, revision 0 */
+CF_API void cf_config_destroy(struct cf_config *config); /* NULL is allowed */
+CF_API void cf_config_apply(struct cf_config *config, const struct cf_entry *entry, struct cf_command_result *result); /* entries in log order; result may be NULL */
+CF_API GBytes *cf_config_save(const struct cf_config *config); /* snapshot with command outcomes */
+CF_API bool cf_config_load(struct cf_config *config, GBytes *snapshot, GError **error); /* unchanged on error */
+CF_API GBytes *cf_config_pack(const struct cf_config *config); /* what agents and dispatchers get */
+CF_API bool cf_config_adopt(struct cf_config *config, const void *data, size_t size_bytes, GError **error); /* takes only a greater revision;
+						false if older or bad */
+CF_API uint64_t cf_config_revision(const struct cf_config *config); /* 0 when empty */
+CF_API const struct cf_class * cf_config_find_class(const struct cf_config *config, const char *name); /* or NULL */
+CF_API size_t cf_config_classes(const struct cf_config *config, const struct cf_class **classes); /* count */
+CF_API size_t cf_config_data_centres(const struct cf_config *config, const struct cf_data_centre **data_centres); /* count */
+CF_API bool cf_config_in_service(const struct cf_config *config, const char *data_centre); /* unknown ones are in service */
+CF_API size_t cf_config_teams(const struct cf_config *config, const struct cf_team **teams); /* count */
+CF_API size_t cf_config_views(const struct cf_config *config, const struct cf_view **views); /* newest last */
+CF_API bool cf_config_is_fenced(const struct cf_config *config, uint64_t incarnation); /* may do nothing more */
+
+/* ---- Leases (src/lib/lease.c) --------------------------------------- */
+/* Gray and Cheriton, 1989. A lease counts from the sending of the
+ * request that won it, on the holder's monotonic clock. */
+
+struct cf_lease;
+
+CF_API struct cf_lease *cf_lease_create(void); /* not held */
+CF_API void cf_lease_destroy(struct cf_lease *lease); /* NULL is allowed */
+CF_API uint64_t cf_lease_request(struct cf_lease *lease, int64_t now_ms); /* sequence number to send with a request */
+CF_API bool cf_lease_grant(struct cf_lease *lease, uint64_t seq, uint32_t duration_ms, uint64_t revision, int64_t now_ms); /* false: unknown seq, expired or older revision */
+CF_API void cf_lease_revoke(struct cf_lease *lease); /* fenced or released: never held again */
+CF_API bool cf_lease_held(const struct cf_lease *lease, int64_t now_ms); /* until strictly before its end */
+CF_API int64_t cf_lease_end_ms(const struct cf_lease *lease); /* INT64_MIN when none */
+CF_API uint64_t cf_lease_revision(const struct cf_lease *lease); /* confirmed by the newest grant */
+
+enum cf_holder_state {
+	CF_HOLDER_NONE,
+	CF_HOLDER_LIVE,
+	CF_HOLDER_GONE, /* given back or run out */
+};
+
+/* The leader's table of who holds a lease, rebuilt after an election. */
+struct cf_lease_table;
+
+CF_API struct cf_lease_table * cf_lease_table_create(uint32_t duration_ms, int64_t now_ms); /* office begins now */
+CF_API void cf_lease_table_destroy(struct cf_lease_table *table); /* NULL is allowed */
+CF_API bool cf_lease_table_renew(struct cf_lease_table *table, uint64_t incarnation, int64_t now_ms); /* false: it ran out or gave its lease back */
+CF_API void cf_lease_table_release(struct cf_lease_table *table, uint64_t incarnation); /* gives it back */
+CF_API enum cf_holder_state cf_lease_table_state(const struct cf_lease_table *table, uint64_t incarnation, int64_t now_ms); /* of one holder */
+CF_API bool cf_lease_table_settled(const struct cf_lease_table *table, int64_t now_ms); /* leases of an earlier leader have run out */
+CF_API size_t cf_lease_table_expire(struct cf_lease_table *table, int64_t now_ms, uint64_t *incarnations, size_t max); /* newly ended ones, each told once */
+
+/* ---- Claims (src/lib/claim.c) --------------------------------------- */
+/* A claim gives a job key to one dispatcher: a majority of equal votes
+ * in the newest view, and for keys up to a view's horizon in the view
+ * before it too. A voter votes once for each key and epoch. */
+
+enum cf_vote {
+	CF_VOTE_FOR, /* the owner named has this voter's vote */
+	CF_VOTE_ABSTAIN, /* restarted or without a lease: may have forgotten */
+	CF_VOTE_TOO_OLD, /* beyond the ledger's horizon */
+	CF_VOTE_TOO_NEW, /* from a clock that is ahead */
+	CF_VOTE_UNFENCED, /* epoch above 0 whose prior owner is not fenced */
+};
+
+struct cf_claim {
+	struct cf_key key;
+	uint32_t epoch;
+	uint64_t owner; /* incarnation of a dispatcher */
+	uint64_t prior_owner; /* of the epoch before */
+};
+
+struct cf_ledger;
+
+CF_API struct cf_ledger * cf_ledger_create(int64_t horizon_ms, int64_t safe_after_ms); /* votes only on keys newer than safe_after_ms (wall) */
+CF_API void cf_ledger_destroy(struct cf_ledger *ledger); /* NULL is allowed */
+CF_API enum cf_vote cf_ledger_vote(struct cf_ledger *ledger, const struct cf_claim *claim, bool may_vote, bool prior_fenced, int64_t wall_ms, uint64_t *owner); /* owner: whom the vote is for, 0 none */
+CF_API void cf_ledger_expire(struct cf_ledger *ledger, int64_t wall_ms); /* forgets beyond the horizon */
+CF_API size_t cf_ledger_size(const struct cf_ledger *ledger); /* votes held */
+CF_API GBytes * cf_ledger_save(const struct cf_ledger *ledger); /* for a clean stop */
+CF_API bool cf_ledger_load(struct cf_ledger *ledger, GBytes *saved, GError **error); /* after a clean stop */
+
+enum cf_claim_state {
+	CF_CLAIM_OPEN, /* waits for votes */
+	CF_CLAIM_WON,
+	CF_CLAIM_OWNED, /* another owner has it, or may win it: ask that one */
+	CF_CLAIM_LOST, /* nobody can win with these votes and nobody is named */
+	CF_CLAIM_UNSAFE, /* too old or forgotten: it may have run before */
+	CF_CLAIM_TOO_NEW, /* the key is from a clock that is ahead */
+};
+
+/* The dispatcher's count of the votes for one claim. */
+struct cf_ballot;
+
+CF_API struct cf_ballot * cf_ballot_create(const struct cf_claim *claim, const struct cf_view *views, size_t n_views); /* views newest last */
+CF_API void cf_ballot_destroy(struct cf_ballot *ballot); /* NULL is allowed */
+CF_API enum cf_claim_state cf_ballot_add(struct cf_ballot *ballot, uint32_t member, uint64_t view, enum cf_vote vote, uint64_t owner); /* a vote of another view counts as none */
+CF_API enum cf_claim_state cf_ballot_close(struct cf_ballot *ballot); /* no more votes will come: never OPEN */
+CF_API uint64_t cf_ballot_owner(const struct cf_ballot *ballot); /* of WON and OWNED, else 0 */
+
+/* ---- Start gate (src/lib/gate.c) ------------------------------------ */
+/* An agent's tasks: each (key, index) starts at most once here. */
+
+enum cf_task_state {
+	CF_TASK_HELD, /* waits for Open */
+	CF_TASK_QUEUED,
+	CF_TASK_RUNNING,
+	CF_TASK_DONE,
+	CF_TASK_FAILED, /* ran, and failed */
+	CF_TASK_FENCED, /* never started, never will */
+};
+
+struct cf_task {
+	struct cf_key key;
+	uint32_t index;
+	uint64_t dispatcher; /* incarnation */
+	uint64_t job; /* number at that dispatcher */
+	char class_name[CF_NAME_SIZE];
+	GBytes *payload; /* the gate holds a reference */
+	uint32_t cpu_milli, memory_mb, accelerators;
+	uint32_t predicted_ms;
+	int64_t slack_end_ms; /* queue order: latest good start, now_ms clock */
+	int64_t deadline_ms; /* start none after it, now_ms clock */
+	int64_t queued_ms; /* set by the gate */
+	int64_t started_ms; /* set by the gate */
+};
+
+struct cf_capacity {
+	uint32_t slots; /* tasks at once */
+	uint32_t connections;
+	uint32_t cpu_milli, memory_mb, accelerators; /* 0: not counted */
+};
+
+struct cf_gate_permit {
+	bool lease_held;
+	bool in_service; /* of the data centre, by the lease's revision */
+	bool draining;
+};
+
+struct cf_gate_load {
+	uint32_t slots, running, queued;
+	uint32_t backlog_ms; /* predicted work that is queued or running */
+};
+
+struct cf_gate;
+
+CF_API struct cf_gate * cf_gate_create(const struct cf_capacity *capacity, int64_t remember_ms); /* outcomes are kept this long */
+CF_API void cf_gate_destroy(struct cf_gate *gate); /* NULL is allowed */
+CF_API void cf_gate_set_capacity(struct cf_gate *gate, const struct cf_capacity *capacity); /* running tasks stay */
+CF_API bool cf_gate_offer(struct cf_gate *gate, const struct cf_task *task, bool held, bool fifo, int64_t now_ms); /* false: seen before, or fenced */
+CF_API size_t cf_gate_open(struct cf_gate *gate, const struct cf_key *key, uint64_t dispatcher, uint64_t job); /* held tasks that now queue */
+CF_API const struct cf_task *cf_gate_start(struct cf_gate *gate, const struct cf_gate_permit *permit, int64_t now_ms); /* next task, now running; NULL: none may start */
+CF_API bool cf_gate_finish(struct cf_gate *gate, const struct cf_key *key, uint32_t index, bool ok, GBytes *result, int64_t now_ms); /* false: it was not running */
+CF_API enum cf_task_state cf_gate_query(struct cf_gate *gate, const struct cf_key *key, uint32_t index, bool fence, GBytes **result, int64_t now_ms); /* unknown ones are FENCED if fence; result is borrowed */
+CF_API size_t cf_gate_known(const struct cf_gate *gate, const struct cf_key *key, uint32_t *indexes, size_t max); /* indexes seen of a key */
+CF_API void cf_gate_seal(struct cf_gate *gate, const struct cf_key *key, int64_t now_ms); /* no index of the key starts from now on */
+CF_API size_t cf_gate_fence_job(struct cf_gate *gate, const struct cf_key *key, uint64_t dispatcher, uint64_t job, int64_t now_ms, uint32_t *indexes, size_t max); /* cancel: unstarted ones fenced, late ones too */
+CF_API size_t cf_gate_fence_dispatcher(struct cf_gate *gate, uint64_t dispatcher, int64_t now_ms); /* all unstarted of a fenced incarnation, also later ones */
+CF_API const struct cf_task *cf_gate_take_unstartable(struct cf_gate *gate, const struct cf_gate_permit *permit, int64_t now_ms); /* next queued one that is fenced because of drain, service or deadline; NULL: none */
+CF_API void cf_gate_expire(struct cf_gate *gate, int64_t now_ms); /* forgets old outcomes */
+CF_API void cf_gate_get_load(const struct cf_gate *gate, int64_t now_ms, struct cf_gate_load *load); /* for replies */
+
+/* ---- Jobs (src/lib/job.c) ------------------------------------------- */
+/* One job at its dispatcher: where its tasks are, and its answer. */
+
+enum cf_job_answer {
+	CF_ANSWER_NONE, /* not yet */
+	CF_ANSWER_COMPLETE, /* every task's result */
+	CF_ANSWER_FAILED, /* a task ran and failed */
+	CF_ANSWER_NOT_RUN, /* nothing of it ran, nothing will */
+	CF_ANSWER_UNKNOWN, /* something ran or may have */
+};
+
+enum cf_job_event {
+	CF_EVENT_DONE, /* result arrived */
+	CF_EVENT_FAILED, /* ran and failed */
+	CF_EVENT_FENCED, /* agent says: not started, never will */
+	CF_EVENT_RUNNING, /* answer to a query */
+	CF_EVENT_LOST, /* the agent incarnation is gone */
+};
+
+struct cf_job;
+
+CF_API struct cf_job *cf_job_create(const struct cf_key *key, uint64_t number, uint32_t n_tasks); /* all unplaced */
+CF_API void cf_job_destroy(struct cf_job *job); /* NULL is allowed */
+CF_API bool cf_job_send(struct cf_job *job, uint32_t index, uint64_t agent); /* false: not unplaced, or the job is ending */
+CF_API bool cf_job_event(struct cf_job *job, uint32_t index, uint64_t agent, enum cf_job_event event, GBytes *result, const char *message); /* false: not expected from this agent; nothing changed */
+CF_API void cf_job_lose_agent(struct cf_job *job, uint64_t agent); /* every task sent there may have run */
+CF_API void cf_job_stop(struct cf_job *job, const char *reason); /* cancelled, refused or out of time: no more sends */
+CF_API enum cf_job_answer cf_job_answer(const struct cf_job *job, const char **message); /* final once it is not NONE */
+CF_API GBytes * cf_job_result(const struct cf_job *job, uint32_t index); /* borrowed; COMPLETE only, else NULL */
+CF_API size_t cf_job_unplaced(const struct cf_job *job, uint32_t *indexes, size_t max); /* to be placed */
+CF_API size_t cf_job_agents(const struct cf_job *job, uint64_t *agents, size_t max); /* with unsettled tasks */
+CF_API size_t cf_job_pending_at(const struct cf_job *job, uint64_t agent, uint32_t *indexes, size_t max); /* sent there, unsettled */
+CF_API uint32_t cf_job_unsettled(const struct cf_job *job); /* sent and not yet ended or fenced */
+
+/* ---- Run-time prediction (src/lib/predict.c) ------------------------ */
+
+struct cf_predict;
+
+CF_API struct cf_predict *cf_predict_create(void); /* knows nothing */
+CF_API void cf_predict_destroy(struct cf_predict *predict); /* NULL is allowed */
+CF_API void cf_predict_learn(struct cf_predict *predict, const char *class_name, uint32_t declared_ms, uint32_t run_ms); /* declared 0: none */
+CF_API uint32_t cf_predict_ms(const struct cf_predict *predict, const char *class_name, uint32_t declared_ms, uint32_t percentile_milli); /* 1 or more */
+
+/* ---- Placement (src/lib/place.c) ------------------------------------ */
+
+struct cf_place_agent {
+	uint64_t incarnation;
+	char data_centre[CF_NAME_SIZE];
+	char rack[CF_NAME_SIZE];
+	struct cf_capacity capacity;
+	struct cf_capacity used; /* by tasks that this dispatcher knows of */
+	uint32_t queued; /* there, by its last report and sends since */
+	uint32_t backlog_ms; /* predicted work there, all slots together */
+	uint32_t distance_us; /* one way from here */
+	uint32_t weight_milli; /* 1000 healthy, less on probation, 0 ejected */
+	double slowness; /* its run times beside the others', 1.0 usual */
+	bool usable; /* connected, accepting, in service */
+};
+
+struct cf_place_task {
+	uint32_t index;
+	uint32_t predicted_ms;
+	uint32_t cpu_milli, memory_mb, accelerators;
+	uint32_t agent; /* out: position in agents, or CF_PLACE_NONE */
+};
+
+#define CF_PLACE_NONE UINT32_MAX
+
+struct cf_placer_ops;
+
+struct cf_placer {
+	const struct cf_placer_ops *ops; /* first member: the policy */
+};
+
+struct cf_placer_ops {
+	const char *name;
+	size_t (*place)(struct cf_placer *placer, struct cf_place_agent *agents,
+			size_t n_agents, struct cf_place_task *tasks,
+			size_t n_tasks);
+	void (*destroy)(struct cf_placer *placer);
+};
+
+CF_API struct cf_placer * cf_placer_create(const char *policy, uint64_t seed); /* "finish", "random", "round-robin", "least";
+				    NULL: unknown */
+CF_API void cf_placer_destroy(struct cf_placer *placer); /* NULL is allowed */
+CF_API size_t cf_placer_place(struct cf_placer *placer, struct cf_place_agent *agents, size_t n_agents, struct cf_place_task *tasks, size_t n_tasks); /* number placed; used, queued and backlog are raised */
+CF_API bool cf_place_ever_fits(const struct cf_place_agent *agents, size_t n_agents, const struct cf_place_task *task); /* on any agent when empty */
+
+/* ---- Admission and shares (src/lib/admit.c) ------------------------- */
+
+enum cf_admit {
+	CF_ADMIT_RUN, /* place it as capacity allows */
+	CF_ADMIT_OVERLOADED, /* 429: its class or team is over its share */
+	CF_ADMIT_LATE, /* 503: it cannot meet its deadline */
+};
+
+struct cf_admit_class {
+	char name[CF_NAME_SIZE];
+	uint32_t target_ms;
+	uint32_t percentile_milli;
+};
+
+struct cf_admit_job {
+	const char *class_name;
+	const char *team; /* "" none */
+	uint32_t n_tasks;
+	uint32_t longest_ms; /* predicted, of its longest task */
+	uint32_t work_ms; /* predicted, all tasks together */
+	uint32_t deadline_ms; /* from now; 0: none */
+};
+
+struct cf_admitter;
+
+CF_API struct cf_admitter *cf_admitter_create(uint64_t seed); /* no class */
+CF_API void cf_admitter_destroy(struct cf_admitter *admitter); /* NULL is allowed */
+CF_API void cf_admitter_set_classes(struct cf_admitter *admitter, const struct cf_admit_class *classes, size_t n_classes, const struct cf_team *teams, size_t n_teams); /* state of those kept is kept */
+CF_API void cf_admitter_set_capacity(struct cf_admitter *admitter, uint32_t slots, int64_t now_ms); /* usable slots just now */
+CF_API enum cf_admit cf_admitter_ask(struct cf_admitter *admitter, const struct cf_admit_job *job, int64_t now_ms, uint32_t *retry_after_ms); /* RUN counts it as waiting work */
+CF_API void cf_admitter_started(struct cf_admitter *admitter, const struct cf_admit_job *job, int64_t now_ms); /* all its tasks are placed */
+CF_API void cf_admitter_ended(struct cf_admitter *admitter, const struct cf_admit_job *job, bool was_started, bool ok, uint32_t response_ms, int64_t now_ms); /* after RUN, once */
+CF_API uint32_t cf_admitter_share_milli(const struct cf_admitter *admitter, const char *class_name); /* of capacity, just now */
+CF_API int64_t cf_admitter_urgency(const struct cf_admitter *admitter, const struct cf_admit_job *job, int64_t arrived_ms, int64_t now_ms); /* order of waiting jobs: least first */
+
+/* ---- Retry budget (src/lib/retry.c) --------------------------------- */
+
+struct cf_retry_budget;
+
+CF_API struct cf_retry_budget *cf_retry_budget_create(uint32_t ratio_milli, uint32_t burst); /* retries a request, and at most at once */
+CF_API void cf_retry_budget_destroy(struct cf_retry_budget *budget); /* NULL is allowed */
+CF_API void cf_retry_budget_earn(struct cf_retry_budget *budget); /* one first try */
+CF_API bool cf_retry_budget_spend(struct cf_retry_budget *budget); /* false: no retry now */
+CF_API uint32_t cf_retry_delay_ms(uint32_t attempt, uint32_t base_ms, uint32_t max_ms, uint64_t random); /* full jitter, attempt from 0 */
+
+/* ---- Health of backend servers (src/lib/health.c) ------------------- */
+
+enum cf_health_state {
+	CF_HEALTH_GOOD,
+	CF_HEALTH_PROBATION, /* few tasks */
+	CF_HEALTH_EJECTED,
+	CF_HEALTH_WARMING, /* slow start */
+};
+
+struct cf_health;
+
+CF_API struct cf_health * cf_health_create(uint32_t eject_max_milli); /* at most this part ejected */
+CF_API void cf_health_destroy(struct cf_health *health); /* NULL is allowed */
+CF_API void cf_health_join(struct cf_health *health, uint64_t agent, int64_t now_ms); /* slow start */
+CF_API void cf_health_leave(struct cf_health *health, uint64_t agent); /* forget it */
+CF_API void cf_health_sent(struct cf_health *health, uint64_t agent, uint32_t n_tasks, int64_t now_ms); /* tasks placed there */
+CF_API void cf_health_result(struct cf_health *health, uint64_t agent, bool ok, uint32_t run_ms, uint32_t predicted_ms, int64_t now_ms); /* a task ended */
+CF_API bool cf_health_tick(struct cf_health *health, int64_t now_ms); /* true: a state changed */
+CF_API enum cf_health_state cf_health_state(const struct cf_health *health, uint64_t agent); /* GOOD when unknown */
+CF_API uint32_t cf_health_weight_milli(const struct cf_health *health, uint64_t agent, int64_t now_ms); /* 0..1000 */
+CF_API double cf_health_slowness(const struct cf_health *health, uint64_t agent); /* 1.0 usual */
+
+/* ---- Service-level burn (src/lib/burn.c) ---------------------------- */
+
+struct cf_burn_class {
+	char name[CF_NAME_SIZE];
+	uint32_t target_ms, percentile_milli;
+	uint64_t total, within, refused_not_run, failed; /* in the last hour */
+	uint32_t p50_ms, attained_ms; /* median; at the class's percentile */
+	double budget_left; /* 1.0 untouched, below 0 overdrawn, last hour */
+	double burn_5min, burn_1h; /* 1.0 spends the budget just in time */
+};
+
+struct cf_burn;
+
+CF_API struct cf_burn *cf_burn_create(void); /* no class */
+CF_API void cf_burn_destroy(struct cf_burn *burn); /* NULL is allowed */
+CF_API void cf_burn_set_classes(struct cf_burn *burn, const struct cf_admit_class *classes, size_t n_classes); /* history of those kept is kept */
+CF_API void cf_burn_record(struct cf_burn *burn, const char *class_name, uint32_t response_ms, bool ok, int64_t now_ms); /* an answered job */
+CF_API void cf_burn_refuse(struct cf_burn *burn, const char *class_name, const char *reason, int64_t now_ms); /* a refusal */
+CF_API size_t cf_burn_report(const struct cf_burn *burn, int64_t now_ms, struct cf_burn_class *classes, size_t max); /* count */
+CF_API char *cf_burn_json(const struct cf_burn *burn, int64_t now_ms); /* free with g_free */
+CF_API char *cf_burn_text(const struct cf_burn *burn, int64_t now_ms); /* free with g_free */
+CF_API char * cf_burn_html(const struct cf_burn *burn, int64_t now_ms); /* one page, inline SVG; free with g_free */
+
+/* ---- Traces (src/lib/trace.c) --------------------------------------- */
+/* Events of all processes, checked against the promises. One event a
+ * line, "key=value" fields; format in docs/PROOFS.md. */
+
+struct cf_trace_fault {
+	char promise[CF_NAME_SIZE]; /* as listed in docs/PROOFS.md */
+	char file[256];
+	uint64_t line; /* of the first event that breaks it */
+	char message[256];
+};
+
+struct cf_trace_summary {
+	uint64_t events, starts, doubles, answers, complete, not_run, unknown;
+};
+
+struct cf_trace;
+
+CF_API struct cf_trace *cf_trace_create(void); /* empty */
+CF_API void cf_trace_destroy(struct cf_trace *trace); /* NULL is allowed */
+CF_API bool cf_trace_add(struct cf_trace *trace, const char *file, uint64_t line, const char *text, GError **error); /* one event, any order of files */
+CF_API size_t cf_trace_check(struct cf_trace *trace, struct cf_trace_summary *summary, struct cf_trace_fault *faults, size_t max); /* number found */
+
+/* clang-format on */
+
+#endif
--- /dev/null
+++ b/src/base/settings.h
@@ -0,0 +1,69 @@
+/*
+ * settings: one table gives the flags, the CHERVILFERRY_* variables,
+ * the validation, the help text and "chervilferry settings". A flag
+ * goes before a variable, a variable before the default.
+ */
+#ifndef BASE_SETTINGS_H
+#define BASE_SETTINGS_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+enum setting_type {
+	SETTING_TEXT,
+	SETTING_NAME, /* letters, digits, '-', '_', '.', 1..63 */
+	SETTING_NUMBER, /* int64 within min..max */
+	SETTING_BOOL,
+	SETTING_ADDRESS, /* ip:port, port 0 allowed */
+	SETTING_ADDRESSES, /* comma-separated ip:port */
+	SETTING_URL, /* http://ip:port */
+	SETTING_CHOICE, /* one of choices, "a|b|c" */
+	SETTING_PATH,
+};
+
+/* Bits of the roles that know a setting. */
+enum setting_role {
+	FOR_COORDINATOR = 1 << 0,
+	FOR_DISPATCHER = 1 << 1,
+	FOR_AGENT = 1 << 2,
+	FOR_OPERATOR = 1 << 3,
+	FOR_LOAD = 1 << 4,
+	FOR_BACKEND = 1 << 5,
+	FOR_STANDALONE = 1 << 6,
+};
+
+struct setting {
+	const char *name; /* flag without dashes: "lease-ms" */
+	enum setting_type type;
+	unsigned int roles; /* enum setting_role bits */
+	bool required;
+	int64_t min, max; /* SETTING_NUMBER */
+	const char *unit; /* "ms", "bytes", ... or NULL */
+	const char *standard; /* default as text, or NULL */
+	const char *choices; /* SETTING_CHOICE */
+	const char *help;
+};
+
+struct settings;
+
+extern const struct setting settings_table[];
+extern const size_t settings_count;
+
+/* Reads flags and variables for one role, validates all together. On
+ * failure writes every fault, a line each, to errors and returns NULL. */
+struct settings *settings_parse(enum setting_role role, int argc, char **argv,
+				GString *errors);
+void settings_destroy(struct settings *settings);
+const char *settings_text(const struct settings *s, const char *name);
+int64_t settings_number(const struct settings *s, const char *name);
+bool settings_bool(const struct settings *s, const char *name);
+char **settings_list(const struct settings *s,
+		     const char *name); /* NULL-ended, borrowed */
+const char *settings_argument(const struct settings *s,
+			      size_t i); /* positional or NULL */
+void settings_print_help(enum setting_role role, const char *command,
+			 GString *out);
+void settings_print_table(GString *out, bool json);
+
+#endif
--- /dev/null
+++ b/src/roles/role.h
@@ -0,0 +1,43 @@
+/*
+ * role: what main starts. Each takes its settings and returns the exit
+ * status of the process (0 done, 1 failed, 2 bad use).
+ */
+#ifndef ROLES_ROLE_H
+#define ROLES_ROLE_H
+
+#include "base/settings.h"
+
+/* Runs until SIGTERM or SIGINT, then stops gracefully. */
+int coordinator_main(const struct settings *settings);
+int dispatcher_main(const struct settings *settings);
+int agent_main(const struct settings *settings);
+int standalone_main(const struct settings *settings);
+int backend_main(const struct settings *settings); /* stand-in server */
+int load_main(const struct settings *settings);
+
+/* Operator verbs; argv[0] is the verb ("class", "status", ...). */
+int operator_main(int argc, char **argv);
+int trace_main(int argc, char **argv); /* trace check|replay */
+
+/* The parts of a role that standalone also runs in its process. */
+struct coordinator;
+struct coordinator *coordinator_start(const struct settings *settings,
+				      GError **error);
+void coordinator_stop(struct coordinator *coordinator); /* graceful, waits */
+struct dispatcher;
+struct dispatcher *dispatcher_start(const struct settings *settings,
+				    GError **error);
+void dispatcher_stop(struct dispatcher *dispatcher);
+struct agent;
+struct agent *agent_start(const struct settings *settings, GError **error);
+void agent_stop(struct agent *agent);
+struct backend;
+struct backend *backend_start(const struct settings *settings, GError **error);
+void backend_stop(struct backend *backend);
+
+/* Blocks SIGTERM and SIGINT in all threads (call before any is made)
+ * and waits for one; SIGPIPE is ignored. */
+void role_block_signals(void);
+void role_wait_for_stop(void);
+
+#endif
--- /dev/null
+++ b/tools/check_size.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# No build product, large file or path of one machine in the repository.
+set -eu
+bad=$(git ls-files | grep -E '\.(o|a|so|d|tap)$|^build' || true)
+large=$(git ls-files -z | xargs -0 -r stat -c '%s %n' | awk '$1 > 400000')
+if [ -n "$bad$large" ]; then
+	echo "not for the repository: $bad $large" >&2
+	exit 1
+fi
--- /dev/null
+++ b/tools/lint.sh
@@ -0,0 +1,16 @@
+#!/usr/bin/env bash
+# clang-tidy and cppcheck over our sources; "-" files are not ours.
+#   tools/lint.sh "COMPILER FLAGS" FILE...
+set -eu
+flags=$1
+shift
+flags=$(printf '%s' "$flags" | sed "s/-DCF_VERSION='[^']*'/-DCF_VERSION=\"0\"/")
+export flags
+printf '%s\n' "$@" | xargs -P "$(nproc)" -I{} bash -c \
+	'out=$(clang-tidy --quiet {} -- $flags 2>/dev/null) ||
+		{ printf "%s\n" "$out"; exit 1; }'
+cppcheck --quiet --std=c11 --error-exitcode=1 --inline-suppr -j "$(nproc)" \
+	--enable=warning,performance,portability \
+	--suppress=missingIncludeSystem --suppress=varFuncNullUB \
+	-Iinclude -Isrc "$@"
+echo "lint clean"
