Add the replicated log and its explorer

Coordinators need one agreed order of configuration changes that survives crashes, cuts and replaced members. This is Raft with pre-vote, check-quorum, learners and one voter changed at a time. A ready holds copies, so that a disk thread may write it while messages go on to be stepped. A member stuck in a higher term makes the leader stand again, but through a pre-vote, so that a deposed leader that comes back cannot disturb its successor.

--- a/include/chervilferry.h
+++ b/include/chervilferry.h
@@ -159,6 +159,8 @@
 CF_API int64_t cf_replog_quorum_ms(const struct cf_replog *log); /* leader: a quorum acknowledged what was sent at or after this now_ms; else INT64_MIN */
 CF_API bool cf_replog_caught_up(const struct cf_replog *log, uint32_t member); /* leader: within 64 entries of the end */
 CF_API void cf_replog_get_members(const struct cf_replog *log, struct cf_members *members); /* in use, committed or not */
+CF_API GBytes *cf_members_pack(const struct cf_members *members); /* data of a CF_ENTRY_MEMBERS */
+CF_API bool cf_members_unpack(GBytes *data, struct cf_members *members); /* false: malformed, empty or doubled */
 
 /* ---- Configuration (src/lib/config.c) ------------------------------- */
 /* The state machine of the replicated log. A revision is a log index. */
--- /dev/null
+++ b/src/lib/replog_append.c
@@ -0,0 +1,367 @@
+/*
+ * replog_append: replication, the commit index, snapshots to members
+ * whose next entry is no longer held, and check-quorum.
+ */
+#include "lib/replog_internal.h"
+
+#include <stdlib.h>
+
+#define SNAPSHOT_RESEND_ELECTIONS 4 /* unanswered for so many timeouts */
+
+/* ---- Leader: sending ------------------------------------------------ */
+
+static void fill_batch(struct cf_replog *log, struct cf_replog_message *m,
+		       uint64_t from)
+{
+	uint64_t last = cf_replog_last(log), to = from;
+	size_t bytes = 0;
+	GArray *entries;
+
+	while (to <= last) {
+		GBytes *data = replog_at(log, to)->data;
+
+		bytes += data ? g_bytes_get_size(data) : 0;
+		if (to > from && bytes > log->batch_bytes)
+			break;
+		to++;
+	}
+	entries = g_array_new(FALSE, FALSE, sizeof(struct cf_entry));
+	replog_copy_entries(log, from, to - 1, entries);
+	m->n_entries = entries->len;
+	m->entries = (struct cf_entry *)g_array_free(entries, FALSE);
+}
+
+static void send_snapshot(struct cf_replog *log, struct replog_peer *peer)
+{
+	struct cf_replog_message *m =
+		replog_message(log, CF_REPLOG_SNAPSHOT, peer->id);
+
+	m->index = log->snapshot.index;
+	m->log_term = log->snapshot.term;
+	m->commit = log->state.commit;
+	m->members = log->snapshot.members;
+	m->sent_ms = log->now_ms;
+	if (log->snapshot.data)
+		m->snapshot = g_bytes_ref(log->snapshot.data);
+	peer->state = PEER_SNAPSHOT;
+	peer->snapshot_ms = log->now_ms;
+}
+
+/* Keeps contact with a member that can't be sent entries now. */
+static void send_contact(struct cf_replog *log, struct replog_peer *peer)
+{
+	struct cf_replog_message *m =
+		replog_message(log, CF_REPLOG_APPEND, peer->id);
+
+	m->sent_ms = log->now_ms;
+}
+
+static void send_append(struct cf_replog *log, struct replog_peer *peer,
+			bool heartbeat)
+{
+	uint64_t last = cf_replog_last(log), term = 0;
+	struct cf_replog_message *m;
+	bool entries;
+
+	if (peer->state == PEER_SNAPSHOT) {
+		if (log->now_ms - peer->snapshot_ms >=
+		    SNAPSHOT_RESEND_ELECTIONS * log->election_ms)
+			send_snapshot(log, peer);
+		else if (heartbeat)
+			send_contact(log, peer);
+		return;
+	}
+	if (!replog_term_at(log, peer->next - 1, &term)) {
+		send_snapshot(log, peer);
+		return;
+	}
+	entries = peer->next <= last;
+	if (peer->state == PEER_PROBE && peer->probe_sent) {
+		if (!heartbeat)
+			return;
+		entries = false;
+	}
+	m = replog_message(log, CF_REPLOG_APPEND, peer->id);
+	m->index = peer->next - 1;
+	m->log_term = term;
+	m->commit = log->state.commit;
+	m->sent_ms = log->now_ms;
+	if (entries)
+		fill_batch(log, m, peer->next);
+	if (peer->state == PEER_PROBE)
+		peer->probe_sent = true;
+	else
+		peer->next += m->n_entries;
+}
+
+void replog_send_all(struct cf_replog *log, bool heartbeat)
+{
+	for (size_t i = 0; i < log->n_peers; i++)
+		if (log->peers[i].id != log->id)
+			send_append(log, &log->peers[i], heartbeat);
+	log->send_pending = false;
+}
+
+/* ---- Leader: office ------------------------------------------------- */
+
+void replog_lead(struct cf_replog *log)
+{
+	uint64_t last = cf_replog_last(log);
+	struct cf_entry noop = { .index = last + 1,
+				 .term = log->state.term,
+				 .kind = CF_ENTRY_NOOP };
+
+	log->role = REPLOG_LEADER;
+	log->leader = log->id;
+	log->term_start = noop.index;
+	for (size_t i = 0; i < log->n_peers; i++) {
+		struct replog_peer *peer = &log->peers[i];
+
+		peer->state = PEER_PROBE;
+		peer->probe_sent = false;
+		peer->match = peer->id == log->id ? log->stable : 0;
+		peer->next = last + 1;
+		peer->heard_ms = log->now_ms;
+		peer->acked_ms = INT64_MIN;
+	}
+	replog_push(log, &noop);
+	log->heartbeat_at_ms = log->now_ms + log->heartbeat_ms;
+	log->send_pending = true;
+}
+
+static bool hears_quorum(const struct cf_replog *log)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < log->n_peers; i++) {
+		const struct replog_peer *peer = &log->peers[i];
+
+		if (!peer->voter)
+			continue;
+		n += peer->id == log->id ||
+		     log->now_ms - peer->heard_ms < log->election_ms;
+	}
+	return n >= replog_quorum(log);
+}
+
+void replog_leader_tick(struct cf_replog *log)
+{
+	if (!hears_quorum(log)) {
+		replog_follow(log, log->state.term, 0);
+		return;
+	}
+	if (log->now_ms < log->heartbeat_at_ms)
+		return;
+	log->heartbeat_at_ms = log->now_ms + log->heartbeat_ms;
+	replog_send_all(log, true);
+}
+
+static int compare_descending(const void *a, const void *b)
+{
+	uint64_t x = *(const uint64_t *)a, y = *(const uint64_t *)b;
+
+	return (x < y) - (x > y);
+}
+
+/* Entries of earlier terms are committed only along with one of this
+ * term (section 5.4.2 of the paper). */
+void replog_update_commit(struct cf_replog *log)
+{
+	uint64_t match[REPLOG_PEERS_MAX], term = 0, index;
+	const struct replog_peer *self;
+	size_t n = 0;
+
+	for (size_t i = 0; i < log->n_peers; i++)
+		if (log->peers[i].voter)
+			match[n++] = log->peers[i].match;
+	if (!n)
+		return;
+	qsort(match, n, sizeof(match[0]), compare_descending);
+	index = match[replog_quorum(log) - 1];
+	if (index <= log->state.commit || !replog_term_at(log, index, &term) ||
+	    term != log->state.term)
+		return;
+	log->state.commit = index;
+	log->send_pending = true;
+	self = replog_self(log);
+	if (log->members_index <= index && (!self || !self->voter)) {
+		replog_send_all(log, true);
+		replog_follow(log, log->state.term, 0);
+	}
+}
+
+/* ---- Leader: replies ------------------------------------------------ */
+
+static void on_rejected(struct cf_replog *log, struct replog_peer *peer,
+			const struct cf_replog_message *m)
+{
+	if (m->index <= peer->match)
+		return;
+	if (peer->state == PEER_PROBE && m->index != peer->next - 1)
+		return;
+	if (peer->state == PEER_SNAPSHOT)
+		return;
+	peer->state = PEER_PROBE;
+	peer->probe_sent = false;
+	peer->next = MAX(peer->match + 1, MIN(m->index, m->hint + 1));
+	log->send_pending = true;
+}
+
+static void on_accepted(struct cf_replog *log, struct replog_peer *peer,
+			const struct cf_replog_message *m)
+{
+	bool behind;
+
+	if (m->index > cf_replog_last(log))
+		return;
+	peer->match = MAX(peer->match, m->index);
+	peer->next = MAX(peer->next, peer->match + 1);
+	if (peer->state == PEER_SNAPSHOT) {
+		if (peer->match < log->snapshot.index)
+			return;
+		peer->state = PEER_PROBE;
+		peer->probe_sent = false;
+		peer->next = peer->match + 1;
+	}
+	if (peer->state == PEER_PROBE && m->index + 1 >= peer->next) {
+		peer->state = PEER_REPLICATE;
+		peer->next = peer->match + 1;
+	}
+	behind = peer->next <= cf_replog_last(log);
+	replog_update_commit(log);
+	if (behind && log->role == REPLOG_LEADER)
+		log->send_pending = true;
+}
+
+void replog_on_append_reply(struct cf_replog *log,
+			    const struct cf_replog_message *m)
+{
+	struct replog_peer *peer = replog_peer(log, m->from);
+
+	if (log->role != REPLOG_LEADER || !peer)
+		return;
+	peer->heard_ms = log->now_ms;
+	if (m->sent_ms <= log->now_ms)
+		peer->acked_ms = MAX(peer->acked_ms, m->sent_ms);
+	if (m->reject)
+		on_rejected(log, peer, m);
+	else
+		on_accepted(log, peer, m);
+}
+
+/* ---- Follower ------------------------------------------------------- */
+
+static void hear_leader(struct cf_replog *log,
+			const struct cf_replog_message *m)
+{
+	if (log->role != REPLOG_FOLLOWER || log->leader != m->from)
+		replog_follow(log, m->term, m->from);
+	log->heard_ms = log->now_ms;
+	replog_reset_election(log);
+}
+
+static void reply_to(struct cf_replog *log, const struct cf_replog_message *m,
+		     enum cf_replog_kind kind, uint64_t match)
+{
+	struct cf_replog_message *reply = replog_message(log, kind, m->from);
+
+	reply->index = match;
+	reply->sent_ms = m->sent_ms;
+}
+
+/* The greatest index that may match: none above has a term up to that
+ * of the leader's entry. */
+static void reject_append(struct cf_replog *log,
+			  const struct cf_replog_message *m)
+{
+	uint64_t hint = MIN(cf_replog_last(log), m->index), term = 0;
+	struct cf_replog_message *reply;
+
+	while (hint > log->snapshot.index && replog_term_at(log, hint, &term) &&
+	       term > m->log_term)
+		hint--;
+	reply = replog_message(log, CF_REPLOG_APPEND_REPLY, m->from);
+	reply->reject = true;
+	reply->index = m->index;
+	reply->hint = hint;
+	reply->sent_ms = m->sent_ms;
+}
+
+static bool is_contiguous(const struct cf_replog_message *m)
+{
+	for (size_t i = 0; i < m->n_entries; i++)
+		if (m->entries[i].index != m->index + 1 + i)
+			return false;
+	return true;
+}
+
+static void take_entries(struct cf_replog *log,
+			 const struct cf_replog_message *m)
+{
+	for (size_t i = 0; i < m->n_entries; i++) {
+		const struct cf_entry *entry = &m->entries[i];
+		uint64_t term = 0;
+
+		if (entry->index <= log->state.commit)
+			continue;
+		if (replog_term_at(log, entry->index, &term)) {
+			if (term == entry->term)
+				continue;
+			replog_truncate(log, entry->index);
+		}
+		replog_push(log, entry);
+	}
+}
+
+void replog_on_append(struct cf_replog *log, const struct cf_replog_message *m)
+{
+	uint64_t term = 0, end = m->index + m->n_entries;
+
+	if (log->role == REPLOG_LEADER || !is_contiguous(m))
+		return;
+	hear_leader(log, m);
+	/* What is committed is equal at every leader. */
+	if (m->index >= log->state.commit &&
+	    (!replog_term_at(log, m->index, &term) || term != m->log_term)) {
+		reject_append(log, m);
+		return;
+	}
+	end = MAX(end, log->state.commit);
+	take_entries(log, m);
+	log->state.commit = MAX(log->state.commit, MIN(m->commit, end));
+	reply_to(log, m, CF_REPLOG_APPEND_REPLY, end);
+}
+
+static void install(struct cf_replog *log, const struct cf_replog_message *m)
+{
+	struct cf_snapshot snapshot = { .index = m->index,
+					.term = m->log_term,
+					.members = m->members,
+					.data = m->snapshot };
+
+	g_array_set_size(log->entries, 0);
+	replog_copy_snapshot(&log->snapshot, &snapshot);
+	replog_use_members(log, &m->members, m->index);
+	log->state.commit = m->index;
+	log->stable = m->index;
+	log->delivered = m->index;
+	log->ready_last = 0;
+	log->snapshot_pending = true;
+}
+
+void replog_on_snapshot(struct cf_replog *log,
+			const struct cf_replog_message *m)
+{
+	uint64_t term = 0;
+
+	if (log->role == REPLOG_LEADER || !replog_members_valid(&m->members))
+		return;
+	hear_leader(log, m);
+	if (m->index > log->state.commit) {
+		if (replog_term_at(log, m->index, &term) && term == m->log_term)
+			log->state.commit = m->index;
+		else
+			install(log, m);
+	}
+	reply_to(log, m, CF_REPLOG_SNAPSHOT_REPLY, log->state.commit);
+}
--- /dev/null
+++ b/src/lib/replog_election.c
@@ -0,0 +1,164 @@
+/*
+ * replog_election: pre-vote, vote and stepping down.
+ */
+#include "lib/replog_internal.h"
+
+#include <xxhash.h>
+
+/* ---- Roles ---------------------------------------------------------- */
+
+void replog_reset_election(struct cf_replog *log)
+{
+	uint64_t draw = XXH64(&log->draws, sizeof(log->draws), log->seed);
+
+	log->draws++;
+	log->election_at_ms = log->now_ms + log->election_ms +
+			      (int64_t)(draw % (uint64_t)log->election_ms);
+}
+
+void replog_follow(struct cf_replog *log, uint64_t term, uint32_t leader)
+{
+	if (term > log->state.term) {
+		log->state.term = term;
+		log->state.vote = 0;
+	}
+	log->role = REPLOG_FOLLOWER;
+	log->leader = leader;
+	log->send_pending = false;
+	replog_reset_election(log);
+}
+
+static size_t count_granted(const struct cf_replog *log)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < log->n_peers; i++)
+		n += log->peers[i].voter && log->peers[i].granted;
+	return n;
+}
+
+/* ---- Candidates ----------------------------------------------------- */
+
+static void send_vote_requests(struct cf_replog *log, bool pre_vote)
+{
+	for (size_t i = 0; i < log->n_peers; i++) {
+		const struct replog_peer *peer = &log->peers[i];
+		struct cf_replog_message *m;
+
+		if (!peer->voter || peer->id == log->id)
+			continue;
+		m = replog_message(
+			log, pre_vote ? CF_REPLOG_PREVOTE : CF_REPLOG_VOTE,
+			peer->id);
+		m->term = log->state.term + (pre_vote ? 1 : 0);
+		m->index = cf_replog_last(log);
+		m->log_term = replog_last_term(log);
+	}
+}
+
+void replog_campaign(struct cf_replog *log, bool pre_vote)
+{
+	log->leader = 0;
+	replog_reset_election(log);
+	for (size_t i = 0; i < log->n_peers; i++)
+		log->peers[i].granted = log->peers[i].id == log->id;
+	if (pre_vote && count_granted(log) < replog_quorum(log)) {
+		log->role = REPLOG_PRE_CANDIDATE;
+		send_vote_requests(log, true);
+		return;
+	}
+	log->role = REPLOG_CANDIDATE;
+	log->state.term++;
+	log->state.vote = log->id;
+	if (count_granted(log) >= replog_quorum(log))
+		replog_lead(log);
+	else
+		send_vote_requests(log, false);
+}
+
+void replog_election_tick(struct cf_replog *log)
+{
+	const struct replog_peer *self = replog_self(log);
+
+	if (!self || !self->voter)
+		return;
+	if (log->members.n_voters == 1 || log->now_ms >= log->election_at_ms)
+		replog_campaign(log, true);
+}
+
+void replog_on_vote_reply(struct cf_replog *log,
+			  const struct cf_replog_message *m)
+{
+	struct replog_peer *peer = replog_peer(log, m->from);
+	bool pre_vote = m->kind == CF_REPLOG_PREVOTE_REPLY;
+	enum replog_role role = pre_vote ? REPLOG_PRE_CANDIDATE
+					 : REPLOG_CANDIDATE;
+	uint64_t term = log->state.term + (pre_vote ? 1 : 0);
+
+	if (log->role != role || m->term != term || m->reject || !peer)
+		return;
+	peer->granted = true;
+	if (count_granted(log) < replog_quorum(log))
+		return;
+	if (pre_vote)
+		replog_campaign(log, false);
+	else
+		replog_lead(log);
+}
+
+/* ---- Voters --------------------------------------------------------- */
+
+/* Who follows a leader that is alive takes part in no election, unless
+ * that leader itself asks for it. */
+bool replog_ignores_votes(const struct cf_replog *log, uint32_t candidate)
+{
+	if (log->role == REPLOG_LEADER)
+		return true;
+	if (log->leader && log->leader == candidate)
+		return false;
+	return log->now_ms - log->heard_ms < log->election_ms;
+}
+
+static bool is_up_to_date(const struct cf_replog *log,
+			  const struct cf_replog_message *m)
+{
+	uint64_t term = replog_last_term(log);
+
+	if (m->log_term != term)
+		return m->log_term > term;
+	return m->index >= cf_replog_last(log);
+}
+
+static void on_prevote(struct cf_replog *log, const struct cf_replog_message *m)
+{
+	struct cf_replog_message *reply;
+	bool grant;
+
+	if (replog_ignores_votes(log, m->from))
+		return;
+	grant = m->term > log->state.term && is_up_to_date(log, m);
+	reply = replog_message(log, CF_REPLOG_PREVOTE_REPLY, m->from);
+	reply->reject = !grant;
+	if (grant)
+		reply->term = m->term;
+}
+
+void replog_on_vote_request(struct cf_replog *log,
+			    const struct cf_replog_message *m)
+{
+	struct cf_replog_message *reply;
+	bool grant;
+
+	if (m->kind == CF_REPLOG_PREVOTE) {
+		on_prevote(log, m);
+		return;
+	}
+	grant = (!log->state.vote || log->state.vote == m->from) &&
+		is_up_to_date(log, m);
+	if (grant) {
+		replog_follow(log, m->term, log->leader);
+		log->state.vote = m->from;
+	}
+	reply = replog_message(log, CF_REPLOG_VOTE_REPLY, m->from);
+	reply->reject = !grant;
+}
--- a/src/proto/wire.pb-c.c
+++ b/src/proto/wire.pb-c.c
@@ -232,6 +232,96 @@
   assert(message->base.descriptor == &cfw__log_message__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cfw__store_record__init
+                     (Cfw__StoreRecord         *message)
+{
+  static const Cfw__StoreRecord init_value = CFW__STORE_RECORD__INIT;
+  *message = init_value;
+}
+size_t cfw__store_record__get_packed_size
+                     (const Cfw__StoreRecord *message)
+{
+  assert(message->base.descriptor == &cfw__store_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cfw__store_record__pack
+                     (const Cfw__StoreRecord *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cfw__store_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cfw__store_record__pack_to_buffer
+                     (const Cfw__StoreRecord *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cfw__store_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cfw__StoreRecord *
+       cfw__store_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cfw__StoreRecord *)
+     protobuf_c_message_unpack (&cfw__store_record__descriptor,
+                                allocator, len, data);
+}
+void   cfw__store_record__free_unpacked
+                     (Cfw__StoreRecord *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cfw__store_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cfw__store_snapshot__init
+                     (Cfw__StoreSnapshot         *message)
+{
+  static const Cfw__StoreSnapshot init_value = CFW__STORE_SNAPSHOT__INIT;
+  *message = init_value;
+}
+size_t cfw__store_snapshot__get_packed_size
+                     (const Cfw__StoreSnapshot *message)
+{
+  assert(message->base.descriptor == &cfw__store_snapshot__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cfw__store_snapshot__pack
+                     (const Cfw__StoreSnapshot *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cfw__store_snapshot__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cfw__store_snapshot__pack_to_buffer
+                     (const Cfw__StoreSnapshot *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cfw__store_snapshot__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cfw__StoreSnapshot *
+       cfw__store_snapshot__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cfw__StoreSnapshot *)
+     protobuf_c_message_unpack (&cfw__store_snapshot__descriptor,
+                                allocator, len, data);
+}
+void   cfw__store_snapshot__free_unpacked
+                     (Cfw__StoreSnapshot *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cfw__store_snapshot__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cfw__task_class__init
                      (Cfw__TaskClass         *message)
 {
@@ -2186,6 +2276,199 @@
   (ProtobufCMessageInit) cfw__log_message__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor cfw__store_record__field_descriptors[7] =
+{
+  {
+    "term",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__StoreRecord, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "vote",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__StoreRecord, vote),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "commit",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__StoreRecord, commit),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reset",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__StoreRecord, reset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reset_index",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__StoreRecord, reset_index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reset_term",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__StoreRecord, reset_term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "entries",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cfw__StoreRecord, n_entries),
+    offsetof(Cfw__StoreRecord, entries),
+    &cfw__log_entry__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cfw__store_record__field_indices_by_name[] = {
+  2,   /* field[2] = commit */
+  6,   /* field[6] = entries */
+  3,   /* field[3] = reset */
+  4,   /* field[4] = reset_index */
+  5,   /* field[5] = reset_term */
+  0,   /* field[0] = term */
+  1,   /* field[1] = vote */
+};
+static const ProtobufCIntRange cfw__store_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor cfw__store_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cfw.StoreRecord",
+  "StoreRecord",
+  "Cfw__StoreRecord",
+  "cfw",
+  sizeof(Cfw__StoreRecord),
+  7,
+  cfw__store_record__field_descriptors,
+  cfw__store_record__field_indices_by_name,
+  1,  cfw__store_record__number_ranges,
+  (ProtobufCMessageInit) cfw__store_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cfw__store_snapshot__field_descriptors[4] =
+{
+  {
+    "index",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__StoreSnapshot, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__StoreSnapshot, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "members",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__StoreSnapshot, members),
+    &cfw__members__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__StoreSnapshot, data),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cfw__store_snapshot__field_indices_by_name[] = {
+  3,   /* field[3] = data */
+  0,   /* field[0] = index */
+  2,   /* field[2] = members */
+  1,   /* field[1] = term */
+};
+static const ProtobufCIntRange cfw__store_snapshot__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor cfw__store_snapshot__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cfw.StoreSnapshot",
+  "StoreSnapshot",
+  "Cfw__StoreSnapshot",
+  "cfw",
+  sizeof(Cfw__StoreSnapshot),
+  4,
+  cfw__store_snapshot__field_descriptors,
+  cfw__store_snapshot__field_indices_by_name,
+  1,  cfw__store_snapshot__number_ranges,
+  (ProtobufCMessageInit) cfw__store_snapshot__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor cfw__task_class__field_descriptors[4] =
 {
   {
--- a/src/proto/wire.pb-c.h
+++ b/src/proto/wire.pb-c.h
@@ -20,6 +20,8 @@
 typedef struct Cfw__LogEntry Cfw__LogEntry;
 typedef struct Cfw__Members Cfw__Members;
 typedef struct Cfw__LogMessage Cfw__LogMessage;
+typedef struct Cfw__StoreRecord Cfw__StoreRecord;
+typedef struct Cfw__StoreSnapshot Cfw__StoreSnapshot;
 typedef struct Cfw__TaskClass Cfw__TaskClass;
 typedef struct Cfw__DataCentre Cfw__DataCentre;
 typedef struct Cfw__Team Cfw__Team;
@@ -187,6 +189,42 @@
     , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, NULL, {0,NULL}, {0,NULL} }
 
 
+/*
+ * What one synced write adds to a log segment.
+ */
+struct  Cfw__StoreRecord
+{
+  ProtobufCMessage base;
+  uint64_t term;
+  uint32_t vote;
+  uint64_t commit;
+  /*
+   * the log begins anew after reset_index
+   */
+  protobuf_c_boolean reset;
+  uint64_t reset_index;
+  uint64_t reset_term;
+  size_t n_entries;
+  Cfw__LogEntry **entries;
+};
+#define CFW__STORE_RECORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cfw__store_record__descriptor) \
+    , 0, 0, 0, 0, 0, 0, 0,NULL }
+
+
+struct  Cfw__StoreSnapshot
+{
+  ProtobufCMessage base;
+  uint64_t index;
+  uint64_t term;
+  Cfw__Members *members;
+  ProtobufCBinaryData data;
+};
+#define CFW__STORE_SNAPSHOT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cfw__store_snapshot__descriptor) \
+    , 0, 0, NULL, {0,NULL} }
+
+
 struct  Cfw__TaskClass
 {
   ProtobufCMessage base;
@@ -938,6 +976,44 @@
 void   cfw__log_message__free_unpacked
                      (Cfw__LogMessage *message,
                       ProtobufCAllocator *allocator);
+/* Cfw__StoreRecord methods */
+void   cfw__store_record__init
+                     (Cfw__StoreRecord         *message);
+size_t cfw__store_record__get_packed_size
+                     (const Cfw__StoreRecord   *message);
+size_t cfw__store_record__pack
+                     (const Cfw__StoreRecord   *message,
+                      uint8_t             *out);
+size_t cfw__store_record__pack_to_buffer
+                     (const Cfw__StoreRecord   *message,
+                      ProtobufCBuffer     *buffer);
+Cfw__StoreRecord *
+       cfw__store_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cfw__store_record__free_unpacked
+                     (Cfw__StoreRecord *message,
+                      ProtobufCAllocator *allocator);
+/* Cfw__StoreSnapshot methods */
+void   cfw__store_snapshot__init
+                     (Cfw__StoreSnapshot         *message);
+size_t cfw__store_snapshot__get_packed_size
+                     (const Cfw__StoreSnapshot   *message);
+size_t cfw__store_snapshot__pack
+                     (const Cfw__StoreSnapshot   *message,
+                      uint8_t             *out);
+size_t cfw__store_snapshot__pack_to_buffer
+                     (const Cfw__StoreSnapshot   *message,
+                      ProtobufCBuffer     *buffer);
+Cfw__StoreSnapshot *
+       cfw__store_snapshot__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cfw__store_snapshot__free_unpacked
+                     (Cfw__StoreSnapshot *message,
+                      ProtobufCAllocator *allocator);
 /* Cfw__TaskClass methods */
 void   cfw__task_class__init
                      (Cfw__TaskClass         *message);
@@ -1582,6 +1658,12 @@
 typedef void (*Cfw__LogMessage_Closure)
                  (const Cfw__LogMessage *message,
                   void *closure_data);
+typedef void (*Cfw__StoreRecord_Closure)
+                 (const Cfw__StoreRecord *message,
+                  void *closure_data);
+typedef void (*Cfw__StoreSnapshot_Closure)
+                 (const Cfw__StoreSnapshot *message,
+                  void *closure_data);
 typedef void (*Cfw__TaskClass_Closure)
                  (const Cfw__TaskClass *message,
                   void *closure_data);
@@ -1695,6 +1777,8 @@
 extern const ProtobufCMessageDescriptor cfw__log_entry__descriptor;
 extern const ProtobufCMessageDescriptor cfw__members__descriptor;
 extern const ProtobufCMessageDescriptor cfw__log_message__descriptor;
+extern const ProtobufCMessageDescriptor cfw__store_record__descriptor;
+extern const ProtobufCMessageDescriptor cfw__store_snapshot__descriptor;
 extern const ProtobufCMessageDescriptor cfw__task_class__descriptor;
 extern const ProtobufCMessageDescriptor cfw__data_centre__descriptor;
 extern const ProtobufCMessageDescriptor cfw__team__descriptor;
