Add the store and the group that runs on it

The replicated log needs a disk that loses nothing acknowledged. The store writes one checksummed frame for each sync, so that a torn write is exactly a bad last frame and can be told from damage in the middle; record-wise checksums were ruled out, since a group commit torn in its middle may leave whole records behind a hole. A failed write or sync ends all writing: its pages may be gone although a later sync succeeds. The group keeps the disk on a thread of its own with one ready in flight; the leader's appends go out beside its sync.

--- /dev/null
+++ b/src/store/group.c
@@ -0,0 +1,497 @@
+/*
+ * group: see the header. The loop's thread runs the log; a disk thread
+ * writes and syncs one ready after another. What comes in meanwhile goes
+ * into the next one, so that one sync serves many proposals.
+ */
+#include "store/group.h"
+#include "base/clock.h"
+#include "store/log_message.h"
+#include "store/store.h"
+
+#include <string.h>
+
+#define TICK_MS 20
+#define SNAPSHOT_EVERY 2000 /* entries */
+#define MEMBERS_FILE "members" /* of the first start */
+
+struct group {
+	struct loop *loop;
+	struct loop_timer *timer;
+	struct group_handlers handlers;
+	void *arg;
+	uint32_t id, snapshot_every;
+	struct store *store;
+	struct cf_replog *log;
+
+	struct cf_replog_ready ready;
+	bool busy; /* the disk thread works on "ready" */
+	bool pumping;
+	struct cf_hard_state synced;
+
+	uint64_t applied, applied_term;
+	struct cf_members applied_members;
+	uint64_t snapshot_index;
+	bool snapshot_busy;
+
+	bool healthy, closed;
+	bool told_leader;
+	uint32_t told_leader_id;
+	uint64_t told_term;
+
+	GThread *thread;
+	GAsyncQueue *jobs; /* struct disk_job */
+	uint32_t jobs_open; /* their outcome has not reached the loop */
+};
+
+enum disk_work {
+	DISK_APPEND,
+	DISK_SNAPSHOT,
+	DISK_STOP,
+};
+
+struct disk_job {
+	struct group *group;
+	enum disk_work work;
+	struct store_write write; /* borrows from the ready */
+	struct cf_snapshot snapshot;
+	char *failure; /* why, or NULL */
+};
+
+static void pump(struct group *group);
+
+/* ---- Disk thread ---------------------------------------------------- */
+
+static void on_written(void *arg);
+
+static gpointer run_disk(gpointer arg)
+{
+	struct group *group = arg;
+
+	for (;;) {
+		struct disk_job *job = g_async_queue_pop(group->jobs);
+		GError *error = NULL;
+
+		if (job->work == DISK_STOP) {
+			g_free(job);
+			return NULL;
+		}
+		if (job->work == DISK_APPEND)
+			store_append(group->store, &job->write, &error);
+		else
+			store_save_snapshot(group->store, &job->snapshot,
+					    &error);
+		if (error)
+			job->failure = g_strdup(error->message);
+		g_clear_error(&error);
+		loop_post(group->loop, on_written, job);
+	}
+}
+
+static struct disk_job *new_job(struct group *group, enum disk_work work)
+{
+	struct disk_job *job = g_new0(struct disk_job, 1);
+
+	job->group = group;
+	job->work = work;
+	return job;
+}
+
+static void push_job(struct group *group, struct disk_job *job)
+{
+	group->jobs_open++;
+	g_async_queue_push(group->jobs, job);
+}
+
+static void free_job(struct disk_job *job)
+{
+	g_clear_pointer(&job->snapshot.data, g_bytes_unref);
+	g_free(job->failure);
+	g_free(job);
+}
+
+/* ---- Work of one ready ---------------------------------------------- */
+
+/* What the leader sends may go before its own sync, as long as its term
+ * is on the disk: it does not count itself until it is synced. */
+static bool goes_early(const struct group *group,
+		       const struct cf_replog_message *message)
+{
+	if (group->ready.hard_state.term != group->synced.term ||
+	    group->ready.hard_state.vote != group->synced.vote)
+		return false;
+	return message->kind == CF_REPLOG_APPEND ||
+	       message->kind == CF_REPLOG_SNAPSHOT;
+}
+
+static void send_messages(struct group *group, bool early)
+{
+	for (size_t i = 0; i < group->ready.n_messages; i++) {
+		const struct cf_replog_message *message =
+			&group->ready.messages[i];
+		struct log_packed packed;
+
+		if (goes_early(group, message) != early)
+			continue;
+		log_message_pack(message, store_identity(group->store),
+				 GROUP_IDENTITY_SIZE, &packed);
+		group->handlers.send(group->arg, message->to, &packed.message);
+		log_packed_clear(&packed);
+	}
+}
+
+static void fail(struct group *group, const char *why)
+{
+	if (!group->healthy)
+		return;
+	group->healthy = false;
+	loop_timer_stop(group->timer);
+	group->handlers.failed(group->arg, why);
+}
+
+static bool load_snapshot(struct group *group,
+			  const struct cf_snapshot *snapshot)
+{
+	if (!group->handlers.load(group->arg, snapshot->data, snapshot->index))
+		return false;
+	group->applied = snapshot->index;
+	group->applied_term = snapshot->term;
+	group->applied_members = snapshot->members;
+	group->snapshot_index = snapshot->index;
+	return true;
+}
+
+static void apply_committed(struct group *group)
+{
+	for (size_t i = 0; i < group->ready.n_committed; i++) {
+		const struct cf_entry *entry = &group->ready.committed[i];
+
+		if (entry->kind == CF_ENTRY_MEMBERS)
+			cf_members_unpack(entry->data, &group->applied_members);
+		group->applied = entry->index;
+		group->applied_term = entry->term;
+		group->handlers.apply(group->arg, entry);
+	}
+}
+
+static void take_snapshot(struct group *group)
+{
+	struct disk_job *job;
+
+	if (group->snapshot_busy || !group->healthy ||
+	    group->applied - group->snapshot_index < group->snapshot_every)
+		return;
+	job = new_job(group, DISK_SNAPSHOT);
+	job->snapshot.index = group->applied;
+	job->snapshot.term = group->applied_term;
+	job->snapshot.members = group->applied_members;
+	job->snapshot.data = group->handlers.save(group->arg);
+	group->snapshot_busy = true;
+	push_job(group, job);
+}
+
+static void finish_ready(struct group *group)
+{
+	const struct cf_snapshot *snapshot = group->ready.snapshot;
+
+	group->busy = false;
+	if (group->ready.must_sync)
+		group->synced = group->ready.hard_state;
+	send_messages(group, false);
+	if (snapshot && !load_snapshot(group, snapshot))
+		fail(group, "the leader's snapshot can't be loaded");
+	if (group->healthy)
+		apply_committed(group);
+	cf_replog_advance(group->log, clock_now_ms());
+	take_snapshot(group);
+}
+
+/* ---- The log -------------------------------------------------------- */
+
+static void tell_role(struct group *group)
+{
+	bool leader = group_is_leader(group);
+	uint32_t leader_id = group_leader(group);
+	uint64_t term = cf_replog_term(group->log);
+
+	if (leader == group->told_leader &&
+	    leader_id == group->told_leader_id && term == group->told_term)
+		return;
+	group->told_leader = leader;
+	group->told_leader_id = leader_id;
+	group->told_term = term;
+	group->handlers.role(group->arg, leader, leader_id, term);
+}
+
+static void begin_ready(struct group *group)
+{
+	struct disk_job *job;
+
+	cf_replog_get_ready(group->log, &group->ready);
+	send_messages(group, true);
+	if (!group->ready.must_sync) {
+		finish_ready(group);
+		return;
+	}
+	job = new_job(group, DISK_APPEND);
+	job->write.state = group->ready.hard_state;
+	job->write.snapshot = group->ready.snapshot;
+	job->write.entries = group->ready.entries;
+	job->write.n_entries = group->ready.n_entries;
+	group->busy = true;
+	push_job(group, job);
+}
+
+/* Callbacks may propose; what they add is seen by the outermost call. */
+static void pump(struct group *group)
+{
+	if (group->pumping)
+		return;
+	group->pumping = true;
+	while (group->healthy && !group->busy &&
+	       cf_replog_has_ready(group->log))
+		begin_ready(group);
+	tell_role(group);
+	group->pumping = false;
+}
+
+static void on_tick(void *arg, int64_t now_ms)
+{
+	struct group *group = arg;
+
+	if (!group->healthy)
+		return;
+	cf_replog_tick(group->log, now_ms);
+	pump(group);
+}
+
+static void free_group(struct group *group)
+{
+	cf_replog_destroy(group->log);
+	store_close(group->store);
+	if (group->jobs)
+		g_async_queue_unref(group->jobs);
+	g_free(group);
+}
+
+static void take_outcome(struct group *group, struct disk_job *job)
+{
+	if (job->failure) {
+		fail(group, job->failure);
+		return;
+	}
+	if (!group->healthy)
+		return;
+	group->pumping = true;
+	if (job->work == DISK_APPEND) {
+		finish_ready(group);
+	} else {
+		group->snapshot_busy = false;
+		group->snapshot_index =
+			MAX(group->snapshot_index, job->snapshot.index);
+		cf_replog_compact(group->log, job->snapshot.index,
+				  job->snapshot.data);
+	}
+	group->pumping = false;
+}
+
+static void on_written(void *arg)
+{
+	struct disk_job *job = arg;
+	struct group *group = job->group;
+
+	group->jobs_open--;
+	if (!group->closed) {
+		take_outcome(group, job);
+		pump(group);
+	} else if (!group->jobs_open) {
+		free_group(group);
+	}
+	free_job(job);
+}
+
+/* ---- Life ----------------------------------------------------------- */
+
+/* The members of the first start count until the first snapshot, also
+ * when the settings name others by then. */
+static bool first_members(const struct group_options *o, bool fresh,
+			  struct cf_members *members, GError **error)
+{
+	GBytes *data = store_get_file(o->data_folder, MEMBERS_FILE, error);
+	bool ok;
+
+	*members = (struct cf_members){ 0 };
+	if (data) {
+		if (g_bytes_get_size(data))
+			cf_members_unpack(data, members);
+		g_bytes_unref(data);
+		return true;
+	}
+	if ((error && *error) || !fresh)
+		return !error || !*error;
+	for (uint32_t i = 0; i < MIN(o->n_first_voters, CF_MEMBERS_MAX); i++)
+		members->voters[members->n_voters++] = o->first_voters[i];
+	data = cf_members_pack(members);
+	ok = store_put_file(o->data_folder, MEMBERS_FILE, data, error);
+	g_bytes_unref(data);
+	return ok;
+}
+
+static bool restore(struct group *group, const struct group_options *o,
+		    const struct store_recovered *found, GError **error)
+{
+	struct cf_replog_options options = { .id = o->id, .seed = o->seed };
+	bool fresh = !found->state.term && !found->snapshot.index;
+
+	if (!first_members(o, fresh, &options.members, error))
+		return false;
+	group->applied_members = options.members;
+	if (found->snapshot.index && !load_snapshot(group, &found->snapshot)) {
+		g_set_error(error, STORE_ERROR, STORE_ERROR_CORRUPT,
+			    "%s: the snapshot can't be loaded", o->data_folder);
+		return false;
+	}
+	group->log = cf_replog_create(&options, clock_now_ms());
+	cf_replog_restore(group->log, &found->state, &found->snapshot,
+			  (const struct cf_entry *)(void *)found->entries->data,
+			  found->entries->len);
+	group->synced = found->state;
+	return true;
+}
+
+struct group *group_create(struct loop *loop, const struct group_options *o,
+			   const struct group_handlers *handlers, void *arg,
+			   GError **error)
+{
+	struct group *group = g_new0(struct group, 1);
+	struct store_recovered found;
+	GError *failure = NULL;
+
+	group->loop = loop;
+	group->handlers = *handlers;
+	group->arg = arg;
+	group->id = o->id;
+	group->snapshot_every = o->snapshot_every ? o->snapshot_every
+						  : SNAPSHOT_EVERY;
+	group->healthy = true;
+	group->store = store_open(o->data_folder, NULL, &found, &failure);
+	if (group->store) {
+		restore(group, o, &found, &failure);
+		store_clear_recovered(&found);
+	}
+	if (failure) {
+		g_propagate_error(error, failure);
+		free_group(group);
+		return NULL;
+	}
+	group->jobs = g_async_queue_new();
+	group->thread = g_thread_new("disk", run_disk, group);
+	group->timer = loop_timer_create(loop, on_tick, group);
+	loop_timer_start(group->timer, 0, TICK_MS);
+	return group;
+}
+
+void group_destroy(struct group *group)
+{
+	if (!group)
+		return;
+	group->closed = true;
+	loop_timer_destroy(group->timer);
+	g_async_queue_push(group->jobs, new_job(group, DISK_STOP));
+	g_thread_join(group->thread);
+	/* Outcomes on their way through the loop still point here. */
+	if (!group->jobs_open)
+		free_group(group);
+}
+
+/* ---- In and out ----------------------------------------------------- */
+
+void group_receive(struct group *group, const Cfw__LogMessage *message)
+{
+	struct cf_replog_message m;
+
+	if (!group->healthy || message->identity.len != GROUP_IDENTITY_SIZE ||
+	    !group->handlers.accepts(group->arg, message->from,
+				     message->identity.data) ||
+	    !log_message_unpack(message, &m))
+		return;
+	cf_replog_step(group->log, &m, clock_now_ms());
+	log_message_clear(&m);
+	pump(group);
+}
+
+uint64_t group_propose(struct group *group, GBytes *data, int64_t wall_ms)
+{
+	uint64_t index;
+
+	if (!group->healthy)
+		return 0;
+	index = cf_replog_propose(group->log, data, wall_ms, clock_now_ms());
+	pump(group);
+	return index;
+}
+
+uint64_t group_propose_members(struct group *group,
+			       const struct cf_members *members,
+			       int64_t wall_ms)
+{
+	uint64_t index;
+
+	if (!group->healthy)
+		return 0;
+	index = cf_replog_propose_members(group->log, members, wall_ms,
+					  clock_now_ms());
+	pump(group);
+	return index;
+}
+
+/* ---- Questions ------------------------------------------------------ */
+
+bool group_is_leader(const struct group *group)
+{
+	return group->healthy && cf_replog_is_leader(group->log);
+}
+
+uint32_t group_leader(const struct group *group)
+{
+	return group->healthy ? cf_replog_leader(group->log) : 0;
+}
+
+uint64_t group_term(const struct group *group)
+{
+	return cf_replog_term(group->log);
+}
+
+uint64_t group_commit(const struct group *group)
+{
+	return cf_replog_commit(group->log);
+}
+
+uint64_t group_applied(const struct group *group)
+{
+	return group->applied;
+}
+
+int64_t group_quorum_ms(const struct group *group)
+{
+	return group->healthy ? cf_replog_quorum_ms(group->log) : INT64_MIN;
+}
+
+bool group_caught_up(const struct group *group, uint32_t member)
+{
+	return cf_replog_caught_up(group->log, member);
+}
+
+void group_get_members(const struct group *group, struct cf_members *members)
+{
+	cf_replog_get_members(group->log, members);
+}
+
+const uint8_t *group_identity(const struct group *group)
+{
+	return store_identity(group->store);
+}
+
+bool group_healthy(const struct group *group)
+{
+	return group->healthy;
+}
--- /dev/null
+++ b/src/store/store.c
@@ -0,0 +1,352 @@
+/*
+ * store: see the header. This file: the folder in use.
+ */
+#include "store/store.h"
+#include "store/group.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <glib/gstdio.h>
+#include <string.h>
+#include <sys/file.h>
+#include <sys/random.h>
+#include <unistd.h>
+
+#define FOLDER_MODE 0750
+
+struct store {
+	struct store_ops *ops;
+	char *folder;
+	int lock_fd;
+	uint8_t identity[STORE_IDENTITY_SIZE];
+	GArray *segments; /* struct store_segment, the last one is written */
+	int segment_fd;
+	uint64_t segment_bytes;
+	struct cf_hard_state state; /* last written */
+	uint64_t snapshot_index;
+	bool failed;
+};
+
+/* ---- Segments ------------------------------------------------------- */
+
+static struct store_segment *current_segment(struct store *store)
+{
+	return &g_array_index(store->segments, struct store_segment,
+			      store->segments->len - 1);
+}
+
+static bool write_frame(struct store *store, const struct store_write *write,
+			GError **error)
+{
+	struct store_segment *segment = current_segment(store);
+	GByteArray *frame = store_record_encode(write);
+	char *path = store_segment_path(store->folder, segment->number);
+	bool ok = store_write_all(store->ops, store->segment_fd, frame->data,
+				  frame->len);
+
+	if (!ok)
+		store_fail(error, "write", path);
+	if (ok && store->ops->sync(store->ops, store->segment_fd) != 0)
+		ok = store_fail(error, "sync", path);
+	if (ok) {
+		store->segment_bytes += frame->len;
+		store->state = write->state;
+		if (write->n_entries)
+			segment->last =
+				MAX(segment->last,
+				    write->entries[write->n_entries - 1].index);
+	}
+	g_byte_array_unref(frame);
+	g_free(path);
+	return ok;
+}
+
+static bool open_segment(struct store *store, uint64_t number, GError **error)
+{
+	char *path = store_segment_path(store->folder, number);
+	int fd = store->ops->open(store->ops, path,
+				  O_WRONLY | O_CREAT | O_APPEND);
+	off_t size_bytes = fd < 0 ? -1 : lseek(fd, 0, SEEK_END);
+	bool ok = size_bytes >= 0;
+
+	if (!ok)
+		store_fail(error, "open", path);
+	g_free(path);
+	if (store->segment_fd >= 0)
+		close(store->segment_fd);
+	store->segment_fd = fd;
+	store->segment_bytes = ok ? (uint64_t)size_bytes : 0;
+	return ok;
+}
+
+/* A new segment begins with the hard state, so that older ones can go. */
+static bool begin_segment(struct store *store, GError **error)
+{
+	struct store_write write = { .state = store->state };
+	struct store_segment segment = { .number = 1 };
+
+	if (store->segments->len)
+		segment.number = current_segment(store)->number + 1;
+	if (!open_segment(store, segment.number, error))
+		return false;
+	g_array_append_val(store->segments, segment);
+	return write_frame(store, &write, error) &&
+	       store_sync_folder(store->ops, store->folder, error);
+}
+
+/* Removes segments of which the snapshot covers every entry, oldest
+ * first; one that can't be removed is read again at the next start. */
+static void trim_segments(struct store *store)
+{
+	while (store->segments->len > 1) {
+		struct store_segment *oldest = &g_array_index(
+			store->segments, struct store_segment, 0);
+		char *path;
+		bool removed;
+
+		if (oldest->last > store->snapshot_index)
+			return;
+		path = store_segment_path(store->folder, oldest->number);
+		removed = g_unlink(path) == 0 &&
+			  store_sync_folder(store->ops, store->folder, NULL);
+		g_free(path);
+		if (!removed)
+			return;
+		g_array_remove_index(store->segments, 0);
+	}
+}
+
+/* ---- Snapshots ------------------------------------------------------ */
+
+static char *snapshot_name(uint64_t index)
+{
+	return g_strdup_printf("snapshot-%016" G_GINT64_MODIFIER "x", index);
+}
+
+static bool write_snapshot(struct store *store,
+			   const struct cf_snapshot *snapshot, GError **error)
+{
+	char *name = snapshot_name(snapshot->index);
+	GBytes *data = store_snapshot_encode(snapshot);
+	bool ok =
+		store_write_file(store->ops, store->folder, name, data, error);
+
+	g_bytes_unref(data);
+	g_free(name);
+	return ok;
+}
+
+static void adopt_snapshot(struct store *store, uint64_t index)
+{
+	char *name = snapshot_name(store->snapshot_index);
+	char *path = g_build_filename(store->folder, name, NULL);
+
+	if (store->snapshot_index && store->snapshot_index != index)
+		g_unlink(path);
+	store->snapshot_index = index;
+	trim_segments(store);
+	g_free(path);
+	g_free(name);
+}
+
+bool store_save_snapshot(struct store *store,
+			 const struct cf_snapshot *snapshot, GError **error)
+{
+	if (store->failed) {
+		g_set_error(error, STORE_ERROR, STORE_ERROR_FAILED,
+			    "%s: an earlier write failed", store->folder);
+		return false;
+	}
+	if (snapshot->index <= store->snapshot_index)
+		return true;
+	if (!write_snapshot(store, snapshot, error) ||
+	    !begin_segment(store, error)) {
+		store->failed = true;
+		return false;
+	}
+	adopt_snapshot(store, snapshot->index);
+	return true;
+}
+
+/* ---- Writes --------------------------------------------------------- */
+
+/* The snapshot is durable before the log restarts after it. */
+static bool write_restart(struct store *store, const struct store_write *write,
+			  GError **error)
+{
+	if (!write_snapshot(store, write->snapshot, error) ||
+	    !begin_segment(store, error) || !write_frame(store, write, error))
+		return false;
+	for (guint i = 0; i + 1 < store->segments->len; i++)
+		g_array_index(store->segments, struct store_segment, i).last =
+			0;
+	adopt_snapshot(store, write->snapshot->index);
+	return true;
+}
+
+bool store_append(struct store *store, const struct store_write *write,
+		  GError **error)
+{
+	bool ok;
+
+	if (store->failed) {
+		g_set_error(error, STORE_ERROR, STORE_ERROR_FAILED,
+			    "%s: an earlier write failed", store->folder);
+		return false;
+	}
+	if (write->snapshot)
+		ok = write_restart(store, write, error);
+	else
+		ok = (store->segment_bytes < STORE_SEGMENT_BYTES ||
+		      begin_segment(store, error)) &&
+		     write_frame(store, write, error);
+	store->failed = !ok;
+	return ok;
+}
+
+/* ---- Start and end -------------------------------------------------- */
+
+static bool lock_folder(struct store *store, GError **error)
+{
+	char *path = g_build_filename(store->folder, "lock", NULL);
+	bool ok;
+
+	store->lock_fd = store->ops->open(store->ops, path, O_RDWR | O_CREAT);
+	ok = store->lock_fd >= 0;
+	if (!ok) {
+		store_fail(error, "open", path);
+	} else if (flock(store->lock_fd, LOCK_EX | LOCK_NB) != 0) {
+		g_set_error(error, STORE_ERROR, STORE_ERROR_LOCKED,
+			    "%s: another process uses this folder", path);
+		ok = false;
+	}
+	g_free(path);
+	return ok;
+}
+
+/* A folder with a log but without its identity was tampered with. */
+static bool load_identity(struct store *store, GError **error)
+{
+	GError *failure = NULL;
+	GBytes *data = store_get_file(store->folder, "identity", &failure);
+	size_t size_bytes = 0;
+	const void *bytes = data ? g_bytes_get_data(data, &size_bytes) : NULL;
+	bool ok = size_bytes == STORE_IDENTITY_SIZE;
+
+	if (ok) {
+		memcpy(store->identity, bytes, STORE_IDENTITY_SIZE);
+	} else if (failure) {
+		g_propagate_error(error, failure);
+	} else if (data || store->segments->len) {
+		g_set_error(error, STORE_ERROR, STORE_ERROR_CORRUPT,
+			    "%s/identity: missing or not of %d bytes",
+			    store->folder, STORE_IDENTITY_SIZE);
+	} else if (getrandom(store->identity, STORE_IDENTITY_SIZE, 0) !=
+		   STORE_IDENTITY_SIZE) {
+		store_fail(error, "random bytes for", store->folder);
+	} else {
+		data = g_bytes_new(store->identity, STORE_IDENTITY_SIZE);
+		ok = store_write_file(store->ops, store->folder, "identity",
+				      data, error);
+	}
+	g_clear_pointer(&data, g_bytes_unref);
+	return ok;
+}
+
+static bool write_reset(struct store *store,
+			const struct store_recovered *recovered, GError **error)
+{
+	struct store_write write = { .state = recovered->state,
+				     .snapshot = &recovered->snapshot };
+
+	return write_frame(store, &write, error);
+}
+
+/* What was read may not be durable yet: the life before this one may
+ * have ended before its sync. */
+static bool sync_found(struct store *store, GError **error)
+{
+	char *path;
+	bool ok;
+
+	if (!store->segments->len)
+		return begin_segment(store, error);
+	if (!open_segment(store, current_segment(store)->number, error))
+		return false;
+	path = store_segment_path(store->folder,
+				  current_segment(store)->number);
+	ok = store->ops->sync(store->ops, store->segment_fd) == 0;
+	if (!ok)
+		store_fail(error, "sync", path);
+	g_free(path);
+	return ok && store_sync_folder(store->ops, store->folder, error);
+}
+
+static bool start(struct store *store, struct store_recovered *recovered,
+		  GError **error)
+{
+	bool needs_reset = false;
+
+	if (g_mkdir_with_parents(store->folder, FOLDER_MODE) != 0)
+		return store_fail(error, "create", store->folder);
+	if (!lock_folder(store, error) ||
+	    !store_recover(store->folder, recovered, store->segments,
+			   &needs_reset, error) ||
+	    !load_identity(store, error))
+		return false;
+	store->state = recovered->state;
+	store->snapshot_index = recovered->snapshot.index;
+	if (!sync_found(store, error))
+		return false;
+	return !needs_reset || write_reset(store, recovered, error);
+}
+
+static void clear_entry(gpointer entry)
+{
+	g_clear_pointer(&((struct cf_entry *)entry)->data, g_bytes_unref);
+}
+
+struct store *store_open(const char *folder, struct store_ops *ops,
+			 struct store_recovered *recovered, GError **error)
+{
+	struct store *store = g_new0(struct store, 1);
+
+	store->ops = ops ? ops : &store_system_ops;
+	store->folder = g_strdup(folder);
+	store->lock_fd = -1;
+	store->segment_fd = -1;
+	store->segments =
+		g_array_new(FALSE, FALSE, sizeof(struct store_segment));
+	*recovered = (struct store_recovered){ 0 };
+	recovered->entries = g_array_new(FALSE, FALSE, sizeof(struct cf_entry));
+	g_array_set_clear_func(recovered->entries, clear_entry);
+	if (start(store, recovered, error))
+		return store;
+	store_clear_recovered(recovered);
+	store_close(store);
+	return NULL;
+}
+
+void store_close(struct store *store)
+{
+	if (!store)
+		return;
+	if (store->segment_fd >= 0)
+		close(store->segment_fd);
+	if (store->lock_fd >= 0)
+		close(store->lock_fd);
+	g_array_unref(store->segments);
+	g_free(store->folder);
+	g_free(store);
+}
+
+const uint8_t *store_identity(const struct store *store)
+{
+	return store->identity;
+}
+
+void store_clear_recovered(struct store_recovered *recovered)
+{
+	g_clear_pointer(&recovered->entries, g_array_unref);
+	g_clear_pointer(&recovered->snapshot.data, g_bytes_unref);
+}
--- /dev/null
+++ b/src/store/store_recover.c
@@ -0,0 +1,284 @@
+/*
+ * store_recover: reads the data folder at the start. A bad frame at the
+ * very end of the newest segment is a write that was cut short, never
+ * acknowledged, and is cut off; a bad frame anywhere else is refused.
+ */
+#include "store/group.h"
+#include "store/log_message.h"
+#include "store/store.h"
+
+#include <errno.h>
+#include <glib/gstdio.h>
+#include <fcntl.h>
+#include <string.h>
+#include <unistd.h>
+
+#define SEGMENT_PREFIX "log-"
+#define SNAPSHOT_PREFIX "snapshot-"
+
+/* The log while it is replayed: entries after base. */
+struct replay {
+	struct store_recovered *recovered;
+	bool based; /* base is known */
+	uint64_t base, base_term; /* term 0: unknown */
+};
+
+/* ---- Listing -------------------------------------------------------- */
+
+char *store_segment_path(const char *folder, uint64_t number)
+{
+	return g_strdup_printf("%s/" SEGMENT_PREFIX "%016" G_GINT64_MODIFIER
+			       "x",
+			       folder, number);
+}
+
+static int compare_segments(gconstpointer a, gconstpointer b)
+{
+	uint64_t x = ((const struct store_segment *)a)->number;
+	uint64_t y = ((const struct store_segment *)b)->number;
+
+	return (x > y) - (x < y);
+}
+
+/* The number after a prefix, or false. */
+static bool parse_name(const char *name, const char *prefix, uint64_t *number)
+{
+	char *end;
+
+	if (!g_str_has_prefix(name, prefix))
+		return false;
+	*number = g_ascii_strtoull(name + strlen(prefix), &end, 16);
+	return !*end && end != name + strlen(prefix);
+}
+
+static bool list_files(const char *folder, GArray *segments,
+		       uint64_t *snapshot_index, GError **error)
+{
+	GDir *dir = g_dir_open(folder, 0, error);
+	const char *name;
+	uint64_t number;
+
+	if (!dir)
+		return false;
+	while ((name = g_dir_read_name(dir))) {
+		if (parse_name(name, SEGMENT_PREFIX, &number)) {
+			struct store_segment segment = { .number = number };
+
+			g_array_append_val(segments, segment);
+		} else if (parse_name(name, SNAPSHOT_PREFIX, &number)) {
+			*snapshot_index = MAX(*snapshot_index, number);
+		}
+	}
+	g_dir_close(dir);
+	g_array_sort(segments, compare_segments);
+	return true;
+}
+
+static bool read_snapshot(const char *folder, uint64_t index,
+			  struct cf_snapshot *snapshot, GError **error)
+{
+	char *name = g_strdup_printf(
+		SNAPSHOT_PREFIX "%016" G_GINT64_MODIFIER "x", index);
+	GBytes *data = store_get_file(folder, name, error);
+	bool ok = data && store_snapshot_decode(data, snapshot);
+
+	if (data && !ok)
+		g_set_error(error, STORE_ERROR, STORE_ERROR_CORRUPT,
+			    "%s/%s: malformed snapshot at offset %d", folder,
+			    name, STORE_FRAME_HEAD_SIZE);
+	g_clear_pointer(&data, g_bytes_unref);
+	g_free(name);
+	return ok;
+}
+
+/* ---- Replay --------------------------------------------------------- */
+
+static void restart_log(struct replay *replay, uint64_t base, uint64_t term)
+{
+	g_array_set_size(replay->recovered->entries, 0);
+	replay->based = true;
+	replay->base = base;
+	replay->base_term = term;
+}
+
+/* False: entries are missing before this one. */
+static bool replay_entry(struct replay *replay, const Cfw__LogEntry *packed)
+{
+	GArray *entries = replay->recovered->entries;
+	struct cf_entry entry;
+
+	if (!replay->based || packed->index <= replay->base)
+		restart_log(replay, packed->index - 1, 0);
+	if (packed->index > replay->base + entries->len + 1)
+		return false;
+	g_array_set_size(entries, packed->index - replay->base - 1);
+	entry = log_entry_unpack(packed);
+	g_array_append_val(entries, entry);
+	return true;
+}
+
+static bool replay_record(struct replay *replay, const Cfw__StoreRecord *record,
+			  struct store_segment *segment)
+{
+	struct cf_hard_state *state = &replay->recovered->state;
+
+	state->term = record->term;
+	state->vote = record->vote;
+	state->commit = record->commit;
+	if (record->reset)
+		restart_log(replay, record->reset_index, record->reset_term);
+	for (size_t i = 0; i < record->n_entries; i++) {
+		if (!replay_entry(replay, record->entries[i]))
+			return false;
+		segment->last = MAX(segment->last, record->entries[i]->index);
+	}
+	return true;
+}
+
+static bool has_whole_frame(const uint8_t *data, size_t size_bytes)
+{
+	const uint8_t *payload;
+	size_t payload_bytes;
+
+	for (size_t i = 0; i + STORE_FRAME_HEAD_SIZE <= size_bytes; i++)
+		if (store_frame_read(data + i, size_bytes - i, &payload,
+				     &payload_bytes) == STORE_FRAME_WHOLE)
+			return true;
+	return false;
+}
+
+static bool refuse(const char *path, size_t offset, const char *why,
+		   GError **error)
+{
+	g_set_error(error, STORE_ERROR, STORE_ERROR_CORRUPT,
+		    "%s: %s at offset %zu", path, why, offset);
+	return false;
+}
+
+static bool cut_tail(const char *path, size_t offset, size_t size_bytes,
+		     struct replay *replay, GError **error)
+{
+	if (truncate(path, (off_t)offset) != 0)
+		return store_fail(error, "truncate", path);
+	replay->recovered->cut_bytes = size_bytes - offset;
+	return true;
+}
+
+static bool replay_frames(struct replay *replay, const char *path,
+			  const uint8_t *data, size_t size_bytes, bool newest,
+			  struct store_segment *segment, GError **error)
+{
+	const uint8_t *payload;
+	size_t payload_bytes, at = 0;
+
+	while (at < size_bytes) {
+		enum store_frame frame = store_frame_read(
+			data + at, size_bytes - at, &payload, &payload_bytes);
+		Cfw__StoreRecord *record;
+		bool ok;
+
+		if (frame != STORE_FRAME_WHOLE) {
+			if (!newest ||
+			    has_whole_frame(data + at + 1, size_bytes - at - 1))
+				return refuse(path, at, "corrupt record",
+					      error);
+			return cut_tail(path, at, size_bytes, replay, error);
+		}
+		record = store_record_decode(payload, payload_bytes);
+		if (!record)
+			return refuse(path, at, "malformed record", error);
+		ok = replay_record(replay, record, segment);
+		cfw__store_record__free_unpacked(record, NULL);
+		if (!ok)
+			return refuse(path, at, "entries missing before record",
+				      error);
+		at += STORE_FRAME_HEAD_SIZE + payload_bytes;
+	}
+	return true;
+}
+
+static bool replay_segment(struct replay *replay, const char *folder,
+			   struct store_segment *segment, bool newest,
+			   GError **error)
+{
+	char *path = store_segment_path(folder, segment->number);
+	char *contents = NULL;
+	gsize length = 0;
+	bool ok = g_file_get_contents(path, &contents, &length, error) &&
+		  replay_frames(replay, path, (const uint8_t *)contents, length,
+				newest, segment, error);
+
+	g_free(contents);
+	g_free(path);
+	return ok;
+}
+
+/* ---- Log and snapshot together -------------------------------------- */
+
+/* Whether the replayed log holds the snapshot's last entry. */
+static bool leads_to_snapshot(const struct replay *replay)
+{
+	const struct cf_snapshot *snapshot = &replay->recovered->snapshot;
+	const GArray *entries = replay->recovered->entries;
+	uint64_t at = snapshot->index - replay->base;
+
+	if (snapshot->index == replay->base)
+		return !replay->base_term ||
+		       replay->base_term == snapshot->term;
+	return at <= entries->len &&
+	       g_array_index(entries, struct cf_entry, at - 1).term ==
+		       snapshot->term;
+}
+
+static bool join_snapshot(struct replay *replay, const char *folder,
+			  bool *needs_reset, GError **error)
+{
+	struct store_recovered *recovered = replay->recovered;
+	uint64_t index = recovered->snapshot.index;
+
+	*needs_reset = false;
+	if (replay->base > index) {
+		g_set_error(error, STORE_ERROR, STORE_ERROR_CORRUPT,
+			    "%s: the log begins after entry %" G_GUINT64_FORMAT
+			    ", but there is no snapshot up to it",
+			    folder, replay->base);
+		return false;
+	}
+	if (!index)
+		return true;
+	if (replay->based && leads_to_snapshot(replay)) {
+		g_array_remove_range(recovered->entries, 0,
+				     (guint)(index - replay->base));
+	} else {
+		g_array_set_size(recovered->entries, 0);
+		*needs_reset = true;
+	}
+	recovered->state.commit = MAX(recovered->state.commit, index);
+	return true;
+}
+
+bool store_recover(const char *folder, struct store_recovered *recovered,
+		   GArray *segments, bool *needs_reset, GError **error)
+{
+	struct replay replay = { .recovered = recovered };
+	uint64_t snapshot_index = 0;
+
+	if (!list_files(folder, segments, &snapshot_index, error))
+		return false;
+	if (snapshot_index &&
+	    !read_snapshot(folder, snapshot_index, &recovered->snapshot, error))
+		return false;
+	if (snapshot_index && !segments->len)
+		return refuse(folder, 0, "snapshot without a log", error);
+	for (guint i = 0; i < segments->len; i++) {
+		struct store_segment *segment =
+			&g_array_index(segments, struct store_segment, i);
+
+		if (i && segment->number != segment[-1].number + 1)
+			return refuse(folder, 0, "a segment is missing", error);
+		if (!replay_segment(&replay, folder, segment,
+				    i + 1 == segments->len, error))
+			return false;
+	}
+	return join_snapshot(&replay, folder, needs_reset, error);
+}
