--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 SAN ?=
 VERSION = 0.1.0
 
-PKGS = apr-1 glib-2.0 libmicrohttpd libcurl jansson libxxhash liburcu \
+PKGS = apr-1 glib-2.0 libmicrohttpd libcurl jansson libxxhash liburcu-bp \
 	libprotobuf-c
 LIB_PKGS = glib-2.0 libxxhash libprotobuf-c
 
--- a/src/proto/wire.pb-c.c
+++ b/src/proto/wire.pb-c.c
@@ -4758,7 +4758,7 @@
   (ProtobufCMessageInit) cfw__results__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfw__query__field_descriptors[4] =
+static const ProtobufCFieldDescriptor cfw__query__field_descriptors[5] =
 {
   {
     "seq",
@@ -4808,9 +4808,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "fence_dispatchers",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Cfw__Query, n_fence_dispatchers),
+    offsetof(Cfw__Query, fence_dispatchers),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cfw__query__field_indices_by_name[] = {
   3,   /* field[3] = fence */
+  4,   /* field[4] = fence_dispatchers */
   2,   /* field[2] = indexes */
   1,   /* field[1] = key */
   0,   /* field[0] = seq */
@@ -4818,7 +4831,7 @@
 static const ProtobufCIntRange cfw__query__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor cfw__query__descriptor =
 {
@@ -4828,7 +4841,7 @@
   "Cfw__Query",
   "cfw",
   sizeof(Cfw__Query),
-  4,
+  5,
   cfw__query__field_descriptors,
   cfw__query__field_indices_by_name,
   1,  cfw__query__number_ranges,
--- a/src/proto/wire.pb-c.h
+++ b/src/proto/wire.pb-c.h
@@ -735,10 +735,15 @@
    * what has not started never will
    */
   protobuf_c_boolean fence;
+  /*
+   * dead owners, on adoption
+   */
+  size_t n_fence_dispatchers;
+  uint64_t *fence_dispatchers;
 };
 #define CFW__QUERY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cfw__query__descriptor) \
-    , 0, {0,NULL}, 0,NULL, 0 }
+    , 0, {0,NULL}, 0,NULL, 0, 0,NULL }
 
 
 struct  Cfw__QueryReply
--- a/src/roles/agent.c
+++ b/src/roles/agent.c
@@ -51,11 +51,14 @@
 {
 	struct agent *agent = arg;
 	const struct link_identity *peer = link_peer(link);
+	struct caller_link *caller;
 
-	if (session_link_up(agent->session, link))
+	if (session_link_up(agent->session, link) ||
+	    peer->role != CFW__ROLE__ROLE_DISPATCHER)
 		return;
-	if (peer->role == CFW__ROLE__ROLE_DISPATCHER)
-		agent_caller(agent, peer->incarnation)->link = link;
+	caller = agent_caller(agent, peer->incarnation);
+	caller->link = link;
+	caller->received = 0;
 }
 
 static void on_down(void *arg, struct link *link)
--- a/src/roles/agent_tasks.c
+++ b/src/roles/agent_tasks.c
@@ -311,8 +311,9 @@
 		return;
 	}
 	caller = agent_caller(agent, dispatch->dispatcher);
-	caller->link = link;
-	caller->received += dispatch->n_tasks;
+	/* The count is of the newest connection, as at the dispatcher. */
+	if (caller->link == link)
+		caller->received += dispatch->n_tasks;
 	counter_add(agent->counters.offered, (int64_t)dispatch->n_tasks);
 	g_atomic_int_add(&agent->in_progress, (gint)dispatch->n_tasks);
 	batch = start_batch(dispatch, &key);
@@ -433,13 +434,16 @@
 		return;
 	counter_add(agent->counters.queries, 1);
 	caller = agent_caller(agent, link_peer(link)->incarnation);
-	caller->link = link;
 	answer.results = g_ptr_array_new_with_free_func(free_result);
+	for (i = 0; i < query->n_fence_dispatchers; i++)
+		cf_gate_fence_dispatcher(agent->gate,
+					 query->fence_dispatchers[i],
+					 clock_now_ms());
 	if (!n) {
 		n = cf_gate_known(agent->gate, &answer.key, known,
 				  CF_JOB_TASKS_MAX);
 		indexes = known;
-		if (query->fence)
+		if (query->fence && !query->n_fence_dispatchers)
 			cf_gate_seal(agent->gate, &answer.key, clock_now_ms());
 	}
 	for (i = 0; i < n; i++)
--- /dev/null
+++ b/src/roles/dispatcher_agents.c
@@ -0,0 +1,314 @@
+/*
+ * dispatcher_agents: the agents on the roster, connections to them, and
+ * what placement knows of each. Loop thread only.
+ */
+#include "roles/dispatcher_internal.h"
+
+#include "base/clock.h"
+#include "base/counters.h"
+#include "base/logger.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+/* ---- Constants ---- */
+
+#define RECONNECT_WAIT_MS 2000 /* then it cannot answer any more */
+#define DISTANCE_NEAR_US 250 /* one way within a data centre */
+#define DISTANCE_FAR_US 1250 /* one way between data centres */
+
+/* ---- Placement's view ---- */
+
+static struct cf_place_agent *place_of(struct dispatcher *d,
+				       const struct dagent *a)
+{
+	return &g_array_index(d->places, struct cf_place_agent, a->position);
+}
+
+struct dagent *agents_find(struct dispatcher *d, uint64_t incarnation)
+{
+	return g_hash_table_lookup(d->agents, &incarnation);
+}
+
+/* Tasks there: those reported, and those sent since. */
+static uint32_t tasks_there(const struct dagent *a)
+{
+	uint64_t unseen =
+		a->sent > a->load.received ? a->sent - a->load.received : 0;
+
+	return a->load.running + a->load.queued + (uint32_t)unseen;
+}
+
+void agents_refresh(struct dispatcher *d, struct dagent *a)
+{
+	struct cf_place_agent *p = place_of(d, a);
+	uint32_t there = tasks_there(a);
+	int64_t now_ms = loop_now_ms(d->loop);
+
+	p->used = a->own;
+	p->used.slots = MIN(there, p->capacity.slots);
+	p->used.connections = p->used.slots;
+	p->queued = there - p->used.slots;
+	p->backlog_ms = a->load.backlog_ms + a->unreported_ms;
+	p->weight_milli =
+		cf_health_weight_milli(d->health, a->incarnation, now_ms);
+	p->slowness = cf_health_slowness(d->health, a->incarnation);
+	p->usable = a->listed && !a->draining && link_is_up(a->link) &&
+		    !a->down_ms && a->load.accepting &&
+		    cf_config_in_service(session_config(d->session),
+					 p->data_centre);
+}
+
+void agents_refresh_all(struct dispatcher *d)
+{
+	uint32_t slots = 0;
+	guint i;
+
+	for (i = 0; i < d->place_agents->len; i++) {
+		struct dagent *a = d->place_agents->pdata[i];
+
+		agents_refresh(d, a);
+		if (place_of(d, a)->usable)
+			slots += place_of(d, a)->capacity.slots;
+	}
+	cf_admitter_set_capacity(d->admitter, slots, loop_now_ms(d->loop));
+}
+
+void agents_take_load(struct dispatcher *d, struct dagent *a,
+		      const Cfw__Load *load)
+{
+	if (!load)
+		return;
+	a->load = *load;
+	if (a->sent <= load->received)
+		a->unreported_ms = 0;
+	agents_refresh(d, a);
+	place_wake(d);
+}
+
+/* ---- Tasks at an agent ---- */
+
+void agents_sent(struct dispatcher *d, struct dagent *a, struct djob *j,
+		 const struct task_spec *task)
+{
+	(void)d;
+	a->sent++;
+	a->unreported_ms += task->predicted_ms;
+	a->own.cpu_milli += task->cpu_milli;
+	a->own.memory_mb += task->memory_mb;
+	a->own.accelerators += task->accelerators;
+	g_hash_table_add(a->jobs, j);
+}
+
+void agents_settled(struct dispatcher *d, struct dagent *a, struct djob *j,
+		    uint32_t index)
+{
+	const struct task_spec *task;
+	uint32_t pending;
+
+	(void)d;
+	if (!j->request)
+		return;
+	task = &g_array_index(j->request->tasks, struct task_spec, index);
+	a->own.cpu_milli -= MIN(a->own.cpu_milli, task->cpu_milli);
+	a->own.memory_mb -= MIN(a->own.memory_mb, task->memory_mb);
+	a->own.accelerators -= MIN(a->own.accelerators, task->accelerators);
+	if (!cf_job_pending_at(j->job, a->incarnation, &pending, 1))
+		g_hash_table_remove(a->jobs, j);
+}
+
+/* The job ends with tasks still out: they no longer count as ours. */
+static void release_at(struct dispatcher *d, struct dagent *a, struct djob *j)
+{
+	uint32_t indexes[CF_JOB_TASKS_MAX];
+	size_t n = cf_job_pending_at(j->job, a->incarnation, indexes,
+				     CF_JOB_TASKS_MAX);
+
+	while (n)
+		agents_settled(d, a, j, indexes[--n]);
+	g_hash_table_remove(a->jobs, j);
+}
+
+void agents_release_job(struct dispatcher *d, struct djob *j)
+{
+	guint i;
+
+	for (i = 0; i < d->place_agents->len; i++) {
+		struct dagent *a = d->place_agents->pdata[i];
+
+		if (g_hash_table_contains(a->jobs, j))
+			release_at(d, a, j);
+	}
+}
+
+/* ---- Coming and going ---- */
+
+static void add_agent(struct dispatcher *d, const Cfw__RosterEntry *entry)
+{
+	struct dagent *a = g_new0(struct dagent, 1);
+	struct cf_place_agent place = { 0 };
+
+	a->incarnation = entry->incarnation;
+	a->name = g_strdup(entry->name);
+	a->address = g_strdup(entry->address);
+	cfw__load__init(&a->load);
+	a->load.accepting = true;
+	a->jobs = g_hash_table_new(NULL, NULL);
+	a->down_ms = clock_now_ms();
+	a->link = link_dial(d->hub, entry->address);
+	link_set_data(a->link, a);
+	place.incarnation = a->incarnation;
+	g_strlcpy(place.data_centre, entry->data_centre, CF_NAME_SIZE);
+	g_strlcpy(place.rack, entry->rack, CF_NAME_SIZE);
+	place.distance_us = strcmp(entry->data_centre,
+				   settings_text(d->settings, "data-centre"))
+				    ? DISTANCE_FAR_US
+				    : DISTANCE_NEAR_US;
+	a->position = d->place_agents->len;
+	g_array_append_val(d->places, place);
+	g_ptr_array_add(d->place_agents, a);
+	g_hash_table_insert(d->agents, &a->incarnation, a);
+	cf_health_join(d->health, a->incarnation, clock_now_ms());
+	log_event(LOG_INFO, "agent_joined",
+		  "agent=%s incarnation=%016" PRIx64 " address=%s", a->name,
+		  a->incarnation, a->address);
+}
+
+void agents_free(gpointer data)
+{
+	struct dagent *a = data;
+
+	g_hash_table_destroy(a->jobs);
+	g_free(a->name);
+	g_free(a->address);
+	g_free(a);
+}
+
+/* It is gone for good: nobody can say what became of its tasks. */
+static void remove_agent(struct dispatcher *d, struct dagent *a,
+			 const char *why)
+{
+	struct dagent *last;
+
+	log_event(LOG_INFO, "agent_gone",
+		  "agent=%s incarnation=%016" PRIx64 " why=\"%s\" jobs=%u",
+		  a->name, a->incarnation, why, g_hash_table_size(a->jobs));
+	settle_lost(d, a);
+	cf_health_leave(d->health, a->incarnation);
+	link_set_data(a->link, NULL);
+	link_drop(a->link);
+	last = d->place_agents->pdata[d->place_agents->len - 1];
+	last->position = a->position;
+	g_ptr_array_remove_index_fast(d->place_agents, a->position);
+	g_array_remove_index_fast(d->places, a->position);
+	g_hash_table_remove(d->agents, &a->incarnation);
+}
+
+static void update_agent(struct dispatcher *d, struct dagent *a,
+			 const Cfw__RosterEntry *entry)
+{
+	struct cf_place_agent *p = place_of(d, a);
+	const Cfw__Capacity *c = entry->capacity;
+
+	a->listed = true;
+	a->draining = entry->draining;
+	if (!c)
+		return;
+	p->capacity.slots = c->slots;
+	p->capacity.connections = c->connections;
+	p->capacity.cpu_milli = c->cpu_milli;
+	p->capacity.memory_mb = c->memory_mb;
+	p->capacity.accelerators = c->accelerators;
+}
+
+void agents_take_roster(struct dispatcher *d, const Cfw__Roster *roster)
+{
+	size_t i;
+	guint k;
+
+	/* One that is not settled may lack those that hold a lease. */
+	for (k = 0; roster->settled && k < d->place_agents->len; k++)
+		((struct dagent *)d->place_agents->pdata[k])->listed = false;
+	for (i = 0; i < roster->n_entries; i++) {
+		const Cfw__RosterEntry *entry = roster->entries[i];
+
+		if (entry->role != CFW__ROLE__ROLE_AGENT)
+			continue;
+		if (!agents_find(d, entry->incarnation))
+			add_agent(d, entry);
+		update_agent(d, agents_find(d, entry->incarnation), entry);
+	}
+	gauge_set(d->counters.agents, d->place_agents->len);
+	agents_refresh_all(d);
+	place_wake(d);
+}
+
+/* ---- Connections ---- */
+
+static struct dagent *agent_of(struct dispatcher *d, struct link *link)
+{
+	guint i;
+
+	for (i = 0; i < d->place_agents->len; i++) {
+		struct dagent *a = d->place_agents->pdata[i];
+
+		if (a->link == link)
+			return a;
+	}
+	return NULL;
+}
+
+bool agents_link_up(struct dispatcher *d, struct link *link)
+{
+	struct dagent *a = agent_of(d, link);
+	GHashTableIter iter;
+	gpointer job;
+
+	if (!a)
+		return false;
+	if (link_peer(link)->incarnation != a->incarnation) {
+		remove_agent(d, a, "another process has its address");
+		return true;
+	}
+	a->down_ms = 0;
+	/* What was sent on the old connection may not have arrived. */
+	g_hash_table_iter_init(&iter, a->jobs);
+	while (g_hash_table_iter_next(&iter, &job, NULL))
+		settle_query(d, a, job);
+	/* Both ends count anew on each connection. */
+	a->sent = 0;
+	a->load.received = 0;
+	a->unreported_ms = 0;
+	agents_refresh(d, a);
+	place_wake(d);
+	return true;
+}
+
+bool agents_link_down(struct dispatcher *d, struct link *link)
+{
+	struct dagent *a = agent_of(d, link);
+
+	if (!a)
+		return false;
+	a->down_ms = clock_now_ms();
+	agents_refresh(d, a);
+	return true;
+}
+
+void agents_tick(struct dispatcher *d, int64_t now_ms)
+{
+	guint i = d->place_agents->len;
+
+	if (cf_health_tick(d->health, now_ms))
+		place_wake(d);
+	while (i--) {
+		struct dagent *a = d->place_agents->pdata[i];
+		bool away = a->down_ms != 0;
+
+		if (away && !a->listed)
+			remove_agent(d, a, "off the roster");
+		else if (away && now_ms - a->down_ms >= RECONNECT_WAIT_MS)
+			settle_lost(d, a);
+	}
+	agents_refresh_all(d);
+}
--- /dev/null
+++ b/src/roles/dispatcher_internal.h
@@ -0,0 +1,298 @@
+/*
+ * dispatcher_internal: what the files of the dispatcher share. Threads
+ * of the HTTP server parse requests against the board, which is read
+ * under RCU; all else belongs to the loop thread.
+ */
+#ifndef ROLES_DISPATCHER_INTERNAL_H
+#define ROLES_DISPATCHER_INTERNAL_H
+
+#include "chervilferry.h"
+#include "net/admin.h"
+#include "net/link.h"
+#include "roles/role.h"
+#include "roles/session.h"
+
+#include <apr_thread_proc.h>
+
+/* ---- Requests ---- */
+
+struct task_spec {
+	GBytes *payload; /* JSON text */
+	uint32_t cpu_milli, memory_mb, accelerators;
+	uint32_t declared_ms; /* 0: none */
+	uint32_t predicted_ms; /* set at placement */
+};
+
+/* A caller's job as it was read and found valid. */
+struct job_request {
+	struct cf_key key;
+	char class_name[CF_NAME_SIZE];
+	char team[CF_NAME_SIZE];
+	uint32_t deadline_ms;
+	GArray *tasks; /* struct task_spec */
+	GBytes *body; /* as it came, to pass on */
+	uint64_t body_hash;
+};
+
+/* Why a request was not taken. */
+struct request_error {
+	uint32_t status;
+	const char *reason;
+	char message[200];
+};
+
+/* What threads of the HTTP server may read; replaced, never changed. */
+struct board_view {
+	GHashTable *classes; /* set of names */
+	uint32_t tasks_max;
+	uint32_t deadline_ms; /* of jobs that name none */
+	bool ready; /* a configuration is known */
+};
+
+struct board {
+	struct board_view *view; /* RCU */
+	gint stopping; /* atomic */
+};
+
+void board_publish(struct board *board, const struct cf_config *config,
+		   const struct settings *settings); /* loop thread */
+void board_destroy(struct board *board);
+
+/* dispatcher_request.c, any thread. */
+struct job_request *request_parse(struct board *board, const char *key,
+				  const void *body, size_t size_bytes,
+				  struct request_error *error);
+void request_free(struct job_request *request);
+
+/* ---- Jobs ---- */
+
+enum djob_phase {
+	DJOB_CLAIMING,
+	DJOB_FORWARDED, /* the owner answers */
+	DJOB_ADOPTING, /* the owner is dead */
+	DJOB_PLACING, /* some task is not placed */
+	DJOB_RUNNING,
+	DJOB_STOPPING, /* waits for agents' fences */
+	DJOB_ENDED, /* the answer is remembered */
+};
+
+/* Who waits for an answer: a caller here, or another dispatcher. */
+struct waiter {
+	struct http_request *request;
+	uint64_t peer; /* incarnation of a dispatcher */
+	uint64_t seq;
+};
+
+struct answer {
+	uint32_t status;
+	uint32_t retry_after_ms;
+	bool ran_none; /* a resubmission may run it */
+	GBytes *body;
+};
+
+struct adoption; /* dispatcher_adopt.c */
+
+struct djob {
+	struct cf_key key;
+	uint64_t number; /* of this attempt */
+	enum djob_phase phase;
+	struct job_request *request; /* NULL once ended */
+	struct cf_job *job;
+	GArray *waiters; /* struct waiter */
+	int64_t arrived_ms, deadline_ms;
+	/* claim */
+	struct cf_ballot *ballot;
+	uint64_t claim_seq;
+	int64_t claim_ms;
+	uint32_t epoch;
+	uint32_t claim_tries;
+	GArray *owners; /* uint64_t, of the epochs before */
+	bool owned; /* this dispatcher has the claim */
+	struct adoption *adoption;
+	uint64_t forwarded_to; /* incarnation */
+	uint64_t forward_seq;
+	/* placement */
+	bool admitted, started, gated;
+	struct cf_admit_job admit;
+	GArray *refused_by; /* uint64_t, agents that would not start it */
+	uint32_t moves;
+	int64_t retry_ms; /* not placed before */
+	int64_t stop_ms;
+	uint32_t stop_status;
+	const char *stop_reason;
+	/* end */
+	struct answer answer;
+	uint64_t body_hash;
+	int64_t ended_ms;
+	GList *memory; /* its place among the remembered */
+};
+
+/* ---- Agents ---- */
+
+struct dagent {
+	uint64_t incarnation;
+	char *name;
+	char *address;
+	struct link *link;
+	size_t position; /* in dispatcher.places */
+	Cfw__Load load;
+	bool listed; /* on the newest roster */
+	bool draining;
+	uint64_t sent; /* tasks */
+	uint32_t unreported_ms; /* predicted, of sends the load lacks */
+	struct cf_capacity own; /* by this dispatcher's tasks */
+	int64_t down_ms; /* when the connection went, 0: it is up */
+	GHashTable *jobs; /* set of struct djob with unsettled tasks here */
+};
+
+struct peer {
+	uint64_t incarnation;
+	char *address;
+	struct link *link;
+	bool listed;
+};
+
+struct dispatcher_counters {
+	struct counter *jobs, *complete, *failed, *not_run, *resubmitted;
+	struct counter *claims, *forwards, *adoptions, *moves, *queries;
+	struct counter *cancels, *crossed, *forgotten, *tasks_sent;
+	struct counter *in_progress, *waiting, *agents;
+};
+
+struct dispatcher {
+	const struct settings *settings;
+	uint64_t incarnation;
+	struct loop *loop;
+	apr_pool_t *pool;
+	apr_thread_t *thread;
+	struct link_hub *hub;
+	struct session *session;
+	struct admin *admin;
+	struct http_server *http;
+	struct loop_timer *timer;
+	struct board board;
+	struct dispatcher_counters counters;
+	uint16_t port;
+	gint session_left, unanswered; /* atomic */
+	bool stopping, fenced, along, fifo;
+
+	GHashTable *jobs; /* struct cf_key -> struct djob */
+	GPtrArray *active; /* struct djob that have not ended */
+	GQueue *memory; /* ended djobs, oldest first */
+	uint64_t memory_bytes;
+	uint64_t next_number, next_seq;
+
+	GPtrArray *claims; /* djobs to claim in this turn */
+	bool claims_posted;
+
+	GHashTable *agents; /* incarnation -> struct dagent */
+	GArray *places; /* struct cf_place_agent, by dagent.position */
+	GPtrArray *place_agents; /* struct dagent, the same order */
+	GPtrArray *waiting; /* djobs with unplaced tasks */
+	bool pump_posted;
+	GHashTable *peers; /* incarnation -> struct peer */
+	GHashTable *lookups; /* seq -> struct lookup */
+	bool roster_settled;
+	int64_t last_departure_ms;
+
+	struct cf_placer *placer;
+	struct cf_predict *predict;
+	struct cf_admitter *admitter;
+	struct cf_health *health;
+	struct cf_burn *burn;
+	struct cf_retry_budget *retries;
+};
+
+/* dispatcher_http.c */
+bool dispatcher_open_http(struct dispatcher *d, GError **error);
+void dispatcher_add_routes(struct dispatcher *d);
+GBytes *answer_body(struct djob *j, enum cf_job_answer outcome,
+		    const char *reason, const char *message,
+		    uint32_t retry_after_ms);
+void answer_send(struct dispatcher *d, const struct waiter *waiter,
+		 const struct answer *answer);
+
+/* dispatcher_jobs.c: from submission to answer. */
+void jobs_submit(struct dispatcher *d, struct job_request *request,
+		 const struct waiter *waiter);
+void jobs_cancel(struct dispatcher *d, const struct cf_key *key,
+		 const struct waiter *waiter);
+void jobs_look_up(struct dispatcher *d, const struct cf_key *key,
+		  const struct waiter *waiter);
+struct djob *jobs_find(struct dispatcher *d, const struct cf_key *key);
+void jobs_finish(struct dispatcher *d, struct djob *j, uint32_t status,
+		 enum cf_job_answer outcome, const char *reason,
+		 const char *message, uint32_t retry_after_ms);
+void jobs_finish_raw(struct dispatcher *d, struct djob *j, uint32_t status,
+		     uint32_t retry_after_ms, const void *body, size_t size);
+void jobs_stop(struct dispatcher *d, struct djob *j, uint32_t status,
+	       const char *reason); /* no more starts; ends soon */
+void jobs_check(struct dispatcher *d, struct djob *j); /* ended? */
+void jobs_tick(struct dispatcher *d, int64_t now_ms);
+void jobs_free(gpointer job);
+void jobs_admit(struct dispatcher *d, struct djob *j); /* claim is won */
+
+/* dispatcher_claim.c */
+void claim_begin(struct dispatcher *d, struct djob *j);
+void claim_forget(struct dispatcher *d, struct djob *j); /* no more votes */
+void claim_take_reply(struct dispatcher *d, const Cfw__ClaimReply *reply);
+void claim_tick(struct dispatcher *d, struct djob *j, int64_t now_ms);
+
+/* dispatcher_adopt.c */
+void adopt_begin(struct dispatcher *d, struct djob *j);
+void adopt_won(struct dispatcher *d, struct djob *j);
+void adopt_take_reply(struct dispatcher *d, struct djob *j,
+		      const Cfw__QueryReply *reply);
+void adopt_tick(struct dispatcher *d, struct djob *j, int64_t now_ms);
+void adopt_free(struct adoption *adoption);
+
+/* dispatcher_place.c */
+void place_add(struct dispatcher *d, struct djob *j); /* has unplaced tasks */
+void place_remove(struct dispatcher *d, struct djob *j);
+void place_wake(struct dispatcher *d); /* pump in this turn */
+void place_pump(struct dispatcher *d);
+void place_predict(struct dispatcher *d, struct djob *j);
+bool place_ever_fits(struct dispatcher *d, const struct djob *j);
+
+/* dispatcher_agents.c */
+void agents_take_roster(struct dispatcher *d, const Cfw__Roster *roster);
+void agents_take_load(struct dispatcher *d, struct dagent *a,
+		      const Cfw__Load *load);
+void agents_refresh(struct dispatcher *d, struct dagent *a);
+void agents_refresh_all(struct dispatcher *d);
+bool agents_link_up(struct dispatcher *d, struct link *link);
+bool agents_link_down(struct dispatcher *d, struct link *link);
+void agents_tick(struct dispatcher *d, int64_t now_ms);
+struct dagent *agents_find(struct dispatcher *d, uint64_t incarnation);
+void agents_sent(struct dispatcher *d, struct dagent *a, struct djob *j,
+		 const struct task_spec *task);
+void agents_settled(struct dispatcher *d, struct dagent *a, struct djob *j,
+		    uint32_t index);
+void agents_release_job(struct dispatcher *d, struct djob *j);
+void agents_free(gpointer agent);
+
+/* dispatcher_settle.c: what agents say of tasks. */
+void settle_results(struct dispatcher *d, struct link *link,
+		    const Cfw__Results *results);
+void settle_query_reply(struct dispatcher *d, const Cfw__QueryReply *reply);
+void settle_query(struct dispatcher *d, struct dagent *a, struct djob *j);
+void settle_lost(struct dispatcher *d, struct dagent *a);
+void settle_cancel(struct dispatcher *d, struct djob *j); /* at all agents */
+void settle_open(struct dispatcher *d, struct djob *j);
+
+/* dispatcher_peer.c: other dispatchers. */
+void peer_take_roster(struct dispatcher *d, const Cfw__Roster *roster);
+bool peer_forward(struct dispatcher *d, struct djob *j, uint64_t owner);
+void peer_take_forward(struct dispatcher *d, struct link *link,
+		       const Cfw__Forward *forward);
+void peer_take_reply(struct dispatcher *d, const Cfw__ForwardReply *reply);
+bool peer_link_down(struct dispatcher *d, struct link *link);
+bool peer_ask_all(struct dispatcher *d, const struct cf_key *key,
+		  uint32_t method, const struct waiter *waiter);
+void peer_tick(struct dispatcher *d, int64_t now_ms);
+struct link *peer_link(struct dispatcher *d, uint64_t incarnation);
+bool peer_listed(struct dispatcher *d, uint64_t incarnation);
+void peer_free(gpointer peer);
+void peer_lookup_free(gpointer lookup);
+
+#endif
--- /dev/null
+++ b/src/roles/dispatcher_peer.c
@@ -0,0 +1,306 @@
+/*
+ * dispatcher_peer: requests passed between dispatchers: a resubmission
+ * goes to the key's owner; cancellations and look-ups of keys that are
+ * not known here go to all others. Loop thread only.
+ */
+#include "roles/dispatcher_internal.h"
+
+#include "base/clock.h"
+#include "base/counters.h"
+
+#include <string.h>
+
+/* ---- Constants ---- */
+
+#define METHOD_SUBMIT 0
+#define METHOD_CANCEL 1
+#define METHOD_LOOK_UP 2
+#define LOOKUP_WAIT_MS 500
+#define RETRY_AFTER_MS 500
+#define STATUS_UNKNOWN_KEY 404
+
+/* ---- Types ---- */
+
+/* A cancellation or look-up that others were asked about. */
+struct lookup {
+	uint64_t seq;
+	struct waiter waiter;
+	uint32_t waiting; /* peers that have not answered */
+	int64_t end_ms;
+};
+
+/* ---- Peers ---- */
+
+void peer_free(gpointer data)
+{
+	struct peer *peer = data;
+
+	g_free(peer->address);
+	g_free(peer);
+}
+
+void peer_lookup_free(gpointer lookup)
+{
+	g_free(lookup);
+}
+
+static void add_peer(struct dispatcher *d, const Cfw__RosterEntry *entry)
+{
+	struct peer *peer = g_hash_table_lookup(d->peers, &entry->incarnation);
+
+	if (entry->role != CFW__ROLE__ROLE_DISPATCHER ||
+	    entry->incarnation == d->incarnation)
+		return;
+	if (!peer) {
+		peer = g_new0(struct peer, 1);
+		peer->incarnation = entry->incarnation;
+		peer->address = g_strdup(entry->address);
+		peer->link = link_dial(d->hub, entry->address);
+		g_hash_table_insert(d->peers, &peer->incarnation, peer);
+	}
+	peer->listed = true;
+}
+
+static gboolean drop_unlisted(gpointer key, gpointer value, gpointer settled)
+{
+	struct peer *peer = value;
+
+	(void)key;
+	if (peer->listed || !settled)
+		return FALSE;
+	link_drop(peer->link);
+	return TRUE;
+}
+
+void peer_take_roster(struct dispatcher *d, const Cfw__Roster *roster)
+{
+	GHashTableIter iter;
+	struct peer *peer;
+	size_t i;
+
+	g_hash_table_iter_init(&iter, d->peers);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer))
+		peer->listed = false;
+	for (i = 0; i < roster->n_entries; i++)
+		add_peer(d, roster->entries[i]);
+	g_hash_table_foreach_remove(d->peers, drop_unlisted,
+				    GINT_TO_POINTER(roster->settled));
+}
+
+struct link *peer_link(struct dispatcher *d, uint64_t incarnation)
+{
+	struct peer *peer = g_hash_table_lookup(d->peers, &incarnation);
+
+	if (!peer || !link_is_up(peer->link) ||
+	    link_peer(peer->link)->incarnation != incarnation)
+		return NULL;
+	return peer->link;
+}
+
+bool peer_listed(struct dispatcher *d, uint64_t incarnation)
+{
+	return g_hash_table_lookup(d->peers, &incarnation) != NULL;
+}
+
+/* ---- Passing on ---- */
+
+static bool send_forward(struct dispatcher *d, struct link *link, uint64_t seq,
+			 const struct cf_key *key, uint32_t method,
+			 GBytes *body)
+{
+	Cfw__Envelope envelope = CFW__ENVELOPE__INIT;
+	Cfw__Forward forward = CFW__FORWARD__INIT;
+	gsize size = 0;
+
+	forward.seq = seq;
+	forward.key.data = (uint8_t *)key->bytes;
+	forward.key.len = CF_KEY_SIZE;
+	forward.method = method;
+	if (body)
+		forward.body.data = (uint8_t *)g_bytes_get_data(body, &size);
+	forward.body.len = size;
+	envelope.body_case = CFW__ENVELOPE__BODY_FORWARD;
+	envelope.forward = &forward;
+	counter_add(d->counters.forwards, 1);
+	return link_send(link, &envelope);
+}
+
+/*
+ * True when the owner answers for the job, or when the job was answered
+ * here because the owner lives and cannot be reached. False: it is off
+ * the roster.
+ */
+bool peer_forward(struct dispatcher *d, struct djob *j, uint64_t owner)
+{
+	struct link *link = peer_link(d, owner);
+
+	if (!link && !peer_listed(d, owner))
+		return false;
+	j->phase = DJOB_FORWARDED;
+	j->forwarded_to = owner;
+	j->forward_seq = ++d->next_seq;
+	if (!link || !send_forward(d, link, j->forward_seq, &j->key,
+				   METHOD_SUBMIT, j->request->body))
+		jobs_finish(d, j, 503, CF_ANSWER_UNKNOWN, "owner-unreachable",
+			    "the dispatcher that has the key cannot be reached",
+			    RETRY_AFTER_MS);
+	return true;
+}
+
+bool peer_ask_all(struct dispatcher *d, const struct cf_key *key,
+		  uint32_t method, const struct waiter *waiter)
+{
+	struct lookup *lookup = g_new0(struct lookup, 1);
+	GHashTableIter iter;
+	struct peer *peer;
+
+	lookup->seq = ++d->next_seq;
+	lookup->waiter = *waiter;
+	lookup->end_ms = clock_now_ms() + LOOKUP_WAIT_MS;
+	g_hash_table_iter_init(&iter, d->peers);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer))
+		if (peer_link(d, peer->incarnation) &&
+		    send_forward(d, peer->link, lookup->seq, key, method, NULL))
+			lookup->waiting++;
+	if (!lookup->waiting) {
+		g_free(lookup);
+		return false;
+	}
+	g_hash_table_insert(d->lookups, &lookup->seq, lookup);
+	return true;
+}
+
+/* ---- Answers ---- */
+
+static void finish_lookup(struct dispatcher *d, struct lookup *lookup,
+			  uint32_t status, const void *body, size_t size)
+{
+	struct answer answer = { .status = status };
+
+	answer.body = g_bytes_new(body, size);
+	answer_send(d, &lookup->waiter, &answer);
+	g_bytes_unref(answer.body);
+	g_hash_table_remove(d->lookups, &lookup->seq);
+}
+
+static void take_lookup(struct dispatcher *d, struct lookup *lookup,
+			const Cfw__ForwardReply *reply)
+{
+	lookup->waiting--;
+	if (reply->status != STATUS_UNKNOWN_KEY || !lookup->waiting)
+		finish_lookup(d, lookup, reply->status, reply->body.data,
+			      reply->body.len);
+}
+
+void peer_take_reply(struct dispatcher *d, const Cfw__ForwardReply *reply)
+{
+	struct lookup *lookup = g_hash_table_lookup(d->lookups, &reply->seq);
+	guint i;
+
+	if (lookup) {
+		take_lookup(d, lookup, reply);
+		return;
+	}
+	for (i = 0; i < d->active->len; i++) {
+		struct djob *j = d->active->pdata[i];
+
+		if (j->phase != DJOB_FORWARDED || j->forward_seq != reply->seq)
+			continue;
+		jobs_finish_raw(d, j, reply->status, reply->retry_after_ms,
+				reply->body.data, reply->body.len);
+		return;
+	}
+}
+
+static void refuse_forward(struct dispatcher *d, const struct waiter *waiter,
+			   const struct request_error *error)
+{
+	struct answer answer = { .status = error->status };
+
+	answer.body = answer_body(NULL, CF_ANSWER_UNKNOWN, error->reason,
+				  error->message, 0);
+	answer_send(d, waiter, &answer);
+	g_bytes_unref(answer.body);
+}
+
+void peer_take_forward(struct dispatcher *d, struct link *link,
+		       const Cfw__Forward *forward)
+{
+	struct waiter waiter = { NULL, link_peer(link)->incarnation,
+				 forward->seq };
+	struct request_error error;
+	struct job_request *request;
+	struct cf_key key;
+	char text[CF_KEY_TEXT_SIZE];
+
+	if (forward->key.len != CF_KEY_SIZE)
+		return;
+	memcpy(key.bytes, forward->key.data, CF_KEY_SIZE);
+	if (forward->method == METHOD_CANCEL) {
+		jobs_cancel(d, &key, &waiter);
+		return;
+	}
+	if (forward->method == METHOD_LOOK_UP) {
+		jobs_look_up(d, &key, &waiter);
+		return;
+	}
+	cf_key_format(&key, text);
+	request = request_parse(&d->board, text, forward->body.data,
+				forward->body.len, &error);
+	if (request)
+		jobs_submit(d, request, &waiter);
+	else
+		refuse_forward(d, &waiter, &error);
+}
+
+/* ---- Losses ---- */
+
+static void owner_lost(struct dispatcher *d, struct djob *j)
+{
+	jobs_finish(d, j, 503, CF_ANSWER_UNKNOWN, "owner-unreachable",
+		    "the dispatcher that has the key went away",
+		    RETRY_AFTER_MS);
+}
+
+bool peer_link_down(struct dispatcher *d, struct link *link)
+{
+	GHashTableIter iter;
+	struct peer *peer;
+	guint i;
+
+	g_hash_table_iter_init(&iter, d->peers);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer))
+		if (peer->link == link)
+			break;
+		else
+			peer = NULL;
+	if (!peer)
+		return false;
+	i = d->active->len;
+	while (i--) {
+		struct djob *j = d->active->pdata[i];
+
+		if (j->phase == DJOB_FORWARDED &&
+		    j->forwarded_to == peer->incarnation)
+			owner_lost(d, j);
+	}
+	return true;
+}
+
+void peer_tick(struct dispatcher *d, int64_t now_ms)
+{
+	static const char text[] =
+		"{\"outcome\":\"failed\",\"ran\":\"unknown\","
+		"\"reason\":\"unknown-key\","
+		"\"message\":\"no dispatcher that answers knows the key\"}";
+	GHashTableIter iter;
+	struct lookup *lookup, *late = NULL;
+
+	g_hash_table_iter_init(&iter, d->lookups);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&lookup))
+		if (now_ms >= lookup->end_ms)
+			late = lookup;
+	if (late)
+		finish_lookup(d, late, STATUS_UNKNOWN_KEY, text,
+			      sizeof(text) - 1);
+}
--- /dev/null
+++ b/src/roles/dispatcher_settle.c
@@ -0,0 +1,251 @@
+/*
+ * dispatcher_settle: what agents say of tasks, and what becomes of tasks
+ * whose agent cannot say. Loop thread only.
+ */
+#include "roles/dispatcher_internal.h"
+
+#include "base/clock.h"
+#include "base/counters.h"
+
+#include <string.h>
+
+/* ---- Constants ---- */
+
+#define RETRY_BASE_MS 5
+#define RETRY_MAX_MS 200
+#define AGENTS_MAX 1024
+
+/* ---- Events of one task ---- */
+
+static void note_refusal(struct djob *j, uint64_t agent)
+{
+	guint i;
+
+	for (i = 0; i < j->refused_by->len; i++)
+		if (g_array_index(j->refused_by, uint64_t, i) == agent)
+			return;
+	g_array_append_val(j->refused_by, agent);
+}
+
+/* Proven unstarted: it may go elsewhere, at once the first time. */
+static void move_task(struct dispatcher *d, struct djob *j, uint64_t agent)
+{
+	uint32_t delay_ms = 0;
+
+	note_refusal(j, agent);
+	if (j->phase == DJOB_STOPPING)
+		return;
+	counter_add(d->counters.moves, 1);
+	if (j->moves++ && !cf_retry_budget_spend(d->retries))
+		delay_ms = cf_retry_delay_ms(j->moves, RETRY_BASE_MS,
+					     RETRY_MAX_MS, clock_random());
+	j->retry_ms = clock_now_ms() + delay_ms;
+	place_add(d, j);
+}
+
+static enum cf_job_event event_of(Cfw__TaskOutcome outcome)
+{
+	switch (outcome) {
+	case CFW__TASK_OUTCOME__TASK_DONE:
+		return CF_EVENT_DONE;
+	case CFW__TASK_OUTCOME__TASK_FAILED:
+		return CF_EVENT_FAILED;
+	case CFW__TASK_OUTCOME__TASK_NOT_STARTED:
+		return CF_EVENT_FENCED;
+	case CFW__TASK_OUTCOME__TASK_RUNNING:
+		return CF_EVENT_RUNNING;
+	default:
+		return CF_EVENT_LOST;
+	}
+}
+
+static void learn(struct dispatcher *d, struct djob *j, uint64_t agent,
+		  const Cfw__Result *result, enum cf_job_event event)
+{
+	const struct task_spec *task;
+
+	if (event != CF_EVENT_DONE && event != CF_EVENT_FAILED)
+		return;
+	task = &g_array_index(j->request->tasks, struct task_spec,
+			      result->index);
+	cf_health_result(d->health, agent, event == CF_EVENT_DONE,
+			 result->run_ms, task->predicted_ms, clock_now_ms());
+	if (event == CF_EVENT_DONE)
+		cf_predict_learn(d->predict, j->request->class_name,
+				 task->declared_ms, result->run_ms);
+}
+
+/* Returns false when the job did not expect this from this agent. */
+static bool take_result(struct dispatcher *d, struct djob *j, uint64_t agent,
+			const Cfw__Result *result)
+{
+	enum cf_job_event event = event_of(result->outcome);
+	struct dagent *a = agents_find(d, agent);
+	GBytes *payload = NULL;
+	bool expected;
+
+	if (event == CF_EVENT_DONE)
+		payload =
+			g_bytes_new(result->payload.data, result->payload.len);
+	/* Once stopped, what runs is not waited for. */
+	if (event == CF_EVENT_RUNNING && j->phase == DJOB_STOPPING)
+		event = CF_EVENT_LOST;
+	expected = cf_job_event(j->job, result->index, agent, event, payload,
+				result->message);
+	if (payload)
+		g_bytes_unref(payload);
+	if (!expected)
+		return false;
+	learn(d, j, agent, result, event);
+	if (a && event != CF_EVENT_RUNNING)
+		agents_settled(d, a, j, result->index);
+	if (event == CF_EVENT_FENCED)
+		move_task(d, j, agent);
+	return true;
+}
+
+static void take_results(struct dispatcher *d, struct djob *j, uint64_t agent,
+			 Cfw__Result **results, size_t n)
+{
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		if (!take_result(d, j, agent, results[i]))
+			counter_add(d->counters.crossed, 1);
+	jobs_check(d, j);
+}
+
+/* ---- Messages ---- */
+
+static struct djob *find_job(struct dispatcher *d,
+			     const ProtobufCBinaryData *key)
+{
+	struct cf_key k;
+	struct djob *j;
+
+	if (key->len != CF_KEY_SIZE)
+		return NULL;
+	memcpy(k.bytes, key->data, CF_KEY_SIZE);
+	j = jobs_find(d, &k);
+	return j && j->phase != DJOB_ENDED ? j : NULL;
+}
+
+void settle_results(struct dispatcher *d, struct link *link,
+		    const Cfw__Results *results)
+{
+	struct dagent *a = agents_find(d, results->agent);
+	struct djob *j = find_job(d, &results->key);
+
+	if (results->dispatcher != d->incarnation ||
+	    results->agent != link_peer(link)->incarnation) {
+		counter_add(d->counters.crossed, 1);
+		return;
+	}
+	if (a)
+		agents_take_load(d, a, results->load);
+	/* Answers that come after the job ended have no reader. */
+	if (j && j->number == results->job)
+		take_results(d, j, results->agent, results->results,
+			     results->n_results);
+}
+
+void settle_query_reply(struct dispatcher *d, const Cfw__QueryReply *reply)
+{
+	struct dagent *a = agents_find(d, reply->agent);
+	struct djob *j = find_job(d, &reply->key);
+
+	if (a)
+		agents_take_load(d, a, reply->load);
+	if (!j)
+		return;
+	if (j->phase == DJOB_ADOPTING)
+		adopt_take_reply(d, j, reply);
+	else
+		take_results(d, j, reply->agent, reply->results,
+			     reply->n_results);
+}
+
+/* ---- Asking ---- */
+
+void settle_query(struct dispatcher *d, struct dagent *a, struct djob *j)
+{
+	Cfw__Envelope envelope = CFW__ENVELOPE__INIT;
+	Cfw__Query query = CFW__QUERY__INIT;
+	uint32_t indexes[CF_JOB_TASKS_MAX];
+
+	query.seq = ++d->next_seq;
+	query.key.data = j->key.bytes;
+	query.key.len = CF_KEY_SIZE;
+	query.indexes = indexes;
+	query.n_indexes = cf_job_pending_at(j->job, a->incarnation, indexes,
+					    CF_JOB_TASKS_MAX);
+	query.fence = true;
+	if (!query.n_indexes)
+		return;
+	envelope.body_case = CFW__ENVELOPE__BODY_QUERY;
+	envelope.query = &query;
+	counter_add(d->counters.queries, 1);
+	link_send(a->link, &envelope);
+}
+
+void settle_lost(struct dispatcher *d, struct dagent *a)
+{
+	GList *jobs = g_hash_table_get_keys(a->jobs), *l;
+
+	for (l = jobs; l; l = l->next) {
+		struct djob *j = l->data;
+
+		/* An earlier one's end does not end others. */
+		if (!g_hash_table_contains(a->jobs, j))
+			continue;
+		cf_job_lose_agent(j->job, a->incarnation);
+		g_hash_table_remove(a->jobs, j);
+		jobs_check(d, j);
+	}
+	g_list_free(jobs);
+	memset(&a->own, 0, sizeof(a->own));
+}
+
+static void send_to_agents(struct dispatcher *d, struct djob *j,
+			   const Cfw__Envelope *envelope)
+{
+	uint64_t agents[AGENTS_MAX];
+	size_t n = cf_job_agents(j->job, agents, AGENTS_MAX);
+
+	while (n) {
+		struct dagent *a = agents_find(d, agents[--n]);
+
+		if (a && link_send(a->link, envelope))
+			counter_add(d->counters.cancels,
+				    envelope->body_case ==
+					    CFW__ENVELOPE__BODY_CANCEL);
+	}
+}
+
+void settle_cancel(struct dispatcher *d, struct djob *j)
+{
+	Cfw__Envelope envelope = CFW__ENVELOPE__INIT;
+	Cfw__Cancel cancel = CFW__CANCEL__INIT;
+
+	cancel.dispatcher = d->incarnation;
+	cancel.job = j->number;
+	cancel.key.data = j->key.bytes;
+	cancel.key.len = CF_KEY_SIZE;
+	envelope.body_case = CFW__ENVELOPE__BODY_CANCEL;
+	envelope.cancel = &cancel;
+	send_to_agents(d, j, &envelope);
+}
+
+void settle_open(struct dispatcher *d, struct djob *j)
+{
+	Cfw__Envelope envelope = CFW__ENVELOPE__INIT;
+	Cfw__Open open = CFW__OPEN__INIT;
+
+	open.dispatcher = d->incarnation;
+	open.job = j->number;
+	open.key.data = j->key.bytes;
+	open.key.len = CF_KEY_SIZE;
+	envelope.body_case = CFW__ENVELOPE__BODY_OPEN;
+	envelope.open = &open;
+	send_to_agents(d, j, &envelope);
+}
--- a/src/roles/role.c
+++ b/src/roles/role.c
@@ -6,7 +6,9 @@
 #include "base/logger.h"
 
 #include <apr_errno.h>
+#include <signal.h>
 #include <string.h>
+#include <unistd.h>
 
 char *role_address(const char *listen, uint16_t port)
 {
@@ -35,3 +37,8 @@
 	g_clear_error(&error);
 	return 1;
 }
+
+void role_request_stop(void)
+{
+	kill(getpid(), SIGTERM);
+}
--- a/src/roles/role.h
+++ b/src/roles/role.h
@@ -45,5 +45,6 @@
  * and waits for one; SIGPIPE is ignored. */
 void role_block_signals(void);
 void role_wait_for_stop(void);
+void role_request_stop(void); /* as if SIGTERM had come; any thread */
 
 #endif
