Decide configuration changes by the log alone

Members must agree on every change without asking a clock, and operators race and resend. Each entry is now applied by its own content and wall_ms: outcomes by command id give a resend the first answer, and the newest revision of each subject (class, data centre, team, membership) tells an older base revision of the conflict.

--- a/include/chervilferry.h
+++ b/include/chervilferry.h
@@ -180,6 +180,16 @@
 	uint32_t share_milli; /* of capacity, 1..1000 */
 };
 
+struct cf_member {
+	uint32_t id;
+	char address[CF_NAME_SIZE]; /* ip:port between processes */
+	char admin_address[CF_NAME_SIZE]; /* ip:port for operators */
+	uint8_t identity[16]; /* of its disk, if has_identity */
+	bool has_identity;
+	bool voter; /* in the newest view */
+	bool leaving; /* its removal is under way */
+};
+
 struct cf_view {
 	uint64_t number; /* revision that made it */
 	struct cf_members members;
@@ -216,6 +226,9 @@
 CF_API bool cf_config_in_service(const struct cf_config *config, const char *data_centre); /* unknown ones are in service */
 CF_API size_t cf_config_teams(const struct cf_config *config, const struct cf_team **teams); /* count */
 CF_API size_t cf_config_views(const struct cf_config *config, const struct cf_view **views); /* newest last */
+CF_API size_t cf_config_members(const struct cf_config *config, const struct cf_member **members); /* count, by id */
+CF_API const struct cf_member *cf_config_find_member(const struct cf_config *config, uint32_t id); /* or NULL */
+CF_API bool cf_config_is_retired(const struct cf_config *config, uint32_t id); /* a removed member; not known to adopters */
 CF_API bool cf_config_is_fenced(const struct cf_config *config, uint64_t incarnation); /* may do nothing more */
 
 /* ---- Leases (src/lib/lease.c) --------------------------------------- */
--- /dev/null
+++ b/src/lib/config_state.h
@@ -0,0 +1,81 @@
+/*
+ * config_state: what the files of the configuration share: its fields,
+ * and the checks of a change before it is taken.
+ */
+#ifndef LIB_CONFIG_STATE_H
+#define LIB_CONFIG_STATE_H
+
+#include "chervilferry.h"
+#include "proto/wire.pb-c.h"
+
+#define CONFIG_COMMAND_ID_SIZE 16
+#define CONFIG_CLASSES_MAX 1000
+#define CONFIG_DATA_CENTRES_MAX 64
+#define CONFIG_TEAMS_MAX 1000
+#define CONFIG_SUBJECT_SIZE (CF_NAME_SIZE + 8)
+
+struct config_fence {
+	uint64_t incarnation;
+	int64_t wall_ms;
+};
+
+struct config_outcome {
+	uint8_t command_id[CONFIG_COMMAND_ID_SIZE];
+	struct cf_command_result result;
+	int64_t wall_ms;
+};
+
+struct config_subject {
+	char name[CONFIG_SUBJECT_SIZE]; /* "class/NAME", "members", ... */
+	uint64_t revision;
+	int64_t wall_ms;
+};
+
+struct cf_config {
+	uint64_t revision;
+	GArray *classes; /* struct cf_class, by name */
+	GArray *data_centres; /* struct cf_data_centre, by name */
+	GArray *teams; /* struct cf_team, by name */
+	GArray *members; /* struct cf_member, by id */
+	GArray *views; /* struct cf_view, newest last */
+	GArray *fences; /* struct config_fence, oldest first */
+	/* The rest is the log's side only: adopters don't have it. */
+	GQueue outcomes; /* struct config_outcome, oldest first */
+	GHashTable *outcome_of; /* command id -> link in outcomes */
+	GArray *subjects; /* struct config_subject, by name */
+	uint64_t forgotten_revision; /* newest of subjects let go */
+	int64_t wall_ms; /* greatest of the entries applied */
+	GArray *retired; /* uint32_t, ids of removed members */
+};
+
+/* Position of the name in an array whose structs begin with it; false:
+ * not there, *position is where it belongs. */
+bool config_find_name(const GArray *array, const char *name, guint *position);
+bool config_find_member(const GArray *members, uint32_t id, guint *position);
+bool config_add_outcome(
+	struct cf_config *config,
+	const struct config_outcome *outcome); /* false: id known */
+
+bool config_has_id(const uint32_t *ids, uint32_t n, uint32_t id);
+
+/* Makes a change (config_change.c) or refuses it with a message. */
+enum cf_command_status config_change(struct cf_config *config,
+				     const struct Cfw__Command *command,
+				     struct cf_command_result *result);
+enum cf_command_status config_refuse(struct cf_command_result *result,
+				     enum cf_command_status status,
+				     const char *message);
+
+/* Checks (config_check.c): NULL, or which field is wrong and how. */
+const char *config_check_name(const char *name);
+const char *config_check_address(const char *address);
+const char *config_check_class(const struct Cfw__TaskClass *task_class);
+const char *config_check_data_centre(const struct Cfw__DataCentre *dc);
+const char *config_check_team(const struct Cfw__Team *team);
+const char *config_check_member(const struct Cfw__Member *member);
+
+/* Copies of checked messages (config_read.c). */
+void config_read_class(const struct Cfw__TaskClass *from, struct cf_class *to);
+void config_read_member(const struct Cfw__Member *from, struct cf_member *to);
+
+#endif
