Run a coordinator over the group, links and admin interface

The headers of the group, links and admin interface are agreed but the process between them was missing: who grants leases, who votes, who takes the next step of a membership change. One loop thread now owns it.

Two orders of events were worked out on paper and closed here. A view's horizon counts from the proposal of its entry, so the leader gives no voter a lease, and doesn't vote, while the log holds a membership that isn't applied. A lease of a former leader may be granted up to 500 ms into the next office, so a roster settles that much later, and the last departure is then set to that moment: an agent that only the former leader knew may have been lost until then.

A fence stops renewals of its incarnation from its proposal on, so that none is granted beside it.

--- /dev/null
+++ b/src/roles/command_json.h
@@ -0,0 +1,26 @@
+/*
+ * command_json: configuration changes and the configuration as JSON,
+ * for the operators' interface. Strict: an unknown, missing or doubled
+ * field is a fault that names it.
+ *
+ * {"command_id":"<32 hex digits>","base_revision":7,
+ *  "change":{"class_set":{"name":"a","target_ms":300,...}}}
+ */
+#ifndef ROLES_COMMAND_JSON_H
+#define ROLES_COMMAND_JSON_H
+
+#include "chervilferry.h"
+
+#include <jansson.h>
+
+#define COMMAND_ID_SIZE 16
+#define COMMAND_ID_TEXT_SIZE 33
+#define COMMAND_FAULT_SIZE 160
+
+/* A packed Cfw__Command; NULL with fault filled in otherwise. */
+GBytes *command_from_json(const void *body, size_t size_bytes,
+			  char fault[COMMAND_FAULT_SIZE]);
+json_t *config_to_json(const struct cf_config *config);
+const char *command_status_name(enum cf_command_status status);
+
+#endif
--- /dev/null
+++ b/src/roles/coordinator.c
@@ -0,0 +1,354 @@
+/*
+ * coordinator: a member of the group that holds the configuration,
+ * grants leases and votes on claims. This file starts and stops it and
+ * has its periodic work.
+ */
+#include "roles/coordinator.h"
+
+#include "base/clock.h"
+#include "base/logger.h"
+#include "base/trace_file.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/* ---- Constants ----------------------------------------------------- */
+
+#define TICK_MS 50
+#define EXPIRE_EVERY_MS 1000
+#define FLUSH_WAIT_MS 500
+#define STOPPED 1 /* any pointer value for the queue */
+
+/* ---- Periodic work ------------------------------------------------- */
+
+static void follow_leadership(struct coordinator *c, int64_t now_ms)
+{
+	bool leading = group_is_leader(c->group);
+
+	if (leading && !c->office)
+		coordinator_begin_office(c, now_ms);
+	else if (!leading && c->office)
+		coordinator_end_office(c);
+}
+
+static void follow_readiness(struct coordinator *c)
+{
+	bool ready = group_healthy(c->group) && group_leader(c->group) &&
+		     !c->stopping;
+
+	if (ready == c->ready)
+		return;
+	c->ready = ready;
+	admin_set_ready(c->admin, ready,
+			group_healthy(c->group) ? "no leader is known"
+						: "the disk fails");
+}
+
+static void tick(void *arg, int64_t now_ms)
+{
+	struct coordinator *c = arg;
+
+	if (c->stopping)
+		return;
+	follow_leadership(c, now_ms);
+	follow_readiness(c);
+	coordinator_follow_members(c);
+	coordinator_renew_voter_lease(c, now_ms);
+	coordinator_expire_leases(c, now_ms);
+	coordinator_upkeep_members(c, now_ms);
+	coordinator_answer_reads(c, now_ms);
+	gauge_set(c->counters.revision, (int64_t)cf_config_revision(c->config));
+	if (now_ms < c->next_expiry_ms)
+		return;
+	c->next_expiry_ms = now_ms + EXPIRE_EVERY_MS;
+	cf_ledger_expire(c->ledger, clock_wall_ms());
+}
+
+/* ---- Start --------------------------------------------------------- */
+
+static void get_counters(struct coordinator_counters *counters)
+{
+	counters->granted = counter_get("lease_granted_total", NULL,
+					"leases granted or renewed");
+	counters->refused = counter_get("lease_refused_total", NULL,
+					"lease requests not granted");
+	counters->votes_for = counter_get("votes_total", "verdict=\"for\"",
+					  "votes on claims");
+	counters->votes_none =
+		counter_get("votes_total", "verdict=\"none\"", NULL);
+	counters->commands = counter_get("commands_total", NULL,
+					 "configuration commands applied");
+	counters->dropped = counter_get("coordinator_dropped_total", NULL,
+					"messages that were not expected");
+	counters->leading =
+		gauge_get("leading", NULL, "1 while this member leads");
+	counters->holders = gauge_get("lease_holders", NULL,
+				      "processes on the leader's roster");
+	counters->revision = gauge_get("configuration_revision", NULL,
+				       "revision that is applied here");
+}
+
+static struct coordinator *create_empty(const struct settings *settings,
+					uint64_t incarnation)
+{
+	struct coordinator *c = g_new0(struct coordinator, 1);
+
+	c->id = (uint32_t)settings_number(settings, "id");
+	c->incarnation = incarnation;
+	g_strlcpy(c->name, settings_text(settings, "name"), sizeof(c->name));
+	g_strlcpy(c->data_centre, settings_text(settings, "data-centre"),
+		  sizeof(c->data_centre));
+	c->data_folder = g_strdup(settings_text(settings, "data"));
+	c->lease_ms = (uint32_t)settings_number(settings, "lease-ms");
+	c->join = g_strdupv(settings_list(settings, "join"));
+	c->config = cf_config_create();
+	c->voter_lease = cf_lease_create();
+	c->peers = g_ptr_array_new();
+	c->reads = g_ptr_array_new_with_free_func(g_free);
+	c->identities = g_hash_table_new_full(g_direct_hash, g_direct_equal,
+					      NULL,
+					      (GDestroyNotify)g_bytes_unref);
+	c->waiters = g_hash_table_new_full(g_bytes_hash, g_bytes_equal,
+					   (GDestroyNotify)g_bytes_unref,
+					   (GDestroyNotify)g_ptr_array_unref);
+	get_counters(&c->counters);
+	return c;
+}
+
+static void destroy(struct coordinator *c)
+{
+	if (c->admin)
+		admin_destroy(c->admin);
+	if (c->tick)
+		loop_timer_destroy(c->tick);
+	if (c->office)
+		coordinator_end_office(c);
+	if (c->group)
+		group_destroy(c->group);
+	if (c->hub)
+		link_hub_destroy(c->hub);
+	if (c->loop)
+		loop_destroy(c->loop);
+	if (c->packed)
+		cfw__configuration__free_unpacked(c->packed, NULL);
+	if (c->first_members)
+		g_array_unref(c->first_members);
+	g_strfreev(c->join);
+	g_ptr_array_unref(c->peers);
+	g_ptr_array_unref(c->reads);
+	g_hash_table_destroy(c->identities);
+	g_hash_table_destroy(c->waiters);
+	cf_ledger_destroy(c->ledger);
+	cf_lease_destroy(c->voter_lease);
+	cf_config_destroy(c->config);
+	g_free(c->data_folder);
+	g_free(c);
+}
+
+static bool read_members(struct coordinator *c, const struct settings *settings,
+			 GError **error)
+{
+	const char *text = settings_text(settings, "first-members");
+
+	if (text && *text) {
+		c->first_members = first_members_parse(text, c->id, error);
+		return c->first_members != NULL;
+	}
+	c->first_members = g_array_new(FALSE, TRUE, sizeof(struct cf_member));
+	if (c->join && c->join[0])
+		return true;
+	g_set_error(error, g_quark_from_static_string("coordinator"), 0,
+		    "first-members or join: one of them must be given");
+	return false;
+}
+
+static bool open_links(struct coordinator *c, const struct settings *settings,
+		       GError **error)
+{
+	struct link_options options = {
+		.self = { .role = CFW__ROLE__ROLE_COORDINATOR,
+			  .name = c->name,
+			  .incarnation = c->incarnation,
+			  .member_id = c->id,
+			  .data_centre = c->data_centre },
+		.heartbeat_ms = settings_number(settings, "heartbeat-ms")
+	};
+
+	c->hub = link_hub_create(c->loop, &options, &coordinator_link_handlers,
+				 c);
+	return link_hub_listen(c->hub, settings_text(settings, "listen"),
+			       &c->port, error);
+}
+
+static bool open_admin(struct coordinator *c, const struct settings *settings,
+		       GError **error)
+{
+	c->admin = admin_create(settings_text(settings, "admin"), error);
+	if (!c->admin)
+		return false;
+	coordinator_add_routes(c);
+	admin_set_ready(c->admin, false, "no leader is known");
+	return admin_start(c->admin, error);
+}
+
+/* Port 0 in one's own first address stands for the port that is used. */
+static void fill_in_ports(struct coordinator *c)
+{
+	for (guint i = 0; i < c->first_members->len; i++) {
+		struct cf_member *member =
+			&g_array_index(c->first_members, struct cf_member, i);
+		char *fields[] = { member->address, member->admin_address };
+		uint16_t ports[] = { c->port, admin_port(c->admin) };
+
+		for (int f = 0; f < 2 && member->id == c->id; f++) {
+			char *colon = strrchr(fields[f], ':');
+
+			if (colon && strcmp(colon, ":0") == 0)
+				g_snprintf(colon,
+					   CF_NAME_SIZE -
+						   (gulong)(colon - fields[f]),
+					   ":%u", ports[f]);
+		}
+	}
+}
+
+static bool open_group(struct coordinator *c, const struct settings *settings,
+		       GError **error)
+{
+	uint32_t voters[CF_MEMBERS_MAX];
+	struct group_options options = {
+		.id = c->id,
+		.data_folder = c->data_folder,
+		.first_voters = voters,
+		.n_first_voters = c->first_members->len,
+		.snapshot_every =
+			(uint32_t)settings_number(settings, "snapshot-every"),
+		.seed = (uint64_t)settings_number(settings, "seed")
+	};
+
+	for (guint i = 0; i < c->first_members->len; i++)
+		voters[i] =
+			g_array_index(c->first_members, struct cf_member, i).id;
+	if (!options.seed)
+		options.seed = clock_random();
+	c->group = group_create(c->loop, &options, &coordinator_group_handlers,
+				c, error);
+	return c->group != NULL;
+}
+
+static gpointer run(gpointer arg)
+{
+	struct coordinator *c = arg;
+
+	loop_run(c->loop);
+	return NULL;
+}
+
+static struct coordinator *start(const struct settings *settings,
+				 uint64_t incarnation, GError **error)
+{
+	struct coordinator *c = create_empty(settings, incarnation);
+
+	c->loop = loop_create(error);
+	if (!c->loop || !read_members(c, settings, error) ||
+	    !open_links(c, settings, error) ||
+	    !open_admin(c, settings, error)) {
+		destroy(c);
+		return NULL;
+	}
+	fill_in_ports(c);
+	if (!open_group(c, settings, error) ||
+	    !coordinator_open_ledger(c, clock_wall_ms(), error)) {
+		destroy(c);
+		return NULL;
+	}
+	c->tick = loop_timer_create(c->loop, tick, c);
+	loop_timer_start(c->tick, TICK_MS, TICK_MS);
+	c->thread = g_thread_new("coordinator", run, c);
+	return c;
+}
+
+struct coordinator *coordinator_start(const struct settings *settings,
+				      GError **error)
+{
+	return start(settings, clock_random(), error);
+}
+
+uint16_t coordinator_port(const struct coordinator *c)
+{
+	return c->port;
+}
+
+uint16_t coordinator_admin_port(const struct coordinator *c)
+{
+	return admin_port(c->admin);
+}
+
+/* ---- Stop ---------------------------------------------------------- */
+
+struct stop {
+	struct coordinator *coordinator;
+	GAsyncQueue *done;
+};
+
+/* From here on requests are refused and nothing is voted on. */
+static void stop_work(void *arg)
+{
+	struct stop *stop = arg;
+	struct coordinator *c = stop->coordinator;
+
+	c->stopping = true;
+	if (c->office)
+		coordinator_end_office(c);
+	coordinator_fail_reads(c, "this coordinator is stopping");
+	coordinator_save_ledger(c);
+	link_flush(c->hub, FLUSH_WAIT_MS);
+	g_async_queue_push(stop->done, GINT_TO_POINTER(STOPPED));
+}
+
+void coordinator_stop(struct coordinator *c)
+{
+	struct stop stop = { .coordinator = c, .done = g_async_queue_new() };
+
+	trace_event("stop_begin", "in_progress=0");
+	admin_set_ready(c->admin, false, "stopping");
+	loop_post(c->loop, stop_work, &stop);
+	g_async_queue_pop(stop.done);
+	g_async_queue_unref(stop.done);
+	/* The loop still answers what comes in until the server is gone. */
+	admin_destroy(c->admin);
+	c->admin = NULL;
+	loop_stop(c->loop);
+	g_thread_join(c->thread);
+	destroy(c);
+	trace_event("stop_end", "in_progress=0");
+}
+
+/* ---- Process ------------------------------------------------------- */
+
+int coordinator_main(const struct settings *settings)
+{
+	g_autoptr(GError) error = NULL;
+	const char *trace = settings_text(settings, "trace");
+	uint64_t incarnation = clock_random();
+	struct coordinator *c = NULL;
+
+	role_block_signals();
+	if (!trace || !*trace ||
+	    trace_open(trace, settings_text(settings, "name"), incarnation,
+		       &error))
+		c = start(settings, incarnation, &error);
+	if (!c) {
+		fprintf(stderr, "chervilferry coordinator: %s\n",
+			error ? error->message : "cannot start");
+		return 1;
+	}
+	log_event(LOG_INFO, "started", "id=%u port=%u admin_port=%u", c->id,
+		  c->port, admin_port(c->admin));
+	role_wait_for_stop();
+	log_event(LOG_INFO, "stopping", NULL);
+	coordinator_stop(c);
+	log_event(LOG_INFO, "stopped", NULL);
+	trace_close();
+	return 0;
+}
--- /dev/null
+++ b/src/roles/coordinator_admin.c
@@ -0,0 +1,274 @@
+/*
+ * coordinator_admin: the operators' HTTP interface of a coordinator.
+ * Requests arrive on server threads and are carried out on the loop.
+ */
+#include "roles/coordinator.h"
+
+#include "base/clock.h"
+#include "roles/command_json.h"
+
+/* ---- Constants ----------------------------------------------------- */
+
+#define READ_WAIT_MS 3000
+#define HTTP_OK_STATUS 200
+#define HTTP_BAD_REQUEST 400
+#define HTTP_NOT_FOUND 404
+#define HTTP_CONFLICT 409
+#define HTTP_MISDIRECTED 421
+#define HTTP_UNAVAILABLE 503
+
+/* ---- Types --------------------------------------------------------- */
+
+struct posted {
+	struct coordinator *coordinator;
+	struct http_request *request;
+	GBytes *command; /* or NULL */
+};
+
+/* ---- Answers ------------------------------------------------------- */
+
+/* Takes over json. */
+static void reply_json(struct http_request *request, uint32_t status,
+		       json_t *json)
+{
+	char *text = json_dumps(json, JSON_COMPACT);
+
+	http_reply(request, status, "application/json", text, strlen(text),
+		   NULL);
+	free(text);
+	json_decref(json);
+}
+
+void coordinator_answer_command(struct http_request *request,
+				const struct cf_command_result *result)
+{
+	static const uint32_t statuses[] = {
+		[CF_COMMAND_DONE] = HTTP_OK_STATUS,
+		[CF_COMMAND_CONFLICT] = HTTP_CONFLICT,
+		[CF_COMMAND_INVALID] = HTTP_BAD_REQUEST,
+		[CF_COMMAND_NOT_FOUND] = HTTP_NOT_FOUND,
+	};
+	const char *name = command_status_name(result->status);
+	json_int_t revision = (json_int_t)result->revision;
+	json_t *json;
+
+	if (result->status == CF_COMMAND_DONE)
+		json = json_pack("{s:s,s:I}", "status", name, "revision",
+				 revision);
+	else
+		json = json_pack("{s:s,s:s,s:s,s:I}", "status", name, "reason",
+				 name, "message", result->message, "revision",
+				 revision);
+	reply_json(request, statuses[result->status], json);
+}
+
+/* 421 with where the leader is; 503 when it is not known or is here. */
+void coordinator_answer_not_leader(struct coordinator *c,
+				   struct http_request *request,
+				   const char *why)
+{
+	uint32_t leader = group_leader(c->group);
+	const char *address =
+		leader && leader != c->id
+			? coordinator_member_address(c, leader, true)
+			: NULL;
+	json_t *json =
+		json_pack("{s:s,s:s}", "reason", "not_leader", "message", why);
+
+	if (address)
+		json_object_set_new(json, "leader_admin", json_string(address));
+	reply_json(request, address ? HTTP_MISDIRECTED : HTTP_UNAVAILABLE,
+		   json);
+}
+
+/* ---- Commands ------------------------------------------------------ */
+
+static void run_command(void *arg)
+{
+	struct posted *posted = arg;
+	struct coordinator *c = posted->coordinator;
+	struct waiter waiter = { .request = posted->request };
+
+	if (!coordinator_propose(c, posted->command, &waiter))
+		coordinator_answer_not_leader(c, posted->request,
+					      "this member does not lead");
+	g_bytes_unref(posted->command);
+	g_free(posted);
+}
+
+static void post(struct coordinator *c, struct http_request *request,
+		 GBytes *command, loop_fn *fn)
+{
+	struct posted *posted = g_new0(struct posted, 1);
+
+	posted->coordinator = c;
+	posted->request = request;
+	posted->command = command;
+	loop_post(c->loop, fn, posted);
+}
+
+static void post_command(void *arg, struct http_request *request)
+{
+	char fault[COMMAND_FAULT_SIZE];
+	size_t size = 0;
+	const void *body = http_body(request, &size);
+	GBytes *command = command_from_json(body, size, fault);
+
+	if (command)
+		post(arg, request, command, run_command);
+	else
+		http_reply_error(request, HTTP_BAD_REQUEST, "invalid", fault);
+}
+
+/* ---- Reads --------------------------------------------------------- */
+
+static void run_read(void *arg)
+{
+	struct posted *posted = arg;
+	struct coordinator *c = posted->coordinator;
+	struct waiting_read *read;
+
+	if (c->office && !c->stopping) {
+		read = g_new0(struct waiting_read, 1);
+		read->request = posted->request;
+		read->arrived_ms = loop_now_ms(c->loop);
+		g_ptr_array_add(c->reads, read);
+	} else {
+		coordinator_answer_not_leader(c, posted->request,
+					      "this member does not lead");
+	}
+	g_free(posted);
+}
+
+static void get_config(void *arg, struct http_request *request)
+{
+	post(arg, request, NULL, run_read);
+}
+
+/* A quorum heard after the read's arrival proves that nobody else led
+ * when it came. */
+void coordinator_answer_reads(struct coordinator *c, int64_t now_ms)
+{
+	for (guint i = c->reads->len; i-- > 0;) {
+		struct waiting_read *read = g_ptr_array_index(c->reads, i);
+
+		if (group_quorum_ms(c->group) > read->arrived_ms)
+			reply_json(read->request, HTTP_OK_STATUS,
+				   config_to_json(c->config));
+		else if (now_ms - read->arrived_ms > READ_WAIT_MS)
+			coordinator_answer_not_leader(c, read->request,
+						      "no quorum was heard");
+		else
+			continue;
+		g_ptr_array_remove_index(c->reads, i);
+	}
+}
+
+void coordinator_fail_reads(struct coordinator *c, const char *why)
+{
+	for (guint i = 0; i < c->reads->len; i++) {
+		struct waiting_read *read = g_ptr_array_index(c->reads, i);
+
+		coordinator_answer_not_leader(c, read->request, why);
+	}
+	g_ptr_array_set_size(c->reads, 0);
+}
+
+/* ---- Status -------------------------------------------------------- */
+
+static json_t *members_status(const struct coordinator *c)
+{
+	const struct cf_member *members;
+	size_t n = cf_config_members(c->config, &members);
+	json_t *array = json_array();
+
+	for (size_t i = 0; i < n; i++) {
+		uint32_t id = members[i].id;
+		json_t *member =
+			json_pack("{s:I,s:s,s:s,s:b,s:b,s:b}", "id",
+				  (json_int_t)id, "address", members[i].address,
+				  "admin_address", members[i].admin_address,
+				  "voter", (int)members[i].voter, "leaving",
+				  (int)members[i].leaving, "connected",
+				  id == c->id || coordinator_link_to(c, id));
+
+		if (c->office)
+			json_object_set_new(
+				member, "caught_up",
+				json_boolean(id == c->id ||
+					     group_caught_up(c->group, id)));
+		json_array_append_new(array, member);
+	}
+	return array;
+}
+
+static json_t *roster_status(const struct coordinator *c)
+{
+	json_t *array = json_array();
+	GHashTableIter iter;
+	gpointer value;
+
+	if (!c->office)
+		return array;
+	g_hash_table_iter_init(&iter, c->office->holders);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct holder *holder = value;
+		bool agent = holder->role == CFW__ROLE__ROLE_AGENT;
+		char incarnation[17];
+
+		g_snprintf(incarnation, sizeof(incarnation),
+			   "%016" G_GINT64_MODIFIER "x", holder->incarnation);
+		json_array_append_new(
+			array,
+			json_pack("{s:s,s:s,s:s,s:s,s:s,s:s,s:b,s:I,s:I}",
+				  "name", holder->name, "role",
+				  agent ? "agent" : "dispatcher", "incarnation",
+				  incarnation, "data_centre",
+				  holder->data_centre, "rack", holder->rack,
+				  "address", holder->address, "draining",
+				  (int)holder->draining, "slots",
+				  (json_int_t)holder->capacity.slots, "age_ms",
+				  (json_int_t)(loop_now_ms(c->loop) -
+					       holder->renewed_ms)));
+	}
+	return array;
+}
+
+static void run_status(void *arg)
+{
+	struct posted *posted = arg;
+	struct coordinator *c = posted->coordinator;
+	uint32_t leader = group_leader(c->group);
+	const char *leader_admin = coordinator_member_address(c, leader, true);
+	json_t *json = json_pack(
+		"{s:s,s:s,s:I,s:s,s:I,s:s,s:I,s:I,s:I,s:I,s:b,s:b,s:o,s:o}",
+		"name", c->name, "role", c->office ? "leader" : "follower",
+		"id", (json_int_t)c->id, "data_centre", c->data_centre,
+		"leader", (json_int_t)leader, "leader_admin",
+		leader_admin ? leader_admin : "", "term",
+		(json_int_t)group_term(c->group), "commit",
+		(json_int_t)group_commit(c->group), "applied",
+		(json_int_t)group_applied(c->group), "revision",
+		(json_int_t)cf_config_revision(c->config), "disk_healthy",
+		(int)group_healthy(c->group), "roster_settled",
+		(int)(c->office && c->office->settled), "members",
+		members_status(c), "roster", roster_status(c));
+
+	json_object_set_new(
+		json, "votes_held",
+		json_integer((json_int_t)cf_ledger_size(c->ledger)));
+	reply_json(posted->request, HTTP_OK_STATUS, json);
+	g_free(posted);
+}
+
+static void get_status(void *arg, struct http_request *request)
+{
+	post(arg, request, NULL, run_status);
+}
+
+void coordinator_add_routes(struct coordinator *c)
+{
+	admin_route(c->admin, "POST", "/v1/commands", post_command, c);
+	admin_route(c->admin, "GET", "/v1/config", get_config, c);
+	admin_route(c->admin, "GET", "/v1/status", get_status, c);
+}
--- /dev/null
+++ b/src/roles/coordinator_claims.c
@@ -0,0 +1,169 @@
+/*
+ * coordinator_claims: this member's votes on claims of job keys. Votes
+ * are in memory; a clean stop saves them, and the file is removed,
+ * synced, before anything is voted on again. After any other end this
+ * member abstains on keys that it may have voted on.
+ */
+#include "roles/coordinator.h"
+
+#include "base/clock.h"
+#include "base/logger.h"
+#include "base/trace_file.h"
+
+/* ---- Constants ----------------------------------------------------- */
+
+#define CLAIMS_MAX 65536 /* of one request */
+#define HEX G_GINT64_MODIFIER "x"
+
+/* ---- Ledger -------------------------------------------------------- */
+
+bool coordinator_open_ledger(struct coordinator *c, int64_t wall_ms,
+			     GError **error)
+{
+	g_autoptr(GError) bad = NULL;
+	g_autoptr(GBytes)
+		saved = store_get_file(c->data_folder, LEDGER_FILE, &bad);
+	int64_t safe_after_ms = wall_ms + CF_CLOCK_SKEW_MS;
+
+	if (saved) {
+		c->ledger = cf_ledger_create(CF_LEDGER_HORIZON_MS, 0);
+		if (cf_ledger_load(c->ledger, saved, &bad))
+			return store_remove_file(c->data_folder, LEDGER_FILE,
+						 error);
+		cf_ledger_destroy(c->ledger);
+	}
+	if (bad)
+		log_event(LOG_WARN, "ledger_lost", "why=\"%s\"", bad->message);
+	c->ledger = cf_ledger_create(CF_LEDGER_HORIZON_MS, safe_after_ms);
+	log_event(LOG_INFO, "ledger_empty",
+		  "abstains_until_key_ms=%" G_GINT64_FORMAT, safe_after_ms);
+	return !bad || store_remove_file(c->data_folder, LEDGER_FILE, error);
+}
+
+void coordinator_save_ledger(struct coordinator *c)
+{
+	g_autoptr(GError) error = NULL;
+	g_autoptr(GBytes) saved = cf_ledger_save(c->ledger);
+
+	if (!store_put_file(c->data_folder, LEDGER_FILE, saved, &error))
+		log_event(LOG_WARN, "ledger_not_saved", "why=\"%s\"",
+			  error->message);
+}
+
+/* ---- Votes --------------------------------------------------------- */
+
+static bool is_voter(const struct coordinator *c)
+{
+	const struct cf_member *self = cf_config_find_member(c->config, c->id);
+
+	return self && self->voter;
+}
+
+/* A cut-off or removed member stops to vote when its lease ends; one
+ * that has not yet applied what the lease confirms may hold an old
+ * view. */
+static bool may_vote(const struct coordinator *c, int64_t now_ms)
+{
+	if (c->stopping || !group_healthy(c->group) || !is_voter(c))
+		return false;
+	if (c->office)
+		return coordinator_may_grant(c, now_ms) &&
+		       coordinator_view_is_stable(c);
+	return cf_lease_held(c->voter_lease, now_ms) &&
+	       cf_config_revision(c->config) >=
+		       cf_lease_revision(c->voter_lease);
+}
+
+static uint64_t newest_view(const struct coordinator *c)
+{
+	const struct cf_view *views;
+	size_t n = cf_config_views(c->config, &views);
+
+	return n ? views[n - 1].number : 0;
+}
+
+static const char *name_vote(enum cf_vote vote)
+{
+	static const char *const names[] = {
+		[CF_VOTE_FOR] = "for",           [CF_VOTE_ABSTAIN] = "abstain",
+		[CF_VOTE_TOO_OLD] = "too_old",   [CF_VOTE_TOO_NEW] = "too_new",
+		[CF_VOTE_UNFENCED] = "unfenced",
+	};
+
+	return names[vote];
+}
+
+static void trace_vote(const struct cf_claim *claim, uint64_t owner,
+		       enum cf_vote vote, uint64_t view)
+{
+	char key[CF_KEY_TEXT_SIZE];
+
+	if (!trace_enabled())
+		return;
+	cf_key_format(&claim->key, key);
+	trace_event("vote",
+		    "key=%s epoch=%u owner=%016" HEX
+		    " verdict=%s view=%" G_GUINT64_FORMAT,
+		    key, claim->epoch, owner, name_vote(vote), view);
+}
+
+static bool vote(struct coordinator *c, const struct Cfw__Claim *request,
+		 bool may, struct Cfw__Vote *reply)
+{
+	struct cf_claim claim = { .epoch = request->epoch,
+				  .owner = request->owner,
+				  .prior_owner = request->prior_owner };
+	uint64_t owner = 0;
+	enum cf_vote verdict;
+
+	if (request->key.len != CF_KEY_SIZE || !request->owner)
+		return false;
+	memcpy(claim.key.bytes, request->key.data, CF_KEY_SIZE);
+	verdict = cf_ledger_vote(
+		c->ledger, &claim, may,
+		cf_config_is_fenced(c->config, claim.prior_owner),
+		clock_wall_ms(), &owner);
+	trace_vote(&claim, owner, verdict, newest_view(c));
+	counter_add(verdict == CF_VOTE_FOR ? c->counters.votes_for
+					   : c->counters.votes_none,
+		    1);
+	cfw__vote__init(reply);
+	reply->key = request->key;
+	reply->epoch = request->epoch;
+	reply->owner = owner;
+	reply->verdict = verdict;
+	return true;
+}
+
+void coordinator_claim_request(struct coordinator *c, struct link *link,
+			       const struct Cfw__ClaimRequest *request)
+{
+	struct Cfw__Envelope envelope = CFW__ENVELOPE__INIT;
+	struct Cfw__ClaimReply reply = CFW__CLAIM_REPLY__INIT;
+	g_autofree struct Cfw__Vote *votes = NULL;
+	g_autofree struct Cfw__Vote **pointers = NULL;
+	bool may = may_vote(c, loop_now_ms(c->loop));
+
+	if (request->n_claims > CLAIMS_MAX) {
+		counter_add(c->counters.dropped, 1);
+		return;
+	}
+	votes = g_new(struct Cfw__Vote, request->n_claims);
+	pointers = g_new(struct Cfw__Vote *, request->n_claims);
+	for (size_t i = 0; i < request->n_claims; i++) {
+		struct Cfw__Vote *next = &votes[reply.n_votes];
+
+		if (vote(c, request->claims[i], may, next))
+			pointers[reply.n_votes++] = next;
+		else
+			counter_add(c->counters.dropped, 1);
+	}
+	reply.seq = request->seq;
+	reply.member_id = c->id;
+	reply.incarnation = c->incarnation;
+	reply.view = newest_view(c);
+	reply.votes = pointers;
+	envelope.body_case = CFW__ENVELOPE__BODY_CLAIM_REPLY;
+	envelope.claim_reply = &reply;
+	link_send(link, &envelope);
+}
--- /dev/null
+++ b/src/roles/coordinator_links.c
@@ -0,0 +1,163 @@
+/*
+ * coordinator_links: the coordinator's connections. Each member dials
+ * every other one and sends its log messages on the links that it
+ * dialled; all other messages are answered on the link they came by.
+ */
+#include "roles/coordinator.h"
+
+#include "base/logger.h"
+
+#include <string.h>
+
+/* ---- Peers --------------------------------------------------------- */
+
+static bool has_address(const GPtrArray *addresses, const char *address)
+{
+	for (guint i = 0; i < addresses->len; i++) {
+		if (strcmp(g_ptr_array_index(addresses, i), address) == 0)
+			return true;
+	}
+	return false;
+}
+
+static void add_members(const struct coordinator *c, GPtrArray *addresses,
+			const struct cf_member *members, size_t n)
+{
+	for (size_t i = 0; i < n; i++) {
+		if (members[i].id != c->id &&
+		    !has_address(addresses, members[i].address))
+			g_ptr_array_add(addresses,
+					(gpointer)members[i].address);
+	}
+}
+
+/* Addresses to dial: the members', before they are known those from
+ * the settings. */
+static GPtrArray *find_addresses(const struct coordinator *c)
+{
+	GPtrArray *addresses = g_ptr_array_new();
+	const struct cf_member *members;
+	size_t n = cf_config_members(c->config, &members);
+	const struct cf_view *views;
+
+	add_members(c, addresses, members, n);
+	if (n && cf_config_views(c->config, &views))
+		return addresses;
+	add_members(c, addresses,
+		    (const struct cf_member *)(void *)c->first_members->data,
+		    c->first_members->len);
+	for (char **join = c->join; join && *join; join++) {
+		if (!has_address(addresses, *join))
+			g_ptr_array_add(addresses, *join);
+	}
+	return addresses;
+}
+
+static bool is_dialled(const struct coordinator *c, const char *address)
+{
+	for (guint i = 0; i < c->peers->len; i++) {
+		if (strcmp(link_address(g_ptr_array_index(c->peers, i)),
+			   address) == 0)
+			return true;
+	}
+	return false;
+}
+
+void coordinator_follow_members(struct coordinator *c)
+{
+	g_autoptr(GPtrArray) addresses = NULL;
+
+	if (c->peers_revision == cf_config_revision(c->config) &&
+	    (c->peers->len || c->peers_revision))
+		return;
+	c->peers_revision = cf_config_revision(c->config);
+	addresses = find_addresses(c);
+	for (guint i = c->peers->len; i-- > 0;) {
+		struct link *link = g_ptr_array_index(c->peers, i);
+
+		if (has_address(addresses, link_address(link)))
+			continue;
+		g_ptr_array_remove_index(c->peers, i);
+		link_drop(link);
+	}
+	for (guint i = 0; i < addresses->len; i++) {
+		const char *address = g_ptr_array_index(addresses, i);
+
+		if (!is_dialled(c, address))
+			g_ptr_array_add(c->peers, link_dial(c->hub, address));
+	}
+}
+
+struct link *coordinator_link_to(const struct coordinator *c, uint32_t id)
+{
+	for (guint i = 0; i < c->peers->len; i++) {
+		struct link *link = g_ptr_array_index(c->peers, i);
+
+		if (link_is_up(link) && link_peer(link)->member_id == id)
+			return link;
+	}
+	return NULL;
+}
+
+/* ---- Handlers ------------------------------------------------------ */
+
+static void up(void *arg, struct link *link)
+{
+	(void)arg;
+	(void)link;
+}
+
+static void down(void *arg, struct link *link)
+{
+	coordinator_drop_waiters(arg, link);
+}
+
+static void receive_log(struct coordinator *c, struct link *link,
+			const struct Cfw__LogMessage *message)
+{
+	if (link_peer(link)->role != CFW__ROLE__ROLE_COORDINATOR ||
+	    link_peer(link)->member_id != message->from ||
+	    message->identity.len != GROUP_IDENTITY_SIZE) {
+		counter_add(c->counters.dropped, 1);
+		return;
+	}
+	g_hash_table_replace(
+		c->identities, GUINT_TO_POINTER(message->from),
+		g_bytes_new(message->identity.data, message->identity.len));
+	group_receive(c->group, message);
+}
+
+static void message(void *arg, struct link *link,
+		    const struct Cfw__Envelope *envelope)
+{
+	struct coordinator *c = arg;
+
+	if (c->stopping)
+		return;
+	switch (envelope->body_case) {
+	case CFW__ENVELOPE__BODY_LOG:
+		receive_log(c, link, envelope->log);
+		break;
+	case CFW__ENVELOPE__BODY_LEASE_REQUEST:
+		coordinator_lease_request(c, link, envelope->lease_request);
+		break;
+	case CFW__ENVELOPE__BODY_LEASE_GRANT:
+		coordinator_lease_grant(c, envelope->lease_grant);
+		break;
+	case CFW__ENVELOPE__BODY_FENCE_REQUEST:
+		coordinator_fence_request(c, link, envelope->fence_request);
+		break;
+	case CFW__ENVELOPE__BODY_CLAIM_REQUEST:
+		coordinator_claim_request(c, link, envelope->claim_request);
+		break;
+	default:
+		counter_add(c->counters.dropped, 1);
+		break;
+	}
+}
+
+const struct link_handlers coordinator_link_handlers = {
+	.up = up,
+	.message = message,
+	.down = down,
+};
