Add the at-most-once parts without I/O

Each is its own module, takes the time as an argument and does no I/O.

A ledger keeps one vote a key, of the highest epoch. Keeping one for each (key, epoch) and looking only at the epoch before was ruled out on paper: a vote for epoch 0 given after one for epoch 1, or an epoch passed over, makes a second owner beside one that is not fenced.

--- /dev/null
+++ b/src/lib/ballot.c
@@ -0,0 +1,228 @@
+/*
+ * ballot: a dispatcher's count of the votes for one claim, over the
+ * newest view and the older ones that the key's time reaches back to.
+ *
+ * A voter that has not told its vote (silent, abstaining, of another
+ * view) may have voted for anybody. Whoever could have a majority in
+ * every view with such voters may own the key.
+ */
+#include "chervilferry.h"
+
+/* ---- Constants ---- */
+
+#define VOTERS_MAX 64 /* distinct members over all counted views */
+
+/* ---- Types ---- */
+
+struct ballot_voter {
+	uint32_t member;
+	bool answered;
+	bool counts; /* of the newest view, so its FOR is a vote */
+	enum cf_vote vote;
+	uint64_t owner;
+};
+
+struct cf_ballot {
+	struct cf_claim claim;
+	struct cf_view *views; /* counted ones, newest last */
+	size_t n_views;
+	struct ballot_voter voters[VOTERS_MAX];
+	size_t n_voters;
+	enum cf_claim_state state;
+	uint64_t owner;
+};
+
+/* ---- Construction ---- */
+
+static struct ballot_voter *find_voter(struct cf_ballot *ballot,
+				       uint32_t member)
+{
+	for (size_t i = 0; i < ballot->n_voters; i++) {
+		if (ballot->voters[i].member == member)
+			return &ballot->voters[i];
+	}
+	return NULL;
+}
+
+static void add_voters(struct cf_ballot *ballot, const struct cf_members *from)
+{
+	for (uint32_t i = 0; i < from->n_voters; i++) {
+		if (!find_voter(ballot, from->voters[i]) &&
+		    ballot->n_voters < VOTERS_MAX)
+			ballot->voters[ballot->n_voters++].member =
+				from->voters[i];
+	}
+}
+
+struct cf_ballot *cf_ballot_create(const struct cf_claim *claim,
+				   const struct cf_view *views, size_t n_views)
+{
+	struct cf_ballot *ballot = g_new0(struct cf_ballot, 1);
+	int64_t time_ms = cf_key_time_ms(&claim->key);
+	size_t first = n_views;
+
+	ballot->claim = *claim;
+	while (first > 0) {
+		first--;
+		add_voters(ballot, &views[first].members);
+		if (time_ms > views[first].horizon_ms)
+			break;
+	}
+	ballot->n_views = n_views - first;
+	if (ballot->n_views)
+		ballot->views = g_memdup2(views + first,
+					  ballot->n_views * sizeof(*views));
+	return ballot;
+}
+
+void cf_ballot_destroy(struct cf_ballot *ballot)
+{
+	if (!ballot)
+		return;
+	g_free(ballot->views);
+	g_free(ballot);
+}
+
+/* ---- Counting ---- */
+
+static bool has_vote(const struct ballot_voter *voter, uint64_t owner)
+{
+	return voter->answered && voter->counts && voter->vote == CF_VOTE_FOR &&
+	       voter->owner == owner;
+}
+
+static bool is_unknown(const struct ballot_voter *voter)
+{
+	return !voter->answered || !voter->counts ||
+	       (voter->vote != CF_VOTE_FOR && voter->vote != CF_VOTE_TOO_NEW);
+}
+
+/* Does the owner have a majority in every view; with the unknown voters,
+ * could it have? Owner 0 stands for one that nobody named. */
+static bool has_majority(struct cf_ballot *ballot, uint64_t owner,
+			 bool with_unknown)
+{
+	for (size_t v = 0; v < ballot->n_views; v++) {
+		const struct cf_members *members = &ballot->views[v].members;
+		uint32_t count = 0;
+
+		for (uint32_t i = 0; i < members->n_voters; i++) {
+			const struct ballot_voter *voter =
+				find_voter(ballot, members->voters[i]);
+
+			if (has_vote(voter, owner) ||
+			    (with_unknown && is_unknown(voter)))
+				count++;
+		}
+		if (count < members->n_voters / 2 + 1)
+			return false;
+	}
+	return ballot->n_views > 0;
+}
+
+static uint32_t votes_for(const struct cf_ballot *ballot, uint64_t owner)
+{
+	uint32_t count = 0;
+
+	for (size_t i = 0; i < ballot->n_voters; i++)
+		count += has_vote(&ballot->voters[i], owner);
+	return count;
+}
+
+/* The named owner with most votes that has, or could have, a majority. */
+static uint64_t best_other(struct cf_ballot *ballot, bool with_unknown)
+{
+	uint64_t best = 0;
+
+	for (size_t i = 0; i < ballot->n_voters; i++) {
+		uint64_t owner = ballot->voters[i].owner;
+
+		if (!owner || owner == ballot->claim.owner ||
+		    !has_majority(ballot, owner, with_unknown))
+			continue;
+		if (!best || votes_for(ballot, owner) > votes_for(ballot, best))
+			best = owner;
+	}
+	return best;
+}
+
+static bool any_vote(const struct cf_ballot *ballot, enum cf_vote vote)
+{
+	for (size_t i = 0; i < ballot->n_voters; i++) {
+		if (ballot->voters[i].answered &&
+		    ballot->voters[i].vote == vote)
+			return true;
+	}
+	return false;
+}
+
+static bool all_answered(const struct cf_ballot *ballot)
+{
+	for (size_t i = 0; i < ballot->n_voters; i++) {
+		if (!ballot->voters[i].answered)
+			return false;
+	}
+	return true;
+}
+
+static void settle(struct cf_ballot *ballot, enum cf_claim_state state,
+		   uint64_t owner)
+{
+	ballot->state = state;
+	ballot->owner = owner;
+}
+
+/* ---- Outcome ---- */
+
+enum cf_claim_state cf_ballot_add(struct cf_ballot *ballot, uint32_t member,
+				  uint64_t view, enum cf_vote vote,
+				  uint64_t owner)
+{
+	struct ballot_voter *voter = find_voter(ballot, member);
+	uint64_t other;
+
+	if (!voter || ballot->state != CF_CLAIM_OPEN)
+		return ballot->state;
+	/* A vote once given stays given, whatever is said later. */
+	if (voter->answered && voter->counts && voter->vote == CF_VOTE_FOR)
+		return ballot->state;
+	voter->answered = true;
+	voter->counts = view == ballot->views[ballot->n_views - 1].number;
+	voter->vote = vote;
+	voter->owner = owner;
+	if (has_majority(ballot, ballot->claim.owner, false)) {
+		settle(ballot, CF_CLAIM_WON, ballot->claim.owner);
+		return ballot->state;
+	}
+	other = best_other(ballot, false);
+	if (other)
+		settle(ballot, CF_CLAIM_OWNED, other);
+	else if (all_answered(ballot))
+		cf_ballot_close(ballot);
+	return ballot->state;
+}
+
+enum cf_claim_state cf_ballot_close(struct cf_ballot *ballot)
+{
+	uint64_t other;
+
+	if (ballot->state != CF_CLAIM_OPEN)
+		return ballot->state;
+	other = best_other(ballot, true);
+	if (other)
+		settle(ballot, CF_CLAIM_OWNED, other);
+	else if (!ballot->n_views || ballot->claim.epoch > 0 ||
+		 any_vote(ballot, CF_VOTE_TOO_OLD) ||
+		 has_majority(ballot, 0, true))
+		settle(ballot, CF_CLAIM_UNSAFE, 0);
+	else if (any_vote(ballot, CF_VOTE_TOO_NEW))
+		settle(ballot, CF_CLAIM_TOO_NEW, 0);
+	else
+		settle(ballot, CF_CLAIM_LOST, 0);
+	return ballot->state;
+}
+
+uint64_t cf_ballot_owner(const struct cf_ballot *ballot)
+{
+	return ballot->owner;
+}
--- /dev/null
+++ b/src/lib/claim.c
@@ -0,0 +1,325 @@
+/*
+ * claim: a voter's ledger of votes on job keys. Votes lie in one
+ * open-addressing table for each span of key time, so that forgetting
+ * drops whole tables; owners are numbered to keep a vote at 20 bytes.
+ *
+ * Only the vote of the highest epoch is kept for a key. A vote for a
+ * later epoch needs the epoch just before and its fenced owner where one
+ * is held, and bars every lower epoch; so two majorities, which share a
+ * voter, can't make two unfenced owners.
+ */
+#include "chervilferry.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+/* ---- Constants ---- */
+
+#define SPAN_MS 10000 /* key time that one table holds */
+#define SLOTS_FIRST 64
+#define FILL_PERCENT 80 /* a fuller table grows */
+#define SAVE_MAGIC 0x6c647231u
+#define OWNERS_MAX UINT16_MAX
+
+/* ---- Types ---- */
+
+/* Also the saved form; owner 0 marks an empty slot. */
+struct vote {
+	struct cf_key key;
+	uint16_t owner; /* position in the ledger's owners, from 1 */
+	uint16_t epoch;
+};
+
+struct span {
+	struct vote *slots;
+	uint32_t n_slots, n_votes;
+};
+
+struct save_header {
+	uint32_t magic, n_owners;
+	uint64_t n_votes;
+	int64_t safe_after_ms, forgotten_ms;
+};
+
+struct cf_ledger {
+	GHashTable *spans; /* int64 key time / SPAN_MS -> struct span */
+	GArray *owners; /* uint64_t incarnations */
+	int64_t horizon_ms;
+	int64_t safe_after_ms;
+	int64_t forgotten_ms; /* keys up to here may have been forgotten */
+	size_t n_votes;
+};
+
+/* ---- Spans ---- */
+
+static void span_destroy(gpointer data)
+{
+	struct span *span = data;
+
+	g_free(span->slots);
+	g_free(span);
+}
+
+static struct vote *span_slot(const struct span *span, const struct cf_key *key)
+{
+	uint64_t hash = XXH3_64bits(key->bytes, CF_KEY_SIZE);
+	uint32_t at = (uint32_t)((hash >> 32) * span->n_slots >> 32);
+
+	while (span->slots[at].owner &&
+	       !cf_key_equal(&span->slots[at].key, key))
+		at = at + 1 == span->n_slots ? 0 : at + 1;
+	return &span->slots[at];
+}
+
+static void span_grow(struct span *span)
+{
+	struct span larger = { 0 };
+
+	larger.n_slots = span->n_slots + span->n_slots / 2;
+	larger.slots = g_new0(struct vote, larger.n_slots);
+	for (uint32_t i = 0; i < span->n_slots; i++) {
+		if (span->slots[i].owner)
+			*span_slot(&larger, &span->slots[i].key) =
+				span->slots[i];
+	}
+	g_free(span->slots);
+	span->slots = larger.slots;
+	span->n_slots = larger.n_slots;
+}
+
+static struct span *find_span(const struct cf_ledger *ledger,
+			      const struct cf_key *key)
+{
+	int64_t number = cf_key_time_ms(key) / SPAN_MS;
+
+	return g_hash_table_lookup(ledger->spans, &number);
+}
+
+static struct vote *find_vote(const struct cf_ledger *ledger,
+			      const struct cf_key *key)
+{
+	struct span *span = find_span(ledger, key);
+	struct vote *vote = span ? span_slot(span, key) : NULL;
+
+	return vote && vote->owner ? vote : NULL;
+}
+
+static void add_vote(struct cf_ledger *ledger, const struct vote *vote)
+{
+	struct span *span = find_span(ledger, &vote->key);
+
+	if (!span) {
+		int64_t number = cf_key_time_ms(&vote->key) / SPAN_MS;
+
+		span = g_new0(struct span, 1);
+		span->n_slots = SLOTS_FIRST;
+		span->slots = g_new0(struct vote, span->n_slots);
+		g_hash_table_insert(ledger->spans,
+				    g_memdup2(&number, sizeof(number)), span);
+	}
+	if ((uint64_t)(span->n_votes + 1) * 100 >
+	    (uint64_t)span->n_slots * FILL_PERCENT)
+		span_grow(span);
+	*span_slot(span, &vote->key) = *vote;
+	span->n_votes++;
+	ledger->n_votes++;
+}
+
+/* ---- Owners ---- */
+
+static uint64_t owner_at(const struct cf_ledger *ledger, uint16_t number)
+{
+	return g_array_index(ledger->owners, uint64_t, number - 1);
+}
+
+/* 0 when there is no number left: the caller abstains. */
+static uint16_t owner_number(struct cf_ledger *ledger, uint64_t owner)
+{
+	for (guint i = ledger->owners->len; i > 0; i--) {
+		if (owner_at(ledger, (uint16_t)i) == owner)
+			return (uint16_t)i;
+	}
+	if (ledger->owners->len >= OWNERS_MAX)
+		return 0;
+	g_array_append_val(ledger->owners, owner);
+	return (uint16_t)ledger->owners->len;
+}
+
+/* ---- Ledger ---- */
+
+struct cf_ledger *cf_ledger_create(int64_t horizon_ms, int64_t safe_after_ms)
+{
+	struct cf_ledger *ledger = g_new0(struct cf_ledger, 1);
+
+	ledger->spans = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+					      g_free, span_destroy);
+	ledger->owners = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	ledger->horizon_ms = horizon_ms;
+	ledger->safe_after_ms = safe_after_ms;
+	ledger->forgotten_ms = INT64_MIN;
+	return ledger;
+}
+
+void cf_ledger_destroy(struct cf_ledger *ledger)
+{
+	if (!ledger)
+		return;
+	g_hash_table_destroy(ledger->spans);
+	g_array_free(ledger->owners, TRUE);
+	g_free(ledger);
+}
+
+/* A vote for this key is held: may the claim have this voter's vote? */
+static enum cf_vote vote_again(struct cf_ledger *ledger, struct vote *held,
+			       const struct cf_claim *claim, bool may_vote,
+			       bool prior_fenced, uint64_t *owner)
+{
+	uint16_t number;
+
+	*owner = owner_at(ledger, held->owner);
+	if (!may_vote || claim->epoch < held->epoch ||
+	    claim->epoch > UINT16_MAX || !claim->owner)
+		return CF_VOTE_ABSTAIN;
+	if (claim->epoch == held->epoch)
+		return CF_VOTE_FOR;
+	if (!prior_fenced || claim->epoch != held->epoch + 1u ||
+	    claim->prior_owner != *owner)
+		return CF_VOTE_UNFENCED;
+	number = owner_number(ledger, claim->owner);
+	if (!number)
+		return CF_VOTE_ABSTAIN;
+	held->owner = number;
+	held->epoch = (uint16_t)claim->epoch;
+	*owner = claim->owner;
+	return CF_VOTE_FOR;
+}
+
+enum cf_vote cf_ledger_vote(struct cf_ledger *ledger,
+			    const struct cf_claim *claim, bool may_vote,
+			    bool prior_fenced, int64_t wall_ms, uint64_t *owner)
+{
+	int64_t time_ms = cf_key_time_ms(&claim->key);
+	struct vote vote = { claim->key, 0, (uint16_t)claim->epoch };
+	struct vote *held;
+
+	*owner = 0;
+	if (time_ms <= ledger->forgotten_ms ||
+	    time_ms <= wall_ms - ledger->horizon_ms)
+		return CF_VOTE_TOO_OLD;
+	held = find_vote(ledger, &claim->key);
+	if (held)
+		return vote_again(ledger, held, claim, may_vote, prior_fenced,
+				  owner);
+	if (time_ms > wall_ms + CF_CLOCK_SKEW_MS)
+		return CF_VOTE_TOO_NEW;
+	if (!may_vote || time_ms <= ledger->safe_after_ms)
+		return CF_VOTE_ABSTAIN;
+	if (claim->epoch > 0 && !prior_fenced)
+		return CF_VOTE_UNFENCED;
+	if (claim->epoch <= UINT16_MAX && claim->owner)
+		vote.owner = owner_number(ledger, claim->owner);
+	if (!vote.owner)
+		return CF_VOTE_ABSTAIN;
+	add_vote(ledger, &vote);
+	*owner = claim->owner;
+	return CF_VOTE_FOR;
+}
+
+void cf_ledger_expire(struct cf_ledger *ledger, int64_t wall_ms)
+{
+	GHashTableIter iter;
+	gpointer number, value;
+
+	g_hash_table_iter_init(&iter, ledger->spans);
+	while (g_hash_table_iter_next(&iter, &number, &value)) {
+		struct span *span = value;
+		int64_t last_ms = (*(int64_t *)number + 1) * SPAN_MS - 1;
+
+		if (last_ms > wall_ms - ledger->horizon_ms)
+			continue;
+		ledger->forgotten_ms = MAX(ledger->forgotten_ms, last_ms);
+		ledger->n_votes -= span->n_votes;
+		g_hash_table_iter_remove(&iter);
+	}
+}
+
+size_t cf_ledger_size(const struct cf_ledger *ledger)
+{
+	return ledger->n_votes;
+}
+
+/* ---- Save and load ---- */
+
+GBytes *cf_ledger_save(const struct cf_ledger *ledger)
+{
+	struct save_header header = { SAVE_MAGIC, ledger->owners->len,
+				      ledger->n_votes, ledger->safe_after_ms,
+				      ledger->forgotten_ms };
+	GByteArray *bytes = g_byte_array_new();
+	GHashTableIter iter;
+	gpointer value;
+
+	g_byte_array_append(bytes, (const guint8 *)&header, sizeof(header));
+	g_byte_array_append(bytes, (const guint8 *)ledger->owners->data,
+			    ledger->owners->len * sizeof(uint64_t));
+	g_hash_table_iter_init(&iter, ledger->spans);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct span *span = value;
+
+		for (uint32_t i = 0; i < span->n_slots; i++) {
+			if (span->slots[i].owner)
+				g_byte_array_append(
+					bytes, (const guint8 *)&span->slots[i],
+					sizeof(struct vote));
+		}
+	}
+	return g_byte_array_free_to_bytes(bytes);
+}
+
+static bool check_saved(const guint8 *data, gsize size_bytes, GError **error)
+{
+	struct save_header header = { 0 };
+	gsize expected = sizeof(header);
+
+	if (size_bytes >= sizeof(header)) {
+		memcpy(&header, data, sizeof(header));
+		expected += header.n_owners * sizeof(uint64_t);
+		expected += header.n_votes * sizeof(struct vote);
+	}
+	if (size_bytes != expected || header.magic != SAVE_MAGIC ||
+	    header.n_owners > OWNERS_MAX ||
+	    header.n_votes > size_bytes / sizeof(struct vote)) {
+		g_set_error(error, G_FILE_ERROR, G_FILE_ERROR_INVAL,
+			    "saved ledger of %zu bytes is damaged", size_bytes);
+		return false;
+	}
+	return true;
+}
+
+/* Takes over the saved safe_after_ms too: what an earlier unclean stop
+ * forgot stays forgotten over a clean one. */
+bool cf_ledger_load(struct cf_ledger *ledger, GBytes *saved, GError **error)
+{
+	gsize size_bytes;
+	const guint8 *data = g_bytes_get_data(saved, &size_bytes);
+	struct save_header header;
+	struct vote vote;
+
+	if (!check_saved(data, size_bytes, error))
+		return false;
+	memcpy(&header, data, sizeof(header));
+	data += sizeof(header);
+	g_hash_table_remove_all(ledger->spans);
+	ledger->n_votes = 0;
+	g_array_set_size(ledger->owners, 0);
+	g_array_append_vals(ledger->owners, data, header.n_owners);
+	data += header.n_owners * sizeof(uint64_t);
+	for (uint64_t i = 0; i < header.n_votes; i++) {
+		memcpy(&vote, data + i * sizeof(vote), sizeof(vote));
+		if (vote.owner && vote.owner <= header.n_owners)
+			add_vote(ledger, &vote);
+	}
+	ledger->safe_after_ms = header.safe_after_ms;
+	ledger->forgotten_ms = header.forgotten_ms;
+	return true;
+}
--- /dev/null
+++ b/src/lib/gate.c
@@ -0,0 +1,308 @@
+/*
+ * gate: an agent's start gate. Each (key, index) starts at most once:
+ * what was seen is remembered, what is fenced stays fenced, and once a
+ * key's outcomes are forgotten, no key as old as that is taken again.
+ *
+ * Give a remember_ms of CF_LEDGER_HORIZON_MS + CF_CLOCK_SKEW_MS or more:
+ * with less, keys that the ledgers still take are refused here.
+ */
+#include "lib/gate_table.h"
+
+/* ---- Constants ---- */
+
+#define BYPASS_MAX 8 /* later tasks that may start before one that waits */
+
+/* ---- Construction ---- */
+
+struct cf_gate *cf_gate_create(const struct cf_capacity *capacity,
+			       int64_t remember_ms)
+{
+	struct cf_gate *gate = g_new0(struct cf_gate, 1);
+
+	gate->capacity = *capacity;
+	gate->remember_ms = remember_ms;
+	gate->forgotten_ms = INT64_MIN;
+	gate->records = g_hash_table_new_full(cf_key_hash, cf_key_hash_equal,
+					      NULL, gate_record_destroy);
+	gate->fenced = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+					     g_free, NULL);
+	gate->running = g_hash_table_new(NULL, NULL);
+	gate->waiting = g_sequence_new(NULL);
+	gate->idle = g_queue_new();
+	gate->results = g_queue_new();
+	return gate;
+}
+
+void cf_gate_destroy(struct cf_gate *gate)
+{
+	if (!gate)
+		return;
+	g_queue_free(gate->results);
+	g_queue_free(gate->idle);
+	g_sequence_free(gate->waiting);
+	g_hash_table_destroy(gate->running);
+	g_hash_table_destroy(gate->fenced);
+	g_hash_table_destroy(gate->records);
+	g_free(gate);
+}
+
+void cf_gate_set_capacity(struct cf_gate *gate,
+			  const struct cf_capacity *capacity)
+{
+	gate->capacity = *capacity;
+}
+
+/* ---- Waiting ---- */
+
+static gint compare_waiting(gconstpointer a, gconstpointer b, gpointer unused)
+{
+	const struct gate_entry *first = a, *second = b;
+
+	(void)unused;
+	if (first->rank_ms != second->rank_ms)
+		return first->rank_ms < second->rank_ms ? -1 : 1;
+	return first->arrival < second->arrival ? -1 : 1;
+}
+
+/* An adopted key is its adopter's alone, which may run what an earlier
+ * owner's fence has kept from starting. */
+static bool may_offer(const struct gate_record *record,
+		      const struct gate_entry *seen, const struct cf_task *task)
+{
+	if (record->sealed)
+		return false;
+	if (record->epoch > 0 && task->dispatcher != record->owner)
+		return false;
+	return !seen || (seen->state == CF_TASK_FENCED &&
+			 seen->fence_epoch < record->epoch);
+}
+
+bool cf_gate_offer(struct cf_gate *gate, const struct cf_task *task, bool held,
+		   bool fifo, int64_t now_ms)
+{
+	struct gate_record *record;
+	struct gate_entry *entry;
+	struct gate_mark *mark;
+
+	if (g_hash_table_contains(gate->fenced, &task->dispatcher))
+		return false;
+	record = gate_get_record(gate, &task->key, now_ms);
+	if (!record)
+		return false;
+	entry = gate_find_entry(record, task->index);
+	mark = gate_get_mark(record, task->dispatcher, task->job);
+	if (mark->cancelled || !may_offer(record, entry, task))
+		return false;
+	if (!entry)
+		entry = gate_add_entry(record, task->index);
+	entry->task = *task;
+	if (task->payload)
+		g_bytes_ref(task->payload);
+	entry->task.queued_ms = now_ms;
+	entry->task.started_ms = 0;
+	entry->state = held && !mark->opened ? CF_TASK_HELD : CF_TASK_QUEUED;
+	entry->rank_ms = fifo ? now_ms : task->slack_end_ms;
+	entry->arrival = gate->arrivals++;
+	entry->bypassed = 0;
+	entry->waiting = g_sequence_insert_sorted(gate->waiting, entry,
+						  compare_waiting, NULL);
+	gate->waiting_ms += task->predicted_ms;
+	record->n_active++;
+	gate_touch(gate, record, now_ms);
+	return true;
+}
+
+size_t cf_gate_open(struct cf_gate *gate, const struct cf_key *key,
+		    uint64_t dispatcher, uint64_t job)
+{
+	struct gate_record *record = gate_find_record(gate, key);
+	size_t count = 0;
+
+	if (!record)
+		return 0;
+	gate_get_mark(record, dispatcher, job)->opened = true;
+	for (guint i = 0; i < record->entries->len; i++) {
+		struct gate_entry *entry = record->entries->pdata[i];
+
+		if (entry->state != CF_TASK_HELD ||
+		    entry->task.dispatcher != dispatcher ||
+		    entry->task.job != job)
+			continue;
+		entry->state = CF_TASK_QUEUED;
+		count++;
+	}
+	return count;
+}
+
+/* ---- Starting ---- */
+
+static bool has_room(uint32_t limit, uint32_t used, uint32_t need)
+{
+	return !limit || (uint64_t)used + need <= limit;
+}
+
+/* Beside what is used; NULL: on an empty agent. */
+static bool fits(const struct cf_gate *gate, const struct cf_task *task,
+		 const struct cf_capacity *used)
+{
+	static const struct cf_capacity none;
+	const struct cf_capacity *capacity = &gate->capacity;
+
+	if (!used)
+		used = &none;
+	return used->slots < capacity->slots &&
+	       has_room(capacity->connections, used->slots, 1) &&
+	       has_room(capacity->cpu_milli, used->cpu_milli,
+			task->cpu_milli) &&
+	       has_room(capacity->memory_mb, used->memory_mb,
+			task->memory_mb) &&
+	       has_room(capacity->accelerators, used->accelerators,
+			task->accelerators);
+}
+
+static void run_entry(struct cf_gate *gate, struct gate_entry *entry,
+		      int64_t now_ms)
+{
+	gate_stop_waiting(gate, entry);
+	entry->state = CF_TASK_RUNNING;
+	entry->task.started_ms = now_ms;
+	gate->used.slots++;
+	gate->used.cpu_milli += entry->task.cpu_milli;
+	gate->used.memory_mb += entry->task.memory_mb;
+	gate->used.accelerators += entry->task.accelerators;
+	g_hash_table_add(gate->running, entry);
+}
+
+/* The first that fits; one that was passed over often enough is waited
+ * for, unless it could not run on an empty agent either. */
+static struct gate_entry *choose(struct cf_gate *gate, int64_t now_ms)
+{
+	GSequenceIter *iter = g_sequence_get_begin_iter(gate->waiting);
+
+	for (; !g_sequence_iter_is_end(iter);
+	     iter = g_sequence_iter_next(iter)) {
+		struct gate_entry *entry = g_sequence_get(iter);
+
+		if (entry->state != CF_TASK_QUEUED ||
+		    now_ms > entry->task.deadline_ms)
+			continue;
+		if (fits(gate, &entry->task, &gate->used))
+			return entry;
+		if (entry->bypassed >= BYPASS_MAX &&
+		    fits(gate, &entry->task, NULL))
+			return NULL;
+	}
+	return NULL;
+}
+
+static void count_bypassed(struct gate_entry *chosen)
+{
+	GSequenceIter *iter = chosen->waiting;
+
+	while (!g_sequence_iter_is_begin(iter)) {
+		struct gate_entry *entry;
+
+		iter = g_sequence_iter_prev(iter);
+		entry = g_sequence_get(iter);
+		if (entry->state == CF_TASK_QUEUED)
+			entry->bypassed++;
+	}
+}
+
+const struct cf_task *cf_gate_start(struct cf_gate *gate,
+				    const struct cf_gate_permit *permit,
+				    int64_t now_ms)
+{
+	struct gate_entry *entry;
+
+	if (!permit->lease_held || !permit->in_service || permit->draining)
+		return NULL;
+	if (gate->used.slots >= gate->capacity.slots)
+		return NULL;
+	entry = choose(gate, now_ms);
+	if (!entry)
+		return NULL;
+	count_bypassed(entry);
+	run_entry(gate, entry, now_ms);
+	return &entry->task;
+}
+
+bool cf_gate_finish(struct cf_gate *gate, const struct cf_key *key,
+		    uint32_t index, bool ok, GBytes *result, int64_t now_ms)
+{
+	struct gate_record *record = gate_find_record(gate, key);
+	struct gate_entry *entry = record ? gate_find_entry(record, index)
+					  : NULL;
+
+	if (!entry || entry->state != CF_TASK_RUNNING)
+		return false;
+	g_hash_table_remove(gate->running, entry);
+	gate->used.slots--;
+	gate->used.cpu_milli -= entry->task.cpu_milli;
+	gate->used.memory_mb -= entry->task.memory_mb;
+	gate->used.accelerators -= entry->task.accelerators;
+	entry->state = ok ? CF_TASK_DONE : CF_TASK_FAILED;
+	g_clear_pointer(&entry->task.payload, g_bytes_unref);
+	gate_keep_result(gate, entry, result);
+	record->n_active--;
+	gate_touch(gate, record, now_ms);
+	return true;
+}
+
+const struct cf_task *
+cf_gate_take_unstartable(struct cf_gate *gate,
+			 const struct cf_gate_permit *permit, int64_t now_ms)
+{
+	GSequenceIter *iter = g_sequence_get_begin_iter(gate->waiting);
+	bool closed = permit->draining || !permit->in_service;
+
+	for (; !g_sequence_iter_is_end(iter);
+	     iter = g_sequence_iter_next(iter)) {
+		struct gate_entry *entry = g_sequence_get(iter);
+		bool never = gate->capacity.slots > 0 &&
+			     !fits(gate, &entry->task, NULL);
+
+		if (!closed && !never && now_ms <= entry->task.deadline_ms)
+			continue;
+		gate_fence_entry(gate, entry, now_ms);
+		return &entry->task;
+	}
+	return NULL;
+}
+
+/* ---- Memory and load ---- */
+
+void cf_gate_expire(struct cf_gate *gate, int64_t now_ms)
+{
+	struct gate_record *record = g_queue_peek_head(gate->idle);
+
+	while (record && now_ms - record->idle_ms >= gate->remember_ms) {
+		gate->forgotten_ms =
+			MAX(gate->forgotten_ms, cf_key_time_ms(&record->key));
+		for (guint i = 0; i < record->entries->len; i++)
+			gate_drop_result(gate, record->entries->pdata[i]);
+		g_queue_delete_link(gate->idle, record->idle);
+		g_hash_table_remove(gate->records, &record->key);
+		record = g_queue_peek_head(gate->idle);
+	}
+}
+
+void cf_gate_get_load(const struct cf_gate *gate, int64_t now_ms,
+		      struct cf_gate_load *load)
+{
+	uint64_t backlog_ms = gate->waiting_ms;
+	GHashTableIter iter;
+	gpointer data;
+
+	g_hash_table_iter_init(&iter, gate->running);
+	while (g_hash_table_iter_next(&iter, &data, NULL)) {
+		const struct cf_task *task = &((struct gate_entry *)data)->task;
+		int64_t end_ms = task->started_ms + task->predicted_ms;
+
+		backlog_ms += (uint64_t)MAX(end_ms - now_ms, 0);
+	}
+	load->slots = gate->capacity.slots;
+	load->running = gate->used.slots;
+	load->queued = (uint32_t)g_sequence_get_length(gate->waiting);
+	load->backlog_ms = (uint32_t)MIN(backlog_ms, UINT32_MAX);
+}
--- /dev/null
+++ b/src/lib/gate_table.c
@@ -0,0 +1,182 @@
+/*
+ * gate_table: records of keys, their indexes and jobs. What is idle for
+ * the gate's remember_ms is forgotten; results are also dropped, oldest
+ * first, beyond RESULTS_MAX_BYTES.
+ */
+#include "lib/gate_table.h"
+
+/* ---- Constants ---- */
+
+#define RESULTS_MAX_BYTES ((size_t)32 << 20) /* remembered results */
+
+/* ---- Entries ---- */
+
+void gate_drop_result(struct cf_gate *gate, struct gate_entry *entry)
+{
+	if (!entry->kept)
+		return;
+	gate->results_bytes -= g_bytes_get_size(entry->result);
+	g_queue_delete_link(gate->results, entry->kept);
+	entry->kept = NULL;
+	g_clear_pointer(&entry->result, g_bytes_unref);
+}
+
+void gate_keep_result(struct cf_gate *gate, struct gate_entry *entry,
+		      GBytes *result)
+{
+	if (!result)
+		return;
+	entry->result = g_bytes_ref(result);
+	g_queue_push_tail(gate->results, entry);
+	entry->kept = g_queue_peek_tail_link(gate->results);
+	gate->results_bytes += g_bytes_get_size(result);
+	while (gate->results_bytes > RESULTS_MAX_BYTES &&
+	       gate->results->length > 1)
+		gate_drop_result(gate, g_queue_peek_head(gate->results));
+}
+
+static void entry_destroy(gpointer data)
+{
+	struct gate_entry *entry = data;
+
+	g_clear_pointer(&entry->task.payload, g_bytes_unref);
+	g_clear_pointer(&entry->result, g_bytes_unref);
+	g_free(entry);
+}
+
+/* Where the index is, or would be, in the record. */
+static guint entry_position(const struct gate_record *record, uint32_t index)
+{
+	guint low = 0, high = record->entries->len;
+
+	while (low < high) {
+		guint middle = low + (high - low) / 2;
+		const struct gate_entry *entry = record->entries->pdata[middle];
+
+		if (entry->task.index < index)
+			low = middle + 1;
+		else
+			high = middle;
+	}
+	return low;
+}
+
+struct gate_entry *gate_find_entry(const struct gate_record *record,
+				   uint32_t index)
+{
+	guint position = entry_position(record, index);
+	struct gate_entry *entry;
+
+	if (position >= record->entries->len)
+		return NULL;
+	entry = record->entries->pdata[position];
+	return entry->task.index == index ? entry : NULL;
+}
+
+struct gate_entry *gate_add_entry(struct gate_record *record, uint32_t index)
+{
+	struct gate_entry *entry = g_new0(struct gate_entry, 1);
+
+	entry->record = record;
+	entry->task.key = record->key;
+	entry->task.index = index;
+	entry->state = CF_TASK_FENCED;
+	entry->fence_epoch = record->epoch;
+	g_ptr_array_insert(record->entries, (gint)entry_position(record, index),
+			   entry);
+	return entry;
+}
+
+/* ---- Records ---- */
+
+void gate_record_destroy(gpointer data)
+{
+	struct gate_record *record = data;
+
+	g_ptr_array_free(record->entries, TRUE);
+	g_array_free(record->jobs, TRUE);
+	g_free(record);
+}
+
+struct gate_record *gate_find_record(const struct cf_gate *gate,
+				     const struct cf_key *key)
+{
+	return g_hash_table_lookup(gate->records, key);
+}
+
+/* Starts its time to be remembered anew when nothing is active. */
+void gate_touch(struct cf_gate *gate, struct gate_record *record,
+		int64_t now_ms)
+{
+	if (record->idle) {
+		g_queue_delete_link(gate->idle, record->idle);
+		record->idle = NULL;
+	}
+	if (record->n_active)
+		return;
+	record->idle_ms = now_ms;
+	g_queue_push_tail(gate->idle, record);
+	record->idle = g_queue_peek_tail_link(gate->idle);
+}
+
+/* NULL for a key that may have been forgotten. */
+struct gate_record *gate_get_record(struct cf_gate *gate,
+				    const struct cf_key *key, int64_t now_ms)
+{
+	struct gate_record *record = gate_find_record(gate, key);
+
+	if (!record) {
+		if (cf_key_time_ms(key) <= gate->forgotten_ms)
+			return NULL;
+		record = g_new0(struct gate_record, 1);
+		record->key = *key;
+		record->entries = g_ptr_array_new_with_free_func(entry_destroy);
+		record->jobs =
+			g_array_new(FALSE, TRUE, sizeof(struct gate_mark));
+		g_hash_table_insert(gate->records, &record->key, record);
+	}
+	gate_touch(gate, record, now_ms);
+	return record;
+}
+
+struct gate_mark *gate_get_mark(struct gate_record *record, uint64_t dispatcher,
+				uint64_t job)
+{
+	struct gate_mark mark = { dispatcher, job, false, false };
+
+	for (guint i = 0; i < record->jobs->len; i++) {
+		struct gate_mark *seen =
+			&g_array_index(record->jobs, struct gate_mark, i);
+
+		if (seen->dispatcher == dispatcher && seen->job == job)
+			return seen;
+	}
+	g_array_append_val(record->jobs, mark);
+	return &g_array_index(record->jobs, struct gate_mark,
+			      record->jobs->len - 1);
+}
+
+/* ---- Fences ---- */
+
+bool gate_is_waiting(const struct gate_entry *entry)
+{
+	return entry->state == CF_TASK_HELD || entry->state == CF_TASK_QUEUED;
+}
+
+void gate_stop_waiting(struct cf_gate *gate, struct gate_entry *entry)
+{
+	g_sequence_remove(entry->waiting);
+	entry->waiting = NULL;
+	gate->waiting_ms -= entry->task.predicted_ms;
+}
+
+void gate_fence_entry(struct cf_gate *gate, struct gate_entry *entry,
+		      int64_t now_ms)
+{
+	gate_stop_waiting(gate, entry);
+	entry->state = CF_TASK_FENCED;
+	entry->fence_epoch = entry->record->epoch;
+	g_clear_pointer(&entry->task.payload, g_bytes_unref);
+	entry->record->n_active--;
+	gate_touch(gate, entry->record, now_ms);
+}
--- /dev/null
+++ b/src/lib/job.c
@@ -0,0 +1,244 @@
+/*
+ * job: one job at its dispatcher. It follows where each task is, and
+ * gives one answer, which is final once it is not NONE.
+ */
+#include "chervilferry.h"
+
+/* ---- Types ---- */
+
+enum place {
+	PLACE_NONE, /* to be sent */
+	PLACE_SENT,
+	PLACE_RUNNING, /* sent, and known to have started */
+	PLACE_DONE,
+	PLACE_FAILED,
+	PLACE_LOST, /* may have run */
+	PLACES,
+};
+
+struct job_task {
+	enum place place;
+	uint64_t agent;
+	GBytes *result;
+};
+
+struct cf_job {
+	struct cf_key key;
+	uint64_t number;
+	uint32_t n_tasks;
+	uint32_t counts[PLACES]; /* tasks in each place */
+	bool stopped;
+	enum cf_job_answer answer;
+	char *message;
+	char *stop_reason;
+	struct job_task tasks[];
+};
+
+/* ---- Construction ---- */
+
+struct cf_job *cf_job_create(const struct cf_key *key, uint64_t number,
+			     uint32_t n_tasks)
+{
+	struct cf_job *job =
+		g_malloc0(sizeof(*job) + n_tasks * sizeof(struct job_task));
+
+	job->key = *key;
+	job->number = number;
+	job->n_tasks = n_tasks;
+	job->counts[PLACE_NONE] = n_tasks;
+	return job;
+}
+
+void cf_job_destroy(struct cf_job *job)
+{
+	if (!job)
+		return;
+	for (uint32_t i = 0; i < job->n_tasks; i++)
+		g_clear_pointer(&job->tasks[i].result, g_bytes_unref);
+	g_free(job->message);
+	g_free(job->stop_reason);
+	g_free(job);
+}
+
+/* ---- Places and the answer ---- */
+
+static bool is_unsettled(const struct job_task *task)
+{
+	return task->place == PLACE_SENT || task->place == PLACE_RUNNING;
+}
+
+static void move(struct cf_job *job, struct job_task *task, enum place place)
+{
+	job->counts[task->place]--;
+	job->counts[place]++;
+	task->place = place;
+}
+
+static void settle(struct cf_job *job, enum cf_job_answer answer,
+		   const char *message)
+{
+	job->answer = answer;
+	job->message = g_strdup(message ? message : "");
+}
+
+static void decide(struct cf_job *job, const char *message)
+{
+	if (job->answer != CF_ANSWER_NONE)
+		return;
+	if (job->counts[PLACE_FAILED])
+		settle(job, CF_ANSWER_FAILED, message);
+	else if (job->counts[PLACE_LOST])
+		settle(job, CF_ANSWER_UNKNOWN, message);
+	else if (job->counts[PLACE_DONE] == job->n_tasks)
+		settle(job, CF_ANSWER_COMPLETE, NULL);
+	else if (!job->stopped)
+		return;
+	else if (job->counts[PLACE_DONE] || job->counts[PLACE_RUNNING])
+		settle(job, CF_ANSWER_UNKNOWN, job->stop_reason);
+	else if (!job->counts[PLACE_SENT])
+		settle(job, CF_ANSWER_NOT_RUN, job->stop_reason);
+}
+
+/* ---- Events ---- */
+
+bool cf_job_send(struct cf_job *job, uint32_t index, uint64_t agent)
+{
+	struct job_task *task;
+
+	if (index >= job->n_tasks || job->stopped ||
+	    job->answer != CF_ANSWER_NONE)
+		return false;
+	task = &job->tasks[index];
+	if (task->place != PLACE_NONE)
+		return false;
+	task->agent = agent;
+	move(job, task, PLACE_SENT);
+	return true;
+}
+
+bool cf_job_event(struct cf_job *job, uint32_t index, uint64_t agent,
+		  enum cf_job_event event, GBytes *result, const char *message)
+{
+	struct job_task *task;
+
+	if (index >= job->n_tasks)
+		return false;
+	task = &job->tasks[index];
+	if (!is_unsettled(task) || task->agent != agent)
+		return false;
+	switch (event) {
+	case CF_EVENT_DONE:
+		/* It ran, but without a result there is no whole answer. */
+		if (result)
+			task->result = g_bytes_ref(result);
+		move(job, task, result ? PLACE_DONE : PLACE_LOST);
+		break;
+	case CF_EVENT_FAILED:
+		move(job, task, PLACE_FAILED);
+		break;
+	case CF_EVENT_FENCED:
+		if (task->place == PLACE_RUNNING)
+			return false;
+		move(job, task, PLACE_NONE);
+		break;
+	case CF_EVENT_RUNNING:
+		move(job, task, PLACE_RUNNING);
+		break;
+	case CF_EVENT_LOST:
+		move(job, task, PLACE_LOST);
+		break;
+	default:
+		return false;
+	}
+	decide(job, message);
+	return true;
+}
+
+void cf_job_lose_agent(struct cf_job *job, uint64_t agent)
+{
+	bool lost = false;
+
+	for (uint32_t i = 0; i < job->n_tasks; i++) {
+		struct job_task *task = &job->tasks[i];
+
+		if (!is_unsettled(task) || task->agent != agent)
+			continue;
+		move(job, task, PLACE_LOST);
+		lost = true;
+	}
+	if (lost)
+		decide(job, "an agent was lost");
+}
+
+void cf_job_stop(struct cf_job *job, const char *reason)
+{
+	if (job->stopped)
+		return;
+	job->stopped = true;
+	job->stop_reason = g_strdup(reason);
+	decide(job, reason);
+}
+
+/* ---- Questions ---- */
+
+enum cf_job_answer cf_job_answer(const struct cf_job *job, const char **message)
+{
+	if (message)
+		*message = job->message ? job->message : "";
+	return job->answer;
+}
+
+GBytes *cf_job_result(const struct cf_job *job, uint32_t index)
+{
+	if (job->answer != CF_ANSWER_COMPLETE || index >= job->n_tasks)
+		return NULL;
+	return job->tasks[index].result;
+}
+
+size_t cf_job_unplaced(const struct cf_job *job, uint32_t *indexes, size_t max)
+{
+	size_t count = 0;
+
+	if (job->stopped || job->answer != CF_ANSWER_NONE)
+		return 0;
+	for (uint32_t i = 0; i < job->n_tasks && count < max; i++) {
+		if (job->tasks[i].place == PLACE_NONE)
+			indexes[count++] = i;
+	}
+	return count;
+}
+
+size_t cf_job_agents(const struct cf_job *job, uint64_t *agents, size_t max)
+{
+	size_t count = 0;
+
+	for (uint32_t i = 0; i < job->n_tasks && count < max; i++) {
+		size_t known = 0;
+
+		if (!is_unsettled(&job->tasks[i]))
+			continue;
+		while (known < count && agents[known] != job->tasks[i].agent)
+			known++;
+		if (known == count)
+			agents[count++] = job->tasks[i].agent;
+	}
+	return count;
+}
+
+size_t cf_job_pending_at(const struct cf_job *job, uint64_t agent,
+			 uint32_t *indexes, size_t max)
+{
+	size_t count = 0;
+
+	for (uint32_t i = 0; i < job->n_tasks && count < max; i++) {
+		if (is_unsettled(&job->tasks[i]) &&
+		    job->tasks[i].agent == agent)
+			indexes[count++] = i;
+	}
+	return count;
+}
+
+uint32_t cf_job_unsettled(const struct cf_job *job)
+{
+	return job->counts[PLACE_SENT] + job->counts[PLACE_RUNNING];
+}
