--- /dev/null
+++ b/src/base/counters.c
@@ -0,0 +1,144 @@
+/*
+ * counters: see counters.h. A sorted table under a lock; the values are
+ * atomics, so that adding takes no lock.
+ */
+#include "base/counters.h"
+
+#include <stdatomic.h>
+#include <stdbool.h>
+
+struct counter {
+	char *name;
+	char *labels; /* "" for none */
+	char *help; /* NULL unless this one was given it */
+	bool gauge;
+	_Atomic int64_t value;
+};
+
+static GMutex lock;
+static GTree *table; /* struct counter, ordered by name and labels */
+
+static gint compare(gconstpointer a, gconstpointer b, gpointer unused)
+{
+	const struct counter *x = a;
+	const struct counter *y = b;
+	int order = g_strcmp0(x->name, y->name);
+
+	(void)unused;
+	return order ? order : g_strcmp0(x->labels, y->labels);
+}
+
+static struct counter *find_or_add(const char *name, const char *labels,
+				   const char *help, bool gauge)
+{
+	struct counter wanted = {
+		.name = (char *)name,
+		.labels = (char *)(labels ? labels : ""),
+	};
+	struct counter *counter;
+
+	g_mutex_lock(&lock);
+	if (!table)
+		table = g_tree_new_full(compare, NULL, NULL, NULL);
+	counter = g_tree_lookup(table, &wanted);
+	if (!counter) {
+		counter = g_new0(struct counter, 1);
+		counter->name = g_strdup(name);
+		counter->labels = g_strdup(wanted.labels);
+		counter->gauge = gauge;
+		g_tree_insert(table, counter, counter);
+	}
+	if (help && !counter->help)
+		counter->help = g_strdup(help);
+	g_mutex_unlock(&lock);
+	return counter;
+}
+
+struct counter *counter_get(const char *name, const char *labels,
+			    const char *help)
+{
+	return find_or_add(name, labels, help, false);
+}
+
+struct counter *gauge_get(const char *name, const char *labels,
+			  const char *help)
+{
+	return find_or_add(name, labels, help, true);
+}
+
+void counter_add(struct counter *counter, int64_t amount)
+{
+	atomic_fetch_add_explicit(&counter->value, amount,
+				  memory_order_relaxed);
+}
+
+void gauge_set(struct counter *gauge, int64_t value)
+{
+	atomic_store_explicit(&gauge->value, value, memory_order_relaxed);
+}
+
+int64_t counter_value(const struct counter *counter)
+{
+	return atomic_load_explicit(&counter->value, memory_order_relaxed);
+}
+
+/* ---- Printing ---- */
+
+struct printing {
+	GString *out;
+	const char *family; /* name whose header was printed last */
+	GHashTable *help; /* name to help */
+};
+
+static gboolean collect_help(gpointer key, gpointer value, gpointer data)
+{
+	struct printing *printing = data;
+	struct counter *counter = value;
+
+	(void)key;
+	if (counter->help)
+		g_hash_table_insert(printing->help, counter->name,
+				    counter->help);
+	return FALSE;
+}
+
+static gboolean print_one(gpointer key, gpointer value, gpointer data)
+{
+	struct printing *printing = data;
+	struct counter *counter = value;
+	bool labels = counter->labels[0] != '\0';
+
+	(void)key;
+	if (g_strcmp0(printing->family, counter->name) != 0) {
+		const char *help =
+			g_hash_table_lookup(printing->help, counter->name);
+
+		if (help)
+			g_string_append_printf(printing->out,
+					       "# HELP chervilferry_%s %s\n",
+					       counter->name, help);
+		g_string_append_printf(
+			printing->out, "# TYPE chervilferry_%s %s\n",
+			counter->name, counter->gauge ? "gauge" : "counter");
+		printing->family = counter->name;
+	}
+	g_string_append_printf(
+		printing->out, "chervilferry_%s%s%s%s %" G_GINT64_FORMAT "\n",
+		counter->name, labels ? "{" : "", counter->labels,
+		labels ? "}" : "", counter_value(counter));
+	return FALSE;
+}
+
+void counters_print(GString *out)
+{
+	struct printing printing = { .out = out };
+
+	g_mutex_lock(&lock);
+	if (table) {
+		printing.help = g_hash_table_new(g_str_hash, g_str_equal);
+		g_tree_foreach(table, collect_help, &printing);
+		g_tree_foreach(table, print_one, &printing);
+		g_hash_table_destroy(printing.help);
+	}
+	g_mutex_unlock(&lock);
+}
--- /dev/null
+++ b/src/base/trace_file.c
@@ -0,0 +1,133 @@
+/*
+ * trace_file: see trace_file.h. Writers append to a buffer; a thread
+ * swaps it for an empty one and writes it, as soon as there is anything.
+ */
+#include "base/trace_file.h"
+
+#include "base/clock.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <stdarg.h>
+#include <stdatomic.h>
+#include <unistd.h>
+
+static atomic_bool enabled;
+static GMutex lock;
+static GCond filled;
+static GString *buffer; /* under lock */
+static bool closing; /* under lock */
+static uint64_t next_number; /* under lock */
+static GThread *writer;
+static int file = -1;
+static char *process_name;
+static uint64_t process_incarnation;
+
+static void write_out(const GString *lines)
+{
+	size_t done = 0;
+
+	while (done < lines->len) {
+		ssize_t n = write(file, lines->str + done, lines->len - done);
+
+		if (n < 0 && errno == EINTR)
+			continue;
+		if (n <= 0)
+			return;
+		done += (size_t)n;
+	}
+}
+
+static gpointer run_writer(gpointer unused)
+{
+	GString *spare = g_string_new(NULL);
+	bool done = false;
+
+	(void)unused;
+	while (!done) {
+		GString *lines;
+
+		g_mutex_lock(&lock);
+		while (!buffer->len && !closing)
+			g_cond_wait(&filled, &lock);
+		done = closing;
+		lines = buffer;
+		buffer = spare;
+		g_mutex_unlock(&lock);
+		write_out(lines);
+		g_string_truncate(lines, 0);
+		spare = lines;
+	}
+	g_string_free(spare, TRUE);
+	return NULL;
+}
+
+bool trace_open(const char *path, const char *name, uint64_t incarnation,
+		GError **error)
+{
+	file = open(path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+	if (file < 0) {
+		g_set_error(error, G_FILE_ERROR,
+			    (gint)g_file_error_from_errno(errno),
+			    "trace file %s: %s", path, g_strerror(errno));
+		return false;
+	}
+	process_name = g_strdup(name);
+	process_incarnation = incarnation;
+	buffer = g_string_new(NULL);
+	closing = false;
+	next_number = 1;
+	writer = g_thread_new("trace", run_writer, NULL);
+	atomic_store(&enabled, true);
+	return true;
+}
+
+bool trace_enabled(void)
+{
+	return atomic_load_explicit(&enabled, memory_order_relaxed);
+}
+
+void trace_event(const char *event, const char *fields, ...)
+{
+	va_list args;
+
+	if (!trace_enabled())
+		return;
+	g_mutex_lock(&lock);
+	if (buffer && !closing) {
+		g_string_append_printf(
+			buffer,
+			"t=%" G_GINT64_FORMAT " w=%" G_GINT64_FORMAT
+			" p=%s i=%016" G_GINT64_MODIFIER
+			"x n=%" G_GUINT64_FORMAT " e=%s",
+			clock_now_us(), g_get_real_time(), process_name,
+			process_incarnation, next_number++, event);
+		if (fields) {
+			g_string_append_c(buffer, ' ');
+			va_start(args, fields);
+			g_string_append_vprintf(buffer, fields, args);
+			va_end(args);
+		}
+		g_string_append_c(buffer, '\n');
+		g_cond_signal(&filled);
+	}
+	g_mutex_unlock(&lock);
+}
+
+void trace_close(void)
+{
+	if (!atomic_exchange(&enabled, false))
+		return;
+	g_mutex_lock(&lock);
+	closing = true;
+	g_cond_signal(&filled);
+	g_mutex_unlock(&lock);
+	g_thread_join(writer);
+	close(file);
+	file = -1;
+	g_mutex_lock(&lock);
+	g_string_free(buffer, TRUE);
+	buffer = NULL;
+	g_mutex_unlock(&lock);
+	g_clear_pointer(&process_name, g_free);
+}
