--- /dev/null
+++ b/src/net/frame.c
@@ -0,0 +1,94 @@
+/*
+ * frame: see frame.h. Consumed bytes are moved out of the buffer only
+ * when it is fed again, so that a burst of frames is copied once.
+ */
+#include "net/frame.h"
+
+#include <arpa/inet.h>
+#include <string.h>
+
+#define KEPT_BYTES_MAX 262144 /* an idle buffer larger than this is freed */
+
+struct frame_decoder {
+	GByteArray *bytes;
+	size_t taken; /* bytes consumed at the front */
+	uint32_t frame_max_bytes;
+};
+
+struct frame_decoder *frame_decoder_create(uint32_t frame_max_bytes)
+{
+	struct frame_decoder *decoder = g_new0(struct frame_decoder, 1);
+
+	decoder->bytes = g_byte_array_new();
+	decoder->frame_max_bytes = frame_max_bytes;
+	return decoder;
+}
+
+void frame_decoder_destroy(struct frame_decoder *decoder)
+{
+	if (!decoder)
+		return;
+	g_byte_array_unref(decoder->bytes);
+	g_free(decoder);
+}
+
+void frame_decoder_feed(struct frame_decoder *decoder, const void *data,
+			size_t size_bytes)
+{
+	size_t left = decoder->bytes->len - decoder->taken;
+
+	if (!left && decoder->bytes->len > KEPT_BYTES_MAX) {
+		g_byte_array_unref(decoder->bytes);
+		decoder->bytes = g_byte_array_new();
+	} else if (decoder->taken) {
+		memmove(decoder->bytes->data,
+			decoder->bytes->data + decoder->taken, left);
+		g_byte_array_set_size(decoder->bytes, (guint)left);
+	}
+	decoder->taken = 0;
+	if (size_bytes)
+		g_byte_array_append(decoder->bytes, data, (guint)size_bytes);
+}
+
+enum frame_status frame_decoder_next(struct frame_decoder *decoder,
+				     Cfw__Envelope **envelope)
+{
+	size_t left = decoder->bytes->len - decoder->taken;
+	const uint8_t *at;
+	uint32_t size;
+
+	*envelope = NULL;
+	if (left < FRAME_HEADER_BYTES)
+		return FRAME_MORE;
+	at = decoder->bytes->data + decoder->taken;
+	memcpy(&size, at, sizeof(size));
+	size = ntohl(size);
+	if (size > decoder->frame_max_bytes)
+		return FRAME_TOO_LARGE;
+	if (!size)
+		return FRAME_GARBAGE;
+	if (left - FRAME_HEADER_BYTES < size)
+		return FRAME_MORE;
+	*envelope = cfw__envelope__unpack(NULL, size, at + FRAME_HEADER_BYTES);
+	if (!*envelope)
+		return FRAME_GARBAGE;
+	if ((*envelope)->body_case == CFW__ENVELOPE__BODY__NOT_SET) {
+		cfw__envelope__free_unpacked(*envelope, NULL);
+		*envelope = NULL;
+		return FRAME_GARBAGE;
+	}
+	decoder->taken += FRAME_HEADER_BYTES + size;
+	return FRAME_OK;
+}
+
+size_t frame_append(GByteArray *out, const Cfw__Envelope *envelope)
+{
+	size_t size = cfw__envelope__get_packed_size(envelope);
+	uint32_t header = htonl((uint32_t)size);
+	guint at = out->len;
+
+	g_byte_array_set_size(out, at + FRAME_HEADER_BYTES + (guint)size);
+	memcpy(out->data + at, &header, sizeof(header));
+	cfw__envelope__pack(envelope, out->data + at + FRAME_HEADER_BYTES);
+	return FRAME_HEADER_BYTES + size;
+}
--- /dev/null
+++ b/src/net/link.c
@@ -0,0 +1,470 @@
+/*
+ * link: see link.h. One connection: dial, Hello, read, write, close.
+ */
+#include "net/link_private.h"
+
+#include "base/address.h"
+#include "base/logger.h"
+
+#include <apr_portable.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#define REDIAL_MIN_MS 20
+#define REDIAL_MAX_MS 500
+#define REDIAL_FIRST_BOUND_MS 100
+#define REDIAL_SHIFT_MAX 3
+#define READS_A_TURN 8
+#define OUTPUT_KEPT_BYTES 262144 /* a larger empty buffer is freed */
+
+static void start_dial(struct link *link);
+
+/* ---- Life ---- */
+
+static void on_redial(void *arg, int64_t now_ms)
+{
+	(void)now_ms;
+	start_dial(arg);
+}
+
+struct link *link_create(struct link_hub *hub, bool dialled, char *address)
+{
+	struct link *link = g_new0(struct link, 1);
+
+	link->hub = hub;
+	link->dialled = dialled;
+	link->address = address;
+	link->output = g_byte_array_new();
+	if (dialled)
+		link->redial = loop_timer_create(hub->loop, on_redial, link);
+	else
+		hub->n_accepted++;
+	g_ptr_array_add(hub->links, link);
+	return link;
+}
+
+static void forget_peer(struct link *link)
+{
+	g_free((char *)link->peer.name);
+	g_free((char *)link->peer.data_centre);
+	link->peer = (struct link_identity){ 0 };
+	link->has_peer = false;
+}
+
+void link_free(struct link *link)
+{
+	forget_peer(link);
+	loop_timer_destroy(link->redial);
+	g_byte_array_unref(link->output);
+	g_free(link->address);
+	g_free(link);
+}
+
+static void remove_link(struct link *link)
+{
+	if (link->dropped)
+		return;
+	link->dropped = true;
+	if (!link->dialled)
+		link->hub->n_accepted--;
+	g_ptr_array_remove_fast(link->hub->links, link);
+	g_ptr_array_add(link->hub->dropped, link);
+	link_hub_schedule(link->hub);
+}
+
+/* ---- Closing ---- */
+
+static void release_socket(struct link *link)
+{
+	loop_watch_destroy(link->watch);
+	link->watch = NULL;
+	if (link->pool)
+		apr_pool_destroy(link->pool); /* closes the socket */
+	link->pool = NULL;
+	link->socket = NULL;
+	g_clear_pointer(&link->decoder, frame_decoder_destroy);
+	g_byte_array_set_size(link->output, 0);
+	link->output_sent = 0;
+	link->output_blocked = false;
+	link->doomed = NULL;
+}
+
+/* Full jitter: anything between the least wait and a doubling bound. */
+static int64_t redial_wait_ms(struct link *link)
+{
+	uint32_t shift = MIN(link->failures, REDIAL_SHIFT_MAX);
+	int32_t bound_ms = MIN(REDIAL_MAX_MS, REDIAL_FIRST_BOUND_MS << shift);
+
+	return g_rand_int_range(link->hub->random, REDIAL_MIN_MS, bound_ms + 1);
+}
+
+static void count_closed(const char *reason)
+{
+	char labels[64];
+
+	g_snprintf(labels, sizeof(labels), "reason=\"%s\"", reason);
+	counter_add(counter_get("link_closed_total", labels,
+				"Connections between processes closed"),
+		    1);
+}
+
+static void shut_socket(struct link *link, const char *reason)
+{
+	bool was_up = link->state == LINK_UP;
+
+	if (link->state == LINK_DOWN)
+		return;
+	count_closed(reason);
+	release_socket(link);
+	link->state = LINK_DOWN;
+	if (was_up) {
+		log_event(LOG_INFO, "link_down", "peer=%s address=%s reason=%s",
+			  link->peer.name, link->address, reason);
+		link->hub->handlers.down(link->hub->arg, link);
+	}
+}
+
+void link_shut(struct link *link, const char *reason)
+{
+	if (link->state == LINK_DOWN)
+		return;
+	link->failures = link->state == LINK_UP ? 0 : link->failures + 1;
+	shut_socket(link, reason);
+	if (link->dropped)
+		return; /* the down handler dropped it */
+	if (!link->dialled)
+		remove_link(link);
+	else if (link->state == LINK_DOWN)
+		loop_timer_start(link->redial, redial_wait_ms(link), 0);
+}
+
+void link_close(struct link *link)
+{
+	link_shut(link, "closed_here");
+}
+
+void link_drop(struct link *link)
+{
+	if (link->dropped)
+		return;
+	remove_link(link);
+	if (link->redial)
+		loop_timer_stop(link->redial);
+	shut_socket(link, "dropped_here");
+}
+
+/* ---- Reading ---- */
+
+static void count_message(struct link *link, int direction,
+			  const Cfw__Envelope *envelope)
+{
+	struct link_hub *hub = link->hub;
+
+	if ((size_t)envelope->body_case < G_N_ELEMENTS(hub->messages[0]))
+		counter_add(hub->messages[direction][envelope->body_case], 1);
+}
+
+static bool take_hello(struct link *link, const Cfw__Envelope *envelope)
+{
+	const Cfw__Hello *hello;
+
+	if (envelope->body_case != CFW__ENVELOPE__BODY_HELLO)
+		return false;
+	hello = envelope->hello;
+	if (hello->protocol != LINK_PROTOCOL)
+		return false;
+	forget_peer(link);
+	link->peer.role = hello->role;
+	link->peer.name = g_strdup(hello->name);
+	link->peer.incarnation = hello->incarnation;
+	link->peer.member_id = hello->member_id;
+	link->peer.data_centre = g_strdup(hello->data_centre);
+	link->has_peer = true;
+	link->failures = 0;
+	link->state = LINK_UP;
+	log_event(LOG_INFO, "link_up", "peer=%s address=%s dialled=%s",
+		  link->peer.name, link->address,
+		  link->dialled ? "true" : "false");
+	link->hub->handlers.up(link->hub->arg, link);
+	return true;
+}
+
+/* False: the peer broke the protocol. */
+static bool take_envelope(struct link *link, const Cfw__Envelope *envelope)
+{
+	count_message(link, LINK_IN, envelope);
+	if (link->state == LINK_GREETING)
+		return take_hello(link, envelope);
+	if (envelope->body_case == CFW__ENVELOPE__BODY_HELLO)
+		return false;
+	if (envelope->body_case != CFW__ENVELOPE__BODY_HEARTBEAT)
+		link->hub->handlers.message(link->hub->arg, link, envelope);
+	return true;
+}
+
+/* Hands on every whole frame; stops when a handler closed the link. */
+static void take_frames(struct link *link)
+{
+	while (link->decoder && !link->doomed) {
+		struct frame_decoder *decoder = link->decoder;
+		Cfw__Envelope *envelope;
+		enum frame_status status =
+			frame_decoder_next(decoder, &envelope);
+		bool valid;
+
+		if (status == FRAME_MORE)
+			return;
+		if (status != FRAME_OK) {
+			link_shut(link, status == FRAME_TOO_LARGE ? "too_large"
+								  : "garbage");
+			return;
+		}
+		valid = take_envelope(link, envelope);
+		cfw__envelope__free_unpacked(envelope, NULL);
+		if (!valid && link->decoder == decoder) {
+			link_shut(link, "protocol");
+			return;
+		}
+	}
+}
+
+static void read_socket(struct link *link)
+{
+	struct link_hub *hub = link->hub;
+
+	for (int i = 0; i < READS_A_TURN && link->socket; i++) {
+		apr_socket_t *socket = link->socket;
+		apr_size_t size = sizeof(hub->buffer);
+		apr_status_t status =
+			apr_socket_recv(socket, (char *)hub->buffer, &size);
+
+		if (status != APR_SUCCESS || !size) {
+			if (!APR_STATUS_IS_EAGAIN(status) &&
+			    !APR_STATUS_IS_EINTR(status))
+				link_shut(link, "closed_by_peer");
+			return;
+		}
+		counter_add(hub->bytes[LINK_IN], (int64_t)size);
+		link->received_ms = loop_now_ms(hub->loop);
+		frame_decoder_feed(link->decoder, hub->buffer, size);
+		take_frames(link);
+		if (link->socket != socket || size < sizeof(hub->buffer))
+			return;
+	}
+}
+
+/* ---- Writing ---- */
+
+bool link_has_output(const struct link *link)
+{
+	return link->output->len > link->output_sent;
+}
+
+static void release_output(struct link *link)
+{
+	if (link->output->len > OUTPUT_KEPT_BYTES) {
+		g_byte_array_unref(link->output);
+		link->output = g_byte_array_new();
+	} else {
+		g_byte_array_set_size(link->output, 0);
+	}
+	link->output_sent = 0;
+}
+
+void link_write(struct link *link)
+{
+	while (link->socket && link_has_output(link)) {
+		apr_size_t size = link->output->len - link->output_sent;
+		apr_status_t status = apr_socket_send(
+			link->socket,
+			(const char *)link->output->data + link->output_sent,
+			&size);
+
+		link->output_sent += size;
+		counter_add(link->hub->bytes[LINK_OUT], (int64_t)size);
+		if (status == APR_SUCCESS || APR_STATUS_IS_EINTR(status))
+			continue;
+		if (!APR_STATUS_IS_EAGAIN(status)) {
+			link_shut(link, "closed_by_peer");
+			return;
+		}
+		link->output_blocked = true;
+		loop_watch_set(link->watch, true, true);
+		return;
+	}
+	if (!link->socket)
+		return;
+	release_output(link);
+	link->output_blocked = false;
+	loop_watch_set(link->watch, true, false);
+}
+
+/* Drops what went out already once it is most of the buffer. */
+static void trim_output(struct link *link)
+{
+	if (link->output_sent <= OUTPUT_KEPT_BYTES ||
+	    link->output_sent < link->output->len / 2)
+		return;
+	g_byte_array_remove_range(link->output, 0, (guint)link->output_sent);
+	link->output_sent = 0;
+}
+
+bool link_queue(struct link *link, const Cfw__Envelope *envelope)
+{
+	struct link_hub *hub = link->hub;
+
+	if (link->doomed)
+		return false;
+	trim_output(link);
+	frame_append(link->output, envelope);
+	count_message(link, LINK_OUT, envelope);
+	link->sent_ms = loop_now_ms(hub->loop);
+	if (!link->in_flush_list) {
+		link->in_flush_list = true;
+		g_ptr_array_add(hub->to_flush, link);
+	}
+	if (link->output->len - link->output_sent >
+	    hub->options.output_max_bytes)
+		link->doomed = "output_full";
+	link_hub_schedule(hub);
+	return !link->doomed;
+}
+
+bool link_send(struct link *link, const Cfw__Envelope *envelope)
+{
+	return link->state == LINK_UP && link_queue(link, envelope);
+}
+
+/* ---- Opening ---- */
+
+static void finish_dial(struct link *link);
+
+static void on_socket(void *arg, bool readable, bool writable)
+{
+	struct link *link = arg;
+	apr_socket_t *socket = link->socket;
+
+	if (link->state == LINK_CONNECTING) {
+		finish_dial(link);
+		return;
+	}
+	if (writable)
+		link_write(link);
+	if (readable && link->socket == socket)
+		read_socket(link);
+}
+
+static void greet(struct link *link)
+{
+	struct link_hub *hub = link->hub;
+
+	link->state = LINK_GREETING;
+	link->opened_ms = loop_now_ms(hub->loop);
+	link->received_ms = link->opened_ms;
+	link->decoder = frame_decoder_create(hub->options.frame_max_bytes);
+	loop_watch_set(link->watch, true, false);
+	link_queue(link, &hub->hello);
+}
+
+void link_open(struct link *link, apr_pool_t *pool, apr_socket_t *socket)
+{
+	apr_socket_opt_set(socket, APR_TCP_NODELAY, 1);
+	link->pool = pool;
+	link->socket = socket;
+	link->watch =
+		loop_watch_create(link->hub->loop, socket, on_socket, link);
+	greet(link);
+}
+
+static void finish_dial(struct link *link)
+{
+	apr_os_sock_t descriptor;
+	int fault = 0;
+	socklen_t size = sizeof(fault);
+
+	if (apr_os_sock_get(&descriptor, link->socket) != APR_SUCCESS ||
+	    getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &fault, &size) ||
+	    fault) {
+		link_shut(link, "connect_failed");
+		return;
+	}
+	greet(link);
+}
+
+static apr_status_t connect_socket(struct link *link)
+{
+	char host[ADDRESS_HOST_SIZE];
+	apr_sockaddr_t *address;
+	apr_status_t status;
+	uint16_t port;
+
+	if (!address_parse(link->address, host, &port))
+		return APR_EINVAL;
+	status = apr_sockaddr_info_get(&address, host, APR_UNSPEC, port, 0,
+				       link->pool);
+	if (status == APR_SUCCESS)
+		status = apr_socket_create(&link->socket, address->family,
+					   SOCK_STREAM, APR_PROTO_TCP,
+					   link->pool);
+	if (status != APR_SUCCESS)
+		return status;
+	apr_socket_opt_set(link->socket, APR_SO_NONBLOCK, 1);
+	apr_socket_timeout_set(link->socket, 0);
+	apr_socket_opt_set(link->socket, APR_TCP_NODELAY, 1);
+	return apr_socket_connect(link->socket, address);
+}
+
+static void start_dial(struct link *link)
+{
+	struct link_hub *hub = link->hub;
+	apr_status_t status;
+
+	link->state = LINK_CONNECTING;
+	link->opened_ms = loop_now_ms(hub->loop);
+	if (apr_pool_create(&link->pool, NULL) != APR_SUCCESS)
+		g_error("no memory for a connection");
+	status = connect_socket(link);
+	if (status != APR_SUCCESS && !APR_STATUS_IS_EINPROGRESS(status)) {
+		link_shut(link, "connect_failed");
+		return;
+	}
+	link->watch =
+		loop_watch_create(hub->loop, link->socket, on_socket, link);
+	loop_watch_set(link->watch, false, true);
+}
+
+struct link *link_dial(struct link_hub *hub, const char *address)
+{
+	struct link *link = link_create(hub, true, g_strdup(address));
+
+	loop_timer_start(link->redial, 0, 0);
+	return link;
+}
+
+/* ---- Access ---- */
+
+bool link_is_up(const struct link *link)
+{
+	return link->state == LINK_UP && !link->doomed;
+}
+
+const struct link_identity *link_peer(const struct link *link)
+{
+	return link->has_peer ? &link->peer : NULL;
+}
+
+const char *link_address(const struct link *link)
+{
+	return link->address;
+}
+
+void link_set_data(struct link *link, void *data)
+{
+	link->data = data;
+}
+
+void *link_data(const struct link *link)
+{
+	return link->data;
+}
--- a/src/net/link.h
+++ b/src/net/link.h
@@ -42,7 +42,9 @@
 	void (*message)(
 		void *arg, struct link *link,
 		const Cfw__Envelope *envelope); /* no Hello, no heartbeat */
-	void (*down)(void *arg, struct link *link); /* once after up */
+	/* Once after up, also from within link_close and link_drop; not
+	 * from link_hub_destroy. */
+	void (*down)(void *arg, struct link *link);
 };
 
 struct link_hub *link_hub_create(struct loop *loop,
--- /dev/null
+++ b/src/net/link_private.h
@@ -0,0 +1,86 @@
+/*
+ * link_private: what link.c (connections) and link_hub.c (listener,
+ * heartbeats, counters) share. Loop thread only.
+ */
+#ifndef NET_LINK_PRIVATE_H
+#define NET_LINK_PRIVATE_H
+
+#include "base/counters.h"
+#include "net/frame.h"
+#include "net/link.h"
+
+#define LINK_PROTOCOL 1
+#define SILENT_INTERVALS 3
+#define READ_BYTES 65536
+
+enum link_state {
+	LINK_DOWN, /* dialled: waits for the redial timer */
+	LINK_CONNECTING,
+	LINK_GREETING, /* connected, no Hello came yet */
+	LINK_UP,
+};
+
+struct link {
+	struct link_hub *hub;
+	enum link_state state;
+	bool dialled;
+	bool dropped; /* freed at the end of the turn */
+	const char *doomed; /* reason to close it at the end of the turn */
+	char *address;
+	apr_pool_t *pool; /* of the socket */
+	apr_socket_t *socket;
+	struct loop_watch *watch;
+	struct frame_decoder *decoder;
+	GByteArray *output;
+	size_t output_sent; /* bytes at the front that went out */
+	bool in_flush_list;
+	bool output_blocked; /* waits until the socket is writable */
+	int64_t opened_ms, received_ms, sent_ms;
+	uint32_t failures; /* dials in a row that gave no Hello */
+	struct loop_timer *redial; /* dialled only */
+	struct link_identity peer; /* texts are owned */
+	bool has_peer;
+	void *data;
+};
+
+enum { LINK_IN, LINK_OUT };
+
+struct link_hub {
+	struct loop *loop;
+	struct link_options options;
+	struct link_handlers handlers;
+	void *arg;
+	GRand *random; /* redial jitter */
+	GPtrArray *links; /* not dropped ones */
+	GPtrArray *dropped; /* freed at the end of the turn */
+	GPtrArray *to_flush; /* links with new output */
+	bool turn_end_due;
+	uint32_t n_accepted;
+	struct loop_timer *tick;
+	apr_pool_t *listen_pool;
+	apr_socket_t *listener;
+	struct loop_watch *listen_watch;
+	Cfw__Envelope hello, heartbeat;
+	Cfw__Hello hello_body;
+	Cfw__Heartbeat heartbeat_body;
+	struct counter *messages[2][CFW__ENVELOPE__BODY_FORWARD_REPLY + 1];
+	struct counter *bytes[2];
+	uint8_t buffer[READ_BYTES];
+};
+
+/* ---- link.c ---- */
+
+struct link *link_create(struct link_hub *hub, bool dialled, char *address);
+void link_free(struct link *link);
+/* Takes a connected socket over: sends Hello, starts reading. */
+void link_open(struct link *link, apr_pool_t *pool, apr_socket_t *socket);
+void link_shut(struct link *link, const char *reason); /* dialled: redials */
+void link_write(struct link *link); /* as much as the socket takes */
+bool link_queue(struct link *link, const Cfw__Envelope *envelope);
+bool link_has_output(const struct link *link);
+
+/* ---- link_hub.c ---- */
+
+void link_hub_schedule(struct link_hub *hub); /* run the end of the turn */
+
+#endif
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -6,8 +6,8 @@
 #ifndef NET_LOOP_H
 #define NET_LOOP_H
 
-#include <apr_poll.h>
 #include <apr_network_io.h>
+#include <apr_poll.h>
 #include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
@@ -21,10 +21,15 @@
 typedef void loop_watch_fn(void *arg, bool readable, bool writable);
 
 struct loop *loop_create(GError **error);
-void loop_destroy(struct loop *loop);
+void loop_destroy(struct loop *loop); /* posted calls are dropped */
 void loop_run(struct loop *loop); /* until loop_stop */
 void loop_stop(struct loop *loop); /* any thread, also signal */
 void loop_post(struct loop *loop, loop_fn *fn, void *arg); /* any thread */
+/* Runs once at the end of this turn, before the loop waits again. */
+void loop_defer(struct loop *loop, loop_fn *fn, void *arg);
+/* Drops what was posted or deferred with this argument and has not run.
+ * Loop thread, or any while the loop does not run. */
+void loop_forget(struct loop *loop, const void *arg);
 int64_t loop_now_ms(const struct loop *loop); /* at this turn's begin */
 
 struct loop_timer *loop_timer_create(struct loop *loop, loop_timer_fn *fn,
