Add the HTTP server, client and admin interface

libcurl sends a request again by itself when a kept connection ends before any byte of the answer; for a task start that would be a second start. Fresh connections for each call were ruled out for their cost; the pre-request callback aborts any second send instead, and tells whether the first may have gone out. libmicrohttpd does not read suspended connections, so a small epoll thread watches for hang-ups.

--- /dev/null
+++ b/src/net/http_client.c
@@ -0,0 +1,248 @@
+/*
+ * http_client: see http_client.h. Calls go to the thread through a
+ * lock-free queue; those that ended come back the same way, and one
+ * posted call hands on all that are there.
+ */
+#include "net/http_client.h"
+
+#include "base/mpsc.h"
+#include "net/http_transfer.h"
+
+#include <stdatomic.h>
+#include <string.h>
+
+#define POLL_MS 1000
+#define SPARE_HANDLES_MAX 256
+
+struct call {
+	struct mpsc_node node; /* in waiting, then in ended */
+	struct http_transfer transfer;
+	CURL *easy; /* while it is under way */
+	struct http_answer answer;
+	http_answer_fn *fn;
+	void *arg;
+};
+
+struct http_client {
+	struct loop *loop;
+	CURLM *multi;
+	GThread *thread;
+	atomic_bool stopping;
+	struct mpsc waiting; /* to the thread */
+	struct mpsc ended; /* to the loop */
+	GPtrArray *spare; /* easy handles; thread only */
+	GHashTable *active; /* calls under way; thread only */
+};
+
+/* ---- Answers, on the loop's thread ---- */
+
+static void deliver(void *arg)
+{
+	struct http_client *client = arg;
+	struct mpsc_node *node = mpsc_take_all(&client->ended);
+
+	while (node) {
+		struct call *call = (struct call *)node;
+
+		node = node->next;
+		call->fn(call->arg, &call->answer);
+		http_transfer_clear(&call->transfer);
+		g_free(call);
+	}
+}
+
+/* ---- The client's thread ---- */
+
+static void end_call(struct http_client *client, struct call *call)
+{
+	if (mpsc_push(&client->ended, &call->node))
+		loop_post(client->loop, deliver, client);
+}
+
+static CURL *take_handle(struct http_client *client)
+{
+	CURL *easy;
+
+	if (client->spare->len)
+		return g_ptr_array_steal_index_fast(client->spare,
+						    client->spare->len - 1);
+	easy = curl_easy_init();
+	if (!easy)
+		g_error("no memory for an HTTP call");
+	return easy;
+}
+
+static void start_call(struct http_client *client, struct call *call)
+{
+	call->easy = take_handle(client);
+	http_transfer_prepare(&call->transfer, call->easy);
+	curl_easy_setopt(call->easy, CURLOPT_PRIVATE, call);
+	g_hash_table_add(client->active, call);
+	curl_multi_add_handle(client->multi, call->easy);
+}
+
+static void finish_call(struct http_client *client, struct call *call,
+			CURLcode code)
+{
+	CURL *easy = call->easy;
+
+	http_transfer_finish(&call->transfer, easy, code, &call->answer);
+	curl_multi_remove_handle(client->multi, easy);
+	g_hash_table_remove(client->active, call);
+	call->easy = NULL;
+	if (client->spare->len < SPARE_HANDLES_MAX) {
+		curl_easy_reset(easy);
+		g_ptr_array_add(client->spare, easy);
+	} else {
+		curl_easy_cleanup(easy);
+	}
+	end_call(client, call);
+}
+
+static void start_waiting(struct http_client *client)
+{
+	struct mpsc_node *node = mpsc_take_all(&client->waiting);
+
+	while (node) {
+		struct call *call = (struct call *)node;
+
+		node = node->next;
+		start_call(client, call);
+	}
+}
+
+static void finish_done(struct http_client *client)
+{
+	CURLMsg *message;
+	int left;
+
+	while ((message = curl_multi_info_read(client->multi, &left))) {
+		char *call = NULL;
+		CURLcode code = message->data.result;
+
+		if (message->msg != CURLMSG_DONE)
+			continue;
+		curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE,
+				  &call);
+		finish_call(client, (struct call *)(void *)call, code);
+	}
+}
+
+/* Calls that are cut off: those sent are broken, the rest never went. */
+static void finish_all(struct http_client *client)
+{
+	GHashTableIter iter;
+	gpointer key;
+
+	start_waiting(client);
+	g_hash_table_iter_init(&iter, client->active);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		finish_call(client, key, CURLE_ABORTED_BY_CALLBACK);
+		g_hash_table_iter_init(&iter, client->active);
+	}
+}
+
+static gpointer run(gpointer data)
+{
+	struct http_client *client = data;
+	int running;
+
+	while (!atomic_load(&client->stopping)) {
+		start_waiting(client);
+		curl_multi_perform(client->multi, &running);
+		finish_done(client);
+		curl_multi_poll(client->multi, NULL, 0, POLL_MS, NULL);
+	}
+	finish_all(client);
+	return NULL;
+}
+
+/* ---- Life ---- */
+
+static gpointer initialize_curl(gpointer unused)
+{
+	(void)unused;
+	return GINT_TO_POINTER(curl_global_init(CURL_GLOBAL_DEFAULT) ==
+			       CURLE_OK);
+}
+
+static bool ensure_curl(void)
+{
+	static GOnce once = G_ONCE_INIT;
+
+	return g_once(&once, initialize_curl, NULL) != NULL;
+}
+
+struct http_client *http_client_create(struct loop *loop,
+				       uint32_t connections_max, GError **error)
+{
+	struct http_client *client;
+	CURLM *multi = ensure_curl() ? curl_multi_init() : NULL;
+
+	if (!multi) {
+		g_set_error(error, G_FILE_ERROR, G_FILE_ERROR_FAILED,
+			    "libcurl can't be set up");
+		return NULL;
+	}
+	client = g_new0(struct http_client, 1);
+	client->loop = loop;
+	client->multi = multi;
+	client->spare = g_ptr_array_new();
+	client->active = g_hash_table_new(NULL, NULL);
+	if (connections_max) {
+		curl_multi_setopt(multi, CURLMOPT_MAX_TOTAL_CONNECTIONS,
+				  (long)connections_max);
+		curl_multi_setopt(multi, CURLMOPT_MAXCONNECTS,
+				  (long)connections_max);
+	}
+	curl_multi_setopt(multi, CURLMOPT_PIPELINING, (long)CURLPIPE_NOTHING);
+	client->thread = g_thread_new("http-client", run, client);
+	return client;
+}
+
+void http_client_destroy(struct http_client *client)
+{
+	if (!client)
+		return;
+	atomic_store(&client->stopping, true);
+	curl_multi_wakeup(client->multi);
+	g_thread_join(client->thread);
+	loop_forget(client->loop, client);
+	deliver(client);
+	for (guint i = 0; i < client->spare->len; i++)
+		curl_easy_cleanup(g_ptr_array_index(client->spare, i));
+	g_ptr_array_unref(client->spare);
+	g_hash_table_destroy(client->active);
+	curl_multi_cleanup(client->multi);
+	g_free(client);
+}
+
+void http_client_call(struct http_client *client, const struct http_call *call,
+		      http_answer_fn *fn, void *arg)
+{
+	struct call *c = g_new0(struct call, 1);
+
+	http_transfer_init(&c->transfer, call);
+	c->fn = fn;
+	c->arg = arg;
+	if (mpsc_push(&client->waiting, &c->node))
+		curl_multi_wakeup(client->multi);
+}
+
+void http_call_now(const struct http_call *call, struct http_answer *answer)
+{
+	struct http_transfer transfer;
+	CURL *easy = ensure_curl() ? curl_easy_init() : NULL;
+
+	if (!easy) {
+		*answer = (struct http_answer){ .result = HTTP_NOT_CONNECTED };
+		return;
+	}
+	http_transfer_init(&transfer, call);
+	http_transfer_prepare(&transfer, easy);
+	http_transfer_finish(&transfer, easy, curl_easy_perform(easy), answer);
+	if (answer->body)
+		answer->body = g_memdup2(answer->body, answer->size_bytes);
+	curl_easy_cleanup(easy);
+	http_transfer_clear(&transfer);
+}
--- /dev/null
+++ b/src/net/http_private.h
@@ -0,0 +1,72 @@
+/*
+ * http_private: what http_server.c (the daemon) and http_request.c (one
+ * request) share.
+ */
+#ifndef NET_HTTP_PRIVATE_H
+#define NET_HTTP_PRIVATE_H
+
+#include "base/counters.h"
+#include "net/http_gone.h"
+#include "net/http_server.h"
+
+#include <microhttpd.h>
+#include <stdatomic.h>
+
+#define HTTP_CLASSES 6 /* hundreds of a status, 0 unused */
+
+struct http_server {
+	struct MHD_Daemon *daemon;
+	http_handler_fn *handler;
+	void *arg;
+	uint32_t body_max_bytes;
+	uint32_t connections_max;
+	uint32_t timeout_s;
+	uint16_t port;
+	int quiesced_listener; /* -1: still accepting */
+	atomic_int holders; /* the owner and each request */
+	atomic_bool quiescing;
+	atomic_uint connections;
+	atomic_uint open_requests;
+	struct counter *answers[HTTP_CLASSES];
+	struct counter *refused_connections;
+	struct http_gone *gone;
+	GMutex lock; /* of what follows and the requests' state */
+	GHashTable *requests; /* handed to the handler, unanswered */
+	bool destroying;
+};
+
+struct http_request {
+	struct http_server *server;
+	struct MHD_Connection *connection;
+	char *method;
+	char *path;
+	GByteArray *body;
+	size_t received_bytes; /* also those above the limit */
+	int64_t began_ms;
+	bool handed_over; /* to the handler */
+	bool answered;
+	atomic_int holders;
+	/* under the server's lock: */
+	uint64_t gone_id;
+	bool suspended;
+	bool detached; /* libmicrohttpd's side let go */
+	struct MHD_Response *response; /* NULL: no answer yet */
+	unsigned int status;
+};
+
+struct http_server *http_server_hold(struct http_server *server);
+void http_server_release(struct http_server *server);
+
+void http_request_answer(struct http_request *request, unsigned int status,
+			 struct MHD_Response *response);
+void http_request_abandon(struct http_request *request); /* under the lock */
+enum MHD_Result http_request_access(void *arg,
+				    struct MHD_Connection *connection,
+				    const char *path, const char *method,
+				    const char *version, const char *data,
+				    size_t *size_bytes, void **context);
+void http_request_completed(void *arg, struct MHD_Connection *connection,
+			    void **context,
+			    enum MHD_RequestTerminationCode code);
+
+#endif
--- /dev/null
+++ b/src/net/http_request.c
@@ -0,0 +1,331 @@
+/*
+ * http_request: one request at http_server, from its first byte to its
+ * answer. A connection whose answer isn't there when the handler returns
+ * is suspended, and resumed by http_reply.
+ *
+ * Two hold a request: libmicrohttpd's side, and the handler's until it
+ * answers. The last to let go frees it, so that an answer may come after
+ * the caller, or the server, is gone.
+ */
+#include "net/http_private.h"
+
+#include "base/clock.h"
+
+#include <string.h>
+
+#define BODY_FIRST_BYTES 4096
+#define OVERSIZE_FACTOR 4 /* bodies so far above the limit are cut off */
+#define SLOW_FACTOR 4 /* timeouts that a whole request may take */
+#define MS_PER_S 1000
+
+/* ---- Life ---- */
+
+static void request_release(struct http_request *request)
+{
+	struct http_server *server = request->server;
+
+	if (atomic_fetch_sub(&request->holders, 1) > 1)
+		return;
+	if (request->response)
+		MHD_destroy_response(request->response);
+	g_byte_array_unref(request->body);
+	g_free(request->method);
+	g_free(request->path);
+	g_free(request);
+	http_server_release(server);
+}
+
+static struct http_request *request_create(struct http_server *server,
+					   struct MHD_Connection *connection,
+					   const char *method, const char *path)
+{
+	struct http_request *request = g_new0(struct http_request, 1);
+
+	request->server = http_server_hold(server);
+	request->connection = connection;
+	request->method = g_strdup(method);
+	request->path = g_strdup(path);
+	request->body = g_byte_array_sized_new(BODY_FIRST_BYTES);
+	request->began_ms = clock_now_ms();
+	atomic_store(&request->holders, 1);
+	return request;
+}
+
+/* ---- What the handler may read ---- */
+
+const char *http_method(const struct http_request *request)
+{
+	return request->method;
+}
+
+const char *http_path(const struct http_request *request)
+{
+	return request->path;
+}
+
+const char *http_query(const struct http_request *request, const char *name)
+{
+	return MHD_lookup_connection_value(request->connection,
+					   MHD_GET_ARGUMENT_KIND, name);
+}
+
+const char *http_header(const struct http_request *request, const char *name)
+{
+	return MHD_lookup_connection_value(request->connection, MHD_HEADER_KIND,
+					   name);
+}
+
+const void *http_body(const struct http_request *request, size_t *size_bytes)
+{
+	*size_bytes = request->body->len;
+	return request->body->data;
+}
+
+/* ---- Answers ---- */
+
+static void add_header(struct MHD_Response *response, const char *line)
+{
+	const char *colon = strchr(line, ':');
+	char *name;
+
+	if (!colon)
+		return;
+	name = g_strndup(line, (gsize)(colon - line));
+	colon++;
+	MHD_add_response_header(response, name, colon + strspn(colon, " "));
+	g_free(name);
+}
+
+static struct MHD_Response *make_response(const char *content_type,
+					  const void *body, size_t size_bytes,
+					  const char *const *headers)
+{
+	struct MHD_Response *response = MHD_create_response_from_buffer(
+		size_bytes, (void *)(size_bytes ? body : ""),
+		MHD_RESPMEM_MUST_COPY);
+
+	if (!response)
+		g_error("no memory for an answer");
+	if (content_type)
+		MHD_add_response_header(response, MHD_HTTP_HEADER_CONTENT_TYPE,
+					content_type);
+	for (size_t i = 0; headers && headers[i]; i++)
+		add_header(response, headers[i]);
+	return response;
+}
+
+static enum MHD_Result queue_response(struct http_server *server,
+				      struct MHD_Connection *connection,
+				      unsigned int status,
+				      struct MHD_Response *response)
+{
+	enum MHD_Result result;
+
+	if (atomic_load(&server->quiescing))
+		MHD_add_response_header(response, MHD_HTTP_HEADER_CONNECTION,
+					"close");
+	counter_add(server->answers[MIN(status / 100, HTTP_CLASSES - 1)], 1);
+	result = MHD_queue_response(connection, status, response);
+	MHD_destroy_response(response);
+	return result;
+}
+
+static enum MHD_Result refuse(struct http_server *server,
+			      struct MHD_Connection *connection,
+			      unsigned int status, const char *reason,
+			      const char *message)
+{
+	static const char *const headers[] = { "Connection: close", NULL };
+	char *body = g_strdup_printf("{\"reason\":\"%s\",\"message\":\"%s\"}\n",
+				     reason, message);
+	struct MHD_Response *response =
+		make_response("application/json", body, strlen(body), headers);
+
+	g_free(body);
+	return queue_response(server, connection, status, response);
+}
+
+/* Hands an answer to libmicrohttpd's side. Under the server's lock. */
+void http_request_answer(struct http_request *request, unsigned int status,
+			 struct MHD_Response *response)
+{
+	request->status = status;
+	request->response = response;
+	if (!request->suspended)
+		return;
+	request->suspended = false;
+	MHD_resume_connection(request->connection);
+}
+
+void http_request_abandon(struct http_request *request)
+{
+	static const char body[] = "{\"reason\":\"stopped\","
+				   "\"message\":\"the process ended\"}\n";
+
+	http_request_answer(request, MHD_HTTP_SERVICE_UNAVAILABLE,
+			    make_response("application/json", body,
+					  sizeof(body) - 1, NULL));
+}
+
+void http_reply(struct http_request *request, uint32_t status,
+		const char *content_type, const void *body, size_t size_bytes,
+		const char *const *headers)
+{
+	struct http_server *server = request->server;
+	struct MHD_Response *response =
+		make_response(content_type, body, size_bytes, headers);
+
+	g_mutex_lock(&server->lock);
+	g_hash_table_remove(server->requests, request);
+	http_gone_remove(server->gone, request->gone_id);
+	request->gone_id = 0;
+	if (!request->detached && !request->response) {
+		http_request_answer(request, status, response);
+		response = NULL;
+	}
+	g_mutex_unlock(&server->lock);
+	if (response)
+		MHD_destroy_response(response);
+	request_release(request);
+}
+
+void http_on_gone(struct http_request *request, void (*gone)(void *arg),
+		  void *arg)
+{
+	struct http_server *server = request->server;
+	const union MHD_ConnectionInfo *info;
+
+	g_mutex_lock(&server->lock);
+	if (!request->detached && !request->gone_id) {
+		info = MHD_get_connection_info(
+			request->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+		if (info)
+			request->gone_id = http_gone_add(
+				server->gone, info->connect_fd, gone, arg);
+	}
+	g_mutex_unlock(&server->lock);
+}
+
+/* ---- libmicrohttpd's side ---- */
+
+static enum MHD_Result take_body(struct http_request *request, const char *data,
+				 size_t size_bytes)
+{
+	struct http_server *server = request->server;
+	size_t limit_bytes = server->body_max_bytes;
+	int64_t limit_ms = (int64_t)server->timeout_s * MS_PER_S * SLOW_FACTOR;
+
+	request->received_bytes += size_bytes;
+	if (clock_now_ms() - request->began_ms > limit_ms ||
+	    request->received_bytes > OVERSIZE_FACTOR * limit_bytes)
+		return MHD_NO;
+	if (request->received_bytes <= limit_bytes)
+		g_byte_array_append(request->body, (const guint8 *)data,
+				    (guint)size_bytes);
+	return MHD_YES;
+}
+
+static enum MHD_Result send_answer(struct http_request *request)
+{
+	struct MHD_Response *response = request->response;
+
+	request->response = NULL;
+	request->answered = true;
+	return queue_response(request->server, request->connection,
+			      request->status, response);
+}
+
+/* Runs the handler; suspends the connection if no answer came. */
+static enum MHD_Result hand_over(struct http_request *request)
+{
+	struct http_server *server = request->server;
+	bool answered;
+
+	request->handed_over = true;
+	atomic_fetch_add(&request->holders, 1);
+	atomic_fetch_add(&server->open_requests, 1);
+	g_mutex_lock(&server->lock);
+	g_hash_table_add(server->requests, request);
+	g_mutex_unlock(&server->lock);
+	server->handler(server->arg, request);
+	g_mutex_lock(&server->lock);
+	if (server->destroying && !request->response)
+		http_request_abandon(request);
+	answered = request->response != NULL;
+	if (!answered) {
+		request->suspended = true;
+		MHD_suspend_connection(request->connection);
+	}
+	g_mutex_unlock(&server->lock);
+	return answered ? send_answer(request) : MHD_YES;
+}
+
+static enum MHD_Result begin_request(struct http_server *server,
+				     struct MHD_Connection *connection,
+				     const char *path, const char *method,
+				     void **context)
+{
+	const char *length = MHD_lookup_connection_value(
+		connection, MHD_HEADER_KIND, MHD_HTTP_HEADER_CONTENT_LENGTH);
+
+	if (atomic_load(&server->connections) > server->connections_max) {
+		counter_add(server->refused_connections, 1);
+		return refuse(server, connection, MHD_HTTP_SERVICE_UNAVAILABLE,
+			      "too_many_connections",
+			      "the limit of connections is reached");
+	}
+	if (length && g_ascii_strtoull(length, NULL, 10) >
+			      (guint64)OVERSIZE_FACTOR * server->body_max_bytes)
+		return refuse(server, connection, MHD_HTTP_CONTENT_TOO_LARGE,
+			      "body_too_large", "the body is above the limit");
+	*context = request_create(server, connection, method, path);
+	return MHD_YES;
+}
+
+enum MHD_Result http_request_access(void *arg,
+				    struct MHD_Connection *connection,
+				    const char *path, const char *method,
+				    const char *version, const char *data,
+				    size_t *size_bytes, void **context)
+{
+	struct http_server *server = arg;
+	struct http_request *request = *context;
+
+	(void)version;
+	if (!request)
+		return begin_request(server, connection, path, method, context);
+	if (*size_bytes) {
+		size_t size = *size_bytes;
+
+		*size_bytes = 0;
+		return take_body(request, data, size);
+	}
+	if (request->handed_over)
+		return request->response ? send_answer(request) : MHD_YES;
+	if (request->received_bytes > server->body_max_bytes)
+		return refuse(server, connection, MHD_HTTP_CONTENT_TOO_LARGE,
+			      "body_too_large", "the body is above the limit");
+	return hand_over(request);
+}
+
+void http_request_completed(void *arg, struct MHD_Connection *connection,
+			    void **context,
+			    enum MHD_RequestTerminationCode code)
+{
+	struct http_request *request = *context;
+	struct http_server *server = arg;
+
+	(void)connection;
+	(void)code;
+	*context = NULL;
+	if (!request)
+		return;
+	if (request->handed_over)
+		atomic_fetch_sub(&server->open_requests, 1);
+	g_mutex_lock(&server->lock);
+	request->detached = true;
+	http_gone_remove(server->gone, request->gone_id);
+	request->gone_id = 0;
+	g_mutex_unlock(&server->lock);
+	request_release(request);
+}
