predict: learn run times and the error of declared ones

Declared run times are often wrong by a factor of ten, so placement and admission can't take them as they are. Quantiles come from bins of bounded relative error with ageing weights, of run times for a class and of the ratio of real to declared for a class and declared size. The P2 estimator was ruled out: it holds one quantile each and ages badly.

--- /dev/null
+++ b/src/lib/log_bins.c
@@ -0,0 +1,40 @@
+/*
+ * log_bins: see log_bins.h.
+ */
+#include "lib/log_bins.h"
+
+#include <math.h>
+
+static const double GROWTH = 1.1; /* of a bin's bound beside the last */
+
+size_t log_bin_of(double value, double least)
+{
+	double bin;
+
+	if (!(value > least))
+		return 0;
+	bin = ceil(log(value / least) / log(GROWTH));
+	return bin >= LOG_BINS ? LOG_BINS - 1 : (size_t)bin;
+}
+
+double log_bin_value(size_t bin, double least)
+{
+	return least * pow(GROWTH, (double)bin - (bin > 0 ? 0.5 : 0.0));
+}
+
+size_t log_bins_quantile(const double weights[LOG_BINS], double share)
+{
+	double total = 0;
+	double sum = 0;
+
+	for (size_t i = 0; i < LOG_BINS; i++)
+		total += weights[i];
+	if (total <= 0)
+		return 0;
+	for (size_t i = 0; i < LOG_BINS; i++) {
+		sum += weights[i];
+		if (sum >= share * total * (1 - 1e-9))
+			return i;
+	}
+	return LOG_BINS - 1;
+}
--- /dev/null
+++ b/src/lib/log_bins.h
@@ -0,0 +1,24 @@
+/*
+ * log_bins: bins whose bounds grow by a tenth, so that a quantile read
+ * from their counts has a bounded relative error (Masson, Rim and Lee,
+ * "DDSketch", VLDB 2019). Pure functions, any thread.
+ */
+#ifndef LIB_LOG_BINS_H
+#define LIB_LOG_BINS_H
+
+#include <stddef.h>
+
+#define LOG_BINS 160 /* covers a factor of 4 million */
+
+/* The bin of a value; those out of range go to the first or last bin.
+ * least is the upper bound of bin 0 and above 0. */
+size_t log_bin_of(double value, double least);
+
+/* A value in the middle of the bin, within 5 % of each of its values. */
+double log_bin_value(size_t bin, double least);
+
+/* The bin in which the running sum of weights reaches the share (0..1)
+ * of their total; 0 if there are none. */
+size_t log_bins_quantile(const double weights[LOG_BINS], double share);
+
+#endif
--- /dev/null
+++ b/src/lib/predict.c
@@ -0,0 +1,190 @@
+/*
+ * predict: run times of each class, learned from tasks that ended.
+ *
+ * Quantiles come from bins with a bounded relative error (log_bins.h)
+ * whose weights age: a task that ended n tasks ago counts
+ * exp(-n / WINDOW_TASKS). Where callers declare a run time, the ratio
+ * of real to declared is learned, for the class and for each power of
+ * two of the declared value, as small tasks are often misjudged
+ * otherwise than large ones. Three sources are mixed: the declared
+ * value itself (weight of a few tasks, so it soon stops mattering),
+ * the class's ratios, and those of the size.
+ *
+ * Memory: at most 18 kB a class.
+ */
+#include "chervilferry.h"
+
+#include <math.h>
+
+#include "lib/log_bins.h"
+
+#define SIZES 24 /* powers of two of a declared value in ms */
+static const double WINDOW_TASKS = 200;
+static const double RESCALE_AT = 1e9; /* weight of one task */
+static const double DECLARED_TASKS = 2; /* weight of the declared value */
+static const double CLASS_TASKS = 6; /* weight of the class's ratios */
+static const double LEAST_MS = 1;
+static const double LEAST_RATIO = 1e-3;
+static const uint32_t UNKNOWN_MS = 200; /* nothing declared or learned */
+
+struct bins {
+	double weights[LOG_BINS];
+	double total;
+	double step; /* weight of the next task */
+};
+
+struct class_times {
+	struct bins run_ms;
+	struct bins ratio;
+	struct bins *size_ratio[SIZES]; /* NULL until a task has the size */
+};
+
+struct cf_predict {
+	GHashTable *classes; /* name to struct class_times */
+};
+
+/* ---- Ageing bins ---------------------------------------------------- */
+
+static void rescale(struct bins *bins)
+{
+	for (size_t i = 0; i < LOG_BINS; i++)
+		bins->weights[i] /= bins->step;
+	bins->total /= bins->step;
+	bins->step = 1;
+}
+
+/* Later tasks weigh more, which ages the earlier ones at no cost. */
+static void bins_add(struct bins *bins, size_t bin)
+{
+	if (bins->step <= 0)
+		bins->step = 1;
+	bins->weights[bin] += bins->step;
+	bins->total += bins->step;
+	bins->step *= 1 + 1 / WINDOW_TASKS;
+	if (bins->step > RESCALE_AT)
+		rescale(bins);
+}
+
+/* Weight as a number of recent tasks. */
+static double bins_tasks(const struct bins *bins)
+{
+	return bins->step > 0 ? bins->total / bins->step : 0;
+}
+
+/* Adds bins to a mixture, as if they held this many tasks. */
+static void mix(double mixed[LOG_BINS], const struct bins *bins, double tasks)
+{
+	if (bins->total <= 0)
+		return;
+	for (size_t i = 0; i < LOG_BINS; i++)
+		mixed[i] += bins->weights[i] * tasks / bins->total;
+}
+
+/* ---- Classes -------------------------------------------------------- */
+
+static size_t size_of(uint32_t declared_ms)
+{
+	size_t size = g_bit_storage(declared_ms);
+
+	return MIN(size, (size_t)SIZES) - 1;
+}
+
+static void class_free(gpointer data)
+{
+	struct class_times *times = data;
+
+	for (size_t i = 0; i < SIZES; i++)
+		g_free(times->size_ratio[i]);
+	g_free(times);
+}
+
+static struct class_times *class_get(struct cf_predict *predict,
+				     const char *class_name)
+{
+	struct class_times *times =
+		g_hash_table_lookup(predict->classes, class_name);
+
+	if (times == NULL) {
+		times = g_new0(struct class_times, 1);
+		g_hash_table_insert(predict->classes, g_strdup(class_name),
+				    times);
+	}
+	return times;
+}
+
+struct cf_predict *cf_predict_create(void)
+{
+	struct cf_predict *predict = g_new0(struct cf_predict, 1);
+
+	predict->classes = g_hash_table_new_full(g_str_hash, g_str_equal,
+						 g_free, class_free);
+	return predict;
+}
+
+void cf_predict_destroy(struct cf_predict *predict)
+{
+	if (predict == NULL)
+		return;
+	g_hash_table_destroy(predict->classes);
+	g_free(predict);
+}
+
+void cf_predict_learn(struct cf_predict *predict, const char *class_name,
+		      uint32_t declared_ms, uint32_t run_ms)
+{
+	struct class_times *times = class_get(predict, class_name);
+	struct bins **sized;
+	size_t bin;
+
+	bins_add(&times->run_ms, log_bin_of(MAX(run_ms, 1U), LEAST_MS));
+	if (declared_ms == 0)
+		return;
+	bin = log_bin_of((double)MAX(run_ms, 1U) / declared_ms, LEAST_RATIO);
+	bins_add(&times->ratio, bin);
+	sized = &times->size_ratio[size_of(declared_ms)];
+	if (*sized == NULL)
+		*sized = g_new0(struct bins, 1);
+	bins_add(*sized, bin);
+}
+
+/* ---- Predictions ---------------------------------------------------- */
+
+static double predict_ratio(const struct class_times *times,
+			    uint32_t declared_ms, double share)
+{
+	const struct bins *sized = times->size_ratio[size_of(declared_ms)];
+	double mixed[LOG_BINS] = { 0 };
+	double class_tasks = MIN(CLASS_TASKS, bins_tasks(&times->ratio));
+	double declared_tasks =
+		MAX(0.0, DECLARED_TASKS - bins_tasks(&times->ratio) / 4);
+
+	mixed[log_bin_of(1, LEAST_RATIO)] += declared_tasks;
+	if (sized != NULL) {
+		double tasks = bins_tasks(sized);
+
+		/* the size's own tasks take the place of the class's */
+		class_tasks = MAX(0.0, class_tasks - tasks / 2);
+		mix(mixed, sized, tasks);
+	}
+	mix(mixed, &times->ratio, class_tasks);
+	return log_bin_value(log_bins_quantile(mixed, share), LEAST_RATIO);
+}
+
+uint32_t cf_predict_ms(const struct cf_predict *predict, const char *class_name,
+		       uint32_t declared_ms, uint32_t percentile_milli)
+{
+	const struct class_times *times =
+		g_hash_table_lookup(predict->classes, class_name);
+	double share = MIN(percentile_milli, 100000U) / 100000.0;
+	double ms;
+
+	if (times == NULL)
+		return declared_ms > 0 ? declared_ms : UNKNOWN_MS;
+	if (declared_ms > 0)
+		ms = declared_ms * predict_ratio(times, declared_ms, share);
+	else
+		ms = log_bin_value(
+			log_bins_quantile(times->run_ms.weights, share),
+			LEAST_MS);
+	return (uint32_t)CLAMP(round(ms), 1.0, 3600000.0);
+}
