place: earliest predicted finish, bound late, and three baselines

A task bound to a queue can't use a slot that comes free elsewhere, so it is bound only to a free slot or a wait below a quarter of its run time. Of agents about as good one is drawn by free slots, since several dispatchers with the same stale loads would all pick the single best.

--- /dev/null
+++ b/src/lib/place.c
@@ -0,0 +1,337 @@
+/*
+ * place: which agent runs a task, by earliest predicted finish.
+ *
+ * Tasks of a job go longest first (Graham, "Bounds on multiprocessing
+ * timing anomalies", 1969), each to the agent where it would end
+ * soonest. It is bound late: only to a free slot or a queue so short
+ * that the wait there is a small part of its run time; else it waits
+ * at the dispatcher, where it can still go anywhere. Loads are stale
+ * when several dispatchers place, so one of the agents that are about
+ * as good is drawn, by free slots; of many agents only a sample is
+ * looked at (Mitzenmacher, "The power of two choices", 2001).
+ */
+#include "chervilferry.h"
+
+#include <string.h>
+
+#include "lib/place_policy.h"
+
+static const uint32_t WAIT_PART = 4; /* wait there: below 1/4 of run time */
+static const double NEAR_PART = 1.0 / 32; /* as good: this part of run time */
+static const double NEAR_US = 200; /* as good: at least this much later */
+static const size_t SCAN_AGENTS = 64; /* with more, a sample is looked at */
+static const size_t SAMPLE_AGENTS = 32;
+
+struct finish_placer {
+	struct cf_placer placer; /* first member */
+	GRand *random;
+	uint32_t *candidates; /* positions of agents */
+	double *finish_us; /* of the candidates */
+	size_t n_room; /* of both arrays */
+};
+
+/* ---- What fits ------------------------------------------------------ */
+
+/* A capacity of 0 processors or memory is not counted. */
+static bool part_fits(uint32_t capacity, uint32_t used, uint32_t wanted)
+{
+	return capacity == 0 || (uint64_t)used + wanted <= capacity;
+}
+
+bool place_fits_empty(const struct cf_place_agent *agent,
+		      const struct cf_place_task *task)
+{
+	const struct cf_capacity *capacity = &agent->capacity;
+
+	return capacity->slots > 0 &&
+	       part_fits(capacity->cpu_milli, 0, task->cpu_milli) &&
+	       part_fits(capacity->memory_mb, 0, task->memory_mb) &&
+	       task->accelerators <= capacity->accelerators;
+}
+
+bool place_fits_now(const struct cf_place_agent *agent,
+		    const struct cf_place_task *task)
+{
+	const struct cf_capacity *capacity = &agent->capacity;
+	const struct cf_capacity *used = &agent->used;
+
+	return part_fits(capacity->connections, used->connections, 1) &&
+	       part_fits(capacity->cpu_milli, used->cpu_milli,
+			 task->cpu_milli) &&
+	       part_fits(capacity->memory_mb, used->memory_mb,
+			 task->memory_mb) &&
+	       (uint64_t)used->accelerators + task->accelerators <=
+		       MAX(capacity->accelerators, used->accelerators);
+}
+
+bool cf_place_ever_fits(const struct cf_place_agent *agents, size_t n_agents,
+			const struct cf_place_task *task)
+{
+	for (size_t i = 0; i < n_agents; i++) {
+		if (place_fits_empty(&agents[i], task))
+			return true;
+	}
+	return false;
+}
+
+/* ---- Taking a place ------------------------------------------------- */
+
+static double run_us(const struct cf_place_agent *agent,
+		     const struct cf_place_task *task)
+{
+	double slowness = agent->slowness > 0 ? agent->slowness : 1.0;
+
+	return task->predicted_ms * slowness * 1000;
+}
+
+void place_take(struct cf_place_agent *agents, uint32_t agent,
+		struct cf_place_task *task)
+{
+	struct cf_place_agent *taken = &agents[agent];
+
+	if (taken->used.slots < taken->capacity.slots)
+		taken->used.slots++;
+	else
+		taken->queued++;
+	taken->used.connections++;
+	taken->used.cpu_milli += task->cpu_milli;
+	taken->used.memory_mb += task->memory_mb;
+	taken->used.accelerators += task->accelerators;
+	taken->backlog_ms += (uint32_t)(run_us(taken, task) / 1000);
+	task->agent = agent;
+}
+
+/* ---- Earliest finish ------------------------------------------------ */
+
+/* Slots that its health lets it use; at least one while it gets any. */
+static uint32_t slots_allowed(const struct cf_place_agent *agent)
+{
+	uint64_t slots = agent->capacity.slots;
+
+	return (uint32_t)((slots * MIN(agent->weight_milli, 1000U) + 999) /
+			  1000);
+}
+
+static uint32_t slots_free(const struct cf_place_agent *agent)
+{
+	uint32_t allowed = slots_allowed(agent);
+	uint32_t taken = agent->used.slots + agent->queued;
+
+	return taken < allowed ? allowed - taken : 0;
+}
+
+static double wait_us(const struct cf_place_agent *agent)
+{
+	if (slots_free(agent) > 0)
+		return 0;
+	return agent->backlog_ms * 1000.0 / MAX(agent->capacity.slots, 1U);
+}
+
+static double finish_us(const struct cf_place_agent *agent,
+			const struct cf_place_task *task)
+{
+	return wait_us(agent) + run_us(agent, task) + 2.0 * agent->distance_us;
+}
+
+/* May the task be bound there now, or would it wait too long? */
+static bool bindable(const struct cf_place_agent *agent,
+		     const struct cf_place_task *task)
+{
+	if (!place_fits_now(agent, task))
+		return false;
+	if (slots_free(agent) > 0)
+		return true;
+	if (agent->weight_milli < 1000)
+		return false;
+	return agent->queued < agent->capacity.slots &&
+	       wait_us(agent) <= task->predicted_ms * 1000.0 / WAIT_PART;
+}
+
+static void make_room(struct finish_placer *finish, size_t n_agents)
+{
+	if (finish->n_room >= n_agents)
+		return;
+	finish->candidates = g_renew(uint32_t, finish->candidates, n_agents);
+	finish->finish_us = g_renew(double, finish->finish_us, n_agents);
+	finish->n_room = n_agents;
+}
+
+static size_t consider(struct finish_placer *finish,
+		       const struct cf_place_agent *agents, uint32_t agent,
+		       const struct cf_place_task *task, size_t n)
+{
+	const struct cf_place_agent *considered = &agents[agent];
+
+	if (!considered->usable || slots_allowed(considered) == 0 ||
+	    !place_fits_empty(considered, task))
+		return n;
+	finish->candidates[n] = agent;
+	finish->finish_us[n] = finish_us(considered, task);
+	return n + 1;
+}
+
+static size_t consider_all(struct finish_placer *finish,
+			   const struct cf_place_agent *agents, size_t n_agents,
+			   const struct cf_place_task *task)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < n_agents; i++)
+		n = consider(finish, agents, (uint32_t)i, task, n);
+	return n;
+}
+
+static size_t consider_sample(struct finish_placer *finish,
+			      const struct cf_place_agent *agents,
+			      size_t n_agents, const struct cf_place_task *task)
+{
+	size_t first =
+		(size_t)g_rand_int_range(finish->random, 0, (gint32)n_agents);
+	size_t stride = n_agents / SAMPLE_AGENTS;
+	size_t n = 0;
+
+	for (size_t i = 0; i < SAMPLE_AGENTS; i++) {
+		size_t agent = (first + i * stride) % n_agents;
+
+		n = consider(finish, agents, (uint32_t)agent, task, n);
+	}
+	return n;
+}
+
+/* Draws, by free slots, one that is bindable and about as good as the
+ * best. If the best can't be bound, waiting for it is better than a
+ * place that would end the task later: CF_PLACE_NONE. */
+static uint32_t draw(struct finish_placer *finish,
+		     const struct cf_place_agent *agents, size_t n,
+		     const struct cf_place_task *task)
+{
+	double limit = G_MAXDOUBLE;
+	uint32_t chosen = CF_PLACE_NONE;
+	double weight = 0;
+
+	for (size_t i = 0; i < n; i++)
+		limit = MIN(limit, finish->finish_us[i]);
+	limit += MAX(NEAR_US, task->predicted_ms * 1000.0 * NEAR_PART);
+	for (size_t i = 0; i < n; i++) {
+		const struct cf_place_agent *agent =
+			&agents[finish->candidates[i]];
+		double part = slots_free(agent) + 0.125;
+
+		if (finish->finish_us[i] > limit || !bindable(agent, task))
+			continue;
+		weight += part;
+		if (g_rand_double(finish->random) * weight < part)
+			chosen = finish->candidates[i];
+	}
+	return chosen;
+}
+
+static uint32_t choose(struct finish_placer *finish,
+		       const struct cf_place_agent *agents, size_t n_agents,
+		       const struct cf_place_task *task)
+{
+	uint32_t chosen = CF_PLACE_NONE;
+	size_t n;
+
+	if (n_agents > SCAN_AGENTS) {
+		n = consider_sample(finish, agents, n_agents, task);
+		chosen = draw(finish, agents, n, task);
+	}
+	if (chosen == CF_PLACE_NONE) {
+		n = consider_all(finish, agents, n_agents, task);
+		chosen = draw(finish, agents, n, task);
+	}
+	return chosen;
+}
+
+static gint by_length(gconstpointer a, gconstpointer b, gpointer data)
+{
+	const struct cf_place_task *tasks = data;
+	size_t left = *(const size_t *)a;
+	size_t right = *(const size_t *)b;
+
+	if (tasks[left].predicted_ms != tasks[right].predicted_ms)
+		return tasks[left].predicted_ms > tasks[right].predicted_ms ? -1
+									    : 1;
+	return left < right ? -1 : left > right;
+}
+
+static size_t finish_place(struct cf_placer *placer,
+			   struct cf_place_agent *agents, size_t n_agents,
+			   struct cf_place_task *tasks, size_t n_tasks)
+{
+	struct finish_placer *finish = (struct finish_placer *)placer;
+	size_t *order = g_new(size_t, n_tasks + 1);
+	size_t placed = 0;
+
+	make_room(finish, n_agents);
+	for (size_t i = 0; i < n_tasks; i++)
+		order[i] = i;
+	g_qsort_with_data(order, (gint)n_tasks, sizeof(*order), by_length,
+			  tasks);
+	for (size_t i = 0; i < n_tasks; i++) {
+		struct cf_place_task *task = &tasks[order[i]];
+		uint32_t agent = choose(finish, agents, n_agents, task);
+
+		task->agent = CF_PLACE_NONE;
+		if (agent == CF_PLACE_NONE)
+			continue;
+		place_take(agents, agent, task);
+		placed++;
+	}
+	g_free(order);
+	return placed;
+}
+
+static void finish_destroy(struct cf_placer *placer)
+{
+	struct finish_placer *finish = (struct finish_placer *)placer;
+
+	g_rand_free(finish->random);
+	g_free(finish->candidates);
+	g_free(finish->finish_us);
+	g_free(finish);
+}
+
+static const struct cf_placer_ops finish_ops = {
+	.name = "finish",
+	.place = finish_place,
+	.destroy = finish_destroy,
+};
+
+struct cf_placer *place_finish_create(uint64_t seed)
+{
+	struct finish_placer *finish = g_new0(struct finish_placer, 1);
+
+	finish->placer.ops = &finish_ops;
+	finish->random = g_rand_new_with_seed((guint32)(seed ^ (seed >> 32)));
+	return &finish->placer;
+}
+
+/* ---- Any policy ----------------------------------------------------- */
+
+struct cf_placer *cf_placer_create(const char *policy, uint64_t seed)
+{
+	if (strcmp(policy, "finish") == 0)
+		return place_finish_create(seed);
+	if (strcmp(policy, "random") == 0)
+		return place_random_create(seed);
+	if (strcmp(policy, "round-robin") == 0)
+		return place_round_robin_create();
+	if (strcmp(policy, "least") == 0)
+		return place_least_create(seed);
+	return NULL;
+}
+
+void cf_placer_destroy(struct cf_placer *placer)
+{
+	if (placer != NULL)
+		placer->ops->destroy(placer);
+}
+
+size_t cf_placer_place(struct cf_placer *placer, struct cf_place_agent *agents,
+		       size_t n_agents, struct cf_place_task *tasks,
+		       size_t n_tasks)
+{
+	return placer->ops->place(placer, agents, n_agents, tasks, n_tasks);
+}
