health: eject, probe and ramp backend servers

A server that fails tasks at once looks free and draws all work; it is ejected after five failures in a row, or half of its recent tasks, if the others don't fail alike. Ejections double, are capped to a part of the servers, and end over probation and a ramp of 4 s.

Slowness is the mean log ratio of run time to prediction beside the median of the others, so a wrong prediction makes none look slow.

--- /dev/null
+++ b/src/lib/health.c
@@ -0,0 +1,406 @@
+/*
+ * health: which backend servers get how much work.
+ *
+ * A server that fails tasks far beyond what the others fail is ejected
+ * for a time that doubles with each ejection, then gets one slot's work
+ * on probation, then ramps up (Envoy and Finagle call it outlier
+ * detection and slow start; the doubling is exponential backoff). The
+ * part ejected is capped: when many fail, the fault is the work or
+ * something they share. Slowness is learned beside the median of the
+ * others, so a wrong prediction, which hits all, makes none slow.
+ */
+#include "chervilferry.h"
+
+#include <math.h>
+#include <stdlib.h>
+
+static const uint32_t EJECT_FAILURES = 5; /* one after the other */
+static const double EJECT_RATE = 0.5; /* of recent tasks failed */
+static const double EJECT_RATE_TASKS = 10; /* recent tasks to judge by */
+static const double EJECT_MARGIN = 0.3; /* beyond the others' median */
+static const double RECENT = 0.95; /* a task counts this of the next one */
+static const int64_t EJECT_MS = 2000; /* first ejection */
+static const int64_t EJECT_MOST_MS = 60000;
+static const int64_t FORGIVE_MS = 60000; /* good for so long: one less */
+static const uint32_t PROBATION_TASKS = 5; /* that must go well */
+static const uint32_t PROBATION_WEIGHT = 100;
+static const uint32_t WARM_WEIGHT = 250; /* at the beginning */
+static const int64_t WARM_MS = 4000; /* until the full share */
+static const double SLOW_STEP = 0.1; /* weight of the newest task */
+static const uint32_t SLOW_TASKS = 5; /* to judge by */
+static const double SLOW_CLIP = 3.0; /* log of the greatest ratio counted */
+static const double SLOW_FORGET_MS = 30000; /* without a result */
+static const double SLOW_MOST = 20;
+
+struct server {
+	uint64_t agent;
+	enum cf_health_state state;
+	int64_t since_ms; /* of the state */
+	int64_t until_ms; /* EJECTED: its end */
+	uint32_t ejections; /* makes the next one longer */
+	int64_t forgiven_ms;
+	uint32_t failures; /* one after the other */
+	double recent; /* tasks, ageing */
+	double recent_failed;
+	uint32_t probation_good;
+	uint32_t results;
+	double log_ratio; /* run time beside predicted, ageing mean of log */
+	double slowness;
+	int64_t result_ms; /* when the last result came */
+};
+
+struct cf_health {
+	uint32_t eject_max_milli;
+	GHashTable *servers; /* agent to struct server */
+	bool changed;
+	int64_t ticked_ms;
+};
+
+/* ---- Servers -------------------------------------------------------- */
+
+struct cf_health *cf_health_create(uint32_t eject_max_milli)
+{
+	struct cf_health *health = g_new0(struct cf_health, 1);
+
+	health->eject_max_milli = MIN(eject_max_milli, 1000U);
+	health->servers = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						NULL, g_free);
+	return health;
+}
+
+void cf_health_destroy(struct cf_health *health)
+{
+	if (health == NULL)
+		return;
+	g_hash_table_destroy(health->servers);
+	g_free(health);
+}
+
+static struct server *find(const struct cf_health *health, uint64_t agent)
+{
+	return g_hash_table_lookup(health->servers, &agent);
+}
+
+static void enter(struct cf_health *health, struct server *server,
+		  enum cf_health_state state, int64_t now_ms)
+{
+	server->state = state;
+	server->since_ms = now_ms;
+	server->probation_good = 0;
+	health->changed = true;
+}
+
+void cf_health_join(struct cf_health *health, uint64_t agent, int64_t now_ms)
+{
+	struct server *server = find(health, agent);
+
+	if (server == NULL) {
+		server = g_new0(struct server, 1);
+		server->agent = agent;
+		server->slowness = 1.0;
+		server->forgiven_ms = now_ms;
+		server->result_ms = now_ms;
+		g_hash_table_insert(health->servers, &server->agent, server);
+	} else if (server->state == CF_HEALTH_EJECTED ||
+		   server->state == CF_HEALTH_PROBATION) {
+		return; /* joining again is no way around an ejection */
+	}
+	enter(health, server, CF_HEALTH_WARMING, now_ms);
+}
+
+void cf_health_leave(struct cf_health *health, uint64_t agent)
+{
+	g_hash_table_remove(health->servers, &agent);
+}
+
+void cf_health_sent(struct cf_health *health, uint64_t agent, uint32_t n_tasks,
+		    int64_t now_ms)
+{
+	struct server *server = find(health, agent);
+
+	/* a server that nothing was sent to for long is not judged by when
+	 * its last result came */
+	if (server != NULL && n_tasks > 0)
+		server->result_ms = MAX(server->result_ms, now_ms);
+}
+
+/* ---- Medians -------------------------------------------------------- */
+
+static int by_value(const void *a, const void *b)
+{
+	double left = *(const double *)a;
+	double right = *(const double *)b;
+
+	return left < right ? -1 : left > right;
+}
+
+static double failure_rate(const struct server *server)
+{
+	return server->recent > 0 ? server->recent_failed / server->recent : 0;
+}
+
+enum measure {
+	MEASURE_FAILURES,
+	MEASURE_LOG_RATIO,
+};
+
+/* Median over the servers but one; 0 if there are none. */
+static double median_of_others(const struct cf_health *health,
+			       const struct server *but, enum measure measure)
+{
+	double *values = g_new(double, g_hash_table_size(health->servers) + 1);
+	size_t n = 0;
+	double median = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, health->servers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct server *server = value;
+
+		if (server == but || server->results < SLOW_TASKS)
+			continue;
+		values[n++] = measure == MEASURE_FAILURES ? failure_rate(server)
+							  : server->log_ratio;
+	}
+	qsort(values, n, sizeof(*values), by_value);
+	if (n > 0)
+		median = (values[(n - 1) / 2] + values[n / 2]) / 2;
+	g_free(values);
+	return median;
+}
+
+static bool has_others(const struct cf_health *health, const struct server *but)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, health->servers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct server *server = value;
+
+		if (server != but && server->results >= SLOW_TASKS)
+			return true;
+	}
+	return false;
+}
+
+/* ---- Ejection ------------------------------------------------------- */
+
+/* One may always be ejected where there are others. */
+static bool may_eject(const struct cf_health *health)
+{
+	uint32_t n = g_hash_table_size(health->servers);
+	uint32_t most =
+		(uint32_t)((uint64_t)n * health->eject_max_milli / 1000);
+	uint32_t out = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	if (n < 2 || health->eject_max_milli == 0)
+		return false;
+	g_hash_table_iter_init(&iter, health->servers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct server *server = value;
+
+		out += server->state == CF_HEALTH_EJECTED ||
+		       server->state == CF_HEALTH_PROBATION;
+	}
+	return out < MAX(most, 1U);
+}
+
+static void eject(struct cf_health *health, struct server *server,
+		  int64_t now_ms)
+{
+	int64_t length_ms = EJECT_MS << MIN(server->ejections, 10U);
+
+	enter(health, server, CF_HEALTH_EJECTED, now_ms);
+	server->until_ms = now_ms + MIN(length_ms, EJECT_MOST_MS);
+	server->ejections++;
+	server->forgiven_ms = now_ms;
+	server->failures = 0;
+	server->recent = 0;
+	server->recent_failed = 0;
+}
+
+static bool is_failing(const struct cf_health *health,
+		       const struct server *server)
+{
+	double others;
+
+	if (server->failures < EJECT_FAILURES &&
+	    (server->recent < EJECT_RATE_TASKS * 0.75 ||
+	     failure_rate(server) < EJECT_RATE))
+		return false;
+	others = median_of_others(health, server, MEASURE_FAILURES);
+	return failure_rate(server) > others + EJECT_MARGIN;
+}
+
+static void count_failure(struct cf_health *health, struct server *server,
+			  bool ok, int64_t now_ms)
+{
+	server->recent = server->recent * RECENT + 1;
+	server->recent_failed = server->recent_failed * RECENT + (ok ? 0 : 1);
+	server->failures = ok ? 0 : server->failures + 1;
+	switch (server->state) {
+	case CF_HEALTH_EJECTED: /* sent before it was */
+		break;
+	case CF_HEALTH_PROBATION:
+		if (!ok)
+			eject(health, server, now_ms);
+		else if (++server->probation_good >= PROBATION_TASKS)
+			enter(health, server, CF_HEALTH_WARMING, now_ms);
+		break;
+	case CF_HEALTH_GOOD:
+	case CF_HEALTH_WARMING:
+		if (!ok && is_failing(health, server) && may_eject(health))
+			eject(health, server, now_ms);
+		break;
+	}
+}
+
+/* ---- Slowness ------------------------------------------------------- */
+
+static void learn_slowness(struct cf_health *health, struct server *server,
+			   uint32_t run_ms, uint32_t predicted_ms)
+{
+	double ratio = log(MAX(run_ms, 1U) / (double)MAX(predicted_ms, 1U));
+	double step = MAX(SLOW_STEP, 1.0 / (server->results + 1));
+	double slowness;
+
+	ratio = CLAMP(ratio, -SLOW_CLIP, SLOW_CLIP);
+	server->log_ratio += (ratio - server->log_ratio) * step;
+	server->results++;
+	if (server->results < SLOW_TASKS || !has_others(health, server))
+		return;
+	slowness = exp(server->log_ratio -
+		       median_of_others(health, server, MEASURE_LOG_RATIO));
+	server->slowness = CLAMP(slowness, 1 / SLOW_MOST, SLOW_MOST);
+}
+
+void cf_health_result(struct cf_health *health, uint64_t agent, bool ok,
+		      uint32_t run_ms, uint32_t predicted_ms, int64_t now_ms)
+{
+	struct server *server = find(health, agent);
+
+	if (server == NULL)
+		return;
+	server->result_ms = now_ms;
+	if (ok) /* a failure's run time says nothing about speed */
+		learn_slowness(health, server, run_ms, predicted_ms);
+	else
+		server->results++;
+	count_failure(health, server, ok, now_ms);
+}
+
+/* ---- Time ----------------------------------------------------------- */
+
+static void tick_state(struct cf_health *health, struct server *server,
+		       int64_t now_ms)
+{
+	if (server->state == CF_HEALTH_EJECTED && now_ms >= server->until_ms)
+		enter(health, server, CF_HEALTH_PROBATION, now_ms);
+	if (server->state == CF_HEALTH_WARMING &&
+	    now_ms >= server->since_ms + WARM_MS)
+		enter(health, server, CF_HEALTH_GOOD, now_ms);
+	if (server->state == CF_HEALTH_GOOD && server->ejections > 0 &&
+	    now_ms >= server->forgiven_ms + FORGIVE_MS) {
+		server->ejections--;
+		server->forgiven_ms = now_ms;
+	}
+}
+
+/* What is known of a server that gets no work grows old: it is tried
+ * again as its slowness nears 1. */
+static void tick_slowness(struct server *server, int64_t elapsed_ms,
+			  int64_t now_ms)
+{
+	double keep = exp(-(double)elapsed_ms / SLOW_FORGET_MS);
+
+	if (now_ms - server->result_ms < 1000)
+		return;
+	server->slowness = exp(log(server->slowness) * keep);
+}
+
+bool cf_health_tick(struct cf_health *health, int64_t now_ms)
+{
+	int64_t elapsed_ms = health->ticked_ms > 0 ? now_ms - health->ticked_ms
+						   : 0;
+	bool changed;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, health->servers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		tick_state(health, value, now_ms);
+		tick_slowness(value, elapsed_ms, now_ms);
+	}
+	health->ticked_ms = now_ms;
+	changed = health->changed;
+	health->changed = false;
+	return changed;
+}
+
+/* ---- What placement asks -------------------------------------------- */
+
+enum cf_health_state cf_health_state(const struct cf_health *health,
+				     uint64_t agent)
+{
+	const struct server *server = find(health, agent);
+
+	return server != NULL ? server->state : CF_HEALTH_GOOD;
+}
+
+static bool any_good(const struct cf_health *health)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, health->servers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct server *server = value;
+
+		if (server->state == CF_HEALTH_GOOD)
+			return true;
+	}
+	return false;
+}
+
+/* Warming up makes sense only beside servers that carry the load. */
+static uint32_t warm_weight(const struct cf_health *health,
+			    const struct server *server, int64_t now_ms)
+{
+	int64_t warmed_ms = CLAMP(now_ms - server->since_ms, 0, WARM_MS);
+
+	if (!any_good(health) && server->ejections == 0)
+		return 1000;
+	return WARM_WEIGHT +
+	       (uint32_t)((1000 - WARM_WEIGHT) * warmed_ms / WARM_MS);
+}
+
+uint32_t cf_health_weight_milli(const struct cf_health *health, uint64_t agent,
+				int64_t now_ms)
+{
+	const struct server *server = find(health, agent);
+
+	if (server == NULL)
+		return 1000;
+	switch (server->state) {
+	case CF_HEALTH_EJECTED:
+		return 0;
+	case CF_HEALTH_PROBATION:
+		return PROBATION_WEIGHT;
+	case CF_HEALTH_WARMING:
+		return warm_weight(health, server, now_ms);
+	case CF_HEALTH_GOOD:
+		break;
+	}
+	return 1000;
+}
+
+double cf_health_slowness(const struct cf_health *health, uint64_t agent)
+{
+	const struct server *server = find(health, agent);
+
+	return server != NULL ? server->slowness : 1.0;
+}
