Adopt keys at the gate by epoch, and tell forgotten tasks

An adopter now names its epoch in the query, and the gate takes only the newest epoch's owner (cf_gate_adopt); fencing the former owners by incarnation would have let two successive adopters both offer a task.

--- a/src/roles/agent_tasks.c
+++ b/src/roles/agent_tasks.c
@@ -248,6 +248,9 @@
 	case CF_TASK_FENCED:
 		end.outcome = CFW__TASK_OUTCOME__TASK_NOT_STARTED;
 		break;
+	case CF_TASK_FORGOTTEN:
+		end.outcome = CFW__TASK_OUTCOME__TASK_UNKNOWN;
+		break;
 	}
 	return end;
 }
@@ -432,18 +435,20 @@
 
 	if (!read_key(&query->key, &answer.key))
 		return;
+	/* Without an answer a former adopter cannot run anything. */
+	if (query->epoch &&
+	    !cf_gate_adopt(agent->gate, &answer.key,
+			   link_peer(link)->incarnation, query->epoch,
+			   clock_now_ms()))
+		return;
 	counter_add(agent->counters.queries, 1);
 	caller = agent_caller(agent, link_peer(link)->incarnation);
 	answer.results = g_ptr_array_new_with_free_func(free_result);
-	for (i = 0; i < query->n_fence_dispatchers; i++)
-		cf_gate_fence_dispatcher(agent->gate,
-					 query->fence_dispatchers[i],
-					 clock_now_ms());
 	if (!n) {
 		n = cf_gate_known(agent->gate, &answer.key, known,
 				  CF_JOB_TASKS_MAX);
 		indexes = known;
-		if (query->fence && !query->n_fence_dispatchers)
+		if (query->fence && !query->epoch)
 			cf_gate_seal(agent->gate, &answer.key, clock_now_ms());
 	}
 	for (i = 0; i < n; i++)
--- a/src/roles/dispatcher_adopt.c
+++ b/src/roles/dispatcher_adopt.c
@@ -127,8 +127,7 @@
 	query.key.data = j->key.bytes;
 	query.key.len = CF_KEY_SIZE;
 	query.fence = true;
-	query.fence_dispatchers = (uint64_t *)(void *)j->owners->data;
-	query.n_fence_dispatchers = j->owners->len;
+	query.epoch = j->epoch;
 	envelope.body_case = CFW__ENVELOPE__BODY_QUERY;
 	envelope.query = &query;
 	counter_add(d->counters.queries, 1);
