Add process and relay support for failure tests

Processes of a test run on a loopback address made from the test's process id, so tests that run at once never share a port and every address is known before anything starts. They are ended by id. The relay swallows bytes either way while connections stay open. Daemons can be told to advertise another address, as the relay and hosts with two addresses need.

--- a/src/base/settings_table.c
+++ b/src/base/settings_table.c
@@ -22,6 +22,7 @@
 	/* coordinator, dispatcher, agent */
 	{ "data-centre", SETTING_NAME, DAEMONS, false, 0, 0, NULL, "local", NULL, "data centre that this host stands in" },
 	{ "listen", SETTING_ADDRESS, DAEMONS, false, 0, 0, NULL, PORT_ANY_LOOPBACK, NULL, "ip:port for the other processes" },
+	{ "advertise", SETTING_ADDRESS, FOR_DISPATCHER | FOR_AGENT, false, 0, 0, NULL, NULL, NULL, "ip:port that other processes are told; none: that of listen" },
 	{ "admin", SETTING_ADDRESS, DAEMONS, false, 0, 0, NULL, PORT_ANY_LOOPBACK, NULL, "ip:port for health, metrics and operators" },
 	{ "heartbeat-ms", SETTING_NUMBER, DAEMONS | FOR_STANDALONE, false, 50, 10000, "ms", "500", NULL, "interval of heartbeats on a connection; three missed ones end it" },
 	{ "coordinators", SETTING_ADDRESSES, FOR_DISPATCHER | FOR_AGENT, true, 0, 0, NULL, NULL, NULL, "ip:port of the coordinators, comma-separated" },
--- a/src/roles/agent.c
+++ b/src/roles/agent.c
@@ -180,7 +180,7 @@
 	const struct settings *s = agent->settings;
 	static const struct session_handlers handlers = { on_config, on_roster,
 							  on_lease, on_fenced };
-	char *address = role_address(settings_text(s, "listen"), agent->port);
+	char *address = role_address(s, agent->port);
 	struct session_options options = {
 		.loop = agent->loop,
 		.hub = agent->hub,
--- a/src/roles/agent_tasks.c
+++ b/src/roles/agent_tasks.c
@@ -436,10 +436,9 @@
 	if (!read_key(&query->key, &answer.key))
 		return;
 	/* Without an answer a former adopter cannot run anything. */
-	if (query->epoch &&
-	    !cf_gate_adopt(agent->gate, &answer.key,
-			   link_peer(link)->incarnation, query->epoch,
-			   clock_now_ms()))
+	if (query->epoch && !cf_gate_adopt(agent->gate, &answer.key,
+					   link_peer(link)->incarnation,
+					   query->epoch, clock_now_ms()))
 		return;
 	counter_add(agent->counters.queries, 1);
 	caller = agent_caller(agent, link_peer(link)->incarnation);
--- a/src/roles/dispatcher.c
+++ b/src/roles/dispatcher.c
@@ -197,6 +197,8 @@
 	c->waiting = gauge_get("jobs_waiting", NULL,
 			       "Jobs with tasks that are not placed");
 	c->agents = gauge_get("agents_known", NULL, "Agents on the roster");
+	c->usable = gauge_get("agents_usable", NULL,
+			      "Agents that may be sent tasks just now");
 }
 
 static struct link_hub *open_hub(struct dispatcher *d, GError **error)
@@ -224,7 +226,7 @@
 	const struct settings *s = d->settings;
 	static const struct session_handlers handlers = { on_config, on_roster,
 							  on_lease, on_fenced };
-	char *address = role_address(settings_text(s, "listen"), d->port);
+	char *address = role_address(s, d->port);
 	struct session_options options = {
 		.loop = d->loop,
 		.hub = d->hub,
--- a/src/roles/dispatcher_agents.c
+++ b/src/roles/dispatcher_agents.c
@@ -61,16 +61,19 @@
 
 void agents_refresh_all(struct dispatcher *d)
 {
-	uint32_t slots = 0;
+	uint32_t slots = 0, usable = 0;
 	guint i;
 
 	for (i = 0; i < d->place_agents->len; i++) {
 		struct dagent *a = d->place_agents->pdata[i];
 
 		agents_refresh(d, a);
-		if (place_of(d, a)->usable)
-			slots += place_of(d, a)->capacity.slots;
+		if (!place_of(d, a)->usable)
+			continue;
+		usable++;
+		slots += place_of(d, a)->capacity.slots;
 	}
+	gauge_set(d->counters.usable, usable);
 	cf_admitter_set_capacity(d->admitter, slots, loop_now_ms(d->loop));
 }
 
--- a/src/roles/dispatcher_internal.h
+++ b/src/roles/dispatcher_internal.h
@@ -156,7 +156,7 @@
 	struct counter *jobs, *complete, *failed, *not_run, *resubmitted;
 	struct counter *claims, *forwards, *adoptions, *moves, *queries;
 	struct counter *cancels, *crossed, *forgotten, *tasks_sent;
-	struct counter *in_progress, *waiting, *agents;
+	struct counter *in_progress, *waiting, *agents, *usable;
 };
 
 struct dispatcher {
--- a/src/roles/role.c
+++ b/src/roles/role.c
@@ -10,11 +10,15 @@
 #include <string.h>
 #include <unistd.h>
 
-char *role_address(const char *listen, uint16_t port)
+char *role_address(const struct settings *settings, uint16_t port)
 {
-	const char *colon = strrchr(listen, ':');
+	const char *told = settings_text(settings, "advertise");
+	const char *own = settings_text(settings, "listen");
+	const char *colon = strrchr(own, ':');
 
-	return g_strdup_printf("%.*s:%u", (int)(colon - listen), listen, port);
+	if (told)
+		return g_strdup(told);
+	return g_strdup_printf("%.*s:%u", (int)(colon - own), own, port);
 }
 
 GQuark role_error_quark(void)
--- a/src/roles/role.h
+++ b/src/roles/role.h
@@ -35,8 +35,8 @@
 struct backend *backend_start(const struct settings *settings, GError **error);
 void backend_stop(struct backend *backend);
 
-/* "ip:port" of a listening address whose port was chosen; g_free it. */
-char *role_address(const char *listen, uint16_t port);
+/* Where others reach this process, with the port in use; g_free it. */
+char *role_address(const struct settings *settings, uint16_t port);
 GQuark role_error_quark(void);
 void role_set_error(GError **error, const char *what, int status); /* APR's */
 int role_fail(GError *error); /* logs it, gives the exit status */
--- /dev/null
+++ b/tests/support/cluster.c
@@ -0,0 +1,531 @@
+/*
+ * cluster: layout of processes, waiting and traces; see cluster.h.
+ */
+#include "cluster.h"
+
+#include "base/clock.h"
+#include "net/http_client.h"
+
+#include <glib/gstdio.h>
+#include <jansson.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+/* ---- Constants ---- */
+
+#define POLL_US 10000
+#define START_WAIT_MS 30000
+#define PORT_LISTEN 7001
+#define PORT_ADMIN 8001
+#define PORT_HTTP 9001
+#define HTTP_TIMEOUT_MS 2000
+
+/* ---- Layout ---- */
+
+static void own_address(char ip[20])
+{
+	/* Every process id has a loopback address of its own. */
+	unsigned int id = (unsigned int)getpid();
+
+	snprintf(ip, 20, "127.%u.%u.%u", 1 + (id >> 16) % 200, (id >> 8) & 255,
+		 1 + (id & 255) % 254);
+}
+
+struct proc *cluster_proc(struct cluster *c, const char *name)
+{
+	int i;
+
+	for (i = 0; i < c->n_procs; i++)
+		if (!strcmp(c->procs[i].name, name))
+			return &c->procs[i];
+	fail_msg("no process %s", name);
+	return NULL;
+}
+
+struct proc *cluster_add(struct cluster *c, const char *role, const char *name)
+{
+	struct proc *p = &c->procs[c->n_procs++];
+	char path[300];
+
+	assert_true(c->n_procs <= CLUSTER_PROCS_MAX);
+	g_strlcpy(p->name, name, sizeof(p->name));
+	g_strlcpy(p->role, role, sizeof(p->role));
+	snprintf(p->log, sizeof(p->log), "%s/%s.log", c->folder, name);
+	if (strcmp(role, "load") != 0)
+		proc_add(p, "--name", name);
+	snprintf(path, sizeof(path), "%s/%s.trace", c->folder, name);
+	proc_add(p, "--trace", path);
+	return p;
+}
+
+const char *cluster_address(struct cluster *c, const char *name,
+			    const char *interface)
+{
+	struct proc *p = cluster_proc(c, name);
+	char flag[40];
+	int i;
+
+	snprintf(flag, sizeof(flag), "--%s", interface);
+	for (i = 0; i + 1 < p->n_args; i += 2)
+		if (!strcmp(p->args[i], flag))
+			return p->args[i + 1];
+	fail_msg("%s has no %s", name, flag);
+	return NULL;
+}
+
+static void add_address(struct cluster *c, struct proc *p, const char *flag,
+			int port)
+{
+	char text[40];
+
+	snprintf(text, sizeof(text), "%s:%d", c->ip,
+		 port + (int)(p - c->procs));
+	proc_add(p, flag, text);
+}
+
+static void add_all(struct proc *p, const char *const *args)
+{
+	for (; args && args[0]; args += 2)
+		proc_set(p, args[0], args[1]);
+}
+
+static void add_place(struct proc *p, int i)
+{
+	char text[40];
+
+	snprintf(text, sizeof(text), "dc%d", i % 3 + 1);
+	proc_add(p, "--data-centre", text);
+}
+
+static char *member_list(struct cluster *c, int n, bool admin)
+{
+	GString *list = g_string_new(NULL);
+	char name[16];
+	int i;
+
+	for (i = 1; i <= n; i++) {
+		snprintf(name, sizeof(name), "c%d", i);
+		if (i > 1)
+			g_string_append_c(list, ',');
+		if (admin)
+			g_string_append_printf(
+				list, "%d=%s/%s", i,
+				cluster_address(c, name, "listen"),
+				cluster_address(c, name, "admin"));
+		else
+			g_string_append(list,
+					cluster_address(c, name, "listen"));
+	}
+	return g_string_free(list, FALSE);
+}
+
+static void lay_coordinators(struct cluster *c, const struct cluster_options *o)
+{
+	char text[300], *list;
+	int i;
+
+	for (i = 1; i <= o->coordinators; i++) {
+		struct proc *p;
+
+		snprintf(text, sizeof(text), "c%d", i);
+		p = cluster_add(c, "coordinator", text);
+		snprintf(text, sizeof(text), "%d", i);
+		proc_add(p, "--id", text);
+		snprintf(text, sizeof(text), "%s/%s", c->folder, p->name);
+		proc_add(p, "--data", text);
+		add_address(c, p, "--listen", PORT_LISTEN);
+		add_address(c, p, "--admin", PORT_ADMIN);
+		add_place(p, i - 1);
+	}
+	list = member_list(c, o->coordinators, true);
+	for (i = 0; i < o->coordinators; i++) {
+		proc_add(&c->procs[i], "--first-members", list);
+		add_all(&c->procs[i], o->coordinator_args);
+	}
+	g_free(list);
+}
+
+static void lay_dispatchers(struct cluster *c, const struct cluster_options *o,
+			    const char *coordinators)
+{
+	char text[40];
+	int i;
+
+	for (i = 1; i <= o->dispatchers; i++) {
+		struct proc *p;
+
+		snprintf(text, sizeof(text), "d%d", i);
+		p = cluster_add(c, "dispatcher", text);
+		proc_add(p, "--coordinators", coordinators);
+		add_address(c, p, "--listen", PORT_LISTEN);
+		add_address(c, p, "--admin", PORT_ADMIN);
+		add_address(c, p, "--http", PORT_HTTP);
+		add_place(p, i - 1);
+		add_all(p, o->dispatcher_args);
+	}
+}
+
+static void lay_agents(struct cluster *c, const struct cluster_options *o,
+		       const char *coordinators)
+{
+	char text[40];
+	int i;
+
+	for (i = 1; i <= o->agents; i++) {
+		struct proc *p;
+
+		snprintf(text, sizeof(text), "a%d", i);
+		p = cluster_add(c, "agent", text);
+		proc_add(p, "--coordinators", coordinators);
+		add_address(c, p, "--listen", PORT_LISTEN);
+		add_address(c, p, "--admin", PORT_ADMIN);
+		add_address(c, p, "--backend-listen", PORT_HTTP);
+		add_place(p, i - 1);
+		snprintf(text, sizeof(text), "rack%d", (i - 1) / 3 + 1);
+		proc_add(p, "--rack", text);
+		add_all(p, o->agent_args);
+		snprintf(text, sizeof(text), "b%d", i);
+		p = cluster_add(c, "backend", text);
+		add_address(c, p, "--serve", PORT_HTTP);
+		snprintf(text, sizeof(text), "a%d", i);
+		proc_add(p, "--agent",
+			 cluster_address(c, text, "backend-listen"));
+		snprintf(text, sizeof(text), "%d", o->slots ? o->slots : 8);
+		proc_add(p, "--slots", text);
+		add_all(p, o->backend_args);
+	}
+}
+
+struct cluster *cluster_create(const struct cluster_options *options)
+{
+	struct cluster *c = g_new0(struct cluster, 1);
+	char *folder = g_dir_make_tmp("chervilferry-test-XXXXXX", NULL);
+	char *coordinators;
+
+	assert_non_null(folder);
+	g_strlcpy(c->folder, folder, sizeof(c->folder));
+	g_free(folder);
+	own_address(c->ip);
+	c->n_coordinators = options->coordinators;
+	c->n_dispatchers = options->dispatchers;
+	c->n_agents = options->agents;
+	lay_coordinators(c, options);
+	coordinators = member_list(c, options->coordinators, false);
+	lay_dispatchers(c, options, coordinators);
+	lay_agents(c, options, coordinators);
+	g_free(coordinators);
+	return c;
+}
+
+/* ---- Waiting ---- */
+
+bool cluster_wait(struct cluster *c, bool (*done)(struct cluster *c, void *arg),
+		  void *arg, int64_t wait_ms)
+{
+	int64_t end_ms = clock_now_ms() + wait_ms;
+
+	while (!done(c, arg)) {
+		if (clock_now_ms() >= end_ms)
+			return false;
+		g_usleep(POLL_US);
+	}
+	return true;
+}
+
+uint32_t cluster_http(const char *address, const char *method, const char *path,
+		      const char *key, const char *body, char **answer,
+		      int64_t timeout_ms)
+{
+	char *url = g_strdup_printf("http://%s%s", address, path);
+	char header[80];
+	const char *headers[] = { key ? header : NULL, NULL };
+	struct http_call call = {
+		.method = method,
+		.url = url,
+		.body = body,
+		.size_bytes = body ? strlen(body) : 0,
+		.headers = headers,
+		.timeout_ms = timeout_ms,
+	};
+	struct http_answer got = { 0 };
+
+	snprintf(header, sizeof(header), "Idempotency-Key: %s", key ? key : "");
+	http_call_now(&call, &got);
+	g_free(url);
+	if (answer)
+		*answer = got.body ? g_strndup(got.body, got.size_bytes) : NULL;
+	g_free((void *)got.body);
+	return got.result == HTTP_OK ? got.status : 0;
+}
+
+bool cluster_ready(struct cluster *c, const char *name)
+{
+	return cluster_http(cluster_address(c, name, "admin"), "GET", "/readyz",
+			    NULL, NULL, NULL, HTTP_TIMEOUT_MS) == 200;
+}
+
+static bool is_ready(struct cluster *c, void *name)
+{
+	return cluster_ready(c, name);
+}
+
+void cluster_wait_ready(struct cluster *c, const char *name, int64_t wait_ms)
+{
+	if (!cluster_wait(c, is_ready, (void *)name, wait_ms))
+		fail_msg("%s is not ready after %d ms", name, (int)wait_ms);
+}
+
+const char *cluster_leader(struct cluster *c)
+{
+	int i;
+
+	for (i = 0; i < c->n_coordinators; i++) {
+		struct proc *p = &c->procs[i];
+		char *answer = NULL;
+		json_t *root;
+		bool leads;
+
+		if (!p->pid)
+			continue;
+		cluster_http(cluster_address(c, p->name, "admin"), "GET",
+			     "/v1/status", NULL, NULL, &answer, 500);
+		root = json_loads(answer ? answer : "", 0, NULL);
+		leads = json_is_true(json_object_get(root, "is_leader"));
+		json_decref(root);
+		g_free(answer);
+		if (leads)
+			return p->name;
+	}
+	return NULL;
+}
+
+int64_t cluster_metric(struct cluster *c, const char *name, const char *metric)
+{
+	char *text = NULL, *line;
+	int64_t value = 0;
+	char *start = g_strdup_printf("\n%s ", metric);
+
+	cluster_http(cluster_address(c, name, "admin"), "GET", "/metrics", NULL,
+		     NULL, &text, HTTP_TIMEOUT_MS);
+	line = text ? strstr(text, start) : NULL;
+	if (line)
+		value = g_ascii_strtoll(line + strlen(start), NULL, 10);
+	g_free(text);
+	g_free(start);
+	return value;
+}
+
+/* ---- Jobs and changes ---- */
+
+char *cluster_job_body(const char *class_name, int n, int run_ms,
+		       int deadline_ms)
+{
+	GString *body = g_string_new(NULL);
+	int i;
+
+	g_string_printf(body,
+			"{\"class\":\"%s\",\"deadline_ms\":%d,\"tasks\":[",
+			class_name, deadline_ms);
+	for (i = 0; i < n; i++)
+		g_string_append_printf(
+			body, "%s{\"payload\":{\"run_ms\":%d,\"echo\":\"%d\"}}",
+			i ? "," : "", run_ms, i);
+	g_string_append(body, "]}");
+	return g_string_free(body, FALSE);
+}
+
+void cluster_key(struct cf_key *key, char text[CF_KEY_TEXT_SIZE])
+{
+	cf_key_make(key, clock_wall_ms(), clock_random(), clock_random());
+	cf_key_format(key, text);
+}
+
+static bool try_command(struct cluster *c, const char *body, uint64_t *revision)
+{
+	int i;
+
+	for (i = 0; i < c->n_coordinators; i++) {
+		char *answer = NULL;
+		json_t *root;
+		uint32_t status;
+
+		if (!c->procs[i].pid)
+			continue;
+		status = cluster_http(
+			cluster_address(c, c->procs[i].name, "admin"), "POST",
+			"/v1/commands", NULL, body, &answer, HTTP_TIMEOUT_MS);
+		root = json_loads(answer ? answer : "", 0, NULL);
+		if (revision)
+			*revision = (uint64_t)json_integer_value(
+				json_object_get(root, "revision"));
+		json_decref(root);
+		g_free(answer);
+		if (status == 200)
+			return true;
+	}
+	return false;
+}
+
+bool cluster_command(struct cluster *c, const char *change, uint64_t *revision)
+{
+	int64_t end_ms = clock_now_ms() + START_WAIT_MS;
+	char *body = g_strdup_printf("{\"command_id\":\"%016" G_GINT64_MODIFIER
+				     "x%016" G_GINT64_MODIFIER
+				     "x\",\"base_revision\":0,\"change\":%s}",
+				     clock_random(), clock_random(), change);
+	bool done;
+
+	while (!(done = try_command(c, body, revision)) &&
+	       clock_now_ms() < end_ms)
+		g_usleep(POLL_US);
+	g_free(body);
+	return done;
+}
+
+bool cluster_data_centre(struct cluster *c, const char *name, bool in)
+{
+	char change[160];
+
+	snprintf(change, sizeof(change),
+		 "{\"data_centre_set\":{\"name\":\"%s\",\"in_service\":%s}}",
+		 name, in ? "true" : "false");
+	return cluster_command(c, change, NULL);
+}
+
+static bool agents_known(struct cluster *c, void *name)
+{
+	return cluster_metric(c, name, "chervilferry_agents_usable") >=
+	       c->n_agents;
+}
+
+void cluster_start(struct cluster *c)
+{
+	int i;
+
+	for (i = 0; i < c->n_procs; i++)
+		proc_start(c, &c->procs[i]);
+	assert_true(cluster_command(
+		c,
+		"{\"class_set\":{\"name\":\"default\",\"target_ms\":1000,"
+		"\"percentile_milli\":95000,\"idempotent\":false}}",
+		NULL));
+	for (i = 0; i < c->n_procs; i++) {
+		struct proc *p = &c->procs[i];
+
+		if (!strcmp(p->role, "dispatcher")) {
+			cluster_wait_ready(c, p->name, START_WAIT_MS);
+			if (!cluster_wait(c, agents_known, p->name,
+					  START_WAIT_MS))
+				fail_msg("%s does not know all agents",
+					 p->name);
+		}
+	}
+}
+
+/* ---- Load ---- */
+
+struct proc *cluster_load(struct cluster *c, const char *const *args)
+{
+	GString *list = g_string_new(NULL);
+	char name[16];
+	struct proc *p;
+	int i;
+
+	snprintf(name, sizeof(name), "load%d", c->n_procs);
+	p = cluster_add(c, "load", name);
+	for (i = 0; i < c->n_procs; i++)
+		if (!strcmp(c->procs[i].role, "dispatcher"))
+			g_string_append_printf(
+				list, "%s%s", list->len ? "," : "",
+				cluster_address(c, c->procs[i].name, "http"));
+	proc_add(p, "--dispatchers", list->str);
+	proc_add(p, "--json", "true");
+	add_all(p, args);
+	g_string_free(list, TRUE);
+	proc_start(c, p);
+	return p;
+}
+
+int64_t cluster_load_field(struct proc *load, const char *field)
+{
+	char *text = NULL, *start;
+	json_t *root;
+	int64_t value = -1;
+
+	if (!g_file_get_contents(load->log, &text, NULL, NULL))
+		return -1;
+	start = strchr(text, '{');
+	root = json_loads(start ? start : "", JSON_DISABLE_EOF_CHECK, NULL);
+	if (json_is_integer(json_object_get(root, field)))
+		value = json_integer_value(json_object_get(root, field));
+	json_decref(root);
+	g_free(text);
+	return value;
+}
+
+/* ---- Traces ---- */
+
+static void add_trace(struct cf_trace *trace, const char *path)
+{
+	FILE *file = fopen(path, "r");
+	char *line = NULL;
+	size_t size = 0;
+	uint64_t number = 0;
+	ssize_t got;
+
+	while (file && (got = getline(&line, &size, file)) > 0) {
+		GError *error = NULL;
+
+		/* A killed process leaves half a line at the end. */
+		if (line[got - 1] != '\n')
+			break;
+		line[got - 1] = '\0';
+		if (!cf_trace_add(trace, path, ++number, line, &error)) {
+			fprintf(stderr, "%s\n", error->message);
+			g_clear_error(&error);
+		}
+	}
+	free(line);
+	if (file)
+		fclose(file);
+}
+
+size_t cluster_check(struct cluster *c, struct cf_trace_summary *summary)
+{
+	struct cf_trace_summary own;
+	struct cf_trace_fault faults[20];
+	struct cf_trace *trace = cf_trace_create();
+	GDir *dir = g_dir_open(c->folder, 0, NULL);
+	const char *name;
+	size_t n, i;
+
+	if (!summary)
+		summary = &own;
+	while ((name = g_dir_read_name(dir))) {
+		char path[600];
+
+		snprintf(path, sizeof(path), "%s/%s", c->folder, name);
+		if (g_str_has_suffix(name, ".trace"))
+			add_trace(trace, path);
+	}
+	g_dir_close(dir);
+	n = cf_trace_check(trace, summary, faults, 20);
+	for (i = 0; i < n && i < 20; i++)
+		fprintf(stderr, "broken: %s: %s:%u: %s\n", faults[i].promise,
+			faults[i].file, (unsigned int)faults[i].line,
+			faults[i].message);
+	fprintf(stderr,
+		"count: events=%u starts=%u doubles=%u answers=%u complete=%u "
+		"not_run=%u unknown=%u broken=%u\n",
+		(unsigned int)summary->events, (unsigned int)summary->starts,
+		(unsigned int)summary->doubles, (unsigned int)summary->answers,
+		(unsigned int)summary->complete, (unsigned int)summary->not_run,
+		(unsigned int)summary->unknown, (unsigned int)n);
+	cf_trace_destroy(trace);
+	return n;
+}
--- /dev/null
+++ b/tests/support/proc.c
@@ -0,0 +1,178 @@
+/*
+ * proc: one process of a cluster, by its id; see cluster.h.
+ */
+#include "cluster.h"
+
+#include "base/clock.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <glib/gstdio.h>
+#include <setjmp.h>
+#include <signal.h>
+#include <spawn.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+/* ---- Constants ---- */
+
+#define STOP_WAIT_MS 60000
+#define POLL_US 5000
+
+extern char **environ;
+
+/* ---- Arguments ---- */
+
+void proc_add(struct proc *p, const char *flag, const char *value)
+{
+	assert_true(p->n_args + 3 < (int)G_N_ELEMENTS(p->args));
+	p->args[p->n_args++] = g_strdup(flag);
+	p->args[p->n_args++] = g_strdup(value);
+}
+
+void proc_set(struct proc *p, const char *flag, const char *value)
+{
+	int i;
+
+	for (i = 0; i + 1 < p->n_args; i += 2) {
+		if (strcmp(p->args[i], flag) != 0)
+			continue;
+		g_free(p->args[i + 1]);
+		p->args[i + 1] = g_strdup(value);
+		return;
+	}
+	proc_add(p, flag, value);
+}
+
+/* "--flag value" pairs become "--flag=value"; switches lose "true". */
+static void fill_argv(struct proc *p, char **argv)
+{
+	const char *binary = getenv("CHERVILFERRY_BINARY");
+	int i, n = 0;
+
+	argv[n++] = g_strdup(binary ? binary : "build/chervilferry");
+	argv[n++] = g_strdup(p->role);
+	for (i = 0; i + 1 < p->n_args; i += 2)
+		argv[n++] = strcmp(p->args[i + 1], "true")
+				    ? g_strdup_printf("%s=%s", p->args[i],
+						      p->args[i + 1])
+				    : g_strdup(p->args[i]);
+	argv[n] = NULL;
+}
+
+/* ---- Life ---- */
+
+void proc_start(struct cluster *c, struct proc *p)
+{
+	posix_spawn_file_actions_t actions;
+	char *argv[64];
+	int i, status;
+
+	(void)c;
+	assert_int_equal(p->pid, 0);
+	fill_argv(p, argv);
+	posix_spawn_file_actions_init(&actions);
+	posix_spawn_file_actions_addopen(&actions, 0, "/dev/null", O_RDONLY, 0);
+	posix_spawn_file_actions_addopen(&actions, 1, p->log,
+					 O_WRONLY | O_CREAT | O_APPEND, 0600);
+	posix_spawn_file_actions_adddup2(&actions, 1, 2);
+	status = posix_spawn(&p->pid, argv[0], &actions, NULL, argv, environ);
+	posix_spawn_file_actions_destroy(&actions);
+	for (i = 0; argv[i]; i++)
+		g_free(argv[i]);
+	if (status)
+		fail_msg("%s: %s", p->name, strerror(status));
+	p->starts++;
+}
+
+int proc_wait(struct proc *p, int64_t wait_ms)
+{
+	int64_t end_ms = clock_now_ms() + wait_ms;
+	int status;
+
+	while (p->pid) {
+		if (waitpid(p->pid, &status, WNOHANG) == p->pid) {
+			p->pid = 0;
+			return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+		}
+		if (clock_now_ms() >= end_ms)
+			return -1;
+		g_usleep(POLL_US);
+	}
+	return -1;
+}
+
+void proc_kill(struct proc *p)
+{
+	if (!p->pid)
+		return;
+	kill(p->pid, SIGKILL);
+	proc_wait(p, STOP_WAIT_MS);
+}
+
+void proc_term(struct proc *p)
+{
+	if (p->pid)
+		kill(p->pid, SIGTERM);
+}
+
+int proc_stop(struct proc *p)
+{
+	proc_term(p);
+	return proc_wait(p, STOP_WAIT_MS);
+}
+
+void proc_freeze(struct proc *p)
+{
+	if (p->pid)
+		kill(p->pid, SIGSTOP);
+}
+
+void proc_thaw(struct proc *p)
+{
+	if (p->pid)
+		kill(p->pid, SIGCONT);
+}
+
+bool proc_running(struct proc *p)
+{
+	return p->pid && proc_wait(p, 0) == -1 && p->pid;
+}
+
+/* ---- End ---- */
+
+static void remove_tree(const char *path)
+{
+	GDir *dir = g_dir_open(path, 0, NULL);
+	const char *name;
+
+	while (dir && (name = g_dir_read_name(dir))) {
+		char *inner = g_build_filename(path, name, NULL);
+
+		remove_tree(inner);
+		g_free(inner);
+	}
+	if (dir)
+		g_dir_close(dir);
+	g_remove(path);
+}
+
+void cluster_destroy(struct cluster *c)
+{
+	int i, k;
+
+	for (i = 0; i < c->n_procs; i++) {
+		proc_kill(&c->procs[i]);
+		for (k = 0; k < c->procs[i].n_args; k++)
+			g_free(c->procs[i].args[k]);
+	}
+	if (!getenv("CHERVILFERRY_KEEP"))
+		remove_tree(c->folder);
+	g_free(c);
+}
--- /dev/null
+++ b/tests/support/relay.c
@@ -0,0 +1,213 @@
+/*
+ * relay: see relay.h.
+ */
+#include "relay.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <glib.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+/* ---- Constants ---- */
+
+#define PAIRS_MAX 256
+#define POLL_MS 10
+#define BUFFER_BYTES 65536
+
+/* ---- Types ---- */
+
+struct pair {
+	int caller, target; /* sockets, blocking writes */
+	int silent; /* enum relay_way, for good */
+};
+
+struct relay {
+	int listener;
+	struct sockaddr_in target;
+	GThread *thread;
+	gint stop, silent_all, silence_open; /* atomic */
+	gint accepted; /* atomic */
+	struct pair pairs[PAIRS_MAX];
+	int n_pairs;
+};
+
+/* ---- Sockets ---- */
+
+static struct sockaddr_in read_address(const char *text)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET };
+	char ip[32];
+	const char *colon = strrchr(text, ':');
+
+	g_strlcpy(ip, text, MIN(sizeof(ip), (size_t)(colon - text) + 1));
+	assert_int_equal(inet_pton(AF_INET, ip, &address.sin_addr), 1);
+	address.sin_port = htons((uint16_t)atoi(colon + 1));
+	return address;
+}
+
+static void set_no_delay(int fd)
+{
+	int on = 1;
+
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+}
+
+static void accept_pair(struct relay *r)
+{
+	struct pair *p = &r->pairs[r->n_pairs];
+	int fd = accept(r->listener, NULL, NULL);
+
+	if (fd < 0)
+		return;
+	p->caller = fd;
+	p->target = socket(AF_INET, SOCK_STREAM, 0);
+	p->silent = 0;
+	if (r->n_pairs == PAIRS_MAX ||
+	    connect(p->target, (struct sockaddr *)&r->target,
+		    sizeof(r->target))) {
+		close(p->caller);
+		close(p->target);
+		return;
+	}
+	set_no_delay(p->caller);
+	set_no_delay(p->target);
+	r->n_pairs++;
+	g_atomic_int_inc(&r->accepted);
+}
+
+static void close_pair(struct relay *r, int i)
+{
+	close(r->pairs[i].caller);
+	close(r->pairs[i].target);
+	r->pairs[i] = r->pairs[--r->n_pairs];
+}
+
+/* ---- Passing on ---- */
+
+static bool write_all(int fd, const char *data, ssize_t size)
+{
+	while (size > 0) {
+		ssize_t n = send(fd, data, (size_t)size, MSG_NOSIGNAL);
+
+		if (n < 0)
+			return false;
+		data += n;
+		size -= n;
+	}
+	return true;
+}
+
+/* Returns false when the pair is to be closed. */
+static bool pass(struct relay *r, struct pair *p, int from, int to, int way)
+{
+	char buffer[BUFFER_BYTES];
+	int silent = p->silent | g_atomic_int_get(&r->silent_all);
+	ssize_t n = recv(from, buffer, sizeof(buffer), MSG_DONTWAIT);
+
+	if (n < 0)
+		return errno == EAGAIN || errno == EINTR;
+	/* A silent pair does not pass the end on either. */
+	if (silent & way)
+		return n > 0;
+	return n > 0 && write_all(to, buffer, n);
+}
+
+static void serve(struct relay *r, const struct pollfd *polls, int n)
+{
+	int i;
+
+	for (i = n - 1; i >= 0; i--) {
+		struct pair *p = &r->pairs[i];
+		bool ok = true;
+
+		if (polls[1 + 2 * i].revents)
+			ok = pass(r, p, p->caller, p->target, RELAY_TO_TARGET);
+		if (ok && polls[2 + 2 * i].revents)
+			ok = pass(r, p, p->target, p->caller,
+				  RELAY_FROM_TARGET);
+		if (!ok)
+			close_pair(r, i);
+	}
+}
+
+static gpointer run(gpointer data)
+{
+	struct relay *r = data;
+	struct pollfd polls[1 + 2 * PAIRS_MAX];
+	int i, n, way;
+
+	while (!g_atomic_int_get(&r->stop)) {
+		way = g_atomic_int_and((guint *)&r->silence_open, 0);
+		n = r->n_pairs;
+		polls[0] = (struct pollfd){ r->listener, POLLIN, 0 };
+		for (i = 0; i < n; i++) {
+			r->pairs[i].silent |= way;
+			polls[1 + 2 * i] = (struct pollfd){ r->pairs[i].caller,
+							    POLLIN, 0 };
+			polls[2 + 2 * i] = (struct pollfd){ r->pairs[i].target,
+							    POLLIN, 0 };
+		}
+		if (poll(polls, (nfds_t)(1 + 2 * n), POLL_MS) <= 0)
+			continue;
+		serve(r, polls, n);
+		if (polls[0].revents)
+			accept_pair(r);
+	}
+	return NULL;
+}
+
+/* ---- Public functions ---- */
+
+struct relay *relay_create(const char *listen_at, const char *target)
+{
+	struct relay *r = g_new0(struct relay, 1);
+	struct sockaddr_in own = read_address(listen_at);
+	int on = 1;
+
+	r->target = read_address(target);
+	r->listener = socket(AF_INET, SOCK_STREAM, 0);
+	setsockopt(r->listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	if (bind(r->listener, (struct sockaddr *)&own, sizeof(own)) ||
+	    listen(r->listener, 64))
+		fail_msg("relay at %s: %s", listen_at, strerror(errno));
+	fcntl(r->listener, F_SETFL, O_NONBLOCK);
+	r->thread = g_thread_new("relay", run, r);
+	return r;
+}
+
+void relay_destroy(struct relay *r)
+{
+	g_atomic_int_set(&r->stop, 1);
+	g_thread_join(r->thread);
+	while (r->n_pairs)
+		close_pair(r, 0);
+	close(r->listener);
+	g_free(r);
+}
+
+void relay_silence_open(struct relay *r, enum relay_way way)
+{
+	g_atomic_int_or((guint *)&r->silence_open, (guint)way);
+}
+
+void relay_silence_all(struct relay *r, enum relay_way way)
+{
+	g_atomic_int_set(&r->silent_all, (gint)way);
+}
+
+uint64_t relay_accepted(const struct relay *r)
+{
+	return (uint64_t)g_atomic_int_get(&r->accepted);
+}
--- /dev/null
+++ b/tests/support/relay.h
@@ -0,0 +1,29 @@
+/*
+ * relay: a TCP relay between two processes of a test, on a thread of
+ * its own, that can go silent: it then swallows what comes and keeps the
+ * connections open, as equipment does that has lost track of them.
+ */
+#ifndef SUPPORT_RELAY_H
+#define SUPPORT_RELAY_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+struct relay;
+
+enum relay_way {
+	RELAY_NONE = 0,
+	RELAY_TO_TARGET = 1, /* swallow what callers send */
+	RELAY_FROM_TARGET = 2, /* swallow what the target sends */
+	RELAY_BOTH = 3,
+};
+
+struct relay *relay_create(const char *listen, const char *target);
+void relay_destroy(struct relay *relay);
+void relay_silence_open(struct relay *relay,
+			enum relay_way way); /* those there are, for good */
+void relay_silence_all(struct relay *relay,
+		       enum relay_way way); /* these and new ones, until NONE */
+uint64_t relay_accepted(const struct relay *relay); /* connections so far */
+
+#endif
