--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 
 WARN = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
 	-Wmissing-prototypes -Wpointer-arith -Wvla -Wformat=2
-CFLAGS_ALL = -std=gnu11 $(OPT) $(WARN) -Iinclude -Isrc -pthread \
+CFLAGS_ALL = -std=gnu11 $(OPT) $(WARN) -Iinclude -Isrc -Itests -pthread \
 	-DCF_VERSION='"$(VERSION)"' $(CFLAGS)
 LDFLAGS_ALL = -pthread $(LDFLAGS)
 ifneq ($(SAN),)
--- a/src/net/http_private.h
+++ b/src/net/http_private.h
@@ -33,6 +33,7 @@
 	GMutex lock; /* of what follows and the requests' state */
 	GHashTable *requests; /* handed to the handler, unanswered */
 	bool destroying;
+	GCond completed; /* a request ended */
 };
 
 struct http_request {
--- a/src/net/http_request.c
+++ b/src/net/http_request.c
@@ -320,9 +320,10 @@
 	*context = NULL;
 	if (!request)
 		return;
+	g_mutex_lock(&server->lock);
 	if (request->handed_over)
 		atomic_fetch_sub(&server->open_requests, 1);
-	g_mutex_lock(&server->lock);
+	g_cond_signal(&server->completed);
 	request->detached = true;
 	http_gone_remove(server->gone, request->gone_id);
 	request->gone_id = 0;
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -19,6 +19,7 @@
 #define LISTEN_BACKLOG 1024
 /* Connections above the limit that are let in to be told so. */
 #define EXCESS_MIN 64
+#define DRAIN_US 2000000 /* for callers to read their last answers */
 
 /* ---- Holding ---- */
 
@@ -35,6 +36,7 @@
 	http_gone_destroy(server->gone);
 	g_hash_table_destroy(server->requests);
 	g_mutex_clear(&server->lock);
+	g_cond_clear(&server->completed);
 	g_free(server);
 }
 
@@ -90,9 +92,9 @@
 		(size_t)CONNECTION_MEMORY_BYTES, MHD_OPTION_LISTEN_BACKLOG_SIZE,
 		(unsigned int)LISTEN_BACKLOG,
 		MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
-		MHD_OPTION_NOTIFY_COMPLETED, http_request_completed, server,
-		MHD_OPTION_NOTIFY_CONNECTION, on_connection, server,
-		MHD_OPTION_END);
+		MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_NOTIFY_COMPLETED,
+		http_request_completed, server, MHD_OPTION_NOTIFY_CONNECTION,
+		on_connection, server, MHD_OPTION_END);
 }
 
 static uint16_t bound_port(struct http_server *server)
@@ -132,6 +134,7 @@
 	server->quiesced_listener = -1;
 	atomic_store(&server->holders, 1);
 	g_mutex_init(&server->lock);
+	g_cond_init(&server->completed);
 	server->requests = g_hash_table_new(NULL, NULL);
 	create_counters(server);
 	server->gone = http_gone_create(error);
@@ -216,12 +219,26 @@
 	g_mutex_unlock(&server->lock);
 }
 
+/* Answers that were given go out before the daemon stops. */
+static void wait_for_answers(struct http_server *server)
+{
+	gint64 end_us = g_get_monotonic_time() + DRAIN_US;
+
+	g_mutex_lock(&server->lock);
+	while (atomic_load(&server->open_requests) > 0)
+		if (!g_cond_wait_until(&server->completed, &server->lock,
+				       end_us))
+			break;
+	g_mutex_unlock(&server->lock);
+}
+
 void http_server_destroy(struct http_server *server)
 {
 	if (!server)
 		return;
 	http_server_quiesce(server);
 	abandon_requests(server);
+	wait_for_answers(server);
 	MHD_stop_daemon(server->daemon);
 	if (server->quiesced_listener >= 0)
 		close(server->quiesced_listener);
--- a/src/net/link_hub.c
+++ b/src/net/link_hub.c
@@ -73,12 +73,27 @@
 	}
 }
 
+/* Time in which this process didn't run is not a peer's silence. */
+static void forgive_stall(struct link_hub *hub, int64_t late_ms)
+{
+	for (guint i = 0; i < hub->links->len; i++) {
+		struct link *link = g_ptr_array_index(hub->links, i);
+
+		link->received_ms += late_ms;
+		link->opened_ms += late_ms;
+	}
+}
+
 /* Twice an interval. Goes over a copy: handlers may close any link. */
 static void on_tick(void *arg, int64_t now_ms)
 {
 	struct link_hub *hub = arg;
+	int64_t late_ms = now_ms - hub->ticked_ms - hub->tick_ms;
 	GPtrArray *links = g_ptr_array_copy(hub->links, NULL, NULL);
 
+	hub->ticked_ms = now_ms;
+	if (late_ms > hub->tick_ms)
+		forgive_stall(hub, late_ms);
 	for (guint i = 0; i < links->len; i++)
 		check_link(g_ptr_array_index(links, i), now_ms);
 	g_ptr_array_unref(links);
@@ -156,7 +171,6 @@
 				 void *arg)
 {
 	struct link_hub *hub = g_new0(struct link_hub, 1);
-	int64_t tick_ms;
 
 	hub->loop = loop;
 	hub->options = *options;
@@ -169,9 +183,10 @@
 	hub->to_flush = g_ptr_array_new();
 	create_counters(hub);
 	create_messages(hub);
-	tick_ms = MAX(1, hub->options.heartbeat_ms / 2);
+	hub->tick_ms = MAX(1, hub->options.heartbeat_ms / 2);
+	hub->ticked_ms = clock_now_ms();
 	hub->tick = loop_timer_create(loop, on_tick, hub);
-	loop_timer_start(hub->tick, tick_ms, tick_ms);
+	loop_timer_start(hub->tick, hub->tick_ms, hub->tick_ms);
 	return hub;
 }
 
--- a/src/net/link_private.h
+++ b/src/net/link_private.h
@@ -57,6 +57,7 @@
 	bool turn_end_due;
 	uint32_t n_accepted;
 	struct loop_timer *tick;
+	int64_t tick_ms, ticked_ms; /* interval, and when it ran last */
 	apr_pool_t *listen_pool;
 	apr_socket_t *listener;
 	struct loop_watch *listen_watch;
--- /dev/null
+++ b/tests/test_http.c
@@ -0,0 +1,574 @@
+/*
+ * test_http: the HTTP server and client against each other, and each
+ * against a bare socket that misbehaves.
+ */
+#include "base/clock.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "support/loop_until.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stdatomic.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <cmocka.h>
+
+#define BODY_MAX_BYTES 20000
+#define CONNECTIONS_MAX 20
+#define CALLS 200
+
+static struct loop *loop;
+static struct http_server *server;
+static struct http_client *client;
+static char url[64];
+static GAsyncQueue *held; /* requests that /hold keeps */
+static atomic_int handled, gone;
+
+/* ---- The server's handler ---- */
+
+static void on_gone(void *arg)
+{
+	(void)arg;
+	atomic_fetch_add(&gone, 1);
+}
+
+static void handle(void *arg, struct http_request *request)
+{
+	static const char *const headers[] = { "Retry-After: 3", NULL };
+	size_t size;
+	const void *body = http_body(request, &size);
+
+	(void)arg;
+	atomic_fetch_add(&handled, 1);
+	if (!strcmp(http_path(request), "/hold")) {
+		http_on_gone(request, on_gone, NULL);
+		g_async_queue_push(held, request);
+	} else if (!strcmp(http_path(request), "/later")) {
+		http_reply(request, 429, "text/plain", "wait", 4, headers);
+	} else {
+		http_reply(request, 200, "text/plain", body, size, NULL);
+	}
+}
+
+/* ---- Set-up ---- */
+
+static int set_up(void **state)
+{
+	struct http_server_options options = {
+		.address = "127.0.0.1:0",
+		.body_max_bytes = BODY_MAX_BYTES,
+		.connections_max = CONNECTIONS_MAX,
+		.timeout_s = 1,
+	};
+
+	(void)state;
+	loop = loop_create(NULL);
+	held = g_async_queue_new();
+	atomic_store(&handled, 0);
+	atomic_store(&gone, 0);
+	server = http_server_create(&options, handle, NULL, NULL);
+	client = http_client_create(loop, 8, NULL);
+	if (!server || !client)
+		return -1;
+	g_snprintf(url, sizeof(url), "http://127.0.0.1:%u",
+		   http_server_port(server));
+	return 0;
+}
+
+static int tear_down(void **state)
+{
+	struct http_request *request;
+
+	(void)state;
+	http_client_destroy(client);
+	http_server_destroy(server);
+	while ((request = g_async_queue_try_pop(held)))
+		http_reply(request, 200, NULL, "late", 4, NULL);
+	g_async_queue_unref(held);
+	loop_destroy(loop);
+	return 0;
+}
+
+/* ---- Calls ---- */
+
+struct outcome {
+	int n;
+	enum http_result result;
+	uint32_t status, retry_after_s;
+	GString *body;
+};
+
+static void on_answer(void *arg, const struct http_answer *answer)
+{
+	struct outcome *outcome = arg;
+
+	outcome->n++;
+	outcome->result = answer->result;
+	outcome->status = answer->status;
+	outcome->retry_after_s = answer->retry_after_s;
+	outcome->body =
+		g_string_new_len(answer->body, (gssize)answer->size_bytes);
+}
+
+static bool answered(void *arg)
+{
+	return ((struct outcome *)arg)->n > 0;
+}
+
+static void start(struct outcome *outcome, const char *base, const char *path,
+		  const char *body, int64_t timeout_ms)
+{
+	char *full = g_strconcat(base, path, NULL);
+	struct http_call call = {
+		.method = "POST",
+		.url = full,
+		.body = body,
+		.size_bytes = body ? strlen(body) : 0,
+		.timeout_ms = timeout_ms,
+	};
+
+	memset(outcome, 0, sizeof(*outcome));
+	http_client_call(client, &call, on_answer, outcome);
+	g_free(full);
+}
+
+static void wait_answer(struct outcome *outcome)
+{
+	assert_true(loop_until(loop, answered, outcome));
+	assert_int_equal(outcome->n, 1);
+}
+
+static void call_now(struct outcome *outcome, const char *base,
+		     const char *path, const char *body)
+{
+	start(outcome, base, path, body, 20000);
+	wait_answer(outcome);
+}
+
+static void done(struct outcome *outcome)
+{
+	g_string_free(outcome->body, TRUE);
+}
+
+/* ---- Bare sockets ---- */
+
+static int raw_connect(uint16_t port)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET };
+	int s = socket(AF_INET, SOCK_STREAM, 0);
+
+	address.sin_port = htons(port);
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	if (connect(s, (struct sockaddr *)&address, sizeof(address))) {
+		close(s);
+		return -1;
+	}
+	return s;
+}
+
+static GString *read_to_end(int s)
+{
+	GString *all = g_string_new(NULL);
+	char buffer[4096];
+	ssize_t n;
+
+	while ((n = recv(s, buffer, sizeof(buffer), 0)) > 0)
+		g_string_append_len(all, buffer, n);
+	return all;
+}
+
+static int raw_listen(char base[64])
+{
+	struct sockaddr_in address = { .sin_family = AF_INET };
+	socklen_t size = sizeof(address);
+	int s = socket(AF_INET, SOCK_STREAM, 0);
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	assert_int_equal(bind(s, (struct sockaddr *)&address, sizeof(address)),
+			 0);
+	assert_int_equal(listen(s, 8), 0);
+	getsockname(s, (struct sockaddr *)&address, &size);
+	g_snprintf(base, 64, "http://127.0.0.1:%u", ntohs(address.sin_port));
+	return s;
+}
+
+/* ---- Server and client together ---- */
+
+static void test_answers_by_status(void **state)
+{
+	char *limit = g_strnfill(BODY_MAX_BYTES, 'x');
+	char *above = g_strnfill(BODY_MAX_BYTES + 1, 'x');
+	char *far_above = g_strnfill(BODY_MAX_BYTES * 5L, 'x');
+	const struct {
+		const char *path, *body;
+		uint32_t status, retry_after_s;
+		const char *answer;
+	} cases[] = {
+		{ "/echo", "hello", 200, 0, "hello" },
+		{ "/echo?a=1", "", 200, 0, "" },
+		{ "/echo", limit, 200, 0, limit },
+		{ "/echo", above, 413, 0, NULL },
+		{ "/echo", far_above, 413, 0, NULL },
+		{ "/later", "x", 429, 3, "wait" },
+		{ "/echo", "again", 200, 0, "again" },
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct outcome outcome;
+
+		call_now(&outcome, url, cases[i].path, cases[i].body);
+		assert_int_equal(outcome.result, HTTP_OK);
+		assert_int_equal(outcome.status, cases[i].status);
+		assert_int_equal(outcome.retry_after_s, cases[i].retry_after_s);
+		if (cases[i].answer)
+			assert_string_equal(outcome.body->str, cases[i].answer);
+		else
+			assert_non_null(strstr(outcome.body->str, "too_large"));
+		done(&outcome);
+	}
+	g_free(limit);
+	g_free(above);
+	g_free(far_above);
+}
+
+static void test_each_call_gets_its_own_answer(void **state)
+{
+	struct outcome outcomes[CALLS];
+	char body[32];
+
+	(void)state;
+	for (int i = 0; i < CALLS; i++) {
+		g_snprintf(body, sizeof(body), "call %d", i);
+		start(&outcomes[i], url, i % 3 ? "/echo" : "/hold", body,
+		      20000);
+	}
+	for (int i = 0; i < CALLS; i += 3) {
+		struct http_request *request = g_async_queue_pop(held);
+		size_t size;
+		const void *data = http_body(request, &size);
+
+		http_reply(request, 200, NULL, data, size, NULL);
+	}
+	for (int i = 0; i < CALLS; i++) {
+		wait_answer(&outcomes[i]);
+		g_snprintf(body, sizeof(body), "call %d", i);
+		assert_int_equal(outcomes[i].status, 200);
+		assert_string_equal(outcomes[i].body->str, body);
+		done(&outcomes[i]);
+	}
+	assert_int_equal(atomic_load(&gone), 0);
+}
+
+static void test_caller_that_leaves_is_told(void **state)
+{
+	static const char text[] = "GET /hold HTTP/1.1\r\nHost: x\r\n\r\n";
+	int s = raw_connect(http_server_port(server));
+	struct http_request *request;
+	int64_t end_ms = clock_now_ms() + 30000;
+
+	(void)state;
+	send(s, text, sizeof(text) - 1, MSG_NOSIGNAL);
+	request = g_async_queue_pop(held);
+	assert_int_equal(atomic_load(&gone), 0);
+	assert_int_equal(http_server_open_requests(server), 1);
+	close(s);
+	while (!atomic_load(&gone) && clock_now_ms() < end_ms)
+		g_usleep(1000);
+	assert_int_equal(atomic_load(&gone), 1);
+	http_reply(request, 200, NULL, "late", 4, NULL);
+	while (http_server_open_requests(server) && clock_now_ms() < end_ms)
+		g_usleep(1000);
+	assert_int_equal(http_server_open_requests(server), 0);
+}
+
+static void test_bad_requests_end_without_the_handler(void **state)
+{
+	static const struct {
+		const char *text, *answer; /* "": closed unanswered */
+	} cases[] = {
+		{ "garbage\r\n\r\n", "" },
+		{ "GET / HTTP/1.1\r\n\r\n", "400" }, /* no Host */
+		{ "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: x\r\n\r\n",
+		  "400" },
+		{ "POST / HTTP/1.1\r\nHost: x\r\n"
+		  "Content-Length: 99999999999\r\n\r\n",
+		  "413" },
+		{ "POST / HT", "" }, /* half-sent, then silence */
+		{ "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nhalf",
+		  "" },
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		int s = raw_connect(http_server_port(server));
+		GString *answer;
+
+		send(s, cases[i].text, strlen(cases[i].text), MSG_NOSIGNAL);
+		answer = read_to_end(s);
+		if (!strstr(answer->str, cases[i].answer))
+			fail_msg("case %zu: %s", i, answer->str);
+		if (!*cases[i].answer && strstr(answer->str, " 200 "))
+			fail_msg("case %zu: %s", i, answer->str);
+		g_string_free(answer, TRUE);
+		close(s);
+	}
+	assert_int_equal(atomic_load(&handled), 0);
+}
+
+static void test_connections_above_the_limit_are_told(void **state)
+{
+	static const char text[] =
+		"GET /x HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+	int idle[CONNECTIONS_MAX];
+	int s;
+	GString *answer;
+
+	(void)state;
+	for (int i = 0; i < CONNECTIONS_MAX; i++) {
+		static const char hold[] =
+			"GET /hold HTTP/1.1\r\nHost: x\r\n\r\n";
+
+		idle[i] = raw_connect(http_server_port(server));
+		send(idle[i], hold, sizeof(hold) - 1, MSG_NOSIGNAL);
+	}
+	while (atomic_load(&handled) < CONNECTIONS_MAX)
+		g_usleep(1000);
+	s = raw_connect(http_server_port(server));
+	send(s, text, sizeof(text) - 1, MSG_NOSIGNAL);
+	answer = read_to_end(s);
+	assert_non_null(strstr(answer->str, "503"));
+	assert_non_null(strstr(answer->str, "too_many_connections"));
+	g_string_free(answer, TRUE);
+	close(s);
+	for (int i = 0; i < CONNECTIONS_MAX; i++)
+		close(idle[i]);
+}
+
+static void test_quiesce_finishes_what_runs(void **state)
+{
+	struct outcome first, late;
+	struct http_request *request;
+
+	(void)state;
+	start(&first, url, "/hold", "x", 20000);
+	request = g_async_queue_pop(held);
+	http_server_quiesce(server);
+	assert_int_equal(raw_connect(http_server_port(server)), -1);
+	call_now(&late, url, "/echo", "y");
+	assert_int_equal(late.result, HTTP_NOT_CONNECTED);
+	assert_int_equal(http_server_open_requests(server), 1);
+	http_reply(request, 200, NULL, "whole", 5, NULL);
+	wait_answer(&first);
+	assert_int_equal(first.result, HTTP_OK);
+	assert_string_equal(first.body->str, "whole");
+	done(&first);
+	done(&late);
+}
+
+static void test_destroy_answers_what_is_held(void **state)
+{
+	struct outcome outcome;
+
+	(void)state;
+	start(&outcome, url, "/hold", "x", 20000);
+	g_async_queue_push_front(held, g_async_queue_pop(held));
+	http_server_destroy(server);
+	server = NULL;
+	wait_answer(&outcome);
+	assert_int_equal(outcome.status, 503);
+	done(&outcome);
+}
+
+/* ---- The client against a server that fails ---- */
+
+struct peer {
+	int listener;
+	const char *answer; /* to the first request; NULL: closes */
+	bool stays; /* never answers and never closes */
+	bool closes; /* after its first answer, not after a second request */
+	atomic_int requests;
+};
+
+/* Reads one request of which the whole is in one "\r\n\r\n" and body. */
+static bool read_request(int s)
+{
+	char buffer[4096];
+	GString *text = g_string_new(NULL);
+	bool whole = false;
+	ssize_t n = 1;
+
+	while (!whole && n > 0) {
+		const char *body;
+
+		n = recv(s, buffer, sizeof(buffer), 0);
+		if (n > 0)
+			g_string_append_len(text, buffer, n);
+		body = strstr(text->str, "\r\n\r\n");
+		whole = body && strstr(body, "end");
+	}
+	g_string_free(text, TRUE);
+	return whole;
+}
+
+static gpointer run_peer(gpointer arg)
+{
+	struct peer *peer = arg;
+	int s;
+
+	while ((s = accept(peer->listener, NULL, NULL)) >= 0) {
+		bool first = true;
+
+		while (read_request(s)) {
+			atomic_fetch_add(&peer->requests, 1);
+			if (peer->stays)
+				continue;
+			if (!first || !peer->answer)
+				break;
+			send(s, peer->answer, strlen(peer->answer),
+			     MSG_NOSIGNAL);
+			first = false;
+			if (peer->closes)
+				break;
+		}
+		close(s);
+	}
+	return NULL;
+}
+
+static GThread *start_peer(struct peer *peer, char base[64])
+{
+	peer->listener = raw_listen(base);
+	return g_thread_new("peer", run_peer, peer);
+}
+
+static void stop_peer(struct peer *peer, GThread *thread)
+{
+	shutdown(peer->listener, SHUT_RDWR);
+	g_thread_join(thread);
+	close(peer->listener);
+}
+
+/* libcurl would send the second request again on a new connection. */
+static void test_kept_connection_closed_after_the_request(void **state)
+{
+	static const char *const bodies[] = { "body end", "end" };
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(bodies); i++) {
+		struct peer peer = {
+			.answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+				  "\r\nok",
+		};
+		char base[64];
+		GThread *thread = start_peer(&peer, base);
+		struct outcome first, second;
+
+		call_now(&first, base, "/", bodies[i]);
+		assert_int_equal(first.result, HTTP_OK);
+		call_now(&second, base, "/", bodies[i]);
+		assert_int_equal(second.result, HTTP_BROKEN);
+		done(&first);
+		done(&second);
+		stop_peer(&peer, thread);
+		assert_int_equal(atomic_load(&peer.requests), 2);
+	}
+}
+
+static void test_results_of_failed_calls(void **state)
+{
+	static const struct {
+		const char *answer;
+		bool stays, refuses;
+		int64_t timeout_ms;
+		enum http_result result;
+	} cases[] = {
+		{ NULL, false, true, 20000, HTTP_NOT_CONNECTED },
+		{ NULL, false, false, 20000, HTTP_BROKEN },
+		{ "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", false,
+		  false, 20000, HTTP_BROKEN },
+		{ "nonsense\r\n\r\n", false, false, 20000, HTTP_BROKEN },
+		{ NULL, true, false, 200, HTTP_TIMED_OUT },
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct peer peer = { .answer = cases[i].answer,
+				     .stays = cases[i].stays,
+				     .closes = true };
+		char base[64];
+		GThread *thread = start_peer(&peer, base);
+		struct outcome outcome;
+
+		if (cases[i].refuses)
+			stop_peer(&peer, thread);
+		start(&outcome, base, "/", "end", cases[i].timeout_ms);
+		wait_answer(&outcome);
+		if (outcome.result != cases[i].result)
+			fail_msg("case %zu: %d", i, outcome.result);
+		done(&outcome);
+		if (!cases[i].refuses)
+			stop_peer(&peer, thread);
+	}
+}
+
+static void test_destroying_the_client_ends_each_call_once(void **state)
+{
+	struct outcome outcomes[20];
+
+	(void)state;
+	for (int i = 0; i < 20; i++)
+		start(&outcomes[i], url, "/hold", "x", 20000);
+	for (int i = 0; i < 8; i++)
+		g_async_queue_push_front(held, g_async_queue_pop(held));
+	http_client_destroy(client);
+	client = NULL;
+	for (int i = 0; i < 20; i++) {
+		assert_int_equal(outcomes[i].n, 1);
+		assert_true(outcomes[i].result == HTTP_BROKEN ||
+			    outcomes[i].result == HTTP_NOT_CONNECTED);
+		done(&outcomes[i]);
+	}
+}
+
+static void test_call_now(void **state)
+{
+	struct http_call call = { .method = "GET", .url = url };
+	struct http_answer answer;
+
+	(void)state;
+	http_call_now(&call, &answer);
+	assert_int_equal(answer.result, HTTP_OK);
+	assert_int_equal(answer.status, 200);
+	g_free((void *)answer.body);
+	call.url = "http://127.0.0.1:1";
+	http_call_now(&call, &answer);
+	assert_int_equal(answer.result, HTTP_NOT_CONNECTED);
+}
+
+#define HTTP_TEST(f) cmocka_unit_test_setup_teardown(f, set_up, tear_down)
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		HTTP_TEST(test_answers_by_status),
+		HTTP_TEST(test_each_call_gets_its_own_answer),
+		HTTP_TEST(test_caller_that_leaves_is_told),
+		HTTP_TEST(test_bad_requests_end_without_the_handler),
+		HTTP_TEST(test_connections_above_the_limit_are_told),
+		HTTP_TEST(test_quiesce_finishes_what_runs),
+		HTTP_TEST(test_destroy_answers_what_is_held),
+		HTTP_TEST(test_kept_connection_closed_after_the_request),
+		HTTP_TEST(test_results_of_failed_calls),
+		HTTP_TEST(test_destroying_the_client_ends_each_call_once),
+		HTTP_TEST(test_call_now),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
