--- a/Makefile
+++ b/Makefile
@@ -8,13 +8,13 @@
 SAN ?=
 VERSION = 0.1.0
 
-PKGS = apr-1 glib-2.0 libmicrohttpd libcurl jansson libxxhash liburcu \
+PKGS = apr-1 glib-2.0 libmicrohttpd libcurl jansson libxxhash liburcu-bp \
 	libprotobuf-c
 LIB_PKGS = glib-2.0 libxxhash libprotobuf-c
 
 WARN = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
 	-Wmissing-prototypes -Wpointer-arith -Wvla -Wformat=2
-CFLAGS_ALL = -std=gnu11 $(OPT) $(WARN) -Iinclude -Isrc -pthread \
+CFLAGS_ALL = -std=gnu11 $(OPT) $(WARN) -Iinclude -Isrc -Itests -pthread \
 	-DCF_VERSION='"$(VERSION)"' $(CFLAGS)
 LDFLAGS_ALL = -pthread $(LDFLAGS)
 ifneq ($(SAN),)
--- a/include/chervilferry.h
+++ b/include/chervilferry.h
@@ -182,6 +182,16 @@
 	uint32_t share_milli; /* of capacity, 1..1000 */
 };
 
+struct cf_member {
+	uint32_t id;
+	char address[CF_NAME_SIZE]; /* ip:port between processes */
+	char admin_address[CF_NAME_SIZE]; /* ip:port for operators */
+	uint8_t identity[16]; /* of its disk, if has_identity */
+	bool has_identity;
+	bool voter; /* in the newest view */
+	bool leaving; /* its removal is under way */
+};
+
 struct cf_view {
 	uint64_t number; /* revision that made it */
 	struct cf_members members;
@@ -218,6 +228,9 @@
 CF_API bool cf_config_in_service(const struct cf_config *config, const char *data_centre); /* unknown ones are in service */
 CF_API size_t cf_config_teams(const struct cf_config *config, const struct cf_team **teams); /* count */
 CF_API size_t cf_config_views(const struct cf_config *config, const struct cf_view **views); /* newest last */
+CF_API size_t cf_config_members(const struct cf_config *config, const struct cf_member **members); /* count, by id */
+CF_API const struct cf_member *cf_config_find_member(const struct cf_config *config, uint32_t id); /* or NULL */
+CF_API bool cf_config_is_retired(const struct cf_config *config, uint32_t id); /* a removed member; not known to adopters */
 CF_API bool cf_config_is_fenced(const struct cf_config *config, uint64_t incarnation); /* may do nothing more */
 
 /* ---- Leases (src/lib/lease.c) --------------------------------------- */
@@ -310,6 +323,7 @@
 	CF_TASK_DONE,
 	CF_TASK_FAILED, /* ran, and failed */
 	CF_TASK_FENCED, /* never started, never will */
+	CF_TASK_FORGOTTEN, /* may have run: no longer remembered */
 };
 
 struct cf_task {
@@ -353,7 +367,9 @@
 CF_API size_t cf_gate_open(struct cf_gate *gate, const struct cf_key *key, uint64_t dispatcher, uint64_t job); /* held tasks that now queue */
 CF_API const struct cf_task *cf_gate_start(struct cf_gate *gate, const struct cf_gate_permit *permit, int64_t now_ms); /* next task, now running; NULL: none may start */
 CF_API bool cf_gate_finish(struct cf_gate *gate, const struct cf_key *key, uint32_t index, bool ok, GBytes *result, int64_t now_ms); /* false: it was not running */
-CF_API enum cf_task_state cf_gate_query(struct cf_gate *gate, const struct cf_key *key, uint32_t index, bool fence, GBytes **result, int64_t now_ms); /* unknown ones are FENCED if fence; result is borrowed */
+CF_API enum cf_task_state cf_gate_query(struct cf_gate *gate, const struct cf_key *key, uint32_t index, bool fence, GBytes **result, int64_t now_ms); /* unknown ones are FENCED if fence, else HELD; result is borrowed, NULL if dropped */
+CF_API const struct cf_task *cf_gate_task(const struct cf_gate *gate, const struct cf_key *key, uint32_t index); /* whose it is; NULL: none offered */
+CF_API bool cf_gate_adopt(struct cf_gate *gate, const struct cf_key *key, uint64_t dispatcher, uint32_t epoch, int64_t now_ms); /* fences what has not started; then only this dispatcher may offer it. false: a later epoch was seen */
 CF_API size_t cf_gate_known(const struct cf_gate *gate, const struct cf_key *key, uint32_t *indexes, size_t max); /* indexes seen of a key */
 CF_API void cf_gate_seal(struct cf_gate *gate, const struct cf_key *key, int64_t now_ms); /* no index of the key starts from now on */
 CF_API size_t cf_gate_fence_job(struct cf_gate *gate, const struct cf_key *key, uint64_t dispatcher, uint64_t job, int64_t now_ms, uint32_t *indexes, size_t max); /* cancel: unstarted ones fenced, late ones too */
--- a/src/proto/wire.pb-c.c
+++ b/src/proto/wire.pb-c.c
@@ -682,6 +682,51 @@
   assert(message->base.descriptor == &cfw__outcome__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cfw__subject__init
+                     (Cfw__Subject         *message)
+{
+  static const Cfw__Subject init_value = CFW__SUBJECT__INIT;
+  *message = init_value;
+}
+size_t cfw__subject__get_packed_size
+                     (const Cfw__Subject *message)
+{
+  assert(message->base.descriptor == &cfw__subject__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cfw__subject__pack
+                     (const Cfw__Subject *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cfw__subject__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cfw__subject__pack_to_buffer
+                     (const Cfw__Subject *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cfw__subject__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cfw__Subject *
+       cfw__subject__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cfw__Subject *)
+     protobuf_c_message_unpack (&cfw__subject__descriptor,
+                                allocator, len, data);
+}
+void   cfw__subject__free_unpacked
+                     (Cfw__Subject *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cfw__subject__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cfw__config_snapshot__init
                      (Cfw__ConfigSnapshot         *message)
 {
@@ -2648,7 +2693,7 @@
   (ProtobufCMessageInit) cfw__team__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfw__member__field_descriptors[5] =
+static const ProtobufCFieldDescriptor cfw__member__field_descriptors[6] =
 {
   {
     "id",
@@ -2710,18 +2755,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "leaving",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__Member, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cfw__member__field_indices_by_name[] = {
   1,   /* field[1] = address */
   2,   /* field[2] = admin_address */
   0,   /* field[0] = id */
   3,   /* field[3] = identity */
+  5,   /* field[5] = leaving */
   4,   /* field[4] = voter */
 };
 static const ProtobufCIntRange cfw__member__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor cfw__member__descriptor =
 {
@@ -2731,14 +2789,14 @@
   "Cfw__Member",
   "cfw",
   sizeof(Cfw__Member),
-  5,
+  6,
   cfw__member__field_descriptors,
   cfw__member__field_indices_by_name,
   1,  cfw__member__number_ranges,
   (ProtobufCMessageInit) cfw__member__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfw__view__field_descriptors[3] =
+static const ProtobufCFieldDescriptor cfw__view__field_descriptors[4] =
 {
   {
     "number",
@@ -2776,16 +2834,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "learners",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Cfw__View, n_learners),
+    offsetof(Cfw__View, learners),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cfw__view__field_indices_by_name[] = {
   2,   /* field[2] = horizon_ms */
+  3,   /* field[3] = learners */
   0,   /* field[0] = number */
   1,   /* field[1] = voters */
 };
 static const ProtobufCIntRange cfw__view__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor cfw__view__descriptor =
 {
@@ -2795,7 +2866,7 @@
   "Cfw__View",
   "cfw",
   sizeof(Cfw__View),
-  3,
+  4,
   cfw__view__field_descriptors,
   cfw__view__field_indices_by_name,
   1,  cfw__view__number_ranges,
@@ -3059,7 +3130,71 @@
   (ProtobufCMessageInit) cfw__outcome__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfw__config_snapshot__field_descriptors[2] =
+static const ProtobufCFieldDescriptor cfw__subject__field_descriptors[3] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__Subject, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__Subject, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wall_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__Subject, wall_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cfw__subject__field_indices_by_name[] = {
+  0,   /* field[0] = name */
+  1,   /* field[1] = revision */
+  2,   /* field[2] = wall_ms */
+};
+static const ProtobufCIntRange cfw__subject__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor cfw__subject__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cfw.Subject",
+  "Subject",
+  "Cfw__Subject",
+  "cfw",
+  sizeof(Cfw__Subject),
+  3,
+  cfw__subject__field_descriptors,
+  cfw__subject__field_indices_by_name,
+  1,  cfw__subject__number_ranges,
+  (ProtobufCMessageInit) cfw__subject__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cfw__config_snapshot__field_descriptors[6] =
 {
   {
     "configuration",
@@ -3085,15 +3220,67 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "subjects",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cfw__ConfigSnapshot, n_subjects),
+    offsetof(Cfw__ConfigSnapshot, subjects),
+    &cfw__subject__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "forgotten_revision",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__ConfigSnapshot, forgotten_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wall_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__ConfigSnapshot, wall_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retired",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Cfw__ConfigSnapshot, n_retired),
+    offsetof(Cfw__ConfigSnapshot, retired),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cfw__config_snapshot__field_indices_by_name[] = {
   0,   /* field[0] = configuration */
+  3,   /* field[3] = forgotten_revision */
   1,   /* field[1] = outcomes */
+  5,   /* field[5] = retired */
+  2,   /* field[2] = subjects */
+  4,   /* field[4] = wall_ms */
 };
 static const ProtobufCIntRange cfw__config_snapshot__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor cfw__config_snapshot__descriptor =
 {
@@ -3103,14 +3290,14 @@
   "Cfw__ConfigSnapshot",
   "cfw",
   sizeof(Cfw__ConfigSnapshot),
-  2,
+  6,
   cfw__config_snapshot__field_descriptors,
   cfw__config_snapshot__field_indices_by_name,
   1,  cfw__config_snapshot__number_ranges,
   (ProtobufCMessageInit) cfw__config_snapshot__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfw__command__field_descriptors[11] =
+static const ProtobufCFieldDescriptor cfw__command__field_descriptors[12] =
 {
   {
     "command_id",
@@ -3244,6 +3431,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "member_identity",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cfw__Command, change_case),
+    offsetof(Cfw__Command, member_identity),
+    &cfw__member__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cfw__command__field_indices_by_name[] = {
   1,   /* field[1] = base_revision */
@@ -3254,6 +3453,7 @@
   4,   /* field[4] = data_centre_set */
   9,   /* field[9] = fence */
   7,   /* field[7] = member_add */
+  11,   /* field[11] = member_identity */
   8,   /* field[8] = member_remove */
   6,   /* field[6] = team_remove */
   5,   /* field[5] = team_set */
@@ -3261,7 +3461,7 @@
 static const ProtobufCIntRange cfw__command__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor cfw__command__descriptor =
 {
@@ -3271,7 +3471,7 @@
   "Cfw__Command",
   "cfw",
   sizeof(Cfw__Command),
-  11,
+  12,
   cfw__command__field_descriptors,
   cfw__command__field_indices_by_name,
   1,  cfw__command__number_ranges,
@@ -4732,7 +4932,7 @@
   (ProtobufCMessageInit) cfw__cancel__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfw__load__field_descriptors[5] =
+static const ProtobufCFieldDescriptor cfw__load__field_descriptors[6] =
 {
   {
     "slots",
@@ -4794,18 +4994,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "received",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__Load, received),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cfw__load__field_indices_by_name[] = {
   4,   /* field[4] = accepting */
   3,   /* field[3] = backlog_ms */
   2,   /* field[2] = queued */
+  5,   /* field[5] = received */
   1,   /* field[1] = running */
   0,   /* field[0] = slots */
 };
 static const ProtobufCIntRange cfw__load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor cfw__load__descriptor =
 {
@@ -4815,7 +5028,7 @@
   "Cfw__Load",
   "cfw",
   sizeof(Cfw__Load),
-  5,
+  6,
   cfw__load__field_descriptors,
   cfw__load__field_indices_by_name,
   1,  cfw__load__number_ranges,
@@ -5028,7 +5241,7 @@
   (ProtobufCMessageInit) cfw__results__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfw__query__field_descriptors[4] =
+static const ProtobufCFieldDescriptor cfw__query__field_descriptors[5] =
 {
   {
     "seq",
@@ -5078,8 +5291,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "epoch",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__Query, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cfw__query__field_indices_by_name[] = {
+  4,   /* field[4] = epoch */
   3,   /* field[3] = fence */
   2,   /* field[2] = indexes */
   1,   /* field[1] = key */
@@ -5088,7 +5314,7 @@
 static const ProtobufCIntRange cfw__query__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor cfw__query__descriptor =
 {
@@ -5098,7 +5324,7 @@
   "Cfw__Query",
   "cfw",
   sizeof(Cfw__Query),
-  4,
+  5,
   cfw__query__field_descriptors,
   cfw__query__field_indices_by_name,
   1,  cfw__query__number_ranges,
--- a/src/proto/wire.pb-c.h
+++ b/src/proto/wire.pb-c.h
@@ -30,6 +30,7 @@
 typedef struct Cfw__Fence Cfw__Fence;
 typedef struct Cfw__Configuration Cfw__Configuration;
 typedef struct Cfw__Outcome Cfw__Outcome;
+typedef struct Cfw__Subject Cfw__Subject;
 typedef struct Cfw__ConfigSnapshot Cfw__ConfigSnapshot;
 typedef struct Cfw__Command Cfw__Command;
 typedef struct Cfw__Capacity Cfw__Capacity;
@@ -283,10 +284,14 @@
    */
   ProtobufCBinaryData identity;
   protobuf_c_boolean voter;
+  /*
+   * a member remove is under way
+   */
+  protobuf_c_boolean leaving;
 };
 #define CFW__MEMBER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cfw__member__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0 }
 
 
 /*
@@ -302,10 +307,12 @@
    * keys up to here need older views too
    */
   int64_t horizon_ms;
+  size_t n_learners;
+  uint32_t *learners;
 };
 #define CFW__VIEW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cfw__view__descriptor) \
-    , 0, 0,NULL, 0 }
+    , 0, 0,NULL, 0, 0,NULL }
 
 
 struct  Cfw__Fence
@@ -364,16 +371,46 @@
     , {0,NULL}, 0, 0, (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * The newest change of a class, data centre, team or the membership.
+ */
+struct  Cfw__Subject
+{
+  ProtobufCMessage base;
+  char *name;
+  uint64_t revision;
+  int64_t wall_ms;
+};
+#define CFW__SUBJECT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cfw__subject__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
 struct  Cfw__ConfigSnapshot
 {
   ProtobufCMessage base;
   Cfw__Configuration *configuration;
   size_t n_outcomes;
   Cfw__Outcome **outcomes;
+  size_t n_subjects;
+  Cfw__Subject **subjects;
+  /*
+   * newest of the subjects let go
+   */
+  uint64_t forgotten_revision;
+  /*
+   * greatest of the entries applied
+   */
+  int64_t wall_ms;
+  /*
+   * member ids that were removed
+   */
+  size_t n_retired;
+  uint32_t *retired;
 };
 #define CFW__CONFIG_SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cfw__config_snapshot__descriptor) \
-    , NULL, 0,NULL }
+    , NULL, 0,NULL, 0,NULL, 0, 0, 0,NULL }
 
 
 typedef enum {
@@ -386,7 +423,8 @@
   CFW__COMMAND__CHANGE_MEMBER_ADD = 8,
   CFW__COMMAND__CHANGE_MEMBER_REMOVE = 9,
   CFW__COMMAND__CHANGE_FENCE = 10,
-  CFW__COMMAND__CHANGE_DATA_CENTRE_REMOVE = 11
+  CFW__COMMAND__CHANGE_DATA_CENTRE_REMOVE = 11,
+  CFW__COMMAND__CHANGE_MEMBER_IDENTITY = 12
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CFW__COMMAND__CHANGE__CASE)
 } Cfw__Command__ChangeCase;
 
@@ -415,6 +453,10 @@
     uint32_t member_remove;
     uint64_t fence;
     char *data_centre_remove;
+    /*
+     * id and identity only
+     */
+    Cfw__Member *member_identity;
   };
 };
 #define CFW__COMMAND__INIT \
@@ -718,10 +760,14 @@
    */
   uint32_t backlog_ms;
   protobuf_c_boolean accepting;
+  /*
+   * tasks taken from the dispatcher it goes to
+   */
+  uint64_t received;
 };
 #define CFW__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cfw__load__descriptor) \
-    , 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0 }
 
 
 struct  Cfw__Result
@@ -769,10 +815,14 @@
    * what has not started never will
    */
   protobuf_c_boolean fence;
+  /*
+   * above 0: the sender has adopted the key
+   */
+  uint32_t epoch;
 };
 #define CFW__QUERY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cfw__query__descriptor) \
-    , 0, {0,NULL}, 0,NULL, 0 }
+    , 0, {0,NULL}, 0,NULL, 0, 0 }
 
 
 struct  Cfw__QueryReply
@@ -1166,6 +1216,25 @@
 void   cfw__outcome__free_unpacked
                      (Cfw__Outcome *message,
                       ProtobufCAllocator *allocator);
+/* Cfw__Subject methods */
+void   cfw__subject__init
+                     (Cfw__Subject         *message);
+size_t cfw__subject__get_packed_size
+                     (const Cfw__Subject   *message);
+size_t cfw__subject__pack
+                     (const Cfw__Subject   *message,
+                      uint8_t             *out);
+size_t cfw__subject__pack_to_buffer
+                     (const Cfw__Subject   *message,
+                      ProtobufCBuffer     *buffer);
+Cfw__Subject *
+       cfw__subject__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cfw__subject__free_unpacked
+                     (Cfw__Subject *message,
+                      ProtobufCAllocator *allocator);
 /* Cfw__ConfigSnapshot methods */
 void   cfw__config_snapshot__init
                      (Cfw__ConfigSnapshot         *message);
@@ -1688,6 +1757,9 @@
 typedef void (*Cfw__Outcome_Closure)
                  (const Cfw__Outcome *message,
                   void *closure_data);
+typedef void (*Cfw__Subject_Closure)
+                 (const Cfw__Subject *message,
+                  void *closure_data);
 typedef void (*Cfw__ConfigSnapshot_Closure)
                  (const Cfw__ConfigSnapshot *message,
                   void *closure_data);
@@ -1787,6 +1859,7 @@
 extern const ProtobufCMessageDescriptor cfw__fence__descriptor;
 extern const ProtobufCMessageDescriptor cfw__configuration__descriptor;
 extern const ProtobufCMessageDescriptor cfw__outcome__descriptor;
+extern const ProtobufCMessageDescriptor cfw__subject__descriptor;
 extern const ProtobufCMessageDescriptor cfw__config_snapshot__descriptor;
 extern const ProtobufCMessageDescriptor cfw__command__descriptor;
 extern const ProtobufCMessageDescriptor cfw__capacity__descriptor;
