--- /dev/null
+++ b/fuzz/fuzz_store_record.c
@@ -0,0 +1,67 @@
+/*
+ * fuzz_store_record: the decoder of a log segment: frames one after
+ * another, each with a record. What decodes must encode and decode again
+ * to the same.
+ */
+#include "store/log_message.h"
+#include "store/store.h"
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+static void check_again(const Cfw__StoreRecord *record)
+{
+	struct store_write write = { .state = { record->term, record->vote,
+						record->commit } };
+	GArray *entries = g_array_new(FALSE, FALSE, sizeof(struct cf_entry));
+	Cfw__StoreRecord *again;
+	const uint8_t *payload;
+	GByteArray *frame;
+	size_t size;
+
+	for (size_t i = 0; i < record->n_entries; i++) {
+		struct cf_entry entry = log_entry_unpack(record->entries[i]);
+
+		g_array_append_val(entries, entry);
+	}
+	write.entries = (const struct cf_entry *)(void *)entries->data;
+	write.n_entries = entries->len;
+	frame = store_record_encode(&write);
+	g_assert(store_frame_read(frame->data, frame->len, &payload, &size) ==
+		 STORE_FRAME_WHOLE);
+	again = store_record_decode(payload, size);
+	g_assert(again && again->term == record->term &&
+		 again->n_entries == record->n_entries);
+	cfw__store_record__free_unpacked(again, NULL);
+	g_byte_array_unref(frame);
+	for (guint i = 0; i < entries->len; i++) {
+		GBytes *bytes = g_array_index(entries, struct cf_entry, i).data;
+
+		g_clear_pointer(&bytes, g_bytes_unref);
+	}
+	g_array_unref(entries);
+}
+
+static void decode_record(const uint8_t *payload, size_t size)
+{
+	Cfw__StoreRecord *record = store_record_decode(payload, size);
+
+	if (!record)
+		return;
+	check_again(record);
+	cfw__store_record__free_unpacked(record, NULL);
+}
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	const uint8_t *payload;
+	size_t payload_size;
+
+	decode_record(data, size);
+	while (store_frame_read(data, size, &payload, &payload_size) ==
+	       STORE_FRAME_WHOLE) {
+		decode_record(payload, payload_size);
+		data += STORE_FRAME_HEAD_SIZE + payload_size;
+		size -= STORE_FRAME_HEAD_SIZE + payload_size;
+	}
+	return 0;
+}
--- a/tests/explore_replog.c
+++ b/tests/explore_replog.c
@@ -8,7 +8,7 @@
  *
  * EXPLORE_SEEDS=N (10000) and EXPLORE_FIRST=N (1) choose other seeds.
  */
-#include "support/replog_cluster.h"
+#include "support/lognet.h"
 
 #include <setjmp.h>
 #include <stdarg.h>
@@ -48,59 +48,58 @@
 }
 
 /* The first change that is due, as an operator would make it. */
-static bool choose_change(struct cluster *cluster, struct cluster_node *leader,
+static bool choose_change(struct lognet *net, struct lognet_node *leader,
 			  struct cf_members *m)
 {
-	struct cluster_node *added;
+	struct lognet_node *added;
 
-	for (uint32_t i = 0; i < cluster->n_nodes; i++)
-		if (cluster->nodes[i].lost &&
-		    drop_voter(m, cluster->nodes[i].id))
+	for (uint32_t i = 0; i < net->n_nodes; i++)
+		if (net->nodes[i].lost && drop_voter(m, net->nodes[i].id))
 			return true;
 	for (uint32_t i = 0; i < m->n_learners; i++) {
-		if (cluster->nodes[m->learners[i] - 1].lost) {
+		if (net->nodes[m->learners[i] - 1].lost) {
 			drop_learner(m, i);
 			return true;
 		}
-		if (m->n_voters < cluster->options.n_voters &&
+		if (m->n_voters < net->options.n_voters &&
 		    cf_replog_caught_up(leader->log, m->learners[i])) {
 			m->voters[m->n_voters++] = m->learners[i];
 			drop_learner(m, i);
 			return true;
 		}
 	}
-	if (m->n_voters + m->n_learners < cluster->options.n_voters) {
-		added = cluster_add(cluster);
+	if (m->n_voters + m->n_learners < net->options.n_voters) {
+		added = lognet_add(net);
 		if (added)
 			m->learners[m->n_learners++] = added->id;
 		return added;
 	}
-	if (m->n_voters >= 3 && cluster_random(cluster, 20) == 0)
-		return drop_voter(
-			m, m->voters[cluster_random(cluster, m->n_voters)]);
+	if (m->n_voters >= 3 && lognet_random(net, 20) == 0)
+		return drop_voter(m,
+				  m->voters[lognet_random(net, m->n_voters)]);
 	return false;
 }
 
-static void change_members(struct cluster *cluster)
+static void change_members(struct lognet *net)
 {
-	struct cluster_node *leader = cluster_leader(cluster);
+	struct lognet_node *leader = lognet_leader(net);
 	struct cf_members m;
 
 	if (!leader)
 		return;
 	cf_replog_get_members(leader->log, &m);
-	if (choose_change(cluster, leader, &m))
-		cluster->changes += cf_replog_propose_members(
-					    leader->log, &m, cluster->now_ms,
-					    cluster->now_ms) != 0;
+	if (choose_change(net, leader, &m))
+		net->changes += cf_replog_propose_members(leader->log, &m,
+							  net->now_ms,
+							  net->now_ms) != 0;
 }
 
 /* A disk may be lost while no other lost one is still a voter anywhere:
  * that many losses the group promises to bear. */
-static bool may_lose_disk(struct cluster *cluster)
+static bool may_lose_disk(struct lognet *net)
 {
-	for (uint32_t i = 0; i < cluster->n_nodes; i++) {
-		struct cluster_node *node = &cluster->nodes[i];
+	for (uint32_t i = 0; i < net->n_nodes; i++) {
+		struct lognet_node *node = &net->nodes[i];
 		struct cf_members m;
 
 		if (node->lost || !node->alive)
@@ -109,7 +108,7 @@
 		if (m.n_voters && m.n_voters < 3)
 			return false;
 		for (uint32_t v = 0; v < m.n_voters; v++)
-			if (cluster->nodes[m.voters[v] - 1].lost)
+			if (net->nodes[m.voters[v] - 1].lost)
 				return false;
 	}
 	return true;
@@ -117,144 +116,142 @@
 
 /* ---- Faults --------------------------------------------------------- */
 
-static struct cluster_node *any_node(struct cluster *cluster)
+static struct lognet_node *any_node(struct lognet *net)
 {
-	return &cluster->nodes[cluster_random(cluster, cluster->n_nodes)];
+	return &net->nodes[lognet_random(net, net->n_nodes)];
 }
 
-static void lose_disk(struct cluster *cluster)
+static void lose_disk(struct lognet *net)
 {
-	struct cluster_node *node = any_node(cluster);
+	struct lognet_node *node = any_node(net);
 
-	for (uint32_t i = 0; i < cluster->n_nodes; i++)
-		if (!cluster->nodes[i].alive && !cluster->nodes[i].lost)
+	for (uint32_t i = 0; i < net->n_nodes; i++)
+		if (!net->nodes[i].alive && !net->nodes[i].lost)
 			return;
-	if (!may_lose_disk(cluster))
+	if (!may_lose_disk(net))
 		return;
-	cluster_crash(cluster, node);
-	cluster->disks_lost++;
+	lognet_crash(net, node);
+	net->disks_lost++;
 	node->lost = true;
 }
 
-static void crash_any(struct cluster *cluster)
+static void crash_any(struct lognet *net)
 {
-	struct cluster_node *node = any_node(cluster);
+	struct lognet_node *node = any_node(net);
 
-	cluster_crash(cluster, node);
-	node->restart_ms =
-		cluster->now_ms + (int64_t)cluster_random(cluster, 1200);
+	lognet_crash(net, node);
+	node->restart_ms = net->now_ms + (int64_t)lognet_random(net, 1200);
 }
 
-static void cut_any(struct cluster *cluster)
+static void cut_any(struct lognet *net)
 {
-	struct cluster_node *node = any_node(cluster);
-	uint64_t way = cluster_random(cluster, 3);
+	struct lognet_node *node = any_node(net);
+	uint64_t way = lognet_random(net, 3);
 
-	for (uint32_t id = 1; id <= cluster->n_nodes; id++) {
+	for (uint32_t id = 1; id <= net->n_nodes; id++) {
 		if (way != 1)
-			cluster_cut(cluster, node->id, id, true);
+			lognet_cut(net, node->id, id, true);
 		if (way != 2)
-			cluster_cut(cluster, id, node->id, true);
+			lognet_cut(net, id, node->id, true);
 	}
 }
 
-static void heal_cuts(struct cluster *cluster)
+static void heal_cuts(struct lognet *net)
 {
-	for (uint32_t a = 1; a <= cluster->n_nodes; a++)
-		for (uint32_t b = 1; b <= cluster->n_nodes; b++)
-			cluster_cut(cluster, a, b, false);
+	for (uint32_t a = 1; a <= net->n_nodes; a++)
+		for (uint32_t b = 1; b <= net->n_nodes; b++)
+			lognet_cut(net, a, b, false);
 }
 
-static void crash_all(struct cluster *cluster)
+static void crash_all(struct lognet *net)
 {
-	for (uint32_t i = 0; i < cluster->n_nodes; i++) {
-		cluster_crash(cluster, &cluster->nodes[i]);
-		cluster->nodes[i].restart_ms = cluster->now_ms + 50;
+	for (uint32_t i = 0; i < net->n_nodes; i++) {
+		lognet_crash(net, &net->nodes[i]);
+		net->nodes[i].restart_ms = net->now_ms + 50;
 	}
 }
 
-static void disturb(struct cluster *cluster)
+static void disturb(struct lognet *net)
 {
-	uint64_t event = cluster_random(cluster, 1500);
+	uint64_t event = lognet_random(net, 1500);
 
 	if (event < 8)
-		crash_any(cluster);
+		crash_any(net);
 	else if (event < 14)
-		cut_any(cluster);
+		cut_any(net);
 	else if (event < 26)
-		heal_cuts(cluster);
+		heal_cuts(net);
 	else if (event < 28)
-		lose_disk(cluster);
+		lose_disk(net);
 	else if (event < 29)
-		crash_all(cluster);
+		crash_all(net);
 }
 
 /* ---- A run ---------------------------------------------------------- */
 
-static void propose_some(struct cluster *cluster)
+static void propose_some(struct lognet *net)
 {
-	struct cluster_node *node = any_node(cluster);
+	struct lognet_node *node = any_node(net);
 
-	if (node->alive && cluster_random(cluster, 3) == 0)
-		cluster_propose(cluster, node);
+	if (node->alive && lognet_random(net, 3) == 0)
+		lognet_propose(net, node);
 }
 
-static bool moves_on(struct cluster *cluster)
+static bool moves_on(struct lognet *net)
 {
-	struct cluster_node *leader = cluster_leader(cluster);
-	uint64_t before = cluster->committed->len;
+	struct lognet_node *leader = lognet_leader(net);
+	uint64_t before = net->committed->len;
 
-	for (int i = 0; i < HEAL_STEPS && !cluster->fault[0]; i++) {
-		cluster_step(cluster);
-		leader = cluster_leader(cluster);
+	for (int i = 0; i < HEAL_STEPS && !net->fault[0]; i++) {
+		lognet_step(net);
+		leader = lognet_leader(net);
 		if (leader && i % 20 == 0)
-			cluster_propose(cluster, leader);
-		if (i > 300 && cluster_settled(cluster) &&
-		    cluster->committed->len > before)
+			lognet_propose(net, leader);
+		if (i > 300 && lognet_settled(net) &&
+		    net->committed->len > before)
 			return true;
 	}
 	return false;
 }
 
-static void run_seed(uint64_t seed, struct cluster *cluster)
+static void run_seed(uint64_t seed, struct lognet *net)
 {
 	uint64_t term;
 
-	for (int i = 0; i < CHAOS_STEPS && !cluster->fault[0]; i++) {
-		cluster_step(cluster);
-		propose_some(cluster);
-		disturb(cluster);
+	for (int i = 0; i < CHAOS_STEPS && !net->fault[0]; i++) {
+		lognet_step(net);
+		propose_some(net);
+		disturb(net);
 		if (i % 5 == 0)
-			change_members(cluster);
+			change_members(net);
 	}
-	cluster->options.drop = 0;
-	cluster->options.duplicate = 0;
-	cluster_heal(cluster);
-	if (!moves_on(cluster) && !cluster->fault[0])
-		snprintf(cluster->fault, sizeof(cluster->fault),
+	net->options.drop = 0;
+	net->options.duplicate = 0;
+	lognet_heal(net);
+	if (!moves_on(net) && !net->fault[0])
+		snprintf(net->fault, sizeof(net->fault),
 			 "no progress after healing");
-	if (cluster->fault[0])
+	if (net->fault[0])
 		return;
-	term = cf_replog_term(cluster_leader(cluster)->log);
+	term = cf_replog_term(lognet_leader(net)->log);
 	for (int i = 0; i < CALM_STEPS; i++)
-		cluster_step(cluster);
-	if (!cluster->fault[0] &&
-	    (!cluster_leader(cluster) ||
-	     cf_replog_term(cluster_leader(cluster)->log) != term))
-		snprintf(cluster->fault, sizeof(cluster->fault),
+		lognet_step(net);
+	if (!net->fault[0] && (!lognet_leader(net) ||
+			       cf_replog_term(lognet_leader(net)->log) != term))
+		snprintf(net->fault, sizeof(net->fault),
 			 "an election in calm times, seed %lu",
 			 (unsigned long)seed);
 }
 
-static void count_run(struct share *share, const struct cluster *cluster)
+static void count_run(struct share *share, const struct lognet *net)
 {
-	share->steps += cluster->steps;
-	share->entries += cluster->committed->len - 1;
-	share->elections += g_hash_table_size(cluster->leaders);
-	share->crashes += cluster->crashes;
-	share->disks_lost += cluster->disks_lost;
-	share->snapshots += cluster->snapshots;
-	share->changes += cluster->changes;
+	share->steps += net->steps;
+	share->entries += net->committed->len - 1;
+	share->elections += g_hash_table_size(net->leaders);
+	share->crashes += net->crashes;
+	share->disks_lost += net->disks_lost;
+	share->snapshots += net->snapshots;
+	share->changes += net->changes;
 }
 
 static gpointer run_share(gpointer arg)
@@ -263,7 +260,7 @@
 
 	for (uint64_t seed = share->first; seed < share->end;
 	     seed += share->stride) {
-		struct cluster_options options = {
+		struct lognet_options options = {
 			.seed = seed,
 			.n_voters = 3 + (uint32_t)(seed % 3),
 			.drop = (uint32_t)(seed % 4) * 30,
@@ -273,16 +270,16 @@
 			.snapshot_every = seed % 2 ? 20 : 0,
 			.lose_synced = getenv("EXPLORE_LOSE_SYNCED") != NULL,
 		};
-		struct cluster *cluster = cluster_create(&options);
+		struct lognet *net = lognet_create(&options);
 
-		run_seed(seed, cluster);
-		count_run(share, cluster);
-		if (cluster->fault[0]) {
+		run_seed(seed, net);
+		count_run(share, net);
+		if (net->fault[0]) {
 			share->failed_seed = seed;
-			g_strlcpy(share->fault, cluster->fault,
+			g_strlcpy(share->fault, net->fault,
 				  sizeof(share->fault));
 		}
-		cluster_destroy(cluster);
+		lognet_destroy(net);
 		if (share->failed_seed)
 			break;
 	}
--- /dev/null
+++ b/tests/test_store.c
@@ -0,0 +1,443 @@
+/*
+ * test_store: the data folder after torn writes, damage, failing disks
+ * and restarts.
+ */
+#include "store/group.h"
+#include "store/store.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <glib/gstdio.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <string.h>
+#include <unistd.h>
+#include <cmocka.h>
+
+#define PAYLOAD_BYTES 24
+
+/* File operations that fail when told to. */
+struct faulty_ops {
+	struct store_ops ops;
+	int write_errno, sync_errno, rename_errno; /* 0: works */
+	size_t short_bytes; /* a failing write gets so far */
+};
+
+/* ---- Faulty disk ---------------------------------------------------- */
+
+static int fault(int number)
+{
+	errno = number;
+	return -1;
+}
+
+static int faulty_open(struct store_ops *ops, const char *path, int flags)
+{
+	(void)ops;
+	return store_system_ops.open(&store_system_ops, path, flags);
+}
+
+static ssize_t faulty_write(struct store_ops *ops, int fd, const void *data,
+			    size_t size_bytes)
+{
+	struct faulty_ops *faulty = (struct faulty_ops *)ops;
+
+	if (!faulty->write_errno)
+		return write(fd, data, size_bytes);
+	if (!faulty->short_bytes)
+		return fault(faulty->write_errno);
+	size_bytes = MIN(size_bytes, faulty->short_bytes);
+	faulty->short_bytes = 0;
+	return write(fd, data, size_bytes);
+}
+
+static int faulty_sync(struct store_ops *ops, int fd)
+{
+	struct faulty_ops *faulty = (struct faulty_ops *)ops;
+
+	return faulty->sync_errno ? fault(faulty->sync_errno) : fsync(fd);
+}
+
+static int faulty_rename(struct store_ops *ops, const char *from,
+			 const char *to)
+{
+	struct faulty_ops *faulty = (struct faulty_ops *)ops;
+
+	return faulty->rename_errno ? fault(faulty->rename_errno)
+				    : rename(from, to);
+}
+
+static const struct faulty_ops working = {
+	.ops = { faulty_open, faulty_write, faulty_sync, faulty_rename }
+};
+
+/* ---- Helpers -------------------------------------------------------- */
+
+static int make_folder(void **state)
+{
+	*state = g_dir_make_tmp("store-XXXXXX", NULL);
+	return *state ? 0 : -1;
+}
+
+static int remove_folder(void **state)
+{
+	GDir *dir = g_dir_open(*state, 0, NULL);
+	const char *name;
+
+	while ((name = g_dir_read_name(dir))) {
+		char *path = g_build_filename(*state, name, NULL);
+
+		g_unlink(path);
+		g_free(path);
+	}
+	g_dir_close(dir);
+	g_rmdir(*state);
+	g_free(*state);
+	return 0;
+}
+
+static struct store *open_store(const char *folder, struct store_ops *ops,
+				struct store_recovered *found)
+{
+	GError *error = NULL;
+	struct store *store = store_open(folder, ops, found, &error);
+
+	if (error)
+		fail_msg("%s", error->message);
+	return store;
+}
+
+/* Writes entries from..to of one term in a single synced write. */
+static bool append(struct store *store, uint64_t from, uint64_t to,
+		   uint64_t term, GError **error)
+{
+	GArray *entries = g_array_new(FALSE, FALSE, sizeof(struct cf_entry));
+	struct store_write write = { .state = { term, 2, from - 1 } };
+	bool ok;
+
+	for (uint64_t i = from; i <= to; i++) {
+		struct cf_entry entry = { .index = i,
+					  .term = term,
+					  .kind = CF_ENTRY_COMMAND };
+		char text[PAYLOAD_BYTES];
+
+		memset(text, 'a' + (int)(i % 26), sizeof(text));
+		entry.data = g_bytes_new(text, sizeof(text));
+		g_array_append_val(entries, entry);
+	}
+	write.entries = (const struct cf_entry *)(void *)entries->data;
+	write.n_entries = entries->len;
+	ok = store_append(store, &write, error);
+	for (guint i = 0; i < entries->len; i++)
+		g_bytes_unref(g_array_index(entries, struct cf_entry, i).data);
+	g_array_unref(entries);
+	return ok;
+}
+
+static uint64_t last_of(const struct store_recovered *found)
+{
+	return found->snapshot.index + found->entries->len;
+}
+
+static struct cf_snapshot snapshot_at(uint64_t index, uint64_t term)
+{
+	struct cf_snapshot snapshot = { .index = index, .term = term };
+
+	snapshot.members.voters[0] = 1;
+	snapshot.members.n_voters = 1;
+	snapshot.data = g_bytes_new("state", 5);
+	return snapshot;
+}
+
+static void expect_refusal(const char *folder, const char *part, int code)
+{
+	struct store_recovered found;
+	GError *error = NULL;
+
+	assert_null(store_open(folder, NULL, &found, &error));
+	assert_true(g_error_matches(error, STORE_ERROR, code));
+	if (!strstr(error->message, part))
+		fail_msg("\"%s\" lacks \"%s\"", error->message, part);
+	g_error_free(error);
+}
+
+/* ---- Cases ---------------------------------------------------------- */
+
+static void test_first_start_and_restart(void **state)
+{
+	struct store_recovered found;
+	uint8_t identity[STORE_IDENTITY_SIZE];
+	struct store *store = open_store(*state, NULL, &found);
+
+	assert_int_equal(last_of(&found), 0);
+	assert_int_equal(found.state.term, 0);
+	store_clear_recovered(&found);
+	memcpy(identity, store_identity(store), sizeof(identity));
+	assert_true(append(store, 1, 5, 1, NULL));
+	assert_true(append(store, 4, 6, 2, NULL)); /* replaces 4 and 5 */
+	expect_refusal(*state, "another process", STORE_ERROR_LOCKED);
+	store_close(store);
+
+	store = open_store(*state, NULL, &found);
+	assert_memory_equal(identity, store_identity(store), sizeof(identity));
+	assert_int_equal(found.state.term, 2);
+	assert_int_equal(found.state.vote, 2);
+	assert_int_equal(last_of(&found), 6);
+	for (guint i = 0; i < found.entries->len; i++) {
+		const struct cf_entry *entry =
+			&g_array_index(found.entries, struct cf_entry, i);
+
+		assert_int_equal(entry->index, i + 1);
+		assert_int_equal(entry->term, i < 3 ? 1 : 2);
+		assert_int_equal(g_bytes_get_size(entry->data), PAYLOAD_BYTES);
+	}
+	store_clear_recovered(&found);
+	store_close(store);
+}
+
+/* Every length that the last write may have been cut to. */
+static void test_torn_tail(void **state)
+{
+	struct store_recovered found;
+	struct store *store = open_store(*state, NULL, &found);
+	char *path = store_segment_path(*state, 1), *whole;
+	gsize before, after;
+
+	store_clear_recovered(&found);
+	assert_true(append(store, 1, 3, 1, NULL));
+	g_file_get_contents(path, &whole, &before, NULL);
+	g_free(whole);
+	assert_true(append(store, 4, 6, 1, NULL));
+	store_close(store);
+	g_file_get_contents(path, &whole, &after, NULL);
+	for (gsize size = before; size <= after; size++) {
+		g_file_set_contents(path, whole, (gssize)size, NULL);
+		store = open_store(*state, NULL, &found);
+		assert_int_equal(last_of(&found), size == after ? 6 : 3);
+		assert_int_equal(found.cut_bytes,
+				 size == after ? 0 : size - before);
+		store_clear_recovered(&found);
+		assert_true(append(store, 4, 4, 2, NULL));
+		store_close(store);
+		store = open_store(*state, NULL, &found);
+		assert_int_equal(last_of(&found), 4);
+		store_clear_recovered(&found);
+		store_close(store);
+	}
+	g_free(whole);
+	g_free(path);
+}
+
+/* A flipped bit: in the last record it is a torn write; before it, the
+ * store refuses and says where. */
+static void test_corrupt_middle(void **state)
+{
+	struct store_recovered found;
+	struct store *store = open_store(*state, NULL, &found);
+	char *path = store_segment_path(*state, 1), *whole;
+	gsize first, second, size;
+
+	store_clear_recovered(&found);
+	g_file_get_contents(path, &whole, &first, NULL);
+	g_free(whole);
+	assert_true(append(store, 1, 3, 1, NULL));
+	g_file_get_contents(path, &whole, &second, NULL);
+	g_free(whole);
+	assert_true(append(store, 4, 6, 1, NULL));
+	store_close(store);
+	g_file_get_contents(path, &whole, &size, NULL);
+	for (gsize at = first; at < second; at++) {
+		char *offset = g_strdup_printf(
+			"%s: corrupt record at offset %zu", path, first);
+
+		whole[at] ^= 0x10;
+		g_file_set_contents(path, whole, (gssize)size, NULL);
+		expect_refusal(*state, offset, STORE_ERROR_CORRUPT);
+		whole[at] ^= 0x10;
+		g_free(offset);
+	}
+	g_free(whole);
+	g_free(path);
+}
+
+static void test_failing_disk(void **state)
+{
+	static const struct {
+		const char *what;
+		struct faulty_ops fault;
+	} cases[] = {
+		{ "disk full", { .write_errno = ENOSPC } },
+		{ "disk full in the middle",
+		  { .write_errno = ENOSPC, .short_bytes = 30 } },
+		{ "read-only", { .write_errno = EROFS } },
+		{ "write error", { .write_errno = EIO, .short_bytes = 1 } },
+		{ "failed sync", { .sync_errno = EIO } },
+	};
+	uint64_t last = 0;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct faulty_ops ops = working;
+		struct store_recovered found;
+		struct store *store = open_store(*state, &ops.ops, &found);
+		GError *error = NULL;
+		int number = cases[i].fault.write_errno
+				     ? cases[i].fault.write_errno
+				     : cases[i].fault.sync_errno;
+
+		/* A failed sync may have written what it says it did not. */
+		assert_in_range(last_of(&found), last, last + 1);
+		last = last_of(&found);
+		store_clear_recovered(&found);
+		assert_true(append(store, last + 1, last + 2, 1, NULL));
+		last += 2;
+		ops.write_errno = cases[i].fault.write_errno;
+		ops.sync_errno = cases[i].fault.sync_errno;
+		ops.short_bytes = cases[i].fault.short_bytes;
+		assert_false(append(store, last + 1, last + 1, 1, &error));
+		assert_non_null(strstr(error->message, g_strerror(number)));
+		g_clear_error(&error);
+		ops = working;
+		assert_false(append(store, last + 1, last + 1, 1, &error));
+		assert_true(g_error_matches(error, STORE_ERROR,
+					    STORE_ERROR_FAILED));
+		g_clear_error(&error);
+		store_close(store);
+	}
+}
+
+static void test_snapshot_trims(void **state)
+{
+	struct store_recovered found;
+	struct store *store = open_store(*state, NULL, &found);
+	struct cf_snapshot snapshot = snapshot_at(8, 1);
+	char *first = store_segment_path(*state, 1);
+	struct faulty_ops ops = working;
+	GError *error = NULL;
+
+	store_clear_recovered(&found);
+	assert_true(append(store, 1, 8, 1, NULL));
+	assert_true(store_save_snapshot(store, &snapshot, NULL));
+	assert_false(g_file_test(first, G_FILE_TEST_EXISTS));
+	assert_true(append(store, 9, 10, 1, NULL));
+	store_close(store);
+
+	store = open_store(*state, &ops.ops, &found);
+	assert_int_equal(found.snapshot.index, 8);
+	assert_int_equal(g_bytes_get_size(found.snapshot.data), 5);
+	assert_int_equal(found.entries->len, 2);
+	store_clear_recovered(&found);
+	g_bytes_unref(snapshot.data);
+	snapshot = snapshot_at(10, 1);
+	ops.rename_errno = ENOSPC;
+	assert_false(store_save_snapshot(store, &snapshot, &error));
+	g_clear_error(&error);
+	store_close(store);
+
+	store = open_store(*state, NULL, &found);
+	assert_int_equal(found.snapshot.index, 8);
+	assert_int_equal(last_of(&found), 10);
+	store_clear_recovered(&found);
+	store_close(store);
+	g_bytes_unref(snapshot.data);
+	g_free(first);
+}
+
+/* A snapshot from the leader replaces a log that does not lead to it,
+ * also when the process ends between the two writes. */
+static void test_received_snapshot(void **state)
+{
+	struct cf_snapshot snapshot = snapshot_at(20, 3);
+	struct store_write write = { .state = { 3, 0, 20 },
+				     .snapshot = &snapshot };
+	GBytes *data = store_snapshot_encode(&snapshot);
+
+	for (int cut_short = 0; cut_short < 2; cut_short++) {
+		struct store_recovered found;
+		char *folder = g_build_filename(
+			*state, cut_short ? "cut" : "whole", NULL);
+		struct store *store = open_store(folder, NULL, &found);
+
+		store_clear_recovered(&found);
+		assert_true(append(store, 1, 30, 1, NULL));
+		if (cut_short)
+			assert_true(store_put_file(folder,
+						   "snapshot-0000000000000014",
+						   data, NULL));
+		else
+			assert_true(store_append(store, &write, NULL));
+		for (int restart = 0; restart < 2; restart++) {
+			store_close(store);
+			store = open_store(folder, NULL, &found);
+			assert_int_equal(found.snapshot.index, 20);
+			assert_int_equal(found.entries->len, restart);
+			store_clear_recovered(&found);
+			assert_true(append(store, 21, 21, 3, NULL));
+		}
+		store_close(store);
+		remove_folder((void **)&folder);
+	}
+	g_bytes_unref(data);
+	g_bytes_unref(snapshot.data);
+}
+
+static void test_missing_files(void **state)
+{
+	struct store_recovered found;
+	struct store *store = open_store(*state, NULL, &found);
+	struct cf_snapshot snapshot = snapshot_at(3, 1);
+	char *path =
+		g_build_filename(*state, "snapshot-0000000000000003", NULL);
+	char *identity = g_build_filename(*state, "identity", NULL);
+
+	store_clear_recovered(&found);
+	assert_true(append(store, 1, 3, 1, NULL));
+	assert_true(store_save_snapshot(store, &snapshot, NULL));
+	assert_true(append(store, 4, 4, 1, NULL));
+	store_close(store);
+	g_unlink(identity);
+	expect_refusal(*state, "identity", STORE_ERROR_CORRUPT);
+	g_file_set_contents(path, "garbage", 7, NULL);
+	expect_refusal(*state, path, STORE_ERROR_CORRUPT);
+	g_unlink(path);
+	expect_refusal(*state, "no snapshot", STORE_ERROR_CORRUPT);
+	g_bytes_unref(snapshot.data);
+	g_free(path);
+	g_free(identity);
+}
+
+static void test_small_files(void **state)
+{
+	GBytes *data = g_bytes_new("votes", 5), *read;
+	GError *error = NULL;
+
+	assert_null(store_get_file(*state, "ledger", &error));
+	assert_null(error);
+	assert_true(store_put_file(*state, "ledger", data, NULL));
+	read = store_get_file(*state, "ledger", NULL);
+	assert_true(g_bytes_equal(read, data));
+	assert_true(store_remove_file(*state, "ledger", NULL));
+	assert_true(store_remove_file(*state, "ledger", NULL));
+	assert_null(store_get_file(*state, "ledger", &error));
+	assert_null(error);
+	g_bytes_unref(data);
+	g_bytes_unref(read);
+}
+
+#define CASE(test)                                                             \
+	cmocka_unit_test_setup_teardown(test, make_folder, remove_folder)
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		CASE(test_first_start_and_restart),
+		CASE(test_torn_tail),
+		CASE(test_corrupt_middle),
+		CASE(test_failing_disk),
+		CASE(test_snapshot_trims),
+		CASE(test_received_snapshot),
+		CASE(test_missing_files),
+		CASE(test_small_files),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
