Make the log and the store clean for clang-tidy

clang-tidy flagged products of int widened later, dead stores and the sizeof inside g_clear_pointer. Sizes are now of their own type, and g_bytes_unref, which takes NULL, is called plainly.

--- a/fuzz/fuzz_store_record.c
+++ b/fuzz/fuzz_store_record.c
@@ -36,7 +36,7 @@
 	for (guint i = 0; i < entries->len; i++) {
 		GBytes *bytes = g_array_index(entries, struct cf_entry, i).data;
 
-		g_clear_pointer(&bytes, g_bytes_unref);
+		g_bytes_unref(bytes);
 	}
 	g_array_unref(entries);
 }
--- a/src/lib/replog.c
+++ b/src/lib/replog.c
@@ -9,7 +9,7 @@
 
 #define REPLOG_HEARTBEAT_MS 100
 #define REPLOG_ELECTION_MS 600
-#define REPLOG_BATCH_BYTES (256 * 1024)
+#define REPLOG_BATCH_BYTES ((size_t)256 << 10)
 #define REPLOG_CAUGHT_UP_ENTRIES 64
 
 /* ---- Entries -------------------------------------------------------- */
@@ -18,7 +18,7 @@
 {
 	struct cf_entry *e = entry;
 
-	g_clear_pointer(&e->data, g_bytes_unref);
+	g_bytes_unref(e->data);
 }
 
 void replog_clear_message(gpointer message)
@@ -28,12 +28,12 @@
 	for (size_t i = 0; i < m->n_entries; i++)
 		replog_clear_entry(&m->entries[i]);
 	g_free(m->entries);
-	g_clear_pointer(&m->snapshot, g_bytes_unref);
+	g_bytes_unref(m->snapshot);
 }
 
 void replog_clear_snapshot(struct cf_snapshot *snapshot)
 {
-	g_clear_pointer(&snapshot->data, g_bytes_unref);
+	g_bytes_unref(snapshot->data);
 	*snapshot = (struct cf_snapshot){ 0 };
 }
 
--- a/src/store/group.c
+++ b/src/store/group.c
@@ -104,7 +104,7 @@
 
 static void free_job(struct disk_job *job)
 {
-	g_clear_pointer(&job->snapshot.data, g_bytes_unref);
+	g_bytes_unref(job->snapshot.data);
 	g_free(job->failure);
 	g_free(job);
 }
--- a/src/store/log_message.c
+++ b/src/store/log_message.c
@@ -159,8 +159,8 @@
 void log_message_clear(struct cf_replog_message *message)
 {
 	for (size_t i = 0; i < message->n_entries; i++)
-		g_clear_pointer(&message->entries[i].data, g_bytes_unref);
+		g_bytes_unref(message->entries[i].data);
 	g_free(message->entries);
-	g_clear_pointer(&message->snapshot, g_bytes_unref);
+	g_bytes_unref(message->snapshot);
 	memset(message, 0, sizeof(*message));
 }
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -249,7 +249,7 @@
 		ok = store_write_file(store->ops, store->folder, "identity",
 				      data, error);
 	}
-	g_clear_pointer(&data, g_bytes_unref);
+	g_bytes_unref(data);
 	return ok;
 }
 
@@ -303,7 +303,7 @@
 
 static void clear_entry(gpointer entry)
 {
-	g_clear_pointer(&((struct cf_entry *)entry)->data, g_bytes_unref);
+	g_bytes_unref(((struct cf_entry *)entry)->data);
 }
 
 struct store *store_open(const char *folder, struct store_ops *ops,
@@ -347,6 +347,6 @@
 
 void store_clear_recovered(struct store_recovered *recovered)
 {
-	g_clear_pointer(&recovered->entries, g_array_unref);
-	g_clear_pointer(&recovered->snapshot.data, g_bytes_unref);
+	g_array_unref(recovered->entries);
+	g_bytes_unref(recovered->snapshot.data);
 }
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -24,8 +24,8 @@
 
 #define STORE_IDENTITY_SIZE 16
 #define STORE_FRAME_HEAD_SIZE 16 /* bytes before the payload */
-#define STORE_FRAME_MAX (256U * 1024 * 1024) /* bytes of payload */
-#define STORE_SEGMENT_BYTES (4U * 1024 * 1024) /* begins another one */
+#define STORE_FRAME_MAX ((size_t)256 << 20) /* bytes of payload */
+#define STORE_SEGMENT_BYTES ((uint64_t)4 << 20) /* begins another one */
 
 enum store_error {
 	STORE_ERROR_IO, /* the message has the system's reason */
--- a/src/store/store_recover.c
+++ b/src/store/store_recover.c
@@ -86,7 +86,7 @@
 		g_set_error(error, STORE_ERROR, STORE_ERROR_CORRUPT,
 			    "%s/%s: malformed snapshot at offset %d", folder,
 			    name, STORE_FRAME_HEAD_SIZE);
-	g_clear_pointer(&data, g_bytes_unref);
+	g_bytes_unref(data);
 	g_free(name);
 	return ok;
 }
--- a/tests/explore_replog.c
+++ b/tests/explore_replog.c
@@ -199,7 +199,7 @@
 
 static bool moves_on(struct lognet *net)
 {
-	struct lognet_node *leader = lognet_leader(net);
+	struct lognet_node *leader;
 	uint64_t before = net->committed->len;
 
 	for (int i = 0; i < HEAL_STEPS && !net->fault[0]; i++) {
--- a/tests/support/lognet.c
+++ b/tests/support/lognet.c
@@ -32,7 +32,7 @@
 	for (size_t i = 0; i < packet->message.n_entries; i++)
 		lognet_clear_entry(&packet->message.entries[i]);
 	g_free(packet->message.entries);
-	g_clear_pointer(&packet->message.snapshot, g_bytes_unref);
+	g_bytes_unref(packet->message.snapshot);
 	g_free(packet);
 }
 
--- a/tests/support/lognet_checks.c
+++ b/tests/support/lognet_checks.c
@@ -83,7 +83,7 @@
 
 void lognet_clear_entry(gpointer entry)
 {
-	g_clear_pointer(&((struct cf_entry *)entry)->data, g_bytes_unref);
+	g_bytes_unref(((struct cf_entry *)entry)->data);
 }
 
 void lognet_init_disk(struct lognet_disk *disk)
@@ -96,7 +96,7 @@
 void lognet_clear_disk(struct lognet_disk *disk)
 {
 	g_array_unref(disk->entries);
-	g_clear_pointer(&disk->snapshot.data, g_bytes_unref);
+	g_bytes_unref(disk->snapshot.data);
 }
 
 static void put_snapshot(struct lognet_disk *disk,
@@ -106,7 +106,7 @@
 
 	disk->snapshot = *snapshot;
 	g_bytes_ref(disk->snapshot.data);
-	g_clear_pointer(&old, g_bytes_unref);
+	g_bytes_unref(old);
 }
 
 void lognet_persist(struct lognet *net, struct lognet_node *node)
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -296,7 +296,7 @@
 		assert_false(append(store, last + 1, last + 1, 1, &error));
 		assert_non_null(strstr(error->message, g_strerror(number)));
 		g_clear_error(&error);
-		ops = working;
+		memcpy(&ops, &working, sizeof(ops));
 		assert_false(append(store, last + 1, last + 1, 1, &error));
 		assert_true(g_error_matches(error, STORE_ERROR,
 					    STORE_ERROR_FAILED));
