Tighten two cases of test_replog

Trials with one rule taken out showed two cases that saw nothing: an own copy counted before its sync, and a leader that does not stand again for a member in a higher term. Both are asked for now: a proposal made after the ready may not be committed with it, and the leader must be back before an election timeout is over.

--- a/tests/test_replog.c
+++ b/tests/test_replog.c
@@ -286,7 +286,11 @@
 	m.index = 3;
 	cf_replog_step(log, &m, LATE_MS);
 	assert_int_equal(cf_replog_commit(log), 2);
+	/* One that came after the ready is not in its sync. */
+	assert_int_equal(cf_replog_propose(log, data, 0, LATE_MS), 4);
+	m.index = 4;
 	cf_replog_advance(log, LATE_MS);
+	cf_replog_step(log, &m, LATE_MS);
 	assert_int_equal(cf_replog_commit(log), 3);
 	g_bytes_unref(data);
 	cf_replog_destroy(log);
@@ -502,6 +506,7 @@
 	struct lognet *net = make_net(3);
 	struct lognet_node *leader = await_leader(net);
 	struct lognet_node *other = &net->nodes[leader->id % 3];
+	uint64_t term = cf_replog_term(leader->log);
 
 	(void)state;
 	settle(net);
@@ -509,8 +514,11 @@
 	other->disk.state.term += 5;
 	other->disk.state.vote = other->id;
 	lognet_restart(net, other);
-	steps(net, 200);
-	lognet_propose(net, await_leader(net));
+	/* The leader is back in less than an election timeout. */
+	steps(net, ELECTION_MS / LOGNET_STEP_MS - 10);
+	assert_ptr_equal(lognet_leader(net), leader);
+	assert_true(cf_replog_term(leader->log) > term + 5);
+	lognet_propose(net, leader);
 	settle(net);
 	assert_int_equal(other->applied, lognet_leader(net)->applied);
 	lognet_destroy(net);
