Test the group on its disks, and free the folder at once

A group destroyed while an outcome of its disk thread was still on its way through the loop kept the lock of its folder until that came in, so that a restart in the same process was refused ("another process uses this folder", test_all_restart). The store is now closed as soon as the disk thread has ended.

Group options take the table of file operations for this.

--- a/src/store/group.c
+++ b/src/store/group.c
@@ -373,7 +373,7 @@
 	group->snapshot_every = o->snapshot_every ? o->snapshot_every
 						  : SNAPSHOT_EVERY;
 	group->healthy = true;
-	group->store = store_open(o->data_folder, NULL, &found, &failure);
+	group->store = store_open(o->data_folder, o->ops, &found, &failure);
 	if (group->store) {
 		restore(group, o, &found, &failure);
 		store_clear_recovered(&found);
@@ -398,6 +398,8 @@
 	loop_timer_destroy(group->timer);
 	g_async_queue_push(group->jobs, new_job(group, DISK_STOP));
 	g_thread_join(group->thread);
+	store_close(group->store);
+	group->store = NULL;
 	/* Outcomes on their way through the loop still point here. */
 	if (!group->jobs_open)
 		free_group(group);
--- a/src/store/group.h
+++ b/src/store/group.h
@@ -11,6 +11,7 @@
 #include "proto/wire.pb-c.h"
 
 struct group;
+struct store_ops; /* store/store.h */
 
 #define GROUP_IDENTITY_SIZE 16
 
@@ -21,6 +22,7 @@
 	uint32_t n_first_voters; /* 0: joins as a learner when added */
 	uint32_t snapshot_every; /* entries between snapshots; 0: 2000 */
 	uint64_t seed;
+	struct store_ops *ops; /* file operations; NULL: the system's */
 };
 
 struct group_handlers {
