Let a voter that is being removed stand until the change is committed

A leader had put its own removal into its log, lost its quorum before it was committed, and held the longest log; being no voter of its newest members it stood no more, and refused the others its vote. A lost quorum was ruled out: three of four voters were alive and connected. Such a member now stands, without a vote of its own, until the removal is committed (section 4.2.2 of Ongaro's thesis).

--- a/src/lib/replog.c
+++ b/src/lib/replog.c
@@ -259,7 +259,7 @@
 	if (!replog_peer(log, m->from))
 		return;
 	replog_follow(log, m->term, 0);
-	if (led && replog_self(log) && replog_self(log)->voter)
+	if (led && replog_may_stand(log))
 		replog_campaign(log, true);
 }
 
--- a/src/lib/replog_election.c
+++ b/src/lib/replog_election.c
@@ -76,13 +76,34 @@
 		send_vote_requests(log, false);
 }
 
-void replog_election_tick(struct cf_replog *log)
+/*
+ * A voter that a change removes stands for election until the change is
+ * committed (section 4.2.2 of Ongaro's thesis): it may hold entries that
+ * the others need, and they refuse each other's shorter logs a vote.
+ */
+bool replog_may_stand(const struct cf_replog *log)
 {
 	const struct replog_peer *self = replog_self(log);
+	struct cf_members before;
 
-	if (!self || !self->voter)
-		return;
-	if (log->members.n_voters == 1 || log->now_ms >= log->election_at_ms)
+	if (self && self->voter)
+		return true;
+	if (log->members_index <= log->state.commit)
+		return false;
+	before = replog_members_at(log, log->members_index - 1);
+	for (uint32_t i = 0; i < before.n_voters; i++)
+		if (before.voters[i] == log->id)
+			return true;
+	return false;
+}
+
+void replog_election_tick(struct cf_replog *log)
+{
+	bool alone = log->members.n_voters == 1 &&
+		     log->members.voters[0] == log->id;
+
+	if ((alone || log->now_ms >= log->election_at_ms) &&
+	    replog_may_stand(log))
 		replog_campaign(log, true);
 }
 
--- a/src/lib/replog_internal.h
+++ b/src/lib/replog_internal.h
@@ -97,6 +97,7 @@
 void replog_reset_election(struct cf_replog *log);
 void replog_follow(struct cf_replog *log, uint64_t term, uint32_t leader);
 void replog_campaign(struct cf_replog *log, bool pre_vote);
+bool replog_may_stand(const struct cf_replog *log);
 void replog_election_tick(struct cf_replog *log);
 bool replog_ignores_votes(const struct cf_replog *log, uint32_t candidate);
 void replog_on_vote_request(struct cf_replog *log,
--- a/tests/test_replog.c
+++ b/tests/test_replog.c
@@ -407,6 +407,55 @@
 	}
 }
 
+/* A leader that removes itself may be the only one that holds the entry:
+ * until it is committed, it still stands for election. */
+static void test_removed_stands_until_committed(void **state)
+{
+	static const struct cf_members without_1 = { { 2, 3 }, 2, { 0 }, 0 };
+	struct cf_replog *log = make_log(3, 1, "1");
+	int64_t now_ms = LATE_MS + ELECTION_MS;
+	struct cf_replog_message m;
+
+	(void)state;
+	lead(log, LATE_MS);
+	m = from(2, CF_REPLOG_APPEND_REPLY, 2);
+	m.index = 2;
+	cf_replog_step(log, &m, LATE_MS);
+	assert_int_equal(cf_replog_propose_members(log, &without_1, 0, LATE_MS),
+			 3);
+	flush(log, LATE_MS, NULL);
+	cf_replog_tick(log, now_ms);
+	assert_int_equal(cf_replog_leader(log), 0);
+	flush(log, now_ms, NULL);
+	cf_replog_tick(log, now_ms += 2 * ELECTION_MS);
+	assert_true(flush(log, now_ms, &m));
+	assert_int_equal(m.kind, CF_REPLOG_PREVOTE);
+	/* It has no vote of its own: both others are needed. */
+	m = from(2, CF_REPLOG_PREVOTE_REPLY, 3);
+	cf_replog_step(log, &m, now_ms);
+	assert_int_equal(cf_replog_term(log), 2);
+	m.from = 3;
+	cf_replog_step(log, &m, now_ms);
+	assert_int_equal(cf_replog_term(log), 3);
+	for (uint32_t id = 2; id <= 3; id++) {
+		m = from(id, CF_REPLOG_VOTE_REPLY, 3);
+		cf_replog_step(log, &m, now_ms);
+	}
+	assert_int_equal(cf_replog_leader(log), 1);
+	flush(log, now_ms, NULL);
+	for (uint32_t id = 2; id <= 3; id++) {
+		m = from(id, CF_REPLOG_APPEND_REPLY, 3);
+		m.index = 4;
+		cf_replog_step(log, &m, now_ms);
+	}
+	/* Committed: it stands no more. */
+	assert_int_equal(cf_replog_commit(log), 4);
+	flush(log, now_ms, NULL);
+	cf_replog_tick(log, now_ms + 100000);
+	assert_false(flush(log, now_ms + 100000, &m));
+	cf_replog_destroy(log);
+}
+
 /* ---- Several members ------------------------------------------------ */
 
 static struct lognet *make_net(uint32_t n_voters)
@@ -604,6 +653,7 @@
 		cmocka_unit_test(test_leader_without_quorum_steps_down),
 		cmocka_unit_test(test_single_voter),
 		cmocka_unit_test(test_member_changes),
+		cmocka_unit_test(test_removed_stands_until_committed),
 		cmocka_unit_test(test_laggard_gets_snapshot),
 		cmocka_unit_test(test_return_disturbs_nobody),
 		cmocka_unit_test(test_higher_term_rejoins),
