Let a holder whose lease ran out come back as it is

A holder that was frozen for longer than its lease was told RELEASED for good, and the session asks again for ever: an agent cut off for 3 s would never start a task under this leader again. A lease that ran out is now forgotten once it was told as a departure, and the next request begins a new one; one that gave its lease back stays out. Ruled out: a new incarnation, which loses what the gate knows about earlier tasks.

--- a/include/chervilferry.h
+++ b/include/chervilferry.h
@@ -261,6 +261,7 @@
 CF_API void cf_lease_table_destroy(struct cf_lease_table *table); /* NULL is allowed */
 CF_API bool cf_lease_table_renew(struct cf_lease_table *table, uint64_t incarnation, int64_t now_ms); /* false: it ran out or gave its lease back */
 CF_API void cf_lease_table_release(struct cf_lease_table *table, uint64_t incarnation); /* gives it back */
+CF_API void cf_lease_table_forget(struct cf_lease_table *table, uint64_t incarnation); /* one whose end was told may come anew */
 CF_API enum cf_holder_state cf_lease_table_state(const struct cf_lease_table *table, uint64_t incarnation, int64_t now_ms); /* of one holder */
 CF_API bool cf_lease_table_settled(const struct cf_lease_table *table, int64_t now_ms); /* leases of an earlier leader have run out */
 CF_API size_t cf_lease_table_expire(struct cf_lease_table *table, int64_t now_ms, uint64_t *incarnations, size_t max); /* newly ended ones, each told once */
--- a/src/lib/lease.c
+++ b/src/lib/lease.c
@@ -153,6 +153,11 @@
 	holder->gone = true;
 }
 
+void cf_lease_table_forget(struct cf_lease_table *table, uint64_t incarnation)
+{
+	g_hash_table_remove(table->holders, &incarnation);
+}
+
 enum cf_holder_state cf_lease_table_state(const struct cf_lease_table *table,
 					  uint64_t incarnation, int64_t now_ms)
 {
--- a/src/roles/coordinator.c
+++ b/src/roles/coordinator.c
@@ -9,7 +9,6 @@
 #include "base/logger.h"
 #include "base/trace_file.h"
 
-#include <stdio.h>
 #include <string.h>
 
 /* ---- Constants ----------------------------------------------------- */
@@ -88,13 +87,12 @@
 				       "revision that is applied here");
 }
 
-static struct coordinator *create_empty(const struct settings *settings,
-					uint64_t incarnation)
+static struct coordinator *create_empty(const struct settings *settings)
 {
 	struct coordinator *c = g_new0(struct coordinator, 1);
 
 	c->id = (uint32_t)settings_number(settings, "id");
-	c->incarnation = incarnation;
+	c->incarnation = clock_random();
 	g_strlcpy(c->name, settings_text(settings, "name"), sizeof(c->name));
 	g_strlcpy(c->data_centre, settings_text(settings, "data-centre"),
 		  sizeof(c->data_centre));
@@ -244,10 +242,10 @@
 	return NULL;
 }
 
-static struct coordinator *start(const struct settings *settings,
-				 uint64_t incarnation, GError **error)
+struct coordinator *coordinator_start(const struct settings *settings,
+				      GError **error)
 {
-	struct coordinator *c = create_empty(settings, incarnation);
+	struct coordinator *c = create_empty(settings);
 
 	c->loop = loop_create(error);
 	if (!c->loop || !read_members(c, settings, error) ||
@@ -268,12 +266,6 @@
 	return c;
 }
 
-struct coordinator *coordinator_start(const struct settings *settings,
-				      GError **error)
-{
-	return start(settings, clock_random(), error);
-}
-
 uint16_t coordinator_port(const struct coordinator *c)
 {
 	return c->port;
@@ -328,27 +320,16 @@
 
 int coordinator_main(const struct settings *settings)
 {
-	g_autoptr(GError) error = NULL;
-	const char *trace = settings_text(settings, "trace");
-	uint64_t incarnation = clock_random();
-	struct coordinator *c = NULL;
-
-	role_block_signals();
-	if (!trace || !*trace ||
-	    trace_open(trace, settings_text(settings, "name"), incarnation,
-		       &error))
-		c = start(settings, incarnation, &error);
-	if (!c) {
-		fprintf(stderr, "chervilferry coordinator: %s\n",
-			error ? error->message : "cannot start");
-		return 1;
-	}
+	GError *error = NULL;
+	struct coordinator *c = coordinator_start(settings, &error);
+
+	if (!c)
+		return role_fail(error);
 	log_event(LOG_INFO, "started", "id=%u port=%u admin_port=%u", c->id,
 		  c->port, admin_port(c->admin));
 	role_wait_for_stop();
 	log_event(LOG_INFO, "stopping", NULL);
 	coordinator_stop(c);
 	log_event(LOG_INFO, "stopped", NULL);
-	trace_close();
 	return 0;
 }
--- a/src/roles/coordinator.h
+++ b/src/roles/coordinator.h
@@ -50,8 +50,9 @@
 	struct cf_lease_table *leases;
 	GHashTable *holders; /* incarnation -> struct holder */
 	GHashTable *fencing; /* incarnations with a fence under way */
+	GHashTable *left; /* incarnations that gave their lease back */
 	uint64_t roster_version;
-	int64_t last_departure_ms; /* wall */
+	int64_t last_departure_ms; /* wall; keys up to here may be there */
 	bool settled;
 	uint64_t proposed; /* newest entry of the membership upkeep */
 	int64_t proposed_ms;
--- a/src/roles/coordinator_leases.c
+++ b/src/roles/coordinator_leases.c
@@ -27,6 +27,13 @@
 	return cf_lease_table_settled(office->leases, now_ms - QUORUM_FRESH_MS);
 }
 
+/* Keys up to this time may have run on an agent that is not listed; a
+ * key's clock may be ahead of ours by the skew. */
+static void note_departure(struct coordinator *c)
+{
+	c->office->last_departure_ms = clock_wall_ms() + CF_CLOCK_SKEW_MS;
+}
+
 void coordinator_begin_office(struct coordinator *c, int64_t now_ms)
 {
 	struct office *office = g_new0(struct office, 1);
@@ -36,9 +43,11 @@
 						NULL, g_free);
 	office->fencing = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						g_free, NULL);
+	office->left = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+					     g_free, NULL);
 	office->roster_version = 1;
-	office->last_departure_ms = clock_wall_ms();
 	c->office = office;
+	note_departure(c);
 	gauge_set(c->counters.leading, 1);
 	log_event(LOG_INFO, "office_begun", "term=%" G_GUINT64_FORMAT,
 		  group_term(c->group));
@@ -54,6 +63,7 @@
 	cf_lease_table_destroy(office->leases);
 	g_hash_table_destroy(office->holders);
 	g_hash_table_destroy(office->fencing);
+	g_hash_table_destroy(office->left);
 	g_free(office);
 	gauge_set(c->counters.leading, 0);
 	gauge_set(c->counters.holders, 0);
@@ -157,7 +167,7 @@
 	log_event(LOG_INFO, event, "name=%s incarnation=%016" HEX, holder->name,
 		  incarnation);
 	if (holder->role == CFW__ROLE__ROLE_AGENT)
-		c->office->last_departure_ms = clock_wall_ms();
+		note_departure(c);
 	g_hash_table_remove(c->office->holders, &incarnation);
 	roster_changed(c);
 }
@@ -225,6 +235,20 @@
 		counter_add(c->counters.refused, 1);
 }
 
+/* One that was frozen or cut off comes back as it is: it still knows
+ * what it started, and has taken what was fenced since before it starts
+ * anything under the new lease. */
+static void renew(struct coordinator *c, uint64_t incarnation, int64_t now_ms)
+{
+	struct cf_lease_table *leases = c->office->leases;
+
+	if (cf_lease_table_renew(leases, incarnation, now_ms))
+		return;
+	remove_holder(c, incarnation, "holder_expired");
+	cf_lease_table_forget(leases, incarnation);
+	cf_lease_table_renew(leases, incarnation, now_ms);
+}
+
 static void holder_request(struct coordinator *c, struct link *link,
 			   const struct Cfw__LeaseRequest *request,
 			   int64_t now_ms)
@@ -233,7 +257,12 @@
 
 	if (request->leaving) {
 		cf_lease_table_release(office->leases, request->incarnation);
+		g_hash_table_add(office->left,
+				 g_memdup2(&request->incarnation,
+					   sizeof(request->incarnation)));
 		remove_holder(c, request->incarnation, "holder_left");
+	}
+	if (g_hash_table_contains(office->left, &request->incarnation)) {
 		refuse(c, link, request, CFW__LEASE_VERDICT__LEASE_RELEASED);
 		return;
 	}
@@ -242,12 +271,7 @@
 		counter_add(c->counters.refused, 1);
 		return;
 	}
-	if (!cf_lease_table_renew(office->leases, request->incarnation,
-				  now_ms)) {
-		remove_holder(c, request->incarnation, "holder_expired");
-		refuse(c, link, request, CFW__LEASE_VERDICT__LEASE_RELEASED);
-		return;
-	}
+	renew(c, request->incarnation, now_ms);
 	keep_holder(c, request, now_ms);
 	grant_lease(c, link, request, c->lease_ms);
 }
@@ -282,7 +306,7 @@
 	if (c->office->settled || !is_settled(c->office, now_ms))
 		return;
 	c->office->settled = true;
-	c->office->last_departure_ms = clock_wall_ms();
+	note_departure(c);
 	c->office->roster_version++;
 	log_event(LOG_INFO, "roster_settled", "holders=%u",
 		  g_hash_table_size(c->office->holders));
@@ -298,8 +322,10 @@
 	do {
 		n = cf_lease_table_expire(c->office->leases, now_ms, ended,
 					  EXPIRED_AT_ONCE);
-		for (size_t i = 0; i < n; i++)
+		for (size_t i = 0; i < n; i++) {
 			remove_holder(c, ended[i], "holder_expired");
+			cf_lease_table_forget(c->office->leases, ended[i]);
+		}
 	} while (n == EXPIRED_AT_ONCE);
 	settle(c, now_ms);
 }
