--- a/src/base/trace_file.c
+++ b/src/base/trace_file.c
@@ -62,16 +62,29 @@
 	return NULL;
 }
 
+/* A killed process may have left half a line; the next begins anew. */
+static void drop_half_line(int fd)
+{
+	off_t size = lseek(fd, 0, SEEK_END);
+	char byte = '\n';
+
+	while (size > 0 && pread(fd, &byte, 1, size - 1) == 1 && byte != '\n')
+		size--;
+	if (ftruncate(fd, size))
+		g_warning("trace file: %s", g_strerror(errno));
+}
+
 bool trace_open(const char *path, const char *name, uint64_t incarnation,
 		GError **error)
 {
-	file = open(path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+	file = open(path, O_RDWR | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
 	if (file < 0) {
 		g_set_error(error, G_FILE_ERROR,
 			    (gint)g_file_error_from_errno(errno),
 			    "trace file %s: %s", path, g_strerror(errno));
 		return false;
 	}
+	drop_half_line(file);
 	process_name = g_strdup(name);
 	process_incarnation = incarnation;
 	buffer = g_string_new(NULL);
--- a/src/main.c
+++ b/src/main.c
@@ -4,6 +4,9 @@
 #include "base/logger.h"
 #include "roles/role.h"
 
+#include "base/clock.h"
+#include "chervilferry.h"
+
 #include <stdio.h>
 #include <string.h>
 
@@ -54,7 +57,8 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(verbs); i++)
 		fprintf(out, "  %-12s %s\n", verbs[i].name, verbs[i].help);
 	fputs("\nbesides:\n"
-	      "  trace        check or replay event traces\n"
+	      "  trace        check event traces against the promises\n"
+	      "  key          print a new job key\n"
 	      "  settings     list every setting [--json]\n"
 	      "  version      print the version\n\n"
 	      "chervilferry ROLE|VERB --help tells its flags.\n",
@@ -128,6 +132,17 @@
 	return 0;
 }
 
+static int print_key(void)
+{
+	struct cf_key key;
+	char text[CF_KEY_TEXT_SIZE];
+
+	cf_key_make(&key, clock_wall_ms(), clock_random(), clock_random());
+	cf_key_format(&key, text);
+	puts(text);
+	return 0;
+}
+
 static bool is_operator_verb(const char *name)
 {
 	for (size_t i = 0; i < G_N_ELEMENTS(verbs); i++)
@@ -149,6 +164,8 @@
 		return trace_main(argc - 1, argv + 1);
 	if (!strcmp(name, "settings"))
 		return run_settings(argc - 1, argv + 1);
+	if (!strcmp(name, "key"))
+		return print_key();
 	if (!strcmp(name, "version") || !strcmp(name, "--version")) {
 		puts(CF_VERSION);
 		return 0;
--- a/src/roles/agent.c
+++ b/src/roles/agent.c
@@ -254,7 +254,8 @@
 	agent->incarnation = clock_random();
 	apr_pool_create(&agent->pool, NULL);
 	open_counters(&agent->counters);
-	if (!open_all(agent, error)) {
+	if (!role_open_trace(settings, agent->incarnation, error) ||
+	    !open_all(agent, error)) {
 		close_all(agent);
 		return NULL;
 	}
@@ -313,6 +314,7 @@
 	loop_stop(agent->loop);
 	apr_thread_join(&status, agent->thread);
 	trace_event("stop_end", "in_progress=%d", cut_off);
+	trace_close();
 	log_event(LOG_INFO, "stopped", "in_progress=%d", cut_off);
 	close_all(agent);
 }
--- a/src/roles/dispatcher.c
+++ b/src/roles/dispatcher.c
@@ -356,7 +356,8 @@
 	open_counters(&d->counters);
 	open_tables(d);
 	open_policy(d);
-	if (!open_all(d, error)) {
+	if (!role_open_trace(settings, d->incarnation, error) ||
+	    !open_all(d, error)) {
 		close_all(d);
 		return NULL;
 	}
@@ -423,6 +424,7 @@
 	loop_stop(d->loop);
 	apr_thread_join(&status, d->thread);
 	trace_event("stop_end", "in_progress=%d", cut_off);
+	trace_close();
 	log_event(LOG_INFO, "stopped", "in_progress=%d", cut_off);
 	close_all(d);
 }
--- a/src/roles/role.c
+++ b/src/roles/role.c
@@ -4,6 +4,7 @@
 #include "roles/role.h"
 
 #include "base/logger.h"
+#include "base/trace_file.h"
 
 #include <apr_errno.h>
 #include <signal.h>
@@ -21,6 +22,17 @@
 	return g_strdup_printf("%.*s:%u", (int)(colon - own), own, port);
 }
 
+bool role_open_trace(const struct settings *settings, uint64_t incarnation,
+		     GError **error)
+{
+	const char *path = settings_text(settings, "trace");
+
+	if (!path)
+		return true;
+	return trace_open(path, settings_text(settings, "name"), incarnation,
+			  error);
+}
+
 GQuark role_error_quark(void)
 {
 	return g_quark_from_static_string("role");
--- a/src/roles/role.h
+++ b/src/roles/role.h
@@ -37,6 +37,9 @@
 
 /* Where others reach this process, with the port in use; g_free it. */
 char *role_address(const struct settings *settings, uint16_t port);
+/* Opens the event trace that the settings name, if any. */
+bool role_open_trace(const struct settings *settings, uint64_t incarnation,
+		     GError **error);
 GQuark role_error_quark(void);
 void role_set_error(GError **error, const char *what, int status); /* APR's */
 int role_fail(GError *error); /* logs it, gives the exit status */
--- /dev/null
+++ b/src/roles/trace_verbs.c
@@ -0,0 +1,100 @@
+/*
+ * trace_verbs: "chervilferry trace check FILE..." merges the traces of
+ * all processes and names the first event that breaks each promise.
+ */
+#include "roles/trace_verbs.h"
+
+#include "roles/role.h"
+
+#include <errno.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* ---- Constants ---- */
+
+#define FAULTS_SHOWN 20
+#define EXIT_BROKEN 1
+#define EXIT_BAD_USE 2
+
+/* ---- Reading ---- */
+
+bool trace_read(struct cf_trace *trace, const char *path, GError **error)
+{
+	FILE *file = fopen(path, "r");
+	char *line = NULL;
+	size_t size = 0;
+	uint64_t number = 0;
+	ssize_t got;
+	bool ok = true;
+
+	if (!file) {
+		g_set_error(error, role_error_quark(), errno, "%s: %s", path,
+			    g_strerror(errno));
+		return false;
+	}
+	while (ok && (got = getline(&line, &size, file)) > 0) {
+		if (line[got - 1] != '\n')
+			break;
+		line[got - 1] = '\0';
+		number++;
+		if (*line)
+			ok = cf_trace_add(trace, path, number, line, error);
+	}
+	free(line);
+	fclose(file);
+	return ok;
+}
+
+/* ---- Check ---- */
+
+static void print_faults(const struct cf_trace_fault *faults, size_t n)
+{
+	size_t i;
+
+	for (i = 0; i < n && i < FAULTS_SHOWN; i++)
+		printf("broken: %s: %s:%" PRIu64 ": %s\n", faults[i].promise,
+		       faults[i].file, faults[i].line, faults[i].message);
+}
+
+static void print_summary(const struct cf_trace_summary *s, size_t n)
+{
+	printf("%" PRIu64 " events, %" PRIu64 " starts, %" PRIu64
+	       " doubles, %" PRIu64 " answers: %" PRIu64 " complete, %" PRIu64
+	       " not run, %" PRIu64 " unknown; %zu broken promises\n",
+	       s->events, s->starts, s->doubles, s->answers, s->complete,
+	       s->not_run, s->unknown, n);
+}
+
+static int check_files(int n_files, char **files)
+{
+	struct cf_trace *trace = cf_trace_create();
+	struct cf_trace_summary summary;
+	struct cf_trace_fault faults[FAULTS_SHOWN];
+	GError *error = NULL;
+	size_t n;
+	int i;
+
+	for (i = 0; i < n_files; i++) {
+		if (trace_read(trace, files[i], &error))
+			continue;
+		fprintf(stderr, "%s\n", error->message);
+		g_clear_error(&error);
+		cf_trace_destroy(trace);
+		return EXIT_BAD_USE;
+	}
+	n = cf_trace_check(trace, &summary, faults, FAULTS_SHOWN);
+	print_faults(faults, n);
+	print_summary(&summary, n);
+	cf_trace_destroy(trace);
+	return n ? EXIT_BROKEN : 0;
+}
+
+int trace_main(int argc, char **argv)
+{
+	if (argc > 2 && !strcmp(argv[1], "check"))
+		return check_files(argc - 2, argv + 2);
+	fputs("usage: chervilferry trace check FILE...\n", stderr);
+	return EXIT_BAD_USE;
+}
--- a/tests/support/cluster.c
+++ b/tests/support/cluster.c
@@ -5,6 +5,7 @@
 
 #include "base/clock.h"
 #include "net/http_client.h"
+#include "roles/trace_verbs.h"
 
 #include <glib/gstdio.h>
 #include <jansson.h>
@@ -470,37 +471,13 @@
 
 /* ---- Traces ---- */
 
-static void add_trace(struct cf_trace *trace, const char *path)
-{
-	FILE *file = fopen(path, "r");
-	char *line = NULL;
-	size_t size = 0;
-	uint64_t number = 0;
-	ssize_t got;
-
-	while (file && (got = getline(&line, &size, file)) > 0) {
-		GError *error = NULL;
-
-		/* A killed process leaves half a line at the end. */
-		if (line[got - 1] != '\n')
-			break;
-		line[got - 1] = '\0';
-		if (!cf_trace_add(trace, path, ++number, line, &error)) {
-			fprintf(stderr, "%s\n", error->message);
-			g_clear_error(&error);
-		}
-	}
-	free(line);
-	if (file)
-		fclose(file);
-}
-
 size_t cluster_check(struct cluster *c, struct cf_trace_summary *summary)
 {
 	struct cf_trace_summary own;
 	struct cf_trace_fault faults[20];
 	struct cf_trace *trace = cf_trace_create();
 	GDir *dir = g_dir_open(c->folder, 0, NULL);
+	GError *error = NULL;
 	const char *name;
 	size_t n, i;
 
@@ -510,8 +487,11 @@
 		char path[600];
 
 		snprintf(path, sizeof(path), "%s/%s", c->folder, name);
-		if (g_str_has_suffix(name, ".trace"))
-			add_trace(trace, path);
+		if (g_str_has_suffix(name, ".trace") &&
+		    !trace_read(trace, path, &error)) {
+			fprintf(stderr, "%s\n", error->message);
+			g_clear_error(&error);
+		}
 	}
 	g_dir_close(dir);
 	n = cf_trace_check(trace, summary, faults, 20);
