--- a/src/roles/coordinator.c
+++ b/src/roles/coordinator.c
@@ -155,7 +155,7 @@
 	c->first_members = g_array_new(FALSE, TRUE, sizeof(struct cf_member));
 	if (c->join && c->join[0])
 		return true;
-	g_set_error(error, g_quark_from_static_string("coordinator"), 0,
+	g_set_error(error, role_error_quark(), 0,
 		    "first-members or join: one of them must be given");
 	return false;
 }
--- a/src/roles/coordinator_members.c
+++ b/src/roles/coordinator_members.c
@@ -6,8 +6,8 @@
  */
 #include "roles/coordinator.h"
 
+#include "base/address.h"
 #include "base/clock.h"
-#include "base/logger.h"
 
 #include <string.h>
 
@@ -18,26 +18,13 @@
 
 /* ---- First members ------------------------------------------------- */
 
-static GQuark error_quark(void)
-{
-	return g_quark_from_static_string("coordinator");
-}
-
 static bool parse_address(const char *text, char out[CF_NAME_SIZE])
 {
-	g_autofree char *host = NULL;
-	const char *colon = strrchr(text, ':');
-	guint64 port;
+	char host[ADDRESS_HOST_SIZE];
+	uint16_t port;
 
-	if (!colon || strlen(text) >= CF_NAME_SIZE)
-		return false;
-	host = g_strndup(text, (gsize)(colon - text));
-	if (!g_hostname_is_ip_address(host) ||
-	    !g_ascii_string_to_unsigned(colon + 1, 10, 0, UINT16_MAX, &port,
-					NULL))
-		return false;
-	g_strlcpy(out, text, CF_NAME_SIZE);
-	return true;
+	return g_strlcpy(out, text, CF_NAME_SIZE) < CF_NAME_SIZE &&
+	       address_parse(text, host, &port);
 }
 
 static bool parse_member(const char *text, struct cf_member *member)
@@ -81,7 +68,7 @@
 
 		if (!parse_member(g_strstrip(*part), &member) ||
 		    find_first(members, member.id)) {
-			g_set_error(error, error_quark(), 0,
+			g_set_error(error, role_error_quark(), 0,
 				    "first-members: \"%s\" is not "
 				    "ID=IP:PORT/IP:PORT with a new ID",
 				    *part);
@@ -90,7 +77,7 @@
 		g_array_append_val(members, member);
 	}
 	if (members->len > CF_MEMBERS_MAX || !find_first(members, own_id)) {
-		g_set_error(error, error_quark(), 0,
+		g_set_error(error, role_error_quark(), 0,
 			    "first-members: must be at most %d, this "
 			    "member's id among them",
 			    CF_MEMBERS_MAX);
--- a/src/roles/operator_args.c
+++ b/src/roles/operator_args.c
@@ -4,6 +4,8 @@
  */
 #include "roles/operator.h"
 
+#include "base/address.h"
+
 #include <argtable2.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -251,16 +253,11 @@
 
 static bool is_address(const char *address)
 {
-	const char *colon = strrchr(address, ':');
-	g_autofree char *host = NULL;
-	guint64 port;
-
-	if (!colon || strlen(address) >= CF_NAME_SIZE)
-		return false;
-	host = g_strndup(address, (gsize)(colon - address));
-	return g_hostname_is_ip_address(host) &&
-	       g_ascii_string_to_unsigned(colon + 1, 10, 1, UINT16_MAX, &port,
-					  NULL);
+	char host[ADDRESS_HOST_SIZE];
+	uint16_t port;
+
+	return strlen(address) < CF_NAME_SIZE &&
+	       address_parse(address, host, &port) && port;
 }
 
 static void read_address(const struct arg_str *arg, const char *name,
