--- a/src/lib/ballot.c
+++ b/src/lib/ballot.c
@@ -3,8 +3,8 @@
  * newest view and the older ones that the key's time reaches back to.
  *
  * A voter that has not told its vote (silent, abstaining, of another
- * view) may have voted for anybody. Whoever could have a majority in
- * every view with such voters may own the key.
+ * view) may have voted for anybody. Whoever could have a majority of the
+ * oldest of these views with such voters may own the key.
  */
 #include "chervilferry.h"
 
@@ -97,29 +97,43 @@
 	       (voter->vote != CF_VOTE_FOR && voter->vote != CF_VOTE_TOO_NEW);
 }
 
-/* Does the owner have a majority in every view; with the unknown voters,
- * could it have? Owner 0 stands for one that nobody named. */
-static bool has_majority(struct cf_ballot *ballot, uint64_t owner,
-			 bool with_unknown)
+static bool has_majority_in(struct cf_ballot *ballot,
+			    const struct cf_members *members, uint64_t owner,
+			    bool with_unknown)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < members->n_voters; i++) {
+		const struct ballot_voter *voter =
+			find_voter(ballot, members->voters[i]);
+
+		if (has_vote(voter, owner) ||
+		    (with_unknown && is_unknown(voter)))
+			count++;
+	}
+	return count >= members->n_voters / 2 + 1;
+}
+
+static bool has_won(struct cf_ballot *ballot)
 {
 	for (size_t v = 0; v < ballot->n_views; v++) {
-		const struct cf_members *members = &ballot->views[v].members;
-		uint32_t count = 0;
-
-		for (uint32_t i = 0; i < members->n_voters; i++) {
-			const struct ballot_voter *voter =
-				find_voter(ballot, members->voters[i]);
-
-			if (has_vote(voter, owner) ||
-			    (with_unknown && is_unknown(voter)))
-				count++;
-		}
-		if (count < members->n_voters / 2 + 1)
+		if (!has_majority_in(ballot, &ballot->views[v].members,
+				     ballot->claim.owner, false))
 			return false;
 	}
 	return ballot->n_views > 0;
 }
 
+/* Could the owner have the key, with the unknown voters or without? One
+ * that knew no newer view than the oldest needed a majority there alone.
+ * Owner 0 stands for one that nobody named. */
+static bool may_own(struct cf_ballot *ballot, uint64_t owner, bool with_unknown)
+{
+	return ballot->n_views > 0 &&
+	       has_majority_in(ballot, &ballot->views[0].members, owner,
+			       with_unknown);
+}
+
 static uint32_t votes_for(const struct cf_ballot *ballot, uint64_t owner)
 {
 	uint32_t count = 0;
@@ -138,7 +152,7 @@
 		uint64_t owner = ballot->voters[i].owner;
 
 		if (!owner || owner == ballot->claim.owner ||
-		    !has_majority(ballot, owner, with_unknown))
+		    !may_own(ballot, owner, with_unknown))
 			continue;
 		if (!best || votes_for(ballot, owner) > votes_for(ballot, best))
 			best = owner;
@@ -190,7 +204,7 @@
 	voter->counts = view == ballot->views[ballot->n_views - 1].number;
 	voter->vote = vote;
 	voter->owner = owner;
-	if (has_majority(ballot, ballot->claim.owner, false)) {
+	if (has_won(ballot)) {
 		settle(ballot, CF_CLAIM_WON, ballot->claim.owner);
 		return ballot->state;
 	}
@@ -212,8 +226,7 @@
 	if (other)
 		settle(ballot, CF_CLAIM_OWNED, other);
 	else if (!ballot->n_views || ballot->claim.epoch > 0 ||
-		 any_vote(ballot, CF_VOTE_TOO_OLD) ||
-		 has_majority(ballot, 0, true))
+		 any_vote(ballot, CF_VOTE_TOO_OLD) || may_own(ballot, 0, true))
 		settle(ballot, CF_CLAIM_UNSAFE, 0);
 	else if (any_vote(ballot, CF_VOTE_TOO_NEW))
 		settle(ballot, CF_CLAIM_TOO_NEW, 0);
--- a/src/lib/gate.c
+++ b/src/lib/gate.c
@@ -242,7 +242,7 @@
 	gate->used.memory_mb -= entry->task.memory_mb;
 	gate->used.accelerators -= entry->task.accelerators;
 	entry->state = ok ? CF_TASK_DONE : CF_TASK_FAILED;
-	g_clear_pointer(&entry->task.payload, g_bytes_unref);
+	gate_drop_bytes(&entry->task.payload);
 	gate_keep_result(gate, entry, result);
 	record->n_active--;
 	gate_touch(gate, record, now_ms);
--- a/src/lib/gate_table.c
+++ b/src/lib/gate_table.c
@@ -11,6 +11,13 @@
 
 /* ---- Entries ---- */
 
+void gate_drop_bytes(GBytes **bytes)
+{
+	if (*bytes)
+		g_bytes_unref(*bytes);
+	*bytes = NULL;
+}
+
 void gate_drop_result(struct cf_gate *gate, struct gate_entry *entry)
 {
 	if (!entry->kept)
@@ -18,7 +25,7 @@
 	gate->results_bytes -= g_bytes_get_size(entry->result);
 	g_queue_delete_link(gate->results, entry->kept);
 	entry->kept = NULL;
-	g_clear_pointer(&entry->result, g_bytes_unref);
+	gate_drop_bytes(&entry->result);
 }
 
 void gate_keep_result(struct cf_gate *gate, struct gate_entry *entry,
@@ -39,8 +46,8 @@
 {
 	struct gate_entry *entry = data;
 
-	g_clear_pointer(&entry->task.payload, g_bytes_unref);
-	g_clear_pointer(&entry->result, g_bytes_unref);
+	gate_drop_bytes(&entry->task.payload);
+	gate_drop_bytes(&entry->result);
 	g_free(entry);
 }
 
@@ -176,7 +183,7 @@
 	gate_stop_waiting(gate, entry);
 	entry->state = CF_TASK_FENCED;
 	entry->fence_epoch = entry->record->epoch;
-	g_clear_pointer(&entry->task.payload, g_bytes_unref);
+	gate_drop_bytes(&entry->task.payload);
 	entry->record->n_active--;
 	gate_touch(gate, entry->record, now_ms);
 }
--- a/src/lib/gate_table.h
+++ b/src/lib/gate_table.h
@@ -72,6 +72,7 @@
 void gate_keep_result(struct cf_gate *gate, struct gate_entry *entry,
 		      GBytes *result); /* drops the oldest if too many */
 void gate_drop_result(struct cf_gate *gate, struct gate_entry *entry);
+void gate_drop_bytes(GBytes **bytes); /* unless NULL; then NULL */
 
 /* ---- Records ---- */
 
--- a/src/lib/job.c
+++ b/src/lib/job.c
@@ -53,8 +53,10 @@
 {
 	if (!job)
 		return;
-	for (uint32_t i = 0; i < job->n_tasks; i++)
-		g_clear_pointer(&job->tasks[i].result, g_bytes_unref);
+	for (uint32_t i = 0; i < job->n_tasks; i++) {
+		if (job->tasks[i].result)
+			g_bytes_unref(job->tasks[i].result);
+	}
 	g_free(job->message);
 	g_free(job->stop_reason);
 	g_free(job);
