--- a/src/proto/wire.pb-c.h
+++ b/src/proto/wire.pb-c.h
@@ -20,6 +20,8 @@
 typedef struct Cfw__LogEntry Cfw__LogEntry;
 typedef struct Cfw__Members Cfw__Members;
 typedef struct Cfw__LogMessage Cfw__LogMessage;
+typedef struct Cfw__StoreRecord Cfw__StoreRecord;
+typedef struct Cfw__StoreSnapshot Cfw__StoreSnapshot;
 typedef struct Cfw__TaskClass Cfw__TaskClass;
 typedef struct Cfw__DataCentre Cfw__DataCentre;
 typedef struct Cfw__Team Cfw__Team;
@@ -28,6 +30,7 @@
 typedef struct Cfw__Fence Cfw__Fence;
 typedef struct Cfw__Configuration Cfw__Configuration;
 typedef struct Cfw__Outcome Cfw__Outcome;
+typedef struct Cfw__Subject Cfw__Subject;
 typedef struct Cfw__ConfigSnapshot Cfw__ConfigSnapshot;
 typedef struct Cfw__Command Cfw__Command;
 typedef struct Cfw__Capacity Cfw__Capacity;
@@ -187,6 +190,42 @@
     , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, NULL, {0,NULL}, {0,NULL} }
 
 
+/*
+ * What one synced write adds to a log segment.
+ */
+struct  Cfw__StoreRecord
+{
+  ProtobufCMessage base;
+  uint64_t term;
+  uint32_t vote;
+  uint64_t commit;
+  /*
+   * the log begins anew after reset_index
+   */
+  protobuf_c_boolean reset;
+  uint64_t reset_index;
+  uint64_t reset_term;
+  size_t n_entries;
+  Cfw__LogEntry **entries;
+};
+#define CFW__STORE_RECORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cfw__store_record__descriptor) \
+    , 0, 0, 0, 0, 0, 0, 0,NULL }
+
+
+struct  Cfw__StoreSnapshot
+{
+  ProtobufCMessage base;
+  uint64_t index;
+  uint64_t term;
+  Cfw__Members *members;
+  ProtobufCBinaryData data;
+};
+#define CFW__STORE_SNAPSHOT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cfw__store_snapshot__descriptor) \
+    , 0, 0, NULL, {0,NULL} }
+
+
 struct  Cfw__TaskClass
 {
   ProtobufCMessage base;
@@ -245,10 +284,14 @@
    */
   ProtobufCBinaryData identity;
   protobuf_c_boolean voter;
+  /*
+   * a member remove is under way
+   */
+  protobuf_c_boolean leaving;
 };
 #define CFW__MEMBER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cfw__member__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0 }
 
 
 /*
@@ -264,10 +307,12 @@
    * keys up to here need older views too
    */
   int64_t horizon_ms;
+  size_t n_learners;
+  uint32_t *learners;
 };
 #define CFW__VIEW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cfw__view__descriptor) \
-    , 0, 0,NULL, 0 }
+    , 0, 0,NULL, 0, 0,NULL }
 
 
 struct  Cfw__Fence
@@ -326,16 +371,46 @@
     , {0,NULL}, 0, 0, (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * The newest change of a class, data centre, team or the membership.
+ */
+struct  Cfw__Subject
+{
+  ProtobufCMessage base;
+  char *name;
+  uint64_t revision;
+  int64_t wall_ms;
+};
+#define CFW__SUBJECT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cfw__subject__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
 struct  Cfw__ConfigSnapshot
 {
   ProtobufCMessage base;
   Cfw__Configuration *configuration;
   size_t n_outcomes;
   Cfw__Outcome **outcomes;
+  size_t n_subjects;
+  Cfw__Subject **subjects;
+  /*
+   * newest of the subjects let go
+   */
+  uint64_t forgotten_revision;
+  /*
+   * greatest of the entries applied
+   */
+  int64_t wall_ms;
+  /*
+   * member ids that were removed
+   */
+  size_t n_retired;
+  uint32_t *retired;
 };
 #define CFW__CONFIG_SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cfw__config_snapshot__descriptor) \
-    , NULL, 0,NULL }
+    , NULL, 0,NULL, 0,NULL, 0, 0, 0,NULL }
 
 
 typedef enum {
@@ -348,7 +423,8 @@
   CFW__COMMAND__CHANGE_MEMBER_ADD = 8,
   CFW__COMMAND__CHANGE_MEMBER_REMOVE = 9,
   CFW__COMMAND__CHANGE_FENCE = 10,
-  CFW__COMMAND__CHANGE_DATA_CENTRE_REMOVE = 11
+  CFW__COMMAND__CHANGE_DATA_CENTRE_REMOVE = 11,
+  CFW__COMMAND__CHANGE_MEMBER_IDENTITY = 12
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CFW__COMMAND__CHANGE__CASE)
 } Cfw__Command__ChangeCase;
 
@@ -377,6 +453,10 @@
     uint32_t member_remove;
     uint64_t fence;
     char *data_centre_remove;
+    /*
+     * id and identity only
+     */
+    Cfw__Member *member_identity;
   };
 };
 #define CFW__COMMAND__INIT \
@@ -680,10 +760,14 @@
    */
   uint32_t backlog_ms;
   protobuf_c_boolean accepting;
+  /*
+   * tasks taken from the dispatcher it goes to
+   */
+  uint64_t received;
 };
 #define CFW__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cfw__load__descriptor) \
-    , 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0 }
 
 
 struct  Cfw__Result
@@ -731,10 +815,14 @@
    * what has not started never will
    */
   protobuf_c_boolean fence;
+  /*
+   * above 0: the sender has adopted the key
+   */
+  uint32_t epoch;
 };
 #define CFW__QUERY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cfw__query__descriptor) \
-    , 0, {0,NULL}, 0,NULL, 0 }
+    , 0, {0,NULL}, 0,NULL, 0, 0 }
 
 
 struct  Cfw__QueryReply
@@ -938,6 +1026,44 @@
 void   cfw__log_message__free_unpacked
                      (Cfw__LogMessage *message,
                       ProtobufCAllocator *allocator);
+/* Cfw__StoreRecord methods */
+void   cfw__store_record__init
+                     (Cfw__StoreRecord         *message);
+size_t cfw__store_record__get_packed_size
+                     (const Cfw__StoreRecord   *message);
+size_t cfw__store_record__pack
+                     (const Cfw__StoreRecord   *message,
+                      uint8_t             *out);
+size_t cfw__store_record__pack_to_buffer
+                     (const Cfw__StoreRecord   *message,
+                      ProtobufCBuffer     *buffer);
+Cfw__StoreRecord *
+       cfw__store_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cfw__store_record__free_unpacked
+                     (Cfw__StoreRecord *message,
+                      ProtobufCAllocator *allocator);
+/* Cfw__StoreSnapshot methods */
+void   cfw__store_snapshot__init
+                     (Cfw__StoreSnapshot         *message);
+size_t cfw__store_snapshot__get_packed_size
+                     (const Cfw__StoreSnapshot   *message);
+size_t cfw__store_snapshot__pack
+                     (const Cfw__StoreSnapshot   *message,
+                      uint8_t             *out);
+size_t cfw__store_snapshot__pack_to_buffer
+                     (const Cfw__StoreSnapshot   *message,
+                      ProtobufCBuffer     *buffer);
+Cfw__StoreSnapshot *
+       cfw__store_snapshot__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cfw__store_snapshot__free_unpacked
+                     (Cfw__StoreSnapshot *message,
+                      ProtobufCAllocator *allocator);
 /* Cfw__TaskClass methods */
 void   cfw__task_class__init
                      (Cfw__TaskClass         *message);
@@ -1090,6 +1216,25 @@
 void   cfw__outcome__free_unpacked
                      (Cfw__Outcome *message,
                       ProtobufCAllocator *allocator);
+/* Cfw__Subject methods */
+void   cfw__subject__init
+                     (Cfw__Subject         *message);
+size_t cfw__subject__get_packed_size
+                     (const Cfw__Subject   *message);
+size_t cfw__subject__pack
+                     (const Cfw__Subject   *message,
+                      uint8_t             *out);
+size_t cfw__subject__pack_to_buffer
+                     (const Cfw__Subject   *message,
+                      ProtobufCBuffer     *buffer);
+Cfw__Subject *
+       cfw__subject__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cfw__subject__free_unpacked
+                     (Cfw__Subject *message,
+                      ProtobufCAllocator *allocator);
 /* Cfw__ConfigSnapshot methods */
 void   cfw__config_snapshot__init
                      (Cfw__ConfigSnapshot         *message);
@@ -1582,6 +1727,12 @@
 typedef void (*Cfw__LogMessage_Closure)
                  (const Cfw__LogMessage *message,
                   void *closure_data);
+typedef void (*Cfw__StoreRecord_Closure)
+                 (const Cfw__StoreRecord *message,
+                  void *closure_data);
+typedef void (*Cfw__StoreSnapshot_Closure)
+                 (const Cfw__StoreSnapshot *message,
+                  void *closure_data);
 typedef void (*Cfw__TaskClass_Closure)
                  (const Cfw__TaskClass *message,
                   void *closure_data);
@@ -1606,6 +1757,9 @@
 typedef void (*Cfw__Outcome_Closure)
                  (const Cfw__Outcome *message,
                   void *closure_data);
+typedef void (*Cfw__Subject_Closure)
+                 (const Cfw__Subject *message,
+                  void *closure_data);
 typedef void (*Cfw__ConfigSnapshot_Closure)
                  (const Cfw__ConfigSnapshot *message,
                   void *closure_data);
@@ -1695,6 +1849,8 @@
 extern const ProtobufCMessageDescriptor cfw__log_entry__descriptor;
 extern const ProtobufCMessageDescriptor cfw__members__descriptor;
 extern const ProtobufCMessageDescriptor cfw__log_message__descriptor;
+extern const ProtobufCMessageDescriptor cfw__store_record__descriptor;
+extern const ProtobufCMessageDescriptor cfw__store_snapshot__descriptor;
 extern const ProtobufCMessageDescriptor cfw__task_class__descriptor;
 extern const ProtobufCMessageDescriptor cfw__data_centre__descriptor;
 extern const ProtobufCMessageDescriptor cfw__team__descriptor;
@@ -1703,6 +1859,7 @@
 extern const ProtobufCMessageDescriptor cfw__fence__descriptor;
 extern const ProtobufCMessageDescriptor cfw__configuration__descriptor;
 extern const ProtobufCMessageDescriptor cfw__outcome__descriptor;
+extern const ProtobufCMessageDescriptor cfw__subject__descriptor;
 extern const ProtobufCMessageDescriptor cfw__config_snapshot__descriptor;
 extern const ProtobufCMessageDescriptor cfw__command__descriptor;
 extern const ProtobufCMessageDescriptor cfw__capacity__descriptor;
--- /dev/null
+++ b/src/roles/role.c
@@ -0,0 +1,60 @@
+/*
+ * role: small things that every role's life needs.
+ */
+#include "roles/role.h"
+
+#include "base/logger.h"
+#include "base/trace_file.h"
+
+#include <apr_errno.h>
+#include <signal.h>
+#include <string.h>
+#include <unistd.h>
+
+char *role_address(const struct settings *settings, uint16_t port)
+{
+	const char *told = settings_text(settings, "advertise");
+	const char *own = settings_text(settings, "listen");
+	const char *colon = strrchr(own, ':');
+
+	if (told)
+		return g_strdup(told);
+	return g_strdup_printf("%.*s:%u", (int)(colon - own), own, port);
+}
+
+bool role_open_trace(const struct settings *settings, uint64_t incarnation,
+		     GError **error)
+{
+	const char *path = settings_text(settings, "trace");
+
+	if (!path)
+		return true;
+	return trace_open(path, settings_text(settings, "name"), incarnation,
+			  error);
+}
+
+GQuark role_error_quark(void)
+{
+	return g_quark_from_static_string("role");
+}
+
+void role_set_error(GError **error, const char *what, int status)
+{
+	char text[120];
+
+	apr_strerror(status, text, sizeof(text));
+	g_set_error(error, role_error_quark(), status, "%s: %s", what, text);
+}
+
+int role_fail(GError *error)
+{
+	log_event(LOG_ERROR, "start_failed", "reason=\"%s\"",
+		  error ? error->message : "unknown");
+	g_clear_error(&error);
+	return 1;
+}
+
+void role_request_stop(void)
+{
+	kill(getpid(), SIGTERM);
+}
