guard: throttle, checkpoint or stop tasks of guarded workers

A guarded worker's firm takes its load back, and declared sizes prove wrong, while reports lag.

A stopped task may have run and is never started again here; one that was checkpointed resumes only through the same worker. Giving back at once was ruled out: load that comes and goes faster than the lag would move tasks each time (test_hysteresis).

--- a/include/chervilferry.h
+++ b/include/chervilferry.h
@@ -515,6 +515,64 @@
 CF_API uint32_t cf_health_weight_milli(const struct cf_health *health, uint64_t agent, int64_t now_ms); /* 0..1000 */
 CF_API double cf_health_slowness(const struct cf_health *health, uint64_t agent); /* 1.0 usual */
 
+/* ---- Guarded workers (src/lib/guard.c) ------------------------------ */
+/* A worker that its firm shares: it reports usage with a lag, and can
+ * throttle, checkpoint or stop a task. No task starts twice: one that
+ * was stopped may have run, one that was checkpointed resumes here. */
+
+enum cf_guard_state {
+	CF_GUARD_UNKNOWN, /* never started here */
+	CF_GUARD_RUNNING,
+	CF_GUARD_THROTTLED,
+	CF_GUARD_CHECKPOINTING, /* asked for, not confirmed */
+	CF_GUARD_CHECKPOINTED, /* resumes here only */
+	CF_GUARD_STOPPED, /* may have run, never starts again */
+	CF_GUARD_ENDED,
+};
+
+struct cf_guard_task {
+	struct cf_key key;
+	uint32_t index;
+	uint32_t cpu_milli, memory_mb; /* declared */
+	bool can_checkpoint;
+};
+
+struct cf_guard_usage {
+	uint32_t cpu_milli, memory_mb;
+	int64_t measured_ms; /* when it was so, now_ms clock */
+};
+
+struct cf_guard_ops;
+
+struct cf_guard_worker {
+	const struct cf_guard_ops *ops; /* first member: how to reach it */
+};
+
+/* Requests to the worker; false: not accepted, nothing changes. */
+struct cf_guard_ops {
+	bool (*throttle)(struct cf_guard_worker *worker,
+			 const struct cf_guard_task *task, uint32_t cpu_milli); /* at most so much; 0 lifts it */
+	bool (*checkpoint)(struct cf_guard_worker *worker,
+			   const struct cf_guard_task *task); /* confirmed by cf_guard_checkpointed */
+	bool (*resume)(struct cf_guard_worker *worker,
+		       const struct cf_guard_task *task); /* from its checkpoint */
+	bool (*stop)(struct cf_guard_worker *worker,
+		     const struct cf_guard_task *task); /* its work is lost */
+};
+
+struct cf_guard;
+
+CF_API struct cf_guard *cf_guard_create(struct cf_guard_worker *worker, const struct cf_capacity *capacity, int64_t lag_ms); /* worker is borrowed; lag of its reports */
+CF_API void cf_guard_destroy(struct cf_guard *guard); /* NULL is allowed */
+CF_API bool cf_guard_start(struct cf_guard *guard, const struct cf_guard_task *task, int64_t now_ms); /* false: started here before; don't start it */
+CF_API bool cf_guard_end(struct cf_guard *guard, const struct cf_key *key, uint32_t index, int64_t now_ms); /* false: not known, ended or stopped */
+CF_API bool cf_guard_checkpointed(struct cf_guard *guard, const struct cf_key *key, uint32_t index, bool ok, int64_t now_ms); /* false: none was asked for, or it was given up */
+CF_API bool cf_guard_report(struct cf_guard *guard, const struct cf_key *key, uint32_t index, const struct cf_guard_usage *usage); /* of a task; false: not active, or an older report */
+CF_API bool cf_guard_report_others(struct cf_guard *guard, const struct cf_guard_usage *usage); /* of the sister firm; false: an older report */
+CF_API size_t cf_guard_tick(struct cf_guard *guard, int64_t now_ms); /* decides, a few times a second; requests made */
+CF_API enum cf_guard_state cf_guard_state(const struct cf_guard *guard, const struct cf_key *key, uint32_t index); /* of a task */
+CF_API void cf_guard_get_room(const struct cf_guard *guard, struct cf_capacity *room); /* processors and memory that new tasks may declare */
+
 /* ---- Service-level burn (src/lib/burn.c) ---------------------------- */
 
 struct cf_burn_class {
