--- a/src/roles/dispatcher_internal.h
+++ b/src/roles/dispatcher_internal.h
@@ -12,6 +12,7 @@
 #include "roles/role.h"
 #include "roles/session.h"
 
+#include <apr_general.h>
 #include <apr_thread_proc.h>
 
 /* ---- Requests ---- */
