Compare roster entries by field and make the new files lint clean

clang-tidy found a memcmp over a struct with padding: a copy needn't keep the padding, so an unchanged holder could have raised the roster's version and sent the roster to every dispatcher at each renewal. Fields are compared now. The other findings were of form only.

--- a/src/roles/coordinator_claims.c
+++ b/src/roles/coordinator_claims.c
@@ -135,14 +135,31 @@
 	return true;
 }
 
+static size_t cast_votes(struct coordinator *c,
+			 const struct Cfw__ClaimRequest *request,
+			 struct Cfw__Vote *votes, struct Cfw__Vote **pointers)
+{
+	bool may = may_vote(c, loop_now_ms(c->loop));
+	size_t n = 0;
+
+	for (size_t i = 0; i < request->n_claims; i++) {
+		if (vote(c, request->claims[i], may, &votes[n])) {
+			pointers[n] = &votes[n];
+			n++;
+		} else {
+			counter_add(c->counters.dropped, 1);
+		}
+	}
+	return n;
+}
+
 void coordinator_claim_request(struct coordinator *c, struct link *link,
 			       const struct Cfw__ClaimRequest *request)
 {
 	struct Cfw__Envelope envelope = CFW__ENVELOPE__INIT;
 	struct Cfw__ClaimReply reply = CFW__CLAIM_REPLY__INIT;
-	g_autofree struct Cfw__Vote *votes = NULL;
-	g_autofree struct Cfw__Vote **pointers = NULL;
-	bool may = may_vote(c, loop_now_ms(c->loop));
+	struct Cfw__Vote *votes;
+	struct Cfw__Vote **pointers;
 
 	if (request->n_claims > CLAIMS_MAX) {
 		counter_add(c->counters.dropped, 1);
@@ -150,14 +167,7 @@
 	}
 	votes = g_new(struct Cfw__Vote, request->n_claims);
 	pointers = g_new(struct Cfw__Vote *, request->n_claims);
-	for (size_t i = 0; i < request->n_claims; i++) {
-		struct Cfw__Vote *next = &votes[reply.n_votes];
-
-		if (vote(c, request->claims[i], may, next))
-			pointers[reply.n_votes++] = next;
-		else
-			counter_add(c->counters.dropped, 1);
-	}
+	reply.n_votes = cast_votes(c, request, votes, pointers);
 	reply.seq = request->seq;
 	reply.member_id = c->id;
 	reply.incarnation = c->incarnation;
@@ -166,4 +176,6 @@
 	envelope.body_case = CFW__ENVELOPE__BODY_CLAIM_REPLY;
 	envelope.claim_reply = &reply;
 	link_send(link, &envelope);
+	g_free(pointers);
+	g_free(votes);
 }
--- a/src/roles/coordinator_leases.c
+++ b/src/roles/coordinator_leases.c
@@ -194,6 +194,23 @@
 	holder->capacity.accelerators = request->capacity->accelerators;
 }
 
+static bool same_capacity(const struct cf_capacity *a,
+			  const struct cf_capacity *b)
+{
+	return a->slots == b->slots && a->connections == b->connections &&
+	       a->cpu_milli == b->cpu_milli && a->memory_mb == b->memory_mb &&
+	       a->accelerators == b->accelerators;
+}
+
+static bool same_holder(const struct holder *a, const struct holder *b)
+{
+	return a->role == b->role && a->draining == b->draining &&
+	       !strcmp(a->name, b->name) &&
+	       !strcmp(a->data_centre, b->data_centre) &&
+	       !strcmp(a->rack, b->rack) && !strcmp(a->address, b->address) &&
+	       same_capacity(&a->capacity, &b->capacity);
+}
+
 static void keep_holder(struct coordinator *c,
 			const struct Cfw__LeaseRequest *request, int64_t now_ms)
 {
@@ -211,8 +228,7 @@
 			  kept->role, kept->incarnation);
 		roster_changed(c);
 	}
-	read.renewed_ms = kept->renewed_ms;
-	if (memcmp(kept, &read, sizeof(read)) != 0) {
+	if (!same_holder(kept, &read)) {
 		*kept = read;
 		roster_changed(c);
 	}
--- a/src/roles/operator_client.c
+++ b/src/roles/operator_client.c
@@ -13,7 +13,7 @@
 /* ---- Constants ----------------------------------------------------- */
 
 #define CALL_TIMEOUT_MS 3000
-#define AGAIN_AFTER_MS 100
+#define AGAIN_AFTER_US 100000UL
 #define HTTP_MISDIRECTED 421
 #define HTTP_UNAVAILABLE 503
 
@@ -164,7 +164,7 @@
 		if (!redirect || leader) {
 			if (!request->servers[++next])
 				next = 0;
-			g_usleep(AGAIN_AFTER_MS * 1000);
+			g_usleep(AGAIN_AFTER_US);
 		}
 		g_free(leader);
 		leader = redirect;
--- a/src/roles/operator_print.c
+++ b/src/roles/operator_print.c
@@ -77,10 +77,9 @@
 			GString *out)
 {
 	json_t *array = json_object_get(answer, name);
-	json_t *item;
-	size_t i;
 
-	json_array_foreach(array, i, item) print(item, out);
+	for (size_t i = 0; i < json_array_size(array); i++)
+		print(json_array_get(array, i), out);
 }
 
 static void print_status(const json_t *answer, GString *out)
--- a/tests/test_config.c
+++ b/tests/test_config.c
@@ -39,14 +39,18 @@
 static struct cf_command_result
 command(struct log *log, uint8_t id, uint64_t base, struct Cfw__Command *change)
 {
-	uint8_t id_bytes[16] = { id };
 	uint8_t data[512];
+	uint8_t *id_bytes = g_malloc0(16);
+	size_t size;
 
+	id_bytes[0] = id;
 	change->command_id.data = id_bytes;
-	change->command_id.len = sizeof(id_bytes);
+	change->command_id.len = 16;
 	change->base_revision = base;
-	return apply(log, CF_ENTRY_COMMAND,
-		     g_bytes_new(data, cfw__command__pack(change, data)));
+	size = cfw__command__pack(change, data);
+	change->command_id.data = NULL;
+	g_free(id_bytes);
+	return apply(log, CF_ENTRY_COMMAND, g_bytes_new(data, size));
 }
 
 static struct cf_command_result set_class(struct log *log, uint8_t id,
@@ -173,13 +177,12 @@
 static void test_races(void **state)
 {
 	static const struct {
-		uint8_t id;
-		uint64_t base;
+		uint64_t id, base;
 		const char *name;
 		uint32_t target_ms;
 		enum cf_command_status status;
 		uint64_t revision;
-		uint32_t in_force_ms;
+		uint64_t in_force_ms;
 	} cases[] = {
 		{ 1, 0, "a", 100, CF_COMMAND_DONE, 1, 100 },
 		{ 2, 1, "a", 200, CF_COMMAND_DONE, 2, 200 },
@@ -199,7 +202,7 @@
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
 		struct cf_command_result result =
-			set_class(log, cases[i].id, cases[i].base,
+			set_class(log, (uint8_t)cases[i].id, cases[i].base,
 				  cases[i].name, cases[i].target_ms, 99000);
 		const struct cf_class *found =
 			cf_config_find_class(log->config, cases[i].name);
@@ -222,7 +225,7 @@
 	assert_int_equal(remove_class(log, 4, 0, "a").status,
 			 CF_COMMAND_NOT_FOUND);
 	/* also when the removal itself was forgotten */
-	log->wall_ms += 2 * 86400000;
+	log->wall_ms += 172800000;
 	assert_int_equal(set_class(log, 5, base, "a", 9, 99000).status,
 			 CF_COMMAND_CONFLICT);
 	assert_null(cf_config_find_class(log->config, "a"));
--- a/tests/test_operator.c
+++ b/tests/test_operator.c
@@ -25,94 +25,87 @@
 
 #define AT "--coordinators=127.0.0.1:1"
 
+static const struct parse_case parse_cases[] = {
+	{ { "class", "set", "a", "--target-ms=300", "--percentile=99.5", AT },
+	  OPERATOR_RUN,
+	  NULL },
+	{ { "class", "set", "a", "--percentile=99", AT },
+	  OPERATOR_BAD_USE,
+	  "target-ms" },
+	{ { "class", "set", "--target-ms=1", "--percentile=99", AT },
+	  OPERATOR_BAD_USE,
+	  "NAME" },
+	{ { "class", "set", "a", "--target-ms=0", "--percentile=99", AT },
+	  OPERATOR_BAD_USE,
+	  "--target-ms" },
+	{ { "class", "set", "a", "--target-ms=-1", "--percentile=99", AT },
+	  OPERATOR_BAD_USE,
+	  "--target-ms" },
+	{ { "class", "set", "a", "--target-ms=99999999999999999999",
+	    "--percentile=99", AT },
+	  OPERATOR_BAD_USE,
+	  "--target-ms" },
+	{ { "class", "set", "a", "--target-ms=3", "--percentile=100", AT },
+	  OPERATOR_BAD_USE,
+	  "--percentile" },
+	{ { "class", "set", "a", "--target-ms=3", "--percentile=nan", AT },
+	  OPERATOR_BAD_USE,
+	  "--percentile" },
+	{ { "class", "set", "--help" }, OPERATOR_HELP, "--target-ms" },
+	{ { "class", "--help" }, OPERATOR_HELP, "class remove" },
+	{ { "class" }, OPERATOR_BAD_USE, "class list" },
+	{ { "class", "frob" }, OPERATOR_BAD_USE, "class list" },
+	{ { "class", "list" }, OPERATOR_BAD_USE, "CHERVILFERRY_ADMIN" },
+	{ { "class", "list", "--coordinators=x" },
+	  OPERATOR_BAD_USE,
+	  "--coordinators" },
+	{ { "class", "list", AT, "--frob" }, OPERATOR_BAD_USE, "frob" },
+	{ { "class", "list", "extra", AT }, OPERATOR_BAD_USE, "extra" },
+	{ { "data-centre", "out", "olten", AT, "--json" }, OPERATOR_RUN, NULL },
+	{ { "data-centre", "in", "olten", AT, "--base-revision=7" },
+	  OPERATOR_RUN,
+	  NULL },
+	{ { "data-centre", "in", "olten", AT, "--base-revision=x" },
+	  OPERATOR_BAD_USE,
+	  "--base-revision" },
+	{ { "team", "set", "t", "--share-milli=1001", AT },
+	  OPERATOR_BAD_USE,
+	  "--share-milli" },
+	{ { "member", "add", "4", "--address=127.0.0.1:4",
+	    "--admin-address=127.0.0.1:5", AT },
+	  OPERATOR_RUN,
+	  NULL },
+	{ { "member", "add", "4", "--address=host:4",
+	    "--admin-address=127.0.0.1:5", AT },
+	  OPERATOR_BAD_USE,
+	  "--address" },
+	{ { "member", "remove", "0", AT }, OPERATOR_BAD_USE, "ID" },
+	{ { "status", AT, "--timeout-ms=0" },
+	  OPERATOR_BAD_USE,
+	  "--timeout-ms" },
+	{ { "burn", "--dispatchers=127.0.0.1:1,127.0.0.1:2" },
+	  OPERATOR_RUN,
+	  NULL },
+	{ { "burn" }, OPERATOR_BAD_USE, "--dispatchers" },
+	{ { "settings", "--json" }, OPERATOR_RUN, NULL },
+};
+
 static void test_arguments(void **state)
 {
-	static const struct parse_case cases[] = {
-		{ { "class", "set", "a", "--target-ms=300", "--percentile=99.5",
-		    AT },
-		  OPERATOR_RUN,
-		  NULL },
-		{ { "class", "set", "a", "--percentile=99", AT },
-		  OPERATOR_BAD_USE,
-		  "target-ms" },
-		{ { "class", "set", "--target-ms=1", "--percentile=99", AT },
-		  OPERATOR_BAD_USE,
-		  "NAME" },
-		{ { "class", "set", "a", "--target-ms=0", "--percentile=99",
-		    AT },
-		  OPERATOR_BAD_USE,
-		  "--target-ms" },
-		{ { "class", "set", "a", "--target-ms=-1", "--percentile=99",
-		    AT },
-		  OPERATOR_BAD_USE,
-		  "--target-ms" },
-		{ { "class", "set", "a", "--target-ms=99999999999999999999",
-		    "--percentile=99", AT },
-		  OPERATOR_BAD_USE,
-		  "--target-ms" },
-		{ { "class", "set", "a", "--target-ms=3", "--percentile=100",
-		    AT },
-		  OPERATOR_BAD_USE,
-		  "--percentile" },
-		{ { "class", "set", "a", "--target-ms=3", "--percentile=nan",
-		    AT },
-		  OPERATOR_BAD_USE,
-		  "--percentile" },
-		{ { "class", "set", "--help" }, OPERATOR_HELP, "--target-ms" },
-		{ { "class", "--help" }, OPERATOR_HELP, "class remove" },
-		{ { "class" }, OPERATOR_BAD_USE, "class list" },
-		{ { "class", "frob" }, OPERATOR_BAD_USE, "class list" },
-		{ { "class", "list" }, OPERATOR_BAD_USE, "CHERVILFERRY_ADMIN" },
-		{ { "class", "list", "--coordinators=x" },
-		  OPERATOR_BAD_USE,
-		  "--coordinators" },
-		{ { "class", "list", AT, "--frob" }, OPERATOR_BAD_USE, "frob" },
-		{ { "class", "list", "extra", AT }, OPERATOR_BAD_USE, "extra" },
-		{ { "data-centre", "out", "olten", AT, "--json" },
-		  OPERATOR_RUN,
-		  NULL },
-		{ { "data-centre", "in", "olten", AT, "--base-revision=7" },
-		  OPERATOR_RUN,
-		  NULL },
-		{ { "data-centre", "in", "olten", AT, "--base-revision=x" },
-		  OPERATOR_BAD_USE,
-		  "--base-revision" },
-		{ { "team", "set", "t", "--share-milli=1001", AT },
-		  OPERATOR_BAD_USE,
-		  "--share-milli" },
-		{ { "member", "add", "4", "--address=127.0.0.1:4",
-		    "--admin-address=127.0.0.1:5", AT },
-		  OPERATOR_RUN,
-		  NULL },
-		{ { "member", "add", "4", "--address=host:4",
-		    "--admin-address=127.0.0.1:5", AT },
-		  OPERATOR_BAD_USE,
-		  "--address" },
-		{ { "member", "remove", "0", AT }, OPERATOR_BAD_USE, "ID" },
-		{ { "status", AT, "--timeout-ms=0" },
-		  OPERATOR_BAD_USE,
-		  "--timeout-ms" },
-		{ { "burn", "--dispatchers=127.0.0.1:1,127.0.0.1:2" },
-		  OPERATOR_RUN,
-		  NULL },
-		{ { "burn" }, OPERATOR_BAD_USE, "--dispatchers" },
-		{ { "settings", "--json" }, OPERATOR_RUN, NULL },
-	};
-
 	(void)state;
 	g_unsetenv("CHERVILFERRY_ADMIN");
-	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+	for (size_t i = 0; i < G_N_ELEMENTS(parse_cases); i++) {
 		g_autoptr(GString) text = g_string_new(NULL);
 		char *argv[ARGUMENTS_MAX + 1] = { NULL };
 		struct operator_request request;
 		int argc = 0;
 
-		for (; cases[i].argv[argc]; argc++)
-			argv[argc] = cases[i].argv[argc];
+		for (; parse_cases[i].argv[argc]; argc++)
+			argv[argc] = parse_cases[i].argv[argc];
 		assert_int_equal(operator_parse(argc, argv, &request, text),
-				 cases[i].outcome);
-		if (cases[i].text)
-			assert_non_null(strstr(text->str, cases[i].text));
+				 parse_cases[i].outcome);
+		if (parse_cases[i].text)
+			assert_non_null(strstr(text->str, parse_cases[i].text));
 		operator_request_clear(&request);
 	}
 }
