--- a/src/roles/coordinator_admin.c
+++ b/src/roles/coordinator_admin.c
@@ -185,11 +185,12 @@
 	for (size_t i = 0; i < n; i++) {
 		uint32_t id = members[i].id;
 		json_t *member =
-			json_pack("{s:I,s:s,s:s,s:b,s:b,s:b}", "id",
+			json_pack("{s:I,s:s,s:s,s:b,s:b,s:b,s:b}", "id",
 				  (json_int_t)id, "address", members[i].address,
 				  "admin_address", members[i].admin_address,
 				  "voter", (int)members[i].voter, "leaving",
-				  (int)members[i].leaving, "connected",
+				  (int)members[i].leaving, "disk_known",
+				  (int)members[i].has_identity, "connected",
 				  id == c->id || coordinator_link_to(c, id));
 
 		if (c->office)
