--- a/src/lib/gate_fence.c
+++ b/src/lib/gate_fence.c
@@ -30,6 +30,9 @@
 		gate_fence_entry(gate, entry, now_ms);
 	else
 		gate_touch(gate, record, now_ms);
+	/* An older owner's fence now holds against the adopter too. */
+	if (fence && entry->state == CF_TASK_FENCED)
+		entry->fence_epoch = record->epoch;
 	if (result)
 		*result = entry->result;
 	return entry->state;
