--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -179,6 +179,37 @@
 	g_free(flags->lines);
 }
 
+static bool is_bool_flag(const char *word)
+{
+	for (size_t i = 0; i < settings_count; i++)
+		if (settings_table[i].type == SETTING_BOOL &&
+		    g_str_has_prefix(word, "--") &&
+		    !strcmp(word + 2, settings_table[i].name))
+			return true;
+	return false;
+}
+
+/* argtable2 takes an optional value only after "=", so "--json true" is
+ * made one word. */
+static char **join_bool_values(int argc, char **argv)
+{
+	GPtrArray *words = g_ptr_array_new();
+
+	for (int i = 0; i < argc; i++) {
+		bool joins = i > 0 && i + 1 < argc && is_bool_flag(argv[i]) &&
+			     is_choice("true|false", argv[i + 1]);
+
+		if (joins)
+			g_ptr_array_add(words, g_strconcat(argv[i], "=",
+							   argv[i + 1], NULL));
+		else
+			g_ptr_array_add(words, g_strdup(argv[i]));
+		i += joins;
+	}
+	g_ptr_array_add(words, NULL);
+	return (char **)g_ptr_array_free(words, FALSE);
+}
+
 /* Unknown flags, flags without a value, flags given twice. */
 static void report_flag_errors(struct flags *flags, GString *errors)
 {
@@ -278,15 +309,17 @@
 {
 	struct settings *s = create_with_defaults();
 	gsize errors_before = errors->len;
+	char **words = join_bool_values(argc, argv);
 	struct flags flags;
 
 	flags_create(&flags, role, argc);
-	if (arg_parse(argc, argv, flags.table) > 0)
+	if (arg_parse((int)g_strv_length(words), words, flags.table) > 0)
 		report_flag_errors(&flags, errors);
 	for (size_t i = 0; i < flags.n; i++)
 		read_setting(s, flags.lines[i], flags.table[i], errors);
 	take_arguments(s, flags.table[flags.n]);
 	flags_destroy(&flags);
+	g_strfreev(words);
 	for (size_t i = 0; i < settings_count; i++)
 		if (settings_table[i].type == SETTING_ADDRESSES && s->values[i])
 			s->lists[i] = g_strsplit(s->values[i], ",", -1);
--- a/src/base/settings_table.c
+++ b/src/base/settings_table.c
@@ -13,10 +13,10 @@
 
 const struct setting settings_table[] = {
 	/* every process */
-	{ "name", SETTING_NAME, DAEMONS | FOR_BACKEND, false, 0, 0, NULL, "node", NULL, "name of this process in logs, traces and status" },
+	{ "name", SETTING_NAME, DAEMONS | FOR_BACKEND | FOR_LOAD, false, 0, 0, NULL, "node", NULL, "name of this process in logs, traces and status" },
 	{ "log-level", SETTING_CHOICE, ALL, false, 0, 0, NULL, "info", "debug|info|warn|error", "least level that is logged" },
 	{ "log-format", SETTING_CHOICE, ALL, false, 0, 0, NULL, "text", "text|json", "key=value lines or JSON lines" },
-	{ "trace", SETTING_PATH, SERVERS, false, 0, 0, NULL, NULL, NULL, "file for the event trace; none when empty" },
+	{ "trace", SETTING_PATH, SERVERS | FOR_LOAD, false, 0, 0, NULL, NULL, NULL, "file for the event trace; none when empty" },
 	{ "seed", SETTING_NUMBER, SERVERS | FOR_LOAD, false, 0, INT64_MAX, NULL, "0", NULL, "seed of random choices; 0 takes one from the system" },
 
 	/* coordinator, dispatcher, agent */
@@ -77,6 +77,7 @@
 	{ "job-deadline-ms", SETTING_NUMBER, FOR_LOAD, false, 0, 3600000, "ms", "0", NULL, "deadline_ms of the jobs; 0 names none" },
 	{ "play", SETTING_PATH, FOR_LOAD, false, 0, 0, NULL, NULL, NULL, "recorded trace of jobs to play in place of rate, tasks, run-ms" },
 	{ "direct", SETTING_ADDRESS, FOR_LOAD, false, 0, 0, NULL, NULL, NULL, "also call this backend server directly, as a baseline" },
+	{ "admins", SETTING_ADDRESSES, FOR_LOAD, false, 0, 0, NULL, NULL, NULL, "admin ip:port of processes whose messages are counted" },
 	{ "resubmit-milli", SETTING_NUMBER, FOR_LOAD, false, 0, 1000, "1/1000", "0", NULL, "part of the jobs that is sent again to another dispatcher" },
 	{ "json", SETTING_BOOL, FOR_LOAD, false, 0, 0, NULL, "false", NULL, "print the report as JSON" },
 };
--- /dev/null
+++ b/src/roles/load.c
@@ -0,0 +1,490 @@
+/*
+ * load: sends jobs at their planned times, whatever the answers do, and
+ * checks each answer. A thread of its own sleeps until the next planned
+ * arrival; answers arrive on the loop's thread. Response times count
+ * from the planned arrival, so the tool's own lateness shows in them.
+ */
+#include "roles/load_internal.h"
+
+#include "base/clock.h"
+#include "base/logger.h"
+#include "base/trace_file.h"
+#include "net/http_client.h"
+#include "roles/role.h"
+
+#include <stdatomic.h>
+#include <stdio.h>
+#include <string.h>
+
+#define US_PER_MS 1000
+#define DEFAULT_DEADLINE_MS 30000
+#define ANSWER_GRACE_MS 15000 /* beyond the deadline */
+#define RESENDS_MAX 2 /* after answers that never came */
+#define DIRECT_SEED 0x64697265637400ULL
+#define EXIT_WRONG_ANSWERS 1
+
+/* ---- Types ---- */
+
+struct load {
+	const struct settings *settings;
+	char **dispatchers;
+	guint n_dispatchers;
+	struct loop *loop;
+	struct http_client *client;
+	struct load_plan *plan;
+	struct load_plan *direct_plan; /* NULL: no baseline */
+	struct load_report *report; /* loop thread, while it runs */
+	int64_t start_us;
+	atomic_int open; /* pursuits, and the sending thread */
+	_Atomic int64_t late_max_us;
+	guint next_dispatcher; /* sending thread */
+};
+
+/* A job, and the answers that are awaited for it. */
+struct pursuit {
+	struct load *load;
+	struct load_job *job;
+	struct loop_timer *resubmit_timer; /* NULL: sent once */
+	int answers_due;
+	bool has_first;
+	struct load_verdict first; /* answer that came first */
+};
+
+/* One request of a job. */
+struct request {
+	struct pursuit *pursuit;
+	bool again; /* the resubmission */
+	guint dispatcher;
+	guint refused; /* connections in a row */
+	guint resends;
+};
+
+/* ---- Ends ---- */
+
+static void close_one(struct load *load)
+{
+	if (atomic_fetch_sub(&load->open, 1) == 1)
+		loop_stop(load->loop);
+}
+
+static void end_pursuit(struct pursuit *pursuit)
+{
+	struct load *load = pursuit->load;
+
+	loop_timer_destroy(pursuit->resubmit_timer);
+	load_job_free(pursuit->job);
+	g_free(pursuit);
+	close_one(load);
+}
+
+/* ---- Counting ---- */
+
+static void trace_got(const struct load_job *job,
+		      const struct load_verdict *verdict)
+{
+	static const char *const ran[] = { "all", "none", "unknown",
+					   "unknown" };
+	static const char *const outcomes[] = { "complete", "failed", "failed",
+						"lost" };
+
+	trace_event("got", "key=%s outcome=%s ran=%s whole=%d own=%d",
+		    job->key_text, outcomes[verdict->outcome],
+		    ran[verdict->outcome], verdict->whole, verdict->own);
+}
+
+static void count_complete(struct load_report *report,
+			   const struct load_job *job,
+			   const struct load_verdict *verdict,
+			   int64_t response_us)
+{
+	struct load_sample sample = {
+		.response_us = response_us,
+		.ideal_ms = job->ideal_ms,
+		.class_index = load_report_class(report, job->class_name),
+	};
+
+	report->complete++;
+	report->partial += !verdict->whole;
+	report->crossed += verdict->whole && !verdict->own;
+	g_array_append_val(report->samples, sample);
+}
+
+static void count_first(struct pursuit *pursuit,
+			const struct load_verdict *verdict)
+{
+	struct load_report *report = pursuit->load->report;
+	const struct load_job *job = pursuit->job;
+
+	switch (verdict->outcome) {
+	case LOAD_COMPLETE:
+		count_complete(report, job, verdict,
+			       clock_now_us() - pursuit->load->start_us -
+				       job->planned_us);
+		return;
+	case LOAD_NOT_RUN:
+		report->not_run++;
+		load_report_reason(report, "none", verdict->reason);
+		return;
+	case LOAD_MAY_HAVE_RUN:
+		report->may_have_run++;
+		load_report_reason(report, "unknown", verdict->reason);
+		return;
+	case LOAD_LOST:
+		report->lost++;
+		load_report_reason(report, "unknown", verdict->reason);
+		return;
+	}
+}
+
+/* The resubmission's answer must not contradict the other one. */
+static void compare(struct load_report *report, const struct load_verdict *a,
+		    const struct load_verdict *b)
+{
+	bool both = a->outcome == LOAD_COMPLETE && b->outcome == LOAD_COMPLETE;
+
+	if (both && a->results_hash != b->results_hash)
+		report->resubmit_mismatch++;
+	else if (!both && a->outcome != b->outcome)
+		report->resubmit_refused++;
+	if (b->outcome == LOAD_COMPLETE) {
+		report->partial += !b->whole;
+		report->crossed += b->whole && !b->own;
+	}
+}
+
+/* Of two answers the job's own request counts, not the resubmission. */
+static void take_verdict(struct request *request,
+			 const struct load_verdict *verdict)
+{
+	struct pursuit *pursuit = request->pursuit;
+
+	trace_got(pursuit->job, verdict);
+	if (!request->again)
+		count_first(pursuit, verdict);
+	if (pursuit->has_first && request->again)
+		compare(pursuit->load->report, &pursuit->first, verdict);
+	else if (pursuit->has_first)
+		compare(pursuit->load->report, verdict, &pursuit->first);
+	pursuit->first = *verdict;
+	pursuit->has_first = true;
+	g_free(request);
+	if (--pursuit->answers_due == 0)
+		end_pursuit(pursuit);
+}
+
+/* ---- Requests ---- */
+
+static void send_request(struct request *request);
+
+static bool try_next(struct request *request, const struct http_answer *answer)
+{
+	struct load *load = request->pursuit->load;
+	struct load_report *report = load->report;
+
+	if (answer->result == HTTP_NOT_CONNECTED) {
+		if (++request->refused >= load->n_dispatchers)
+			return false;
+		report->tried_again++;
+	} else {
+		if (request->resends++ >= RESENDS_MAX)
+			return false;
+		request->refused = 0;
+		report->resent++;
+	}
+	request->dispatcher = (request->dispatcher + 1) % load->n_dispatchers;
+	send_request(request);
+	return true;
+}
+
+static void on_job_answer(void *arg, const struct http_answer *answer)
+{
+	struct request *request = arg;
+	struct load_verdict verdict;
+
+	if (answer->result != HTTP_OK && try_next(request, answer))
+		return;
+	if (answer->result == HTTP_OK) {
+		load_check_job(request->pursuit->job, answer->status,
+			       answer->body, answer->size_bytes, &verdict);
+	} else {
+		memset(&verdict, 0, sizeof(verdict));
+		verdict.outcome = LOAD_LOST;
+		g_strlcpy(verdict.reason,
+			  answer->result == HTTP_NOT_CONNECTED ? "not_connected"
+							       : "no_answer",
+			  sizeof(verdict.reason));
+		if (answer->result == HTTP_NOT_CONNECTED && !request->resends)
+			verdict.outcome = LOAD_NOT_RUN;
+	}
+	take_verdict(request, &verdict);
+}
+
+static void send_request(struct request *request)
+{
+	const struct load_job *job = request->pursuit->job;
+	struct load *load = request->pursuit->load;
+	char key[sizeof("Idempotency-Key: ") + CF_KEY_TEXT_SIZE];
+	const char *headers[] = { "Content-Type: application/json", key, NULL };
+	char *url = g_strdup_printf("http://%s/v1/jobs",
+				    load->dispatchers[request->dispatcher]);
+	char *body = load_job_body(job);
+	uint32_t deadline_ms = job->deadline_ms ? job->deadline_ms
+						: DEFAULT_DEADLINE_MS;
+	struct http_call call = {
+		.method = "POST",
+		.url = url,
+		.body = body,
+		.size_bytes = strlen(body),
+		.headers = headers,
+		.timeout_ms = (int64_t)deadline_ms + ANSWER_GRACE_MS,
+	};
+
+	g_snprintf(key, sizeof(key), "Idempotency-Key: %s", job->key_text);
+	http_client_call(load->client, &call, on_job_answer, request);
+	g_free(body);
+	g_free(url);
+}
+
+static struct request *make_request(struct pursuit *pursuit, guint dispatcher,
+				    bool again)
+{
+	struct request *request = g_new0(struct request, 1);
+
+	request->pursuit = pursuit;
+	request->dispatcher = dispatcher % pursuit->load->n_dispatchers;
+	request->again = again;
+	return request;
+}
+
+static void on_resubmit_time(void *arg, int64_t now_ms)
+{
+	struct request *request = arg;
+
+	(void)now_ms;
+	request->pursuit->load->report->resubmitted++;
+	send_request(request);
+}
+
+/* On the loop's thread: the resubmission is due some time later. */
+static void plan_resubmission(void *arg)
+{
+	struct request *request = arg;
+	struct pursuit *pursuit = request->pursuit;
+
+	pursuit->resubmit_timer = loop_timer_create(pursuit->load->loop,
+						    on_resubmit_time, request);
+	loop_timer_start(pursuit->resubmit_timer,
+			 pursuit->job->resubmit_after_ms, 0);
+}
+
+static void send_job(struct load *load, struct load_job *job)
+{
+	struct pursuit *pursuit = g_new0(struct pursuit, 1);
+	guint dispatcher = load->next_dispatcher++;
+	bool resubmit = job->resubmit;
+
+	pursuit->load = load;
+	pursuit->job = job;
+	pursuit->answers_due = resubmit ? 2 : 1;
+	load->report->jobs++;
+	load->report->tasks += job->n_tasks;
+	if (resubmit)
+		loop_post(load->loop, plan_resubmission,
+			  make_request(pursuit, dispatcher + 1, true));
+	send_request(make_request(pursuit, dispatcher, false));
+}
+
+/* ---- The baseline: the backend server called directly ---- */
+
+static void on_direct_answer(void *arg, const struct http_answer *answer)
+{
+	struct pursuit *pursuit = arg;
+	struct load_report *report = pursuit->load->report;
+	const struct load_job *job = pursuit->job;
+	struct load_sample sample = {
+		.response_us = clock_now_us() - pursuit->load->start_us -
+			       job->planned_us,
+		.ideal_ms = job->run_ms[0],
+	};
+
+	report->direct_calls++;
+	if (answer->result == HTTP_OK &&
+	    load_check_task(job, answer->status, answer->body,
+			    answer->size_bytes))
+		g_array_append_val(report->direct, sample);
+	else
+		report->direct_failed++;
+	end_pursuit(pursuit);
+}
+
+static void send_direct(struct load *load, struct load_job *job)
+{
+	static const char *const headers[] = { "Content-Type: application/json",
+					       NULL };
+	struct pursuit *pursuit = g_new0(struct pursuit, 1);
+	char *url = g_strdup_printf("http://%s/v1/tasks",
+				    settings_text(load->settings, "direct"));
+	char *body = load_task_body(job);
+	struct http_call call = {
+		.method = "POST",
+		.url = url,
+		.body = body,
+		.size_bytes = strlen(body),
+		.headers = headers,
+		.timeout_ms = DEFAULT_DEADLINE_MS + ANSWER_GRACE_MS,
+	};
+
+	pursuit->load = load;
+	pursuit->job = job;
+	http_client_call(load->client, &call, on_direct_answer, pursuit);
+	g_free(body);
+	g_free(url);
+}
+
+/* ---- The sending thread ---- */
+
+static void wait_until(struct load *load, int64_t planned_us)
+{
+	int64_t late_us = clock_now_us() - load->start_us - planned_us;
+
+	while (late_us < 0) {
+		g_usleep((gulong)-late_us);
+		late_us = clock_now_us() - load->start_us - planned_us;
+	}
+	if (late_us > atomic_load(&load->late_max_us))
+		atomic_store(&load->late_max_us, late_us);
+}
+
+static void stamp(struct load_job *job)
+{
+	cf_key_make(&job->key, clock_wall_ms(), clock_random(), clock_random());
+	cf_key_format(&job->key, job->key_text);
+}
+
+static gpointer run_sender(gpointer arg)
+{
+	struct load *load = arg;
+	struct load_job *job = load_plan_next(load->plan);
+	struct load_job *direct =
+		load->direct_plan ? load_plan_next(load->direct_plan) : NULL;
+
+	while (job || direct) {
+		bool is_direct = !job || (direct &&
+					  direct->planned_us < job->planned_us);
+		struct load_job *next = is_direct ? direct : job;
+
+		wait_until(load, next->planned_us);
+		stamp(next);
+		atomic_fetch_add(&load->open, 1);
+		if (is_direct) {
+			direct = load_plan_next(load->direct_plan);
+			send_direct(load, next);
+		} else {
+			job = load_plan_next(load->plan);
+			send_job(load, next);
+		}
+	}
+	close_one(load);
+	return NULL;
+}
+
+/* ---- The run ---- */
+
+/* Messages that were sent between two readings. */
+static void subtract(GHashTable *after, GHashTable *before)
+{
+	GHashTableIter iter;
+	gpointer key, value;
+
+	g_hash_table_iter_init(&iter, after);
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		const int64_t *earlier = g_hash_table_lookup(before, key);
+
+		if (earlier)
+			*(int64_t *)value -= *earlier;
+	}
+}
+
+static void run_plan(struct load *load)
+{
+	char **admins = settings_list(load->settings, "admins");
+	struct load_report *report = load->report;
+	GHashTable *before = NULL;
+	GThread *sender;
+
+	if (admins[0])
+		before = load_metrics_read(admins, &report->admins_failed);
+	atomic_store(&load->open, 1);
+	load->start_us = clock_now_us();
+	sender = g_thread_new("load-sender", run_sender, load);
+	loop_run(load->loop);
+	g_thread_join(sender);
+	report->elapsed_us = clock_now_us() - load->start_us;
+	report->late_max_us = atomic_load(&load->late_max_us);
+	if (before) {
+		report->messages =
+			load_metrics_read(admins, &report->admins_failed);
+		subtract(report->messages, before);
+		g_hash_table_destroy(before);
+	}
+}
+
+static bool open_load(struct load *load, uint64_t seed, GError **error)
+{
+	load->dispatchers = settings_list(load->settings, "dispatchers");
+	load->n_dispatchers = g_strv_length(load->dispatchers);
+	if (!role_open_trace(load->settings, clock_random(), error))
+		return false;
+	load->plan = load_plan_create(load->settings, seed, error);
+	if (!load->plan)
+		return false;
+	if (settings_text(load->settings, "direct")) {
+		load->direct_plan = load_plan_create(load->settings,
+						     seed ^ DIRECT_SEED, error);
+		if (!load->direct_plan)
+			return false;
+	}
+	load->loop = loop_create(error);
+	if (!load->loop)
+		return false;
+	load->client = http_client_create(load->loop, 0, error);
+	return load->client != NULL;
+}
+
+static bool has_wrong_answers(const struct load_report *report)
+{
+	return report->lost || report->partial || report->crossed ||
+	       report->resubmit_mismatch;
+}
+
+int load_main(const struct settings *settings)
+{
+	uint64_t seed = (uint64_t)settings_number(settings, "seed");
+	struct load load = { .settings = settings };
+	GString *out = g_string_new(NULL);
+	GError *error = NULL;
+	int status = EXIT_WRONG_ANSWERS;
+
+	if (!seed)
+		seed = clock_random() >> 1;
+	load.report = load_report_create(seed);
+	if (open_load(&load, seed, &error)) {
+		run_plan(&load);
+		load_report_print(load.report, load.plan,
+				  settings_bool(settings, "json"), out);
+		fputs(out->str, stdout);
+		fflush(stdout);
+		if (!has_wrong_answers(load.report))
+			status = 0;
+	} else {
+		role_fail(error);
+	}
+	http_client_destroy(load.client);
+	loop_destroy(load.loop);
+	load_plan_destroy(load.plan);
+	load_plan_destroy(load.direct_plan);
+	load_report_destroy(load.report);
+	trace_close();
+	g_string_free(out, TRUE);
+	return status;
+}
--- a/src/roles/role.h
+++ b/src/roles/role.h
@@ -33,7 +33,8 @@
 void agent_stop(struct agent *agent);
 struct backend;
 struct backend *backend_start(const struct settings *settings, GError **error);
-void backend_stop(struct backend *backend);
+void backend_stop(struct backend *backend); /* finishes what runs */
+uint16_t backend_port(const struct backend *backend); /* of its tasks */
 
 /* Where others reach this process, with the port in use; g_free it. */
 char *role_address(const struct settings *settings, uint16_t port);
