--- a/include/chervilferry.h
+++ b/include/chervilferry.h
@@ -469,6 +469,8 @@
 	uint32_t longest_ms; /* predicted, of its longest task */
 	uint32_t work_ms; /* predicted, all tasks together */
 	uint32_t deadline_ms; /* from now; 0: none */
+	uint32_t placed_tasks, placed_ms; /* kept by cf_admitter_placed; 0 first */
+	uint32_t ended_tasks, ended_ms; /* kept by cf_admitter_task_ended */
 };
 
 struct cf_admitter;
@@ -478,6 +480,8 @@
 CF_API void cf_admitter_set_classes(struct cf_admitter *admitter, const struct cf_admit_class *classes, size_t n_classes, const struct cf_team *teams, size_t n_teams); /* state of those kept is kept */
 CF_API void cf_admitter_set_capacity(struct cf_admitter *admitter, uint32_t slots, int64_t now_ms); /* usable slots just now */
 CF_API enum cf_admit cf_admitter_ask(struct cf_admitter *admitter, const struct cf_admit_job *job, int64_t now_ms, uint32_t *retry_after_ms); /* RUN counts it as waiting work */
+CF_API void cf_admitter_placed(struct cf_admitter *admitter, struct cf_admit_job *job, uint32_t work_ms, int64_t now_ms); /* optional, a better account: one task of it, predicted work_ms, is placed */
+CF_API void cf_admitter_task_ended(struct cf_admitter *admitter, struct cf_admit_job *job, uint32_t work_ms, int64_t now_ms); /* optional: a task that was counted as placed ended or was fenced */
 CF_API void cf_admitter_started(struct cf_admitter *admitter, const struct cf_admit_job *job, int64_t now_ms); /* all its tasks are placed */
 CF_API void cf_admitter_ended(struct cf_admitter *admitter, const struct cf_admit_job *job, bool was_started, bool ok, uint32_t response_ms, int64_t now_ms); /* after RUN, once */
 CF_API uint32_t cf_admitter_share_milli(const struct cf_admitter *admitter, const char *class_name); /* of capacity, just now */
--- a/src/lib/admit.c
+++ b/src/lib/admit.c
@@ -14,14 +14,9 @@
  * are kept near the shares, so that a class within its share doesn't
  * wait out its slack behind one that asks for too much.
  */
-#include "chervilferry.h"
+#include "lib/admit_state.h"
 
-#include <string.h>
-
-#include "lib/admit_share.h"
-
-static const int64_t STEP_MS = 50; /* between two recomputations */
-static const double TARGET_PART = 0.8; /* of the room to wait that is used */
+static const double ROOM_PART_STEP = 0.06; /* off, for each late answer */
 static const double LONG_PART = 0.25; /* of a target that is below run time */
 static const double CONTENDED_MS = 5; /* others wait so long: loans end */
 static const double RETRY_LEAST_MS = 50;
@@ -32,200 +27,12 @@
 static const double AGEING = 2; /* a waiting job gains this a ms */
 static const double STAND_BACK_TARGETS = 2; /* of a job that is late */
 
-struct work {
-	double waiting_ms; /* predicted, admitted and not all placed */
-	double running_ms; /* predicted, placed */
-	uint32_t running_tasks;
-};
-
-struct class_state {
-	struct cf_admit_class class;
-	struct admit_share share;
-	struct work work;
-};
-
-struct team_state {
-	uint32_t share_milli;
-	struct work work;
-};
-
-struct cf_admitter {
-	GHashTable *classes; /* name to struct class_state */
-	GHashTable *teams; /* name to struct team_state */
-	struct admit_share **shares; /* of all classes */
-	uint32_t n_shares;
-	struct work all;
-	uint32_t slots;
-	GRand *random;
-	int64_t stepped_ms;
-	bool stepped;
-	double overload; /* 0..1, see admit_share_overload */
-	double retry_until_ms; /* refused work is expected back until then */
-};
-
-/* ---- Work ----------------------------------------------------------- */
-
-static void subtract(double *work_ms, double amount_ms)
-{
-	*work_ms = MAX(*work_ms - amount_ms, 0.0);
-}
-
-static void work_wait(struct work *work, const struct cf_admit_job *job)
-{
-	work->waiting_ms += job->work_ms;
-}
-
-static void work_start(struct work *work, const struct cf_admit_job *job)
-{
-	subtract(&work->waiting_ms, job->work_ms);
-	work->running_ms += job->work_ms;
-	work->running_tasks += job->n_tasks;
-}
-
-static void work_end(struct work *work, const struct cf_admit_job *job,
-		     bool was_started)
-{
-	if (!was_started) {
-		subtract(&work->waiting_ms, job->work_ms);
-		return;
-	}
-	subtract(&work->running_ms, job->work_ms);
-	work->running_tasks -= MIN(work->running_tasks, job->n_tasks);
-}
-
-/* ---- Classes, teams and capacity ------------------------------------ */
-
-struct cf_admitter *cf_admitter_create(uint64_t seed)
-{
-	struct cf_admitter *admitter = g_new0(struct cf_admitter, 1);
-
-	admitter->classes =
-		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
-	admitter->teams =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	admitter->random = g_rand_new_with_seed((guint32)(seed ^ (seed >> 32)));
-	return admitter;
-}
-
-void cf_admitter_destroy(struct cf_admitter *admitter)
-{
-	if (admitter == NULL)
-		return;
-	g_hash_table_destroy(admitter->classes);
-	g_hash_table_destroy(admitter->teams);
-	g_rand_free(admitter->random);
-	g_free(admitter->shares);
-	g_free(admitter);
-}
-
-static void set_class(GHashTable *classes, struct class_state *old,
-		      const struct cf_admit_class *class)
-{
-	struct class_state *state = g_new0(struct class_state, 1);
-
-	if (old != NULL)
-		*state = *old;
-	state->class = *class;
-	admit_share_set(&state->share, class->percentile_milli);
-	g_hash_table_replace(classes, state->class.name, state);
-}
-
-static void set_team(GHashTable *teams, const struct team_state *old,
-		     const struct cf_team *team)
-{
-	struct team_state *state = g_new0(struct team_state, 1);
-
-	if (old != NULL)
-		*state = *old;
-	state->share_milli = team->share_milli;
-	g_hash_table_replace(teams, g_strdup(team->name), state);
-}
-
-static void step_shares(struct cf_admitter *admitter, int64_t elapsed_ms)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, admitter->classes);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct class_state *state = value;
-
-		state->share.waiting_ms = state->work.waiting_ms;
-	}
-	admit_share_step(admitter->shares, admitter->n_shares, admitter->slots,
-			 elapsed_ms);
-	admitter->overload = admit_share_overload(
-		admitter->shares, admitter->n_shares, admitter->slots);
-}
-
-static void list_shares(struct cf_admitter *admitter)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	admitter->n_shares = 0;
-	admitter->shares = g_renew(struct admit_share *, admitter->shares,
-				   g_hash_table_size(admitter->classes) + 1);
-	g_hash_table_iter_init(&iter, admitter->classes);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct class_state *state = value;
-
-		admitter->shares[admitter->n_shares++] = &state->share;
-	}
-	step_shares(admitter, 1);
-}
-
-void cf_admitter_set_classes(struct cf_admitter *admitter,
-			     const struct cf_admit_class *classes,
-			     size_t n_classes, const struct cf_team *teams,
-			     size_t n_teams)
-{
-	GHashTable *new_classes =
-		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
-	GHashTable *new_teams =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-
-	for (size_t i = 0; i < n_classes; i++)
-		set_class(
-			new_classes,
-			g_hash_table_lookup(admitter->classes, classes[i].name),
-			&classes[i]);
-	for (size_t i = 0; i < n_teams; i++)
-		set_team(new_teams,
-			 g_hash_table_lookup(admitter->teams, teams[i].name),
-			 &teams[i]);
-	g_hash_table_destroy(admitter->classes);
-	g_hash_table_destroy(admitter->teams);
-	admitter->classes = new_classes;
-	admitter->teams = new_teams;
-	list_shares(admitter);
-}
-
-static void step(struct cf_admitter *admitter, int64_t now_ms)
-{
-	int64_t elapsed_ms = now_ms - admitter->stepped_ms;
-
-	if (admitter->stepped && elapsed_ms < STEP_MS)
-		return;
-	if (admitter->stepped)
-		step_shares(admitter, elapsed_ms);
-	admitter->stepped = true;
-	admitter->stepped_ms = now_ms;
-}
-
-void cf_admitter_set_capacity(struct cf_admitter *admitter, uint32_t slots,
-			      int64_t now_ms)
-{
-	step(admitter, now_ms);
-	admitter->slots = slots;
-}
-
 /* ---- Waits ---------------------------------------------------------- */
 
 /* Until the first of the running tasks ends; 0 while slots are free. */
 static double wait_slot_ms(const struct cf_admitter *admitter)
 {
-	const struct work *all = &admitter->all;
+	const struct admit_work *all = &admitter->all;
 	double residual_ms;
 
 	if (all->running_tasks < admitter->slots)
@@ -245,7 +52,7 @@
 
 /* Wait for what waits of the class, on the slots that it can count on. */
 static double wait_class_ms(const struct cf_admitter *admitter,
-			    const struct class_state *state)
+			    const struct admit_class *state)
 {
 	double slots;
 
@@ -268,30 +75,24 @@
 }
 
 /* The longest wait that the class's target leaves to the job. */
-static double wait_room_ms(const struct class_state *state, double rest)
+static double wait_room_ms(const struct admit_class *state, double rest)
 {
 	double target_ms = state != NULL ? state->class.target_ms
 					 : UNKNOWN_TARGET_MS;
 
-	return MAX((target_ms - rest) * TARGET_PART, target_ms * LONG_PART);
+	double part = state != NULL ? state->room_part : ADMIT_ROOM_PART_MOST;
+
+	return MAX(target_ms - rest, target_ms * LONG_PART) * part;
 }
 
 /* ---- Quotas --------------------------------------------------------- */
 
-static struct team_state *find_team(const struct cf_admitter *admitter,
-				    const struct cf_admit_job *job)
-{
-	if (job->team == NULL || job->team[0] == '\0')
-		return NULL;
-	return g_hash_table_lookup(admitter->teams, job->team);
-}
-
 /* Does a team use more than its quota, with so much work more, while
  * others wait? What is idle it may borrow. */
 static bool over_quota(const struct cf_admitter *admitter,
-		       const struct team_state *team, double more_ms)
+		       const struct admit_team *team, double more_ms)
 {
-	const struct work *all = &admitter->all;
+	const struct admit_work *all = &admitter->all;
 	double own_ms;
 	double total_ms;
 
@@ -307,7 +108,7 @@
 
 /* A team within its quota waits for its own work only. */
 static double wait_team_ms(const struct cf_admitter *admitter,
-			   const struct team_state *team, double wait_ms)
+			   const struct admit_team *team, double wait_ms)
 {
 	double slots;
 
@@ -345,15 +146,15 @@
 			      const struct cf_admit_job *job, int64_t now_ms,
 			      uint32_t *retry_after_ms)
 {
-	struct class_state *state =
+	struct admit_class *state =
 		g_hash_table_lookup(admitter->classes, job->class_name);
-	struct team_state *team = find_team(admitter, job);
+	struct admit_team *team = admit_find_team(admitter, job);
 	double rest = rest_ms(admitter, job);
 	double all_ms;
 	double wait_ms;
 	enum cf_admit verdict = CF_ADMIT_RUN;
 
-	step(admitter, now_ms);
+	admit_step(admitter, now_ms);
 	all_ms = wait_all_ms(admitter);
 	wait_ms = wait_class_ms(admitter, state);
 	wait_ms = wait_team_ms(admitter, team, wait_ms);
@@ -371,52 +172,44 @@
 			admit_share_count(&state->share, 1);
 		return verdict;
 	}
-	work_wait(&admitter->all, job);
+	admit_work_wait(&admitter->all, job);
 	if (state != NULL)
-		work_wait(&state->work, job);
+		admit_work_wait(&state->work, job);
 	if (team != NULL)
-		work_wait(&team->work, job);
+		admit_work_wait(&team->work, job);
 	return CF_ADMIT_RUN;
 }
 
-void cf_admitter_started(struct cf_admitter *admitter,
-			 const struct cf_admit_job *job, int64_t now_ms)
-{
-	struct class_state *state =
-		g_hash_table_lookup(admitter->classes, job->class_name);
-	struct team_state *team = find_team(admitter, job);
-
-	step(admitter, now_ms);
-	work_start(&admitter->all, job);
-	if (state != NULL)
-		work_start(&state->work, job);
-	if (team != NULL)
-		work_start(&team->work, job);
-}
-
 void cf_admitter_ended(struct cf_admitter *admitter,
 		       const struct cf_admit_job *job, bool was_started,
 		       bool ok, uint32_t response_ms, int64_t now_ms)
 {
-	struct class_state *state =
+	struct admit_class *state =
 		g_hash_table_lookup(admitter->classes, job->class_name);
-	struct team_state *team = find_team(admitter, job);
+	struct admit_team *team = admit_find_team(admitter, job);
+
+	bool late;
 
-	step(admitter, now_ms);
-	work_end(&admitter->all, job, was_started);
+	admit_step(admitter, now_ms);
+	admit_work_end(&admitter->all, job, was_started);
 	if (team != NULL)
-		work_end(&team->work, job, was_started);
+		admit_work_end(&team->work, job, was_started);
 	if (state == NULL)
 		return;
-	work_end(&state->work, job, was_started);
-	admit_share_count(&state->share,
-			  !ok || response_ms > state->class.target_ms);
+	admit_work_end(&state->work, job, was_started);
+	late = response_ms > state->class.target_ms;
+	admit_share_count(&state->share, !ok || late);
+	/* it was taken although its wait, or its run time, was longer than
+	 * predicted: leave more room to the next ones */
+	if (was_started && ok && late && wait_all_ms(admitter) > 0)
+		state->room_part = MAX(state->room_part - ROOM_PART_STEP,
+				       ADMIT_ROOM_PART_LEAST);
 }
 
 uint32_t cf_admitter_share_milli(const struct cf_admitter *admitter,
 				 const char *class_name)
 {
-	const struct class_state *state =
+	const struct admit_class *state =
 		g_hash_table_lookup(admitter->classes, class_name);
 
 	return state != NULL ? (uint32_t)(state->share.share * 1000 + 0.5) : 0;
@@ -427,7 +220,7 @@
 /* Under overload the class that has fewer slots than its share goes
  * forward, and the one that has more goes back. */
 static double share_shift_ms(const struct cf_admitter *admitter,
-			     const struct class_state *state)
+			     const struct admit_class *state)
 {
 	double part;
 	double lack;
@@ -443,7 +236,7 @@
 			    const struct cf_admit_job *job, int64_t arrived_ms,
 			    int64_t now_ms)
 {
-	const struct class_state *state =
+	const struct admit_class *state =
 		g_hash_table_lookup(admitter->classes, job->class_name);
 	double target_ms = state != NULL ? state->class.target_ms
 					 : UNKNOWN_TARGET_MS;
@@ -456,7 +249,7 @@
 		target_ms = MIN(target_ms, (double)job->deadline_ms);
 	slack_ms = target_ms - waited_ms - rest;
 	shift_ms = share_shift_ms(admitter, state);
-	if (over_quota(admitter, find_team(admitter, job), 0))
+	if (over_quota(admitter, admit_find_team(admitter, job), 0))
 		shift_ms += target_ms;
 	if (slack_ms >= 0)
 		return (int64_t)(slack_ms + shift_ms);
--- /dev/null
+++ b/src/lib/admit_state.h
@@ -0,0 +1,59 @@
+/*
+ * admit_state: what the admitter keeps, filled by admit_account.c and
+ * read by the decisions in admit.c. One thread at a time; no clock.
+ */
+#ifndef LIB_ADMIT_STATE_H
+#define LIB_ADMIT_STATE_H
+
+#include "chervilferry.h"
+#include "lib/admit_share.h"
+
+/* Part of the room to wait that a class uses. */
+#define ADMIT_ROOM_PART_MOST 0.4
+#define ADMIT_ROOM_PART_LEAST 0.1
+
+struct admit_work {
+	double waiting_ms; /* predicted, admitted and not all placed */
+	double running_ms; /* predicted, placed */
+	uint32_t running_tasks;
+};
+
+struct admit_class {
+	struct cf_admit_class class;
+	struct admit_share share;
+	struct admit_work work;
+	double room_part; /* of the room to wait that its target leaves */
+};
+
+struct admit_team {
+	uint32_t share_milli;
+	struct admit_work work;
+};
+
+struct cf_admitter {
+	GHashTable *classes; /* name to struct admit_class */
+	GHashTable *teams; /* name to struct admit_team */
+	struct admit_share **shares; /* of all classes */
+	uint32_t n_shares;
+	struct admit_work all;
+	uint32_t slots;
+	GRand *random;
+	int64_t stepped_ms;
+	bool stepped;
+	double overload; /* 0..1, see admit_share_overload */
+	double retry_until_ms; /* refused work is expected back until then */
+};
+
+/* A job's team; NULL if it names none that is set. */
+struct admit_team *admit_find_team(const struct cf_admitter *admitter,
+				   const struct cf_admit_job *job);
+
+/* Recomputes the shares when it is time to. */
+void admit_step(struct cf_admitter *admitter, int64_t now_ms);
+
+/* Counts a job that was admitted, and one that ended. */
+void admit_work_wait(struct admit_work *work, const struct cf_admit_job *job);
+void admit_work_end(struct admit_work *work, const struct cf_admit_job *job,
+		    bool was_started);
+
+#endif
--- a/src/lib/health.c
+++ b/src/lib/health.c
@@ -26,7 +26,8 @@
 static const uint32_t PROBATION_WEIGHT = 100;
 static const uint32_t WARM_WEIGHT = 250; /* at the beginning */
 static const int64_t WARM_MS = 4000; /* until the full share */
-static const double SLOW_STEP = 0.1; /* weight of the newest task */
+static const double SLOW_STEP = 0.05; /* weight of the newest task */
+static const double SLOW_NOISE = 1.4; /* less beside the others is chance */
 static const uint32_t SLOW_TASKS = 5; /* to judge by */
 static const double SLOW_CLIP = 3.0; /* log of the greatest ratio counted */
 static const double SLOW_FORGET_MS = 30000; /* without a result */
@@ -402,5 +403,8 @@
 {
 	const struct server *server = find(health, agent);
 
-	return server != NULL ? server->slowness : 1.0;
+	if (server == NULL || (server->slowness < SLOW_NOISE &&
+			       server->slowness > 1 / SLOW_NOISE))
+		return 1.0;
+	return server->slowness;
 }
--- a/src/lib/place.c
+++ b/src/lib/place.c
@@ -120,17 +120,22 @@
 	return taken < allowed ? allowed - taken : 0;
 }
 
-static double wait_us(const struct cf_place_agent *agent)
+static double wait_us(const struct cf_place_agent *agent,
+		      const struct cf_place_task *task)
 {
 	if (slots_free(agent) > 0)
 		return 0;
-	return agent->backlog_ms * 1000.0 / MAX(agent->capacity.slots, 1U);
+	/* tasks that run longer than predicted leave no backlog, and yet
+	 * hold their slots */
+	return MAX(agent->backlog_ms, task->predicted_ms) * 1000.0 /
+	       MAX(agent->capacity.slots, 1U);
 }
 
 static double finish_us(const struct cf_place_agent *agent,
 			const struct cf_place_task *task)
 {
-	return wait_us(agent) + run_us(agent, task) + 2.0 * agent->distance_us;
+	return wait_us(agent, task) + run_us(agent, task) +
+	       2.0 * agent->distance_us;
 }
 
 /* May the task be bound there now, or would it wait too long? */
@@ -144,7 +149,7 @@
 	if (agent->weight_milli < 1000)
 		return false;
 	return agent->queued < agent->capacity.slots &&
-	       wait_us(agent) <= task->predicted_ms * 1000.0 / WAIT_PART;
+	       wait_us(agent, task) <= task->predicted_ms * 1000.0 / WAIT_PART;
 }
 
 static void make_room(struct finish_placer *finish, size_t n_agents)
@@ -199,8 +204,9 @@
 }
 
 /* Draws, by free slots, one that is bindable and about as good as the
- * best. If the best can't be bound, waiting for it is better than a
- * place that would end the task later: CF_PLACE_NONE. */
+ * best; queues count only where no slot is free. If the best can't be
+ * bound, waiting for it is better than a place that would end the task
+ * later: CF_PLACE_NONE. */
 static uint32_t draw(struct finish_placer *finish,
 		     const struct cf_place_agent *agents, size_t n,
 		     const struct cf_place_task *task)
@@ -208,6 +214,7 @@
 	double limit = G_MAXDOUBLE;
 	uint32_t chosen = CF_PLACE_NONE;
 	double weight = 0;
+	bool free = false;
 
 	for (size_t i = 0; i < n; i++)
 		limit = MIN(limit, finish->finish_us[i]);
@@ -215,12 +222,17 @@
 	for (size_t i = 0; i < n; i++) {
 		const struct cf_place_agent *agent =
 			&agents[finish->candidates[i]];
-		double part = slots_free(agent) + 0.125;
+		uint32_t slots = slots_free(agent);
 
-		if (finish->finish_us[i] > limit || !bindable(agent, task))
+		if (finish->finish_us[i] > limit || !bindable(agent, task) ||
+		    (free && slots == 0))
 			continue;
-		weight += part;
-		if (g_rand_double(finish->random) * weight < part)
+		if (!free && slots > 0) { /* forget the queues */
+			free = true;
+			weight = 0;
+		}
+		weight += MAX(slots, 1U);
+		if (g_rand_double(finish->random) * weight <= MAX(slots, 1U))
 			chosen = finish->candidates[i];
 	}
 	return chosen;
--- a/tests/test_admit.c
+++ b/tests/test_admit.c
@@ -11,6 +11,13 @@
 #define SLOTS 80
 #define JOBS_MAX 100000
 
+#define JOB(its_class, its_team, tasks, longest, work, deadline)               \
+	{                                                                      \
+		.class_name = (its_class), .team = (its_team),                 \
+		.n_tasks = (tasks), .longest_ms = (longest),                   \
+		.work_ms = (work), .deadline_ms = (deadline)                   \
+	}
+
 static const struct cf_admit_class classes[] = {
 	{ "price", 300, 99000 },
 	{ "scan", 2000, 95000 },
@@ -42,64 +49,33 @@
 };
 
 static const struct ask_case ask_cases[] = {
-	{ "idle", 0, 0, { "price", "", 1, 100, 100, 0 }, CF_ADMIT_RUN },
-	{ "idle, long job",
-	  0,
-	  0,
-	  { "price", "", 1, 9000, 9000, 0 },
+	{ "idle", 0, 0, JOB("price", "", 1, 100, 100, 0), CF_ADMIT_RUN },
+	{ "idle, long job", 0, 0, JOB("price", "", 1, 9000, 9000, 0),
 	  CF_ADMIT_RUN },
-	{ "never within its deadline",
-	  0,
-	  0,
-	  { "price", "", 1, 500, 500, 400 },
+	{ "never within its deadline", 0, 0, JOB("price", "", 1, 500, 500, 400),
 	  CF_ADMIT_LATE },
-	{ "just within its deadline",
-	  0,
-	  0,
-	  { "price", "", 1, 500, 500, 500 },
+	{ "just within its deadline", 0, 0, JOB("price", "", 1, 500, 500, 500),
 	  CF_ADMIT_RUN },
-	{ "more work than slots by its deadline",
-	  0,
-	  0,
-	  { "price", "", 120, 500, 60000, 600 },
-	  CF_ADMIT_LATE },
-	{ "slots free",
-	  79,
-	  0,
-	  { "price", "", 1, 100, 100, 110 },
+	{ "more work than slots by its deadline", 0, 0,
+	  JOB("price", "", 120, 500, 60000, 600), CF_ADMIT_LATE },
+	{ "slots free", 79, 0, JOB("price", "", 1, 100, 100, 110),
 	  CF_ADMIT_RUN },
-	{ "short queue",
-	  80,
-	  10,
-	  { "price", "", 1, 100, 100, 0 },
+	{ "short queue", 80, 10, JOB("price", "", 1, 100, 100, 0),
 	  CF_ADMIT_RUN },
-	{ "long queue",
-	  80,
-	  200,
-	  { "price", "", 1, 200, 200, 0 },
+	{ "long queue", 80, 200, JOB("price", "", 1, 200, 200, 0),
 	  CF_ADMIT_OVERLOADED },
-	{ "long queue, near deadline",
-	  80,
-	  200,
-	  { "price", "", 1, 100, 100, 150 },
-	  CF_ADMIT_LATE },
-	{ "long queue of another class",
-	  80,
-	  200,
-	  { "scan", "", 1, 100, 100, 0 },
-	  CF_ADMIT_RUN },
-	{ "unknown class",
-	  0,
-	  0,
-	  { "else", "none", 1, 100, 100, 0 },
+	{ "long queue, near deadline", 80, 200,
+	  JOB("price", "", 1, 100, 100, 120), CF_ADMIT_LATE },
+	{ "long queue of another class", 80, 200,
+	  JOB("scan", "", 1, 100, 100, 0), CF_ADMIT_RUN },
+	{ "unknown class", 0, 0, JOB("else", "none", 1, 100, 100, 0),
 	  CF_ADMIT_RUN },
 };
 
 static void test_asks(void **state)
 {
-	static const struct cf_admit_job before = {
-		"price", "", 1, 200, 200, 0
-	};
+	static const struct cf_admit_job before =
+		JOB("price", "", 1, 200, 200, 0);
 
 	(void)state;
 	for (size_t i = 0; i < G_N_ELEMENTS(ask_cases); i++) {
@@ -126,7 +102,7 @@
 
 static void test_no_capacity(void **state)
 {
-	static const struct cf_admit_job job = { "scan", "", 1, 100, 100, 0 };
+	static const struct cf_admit_job job = JOB("scan", "", 1, 100, 100, 0);
 	struct cf_admitter *admitter = make_admitter();
 	uint32_t retry_ms;
 
@@ -141,7 +117,7 @@
 /* Callers that are refused together are told to return apart. */
 static void test_retry_after_spreads(void **state)
 {
-	static const struct cf_admit_job job = { "price", "", 1, 200, 200, 0 };
+	static const struct cf_admit_job job = JOB("price", "", 1, 200, 200, 0);
 	struct cf_admitter *admitter = make_admitter();
 	uint32_t by_second[16] = { 0 };
 	uint32_t refused = 0;
@@ -216,8 +192,8 @@
 	uint32_t retry_ms;
 
 	*job = (struct load_job){
-		.job = { source->class_name, source->team, 1, source->run_ms,
-			 source->run_ms, 0 },
+		.job = JOB(source->class_name, source->team, 1, source->run_ms,
+			   source->run_ms, 0),
 		.source = source,
 		.phase = phase,
 		.arrived_ms = now_ms,
@@ -373,10 +349,9 @@
  * oscillation, and returns. The other keeps a part. */
 static void test_shares_are_steady(void **state)
 {
-	static const struct cf_admit_job price = {
-		"price", "", 6, 100, 600, 0
-	};
-	static const struct cf_admit_job scan = { "scan", "", 6, 100, 600, 0 };
+	static const struct cf_admit_job price =
+		JOB("price", "", 6, 100, 600, 0);
+	static const struct cf_admit_job scan = JOB("scan", "", 6, 100, 600, 0);
 	struct cf_admitter *admitter = make_admitter();
 	uint32_t last = 0;
 	uint32_t turns = 0;
@@ -420,9 +395,8 @@
 /* A target that is changed counts within seconds. */
 static void test_follows_target(void **state)
 {
-	static const struct cf_admit_job price = {
-		"price", "", 1, 100, 100, 0
-	};
+	static const struct cf_admit_job price =
+		JOB("price", "", 1, 100, 100, 0);
 	struct cf_admit_class changed[2] = { classes[0], classes[1] };
 	struct cf_admitter *admitter = make_admitter();
 	uint32_t before;
@@ -441,8 +415,8 @@
 	}
 	assert_true(cf_admitter_urgency(admitter, &price, 8000, 8000) <
 		    cf_admitter_urgency(admitter,
-					&(struct cf_admit_job){ "scan", "", 1,
-								100, 100, 0 },
+					&(struct cf_admit_job)JOB("scan", "", 1,
+								  100, 100, 0),
 					8000, 8000));
 	cf_admitter_destroy(admitter);
 }
@@ -458,46 +432,22 @@
 };
 
 static const struct order_case order_cases[] = {
-	{ "nearer target",
-	  { "price", "", 1, 100, 100, 0 },
-	  0,
-	  { "scan", "", 1, 100, 100, 0 },
-	  0 },
-	{ "longer wait",
-	  { "price", "", 1, 100, 100, 0 },
-	  50,
-	  { "price", "", 1, 100, 100, 0 },
-	  0 },
-	{ "longer run",
-	  { "price", "", 1, 200, 200, 0 },
-	  0,
-	  { "price", "", 1, 100, 100, 0 },
-	  0 },
-	{ "nearer deadline",
-	  { "scan", "", 1, 100, 100, 150 },
-	  0,
-	  { "price", "", 1, 100, 100, 0 },
-	  0 },
-	{ "late ones stand back",
-	  { "price", "", 1, 100, 100, 0 },
-	  150,
-	  { "price", "", 1, 100, 100, 0 },
-	  250 },
-	{ "late ones: shortest first",
-	  { "price", "", 1, 100, 100, 0 },
-	  250,
-	  { "price", "", 1, 900, 900, 0 },
-	  250 },
-	{ "late ones come forward",
-	  { "price", "", 1, 100, 100, 0 },
-	  1000,
-	  { "price", "", 1, 100, 100, 0 },
-	  0 },
-	{ "long late ones too",
-	  { "price", "", 1, 2000, 2000, 0 },
-	  3000,
-	  { "price", "", 1, 100, 100, 0 },
-	  150 },
+	{ "nearer target", JOB("price", "", 1, 100, 100, 0), 0,
+	  JOB("scan", "", 1, 100, 100, 0), 0 },
+	{ "longer wait", JOB("price", "", 1, 100, 100, 0), 50,
+	  JOB("price", "", 1, 100, 100, 0), 0 },
+	{ "longer run", JOB("price", "", 1, 200, 200, 0), 0,
+	  JOB("price", "", 1, 100, 100, 0), 0 },
+	{ "nearer deadline", JOB("scan", "", 1, 100, 100, 150), 0,
+	  JOB("price", "", 1, 100, 100, 0), 0 },
+	{ "late ones stand back", JOB("price", "", 1, 100, 100, 0), 150,
+	  JOB("price", "", 1, 100, 100, 0), 250 },
+	{ "late ones: shortest first", JOB("price", "", 1, 100, 100, 0), 250,
+	  JOB("price", "", 1, 900, 900, 0), 250 },
+	{ "late ones come forward", JOB("price", "", 1, 100, 100, 0), 1000,
+	  JOB("price", "", 1, 100, 100, 0), 0 },
+	{ "long late ones too", JOB("price", "", 1, 2000, 2000, 0), 3000,
+	  JOB("price", "", 1, 100, 100, 0), 150 },
 };
 
 static void test_order(void **state)
