--- a/include/chervilferry.h
+++ b/include/chervilferry.h
@@ -261,6 +261,7 @@
 CF_API void cf_lease_table_destroy(struct cf_lease_table *table); /* NULL is allowed */
 CF_API bool cf_lease_table_renew(struct cf_lease_table *table, uint64_t incarnation, int64_t now_ms); /* false: it ran out or gave its lease back */
 CF_API void cf_lease_table_release(struct cf_lease_table *table, uint64_t incarnation); /* gives it back */
+CF_API void cf_lease_table_forget(struct cf_lease_table *table, uint64_t incarnation); /* one whose end was told may come anew */
 CF_API enum cf_holder_state cf_lease_table_state(const struct cf_lease_table *table, uint64_t incarnation, int64_t now_ms); /* of one holder */
 CF_API bool cf_lease_table_settled(const struct cf_lease_table *table, int64_t now_ms); /* leases of an earlier leader have run out */
 CF_API size_t cf_lease_table_expire(struct cf_lease_table *table, int64_t now_ms, uint64_t *incarnations, size_t max); /* newly ended ones, each told once */
@@ -487,6 +488,8 @@
 	uint32_t longest_ms; /* predicted, of its longest task */
 	uint32_t work_ms; /* predicted, all tasks together */
 	uint32_t deadline_ms; /* from now; 0: none */
+	uint32_t placed_tasks, placed_ms; /* kept by cf_admitter_placed; 0 first */
+	uint32_t ended_tasks, ended_ms; /* kept by cf_admitter_task_ended */
 };
 
 struct cf_admitter;
@@ -496,6 +499,8 @@
 CF_API void cf_admitter_set_classes(struct cf_admitter *admitter, const struct cf_admit_class *classes, size_t n_classes, const struct cf_team *teams, size_t n_teams); /* state of those kept is kept */
 CF_API void cf_admitter_set_capacity(struct cf_admitter *admitter, uint32_t slots, int64_t now_ms); /* usable slots just now */
 CF_API enum cf_admit cf_admitter_ask(struct cf_admitter *admitter, const struct cf_admit_job *job, int64_t now_ms, uint32_t *retry_after_ms); /* RUN counts it as waiting work */
+CF_API void cf_admitter_placed(struct cf_admitter *admitter, struct cf_admit_job *job, uint32_t work_ms, int64_t now_ms); /* optional, a better account: one task of it, predicted work_ms, is placed */
+CF_API void cf_admitter_task_ended(struct cf_admitter *admitter, struct cf_admit_job *job, uint32_t work_ms, int64_t now_ms); /* optional: a task that was counted as placed ended or was fenced */
 CF_API void cf_admitter_started(struct cf_admitter *admitter, const struct cf_admit_job *job, int64_t now_ms); /* all its tasks are placed */
 CF_API void cf_admitter_ended(struct cf_admitter *admitter, const struct cf_admit_job *job, bool was_started, bool ok, uint32_t response_ms, int64_t now_ms); /* after RUN, once */
 CF_API uint32_t cf_admitter_share_milli(const struct cf_admitter *admitter, const char *class_name); /* of capacity, just now */
@@ -533,6 +538,64 @@
 CF_API uint32_t cf_health_weight_milli(const struct cf_health *health, uint64_t agent, int64_t now_ms); /* 0..1000 */
 CF_API double cf_health_slowness(const struct cf_health *health, uint64_t agent); /* 1.0 usual */
 
+/* ---- Guarded workers (src/lib/guard.c) ------------------------------ */
+/* A worker that its firm shares: it reports usage with a lag, and can
+ * throttle, checkpoint or stop a task. No task starts twice: one that
+ * was stopped may have run, one that was checkpointed resumes here. */
+
+enum cf_guard_state {
+	CF_GUARD_UNKNOWN, /* never started here */
+	CF_GUARD_RUNNING,
+	CF_GUARD_THROTTLED,
+	CF_GUARD_CHECKPOINTING, /* asked for, not confirmed */
+	CF_GUARD_CHECKPOINTED, /* resumes here only */
+	CF_GUARD_STOPPED, /* may have run, never starts again */
+	CF_GUARD_ENDED,
+};
+
+struct cf_guard_task {
+	struct cf_key key;
+	uint32_t index;
+	uint32_t cpu_milli, memory_mb; /* declared */
+	bool can_checkpoint;
+};
+
+struct cf_guard_usage {
+	uint32_t cpu_milli, memory_mb;
+	int64_t measured_ms; /* when it was so, now_ms clock */
+};
+
+struct cf_guard_ops;
+
+struct cf_guard_worker {
+	const struct cf_guard_ops *ops; /* first member: how to reach it */
+};
+
+/* Requests to the worker; false: not accepted, nothing changes. */
+struct cf_guard_ops {
+	bool (*throttle)(struct cf_guard_worker *worker,
+			 const struct cf_guard_task *task, uint32_t cpu_milli); /* at most so much; 0 lifts it */
+	bool (*checkpoint)(struct cf_guard_worker *worker,
+			   const struct cf_guard_task *task); /* confirmed by cf_guard_checkpointed */
+	bool (*resume)(struct cf_guard_worker *worker,
+		       const struct cf_guard_task *task); /* from its checkpoint */
+	bool (*stop)(struct cf_guard_worker *worker,
+		     const struct cf_guard_task *task); /* its work is lost */
+};
+
+struct cf_guard;
+
+CF_API struct cf_guard *cf_guard_create(struct cf_guard_worker *worker, const struct cf_capacity *capacity, int64_t lag_ms); /* worker is borrowed; lag of its reports */
+CF_API void cf_guard_destroy(struct cf_guard *guard); /* NULL is allowed */
+CF_API bool cf_guard_start(struct cf_guard *guard, const struct cf_guard_task *task, int64_t now_ms); /* false: started here before; don't start it */
+CF_API bool cf_guard_end(struct cf_guard *guard, const struct cf_key *key, uint32_t index, int64_t now_ms); /* false: not known, ended or stopped */
+CF_API bool cf_guard_checkpointed(struct cf_guard *guard, const struct cf_key *key, uint32_t index, bool ok, int64_t now_ms); /* false: none was asked for, or it was given up */
+CF_API bool cf_guard_report(struct cf_guard *guard, const struct cf_key *key, uint32_t index, const struct cf_guard_usage *usage); /* of a task; false: not active, or an older report */
+CF_API bool cf_guard_report_others(struct cf_guard *guard, const struct cf_guard_usage *usage); /* of the sister firm; false: an older report */
+CF_API size_t cf_guard_tick(struct cf_guard *guard, int64_t now_ms); /* decides, a few times a second; requests made */
+CF_API enum cf_guard_state cf_guard_state(const struct cf_guard *guard, const struct cf_key *key, uint32_t index); /* of a task */
+CF_API void cf_guard_get_room(const struct cf_guard *guard, struct cf_capacity *room); /* processors and memory that new tasks may declare */
+
 /* ---- Service-level burn (src/lib/burn.c) ---------------------------- */
 
 struct cf_burn_class {
--- a/src/roles/role.h
+++ b/src/roles/role.h
@@ -33,10 +33,14 @@
 void agent_stop(struct agent *agent);
 struct backend;
 struct backend *backend_start(const struct settings *settings, GError **error);
-void backend_stop(struct backend *backend);
+void backend_stop(struct backend *backend); /* finishes what runs */
+uint16_t backend_port(const struct backend *backend); /* of its tasks */
 
 /* Where others reach this process, with the port in use; g_free it. */
 char *role_address(const struct settings *settings, uint16_t port);
+/* Opens the event trace that the settings name, if any. */
+bool role_open_trace(const struct settings *settings, uint64_t incarnation,
+		     GError **error);
 GQuark role_error_quark(void);
 void role_set_error(GError **error, const char *what, int status); /* APR's */
 int role_fail(GError *error); /* logs it, gives the exit status */
