Grant no lease before the first view is applied

A leader fresh in a new group granted leases at revision 0: whoever got one held a lease without a configuration and without voters to claim from. Ruled out: a race in the test itself, which asked only for what a dispatcher asks at its start.

It covers the roster, a holder that comes back, fences, and votes over a clean stop and a lost ledger.

--- a/src/roles/coordinator_leases.c
+++ b/src/roles/coordinator_leases.c
@@ -70,9 +70,14 @@
 	log_event(LOG_INFO, "office_ended", NULL);
 }
 
+/* Before the first view is applied there is no configuration to confirm
+ * and nobody could claim under it. */
 bool coordinator_may_grant(const struct coordinator *c, int64_t now_ms)
 {
-	return c->office && !c->stopping && group_is_leader(c->group) &&
+	const struct cf_view *views;
+
+	return c->office && cf_config_views(c->config, &views) > 0 &&
+	       !c->stopping && group_is_leader(c->group) &&
 	       group_healthy(c->group) &&
 	       group_quorum_ms(c->group) >= now_ms - QUORUM_FRESH_MS;
 }
--- /dev/null
+++ b/tests/test_coordinator_leases.c
@@ -0,0 +1,381 @@
+/*
+ * test_coordinator_leases: what a coordinator tells processes that ask
+ * for leases, fences and votes, over links as they would use them.
+ */
+#include "base/clock.h"
+#include "base/logger.h"
+#include "support/coordinators.h"
+#include "support/loop_until.h"
+
+#include <apr_general.h>
+#include <glib/gstdio.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <string.h>
+#include <cmocka.h>
+
+/* ---- A process that asks ------------------------------------------- */
+
+struct asker {
+	struct link_hub *hub;
+	struct link *link;
+	Cfw__Role role;
+	uint64_t incarnation;
+	uint64_t seq;
+	Cfw__Envelope *answer; /* newest, own copy */
+	uint64_t known_revision, known_roster, known_leader;
+	bool draining, leaving;
+};
+
+static struct loop *loop;
+
+static void up(void *arg, struct link *link)
+{
+	(void)arg;
+	(void)link;
+}
+
+static void message(void *arg, struct link *link, const Cfw__Envelope *envelope)
+{
+	struct asker *a = arg;
+	size_t size = cfw__envelope__get_packed_size(envelope);
+	g_autofree uint8_t *data = g_malloc(size + 1);
+
+	(void)link;
+	cfw__envelope__pack(envelope, data);
+	if (a->answer)
+		cfw__envelope__free_unpacked(a->answer, NULL);
+	a->answer = cfw__envelope__unpack(NULL, size, data);
+}
+
+static const struct link_handlers handlers = { .up = up,
+					       .message = message,
+					       .down = up };
+
+static bool is_up(void *arg)
+{
+	struct asker *a = arg;
+
+	return link_is_up(a->link);
+}
+
+static bool is_answered(void *arg)
+{
+	struct asker *a = arg;
+
+	return a->answer != NULL;
+}
+
+static void open_asker(struct asker *a, struct group_fixture *c, Cfw__Role role,
+		       uint64_t incarnation)
+{
+	struct link_options options = { .self = { .role = role,
+						  .name = "asker",
+						  .incarnation = incarnation,
+						  .data_centre = "dc" } };
+	g_autofree char *address =
+		g_strdup_printf("127.0.0.1:%u", c->nodes[0].port);
+
+	memset(a, 0, sizeof(*a));
+	a->role = role;
+	a->incarnation = incarnation;
+	a->hub = link_hub_create(loop, &options, &handlers, a);
+	a->link = link_dial(a->hub, address);
+	assert_true(loop_until(loop, is_up, a));
+}
+
+static void close_asker(struct asker *a)
+{
+	link_hub_destroy(a->hub);
+	if (a->answer)
+		cfw__envelope__free_unpacked(a->answer, NULL);
+}
+
+static Cfw__Envelope *exchange(struct asker *a, const Cfw__Envelope *envelope)
+{
+	if (a->answer)
+		cfw__envelope__free_unpacked(a->answer, NULL);
+	a->answer = NULL;
+	assert_true(link_send(a->link, envelope));
+	assert_true(loop_until(loop, is_answered, a));
+	return a->answer;
+}
+
+static const Cfw__LeaseGrant *ask_lease(struct asker *a)
+{
+	Cfw__Envelope envelope = CFW__ENVELOPE__INIT;
+	Cfw__LeaseRequest request = CFW__LEASE_REQUEST__INIT;
+	Cfw__Capacity capacity = CFW__CAPACITY__INIT;
+	const Cfw__LeaseGrant *grant;
+
+	capacity.slots = 8;
+	request.seq = ++a->seq;
+	request.role = a->role;
+	request.incarnation = a->incarnation;
+	request.name = "asker";
+	request.data_centre = "dc";
+	request.rack = "r";
+	request.address = "127.0.0.1:7";
+	request.known_revision = a->known_revision;
+	request.known_roster = a->known_roster;
+	request.known_leader = a->known_leader;
+	request.draining = a->draining;
+	request.leaving = a->leaving;
+	request.capacity = &capacity;
+	envelope.body_case = CFW__ENVELOPE__BODY_LEASE_REQUEST;
+	envelope.lease_request = &request;
+	grant = exchange(a, &envelope)->lease_grant;
+	assert_int_equal(grant->seq, a->seq);
+	if (grant->configuration)
+		a->known_revision = grant->configuration->revision;
+	if (grant->roster) {
+		a->known_roster = grant->roster->version;
+		a->known_leader = grant->leader_incarnation;
+	}
+	return grant;
+}
+
+/* A new leader refuses until its first quorum is heard. */
+static const Cfw__LeaseGrant *win_lease(struct asker *a)
+{
+	int64_t end_ms = clock_now_ms() + FIXTURE_WAIT_MS;
+	const Cfw__LeaseGrant *grant = ask_lease(a);
+
+	while (grant->verdict == CFW__LEASE_VERDICT__LEASE_NOT_LEADER) {
+		assert_true(clock_now_ms() < end_ms);
+		grant = ask_lease(a);
+	}
+	assert_int_equal(grant->verdict, CFW__LEASE_VERDICT__LEASE_GRANTED);
+	return grant;
+}
+
+static const Cfw__FenceReply *ask_fence(struct asker *a, uint64_t incarnation)
+{
+	Cfw__Envelope envelope = CFW__ENVELOPE__INIT;
+	Cfw__FenceRequest request = CFW__FENCE_REQUEST__INIT;
+
+	request.seq = ++a->seq;
+	request.incarnation = incarnation;
+	envelope.body_case = CFW__ENVELOPE__BODY_FENCE_REQUEST;
+	envelope.fence_request = &request;
+	return exchange(a, &envelope)->fence_reply;
+}
+
+static const Cfw__Vote *ask_vote(struct asker *a, const struct cf_key *key,
+				 uint64_t owner)
+{
+	Cfw__Envelope envelope = CFW__ENVELOPE__INIT;
+	Cfw__ClaimRequest request = CFW__CLAIM_REQUEST__INIT;
+	Cfw__Claim claim = CFW__CLAIM__INIT;
+	Cfw__Claim *claims[] = { &claim };
+	const Cfw__ClaimReply *reply;
+
+	claim.key.data = (uint8_t *)key->bytes;
+	claim.key.len = CF_KEY_SIZE;
+	claim.owner = owner;
+	request.seq = ++a->seq;
+	request.n_claims = 1;
+	request.claims = claims;
+	envelope.body_case = CFW__ENVELOPE__BODY_CLAIM_REQUEST;
+	envelope.claim_request = &request;
+	reply = exchange(a, &envelope)->claim_reply;
+	assert_int_equal(reply->n_votes, 1);
+	return reply->votes[0];
+}
+
+/* A key of now, asked for again with new keys until it is voted for. */
+static struct cf_key win_vote(struct asker *a, uint64_t owner)
+{
+	int64_t end_ms = clock_now_ms() + FIXTURE_WAIT_MS;
+	struct cf_key key;
+
+	do {
+		assert_true(clock_now_ms() < end_ms);
+		cf_key_make(&key, clock_wall_ms(), a->seq, 1);
+	} while (ask_vote(a, &key, owner)->verdict != CF_VOTE_FOR);
+	return key;
+}
+
+/* Until the roster is as said; keep, if any, holds its lease on. */
+static const Cfw__LeaseGrant *
+wait_for_roster(struct asker *a, struct asker *keep, size_t n, bool settled)
+{
+	int64_t end_ms = clock_now_ms() + FIXTURE_WAIT_MS;
+	const Cfw__LeaseGrant *grant;
+
+	do {
+		assert_true(clock_now_ms() < end_ms);
+		if (keep)
+			win_lease(keep);
+		a->known_roster = 0;
+		grant = win_lease(a);
+	} while (grant->roster->n_entries != n ||
+		 (settled && !grant->roster->settled));
+	return grant;
+}
+
+/* ---- Leases -------------------------------------------------------- */
+
+static void test_lease_and_roster(void **state)
+{
+	struct group_fixture c;
+	struct asker dispatcher, agent;
+	const Cfw__LeaseGrant *grant;
+	int64_t before_ms;
+
+	(void)state;
+	fixture_prepare(&c, 1);
+	fixture_start(&c, 0, false);
+	open_asker(&dispatcher, &c, CFW__ROLE__ROLE_DISPATCHER, 11);
+	open_asker(&agent, &c, CFW__ROLE__ROLE_AGENT, 22);
+	grant = win_lease(&dispatcher);
+	assert_non_null(grant->configuration);
+	assert_int_equal(grant->roster->n_entries, 1);
+	assert_int_equal(grant->duration_ms, CF_LEASE_MS);
+	/* an agent gets the configuration but no roster */
+	grant = win_lease(&agent);
+	assert_non_null(grant->configuration);
+	assert_null(grant->roster);
+	assert_null(win_lease(&agent)->configuration);
+	wait_for_roster(&dispatcher, &agent, 2, false);
+	agent.draining = true;
+	win_lease(&agent);
+	grant = win_lease(&dispatcher);
+	assert_non_null(grant->roster);
+	before_ms = clock_wall_ms();
+	agent.leaving = true;
+	assert_int_equal(ask_lease(&agent)->verdict,
+			 CFW__LEASE_VERDICT__LEASE_RELEASED);
+	/* a request that was delayed takes the lease no more */
+	agent.leaving = false;
+	assert_int_equal(ask_lease(&agent)->verdict,
+			 CFW__LEASE_VERDICT__LEASE_RELEASED);
+	grant = win_lease(&dispatcher);
+	assert_int_equal(grant->roster->n_entries, 1);
+	assert_true(grant->roster->last_departure_ms >=
+		    before_ms + CF_CLOCK_SKEW_MS);
+	close_asker(&agent);
+	close_asker(&dispatcher);
+	fixture_clear(&c);
+}
+
+static void test_expired_holder_comes_back(void **state)
+{
+	struct group_fixture c;
+	struct asker dispatcher, agent;
+
+	(void)state;
+	fixture_prepare(&c, 1);
+	fixture_start(&c, 0, false);
+	open_asker(&dispatcher, &c, CFW__ROLE__ROLE_DISPATCHER, 11);
+	open_asker(&agent, &c, CFW__ROLE__ROLE_AGENT, 22);
+	wait_for_roster(&dispatcher, &agent, 2, false);
+	wait_for_roster(&dispatcher, NULL, 1, false); /* it asks no more */
+	wait_for_roster(&dispatcher, &agent, 2, false);
+	close_asker(&agent);
+	close_asker(&dispatcher);
+	fixture_clear(&c);
+}
+
+/* ---- Fences -------------------------------------------------------- */
+
+static void test_fence(void **state)
+{
+	struct group_fixture c;
+	struct asker owner, adopter;
+	const Cfw__FenceReply *reply;
+	int64_t renewed_ms;
+
+	(void)state;
+	fixture_prepare(&c, 1);
+	fixture_start(&c, 0, false);
+	open_asker(&owner, &c, CFW__ROLE__ROLE_DISPATCHER, 11);
+	open_asker(&adopter, &c, CFW__ROLE__ROLE_DISPATCHER, 22);
+	win_lease(&adopter);
+	renewed_ms = clock_now_ms();
+	win_lease(&owner);
+	reply = ask_fence(&adopter, owner.incarnation);
+	if (clock_now_ms() - renewed_ms < CF_LEASE_MS) {
+		assert_true(reply->alive);
+		assert_false(reply->fenced);
+	}
+	/* one that is not known may hold a lease of an earlier leader */
+	reply = ask_fence(&adopter, 33);
+	assert_true(!reply->fenced || reply->roster->settled);
+	assert_false(reply->alive);
+	wait_for_roster(&adopter, NULL, 1, true);
+	reply = ask_fence(&adopter, owner.incarnation);
+	assert_true(reply->fenced);
+	assert_non_null(reply->roster);
+	assert_int_equal(reply->roster->n_entries, 1);
+	assert_int_equal(ask_lease(&owner)->verdict,
+			 CFW__LEASE_VERDICT__LEASE_FENCED);
+	assert_true(ask_fence(&adopter, owner.incarnation)->fenced);
+	close_asker(&owner);
+	close_asker(&adopter);
+	fixture_clear(&c);
+}
+
+/* ---- Claims -------------------------------------------------------- */
+
+static void test_votes_outlive_a_clean_stop_only(void **state)
+{
+	struct group_fixture c;
+	struct asker a;
+	struct cf_key key;
+	g_autofree char *ledger = NULL;
+
+	(void)state;
+	fixture_prepare(&c, 1);
+	ledger = g_build_filename(c.nodes[0].folder, LEDGER_FILE, NULL);
+	fixture_start(&c, 0, false);
+	open_asker(&a, &c, CFW__ROLE__ROLE_DISPATCHER, 11);
+	key = win_vote(&a, 11);
+	assert_int_equal(ask_vote(&a, &key, 12)->owner, 11);
+	close_asker(&a);
+	fixture_stop(&c, 0);
+	assert_true(g_file_test(ledger, G_FILE_TEST_EXISTS));
+	fixture_start(&c, 0, false);
+	assert_false(g_file_test(ledger, G_FILE_TEST_EXISTS));
+	open_asker(&a, &c, CFW__ROLE__ROLE_DISPATCHER, 11);
+	win_vote(&a, 11); /* it votes again */
+	assert_int_equal(ask_vote(&a, &key, 12)->owner, 11);
+	close_asker(&a);
+	/* as after a crash: nothing was saved */
+	fixture_stop(&c, 0);
+	assert_int_equal(g_remove(ledger), 0);
+	fixture_start(&c, 0, false);
+	open_asker(&a, &c, CFW__ROLE__ROLE_DISPATCHER, 11);
+	win_vote(&a, 11);
+	assert_int_equal(ask_vote(&a, &key, 12)->verdict, CF_VOTE_ABSTAIN);
+	close_asker(&a);
+	fixture_clear(&c);
+}
+
+static int setup(void **state)
+{
+	(void)state;
+	apr_initialize();
+	log_configure("test", "test", LOG_ERROR, LOG_FORMAT_TEXT);
+	loop = loop_create(NULL);
+	return loop ? 0 : 1;
+}
+
+static int teardown(void **state)
+{
+	(void)state;
+	loop_destroy(loop);
+	return 0;
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_lease_and_roster),
+		cmocka_unit_test(test_expired_holder_comes_back),
+		cmocka_unit_test(test_fence),
+		cmocka_unit_test(test_votes_outlive_a_clean_stop_only),
+	};
+
+	return cmocka_run_group_tests(tests, setup, teardown);
+}
