Initialize APR before any role runs

Agents and dispatchers made a memory pool before the loop had set APR up and ended with a fault in apr_pool_create_ex (seen under the address sanitizer, 8 of 8 processes).

--- a/src/main.c
+++ b/src/main.c
@@ -7,7 +7,9 @@
 #include "base/clock.h"
 #include "chervilferry.h"
 
+#include <apr_general.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #define EXIT_BAD_USE 2
@@ -155,6 +157,8 @@
 {
 	const char *name = argc > 1 ? argv[1] : "";
 
+	if (apr_initialize() != APR_SUCCESS)
+		return EXIT_FAILURE;
 	for (size_t i = 0; i < G_N_ELEMENTS(roles); i++)
 		if (!strcmp(roles[i].name, name))
 			return run_role(&roles[i], argc - 1, argv + 1);
