--- a/src/roles/agent.c
+++ b/src/roles/agent.c
@@ -252,7 +252,6 @@
 
 	agent->settings = settings;
 	agent->incarnation = clock_random();
-	apr_initialize();
 	apr_pool_create(&agent->pool, NULL);
 	open_counters(&agent->counters);
 	if (!role_open_trace(settings, agent->incarnation, error) ||
--- a/src/roles/agent_internal.h
+++ b/src/roles/agent_internal.h
@@ -13,7 +13,6 @@
 #include "roles/role.h"
 #include "roles/session.h"
 
-#include <apr_general.h>
 #include <apr_thread_proc.h>
 
 /* The tasks of one Dispatch; their results go back together. */
--- a/src/roles/dispatcher.c
+++ b/src/roles/dispatcher.c
@@ -352,7 +352,6 @@
 
 	d->settings = settings;
 	d->incarnation = clock_random();
-	apr_initialize();
 	apr_pool_create(&d->pool, NULL);
 	open_counters(&d->counters);
 	open_tables(d);
--- a/src/roles/dispatcher_internal.h
+++ b/src/roles/dispatcher_internal.h
@@ -12,7 +12,6 @@
 #include "roles/role.h"
 #include "roles/session.h"
 
-#include <apr_general.h>
 #include <apr_thread_proc.h>
 
 /* ---- Requests ---- */
--- a/src/roles/standalone.c
+++ b/src/roles/standalone.c
@@ -5,6 +5,7 @@
 #include "roles/role.h"
 
 #include "base/clock.h"
+#include "chervilferry.h"
 #include "base/logger.h"
 #include "net/http_client.h"
 
@@ -22,6 +23,7 @@
 #define AGENT_BACKEND ADDRESS ":8301"
 #define AGENT_ADMIN ADDRESS ":8300"
 #define ARGS_MAX 16
+#define VOTE_WAIT_US ((gulong)CF_CLOCK_SKEW_MS * 1000)
 #define CLASS_WAIT_MS 10000
 #define CLASS_POLL_US 50000
 
@@ -129,6 +131,8 @@
 {
 	int64_t end_ms = clock_now_ms() + CLASS_WAIT_MS;
 
+	/* Until the voters may vote on keys of now; see docs/DESIGN.md. */
+	g_usleep(VOTE_WAIT_US);
 	while (!set_class()) {
 		if (clock_now_ms() >= end_ms)
 			return false;
