--- a/src/store/store.c
+++ b/src/store/store.c
@@ -2,6 +2,7 @@
  * store: see the header. This file: the folder in use.
  */
 #include "store/store.h"
+#include "base/counters.h"
 #include "store/group.h"
 
 #include <errno.h>
@@ -25,6 +26,7 @@
 	struct cf_hard_state state; /* last written */
 	uint64_t snapshot_index;
 	bool failed;
+	struct counter *syncs, *written_bytes;
 };
 
 /* ---- Segments ------------------------------------------------------- */
@@ -49,6 +51,8 @@
 	if (ok && store->ops->sync(store->ops, store->segment_fd) != 0)
 		ok = store_fail(error, "sync", path);
 	if (ok) {
+		counter_add(store->syncs, 1);
+		counter_add(store->written_bytes, frame->len);
 		store->segment_bytes += frame->len;
 		store->state = write->state;
 		if (write->n_entries)
@@ -313,6 +317,10 @@
 
 	store->ops = ops ? ops : &store_system_ops;
 	store->folder = g_strdup(folder);
+	store->syncs = counter_get("store_syncs_total", NULL,
+				   "synced writes to the log on disk");
+	store->written_bytes = counter_get("store_written_bytes_total", NULL,
+					   "bytes of synced writes");
 	store->lock_fd = -1;
 	store->segment_fd = -1;
 	store->segments =
--- a/src/store/store_recover.c
+++ b/src/store/store_recover.c
@@ -51,6 +51,33 @@
 	return !*end && end != name + strlen(prefix);
 }
 
+/* A file that a snapshot which was cut short left, or an older snapshot. */
+static bool is_leftover(const char *name, uint64_t snapshot_index)
+{
+	uint64_t number;
+
+	if (g_str_has_suffix(name, ".tmp"))
+		return true;
+	return parse_name(name, SNAPSHOT_PREFIX, &number) &&
+	       number < snapshot_index;
+}
+
+static void remove_leftovers(const char *folder, uint64_t snapshot_index)
+{
+	GDir *dir = g_dir_open(folder, 0, NULL);
+	const char *name;
+
+	while (dir && (name = g_dir_read_name(dir))) {
+		char *path = g_build_filename(folder, name, NULL);
+
+		if (is_leftover(name, snapshot_index))
+			g_unlink(path);
+		g_free(path);
+	}
+	if (dir)
+		g_dir_close(dir);
+}
+
 static bool list_files(const char *folder, GArray *segments,
 		       uint64_t *snapshot_index, GError **error)
 {
@@ -280,5 +307,8 @@
 				    i + 1 == segments->len, error))
 			return false;
 	}
-	return join_snapshot(&replay, folder, needs_reset, error);
+	if (!join_snapshot(&replay, folder, needs_reset, error))
+		return false;
+	remove_leftovers(folder, snapshot_index);
+	return true;
 }
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -405,6 +405,46 @@
 	g_free(identity);
 }
 
+static void test_leftovers_go(void **state)
+{
+	static const struct {
+		const char *name;
+		bool stays;
+	} cases[] = {
+		{ "snapshot-0000000000000002", false },
+		{ "snapshot-0000000000000003", true },
+		{ "snapshot-0000000000000009.tmp", false },
+		{ "ledger", true },
+	};
+	struct store_recovered found;
+	struct store *store = open_store(*state, NULL, &found);
+	struct cf_snapshot snapshot = snapshot_at(3, 1);
+
+	store_clear_recovered(&found);
+	assert_true(append(store, 1, 3, 1, NULL));
+	assert_true(store_save_snapshot(store, &snapshot, NULL));
+	store_close(store);
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		char *path = g_build_filename(*state, cases[i].name, NULL);
+
+		if (i != 1)
+			g_file_set_contents(path, "half", 4, NULL);
+		g_free(path);
+	}
+	store = open_store(*state, NULL, &found);
+	assert_int_equal(found.snapshot.index, 3);
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		char *path = g_build_filename(*state, cases[i].name, NULL);
+
+		assert_int_equal(g_file_test(path, G_FILE_TEST_EXISTS),
+				 cases[i].stays);
+		g_free(path);
+	}
+	store_clear_recovered(&found);
+	store_close(store);
+	g_bytes_unref(snapshot.data);
+}
+
 static void test_small_files(void **state)
 {
 	GBytes *data = g_bytes_new("votes", 5), *read;
@@ -436,6 +476,7 @@
 		CASE(test_snapshot_trims),
 		CASE(test_received_snapshot),
 		CASE(test_missing_files),
+		CASE(test_leftovers_go),
 		CASE(test_small_files),
 	};
 
