--- a/tests/test_claim.c
+++ b/tests/test_claim.c
@@ -32,8 +32,8 @@
 	int64_t key_ms;
 	uint32_t epoch;
 	uint64_t owner, prior_owner;
-	bool may_vote, prior_fenced;
 	int64_t wall_ms;
+	bool may_vote, prior_fenced;
 	enum cf_vote vote;
 	uint64_t named;
 };
@@ -61,50 +61,50 @@
 static void test_ledger(void **state)
 {
 	static const struct ledger_case cases[] = {
-		{ "first", 999000, 0, A, 0, true, false, WALL_MS, CF_VOTE_FOR,
+		{ "first", 999000, 0, A, 0, WALL_MS, true, false, CF_VOTE_FOR,
 		  A },
-		{ "again", 999000, 0, A, 0, true, false, WALL_MS, CF_VOTE_FOR,
+		{ "again", 999000, 0, A, 0, WALL_MS, true, false, CF_VOTE_FOR,
 		  A },
-		{ "another", 999000, 0, B, 0, true, false, WALL_MS, CF_VOTE_FOR,
+		{ "another", 999000, 0, B, 0, WALL_MS, true, false, CF_VOTE_FOR,
 		  A },
-		{ "no lease, held", 999000, 0, B, 0, false, false, WALL_MS,
+		{ "no lease, held", 999000, 0, B, 0, WALL_MS, false, false,
 		  CF_VOTE_ABSTAIN, A },
-		{ "no lease", 999001, 0, B, 0, false, false, WALL_MS,
+		{ "no lease", 999001, 0, B, 0, WALL_MS, false, false,
 		  CF_VOTE_ABSTAIN, 0 },
-		{ "after that", 999001, 0, B, 0, true, false, WALL_MS,
+		{ "after that", 999001, 0, B, 0, WALL_MS, true, false,
 		  CF_VOTE_FOR, B },
-		{ "may be forgotten", SAFE_AFTER_MS, 0, A, 0, true, false,
-		  WALL_MS, CF_VOTE_ABSTAIN, 0 },
-		{ "may not", SAFE_AFTER_MS + 1, 0, A, 0, true, false, WALL_MS,
+		{ "may be forgotten", SAFE_AFTER_MS, 0, A, 0, WALL_MS, true,
+		  false, CF_VOTE_ABSTAIN, 0 },
+		{ "may not", SAFE_AFTER_MS + 1, 0, A, 0, WALL_MS, true, false,
 		  CF_VOTE_FOR, A },
-		{ "too old", WALL_MS - HORIZON_MS, 0, A, 0, true, false,
-		  WALL_MS, CF_VOTE_TOO_OLD, 0 },
-		{ "as new as may be", WALL_MS + CF_CLOCK_SKEW_MS, 0, A, 0, true,
-		  false, WALL_MS, CF_VOTE_FOR, A },
-		{ "too new", WALL_MS + CF_CLOCK_SKEW_MS + 1, 0, A, 0, true,
-		  false, WALL_MS, CF_VOTE_TOO_NEW, 0 },
-		{ "owner lives", 999000, 1, B, A, true, false, WALL_MS,
+		{ "too old", WALL_MS - HORIZON_MS, 0, A, 0, WALL_MS, true,
+		  false, CF_VOTE_TOO_OLD, 0 },
+		{ "as new as may be", WALL_MS + CF_CLOCK_SKEW_MS, 0, A, 0,
+		  WALL_MS, true, false, CF_VOTE_FOR, A },
+		{ "too new", WALL_MS + CF_CLOCK_SKEW_MS + 1, 0, A, 0, WALL_MS,
+		  true, false, CF_VOTE_TOO_NEW, 0 },
+		{ "owner lives", 999000, 1, B, A, WALL_MS, true, false,
 		  CF_VOTE_UNFENCED, A },
-		{ "not the owner", 999000, 1, B, C, true, true, WALL_MS,
+		{ "not the owner", 999000, 1, B, C, WALL_MS, true, true,
 		  CF_VOTE_UNFENCED, A },
-		{ "passed over", 999000, 2, B, A, true, true, WALL_MS,
+		{ "passed over", 999000, 2, B, A, WALL_MS, true, true,
 		  CF_VOTE_UNFENCED, A },
-		{ "adopted", 999000, 1, B, A, true, true, WALL_MS, CF_VOTE_FOR,
+		{ "adopted", 999000, 1, B, A, WALL_MS, true, true, CF_VOTE_FOR,
 		  B },
-		{ "the same adopter", 999000, 1, B, A, true, true, WALL_MS,
+		{ "the same adopter", 999000, 1, B, A, WALL_MS, true, true,
 		  CF_VOTE_FOR, B },
-		{ "another adopter", 999000, 1, C, A, true, true, WALL_MS,
+		{ "another adopter", 999000, 1, C, A, WALL_MS, true, true,
 		  CF_VOTE_FOR, B },
-		{ "epoch before", 999000, 0, A, 0, true, false, WALL_MS,
+		{ "epoch before", 999000, 0, A, 0, WALL_MS, true, false,
 		  CF_VOTE_ABSTAIN, B },
-		{ "nothing held, lives", 999002, 1, B, A, true, false, WALL_MS,
+		{ "nothing held, lives", 999002, 1, B, A, WALL_MS, true, false,
 		  CF_VOTE_UNFENCED, 0 },
-		{ "nothing held", 999002, 1, B, A, true, true, WALL_MS,
+		{ "nothing held", 999002, 1, B, A, WALL_MS, true, true,
 		  CF_VOTE_FOR, B },
-		{ "bars the owner", 999002, 0, C, 0, true, false, WALL_MS,
+		{ "bars the owner", 999002, 0, C, 0, WALL_MS, true, false,
 		  CF_VOTE_ABSTAIN, B },
-		{ "epoch out of range", 999003, 65536, B, A, true, true,
-		  WALL_MS, CF_VOTE_ABSTAIN, 0 },
+		{ "epoch out of range", 999003, 65536, B, A, WALL_MS, true,
+		  true, CF_VOTE_ABSTAIN, 0 },
 	};
 	struct cf_ledger *ledger = cf_ledger_create(HORIZON_MS, SAFE_AFTER_MS);
 
@@ -116,18 +116,18 @@
 static void test_expire_and_save(void **state)
 {
 	static const struct ledger_case before[] = {
-		{ "old", 991000, 0, A, 0, true, false, WALL_MS, CF_VOTE_FOR,
+		{ "old", 991000, 0, A, 0, WALL_MS, true, false, CF_VOTE_FOR,
 		  A },
-		{ "young", 1001000, 0, B, 0, true, false, WALL_MS, CF_VOTE_FOR,
+		{ "young", 1001000, 0, B, 0, WALL_MS, true, false, CF_VOTE_FOR,
 		  B },
 	};
 	static const struct ledger_case after[] = {
 		/* Also with a clock that was set back. */
-		{ "forgotten", 991000, 0, B, 0, true, false, WALL_MS,
+		{ "forgotten", 991000, 0, B, 0, WALL_MS, true, false,
 		  CF_VOTE_TOO_OLD, 0 },
-		{ "kept", 1001000, 0, A, 0, true, false, WALL_MS, CF_VOTE_FOR,
+		{ "kept", 1001000, 0, A, 0, WALL_MS, true, false, CF_VOTE_FOR,
 		  B },
-		{ "new", 1001001, 0, C, 0, true, false, WALL_MS, CF_VOTE_FOR,
+		{ "new", 1001001, 0, C, 0, WALL_MS, true, false, CF_VOTE_FOR,
 		  C },
 	};
 	struct cf_ledger *first = cf_ledger_create(HORIZON_MS, SAFE_AFTER_MS);
--- a/tests/test_lease.c
+++ b/tests/test_lease.c
@@ -15,9 +15,7 @@
 	/* Requests 1, 2, 3 were sent at 0, 500 and 1000 ms. */
 	static const struct {
 		const char *name;
-		uint64_t seq;
-		uint32_t duration_ms;
-		uint64_t revision;
+		uint64_t seq, duration_ms, revision;
 		int64_t now_ms;
 		bool granted;
 		int64_t end_ms;
@@ -77,7 +75,7 @@
 	enum action { RENEW, RELEASE, LOOK };
 	static const struct {
 		enum action action;
-		uint64_t holder;
+		uint32_t holder;
 		int64_t now_ms;
 		bool renewed;
 		enum cf_holder_state state;
@@ -127,9 +125,7 @@
 static void test_retry(void **state)
 {
 	static const struct {
-		uint32_t attempt, base_ms, max_ms;
-		uint64_t random;
-		uint32_t delay_ms;
+		uint32_t attempt, base_ms, max_ms, random, delay_ms;
 	} cases[] = {
 		{ 0, 10, 1000, 10, 10 },     { 0, 10, 1000, 11, 0 },
 		{ 3, 10, 1000, 80, 80 },     { 10, 10, 1000, 1000, 1000 },
