--- a/include/chervilferry.h
+++ b/include/chervilferry.h
@@ -514,6 +514,7 @@
 CF_API void cf_health_leave(struct cf_health *health, uint64_t agent); /* forget it */
 CF_API void cf_health_sent(struct cf_health *health, uint64_t agent, uint32_t n_tasks, int64_t now_ms); /* tasks placed there */
 CF_API void cf_health_result(struct cf_health *health, uint64_t agent, bool ok, uint32_t run_ms, uint32_t predicted_ms, int64_t now_ms); /* a task ended */
+CF_API void cf_health_overdue(struct cf_health *health, uint64_t agent, uint32_t run_ms, uint32_t predicted_ms, int64_t now_ms); /* optional: a task runs there for several times its prediction; once a task */
 CF_API bool cf_health_tick(struct cf_health *health, int64_t now_ms); /* true: a state changed */
 CF_API enum cf_health_state cf_health_state(const struct cf_health *health, uint64_t agent); /* GOOD when unknown */
 CF_API uint32_t cf_health_weight_milli(const struct cf_health *health, uint64_t agent, int64_t now_ms); /* 0..1000 */
--- a/src/lib/admit.c
+++ b/src/lib/admit.c
@@ -17,6 +17,7 @@
 #include "lib/admit_state.h"
 
 static const double ROOM_PART_STEP = 0.06; /* off, for each late answer */
+static const double ALL_WAIT_TIMES = 3; /* a class waits less than so */
 static const double LONG_PART = 0.25; /* of a target that is below run time */
 static const double CONTENDED_MS = 5; /* others wait so long: loans end */
 static const double RETRY_LEAST_MS = 50;
@@ -157,6 +158,7 @@
 	admit_step(admitter, now_ms);
 	all_ms = wait_all_ms(admitter);
 	wait_ms = wait_class_ms(admitter, state);
+	wait_ms = MIN(wait_ms, all_ms * ALL_WAIT_TIMES);
 	wait_ms = wait_team_ms(admitter, team, wait_ms);
 	*retry_after_ms = 0;
 	if (state != NULL)
--- a/src/lib/health.c
+++ b/src/lib/health.c
@@ -27,6 +27,8 @@
 static const uint32_t WARM_WEIGHT = 250; /* at the beginning */
 static const int64_t WARM_MS = 4000; /* until the full share */
 static const double SLOW_STEP = 0.05; /* weight of the newest task */
+static const double SLOW_STEP_FAR = 0.15; /* and of one far off the others */
+static const double SLOW_FAR = 1.1; /* log of that: three times */
 static const double SLOW_NOISE = 1.4; /* less beside the others is chance */
 static const uint32_t SLOW_TASKS = 5; /* to judge by */
 static const double SLOW_CLIP = 3.0; /* log of the greatest ratio counted */
@@ -262,16 +264,11 @@
 
 /* ---- Slowness ------------------------------------------------------- */
 
-static void learn_slowness(struct cf_health *health, struct server *server,
-			   uint32_t run_ms, uint32_t predicted_ms)
+static void update_slowness(const struct cf_health *health,
+			    struct server *server)
 {
-	double ratio = log(MAX(run_ms, 1U) / (double)MAX(predicted_ms, 1U));
-	double step = MAX(SLOW_STEP, 1.0 / (server->results + 1));
 	double slowness;
 
-	ratio = CLAMP(ratio, -SLOW_CLIP, SLOW_CLIP);
-	server->log_ratio += (ratio - server->log_ratio) * step;
-	server->results++;
 	if (server->results < SLOW_TASKS || !has_others(health, server))
 		return;
 	slowness = exp(server->log_ratio -
@@ -279,6 +276,23 @@
 	server->slowness = CLAMP(slowness, 1 / SLOW_MOST, SLOW_MOST);
 }
 
+/* One task far off may be chance, a few are a straggler: they weigh
+ * more, so that few tasks are lost to it. */
+static void learn_slowness(const struct cf_health *health,
+			   struct server *server, uint32_t run_ms,
+			   uint32_t predicted_ms)
+{
+	double ratio = log(MAX(run_ms, 1U) / (double)MAX(predicted_ms, 1U));
+	double median = median_of_others(health, server, MEASURE_LOG_RATIO);
+	double step = MAX(SLOW_STEP, 1.0 / (server->results + 1));
+
+	ratio = CLAMP(ratio, -SLOW_CLIP, SLOW_CLIP);
+	if (server->results >= SLOW_TASKS && ratio - median > SLOW_FAR)
+		step = MAX(step, SLOW_STEP_FAR);
+	server->log_ratio += (ratio - server->log_ratio) * step;
+	update_slowness(health, server);
+}
+
 void cf_health_result(struct cf_health *health, uint64_t agent, bool ok,
 		      uint32_t run_ms, uint32_t predicted_ms, int64_t now_ms)
 {
@@ -289,11 +303,21 @@
 	server->result_ms = now_ms;
 	if (ok) /* a failure's run time says nothing about speed */
 		learn_slowness(health, server, run_ms, predicted_ms);
-	else
-		server->results++;
+	server->results++;
 	count_failure(health, server, ok, now_ms);
 }
 
+void cf_health_overdue(struct cf_health *health, uint64_t agent,
+		       uint32_t run_ms, uint32_t predicted_ms, int64_t now_ms)
+{
+	struct server *server = find(health, agent);
+
+	if (server == NULL)
+		return;
+	server->result_ms = now_ms;
+	learn_slowness(health, server, run_ms, predicted_ms);
+}
+
 /* ---- Time ----------------------------------------------------------- */
 
 static void tick_state(struct cf_health *health, struct server *server,
--- a/src/lib/place.c
+++ b/src/lib/place.c
@@ -17,6 +17,7 @@
 #include "lib/place_policy.h"
 
 static const uint32_t WAIT_PART = 4; /* wait there: below 1/4 of run time */
+static const double WAIT_GAIN = 1.5; /* waiting must promise to be so better */
 static const double NEAR_PART = 1.0 / 32; /* as good: this part of run time */
 static const double NEAR_US = 200; /* as good: at least this much later */
 static const size_t SCAN_AGENTS = 64; /* with more, a sample is looked at */
@@ -203,22 +204,38 @@
 	return n;
 }
 
+/* The latest finish that a task may be bound to; below 0 it waits. The
+ * best bindable place is taken unless waiting for another promises to
+ * be far better: an error in what is known of servers then can't keep
+ * much of the capacity idle. */
+static double finish_limit_us(const struct finish_placer *finish,
+			      const struct cf_place_agent *agents, size_t n,
+			      const struct cf_place_task *task)
+{
+	double best = G_MAXDOUBLE;
+	double bound = G_MAXDOUBLE;
+
+	for (size_t i = 0; i < n; i++) {
+		best = MIN(best, finish->finish_us[i]);
+		if (bindable(&agents[finish->candidates[i]], task))
+			bound = MIN(bound, finish->finish_us[i]);
+	}
+	if (bound > best * WAIT_GAIN)
+		return -1;
+	return bound + MAX(NEAR_US, task->predicted_ms * 1000.0 * NEAR_PART);
+}
+
 /* Draws, by free slots, one that is bindable and about as good as the
- * best; queues count only where no slot is free. If the best can't be
- * bound, waiting for it is better than a place that would end the task
- * later: CF_PLACE_NONE. */
+ * best; queues count only where no slot is free. */
 static uint32_t draw(struct finish_placer *finish,
 		     const struct cf_place_agent *agents, size_t n,
 		     const struct cf_place_task *task)
 {
-	double limit = G_MAXDOUBLE;
+	double limit = finish_limit_us(finish, agents, n, task);
 	uint32_t chosen = CF_PLACE_NONE;
 	double weight = 0;
 	bool free = false;
 
-	for (size_t i = 0; i < n; i++)
-		limit = MIN(limit, finish->finish_us[i]);
-	limit += MAX(NEAR_US, task->predicted_ms * 1000.0 * NEAR_PART);
 	for (size_t i = 0; i < n; i++) {
 		const struct cf_place_agent *agent =
 			&agents[finish->candidates[i]];
--- a/tests/test_health.c
+++ b/tests/test_health.c
@@ -231,6 +231,30 @@
 	cf_health_destroy(health);
 }
 
+/* Tasks that run on and on show a straggler before they end; a single
+ * one does not. */
+static void test_overdue(void **state)
+{
+	static const struct {
+		uint32_t tasks;
+		double least, most;
+	} cases[] = { { 1, 1, 1 }, { 4, 1.5, 4 }, { 40, 3, 5 } };
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct cf_health *health = make_health(300);
+		double slowness;
+
+		all_good(health, 10);
+		for (uint32_t n = 0; n < cases[i].tasks; n++)
+			cf_health_overdue(health, BAD, 400, 100, 20);
+		slowness = cf_health_slowness(health, BAD);
+		if (slowness < cases[i].least || slowness > cases[i].most)
+			fail_msg("%u tasks: %g", cases[i].tasks, slowness);
+		cf_health_destroy(health);
+	}
+}
+
 static void test_slow_start(void **state)
 {
 	struct cf_health *health = make_health(300);
@@ -261,6 +285,7 @@
 		cmocka_unit_test(test_probation_fails),
 		cmocka_unit_test(test_slowness),
 		cmocka_unit_test(test_slowness_is_forgotten),
+		cmocka_unit_test(test_overdue),
 		cmocka_unit_test(test_slow_start),
 	};
 
