--- a/bench/bench_policy.c
+++ b/bench/bench_policy.c
@@ -1,7 +1,8 @@
 /*
  * bench_policy: plays recorded traces through the decision parts on a
  * virtual clock, with fake servers, and prints what each placement
- * policy makes of them: bench_policy TRACE...
+ * policy makes of them: bench_policy TRACE... The columns at the end
+ * are the classes: answers within target, and refusals.
  */
 #include "chervilferry.h"
 
@@ -21,7 +22,7 @@
 	for (uint32_t i = 0; i < outcome->n_classes; i++)
 		printf(" %.1f%%(-%u)",
 		       100.0 * outcome->classes[i].within /
-			       MAX(outcome->classes[i].asked, 1U),
+			       MAX(outcome->classes[i].answered, 1U),
 		       outcome->classes[i].refused);
 	printf("\n");
 }
--- a/tests/support/replay_run.c
+++ b/tests/support/replay_run.c
@@ -237,6 +237,7 @@
 	run->jobs = g_ptr_array_new();
 	run->slowdowns = g_array_new(FALSE, FALSE, sizeof(double));
 	run->class_asked = g_new0(uint32_t, n_classes);
+	run->class_answered = g_new0(uint32_t, n_classes);
 	run->class_within = g_new0(uint32_t, n_classes);
 	run->class_refused = g_new0(uint32_t, n_classes);
 	cf_admitter_set_classes(
@@ -269,6 +270,7 @@
 	g_ptr_array_free(run->jobs, TRUE);
 	g_array_free(run->slowdowns, TRUE);
 	g_free(run->class_asked);
+	g_free(run->class_answered);
 	g_free(run->class_within);
 	g_free(run->class_refused);
 	g_free(run);
@@ -309,12 +311,14 @@
 	outcome->answered = run->answered;
 	outcome->refused = run->refused;
 	outcome->failed = run->failed;
+	outcome->dropped = run->dropped;
 	outcome->tasks = run->tasks;
 	outcome->tasks_lost = run->lost;
 	outcome->busy = (double)run->busy_ms / (double)run->usable_ms;
 	outcome->n_classes = MIN(replay->classes->len, REPLAY_CLASSES_MAX);
 	for (guint i = 0; i < outcome->n_classes; i++) {
 		outcome->classes[i].asked = run->class_asked[i];
+		outcome->classes[i].answered = run->class_answered[i];
 		outcome->classes[i].within = run->class_within[i];
 		outcome->classes[i].refused = run->class_refused[i];
 	}
