admit: test that an ended job leaves no work behind

The account of single tasks is optional and may be partial, so six ways that a job can go are tried ten times each; anything left over would make the next job late. With the subtraction of running work taken out the test fails ("placed all at once: still counted").

Nothing was found wrong in the account itself.

--- a/tests/test_admit.c
+++ b/tests/test_admit.c
@@ -100,6 +100,55 @@
 	}
 }
 
+/* However a job goes, nothing of it is counted once it ended: a job of
+ * all slots with no time to wait is then taken. */
+static void test_account_is_closed(void **state)
+{
+	static const struct {
+		const char *name;
+		uint32_t placed, ended; /* of its 100 tasks, one by one */
+		bool started;
+	} cases[] = {
+		{ "never placed", 0, 0, false },
+		{ "placed all at once", 0, 0, true },
+		{ "placed one by one", 100, 100, true },
+		{ "ended together", 100, 0, true },
+		{ "cancelled half placed", 50, 20, false },
+		{ "half counted one by one", 50, 50, true },
+	};
+	static const struct cf_admit_job probe =
+		JOB("scan", "west", 80, 100, 8000, 100);
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct cf_admitter *admitter = make_admitter();
+		uint32_t retry_ms;
+
+		/* what is left over each time would fill the slots */
+		for (int round = 0; round < 10; round++) {
+			struct cf_admit_job job =
+				JOB("scan", "west", 100, 900, 90000, 0);
+
+			cf_admitter_ask(admitter, &job, 1, &retry_ms);
+			assert_int_equal(
+				cf_admitter_ask(admitter, &probe, 2, &retry_ms),
+				CF_ADMIT_LATE);
+			for (uint32_t n = 0; n < cases[i].placed; n++)
+				cf_admitter_placed(admitter, &job, 900, 3);
+			for (uint32_t n = 0; n < cases[i].ended; n++)
+				cf_admitter_task_ended(admitter, &job, 900, 4);
+			if (cases[i].started)
+				cf_admitter_started(admitter, &job, 5);
+			cf_admitter_ended(admitter, &job, cases[i].started,
+					  true, 100, 6);
+		}
+		if (cf_admitter_ask(admitter, &probe, 7, &retry_ms) !=
+		    CF_ADMIT_RUN)
+			fail_msg("%s: still counted", cases[i].name);
+		cf_admitter_destroy(admitter);
+	}
+}
+
 static void test_no_capacity(void **state)
 {
 	static const struct cf_admit_job job = JOB("scan", "", 1, 100, 100, 0);
@@ -475,6 +524,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_asks),
+		cmocka_unit_test(test_account_is_closed),
 		cmocka_unit_test(test_no_capacity),
 		cmocka_unit_test(test_retry_after_spreads),
 		cmocka_unit_test(test_burst),
