Split the explorers, and say that a claim can be won again

The header now says that an owner which claims its key again wins again: a dispatcher that dropped an answer before the ledgers' horizon would run the job twice. Under address and undefined-behaviour sanitizers the six unit tests and both explorers passed before the split.

--- a/include/chervilferry.h
+++ b/include/chervilferry.h
@@ -282,7 +282,7 @@
 
 enum cf_claim_state {
 	CF_CLAIM_OPEN, /* waits for votes */
-	CF_CLAIM_WON,
+	CF_CLAIM_WON, /* also again: the owner must remember its keys for the horizon */
 	CF_CLAIM_OWNED, /* another owner has it, or may win it: ask that one */
 	CF_CLAIM_LOST, /* nobody can win with these votes and nobody is named */
 	CF_CLAIM_UNSAFE, /* too old or forgotten: it may have run before */
--- /dev/null
+++ b/tests/support/claim_world.h
@@ -0,0 +1,92 @@
+/*
+ * claim_world: voters, dispatchers, views and messages of explore_claim.
+ */
+#ifndef SUPPORT_CLAIM_WORLD_H
+#define SUPPORT_CLAIM_WORLD_H
+
+#include "chervilferry.h"
+
+/* ---- Constants ---- */
+
+#define MEMBERS 7 /* that ever vote; ids from 1 */
+#define DISPATCHERS 24 /* incarnations in one run */
+#define KEYS 6
+#define BALLOTS 160
+#define MESSAGES 512
+#define START_MS 1000000000
+#define LEASE_BOUND_MS 2500
+#define HORIZON_MS 40000
+#define VIEW_SKEW_MS                                                           \
+	(INT64_C(2) * CF_CLOCK_SKEW_MS) /* caller to voter to leader */
+#define VIEWS_MAX 64
+
+/* ---- Types ---- */
+
+struct member {
+	struct cf_ledger *ledger; /* NULL while down */
+	GBytes *saved; /* of a clean stop */
+	int64_t offset_ms; /* of its wall clock */
+	int64_t lease_end_ms;
+	size_t views_known, fences_known;
+	bool cut;
+};
+
+struct dispatcher {
+	size_t views_known;
+	bool fenced;
+	bool cut; /* learns no views, and mostly hears cut-off voters */
+};
+
+struct key_state {
+	struct cf_key key;
+	uint64_t winner; /* the newest */
+	uint32_t winner_epoch;
+	uint64_t named; /* an owner that a ballot named */
+	uint64_t lost_by; /* told that nobody else can win epoch 0 */
+};
+
+struct attempt {
+	struct cf_ballot *ballot;
+	struct cf_claim claim;
+	size_t key;
+	int64_t close_ms;
+	bool closed;
+};
+
+struct message {
+	bool reply;
+	size_t attempt;
+	uint32_t member;
+	int64_t due_ms;
+	uint64_t view, owner;
+	enum cf_vote vote;
+};
+
+/* Per cent; drawn anew for each seed, so that runs differ in kind. */
+struct rates {
+	uint32_t new_key, refresh, adopt, guess, disturb, cut, clean, change,
+		fence, drop, late;
+};
+
+struct world {
+	GRand *random;
+	struct rates rates;
+	int64_t now_ms; /* true time */
+	int64_t leader_offset_ms;
+	struct cf_view views[VIEWS_MAX]; /* committed */
+	size_t n_views;
+	uint64_t fences[DISPATCHERS];
+	size_t n_fences;
+	struct member members[MEMBERS + 1];
+	struct dispatcher dispatchers[DISPATCHERS + 1];
+	size_t n_dispatchers;
+	struct key_state keys[KEYS];
+	size_t n_keys;
+	struct attempt attempts[BALLOTS];
+	size_t n_attempts;
+	struct message messages[MESSAGES];
+	size_t n_messages;
+	const char *broken;
+};
+
+#endif
