--- a/src/lib/config_apply.c
+++ b/src/lib/config_apply.c
@@ -344,7 +344,7 @@
 		newest = &g_array_index(config->views, struct cf_view,
 					config->views->len - 1);
 		view.horizon_ms = config->wall_ms + VIEW_LEASE_BOUND_MS +
-				  CF_CLOCK_SKEW_MS;
+				  2 * CF_CLOCK_SKEW_MS;
 	}
 	if (newest && same_voters(&newest->members, &view.members))
 		newest->members = view.members;
--- a/src/lib/trace.c
+++ b/src/lib/trace.c
@@ -24,7 +24,8 @@
 /* What is known of one job at its dispatcher. */
 struct job_seen {
 	uint32_t tasks;
-	const struct trace_record *start; /* its first */
+	const struct trace_record *start; /* its newest */
+	uint32_t starts; /* that reached a backend server */
 	const struct trace_record *not_run; /* the answer that said so */
 	const struct trace_record *answer; /* its first */
 };
@@ -32,6 +33,7 @@
 /* What is known of one (key, index). */
 struct index_seen {
 	bool started, ran, ended_ok, doubled;
+	uint64_t dispatcher, job; /* of the newest start */
 };
 
 struct cf_trace {
@@ -211,7 +213,7 @@
 		add_fault(check, "data-centre-out", record,
 			  "start in %s %" PRId64 " ms after it went out",
 			  record->name, (record->time_us - *out_us) / 1000);
-	if (left_us && record->time_us > *left_us + GRACE_US)
+	if (left_us && *left_us && record->time_us > *left_us + GRACE_US)
 		add_fault(check, "leaving", record,
 			  "start %" PRId64 " ms after the agent was leaving",
 			  (record->time_us - *left_us) / 1000);
@@ -232,6 +234,8 @@
 static void check_start(struct check *check, const struct trace_record *record)
 {
 	struct job_seen *job = see_job(check, record->other, record->job);
+	struct index_seen *index =
+		see_index(check, &record->key, record->index);
 
 	check->summary->starts++;
 	check_double(check, record, false);
@@ -241,8 +245,26 @@
 		add_fault(check, "not-run-true", record,
 			  "start after the answer not run, %s line %" PRIu64,
 			  job->not_run->file, job->not_run->line);
-	if (!job->start)
-		job->start = record;
+	job->start = record;
+	job->starts++;
+	index->dispatcher = record->other;
+	index->job = record->job;
+}
+
+/* The call never reached the backend server: it did not start. */
+static void note_unstarted(struct check *check,
+			   const struct trace_record *record)
+{
+	struct index_seen *index =
+		see_index(check, &record->key, record->index);
+	struct job_seen *job;
+
+	if (!index->started)
+		return;
+	index->started = false;
+	job = see_job(check, index->dispatcher, index->job);
+	job->starts--;
+	check->summary->starts--;
 }
 
 /* ---- Answers ---- */
@@ -287,7 +309,7 @@
 		job->answer = record;
 	if (record->complete || !record->none)
 		return;
-	if (job->start)
+	if (job->starts)
 		add_fault(check, "not-run-true", record,
 			  "answer not run after a start, %s line %" PRIu64,
 			  job->start->file, job->start->line);
@@ -396,9 +418,15 @@
 			see_index(check, &record->key, record->index)
 				->ended_ok = true;
 		break;
+	case TRACE_UNSTARTED:
+		note_unstarted(check, record);
+		break;
 	case TRACE_LEAVING:
 		note_leaving(check, record);
 		break;
+	case TRACE_BACK:
+		*see_number(check->leaving, record->process) = 0;
+		break;
 	case TRACE_STOP_END:
 		if (record->in_progress)
 			add_fault(check, "stop-clean", record,
--- a/src/roles/agent.c
+++ b/src/roles/agent.c
@@ -15,7 +15,7 @@
 /* ---- Constants ---- */
 
 #define TICK_MS 20
-#define REMEMBER_MS CF_LEDGER_HORIZON_MS
+#define REMEMBER_MS (CF_LEDGER_HORIZON_MS + CF_CLOCK_SKEW_MS)
 #define STOP_POLL_MS 10
 #define LEAVE_WAIT_MS 100
 
@@ -36,7 +36,7 @@
 		agent_take_open(agent, envelope->open);
 		break;
 	case CFW__ENVELOPE__BODY_CANCEL:
-		agent_take_cancel(agent, envelope->cancel);
+		agent_take_cancel(agent, link, envelope->cancel);
 		break;
 	case CFW__ENVELOPE__BODY_QUERY:
 		agent_take_query(agent, link, envelope->query);
--- a/src/roles/agent_backend.c
+++ b/src/roles/agent_backend.c
@@ -95,6 +95,8 @@
 		g_free(board->backend_url);
 		board->backend_url = g_strdup(a->url);
 	}
+	if (board->backend_leaving)
+		trace_event("back", "who=backend");
 	board->backend_leaving = false;
 	board->capacity = a->capacity;
 	cf_gate_set_capacity(a->agent->gate, &a->capacity);
--- a/src/roles/agent_internal.h
+++ b/src/roles/agent_internal.h
@@ -84,7 +84,8 @@
 void agent_take_dispatch(struct agent *agent, struct link *link,
 			 const Cfw__Dispatch *dispatch);
 void agent_take_open(struct agent *agent, const Cfw__Open *open);
-void agent_take_cancel(struct agent *agent, const Cfw__Cancel *cancel);
+void agent_take_cancel(struct agent *agent, struct link *link,
+		       const Cfw__Cancel *cancel);
 void agent_take_query(struct agent *agent, struct link *link,
 		      const Cfw__Query *query);
 void agent_pump(struct agent *agent); /* starts and fences what is due */
--- a/src/roles/agent_tasks.c
+++ b/src/roles/agent_tasks.c
@@ -363,9 +363,13 @@
 	batch->results = g_ptr_array_new_with_free_func(free_result);
 	n = cf_gate_known(agent->gate, key, indexes, CF_JOB_TASKS_MAX);
 	for (i = 0; i < n; i++) {
-		struct task_end end =
-			known_end(agent, key, indexes[i], true, "cancelled");
+		const struct cf_task *task =
+			cf_gate_task(agent->gate, key, indexes[i]);
+		struct task_end end;
 
+		if (!task || task->dispatcher != cancel->dispatcher)
+			continue;
+		end = known_end(agent, key, indexes[i], true, "cancelled");
 		add_result(batch, indexes[i], &end);
 	}
 	g_atomic_int_add(&agent->in_progress, (gint)batch->results->len);
@@ -373,7 +377,8 @@
 	agent_batch_unref(batch);
 }
 
-void agent_take_cancel(struct agent *agent, const Cfw__Cancel *cancel)
+void agent_take_cancel(struct agent *agent, struct link *link,
+		       const Cfw__Cancel *cancel)
 {
 	struct cf_key key;
 	uint32_t indexes[CF_JOB_TASKS_MAX];
@@ -381,8 +386,11 @@
 	struct task_name name;
 	size_t n, i;
 
-	if (!read_key(&cancel->key, &key))
+	if (cancel->dispatcher != link_peer(link)->incarnation ||
+	    !read_key(&cancel->key, &key)) {
+		counter_add(agent->counters.dropped, 1);
 		return;
+	}
 	cf_key_format(&key, text);
 	counter_add(agent->counters.cancels, 1);
 	n = cf_gate_fence_job(agent->gate, &key, cancel->dispatcher,
@@ -412,8 +420,8 @@
 static void query_task(struct agent *agent, struct batch *batch,
 		       const Cfw__Query *query, uint32_t index)
 {
-	struct task_end end =
-		known_end(agent, &batch->key, index, query->fence, NULL);
+	struct task_end end = known_end(agent, &batch->key, index,
+					query->fence && !query->epoch, NULL);
 
 	add_result(batch, index, &end);
 	/* A fenced task has no result to wait for any more. */
--- a/src/roles/coordinator.c
+++ b/src/roles/coordinator.c
@@ -32,15 +32,18 @@
 
 static void follow_readiness(struct coordinator *c)
 {
-	bool ready = group_healthy(c->group) && group_leader(c->group) &&
-		     !c->stopping;
-
-	if (ready == c->ready)
+	const char *why = NULL;
+
+	if (!group_healthy(c->group))
+		why = "the disk fails";
+	else if (!group_leader(c->group))
+		why = "no leader is known";
+	else if (clock_wall_ms() <= c->votes_from_ms)
+		why = "it does not vote yet on keys of now";
+	if (why == c->why_not_ready)
 		return;
-	c->ready = ready;
-	admin_set_ready(c->admin, ready,
-			group_healthy(c->group) ? "no leader is known"
-						: "the disk fails");
+	c->why_not_ready = why;
+	admin_set_ready(c->admin, !why, why);
 }
 
 static void tick(void *arg, int64_t now_ms)
@@ -185,7 +188,8 @@
 	if (!c->admin)
 		return false;
 	coordinator_add_routes(c);
-	admin_set_ready(c->admin, false, "no leader is known");
+	c->why_not_ready = "starting";
+	admin_set_ready(c->admin, false, c->why_not_ready);
 	return admin_start(c->admin, error);
 }
 
--- a/src/roles/coordinator.h
+++ b/src/roles/coordinator.h
@@ -100,11 +100,12 @@
 	GPtrArray *reads; /* struct waiting_read */
 
 	struct cf_ledger *ledger;
+	int64_t votes_from_ms; /* wall clock; abstains before */
 	struct cf_lease *voter_lease; /* of a voter that does not lead */
 	int64_t next_renewal_ms;
 	int64_t next_expiry_ms;
 
-	bool ready;
+	const char *why_not_ready; /* NULL: it is ready */
 	bool stopping;
 	struct coordinator_counters counters;
 };
--- a/src/roles/coordinator_claims.c
+++ b/src/roles/coordinator_claims.c
@@ -35,6 +35,7 @@
 	if (bad)
 		log_event(LOG_WARN, "ledger_lost", "why=\"%s\"", bad->message);
 	c->ledger = cf_ledger_create(CF_LEDGER_HORIZON_MS, safe_after_ms);
+	c->votes_from_ms = safe_after_ms;
 	log_event(LOG_INFO, "ledger_empty",
 		  "abstains_until_key_ms=%" G_GINT64_FORMAT, safe_after_ms);
 	return !bad || store_remove_file(c->data_folder, LEDGER_FILE, error);
--- a/src/roles/dispatcher.c
+++ b/src/roles/dispatcher.c
@@ -16,7 +16,9 @@
 /* ---- Constants ---- */
 
 #define TICK_MS 20
+#define OPEN_WAIT_MS 1000
 #define STOP_POLL_MS 10
+#define STOP_QUIET_MS 100 /* nobody has asked for so long */
 #define LEAVE_WAIT_MS 100
 #define EJECT_MAX_MILLI 300
 #define RETRY_RATIO_MILLI 200
@@ -107,6 +109,27 @@
 	place_wake(d);
 }
 
+/* Callers come in only once it can serve them: with connections to the
+ * agents on the roster, or after a while to those that answer. */
+static void open_to_callers(struct dispatcher *d, int64_t now_ms)
+{
+	GError *error = NULL;
+
+	if (d->http || d->stopping || !d->roster_ms)
+		return;
+	if (!agents_all_up(d) && now_ms - d->roster_ms < OPEN_WAIT_MS)
+		return;
+	if (dispatcher_open_http(d, &error)) {
+		log_event(LOG_INFO, "ready", "http=%u",
+			  http_server_port(d->http));
+		return;
+	}
+	log_event(LOG_ERROR, "start_failed", "reason=\"%s\"", error->message);
+	g_clear_error(&error);
+	d->failed = true;
+	role_request_stop();
+}
+
 static void on_roster(void *arg, const Cfw__Roster *roster)
 {
 	struct dispatcher *d = arg;
@@ -115,6 +138,8 @@
 	d->last_departure_ms = roster->last_departure_ms;
 	agents_take_roster(d, roster);
 	peer_take_roster(d, roster);
+	if (!d->roster_ms)
+		d->roster_ms = clock_now_ms();
 }
 
 static void on_lease(void *arg, bool held)
@@ -148,6 +173,7 @@
 	struct dispatcher *d = arg;
 
 	agents_tick(d, now_ms);
+	open_to_callers(d, now_ms);
 	jobs_tick(d, now_ms);
 	peer_tick(d, now_ms);
 	place_wake(d);
@@ -247,6 +273,7 @@
 	d->jobs = g_hash_table_new(cf_key_hash, cf_key_hash_equal);
 	d->active = g_ptr_array_new();
 	d->memory = g_queue_new();
+	d->forgotten = cf_ledger_create(CF_LEDGER_HORIZON_MS, 0);
 	d->claims = g_ptr_array_new();
 	d->waiting = g_ptr_array_new();
 	d->agents = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
@@ -293,7 +320,7 @@
 	open_session(d);
 	d->timer = loop_timer_create(d->loop, on_tick, d);
 	loop_timer_start(d->timer, TICK_MS, TICK_MS);
-	return dispatcher_open_http(d, error);
+	return true;
 }
 
 static void close_tables(struct dispatcher *d)
@@ -307,6 +334,7 @@
 	g_hash_table_destroy(d->jobs);
 	g_ptr_array_free(d->active, TRUE);
 	g_queue_free(d->memory);
+	cf_ledger_destroy(d->forgotten);
 	g_ptr_array_free(d->claims, TRUE);
 	g_ptr_array_free(d->waiting, TRUE);
 	g_hash_table_destroy(d->agents);
@@ -369,9 +397,8 @@
 		return NULL;
 	}
 	log_event(LOG_INFO, "started",
-		  "incarnation=%016" PRIx64 " port=%u http=%u admin=%u",
-		  d->incarnation, d->port, http_server_port(d->http),
-		  admin_port(d->admin));
+		  "incarnation=%016" PRIx64 " port=%u admin=%u", d->incarnation,
+		  d->port, admin_port(d->admin));
 	return d;
 }
 
@@ -382,6 +409,9 @@
 	d->stopping = true;
 	admin_set_ready(d->admin, false, "stopping");
 	session_set_draining(d->session, true);
+	if (d->http)
+		http_server_quiesce(d->http);
+	g_atomic_int_set(&d->quiesced, 1);
 }
 
 static void leave(void *arg)
@@ -396,13 +426,20 @@
 /* Accepting ends first, then what is in progress; callers' answers last. */
 static int wait_for_callers(struct dispatcher *d, int64_t end_ms)
 {
+	int64_t quiet_ms = clock_now_ms();
 	int open;
 
+	/* A kept connection may carry one more request. */
 	do {
 		g_usleep(STOP_POLL_MS * 1000);
 		open = g_atomic_int_get(&d->unanswered) +
-		       (int)http_server_open_requests(d->http);
-	} while (open && clock_now_ms() < end_ms);
+		       !g_atomic_int_get(&d->quiesced);
+		if (!open && d->http)
+			open = (int)http_server_open_requests(d->http);
+		if (open)
+			quiet_ms = clock_now_ms();
+	} while (clock_now_ms() - quiet_ms < STOP_QUIET_MS &&
+		 clock_now_ms() < end_ms);
 	return open;
 }
 
@@ -416,7 +453,6 @@
 	trace_event("stop_begin", NULL);
 	log_event(LOG_INFO, "stopping", NULL);
 	loop_post(d->loop, begin_stop, d);
-	http_server_quiesce(d->http);
 	cut_off = wait_for_callers(d, end_ms);
 	loop_post(d->loop, leave, d);
 	while (!g_atomic_int_get(&d->session_left))
@@ -433,12 +469,12 @@
 {
 	GError *error = NULL;
 	struct dispatcher *d = dispatcher_start(settings, &error);
-	bool fenced;
+	bool failed;
 
 	if (!d)
 		return role_fail(error);
 	role_wait_for_stop();
-	fenced = d->fenced;
+	failed = d->fenced || d->failed;
 	dispatcher_stop(d);
-	return fenced;
+	return failed;
 }
--- a/src/roles/dispatcher_agents.c
+++ b/src/roles/dispatcher_agents.c
@@ -298,6 +298,16 @@
 	return true;
 }
 
+bool agents_all_up(struct dispatcher *d)
+{
+	guint i;
+
+	for (i = 0; i < d->place_agents->len; i++)
+		if (((struct dagent *)d->place_agents->pdata[i])->down_ms)
+			return false;
+	return d->place_agents->len > 0;
+}
+
 void agents_tick(struct dispatcher *d, int64_t now_ms)
 {
 	guint i = d->place_agents->len;
--- a/src/roles/dispatcher_internal.h
+++ b/src/roles/dispatcher_internal.h
@@ -173,13 +173,14 @@
 	struct board board;
 	struct dispatcher_counters counters;
 	uint16_t port;
-	gint session_left, unanswered; /* atomic */
-	bool stopping, fenced, along, fifo;
+	gint session_left, unanswered, quiesced; /* atomic */
+	bool stopping, fenced, failed, along, fifo;
 
 	GHashTable *jobs; /* struct cf_key -> struct djob */
 	GPtrArray *active; /* struct djob that have not ended */
 	GQueue *memory; /* ended djobs, oldest first */
 	uint64_t memory_bytes;
+	struct cf_ledger *forgotten; /* keys that ran here, unremembered */
 	uint64_t next_number, next_seq;
 
 	GPtrArray *claims; /* djobs to claim in this turn */
@@ -192,6 +193,7 @@
 	bool pump_posted;
 	GHashTable *peers; /* incarnation -> struct peer */
 	GHashTable *lookups; /* seq -> struct lookup */
+	int64_t roster_ms; /* of the first roster, 0 none */
 	bool roster_settled;
 	int64_t last_departure_ms;
 
@@ -262,6 +264,7 @@
 void agents_refresh_all(struct dispatcher *d);
 bool agents_link_up(struct dispatcher *d, struct link *link);
 bool agents_link_down(struct dispatcher *d, struct link *link);
+bool agents_all_up(struct dispatcher *d);
 void agents_tick(struct dispatcher *d, int64_t now_ms);
 struct dagent *agents_find(struct dispatcher *d, uint64_t incarnation);
 void agents_sent(struct dispatcher *d, struct dagent *a, struct djob *j,
--- a/src/roles/dispatcher_jobs.c
+++ b/src/roles/dispatcher_jobs.c
@@ -61,9 +61,32 @@
 	return j;
 }
 
+/* Voters would vote for this dispatcher again: it must know itself that
+ * the key ran here once its answer is gone. */
+static void note_forgotten(struct dispatcher *d, struct djob *j)
+{
+	struct cf_claim claim = { j->key, 0, d->incarnation, 0 };
+	uint64_t owner;
+
+	cf_ledger_vote(d->forgotten, &claim, true, false, clock_wall_ms(),
+		       &owner);
+}
+
+static bool was_forgotten(struct dispatcher *d, const struct cf_key *key)
+{
+	struct cf_claim claim = { *key, 0, d->incarnation, 0 };
+	uint64_t owner = 0;
+
+	cf_ledger_vote(d->forgotten, &claim, false, false, clock_wall_ms(),
+		       &owner);
+	return owner != 0;
+}
+
 /* Drops an ended job; its key is free for another attempt. */
 static void forget(struct dispatcher *d, struct djob *j)
 {
+	if (j->owned && !j->answer.ran_none)
+		note_forgotten(d, j);
 	if (j->memory) {
 		d->memory_bytes -=
 			JOB_MEMORY_BYTES + g_bytes_get_size(j->answer.body);
@@ -290,6 +313,16 @@
 	uint32_t max = (uint32_t)settings_number(d->settings, "jobs-max");
 
 	trace_submit(j);
+	if (cf_key_time_ms(&j->key) > clock_wall_ms() + CF_CLOCK_SKEW_MS) {
+		jobs_finish(d, j, 400, CF_ANSWER_NOT_RUN, "key-time",
+			    "the time in Idempotency-Key lies ahead", 0);
+		return;
+	}
+	if (was_forgotten(d, &j->key)) {
+		jobs_finish(d, j, 503, CF_ANSWER_UNKNOWN, "forgotten",
+			    "the key ran here, and its answer is forgotten", 0);
+		return;
+	}
 	if (d->active->len > max || !session_held(d->session, now_ms)) {
 		bool full = d->active->len > max;
 
@@ -478,6 +511,7 @@
 		if (i < d->active->len)
 			tick_job(d, d->active->pdata[i], now_ms);
 	expire_memory(d, now_ms);
+	cf_ledger_expire(d->forgotten, clock_wall_ms());
 	gauge_set(d->counters.in_progress, d->active->len);
 	gauge_set(d->counters.waiting, d->waiting->len);
 }
--- a/src/roles/session.c
+++ b/src/roles/session.c
@@ -45,6 +45,7 @@
 	uint64_t roster_version;
 	uint64_t roster_leader;
 	int64_t asked_ms; /* newest request, INT64_MIN none */
+	int64_t lost_ms; /* when the lease last ran out, 0 never */
 	bool answered;
 	bool begun, draining, left, was_held, fenced;
 	uint64_t next_fence;
@@ -140,6 +141,13 @@
 		s->leader = (s->leader + 1) % s->n_links;
 }
 
+static void be_fenced(struct session *s)
+{
+	s->fenced = true;
+	cf_lease_revoke(s->lease);
+	s->handlers.fenced(s->arg);
+}
+
 static void note_lease(struct session *s, int64_t now_ms)
 {
 	bool held = cf_lease_held(s->lease, now_ms);
@@ -147,6 +155,8 @@
 	if (held == s->was_held)
 		return;
 	s->was_held = held;
+	if (!held)
+		s->lost_ms = now_ms;
 	log_event(held ? LOG_INFO : LOG_WARN, held ? "lease_won" : "lease_lost",
 		  "revision=%" PRIu64, cf_config_revision(s->config));
 	trace_event("lease", "held=%d", held);
@@ -252,10 +262,14 @@
 	if (s->left || s->fenced)
 		return;
 	if (grant->verdict == CFW__LEASE_VERDICT__LEASE_FENCED) {
-		s->fenced = true;
 		cf_lease_revoke(s->lease);
 		note_lease(s, now_ms);
-		s->handlers.fenced(s->arg);
+		be_fenced(s);
+		return;
+	}
+	/* Fences of longer ago are forgotten: this one may be among them. */
+	if (s->lost_ms && now_ms - s->lost_ms >= CF_LEDGER_HORIZON_MS) {
+		be_fenced(s);
 		return;
 	}
 	if (grant->verdict != CFW__LEASE_VERDICT__LEASE_GRANTED) {
--- a/tests/support/cluster.c
+++ b/tests/support/cluster.c
@@ -209,6 +209,8 @@
 	char *coordinators;
 
 	assert_non_null(folder);
+	assert_null(cluster_running);
+	cluster_running = c;
 	g_strlcpy(c->folder, folder, sizeof(c->folder));
 	g_free(folder);
 	own_address(c->ip);
@@ -296,7 +298,8 @@
 		cluster_http(cluster_address(c, p->name, "admin"), "GET",
 			     "/v1/status", NULL, NULL, &answer, 500);
 		root = json_loads(answer ? answer : "", 0, NULL);
-		leads = json_is_true(json_object_get(root, "is_leader"));
+		leads = !g_strcmp0("leader", json_string_value(json_object_get(
+						     root, "role")));
 		json_decref(root);
 		g_free(answer);
 		if (leads)
@@ -418,6 +421,8 @@
 	for (i = 0; i < c->n_procs; i++) {
 		struct proc *p = &c->procs[i];
 
+		if (!strcmp(p->role, "coordinator"))
+			cluster_wait_ready(c, p->name, START_WAIT_MS);
 		if (!strcmp(p->role, "dispatcher")) {
 			cluster_wait_ready(c, p->name, START_WAIT_MS);
 			if (!cluster_wait(c, agents_known, p->name,
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -48,6 +48,10 @@
 void cluster_start(struct cluster *c); /* all, waits, class "default" */
 void cluster_destroy(struct cluster *c); /* kills what runs, removes files */
 
+/* A test's teardown: destroys the cluster that a failed test left. */
+int cluster_teardown(void **state);
+extern struct cluster *cluster_running;
+
 struct proc *cluster_proc(struct cluster *c, const char *name);
 struct proc *cluster_add(struct cluster *c, const char *role, const char *name);
 void proc_add(struct proc *p, const char *flag, const char *value);
--- a/tests/support/proc.c
+++ b/tests/support/proc.c
@@ -10,11 +10,11 @@
 #include <glib/gstdio.h>
 #include <setjmp.h>
 #include <signal.h>
-#include <spawn.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -25,7 +25,9 @@
 #define STOP_WAIT_MS 60000
 #define POLL_US 5000
 
-extern char **environ;
+/* ---- Module state ---- */
+
+struct cluster *cluster_running;
 
 /* ---- Arguments ---- */
 
@@ -68,26 +70,35 @@
 
 /* ---- Life ---- */
 
+/* In the child: it must not outlive the test, however that ends. */
+static void run_child(const struct proc *p, char **argv)
+{
+	int log = open(p->log, O_WRONLY | O_CREAT | O_APPEND, 0600);
+	int none = open("/dev/null", O_RDONLY);
+
+	prctl(PR_SET_PDEATHSIG, SIGKILL);
+	dup2(none, 0);
+	dup2(log, 1);
+	dup2(log, 2);
+	execv(argv[0], argv);
+	_exit(127);
+}
+
 void proc_start(struct cluster *c, struct proc *p)
 {
-	posix_spawn_file_actions_t actions;
 	char *argv[64];
-	int i, status;
+	int i;
 
 	(void)c;
 	assert_int_equal(p->pid, 0);
 	fill_argv(p, argv);
-	posix_spawn_file_actions_init(&actions);
-	posix_spawn_file_actions_addopen(&actions, 0, "/dev/null", O_RDONLY, 0);
-	posix_spawn_file_actions_addopen(&actions, 1, p->log,
-					 O_WRONLY | O_CREAT | O_APPEND, 0600);
-	posix_spawn_file_actions_adddup2(&actions, 1, 2);
-	status = posix_spawn(&p->pid, argv[0], &actions, NULL, argv, environ);
-	posix_spawn_file_actions_destroy(&actions);
+	p->pid = fork();
+	if (!p->pid)
+		run_child(p, argv);
 	for (i = 0; argv[i]; i++)
 		g_free(argv[i]);
-	if (status)
-		fail_msg("%s: %s", p->name, strerror(status));
+	if (p->pid < 0)
+		fail_msg("%s: %s", p->name, strerror(errno));
 	p->starts++;
 }
 
@@ -167,6 +178,7 @@
 {
 	int i, k;
 
+	cluster_running = NULL;
 	for (i = 0; i < c->n_procs; i++) {
 		proc_kill(&c->procs[i]);
 		for (k = 0; k < c->procs[i].n_args; k++)
@@ -176,3 +188,11 @@
 		remove_tree(c->folder);
 	g_free(c);
 }
+
+int cluster_teardown(void **state)
+{
+	(void)state;
+	if (cluster_running)
+		cluster_destroy(cluster_running);
+	return 0;
+}
--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -63,6 +63,12 @@
 export COORDINATORS DISPATCHERS ADMINS
 "$binary" class set default --target-ms 1000 --percentile 95 \
 	--coordinators "$COORDINATORS" --timeout-ms 20000
+for i in 1 2 3; do
+	for _ in $(seq 400); do
+		curl -sf -o /dev/null "http://$ip:810$i/readyz" && break
+		sleep 0.05
+	done
+done
 for i in 1 2; do
 	for _ in $(seq 400); do
 		curl -s "http://$ip:820$i/metrics" |
