Let a backend server leave at once when its agent is gone

Each stand-in waited 3 s for an agent that had ended before it (six of them in turn: 16 s to stop the cluster). Three refused connections in a row now count as told: an agent that takes no connection on this host sends no task either; one that is frozen still connects and is waited for.

--- a/src/roles/backend.c
+++ b/src/roles/backend.c
@@ -15,6 +15,7 @@
 #define ANNOUNCE_MS 1000
 #define ANNOUNCE_TIMEOUT_MS 1000
 #define LEAVE_RETRY_MS 100
+#define LEAVE_REFUSALS 3 /* an agent that isn't there sends nothing */
 #define LEAVE_WAIT_US 3000000 /* for an agent that doesn't answer */
 #define FINISH_WAIT_US 60000000 /* for what runs */
 #define LINGER_US 200000
@@ -71,8 +72,11 @@
 static void on_left(void *arg, const struct http_answer *answer)
 {
 	struct backend *backend = arg;
+	bool refused = answer->result == HTTP_NOT_CONNECTED;
 
-	if (answer->result != HTTP_OK || answer->status != 200) {
+	backend->leave_refusals = refused ? backend->leave_refusals + 1 : 0;
+	if (backend->leave_refusals < LEAVE_REFUSALS &&
+	    (answer->result != HTTP_OK || answer->status != 200)) {
 		loop_timer_destroy(backend->announce_timer);
 		backend->announce_timer = loop_timer_create(
 			backend->loop, on_leave_time, backend);
--- a/src/roles/backend_internal.h
+++ b/src/roles/backend_internal.h
@@ -31,6 +31,7 @@
 	struct loop_timer *announce_timer;
 	bool announcing; /* a call is under way */
 	bool leaving;
+	uint32_t leave_refusals; /* connections in a row */
 
 	enum behaviour behaviour;
 	int64_t slowness_milli;
