place: decide equal tasks that can't be placed once

While all servers are full, each task of each waiting job was held against all of them. Tasks with the same needs as the last one that found no place, with nothing placed in between, find none either.

Outcomes of the traces are unchanged (test_replay).

--- a/src/lib/place.c
+++ b/src/lib/place.c
@@ -285,12 +285,23 @@
 	return left < right ? -1 : left > right;
 }
 
+/* Would the other be decided as this one, with nothing placed since? */
+static bool same_needs(const struct cf_place_task *task,
+		       const struct cf_place_task *other)
+{
+	return other != NULL && task->predicted_ms == other->predicted_ms &&
+	       task->cpu_milli == other->cpu_milli &&
+	       task->memory_mb == other->memory_mb &&
+	       task->accelerators == other->accelerators;
+}
+
 static size_t finish_place(struct cf_placer *placer,
 			   struct cf_place_agent *agents, size_t n_agents,
 			   struct cf_place_task *tasks, size_t n_tasks)
 {
 	struct finish_placer *finish = (struct finish_placer *)placer;
 	size_t *order = g_new(size_t, n_tasks + 1);
+	const struct cf_place_task *unplaced = NULL; /* the last that is */
 	size_t placed = 0;
 
 	make_room(finish, n_agents);
@@ -300,12 +311,17 @@
 			  tasks);
 	for (size_t i = 0; i < n_tasks; i++) {
 		struct cf_place_task *task = &tasks[order[i]];
-		uint32_t agent = choose(finish, agents, n_agents, task);
+		uint32_t agent = CF_PLACE_NONE;
 
+		if (!same_needs(task, unplaced))
+			agent = choose(finish, agents, n_agents, task);
 		task->agent = CF_PLACE_NONE;
-		if (agent == CF_PLACE_NONE)
+		if (agent == CF_PLACE_NONE) {
+			unplaced = task;
 			continue;
+		}
 		place_take(agents, agent, task);
+		unplaced = NULL;
 		placed++;
 	}
 	g_free(order);
