admit: describe capacity 0 and the room to wait

A dispatcher that subtracts other dispatchers' tasks could come to 0 slots and refuse every job. The header says that 0 means no usable server, which is what the code takes it for.

No change of behaviour.

--- a/include/chervilferry.h
+++ b/include/chervilferry.h
@@ -478,7 +478,7 @@
 CF_API struct cf_admitter *cf_admitter_create(uint64_t seed); /* no class */
 CF_API void cf_admitter_destroy(struct cf_admitter *admitter); /* NULL is allowed */
 CF_API void cf_admitter_set_classes(struct cf_admitter *admitter, const struct cf_admit_class *classes, size_t n_classes, const struct cf_team *teams, size_t n_teams); /* state of those kept is kept */
-CF_API void cf_admitter_set_capacity(struct cf_admitter *admitter, uint32_t slots, int64_t now_ms); /* usable slots just now, less those that other dispatchers' tasks take */
+CF_API void cf_admitter_set_capacity(struct cf_admitter *admitter, uint32_t slots, int64_t now_ms); /* usable slots just now, less those that other dispatchers' tasks take, but 0 only if no server is usable: then all is refused */
 CF_API enum cf_admit cf_admitter_ask(struct cf_admitter *admitter, const struct cf_admit_job *job, int64_t now_ms, uint32_t *retry_after_ms); /* RUN counts it as waiting work */
 CF_API void cf_admitter_placed(struct cf_admitter *admitter, struct cf_admit_job *job, uint32_t work_ms, int64_t now_ms); /* optional, a better account: one task of it, predicted work_ms, is placed */
 CF_API void cf_admitter_task_ended(struct cf_admitter *admitter, struct cf_admit_job *job, uint32_t work_ms, int64_t now_ms); /* optional: a task that was counted as placed ended or was fenced */
--- a/src/lib/admit.c
+++ b/src/lib/admit.c
@@ -2,11 +2,11 @@
  * admit: takes or refuses jobs at once, and orders those that wait.
  *
  * The wait of a job is predicted from the work of its class that waits
- * and the slots that its class can count on.
- * A job whose wait leaves it no way to its deadline is refused as late;
- * one that would wait beyond its class's target is refused as overload,
- * so that queues stay as short as the targets ask and what is taken
- * still counts. Shares come from burn (admit_share.h).
+ * and the slots that its class can count on; shares of slots come from
+ * burn (admit_share.h). A job whose wait leaves it no way to its
+ * deadline is refused as late. One that would wait for more than a part
+ * of the room that its target leaves is refused as overload; the part
+ * shrinks with each late answer and returns in seconds.
  *
  * Order: least slack first (earliest deadline first: Liu and Layland,
  * 1973). Jobs that can't meet their target any more stand back, the
@@ -189,7 +189,6 @@
 	struct admit_class *state =
 		g_hash_table_lookup(admitter->classes, job->class_name);
 	struct admit_team *team = admit_find_team(admitter, job);
-
 	bool late;
 
 	admit_step(admitter, now_ms);
