--- a/tests/test_replay.c
+++ b/tests/test_replay.c
@@ -28,8 +28,8 @@
 	{ "pathology-black-hole", 1.1, 0.01, 0.99, 0.01 },
 	{ "gestellwerk-cancellations", 1.1, 0, 0.99, 0.1 },
 	{ "pathology-cancellations", 1.1, 0, 0.99, 0.1 },
-	/* 1.6 times capacity for 5 s of 30, 1.3 for 12 of 35, 1.4 for 20
-	 * of 30: refused is what that leaves over, and a tenth more */
+	/* asked for: twice the capacity for 5 s of 30, 1.3 times for 12 of
+	 * 35, 1.4 times for 20 of 30; that much can't be answered in time */
 	{ "gestellwerk-burst", 1.1, 0, 0.98, 0.25 },
 	{ "pathology-burst", 1.1, 0, 0.98, 0.25 },
 	{ "gestellwerk-data-centre", 1.1, 0, 0.98, 0.1 },
