Show that a voter without a leader stops to vote

A view's horizon rests on voters that stop at the end of their lease; nothing showed it between processes. The test wins votes from three coordinators, stops two, and waits until the third abstains.

--- a/tests/test_coordinator_leases.c
+++ b/tests/test_coordinator_leases.c
@@ -66,15 +66,15 @@
 	return a->answer != NULL;
 }
 
-static void open_asker(struct asker *a, struct group_fixture *c, Cfw__Role role,
-		       uint64_t incarnation)
+static void open_asker_at(struct asker *a, struct group_fixture *c, size_t node,
+			  Cfw__Role role, uint64_t incarnation)
 {
 	struct link_options options = { .self = { .role = role,
 						  .name = "asker",
 						  .incarnation = incarnation,
 						  .data_centre = "dc" } };
 	g_autofree char *address =
-		g_strdup_printf("127.0.0.1:%u", c->nodes[0].port);
+		g_strdup_printf("127.0.0.1:%u", c->nodes[node].port);
 
 	memset(a, 0, sizeof(*a));
 	a->role = role;
@@ -84,6 +84,12 @@
 	assert_true(loop_until(loop, is_up, a));
 }
 
+static void open_asker(struct asker *a, struct group_fixture *c, Cfw__Role role,
+		       uint64_t incarnation)
+{
+	open_asker_at(a, c, 0, role, incarnation);
+}
+
 static void close_asker(struct asker *a)
 {
 	link_hub_destroy(a->hub);
@@ -352,6 +358,39 @@
 	fixture_clear(&c);
 }
 
+/* A voter that hears no leader stops to vote when its lease ends: the
+ * others may have made a view without it. */
+static void test_cut_off_voter_stops(void **state)
+{
+	int64_t end_ms = clock_now_ms() + 2 * FIXTURE_WAIT_MS;
+	struct group_fixture c;
+	struct asker askers[3];
+	struct cf_key key;
+	enum cf_vote verdict;
+
+	(void)state;
+	fixture_prepare(&c, 3);
+	for (size_t i = 0; i < 3; i++)
+		fixture_start(&c, i, false);
+	for (size_t i = 0; i < 3; i++) {
+		open_asker_at(&askers[i], &c, i, CFW__ROLE__ROLE_DISPATCHER,
+			      11);
+		win_vote(&askers[i], 11);
+	}
+	for (size_t i = 0; i < 2; i++) {
+		close_asker(&askers[i]);
+		fixture_stop(&c, i);
+	}
+	do {
+		assert_true(clock_now_ms() < end_ms);
+		cf_key_make(&key, clock_wall_ms(), askers[2].seq, 2);
+		verdict = ask_vote(&askers[2], &key, 11)->verdict;
+	} while (verdict == CF_VOTE_FOR);
+	assert_int_equal(verdict, CF_VOTE_ABSTAIN);
+	close_asker(&askers[2]);
+	fixture_clear(&c);
+}
+
 static int setup(void **state)
 {
 	(void)state;
@@ -375,6 +414,7 @@
 		cmocka_unit_test(test_expired_holder_comes_back),
 		cmocka_unit_test(test_fence),
 		cmocka_unit_test(test_votes_outlive_a_clean_stop_only),
+		cmocka_unit_test(test_cut_off_voter_stops),
 	};
 
 	return cmocka_run_group_tests(tests, setup, teardown);
