Tell a change once, and show the removal of a leader

A resend of an accepted command wrote a second accept event with the old revision: after 'out' and 'in' of a data centre, the resent 'out' would read in a trace as a new acceptance, and starts there as late. Only the entry that made the change tells it now.

Removing the member that leads was not shown; it goes through, and the removed one, which goes on running, disturbs nobody.

--- a/src/roles/coordinator_log.c
+++ b/src/roles/coordinator_log.c
@@ -218,7 +218,9 @@
 	if (!command)
 		return;
 	id = g_bytes_new(command->command_id.data, command->command_id.len);
-	tell_change(c, command, result);
+	/* A resend gets an older outcome: nothing changed by it. */
+	if (result->revision == entry->index)
+		tell_change(c, command, result);
 	if (command->change_case == CFW__COMMAND__CHANGE_FENCE) {
 		log_event(LOG_INFO, "fenced",
 			  "incarnation=%016" G_GINT64_MODIFIER "x",
--- a/tests/test_coordinator.c
+++ b/tests/test_coordinator.c
@@ -104,6 +104,26 @@
 	fixture_clear(&c);
 }
 
+static void test_leader_is_removed(void **state)
+{
+	struct group_fixture c;
+	size_t leader;
+
+	(void)state;
+	fixture_prepare(&c, 3);
+	for (size_t i = 0; i < 3; i++)
+		fixture_start(&c, i, false);
+	for (json_int_t id = 1; id <= 3; id++)
+		fixture_wait_voter(&c, id, 1);
+	leader = fixture_leader(&c);
+	change_member(&c, VERB_MEMBER_REMOVE, leader, ID_1);
+	/* it goes on running, and must not disturb the others */
+	fixture_wait_voter(&c, (json_int_t)leader + 1, -1);
+	fixture_set_class(&c, ID_2, 200, 0, 200);
+	assert_int_equal(fixture_class_target(&c), 200);
+	fixture_clear(&c);
+}
+
 /* A member that comes back with an empty disk has forgotten what it
  * acknowledged: it must not make up a quorum. */
 static void test_empty_disk_is_no_voter(void **state)
@@ -156,6 +176,7 @@
 		cmocka_unit_test(test_one_member_keeps_what_it_accepted),
 		cmocka_unit_test(test_leader_is_replaced),
 		cmocka_unit_test(test_member_is_replaced),
+		cmocka_unit_test(test_leader_is_removed),
 		cmocka_unit_test(test_empty_disk_is_no_voter),
 	};
 
