Ask again for claims and leases while a leader changes

Two planned stops of leaders a second apart left 9 of 194 jobs "no-claim": voters abstain without a lease, and the dispatcher gave up after five tries. A voter now tells that it has no lease, and only then, or where votes are missing, the claim is put again for up to 3 s; a voter that forgot will not remember, so that answer stays at once.

--- a/src/proto/wire.pb-c.c
+++ b/src/proto/wire.pb-c.c
@@ -4456,7 +4456,7 @@
   (ProtobufCMessageInit) cfw__vote__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfw__claim_reply__field_descriptors[5] =
+static const ProtobufCFieldDescriptor cfw__claim_reply__field_descriptors[6] =
 {
   {
     "seq",
@@ -4518,10 +4518,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "not_voting",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__ClaimReply, not_voting),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cfw__claim_reply__field_indices_by_name[] = {
   2,   /* field[2] = incarnation */
   1,   /* field[1] = member_id */
+  5,   /* field[5] = not_voting */
   0,   /* field[0] = seq */
   3,   /* field[3] = view */
   4,   /* field[4] = votes */
@@ -4529,7 +4542,7 @@
 static const ProtobufCIntRange cfw__claim_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor cfw__claim_reply__descriptor =
 {
@@ -4539,7 +4552,7 @@
   "Cfw__ClaimReply",
   "cfw",
   sizeof(Cfw__ClaimReply),
-  5,
+  6,
   cfw__claim_reply__field_descriptors,
   cfw__claim_reply__field_indices_by_name,
   1,  cfw__claim_reply__number_ranges,
--- a/src/proto/wire.pb-c.h
+++ b/src/proto/wire.pb-c.h
@@ -669,10 +669,14 @@
   uint64_t view;
   size_t n_votes;
   Cfw__Vote **votes;
+  /*
+   * has no lease: ask again soon
+   */
+  protobuf_c_boolean not_voting;
 };
 #define CFW__CLAIM_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cfw__claim_reply__descriptor) \
-    , 0, 0, 0, 0, 0,NULL }
+    , 0, 0, 0, 0, 0,NULL, 0 }
 
 
 struct  Cfw__Task
--- a/src/roles/coordinator_claims.c
+++ b/src/roles/coordinator_claims.c
@@ -136,11 +136,10 @@
 	return true;
 }
 
-static size_t cast_votes(struct coordinator *c,
+static size_t cast_votes(struct coordinator *c, bool may,
 			 const struct Cfw__ClaimRequest *request,
 			 struct Cfw__Vote *votes, struct Cfw__Vote **pointers)
 {
-	bool may = may_vote(c, loop_now_ms(c->loop));
 	size_t n = 0;
 
 	for (size_t i = 0; i < request->n_claims; i++) {
@@ -161,6 +160,7 @@
 	struct Cfw__ClaimReply reply = CFW__CLAIM_REPLY__INIT;
 	struct Cfw__Vote *votes;
 	struct Cfw__Vote **pointers;
+	bool may = may_vote(c, loop_now_ms(c->loop));
 
 	if (request->n_claims > CLAIMS_MAX) {
 		counter_add(c->counters.dropped, 1);
@@ -168,11 +168,12 @@
 	}
 	votes = g_new(struct Cfw__Vote, request->n_claims);
 	pointers = g_new(struct Cfw__Vote *, request->n_claims);
-	reply.n_votes = cast_votes(c, request, votes, pointers);
+	reply.n_votes = cast_votes(c, may, request, votes, pointers);
 	reply.seq = request->seq;
 	reply.member_id = c->id;
 	reply.incarnation = c->incarnation;
 	reply.view = newest_view(c);
+	reply.not_voting = !may;
 	reply.votes = pointers;
 	envelope.body_case = CFW__ENVELOPE__BODY_CLAIM_REPLY;
 	envelope.claim_reply = &reply;
--- a/src/roles/dispatcher_claim.c
+++ b/src/roles/dispatcher_claim.c
@@ -14,7 +14,7 @@
 /* ---- Constants ---- */
 
 #define VOTES_WAIT_MS 300
-#define TRIES_MAX 5 /* with votes that may still change their mind */
+#define PATIENCE_MS 3000 /* while votes may still come */
 #define TRY_AGAIN_MS 60
 #define LINKS_MAX 32
 #define RETRY_AFTER_MS 250
@@ -83,6 +83,7 @@
 	open_ballot(d, j);
 	j->claim_ms = clock_now_ms();
 	j->claim_seq = 0;
+	j->votes_may_come = false;
 	g_ptr_array_add(d->claims, j);
 	if (d->claims_posted)
 		return;
@@ -93,7 +94,7 @@
 void claim_begin(struct dispatcher *d, struct djob *j)
 {
 	j->phase = DJOB_CLAIMING;
-	j->claim_tries = 0;
+	j->claim_begin_ms = clock_now_ms();
 	queue_claim(d, j);
 }
 
@@ -169,10 +170,13 @@
 
 static void unsafe(struct dispatcher *d, struct djob *j)
 {
-	/* A voter may not have heard of the fence yet, or be restarting. */
-	if (j->claim_tries < TRIES_MAX) {
-		j->claim_tries++;
-		j->claim_ms = clock_now_ms();
+	int64_t now_ms = clock_now_ms();
+
+	/* Between two leaders nobody votes for a moment, and a voter may not
+	 * have heard of the fence yet. One that forgot will not remember:
+	 * then the answer is final, at once. */
+	if (j->votes_may_come && now_ms - j->claim_begin_ms < PATIENCE_MS) {
+		j->claim_ms = now_ms;
 		return;
 	}
 	drop_held(d, j);
@@ -233,6 +237,8 @@
 	    j->claim_seq != reply->seq || j->epoch != vote->epoch ||
 	    vote->verdict > CF_VOTE_UNFENCED)
 		return;
+	if (reply->not_voting || vote->verdict == CF_VOTE_UNFENCED)
+		j->votes_may_come = true;
 	decide(d, j,
 	       cf_ballot_add(j->ballot, reply->member_id, reply->view,
 			     (enum cf_vote)vote->verdict, vote->owner));
@@ -253,6 +259,8 @@
 			queue_claim(d, j);
 		return;
 	}
-	if (j->claim_seq && now_ms - j->claim_ms >= VOTES_WAIT_MS)
+	if (j->claim_seq && now_ms - j->claim_ms >= VOTES_WAIT_MS) {
+		j->votes_may_come = true;
 		decide(d, j, cf_ballot_close(j->ballot));
+	}
 }
--- a/src/roles/dispatcher_internal.h
+++ b/src/roles/dispatcher_internal.h
@@ -105,7 +105,8 @@
 	uint64_t claim_seq;
 	int64_t claim_ms;
 	uint32_t epoch;
-	uint32_t claim_tries;
+	int64_t claim_begin_ms;
+	bool votes_may_come; /* from a voter that gave none */
 	GArray *owners; /* uint64_t, of the epochs before */
 	bool owned; /* this dispatcher has the claim */
 	struct adoption *adoption;
--- a/src/roles/session.c
+++ b/src/roles/session.c
@@ -17,7 +17,7 @@
 
 #define SESSION_LINKS_MAX 32
 #define RENEW_MS (CF_LEASE_MS / 4)
-#define ANSWER_WAIT_MS 400 /* then the next coordinator is asked */
+#define ANSWER_WAIT_MS 300 /* then the next coordinator is asked */
 #define TICK_MS 50
 #define FENCE_WAIT_MS 1000
 
@@ -47,6 +47,7 @@
 	int64_t asked_ms; /* newest request, INT64_MIN none */
 	int64_t lost_ms; /* when the lease last ran out, 0 never */
 	bool answered;
+	bool no_leader; /* nobody leads just now: ask often */
 	bool begun, draining, left, was_held, fenced;
 	uint64_t next_fence;
 	GArray *fence_calls; /* struct fence_call */
@@ -191,12 +192,12 @@
 		return;
 	waited_ms = s->asked_ms == INT64_MIN ? INT64_MAX : now_ms - s->asked_ms;
 	if (!s->answered && waited_ms >= ANSWER_WAIT_MS) {
+		s->no_leader = true;
 		s->leader = (s->leader + 1) % s->n_links;
 		send_request(s, false);
 		return;
 	}
-	if (s->answered &&
-	    waited_ms >= (cf_lease_held(s->lease, now_ms) ? RENEW_MS : TICK_MS))
+	if (s->answered && waited_ms >= (s->no_leader ? TICK_MS : RENEW_MS))
 		send_request(s, false);
 }
 
@@ -252,6 +253,7 @@
 	if (next == SIZE_MAX)
 		next = (s->leader + 1) % s->n_links;
 	s->leader = next;
+	s->no_leader = true;
 }
 
 static void take_grant(struct session *s, const Cfw__LeaseGrant *grant)
@@ -284,6 +286,7 @@
 			    grant->revision, now_ms))
 		return;
 	counter_add(s->grants, 1);
+	s->no_leader = false;
 	if (grant->roster)
 		take_roster(s, grant);
 	note_lease(s, now_ms);
@@ -325,6 +328,7 @@
 	s->config = cf_config_create();
 	s->asked_ms = INT64_MIN;
 	s->answered = true;
+	s->no_leader = true;
 	s->fence_calls = g_array_new(FALSE, FALSE, sizeof(struct fence_call));
 	s->grants = counter_get("lease_grants_total", NULL,
 				"Lease renewals that were granted");
@@ -397,6 +401,7 @@
 		return false;
 	if (i == s->leader) {
 		s->answered = true;
+		s->asked_ms = INT64_MIN;
 		s->leader = (s->leader + 1) % s->n_links;
 	}
 	return true;
