dispatcher: answer truly without a lease, and adopt from whole rosters

(1) An owner that woke after its fence answered "not run" although an adopter had run the key; the same for remembered "not run" answers. Without a held lease these are unknown now. (2) An adopted job, or one whose tasks went along with the claim, was refused as "not run" by admission although tasks had run; refusals ask the job first. (3) The fence's answer of a leader fresh in office carries a roster that lacks agents; only a settled one is used. (4) The note of forgotten keys ended at the voters' horizon, without the skew, and lost keys from clocks ahead. (5) A key between one and two skews ahead was called "not run" while another dispatcher may have taken it. (6) Votes of a newer view ended a claim instead of asking again. (7) Two dispatchers whose votes name each other waited for each other until the deadline. (8) Replies to a dispatcher that is not on the roster yet were dropped. (9) peer_link_down read an unset pointer without peers. (10) One late look-up ended per tick. (11) One agent without a connection ended an adoption before the others answered.

A job whose owner's connection breaks now waits for it to return or to leave the roster, and is then adopted.

--- a/src/roles/dispatcher.c
+++ b/src/roles/dispatcher.c
@@ -63,8 +63,8 @@
 {
 	struct dispatcher *d = arg;
 
-	if (!session_link_up(d->session, link))
-		agents_link_up(d, link);
+	if (!session_link_up(d->session, link) && !agents_link_up(d, link))
+		peer_link_up(d, link);
 }
 
 static void on_down(void *arg, struct link *link)
@@ -273,7 +273,9 @@
 	d->jobs = g_hash_table_new(cf_key_hash, cf_key_hash_equal);
 	d->active = g_ptr_array_new();
 	d->memory = g_queue_new();
-	d->forgotten = cf_ledger_create(CF_LEDGER_HORIZON_MS, 0);
+	/* Longer than any voter remembers, whose clock may be behind. */
+	d->forgotten = cf_ledger_create(
+		CF_LEDGER_HORIZON_MS + 2 * CF_CLOCK_SKEW_MS, 0);
 	d->claims = g_ptr_array_new();
 	d->waiting = g_ptr_array_new();
 	d->agents = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
@@ -282,6 +284,8 @@
 	d->place_agents = g_ptr_array_new();
 	d->peers = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					 peer_free);
+	d->callers = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+					   NULL);
 	d->lookups = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					   peer_lookup_free);
 }
@@ -341,6 +345,7 @@
 	g_array_free(d->places, TRUE);
 	g_ptr_array_free(d->place_agents, TRUE);
 	g_hash_table_destroy(d->peers);
+	g_hash_table_destroy(d->callers);
 	g_hash_table_destroy(d->lookups);
 }
 
--- a/src/roles/dispatcher_adopt.c
+++ b/src/roles/dispatcher_adopt.c
@@ -24,7 +24,7 @@
 
 struct asked {
 	uint64_t incarnation;
-	bool answered;
+	bool sent, answered; /* in this round of queries */
 };
 
 struct adoption {
@@ -32,8 +32,7 @@
 	GHashTable *done; /* index -> GBytes */
 	GHashTable *running; /* set of indexes */
 	bool querying, failed, missing;
-	int64_t asked_ms; /* the first query */
-	int64_t query_ms; /* the newest */
+	int64_t query_ms; /* the newest round */
 	int64_t fence_ms; /* ask the leader again then, 0: asked */
 	int64_t last_departure_ms;
 };
@@ -98,17 +97,24 @@
 		jobs_admit(d, j);
 }
 
+/* An agent's part that nobody can tell any more may have run. */
+static bool is_unsure(const struct djob *j)
+{
+	return j->adoption->missing ||
+	       j->adoption->last_departure_ms >=
+		       cf_key_time_ms(&j->key) - CF_CLOCK_SKEW_MS;
+}
+
 static void conclude(struct dispatcher *d, struct djob *j)
 {
 	struct adoption *a = j->adoption;
 	bool whole = g_hash_table_size(a->done) == j->request->tasks->len;
-	int64_t key_ms = cf_key_time_ms(&j->key) - CF_CLOCK_SKEW_MS;
 
 	if (a->failed)
 		give_up(d, j, "a task failed at an earlier owner");
 	else if (!whole && a->missing)
 		give_up(d, j, "an agent cannot say what it ran");
-	else if (!whole && a->last_departure_ms >= key_ms)
+	else if (!whole && is_unsure(j))
 		give_up(d, j, "an agent left since; what it ran is unknown");
 	else
 		run_rest(d, j);
@@ -117,12 +123,18 @@
 /* ---- Agents' answers ---- */
 
 static void query_agent(struct dispatcher *d, struct djob *j,
-			const struct asked *asked)
+			struct asked *asked)
 {
 	Cfw__Envelope envelope = CFW__ENVELOPE__INIT;
 	Cfw__Query query = CFW__QUERY__INIT;
 	struct dagent *agent = agents_find(d, asked->incarnation);
 
+	if (!agent) {
+		/* It is gone, and cannot answer. */
+		j->adoption->missing = true;
+		asked->answered = true;
+		return;
+	}
 	query.seq = ++d->next_seq;
 	query.key.data = j->key.bytes;
 	query.key.len = CF_KEY_SIZE;
@@ -130,9 +142,9 @@
 	query.epoch = j->epoch;
 	envelope.body_case = CFW__ENVELOPE__BODY_QUERY;
 	envelope.query = &query;
-	counter_add(d->counters.queries, 1);
-	if (!agent || agent->down_ms || !link_send(agent->link, &envelope))
-		j->adoption->missing = true;
+	asked->sent = !agent->down_ms && link_send(agent->link, &envelope);
+	if (asked->sent)
+		counter_add(d->counters.queries, 1);
 }
 
 static bool all_answered(const struct adoption *a)
@@ -145,6 +157,20 @@
 	return true;
 }
 
+/* Those whose connection is not up yet are asked when it is. */
+static void query_unsent(struct dispatcher *d, struct djob *j)
+{
+	GArray *agents = j->adoption->agents;
+	guint i;
+
+	for (i = 0; i < agents->len; i++) {
+		struct asked *asked = &g_array_index(agents, struct asked, i);
+
+		if (!asked->sent && !asked->answered)
+			query_agent(d, j, asked);
+	}
+}
+
 static void query_all(struct dispatcher *d, struct djob *j, int64_t now_ms)
 {
 	struct adoption *a = j->adoption;
@@ -156,8 +182,38 @@
 		struct asked *asked =
 			&g_array_index(a->agents, struct asked, i);
 
+		asked->sent = false;
 		asked->answered = false;
-		query_agent(d, j, asked);
+	}
+	query_unsent(d, j);
+}
+
+/* Waits for what runs only while the answer can still become whole. */
+static void check_answers(struct dispatcher *d, struct djob *j)
+{
+	struct adoption *a = j->adoption;
+	guint running = g_hash_table_size(a->running);
+	guint known = g_hash_table_size(a->done) + running;
+
+	if (!all_answered(a))
+		return;
+	if (running && !a->failed &&
+	    (known >= j->request->tasks->len || !is_unsure(j)))
+		return;
+	conclude(d, j);
+}
+
+/* Of a round that has lasted long enough. */
+static void miss_silent(struct adoption *a)
+{
+	guint i;
+
+	for (i = 0; i < a->agents->len; i++) {
+		struct asked *asked =
+			&g_array_index(a->agents, struct asked, i);
+
+		a->missing |= !asked->answered;
+		asked->answered = true;
 	}
 }
 
@@ -204,8 +260,7 @@
 		if (asked->incarnation == reply->agent)
 			asked->answered = true;
 	}
-	if (all_answered(a) && !g_hash_table_size(a->running))
-		conclude(d, j);
+	check_answers(d, j);
 }
 
 /* ---- Fence ---- */
@@ -219,7 +274,8 @@
 	a->last_departure_ms = roster->last_departure_ms;
 	g_array_set_size(a->agents, 0);
 	for (i = 0; i < roster->n_entries; i++) {
-		struct asked asked = { roster->entries[i]->incarnation, false };
+		struct asked asked = { roster->entries[i]->incarnation, false,
+				       false };
 
 		if (roster->entries[i]->role == CFW__ROLE__ROLE_AGENT)
 			g_array_append_val(a->agents, asked);
@@ -241,12 +297,16 @@
 	owner = g_array_index(j->owners, uint64_t, j->owners->len - 1);
 	if (reply && reply->alive) {
 		/* It came back: it has the answer, or will have it. */
-		g_array_set_size(j->owners, j->owners->len - 1);
-		if (!peer_forward(d, j, owner))
-			give_up(d, j, "the owner cannot be reached");
+		if (peer_forward(d, j, owner))
+			g_array_set_size(j->owners, j->owners->len - 1);
+		else
+			j->adoption->fence_ms = clock_now_ms() + FENCE_AGAIN_MS;
 		return;
 	}
-	if (!reply || !reply->fenced || !reply->roster) {
+	/* The roster of a leader fresh in office may lack agents that the
+	 * key ran at. */
+	if (!reply || !reply->fenced || !reply->roster ||
+	    !reply->roster->settled) {
 		j->adoption->fence_ms = clock_now_ms() + FENCE_AGAIN_MS;
 		return;
 	}
@@ -290,14 +350,10 @@
 
 void adopt_won(struct dispatcher *d, struct djob *j)
 {
-	int64_t now_ms = clock_now_ms();
-
 	j->phase = DJOB_ADOPTING;
 	j->adoption->querying = true;
-	j->adoption->asked_ms = now_ms;
-	query_all(d, j, now_ms);
-	if (all_answered(j->adoption))
-		conclude(d, j);
+	query_all(d, j, clock_now_ms());
+	check_answers(d, j);
 }
 
 void adopt_tick(struct dispatcher *d, struct djob *j, int64_t now_ms)
@@ -312,8 +368,10 @@
 	if (all_answered(a)) {
 		if (now_ms - a->query_ms >= ASK_AGAIN_MS)
 			query_all(d, j, now_ms);
-	} else if (a->missing || now_ms - a->query_ms >= ANSWER_WAIT_MS) {
-		a->missing = true;
-		conclude(d, j);
+	} else {
+		query_unsent(d, j);
+		if (now_ms - a->query_ms >= ANSWER_WAIT_MS)
+			miss_silent(a);
 	}
+	check_answers(d, j);
 }
--- a/src/roles/dispatcher_claim.c
+++ b/src/roles/dispatcher_claim.c
@@ -45,6 +45,7 @@
 			g_array_index(j->owners, uint64_t, j->owners->len - 1);
 	cf_ballot_destroy(j->ballot);
 	j->ballot = cf_ballot_create(&claim, views, n);
+	j->ballot_view = n ? views[n - 1].number : 0;
 }
 
 static void flush_claims(void *arg)
@@ -237,7 +238,9 @@
 	    j->claim_seq != reply->seq || j->epoch != vote->epoch ||
 	    vote->verdict > CF_VOTE_UNFENCED)
 		return;
-	if (reply->not_voting || vote->verdict == CF_VOTE_UNFENCED)
+	/* A vote of another view counts as none; the next one may count. */
+	if (reply->not_voting || vote->verdict == CF_VOTE_UNFENCED ||
+	    reply->view != j->ballot_view)
 		j->votes_may_come = true;
 	decide(d, j,
 	       cf_ballot_add(j->ballot, reply->member_id, reply->view,
--- a/src/roles/dispatcher_http.c
+++ b/src/roles/dispatcher_http.c
@@ -98,7 +98,7 @@
 {
 	Cfw__Envelope envelope = CFW__ENVELOPE__INIT;
 	Cfw__ForwardReply reply = CFW__FORWARD_REPLY__INIT;
-	struct link *link = peer_link(d, waiter->peer);
+	struct link *link = peer_any_link(d, waiter->peer);
 	gsize size;
 
 	reply.seq = waiter->seq;
@@ -123,6 +123,20 @@
 	}
 }
 
+void answer_failed(struct dispatcher *d, const struct waiter *waiter,
+		   uint32_t status, enum cf_job_answer outcome,
+		   const char *reason, const char *message,
+		   uint32_t retry_after_ms)
+{
+	struct answer answer = { .status = status,
+				 .retry_after_ms = retry_after_ms };
+
+	answer.body =
+		answer_body(NULL, outcome, reason, message, retry_after_ms);
+	answer_send(d, waiter, &answer);
+	g_bytes_unref(answer.body);
+}
+
 /* ---- Requests of callers ---- */
 
 static void handle_posted(void *arg)
--- a/src/roles/dispatcher_internal.h
+++ b/src/roles/dispatcher_internal.h
@@ -102,6 +102,7 @@
 	int64_t arrived_ms, deadline_ms;
 	/* claim */
 	struct cf_ballot *ballot;
+	uint64_t ballot_view; /* the newest that it counts */
 	uint64_t claim_seq;
 	int64_t claim_ms;
 	uint32_t epoch;
@@ -111,7 +112,8 @@
 	bool owned; /* this dispatcher has the claim */
 	struct adoption *adoption;
 	uint64_t forwarded_to; /* incarnation */
-	uint64_t forward_seq;
+	uint64_t forward_seq; /* 0: waits for a connection to it */
+	int64_t forward_ms; /* it waits since then */
 	/* placement */
 	bool admitted, started, gated;
 	struct cf_admit_job admit;
@@ -193,6 +195,7 @@
 	GPtrArray *waiting; /* djobs with unplaced tasks */
 	bool pump_posted;
 	GHashTable *peers; /* incarnation -> struct peer */
+	GHashTable *callers; /* incarnation -> struct link of a dispatcher */
 	GHashTable *lookups; /* seq -> struct lookup */
 	int64_t roster_ms; /* of the first roster, 0 none */
 	bool roster_settled;
@@ -214,6 +217,11 @@
 		    uint32_t retry_after_ms);
 void answer_send(struct dispatcher *d, const struct waiter *waiter,
 		 const struct answer *answer);
+/* An answer that is no job's. */
+void answer_failed(struct dispatcher *d, const struct waiter *waiter,
+		   uint32_t status, enum cf_job_answer outcome,
+		   const char *reason, const char *message,
+		   uint32_t retry_after_ms);
 
 /* dispatcher_jobs.c: from submission to answer. */
 void jobs_submit(struct dispatcher *d, struct job_request *request,
@@ -235,6 +243,12 @@
 void jobs_free(gpointer job);
 void jobs_admit(struct dispatcher *d, struct djob *j); /* claim is won */
 
+/* dispatcher_memory.c: answers kept, and keys whose answer is not. */
+void memory_add(struct dispatcher *d, struct djob *j, int64_t now_ms);
+void memory_drop(struct dispatcher *d, struct djob *j); /* frees the job */
+bool memory_was_dropped(struct dispatcher *d, const struct cf_key *key);
+void memory_tick(struct dispatcher *d, int64_t now_ms);
+
 /* dispatcher_claim.c */
 void claim_begin(struct dispatcher *d, struct djob *j);
 void claim_forget(struct dispatcher *d, struct djob *j); /* no more votes */
@@ -290,11 +304,13 @@
 void peer_take_forward(struct dispatcher *d, struct link *link,
 		       const Cfw__Forward *forward);
 void peer_take_reply(struct dispatcher *d, const Cfw__ForwardReply *reply);
-bool peer_link_down(struct dispatcher *d, struct link *link);
+void peer_forward_tick(struct dispatcher *d, struct djob *j, int64_t now_ms);
+void peer_link_up(struct dispatcher *d, struct link *link);
+void peer_link_down(struct dispatcher *d, struct link *link);
 bool peer_ask_all(struct dispatcher *d, const struct cf_key *key,
 		  uint32_t method, const struct waiter *waiter);
 void peer_tick(struct dispatcher *d, int64_t now_ms);
-struct link *peer_link(struct dispatcher *d, uint64_t incarnation);
+struct link *peer_any_link(struct dispatcher *d, uint64_t incarnation);
 bool peer_listed(struct dispatcher *d, uint64_t incarnation);
 void peer_free(gpointer peer);
 void peer_lookup_free(gpointer lookup);
--- a/src/roles/dispatcher_jobs.c
+++ b/src/roles/dispatcher_jobs.c
@@ -1,6 +1,6 @@
 /*
- * dispatcher_jobs: a job from its submission to its answer, and answers
- * kept for resubmissions. Loop thread only.
+ * dispatcher_jobs: a job from its submission to its answer. Loop thread
+ * only.
  */
 #include "roles/dispatcher_internal.h"
 
@@ -15,7 +15,6 @@
 
 #define FENCE_WAIT_MS 250 /* for agents' answers to a cancellation */
 #define RETRY_AFTER_MS 250 /* where nothing better is known */
-#define JOB_MEMORY_BYTES 512 /* of a remembered job besides its answer */
 
 /* ---- Table of jobs ---- */
 
@@ -61,65 +60,6 @@
 	return j;
 }
 
-/* Voters would vote for this dispatcher again: it must know itself that
- * the key ran here once its answer is gone. */
-static void note_forgotten(struct dispatcher *d, struct djob *j)
-{
-	struct cf_claim claim = { j->key, 0, d->incarnation, 0 };
-	uint64_t owner;
-
-	cf_ledger_vote(d->forgotten, &claim, true, false, clock_wall_ms(),
-		       &owner);
-}
-
-static bool was_forgotten(struct dispatcher *d, const struct cf_key *key)
-{
-	struct cf_claim claim = { *key, 0, d->incarnation, 0 };
-	uint64_t owner = 0;
-
-	cf_ledger_vote(d->forgotten, &claim, false, false, clock_wall_ms(),
-		       &owner);
-	return owner != 0;
-}
-
-/* Drops an ended job; its key is free for another attempt. */
-static void forget(struct dispatcher *d, struct djob *j)
-{
-	if (j->owned && !j->answer.ran_none)
-		note_forgotten(d, j);
-	if (j->memory) {
-		d->memory_bytes -=
-			JOB_MEMORY_BYTES + g_bytes_get_size(j->answer.body);
-		g_queue_delete_link(d->memory, j->memory);
-	}
-	g_hash_table_remove(d->jobs, &j->key);
-	jobs_free(j);
-}
-
-static void remember(struct dispatcher *d, struct djob *j, int64_t now_ms)
-{
-	uint64_t max = (uint64_t)settings_number(d->settings, "remember-bytes");
-
-	j->ended_ms = now_ms;
-	g_queue_push_tail(d->memory, j);
-	j->memory = g_queue_peek_tail_link(d->memory);
-	d->memory_bytes += JOB_MEMORY_BYTES + g_bytes_get_size(j->answer.body);
-	while (d->memory_bytes > max && d->memory->length > 1) {
-		counter_add(d->counters.forgotten, 1);
-		forget(d, g_queue_peek_head(d->memory));
-	}
-}
-
-static void expire_memory(struct dispatcher *d, int64_t now_ms)
-{
-	int64_t keep_ms = settings_number(d->settings, "remember-ms");
-	struct djob *oldest;
-
-	while ((oldest = g_queue_peek_head(d->memory)) &&
-	       now_ms - oldest->ended_ms > keep_ms)
-		forget(d, oldest);
-}
-
 /* ---- End of a job ---- */
 
 static void answer_waiters(struct dispatcher *d, struct djob *j)
@@ -187,6 +127,12 @@
 {
 	int64_t now_ms = clock_now_ms();
 
+	/* Without the lease another dispatcher may have adopted the key. */
+	if (outcome == CF_ANSWER_NOT_RUN && j->owned &&
+	    !session_held(d->session, now_ms)) {
+		outcome = CF_ANSWER_UNKNOWN;
+		message = "the lease ran out; another may have run the key";
+	}
 	j->answer.status = status;
 	j->answer.retry_after_ms = retry_after_ms;
 	j->answer.ran_none = outcome == CF_ANSWER_NOT_RUN;
@@ -197,9 +143,9 @@
 	answer_waiters(d, j);
 	/* Without the claim this is not the key's answer, only ours. */
 	if (j->owned)
-		remember(d, j, now_ms);
+		memory_add(d, j, now_ms);
 	else
-		forget(d, j);
+		memory_drop(d, j);
 }
 
 void jobs_finish_raw(struct dispatcher *d, struct djob *j, uint32_t status,
@@ -210,7 +156,7 @@
 	j->answer.body = g_bytes_new(body, size);
 	release(d, j);
 	answer_waiters(d, j);
-	forget(d, j);
+	memory_drop(d, j);
 }
 
 static uint32_t status_of(enum cf_job_answer outcome, const struct djob *j)
@@ -273,16 +219,17 @@
 	g_array_append_val(j->waiters, *waiter);
 }
 
-/* An answer that is no job's: the key is in use with another body. */
-static void answer_reused(struct dispatcher *d, const struct waiter *waiter)
+/* The remembered answer. "Not run" holds only while no other dispatcher
+ * can have adopted the key. */
+static void answer_kept(struct dispatcher *d, struct djob *j,
+			const struct waiter *waiter)
 {
-	struct answer answer = { .status = 409 };
-
-	answer.body = answer_body(NULL, CF_ANSWER_NOT_RUN, "key-reused",
-				  "Idempotency-Key was used with another body",
-				  0);
-	answer_send(d, waiter, &answer);
-	g_bytes_unref(answer.body);
+	if (!j->answer.ran_none || session_held(d->session, clock_now_ms()))
+		answer_send(d, waiter, &j->answer);
+	else
+		answer_failed(d, waiter, 503, CF_ANSWER_UNKNOWN, "no-lease",
+			      "the lease ran out; another may have run the key",
+			      RETRY_AFTER_MS);
 }
 
 static void resubmit(struct dispatcher *d, struct djob *j,
@@ -290,9 +237,13 @@
 {
 	counter_add(d->counters.resubmitted, 1);
 	if (j->body_hash != request->body_hash)
-		answer_reused(d, waiter);
+		answer_failed(d, waiter, 409, CF_ANSWER_NOT_RUN, "key-reused",
+			      "Idempotency-Key was used with another body", 0);
 	else if (j->phase == DJOB_ENDED)
-		answer_send(d, waiter, &j->answer);
+		answer_kept(d, j, waiter);
+	else if (j->phase == DJOB_FORWARDED && waiter->peer)
+		answer_failed(d, waiter, 503, CF_ANSWER_UNKNOWN, "no-claim",
+			      "votes name another owner here", RETRY_AFTER_MS);
 	else
 		wait_for(j, waiter);
 	request_free(request);
@@ -313,12 +264,14 @@
 	uint32_t max = (uint32_t)settings_number(d->settings, "jobs-max");
 
 	trace_submit(j);
-	if (cf_key_time_ms(&j->key) > clock_wall_ms() + CF_CLOCK_SKEW_MS) {
+	/* Clocks may differ by the skew, and voters take keys that are ahead
+	 * of theirs by it: one that is ahead by less may have run. */
+	if (cf_key_time_ms(&j->key) > clock_wall_ms() + 2 * CF_CLOCK_SKEW_MS) {
 		jobs_finish(d, j, 400, CF_ANSWER_NOT_RUN, "key-time",
 			    "the time in Idempotency-Key lies ahead", 0);
 		return;
 	}
-	if (was_forgotten(d, &j->key)) {
+	if (memory_was_dropped(d, &j->key)) {
 		jobs_finish(d, j, 503, CF_ANSWER_UNKNOWN, "forgotten",
 			    "the key ran here, and its answer is forgotten", 0);
 		return;
@@ -347,10 +300,11 @@
 	bool owned = false;
 
 	if (j && j->phase == DJOB_ENDED && j->answer.ran_none &&
-	    j->body_hash == request->body_hash) {
+	    j->body_hash == request->body_hash &&
+	    session_held(d->session, clock_now_ms())) {
 		/* The claim is ours still, and nothing ran: try again. */
 		owned = true;
-		forget(d, j);
+		memory_drop(d, j);
 		j = NULL;
 	}
 	if (j) {
@@ -389,6 +343,20 @@
 	admit->deadline_ms = (uint32_t)(j->deadline_ms - j->arrived_ms);
 }
 
+/* Not run, unless tasks went along with the claim or an earlier owner
+ * ran some. */
+static void refuse(struct dispatcher *d, struct djob *j, uint32_t status,
+		   const char *reason, const char *message,
+		   uint32_t retry_after_ms)
+{
+	cf_job_stop(j->job, reason);
+	if (cf_job_answer(j->job, NULL) == CF_ANSWER_NOT_RUN)
+		jobs_finish(d, j, status, CF_ANSWER_NOT_RUN, reason, message,
+			    retry_after_ms);
+	else
+		jobs_stop(d, j, status, reason);
+}
+
 void jobs_admit(struct dispatcher *d, struct djob *j)
 {
 	int64_t now_ms = clock_now_ms();
@@ -398,8 +366,8 @@
 	place_predict(d, j);
 	fill_admit(j);
 	if (!place_ever_fits(d, j)) {
-		jobs_finish(d, j, 400, CF_ANSWER_NOT_RUN, "never-fits",
-			    "a task needs more than any worker has", 0);
+		refuse(d, j, 400, "never-fits",
+		       "a task needs more than any worker has", 0);
 		return;
 	}
 	admit = cf_admitter_ask(d->admitter, &j->admit, now_ms,
@@ -410,16 +378,14 @@
 		place_add(d, j);
 		return;
 	}
-	if (cf_job_unsettled(j->job)) {
-		jobs_stop(d, j, 503, "overloaded");
-		return;
-	}
-	jobs_finish(d, j, admit == CF_ADMIT_LATE ? 503 : 429, CF_ANSWER_NOT_RUN,
-		    admit == CF_ADMIT_LATE ? "late" : "overloaded",
-		    admit == CF_ADMIT_LATE
-			    ? "it cannot meet its deadline just now"
-			    : "its class or team is over its share",
-		    MAX(retry_after_ms, 1));
+	if (admit == CF_ADMIT_LATE)
+		refuse(d, j, 503, "late",
+		       "it cannot meet its deadline just now",
+		       MAX(retry_after_ms, 1));
+	else
+		refuse(d, j, 429, "overloaded",
+		       "its class or team is over its share",
+		       MAX(retry_after_ms, 1));
 }
 
 /* ---- Cancellation and look-up ---- */
@@ -437,12 +403,8 @@
 static void answer_unknown_key(struct dispatcher *d,
 			       const struct waiter *waiter)
 {
-	struct answer answer = { .status = 404 };
-
-	answer.body = answer_body(NULL, CF_ANSWER_UNKNOWN, "unknown-key",
-				  "no dispatcher remembers this key", 0);
-	answer_send(d, waiter, &answer);
-	g_bytes_unref(answer.body);
+	answer_failed(d, waiter, 404, CF_ANSWER_UNKNOWN, "unknown-key",
+		      "no dispatcher remembers this key", 0);
 }
 
 void jobs_cancel(struct dispatcher *d, const struct cf_key *key,
@@ -456,7 +418,7 @@
 		return;
 	}
 	if (j->phase == DJOB_ENDED) {
-		answer_send(d, waiter, &j->answer);
+		answer_kept(d, j, waiter);
 		return;
 	}
 	wait_for(j, waiter);
@@ -469,7 +431,7 @@
 	struct djob *j = jobs_find(d, key);
 
 	if (j && j->phase == DJOB_ENDED)
-		answer_send(d, waiter, &j->answer);
+		answer_kept(d, j, waiter);
 	else if (j)
 		answer_pending(d, waiter);
 	else if (waiter->peer || !peer_ask_all(d, key, 2, waiter))
@@ -500,6 +462,8 @@
 		claim_tick(d, j, now_ms);
 	else if (j->phase == DJOB_ADOPTING)
 		adopt_tick(d, j, now_ms);
+	else if (j->phase == DJOB_FORWARDED)
+		peer_forward_tick(d, j, now_ms);
 }
 
 void jobs_tick(struct dispatcher *d, int64_t now_ms)
@@ -510,8 +474,7 @@
 	while (i--)
 		if (i < d->active->len)
 			tick_job(d, d->active->pdata[i], now_ms);
-	expire_memory(d, now_ms);
-	cf_ledger_expire(d->forgotten, clock_wall_ms());
+	memory_tick(d, now_ms);
 	gauge_set(d->counters.in_progress, d->active->len);
 	gauge_set(d->counters.waiting, d->waiting->len);
 }
--- a/src/roles/dispatcher_peer.c
+++ b/src/roles/dispatcher_peer.c
@@ -17,6 +17,7 @@
 #define METHOD_LOOK_UP 2
 #define LOOKUP_WAIT_MS 500
 #define RETRY_AFTER_MS 500
+#define OWNER_WAIT_MS 4000 /* for a connection, or its end */
 #define STATUS_UNKNOWN_KEY 404
 
 /* ---- Types ---- */
@@ -87,7 +88,7 @@
 				    GINT_TO_POINTER(roster->settled));
 }
 
-struct link *peer_link(struct dispatcher *d, uint64_t incarnation)
+static struct link *dialled_link(struct dispatcher *d, uint64_t incarnation)
 {
 	struct peer *peer = g_hash_table_lookup(d->peers, &incarnation);
 
@@ -97,6 +98,14 @@
 	return peer->link;
 }
 
+/* A dispatcher may ask before it is on the roster here. */
+struct link *peer_any_link(struct dispatcher *d, uint64_t incarnation)
+{
+	struct link *link = dialled_link(d, incarnation);
+
+	return link ? link : g_hash_table_lookup(d->callers, &incarnation);
+}
+
 bool peer_listed(struct dispatcher *d, uint64_t incarnation)
 {
 	return g_hash_table_lookup(d->peers, &incarnation) != NULL;
@@ -125,26 +134,67 @@
 	return link_send(link, &envelope);
 }
 
+static void pass_on(struct dispatcher *d, struct djob *j)
+{
+	struct link *link = dialled_link(d, j->forwarded_to);
+
+	if (!link)
+		return;
+	j->forward_seq = ++d->next_seq;
+	if (!send_forward(d, link, j->forward_seq, &j->key, METHOD_SUBMIT,
+			  j->request->body))
+		j->forward_seq = 0;
+}
+
+/* Two dispatchers whose votes each name the other would wait for ever. */
+static void refuse_peers(struct dispatcher *d, struct djob *j)
+{
+	guint i = j->waiters->len;
+
+	while (i--) {
+		struct waiter waiter =
+			g_array_index(j->waiters, struct waiter, i);
+
+		if (!waiter.peer)
+			continue;
+		g_array_remove_index(j->waiters, i);
+		answer_failed(d, &waiter, 503, CF_ANSWER_UNKNOWN, "no-claim",
+			      "votes name another owner here", RETRY_AFTER_MS);
+	}
+}
+
 /*
- * True when the owner answers for the job, or when the job was answered
- * here because the owner lives and cannot be reached. False: it is off
- * the roster.
+ * True: the owner is on the roster and answers for the job, once there is
+ * a connection to it. False: it is off the roster. The job stays.
  */
 bool peer_forward(struct dispatcher *d, struct djob *j, uint64_t owner)
 {
-	struct link *link = peer_link(d, owner);
-
-	if (!link && !peer_listed(d, owner))
+	if (!peer_listed(d, owner))
 		return false;
 	j->phase = DJOB_FORWARDED;
 	j->forwarded_to = owner;
-	j->forward_seq = ++d->next_seq;
-	if (!link || !send_forward(d, link, j->forward_seq, &j->key,
-				   METHOD_SUBMIT, j->request->body))
+	j->forward_seq = 0;
+	j->forward_ms = clock_now_ms();
+	refuse_peers(d, j);
+	pass_on(d, j);
+	return true;
+}
+
+/* Asks again over a new connection, or adopts the key of an owner that
+ * has left the roster. */
+void peer_forward_tick(struct dispatcher *d, struct djob *j, int64_t now_ms)
+{
+	if (!peer_listed(d, j->forwarded_to)) {
+		g_array_append_val(j->owners, j->forwarded_to);
+		adopt_begin(d, j);
+		return;
+	}
+	if (!j->forward_seq)
+		pass_on(d, j);
+	if (!j->forward_seq && now_ms - j->forward_ms >= OWNER_WAIT_MS)
 		jobs_finish(d, j, 503, CF_ANSWER_UNKNOWN, "owner-unreachable",
 			    "the dispatcher that has the key cannot be reached",
 			    RETRY_AFTER_MS);
-	return true;
 }
 
 bool peer_ask_all(struct dispatcher *d, const struct cf_key *key,
@@ -159,7 +209,7 @@
 	lookup->end_ms = clock_now_ms() + LOOKUP_WAIT_MS;
 	g_hash_table_iter_init(&iter, d->peers);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer))
-		if (peer_link(d, peer->incarnation) &&
+		if (dialled_link(d, peer->incarnation) &&
 		    send_forward(d, peer->link, lookup->seq, key, method, NULL))
 			lookup->waiting++;
 	if (!lookup->waiting) {
@@ -212,17 +262,6 @@
 	}
 }
 
-static void refuse_forward(struct dispatcher *d, const struct waiter *waiter,
-			   const struct request_error *error)
-{
-	struct answer answer = { .status = error->status };
-
-	answer.body = answer_body(NULL, CF_ANSWER_UNKNOWN, error->reason,
-				  error->message, 0);
-	answer_send(d, waiter, &answer);
-	g_bytes_unref(answer.body);
-}
-
 void peer_take_forward(struct dispatcher *d, struct link *link,
 		       const Cfw__Forward *forward)
 {
@@ -250,43 +289,46 @@
 	if (request)
 		jobs_submit(d, request, &waiter);
 	else
-		refuse_forward(d, &waiter, &error);
+		answer_failed(d, &waiter, error.status, CF_ANSWER_UNKNOWN,
+			      error.reason, error.message, 0);
 }
 
-/* ---- Losses ---- */
+/* ---- Connections ---- */
 
-static void owner_lost(struct dispatcher *d, struct djob *j)
+void peer_link_up(struct dispatcher *d, struct link *link)
 {
-	jobs_finish(d, j, 503, CF_ANSWER_UNKNOWN, "owner-unreachable",
-		    "the dispatcher that has the key went away",
-		    RETRY_AFTER_MS);
+	const struct link_identity *from = link_peer(link);
+
+	if (from->role != CFW__ROLE__ROLE_DISPATCHER)
+		return;
+	g_hash_table_replace(
+		d->callers,
+		g_memdup2(&from->incarnation, sizeof(from->incarnation)), link);
 }
 
-bool peer_link_down(struct dispatcher *d, struct link *link)
+void peer_link_down(struct dispatcher *d, struct link *link)
 {
-	GHashTableIter iter;
-	struct peer *peer;
+	uint64_t incarnation = link_peer(link)->incarnation;
+	struct peer *peer = g_hash_table_lookup(d->peers, &incarnation);
 	guint i;
 
-	g_hash_table_iter_init(&iter, d->peers);
-	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer))
-		if (peer->link == link)
-			break;
-		else
-			peer = NULL;
-	if (!peer)
-		return false;
-	i = d->active->len;
-	while (i--) {
+	if (g_hash_table_lookup(d->callers, &incarnation) == link)
+		g_hash_table_remove(d->callers, &incarnation);
+	if (!peer || peer->link != link)
+		return;
+	for (i = 0; i < d->active->len; i++) {
 		struct djob *j = d->active->pdata[i];
 
-		if (j->phase == DJOB_FORWARDED &&
-		    j->forwarded_to == peer->incarnation)
-			owner_lost(d, j);
+		if (j->phase != DJOB_FORWARDED ||
+		    j->forwarded_to != incarnation)
+			continue;
+		j->forward_seq = 0;
+		j->forward_ms = clock_now_ms();
 	}
-	return true;
 }
 
+/* ---- Time ---- */
+
 void peer_tick(struct dispatcher *d, int64_t now_ms)
 {
 	static const char text[] =
@@ -294,13 +336,16 @@
 		"\"reason\":\"unknown-key\","
 		"\"message\":\"no dispatcher that answers knows the key\"}";
 	GHashTableIter iter;
-	struct lookup *lookup, *late = NULL;
+	struct lookup *lookup;
+	GPtrArray *late = g_ptr_array_new();
+	guint i;
 
 	g_hash_table_iter_init(&iter, d->lookups);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&lookup))
 		if (now_ms >= lookup->end_ms)
-			late = lookup;
-	if (late)
-		finish_lookup(d, late, STATUS_UNKNOWN_KEY, text,
+			g_ptr_array_add(late, lookup);
+	for (i = 0; i < late->len; i++)
+		finish_lookup(d, late->pdata[i], STATUS_UNKNOWN_KEY, text,
 			      sizeof(text) - 1);
+	g_ptr_array_free(late, TRUE);
 }
