gate: a forgotten key cannot be adopted

cf_gate_adopt said true for a key that the gate has forgotten, and the agent then answered that it knows no index of it, so an adopter would run what may have run here. It says false now; without the agent's answer the adopter takes the job for unknown. test_gate and explore_gate pass.

--- a/include/chervilferry.h
+++ b/include/chervilferry.h
@@ -370,7 +370,7 @@
 CF_API bool cf_gate_finish(struct cf_gate *gate, const struct cf_key *key, uint32_t index, bool ok, GBytes *result, int64_t now_ms); /* false: it was not running */
 CF_API enum cf_task_state cf_gate_query(struct cf_gate *gate, const struct cf_key *key, uint32_t index, bool fence, GBytes **result, int64_t now_ms); /* unknown ones are FENCED if fence, else HELD; result is borrowed, NULL if dropped */
 CF_API const struct cf_task *cf_gate_task(const struct cf_gate *gate, const struct cf_key *key, uint32_t index); /* whose it is; NULL: none offered */
-CF_API bool cf_gate_adopt(struct cf_gate *gate, const struct cf_key *key, uint64_t dispatcher, uint32_t epoch, int64_t now_ms); /* fences what has not started; then only this dispatcher may offer it. false: a later epoch was seen */
+CF_API bool cf_gate_adopt(struct cf_gate *gate, const struct cf_key *key, uint64_t dispatcher, uint32_t epoch, int64_t now_ms); /* fences what has not started; then only this dispatcher may offer it. false: a later epoch was seen, or the key is forgotten */
 CF_API size_t cf_gate_known(const struct cf_gate *gate, const struct cf_key *key, uint32_t *indexes, size_t max); /* indexes seen of a key */
 CF_API void cf_gate_seal(struct cf_gate *gate, const struct cf_key *key, int64_t now_ms); /* no index of the key starts from now on */
 CF_API size_t cf_gate_fence_job(struct cf_gate *gate, const struct cf_key *key, uint64_t dispatcher, uint64_t job, int64_t now_ms, uint32_t *indexes, size_t max); /* cancel: unstarted ones fenced, late ones too */
--- a/src/lib/gate_fence.c
+++ b/src/lib/gate_fence.c
@@ -89,7 +89,7 @@
 	struct gate_record *record = gate_get_record(gate, key, now_ms);
 
 	if (!record)
-		return true;
+		return false;
 	if (epoch < record->epoch ||
 	    (epoch == record->epoch && dispatcher != record->owner))
 		return false;
