Write the coordinator's trace

It was never opened, so votes and accepted changes were missing from every trace, and the checks of data-centre-out and vote-once had nothing to look at. fault_stops counts the coordinators' events from here on.

--- a/src/roles/coordinator.c
+++ b/src/roles/coordinator.c
@@ -259,7 +259,8 @@
 		return NULL;
 	}
 	fill_in_ports(c);
-	if (!open_group(c, settings, error) ||
+	if (!role_open_trace(settings, c->incarnation, error) ||
+	    !open_group(c, settings, error) ||
 	    !coordinator_open_ledger(c, clock_wall_ms(), error)) {
 		destroy(c);
 		return NULL;
@@ -318,6 +319,7 @@
 	g_thread_join(c->thread);
 	destroy(c);
 	trace_event("stop_end", "in_progress=0");
+	trace_close();
 }
 
 /* ---- Process ------------------------------------------------------- */
