Replay recorded traces through the gate and the ledger

"trace replay" feeds what went into start gates and vote ledgers to fresh ones and compares each decision with the recorded one; the agent and the coordinator now record those inputs.

--- a/include/chervilferry.h
+++ b/include/chervilferry.h
@@ -642,6 +642,24 @@
 CF_API bool cf_trace_add(struct cf_trace *trace, const char *file, uint64_t line, const char *text, GError **error); /* one event, any order of files */
 CF_API size_t cf_trace_check(struct cf_trace *trace, struct cf_trace_summary *summary, struct cf_trace_fault *faults, size_t max); /* number found */
 
+/* Replay of a recorded trace (src/lib/trace_replay.c): the inputs of
+ * start gates and vote ledgers go to fresh ones, whose decisions are
+ * compared with the recorded ones. Lines of one file in their order. */
+
+struct cf_replay_summary {
+	uint64_t decisions; /* compared */
+	uint64_t mismatches;
+	uint64_t passed_over; /* the part's beginning is not in the trace */
+	char first[256]; /* the first mismatch */
+};
+
+struct cf_replay;
+
+CF_API struct cf_replay *cf_replay_create(void); /* nothing seen */
+CF_API void cf_replay_destroy(struct cf_replay *replay); /* NULL is allowed */
+CF_API bool cf_replay_feed(struct cf_replay *replay, const char *text, GError **error); /* one event; false: bad line */
+CF_API void cf_replay_get_summary(const struct cf_replay *replay, struct cf_replay_summary *summary); /* so far */
+
 /* clang-format on */
 
 #endif
--- /dev/null
+++ b/src/lib/trace_replay.c
@@ -0,0 +1,450 @@
+/*
+ * trace_replay: feeds what a recorded trace says went into a process's
+ * decision parts (start gate, vote ledger) to fresh ones, and compares
+ * their decisions with the recorded ones.
+ */
+#include "lib/trace_fields.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+/* ---- Constants ---- */
+
+#define FENCED_MAX CF_JOB_TASKS_MAX
+
+/* ---- Types ---- */
+
+/* The parts of one life of a process. */
+struct life {
+	char *name;
+	struct cf_gate *gate;
+	struct cf_ledger *ledger;
+};
+
+struct cf_replay {
+	GHashTable *lives; /* incarnation -> struct life */
+	GHashTable *newest; /* name -> its newest struct life, borrowed */
+	struct cf_replay_summary summary;
+};
+
+struct replay_step {
+	const char *event;
+	bool (*replay)(struct cf_replay *replay, struct life *life,
+		       struct trace_fields *fields);
+};
+
+/* ---- Lives ---- */
+
+static void free_life(gpointer data)
+{
+	struct life *life = data;
+
+	cf_gate_destroy(life->gate);
+	cf_ledger_destroy(life->ledger);
+	g_free(life->name);
+	g_free(life);
+}
+
+static struct life *find_life(struct cf_replay *replay, uint64_t incarnation,
+			      const char *name)
+{
+	struct life *life = g_hash_table_lookup(replay->lives, &incarnation);
+
+	if (life)
+		return life;
+	life = g_new0(struct life, 1);
+	life->name = g_strdup(name);
+	g_hash_table_insert(replay->lives,
+			    g_memdup2(&incarnation, sizeof(incarnation)), life);
+	return life;
+}
+
+/* ---- Outcomes ---- */
+
+static void __attribute__((format(printf, 4, 5)))
+compare(struct cf_replay *replay, struct trace_fields *fields, bool same,
+	const char *format, ...)
+{
+	struct cf_replay_summary *summary = &replay->summary;
+	const char *event = trace_find(fields, "e");
+	size_t used;
+	va_list args;
+
+	summary->decisions++;
+	if (same || summary->mismatches++)
+		return;
+	g_snprintf(summary->first, sizeof(summary->first),
+		   "%s n=%s %s: ", trace_find(fields, "p"),
+		   trace_find(fields, "n"), event);
+	used = strlen(summary->first);
+	va_start(args, format);
+	g_vsnprintf(summary->first + used, sizeof(summary->first) - used,
+		    format, args);
+	va_end(args);
+}
+
+/* ---- Start gate ---- */
+
+static bool replay_gate(struct cf_replay *replay, struct life *life,
+			struct trace_fields *f)
+{
+	struct cf_capacity c;
+	int64_t remember_ms;
+
+	(void)replay;
+	if (!trace_u32(f, "slots", &c.slots) ||
+	    !trace_u32(f, "connections", &c.connections) ||
+	    !trace_u32(f, "cpu", &c.cpu_milli) ||
+	    !trace_u32(f, "memory", &c.memory_mb) ||
+	    !trace_u32(f, "accelerators", &c.accelerators) ||
+	    !trace_time(f, "remember", &remember_ms))
+		return false;
+	if (life->gate)
+		cf_gate_set_capacity(life->gate, &c);
+	else
+		life->gate = cf_gate_create(&c, remember_ms);
+	return true;
+}
+
+static bool read_task(struct trace_fields *f, struct cf_task *task)
+{
+	return trace_key(f, &task->key) &&
+	       trace_u32(f, "index", &task->index) &&
+	       trace_incarnation(f, "dispatcher", &task->dispatcher) &&
+	       trace_u64(f, "job", &task->job) &&
+	       trace_u32(f, "cpu", &task->cpu_milli) &&
+	       trace_u32(f, "memory", &task->memory_mb) &&
+	       trace_u32(f, "accelerators", &task->accelerators) &&
+	       trace_u32(f, "predicted", &task->predicted_ms) &&
+	       trace_time(f, "slack_end", &task->slack_end_ms) &&
+	       trace_time(f, "deadline", &task->deadline_ms);
+}
+
+static bool replay_offer(struct cf_replay *replay, struct life *life,
+			 struct trace_fields *f)
+{
+	struct cf_task task = { 0 };
+	bool held, fifo, accepted, got;
+	int64_t now_ms;
+
+	if (!read_task(f, &task) || !trace_flag(f, "held", &held) ||
+	    !trace_flag(f, "fifo", &fifo) ||
+	    !trace_flag(f, "accepted", &accepted) ||
+	    !trace_time(f, "now", &now_ms))
+		return false;
+	got = cf_gate_offer(life->gate, &task, held, fifo, now_ms);
+	compare(replay, f, got == accepted, "the gate says %d, not %d", got,
+		accepted);
+	return true;
+}
+
+static bool replay_open(struct cf_replay *replay, struct life *life,
+			struct trace_fields *f)
+{
+	struct cf_key key;
+	uint64_t dispatcher, job;
+
+	(void)replay;
+	if (!trace_key(f, &key) ||
+	    !trace_incarnation(f, "dispatcher", &dispatcher) ||
+	    !trace_u64(f, "job", &job))
+		return false;
+	cf_gate_open(life->gate, &key, dispatcher, job);
+	return true;
+}
+
+static void compare_task(struct cf_replay *replay, struct trace_fields *f,
+			 const struct cf_task *got, const struct cf_key *key,
+			 uint32_t index)
+{
+	compare(replay, f,
+		got && got->index == index && cf_key_equal(&got->key, key),
+		got ? "another task is next, index %u" : "no task is next%.0u",
+		got ? got->index : 0);
+}
+
+static bool replay_start(struct cf_replay *replay, struct life *life,
+			 struct trace_fields *f)
+{
+	const struct cf_gate_permit permit = { true, true, false };
+	struct cf_key key;
+	uint32_t index;
+	int64_t now_ms;
+
+	if (!trace_key(f, &key) || !trace_u32(f, "index", &index) ||
+	    !trace_time(f, "now", &now_ms))
+		return false;
+	compare_task(replay, f, cf_gate_start(life->gate, &permit, now_ms),
+		     &key, index);
+	return true;
+}
+
+static bool replay_end(struct cf_replay *replay, struct life *life,
+		       struct trace_fields *f)
+{
+	struct cf_key key;
+	uint32_t index;
+	int64_t now_ms;
+	bool ok;
+
+	if (!trace_key(f, &key) || !trace_u32(f, "index", &index) ||
+	    !trace_flag(f, "ok", &ok) || !trace_time(f, "now", &now_ms))
+		return false;
+	compare(replay, f,
+		cf_gate_finish(life->gate, &key, index, ok, NULL, now_ms),
+		"index %u was not running", index);
+	return true;
+}
+
+/* Fenced by the gate itself; those of cancels and queries follow them. */
+static bool replay_fence(struct cf_replay *replay, struct life *life,
+			 struct trace_fields *f)
+{
+	struct cf_gate_permit permit;
+	struct cf_key key;
+	uint32_t index;
+	int64_t now_ms;
+	bool by_gate;
+
+	if (!trace_word(f, "by", "gate", &by_gate))
+		return false;
+	if (!by_gate)
+		return true;
+	if (!trace_key(f, &key) || !trace_u32(f, "index", &index) ||
+	    !trace_flag(f, "lease", &permit.lease_held) ||
+	    !trace_flag(f, "service", &permit.in_service) ||
+	    !trace_flag(f, "draining", &permit.draining) ||
+	    !trace_time(f, "now", &now_ms))
+		return false;
+	compare_task(replay, f,
+		     cf_gate_take_unstartable(life->gate, &permit, now_ms),
+		     &key, index);
+	return true;
+}
+
+static bool replay_cancel(struct cf_replay *replay, struct life *life,
+			  struct trace_fields *f)
+{
+	uint32_t indexes[FENCED_MAX];
+	struct cf_key key;
+	uint64_t dispatcher, job, fenced, got;
+	int64_t now_ms;
+
+	if (!trace_key(f, &key) ||
+	    !trace_incarnation(f, "dispatcher", &dispatcher) ||
+	    !trace_u64(f, "job", &job) || !trace_u64(f, "fenced", &fenced) ||
+	    !trace_time(f, "now", &now_ms))
+		return false;
+	got = cf_gate_fence_job(life->gate, &key, dispatcher, job, now_ms,
+				indexes, FENCED_MAX);
+	compare(replay, f, got == fenced, "fences %u, not %u",
+		(unsigned int)got, (unsigned int)fenced);
+	return true;
+}
+
+static bool replay_query(struct cf_replay *replay, struct life *life,
+			 struct trace_fields *f)
+{
+	struct cf_key key;
+	uint32_t index, state, got;
+	int64_t now_ms;
+	bool fence;
+
+	if (!trace_key(f, &key) || !trace_u32(f, "index", &index) ||
+	    !trace_flag(f, "fence", &fence) || !trace_u32(f, "state", &state) ||
+	    !trace_time(f, "now", &now_ms))
+		return false;
+	got = cf_gate_query(life->gate, &key, index, fence, NULL, now_ms);
+	compare(replay, f, got == state, "state %u, not %u", got, state);
+	return true;
+}
+
+static bool replay_seal(struct cf_replay *replay, struct life *life,
+			struct trace_fields *f)
+{
+	struct cf_key key;
+	int64_t now_ms;
+
+	(void)replay;
+	if (!trace_key(f, &key) || !trace_time(f, "now", &now_ms))
+		return false;
+	cf_gate_seal(life->gate, &key, now_ms);
+	return true;
+}
+
+static bool replay_adopt(struct cf_replay *replay, struct life *life,
+			 struct trace_fields *f)
+{
+	struct cf_key key;
+	uint64_t dispatcher;
+	uint32_t epoch;
+	int64_t now_ms;
+	bool ok, got;
+
+	if (!trace_key(f, &key) ||
+	    !trace_incarnation(f, "dispatcher", &dispatcher) ||
+	    !trace_u32(f, "epoch", &epoch) || !trace_flag(f, "ok", &ok) ||
+	    !trace_time(f, "now", &now_ms))
+		return false;
+	got = cf_gate_adopt(life->gate, &key, dispatcher, epoch, now_ms);
+	compare(replay, f, got == ok, "adopts %d, not %d", got, ok);
+	return true;
+}
+
+static bool replay_fence_dispatcher(struct cf_replay *replay, struct life *life,
+				    struct trace_fields *f)
+{
+	uint64_t dispatcher;
+	int64_t now_ms;
+
+	(void)replay;
+	if (!trace_incarnation(f, "dispatcher", &dispatcher) ||
+	    !trace_time(f, "now", &now_ms))
+		return false;
+	cf_gate_fence_dispatcher(life->gate, dispatcher, now_ms);
+	return true;
+}
+
+/* ---- Vote ledger ---- */
+
+/* After a clean stop the ledger of the life before goes on. */
+static void hand_over(struct cf_replay *replay, struct life *life)
+{
+	struct life *before = g_hash_table_lookup(replay->newest, life->name);
+	GBytes *saved;
+
+	if (!before || !before->ledger)
+		return;
+	saved = cf_ledger_save(before->ledger);
+	life->ledger = cf_ledger_create(CF_LEDGER_HORIZON_MS, 0);
+	cf_ledger_load(life->ledger, saved, NULL);
+	g_bytes_unref(saved);
+}
+
+static bool replay_ledger(struct cf_replay *replay, struct life *life,
+			  struct trace_fields *f)
+{
+	int64_t safe_after_ms;
+	bool loaded;
+
+	if (!trace_time(f, "safe_after", &safe_after_ms) ||
+	    !trace_flag(f, "loaded", &loaded))
+		return false;
+	if (loaded)
+		hand_over(replay, life);
+	else
+		life->ledger =
+			cf_ledger_create(CF_LEDGER_HORIZON_MS, safe_after_ms);
+	g_hash_table_insert(replay->newest, life->name, life);
+	return true;
+}
+
+static bool replay_vote(struct cf_replay *replay, struct life *life,
+			struct trace_fields *f)
+{
+	static const char *const verdicts[] = { "for", "abstain", "too_old",
+						"too_new", "unfenced" };
+	struct cf_claim claim;
+	uint64_t owner, got_owner = 0;
+	int64_t wall_ms;
+	bool may, fenced, same;
+	enum cf_vote got;
+
+	if (!trace_key(f, &claim.key) || !trace_u32(f, "epoch", &claim.epoch) ||
+	    !trace_incarnation(f, "asker", &claim.owner) ||
+	    !trace_incarnation(f, "prior", &claim.prior_owner) ||
+	    !trace_incarnation(f, "owner", &owner) ||
+	    !trace_flag(f, "may", &may) ||
+	    !trace_flag(f, "prior_fenced", &fenced) ||
+	    !trace_time(f, "wall", &wall_ms))
+		return false;
+	got = cf_ledger_vote(life->ledger, &claim, may, fenced, wall_ms,
+			     &got_owner);
+	if (!trace_word(f, "verdict", verdicts[got], &same))
+		return false;
+	compare(replay, f, same && got_owner == owner,
+		"votes %s for %016" PRIx64, verdicts[got], got_owner);
+	return true;
+}
+
+/* ---- Lines ---- */
+
+static const struct replay_step steps[] = {
+	{ "gate", replay_gate },
+	{ "ledger", replay_ledger },
+	{ "vote", replay_vote },
+	{ "offer", replay_offer },
+	{ "open", replay_open },
+	{ "start", replay_start },
+	{ "end", replay_end },
+	{ "unstarted", replay_end },
+	{ "fence", replay_fence },
+	{ "cancel", replay_cancel },
+	{ "query", replay_query },
+	{ "seal", replay_seal },
+	{ "adopt", replay_adopt },
+	{ "fence_dispatcher", replay_fence_dispatcher },
+};
+
+static bool replay_line(struct cf_replay *replay, struct life *life,
+			const char *event, struct trace_fields *fields)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(steps); i++) {
+		if (strcmp(steps[i].event, event) != 0)
+			continue;
+		/* Its beginning is not in the trace: nothing to compare. */
+		if (!strcmp(event, "vote") ? !life->ledger
+					   : i > 1 && !life->gate) {
+			replay->summary.passed_over++;
+			return true;
+		}
+		return steps[i].replay(replay, life, fields);
+	}
+	return true;
+}
+
+/* ---- Public functions ---- */
+
+struct cf_replay *cf_replay_create(void)
+{
+	struct cf_replay *replay = g_new0(struct cf_replay, 1);
+
+	replay->lives = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+					      g_free, free_life);
+	replay->newest = g_hash_table_new(g_str_hash, g_str_equal);
+	return replay;
+}
+
+void cf_replay_destroy(struct cf_replay *replay)
+{
+	if (!replay)
+		return;
+	g_hash_table_destroy(replay->newest);
+	g_hash_table_destroy(replay->lives);
+	g_free(replay);
+}
+
+bool cf_replay_feed(struct cf_replay *replay, const char *text, GError **error)
+{
+	struct trace_fields fields;
+	uint64_t incarnation;
+	const char *event, *name;
+
+	if (!trace_split(text, &fields, error) ||
+	    !trace_incarnation(&fields, "i", &incarnation))
+		return false;
+	name = trace_find(&fields, "p");
+	event = name ? trace_find(&fields, "e") : NULL;
+	if (!event || !trace_find(&fields, "n"))
+		return false;
+	return replay_line(replay, find_life(replay, incarnation, name), event,
+			   &fields);
+}
+
+void cf_replay_get_summary(const struct cf_replay *replay,
+			   struct cf_replay_summary *summary)
+{
+	*summary = replay->summary;
+}
--- a/src/roles/agent.c
+++ b/src/roles/agent.c
@@ -9,13 +9,13 @@
 #include "base/counters.h"
 #include "base/logger.h"
 #include "base/trace_file.h"
+#include "roles/agent_trace.h"
 
 #include <inttypes.h>
 
 /* ---- Constants ---- */
 
 #define TICK_MS 20
-#define REMEMBER_MS (CF_LEDGER_HORIZON_MS + CF_CLOCK_SKEW_MS)
 #define STOP_POLL_MS 10
 #define LEAVE_WAIT_MS 100
 
@@ -214,7 +214,8 @@
 	agent->admin = admin_create(settings_text(s, "admin"), error);
 	if (!agent->admin || !admin_start(agent->admin, error))
 		return false;
-	agent->gate = cf_gate_create(&none, REMEMBER_MS);
+	agent->gate = cf_gate_create(&none, AGENT_REMEMBER_MS);
+	agent_trace_gate(&none, AGENT_REMEMBER_MS);
 	agent->batches = g_hash_table_new_full(agent_name_hash,
 					       agent_name_equal, g_free, NULL);
 	agent->callers = g_hash_table_new_full(g_int64_hash, g_int64_equal,
--- a/src/roles/agent_backend.c
+++ b/src/roles/agent_backend.c
@@ -9,6 +9,7 @@
 #include "base/counters.h"
 #include "base/logger.h"
 #include "base/trace_file.h"
+#include "roles/agent_trace.h"
 
 #include <inttypes.h>
 #include <jansson.h>
@@ -82,6 +83,16 @@
 			   size);
 }
 
+static void set_capacity(struct agent *agent,
+			 const struct cf_capacity *capacity)
+{
+	if (!memcmp(&agent->board.capacity, capacity, sizeof(*capacity)))
+		return;
+	agent->board.capacity = *capacity;
+	cf_gate_set_capacity(agent->gate, capacity);
+	agent_trace_gate(capacity, AGENT_REMEMBER_MS);
+}
+
 static void take_announcement(struct announcement *a)
 {
 	struct agent_board *board = &a->agent->board;
@@ -98,8 +109,7 @@
 	if (board->backend_leaving)
 		trace_event("back", "who=backend");
 	board->backend_leaving = false;
-	board->capacity = a->capacity;
-	cf_gate_set_capacity(a->agent->gate, &a->capacity);
+	set_capacity(a->agent, &a->capacity);
 	session_set_capacity(a->agent->session, &a->capacity);
 	session_begin(a->agent->session);
 }
@@ -278,22 +288,18 @@
 }
 
 static void count_end(struct agent *agent, const struct backend_call *call,
-		      const struct task_end *end)
+		      const struct task_end *end, int64_t now_ms)
 {
-	char key[CF_KEY_TEXT_SIZE];
+	bool done = end->outcome == CFW__TASK_OUTCOME__TASK_DONE;
 
-	cf_key_format(&call->key, key);
 	if (end->outcome == CFW__TASK_OUTCOME__TASK_NOT_STARTED) {
-		trace_event("unstarted", "key=%s index=%u", key, call->index);
+		agent_trace_end("unstarted", &call->key, call->index, false,
+				now_ms);
 		counter_add(agent->counters.unstarted, 1);
 		return;
 	}
-	trace_event("end", "key=%s index=%u ok=%d", key, call->index,
-		    end->outcome == CFW__TASK_OUTCOME__TASK_DONE);
-	counter_add(end->outcome == CFW__TASK_OUTCOME__TASK_DONE
-			    ? agent->counters.done
-			    : agent->counters.failed,
-		    1);
+	agent_trace_end("end", &call->key, call->index, done, now_ms);
+	counter_add(done ? agent->counters.done : agent->counters.failed, 1);
 }
 
 static void call_ended(void *arg, const struct http_answer *answer)
@@ -305,7 +311,7 @@
 
 	end.run_ms = (uint32_t)(now_ms - call->started_ms);
 	read_answer(call, answer, &end);
-	count_end(agent, call, &end);
+	count_end(agent, call, &end, now_ms);
 	cf_gate_finish(agent->gate, &call->key, call->index,
 		       end.outcome == CFW__TASK_OUTCOME__TASK_DONE, end.result,
 		       now_ms);
--- a/src/roles/agent_internal.h
+++ b/src/roles/agent_internal.h
@@ -15,6 +15,9 @@
 
 #include <apr_thread_proc.h>
 
+/* Outcomes of tasks are kept as long as claims may name their keys. */
+#define AGENT_REMEMBER_MS (CF_LEDGER_HORIZON_MS + CF_CLOCK_SKEW_MS)
+
 /* The tasks of one Dispatch; their results go back together. */
 struct batch {
 	uint64_t dispatcher;
--- a/src/roles/agent_tasks.c
+++ b/src/roles/agent_tasks.c
@@ -7,7 +7,7 @@
 #include "base/clock.h"
 #include "base/counters.h"
 #include "base/logger.h"
-#include "base/trace_file.h"
+#include "roles/agent_trace.h"
 
 #include <inttypes.h>
 #include <string.h>
@@ -231,9 +231,12 @@
 				 const char *message)
 {
 	struct task_end end = { .message = message };
+	int64_t now_ms = clock_now_ms();
+	enum cf_task_state state = cf_gate_query(agent->gate, key, index, fence,
+						 &end.result, now_ms);
 
-	switch (cf_gate_query(agent->gate, key, index, fence, &end.result,
-			      clock_now_ms())) {
+	agent_trace_query(key, index, fence, state, now_ms);
+	switch (state) {
 	case CF_TASK_DONE:
 		end.outcome = CFW__TASK_OUTCOME__TASK_DONE;
 		break;
@@ -262,10 +265,14 @@
 	struct cf_task task;
 	struct task_name *name;
 	struct task_end end;
+	bool accepted;
 
 	fill_task(&task, dispatch, &batch->key, from, now_ms);
-	if (cf_gate_offer(agent->gate, &task, dispatch->gated, dispatch->fifo,
-			  now_ms)) {
+	accepted = cf_gate_offer(agent->gate, &task, dispatch->gated,
+				 dispatch->fifo, now_ms);
+	agent_trace_offer(&task, dispatch->gated, dispatch->fifo, accepted,
+			  now_ms);
+	if (accepted) {
 		name = g_new(struct task_name, 1);
 		name->key = batch->key;
 		name->index = from->index;
@@ -340,6 +347,8 @@
 	if (!read_key(&open->key, &key))
 		return;
 	cf_gate_open(agent->gate, &key, open->dispatcher, open->job);
+	agent_trace_job("open", &key, open->dispatcher, open->job, 0,
+			clock_now_ms());
 	agent_pump(agent);
 }
 
@@ -382,8 +391,8 @@
 {
 	struct cf_key key;
 	uint32_t indexes[CF_JOB_TASKS_MAX];
-	char text[CF_KEY_TEXT_SIZE];
 	struct task_name name;
+	int64_t now_ms = clock_now_ms();
 	size_t n, i;
 
 	if (cancel->dispatcher != link_peer(link)->incarnation ||
@@ -391,16 +400,16 @@
 		counter_add(agent->counters.dropped, 1);
 		return;
 	}
-	cf_key_format(&key, text);
 	counter_add(agent->counters.cancels, 1);
 	n = cf_gate_fence_job(agent->gate, &key, cancel->dispatcher,
-			      cancel->job, clock_now_ms(), indexes,
-			      CF_JOB_TASKS_MAX);
+			      cancel->job, now_ms, indexes, CF_JOB_TASKS_MAX);
+	agent_trace_job("cancel", &key, cancel->dispatcher, cancel->job, n,
+			now_ms);
 	name.key = key;
 	for (i = 0; i < n; i++) {
 		struct batch *batch;
 
-		trace_event("fence", "key=%s index=%u", text, indexes[i]);
+		agent_trace_fence(&key, indexes[i], NULL, now_ms);
 		counter_add(agent->counters.fenced, 1);
 		name.index = indexes[i];
 		batch = g_hash_table_lookup(agent->batches, &name);
@@ -429,6 +438,24 @@
 		agent_task_ended(agent, &batch->key, index, &end);
 }
 
+static bool adopt_key(struct agent *agent, const struct cf_key *key,
+		      uint64_t dispatcher, uint32_t epoch)
+{
+	int64_t now_ms = clock_now_ms();
+	bool ok = cf_gate_adopt(agent->gate, key, dispatcher, epoch, now_ms);
+
+	agent_trace_adopt(key, dispatcher, epoch, ok, now_ms);
+	return ok;
+}
+
+static void seal_key(struct agent *agent, const struct cf_key *key)
+{
+	int64_t now_ms = clock_now_ms();
+
+	cf_gate_seal(agent->gate, key, now_ms);
+	agent_trace_seal(key, now_ms);
+}
+
 void agent_take_query(struct agent *agent, struct link *link,
 		      const Cfw__Query *query)
 {
@@ -444,9 +471,9 @@
 	if (!read_key(&query->key, &answer.key))
 		return;
 	/* Without an answer a former adopter cannot run anything. */
-	if (query->epoch && !cf_gate_adopt(agent->gate, &answer.key,
-					   link_peer(link)->incarnation,
-					   query->epoch, clock_now_ms()))
+	if (query->epoch &&
+	    !adopt_key(agent, &answer.key, link_peer(link)->incarnation,
+		       query->epoch))
 		return;
 	counter_add(agent->counters.queries, 1);
 	caller = agent_caller(agent, link_peer(link)->incarnation);
@@ -456,7 +483,7 @@
 				  CF_JOB_TASKS_MAX);
 		indexes = known;
 		if (query->fence && !query->epoch)
-			cf_gate_seal(agent->gate, &answer.key, clock_now_ms());
+			seal_key(agent, &answer.key);
 	}
 	for (i = 0; i < n; i++)
 		query_task(agent, &answer, query, indexes[i]);
@@ -478,43 +505,40 @@
 {
 	GHashTableIter iter;
 	struct caller_link *caller;
+	int64_t now_ms = clock_now_ms();
 
 	g_hash_table_iter_init(&iter, agent->callers);
-	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&caller))
-		if (cf_config_is_fenced(session_config(agent->session),
-					caller->incarnation))
-			cf_gate_fence_dispatcher(agent->gate,
-						 caller->incarnation,
-						 clock_now_ms());
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&caller)) {
+		if (!cf_config_is_fenced(session_config(agent->session),
+					 caller->incarnation))
+			continue;
+		cf_gate_fence_dispatcher(agent->gate, caller->incarnation,
+					 now_ms);
+		agent_trace_fence_dispatcher(caller->incarnation, now_ms);
+	}
 }
 
 /* ---- Starts ---- */
 
-static void start_task(struct agent *agent, const struct cf_task *task)
+static void start_task(struct agent *agent, const struct cf_task *task,
+		       int64_t now_ms)
 {
-	char key[CF_KEY_TEXT_SIZE];
-
-	cf_key_format(&task->key, key);
-	trace_event("start",
-		    "key=%s index=%u job=%" PRIu64 " dispatcher=%016" PRIx64
-		    " dc=%s rev=%" PRIu64,
-		    key, task->index, task->job, task->dispatcher,
-		    settings_text(agent->settings, "data-centre"),
-		    cf_config_revision(session_config(agent->session)));
+	agent_trace_start(task, settings_text(agent->settings, "data-centre"),
+			  cf_config_revision(session_config(agent->session)),
+			  now_ms);
 	counter_add(agent->counters.started, 1);
 	agent_backend_call(agent, task);
 }
 
-static void fence_task(struct agent *agent, const struct cf_task *task)
+static void fence_task(struct agent *agent, const struct cf_task *task,
+		       const struct cf_gate_permit *permit, int64_t now_ms)
 {
 	struct cf_key key = task->key;
 	uint32_t index = task->index;
 	struct task_end end = { CFW__TASK_OUTCOME__TASK_NOT_STARTED, NULL,
 				"not started here", 0, 0 };
-	char text[CF_KEY_TEXT_SIZE];
 
-	cf_key_format(&key, text);
-	trace_event("fence", "key=%s index=%u", text, index);
+	agent_trace_fence(&key, index, permit, now_ms);
 	counter_add(agent->counters.fenced, 1);
 	agent_task_ended(agent, &key, index, &end);
 }
@@ -534,9 +558,9 @@
 			  agent->board.backend_leaving || agent->board.fenced ||
 			  !agent->board.backend_url;
 	while ((task = cf_gate_start(agent->gate, &permit, now_ms)))
-		start_task(agent, task);
+		start_task(agent, task, now_ms);
 	while ((task = cf_gate_take_unstartable(agent->gate, &permit, now_ms)))
-		fence_task(agent, task);
+		fence_task(agent, task, &permit, now_ms);
 	cf_gate_get_load(agent->gate, now_ms, &load);
 	gauge_set(agent->counters.running, load.running);
 	gauge_set(agent->counters.queued, load.queued);
--- a/src/roles/coordinator_claims.c
+++ b/src/roles/coordinator_claims.c
@@ -27,15 +27,19 @@
 
 	if (saved) {
 		c->ledger = cf_ledger_create(CF_LEDGER_HORIZON_MS, 0);
-		if (cf_ledger_load(c->ledger, saved, &bad))
+		if (cf_ledger_load(c->ledger, saved, &bad)) {
+			trace_event("ledger", "safe_after=0 loaded=1");
 			return store_remove_file(c->data_folder, LEDGER_FILE,
 						 error);
+		}
 		cf_ledger_destroy(c->ledger);
 	}
 	if (bad)
 		log_event(LOG_WARN, "ledger_lost", "why=\"%s\"", bad->message);
 	c->ledger = cf_ledger_create(CF_LEDGER_HORIZON_MS, safe_after_ms);
 	c->votes_from_ms = safe_after_ms;
+	trace_event("ledger", "safe_after=%" G_GINT64_FORMAT " loaded=0",
+		    safe_after_ms);
 	log_event(LOG_INFO, "ledger_empty",
 		  "abstains_until_key_ms=%" G_GINT64_FORMAT, safe_after_ms);
 	return !bad || store_remove_file(c->data_folder, LEDGER_FILE, error);
@@ -94,8 +98,10 @@
 	return names[vote];
 }
 
-static void trace_vote(const struct cf_claim *claim, uint64_t owner,
-		       enum cf_vote vote, uint64_t view)
+/* What went into the vote and what came out; "trace replay" compares. */
+static void trace_vote(const struct cf_claim *claim, bool may, bool fenced,
+		       int64_t wall_ms, uint64_t owner, enum cf_vote vote,
+		       uint64_t view)
 {
 	char key[CF_KEY_TEXT_SIZE];
 
@@ -104,8 +110,11 @@
 	cf_key_format(&claim->key, key);
 	trace_event("vote",
 		    "key=%s epoch=%u owner=%016" HEX
-		    " verdict=%s view=%" G_GUINT64_FORMAT,
-		    key, claim->epoch, owner, name_vote(vote), view);
+		    " verdict=%s view=%" G_GUINT64_FORMAT " asker=%016" HEX
+		    " prior=%016" HEX " may=%d prior_fenced=%d"
+		    " wall=%" G_GINT64_FORMAT,
+		    key, claim->epoch, owner, name_vote(vote), view,
+		    claim->owner, claim->prior_owner, may, fenced, wall_ms);
 }
 
 static bool vote(struct coordinator *c, const struct Cfw__Claim *request,
@@ -115,16 +124,18 @@
 				  .owner = request->owner,
 				  .prior_owner = request->prior_owner };
 	uint64_t owner = 0;
+	int64_t wall_ms = clock_wall_ms();
 	enum cf_vote verdict;
+	bool fenced;
 
 	if (request->key.len != CF_KEY_SIZE || !request->owner)
 		return false;
 	memcpy(claim.key.bytes, request->key.data, CF_KEY_SIZE);
-	verdict = cf_ledger_vote(
-		c->ledger, &claim, may,
-		cf_config_is_fenced(c->config, claim.prior_owner),
-		clock_wall_ms(), &owner);
-	trace_vote(&claim, owner, verdict, newest_view(c));
+	fenced = cf_config_is_fenced(c->config, claim.prior_owner);
+	verdict =
+		cf_ledger_vote(c->ledger, &claim, may, fenced, wall_ms, &owner);
+	trace_vote(&claim, may, fenced, wall_ms, owner, verdict,
+		   newest_view(c));
 	counter_add(verdict == CF_VOTE_FOR ? c->counters.votes_for
 					   : c->counters.votes_none,
 		    1);
--- a/src/roles/trace_verbs.c
+++ b/src/roles/trace_verbs.c
@@ -1,6 +1,7 @@
 /*
  * trace_verbs: "chervilferry trace check FILE..." merges the traces of
- * all processes and names the first event that breaks each promise.
+ * all processes and names the first event that breaks each promise;
+ * "trace replay FILE..." has the decision parts decide again.
  */
 #include "roles/trace_verbs.h"
 
@@ -91,10 +92,66 @@
 	return n ? EXIT_BROKEN : 0;
 }
 
+/* ---- Replay ---- */
+
+static bool replay_file(struct cf_replay *replay, const char *path,
+			GError **error)
+{
+	FILE *file = fopen(path, "r");
+	char *line = NULL;
+	size_t size = 0;
+	ssize_t got;
+	bool ok = true;
+
+	if (!file) {
+		g_set_error(error, role_error_quark(), errno, "%s: %s", path,
+			    g_strerror(errno));
+		return false;
+	}
+	while (ok && (got = getline(&line, &size, file)) > 0) {
+		if (line[got - 1] != '\n')
+			break;
+		line[got - 1] = '\0';
+		if (*line)
+			ok = cf_replay_feed(replay, line, error);
+	}
+	free(line);
+	fclose(file);
+	return ok;
+}
+
+static int replay_files(int n_files, char **files)
+{
+	struct cf_replay *replay = cf_replay_create();
+	struct cf_replay_summary s;
+	GError *error = NULL;
+	int i, status = 0;
+
+	for (i = 0; i < n_files && !error; i++)
+		replay_file(replay, files[i], &error);
+	cf_replay_get_summary(replay, &s);
+	if (error) {
+		fprintf(stderr, "%s: %s\n", files[i - 1], error->message);
+		g_clear_error(&error);
+		status = EXIT_BAD_USE;
+	} else {
+		if (s.mismatches)
+			printf("differs: %s\n", s.first);
+		printf("%" PRIu64 " decisions compared, %" PRIu64
+		       " differ, %" PRIu64 " events passed over\n",
+		       s.decisions, s.mismatches, s.passed_over);
+		status = s.mismatches ? EXIT_BROKEN : 0;
+	}
+	cf_replay_destroy(replay);
+	return status;
+}
+
 int trace_main(int argc, char **argv)
 {
+	if (argc > 2 && !strcmp(argv[1], "replay"))
+		return replay_files(argc - 2, argv + 2);
 	if (argc > 2 && !strcmp(argv[1], "check"))
 		return check_files(argc - 2, argv + 2);
-	fputs("usage: chervilferry trace check FILE...\n", stderr);
+	fputs("usage: chervilferry trace check|replay FILE...\n", stderr);
 	return EXIT_BAD_USE;
 }
