--- a/src/roles/role.h
+++ b/src/roles/role.h
@@ -46,7 +46,7 @@
 int role_fail(GError *error); /* logs it, gives the exit status */
 
 /* Blocks SIGTERM and SIGINT in all threads (call before any is made)
- * and waits for one; SIGPIPE is ignored. */
+ * and waits for one; SIGPIPE and SIGXFSZ are ignored. */
 void role_block_signals(void);
 void role_wait_for_stop(void);
 void role_request_stop(void); /* as if SIGTERM had come; any thread */
--- a/src/roles/signals.c
+++ b/src/roles/signals.c
@@ -21,6 +21,8 @@
 	stop_signals(&set);
 	pthread_sigmask(SIG_BLOCK, &set, NULL);
 	signal(SIGPIPE, SIG_IGN);
+	/* A file that may not grow is a failed write, not the end. */
+	signal(SIGXFSZ, SIG_IGN);
 }
 
 void role_wait_for_stop(void)
--- a/tests/support/cluster.c
+++ b/tests/support/cluster.c
@@ -287,13 +287,13 @@
 {
 	int i;
 
-	for (i = 0; i < c->n_coordinators; i++) {
+	for (i = 0; i < c->n_procs; i++) {
 		struct proc *p = &c->procs[i];
 		char *answer = NULL;
 		json_t *root;
 		bool leads;
 
-		if (!p->pid)
+		if (strcmp(p->role, "coordinator") != 0 || !p->pid)
 			continue;
 		cluster_http(cluster_address(c, p->name, "admin"), "GET",
 			     "/v1/status", NULL, NULL, &answer, 500);
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -65,6 +65,9 @@
 void proc_freeze(struct proc *p);
 void proc_thaw(struct proc *p);
 bool proc_running(struct proc *p);
+/* No file of the process may grow beyond this: its writes then fail with
+ * EFBIG; -1 lifts the limit. */
+void proc_limit_files(struct proc *p, int64_t size_bytes);
 
 /* "ip:port" of a process's interface: "listen", "admin", "http",
  * "backend-listen" or "serve"; the text lives as long as the cluster. */
--- a/tests/support/proc.c
+++ b/tests/support/proc.c
@@ -15,6 +15,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -156,6 +157,15 @@
 	return p->pid && proc_wait(p, 0) == -1 && p->pid;
 }
 
+void proc_limit_files(struct proc *p, int64_t size_bytes)
+{
+	struct rlimit limit;
+
+	assert_int_equal(prlimit(p->pid, RLIMIT_FSIZE, NULL, &limit), 0);
+	limit.rlim_cur = size_bytes < 0 ? limit.rlim_max : (rlim_t)size_bytes;
+	assert_int_equal(prlimit(p->pid, RLIMIT_FSIZE, &limit, NULL), 0);
+}
+
 /* ---- End ---- */
 
 static void remove_tree(const char *path)
--- a/tests/support/relay.c
+++ b/tests/support/relay.c
@@ -25,12 +25,22 @@
 #define PAIRS_MAX 256
 #define POLL_MS 10
 #define BUFFER_BYTES 65536
+#define FIRST_BYTES 128 /* of what a caller sends: its Hello */
+#define RULES_MAX 16
 
 /* ---- Types ---- */
 
 struct pair {
 	int caller, target; /* sockets, blocking writes */
 	int silent; /* enum relay_way, for good */
+	char first[FIRST_BYTES];
+	size_t n_first;
+};
+
+/* Of the callers of one name. */
+struct rule {
+	char pattern[40]; /* the name as a field of the Hello */
+	gint way; /* atomic */
 };
 
 struct relay {
@@ -41,6 +51,8 @@
 	gint accepted; /* atomic */
 	struct pair pairs[PAIRS_MAX];
 	int n_pairs;
+	struct rule rules[RULES_MAX];
+	gint n_rules; /* atomic */
 };
 
 /* ---- Sockets ---- */
@@ -74,6 +86,7 @@
 	p->caller = fd;
 	p->target = socket(AF_INET, SOCK_STREAM, 0);
 	p->silent = 0;
+	p->n_first = 0;
 	if (r->n_pairs == PAIRS_MAX ||
 	    connect(p->target, (struct sockaddr *)&r->target,
 		    sizeof(r->target))) {
@@ -109,6 +122,27 @@
 	return true;
 }
 
+static void keep_first(struct pair *p, const char *data, ssize_t size)
+{
+	size_t more = MIN((size_t)MAX(size, 0), FIRST_BYTES - p->n_first);
+
+	memcpy(p->first + p->n_first, data, more);
+	p->n_first += more;
+}
+
+static int caller_silence(struct relay *r, const struct pair *p)
+{
+	int n = g_atomic_int_get(&r->n_rules), i, way = 0;
+
+	for (i = 0; i < n; i++) {
+		const char *pattern = r->rules[i].pattern;
+
+		if (memmem(p->first, p->n_first, pattern, strlen(pattern)))
+			way |= g_atomic_int_get(&r->rules[i].way);
+	}
+	return way;
+}
+
 /* Returns false when the pair is to be closed. */
 static bool pass(struct relay *r, struct pair *p, int from, int to, int way)
 {
@@ -118,6 +152,9 @@
 
 	if (n < 0)
 		return errno == EAGAIN || errno == EINTR;
+	if (way == RELAY_TO_TARGET)
+		keep_first(p, buffer, n);
+	silent |= caller_silence(r, p);
 	/* A silent pair does not pass the end on either. */
 	if (silent & way)
 		return n > 0;
@@ -207,6 +244,24 @@
 	g_atomic_int_set(&r->silent_all, (gint)way);
 }
 
+void relay_silence_caller(struct relay *r, const char *name, enum relay_way way)
+{
+	char pattern[40];
+	int i;
+
+	/* Field 2 of the message, a text with its length before it. */
+	snprintf(pattern, sizeof(pattern), "\x12%c%s", (int)strlen(name), name);
+	for (i = 0; i < r->n_rules; i++)
+		if (!strcmp(r->rules[i].pattern, pattern))
+			break;
+	assert_true(i < RULES_MAX);
+	g_atomic_int_set(&r->rules[i].way, (gint)way);
+	if (i < r->n_rules)
+		return;
+	g_strlcpy(r->rules[i].pattern, pattern, sizeof(r->rules[i].pattern));
+	g_atomic_int_inc(&r->n_rules);
+}
+
 uint64_t relay_accepted(const struct relay *r)
 {
 	return (uint64_t)g_atomic_int_get(&r->accepted);
--- a/tests/support/relay.h
+++ b/tests/support/relay.h
@@ -24,6 +24,10 @@
 			enum relay_way way); /* those there are, for good */
 void relay_silence_all(struct relay *relay,
 		       enum relay_way way); /* these and new ones, until NONE */
+/* Connections of the process of this name, told by its Hello, those
+ * there are and new ones; to be called by one thread. */
+void relay_silence_caller(struct relay *relay, const char *name,
+			  enum relay_way way);
 uint64_t relay_accepted(const struct relay *relay); /* connections so far */
 
 #endif
