load: don't call a failed answer another job's

The event "got" said own=0 for every answer that is not complete, since only complete answers have results to compare; the trace check took that for a crossed answer. Ruled out: a crossed answer at the dispatcher (the load report of the same run counts 0 crossed). A failed answer has no results, so own is now 0 only for a complete answer with another job's.

--- a/src/roles/load.c
+++ b/src/roles/load.c
@@ -87,9 +87,11 @@
 	static const char *const outcomes[] = { "complete", "failed", "failed",
 						"lost" };
 
+	/* Only a complete answer has results that may be another job's. */
 	trace_event("got", "key=%s outcome=%s ran=%s whole=%d own=%d",
 		    job->key_text, outcomes[verdict->outcome],
-		    ran[verdict->outcome], verdict->whole, verdict->own);
+		    ran[verdict->outcome], verdict->whole,
+		    verdict->own || verdict->outcome != LOAD_COMPLETE);
 }
 
 static void count_complete(struct load_report *report,
