--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -4,14 +4,17 @@
 #   tools/cluster.sh FOLDER [COMMAND...]
 # Starts them, waits until they are ready, runs COMMAND (or waits for
 # Ctrl-C) with DISPATCHERS, ADMINS and COORDINATORS set, and stops them.
-# Extra flags: DISPATCHER_FLAGS, AGENT_FLAGS, BACKEND_FLAGS; AGENTS=N;
-# TRACE=1 writes traces into FOLDER.
+# Extra flags: DISPATCHER_FLAGS, AGENT_FLAGS, BACKEND_FLAGS (and of the
+# first stand-in alone: FIRST_BACKEND_FLAGS); AGENTS=N; CENTRES="NAME
+# NAME NAME"; TRACE=1 writes traces into FOLDER; IP=127.x.y.z. FOLDER
+# also gets NAME.pid of each process.
 set -eu
 folder=$1
 shift
 binary=${CHERVILFERRY_BINARY:-build/chervilferry}
 agents=${AGENTS:-6}
-ip=127.0.0.1
+ip=${IP:-127.0.0.1}
+read -r -a centres <<<"${CENTRES:-dc1 dc2 dc3}"
 mkdir -p "$folder"
 pids=()
 stop() {
@@ -29,6 +32,7 @@
 	[ -n "${TRACE:-}" ] && set -- "$@" --trace="$folder/$name.trace"
 	"$binary" "$role" --name="$name" "$@" >>"$folder/$name.log" 2>&1 &
 	pids=("$!" "${pids[@]}")
+	echo "$!" >"$folder/$name.pid"
 }
 members=
 COORDINATORS=
@@ -40,12 +44,15 @@
 for i in 1 2 3; do
 	run "c$i" coordinator --id="$i" --data="$folder/c$i" \
 		--listen="$ip:710$i" --admin="$ip:810$i" \
-		--data-centre="dc$i" --first-members="$members"
+		--data-centre="${centres[i - 1]}" --first-members="$members"
 done
 ADMINS=$COORDINATORS
 for i in $(seq "$agents"); do
-	dc=dc$(((i - 1) % 3 + 1))
-	run "b$i" backend --agent="$ip:$((8700 + i))" ${BACKEND_FLAGS:-}
+	dc=${centres[(i - 1) % 3]}
+	own=
+	[ "$i" = 1 ] && own=${FIRST_BACKEND_FLAGS:-}
+	run "b$i" backend --agent="$ip:$((8700 + i))" \
+		--serve="$ip:0" ${BACKEND_FLAGS:-} $own
 	run "a$i" agent --coordinators="$links" --data-centre="$dc" \
 		--rack="rack$(((i + 2) / 3))" --listen="$ip:$((7300 + i))" \
 		--admin="$ip:$((8300 + i))" \
@@ -54,7 +61,7 @@
 done
 DISPATCHERS=
 for i in 1 2; do
-	run "d$i" dispatcher --coordinators="$links" --data-centre="dc$i" \
+	run "d$i" dispatcher --coordinators="$links" --data-centre="${centres[i - 1]}" \
 		--listen="$ip:720$i" --admin="$ip:820$i" \
 		--http="$ip:821$i" ${DISPATCHER_FLAGS:-}
 	ADMINS="$ADMINS,$ip:820$i"
