dispatcher: wire the policy's accounts of tasks, slots and stragglers

The admitter knew of a job only whether all of its tasks were placed, took every usable slot as this dispatcher's own, and health learned of a straggler only when its tasks ended. Now each task is counted with cf_admitter_placed and cf_admitter_task_ended once (a task that is moved stays counted, so that no work leaks when its job ends meanwhile; tasks that travelled before admission are counted at it); capacity is what the servers' health allows less the tasks of other dispatchers (running + queued + unseen sends less one's own), and 0 only if no server is usable; cf_health_sent is told of sends, and cf_health_overdue of a task that is out for three times its prediction, once, when the placement keeps queues short. Callers' own doing (400, cancelled) spends no error budget and doesn't press the class's share. Jobs whose claim goes along with the tasks had run time 0 predicted at the send; they are predicted first. Teams came from the configuration already.

--- a/src/roles/dispatcher.c
+++ b/src/roles/dispatcher.c
@@ -225,6 +225,9 @@
 	c->agents = gauge_get("agents_known", NULL, "Agents on the roster");
 	c->usable = gauge_get("agents_usable", NULL,
 			      "Agents that may be sent tasks just now");
+	c->slots = gauge_get("slots_usable", NULL,
+			     "Slots of usable agents, without those that "
+			     "other dispatchers' tasks take");
 }
 
 static struct link_hub *open_hub(struct dispatcher *d, GError **error)
--- a/src/roles/dispatcher_agents.c
+++ b/src/roles/dispatcher_agents.c
@@ -14,6 +14,10 @@
 /* ---- Constants ---- */
 
 #define RECONNECT_WAIT_MS 2000 /* then it cannot answer any more */
+#define FULL_MILLI 1000
+#define OVERDUE_TIMES 3 /* its prediction */
+#define OVERDUE_LEAST_MS 100
+#define OVERDUE_INTERVAL_MS 100 /* between looks at a job's tasks */
 #define DISTANCE_NEAR_US 250 /* one way within a data centre */
 #define DISTANCE_FAR_US 1250 /* one way between data centres */
 
@@ -59,6 +63,20 @@
 					 p->data_centre);
 }
 
+/* Slots there that this dispatcher's tasks have or could have: without
+ * those of others' tasks, and as its health allows. */
+static uint32_t slots_for_us(struct dispatcher *d, const struct dagent *a)
+{
+	const struct cf_place_agent *p = place_of(d, a);
+	uint64_t allowed = ((uint64_t)p->capacity.slots * p->weight_milli +
+			    FULL_MILLI - 1) /
+			   FULL_MILLI;
+	uint32_t there = tasks_there(a);
+	uint32_t others = there - MIN(there, a->own_tasks);
+
+	return (uint32_t)(allowed - MIN(allowed, others));
+}
+
 void agents_refresh_all(struct dispatcher *d)
 {
 	uint32_t slots = 0, usable = 0;
@@ -71,9 +89,13 @@
 		if (!place_of(d, a)->usable)
 			continue;
 		usable++;
-		slots += place_of(d, a)->capacity.slots;
+		slots += slots_for_us(d, a);
 	}
 	gauge_set(d->counters.usable, usable);
+	gauge_set(d->counters.slots, slots);
+	/* 0 would mean that nothing can run at all. */
+	if (usable)
+		slots = MAX(slots, 1);
 	cf_admitter_set_capacity(d->admitter, slots, loop_now_ms(d->loop));
 }
 
@@ -91,10 +113,25 @@
 
 /* ---- Tasks at an agent ---- */
 
+void agents_count_placed(struct dispatcher *d, struct djob *j,
+			 struct task_spec *task)
+{
+	/* One that is placed again has been counted. */
+	if (!j->admitted || task->counted)
+		return;
+	task->counted = true;
+	cf_admitter_placed(d->admitter, &j->admit, task->predicted_ms,
+			   loop_now_ms(d->loop));
+}
+
 void agents_sent(struct dispatcher *d, struct dagent *a, struct djob *j,
-		 const struct task_spec *task)
+		 struct task_spec *task)
 {
-	(void)d;
+	task->agent = a->incarnation;
+	task->sent_ms = loop_now_ms(d->loop);
+	task->overdue = false;
+	agents_count_placed(d, j, task);
+	a->own_tasks++;
 	a->sent++;
 	a->unreported_ms += task->predicted_ms;
 	a->own.cpu_milli += task->cpu_milli;
@@ -106,13 +143,15 @@
 void agents_settled(struct dispatcher *d, struct dagent *a, struct djob *j,
 		    uint32_t index)
 {
-	const struct task_spec *task;
+	struct task_spec *task;
 	uint32_t pending;
 
 	(void)d;
 	if (!j->request)
 		return;
 	task = &g_array_index(j->request->tasks, struct task_spec, index);
+	task->sent_ms = 0;
+	a->own_tasks -= MIN(a->own_tasks, 1U);
 	a->own.cpu_milli -= MIN(a->own.cpu_milli, task->cpu_milli);
 	a->own.memory_mb -= MIN(a->own.memory_mb, task->memory_mb);
 	a->own.accelerators -= MIN(a->own.accelerators, task->accelerators);
@@ -144,6 +183,43 @@
 	}
 }
 
+void agents_count_ended(struct dispatcher *d, struct djob *j, uint32_t index)
+{
+	struct task_spec *task =
+		&g_array_index(j->request->tasks, struct task_spec, index);
+
+	if (!j->admitted || !task->counted)
+		return;
+	task->counted = false;
+	cf_admitter_task_ended(d->admitter, &j->admit, task->predicted_ms,
+			       loop_now_ms(d->loop));
+}
+
+/* A straggler is known before its tasks end. With long queues at agents
+ * the time since the send says nothing of the run time. */
+void agents_find_overdue(struct dispatcher *d, struct djob *j, int64_t now_ms)
+{
+	GArray *tasks = j->request->tasks;
+	guint i;
+
+	if (d->fifo || !j->owned ||
+	    now_ms - j->overdue_ms < OVERDUE_INTERVAL_MS)
+		return;
+	j->overdue_ms = now_ms;
+	for (i = 0; i < tasks->len; i++) {
+		struct task_spec *t =
+			&g_array_index(tasks, struct task_spec, i);
+		int64_t run_ms = now_ms - t->sent_ms;
+
+		if (!t->sent_ms || t->overdue || run_ms < OVERDUE_LEAST_MS ||
+		    run_ms < (int64_t)t->predicted_ms * OVERDUE_TIMES)
+			continue;
+		t->overdue = true;
+		cf_health_overdue(d->health, t->agent, (uint32_t)run_ms,
+				  t->predicted_ms, now_ms);
+	}
+}
+
 /* ---- Coming and going ---- */
 
 static void add_agent(struct dispatcher *d, const Cfw__RosterEntry *entry)
--- a/src/roles/dispatcher_internal.h
+++ b/src/roles/dispatcher_internal.h
@@ -21,6 +21,10 @@
 	uint32_t cpu_milli, memory_mb, accelerators;
 	uint32_t declared_ms; /* 0: none */
 	uint32_t predicted_ms; /* set at placement */
+	uint64_t agent; /* where it is, while sent_ms is set */
+	int64_t sent_ms; /* 0: at no agent */
+	bool counted; /* the admitter has it as placed */
+	bool overdue; /* its health was told so */
 };
 
 /* A caller's job as it was read and found valid. */
@@ -118,6 +122,7 @@
 	GArray *refused_by; /* uint64_t, agents that would not start it */
 	uint32_t moves;
 	int64_t retry_ms; /* not placed before */
+	int64_t overdue_ms; /* when its tasks were last looked at */
 	int64_t stop_ms;
 	uint32_t stop_status;
 	const char *stop_reason;
@@ -142,6 +147,7 @@
 	uint64_t sent; /* tasks */
 	uint32_t unreported_ms; /* predicted, of sends the load lacks */
 	struct cf_capacity own; /* by this dispatcher's tasks */
+	uint32_t own_tasks; /* unsettled */
 	int64_t down_ms; /* when the connection went, 0: it is up */
 	GHashTable *jobs; /* set of struct djob with unsettled tasks here */
 };
@@ -157,7 +163,7 @@
 	struct counter *jobs, *complete, *failed, *not_run, *resubmitted;
 	struct counter *claims, *forwards, *adoptions, *moves, *queries;
 	struct counter *cancels, *crossed, *forgotten, *tasks_sent;
-	struct counter *in_progress, *waiting, *agents, *usable;
+	struct counter *in_progress, *waiting, *agents, *usable, *slots;
 };
 
 struct dispatcher {
@@ -269,10 +275,14 @@
 void agents_tick(struct dispatcher *d, int64_t now_ms);
 struct dagent *agents_find(struct dispatcher *d, uint64_t incarnation);
 void agents_sent(struct dispatcher *d, struct dagent *a, struct djob *j,
-		 const struct task_spec *task);
+		 struct task_spec *task);
 void agents_settled(struct dispatcher *d, struct dagent *a, struct djob *j,
 		    uint32_t index);
 void agents_release_job(struct dispatcher *d, struct djob *j);
+void agents_count_placed(struct dispatcher *d, struct djob *j,
+			 struct task_spec *task); /* with the admitter */
+void agents_count_ended(struct dispatcher *d, struct djob *j, uint32_t index);
+void agents_find_overdue(struct dispatcher *d, struct djob *j, int64_t now_ms);
 void agents_free(gpointer agent);
 
 /* dispatcher_settle.c: what agents say of tasks. */
--- a/src/roles/dispatcher_jobs.c
+++ b/src/roles/dispatcher_jobs.c
@@ -15,6 +15,8 @@
 
 #define FENCE_WAIT_MS 250 /* for agents' answers to a cancellation */
 #define RETRY_AFTER_MS 250 /* where nothing better is known */
+#define STATUS_INVALID 400
+#define STATUS_CANCELLED 409
 #define JOB_MEMORY_BYTES 512 /* of a remembered job besides its answer */
 
 /* ---- Table of jobs ---- */
@@ -137,6 +139,8 @@
 			 int64_t now_ms)
 {
 	bool ok = outcome == CF_ANSWER_COMPLETE;
+	bool by_caller = !ok && (j->answer.status == STATUS_INVALID ||
+				 j->answer.status == STATUS_CANCELLED);
 	uint32_t response_ms = (uint32_t)(now_ms - j->arrived_ms);
 	char key[CF_KEY_TEXT_SIZE];
 
@@ -152,14 +156,17 @@
 		    : outcome == CF_ANSWER_NOT_RUN ? d->counters.not_run
 						   : d->counters.failed,
 		    1);
-	if (outcome == CF_ANSWER_NOT_RUN)
+	/* What the caller asked for or got wrong spends no error budget. */
+	if (by_caller)
+		response_ms = 0;
+	else if (outcome == CF_ANSWER_NOT_RUN)
 		cf_burn_refuse(d->burn, j->request->class_name, reason, now_ms);
 	else
 		cf_burn_record(d->burn, j->request->class_name, response_ms, ok,
 			       now_ms);
 	if (j->admitted)
-		cf_admitter_ended(d->admitter, &j->admit, j->started, ok,
-				  response_ms, now_ms);
+		cf_admitter_ended(d->admitter, &j->admit, j->started,
+				  ok || by_caller, response_ms, now_ms);
 	j->admitted = false;
 }
 
@@ -314,7 +321,7 @@
 
 	trace_submit(j);
 	if (cf_key_time_ms(&j->key) > clock_wall_ms() + CF_CLOCK_SKEW_MS) {
-		jobs_finish(d, j, 400, CF_ANSWER_NOT_RUN, "key-time",
+		jobs_finish(d, j, STATUS_INVALID, CF_ANSWER_NOT_RUN, "key-time",
 			    "the time in Idempotency-Key lies ahead", 0);
 		return;
 	}
@@ -336,6 +343,7 @@
 	claim_begin(d, j);
 	if (d->along) {
 		j->gated = true;
+		place_predict(d, j);
 		place_add(d, j);
 	}
 }
@@ -389,6 +397,20 @@
 	admit->deadline_ms = (uint32_t)(j->deadline_ms - j->arrived_ms);
 }
 
+/* Tasks may travel while the claim is decided. */
+static void count_sent_before(struct dispatcher *d, struct djob *j)
+{
+	guint i;
+
+	for (i = 0; i < j->request->tasks->len; i++) {
+		struct task_spec *task =
+			&g_array_index(j->request->tasks, struct task_spec, i);
+
+		if (task->sent_ms)
+			agents_count_placed(d, j, task);
+	}
+}
+
 void jobs_admit(struct dispatcher *d, struct djob *j)
 {
 	int64_t now_ms = clock_now_ms();
@@ -398,7 +420,8 @@
 	place_predict(d, j);
 	fill_admit(j);
 	if (!place_ever_fits(d, j)) {
-		jobs_finish(d, j, 400, CF_ANSWER_NOT_RUN, "never-fits",
+		jobs_finish(d, j, STATUS_INVALID, CF_ANSWER_NOT_RUN,
+			    "never-fits",
 			    "a task needs more than any worker has", 0);
 		return;
 	}
@@ -406,6 +429,7 @@
 				&retry_after_ms);
 	if (admit == CF_ADMIT_RUN) {
 		j->admitted = true;
+		count_sent_before(d, j);
 		cf_retry_budget_earn(d->retries);
 		place_add(d, j);
 		return;
@@ -460,7 +484,7 @@
 		return;
 	}
 	wait_for(j, waiter);
-	jobs_stop(d, j, 409, "cancelled");
+	jobs_stop(d, j, STATUS_CANCELLED, "cancelled");
 }
 
 void jobs_look_up(struct dispatcher *d, const struct cf_key *key,
@@ -496,6 +520,7 @@
 		jobs_stop(d, j, 504, "deadline");
 		return;
 	}
+	agents_find_overdue(d, j, now_ms);
 	if (j->phase == DJOB_CLAIMING)
 		claim_tick(d, j, now_ms);
 	else if (j->phase == DJOB_ADOPTING)
--- a/src/roles/dispatcher_place.c
+++ b/src/roles/dispatcher_place.c
@@ -178,6 +178,8 @@
 	envelope.dispatch = &dispatch;
 	if (link_send(a->link, &envelope)) {
 		counter_add(d->counters.tasks_sent, (int64_t)dispatch.n_tasks);
+		cf_health_sent(d->health, a->incarnation, dispatch.n_tasks,
+			       now_ms);
 		for (i = 0; i < dispatch.n_tasks; i++)
 			note_sent(d, j, a, tasks[i].index);
 	}
--- a/src/roles/dispatcher_settle.c
+++ b/src/roles/dispatcher_settle.c
@@ -101,6 +101,8 @@
 		agents_settled(d, a, j, result->index);
 	if (event == CF_EVENT_FENCED)
 		move_task(d, j, agent);
+	else if (event != CF_EVENT_RUNNING)
+		agents_count_ended(d, j, result->index);
 	return true;
 }
 
@@ -204,6 +206,7 @@
 	}
 	g_list_free(jobs);
 	memset(&a->own, 0, sizeof(a->own));
+	a->own_tasks = 0;
 }
 
 static void send_to_agents(struct dispatcher *d, struct djob *j,
