agent: send results where the dispatcher last spoke from

After an agent was killed and started again on its address, jobs at it got no answer until their deadline (fault_resubmit test_restarts: no job complete in 20 s, the agent's trace has the ends). The roster names the dead incarnation until its lease ends; a dispatcher dials the address for it, meets the new process and closes that connection at once. The agent took the newest connection for the caller's, had none after the closing, and dropped results while the good connection stayed up, so that no query asked for them. The count of received tasks was reset in the same way.

The caller's connection is now the one of its last message. Ruled out: a list of connections, since results sent on the doomed one would be lost as well. test_restarts passes with it.

--- a/src/roles/agent.c
+++ b/src/roles/agent.c
@@ -21,6 +21,23 @@
 
 /* ---- Messages ---- */
 
+/* Results go where the dispatcher last spoke from. One that dials the
+ * address for a former incarnation of this agent says nothing and closes
+ * that connection again. */
+static void note_caller(struct agent *agent, struct link *link)
+{
+	const struct link_identity *peer = link_peer(link);
+	struct caller_link *caller;
+
+	if (peer->role != CFW__ROLE__ROLE_DISPATCHER)
+		return;
+	caller = agent_caller(agent, peer->incarnation);
+	if (caller->link == link)
+		return;
+	caller->link = link;
+	caller->received = 0;
+}
+
 static void on_message(void *arg, struct link *link,
 		       const Cfw__Envelope *envelope)
 {
@@ -28,6 +45,7 @@
 
 	if (session_message(agent->session, link, envelope))
 		return;
+	note_caller(agent, link);
 	switch (envelope->body_case) {
 	case CFW__ENVELOPE__BODY_DISPATCH:
 		agent_take_dispatch(agent, link, envelope->dispatch);
@@ -50,15 +68,8 @@
 static void on_up(void *arg, struct link *link)
 {
 	struct agent *agent = arg;
-	const struct link_identity *peer = link_peer(link);
-	struct caller_link *caller;
 
-	if (session_link_up(agent->session, link) ||
-	    peer->role != CFW__ROLE__ROLE_DISPATCHER)
-		return;
-	caller = agent_caller(agent, peer->incarnation);
-	caller->link = link;
-	caller->received = 0;
+	session_link_up(agent->session, link);
 }
 
 static void on_down(void *arg, struct link *link)
--- a/src/roles/agent_internal.h
+++ b/src/roles/agent_internal.h
@@ -39,7 +39,7 @@
 /* A dispatcher that has sent something, by incarnation. */
 struct caller_link {
 	uint64_t incarnation;
-	struct link *link; /* the newest connection, or NULL */
+	struct link *link; /* that it last spoke on, or NULL */
 	uint64_t received; /* tasks */
 	int64_t load_sent_ms;
 };
