--- a/src/roles/dispatcher_internal.h
+++ b/src/roles/dispatcher_internal.h
@@ -274,7 +274,8 @@
 void place_remove(struct dispatcher *d, struct djob *j);
 void place_wake(struct dispatcher *d); /* pump in this turn */
 void place_pump(struct dispatcher *d);
-void place_predict(struct dispatcher *d, struct djob *j);
+void place_predict(struct dispatcher *d,
+		   struct djob *j); /* for admission too */
 bool place_ever_fits(struct dispatcher *d, const struct djob *j);
 
 /* dispatcher_agents.c */
--- a/src/roles/dispatcher_jobs.c
+++ b/src/roles/dispatcher_jobs.c
@@ -265,27 +265,6 @@
 		    j->number, j->request->tasks->len, j->request->class_name);
 }
 
-static void fill_admit(struct djob *j)
-{
-	struct cf_admit_job *admit = &j->admit;
-	GArray *tasks = j->request->tasks;
-	guint i;
-
-	admit->class_name = j->request->class_name;
-	admit->team = j->request->team;
-	admit->n_tasks = tasks->len;
-	admit->longest_ms = 0;
-	admit->work_ms = 0;
-	for (i = 0; i < tasks->len; i++) {
-		uint32_t ms =
-			g_array_index(tasks, struct task_spec, i).predicted_ms;
-
-		admit->longest_ms = MAX(admit->longest_ms, ms);
-		admit->work_ms += ms;
-	}
-	admit->deadline_ms = (uint32_t)(j->deadline_ms - j->arrived_ms);
-}
-
 static void begin(struct dispatcher *d, struct djob *j)
 {
 	int64_t now_ms = clock_now_ms();
@@ -318,7 +297,6 @@
 	if (d->along) {
 		j->gated = true;
 		place_predict(d, j);
-		fill_admit(j);
 		place_add(d, j);
 	}
 }
@@ -387,7 +365,6 @@
 	enum cf_admit admit;
 
 	place_predict(d, j);
-	fill_admit(j);
 	if (!place_ever_fits(d, j)) {
 		refuse(d, j, STATUS_INVALID, "never-fits",
 		       "a task needs more than any worker has", 0);
--- a/src/roles/dispatcher_place.c
+++ b/src/roles/dispatcher_place.c
@@ -20,6 +20,27 @@
 
 /* ---- Waiting jobs ---- */
 
+static void fill_admit(struct djob *j)
+{
+	struct cf_admit_job *admit = &j->admit;
+	GArray *tasks = j->request->tasks;
+	guint i;
+
+	admit->class_name = j->request->class_name;
+	admit->team = j->request->team;
+	admit->n_tasks = tasks->len;
+	admit->longest_ms = 0;
+	admit->work_ms = 0;
+	for (i = 0; i < tasks->len; i++) {
+		uint32_t ms =
+			g_array_index(tasks, struct task_spec, i).predicted_ms;
+
+		admit->longest_ms = MAX(admit->longest_ms, ms);
+		admit->work_ms += ms;
+	}
+	admit->deadline_ms = (uint32_t)(j->deadline_ms - j->arrived_ms);
+}
+
 void place_predict(struct dispatcher *d, struct djob *j)
 {
 	GArray *tasks = j->request->tasks;
@@ -33,6 +54,7 @@
 			cf_predict_ms(d->predict, j->request->class_name,
 				      t->declared_ms, PREDICT_PERCENTILE);
 	}
+	fill_admit(j);
 }
 
 void place_add(struct dispatcher *d, struct djob *j)
