--- a/tests/support/cluster.c
+++ b/tests/support/cluster.c
@@ -484,6 +484,7 @@
 	GError *error = NULL;
 	const char *name;
 
+	assert_non_null(dir);
 	while ((name = g_dir_read_name(dir))) {
 		char path[600];
 
@@ -540,6 +541,8 @@
 	if (replayed.mismatches)
 		fprintf(stderr, "broken: replay: %s\n", replayed.first);
 	print_counts(summary, &replayed, n);
+	/* A check that saw nothing proves nothing. */
+	assert_true(summary->events > 0);
 	cf_trace_destroy(trace);
 	cf_replay_destroy(replay);
 	return n + replayed.mismatches;
