--- a/src/roles/trace_verbs.c
+++ b/src/roles/trace_verbs.c
@@ -21,7 +21,12 @@
 
 /* ---- Reading ---- */
 
-bool trace_read(struct cf_trace *trace, const char *path, GError **error)
+typedef bool line_fn(void *arg, const char *path, uint64_t number,
+		     const char *line, GError **error);
+
+/* Calls fn for each line; the half line that a killed process left at
+ * the end is passed over. */
+static bool each_line(const char *path, line_fn *fn, void *arg, GError **error)
 {
 	FILE *file = fopen(path, "r");
 	char *line = NULL;
@@ -41,13 +46,38 @@
 		line[got - 1] = '\0';
 		number++;
 		if (*line)
-			ok = cf_trace_add(trace, path, number, line, error);
+			ok = fn(arg, path, number, line, error);
 	}
 	free(line);
 	fclose(file);
 	return ok;
 }
 
+static bool add_line(void *trace, const char *path, uint64_t number,
+		     const char *line, GError **error)
+{
+	return cf_trace_add(trace, path, number, line, error);
+}
+
+static bool feed_line(void *replay, const char *path, uint64_t number,
+		      const char *line, GError **error)
+{
+	(void)path;
+	(void)number;
+	return cf_replay_feed(replay, line, error);
+}
+
+bool trace_read(struct cf_trace *trace, const char *path, GError **error)
+{
+	return each_line(path, add_line, trace, error);
+}
+
+bool trace_replay_file(struct cf_replay *replay, const char *path,
+		       GError **error)
+{
+	return each_line(path, feed_line, replay, error);
+}
+
 /* ---- Check ---- */
 
 static void print_faults(const struct cf_trace_fault *faults, size_t n)
@@ -94,32 +124,6 @@
 
 /* ---- Replay ---- */
 
-bool trace_replay_file(struct cf_replay *replay, const char *path,
-		       GError **error)
-{
-	FILE *file = fopen(path, "r");
-	char *line = NULL;
-	size_t size = 0;
-	ssize_t got;
-	bool ok = true;
-
-	if (!file) {
-		g_set_error(error, role_error_quark(), errno, "%s: %s", path,
-			    g_strerror(errno));
-		return false;
-	}
-	while (ok && (got = getline(&line, &size, file)) > 0) {
-		if (line[got - 1] != '\n')
-			break;
-		line[got - 1] = '\0';
-		if (*line)
-			ok = cf_replay_feed(replay, line, error);
-	}
-	free(line);
-	fclose(file);
-	return ok;
-}
-
 static int replay_files(int n_files, char **files)
 {
 	struct cf_replay *replay = cf_replay_create();
