load: say of a failed answer that it is nobody else's

A failed answer carries no result, yet its trace line said own=0, so trace check named every true 'failed' a crossed answer: fault_backends ended with 'answer-own ... the caller's answer is not its own' for the one job that a killed backend server had run. Only complete answers can be another's; the checks of those are as they were.

--- a/src/roles/load.c
+++ b/src/roles/load.c
@@ -87,9 +87,12 @@
 	static const char *const outcomes[] = { "complete", "failed", "failed",
 						"lost" };
 
+	/* A failed answer carries nothing that could be another's. */
+	bool own = verdict->own || verdict->outcome != LOAD_COMPLETE;
+
 	trace_event("got", "key=%s outcome=%s ran=%s whole=%d own=%d",
 		    job->key_text, outcomes[verdict->outcome],
-		    ran[verdict->outcome], verdict->whole, verdict->own);
+		    ran[verdict->outcome], verdict->whole, own);
 }
 
 static void count_complete(struct load_report *report,
