dispatcher: take a killed agent's tasks for lost at once

A job whose agent was killed was answered after 2013 to 2017 ms, the wait for a reconnection. A dial that the agent's host refuses shows that nobody listens there any more: link_refused tells it, and the tasks are settled then. fault_backends, test_agent_killed: 74 to 93 ms in three runs. A frozen or cut-off agent refuses nothing and has the wait still.

--- a/src/net/link.c
+++ b/src/net/link.c
@@ -7,6 +7,7 @@
 #include "base/logger.h"
 
 #include <apr_portable.h>
+#include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -360,6 +361,7 @@
 	struct link_hub *hub = link->hub;
 
 	link->state = LINK_GREETING;
+	link->refused = false;
 	link->opened_ms = loop_now_ms(hub->loop);
 	link->received_ms = link->opened_ms;
 	link->decoder = frame_decoder_create(hub->options.frame_max_bytes);
@@ -386,6 +388,7 @@
 	if (apr_os_sock_get(&descriptor, link->socket) != APR_SUCCESS ||
 	    getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &fault, &size) ||
 	    fault) {
+		link->refused = fault == ECONNREFUSED;
 		link_shut(link, "connect_failed");
 		return;
 	}
@@ -426,6 +429,7 @@
 		g_error("no memory for a connection");
 	status = connect_socket(link);
 	if (status != APR_SUCCESS && !APR_STATUS_IS_EINPROGRESS(status)) {
+		link->refused = APR_STATUS_IS_ECONNREFUSED(status);
 		link_shut(link, "connect_failed");
 		return;
 	}
@@ -449,6 +453,11 @@
 	return link->state == LINK_UP && !link->doomed;
 }
 
+bool link_refused(const struct link *link)
+{
+	return link->refused;
+}
+
 const struct link_identity *link_peer(const struct link *link)
 {
 	return link->has_peer ? &link->peer : NULL;
--- a/src/net/link.h
+++ b/src/net/link.h
@@ -63,6 +63,8 @@
 void link_drop(struct link *link); /* closes; dialled: also forgets */
 void link_close(struct link *link); /* closes; dialled: dials again */
 bool link_is_up(const struct link *link);
+bool link_refused(
+	const struct link *link); /* by the last dial: nobody listens */
 bool link_send(struct link *link,
 	       const Cfw__Envelope *envelope); /* false: down */
 const struct link_identity *link_peer(const struct link *link); /* after up */
--- a/src/net/link_private.h
+++ b/src/net/link_private.h
@@ -24,6 +24,7 @@
 	struct link_hub *hub;
 	enum link_state state;
 	bool dialled;
+	bool refused; /* the last dial */
 	bool dropped; /* freed at the end of the turn */
 	const char *doomed; /* reason to close it at the end of the turn */
 	char *address;
--- a/src/roles/dispatcher_agents.c
+++ b/src/roles/dispatcher_agents.c
@@ -320,7 +320,8 @@
 
 		if (away && !a->listed)
 			remove_agent(d, a, "off the roster");
-		else if (away && now_ms - a->down_ms >= RECONNECT_WAIT_MS)
+		else if (away && (link_refused(a->link) ||
+				  now_ms - a->down_ms >= RECONNECT_WAIT_MS))
 			settle_lost(d, a);
 	}
 	agents_refresh_all(d);
