agent: mend lost answers, stale loads and fences without an end

Found by reading and by fault_backends: - A second connection of a dispatcher that came and went (a dial of the old life's address) left the agent without any: its results were dropped and the job hung until its deadline (seen: 504 after 10 s in test_agent_killed). The agent keeps all that are up. - A dispatcher that was once told 'full' or 'takes no work' sent nothing more, so nothing took it back. The agent now reports unasked where its newest word is worse than the truth. - An offer that was refused fenced another dispatcher's task of the same name, and fences by a dispatcher's end or an adoption left batches open: in_progress stayed up and a stop waited 30 s. - A refused backend connection was kept as a failed task; it is as if never offered now, and nothing goes there until the next announcement. - Refusals were kept for the job and for good, so that a job with a task refused at each agent waited for its deadline (seen: 504 after 5015 ms in test_behaviours); now for each task and for a second. - One cancellation for each agent and job; a dropped result is no result. - A call ends soon after its task's deadline, and after a timeout no connection older than it is used again.

--- a/include/chervilferry.h
+++ b/include/chervilferry.h
@@ -368,6 +368,7 @@
 CF_API size_t cf_gate_open(struct cf_gate *gate, const struct cf_key *key, uint64_t dispatcher, uint64_t job); /* held tasks that now queue */
 CF_API const struct cf_task *cf_gate_start(struct cf_gate *gate, const struct cf_gate_permit *permit, int64_t now_ms); /* next task, now running; NULL: none may start */
 CF_API bool cf_gate_finish(struct cf_gate *gate, const struct cf_key *key, uint32_t index, bool ok, GBytes *result, int64_t now_ms); /* false: it was not running */
+CF_API bool cf_gate_unstart(struct cf_gate *gate, const struct cf_key *key, uint32_t index, int64_t now_ms); /* it left the gate but provably never ran: as if never offered; false: it was not running */
 CF_API enum cf_task_state cf_gate_query(struct cf_gate *gate, const struct cf_key *key, uint32_t index, bool fence, GBytes **result, int64_t now_ms); /* unknown ones are FENCED if fence, else HELD; result is borrowed, NULL if dropped */
 CF_API const struct cf_task *cf_gate_task(const struct cf_gate *gate, const struct cf_key *key, uint32_t index); /* whose it is; NULL: none offered */
 CF_API bool cf_gate_adopt(struct cf_gate *gate, const struct cf_key *key, uint64_t dispatcher, uint32_t epoch, int64_t now_ms); /* fences what has not started; then only this dispatcher may offer it. false: a later epoch was seen */
--- a/src/lib/gate.c
+++ b/src/lib/gate.c
@@ -227,24 +227,49 @@
 	return &entry->task;
 }
 
-bool cf_gate_finish(struct cf_gate *gate, const struct cf_key *key,
-		    uint32_t index, bool ok, GBytes *result, int64_t now_ms)
+/* NULL: it is not running. */
+static struct gate_entry *stop_running(struct cf_gate *gate,
+				       const struct cf_key *key, uint32_t index)
 {
 	struct gate_record *record = gate_find_record(gate, key);
 	struct gate_entry *entry = record ? gate_find_entry(record, index)
 					  : NULL;
 
 	if (!entry || entry->state != CF_TASK_RUNNING)
-		return false;
+		return NULL;
 	g_hash_table_remove(gate->running, entry);
 	gate->used.slots--;
 	gate->used.cpu_milli -= entry->task.cpu_milli;
 	gate->used.memory_mb -= entry->task.memory_mb;
 	gate->used.accelerators -= entry->task.accelerators;
-	entry->state = ok ? CF_TASK_DONE : CF_TASK_FAILED;
 	gate_drop_bytes(&entry->task.payload);
-	gate_keep_result(gate, entry, result);
 	record->n_active--;
+	return entry;
+}
+
+bool cf_gate_finish(struct cf_gate *gate, const struct cf_key *key,
+		    uint32_t index, bool ok, GBytes *result, int64_t now_ms)
+{
+	struct gate_entry *entry = stop_running(gate, key, index);
+
+	if (!entry)
+		return false;
+	entry->state = ok ? CF_TASK_DONE : CF_TASK_FAILED;
+	gate_keep_result(gate, entry, result);
+	gate_touch(gate, entry->record, now_ms);
+	return true;
+}
+
+bool cf_gate_unstart(struct cf_gate *gate, const struct cf_key *key,
+		     uint32_t index, int64_t now_ms)
+{
+	struct gate_entry *entry = stop_running(gate, key, index);
+	struct gate_record *record;
+
+	if (!entry)
+		return false;
+	record = entry->record;
+	g_ptr_array_remove(record->entries, entry);
 	gate_touch(gate, record, now_ms);
 	return true;
 }
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -13,6 +13,7 @@
 
 #define POLL_MS 1000
 #define SPARE_HANDLES_MAX 256
+#define REUSE_S 118 /* libcurl uses none that was idle for longer */
 
 struct call {
 	struct mpsc_node node; /* in waiting, then in ended */
@@ -32,6 +33,9 @@
 	struct mpsc ended; /* to the loop */
 	GPtrArray *spare; /* easy handles; thread only */
 	GHashTable *active; /* calls under way; thread only */
+	/* When a call timed out last; thread only. Connections that are
+	 * older may have gone silent for good. */
+	gint64 timed_out_us;
 };
 
 /* ---- Answers, on the loop's thread ---- */
@@ -72,10 +76,28 @@
 	return easy;
 }
 
+/* Whole seconds only: within the first one nothing is used again. */
+static void leave_old_connections(struct http_client *client, CURL *easy)
+{
+	gint64 since_s;
+
+	if (!client->timed_out_us)
+		return;
+	since_s = (g_get_monotonic_time() - client->timed_out_us) /
+		  G_USEC_PER_SEC;
+	if (since_s < 1)
+		curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+	else if (since_s < REUSE_S)
+		curl_easy_setopt(easy, CURLOPT_MAXLIFETIME_CONN, (long)since_s);
+	else
+		client->timed_out_us = 0;
+}
+
 static void start_call(struct http_client *client, struct call *call)
 {
 	call->easy = take_handle(client);
 	http_transfer_prepare(&call->transfer, call->easy);
+	leave_old_connections(client, call->easy);
 	curl_easy_setopt(call->easy, CURLOPT_PRIVATE, call);
 	g_hash_table_add(client->active, call);
 	curl_multi_add_handle(client->multi, call->easy);
@@ -88,6 +110,8 @@
 
 	http_transfer_finish(&call->transfer, easy, code, &call->answer);
 	curl_multi_remove_handle(client->multi, easy);
+	if (call->answer.result == HTTP_TIMED_OUT)
+		client->timed_out_us = g_get_monotonic_time();
 	g_hash_table_remove(client->active, call);
 	call->easy = NULL;
 	if (client->spare->len < SPARE_HANDLES_MAX) {
--- a/src/roles/agent.c
+++ b/src/roles/agent.c
@@ -21,6 +21,27 @@
 
 /* ---- Messages ---- */
 
+static void use_link(struct caller_link *caller, struct link *link)
+{
+	caller->link = link;
+	caller->received = 0;
+	caller->told_ms = 0;
+}
+
+/* A dispatcher sends on one connection at a time; others of its own may
+ * be up for a moment, or be silent without its end being known here. */
+static void follow_sender(struct agent *agent, struct link *link)
+{
+	const struct link_identity *peer = link_peer(link);
+	struct caller_link *caller;
+
+	if (peer->role != CFW__ROLE__ROLE_DISPATCHER)
+		return;
+	caller = agent_caller(agent, peer->incarnation);
+	if (caller->link != link)
+		use_link(caller, link);
+}
+
 static void on_message(void *arg, struct link *link,
 		       const Cfw__Envelope *envelope)
 {
@@ -28,6 +49,7 @@
 
 	if (session_message(agent->session, link, envelope))
 		return;
+	follow_sender(agent, link);
 	switch (envelope->body_case) {
 	case CFW__ENVELOPE__BODY_DISPATCH:
 		agent_take_dispatch(agent, link, envelope->dispatch);
@@ -57,8 +79,16 @@
 	    peer->role != CFW__ROLE__ROLE_DISPATCHER)
 		return;
 	caller = agent_caller(agent, peer->incarnation);
-	caller->link = link;
-	caller->received = 0;
+	g_ptr_array_add(caller->links, link);
+	if (!caller->link)
+		use_link(caller, link);
+}
+
+static struct link *newest_link(const struct caller_link *caller)
+{
+	guint n = caller->links->len;
+
+	return n ? caller->links->pdata[n - 1] : NULL;
 }
 
 static void on_down(void *arg, struct link *link)
@@ -70,8 +100,9 @@
 	session_link_down(agent->session, link);
 	g_hash_table_iter_init(&iter, agent->callers);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&caller))
-		if (caller->link == link)
-			caller->link = NULL;
+		if (g_ptr_array_remove(caller->links, link) &&
+		    caller->link == link)
+			use_link(caller, newest_link(caller));
 }
 
 /* ---- Session ---- */
@@ -116,6 +147,7 @@
 	agent_update_draining(agent);
 	cf_gate_expire(agent->gate, now_ms);
 	agent_pump(agent);
+	agent_tell_loads(agent);
 }
 
 /* ---- Life ---- */
@@ -218,7 +250,7 @@
 	agent->batches = g_hash_table_new_full(agent_name_hash,
 					       agent_name_equal, g_free, NULL);
 	agent->callers = g_hash_table_new_full(g_int64_hash, g_int64_equal,
-					       NULL, g_free);
+					       NULL, agent_caller_free);
 	open_session(agent);
 	agent->timer = loop_timer_create(agent->loop, on_tick, agent);
 	loop_timer_start(agent->timer, TICK_MS, TICK_MS);
--- a/src/roles/agent_backend.c
+++ b/src/roles/agent_backend.c
@@ -18,6 +18,7 @@
 
 #define ANNOUNCE_BODY_MAX 4096
 #define ANNOUNCE_SILENCE_MS 5000 /* then it is taken for gone */
+#define DEADLINE_GRACE_MS 500
 #define STATUS_OK 200
 #define STATUS_NOT_STARTED 412
 #define FIELD_MAX 1000000000
@@ -36,7 +37,7 @@
 	struct agent *agent;
 	struct cf_key key;
 	uint32_t index;
-	int64_t started_ms;
+	int64_t started_ms, deadline_ms;
 	uint32_t queued_ms;
 };
 
@@ -98,6 +99,7 @@
 	if (board->backend_leaving)
 		trace_event("back", "who=backend");
 	board->backend_leaving = false;
+	board->backend_refused = false;
 	board->capacity = a->capacity;
 	cf_gate_set_capacity(a->agent->gate, &a->capacity);
 	session_set_capacity(a->agent->session, &a->capacity);
@@ -201,7 +203,7 @@
 	const struct agent_board *board = &agent->board;
 
 	return board->backend_url && !board->backend_leaving &&
-	       !board->stopping && !board->fenced &&
+	       !board->backend_refused && !board->stopping && !board->fenced &&
 	       now_ms - board->announced_ms < ANNOUNCE_SILENCE_MS &&
 	       session_held(agent->session, now_ms) &&
 	       cf_config_in_service(
@@ -306,9 +308,15 @@
 	end.run_ms = (uint32_t)(now_ms - call->started_ms);
 	read_answer(call, answer, &end);
 	count_end(agent, call, &end);
-	cf_gate_finish(agent->gate, &call->key, call->index,
-		       end.outcome == CFW__TASK_OUTCOME__TASK_DONE, end.result,
-		       now_ms);
+	/* Until it announces itself again, nothing more goes there. */
+	if (answer->result == HTTP_NOT_CONNECTED && now_ms < call->deadline_ms)
+		agent->board.backend_refused = true;
+	if (end.outcome == CFW__TASK_OUTCOME__TASK_NOT_STARTED)
+		cf_gate_unstart(agent->gate, &call->key, call->index, now_ms);
+	else
+		cf_gate_finish(agent->gate, &call->key, call->index,
+			       end.outcome == CFW__TASK_OUTCOME__TASK_DONE,
+			       end.result, now_ms);
 	agent_task_ended(agent, &call->key, call->index, &end);
 	if (end.result)
 		g_bytes_unref(end.result);
@@ -336,6 +344,16 @@
 	return body;
 }
 
+/* Soon after the deadline nobody waits for the result any more; the
+ * dispatcher's own answer to the deadline comes before this one. */
+static int64_t call_timeout_ms(struct agent *agent, const struct cf_task *task)
+{
+	int64_t left_ms = task->deadline_ms - clock_now_ms();
+
+	return MIN(settings_number(agent->settings, "call-timeout-ms"),
+		   MAX(left_ms, 0) + DEADLINE_GRACE_MS);
+}
+
 void agent_backend_call(struct agent *agent, const struct cf_task *task)
 {
 	struct backend_call *call = g_new0(struct backend_call, 1);
@@ -352,8 +370,7 @@
 		.body = body->str,
 		.size_bytes = body->len,
 		.headers = headers,
-		.timeout_ms =
-			settings_number(agent->settings, "call-timeout-ms"),
+		.timeout_ms = call_timeout_ms(agent, task),
 	};
 
 	/* Same host, same clock: the backend server can close the window
@@ -364,6 +381,7 @@
 	call->key = task->key;
 	call->index = task->index;
 	call->started_ms = clock_now_ms();
+	call->deadline_ms = task->deadline_ms;
 	call->queued_ms = (uint32_t)(task->started_ms - task->queued_ms);
 	http_client_call(agent->client, &http, call_ended, call);
 	g_string_free(body, TRUE);
--- a/src/roles/agent_internal.h
+++ b/src/roles/agent_internal.h
@@ -36,9 +36,14 @@
 /* A dispatcher that has sent something, by incarnation. */
 struct caller_link {
 	uint64_t incarnation;
-	struct link *link; /* the newest connection, or NULL */
-	uint64_t received; /* tasks */
-	int64_t load_sent_ms;
+	GPtrArray *links; /* its connections that are up, oldest first */
+	struct link *link; /* that it uses, or NULL */
+	uint64_t received; /* tasks on that one */
+	struct {
+		uint32_t work; /* tasks that ran and waited */
+		bool full, accepting;
+	} told; /* its newest word of the load here */
+	int64_t told_ms; /* 0: nothing yet on this connection */
 };
 
 /* What the controllers of this process read and write. */
@@ -47,6 +52,7 @@
 	char *backend_url; /* NULL before the first announcement */
 	int64_t announced_ms;
 	bool backend_leaving;
+	bool backend_refused; /* a connection, since it announced itself */
 	bool stopping;
 	bool fenced;
 };
@@ -92,11 +98,19 @@
 void agent_task_ended(struct agent *agent, const struct cf_key *key,
 		      uint32_t index, const struct task_end *end);
 struct caller_link *agent_caller(struct agent *agent, uint64_t incarnation);
+void agent_caller_free(gpointer caller);
 void agent_fence_dispatchers(struct agent *agent);
 guint agent_name_hash(gconstpointer name);
 gboolean agent_name_equal(gconstpointer a, gconstpointer b);
 void agent_batch_unref(gpointer batch);
 
+/* agent_load.c: reports of the load here. */
+void agent_fill_load(struct agent *agent, struct caller_link *caller,
+		     Cfw__Load *load);
+void agent_tell_load(struct agent *agent,
+		     struct caller_link *caller); /* if one is due */
+void agent_tell_loads(struct agent *agent);
+
 /* agent_backend.c: the backend server on this host. */
 bool agent_backend_open(struct agent *agent, GError **error);
 void agent_backend_call(struct agent *agent, const struct cf_task *task);
--- /dev/null
+++ b/src/roles/agent_load.c
@@ -0,0 +1,78 @@
+/*
+ * agent_load: what dispatchers are told of the load here. It goes with
+ * each answer; where the newest word is worse than the truth, a report
+ * follows unasked, since a dispatcher that takes an agent for full or
+ * closed sends nothing that an answer could come to. Loop thread only.
+ */
+#include "roles/agent_internal.h"
+
+#include "base/clock.h"
+
+/* ---- Constants ---- */
+
+#define URGENT_INTERVAL_MS 50 /* it can take work again, or no more */
+#define INTERVAL_MS 250 /* it has less work than was told */
+
+/* ---- Functions ---- */
+
+void agent_fill_load(struct agent *agent, struct caller_link *caller,
+		     Cfw__Load *load)
+{
+	struct cf_gate_load gate;
+	int64_t now_ms = clock_now_ms();
+
+	cf_gate_get_load(agent->gate, now_ms, &gate);
+	load->slots = gate.slots;
+	load->running = gate.running;
+	load->queued = gate.queued;
+	load->backlog_ms = gate.backlog_ms;
+	load->accepting = agent_accepting(agent, now_ms);
+	load->received = caller->received;
+	caller->told.work = gate.running + gate.queued;
+	caller->told.full = gate.queued || gate.running >= gate.slots;
+	caller->told.accepting = load->accepting;
+	caller->told_ms = now_ms;
+}
+
+/* How long the last report may stand; INT64_MAX: it still holds. */
+static int64_t report_due_ms(struct agent *agent,
+			     const struct caller_link *caller, int64_t now_ms)
+{
+	struct cf_gate_load gate;
+	bool full;
+
+	if (!caller->told_ms)
+		return 0;
+	cf_gate_get_load(agent->gate, now_ms, &gate);
+	full = gate.queued || gate.running >= gate.slots;
+	if (agent_accepting(agent, now_ms) != caller->told.accepting ||
+	    (caller->told.full && !full))
+		return caller->told_ms + URGENT_INTERVAL_MS;
+	if (gate.running + gate.queued < caller->told.work)
+		return caller->told_ms + INTERVAL_MS;
+	return INT64_MAX;
+}
+
+void agent_tell_load(struct agent *agent, struct caller_link *caller)
+{
+	Cfw__Envelope envelope = CFW__ENVELOPE__INIT;
+	Cfw__Load load = CFW__LOAD__INIT;
+	int64_t now_ms = clock_now_ms();
+
+	if (!caller->link || now_ms < report_due_ms(agent, caller, now_ms))
+		return;
+	agent_fill_load(agent, caller, &load);
+	envelope.body_case = CFW__ENVELOPE__BODY_LOAD;
+	envelope.load = &load;
+	link_send(caller->link, &envelope);
+}
+
+void agent_tell_loads(struct agent *agent)
+{
+	GHashTableIter iter;
+	struct caller_link *caller;
+
+	g_hash_table_iter_init(&iter, agent->callers);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&caller))
+		agent_tell_load(agent, caller);
+}
--- a/src/roles/agent_tasks.c
+++ b/src/roles/agent_tasks.c
@@ -13,10 +13,6 @@
 #include <string.h>
 #include <xxhash.h>
 
-/* ---- Constants ---- */
-
-#define LOAD_INTERVAL_MS 50 /* between unasked load reports */
-
 /* ---- Types ---- */
 
 struct task_name {
@@ -40,6 +36,14 @@
 	return x->index == y->index && cf_key_equal(&x->key, &y->key);
 }
 
+static void trace_fence(const struct cf_key *key, uint32_t index)
+{
+	char text[CF_KEY_TEXT_SIZE];
+
+	cf_key_format(key, text);
+	trace_event("fence", "key=%s index=%u", text, index);
+}
+
 static bool read_key(const ProtobufCBinaryData *data, struct cf_key *key)
 {
 	if (data->len != CF_KEY_SIZE)
@@ -48,44 +52,6 @@
 	return true;
 }
 
-/* ---- Load ---- */
-
-static void fill_load(struct agent *agent, const struct caller_link *caller,
-		      Cfw__Load *load)
-{
-	struct cf_gate_load gate;
-	int64_t now_ms = clock_now_ms();
-
-	cf_gate_get_load(agent->gate, now_ms, &gate);
-	load->slots = gate.slots;
-	load->running = gate.running;
-	load->queued = gate.queued;
-	load->backlog_ms = gate.backlog_ms;
-	load->accepting = agent_accepting(agent, now_ms);
-	load->received = caller->received;
-}
-
-/*
- * A batch that is still waiting for its slowest task keeps its finished
- * slots hidden from the dispatcher; tell it, though not often.
- */
-static void tell_free_slots(struct agent *agent, struct caller_link *caller)
-{
-	Cfw__Envelope envelope = CFW__ENVELOPE__INIT;
-	Cfw__Load load = CFW__LOAD__INIT;
-	int64_t now_ms = clock_now_ms();
-
-	if (!caller->link || now_ms - caller->load_sent_ms < LOAD_INTERVAL_MS)
-		return;
-	fill_load(agent, caller, &load);
-	if (load.queued || load.running + 1 < load.slots)
-		return;
-	caller->load_sent_ms = now_ms;
-	envelope.body_case = CFW__ENVELOPE__BODY_LOAD;
-	envelope.load = &load;
-	link_send(caller->link, &envelope);
-}
-
 /* ---- Batches and results ---- */
 
 struct caller_link *agent_caller(struct agent *agent, uint64_t incarnation)
@@ -97,10 +63,19 @@
 		return caller;
 	caller = g_new0(struct caller_link, 1);
 	caller->incarnation = incarnation;
+	caller->links = g_ptr_array_new();
 	g_hash_table_insert(agent->callers, &caller->incarnation, caller);
 	return caller;
 }
 
+void agent_caller_free(gpointer data)
+{
+	struct caller_link *caller = data;
+
+	g_ptr_array_free(caller->links, TRUE);
+	g_free(caller);
+}
+
 static void free_result(gpointer result)
 {
 	cfw__result__free_unpacked(result, NULL);
@@ -148,7 +123,7 @@
 	Cfw__Results results = CFW__RESULTS__INIT;
 	Cfw__Load load = CFW__LOAD__INIT;
 
-	fill_load(agent, caller, &load);
+	agent_fill_load(agent, caller, &load);
 	results.dispatcher = batch->dispatcher;
 	results.agent = agent->incarnation;
 	results.job = batch->job;
@@ -159,7 +134,6 @@
 	results.load = &load;
 	envelope.body_case = CFW__ENVELOPE__BODY_RESULTS;
 	envelope.results = &results;
-	caller->load_sent_ms = clock_now_ms();
 	/* Without a connection a query on the next one finds them. */
 	if (!caller->link || !link_send(caller->link, &envelope))
 		counter_add(agent->counters.dropped, 1);
@@ -182,7 +156,7 @@
 static void settle(struct agent *agent, struct batch *batch)
 {
 	if (batch->waiting) {
-		tell_free_slots(agent, agent_caller(agent, batch->dispatcher));
+		agent_tell_load(agent, agent_caller(agent, batch->dispatcher));
 		return;
 	}
 	send_results(agent, batch);
@@ -255,6 +229,29 @@
 	return end;
 }
 
+/*
+ * An offer that the gate refused never starts. Another dispatcher's task
+ * of the same name may wait here: it is left alone, as is an earlier
+ * copy of this dispatcher's own, which answers for both.
+ */
+static struct task_end refused_end(struct agent *agent,
+				   const struct cf_key *key, uint32_t index,
+				   uint64_t dispatcher)
+{
+	const struct cf_task *task = cf_gate_task(agent->gate, key, index);
+	struct task_end end =
+		known_end(agent, key, index, false, "seen before or fenced");
+	struct task_name name = { *key, index };
+
+	if (end.outcome == CFW__TASK_OUTCOME__TASK_RUNNING &&
+	    !g_hash_table_contains(agent->batches, &name))
+		end.outcome = CFW__TASK_OUTCOME__TASK_NOT_STARTED;
+	else if (end.outcome == CFW__TASK_OUTCOME__TASK_RUNNING &&
+		 task->dispatcher != dispatcher && !task->started_ms)
+		end.outcome = CFW__TASK_OUTCOME__TASK_NOT_STARTED;
+	return end;
+}
+
 static void offer_task(struct agent *agent, struct batch *batch,
 		       const Cfw__Dispatch *dispatch, const Cfw__Task *from,
 		       int64_t now_ms)
@@ -272,8 +269,8 @@
 		g_hash_table_insert(agent->batches, name, batch);
 		batch->waiting++;
 	} else {
-		end = known_end(agent, &batch->key, from->index, true,
-				"seen before or fenced");
+		end = refused_end(agent, &batch->key, from->index,
+				  dispatch->dispatcher);
 		add_result(batch, from->index, &end);
 	}
 	g_bytes_unref(task.payload);
@@ -382,7 +379,6 @@
 {
 	struct cf_key key;
 	uint32_t indexes[CF_JOB_TASKS_MAX];
-	char text[CF_KEY_TEXT_SIZE];
 	struct task_name name;
 	size_t n, i;
 
@@ -391,7 +387,6 @@
 		counter_add(agent->counters.dropped, 1);
 		return;
 	}
-	cf_key_format(&key, text);
 	counter_add(agent->counters.cancels, 1);
 	n = cf_gate_fence_job(agent->gate, &key, cancel->dispatcher,
 			      cancel->job, clock_now_ms(), indexes,
@@ -400,7 +395,7 @@
 	for (i = 0; i < n; i++) {
 		struct batch *batch;
 
-		trace_event("fence", "key=%s index=%u", text, indexes[i]);
+		trace_fence(&key, indexes[i]);
 		counter_add(agent->counters.fenced, 1);
 		name.index = indexes[i];
 		batch = g_hash_table_lookup(agent->batches, &name);
@@ -465,7 +460,7 @@
 	reply.agent = agent->incarnation;
 	reply.results = (Cfw__Result **)answer.results->pdata;
 	reply.n_results = answer.results->len;
-	fill_load(agent, caller, &load);
+	agent_fill_load(agent, caller, &load);
 	reply.load = &load;
 	envelope.body_case = CFW__ENVELOPE__BODY_QUERY_REPLY;
 	envelope.query_reply = &reply;
@@ -474,18 +469,50 @@
 	agent_pump(agent);
 }
 
+/* What the gate fenced by itself has no start to wait for any more. */
+static void end_fenced(struct agent *agent, uint64_t dispatcher)
+{
+	GArray *names = g_array_new(FALSE, FALSE, sizeof(struct task_name));
+	struct task_end end = { CFW__TASK_OUTCOME__TASK_NOT_STARTED, NULL,
+				"the dispatcher is fenced", 0, 0 };
+	GHashTableIter iter;
+	gpointer key, batch;
+	guint i;
+
+	g_hash_table_iter_init(&iter, agent->batches);
+	while (g_hash_table_iter_next(&iter, &key, &batch))
+		if (((struct batch *)batch)->dispatcher == dispatcher)
+			g_array_append_val(names, *(struct task_name *)key);
+	for (i = 0; i < names->len; i++) {
+		const struct task_name *n =
+			&g_array_index(names, struct task_name, i);
+
+		if (cf_gate_query(agent->gate, &n->key, n->index, false, NULL,
+				  clock_now_ms()) != CF_TASK_FENCED)
+			continue;
+		trace_fence(&n->key, n->index);
+		counter_add(agent->counters.fenced, 1);
+		agent_task_ended(agent, &n->key, n->index, &end);
+	}
+	g_array_free(names, TRUE);
+}
+
 void agent_fence_dispatchers(struct agent *agent)
 {
+	const struct cf_config *config = session_config(agent->session);
 	GHashTableIter iter;
 	struct caller_link *caller;
 
 	g_hash_table_iter_init(&iter, agent->callers);
-	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&caller))
-		if (cf_config_is_fenced(session_config(agent->session),
-					caller->incarnation))
-			cf_gate_fence_dispatcher(agent->gate,
-						 caller->incarnation,
-						 clock_now_ms());
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&caller)) {
+		uint64_t incarnation = caller->incarnation;
+
+		if (!cf_config_is_fenced(config, incarnation))
+			continue;
+		if (cf_gate_fence_dispatcher(agent->gate, incarnation,
+					     clock_now_ms()))
+			end_fenced(agent, incarnation);
+	}
 }
 
 /* ---- Starts ---- */
@@ -511,10 +538,8 @@
 	uint32_t index = task->index;
 	struct task_end end = { CFW__TASK_OUTCOME__TASK_NOT_STARTED, NULL,
 				"not started here", 0, 0 };
-	char text[CF_KEY_TEXT_SIZE];
 
-	cf_key_format(&key, text);
-	trace_event("fence", "key=%s index=%u", text, index);
+	trace_fence(&key, index);
 	counter_add(agent->counters.fenced, 1);
 	agent_task_ended(agent, &key, index, &end);
 }
@@ -532,6 +557,7 @@
 						 data_centre);
 	permit.draining = agent->board.stopping ||
 			  agent->board.backend_leaving || agent->board.fenced ||
+			  agent->board.backend_refused ||
 			  !agent->board.backend_url;
 	while ((task = cf_gate_start(agent->gate, &permit, now_ms)))
 		start_task(agent, task);
--- a/src/roles/dispatcher_internal.h
+++ b/src/roles/dispatcher_internal.h
@@ -90,6 +90,13 @@
 	GBytes *body;
 };
 
+/* An agent that would not start a task is not asked again for a while. */
+struct refusal {
+	uint64_t agent;
+	uint32_t index;
+	int64_t end_ms;
+};
+
 struct adoption; /* dispatcher_adopt.c */
 
 struct djob {
@@ -115,7 +122,7 @@
 	/* placement */
 	bool admitted, started, gated;
 	struct cf_admit_job admit;
-	GArray *refused_by; /* uint64_t, agents that would not start it */
+	GArray *refusals; /* struct refusal */
 	uint32_t moves;
 	int64_t retry_ms; /* not placed before */
 	int64_t stop_ms;
--- a/src/roles/dispatcher_jobs.c
+++ b/src/roles/dispatcher_jobs.c
@@ -34,7 +34,7 @@
 	adopt_free(j->adoption);
 	g_array_free(j->waiters, TRUE);
 	g_array_free(j->owners, TRUE);
-	g_array_free(j->refused_by, TRUE);
+	g_array_free(j->refusals, TRUE);
 	if (j->answer.body)
 		g_bytes_unref(j->answer.body);
 	g_free(j);
@@ -51,7 +51,7 @@
 	j->body_hash = request->body_hash;
 	j->waiters = g_array_new(FALSE, FALSE, sizeof(struct waiter));
 	j->owners = g_array_new(FALSE, FALSE, sizeof(uint64_t));
-	j->refused_by = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	j->refusals = g_array_new(FALSE, FALSE, sizeof(struct refusal));
 	j->arrived_ms = now_ms;
 	j->deadline_ms = now_ms + request->deadline_ms;
 	j->job = cf_job_create(&j->key, j->number, request->tasks->len);
@@ -167,7 +167,8 @@
 static void release(struct dispatcher *d, struct djob *j)
 {
 	place_remove(d, j);
-	if (cf_job_unsettled(j->job))
+	/* A job that was stopped has told its agents. */
+	if (cf_job_unsettled(j->job) && j->phase != DJOB_STOPPING)
 		settle_cancel(d, j);
 	agents_release_job(d, j);
 	g_ptr_array_remove_fast(d->active, j);
--- a/src/roles/dispatcher_place.c
+++ b/src/roles/dispatcher_place.c
@@ -205,32 +205,64 @@
 
 /* ---- The pump ---- */
 
-/* An agent that would not start the job's tasks is not asked again. */
-static void hide_refusers(struct dispatcher *d, struct djob *j)
+static bool refused(const struct djob *j, uint64_t agent, uint32_t index)
 {
 	guint i;
 
-	for (i = 0; i < j->refused_by->len; i++) {
-		struct dagent *a = agents_find(
-			d, g_array_index(j->refused_by, uint64_t, i));
+	for (i = 0; i < j->refusals->len; i++) {
+		const struct refusal *r =
+			&g_array_index(j->refusals, struct refusal, i);
 
-		if (a)
-			g_array_index(d->places, struct cf_place_agent,
-				      a->position)
-				.usable = false;
+		if (r->agent == agent && r->index == index)
+			return true;
+	}
+	return false;
+}
+
+static void forget_refusals(struct djob *j, int64_t now_ms)
+{
+	guint i = j->refusals->len;
+
+	while (i--)
+		if (now_ms >=
+		    g_array_index(j->refusals, struct refusal, i).end_ms)
+			g_array_remove_index_fast(j->refusals, i);
+}
+
+/* Whether the same agents refuse both. */
+static bool refused_alike(const struct djob *j, uint32_t a, uint32_t b)
+{
+	guint i;
+
+	for (i = 0; i < j->refusals->len; i++) {
+		uint64_t agent =
+			g_array_index(j->refusals, struct refusal, i).agent;
+
+		if (refused(j, agent, a) != refused(j, agent, b))
+			return false;
 	}
+	return true;
 }
 
-static void show_refusers(struct dispatcher *d, struct djob *j)
+/* Hides the agents that refused the task, or shows all again. */
+static void hide_refusers(struct dispatcher *d, struct djob *j, uint32_t index,
+			  bool hide)
 {
 	guint i;
 
-	for (i = 0; i < j->refused_by->len; i++) {
-		struct dagent *a = agents_find(
-			d, g_array_index(j->refused_by, uint64_t, i));
+	for (i = 0; i < j->refusals->len; i++) {
+		uint64_t agent =
+			g_array_index(j->refusals, struct refusal, i).agent;
+		struct dagent *a = agents_find(d, agent);
 
-		if (a)
+		if (!a)
+			continue;
+		if (!hide)
 			agents_refresh(d, a);
+		else if (refused(j, agent, index))
+			g_array_index(d->places, struct cf_place_agent,
+				      a->position)
+				.usable = false;
 	}
 }
 
@@ -261,21 +293,43 @@
 	cf_admitter_started(d->admitter, &j->admit, now_ms);
 }
 
+/* Moves the tasks that the same agents refuse as the first to the front. */
+static size_t group_alike(struct djob *j, struct cf_place_task *tasks, size_t n)
+{
+	size_t count = 1, i;
+
+	if (!j->refusals->len)
+		return n;
+	for (i = 1; i < n; i++) {
+		struct cf_place_task task = tasks[i];
+
+		if (!refused_alike(j, tasks[0].index, task.index))
+			continue;
+		tasks[i] = tasks[count];
+		tasks[count++] = task;
+	}
+	return count;
+}
+
 /* Returns true when all of the job's tasks are placed. */
 static bool place_job(struct dispatcher *d, struct djob *j, int64_t now_ms)
 {
 	struct cf_place_task *tasks;
-	size_t n, placed;
+	size_t n, i, count;
 
 	tasks = g_new(struct cf_place_task, j->request->tasks->len);
 	n = gather(j, tasks);
-	hide_refusers(d, j);
-	placed = cf_placer_place(d->placer, (void *)d->places->data,
-				 d->places->len, tasks, n);
-	send_all(d, j, tasks, n, now_ms);
-	show_refusers(d, j);
+	forget_refusals(j, now_ms);
+	for (i = 0; i < n; i += count) {
+		count = group_alike(j, &tasks[i], n - i);
+		hide_refusers(d, j, tasks[i].index, true);
+		cf_placer_place(d->placer, (void *)d->places->data,
+				d->places->len, &tasks[i], count);
+		send_all(d, j, &tasks[i], count, now_ms);
+		hide_refusers(d, j, tasks[i].index, false);
+	}
 	g_free(tasks);
-	if (placed < n || cf_job_unplaced(j->job, &(uint32_t){ 0 }, 1))
+	if (cf_job_unplaced(j->job, &(uint32_t){ 0 }, 1))
 		return false;
 	note_started(d, j, now_ms);
 	if (j->owned)
--- a/src/roles/dispatcher_settle.c
+++ b/src/roles/dispatcher_settle.c
@@ -11,28 +11,37 @@
 
 /* ---- Constants ---- */
 
+#define REFUSAL_MS 1000 /* before an agent is asked again */
 #define RETRY_BASE_MS 5
 #define RETRY_MAX_MS 200
 #define AGENTS_MAX 1024
 
 /* ---- Events of one task ---- */
 
-static void note_refusal(struct djob *j, uint64_t agent)
+static void note_refusal(struct djob *j, uint64_t agent, uint32_t index)
 {
+	struct refusal refusal = { agent, index, clock_now_ms() + REFUSAL_MS };
 	guint i;
 
-	for (i = 0; i < j->refused_by->len; i++)
-		if (g_array_index(j->refused_by, uint64_t, i) == agent)
+	for (i = 0; i < j->refusals->len; i++) {
+		struct refusal *r =
+			&g_array_index(j->refusals, struct refusal, i);
+
+		if (r->agent == agent && r->index == index) {
+			*r = refusal;
 			return;
-	g_array_append_val(j->refused_by, agent);
+		}
+	}
+	g_array_append_val(j->refusals, refusal);
 }
 
 /* Proven unstarted: it may go elsewhere, at once the first time. */
-static void move_task(struct dispatcher *d, struct djob *j, uint64_t agent)
+static void move_task(struct dispatcher *d, struct djob *j, uint64_t agent,
+		      uint32_t index)
 {
 	uint32_t delay_ms = 0;
 
-	note_refusal(j, agent);
+	note_refusal(j, agent, index);
 	if (j->phase == DJOB_STOPPING)
 		return;
 	counter_add(d->counters.moves, 1);
@@ -84,7 +93,8 @@
 	GBytes *payload = NULL;
 	bool expected;
 
-	if (event == CF_EVENT_DONE)
+	/* Agents drop old results; then it ran, and no more is known. */
+	if (event == CF_EVENT_DONE && result->payload.len)
 		payload =
 			g_bytes_new(result->payload.data, result->payload.len);
 	/* Once stopped, what runs is not waited for. */
@@ -94,13 +104,19 @@
 				result->message);
 	if (payload)
 		g_bytes_unref(payload);
+	/* It was said to run, but its call came to nothing. */
+	if (!expected && event == CF_EVENT_FENCED) {
+		event = CF_EVENT_LOST;
+		expected = cf_job_event(j->job, result->index, agent, event,
+					NULL, result->message);
+	}
 	if (!expected)
 		return false;
 	learn(d, j, agent, result, event);
 	if (a && event != CF_EVENT_RUNNING)
 		agents_settled(d, a, j, result->index);
 	if (event == CF_EVENT_FENCED)
-		move_task(d, j, agent);
+		move_task(d, j, agent, result->index);
 	return true;
 }
 
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -27,6 +27,7 @@
 	OPEN,
 	START, /* expect: the index, or NONE */
 	FINISH,
+	UNSTART,
 	QUERY, /* expect: enum cf_task_state */
 	FENCE, /* a query with fence */
 	SEAL,
@@ -105,6 +106,22 @@
 	    { START, 0, 0, 0, 0, 0 },
 	    { FENCE, 0, 0, 0, 0, CF_TASK_RUNNING },
 	    { FINISH, 0, 0, 0, 1, true } } },
+	{ "a call that came to nothing",
+	  { { OFFER, D, 1, 0, 0, true },
+	    { UNSTART, 0, 0, 0, 0, false },
+	    { START, 0, 0, 0, 0, 0 },
+	    { UNSTART, 0, 0, 0, 1, true },
+	    { UNSTART, 0, 0, 0, 1, false },
+	    { FINISH, 0, 0, 0, 1, false },
+	    { OFFER, D, 1, 0, 1, true },
+	    { START, 0, 0, 0, 1, 0 } } },
+	{ "one that is asked for then",
+	  { { OFFER, D, 1, 0, 0, true },
+	    { START, 0, 0, 0, 0, 0 },
+	    { UNSTART, 0, 0, 0, 1, true },
+	    { QUERY, 0, 0, 0, 1, CF_TASK_HELD },
+	    { FENCE, 0, 0, 0, 1, CF_TASK_FENCED },
+	    { OFFER, D, 1, 0, 1, false } } },
 	{ "query alone fences nothing",
 	  { { QUERY, 0, 0, 0, 0, CF_TASK_HELD },
 	    { OFFER, D, 1, 0, 0, true },
@@ -207,6 +224,9 @@
 	case FINISH:
 		return cf_gate_finish(gate, &task.key, step->index, true, NULL,
 				      step->now_ms);
+	case UNSTART:
+		return cf_gate_unstart(gate, &task.key, step->index,
+				       step->now_ms);
 	case QUERY:
 	case FENCE:
 		return cf_gate_query(gate, &task.key, step->index,
