--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -12,6 +12,7 @@
 #include <string.h>
 
 #define POLL_MS 1000
+#define LOOK_MS 100 /* between looks at the calls under way */
 #define SPARE_HANDLES_MAX 256
 #define REUSE_S 118 /* libcurl uses none that was idle for longer */
 
@@ -19,6 +20,8 @@
 	struct mpsc_node node; /* in waiting, then in ended */
 	struct http_transfer transfer;
 	CURL *easy; /* while it is under way */
+	int64_t suspect_ms; /* 0: never */
+	gint64 started_us;
 	struct http_answer answer;
 	http_answer_fn *fn;
 	void *arg;
@@ -33,9 +36,10 @@
 	struct mpsc ended; /* to the loop */
 	GPtrArray *spare; /* easy handles; thread only */
 	GHashTable *active; /* calls under way; thread only */
-	/* When a call timed out last; thread only. Connections that are
-	 * older may have gone silent for good. */
-	gint64 timed_out_us;
+	/* When a call got no answer in time last; thread only. Connections
+	 * that are older may have gone silent for good. */
+	gint64 distrust_us;
+	gint64 looked_us; /* at the calls under way; thread only */
 };
 
 /* ---- Answers, on the loop's thread ---- */
@@ -81,16 +85,16 @@
 {
 	gint64 since_s;
 
-	if (!client->timed_out_us)
+	if (!client->distrust_us)
 		return;
-	since_s = (g_get_monotonic_time() - client->timed_out_us) /
-		  G_USEC_PER_SEC;
+	since_s =
+		(g_get_monotonic_time() - client->distrust_us) / G_USEC_PER_SEC;
 	if (since_s < 1)
 		curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
 	else if (since_s < REUSE_S)
 		curl_easy_setopt(easy, CURLOPT_MAXLIFETIME_CONN, (long)since_s);
 	else
-		client->timed_out_us = 0;
+		client->distrust_us = 0;
 }
 
 static void start_call(struct http_client *client, struct call *call)
@@ -99,6 +103,7 @@
 	http_transfer_prepare(&call->transfer, call->easy);
 	leave_old_connections(client, call->easy);
 	curl_easy_setopt(call->easy, CURLOPT_PRIVATE, call);
+	call->started_us = g_get_monotonic_time();
 	g_hash_table_add(client->active, call);
 	curl_multi_add_handle(client->multi, call->easy);
 }
@@ -111,7 +116,7 @@
 	http_transfer_finish(&call->transfer, easy, code, &call->answer);
 	curl_multi_remove_handle(client->multi, easy);
 	if (call->answer.result == HTTP_TIMED_OUT)
-		client->timed_out_us = g_get_monotonic_time();
+		client->distrust_us = g_get_monotonic_time();
 	g_hash_table_remove(client->active, call);
 	call->easy = NULL;
 	if (client->spare->len < SPARE_HANDLES_MAX) {
@@ -166,6 +171,26 @@
 	}
 }
 
+static void look_for_silence(struct http_client *client)
+{
+	gint64 now_us = g_get_monotonic_time();
+	GHashTableIter iter;
+	gpointer key;
+
+	if (now_us - client->looked_us < LOOK_MS * G_TIME_SPAN_MILLISECOND)
+		return;
+	client->looked_us = now_us;
+	g_hash_table_iter_init(&iter, client->active);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		const struct call *call = key;
+		gint64 waited_us = now_us - call->started_us;
+
+		if (call->suspect_ms &&
+		    waited_us >= call->suspect_ms * G_TIME_SPAN_MILLISECOND)
+			client->distrust_us = now_us;
+	}
+}
+
 static gpointer run(gpointer data)
 {
 	struct http_client *client = data;
@@ -175,7 +200,11 @@
 		start_waiting(client);
 		curl_multi_perform(client->multi, &running);
 		finish_done(client);
-		curl_multi_poll(client->multi, NULL, 0, POLL_MS, NULL);
+		look_for_silence(client);
+		curl_multi_poll(client->multi, NULL, 0,
+				g_hash_table_size(client->active) ? LOOK_MS
+								  : POLL_MS,
+				NULL);
 	}
 	finish_all(client);
 	return NULL;
@@ -247,6 +276,7 @@
 	struct call *c = g_new0(struct call, 1);
 
 	http_transfer_init(&c->transfer, call);
+	c->suspect_ms = call->suspect_ms;
 	c->fn = fn;
 	c->arg = arg;
 	if (mpsc_push(&client->waiting, &c->node))
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -28,6 +28,9 @@
 	const char *const *headers; /* NULL-ended "Name: value", or NULL */
 	int64_t timeout_ms; /* whole call; 0: none */
 	int64_t connect_ms; /* 0: 1000 */
+	/* Without an answer for so long, later calls leave the connections
+	 * there are, which may have gone silent; 0: only at its timeout. */
+	int64_t suspect_ms;
 };
 
 struct http_answer {
--- a/src/roles/agent_backend.c
+++ b/src/roles/agent_backend.c
@@ -19,6 +19,7 @@
 #define ANNOUNCE_BODY_MAX 4096
 #define ANNOUNCE_SILENCE_MS 5000 /* then it is taken for gone */
 #define DEADLINE_GRACE_MS 500
+#define SUSPECT_MS 1000 /* an answer is late */
 #define STATUS_OK 200
 #define STATUS_NOT_STARTED 412
 #define FIELD_MAX 1000000000
@@ -371,6 +372,7 @@
 		.size_bytes = body->len,
 		.headers = headers,
 		.timeout_ms = call_timeout_ms(agent, task),
+		.suspect_ms = 2 * (int64_t)task->predicted_ms + SUSPECT_MS,
 	};
 
 	/* Same host, same clock: the backend server can close the window
