Add seeded random faults under load

tests/fault_random.c: 3 coordinators, 2 dispatchers, 6 agents with their backend servers, relays before the agents and a dispatcher; one fault every 3 s for FAULT_SECONDS (20) from FAULT_SEED (1).

--- /dev/null
+++ b/tests/fault_random.c
@@ -0,0 +1,255 @@
+/*
+ * Seeded random faults under load: every three seconds one of kill,
+ * freeze, silent connections, restart, data centre out and in, planned
+ * stop, of any process. FAULT_SECONDS (20) and FAULT_SEED (1) are taken
+ * from the environment. At the end no promise is broken, and each job of
+ * the load has a true answer.
+ */
+#include "support/cluster.h"
+#include "support/relay.h"
+
+#include "base/clock.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+/* ---- Constants ---- */
+
+#define WAIT_MS 30000
+#define LOAD_SLACK_MS 90000
+#define FAULT_EVERY_MS 3000
+#define FREEZE_MIN_MS 1000
+#define FREEZE_MAX_MS 4000
+#define RELAY_PORT 6001
+#define COORDINATORS 3
+#define DISPATCHERS 2
+#define AGENTS 6
+#define RELAYS (AGENTS + 1)
+
+/* ---- Types ---- */
+
+enum fault { KILL, FREEZE, SILENCE, OUT, STOP, FAULTS };
+
+static const char *const fault_names[] = { "kill", "freeze", "silence",
+					   "data centre out", "planned stop" };
+
+struct scene {
+	struct cluster *c;
+	GRand *random;
+	struct relay *relays[RELAYS]; /* before each agent, and d2 */
+	int done[FAULTS];
+	int cut_off; /* planned stops that did not end with 0 */
+};
+
+/* ---- Set-up ---- */
+
+static int64_t from_environment(const char *name, int64_t otherwise)
+{
+	const char *text = getenv(name);
+
+	return text ? g_ascii_strtoll(text, NULL, 10) : otherwise;
+}
+
+static void put_relay(struct scene *s, int i, const char *name)
+{
+	char listen[40];
+
+	snprintf(listen, sizeof(listen), "%s:%d", s->c->ip, RELAY_PORT + i);
+	s->relays[i] =
+		relay_create(listen, cluster_address(s->c, name, "listen"));
+	proc_set(cluster_proc(s->c, name), "--advertise", listen);
+}
+
+static void open_scene(struct scene *s, int64_t seed)
+{
+	static const struct cluster_options options = {
+		.coordinators = COORDINATORS,
+		.dispatchers = DISPATCHERS,
+		.agents = AGENTS
+	};
+	char name[16];
+	int i;
+
+	memset(s, 0, sizeof(*s));
+	s->random = g_rand_new_with_seed((guint32)seed);
+	s->c = cluster_create(&options);
+	for (i = 0; i < AGENTS; i++) {
+		snprintf(name, sizeof(name), "a%d", i + 1);
+		put_relay(s, i, name);
+	}
+	put_relay(s, AGENTS, "d2");
+	cluster_start(s->c);
+}
+
+static void close_scene(struct scene *s)
+{
+	int i;
+
+	for (i = 0; i < RELAYS; i++)
+		relay_destroy(s->relays[i]);
+	g_rand_free(s->random);
+	cluster_destroy(s->c);
+}
+
+/* ---- Faults ---- */
+
+static struct proc *any_proc(struct scene *s)
+{
+	int n = COORDINATORS + DISPATCHERS + 2 * AGENTS;
+
+	return &s->c->procs[g_rand_int_range(s->random, 0, n)];
+}
+
+static void start_again(struct scene *s, struct proc *p)
+{
+	proc_start(s->c, p);
+	/* A process that never comes back would hide what follows. */
+	if (strcmp(p->role, "backend") != 0)
+		cluster_wait_ready(s->c, p->name, WAIT_MS);
+}
+
+static void freeze_a_while(struct scene *s, struct proc *p)
+{
+	int ms = g_rand_int_range(s->random, FREEZE_MIN_MS, FREEZE_MAX_MS + 1);
+
+	proc_freeze(p);
+	g_usleep((gulong)ms * 1000);
+	proc_thaw(p);
+	/* A dispatcher that was taken for dead meanwhile ends itself. */
+	if (proc_wait(p, FAULT_EVERY_MS) != -1 && !p->pid)
+		start_again(s, p);
+}
+
+static const char *do_fault(struct scene *s, enum fault fault)
+{
+	struct proc *p = any_proc(s);
+	static char text[32];
+
+	g_strlcpy(text, p->name, sizeof(text));
+	switch (fault) {
+	case KILL:
+		proc_kill(p);
+		start_again(s, p);
+		break;
+	case FREEZE:
+		freeze_a_while(s, p);
+		break;
+	case SILENCE:
+		snprintf(text, sizeof(text), "relay %d",
+			 g_rand_int_range(s->random, 0, RELAYS));
+		relay_silence_open(s->relays[atoi(text + 6)], RELAY_BOTH);
+		break;
+	case OUT:
+		snprintf(text, sizeof(text), "dc%d",
+			 g_rand_int_range(s->random, 1, 4));
+		assert_true(cluster_data_centre(s->c, text, false));
+		g_usleep(FAULT_EVERY_MS * 1000);
+		assert_true(cluster_data_centre(s->c, text, true));
+		break;
+	case STOP:
+		if (proc_stop(p))
+			s->cut_off++;
+		start_again(s, p);
+		break;
+	case FAULTS:
+		break;
+	}
+	s->done[fault]++;
+	return text;
+}
+
+static void run_faults(struct scene *s, int64_t seconds)
+{
+	int64_t end_ms = clock_now_ms() + seconds * 1000;
+	int64_t next_ms = clock_now_ms() + FAULT_EVERY_MS;
+
+	while (next_ms < end_ms) {
+		enum fault fault =
+			(enum fault)g_rand_int_range(s->random, 0, FAULTS);
+		int64_t now_ms = clock_now_ms();
+		const char *what;
+
+		if (now_ms < next_ms)
+			g_usleep((gulong)(next_ms - now_ms) * 1000);
+		next_ms = MAX(next_ms, now_ms) + FAULT_EVERY_MS;
+		what = do_fault(s, fault);
+		fprintf(stderr, "count: %s of %s\n", fault_names[fault], what);
+	}
+}
+
+/* ---- The test ---- */
+
+static void test_random_faults(void **state)
+{
+	int64_t seed = from_environment("FAULT_SEED", 1);
+	int64_t seconds = from_environment("FAULT_SECONDS", 20);
+	char duration[24], load_seed[24];
+	const char *const args[] = { "--rate",
+				     "60",
+				     "--duration-s",
+				     duration,
+				     "--tasks",
+				     "6",
+				     "--run-ms",
+				     "40",
+				     "--run-spread",
+				     "true",
+				     "--seed",
+				     load_seed,
+				     "--resubmit-milli",
+				     "100",
+				     "--job-deadline-ms",
+				     "10000",
+				     NULL };
+	struct cf_trace_summary summary;
+	struct scene s;
+	struct proc *load;
+	int64_t jobs, complete, unknown, not_run;
+
+	(void)state;
+	snprintf(duration, sizeof(duration), "%d", (int)seconds);
+	snprintf(load_seed, sizeof(load_seed), "%d", (int)seed);
+	fprintf(stderr, "count: seed=%d seconds=%d\n", (int)seed, (int)seconds);
+	open_scene(&s, seed);
+	load = cluster_load(s.c, args);
+	run_faults(&s, seconds);
+	proc_wait(load, seconds * 1000 + LOAD_SLACK_MS);
+	assert_int_equal(load->pid, 0);
+	jobs = cluster_load_field(load, "jobs");
+	complete = cluster_load_field(load, "complete");
+	unknown = cluster_load_field(load, "may_have_run");
+	not_run = cluster_load_field(load, "not_run");
+	fprintf(stderr,
+		"count: jobs=%d complete=%d unknown=%d not_run=%d lost=%d "
+		"partial=%d crossed=%d cut_off=%d\n",
+		(int)jobs, (int)complete, (int)unknown, (int)not_run,
+		(int)cluster_load_field(load, "lost"),
+		(int)cluster_load_field(load, "partial"),
+		(int)cluster_load_field(load, "crossed"), s.cut_off);
+	fprintf(stderr,
+		"count: kills=%d freezes=%d silences=%d outs=%d stops=%d\n",
+		s.done[KILL], s.done[FREEZE], s.done[SILENCE], s.done[OUT],
+		s.done[STOP]);
+	assert_int_equal(cluster_check(s.c, &summary), 0);
+	assert_int_equal(summary.doubles, 0);
+	assert_int_equal(cluster_load_field(load, "partial"), 0);
+	assert_int_equal(cluster_load_field(load, "crossed"), 0);
+	assert_int_equal(cluster_load_field(load, "lost"), 0);
+	assert_int_equal(complete + unknown + not_run, jobs);
+	assert_int_equal(s.cut_off, 0);
+	close_scene(&s);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_teardown(test_random_faults, cluster_teardown),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
