--- a/src/roles/agent_tasks.c
+++ b/src/roles/agent_tasks.c
@@ -13,10 +13,6 @@
 #include <string.h>
 #include <xxhash.h>
 
-/* ---- Constants ---- */
-
-#define LOAD_INTERVAL_MS 50 /* between unasked load reports */
-
 /* ---- Types ---- */
 
 struct task_name {
@@ -48,44 +44,6 @@
 	return true;
 }
 
-/* ---- Load ---- */
-
-static void fill_load(struct agent *agent, const struct caller_link *caller,
-		      Cfw__Load *load)
-{
-	struct cf_gate_load gate;
-	int64_t now_ms = clock_now_ms();
-
-	cf_gate_get_load(agent->gate, now_ms, &gate);
-	load->slots = gate.slots;
-	load->running = gate.running;
-	load->queued = gate.queued;
-	load->backlog_ms = gate.backlog_ms;
-	load->accepting = agent_accepting(agent, now_ms);
-	load->received = caller->received;
-}
-
-/*
- * A batch that is still waiting for its slowest task keeps its finished
- * slots hidden from the dispatcher; tell it, though not often.
- */
-static void tell_free_slots(struct agent *agent, struct caller_link *caller)
-{
-	Cfw__Envelope envelope = CFW__ENVELOPE__INIT;
-	Cfw__Load load = CFW__LOAD__INIT;
-	int64_t now_ms = clock_now_ms();
-
-	if (!caller->link || now_ms - caller->load_sent_ms < LOAD_INTERVAL_MS)
-		return;
-	fill_load(agent, caller, &load);
-	if (load.queued || load.running + 1 < load.slots)
-		return;
-	caller->load_sent_ms = now_ms;
-	envelope.body_case = CFW__ENVELOPE__BODY_LOAD;
-	envelope.load = &load;
-	link_send(caller->link, &envelope);
-}
-
 /* ---- Batches and results ---- */
 
 struct caller_link *agent_caller(struct agent *agent, uint64_t incarnation)
@@ -97,10 +55,19 @@
 		return caller;
 	caller = g_new0(struct caller_link, 1);
 	caller->incarnation = incarnation;
+	caller->links = g_ptr_array_new();
 	g_hash_table_insert(agent->callers, &caller->incarnation, caller);
 	return caller;
 }
 
+void agent_caller_free(gpointer data)
+{
+	struct caller_link *caller = data;
+
+	g_ptr_array_free(caller->links, TRUE);
+	g_free(caller);
+}
+
 static void free_result(gpointer result)
 {
 	cfw__result__free_unpacked(result, NULL);
@@ -148,7 +115,7 @@
 	Cfw__Results results = CFW__RESULTS__INIT;
 	Cfw__Load load = CFW__LOAD__INIT;
 
-	fill_load(agent, caller, &load);
+	agent_fill_load(agent, caller, &load);
 	results.dispatcher = batch->dispatcher;
 	results.agent = agent->incarnation;
 	results.job = batch->job;
@@ -159,7 +126,6 @@
 	results.load = &load;
 	envelope.body_case = CFW__ENVELOPE__BODY_RESULTS;
 	envelope.results = &results;
-	caller->load_sent_ms = clock_now_ms();
 	/* Without a connection a query on the next one finds them. */
 	if (!caller->link || !link_send(caller->link, &envelope))
 		counter_add(agent->counters.dropped, 1);
@@ -182,7 +148,7 @@
 static void settle(struct agent *agent, struct batch *batch)
 {
 	if (batch->waiting) {
-		tell_free_slots(agent, agent_caller(agent, batch->dispatcher));
+		agent_tell_load(agent, agent_caller(agent, batch->dispatcher));
 		return;
 	}
 	send_results(agent, batch);
@@ -258,6 +224,29 @@
 	return end;
 }
 
+/*
+ * An offer that the gate refused never starts. Another dispatcher's task
+ * of the same name may wait here: it is left alone, as is an earlier
+ * copy of this dispatcher's own, which answers for both.
+ */
+static struct task_end refused_end(struct agent *agent,
+				   const struct cf_key *key, uint32_t index,
+				   uint64_t dispatcher)
+{
+	const struct cf_task *task = cf_gate_task(agent->gate, key, index);
+	struct task_end end =
+		known_end(agent, key, index, false, "seen before or fenced");
+	struct task_name name = { *key, index };
+
+	if (end.outcome == CFW__TASK_OUTCOME__TASK_RUNNING &&
+	    !g_hash_table_contains(agent->batches, &name))
+		end.outcome = CFW__TASK_OUTCOME__TASK_NOT_STARTED;
+	else if (end.outcome == CFW__TASK_OUTCOME__TASK_RUNNING &&
+		 task->dispatcher != dispatcher && !task->started_ms)
+		end.outcome = CFW__TASK_OUTCOME__TASK_NOT_STARTED;
+	return end;
+}
+
 static void offer_task(struct agent *agent, struct batch *batch,
 		       const Cfw__Dispatch *dispatch, const Cfw__Task *from,
 		       int64_t now_ms)
@@ -279,8 +268,8 @@
 		g_hash_table_insert(agent->batches, name, batch);
 		batch->waiting++;
 	} else {
-		end = known_end(agent, &batch->key, from->index, true,
-				"seen before or fenced");
+		end = refused_end(agent, &batch->key, from->index,
+				  dispatch->dispatcher);
 		add_result(batch, from->index, &end);
 	}
 	g_bytes_unref(task.payload);
@@ -492,7 +481,7 @@
 	reply.agent = agent->incarnation;
 	reply.results = (Cfw__Result **)answer.results->pdata;
 	reply.n_results = answer.results->len;
-	fill_load(agent, caller, &load);
+	agent_fill_load(agent, caller, &load);
 	reply.load = &load;
 	envelope.body_case = CFW__ENVELOPE__BODY_QUERY_REPLY;
 	envelope.query_reply = &reply;
@@ -501,20 +490,50 @@
 	agent_pump(agent);
 }
 
+/* What the gate fenced by itself has no start to wait for any more. */
+static void end_fenced(struct agent *agent, uint64_t dispatcher)
+{
+	GArray *names = g_array_new(FALSE, FALSE, sizeof(struct task_name));
+	struct task_end end = { CFW__TASK_OUTCOME__TASK_NOT_STARTED, NULL,
+				"the dispatcher is fenced", 0, 0 };
+	GHashTableIter iter;
+	gpointer key, batch;
+	guint i;
+
+	g_hash_table_iter_init(&iter, agent->batches);
+	while (g_hash_table_iter_next(&iter, &key, &batch))
+		if (((struct batch *)batch)->dispatcher == dispatcher)
+			g_array_append_val(names, *(struct task_name *)key);
+	for (i = 0; i < names->len; i++) {
+		const struct task_name *n =
+			&g_array_index(names, struct task_name, i);
+
+		if (cf_gate_query(agent->gate, &n->key, n->index, false, NULL,
+				  clock_now_ms()) != CF_TASK_FENCED)
+			continue;
+		agent_trace_fence(&n->key, n->index, NULL, clock_now_ms());
+		counter_add(agent->counters.fenced, 1);
+		agent_task_ended(agent, &n->key, n->index, &end);
+	}
+	g_array_free(names, TRUE);
+}
+
 void agent_fence_dispatchers(struct agent *agent)
 {
+	const struct cf_config *config = session_config(agent->session);
 	GHashTableIter iter;
 	struct caller_link *caller;
 	int64_t now_ms = clock_now_ms();
 
 	g_hash_table_iter_init(&iter, agent->callers);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&caller)) {
-		if (!cf_config_is_fenced(session_config(agent->session),
-					 caller->incarnation))
+		uint64_t incarnation = caller->incarnation;
+
+		if (!cf_config_is_fenced(config, incarnation))
 			continue;
-		cf_gate_fence_dispatcher(agent->gate, caller->incarnation,
-					 now_ms);
-		agent_trace_fence_dispatcher(caller->incarnation, now_ms);
+		agent_trace_fence_dispatcher(incarnation, now_ms);
+		if (cf_gate_fence_dispatcher(agent->gate, incarnation, now_ms))
+			end_fenced(agent, incarnation);
 	}
 }
 
@@ -556,6 +575,7 @@
 						 data_centre);
 	permit.draining = agent->board.stopping ||
 			  agent->board.backend_leaving || agent->board.fenced ||
+			  agent->board.backend_refused ||
 			  !agent->board.backend_url;
 	while ((task = cf_gate_start(agent->gate, &permit, now_ms)))
 		start_task(agent, task, now_ms);
