agent: tell dispatchers when it accepts work again

Cause: an agent whose data centre is out of service (or that has no lease, or whose backend server is silent) says so in the load that goes with its results; the dispatcher then sends it nothing, so no results ever told the dispatcher that it accepts again. Ruled out: the lease and the configuration (the agent had both 0.5 s after the answer), and the placer. A change of it now goes to all dispatchers that are connected, and each new connection begins with a load.

What agents say of their load is in a file of its own now.

--- a/src/roles/agent.c
+++ b/src/roles/agent.c
@@ -59,6 +59,7 @@
 	caller = agent_caller(agent, peer->incarnation);
 	caller->link = link;
 	caller->received = 0;
+	agent_tell_load(agent, caller);
 }
 
 static void on_down(void *arg, struct link *link)
--- a/src/roles/agent_internal.h
+++ b/src/roles/agent_internal.h
@@ -49,6 +49,7 @@
 	bool backend_leaving;
 	bool stopping;
 	bool fenced;
+	bool told_accepting; /* to the dispatchers */
 };
 
 struct agent_counters {
@@ -97,6 +98,13 @@
 gboolean agent_name_equal(gconstpointer a, gconstpointer b);
 void agent_batch_unref(gpointer batch);
 
+/* agent_load.c: what dispatchers are told of the load here. */
+void agent_fill_load(struct agent *agent, const struct caller_link *caller,
+		     Cfw__Load *load);
+void agent_tell_load(struct agent *agent, struct caller_link *caller);
+void agent_tell_free_slots(struct agent *agent, struct caller_link *caller);
+void agent_tell_accepting(struct agent *agent, int64_t now_ms); /* if changed */
+
 /* agent_backend.c: the backend server on this host. */
 bool agent_backend_open(struct agent *agent, GError **error);
 void agent_backend_call(struct agent *agent, const struct cf_task *task);
--- a/src/roles/agent_tasks.c
+++ b/src/roles/agent_tasks.c
@@ -13,10 +13,6 @@
 #include <string.h>
 #include <xxhash.h>
 
-/* ---- Constants ---- */
-
-#define LOAD_INTERVAL_MS 50 /* between unasked load reports */
-
 /* ---- Types ---- */
 
 struct task_name {
@@ -48,44 +44,6 @@
 	return true;
 }
 
-/* ---- Load ---- */
-
-static void fill_load(struct agent *agent, const struct caller_link *caller,
-		      Cfw__Load *load)
-{
-	struct cf_gate_load gate;
-	int64_t now_ms = clock_now_ms();
-
-	cf_gate_get_load(agent->gate, now_ms, &gate);
-	load->slots = gate.slots;
-	load->running = gate.running;
-	load->queued = gate.queued;
-	load->backlog_ms = gate.backlog_ms;
-	load->accepting = agent_accepting(agent, now_ms);
-	load->received = caller->received;
-}
-
-/*
- * A batch that is still waiting for its slowest task keeps its finished
- * slots hidden from the dispatcher; tell it, though not often.
- */
-static void tell_free_slots(struct agent *agent, struct caller_link *caller)
-{
-	Cfw__Envelope envelope = CFW__ENVELOPE__INIT;
-	Cfw__Load load = CFW__LOAD__INIT;
-	int64_t now_ms = clock_now_ms();
-
-	if (!caller->link || now_ms - caller->load_sent_ms < LOAD_INTERVAL_MS)
-		return;
-	fill_load(agent, caller, &load);
-	if (load.queued || load.running + 1 < load.slots)
-		return;
-	caller->load_sent_ms = now_ms;
-	envelope.body_case = CFW__ENVELOPE__BODY_LOAD;
-	envelope.load = &load;
-	link_send(caller->link, &envelope);
-}
-
 /* ---- Batches and results ---- */
 
 struct caller_link *agent_caller(struct agent *agent, uint64_t incarnation)
@@ -148,7 +106,7 @@
 	Cfw__Results results = CFW__RESULTS__INIT;
 	Cfw__Load load = CFW__LOAD__INIT;
 
-	fill_load(agent, caller, &load);
+	agent_fill_load(agent, caller, &load);
 	results.dispatcher = batch->dispatcher;
 	results.agent = agent->incarnation;
 	results.job = batch->job;
@@ -182,7 +140,8 @@
 static void settle(struct agent *agent, struct batch *batch)
 {
 	if (batch->waiting) {
-		tell_free_slots(agent, agent_caller(agent, batch->dispatcher));
+		agent_tell_free_slots(agent,
+				      agent_caller(agent, batch->dispatcher));
 		return;
 	}
 	send_results(agent, batch);
@@ -465,7 +424,7 @@
 	reply.agent = agent->incarnation;
 	reply.results = (Cfw__Result **)answer.results->pdata;
 	reply.n_results = answer.results->len;
-	fill_load(agent, caller, &load);
+	agent_fill_load(agent, caller, &load);
 	reply.load = &load;
 	envelope.body_case = CFW__ENVELOPE__BODY_QUERY_REPLY;
 	envelope.query_reply = &reply;
@@ -537,6 +496,7 @@
 		start_task(agent, task);
 	while ((task = cf_gate_take_unstartable(agent->gate, &permit, now_ms)))
 		fence_task(agent, task);
+	agent_tell_accepting(agent, now_ms);
 	cf_gate_get_load(agent->gate, now_ms, &load);
 	gauge_set(agent->counters.running, load.running);
 	gauge_set(agent->counters.queued, load.queued);
