health: try a straggler with one task at a time, and count overdue tasks

Cause, from the event traces of the straggler trace (server 1 at five times its run time): 17 tasks went to it in the first 2.5 s, since tasks that are overdue did not count as results, of which five are needed to judge; and after 17 and 21 s the learned slowness had faded so far that 13 more went there at once, up to all 8 slots. Ruled out: the length of the queues (none there). Now an overdue task counts towards the five, and a server that its last result showed 2.5 times as slow as the others gets one slot's work until a result is better; this also holds while it warms up.

The new cases of tests/test_health.c failed before (weight 1000 in place of 100).

--- a/src/lib/health.c
+++ b/src/lib/health.c
@@ -31,6 +31,7 @@
 static const double SLOW_FAR = 1.1; /* log of that: three times */
 static const double SLOW_NOISE = 1.4; /* less beside the others is chance */
 static const uint32_t SLOW_TASKS = 5; /* to judge by */
+static const double SLOW_PROBE = 2.5; /* from here on one task at a time */
 static const double SLOW_CLIP = 3.0; /* log of the greatest ratio counted */
 static const double SLOW_FORGET_MS = 30000; /* without a result */
 static const double SLOW_MOST = 20;
@@ -49,6 +50,7 @@
 	uint32_t results;
 	double log_ratio; /* run time beside predicted, ageing mean of log */
 	double slowness;
+	bool probed; /* slow by its last result: gets one slot's work */
 	int64_t result_ms; /* when the last result came */
 };
 
@@ -274,6 +276,7 @@
 	slowness = exp(server->log_ratio -
 		       median_of_others(health, server, MEASURE_LOG_RATIO));
 	server->slowness = CLAMP(slowness, 1 / SLOW_MOST, SLOW_MOST);
+	server->probed = slowness >= SLOW_PROBE;
 }
 
 /* One task far off may be chance, a few are a straggler: they weigh
@@ -316,6 +319,7 @@
 		return;
 	server->result_ms = now_ms;
 	learn_slowness(health, server, run_ms, predicted_ms);
+	server->results++;
 }
 
 /* ---- Time ----------------------------------------------------------- */
@@ -416,11 +420,16 @@
 	case CF_HEALTH_PROBATION:
 		return PROBATION_WEIGHT;
 	case CF_HEALTH_WARMING:
-		return warm_weight(health, server, now_ms);
 	case CF_HEALTH_GOOD:
 		break;
 	}
-	return 1000;
+	/* its slowness fades while it gets no work; only a result shows
+	 * that it is over */
+	if (server->probed)
+		return PROBATION_WEIGHT;
+	return server->state == CF_HEALTH_WARMING
+		       ? warm_weight(health, server, now_ms)
+		       : 1000;
 }
 
 double cf_health_slowness(const struct cf_health *health, uint64_t agent)
--- a/tests/test_health.c
+++ b/tests/test_health.c
@@ -214,6 +214,37 @@
 	}
 }
 
+/* A straggler runs one task at a time until its results are better. */
+static void test_straggler_recovers(void **state)
+{
+	struct cf_health *health = make_health(300);
+
+	(void)state;
+	for (uint64_t agent = 1; agent <= SERVERS; agent++)
+		send_tasks(health, agent, 20, true, agent == BAD ? 500 : 100,
+			   10);
+	assert_int_equal(cf_health_weight_milli(health, BAD, 10), 100);
+	send_tasks(health, BAD, 20, true, 100, 1000);
+	assert_int_equal(cf_health_weight_milli(health, BAD, 1000), 1000);
+	cf_health_destroy(health);
+}
+
+/* Tasks that have not ended show a straggler that no result came from. */
+static void test_overdue_before_results(void **state)
+{
+	struct cf_health *health = make_health(300);
+
+	(void)state;
+	for (uint64_t agent = 1; agent <= SERVERS; agent++)
+		if (agent != BAD)
+			send_tasks(health, agent, 10, true, 100, 10);
+	for (int i = 0; i < 5; i++)
+		cf_health_overdue(health, BAD, 300, 100, 300);
+	cf_health_overdue(health, BAD, 300, 100, 300);
+	assert_true(cf_health_slowness(health, BAD) > 2.5);
+	cf_health_destroy(health);
+}
+
 /* A slow server that gets no work is tried again after a while. */
 static void test_slowness_is_forgotten(void **state)
 {
@@ -226,6 +257,8 @@
 	for (int64_t now = 10; now <= 120000; now += 100)
 		cf_health_tick(health, now);
 	assert_true(cf_health_slowness(health, BAD) < 1.1);
+	/* one task shows whether it still is slow */
+	assert_int_equal(cf_health_weight_milli(health, BAD, 120000), 100);
 	send_tasks(health, BAD, 1, true, 500, 120000);
 	assert_true(cf_health_slowness(health, BAD) > 3);
 	cf_health_destroy(health);
@@ -284,6 +317,8 @@
 		cmocka_unit_test(test_way_back),
 		cmocka_unit_test(test_probation_fails),
 		cmocka_unit_test(test_slowness),
+		cmocka_unit_test(test_straggler_recovers),
+		cmocka_unit_test(test_overdue_before_results),
 		cmocka_unit_test(test_slowness_is_forgotten),
 		cmocka_unit_test(test_overdue),
 		cmocka_unit_test(test_slow_start),
