--- /dev/null
+++ b/bench/fit.h
@@ -0,0 +1,65 @@
+/*
+ * fit: a straight line through measured points by least squares, and
+ * how far the points lie from it; for the benchmarks of this folder.
+ */
+#ifndef BENCH_FIT_H
+#define BENCH_FIT_H
+
+#include <math.h>
+#include <stddef.h>
+#include <stdio.h>
+
+#define FIT_POINTS_MAX 16
+
+struct fit {
+	double x[FIT_POINTS_MAX], y[FIT_POINTS_MAX];
+	size_t n;
+};
+
+static inline void fit_add(struct fit *fit, double x, double y)
+{
+	if (fit->n == FIT_POINTS_MAX)
+		return;
+	fit->x[fit->n] = x;
+	fit->y[fit->n++] = y;
+}
+
+/* y = base + slope * x. Returns the largest distance of a point from
+ * the line, in parts of the largest y. */
+static inline double fit_line(const struct fit *fit, double *slope,
+			      double *base)
+{
+	double sx = 0, sy = 0, sxx = 0, sxy = 0, worst = 0, top = 0;
+	double n = (double)fit->n;
+
+	for (size_t i = 0; i < fit->n; i++) {
+		sx += fit->x[i];
+		sy += fit->y[i];
+		sxx += fit->x[i] * fit->x[i];
+		sxy += fit->x[i] * fit->y[i];
+	}
+	*slope = (n * sxy - sx * sy) / (n * sxx - sx * sx);
+	*base = (sy - *slope * sx) / n;
+	for (size_t i = 0; i < fit->n; i++) {
+		worst = fmax(worst,
+			     fabs(fit->y[i] - *base - *slope * fit->x[i]));
+		top = fmax(top, fabs(fit->y[i]));
+	}
+	return top > 0 ? worst / top : 0;
+}
+
+/* One line: name, slope, unit, base, residual and the points. */
+static inline void fit_print(const struct fit *fit, const char *name,
+			     const char *unit)
+{
+	double slope, base, residual = fit_line(fit, &slope, &base);
+
+	printf("%-26s %12.3f %-22s base %10.2f residual %5.1f%%  at", name,
+	       slope, unit, base, 100 * residual);
+	for (size_t i = 0; i < fit->n; i++)
+		printf(" %g:%.4g", fit->x[i], fit->y[i]);
+	printf("\n");
+	fflush(stdout);
+}
+
+#endif
--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -5,13 +5,14 @@
 # Starts them, waits until they are ready, runs COMMAND (or waits for
 # Ctrl-C) with DISPATCHERS, ADMINS and COORDINATORS set, and stops them.
 # Extra flags: DISPATCHER_FLAGS, AGENT_FLAGS, BACKEND_FLAGS; AGENTS=N;
-# TRACE=1 writes traces into FOLDER.
+# CLUSTER_IP another loopback address; TRACE=1 writes traces into FOLDER.
+# FOLDER also gets NAME.log and NAME.pid of each process.
 set -eu
 folder=$1
 shift
 binary=${CHERVILFERRY_BINARY:-build/chervilferry}
 agents=${AGENTS:-6}
-ip=127.0.0.1
+ip=${CLUSTER_IP:-127.0.0.1}
 mkdir -p "$folder"
 pids=()
 stop() {
@@ -29,6 +30,7 @@
 	[ -n "${TRACE:-}" ] && set -- "$@" --trace="$folder/$name.trace"
 	"$binary" "$role" --name="$name" "$@" >>"$folder/$name.log" 2>&1 &
 	pids=("$!" "${pids[@]}")
+	echo "$!" >"$folder/$name.pid"
 }
 members=
 COORDINATORS=
