--- a/tools/bench.sh
+++ b/tools/bench.sh
@@ -35,7 +35,7 @@
 	wait_until_ms $((at + RESTART_MS))
 	for i in $(seq "$1"); do
 		"$CHERVILFERRY_BINARY" backend --name="b$i" \
-			--agent="$IP:$((8700 + i))" --serve="$IP:0" \
+			--agent="$CLUSTER_IP:$((8700 + i))" --serve="$CLUSTER_IP:0" \
 			--trace="$folder/b$i-again.trace" \
 			>>"$folder/b$i.log" 2>&1 &
 		again+=("$!")
@@ -90,7 +90,7 @@
 
 build=$1
 export CHERVILFERRY_BINARY=$build/chervilferry AGENTS TRACE=1
-export IP=${BENCH_IP:-127.0.0.1}
+export CLUSTER_IP=${BENCH_IP:-127.0.0.1}
 keep=${BENCH_FOLDER:-}
 out=${keep:-$(mktemp -d)}
 mkdir -p "$out"
