--- a/src/roles/dispatcher_http.c
+++ b/src/roles/dispatcher_http.c
@@ -65,7 +65,7 @@
 {
 	GString *out;
 
-	if (outcome == CF_ANSWER_COMPLETE)
+	if (j && outcome == CF_ANSWER_COMPLETE)
 		return complete_body(j);
 	out = g_string_new("{\"outcome\":\"failed\"");
 	g_string_append_printf(out, ",\"ran\":\"%s\"",
