--- a/src/roles/agent_backend.c
+++ b/src/roles/agent_backend.c
@@ -5,6 +5,7 @@
  */
 #include "roles/agent_internal.h"
 
+#include "base/address.h"
 #include "base/clock.h"
 #include "base/counters.h"
 #include "base/logger.h"
@@ -16,6 +17,7 @@
 
 /* ---- Constants ---- */
 
+#define URL_PREFIX "http://"
 #define ANNOUNCE_BODY_MAX 4096
 #define ANNOUNCE_SILENCE_MS 5000 /* then it is taken for gone */
 #define DEADLINE_GRACE_MS 500
@@ -61,13 +63,46 @@
 	return true;
 }
 
+static bool is_url(const char *text)
+{
+	char host[ADDRESS_HOST_SIZE];
+	uint16_t port;
+
+	return text && g_str_has_prefix(text, URL_PREFIX) &&
+	       address_parse(text + strlen(URL_PREFIX), host, &port);
+}
+
+static bool check_names(json_t *root, char *why, size_t size)
+{
+	static const char *const names[] = { "url",         "slots",
+					     "connections", "cpu_milli",
+					     "memory_mb",   "accelerators" };
+	const char *name;
+	json_t *value;
+	size_t i;
+
+	json_object_foreach(root, name, value)
+	{
+		for (i = 0; i < G_N_ELEMENTS(names); i++)
+			if (!strcmp(name, names[i]))
+				break;
+		if (i < G_N_ELEMENTS(names))
+			continue;
+		g_snprintf(why, size, "%s is no known field", name);
+		return false;
+	}
+	return true;
+}
+
 static bool read_announcement(struct announcement *a, json_t *root, char *why,
 			      size_t size)
 {
 	const char *url = json_string_value(json_object_get(root, "url"));
 	struct cf_capacity *c = &a->capacity;
 
-	if (!url || strncmp(url, "http://", 7) || strlen(url) > 200) {
+	if (!check_names(root, why, size))
+		return false;
+	if (!is_url(url)) {
 		g_snprintf(why, size, "url must be http://IP:PORT");
 		return false;
 	}
