--- a/src/roles/agent_internal.h
+++ b/src/roles/agent_internal.h
@@ -15,6 +15,11 @@
 
 #include <apr_thread_proc.h>
 
+struct task_name {
+	struct cf_key key;
+	uint32_t index;
+};
+
 /* The tasks of one Dispatch; their results go back together. */
 struct batch {
 	uint64_t dispatcher;
@@ -95,14 +100,23 @@
 void agent_take_query(struct agent *agent, struct link *link,
 		      const Cfw__Query *query);
 void agent_pump(struct agent *agent); /* starts and fences what is due */
+void agent_fence_dispatchers(struct agent *agent);
+
+/* agent_results.c: from the end of a task to one Results message. */
+struct batch *agent_batch_create(uint64_t dispatcher, uint64_t job,
+				 const struct cf_key *key);
+void agent_batch_unref(gpointer batch);
+void agent_add_result(struct batch *batch, uint32_t index,
+		      const struct task_end *end);
+void agent_send_results(struct agent *agent, struct batch *batch);
+void agent_settle(struct agent *agent,
+		  struct batch *batch); /* sends if none is waited for */
 void agent_task_ended(struct agent *agent, const struct cf_key *key,
 		      uint32_t index, const struct task_end *end);
 struct caller_link *agent_caller(struct agent *agent, uint64_t incarnation);
 void agent_caller_free(gpointer caller);
-void agent_fence_dispatchers(struct agent *agent);
 guint agent_name_hash(gconstpointer name);
 gboolean agent_name_equal(gconstpointer a, gconstpointer b);
-void agent_batch_unref(gpointer batch);
 
 /* agent_load.c: reports of the load here. */
 void agent_fill_load(struct agent *agent, struct caller_link *caller,
--- a/src/roles/agent_tasks.c
+++ b/src/roles/agent_tasks.c
@@ -11,30 +11,8 @@
 
 #include <inttypes.h>
 #include <string.h>
-#include <xxhash.h>
 
-/* ---- Types ---- */
-
-struct task_name {
-	struct cf_key key;
-	uint32_t index;
-};
-
-/* ---- Names of tasks ---- */
-
-guint agent_name_hash(gconstpointer name)
-{
-	const struct task_name *n = name;
-
-	return (guint)XXH3_64bits_withSeed(n->key.bytes, CF_KEY_SIZE, n->index);
-}
-
-gboolean agent_name_equal(gconstpointer a, gconstpointer b)
-{
-	const struct task_name *x = a, *y = b;
-
-	return x->index == y->index && cf_key_equal(&x->key, &y->key);
-}
+/* ---- Messages ---- */
 
 static void trace_fence(const struct cf_key *key, uint32_t index)
 {
@@ -52,131 +30,6 @@
 	return true;
 }
 
-/* ---- Batches and results ---- */
-
-struct caller_link *agent_caller(struct agent *agent, uint64_t incarnation)
-{
-	struct caller_link *caller;
-
-	caller = g_hash_table_lookup(agent->callers, &incarnation);
-	if (caller)
-		return caller;
-	caller = g_new0(struct caller_link, 1);
-	caller->incarnation = incarnation;
-	caller->links = g_ptr_array_new();
-	g_hash_table_insert(agent->callers, &caller->incarnation, caller);
-	return caller;
-}
-
-void agent_caller_free(gpointer data)
-{
-	struct caller_link *caller = data;
-
-	g_ptr_array_free(caller->links, TRUE);
-	g_free(caller);
-}
-
-static void free_result(gpointer result)
-{
-	cfw__result__free_unpacked(result, NULL);
-}
-
-void agent_batch_unref(gpointer data)
-{
-	struct batch *batch = data;
-
-	g_ptr_array_unref(batch->results);
-	g_free(batch);
-}
-
-static void add_result(struct batch *batch, uint32_t index,
-		       const struct task_end *end)
-{
-	Cfw__Result *result = malloc(sizeof(*result));
-	gsize size = 0;
-	const void *data = end->result ? g_bytes_get_data(end->result, &size)
-				       : NULL;
-
-	if (!result)
-		g_error("out of memory");
-	cfw__result__init(result);
-	result->index = index;
-	result->outcome = end->outcome;
-	result->run_ms = end->run_ms;
-	result->queued_ms = end->queued_ms;
-	if (size) {
-		result->payload.data = malloc(size);
-		if (!result->payload.data)
-			g_error("out of memory");
-		memcpy(result->payload.data, data, size);
-		result->payload.len = size;
-	}
-	if (end->message)
-		result->message = strdup(end->message);
-	g_ptr_array_add(batch->results, result);
-}
-
-static void send_results(struct agent *agent, struct batch *batch)
-{
-	struct caller_link *caller = agent_caller(agent, batch->dispatcher);
-	Cfw__Envelope envelope = CFW__ENVELOPE__INIT;
-	Cfw__Results results = CFW__RESULTS__INIT;
-	Cfw__Load load = CFW__LOAD__INIT;
-
-	agent_fill_load(agent, caller, &load);
-	results.dispatcher = batch->dispatcher;
-	results.agent = agent->incarnation;
-	results.job = batch->job;
-	results.key.data = batch->key.bytes;
-	results.key.len = CF_KEY_SIZE;
-	results.results = (Cfw__Result **)batch->results->pdata;
-	results.n_results = batch->results->len;
-	results.load = &load;
-	envelope.body_case = CFW__ENVELOPE__BODY_RESULTS;
-	envelope.results = &results;
-	/* Without a connection a query on the next one finds them. */
-	if (!caller->link || !link_send(caller->link, &envelope))
-		counter_add(agent->counters.dropped, 1);
-	g_atomic_int_add(&agent->in_progress, -(gint)batch->results->len);
-	g_ptr_array_set_size(batch->results, 0);
-}
-
-static struct batch *start_batch(const Cfw__Dispatch *dispatch,
-				 const struct cf_key *key)
-{
-	struct batch *batch = g_new0(struct batch, 1);
-
-	batch->dispatcher = dispatch->dispatcher;
-	batch->job = dispatch->job;
-	batch->key = *key;
-	batch->results = g_ptr_array_new_with_free_func(free_result);
-	return batch;
-}
-
-static void settle(struct agent *agent, struct batch *batch)
-{
-	if (batch->waiting) {
-		agent_tell_load(agent, agent_caller(agent, batch->dispatcher));
-		return;
-	}
-	send_results(agent, batch);
-	agent_batch_unref(batch);
-}
-
-void agent_task_ended(struct agent *agent, const struct cf_key *key,
-		      uint32_t index, const struct task_end *end)
-{
-	struct task_name name = { *key, index };
-	struct batch *batch = g_hash_table_lookup(agent->batches, &name);
-
-	if (!batch)
-		return;
-	g_hash_table_remove(agent->batches, &name);
-	add_result(batch, index, end);
-	batch->waiting--;
-	settle(agent, batch);
-}
-
 /* ---- Dispatch ---- */
 
 static void fill_task(struct cf_task *task, const Cfw__Dispatch *dispatch,
@@ -271,7 +124,7 @@
 	} else {
 		end = refused_end(agent, &batch->key, from->index,
 				  dispatch->dispatcher);
-		add_result(batch, from->index, &end);
+		agent_add_result(batch, from->index, &end);
 	}
 	g_bytes_unref(task.payload);
 }
@@ -316,17 +169,18 @@
 		caller->received += dispatch->n_tasks;
 	counter_add(agent->counters.offered, (int64_t)dispatch->n_tasks);
 	g_atomic_int_add(&agent->in_progress, (gint)dispatch->n_tasks);
-	batch = start_batch(dispatch, &key);
+	batch = agent_batch_create(dispatch->dispatcher, dispatch->job, &key);
 	refused.message = why_not(agent, dispatch, now_ms);
 	for (i = 0; i < dispatch->n_tasks; i++) {
 		if (refused.message)
-			add_result(batch, dispatch->tasks[i]->index, &refused);
+			agent_add_result(batch, dispatch->tasks[i]->index,
+					 &refused);
 		else
 			offer_task(agent, batch, dispatch, dispatch->tasks[i],
 				   now_ms);
 	}
 	if (!batch->waiting)
-		settle(agent, batch);
+		agent_settle(agent, batch);
 	agent_pump(agent);
 }
 
@@ -353,11 +207,7 @@
 	uint32_t indexes[CF_JOB_TASKS_MAX];
 	size_t n, i;
 
-	batch = g_new0(struct batch, 1);
-	batch->dispatcher = cancel->dispatcher;
-	batch->job = cancel->job;
-	batch->key = *key;
-	batch->results = g_ptr_array_new_with_free_func(free_result);
+	batch = agent_batch_create(cancel->dispatcher, cancel->job, key);
 	n = cf_gate_known(agent->gate, key, indexes, CF_JOB_TASKS_MAX);
 	for (i = 0; i < n; i++) {
 		const struct cf_task *task =
@@ -367,10 +217,10 @@
 		if (!task || task->dispatcher != cancel->dispatcher)
 			continue;
 		end = known_end(agent, key, indexes[i], true, "cancelled");
-		add_result(batch, indexes[i], &end);
+		agent_add_result(batch, indexes[i], &end);
 	}
 	g_atomic_int_add(&agent->in_progress, (gint)batch->results->len);
-	send_results(agent, batch);
+	agent_send_results(agent, batch);
 	agent_batch_unref(batch);
 }
 
@@ -406,7 +256,7 @@
 		if (!--batch->waiting && !batch->results->len)
 			agent_batch_unref(batch);
 		else if (!batch->waiting)
-			settle(agent, batch);
+			agent_settle(agent, batch);
 	}
 	tell_cancelled(agent, cancel, &key);
 	agent_pump(agent);
@@ -418,7 +268,7 @@
 	struct task_end end = known_end(agent, &batch->key, index,
 					query->fence && !query->epoch, NULL);
 
-	add_result(batch, index, &end);
+	agent_add_result(batch, index, &end);
 	/* A fenced task has no result to wait for any more. */
 	if (end.outcome == CFW__TASK_OUTCOME__TASK_NOT_STARTED)
 		agent_task_ended(agent, &batch->key, index, &end);
@@ -431,41 +281,41 @@
 	Cfw__QueryReply reply = CFW__QUERY_REPLY__INIT;
 	Cfw__Load load = CFW__LOAD__INIT;
 	struct caller_link *caller;
-	struct batch answer = { 0 };
+	struct batch *answer;
+	struct cf_key key;
 	uint32_t known[CF_JOB_TASKS_MAX];
 	const uint32_t *indexes = query->indexes;
 	size_t n = query->n_indexes, i;
 
-	if (!read_key(&query->key, &answer.key))
+	if (!read_key(&query->key, &key))
 		return;
 	/* Without an answer a former adopter cannot run anything. */
-	if (query->epoch && !cf_gate_adopt(agent->gate, &answer.key,
-					   link_peer(link)->incarnation,
-					   query->epoch, clock_now_ms()))
+	if (query->epoch &&
+	    !cf_gate_adopt(agent->gate, &key, link_peer(link)->incarnation,
+			   query->epoch, clock_now_ms()))
 		return;
 	counter_add(agent->counters.queries, 1);
 	caller = agent_caller(agent, link_peer(link)->incarnation);
-	answer.results = g_ptr_array_new_with_free_func(free_result);
+	answer = agent_batch_create(link_peer(link)->incarnation, 0, &key);
 	if (!n) {
-		n = cf_gate_known(agent->gate, &answer.key, known,
-				  CF_JOB_TASKS_MAX);
+		n = cf_gate_known(agent->gate, &key, known, CF_JOB_TASKS_MAX);
 		indexes = known;
 		if (query->fence && !query->epoch)
-			cf_gate_seal(agent->gate, &answer.key, clock_now_ms());
+			cf_gate_seal(agent->gate, &key, clock_now_ms());
 	}
 	for (i = 0; i < n; i++)
-		query_task(agent, &answer, query, indexes[i]);
+		query_task(agent, answer, query, indexes[i]);
 	reply.seq = query->seq;
 	reply.key = query->key;
 	reply.agent = agent->incarnation;
-	reply.results = (Cfw__Result **)answer.results->pdata;
-	reply.n_results = answer.results->len;
+	reply.results = (Cfw__Result **)answer->results->pdata;
+	reply.n_results = answer->results->len;
 	agent_fill_load(agent, caller, &load);
 	reply.load = &load;
 	envelope.body_case = CFW__ENVELOPE__BODY_QUERY_REPLY;
 	envelope.query_reply = &reply;
 	link_send(link, &envelope);
-	g_ptr_array_unref(answer.results);
+	agent_batch_unref(answer);
 	agent_pump(agent);
 }
 
--- a/tests/fault_random.c
+++ b/tests/fault_random.c
@@ -125,10 +125,26 @@
 		start_again(s, p);
 }
 
-static const char *do_fault(struct scene *s, enum fault fault)
+static void silence_any(struct scene *s, char text[32])
+{
+	int i = g_rand_int_range(s->random, 0, RELAYS);
+
+	snprintf(text, 32, "relay %d", i);
+	relay_silence_open(s->relays[i], RELAY_BOTH);
+}
+
+static void out_and_in(struct scene *s, char text[32])
+{
+	snprintf(text, 32, "dc%d", g_rand_int_range(s->random, 1, 4));
+	assert_true(cluster_data_centre(s->c, text, false));
+	g_usleep(FAULT_EVERY_MS * 1000);
+	assert_true(cluster_data_centre(s->c, text, true));
+}
+
+static void do_fault(struct scene *s, enum fault fault)
 {
 	struct proc *p = any_proc(s);
-	static char text[32];
+	char text[32];
 
 	g_strlcpy(text, p->name, sizeof(text));
 	switch (fault) {
@@ -140,16 +156,10 @@
 		freeze_a_while(s, p);
 		break;
 	case SILENCE:
-		snprintf(text, sizeof(text), "relay %d",
-			 g_rand_int_range(s->random, 0, RELAYS));
-		relay_silence_open(s->relays[atoi(text + 6)], RELAY_BOTH);
+		silence_any(s, text);
 		break;
 	case OUT:
-		snprintf(text, sizeof(text), "dc%d",
-			 g_rand_int_range(s->random, 1, 4));
-		assert_true(cluster_data_centre(s->c, text, false));
-		g_usleep(FAULT_EVERY_MS * 1000);
-		assert_true(cluster_data_centre(s->c, text, true));
+		out_and_in(s, text);
 		break;
 	case STOP:
 		if (proc_stop(p))
@@ -157,10 +167,11 @@
 		start_again(s, p);
 		break;
 	case FAULTS:
-		break;
+	default:
+		return;
 	}
 	s->done[fault]++;
-	return text;
+	fprintf(stderr, "count: %s of %s\n", fault_names[fault], text);
 }
 
 static void run_faults(struct scene *s, int64_t seconds)
@@ -172,13 +183,11 @@
 		enum fault fault =
 			(enum fault)g_rand_int_range(s->random, 0, FAULTS);
 		int64_t now_ms = clock_now_ms();
-		const char *what;
 
 		if (now_ms < next_ms)
 			g_usleep((gulong)(next_ms - now_ms) * 1000);
 		next_ms = MAX(next_ms, now_ms) + FAULT_EVERY_MS;
-		what = do_fault(s, fault);
-		fprintf(stderr, "count: %s of %s\n", fault_names[fault], what);
+		do_fault(s, fault);
 	}
 }
 
