Show that a data centre that comes back gets work again

Cause: the last word of the agent was "takes no work", in results of tasks that ended after it had learned that it is out, and without work there was no answer to say otherwise.

--- a/tests/fault_policy.c
+++ b/tests/fault_policy.c
@@ -216,6 +216,57 @@
 	cluster_destroy(c);
 }
 
+/* ---- A data centre out and in ---- */
+
+static int64_t starts(struct cluster *c)
+{
+	return cluster_metric(c, "a1",
+			      "chervilferry_agent_tasks_started_total");
+}
+
+static bool has_started(struct cluster *c, void *arg)
+{
+	return starts(c) > *(int64_t *)arg;
+}
+
+static bool runs_none(struct cluster *c, void *arg)
+{
+	(void)arg;
+	return running(c) == 0;
+}
+
+static void test_data_centre_returns(void **state)
+{
+	static const char *const args[] = {
+		"--rate",   "8",   "--duration-s", "12",       "--tasks", "2",
+		"--run-ms", "900", "--seed",       "20261206", NULL
+	};
+	struct cluster *c = create(3);
+	struct proc *load;
+	int64_t before = 0;
+
+	(void)state;
+	/* Tasks that end there after the agent has learned that it is out:
+	 * their results say that it takes no work. */
+	cluster_start(c);
+	load = cluster_load(c, args);
+	before = 5;
+	assert_true(cluster_wait(c, has_started, &before, WAIT_MS));
+	assert_true(cluster_data_centre(c, "dc1", false));
+	assert_true(cluster_wait(c, runs_none, NULL, WAIT_MS));
+	before = starts(c);
+	assert_true(cluster_data_centre(c, "dc1", true));
+	assert_true(cluster_wait(c, has_started, &before, WAIT_MS));
+	assert_int_equal(proc_wait(load, 60000), 0);
+	fprintf(stderr, "count: jobs=%d complete=%d starts there after=%d\n",
+		(int)cluster_load_field(load, "jobs"),
+		(int)cluster_load_field(load, "complete"),
+		(int)(starts(c) - before));
+	assert_int_equal(cluster_load_field(load, "may_have_run"), 0);
+	check(c);
+	cluster_destroy(c);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -223,6 +274,8 @@
 		cmocka_unit_test_teardown(test_callers_faults,
 					  cluster_teardown),
 		cmocka_unit_test_teardown(test_black_hole, cluster_teardown),
+		cmocka_unit_test_teardown(test_data_centre_returns,
+					  cluster_teardown),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
