--- a/src/roles/agent_backend.c
+++ b/src/roles/agent_backend.c
@@ -9,6 +9,7 @@
 #include "base/counters.h"
 #include "base/logger.h"
 #include "base/trace_file.h"
+#include "roles/agent_trace.h"
 
 #include <inttypes.h>
 #include <jansson.h>
@@ -19,6 +20,7 @@
 #define ANNOUNCE_BODY_MAX 4096
 #define ANNOUNCE_SILENCE_MS 5000 /* then it is taken for gone */
 #define DEADLINE_GRACE_MS 500
+#define SUSPECT_MS 1000 /* an answer is late */
 #define STATUS_OK 200
 #define STATUS_NOT_STARTED 412
 #define FIELD_MAX 1000000000
@@ -83,6 +85,16 @@
 			   size);
 }
 
+static void set_capacity(struct agent *agent,
+			 const struct cf_capacity *capacity)
+{
+	if (!memcmp(&agent->board.capacity, capacity, sizeof(*capacity)))
+		return;
+	agent->board.capacity = *capacity;
+	cf_gate_set_capacity(agent->gate, capacity);
+	agent_trace_gate(capacity, AGENT_REMEMBER_MS);
+}
+
 static void take_announcement(struct announcement *a)
 {
 	struct agent_board *board = &a->agent->board;
@@ -100,8 +112,7 @@
 		trace_event("back", "who=backend");
 	board->backend_leaving = false;
 	board->backend_refused = false;
-	board->capacity = a->capacity;
-	cf_gate_set_capacity(a->agent->gate, &a->capacity);
+	set_capacity(a->agent, &a->capacity);
 	session_set_capacity(a->agent->session, &a->capacity);
 	session_begin(a->agent->session);
 }
@@ -280,22 +291,18 @@
 }
 
 static void count_end(struct agent *agent, const struct backend_call *call,
-		      const struct task_end *end)
+		      const struct task_end *end, int64_t now_ms)
 {
-	char key[CF_KEY_TEXT_SIZE];
+	bool done = end->outcome == CFW__TASK_OUTCOME__TASK_DONE;
 
-	cf_key_format(&call->key, key);
 	if (end->outcome == CFW__TASK_OUTCOME__TASK_NOT_STARTED) {
-		trace_event("unstarted", "key=%s index=%u", key, call->index);
+		agent_trace_end("unstarted", &call->key, call->index, false,
+				now_ms);
 		counter_add(agent->counters.unstarted, 1);
 		return;
 	}
-	trace_event("end", "key=%s index=%u ok=%d", key, call->index,
-		    end->outcome == CFW__TASK_OUTCOME__TASK_DONE);
-	counter_add(end->outcome == CFW__TASK_OUTCOME__TASK_DONE
-			    ? agent->counters.done
-			    : agent->counters.failed,
-		    1);
+	agent_trace_end("end", &call->key, call->index, done, now_ms);
+	counter_add(done ? agent->counters.done : agent->counters.failed, 1);
 }
 
 static void call_ended(void *arg, const struct http_answer *answer)
@@ -307,7 +314,7 @@
 
 	end.run_ms = (uint32_t)(now_ms - call->started_ms);
 	read_answer(call, answer, &end);
-	count_end(agent, call, &end);
+	count_end(agent, call, &end, now_ms);
 	/* Until it announces itself again, nothing more goes there. */
 	if (answer->result == HTTP_NOT_CONNECTED && now_ms < call->deadline_ms)
 		agent->board.backend_refused = true;
@@ -371,6 +378,7 @@
 		.size_bytes = body->len,
 		.headers = headers,
 		.timeout_ms = call_timeout_ms(agent, task),
+		.suspect_ms = 2 * (int64_t)task->predicted_ms + SUSPECT_MS,
 	};
 
 	/* Same host, same clock: the backend server can close the window
--- a/src/roles/trace_verbs.c
+++ b/src/roles/trace_verbs.c
@@ -1,6 +1,7 @@
 /*
  * trace_verbs: "chervilferry trace check FILE..." merges the traces of
- * all processes and names the first event that breaks each promise.
+ * all processes and names the first event that breaks each promise;
+ * "trace replay FILE..." has the decision parts decide again.
  */
 #include "roles/trace_verbs.h"
 
@@ -20,7 +21,12 @@
 
 /* ---- Reading ---- */
 
-bool trace_read(struct cf_trace *trace, const char *path, GError **error)
+typedef bool line_fn(void *arg, const char *path, uint64_t number,
+		     const char *line, GError **error);
+
+/* Calls fn for each line; the half line that a killed process left at
+ * the end is passed over. */
+static bool each_line(const char *path, line_fn *fn, void *arg, GError **error)
 {
 	FILE *file = fopen(path, "r");
 	char *line = NULL;
@@ -40,13 +46,38 @@
 		line[got - 1] = '\0';
 		number++;
 		if (*line)
-			ok = cf_trace_add(trace, path, number, line, error);
+			ok = fn(arg, path, number, line, error);
 	}
 	free(line);
 	fclose(file);
 	return ok;
 }
 
+static bool add_line(void *trace, const char *path, uint64_t number,
+		     const char *line, GError **error)
+{
+	return cf_trace_add(trace, path, number, line, error);
+}
+
+static bool feed_line(void *replay, const char *path, uint64_t number,
+		      const char *line, GError **error)
+{
+	(void)path;
+	(void)number;
+	return cf_replay_feed(replay, line, error);
+}
+
+bool trace_read(struct cf_trace *trace, const char *path, GError **error)
+{
+	return each_line(path, add_line, trace, error);
+}
+
+bool trace_replay_file(struct cf_replay *replay, const char *path,
+		       GError **error)
+{
+	return each_line(path, feed_line, replay, error);
+}
+
 /* ---- Check ---- */
 
 static void print_faults(const struct cf_trace_fault *faults, size_t n)
@@ -91,10 +122,40 @@
 	return n ? EXIT_BROKEN : 0;
 }
 
+/* ---- Replay ---- */
+
+static int replay_files(int n_files, char **files)
+{
+	struct cf_replay *replay = cf_replay_create();
+	struct cf_replay_summary s;
+	GError *error = NULL;
+	int i, status = 0;
+
+	for (i = 0; i < n_files && !error; i++)
+		trace_replay_file(replay, files[i], &error);
+	cf_replay_get_summary(replay, &s);
+	if (error) {
+		fprintf(stderr, "%s: %s\n", files[i - 1], error->message);
+		g_clear_error(&error);
+		status = EXIT_BAD_USE;
+	} else {
+		if (s.mismatches)
+			printf("differs: %s\n", s.first);
+		printf("%" PRIu64 " decisions compared, %" PRIu64
+		       " differ, %" PRIu64 " events passed over\n",
+		       s.decisions, s.mismatches, s.passed_over);
+		status = s.mismatches ? EXIT_BROKEN : 0;
+	}
+	cf_replay_destroy(replay);
+	return status;
+}
+
 int trace_main(int argc, char **argv)
 {
+	if (argc > 2 && !strcmp(argv[1], "replay"))
+		return replay_files(argc - 2, argv + 2);
 	if (argc > 2 && !strcmp(argv[1], "check"))
 		return check_files(argc - 2, argv + 2);
-	fputs("usage: chervilferry trace check FILE...\n", stderr);
+	fputs("usage: chervilferry trace check|replay FILE...\n", stderr);
 	return EXIT_BAD_USE;
 }
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -65,6 +65,9 @@
 void proc_freeze(struct proc *p);
 void proc_thaw(struct proc *p);
 bool proc_running(struct proc *p);
+/* No file of the process may grow beyond this: its writes then fail with
+ * EFBIG; -1 lifts the limit. */
+void proc_limit_files(struct proc *p, int64_t size_bytes);
 
 /* "ip:port" of a process's interface: "listen", "admin", "http",
  * "backend-listen" or "serve"; the text lives as long as the cluster. */
@@ -99,7 +102,8 @@
 /* Waits for it; its JSON report's integer field, or -1. */
 int64_t cluster_load_field(struct proc *load, const char *field);
 
-/* Checks all traces; prints faults, counts on stderr; number of faults. */
+/* Checks and replays all traces; prints faults and counts on stderr;
+ * number of faults and of replayed decisions that differ. */
 size_t cluster_check(struct cluster *c, struct cf_trace_summary *summary);
 
 #endif
--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -6,14 +6,14 @@
 # Ctrl-C) with DISPATCHERS, ADMINS and COORDINATORS set, and stops them.
 # Extra flags: DISPATCHER_FLAGS, AGENT_FLAGS, BACKEND_FLAGS (and of the
 # first stand-in alone: FIRST_BACKEND_FLAGS); AGENTS=N; CENTRES="NAME
-# NAME NAME"; TRACE=1 writes traces into FOLDER; IP=127.x.y.z. FOLDER
+# NAME NAME"; TRACE=1 writes traces into FOLDER; CLUSTER_IP=127.x.y.z. FOLDER
 # also gets NAME.pid of each process.
 set -eu
 folder=$1
 shift
 binary=${CHERVILFERRY_BINARY:-build/chervilferry}
 agents=${AGENTS:-6}
-ip=${IP:-127.0.0.1}
+ip=${CLUSTER_IP:-127.0.0.1}
 read -r -a centres <<<"${CENTRES:-dc1 dc2 dc3}"
 mkdir -p "$folder"
 pids=()
