--- a/src/lib/trace_replay.c
+++ b/src/lib/trace_replay.c
@@ -196,6 +196,21 @@
 	return true;
 }
 
+static bool replay_unstarted(struct cf_replay *replay, struct life *life,
+			     struct trace_fields *f)
+{
+	struct cf_key key;
+	uint32_t index;
+	int64_t now_ms;
+
+	if (!trace_key(f, &key) || !trace_u32(f, "index", &index) ||
+	    !trace_time(f, "now", &now_ms))
+		return false;
+	compare(replay, f, cf_gate_unstart(life->gate, &key, index, now_ms),
+		"index %u was not running", index);
+	return true;
+}
+
 /* Fenced by the gate itself; those of cancels and queries follow them. */
 static bool replay_fence(struct cf_replay *replay, struct life *life,
 			 struct trace_fields *f)
@@ -377,7 +392,7 @@
 	{ "open", replay_open },
 	{ "start", replay_start },
 	{ "end", replay_end },
-	{ "unstarted", replay_end },
+	{ "unstarted", replay_unstarted },
 	{ "fence", replay_fence },
 	{ "cancel", replay_cancel },
 	{ "query", replay_query },
--- a/src/roles/agent_tasks.c
+++ b/src/roles/agent_tasks.c
@@ -11,34 +11,8 @@
 
 #include <inttypes.h>
 #include <string.h>
-#include <xxhash.h>
 
-/* ---- Constants ---- */
-
-#define LOAD_INTERVAL_MS 50 /* between unasked load reports */
-
-/* ---- Types ---- */
-
-struct task_name {
-	struct cf_key key;
-	uint32_t index;
-};
-
-/* ---- Names of tasks ---- */
-
-guint agent_name_hash(gconstpointer name)
-{
-	const struct task_name *n = name;
-
-	return (guint)XXH3_64bits_withSeed(n->key.bytes, CF_KEY_SIZE, n->index);
-}
-
-gboolean agent_name_equal(gconstpointer a, gconstpointer b)
-{
-	const struct task_name *x = a, *y = b;
-
-	return x->index == y->index && cf_key_equal(&x->key, &y->key);
-}
+/* ---- Messages ---- */
 
 static bool read_key(const ProtobufCBinaryData *data, struct cf_key *key)
 {
@@ -48,161 +22,6 @@
 	return true;
 }
 
-/* ---- Load ---- */
-
-static void fill_load(struct agent *agent, const struct caller_link *caller,
-		      Cfw__Load *load)
-{
-	struct cf_gate_load gate;
-	int64_t now_ms = clock_now_ms();
-
-	cf_gate_get_load(agent->gate, now_ms, &gate);
-	load->slots = gate.slots;
-	load->running = gate.running;
-	load->queued = gate.queued;
-	load->backlog_ms = gate.backlog_ms;
-	load->accepting = agent_accepting(agent, now_ms);
-	load->received = caller->received;
-}
-
-/*
- * A batch that is still waiting for its slowest task keeps its finished
- * slots hidden from the dispatcher; tell it, though not often.
- */
-static void tell_free_slots(struct agent *agent, struct caller_link *caller)
-{
-	Cfw__Envelope envelope = CFW__ENVELOPE__INIT;
-	Cfw__Load load = CFW__LOAD__INIT;
-	int64_t now_ms = clock_now_ms();
-
-	if (!caller->link || now_ms - caller->load_sent_ms < LOAD_INTERVAL_MS)
-		return;
-	fill_load(agent, caller, &load);
-	if (load.queued || load.running + 1 < load.slots)
-		return;
-	caller->load_sent_ms = now_ms;
-	envelope.body_case = CFW__ENVELOPE__BODY_LOAD;
-	envelope.load = &load;
-	link_send(caller->link, &envelope);
-}
-
-/* ---- Batches and results ---- */
-
-struct caller_link *agent_caller(struct agent *agent, uint64_t incarnation)
-{
-	struct caller_link *caller;
-
-	caller = g_hash_table_lookup(agent->callers, &incarnation);
-	if (caller)
-		return caller;
-	caller = g_new0(struct caller_link, 1);
-	caller->incarnation = incarnation;
-	g_hash_table_insert(agent->callers, &caller->incarnation, caller);
-	return caller;
-}
-
-static void free_result(gpointer result)
-{
-	cfw__result__free_unpacked(result, NULL);
-}
-
-void agent_batch_unref(gpointer data)
-{
-	struct batch *batch = data;
-
-	g_ptr_array_unref(batch->results);
-	g_free(batch);
-}
-
-static void add_result(struct batch *batch, uint32_t index,
-		       const struct task_end *end)
-{
-	Cfw__Result *result = malloc(sizeof(*result));
-	gsize size = 0;
-	const void *data = end->result ? g_bytes_get_data(end->result, &size)
-				       : NULL;
-
-	if (!result)
-		g_error("out of memory");
-	cfw__result__init(result);
-	result->index = index;
-	result->outcome = end->outcome;
-	result->run_ms = end->run_ms;
-	result->queued_ms = end->queued_ms;
-	if (size) {
-		result->payload.data = malloc(size);
-		if (!result->payload.data)
-			g_error("out of memory");
-		memcpy(result->payload.data, data, size);
-		result->payload.len = size;
-	}
-	if (end->message)
-		result->message = strdup(end->message);
-	g_ptr_array_add(batch->results, result);
-}
-
-static void send_results(struct agent *agent, struct batch *batch)
-{
-	struct caller_link *caller = agent_caller(agent, batch->dispatcher);
-	Cfw__Envelope envelope = CFW__ENVELOPE__INIT;
-	Cfw__Results results = CFW__RESULTS__INIT;
-	Cfw__Load load = CFW__LOAD__INIT;
-
-	fill_load(agent, caller, &load);
-	results.dispatcher = batch->dispatcher;
-	results.agent = agent->incarnation;
-	results.job = batch->job;
-	results.key.data = batch->key.bytes;
-	results.key.len = CF_KEY_SIZE;
-	results.results = (Cfw__Result **)batch->results->pdata;
-	results.n_results = batch->results->len;
-	results.load = &load;
-	envelope.body_case = CFW__ENVELOPE__BODY_RESULTS;
-	envelope.results = &results;
-	caller->load_sent_ms = clock_now_ms();
-	/* Without a connection a query on the next one finds them. */
-	if (!caller->link || !link_send(caller->link, &envelope))
-		counter_add(agent->counters.dropped, 1);
-	g_atomic_int_add(&agent->in_progress, -(gint)batch->results->len);
-	g_ptr_array_set_size(batch->results, 0);
-}
-
-static struct batch *start_batch(const Cfw__Dispatch *dispatch,
-				 const struct cf_key *key)
-{
-	struct batch *batch = g_new0(struct batch, 1);
-
-	batch->dispatcher = dispatch->dispatcher;
-	batch->job = dispatch->job;
-	batch->key = *key;
-	batch->results = g_ptr_array_new_with_free_func(free_result);
-	return batch;
-}
-
-static void settle(struct agent *agent, struct batch *batch)
-{
-	if (batch->waiting) {
-		tell_free_slots(agent, agent_caller(agent, batch->dispatcher));
-		return;
-	}
-	send_results(agent, batch);
-	agent_batch_unref(batch);
-}
-
-void agent_task_ended(struct agent *agent, const struct cf_key *key,
-		      uint32_t index, const struct task_end *end)
-{
-	struct task_name name = { *key, index };
-	struct batch *batch = g_hash_table_lookup(agent->batches, &name);
-
-	if (!batch)
-		return;
-	g_hash_table_remove(agent->batches, &name);
-	add_result(batch, index, end);
-	batch->waiting--;
-	settle(agent, batch);
-}
-
 /* ---- Dispatch ---- */
 
 static void fill_task(struct cf_task *task, const Cfw__Dispatch *dispatch,
@@ -258,6 +77,29 @@
 	return end;
 }
 
+/*
+ * An offer that the gate refused never starts. Another dispatcher's task
+ * of the same name may wait here: it is left alone, as is an earlier
+ * copy of this dispatcher's own, which answers for both.
+ */
+static struct task_end refused_end(struct agent *agent,
+				   const struct cf_key *key, uint32_t index,
+				   uint64_t dispatcher)
+{
+	const struct cf_task *task = cf_gate_task(agent->gate, key, index);
+	struct task_end end =
+		known_end(agent, key, index, false, "seen before or fenced");
+	struct task_name name = { *key, index };
+
+	if (end.outcome == CFW__TASK_OUTCOME__TASK_RUNNING &&
+	    !g_hash_table_contains(agent->batches, &name))
+		end.outcome = CFW__TASK_OUTCOME__TASK_NOT_STARTED;
+	else if (end.outcome == CFW__TASK_OUTCOME__TASK_RUNNING &&
+		 task->dispatcher != dispatcher && !task->started_ms)
+		end.outcome = CFW__TASK_OUTCOME__TASK_NOT_STARTED;
+	return end;
+}
+
 static void offer_task(struct agent *agent, struct batch *batch,
 		       const Cfw__Dispatch *dispatch, const Cfw__Task *from,
 		       int64_t now_ms)
@@ -279,9 +121,9 @@
 		g_hash_table_insert(agent->batches, name, batch);
 		batch->waiting++;
 	} else {
-		end = known_end(agent, &batch->key, from->index, true,
-				"seen before or fenced");
-		add_result(batch, from->index, &end);
+		end = refused_end(agent, &batch->key, from->index,
+				  dispatch->dispatcher);
+		agent_add_result(batch, from->index, &end);
 	}
 	g_bytes_unref(task.payload);
 }
@@ -326,17 +168,18 @@
 		caller->received += dispatch->n_tasks;
 	counter_add(agent->counters.offered, (int64_t)dispatch->n_tasks);
 	g_atomic_int_add(&agent->in_progress, (gint)dispatch->n_tasks);
-	batch = start_batch(dispatch, &key);
+	batch = agent_batch_create(dispatch->dispatcher, dispatch->job, &key);
 	refused.message = why_not(agent, dispatch, now_ms);
 	for (i = 0; i < dispatch->n_tasks; i++) {
 		if (refused.message)
-			add_result(batch, dispatch->tasks[i]->index, &refused);
+			agent_add_result(batch, dispatch->tasks[i]->index,
+					 &refused);
 		else
 			offer_task(agent, batch, dispatch, dispatch->tasks[i],
 				   now_ms);
 	}
 	if (!batch->waiting)
-		settle(agent, batch);
+		agent_settle(agent, batch);
 	agent_pump(agent);
 }
 
@@ -365,11 +208,7 @@
 	uint32_t indexes[CF_JOB_TASKS_MAX];
 	size_t n, i;
 
-	batch = g_new0(struct batch, 1);
-	batch->dispatcher = cancel->dispatcher;
-	batch->job = cancel->job;
-	batch->key = *key;
-	batch->results = g_ptr_array_new_with_free_func(free_result);
+	batch = agent_batch_create(cancel->dispatcher, cancel->job, key);
 	n = cf_gate_known(agent->gate, key, indexes, CF_JOB_TASKS_MAX);
 	for (i = 0; i < n; i++) {
 		const struct cf_task *task =
@@ -379,10 +218,10 @@
 		if (!task || task->dispatcher != cancel->dispatcher)
 			continue;
 		end = known_end(agent, key, indexes[i], true, "cancelled");
-		add_result(batch, indexes[i], &end);
+		agent_add_result(batch, indexes[i], &end);
 	}
 	g_atomic_int_add(&agent->in_progress, (gint)batch->results->len);
-	send_results(agent, batch);
+	agent_send_results(agent, batch);
 	agent_batch_unref(batch);
 }
 
@@ -420,7 +259,7 @@
 		if (!--batch->waiting && !batch->results->len)
 			agent_batch_unref(batch);
 		else if (!batch->waiting)
-			settle(agent, batch);
+			agent_settle(agent, batch);
 	}
 	tell_cancelled(agent, cancel, &key);
 	agent_pump(agent);
@@ -432,7 +271,7 @@
 	struct task_end end = known_end(agent, &batch->key, index,
 					query->fence && !query->epoch, NULL);
 
-	add_result(batch, index, &end);
+	agent_add_result(batch, index, &end);
 	/* A fenced task has no result to wait for any more. */
 	if (end.outcome == CFW__TASK_OUTCOME__TASK_NOT_STARTED)
 		agent_task_ended(agent, &batch->key, index, &end);
@@ -463,58 +302,87 @@
 	Cfw__QueryReply reply = CFW__QUERY_REPLY__INIT;
 	Cfw__Load load = CFW__LOAD__INIT;
 	struct caller_link *caller;
-	struct batch answer = { 0 };
+	struct batch *answer;
+	struct cf_key key;
 	uint32_t known[CF_JOB_TASKS_MAX];
 	const uint32_t *indexes = query->indexes;
 	size_t n = query->n_indexes, i;
 
-	if (!read_key(&query->key, &answer.key))
+	if (!read_key(&query->key, &key))
 		return;
 	/* Without an answer a former adopter cannot run anything. */
 	if (query->epoch &&
-	    !adopt_key(agent, &answer.key, link_peer(link)->incarnation,
-		       query->epoch))
+	    !adopt_key(agent, &key, link_peer(link)->incarnation, query->epoch))
 		return;
 	counter_add(agent->counters.queries, 1);
 	caller = agent_caller(agent, link_peer(link)->incarnation);
-	answer.results = g_ptr_array_new_with_free_func(free_result);
+	answer = agent_batch_create(link_peer(link)->incarnation, 0, &key);
 	if (!n) {
-		n = cf_gate_known(agent->gate, &answer.key, known,
-				  CF_JOB_TASKS_MAX);
+		n = cf_gate_known(agent->gate, &key, known, CF_JOB_TASKS_MAX);
 		indexes = known;
 		if (query->fence && !query->epoch)
-			seal_key(agent, &answer.key);
+			seal_key(agent, &key);
 	}
 	for (i = 0; i < n; i++)
-		query_task(agent, &answer, query, indexes[i]);
+		query_task(agent, answer, query, indexes[i]);
 	reply.seq = query->seq;
 	reply.key = query->key;
 	reply.agent = agent->incarnation;
-	reply.results = (Cfw__Result **)answer.results->pdata;
-	reply.n_results = answer.results->len;
-	fill_load(agent, caller, &load);
+	reply.results = (Cfw__Result **)answer->results->pdata;
+	reply.n_results = answer->results->len;
+	agent_fill_load(agent, caller, &load);
 	reply.load = &load;
 	envelope.body_case = CFW__ENVELOPE__BODY_QUERY_REPLY;
 	envelope.query_reply = &reply;
 	link_send(link, &envelope);
-	g_ptr_array_unref(answer.results);
+	agent_batch_unref(answer);
 	agent_pump(agent);
 }
 
+/* What the gate fenced by itself has no start to wait for any more. */
+static void end_fenced(struct agent *agent, uint64_t dispatcher)
+{
+	GArray *names = g_array_new(FALSE, FALSE, sizeof(struct task_name));
+	struct task_end end = { CFW__TASK_OUTCOME__TASK_NOT_STARTED, NULL,
+				"the dispatcher is fenced", 0, 0 };
+	GHashTableIter iter;
+	gpointer key, batch;
+	guint i;
+
+	g_hash_table_iter_init(&iter, agent->batches);
+	while (g_hash_table_iter_next(&iter, &key, &batch))
+		if (((struct batch *)batch)->dispatcher == dispatcher)
+			g_array_append_val(names, *(struct task_name *)key);
+	for (i = 0; i < names->len; i++) {
+		const struct task_name *n =
+			&g_array_index(names, struct task_name, i);
+
+		if (cf_gate_query(agent->gate, &n->key, n->index, false, NULL,
+				  clock_now_ms()) != CF_TASK_FENCED)
+			continue;
+		agent_trace_fence(&n->key, n->index, NULL, clock_now_ms());
+		counter_add(agent->counters.fenced, 1);
+		agent_task_ended(agent, &n->key, n->index, &end);
+	}
+	g_array_free(names, TRUE);
+}
+
 void agent_fence_dispatchers(struct agent *agent)
 {
+	const struct cf_config *config = session_config(agent->session);
 	GHashTableIter iter;
 	struct caller_link *caller;
 	int64_t now_ms = clock_now_ms();
 
 	g_hash_table_iter_init(&iter, agent->callers);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&caller)) {
-		if (!cf_config_is_fenced(session_config(agent->session),
-					 caller->incarnation))
+		uint64_t incarnation = caller->incarnation;
+
+		if (!cf_config_is_fenced(config, incarnation))
 			continue;
-		cf_gate_fence_dispatcher(agent->gate, caller->incarnation,
-					 now_ms);
-		agent_trace_fence_dispatcher(caller->incarnation, now_ms);
+		agent_trace_fence_dispatcher(incarnation, now_ms);
+		if (cf_gate_fence_dispatcher(agent->gate, incarnation, now_ms))
+			end_fenced(agent, incarnation);
 	}
 }
 
@@ -556,6 +424,7 @@
 						 data_centre);
 	permit.draining = agent->board.stopping ||
 			  agent->board.backend_leaving || agent->board.fenced ||
+			  agent->board.backend_refused ||
 			  !agent->board.backend_url;
 	while ((task = cf_gate_start(agent->gate, &permit, now_ms)))
 		start_task(agent, task, now_ms);
