tests: choose the follower that is cut off in turn

The linter could not see that two members are no leaders; the two after the leader in turn are taken, which says so. The cases are the same ones: the program is built and runs as before.

--- a/tests/fault_partition.c
+++ b/tests/fault_partition.c
@@ -57,8 +57,7 @@
 	static const struct cluster_options options = { .coordinators = 3,
 							.dispatchers = 2,
 							.agents = 3 };
-	char *names[] = { w->follower, w->other };
-	int i, n = 0;
+	int i;
 
 	w->c = cluster_create(&options);
 	w->cutoff = cutoff_create(w->c);
@@ -67,9 +66,11 @@
 		  sizeof(w->leader));
 	w->term = observe_status(w->c, w->leader, "term");
 	w->leader_id = observe_status(w->c, w->leader, "id");
-	for (i = 0; i < 3; i++)
-		if (strcmp(w->c->procs[i].name, w->leader) != 0)
-			g_strlcpy(names[n++], w->c->procs[i].name, 16);
+	/* The next two in turn. */
+	i = (int)(cluster_proc(w->c, w->leader) - w->c->procs);
+	g_strlcpy(w->follower, w->c->procs[(i + 1) % 3].name,
+		  sizeof(w->follower));
+	g_strlcpy(w->other, w->c->procs[(i + 2) % 3].name, sizeof(w->other));
 	w->load = cluster_load(w->c, load_args);
 	wait_starts(w, MIDDLE_STARTS);
 }
