--- a/src/roles/agent_internal.h
+++ b/src/roles/agent_internal.h
@@ -18,6 +18,11 @@
 /* Outcomes of tasks are kept as long as claims may name their keys. */
 #define AGENT_REMEMBER_MS (CF_LEDGER_HORIZON_MS + CF_CLOCK_SKEW_MS)
 
+struct task_name {
+	struct cf_key key;
+	uint32_t index;
+};
+
 /* The tasks of one Dispatch; their results go back together. */
 struct batch {
 	uint64_t dispatcher;
@@ -39,9 +44,14 @@
 /* A dispatcher that has sent something, by incarnation. */
 struct caller_link {
 	uint64_t incarnation;
-	struct link *link; /* the newest connection, or NULL */
-	uint64_t received; /* tasks */
-	int64_t load_sent_ms;
+	GPtrArray *links; /* its connections that are up, oldest first */
+	struct link *link; /* that it uses, or NULL */
+	uint64_t received; /* tasks on that one */
+	struct {
+		uint32_t work; /* tasks that ran and waited */
+		bool full, accepting;
+	} told; /* its newest word of the load here */
+	int64_t told_ms; /* 0: nothing yet on this connection */
 };
 
 /* What the controllers of this process read and write. */
@@ -50,9 +60,9 @@
 	char *backend_url; /* NULL before the first announcement */
 	int64_t announced_ms;
 	bool backend_leaving;
+	bool backend_refused; /* a connection, since it announced itself */
 	bool stopping;
 	bool fenced;
-	bool told_accepting; /* to the dispatchers */
 };
 
 struct agent_counters {
@@ -93,20 +103,30 @@
 void agent_take_query(struct agent *agent, struct link *link,
 		      const Cfw__Query *query);
 void agent_pump(struct agent *agent); /* starts and fences what is due */
+void agent_fence_dispatchers(struct agent *agent);
+
+/* agent_results.c: from the end of a task to one Results message. */
+struct batch *agent_batch_create(uint64_t dispatcher, uint64_t job,
+				 const struct cf_key *key);
+void agent_batch_unref(gpointer batch);
+void agent_add_result(struct batch *batch, uint32_t index,
+		      const struct task_end *end);
+void agent_send_results(struct agent *agent, struct batch *batch);
+void agent_settle(struct agent *agent,
+		  struct batch *batch); /* sends if none is waited for */
 void agent_task_ended(struct agent *agent, const struct cf_key *key,
 		      uint32_t index, const struct task_end *end);
 struct caller_link *agent_caller(struct agent *agent, uint64_t incarnation);
-void agent_fence_dispatchers(struct agent *agent);
+void agent_caller_free(gpointer caller);
 guint agent_name_hash(gconstpointer name);
 gboolean agent_name_equal(gconstpointer a, gconstpointer b);
-void agent_batch_unref(gpointer batch);
 
-/* agent_load.c: what dispatchers are told of the load here. */
-void agent_fill_load(struct agent *agent, const struct caller_link *caller,
+/* agent_load.c: reports of the load here. */
+void agent_fill_load(struct agent *agent, struct caller_link *caller,
 		     Cfw__Load *load);
-void agent_tell_load(struct agent *agent, struct caller_link *caller);
-void agent_tell_free_slots(struct agent *agent, struct caller_link *caller);
-void agent_tell_accepting(struct agent *agent, int64_t now_ms); /* if changed */
+void agent_tell_load(struct agent *agent,
+		     struct caller_link *caller); /* if one is due */
+void agent_tell_loads(struct agent *agent);
 
 /* agent_backend.c: the backend server on this host. */
 bool agent_backend_open(struct agent *agent, GError **error);
--- a/src/roles/agent_load.c
+++ b/src/roles/agent_load.c
@@ -1,6 +1,8 @@
 /*
- * agent_load: what dispatchers are told of this agent's load, also when
- * no result goes to them. All on the loop thread.
+ * agent_load: what dispatchers are told of the load here. It goes with
+ * each answer; where the newest word is worse than the truth, a report
+ * follows unasked, since a dispatcher that takes an agent for full or
+ * closed sends nothing that an answer could come to. Loop thread only.
  */
 #include "roles/agent_internal.h"
 
@@ -8,11 +10,12 @@
 
 /* ---- Constants ---- */
 
-#define LOAD_INTERVAL_MS 50 /* between unasked load reports */
+#define URGENT_INTERVAL_MS 50 /* it can take work again, or no more */
+#define INTERVAL_MS 250 /* it has less work than was told */
 
 /* ---- Functions ---- */
 
-void agent_fill_load(struct agent *agent, const struct caller_link *caller,
+void agent_fill_load(struct agent *agent, struct caller_link *caller,
 		     Cfw__Load *load)
 {
 	struct cf_gate_load gate;
@@ -25,59 +28,51 @@
 	load->backlog_ms = gate.backlog_ms;
 	load->accepting = agent_accepting(agent, now_ms);
 	load->received = caller->received;
+	caller->told.work = gate.running + gate.queued;
+	caller->told.full = gate.queued || gate.running >= gate.slots;
+	caller->told.accepting = load->accepting;
+	caller->told_ms = now_ms;
 }
 
-static void send_load(struct caller_link *caller, Cfw__Load *load)
+/* How long the last report may stand; INT64_MAX: it still holds. */
+static int64_t report_due_ms(struct agent *agent,
+			     const struct caller_link *caller, int64_t now_ms)
 {
-	Cfw__Envelope envelope = CFW__ENVELOPE__INIT;
+	struct cf_gate_load gate;
+	bool full;
 
-	caller->load_sent_ms = clock_now_ms();
-	envelope.body_case = CFW__ENVELOPE__BODY_LOAD;
-	envelope.load = load;
-	link_send(caller->link, &envelope);
+	if (!caller->told_ms)
+		return 0;
+	cf_gate_get_load(agent->gate, now_ms, &gate);
+	full = gate.queued || gate.running >= gate.slots;
+	if (agent_accepting(agent, now_ms) != caller->told.accepting ||
+	    (caller->told.full && !full))
+		return caller->told_ms + URGENT_INTERVAL_MS;
+	if (gate.running + gate.queued < caller->told.work)
+		return caller->told_ms + INTERVAL_MS;
+	return INT64_MAX;
 }
 
 void agent_tell_load(struct agent *agent, struct caller_link *caller)
 {
+	Cfw__Envelope envelope = CFW__ENVELOPE__INIT;
 	Cfw__Load load = CFW__LOAD__INIT;
+	int64_t now_ms = clock_now_ms();
 
-	if (!caller->link)
+	if (!caller->link || now_ms < report_due_ms(agent, caller, now_ms))
 		return;
 	agent_fill_load(agent, caller, &load);
-	send_load(caller, &load);
+	envelope.body_case = CFW__ENVELOPE__BODY_LOAD;
+	envelope.load = &load;
+	link_send(caller->link, &envelope);
 }
 
-/*
- * A dispatcher that was told that nothing is accepted here sends nothing
- * more, so that no results would tell it when that is over.
- */
-void agent_tell_accepting(struct agent *agent, int64_t now_ms)
+void agent_tell_loads(struct agent *agent)
 {
-	bool accepting = agent_accepting(agent, now_ms);
 	GHashTableIter iter;
-	gpointer caller;
+	struct caller_link *caller;
 
-	if (accepting == agent->board.told_accepting)
-		return;
-	agent->board.told_accepting = accepting;
 	g_hash_table_iter_init(&iter, agent->callers);
-	while (g_hash_table_iter_next(&iter, NULL, &caller))
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&caller))
 		agent_tell_load(agent, caller);
 }
-
-/*
- * A batch that is still waiting for its slowest task keeps its finished
- * slots hidden from the dispatcher; tell it, though not often.
- */
-void agent_tell_free_slots(struct agent *agent, struct caller_link *caller)
-{
-	Cfw__Load load = CFW__LOAD__INIT;
-	int64_t now_ms = clock_now_ms();
-
-	if (!caller->link || now_ms - caller->load_sent_ms < LOAD_INTERVAL_MS)
-		return;
-	agent_fill_load(agent, caller, &load);
-	if (load.queued || load.running + 1 < load.slots)
-		return;
-	send_load(caller, &load);
-}
