--- a/tests/fault_data_centre.c
+++ b/tests/fault_data_centre.c
@@ -298,10 +298,13 @@
 	wait_starts(&w, MIDDLE_STARTS);
 	started = observe_count(w.c, "a1", "start", thawed_us, NULL, NULL);
 	ran = observe_count(w.c, "b1", "run", thawed_us, NULL, NULL);
+	/* Fenced by itself, or by a dispatcher's query. */
 	fprintf(stderr,
-		"count: frozen: queued=%d fenced=%d started=%d ran=%d\n",
+		"count: frozen: queued=%d fenced=%d queried=%d started=%d "
+		"ran=%d\n",
 		waiting,
 		observe_count(w.c, "a1", "fence", thawed_us, NULL, NULL),
+		observe_count(w.c, "a1", "query", thawed_us, NULL, NULL),
 		started, ran);
 	assert_int_equal(started, 0);
 	assert_int_equal(ran, 0);
