--- a/include/chervilferry.h
+++ b/include/chervilferry.h
@@ -371,7 +371,7 @@
 CF_API bool cf_gate_unstart(struct cf_gate *gate, const struct cf_key *key, uint32_t index, int64_t now_ms); /* it left the gate but provably never ran: as if never offered; false: it was not running */
 CF_API enum cf_task_state cf_gate_query(struct cf_gate *gate, const struct cf_key *key, uint32_t index, bool fence, GBytes **result, int64_t now_ms); /* unknown ones are FENCED if fence, else HELD; result is borrowed, NULL if dropped */
 CF_API const struct cf_task *cf_gate_task(const struct cf_gate *gate, const struct cf_key *key, uint32_t index); /* whose it is; NULL: none offered */
-CF_API bool cf_gate_adopt(struct cf_gate *gate, const struct cf_key *key, uint64_t dispatcher, uint32_t epoch, int64_t now_ms); /* fences what has not started; then only this dispatcher may offer it. false: a later epoch was seen */
+CF_API bool cf_gate_adopt(struct cf_gate *gate, const struct cf_key *key, uint64_t dispatcher, uint32_t epoch, int64_t now_ms); /* fences what has not started; then only this dispatcher may offer it. false: a later epoch was seen, or the key is forgotten */
 CF_API size_t cf_gate_known(const struct cf_gate *gate, const struct cf_key *key, uint32_t *indexes, size_t max); /* indexes seen of a key */
 CF_API void cf_gate_seal(struct cf_gate *gate, const struct cf_key *key, int64_t now_ms); /* no index of the key starts from now on */
 CF_API size_t cf_gate_fence_job(struct cf_gate *gate, const struct cf_key *key, uint64_t dispatcher, uint64_t job, int64_t now_ms, uint32_t *indexes, size_t max); /* cancel: unstarted ones fenced, late ones too */
@@ -643,6 +643,24 @@
 CF_API bool cf_trace_add(struct cf_trace *trace, const char *file, uint64_t line, const char *text, GError **error); /* one event, any order of files */
 CF_API size_t cf_trace_check(struct cf_trace *trace, struct cf_trace_summary *summary, struct cf_trace_fault *faults, size_t max); /* number found */
 
+/* Replay of a recorded trace (src/lib/trace_replay.c): the inputs of
+ * start gates and vote ledgers go to fresh ones, whose decisions are
+ * compared with the recorded ones. Lines of one file in their order. */
+
+struct cf_replay_summary {
+	uint64_t decisions; /* compared */
+	uint64_t mismatches;
+	uint64_t passed_over; /* the part's beginning is not in the trace */
+	char first[256]; /* the first mismatch */
+};
+
+struct cf_replay;
+
+CF_API struct cf_replay *cf_replay_create(void); /* nothing seen */
+CF_API void cf_replay_destroy(struct cf_replay *replay); /* NULL is allowed */
+CF_API bool cf_replay_feed(struct cf_replay *replay, const char *text, GError **error); /* one event; false: bad line */
+CF_API void cf_replay_get_summary(const struct cf_replay *replay, struct cf_replay_summary *summary); /* so far */
+
 /* clang-format on */
 
 #endif
