--- a/src/roles/agent_tasks.c
+++ b/src/roles/agent_tasks.c
@@ -357,8 +357,8 @@
 		const struct task_name *n =
 			&g_array_index(names, struct task_name, i);
 
-		if (cf_gate_query(agent->gate, &n->key, n->index, false, NULL,
-				  clock_now_ms()) != CF_TASK_FENCED)
+		if (known_end(agent, &n->key, n->index, false, NULL).outcome !=
+		    CFW__TASK_OUTCOME__TASK_NOT_STARTED)
 			continue;
 		agent_trace_fence(&n->key, n->index, NULL, clock_now_ms());
 		counter_add(agent->counters.fenced, 1);
