--- a/tests/support/cluster.c
+++ b/tests/support/cluster.c
@@ -90,12 +90,6 @@
 	proc_add(p, flag, text);
 }
 
-static void add_all(struct proc *p, const char *const *args)
-{
-	for (; args && args[0]; args += 2)
-		proc_set(p, args[0], args[1]);
-}
-
 static void add_place(struct proc *p, int i)
 {
 	char text[40];
@@ -147,7 +141,7 @@
 	list = member_list(c, o->coordinators, true);
 	for (i = 0; i < o->coordinators; i++) {
 		proc_add(&c->procs[i], "--first-members", list);
-		add_all(&c->procs[i], o->coordinator_args);
+		proc_set_all(&c->procs[i], o->coordinator_args);
 	}
 	g_free(list);
 }
@@ -168,7 +162,7 @@
 		add_address(c, p, "--admin", PORT_ADMIN);
 		add_address(c, p, "--http", PORT_HTTP);
 		add_place(p, i - 1);
-		add_all(p, o->dispatcher_args);
+		proc_set_all(p, o->dispatcher_args);
 	}
 }
 
@@ -190,7 +184,7 @@
 		add_place(p, i - 1);
 		snprintf(text, sizeof(text), "rack%d", (i - 1) / 3 + 1);
 		proc_add(p, "--rack", text);
-		add_all(p, o->agent_args);
+		proc_set_all(p, o->agent_args);
 		snprintf(text, sizeof(text), "b%d", i);
 		p = cluster_add(c, "backend", text);
 		add_address(c, p, "--serve", PORT_HTTP);
@@ -199,7 +193,7 @@
 			 cluster_address(c, text, "backend-listen"));
 		snprintf(text, sizeof(text), "%d", o->slots ? o->slots : 8);
 		proc_add(p, "--slots", text);
-		add_all(p, o->backend_args);
+		proc_set_all(p, o->backend_args);
 	}
 }
 
@@ -325,82 +319,7 @@
 	return value;
 }
 
-/* ---- Jobs and changes ---- */
-
-char *cluster_job_body(const char *class_name, int n, int run_ms,
-		       int deadline_ms)
-{
-	GString *body = g_string_new(NULL);
-	int i;
-
-	g_string_printf(body,
-			"{\"class\":\"%s\",\"deadline_ms\":%d,\"tasks\":[",
-			class_name, deadline_ms);
-	for (i = 0; i < n; i++)
-		g_string_append_printf(
-			body, "%s{\"payload\":{\"run_ms\":%d,\"echo\":\"%d\"}}",
-			i ? "," : "", run_ms, i);
-	g_string_append(body, "]}");
-	return g_string_free(body, FALSE);
-}
-
-void cluster_key(struct cf_key *key, char text[CF_KEY_TEXT_SIZE])
-{
-	cf_key_make(key, clock_wall_ms(), clock_random(), clock_random());
-	cf_key_format(key, text);
-}
-
-static bool try_command(struct cluster *c, const char *body, uint64_t *revision)
-{
-	int i;
-
-	for (i = 0; i < c->n_coordinators; i++) {
-		char *answer = NULL;
-		json_t *root;
-		uint32_t status;
-
-		if (!c->procs[i].pid)
-			continue;
-		status = cluster_http(
-			cluster_address(c, c->procs[i].name, "admin"), "POST",
-			"/v1/commands", NULL, body, &answer, HTTP_TIMEOUT_MS);
-		root = json_loads(answer ? answer : "", 0, NULL);
-		if (revision)
-			*revision = (uint64_t)json_integer_value(
-				json_object_get(root, "revision"));
-		json_decref(root);
-		g_free(answer);
-		if (status == 200)
-			return true;
-	}
-	return false;
-}
-
-bool cluster_command(struct cluster *c, const char *change, uint64_t *revision)
-{
-	int64_t end_ms = clock_now_ms() + START_WAIT_MS;
-	char *body = g_strdup_printf("{\"command_id\":\"%016" G_GINT64_MODIFIER
-				     "x%016" G_GINT64_MODIFIER
-				     "x\",\"base_revision\":0,\"change\":%s}",
-				     clock_random(), clock_random(), change);
-	bool done;
-
-	while (!(done = try_command(c, body, revision)) &&
-	       clock_now_ms() < end_ms)
-		g_usleep(POLL_US);
-	g_free(body);
-	return done;
-}
-
-bool cluster_data_centre(struct cluster *c, const char *name, bool in)
-{
-	char change[160];
-
-	snprintf(change, sizeof(change),
-		 "{\"data_centre_set\":{\"name\":\"%s\",\"in_service\":%s}}",
-		 name, in ? "true" : "false");
-	return cluster_command(c, change, NULL);
-}
+/* ---- Start ---- */
 
 static bool agents_known(struct cluster *c, void *name)
 {
@@ -434,47 +353,6 @@
 	}
 }
 
-/* ---- Load ---- */
-
-struct proc *cluster_load(struct cluster *c, const char *const *args)
-{
-	GString *list = g_string_new(NULL);
-	char name[16];
-	struct proc *p;
-	int i;
-
-	snprintf(name, sizeof(name), "load%d", c->n_procs);
-	p = cluster_add(c, "load", name);
-	for (i = 0; i < c->n_procs; i++)
-		if (!strcmp(c->procs[i].role, "dispatcher"))
-			g_string_append_printf(
-				list, "%s%s", list->len ? "," : "",
-				cluster_address(c, c->procs[i].name, "http"));
-	proc_add(p, "--dispatchers", list->str);
-	proc_add(p, "--json", "true");
-	add_all(p, args);
-	g_string_free(list, TRUE);
-	proc_start(c, p);
-	return p;
-}
-
-int64_t cluster_load_field(struct proc *load, const char *field)
-{
-	char *text = NULL, *start;
-	json_t *root;
-	int64_t value = -1;
-
-	if (!g_file_get_contents(load->log, &text, NULL, NULL))
-		return -1;
-	start = strchr(text, '{');
-	root = json_loads(start ? start : "", JSON_DISABLE_EOF_CHECK, NULL);
-	if (json_is_integer(json_object_get(root, field)))
-		value = json_integer_value(json_object_get(root, field));
-	json_decref(root);
-	g_free(text);
-	return value;
-}
-
 /* ---- Traces ---- */
 
 static void read_traces(struct cluster *c, struct cf_trace *trace,
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -57,6 +57,8 @@
 void proc_add(struct proc *p, const char *flag, const char *value);
 void proc_set(struct proc *p, const char *flag,
 	      const char *value); /* replaces */
+void proc_set_all(struct proc *p,
+		  const char *const *args); /* NULL-ended pairs */
 void proc_start(struct cluster *c, struct proc *p);
 void proc_kill(struct proc *p); /* SIGKILL, reaped */
 int proc_stop(struct proc *p); /* SIGTERM, reaped; exit status, -1 killed */
--- a/tests/support/proc.c
+++ b/tests/support/proc.c
@@ -53,6 +53,12 @@
 	proc_add(p, flag, value);
 }
 
+void proc_set_all(struct proc *p, const char *const *args)
+{
+	for (; args && args[0]; args += 2)
+		proc_set(p, args[0], args[1]);
+}
+
 /* "--flag value" pairs become "--flag=value"; switches lose "true". */
 static void fill_argv(struct proc *p, char **argv)
 {
