--- a/src/roles/dispatcher.c
+++ b/src/roles/dispatcher.c
@@ -41,7 +41,7 @@
 		settle_results(d, link, envelope->results);
 		break;
 	case CFW__ENVELOPE__BODY_QUERY_REPLY:
-		settle_query_reply(d, envelope->query_reply);
+		settle_query_reply(d, link, envelope->query_reply);
 		break;
 	case CFW__ENVELOPE__BODY_LOAD:
 		if (link_data(link))
--- a/src/roles/dispatcher_internal.h
+++ b/src/roles/dispatcher_internal.h
@@ -310,7 +310,8 @@
 /* dispatcher_settle.c: what agents say of tasks. */
 void settle_results(struct dispatcher *d, struct link *link,
 		    const Cfw__Results *results);
-void settle_query_reply(struct dispatcher *d, const Cfw__QueryReply *reply);
+void settle_query_reply(struct dispatcher *d, struct link *link,
+			const Cfw__QueryReply *reply);
 void settle_query(struct dispatcher *d, struct dagent *a, struct djob *j);
 void settle_lost(struct dispatcher *d, struct dagent *a);
 void settle_cancel(struct dispatcher *d, struct djob *j); /* at all agents */
--- a/src/roles/dispatcher_settle.c
+++ b/src/roles/dispatcher_settle.c
@@ -167,11 +167,17 @@
 			     results->n_results);
 }
 
-void settle_query_reply(struct dispatcher *d, const Cfw__QueryReply *reply)
+void settle_query_reply(struct dispatcher *d, struct link *link,
+			const Cfw__QueryReply *reply)
 {
 	struct dagent *a = agents_find(d, reply->agent);
 	struct djob *j = find_job(d, &reply->key);
 
+	/* Nobody speaks for another agent. */
+	if (reply->agent != link_peer(link)->incarnation) {
+		counter_add(d->counters.crossed, 1);
+		return;
+	}
 	if (a)
 		agents_take_load(d, a, reply->load);
 	if (!j)
