--- a/Makefile
+++ b/Makefile
@@ -50,7 +50,7 @@
 
 .PHONY: all help setup demo check check-unit check-faults explore bench \
 	bench-capacity fuzz fuzz-corpus lint format format-check sanitize \
-	install examples clean
+	install examples measure clean
 
 all: $(BUILD)/chervilferry $(BUILD)/libchervilferry.a \
 	$(BUILD)/libchervilferry.so
@@ -143,6 +143,9 @@
 bench-capacity: all $(BENCHES)
 	@tools/bench_capacity.sh $(BUILD)
 
+measure: all
+	@tools/measure.sh $(BUILD)
+
 format:
 	clang-format -i $(OWN_C) $(OWN_H)
 
--- a/bench/bench_memory.c
+++ b/bench/bench_memory.c
@@ -57,6 +57,7 @@
 	entry.data = g_bytes_new_take(data, size);
 	cf_config_apply(config, &entry, NULL);
 	g_bytes_unref(entry.data);
+	command->command_id.data = NULL;
 }
 
 static void set_class(struct cf_config *config, uint64_t i)
