dispatcher: name the class of a job that goes along with its claim

A job is put among the waiting ones before it is admitted, and cf_admitter_urgency looks up its class name, which admission fills in only later (address sanitizer: g_str_hash of NULL from sort_waiting). Ruled out: the load tool and the agents. The class and team are now set before the job waits. tests/fault_along before: 0 of 102 jobs complete; after: 102 of 102 in three runs in a row, 0 doubles.

--- a/src/roles/dispatcher_jobs.c
+++ b/src/roles/dispatcher_jobs.c
@@ -297,6 +297,10 @@
 	claim_begin(d, j);
 	if (d->along) {
 		j->gated = true;
+		/* It is ordered among the waiting jobs before it is admitted.
+		 */
+		j->admit.class_name = j->request->class_name;
+		j->admit.team = j->request->team;
 		place_predict(d, j);
 		place_add(d, j);
 	}
