coordinator: let a joining member answer a leader it cannot dial

When the leader was none of them, or the one named was lost, the learner got the leader's entries on the connection that the leader made, could not answer, never caught up and so never learned the leader's address. Ruled out: lost entries (the learner's log was empty, its accepted connection up) and the identity.

While it has no configuration it answers on accepted connections of other coordinators.

--- a/src/roles/coordinator.c
+++ b/src/roles/coordinator.c
@@ -105,6 +105,7 @@
 	c->config = cf_config_create();
 	c->voter_lease = cf_lease_create();
 	c->peers = g_ptr_array_new();
+	c->accepted = g_ptr_array_new();
 	c->reads = g_ptr_array_new_with_free_func(g_free);
 	c->identities = g_hash_table_new_full(g_direct_hash, g_direct_equal,
 					      NULL,
@@ -136,6 +137,7 @@
 		g_array_unref(c->first_members);
 	g_strfreev(c->join);
 	g_ptr_array_unref(c->peers);
+	g_ptr_array_unref(c->accepted);
 	g_ptr_array_unref(c->reads);
 	g_hash_table_destroy(c->identities);
 	g_hash_table_destroy(c->waiters);
--- a/src/roles/coordinator.h
+++ b/src/roles/coordinator.h
@@ -92,6 +92,7 @@
 	char **join; /* addresses, or NULL */
 
 	GPtrArray *peers; /* struct link, dialled */
+	GPtrArray *accepted; /* struct link that other coordinators made */
 	uint64_t peers_revision; /* of the configuration they follow */
 	GHashTable *identities; /* member id -> GBytes, as heard */
 
--- a/src/roles/coordinator_links.c
+++ b/src/roles/coordinator_links.c
@@ -88,10 +88,10 @@
 	}
 }
 
-struct link *coordinator_link_to(const struct coordinator *c, uint32_t id)
+static struct link *find_link(const GPtrArray *links, uint32_t id)
 {
-	for (guint i = 0; i < c->peers->len; i++) {
-		struct link *link = g_ptr_array_index(c->peers, i);
+	for (guint i = 0; i < links->len; i++) {
+		struct link *link = g_ptr_array_index(links, i);
 
 		if (link_is_up(link) && link_peer(link)->member_id == id)
 			return link;
@@ -99,17 +99,34 @@
 	return NULL;
 }
 
+/* One that joins knows the addresses of --join alone, and the leader may
+ * be another: it answers on the connection that the leader made. */
+struct link *coordinator_link_to(const struct coordinator *c, uint32_t id)
+{
+	struct link *link = find_link(c->peers, id);
+
+	if (!link && !cf_config_revision(c->config))
+		link = find_link(c->accepted, id);
+	return link;
+}
+
 /* ---- Handlers ------------------------------------------------------ */
 
 static void up(void *arg, struct link *link)
 {
-	(void)arg;
-	(void)link;
+	struct coordinator *c = arg;
+
+	if (link_peer(link)->role == CFW__ROLE__ROLE_COORDINATOR &&
+	    !g_ptr_array_find(c->peers, link, NULL))
+		g_ptr_array_add(c->accepted, link);
 }
 
 static void down(void *arg, struct link *link)
 {
-	coordinator_drop_waiters(arg, link);
+	struct coordinator *c = arg;
+
+	g_ptr_array_remove_fast(c->accepted, link);
+	coordinator_drop_waiters(c, link);
 }
 
 static void receive_log(struct coordinator *c, struct link *link,
