--- a/tools/measure.sh
+++ b/tools/measure.sh
@@ -11,7 +11,10 @@
 shift || true
 parts=${*:-load overhead messages starts}
 folder=$(mktemp -d)
-trap 'rm -rf "$folder"' EXIT
+pid=
+# A part that fails must not leave its stand-in, and the locks it has
+# inherited, behind.
+trap '[ -z "$pid" ] || kill "$pid" 2>/dev/null; rm -rf "$folder"' EXIT
 export CHERVILFERRY_BINARY=$build/chervilferry
 export CLUSTER_IP=${CLUSTER_IP:-127.0.9.2}
 load="$CHERVILFERRY_BINARY load --seed 3"
@@ -29,6 +32,7 @@
 	on_cluster "$* --direct $direct"
 	kill "$pid"
 	wait "$pid" || true
+	pid=
 }
 for part in $parts; do
 	case $part in
