--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -68,6 +68,14 @@
 	DISPATCHERS="$DISPATCHERS${DISPATCHERS:+,}$ip:821$i"
 done
 export COORDINATORS DISPATCHERS ADMINS
+# Another cluster at this address would take the commands meant for ours.
+sleep 0.5
+for pid in "${pids[@]}"; do
+	kill -0 "$pid" 2>/dev/null || {
+		echo "a process did not start; see $folder/*.log" >&2
+		exit 1
+	}
+done
 "$binary" class set default --target-ms 1000 --percentile 95 \
 	--coordinators "$COORDINATORS" --timeout-ms 20000
 for i in 1 2 3; do
