Send heartbeats at their interval, not twice as often

A tick came every half interval and sent on every idle link, so links carried four frames a second each way at 500 ms (found by the capacity slopes: 20 of 24 messages a second of an idle holder were heartbeats). Now a frame goes when its interval is due at the next tick.

--- a/src/net/link_hub.c
+++ b/src/net/link_hub.c
@@ -67,7 +67,8 @@
 	case LINK_UP:
 		if (now_ms - link->received_ms >= limit_ms)
 			link_shut(link, "silent");
-		else if (now_ms - link->sent_ms >= heartbeat_ms / 2)
+		else if (now_ms - link->sent_ms >=
+			 heartbeat_ms - link->hub->tick_ms / 2)
 			link_queue(link, &link->hub->heartbeat);
 		return;
 	}
