--- a/Makefile
+++ b/Makefile
@@ -150,7 +150,7 @@
 	clang-format -i $(OWN_C) $(OWN_H)
 
 format-check:
-	clang-format --dry-run -Werror $(OWN_C) $(OWN_H)
+	@clang-format --dry-run -Werror $(OWN_C) $(OWN_H)
 
 lint:
 	@tools/lint.sh "$(CFLAGS_ALL) $(DEP_CFLAGS)" $(OWN_C)
