--- a/src/roles/dispatcher.c
+++ b/src/roles/dispatcher.c
@@ -134,8 +134,6 @@
 {
 	struct dispatcher *d = arg;
 
-	d->roster_settled = roster->settled;
-	d->last_departure_ms = roster->last_departure_ms;
 	agents_take_roster(d, roster);
 	peer_take_roster(d, roster);
 	if (!d->roster_ms)
--- a/src/roles/dispatcher_internal.h
+++ b/src/roles/dispatcher_internal.h
@@ -211,8 +211,6 @@
 	GHashTable *callers; /* incarnation -> struct link of a dispatcher */
 	GHashTable *lookups; /* seq -> struct lookup */
 	int64_t roster_ms; /* of the first roster, 0 none */
-	bool roster_settled;
-	int64_t last_departure_ms;
 
 	struct cf_placer *placer;
 	struct cf_predict *predict;
