--- a/examples/admission.c
+++ b/examples/admission.c
@@ -9,7 +9,12 @@
 {
 	struct cf_admit_class class = { "price-check", 200, 95000 };
 	struct cf_admitter *admitter = cf_admitter_create(1);
-	struct cf_admit_job job = { "price-check", "", 2, 50, 100, 1000 };
+	struct cf_admit_job job = { .class_name = "price-check",
+				    .team = "",
+				    .n_tasks = 2,
+				    .longest_ms = 50,
+				    .work_ms = 100,
+				    .deadline_ms = 1000 };
 	uint32_t retry_after_ms = 0;
 	bool ok;
 
