--- a/tools/run_tests.sh
+++ b/tools/run_tests.sh
@@ -8,7 +8,7 @@
 shift
 logs=$build/logs
 mkdir -p "$logs"
-rm -f "$logs"/*.tap
+rm -f "$logs"/*.tap "$logs"/*.err
 export CMOCKA_MESSAGE_OUTPUT=TAP
 export CHERVILFERRY_BINARY=$build/chervilferry
 
