Wait in the demo for standalone, not for its dispatcher

The dispatcher logs ready since it opens its callers' port late; the demo took that line for standalone's and sent a key that voters abstain on.

--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -8,7 +8,7 @@
 pid=$!
 trap 'kill $pid 2>/dev/null || true; wait $pid 2>/dev/null || true; rm -f "$log"' EXIT
 for _ in $(seq 200); do
-	grep -q event=ready "$log" && break
+	grep -q "event=ready.*class=" "$log" && break
 	kill -0 $pid 2>/dev/null || { cat "$log"; exit 1; }
 	sleep 0.05
 done
