--- a/Makefile
+++ b/Makefile
@@ -109,12 +109,14 @@
 check: setup
 	@$(MAKE) --no-print-directory check-all
 
-.PHONY: check-all tests
+.PHONY: check-all tests benches
 check-all: all tests
 	@tools/run_tests.sh $(BUILD) unit explore fault fuzz examples
 
 tests: $(UNIT_TESTS) $(EXPLORERS) $(FAULT_TESTS) $(FUZZERS)
 
+benches: $(BENCHES)
+
 check-unit: all $(UNIT_TESTS)
 	@tools/run_tests.sh $(BUILD) unit
 
--- a/bench/bench_capacity.c
+++ b/bench/bench_capacity.c
@@ -275,8 +275,14 @@
 	for (int tries = 0; tries < 100; tries++) {
 		g_autofree char *url = g_strdup_printf("http://%s/v1/commands",
 						       b->admins[b->leader]);
-		struct http_call call = { "POST",  url,  body, strlen(body),
-					  headers, 2000, 0 };
+		struct http_call call = {
+			.method = "POST",
+			.url = url,
+			.body = body,
+			.size_bytes = strlen(body),
+			.headers = headers,
+			.timeout_ms = 2000,
+		};
 		struct http_answer answer = { 0 };
 		const char *at = NULL;
 		uint64_t revision = 0;
