--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 
 WARN = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
 	-Wmissing-prototypes -Wpointer-arith -Wvla -Wformat=2
-CFLAGS_ALL = -std=gnu11 $(OPT) $(WARN) -Iinclude -Isrc -Itests -pthread \
+CFLAGS_ALL = -std=gnu11 $(OPT) $(WARN) -Iinclude -Isrc -Itests -I. -pthread \
 	-DCF_VERSION='"$(VERSION)"' $(CFLAGS)
 LDFLAGS_ALL = -pthread $(LDFLAGS)
 ifneq ($(SAN),)
@@ -29,7 +29,7 @@
 
 LIB_SRC = $(wildcard src/lib/*.c) src/proto/wire.pb-c.c
 APP_SRC = $(filter-out src/main.c,$(wildcard src/*.c src/base/*.c \
-	src/net/*.c src/store/*.c src/roles/*.c))
+	src/net/*.c src/store/*.c src/roles/*.c src/leased/*.c platform/*.c))
 LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o)
 LIB_PIC = $(LIB_SRC:%.c=$(BUILD)/pic/%.o)
 APP_OBJ = $(APP_SRC:%.c=$(BUILD)/%.o)
@@ -43,9 +43,9 @@
 FUZZERS = $(patsubst fuzz/%.c,$(BUILD)/fuzz/%,$(wildcard fuzz/fuzz_*.c))
 BENCHES = $(patsubst bench/%.c,$(BUILD)/bench/%,$(wildcard bench/bench_*.c))
 
-OWN_C = $(filter-out %.pb-c.c,$(wildcard src/*.c src/*/*.c tests/*.c \
+OWN_C = $(filter-out %.pb-c.c,$(wildcard src/*.c src/*/*.c platform/*.c tests/*.c \
 	tests/support/*.c fuzz/*.c bench/*.c examples/*.c))
-OWN_H = $(filter-out %.pb-c.h,$(wildcard include/*.h src/*/*.h \
+OWN_H = $(filter-out %.pb-c.h,$(wildcard include/*.h src/*/*.h platform/*.h \
 	tests/support/*.h))
 
 .PHONY: all help setup demo check check-unit check-faults explore bench \
--- a/include/chervilferry.h
+++ b/include/chervilferry.h
@@ -231,6 +231,7 @@
 CF_API size_t cf_config_members(const struct cf_config *config, const struct cf_member **members); /* count, by id */
 CF_API const struct cf_member *cf_config_find_member(const struct cf_config *config, uint32_t id); /* or NULL */
 CF_API bool cf_config_is_retired(const struct cf_config *config, uint32_t id); /* a removed member; not known to adopters */
+CF_API GBytes *cf_config_routes(const struct cf_config *config, uint64_t *version); /* the operators' routes as they were sent; borrowed, NULL: none yet */
 CF_API bool cf_config_is_fenced(const struct cf_config *config, uint64_t incarnation); /* may do nothing more */
 
 /* ---- Leases (src/lib/lease.c) --------------------------------------- */
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -31,6 +31,8 @@
 	FOR_LOAD = 1 << 4,
 	FOR_BACKEND = 1 << 5,
 	FOR_STANDALONE = 1 << 6,
+	FOR_LEASED_DISPATCHER = 1 << 7,
+	FOR_LEASED_AGENT = 1 << 8,
 };
 
 struct setting {
--- a/src/base/settings_table.c
+++ b/src/base/settings_table.c
@@ -6,7 +6,8 @@
 #include "base/settings.h"
 
 /* clang-format off */
-#define DAEMONS (FOR_COORDINATOR | FOR_DISPATCHER | FOR_AGENT)
+#define LEASED (FOR_LEASED_DISPATCHER | FOR_LEASED_AGENT)
+#define DAEMONS (FOR_COORDINATOR | FOR_DISPATCHER | FOR_AGENT | LEASED)
 #define SERVERS (DAEMONS | FOR_STANDALONE | FOR_BACKEND)
 #define ALL (SERVERS | FOR_LOAD | FOR_OPERATOR)
 #define PORT_ANY_LOOPBACK "127.0.0.1:0"
@@ -22,24 +23,31 @@
 	/* coordinator, dispatcher, agent */
 	{ "data-centre", SETTING_NAME, DAEMONS, false, 0, 0, NULL, "local", NULL, "data centre that this host stands in" },
 	{ "listen", SETTING_ADDRESS, DAEMONS, false, 0, 0, NULL, PORT_ANY_LOOPBACK, NULL, "ip:port for the other processes" },
-	{ "advertise", SETTING_ADDRESS, FOR_DISPATCHER | FOR_AGENT, false, 0, 0, NULL, NULL, NULL, "ip:port that other processes are told; none: that of listen" },
+	{ "advertise", SETTING_ADDRESS, FOR_DISPATCHER | FOR_AGENT | LEASED, false, 0, 0, NULL, NULL, NULL, "ip:port that other processes are told; none: that of listen" },
 	{ "admin", SETTING_ADDRESS, DAEMONS, false, 0, 0, NULL, PORT_ANY_LOOPBACK, NULL, "ip:port for health, metrics and operators" },
 	{ "heartbeat-ms", SETTING_NUMBER, DAEMONS | FOR_STANDALONE, false, 50, 10000, "ms", "500", NULL, "interval of heartbeats on a connection; three missed ones end it" },
-	{ "coordinators", SETTING_ADDRESSES, FOR_DISPATCHER | FOR_AGENT, true, 0, 0, NULL, NULL, NULL, "ip:port of the coordinators, comma-separated" },
+	{ "coordinators", SETTING_ADDRESSES, FOR_DISPATCHER | FOR_AGENT | LEASED, true, 0, 0, NULL, NULL, NULL, "ip:port of the coordinators, comma-separated" },
+	{ "coordinators-port", SETTING_NUMBER, LEASED, false, 0, 65535, NULL, "0", NULL, "port that replaces those in coordinators; 0: they stay" },
 	{ "stop-wait-ms", SETTING_NUMBER, DAEMONS | FOR_STANDALONE, false, 0, 3600000, "ms", "30000", NULL, "longest wait for what is in progress at a planned stop" },
 	{ "lease-ms", SETTING_NUMBER, FOR_COORDINATOR | FOR_STANDALONE, false, 500, 10000, "ms", "2000", NULL, "duration of a lease" },
 
+	{ "control", SETTING_ADDRESS, FOR_COORDINATOR | FOR_LEASED_AGENT, false, 0, 0, NULL, NULL, NULL, "ip:port of the platform's interface for operators and backend servers; none: it is not served" },
+	{ "reload-file", SETTING_PATH, LEASED, false, 0, 0, NULL, NULL, NULL, "file of NAME=VALUE lines, read again on SIGHUP and when it changes" },
+
 	/* coordinator */
-	{ "id", SETTING_NUMBER, FOR_COORDINATOR, true, 1, 1000000, NULL, NULL, NULL, "member number, never used twice" },
+	{ "id", SETTING_NUMBER, FOR_COORDINATOR, false, 1, 1000000, NULL, NULL, NULL, "member number, never used twice; needed unless seeds are given" },
 	{ "data", SETTING_PATH, FOR_COORDINATOR, true, 0, 0, NULL, NULL, NULL, "folder for the log and snapshots" },
 	{ "first-members", SETTING_TEXT, FOR_COORDINATOR, false, 0, 0, NULL, NULL, NULL, "ID=IP:PORT/ADMIN-IP:PORT of the first members, comma-separated; same at each of them" },
 	{ "join", SETTING_ADDRESSES, FOR_COORDINATOR, false, 0, 0, NULL, NULL, NULL, "ip:port of members, for a member that is being added" },
+	{ "seeds", SETTING_ADDRESSES, FOR_COORDINATOR, false, 0, 0, NULL, NULL, NULL, "control ip:port of up to three coordinators: the group forms from them at the first start, and is found through them later" },
+	{ "seeds-port", SETTING_NUMBER, FOR_COORDINATOR, false, 1, 65535, NULL, NULL, NULL, "port between processes at the hosts of the seeds" },
+	{ "first-start", SETTING_BOOL, FOR_COORDINATOR, false, 0, 0, NULL, "false", NULL, "the whole group starts with empty disks: the seeds are its first members" },
 	{ "snapshot-every", SETTING_NUMBER, FOR_COORDINATOR, false, 10, 1000000, "entries", "2000", NULL, "log entries between snapshots" },
 
 	/* dispatcher */
-	{ "http", SETTING_ADDRESS, FOR_DISPATCHER | FOR_STANDALONE, false, 0, 0, NULL, "127.0.0.1:8200", NULL, "ip:port for callers" },
-	{ "http-threads", SETTING_NUMBER, FOR_DISPATCHER | FOR_STANDALONE, false, 1, 64, NULL, "2", NULL, "threads that read callers' requests" },
-	{ "http-connections", SETTING_NUMBER, FOR_DISPATCHER, false, 1, 100000, NULL, "4096", NULL, "callers' connections at once" },
+	{ "http", SETTING_ADDRESS, FOR_DISPATCHER | FOR_LEASED_DISPATCHER | FOR_STANDALONE, false, 0, 0, NULL, "127.0.0.1:8200", NULL, "ip:port for callers" },
+	{ "http-threads", SETTING_NUMBER, FOR_DISPATCHER | FOR_LEASED_DISPATCHER | FOR_STANDALONE, false, 1, 64, NULL, "2", NULL, "threads that read callers' requests" },
+	{ "http-connections", SETTING_NUMBER, FOR_DISPATCHER | FOR_LEASED_DISPATCHER, false, 1, 100000, NULL, "4096", NULL, "callers' connections at once" },
 	{ "body-max-bytes", SETTING_NUMBER, FOR_DISPATCHER, false, 1024, 67108864, "bytes", "4194304", NULL, "largest request" },
 	{ "tasks-max", SETTING_NUMBER, FOR_DISPATCHER, false, 1, 4096, NULL, "120", NULL, "tasks of a job" },
 	{ "jobs-max", SETTING_NUMBER, FOR_DISPATCHER, false, 1, 1000000, NULL, "20000", NULL, "jobs in progress" },
--- /dev/null
+++ b/src/leased/agent.c
@@ -0,0 +1,393 @@
+/*
+ * agent: the process beside a backend server that runs tasks under a
+ * lease. It alone calls the server. This file starts and stops it, takes
+ * the server's reports, and has its periodic work.
+ */
+#include "leased/agent_internal.h"
+
+#include "base/clock.h"
+#include "base/logger.h"
+#include "leased/leases.h"
+#include "leased/reload.h"
+#include "roles/role.h"
+
+#include <string.h>
+
+/* ---- Constants ------------------------------------------------------ */
+
+#define TICK_MS 20
+#define CONTROL_THREADS 1
+#define CONTROL_CONNECTIONS_MAX 64
+#define CONTROL_BODY_MAX_BYTES (4U << 20)
+#define SERVER_CONNECTIONS_MAX 24
+#define FLUSH_WAIT_MS 300
+#define STOP_LOOK_US 20000
+#define US_PER_MS 1000
+#define HTTP_OK_STATUS 200
+#define HTTP_BAD_REQUEST 400
+#define HTTP_NOT_FOUND 404
+
+/* ---- Reports of servers --------------------------------------------- */
+
+struct posted_report {
+	struct leased_agent *agent;
+	struct http_request *request;
+	struct server_report report;
+	bool leaves;
+};
+
+static void server_changed(void *arg, struct server *server)
+{
+	struct leased_agent *a = arg;
+
+	agent_take_results(a, server);
+	a->state_changed = true;
+	agent_tell_peers(a, loop_now_ms(a->loop));
+}
+
+static void add_server(struct leased_agent *a,
+		       const struct server_report *report, int64_t now_ms)
+{
+	struct server_options options = { .formats = a->formats,
+					  .client = a->client,
+					  .loop = a->loop,
+					  .usable_ms = a->usable_ms,
+					  .changed = server_changed,
+					  .arg = a };
+	struct server *server = server_create(&options, report, now_ms);
+
+	g_hash_table_insert(a->servers, g_strdup(report->name), server);
+	a->state_changed = true;
+}
+
+static void reply_ok(struct http_request *request)
+{
+	http_reply(request, HTTP_OK_STATUS, "application/json", "{}", 2, NULL);
+}
+
+static void take_report(void *arg)
+{
+	struct posted_report *p = arg;
+	struct leased_agent *a = p->agent;
+	struct server *server =
+		g_hash_table_lookup(a->servers, p->report.name);
+	int64_t now_ms = loop_now_ms(a->loop);
+
+	counter_add(a->reports, 1);
+	if (p->leaves) {
+		if (server)
+			server_leave(server, now_ms);
+	} else if (!server) {
+		add_server(a, &p->report, now_ms);
+	} else {
+		server_take_report(server, &p->report, now_ms);
+	}
+	reply_ok(p->request);
+	agent_tell_peers(a, now_ms);
+	g_free(p);
+}
+
+static void post_report(struct leased_agent *a, struct http_request *request,
+			const struct server_report *report, bool leaves)
+{
+	struct posted_report *p = g_new0(struct posted_report, 1);
+
+	p->agent = a;
+	p->request = request;
+	p->report = *report;
+	p->leaves = leaves;
+	loop_post(a->loop, take_report, p);
+}
+
+static void handle_control(void *arg, struct http_request *request)
+{
+	struct leased_agent *a = arg;
+	struct control_request asked;
+	struct server_report report = { 0 };
+	char fault[128] = "";
+	size_t size;
+	const void *body = http_body(request, &size);
+
+	a->formats->read_control(http_method(request), http_path(request),
+				 &asked);
+	if (asked.kind == CONTROL_SERVER_LEAVES) {
+		g_strlcpy(report.name, asked.subject, sizeof(report.name));
+		post_report(a, request, &report, true);
+	} else if (asked.kind != CONTROL_SERVER_REPORT) {
+		http_reply_error(request, HTTP_NOT_FOUND, "not_found",
+				 "an agent has no such call");
+	} else if (a->formats->read_server_report(asked.subject, body, size,
+						  &report, fault)) {
+		post_report(a, request, &report, false);
+	} else {
+		counter_add(a->bad_reports, 1);
+		log_event(LOG_WARN, "report_unreadable",
+			  "server=%s why=\"%s\"", asked.subject, fault);
+		http_reply_error(request, HTTP_BAD_REQUEST, "invalid", fault);
+	}
+}
+
+/* ---- Periodic work -------------------------------------------------- */
+
+static bool work_servers(struct leased_agent *a, int64_t now_ms)
+{
+	bool idle = true;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, a->servers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct server *server = value;
+		bool accepted = server_accepting(server, now_ms);
+
+		server_work(server, now_ms);
+		agent_take_results(a, server);
+		idle = idle && run_table_is_idle(server_runs(server));
+		if (accepted != server_accepting(server, now_ms))
+			a->state_changed = true;
+		if (server_is_gone(server, now_ms)) {
+			log_event(LOG_INFO, "server_forgotten", "server=%s",
+				  server_last_report(server)->name);
+			g_hash_table_iter_remove(&iter);
+			a->state_changed = true;
+		}
+	}
+	return idle;
+}
+
+static void follow_usable(struct leased_agent *a, int64_t now_ms)
+{
+	if (!a->usable_ms || now_ms < a->usable_ms)
+		return;
+	a->usable_ms = 0;
+	a->state_changed = true;
+}
+
+static void tick(void *arg, int64_t now_ms)
+{
+	struct leased_agent *a = arg;
+
+	agent_end_leases(a, now_ms);
+	follow_usable(a, now_ms);
+	g_atomic_int_set(&a->idle, work_servers(a, now_ms));
+	agent_ask_leases(a, now_ms);
+	agent_tell_peers(a, now_ms);
+}
+
+/* ---- The coordinators ----------------------------------------------- */
+
+static void return_queued(struct leased_agent *a)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, a->servers);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		run_table_return_queued(server_runs(value));
+	a->state_changed = true;
+}
+
+static void config_changed(void *arg)
+{
+	struct leased_agent *a = arg;
+	struct cf_config *config = session_config(a->session);
+	bool in_service = cf_config_in_service(config, a->data_centre);
+
+	if (in_service == a->in_service)
+		return;
+	a->in_service = in_service;
+	log_event(LOG_INFO, "data_centre_service",
+		  "data_centre=%s in_service=%d revision=%" G_GUINT64_FORMAT,
+		  a->data_centre, in_service, cf_config_revision(config));
+	if (!in_service)
+		return_queued(a);
+}
+
+static void roster_changed(void *arg, const Cfw__Roster *roster)
+{
+	(void)arg;
+	(void)roster;
+}
+
+static void lease_changed(void *arg, bool held)
+{
+	(void)arg;
+	(void)held;
+}
+
+static void fenced(void *arg)
+{
+	(void)arg;
+	log_event(LOG_ERROR, "fenced", NULL);
+	role_request_stop();
+}
+
+static void open_session(struct leased_agent *a)
+{
+	static const struct session_handlers handlers = {
+		.config = config_changed,
+		.roster = roster_changed,
+		.lease = lease_changed,
+		.fenced = fenced,
+	};
+	g_auto(GStrv) coordinators = reload_coordinators(a->settings);
+	g_autofree char *address =
+		g_strdup(settings_text(a->settings, "listen"));
+	struct session_options options = { .loop = a->loop,
+					   .hub = a->hub,
+					   .role = CFW__ROLE__ROLE_AGENT,
+					   .incarnation = a->incarnation,
+					   .name = settings_text(a->settings,
+								 "name"),
+					   .data_centre = a->data_centre,
+					   .rack = "",
+					   .address = address,
+					   .coordinators = coordinators };
+
+	a->session = session_create(&options, &handlers, a);
+	session_begin(a->session);
+}
+
+static void reload_on_loop(void *arg)
+{
+	struct leased_agent *a = arg;
+	g_auto(GStrv) coordinators = reload_coordinators(a->settings);
+
+	session_add_coordinators(a->session, coordinators);
+}
+
+static void reload(void *arg)
+{
+	struct leased_agent *a = arg;
+
+	loop_post(a->loop, reload_on_loop, a);
+}
+
+/* ---- Start and stop ------------------------------------------------- */
+
+static struct leased_agent *create_empty(const struct settings *settings)
+{
+	struct leased_agent *a = g_new0(struct leased_agent, 1);
+
+	a->settings = settings;
+	a->formats = role_formats();
+	a->incarnation = clock_random();
+	a->in_service = true;
+	a->usable_ms = clock_now_ms() + SERVER_LEASE_MS +
+		       SERVER_CLOCK_SLACK_MS + RUN_STOP_MS;
+	g_strlcpy(a->data_centre, settings_text(settings, "data-centre"),
+		  sizeof(a->data_centre));
+	a->servers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					   (GDestroyNotify)server_destroy);
+	a->peers = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					 agent_free_peer);
+	a->reports = counter_get("server_reports_total", NULL,
+				 "reports of backend servers");
+	a->bad_reports = counter_get("server_reports_unreadable_total", NULL,
+				     "reports of backend servers ignored");
+	a->lost_leases = counter_get("run_leases_lost_total", NULL,
+				     "dispatchers whose lease for runs ended");
+	return a;
+}
+
+static bool open_all(struct leased_agent *a, GError **error)
+{
+	const struct settings *s = a->settings;
+	struct link_options links = {
+		.self = { .role = CFW__ROLE__ROLE_AGENT,
+			  .name = settings_text(s, "name"),
+			  .incarnation = a->incarnation,
+			  .data_centre = a->data_centre },
+		.heartbeat_ms = settings_number(s, "heartbeat-ms")
+	};
+	struct http_server_options control = {
+		.address = settings_text(s, "control"),
+		.threads = CONTROL_THREADS,
+		.connections_max = CONTROL_CONNECTIONS_MAX,
+		.body_max_bytes = CONTROL_BODY_MAX_BYTES
+	};
+
+	a->loop = loop_create(error);
+	if (!a->loop)
+		return false;
+	a->hub = link_hub_create(a->loop, &links, &agent_link_handlers, a);
+	open_session(a);
+	if (!link_hub_listen(a->hub, settings_text(s, "listen"), NULL, error))
+		return false;
+	a->client = http_client_create(a->loop, SERVER_CONNECTIONS_MAX, error);
+	a->admin = admin_create(settings_text(s, "admin"), error);
+	if (!a->client || !a->admin)
+		return false;
+	admin_set_ready(a->admin, true, NULL);
+	if (!admin_start(a->admin, error))
+		return false;
+	if (!control.address) {
+		g_set_error(error, role_error_quark(), 0,
+			    "control: must be given");
+		return false;
+	}
+	a->control = http_server_create(&control, handle_control, a, error);
+	return a->control != NULL;
+}
+
+static gpointer run(gpointer arg)
+{
+	struct leased_agent *a = arg;
+
+	loop_run(a->loop);
+	return NULL;
+}
+
+static void tell_stopping(void *arg)
+{
+	return_queued(arg);
+}
+
+/* What runs here ends before the process does. */
+static void wait_until_idle(struct leased_agent *a)
+{
+	int64_t end_ms = clock_now_ms() +
+			 settings_number(a->settings, "stop-wait-ms");
+
+	g_atomic_int_set(&a->stopping, 1);
+	loop_post(a->loop, tell_stopping, a);
+	g_usleep(STOP_LOOK_US * 2);
+	while (!g_atomic_int_get(&a->idle) && clock_now_ms() < end_ms)
+		g_usleep(STOP_LOOK_US);
+}
+
+static void leave(void *arg)
+{
+	struct leased_agent *a = arg;
+
+	agent_tell_peers(a, loop_now_ms(a->loop));
+	session_leave(a->session);
+	link_flush(a->hub, FLUSH_WAIT_MS);
+	loop_stop(a->loop);
+}
+
+int leased_agent_main(const struct settings *settings)
+{
+	struct leased_agent *a = create_empty(settings);
+	GError *error = NULL;
+
+	if (!open_all(a, &error))
+		return role_fail(error);
+	a->tick = loop_timer_create(a->loop, tick, a);
+	loop_timer_start(a->tick, TICK_MS, TICK_MS);
+	a->thread = g_thread_new("agent", run, a);
+	role_on_reload(reload, a);
+	reload_watch(settings, reload, a);
+	log_event(LOG_INFO, "started", "listen=%s control=%s data_centre=%s",
+		  settings_text(settings, "listen"),
+		  settings_text(settings, "control"), a->data_centre);
+	role_wait_for_stop();
+	log_event(LOG_INFO, "stopping", NULL);
+	wait_until_idle(a);
+	loop_post(a->loop, leave, a);
+	g_thread_join(a->thread);
+	http_server_destroy(a->control);
+	admin_destroy(a->admin);
+	log_event(LOG_INFO, "stopped", NULL);
+	return 0;
+}
--- /dev/null
+++ b/src/leased/agent_internal.h
@@ -0,0 +1,70 @@
+/*
+ * agent_internal: what the files of the leased agent share. One loop
+ * thread owns all of it.
+ */
+#ifndef LEASED_AGENT_INTERNAL_H
+#define LEASED_AGENT_INTERNAL_H
+
+#include "base/counters.h"
+#include "base/settings.h"
+#include "leased/server.h"
+#include "net/admin.h"
+#include "net/link.h"
+#include "roles/session.h"
+
+/* A dispatcher that this agent runs tasks for. */
+struct peer {
+	uint64_t incarnation;
+	char name[CF_NAME_SIZE];
+	struct link *link; /* NULL: lost */
+	struct cf_lease *lease; /* for its runs; new for each connection */
+	bool held;
+	uint64_t received; /* starts taken from it */
+	GArray *results; /* struct run_result, to be sent */
+	GQueue *recent; /* struct recent_result, newest last */
+	int64_t lost_ms; /* when the connection ended; 0: it is up */
+};
+
+struct recent_result {
+	struct run_result result;
+	int64_t ended_ms;
+};
+
+struct leased_agent {
+	const struct settings *settings;
+	const struct formats *formats;
+	uint64_t incarnation;
+	struct loop *loop;
+	GThread *thread;
+	struct loop_timer *tick;
+	struct link_hub *hub;
+	struct session *session;
+	struct admin *admin;
+	struct http_server *control;
+	struct http_client *client;
+	char data_centre[CF_NAME_SIZE];
+	int64_t usable_ms; /* runs of an earlier life have ended then */
+	GHashTable *servers; /* name -> struct server */
+	GHashTable *peers; /* incarnation -> struct peer */
+	int64_t asked_ms; /* leases of the dispatchers */
+	int64_t told_ms; /* the servers' state, to all dispatchers */
+	bool state_changed;
+	bool in_service;
+	gint stopping, idle; /* atomic */
+	struct counter *reports, *bad_reports, *lost_leases, *runs_gauge;
+};
+
+/* ---- Dispatchers (agent_peers.c) ------------------------------------ */
+
+extern const struct link_handlers agent_link_handlers;
+
+void agent_take_results(struct leased_agent *a, struct server *server);
+void agent_tell_peers(struct leased_agent *a, int64_t now_ms);
+void agent_ask_leases(struct leased_agent *a, int64_t now_ms);
+/* Runs of dispatchers whose lease has ended are stopped. */
+void agent_end_leases(struct leased_agent *a, int64_t now_ms);
+void agent_free_peer(gpointer peer);
+bool agent_accepts(const struct leased_agent *a, const struct server *server,
+		   int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/src/leased/agent_peers.c
@@ -0,0 +1,482 @@
+/*
+ * agent_peers: the dispatchers that an agent runs tasks for: their
+ * orders, the leases that keep their runs alive, the results that they
+ * get. A dispatcher that comes back within its lease finds its runs
+ * going on.
+ */
+#include "leased/agent_internal.h"
+
+#include "base/logger.h"
+#include "leased/leases.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+/* ---- Constants ------------------------------------------------------ */
+
+#define RECENT_MS 3000 /* results are kept for a dispatcher that returns */
+#define RECENT_MAX 2000
+#define FORGET_MS 10000 /* a dispatcher that is lost and has no runs */
+
+/* ---- Life ----------------------------------------------------------- */
+
+void agent_free_peer(gpointer data)
+{
+	struct peer *p = data;
+
+	cf_lease_destroy(p->lease);
+	g_array_unref(p->results);
+	g_queue_free_full(p->recent, g_free);
+	g_free(p);
+}
+
+static struct peer *find_peer(struct leased_agent *a, const struct link *link)
+{
+	uint64_t incarnation = link_peer(link)->incarnation;
+	struct peer *p = g_hash_table_lookup(a->peers, &incarnation);
+
+	return p && p->link == link ? p : NULL;
+}
+
+static struct peer *add_peer(struct leased_agent *a, struct link *link)
+{
+	struct peer *p = g_new0(struct peer, 1);
+
+	p->incarnation = link_peer(link)->incarnation;
+	g_strlcpy(p->name, link_peer(link)->name, sizeof(p->name));
+	p->results = g_array_new(FALSE, FALSE, sizeof(struct run_result));
+	p->recent = g_queue_new();
+	p->lease = cf_lease_create();
+	g_hash_table_insert(a->peers, &p->incarnation, p);
+	return p;
+}
+
+/* ---- Leases --------------------------------------------------------- */
+
+static void ask(struct peer *p, int64_t now_ms)
+{
+	Cfw__Envelope envelope = CFW__ENVELOPE__INIT;
+	Cfw__RunLeaseAsk request = CFW__RUN_LEASE_ASK__INIT;
+
+	request.seq = cf_lease_request(p->lease, now_ms);
+	envelope.body_case = CFW__ENVELOPE__BODY_RUN_LEASE_ASK;
+	envelope.run_lease_ask = &request;
+	link_send(p->link, &envelope);
+}
+
+void agent_ask_leases(struct leased_agent *a, int64_t now_ms)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	if (now_ms < a->asked_ms + RUN_ASK_MS)
+		return;
+	a->asked_ms = now_ms;
+	g_hash_table_iter_init(&iter, a->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct peer *p = value;
+
+		if (p->link)
+			ask(p, now_ms);
+	}
+}
+
+static void stop_runs_of(struct leased_agent *a, uint64_t dispatcher,
+			 const struct run_name *kept, size_t n_kept)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, a->servers);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		run_table_stop_others(server_runs(value), dispatcher, kept,
+				      n_kept);
+}
+
+static void follow_lease(struct leased_agent *a, struct peer *p, int64_t now_ms)
+{
+	bool held = cf_lease_held(p->lease, now_ms);
+
+	if (held == p->held)
+		return;
+	p->held = held;
+	log_event(held ? LOG_INFO : LOG_WARN,
+		  held ? "run_lease_won" : "run_lease_lost",
+		  "dispatcher=%s incarnation=%016" PRIx64 " connected=%d",
+		  p->name, p->incarnation, p->link != NULL);
+	if (held)
+		return;
+	counter_add(a->lost_leases, 1);
+	stop_runs_of(a, p->incarnation, NULL, 0);
+}
+
+void agent_end_leases(struct leased_agent *a, int64_t now_ms)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, a->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct peer *p = value;
+
+		follow_lease(a, p, now_ms);
+		while (p->recent->head &&
+		       ((struct recent_result *)p->recent->head->data)
+				       ->ended_ms + RECENT_MS < now_ms)
+			g_free(g_queue_pop_head(p->recent));
+		if (!p->link && !p->held && p->lost_ms + FORGET_MS < now_ms)
+			g_hash_table_iter_remove(&iter);
+	}
+}
+
+/* ---- Results -------------------------------------------------------- */
+
+static void add_result(struct leased_agent *a, const struct run_result *result,
+		       int64_t now_ms)
+{
+	struct peer *p = g_hash_table_lookup(a->peers, &result->dispatcher);
+	struct recent_result recent = { *result, now_ms };
+
+	log_event(LOG_INFO, "run_ended",
+		  "job=%s index=%u number=%u outcome=%d run_ms=%u",
+		  result->name.job, result->name.index, result->name.number,
+		  result->outcome, result->run_ms);
+	if (!p)
+		return;
+	g_array_append_val(p->results, *result);
+	g_queue_push_tail(p->recent, g_memdup2(&recent, sizeof(recent)));
+	if (p->recent->length > RECENT_MAX)
+		g_free(g_queue_pop_head(p->recent));
+}
+
+void agent_take_results(struct leased_agent *a, struct server *server)
+{
+	struct run_result result;
+
+	while (run_table_take_result(server_runs(server), &result))
+		add_result(a, &result, loop_now_ms(a->loop));
+}
+
+static const struct run_result *find_recent(const struct peer *p,
+					    const struct run_name *name)
+{
+	for (GList *l = p->recent->tail; l; l = l->prev) {
+		const struct recent_result *recent = l->data;
+
+		if (run_name_equal(&recent->result.name, name))
+			return &recent->result;
+	}
+	return NULL;
+}
+
+/* ---- Telling -------------------------------------------------------- */
+
+bool agent_accepts(const struct leased_agent *a, const struct server *server,
+		   int64_t now_ms)
+{
+	return a->in_service && !g_atomic_int_get(&a->stopping) &&
+	       server_accepting(server, now_ms);
+}
+
+static void fill_state(const struct leased_agent *a, struct server *server,
+		       int64_t now_ms, Cfw__ServerState *state)
+{
+	const struct server_report *report = server_last_report(server);
+	struct run_load load;
+
+	run_table_get_load(server_runs(server), &load);
+	cfw__server_state__init(state);
+	state->name = (char *)report->name;
+	state->service = (char *)report->service;
+	state->kind = (char *)report->kind;
+	state->cpu_milli = report->capacity.cpu_milli;
+	state->memory_mb = report->capacity.memory_mb;
+	state->accelerators = report->capacity.accelerators;
+	state->free_cpu_milli = (int32_t)load.free_cpu_milli;
+	state->free_memory_mb = (int32_t)load.free_memory_mb;
+	state->running = load.running;
+	state->queued = load.queued;
+	state->accepting = agent_accepts(a, server, now_ms);
+}
+
+static Cfw__ServerState *fill_states(const struct leased_agent *a,
+				     int64_t now_ms, Cfw__RunReport *report)
+{
+	guint n = g_hash_table_size(a->servers);
+	Cfw__ServerState *states = g_new(Cfw__ServerState, n);
+	GHashTableIter iter;
+	gpointer value;
+
+	report->servers = g_new(Cfw__ServerState *, n);
+	g_hash_table_iter_init(&iter, a->servers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		Cfw__ServerState *state = &states[report->n_servers];
+
+		fill_state(a, value, now_ms, state);
+		report->servers[report->n_servers++] = state;
+	}
+	return states;
+}
+
+static Cfw__RunEnd *fill_ends(const struct peer *p, Cfw__RunReport *report)
+{
+	Cfw__RunEnd *ends = g_new(Cfw__RunEnd, p->results->len);
+
+	report->n_ends = p->results->len;
+	report->ends = g_new(Cfw__RunEnd *, p->results->len);
+	for (guint i = 0; i < p->results->len; i++) {
+		struct run_result *result =
+			&g_array_index(p->results, struct run_result, i);
+
+		cfw__run_end__init(&ends[i]);
+		ends[i].job = result->name.job;
+		ends[i].index = result->name.index;
+		ends[i].number = result->name.number;
+		ends[i].outcome = (Cfw__RunOutcome)result->outcome;
+		ends[i].run_ms = result->run_ms;
+		report->ends[i] = &ends[i];
+	}
+	return ends;
+}
+
+static void tell(struct leased_agent *a, struct peer *p, int64_t now_ms)
+{
+	Cfw__Envelope envelope = CFW__ENVELOPE__INIT;
+	Cfw__RunReport report = CFW__RUN_REPORT__INIT;
+	Cfw__ServerState *states = fill_states(a, now_ms, &report);
+	Cfw__RunEnd *ends = fill_ends(p, &report);
+
+	for (size_t i = 0; i < report.n_servers; i++)
+		states[i].received = p->received;
+	envelope.body_case = CFW__ENVELOPE__BODY_RUN_REPORT;
+	envelope.run_report = &report;
+	if (link_send(p->link, &envelope))
+		g_array_set_size(p->results, 0);
+	g_free(report.servers);
+	g_free(report.ends);
+	g_free(states);
+	g_free(ends);
+}
+
+/* Results go at once; a state that changed goes to all now and then. */
+void agent_tell_peers(struct leased_agent *a, int64_t now_ms)
+{
+	bool all = a->state_changed && now_ms >= a->told_ms;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, a->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct peer *p = value;
+
+		if (p->link && (all || p->results->len))
+			tell(a, p, now_ms);
+	}
+	if (!all)
+		return;
+	a->state_changed = false;
+	a->told_ms = now_ms;
+}
+
+/* ---- Orders --------------------------------------------------------- */
+
+static bool read_name(const char *job, uint32_t index, uint32_t number,
+		      struct run_name *name)
+{
+	memset(name, 0, sizeof(*name));
+	name->index = index;
+	name->number = number;
+	return g_strlcpy(name->job, job, sizeof(name->job)) <
+	       sizeof(name->job);
+}
+
+static void refuse_start(struct leased_agent *a, const struct peer *p,
+			 const struct run_name *name, const char *why,
+			 int64_t now_ms)
+{
+	struct run_result result = { .dispatcher = p->incarnation,
+				     .name = *name,
+				     .outcome = RUN_OUTCOME_NOT_STARTED };
+
+	log_event(LOG_INFO, "run_not_taken",
+		  "job=%s index=%u number=%u why=\"%s\"", name->job,
+		  name->index, name->number, why);
+	add_result(a, &result, now_ms);
+}
+
+static void take_start(struct leased_agent *a, struct peer *p,
+		       const Cfw__RunStart *start, int64_t now_ms)
+{
+	struct server *server = g_hash_table_lookup(a->servers, start->server);
+	struct run_request run = { .dispatcher = p->incarnation };
+
+	p->received++;
+	if (!read_name(start->job, start->index, start->number, &run.name))
+		return;
+	if (!p->held) {
+		refuse_start(a, p, &run.name, "no lease of the dispatcher",
+			     now_ms);
+		return;
+	}
+	if (!server || !agent_accepts(a, server, now_ms)) {
+		refuse_start(a, p, &run.name, "the server takes no work",
+			     now_ms);
+		return;
+	}
+	run.spec = g_bytes_new(start->spec.data, start->spec.len);
+	run.cpu_milli = start->cpu_milli;
+	run.memory_mb = start->memory_mb;
+	run.accelerators = start->accelerators;
+	run.good_start_ms = now_ms + start->slack_ms;
+	run.deadline_ms = now_ms + start->deadline_ms;
+	run_table_offer(server_runs(server), &run, now_ms);
+	g_bytes_unref(run.spec);
+}
+
+static void stop_everywhere(struct leased_agent *a, const struct run_name *name)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, a->servers);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		run_table_stop(server_runs(value), name);
+}
+
+static bool is_here(struct leased_agent *a, const struct run_name *name)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, a->servers);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (run_table_has(server_runs(value), name))
+			return true;
+	return false;
+}
+
+/* A dispatcher that lost its connection tells what it counts on; it gets
+ * the results that it missed. */
+static void resume(struct leased_agent *a, struct peer *p,
+		   const Cfw__RunOrders *orders, int64_t now_ms)
+{
+	struct run_name *kept = g_new0(struct run_name, orders->n_kept + 1);
+
+	for (size_t i = 0; i < orders->n_kept; i++)
+		read_name(orders->kept[i]->job, orders->kept[i]->index,
+			  orders->kept[i]->number, &kept[i]);
+	g_array_set_size(p->results, 0);
+	stop_runs_of(a, p->incarnation, kept, orders->n_kept);
+	for (size_t i = 0; i < orders->n_kept; i++) {
+		const struct run_result *recent = find_recent(p, &kept[i]);
+
+		if (recent)
+			g_array_append_val(p->results, *recent);
+		else if (!is_here(a, &kept[i]))
+			refuse_start(a, p, &kept[i], "never arrived", now_ms);
+	}
+	g_free(kept);
+}
+
+static void work_all(struct leased_agent *a, int64_t now_ms)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, a->servers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		server_work(value, now_ms);
+		agent_take_results(a, value);
+	}
+	a->state_changed = true;
+	agent_tell_peers(a, now_ms);
+}
+
+static void take_orders(struct leased_agent *a, struct peer *p,
+			const Cfw__RunOrders *orders)
+{
+	int64_t now_ms = loop_now_ms(a->loop);
+	struct run_name name;
+
+	follow_lease(a, p, now_ms);
+	if (orders->resume)
+		resume(a, p, orders, now_ms);
+	for (size_t i = 0; i < orders->n_starts; i++)
+		take_start(a, p, orders->starts[i], now_ms);
+	for (size_t i = 0; i < orders->n_stops; i++) {
+		const Cfw__RunStop *stop = orders->stops[i];
+
+		if (read_name(stop->job, stop->index, stop->number, &name))
+			stop_everywhere(a, &name);
+	}
+	work_all(a, now_ms);
+}
+
+/* ---- Handlers ------------------------------------------------------- */
+
+static void up(void *arg, struct link *link)
+{
+	struct leased_agent *a = arg;
+	uint64_t incarnation = link_peer(link)->incarnation;
+	struct peer *p = g_hash_table_lookup(a->peers, &incarnation);
+	struct link *old;
+
+	if (session_link_up(a->session, link) ||
+	    link_peer(link)->role != CFW__ROLE__ROLE_DISPATCHER)
+		return;
+	if (!p)
+		p = add_peer(a, link);
+	old = p->link;
+	p->link = link;
+	p->lost_ms = 0;
+	p->received = 0;
+	if (old)
+		link_close(old);
+	log_event(LOG_INFO, "dispatcher_connected",
+		  "dispatcher=%s incarnation=%016" PRIx64, p->name,
+		  p->incarnation);
+	ask(p, loop_now_ms(a->loop));
+	tell(a, p, loop_now_ms(a->loop));
+}
+
+static void down(void *arg, struct link *link)
+{
+	struct leased_agent *a = arg;
+	struct peer *p;
+
+	if (session_link_down(a->session, link))
+		return;
+	p = find_peer(a, link);
+	if (!p)
+		return;
+	p->link = NULL;
+	p->lost_ms = loop_now_ms(a->loop);
+	log_event(LOG_WARN, "dispatcher_lost",
+		  "dispatcher=%s lease_left_ms=%" PRId64, p->name,
+		  cf_lease_end_ms(p->lease) - p->lost_ms);
+}
+
+static void message(void *arg, struct link *link, const Cfw__Envelope *envelope)
+{
+	struct leased_agent *a = arg;
+	struct peer *p;
+
+	if (session_message(a->session, link, envelope))
+		return;
+	p = find_peer(a, link);
+	if (!p)
+		return;
+	if (envelope->body_case == CFW__ENVELOPE__BODY_RUN_ORDERS) {
+		take_orders(a, p, envelope->run_orders);
+	} else if (envelope->body_case == CFW__ENVELOPE__BODY_RUN_LEASE) {
+		cf_lease_grant(p->lease, envelope->run_lease->seq, RUN_LEASE_MS,
+			       0, loop_now_ms(a->loop));
+		follow_lease(a, p, loop_now_ms(a->loop));
+	}
+}
+
+const struct link_handlers agent_link_handlers = {
+	.up = up,
+	.message = message,
+	.down = down,
+};
--- /dev/null
+++ b/src/leased/dispatch_internal.h
@@ -0,0 +1,155 @@
+/*
+ * dispatch_internal: what the files of the dispatcher's decisions share.
+ */
+#ifndef LEASED_DISPATCH_INTERNAL_H
+#define LEASED_DISPATCH_INTERNAL_H
+
+#include "leased/dispatch.h"
+
+#include <math.h>
+
+/* ---- Rates ---------------------------------------------------------- */
+
+/* An exponentially ageing sum of amounts a millisecond. */
+struct rate {
+	double per_ms;
+	int64_t at_ms;
+};
+
+void rate_add(struct rate *rate, double amount, double period_ms,
+	      int64_t now_ms);
+double rate_now(const struct rate *rate, double period_ms, int64_t now_ms);
+
+/* ---- Servers -------------------------------------------------------- */
+
+struct dserver {
+	uint64_t id; /* for health */
+	struct dagent *agent; /* NULL: it is gone, and this one too */
+	struct server_state state;
+	int64_t pending_cpu_milli, pending_memory_mb; /* sent, not yet told */
+	uint32_t own_runs;
+	int64_t own_cpu_milli;
+	uint32_t late_runs; /* of own ones, far beyond their prediction */
+	bool told; /* by the report that is being read */
+};
+
+struct unconfirmed {
+	uint64_t position; /* of the start among those sent to the agent */
+	struct dserver *server;
+	uint32_t cpu_milli, memory_mb;
+};
+
+struct dagent {
+	struct agent_identity identity;
+	GPtrArray *servers; /* struct dserver */
+	bool up;
+	int64_t lost_ms; /* when it went down */
+	int64_t granted_ms; /* newest lease that it may hold began then */
+	uint64_t sent; /* starts on this connection */
+	GQueue *unconfirmed; /* struct unconfirmed, oldest first */
+};
+
+/* ---- Jobs ----------------------------------------------------------- */
+
+enum dtask_state {
+	DTASK_WAITING,
+	DTASK_SENT,
+	DTASK_DONE,
+};
+
+struct dtask {
+	uint32_t index;
+	enum dtask_state state;
+	uint32_t number; /* of the newest start */
+	uint32_t failures, moves;
+	bool stopping; /* a stop was sent */
+	bool overdue_told;
+	struct dserver *server; /* DTASK_SENT */
+	uint64_t avoided; /* server that it was moved away from */
+	int64_t sent_ms;
+	GArray *failed_on; /* uint64_t ids of servers, or NULL */
+};
+
+struct dclass {
+	char name[CF_NAME_SIZE];
+	struct rate offered; /* cpu_milli of tasks that arrive */
+	struct rate started; /* cpu_milli of tasks sent */
+	int64_t queued_cpu_milli;
+	uint32_t queued_tasks;
+	uint32_t unsent_jobs;
+};
+
+struct djob {
+	char id[LEASED_JOB_SIZE];
+	struct route route;
+	struct job_spec spec;
+	struct dclass *class;
+	GPtrArray *callers;
+	int64_t arrived_ms, deadline_ms;
+	int64_t good_start_ms; /* the last task should start before */
+	uint32_t predicted_ms;
+	struct dtask *tasks;
+	uint32_t n_waiting, n_sent, n_done;
+	bool ever_sent; /* a start went out that may have been carried out */
+	bool ended; /* answered; waits for its runs to end */
+	GSequenceIter *place; /* in the queue; NULL: nothing waits */
+};
+
+struct dispatch {
+	struct dispatch_sink *sink;
+	char data_centre[CF_NAME_SIZE];
+	const struct cf_config *config;
+	GHashTable *jobs; /* id -> struct djob */
+	GSequence *queue; /* struct djob with waiting tasks, most urgent first */
+	GHashTable *classes; /* name -> struct dclass */
+	GHashTable *agents; /* incarnation -> struct dagent */
+	GPtrArray *servers; /* struct dserver */
+	uint64_t next_server;
+	struct cf_predict *predict;
+	struct cf_health *health;
+	struct rate started; /* cpu_milli of all tasks sent */
+	bool pumping;
+};
+
+/* ---- Jobs (dispatch_jobs.c) ----------------------------------------- */
+
+void dispatch_end_job(struct dispatch *d, struct djob *job,
+		      enum job_verdict verdict, const char *reason,
+		      uint32_t retry_after_s);
+/* The job's task is no longer at a server and has to be placed again. */
+void dispatch_task_returned(struct dispatch *d, struct djob *job,
+			    struct dtask *task, int64_t now_ms);
+void dispatch_free_job_if_over(struct dispatch *d, struct djob *job);
+void dispatch_queue_job(struct dispatch *d, struct djob *job);
+void dispatch_unqueue_job(struct dispatch *d, struct djob *job);
+void dispatch_give_up(struct dispatch *d, struct djob *job, const char *reason,
+		      int64_t now_ms);
+
+/* ---- Admission (dispatch_admit.c) ----------------------------------- */
+
+/* Wait until the last task of such a job would start, by what is queued
+ * and by how fast starts go; the class's part of the room. */
+double admit_wait_ms(const struct dispatch *d, const struct dclass *class,
+		     int64_t cpu_milli, int64_t now_ms);
+/* Takes the job or tells why not. */
+bool admit_job(const struct dispatch *d, const struct djob *job, int64_t now_ms,
+	       const char **reason, uint32_t *retry_after_s);
+uint32_t admit_retry_after_s(const struct dispatch *d, const struct djob *job,
+			     int64_t now_ms);
+
+/* ---- Servers (dispatch_servers.c) ----------------------------------- */
+
+bool server_is_usable(const struct dispatch *d, const struct dserver *server);
+int64_t server_free_cpu_milli(const struct dserver *server);
+int64_t server_free_memory_mb(const struct dserver *server);
+void server_sent(struct dserver *server, const struct djob *job);
+void server_ended(struct dserver *server, const struct djob *job);
+void servers_tick(struct dispatch *d, int64_t now_ms);
+
+/* ---- Placing (dispatch_place.c) ------------------------------------- */
+
+void dispatch_pump(struct dispatch *d, int64_t now_ms); /* starts what it can */
+/* Runs far beyond their prediction are moved while there is time. */
+void dispatch_move_late(struct dispatch *d, int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/src/leased/dispatch_jobs.c
@@ -0,0 +1,559 @@
+/*
+ * dispatch_jobs: a job from its arrival to its answer, and its tasks'
+ * ends.
+ */
+#include "leased/dispatch_internal.h"
+
+#include "base/logger.h"
+#include "leased/leases.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+/* ---- Constants ------------------------------------------------------ */
+
+#define MILLI 1000
+#define MEDIAN_MILLI 50000 /* percentile, in thousandths of a percent */
+#define EJECT_MAX_MILLI 400 /* of the servers */
+#define NUMBER_STEP_OUTDATED 16 /* above what an earlier owner used */
+#define ANSWER_MARGIN_MS 15 /* the answer goes out before the deadline */
+#define LATE_FACTOR 3 /* of its objective: of no more use to a caller */
+
+/* ---- Life of the whole ---------------------------------------------- */
+
+static void free_job(gpointer data)
+{
+	struct djob *job = data;
+
+	for (uint32_t i = 0; i < job->spec.n_tasks; i++)
+		if (job->tasks[i].failed_on)
+			g_array_unref(job->tasks[i].failed_on);
+	g_bytes_unref(job->spec.spec);
+	g_ptr_array_unref(job->callers);
+	g_free(job->tasks);
+	g_free(job);
+}
+
+static void free_agent(gpointer data)
+{
+	struct dagent *agent = data;
+
+	g_ptr_array_unref(agent->servers);
+	g_queue_free_full(agent->unconfirmed, g_free);
+	g_free(agent);
+}
+
+struct dispatch *dispatch_create(struct dispatch_sink *sink,
+				 const char *data_centre)
+{
+	struct dispatch *d = g_new0(struct dispatch, 1);
+
+	d->sink = sink;
+	g_strlcpy(d->data_centre, data_centre, sizeof(d->data_centre));
+	d->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					free_job);
+	d->queue = g_sequence_new(NULL);
+	d->classes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					   g_free);
+	d->agents = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					  free_agent);
+	d->servers = g_ptr_array_new_with_free_func(g_free);
+	d->predict = cf_predict_create();
+	d->health = cf_health_create(EJECT_MAX_MILLI);
+	return d;
+}
+
+void dispatch_destroy(struct dispatch *d)
+{
+	if (!d)
+		return;
+	g_sequence_free(d->queue);
+	g_hash_table_destroy(d->jobs);
+	g_hash_table_destroy(d->classes);
+	g_hash_table_destroy(d->agents);
+	g_ptr_array_unref(d->servers);
+	cf_predict_destroy(d->predict);
+	cf_health_destroy(d->health);
+	g_free(d);
+}
+
+/* ---- The queue ------------------------------------------------------ */
+
+/* How much sooner than a job with much time a job with little may go. */
+#define URGENCY_MAX_MS 150
+
+static int64_t urgency_ms(const struct djob *job)
+{
+	return job->arrived_ms +
+	       MIN(job->good_start_ms - job->arrived_ms, URGENCY_MAX_MS);
+}
+
+static gint compare_jobs(gconstpointer a, gconstpointer b, gpointer unused)
+{
+	int64_t x = urgency_ms(a);
+	int64_t y = urgency_ms(b);
+
+	(void)unused;
+	return x < y ? -1 : x > y;
+}
+
+void dispatch_queue_job(struct dispatch *d, struct djob *job)
+{
+	if (!job->place)
+		job->place = g_sequence_insert_sorted(d->queue, job,
+						      compare_jobs, NULL);
+}
+
+void dispatch_unqueue_job(struct dispatch *d, struct djob *job)
+{
+	(void)d;
+	if (job->place)
+		g_sequence_remove(job->place);
+	job->place = NULL;
+}
+
+static void count_waiting(struct djob *job, int32_t tasks)
+{
+	job->n_waiting = (uint32_t)((int32_t)job->n_waiting + tasks);
+	job->class->queued_tasks =
+		(uint32_t)((int32_t)job->class->queued_tasks + tasks);
+	job->class->queued_cpu_milli += (int64_t)tasks * job->spec.cpu_milli;
+}
+
+/* ---- Answers -------------------------------------------------------- */
+
+static void answer_callers(struct dispatch *d, struct djob *job,
+			   const struct job_answer *answer)
+{
+	for (guint i = 0; i < job->callers->len; i++)
+		d->sink->ops->answer(d->sink,
+				     g_ptr_array_index(job->callers, i),
+				     answer);
+	g_ptr_array_set_size(job->callers, 0);
+}
+
+static void stop_runs(struct dispatch *d, struct djob *job)
+{
+	for (uint32_t i = 0; i < job->spec.n_tasks; i++) {
+		struct dtask *task = &job->tasks[i];
+		struct run_name name = { .index = i, .number = task->number };
+
+		if (task->state != DTASK_SENT || task->stopping)
+			continue;
+		task->stopping = true;
+		g_strlcpy(name.job, job->id, sizeof(name.job));
+		if (task->server->agent && task->server->agent->up)
+			d->sink->ops->stop(
+				d->sink,
+				task->server->agent->identity.incarnation,
+				&name);
+	}
+}
+
+void dispatch_free_job_if_over(struct dispatch *d, struct djob *job)
+{
+	if (job->ended && !job->n_sent)
+		g_hash_table_remove(d->jobs, job->id);
+}
+
+void dispatch_end_job(struct dispatch *d, struct djob *job,
+		      enum job_verdict verdict, const char *reason,
+		      uint32_t retry_after_s)
+{
+	struct job_answer answer = { verdict, reason, retry_after_s };
+
+	if (job->ended)
+		return;
+	job->ended = true;
+	if (!job->ever_sent)
+		job->class->unsent_jobs--;
+	log_event(LOG_INFO, "job_ended",
+		  "job=%s route=%s verdict=%d reason=\"%s\" tasks=%u done=%u "
+		  "sent=%u waiting=%u retry_after_s=%u",
+		  job->id, job->route.name, verdict, reason, job->spec.n_tasks,
+		  job->n_done, job->n_sent, job->n_waiting, retry_after_s);
+	count_waiting(job, -(int32_t)job->n_waiting);
+	dispatch_unqueue_job(d, job);
+	stop_runs(d, job);
+	answer_callers(d, job, &answer);
+}
+
+/* The true one of the two answers for a job that won't be completed. */
+void dispatch_give_up(struct dispatch *d, struct djob *job, const char *reason,
+		      int64_t now_ms)
+{
+	bool ran = job->ever_sent;
+
+	dispatch_end_job(d, job,
+			 ran ? JOB_VERDICT_GIVEN_UP : JOB_VERDICT_REFUSED,
+			 reason,
+			 ran ? 0 : admit_retry_after_s(d, job, now_ms));
+}
+
+/* ---- Arrival -------------------------------------------------------- */
+
+static struct dclass *find_class(struct dispatch *d, const char *name)
+{
+	struct dclass *class = g_hash_table_lookup(d->classes, name);
+
+	if (class)
+		return class;
+	class = g_new0(struct dclass, 1);
+	g_strlcpy(class->name, name, sizeof(class->name));
+	g_hash_table_insert(d->classes, class->name, class);
+	return class;
+}
+
+static void set_times(const struct dispatch *d, struct djob *job)
+{
+	uint32_t estimate_ms = MAX(job->spec.estimate_ms, 1);
+	int64_t objective_ms;
+
+	job->predicted_ms = cf_predict_ms(d->predict, job->class->name,
+					  estimate_ms, MEDIAN_MILLI);
+	objective_ms = (int64_t)job->predicted_ms * job->route.stretch_milli /
+			       MILLI +
+		       job->route.target_ms;
+	job->good_start_ms =
+		job->arrived_ms + MAX(objective_ms - job->predicted_ms, 0);
+	job->deadline_ms = MIN(job->deadline_ms,
+			       job->arrived_ms + job->route.timeout_ms) -
+			   ANSWER_MARGIN_MS;
+}
+
+static struct djob *create_job(struct dispatch *d,
+			       const struct job_order *order)
+{
+	struct djob *job = g_new0(struct djob, 1);
+
+	g_strlcpy(job->id, order->id, sizeof(job->id));
+	job->route = order->route;
+	job->spec = order->spec;
+	g_bytes_ref(job->spec.spec);
+	job->class = find_class(d, order->route.name);
+	job->callers = g_ptr_array_new();
+	g_ptr_array_add(job->callers, order->caller);
+	job->arrived_ms = order->arrived_ms;
+	job->deadline_ms = order->deadline_ms;
+	job->tasks = g_new0(struct dtask, job->spec.n_tasks);
+	for (uint32_t i = 0; i < job->spec.n_tasks; i++)
+		job->tasks[i].index = i;
+	set_times(d, job);
+	return job;
+}
+
+/* The same job again: its caller's earlier connection is lost. */
+static bool join_known(struct dispatch *d, const struct job_order *order)
+{
+	struct djob *job = g_hash_table_lookup(d->jobs, order->id);
+	struct job_answer busy = { JOB_VERDICT_GIVEN_UP,
+				   "runs of an earlier try are being stopped",
+				   0 };
+
+	if (!job)
+		return false;
+	if (job->ended)
+		d->sink->ops->answer(d->sink, order->caller, &busy);
+	else
+		g_ptr_array_add(job->callers, order->caller);
+	return true;
+}
+
+void dispatch_submit(struct dispatch *d, const struct job_order *order,
+		     int64_t now_ms)
+{
+	struct djob *job;
+	const char *reason = "";
+	uint32_t retry_after_s = 0;
+
+	if (join_known(d, order))
+		return;
+	job = create_job(d, order);
+	g_hash_table_insert(d->jobs, job->id, job);
+	rate_add(&job->class->offered,
+		 (double)job->spec.cpu_milli * job->spec.n_tasks,
+		 MILLI, now_ms);
+	job->class->unsent_jobs++;
+	count_waiting(job, (int32_t)job->spec.n_tasks);
+	if (!admit_job(d, job, now_ms, &reason, &retry_after_s)) {
+		dispatch_end_job(d, job, JOB_VERDICT_REFUSED, reason,
+				 retry_after_s);
+		dispatch_free_job_if_over(d, job);
+		return;
+	}
+	dispatch_queue_job(d, job);
+	dispatch_pump(d, now_ms);
+}
+
+void dispatch_abandon(struct dispatch *d, const char *id, void *caller,
+		      int64_t now_ms)
+{
+	struct djob *job = g_hash_table_lookup(d->jobs, id);
+	struct job_answer answer = { JOB_VERDICT_GIVEN_UP, "the caller left",
+				     0 };
+
+	if (!job || !g_ptr_array_remove(job->callers, caller))
+		return;
+	d->sink->ops->answer(d->sink, caller, &answer);
+	if (job->callers->len)
+		return;
+	dispatch_give_up(d, job, "the caller left", now_ms);
+	dispatch_free_job_if_over(d, job);
+}
+
+bool dispatch_cancel(struct dispatch *d, const char *id, int64_t now_ms)
+{
+	struct djob *job = g_hash_table_lookup(d->jobs, id);
+
+	if (!job || job->ended)
+		return false;
+	dispatch_give_up(d, job, "it was cancelled", now_ms);
+	dispatch_free_job_if_over(d, job);
+	return true;
+}
+
+uint32_t dispatch_pending(const struct dispatch *d, const char *route)
+{
+	const struct dclass *class = g_hash_table_lookup(d->classes, route);
+
+	return class ? class->unsent_jobs : 0;
+}
+
+/* ---- Ends of runs --------------------------------------------------- */
+
+static void leave_server(struct djob *job, struct dtask *task)
+{
+	server_ended(task->server, job);
+	job->n_sent--;
+}
+
+void dispatch_task_returned(struct dispatch *d, struct djob *job,
+			    struct dtask *task, int64_t now_ms)
+{
+	leave_server(job, task);
+	task->state = DTASK_WAITING;
+	task->avoided = task->server->id;
+	task->server = NULL;
+	task->stopping = false;
+	task->overdue_told = false;
+	if (job->ended) {
+		dispatch_free_job_if_over(d, job);
+		return;
+	}
+	count_waiting(job, 1);
+	if (now_ms + job->predicted_ms > job->deadline_ms) {
+		dispatch_give_up(d, job, "no time is left to run a task again",
+				 now_ms);
+		dispatch_free_job_if_over(d, job);
+		return;
+	}
+	dispatch_queue_job(d, job);
+}
+
+static void blame_failures(struct dispatch *d, const struct djob *job,
+			   const struct dtask *task, int64_t now_ms)
+{
+	for (guint i = 0; task->failed_on && i < task->failed_on->len; i++)
+		cf_health_result(d->health,
+				 g_array_index(task->failed_on, uint64_t, i),
+				 false, job->predicted_ms, job->predicted_ms,
+				 now_ms);
+}
+
+static void task_done(struct dispatch *d, struct djob *job, struct dtask *task,
+		      uint32_t run_ms, int64_t now_ms)
+{
+	uint64_t server = task->server->id;
+
+	cf_health_result(d->health, server, true, run_ms, job->predicted_ms,
+			 now_ms);
+	cf_predict_learn(d->predict, job->class->name,
+			 MAX(job->spec.estimate_ms, 1), run_ms);
+	blame_failures(d, job, task, now_ms);
+	leave_server(job, task);
+	task->state = DTASK_DONE;
+	task->server = NULL;
+	job->n_done++;
+	if (job->n_done == job->spec.n_tasks)
+		dispatch_end_job(d, job, JOB_VERDICT_COMPLETED, "all ended well",
+				 0);
+	dispatch_free_job_if_over(d, job);
+}
+
+static void task_failed(struct dispatch *d, struct djob *job,
+			struct dtask *task, int64_t now_ms)
+{
+	uint64_t server = task->server->id;
+
+	if (!task->failed_on)
+		task->failed_on = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	g_array_append_val(task->failed_on, server);
+	task->failures++;
+	if (task->failures >= job->route.attempts_max && !job->ended)
+		dispatch_end_job(d, job, JOB_VERDICT_FAILED,
+				 "a task failed as often as it may", 0);
+	dispatch_task_returned(d, job, task, now_ms);
+}
+
+/* False: the run isn't the newest one of a task that is at this agent. */
+static bool find_run(struct dispatch *d, uint64_t agent,
+		     const struct run_name *name, struct djob **job,
+		     struct dtask **task)
+{
+	*job = g_hash_table_lookup(d->jobs, name->job);
+	if (!*job || name->index >= (*job)->spec.n_tasks)
+		return false;
+	*task = &(*job)->tasks[name->index];
+	return (*task)->state == DTASK_SENT && (*task)->number == name->number &&
+	       (*task)->server->agent &&
+	       (*task)->server->agent->identity.incarnation == agent;
+}
+
+void dispatch_take_end(struct dispatch *d, uint64_t agent,
+		       const struct run_result *result, int64_t now_ms)
+{
+	struct djob *job;
+	struct dtask *task;
+
+	if (!find_run(d, agent, &result->name, &job, &task))
+		return;
+	log_event(LOG_INFO, "run_settled",
+		  "job=%s index=%u number=%u agent=%s server=%s outcome=%d "
+		  "run_ms=%u since_sent_ms=%" PRId64,
+		  job->id, task->index, task->number,
+		  task->server->agent->identity.name, task->server->state.name,
+		  result->outcome, result->run_ms, now_ms - task->sent_ms);
+	switch (result->outcome) {
+	case RUN_OUTCOME_DONE:
+		task_done(d, job, task, result->run_ms, now_ms);
+		break;
+	case RUN_OUTCOME_FAILED:
+		task_failed(d, job, task, now_ms);
+		break;
+	case RUN_OUTCOME_REFUSED:
+		cf_health_result(d->health, task->server->id, false,
+				 job->predicted_ms, job->predicted_ms, now_ms);
+		dispatch_task_returned(d, job, task, now_ms);
+		break;
+	case RUN_OUTCOME_OUTDATED:
+		task->number += NUMBER_STEP_OUTDATED;
+		dispatch_task_returned(d, job, task, now_ms);
+		break;
+	default:
+		dispatch_task_returned(d, job, task, now_ms);
+		break;
+	}
+	dispatch_pump(d, now_ms);
+}
+
+GArray *dispatch_runs_at(const struct dispatch *d, uint64_t agent)
+{
+	GArray *runs = g_array_new(FALSE, TRUE, sizeof(struct run_name));
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, d->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct djob *job = value;
+
+		for (uint32_t i = 0; i < job->spec.n_tasks; i++) {
+			const struct dtask *task = &job->tasks[i];
+			struct run_name name = { .index = i,
+						 .number = task->number };
+
+			if (task->state != DTASK_SENT || task->stopping ||
+			    !task->server->agent ||
+			    task->server->agent->identity.incarnation != agent)
+				continue;
+			g_strlcpy(name.job, job->id, sizeof(name.job));
+			g_array_append_val(runs, name);
+		}
+	}
+	return runs;
+}
+
+/* ---- Periodic work -------------------------------------------------- */
+
+/* Why a job can't be served any more; NULL: it still can. */
+static const char *find_hopeless(const struct djob *job, int64_t now_ms)
+{
+	int64_t late_ms = job->arrived_ms +
+			  LATE_FACTOR * (job->good_start_ms +
+					 job->predicted_ms - job->arrived_ms);
+
+	if (now_ms >= job->deadline_ms)
+		return "its deadline has passed";
+	if (!job->n_waiting)
+		return NULL;
+	if (now_ms + job->predicted_ms > job->deadline_ms)
+		return "it can't end before its deadline";
+	if (!job->ever_sent && now_ms > job->good_start_ms)
+		return "no room came in time for its target";
+	if (now_ms + job->predicted_ms > late_ms)
+		return "it would be of no use so late";
+	return NULL;
+}
+
+static void end_hopeless(struct dispatch *d, int64_t now_ms)
+{
+	g_autoptr(GPtrArray) hopeless = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, d->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct djob *job = value;
+
+		if (!job->ended && find_hopeless(job, now_ms))
+			g_ptr_array_add(hopeless, value);
+	}
+	for (guint i = 0; i < hopeless->len; i++) {
+		struct djob *job = g_ptr_array_index(hopeless, i);
+
+		dispatch_give_up(d, job, find_hopeless(job, now_ms), now_ms);
+		dispatch_free_job_if_over(d, job);
+	}
+}
+
+void dispatch_tick(struct dispatch *d, int64_t now_ms)
+{
+	servers_tick(d, now_ms);
+	end_hopeless(d, now_ms);
+	dispatch_move_late(d, now_ms);
+	dispatch_pump(d, now_ms);
+}
+
+void dispatch_get_load(const struct dispatch *d, struct dispatch_load *load)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	memset(load, 0, sizeof(*load));
+	g_hash_table_iter_init(&iter, d->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct djob *job = value;
+
+		load->jobs += !job->ended;
+		load->waiting_tasks += job->ended ? 0 : job->n_waiting;
+		load->sent_tasks += job->n_sent;
+	}
+	load->servers = d->servers->len;
+	for (guint i = 0; i < d->servers->len; i++) {
+		const struct dserver *server = g_ptr_array_index(d->servers, i);
+
+		if (!server_is_usable(d, server))
+			continue;
+		load->usable_servers++;
+		load->capacity_milli += server->state.capacity.cpu_milli;
+		load->free_milli +=
+			(uint64_t)MAX(server_free_cpu_milli(server), 0);
+	}
+}
+
+bool dispatch_can_serve(const struct dispatch *d)
+{
+	for (guint i = 0; i < d->servers->len; i++)
+		if (server_is_usable(d, g_ptr_array_index(d->servers, i)))
+			return true;
+	return false;
+}
--- /dev/null
+++ b/src/leased/dispatch_place.c
@@ -0,0 +1,259 @@
+/*
+ * dispatch_place: where tasks start. The most urgent job goes first; a
+ * task goes to the server on which it is predicted to end soonest, among
+ * those with room. Nothing is sent to a server without room, so that a
+ * task stays free to go elsewhere.
+ */
+#include "leased/dispatch_internal.h"
+
+#include "base/logger.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+/* ---- Constants ------------------------------------------------------ */
+
+#define RATE_PERIOD_MS 400
+#define MILLI 1000
+#define LOOK_AHEAD_JOBS 24 /* behind one whose tasks don't fit anywhere */
+#define OTHER_DATA_CENTRE_MS 4.0 /* a server here is as good if so much slower */
+#define FULL_SERVER_MS 8.0 /* beside an empty one: others may send there too */
+#define AVOIDED_MS 10000.0 /* the server that a task was moved away from */
+#define MOVES_MAX 2 /* of one task */
+#define LATE_FACTOR 2.6 /* times the prediction: it is moved */
+#define LATE_FACTOR_SUSPECT 1.7 /* at a server where others are late too */
+#define LATE_LEAST_MS 40 /* beyond the prediction */
+#define SUSPECT_RUNS 2
+
+/* ---- Choice --------------------------------------------------------- */
+
+static bool has_failed_on(const struct dtask *task, uint64_t server)
+{
+	for (guint i = 0; task->failed_on && i < task->failed_on->len; i++)
+		if (g_array_index(task->failed_on, uint64_t, i) == server)
+			return true;
+	return false;
+}
+
+static bool has_room(const struct dispatch *d, const struct dserver *server,
+		     const struct djob *job, int64_t now_ms)
+{
+	uint32_t weight = cf_health_weight_milli(d->health, server->id, now_ms);
+	int64_t cpu = job->spec.cpu_milli;
+	int64_t allowed = (int64_t)server->state.capacity.cpu_milli * weight /
+			  MILLI;
+
+	if (!weight || strcmp(server->state.service, job->route.service) != 0)
+		return false;
+	if (server->own_runs && server->own_cpu_milli + cpu > allowed)
+		return false;
+	return server_free_cpu_milli(server) >= cpu &&
+	       server_free_memory_mb(server) >= job->spec.memory_mb &&
+	       server->state.capacity.accelerators >= job->spec.accelerators;
+}
+
+static double finish_ms(const struct dispatch *d, const struct dserver *server,
+			const struct djob *job, const struct dtask *task)
+{
+	double capacity = (double)server->state.capacity.cpu_milli;
+	double used = 1 - (double)server_free_cpu_milli(server) / capacity;
+	double finish = (double)job->predicted_ms *
+				cf_health_slowness(d->health, server->id) +
+			used * FULL_SERVER_MS;
+
+	if (strcmp(server->agent->identity.data_centre, d->data_centre) != 0)
+		finish += OTHER_DATA_CENTRE_MS;
+	if (task->avoided == server->id || has_failed_on(task, server->id))
+		finish += AVOIDED_MS;
+	return finish;
+}
+
+static struct dserver *choose(const struct dispatch *d, const struct djob *job,
+			      const struct dtask *task, int64_t now_ms)
+{
+	struct dserver *best = NULL;
+	double best_ms = 0;
+
+	for (guint i = 0; i < d->servers->len; i++) {
+		struct dserver *server = g_ptr_array_index(d->servers, i);
+		double ms;
+
+		if (!server_is_usable(d, server) ||
+		    !has_room(d, server, job, now_ms))
+			continue;
+		ms = finish_ms(d, server, job, task);
+		if (best && ms >= best_ms)
+			continue;
+		best = server;
+		best_ms = ms;
+	}
+	return best;
+}
+
+/* ---- Sending -------------------------------------------------------- */
+
+static void send(struct dispatch *d, struct djob *job, struct dtask *task,
+		 struct dserver *server, int64_t now_ms)
+{
+	struct start_order order = {
+		.name = { .index = task->index, .number = ++task->number },
+		.server = server->state.name,
+		.spec = job->spec.spec,
+		.cpu_milli = job->spec.cpu_milli,
+		.memory_mb = job->spec.memory_mb,
+		.accelerators = job->spec.accelerators,
+		.slack_ms = (uint32_t)MAX(job->good_start_ms - now_ms, 0),
+		.deadline_ms = (uint32_t)MAX(
+			job->deadline_ms - job->predicted_ms / 2 - now_ms, 1),
+	};
+
+	g_strlcpy(order.name.job, job->id, sizeof(order.name.job));
+	if (!job->ever_sent)
+		job->class->unsent_jobs--;
+	job->ever_sent = true;
+	job->n_waiting--;
+	job->class->queued_tasks--;
+	job->class->queued_cpu_milli -= job->spec.cpu_milli;
+	job->n_sent++;
+	task->state = DTASK_SENT;
+	task->server = server;
+	task->sent_ms = now_ms;
+	server_sent(server, job);
+	cf_health_sent(d->health, server->id, 1, now_ms);
+	rate_add(&d->started, job->spec.cpu_milli, RATE_PERIOD_MS, now_ms);
+	log_event(LOG_INFO, "run_sent",
+		  "job=%s index=%u number=%u agent=%s server=%s "
+		  "predicted_ms=%u waited_ms=%" PRId64 " free_cpu_milli=%" PRId64,
+		  job->id, task->index, task->number,
+		  server->agent->identity.name, server->state.name,
+		  job->predicted_ms, now_ms - job->arrived_ms,
+		  server_free_cpu_milli(server));
+	d->sink->ops->start(d->sink, server->agent->identity.incarnation,
+			    &order);
+}
+
+/* False: a task of it found no room. */
+static bool place_job(struct dispatch *d, struct djob *job, int64_t now_ms)
+{
+	for (uint32_t i = 0; i < job->spec.n_tasks && job->n_waiting; i++) {
+		struct dtask *task = &job->tasks[i];
+		struct dserver *server;
+
+		if (task->state != DTASK_WAITING)
+			continue;
+		server = choose(d, job, task, now_ms);
+		if (!server)
+			return false;
+		send(d, job, task, server, now_ms);
+	}
+	return true;
+}
+
+void dispatch_pump(struct dispatch *d, int64_t now_ms)
+{
+	GSequenceIter *i = g_sequence_get_begin_iter(d->queue);
+	uint32_t blocked = 0;
+
+	if (d->pumping)
+		return;
+	d->pumping = true;
+	while (!g_sequence_iter_is_end(i) && blocked < LOOK_AHEAD_JOBS) {
+		struct djob *job = g_sequence_get(i);
+
+		i = g_sequence_iter_next(i);
+		if (job->deadline_ms <= now_ms || !place_job(d, job, now_ms))
+			blocked++;
+		if (!job->n_waiting)
+			dispatch_unqueue_job(d, job);
+	}
+	d->pumping = false;
+}
+
+/* ---- Runs that take too long ----------------------------------------- */
+
+static int64_t late_after_ms(const struct djob *job, double factor)
+{
+	double ms = (double)job->predicted_ms * factor;
+
+	return MAX((int64_t)ms, (int64_t)job->predicted_ms + LATE_LEAST_MS);
+}
+
+static bool is_suspect(const struct dserver *server)
+{
+	return server->late_runs >= SUSPECT_RUNS &&
+	       server->late_runs * 2 >= server->own_runs;
+}
+
+static void count_late(struct dispatch *d, int64_t now_ms)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	for (guint i = 0; i < d->servers->len; i++)
+		((struct dserver *)g_ptr_array_index(d->servers, i))
+			->late_runs = 0;
+	g_hash_table_iter_init(&iter, d->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct djob *job = value;
+		int64_t limit_ms = late_after_ms(job, LATE_FACTOR_SUSPECT);
+
+		for (uint32_t i = 0; job->n_sent && i < job->spec.n_tasks; i++)
+			if (job->tasks[i].state == DTASK_SENT &&
+			    now_ms - job->tasks[i].sent_ms > limit_ms)
+				job->tasks[i].server->late_runs++;
+	}
+}
+
+static void move(struct dispatch *d, struct djob *job, struct dtask *task,
+		 int64_t now_ms)
+{
+	struct run_name name = { .index = task->index,
+				 .number = task->number };
+
+	task->stopping = true;
+	task->moves++;
+	g_strlcpy(name.job, job->id, sizeof(name.job));
+	log_event(LOG_INFO, "run_moved",
+		  "job=%s index=%u number=%u server=%s since_sent_ms=%" PRId64
+		  " predicted_ms=%u late_runs=%u own_runs=%u",
+		  job->id, task->index, task->number, task->server->state.name,
+		  now_ms - task->sent_ms, job->predicted_ms,
+		  task->server->late_runs, task->server->own_runs);
+	d->sink->ops->stop(d->sink,
+			   task->server->agent->identity.incarnation, &name);
+}
+
+static void look_at_run(struct dispatch *d, struct djob *job,
+			struct dtask *task, int64_t now_ms)
+{
+	int64_t ran_ms = now_ms - task->sent_ms;
+	double factor = is_suspect(task->server) ? LATE_FACTOR_SUSPECT
+						 : LATE_FACTOR;
+
+	if (task->stopping || ran_ms <= late_after_ms(job, factor))
+		return;
+	if (!task->overdue_told) {
+		task->overdue_told = true;
+		cf_health_overdue(d->health, task->server->id,
+				  (uint32_t)ran_ms, job->predicted_ms, now_ms);
+	}
+	if (task->moves < MOVES_MAX && task->server->agent->up &&
+	    now_ms + job->predicted_ms < job->deadline_ms)
+		move(d, job, task, now_ms);
+}
+
+void dispatch_move_late(struct dispatch *d, int64_t now_ms)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	count_late(d, now_ms);
+	g_hash_table_iter_init(&iter, d->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct djob *job = value;
+
+		for (uint32_t i = 0; !job->ended && i < job->spec.n_tasks; i++)
+			if (job->tasks[i].state == DTASK_SENT)
+				look_at_run(d, job, &job->tasks[i], now_ms);
+	}
+}
--- /dev/null
+++ b/src/leased/dispatcher.c
@@ -0,0 +1,334 @@
+/*
+ * dispatcher: the process that takes jobs which may run again, for
+ * backend servers that run under leases. This file starts and stops it
+ * and has its periodic work; dispatch.h has its decisions.
+ */
+#include "leased/dispatcher_internal.h"
+
+#include "base/clock.h"
+#include "base/logger.h"
+#include "leased/reload.h"
+#include "roles/role.h"
+
+#include <string.h>
+
+/* ---- Constants ------------------------------------------------------ */
+
+/* Without a coordinator for so long, what is known may be out of date. */
+#define CONTACT_LOST_MS 15000
+#define GAUGES_MS 500
+#define ACCEPT_WHILE_STOPPING_MS 2200 /* until no balancer sends more */
+#define STOP_WAIT_MOST_MS 4000
+#define STOP_LOOK_US 20000
+#define US_PER_MS 1000
+
+/* ---- Readiness ------------------------------------------------------ */
+
+const char *dispatcher_why_unready(const struct leased_dispatcher *d,
+				   int64_t now_ms)
+{
+	if (!d->routes)
+		return "no routes are known yet";
+	if (now_ms - d->contact_ms > CONTACT_LOST_MS)
+		return "no coordinator was reached for long";
+	return NULL;
+}
+
+static void follow_readiness(struct leased_dispatcher *d, int64_t now_ms)
+{
+	const char *why = dispatcher_why_unready(d, now_ms);
+	bool ready;
+
+	if (session_held(d->session, now_ms))
+		d->contact_ms = now_ms;
+	if (!why && !dispatch_can_serve(d->dispatch))
+		why = "no backend server can be reached";
+	if (g_atomic_int_get(&d->stopping))
+		why = "stopping";
+	ready = !why;
+	if (ready == d->was_ready)
+		return;
+	d->was_ready = ready;
+	log_event(LOG_INFO, ready ? "ready" : "not_ready", "why=\"%s\"",
+		  why ? why : "");
+	admin_set_ready(d->admin, ready, why);
+}
+
+/* ---- Configuration -------------------------------------------------- */
+
+static void take_routes(struct leased_dispatcher *d)
+{
+	struct cf_config *config = session_config(d->session);
+	g_autoptr(GError) error = NULL;
+	uint64_t version;
+	GBytes *document = cf_config_routes(config, &version);
+	gsize size;
+	const void *data;
+	GArray *list;
+
+	if (!document || (d->routes && routes_version(d->routes) >= version))
+		return;
+	data = g_bytes_get_data(document, &size);
+	list = d->formats->read_routes(data, size, &version, &error);
+	if (!list) {
+		log_event(LOG_ERROR, "routes_unreadable", "why=\"%s\"",
+			  error->message);
+		return;
+	}
+	routes_destroy(d->routes);
+	d->routes = routes_create(list, version);
+	gauge_set(d->routes_version, (int64_t)version);
+	log_event(LOG_INFO, "routes_in_force",
+		  "version=%" G_GUINT64_FORMAT " revision=%" G_GUINT64_FORMAT
+		  " routes=%u",
+		  version, cf_config_revision(config), list->len);
+	g_array_unref(list);
+}
+
+static void config_changed(void *arg)
+{
+	struct leased_dispatcher *d = arg;
+
+	take_routes(d);
+	dispatch_set_config(d->dispatch, session_config(d->session));
+}
+
+static void roster_changed(void *arg, const Cfw__Roster *roster)
+{
+	dispatcher_take_roster(arg, roster);
+}
+
+static void lease_changed(void *arg, bool held)
+{
+	(void)arg;
+	(void)held;
+}
+
+static void fenced(void *arg)
+{
+	(void)arg;
+	log_event(LOG_ERROR, "fenced", NULL);
+	role_request_stop();
+}
+
+static void open_session(struct leased_dispatcher *d)
+{
+	static const struct session_handlers handlers = {
+		.config = config_changed,
+		.roster = roster_changed,
+		.lease = lease_changed,
+		.fenced = fenced,
+	};
+	g_auto(GStrv) coordinators = reload_coordinators(d->settings);
+	struct session_options options = {
+		.loop = d->loop,
+		.hub = d->hub,
+		.role = CFW__ROLE__ROLE_DISPATCHER,
+		.incarnation = d->incarnation,
+		.name = settings_text(d->settings, "name"),
+		.data_centre = settings_text(d->settings, "data-centre"),
+		.address = settings_text(d->settings, "listen"),
+		.coordinators = coordinators
+	};
+
+	d->session = session_create(&options, &handlers, d);
+	session_begin(d->session);
+}
+
+static void reload_on_loop(void *arg)
+{
+	struct leased_dispatcher *d = arg;
+	g_auto(GStrv) coordinators = reload_coordinators(d->settings);
+
+	session_add_coordinators(d->session, coordinators);
+}
+
+static void reload(void *arg)
+{
+	struct leased_dispatcher *d = arg;
+
+	loop_post(d->loop, reload_on_loop, d);
+}
+
+/* ---- Periodic work -------------------------------------------------- */
+
+static void set_gauges(struct leased_dispatcher *d, int64_t now_ms)
+{
+	struct dispatch_load load;
+
+	if (now_ms < d->gauged_ms + GAUGES_MS)
+		return;
+	d->gauged_ms = now_ms;
+	dispatch_get_load(d->dispatch, &load);
+	gauge_set(d->jobs, load.jobs);
+	gauge_set(d->waiting, load.waiting_tasks);
+	gauge_set(d->sent, load.sent_tasks);
+	gauge_set(d->servers, load.servers);
+	gauge_set(d->usable, load.usable_servers);
+	gauge_set(d->free_milli, (int64_t)load.free_milli);
+}
+
+static void tick(void *arg, int64_t now_ms)
+{
+	struct leased_dispatcher *d = arg;
+
+	dispatch_tick(d->dispatch, now_ms);
+	dispatcher_drop_unlisted(d, now_ms);
+	follow_readiness(d, now_ms);
+	set_gauges(d, now_ms);
+}
+
+/* ---- Start ---------------------------------------------------------- */
+
+static void get_answer_counters(struct leased_dispatcher *d)
+{
+	static const char *const names[VERDICTS] = { "completed", "failed",
+						     "refused", "given_up" };
+
+	for (size_t v = 0; v < VERDICTS; v++) {
+		g_autofree char *label =
+			g_strdup_printf("verdict=\"%s\"", names[v]);
+		int64_t bound_ms = 10;
+
+		d->verdicts[v] = counter_get("jobs_answered_total", label,
+					     "jobs answered");
+		d->answer_sum_ms[v] =
+			counter_get("job_answer_ms_sum", label,
+				    "time from arrival to answer");
+		for (size_t b = 0; b < ANSWER_BINS; b++, bound_ms *= 2) {
+			g_autofree char *bin = g_strdup_printf(
+				b + 1 < ANSWER_BINS ? "%s,up_to_ms=\"%d\""
+						    : "%s,up_to_ms=\"more\"",
+				label, (int)bound_ms);
+
+			d->answer_bins[v][b] =
+				counter_get("job_answer_ms", bin,
+					    "jobs by time to the answer");
+		}
+	}
+}
+
+static void get_counters(struct leased_dispatcher *d)
+{
+	get_answer_counters(d);
+	d->no_route = counter_get("requests_without_route_total", NULL,
+				  "requests that no route takes");
+	d->unready = counter_get("requests_unready_total", NULL,
+				 "requests that came before routes were known");
+	d->malformed = counter_get("requests_malformed_total", NULL,
+				   "requests that can't be read");
+	d->jobs = gauge_get("jobs_open", NULL, "jobs not yet answered");
+	d->waiting = gauge_get("tasks_waiting", NULL, "tasks not yet sent");
+	d->sent = gauge_get("tasks_sent", NULL, "tasks at servers");
+	d->servers = gauge_get("servers_known", NULL, "servers known");
+	d->usable = gauge_get("servers_usable", NULL, "servers that take work");
+	d->free_milli = gauge_get("servers_free_cpu_milli", NULL,
+				  "processors free by the newest reports");
+	d->routes_version = gauge_get("routes_version", NULL,
+				      "version of the routes in force");
+}
+
+static struct leased_dispatcher *create_empty(const struct settings *settings)
+{
+	static const struct dispatch_sink_ops ops = {
+		.start = dispatcher_send_start,
+		.stop = dispatcher_send_stop,
+		.answer = dispatcher_answer,
+	};
+	struct leased_dispatcher *d = g_new0(struct leased_dispatcher, 1);
+
+	d->sink.ops = &ops;
+	d->settings = settings;
+	d->formats = role_formats();
+	d->incarnation = clock_random();
+	d->links = g_ptr_array_new();
+	d->dispatch = dispatch_create(&d->sink,
+				      settings_text(settings, "data-centre"));
+	get_counters(d);
+	return d;
+}
+
+static bool open_all(struct leased_dispatcher *d, GError **error)
+{
+	const struct settings *s = d->settings;
+	struct link_options links = {
+		.self = { .role = CFW__ROLE__ROLE_DISPATCHER,
+			  .name = settings_text(s, "name"),
+			  .incarnation = d->incarnation,
+			  .data_centre = settings_text(s, "data-centre") },
+		.heartbeat_ms = settings_number(s, "heartbeat-ms")
+	};
+
+	d->loop = loop_create(error);
+	if (!d->loop)
+		return false;
+	d->hub = link_hub_create(d->loop, &links, &dispatcher_link_handlers, d);
+	open_session(d);
+	d->admin = admin_create(settings_text(s, "admin"), error);
+	if (!d->admin)
+		return false;
+	admin_set_ready(d->admin, false, "starting");
+	return admin_start(d->admin, error) && dispatcher_open_callers(d, error);
+}
+
+static gpointer run(gpointer arg)
+{
+	struct leased_dispatcher *d = arg;
+
+	loop_run(d->loop);
+	return NULL;
+}
+
+/* ---- Stop ----------------------------------------------------------- */
+
+/* A balancer goes on sending until it has seen that this one isn't
+ * ready; then what is open is served to its end. */
+static void serve_to_the_end(struct leased_dispatcher *d)
+{
+	int64_t end_ms;
+
+	g_atomic_int_set(&d->stopping, 1);
+	http_server_close_after_answers(d->http);
+	g_usleep(ACCEPT_WHILE_STOPPING_MS * US_PER_MS);
+	http_server_quiesce(d->http);
+	end_ms = clock_now_ms() +
+		 MIN(settings_number(d->settings, "stop-wait-ms"),
+		     STOP_WAIT_MOST_MS);
+	while (http_server_open_requests(d->http) && clock_now_ms() < end_ms)
+		g_usleep(STOP_LOOK_US);
+}
+
+static void leave(void *arg)
+{
+	struct leased_dispatcher *d = arg;
+
+	session_leave(d->session);
+	link_flush(d->hub, STOP_LOOK_US / US_PER_MS);
+	loop_stop(d->loop);
+}
+
+int leased_dispatcher_main(const struct settings *settings)
+{
+	struct leased_dispatcher *d = create_empty(settings);
+	GError *error = NULL;
+
+	if (!open_all(d, &error))
+		return role_fail(error);
+	d->tick = loop_timer_create(d->loop, tick, d);
+	loop_timer_start(d->tick, DISPATCH_TICK_MS, DISPATCH_TICK_MS);
+	d->thread = g_thread_new("dispatcher", run, d);
+	role_on_reload(reload, d);
+	reload_watch(settings, reload, d);
+	log_event(LOG_INFO, "started", "http=%s data_centre=%s",
+		  settings_text(settings, "http"),
+		  settings_text(settings, "data-centre"));
+	role_wait_for_stop();
+	log_event(LOG_INFO, "stopping", NULL);
+	serve_to_the_end(d);
+	http_server_destroy(d->http);
+	loop_post(d->loop, leave, d);
+	g_thread_join(d->thread);
+	admin_destroy(d->admin);
+	log_event(LOG_INFO, "stopped", NULL);
+	return 0;
+}
--- /dev/null
+++ b/src/leased/dispatcher_agents.c
@@ -0,0 +1,343 @@
+/*
+ * dispatcher_agents: the connections to agents: orders go out, leases
+ * and reports come in. Orders of one turn of the loop go in one message.
+ */
+#include "leased/dispatcher_internal.h"
+
+#include "base/logger.h"
+
+#include <string.h>
+
+/* ---- Constants ------------------------------------------------------ */
+
+#define UNLISTED_MS 10000 /* then an agent without a connection is dropped */
+
+/* ---- Finding -------------------------------------------------------- */
+
+static struct agent_link *find_by_link(const struct leased_dispatcher *d,
+				       const struct link *link)
+{
+	for (guint i = 0; i < d->links->len; i++) {
+		struct agent_link *a = g_ptr_array_index(d->links, i);
+
+		if (a->link == link)
+			return a;
+	}
+	return NULL;
+}
+
+static struct agent_link *find_by_agent(const struct leased_dispatcher *d,
+					uint64_t incarnation)
+{
+	for (guint i = 0; i < d->links->len; i++) {
+		struct agent_link *a = g_ptr_array_index(d->links, i);
+
+		if (a->incarnation == incarnation)
+			return a;
+	}
+	return NULL;
+}
+
+static struct agent_link *find_by_address(const struct leased_dispatcher *d,
+					  const char *address)
+{
+	for (guint i = 0; i < d->links->len; i++) {
+		struct agent_link *a = g_ptr_array_index(d->links, i);
+
+		if (!strcmp(a->address, address))
+			return a;
+	}
+	return NULL;
+}
+
+/* ---- Orders --------------------------------------------------------- */
+
+static void free_start(gpointer data)
+{
+	Cfw__RunStart *start = data;
+
+	g_free(start->job);
+	g_free(start->server);
+	g_free(start->spec.data);
+	g_free(start);
+}
+
+static void free_stop(gpointer data)
+{
+	Cfw__RunStop *stop = data;
+
+	g_free(stop->job);
+	g_free(stop);
+}
+
+static void flush(void *arg)
+{
+	struct agent_link *a = arg;
+	Cfw__Envelope envelope = CFW__ENVELOPE__INIT;
+	Cfw__RunOrders orders = CFW__RUN_ORDERS__INIT;
+
+	a->flush_due = false;
+	orders.n_starts = a->starts->len;
+	orders.starts = (Cfw__RunStart **)a->starts->pdata;
+	orders.n_stops = a->stops->len;
+	orders.stops = (Cfw__RunStop **)a->stops->pdata;
+	envelope.body_case = CFW__ENVELOPE__BODY_RUN_ORDERS;
+	envelope.run_orders = &orders;
+	/* What a lost connection did not take is told when it is back. */
+	if (orders.n_starts || orders.n_stops)
+		link_send(a->link, &envelope);
+	g_ptr_array_set_size(a->starts, 0);
+	g_ptr_array_set_size(a->stops, 0);
+}
+
+static void flush_later(struct agent_link *a)
+{
+	if (a->flush_due)
+		return;
+	a->flush_due = true;
+	loop_defer(a->dispatcher->loop, flush, a);
+}
+
+void dispatcher_send_start(struct dispatch_sink *sink, uint64_t agent,
+			   const struct start_order *order)
+{
+	struct leased_dispatcher *d = (struct leased_dispatcher *)sink;
+	struct agent_link *a = find_by_agent(d, agent);
+	Cfw__RunStart *start;
+	gsize size;
+	const void *spec = g_bytes_get_data(order->spec, &size);
+
+	if (!a)
+		return;
+	start = g_new(Cfw__RunStart, 1);
+	cfw__run_start__init(start);
+	start->job = g_strdup(order->name.job);
+	start->index = order->name.index;
+	start->number = order->name.number;
+	start->server = g_strdup(order->server);
+	start->spec.data = g_memdup2(spec, size);
+	start->spec.len = size;
+	start->cpu_milli = order->cpu_milli;
+	start->memory_mb = order->memory_mb;
+	start->accelerators = order->accelerators;
+	start->slack_ms = order->slack_ms;
+	start->deadline_ms = order->deadline_ms;
+	g_ptr_array_add(a->starts, start);
+	flush_later(a);
+}
+
+static Cfw__RunStop *make_stop(const struct run_name *name)
+{
+	Cfw__RunStop *stop = g_new(Cfw__RunStop, 1);
+
+	cfw__run_stop__init(stop);
+	stop->job = g_strdup(name->job);
+	stop->index = name->index;
+	stop->number = name->number;
+	return stop;
+}
+
+void dispatcher_send_stop(struct dispatch_sink *sink, uint64_t agent,
+			  const struct run_name *name)
+{
+	struct leased_dispatcher *d = (struct leased_dispatcher *)sink;
+	struct agent_link *a = find_by_agent(d, agent);
+
+	if (!a)
+		return;
+	g_ptr_array_add(a->stops, make_stop(name));
+	flush_later(a);
+}
+
+static void send_resume(struct leased_dispatcher *d, struct agent_link *a)
+{
+	Cfw__Envelope envelope = CFW__ENVELOPE__INIT;
+	Cfw__RunOrders orders = CFW__RUN_ORDERS__INIT;
+	g_autoptr(GArray) runs = dispatch_runs_at(d->dispatch, a->incarnation);
+	g_autoptr(GPtrArray) kept = g_ptr_array_new_with_free_func(free_stop);
+
+	for (guint i = 0; i < runs->len; i++)
+		g_ptr_array_add(kept, make_stop(&g_array_index(
+					      runs, struct run_name, i)));
+	orders.resume = true;
+	orders.n_kept = kept->len;
+	orders.kept = (Cfw__RunStop **)kept->pdata;
+	envelope.body_case = CFW__ENVELOPE__BODY_RUN_ORDERS;
+	envelope.run_orders = &orders;
+	link_send(a->link, &envelope);
+}
+
+/* ---- Roster --------------------------------------------------------- */
+
+static void add_agent(struct leased_dispatcher *d, const char *address)
+{
+	struct agent_link *a = g_new0(struct agent_link, 1);
+
+	a->dispatcher = d;
+	a->address = g_strdup(address);
+	a->starts = g_ptr_array_new_with_free_func(free_start);
+	a->stops = g_ptr_array_new_with_free_func(free_stop);
+	a->listed = true;
+	g_ptr_array_add(d->links, a);
+	a->link = link_dial(d->hub, a->address);
+	log_event(LOG_INFO, "agent_found", "address=%s", address);
+}
+
+void dispatcher_take_roster(struct leased_dispatcher *d,
+			    const Cfw__Roster *roster)
+{
+	int64_t now_ms = loop_now_ms(d->loop);
+
+	for (guint i = 0; i < d->links->len; i++) {
+		struct agent_link *a = g_ptr_array_index(d->links, i);
+
+		if (a->listed && roster->settled)
+			a->unlisted_ms = now_ms;
+		a->listed = a->listed && !roster->settled;
+	}
+	for (size_t i = 0; i < roster->n_entries; i++) {
+		const Cfw__RosterEntry *entry = roster->entries[i];
+		struct agent_link *a;
+
+		if (entry->role != CFW__ROLE__ROLE_AGENT || !entry->address)
+			continue;
+		a = find_by_address(d, entry->address);
+		if (a)
+			a->listed = true;
+		else
+			add_agent(d, entry->address);
+	}
+}
+
+void dispatcher_drop_unlisted(struct leased_dispatcher *d, int64_t now_ms)
+{
+	for (guint i = d->links->len; i-- > 0;) {
+		struct agent_link *a = g_ptr_array_index(d->links, i);
+
+		if (a->listed || link_is_up(a->link) ||
+		    now_ms - a->unlisted_ms < UNLISTED_MS)
+			continue;
+		log_event(LOG_INFO, "agent_dropped", "address=%s", a->address);
+		loop_forget(d->loop, a);
+		link_drop(a->link);
+		g_ptr_array_unref(a->starts);
+		g_ptr_array_unref(a->stops);
+		g_free(a->address);
+		g_free(a);
+		g_ptr_array_remove_index(d->links, i);
+	}
+}
+
+/* ---- Messages ------------------------------------------------------- */
+
+static void grant(struct leased_dispatcher *d, struct agent_link *a,
+		  const Cfw__RunLeaseAsk *ask)
+{
+	Cfw__Envelope envelope = CFW__ENVELOPE__INIT;
+	Cfw__RunLease lease = CFW__RUN_LEASE__INIT;
+
+	lease.seq = ask->seq;
+	envelope.body_case = CFW__ENVELOPE__BODY_RUN_LEASE;
+	envelope.run_lease = &lease;
+	if (link_send(a->link, &envelope))
+		dispatch_agent_granted(d->dispatch, a->incarnation,
+				       loop_now_ms(d->loop));
+}
+
+static void take_state(struct leased_dispatcher *d, const struct agent_link *a,
+		       const Cfw__ServerState *from)
+{
+	struct server_state state = { .free_cpu_milli = from->free_cpu_milli,
+				      .free_memory_mb = from->free_memory_mb,
+				      .accepting = from->accepting,
+				      .received = from->received };
+
+	g_strlcpy(state.name, from->name, sizeof(state.name));
+	g_strlcpy(state.service, from->service, sizeof(state.service));
+	state.capacity.cpu_milli = from->cpu_milli;
+	state.capacity.memory_mb = from->memory_mb;
+	state.capacity.accelerators = from->accelerators;
+	dispatch_take_state(d->dispatch, a->incarnation, &state,
+			    loop_now_ms(d->loop));
+}
+
+static void take_report(struct leased_dispatcher *d, const struct agent_link *a,
+			const Cfw__RunReport *report)
+{
+	int64_t now_ms = loop_now_ms(d->loop);
+
+	for (size_t i = 0; i < report->n_servers; i++)
+		take_state(d, a, report->servers[i]);
+	for (size_t i = 0; i < report->n_ends; i++) {
+		const Cfw__RunEnd *end = report->ends[i];
+		struct run_result result = {
+			.name = { .index = end->index, .number = end->number },
+			.outcome = (enum run_outcome)end->outcome,
+			.run_ms = end->run_ms
+		};
+
+		g_strlcpy(result.name.job, end->job, sizeof(result.name.job));
+		dispatch_take_end(d->dispatch, a->incarnation, &result, now_ms);
+	}
+	dispatch_states_told(d->dispatch, a->incarnation, now_ms);
+}
+
+/* ---- Handlers ------------------------------------------------------- */
+
+static void up(void *arg, struct link *link)
+{
+	struct leased_dispatcher *d = arg;
+	struct agent_link *a;
+	struct agent_identity identity = { 0 };
+	int64_t now_ms = loop_now_ms(d->loop);
+
+	if (session_link_up(d->session, link))
+		return;
+	a = find_by_link(d, link);
+	if (!a)
+		return;
+	if (a->incarnation && a->incarnation != link_peer(link)->incarnation)
+		dispatch_agent_down(d->dispatch, a->incarnation, now_ms);
+	a->incarnation = link_peer(link)->incarnation;
+	identity.incarnation = a->incarnation;
+	g_strlcpy(identity.name, link_peer(link)->name, sizeof(identity.name));
+	g_strlcpy(identity.data_centre, link_peer(link)->data_centre,
+		  sizeof(identity.data_centre));
+	dispatch_agent_up(d->dispatch, &identity, now_ms);
+	send_resume(d, a);
+}
+
+static void down(void *arg, struct link *link)
+{
+	struct leased_dispatcher *d = arg;
+	struct agent_link *a;
+
+	if (session_link_down(d->session, link))
+		return;
+	a = find_by_link(d, link);
+	if (a && a->incarnation)
+		dispatch_agent_down(d->dispatch, a->incarnation,
+				    loop_now_ms(d->loop));
+}
+
+static void message(void *arg, struct link *link, const Cfw__Envelope *envelope)
+{
+	struct leased_dispatcher *d = arg;
+	struct agent_link *a;
+
+	if (session_message(d->session, link, envelope))
+		return;
+	a = find_by_link(d, link);
+	if (!a)
+		return;
+	if (envelope->body_case == CFW__ENVELOPE__BODY_RUN_LEASE_ASK)
+		grant(d, a, envelope->run_lease_ask);
+	else if (envelope->body_case == CFW__ENVELOPE__BODY_RUN_REPORT)
+		take_report(d, a, envelope->run_report);
+}
+
+const struct link_handlers dispatcher_link_handlers = {
+	.up = up,
+	.message = message,
+	.down = down,
+};
--- /dev/null
+++ b/src/leased/dispatcher_http.c
@@ -0,0 +1,309 @@
+/*
+ * dispatcher_http: callers' requests. They are read on HTTP threads and
+ * decided on the loop; each gets one answer.
+ */
+#include "leased/dispatcher_internal.h"
+
+#include "base/clock.h"
+#include "base/logger.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* ---- Constants ------------------------------------------------------ */
+
+#define STATUS_OK 200
+#define STATUS_BAD_REQUEST 400
+#define STATUS_NOT_FOUND 404
+#define STATUS_GONE 410
+#define STATUS_TOO_MANY 429
+#define STATUS_NOT_BUILT 501
+#define STATUS_UNAVAILABLE 503
+#define STATUS_TIMEOUT 504
+#define JSON_TYPE "application/json"
+#define DEADLINE_STANDARD_MS 30000
+#define DEADLINE_MAX_MS 86400000
+
+/* ---- Types ---------------------------------------------------------- */
+
+/* One request, from its arrival to its answer. */
+struct caller {
+	struct leased_dispatcher *dispatcher;
+	struct http_request *request;
+	char *host;
+	char id[LEASED_JOB_SIZE];
+	struct job_spec spec; /* of a submission */
+	int64_t arrived_ms, deadline_ms;
+	gint holders; /* atomic: the loop, and the watch for its leaving */
+};
+
+/* ---- Life ----------------------------------------------------------- */
+
+static struct caller *create_caller(struct leased_dispatcher *d,
+				    struct http_request *request)
+{
+	struct caller *c = g_new0(struct caller, 1);
+	const char *host = http_header(request, "Host");
+	const char *deadline = http_header(request, d->formats->deadline_header);
+	gint64 left_ms = 0;
+
+	c->dispatcher = d;
+	c->request = request;
+	c->host = g_strdup(host ? host : "");
+	c->arrived_ms = clock_now_ms();
+	if (!deadline || !g_ascii_string_to_signed(deadline, 10, 1,
+						   DEADLINE_MAX_MS, &left_ms,
+						   NULL))
+		left_ms = DEADLINE_STANDARD_MS;
+	c->deadline_ms = c->arrived_ms + left_ms;
+	c->holders = 1;
+	return c;
+}
+
+static void release_caller(struct caller *c)
+{
+	if (!g_atomic_int_dec_and_test(&c->holders))
+		return;
+	if (c->spec.spec)
+		g_bytes_unref(c->spec.spec);
+	g_free(c->host);
+	g_free(c);
+}
+
+static void reply(struct caller *c, uint32_t status, const char *body,
+		  uint32_t retry_after_s)
+{
+	g_autofree char *retry =
+		g_strdup_printf("Retry-After: %u", retry_after_s);
+	const char *headers[] = { retry, NULL };
+
+	http_reply(c->request, status, JSON_TYPE, body, strlen(body),
+		   retry_after_s ? headers : NULL);
+	c->request = NULL;
+}
+
+static void reply_fault(struct caller *c, uint32_t status, const char *reason,
+			const char *message, uint32_t retry_after_s)
+{
+	g_autofree char *body =
+		g_strdup_printf("{\"reason\":\"%s\",\"message\":\"%s\"}",
+				reason, message);
+
+	log_event(LOG_INFO, "request_refused",
+		  "job=%s status=%u reason=%s why=\"%s\"", c->id, status,
+		  reason, message);
+	reply(c, status, body, retry_after_s);
+}
+
+/* ---- Answers of jobs ------------------------------------------------ */
+
+static void count_answer(struct leased_dispatcher *d, enum job_verdict verdict,
+			 int64_t took_ms)
+{
+	size_t bin = 0;
+
+	for (int64_t bound_ms = 10; bin + 1 < ANSWER_BINS && took_ms > bound_ms;
+	     bound_ms *= 2)
+		bin++;
+	counter_add(d->verdicts[verdict], 1);
+	counter_add(d->answer_bins[verdict][bin], 1);
+	counter_add(d->answer_sum_ms[verdict], took_ms);
+}
+
+void dispatcher_answer(struct dispatch_sink *sink, void *data,
+		       const struct job_answer *answer)
+{
+	struct leased_dispatcher *d = (struct leased_dispatcher *)sink;
+	struct caller *c = data;
+	int64_t took_ms = clock_now_ms() - c->arrived_ms;
+	g_autofree char *state = NULL;
+
+	count_answer(d, answer->verdict, took_ms);
+	log_event(LOG_INFO, "answered",
+		  "job=%s verdict=%d reason=\"%s\" took_ms=%" G_GINT64_FORMAT,
+		  c->id, answer->verdict, answer->reason, took_ms);
+	switch (answer->verdict) {
+	case JOB_VERDICT_COMPLETED:
+		state = d->formats->write_job_state(JOB_COMPLETED);
+		reply(c, STATUS_OK, state, 0);
+		break;
+	case JOB_VERDICT_FAILED:
+		state = d->formats->write_job_state(JOB_FAILED);
+		reply(c, STATUS_OK, state, 0);
+		break;
+	case JOB_VERDICT_REFUSED:
+		reply_fault(c, STATUS_TOO_MANY, "not_run", answer->reason,
+			    answer->retry_after_s);
+		break;
+	default:
+		reply_fault(c, STATUS_TIMEOUT, "given_up", answer->reason, 0);
+		break;
+	}
+	release_caller(c);
+}
+
+/* ---- On the loop ---------------------------------------------------- */
+
+static void abandon(void *arg)
+{
+	struct caller *c = arg;
+
+	if (c->request)
+		dispatch_abandon(c->dispatcher->dispatch, c->id, c,
+				 loop_now_ms(c->dispatcher->loop));
+	release_caller(c);
+}
+
+/* On the thread that watches for closed connections. */
+static void caller_left(void *arg)
+{
+	struct caller *c = arg;
+
+	loop_post(c->dispatcher->loop, abandon, c);
+}
+
+static const struct route *find_route(struct caller *c)
+{
+	struct leased_dispatcher *d = c->dispatcher;
+	const char *why = dispatcher_why_unready(d, loop_now_ms(d->loop));
+	const struct route *route;
+
+	if (why) {
+		counter_add(d->unready, 1);
+		reply_fault(c, STATUS_UNAVAILABLE, "unready", why, 1);
+		return NULL;
+	}
+	route = routes_find(d->routes, c->host, http_path(c->request));
+	if (!route) {
+		counter_add(d->no_route, 1);
+		reply_fault(c, STATUS_NOT_FOUND, "no_route",
+			    "no route has this host and path", 0);
+	}
+	return route;
+}
+
+static void submit(struct caller *c, const struct route *route)
+{
+	struct job_order order = { .route = *route,
+				   .spec = c->spec,
+				   .arrived_ms = c->arrived_ms,
+				   .deadline_ms = c->deadline_ms,
+				   .caller = c };
+
+	g_strlcpy(order.id, c->id, sizeof(order.id));
+	log_event(LOG_INFO, "job_arrived",
+		  "job=%s route=%s routes_version=%" G_GUINT64_FORMAT
+		  " tasks=%u cpu_milli=%u estimate_ms=%u left_ms=%" G_GINT64_FORMAT,
+		  c->id, route->name, routes_version(c->dispatcher->routes),
+		  c->spec.n_tasks, c->spec.cpu_milli, c->spec.estimate_ms,
+		  c->deadline_ms - c->arrived_ms);
+	g_atomic_int_inc(&c->holders);
+	http_on_gone(c->request, caller_left, c);
+	dispatch_submit(c->dispatcher->dispatch, &order,
+			loop_now_ms(c->dispatcher->loop));
+}
+
+static bool take_id(struct caller *c, const struct route *route)
+{
+	const char *id = http_path(c->request) + strlen(route->prefix);
+
+	return *id && !strchr(id, '.') && !strchr(id, '/') &&
+	       g_strlcpy(c->id, id, sizeof(c->id)) < sizeof(c->id);
+}
+
+static void take_submission(void *arg)
+{
+	struct caller *c = arg;
+	const struct route *route = find_route(c);
+
+	if (route && take_id(c, route)) {
+		submit(c, route);
+		return;
+	}
+	if (route)
+		reply_fault(c, STATUS_BAD_REQUEST, "invalid",
+			    "id: must be 1 to 23 characters", 0);
+	release_caller(c);
+}
+
+static void take_question(void *arg)
+{
+	struct caller *c = arg;
+	const struct route *route = find_route(c);
+	struct leased_dispatcher *d = c->dispatcher;
+	g_autofree char *pending = NULL;
+
+	if (route && take_id(c, route)) {
+		reply_fault(c, STATUS_GONE, "unknown",
+			    "no stored job has this id", 0);
+	} else if (route) {
+		pending = d->formats->write_pending(
+			dispatch_pending(d->dispatch, route->name));
+		reply(c, STATUS_OK, pending, 0);
+	}
+	release_caller(c);
+}
+
+static void take_cancel(void *arg)
+{
+	struct caller *c = arg;
+	const struct route *route = find_route(c);
+	struct leased_dispatcher *d = c->dispatcher;
+
+	if (route && take_id(c, route) &&
+	    dispatch_cancel(d->dispatch, c->id, loop_now_ms(d->loop)))
+		reply(c, STATUS_OK, "{}", 0);
+	else if (route)
+		reply_fault(c, STATUS_GONE, "unknown", "no job has this id", 0);
+	release_caller(c);
+}
+
+/* ---- On an HTTP thread ---------------------------------------------- */
+
+static void read_submission(struct caller *c)
+{
+	char fault[128] = "";
+	size_t size;
+	const void *body = http_body(c->request, &size);
+	enum job_refusal refusal = c->dispatcher->formats->read_job(
+		body, size, &c->spec, fault);
+
+	if (refusal == JOB_FINE) {
+		loop_post(c->dispatcher->loop, take_submission, c);
+		return;
+	}
+	counter_add(c->dispatcher->malformed, 1);
+	if (refusal == JOB_MALFORMED)
+		reply_fault(c, STATUS_BAD_REQUEST, "invalid", fault, 0);
+	else
+		reply_fault(c, STATUS_NOT_BUILT, "unsupported", fault, 0);
+	release_caller(c);
+}
+
+static void handle(void *arg, struct http_request *request)
+{
+	struct leased_dispatcher *d = arg;
+	struct caller *c = create_caller(d, request);
+	const char *method = http_method(request);
+
+	if (!strcmp(method, "POST"))
+		read_submission(c);
+	else if (!strcmp(method, "DELETE"))
+		loop_post(d->loop, take_cancel, c);
+	else
+		loop_post(d->loop, take_question, c);
+}
+
+bool dispatcher_open_callers(struct leased_dispatcher *d, GError **error)
+{
+	struct http_server_options options = {
+		.address = settings_text(d->settings, "http"),
+		.threads = (uint32_t)settings_number(d->settings,
+						     "http-threads"),
+		.connections_max = (uint32_t)settings_number(
+			d->settings, "http-connections"),
+	};
+
+	d->http = http_server_create(&options, handle, d, error);
+	return d->http != NULL;
+}
--- /dev/null
+++ b/src/leased/dispatcher_internal.h
@@ -0,0 +1,80 @@
+/*
+ * dispatcher_internal: what the files of the leased dispatcher's process
+ * share. One loop thread owns all of it; HTTP threads post to the loop.
+ */
+#ifndef LEASED_DISPATCHER_INTERNAL_H
+#define LEASED_DISPATCHER_INTERNAL_H
+
+#include "base/counters.h"
+#include "base/settings.h"
+#include "leased/dispatch.h"
+#include "leased/routes.h"
+#include "net/admin.h"
+#include "net/link.h"
+#include "roles/session.h"
+
+#define VERDICTS 4
+#define ANSWER_BINS 10
+
+/* A connection to an agent, and what goes there in this turn. */
+struct agent_link {
+	struct leased_dispatcher *dispatcher;
+	char *address;
+	struct link *link;
+	uint64_t incarnation; /* of the agent that answered last; 0: none */
+	bool listed; /* on the newest roster */
+	int64_t unlisted_ms;
+	GPtrArray *starts; /* Cfw__RunStart, owned */
+	GPtrArray *stops; /* Cfw__RunStop, owned */
+	bool flush_due;
+};
+
+struct leased_dispatcher {
+	struct dispatch_sink sink; /* first member */
+	const struct settings *settings;
+	const struct formats *formats;
+	uint64_t incarnation;
+	struct loop *loop;
+	GThread *thread;
+	struct loop_timer *tick;
+	struct link_hub *hub;
+	struct session *session;
+	struct admin *admin;
+	struct http_server *http;
+	struct dispatch *dispatch;
+	struct routes *routes; /* NULL: none yet */
+	GPtrArray *links; /* struct agent_link */
+	int64_t contact_ms; /* when a lease of the coordinators was last held */
+	int64_t gauged_ms;
+	bool was_ready;
+	gint stopping; /* atomic */
+	struct counter *verdicts[VERDICTS];
+	struct counter *answer_bins[VERDICTS][ANSWER_BINS];
+	struct counter *answer_sum_ms[VERDICTS];
+	struct counter *no_route, *unready, *malformed;
+	struct counter *jobs, *waiting, *sent, *servers, *usable, *free_milli;
+	struct counter *routes_version;
+};
+
+/* ---- Agents (dispatcher_agents.c) ----------------------------------- */
+
+extern const struct link_handlers dispatcher_link_handlers;
+
+void dispatcher_send_start(struct dispatch_sink *sink, uint64_t agent,
+			   const struct start_order *order);
+void dispatcher_send_stop(struct dispatch_sink *sink, uint64_t agent,
+			  const struct run_name *name);
+void dispatcher_take_roster(struct leased_dispatcher *d,
+			    const Cfw__Roster *roster);
+void dispatcher_drop_unlisted(struct leased_dispatcher *d, int64_t now_ms);
+
+/* ---- Callers (dispatcher_http.c) ------------------------------------ */
+
+bool dispatcher_open_callers(struct leased_dispatcher *d, GError **error);
+void dispatcher_answer(struct dispatch_sink *sink, void *caller,
+		       const struct job_answer *answer);
+/* Why callers can't be served now; NULL: they can. */
+const char *dispatcher_why_unready(const struct leased_dispatcher *d,
+				   int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/src/leased/run_table.c
@@ -0,0 +1,507 @@
+/*
+ * run_table: see run_table.h. A server runs a few dozen tasks at once,
+ * so runs are kept in one array.
+ */
+#include "leased/run_table.h"
+
+#include "leased/leases.h"
+
+#include <string.h>
+
+/* ---- Constants ------------------------------------------------------ */
+
+#define STOP_AGAIN_MS 60 /* without an acknowledgement */
+#define ROOM_WAIT_MS 15 /* after the server had less room than counted */
+#define MISSING_LOOKS 2 /* that don't list a run: it has ended */
+#define NEVER INT64_MAX
+
+/* ---- Types ---------------------------------------------------------- */
+
+enum run_state {
+	RUN_QUEUED,
+	RUN_STARTING, /* the call is under way */
+	RUN_RUNNING,
+	RUN_STOPPING, /* a stop has to be acknowledged */
+	RUN_STOPPED, /* acknowledged; its end is not listed yet */
+};
+
+struct run {
+	struct run_request request;
+	enum run_state state;
+	bool stop_wanted; /* while it is being started */
+	bool maybe_started; /* a start was sent */
+	int64_t started_ms; /* when the start was acknowledged */
+	int64_t stop_wanted_ms;
+	int64_t stop_sent_ms;
+	int64_t stop_acked_ms;
+	uint32_t looks_missing;
+};
+
+struct run_table {
+	struct cf_capacity capacity;
+	GPtrArray *runs; /* struct run; waiting ones sorted by good start */
+	GQueue results; /* struct run_result */
+	int64_t room_wait_ms; /* no start before */
+	int64_t now_ms; /* of the newest call, for stops */
+};
+
+/* ---- Life ----------------------------------------------------------- */
+
+static void free_run(gpointer data)
+{
+	struct run *run = data;
+
+	g_bytes_unref(run->request.spec);
+	g_free(run);
+}
+
+struct run_table *run_table_create(void)
+{
+	struct run_table *table = g_new0(struct run_table, 1);
+
+	table->runs = g_ptr_array_new_with_free_func(free_run);
+	g_queue_init(&table->results);
+	return table;
+}
+
+void run_table_destroy(struct run_table *table)
+{
+	if (!table)
+		return;
+	g_ptr_array_unref(table->runs);
+	g_queue_clear_full(&table->results, g_free);
+	g_free(table);
+}
+
+void run_table_set_capacity(struct run_table *table,
+			    const struct cf_capacity *capacity)
+{
+	table->capacity = *capacity;
+}
+
+/* ---- Finding and ending --------------------------------------------- */
+
+static struct run *at(const struct run_table *table, guint i)
+{
+	return g_ptr_array_index(table->runs, i);
+}
+
+static struct run *find(const struct run_table *table,
+			const struct run_name *name, guint *position)
+{
+	for (guint i = 0; i < table->runs->len; i++) {
+		if (!run_name_equal(&at(table, i)->request.name, name))
+			continue;
+		if (position)
+			*position = i;
+		return at(table, i);
+	}
+	return NULL;
+}
+
+static void end_at(struct run_table *table, guint position,
+		   enum run_outcome outcome, int64_t now_ms)
+{
+	struct run *run = at(table, position);
+	struct run_result result = { .dispatcher = run->request.dispatcher,
+				     .name = run->request.name,
+				     .outcome = outcome };
+
+	if (run->started_ms && now_ms > run->started_ms)
+		result.run_ms = (uint32_t)(now_ms - run->started_ms);
+	g_queue_push_tail(&table->results,
+			  g_memdup2(&result, sizeof(result)));
+	g_ptr_array_remove_index(table->runs, position);
+}
+
+bool run_table_has(const struct run_table *table, const struct run_name *name)
+{
+	return find(table, name, NULL) != NULL;
+}
+
+bool run_table_is_idle(const struct run_table *table)
+{
+	return table->runs->len == 0;
+}
+
+bool run_table_take_result(struct run_table *table, struct run_result *result)
+{
+	struct run_result *first = g_queue_pop_head(&table->results);
+
+	if (!first)
+		return false;
+	*result = *first;
+	g_free(first);
+	return true;
+}
+
+/* ---- Room ----------------------------------------------------------- */
+
+static void count(const struct run_table *table, bool queued,
+		  struct run_load *load)
+{
+	load->free_cpu_milli = table->capacity.cpu_milli;
+	load->free_memory_mb = table->capacity.memory_mb;
+	for (guint i = 0; i < table->runs->len; i++) {
+		const struct run *run = at(table, i);
+		bool waits = run->state == RUN_QUEUED;
+
+		load->queued += waits;
+		load->running += !waits;
+		if (waits && !queued)
+			continue;
+		load->free_cpu_milli -= run->request.cpu_milli;
+		load->free_memory_mb -= run->request.memory_mb;
+	}
+}
+
+void run_table_get_load(const struct run_table *table, struct run_load *load)
+{
+	memset(load, 0, sizeof(*load));
+	count(table, true, load);
+}
+
+static uint32_t accelerators_in_use(const struct run_table *table)
+{
+	uint32_t sum = 0;
+
+	for (guint i = 0; i < table->runs->len; i++)
+		if (at(table, i)->state != RUN_QUEUED)
+			sum += at(table, i)->request.accelerators;
+	return sum;
+}
+
+static bool fits(const struct run_table *table, const struct run *run)
+{
+	struct run_load load = { 0 };
+
+	count(table, false, &load);
+	if (run->request.accelerators &&
+	    run->request.accelerators + accelerators_in_use(table) >
+		    table->capacity.accelerators)
+		return false;
+	return run->request.cpu_milli <= load.free_cpu_milli &&
+	       run->request.memory_mb <= load.free_memory_mb;
+}
+
+/* ---- Starting ------------------------------------------------------- */
+
+void run_table_offer(struct run_table *table, const struct run_request *request,
+		     int64_t now_ms)
+{
+	struct run *run;
+	guint position = 0;
+
+	table->now_ms = now_ms;
+	if (find(table, &request->name, NULL))
+		return;
+	run = g_new0(struct run, 1);
+	run->request = *request;
+	g_bytes_ref(run->request.spec);
+	while (position < table->runs->len &&
+	       at(table, position)->request.good_start_ms <=
+		       request->good_start_ms)
+		position++;
+	g_ptr_array_insert(table->runs, (gint)position, run);
+}
+
+static void expire_queued(struct run_table *table, int64_t now_ms)
+{
+	for (guint i = table->runs->len; i-- > 0;)
+		if (at(table, i)->state == RUN_QUEUED &&
+		    at(table, i)->request.deadline_ms <= now_ms)
+			end_at(table, i, RUN_OUTCOME_NOT_STARTED, now_ms);
+}
+
+const struct run_request *run_table_next_start(struct run_table *table,
+					       int64_t now_ms)
+{
+	table->now_ms = now_ms;
+	expire_queued(table, now_ms);
+	if (now_ms < table->room_wait_ms)
+		return NULL;
+	for (guint i = 0; i < table->runs->len; i++) {
+		struct run *run = at(table, i);
+
+		if (run->state != RUN_QUEUED)
+			continue;
+		/* What is first in order is not overtaken by smaller runs. */
+		if (!fits(table, run))
+			return NULL;
+		run->state = RUN_STARTING;
+		run->maybe_started = true;
+		return &run->request;
+	}
+	return NULL;
+}
+
+static void want_stop(struct run_table *table, struct run *run)
+{
+	run->state = RUN_STOPPING;
+	run->stop_sent_ms = 0;
+	if (!run->stop_wanted_ms)
+		run->stop_wanted_ms = table->now_ms;
+}
+
+static void take_refusal(struct run_table *table, guint position,
+			 enum run_refusal refusal, int64_t now_ms)
+{
+	struct run *run = at(table, position);
+	bool again = refusal == RUN_NO_ROOM || refusal == RUN_TOO_LATE;
+
+	if (again && !run->stop_wanted) {
+		run->state = RUN_QUEUED;
+		run->maybe_started = false;
+		table->room_wait_ms = now_ms + ROOM_WAIT_MS;
+		return;
+	}
+	if (refusal == RUN_OLD || refusal == RUN_FENCED)
+		end_at(table, position, RUN_OUTCOME_OUTDATED, now_ms);
+	else if (refusal == RUN_MALFORMED)
+		end_at(table, position, RUN_OUTCOME_FAILED, now_ms);
+	else if (refusal == RUN_UNHEALTHY)
+		end_at(table, position, RUN_OUTCOME_REFUSED, now_ms);
+	else
+		end_at(table, position, RUN_OUTCOME_NOT_STARTED, now_ms);
+}
+
+void run_table_started(struct run_table *table, const struct run_name *name,
+		       enum run_refusal refusal, int64_t now_ms)
+{
+	guint position;
+	struct run *run = find(table, name, &position);
+
+	table->now_ms = now_ms;
+	if (!run || run->state != RUN_STARTING)
+		return;
+	if (refusal != RUN_ACCEPTED) {
+		take_refusal(table, position, refusal, now_ms);
+		return;
+	}
+	run->state = RUN_RUNNING;
+	run->started_ms = now_ms;
+	if (run->stop_wanted)
+		want_stop(table, run);
+}
+
+void run_table_start_unknown(struct run_table *table,
+			     const struct run_name *name)
+{
+	struct run *run = find(table, name, NULL);
+
+	if (run && run->state == RUN_STARTING)
+		want_stop(table, run);
+}
+
+/* ---- Stopping ------------------------------------------------------- */
+
+static void stop_at(struct run_table *table, guint position)
+{
+	struct run *run = at(table, position);
+
+	switch (run->state) {
+	case RUN_QUEUED:
+		end_at(table, position, RUN_OUTCOME_NOT_STARTED, table->now_ms);
+		break;
+	case RUN_STARTING:
+		run->stop_wanted = true;
+		break;
+	case RUN_RUNNING:
+		want_stop(table, run);
+		break;
+	default:
+		break;
+	}
+}
+
+void run_table_stop(struct run_table *table, const struct run_name *name)
+{
+	guint position;
+
+	if (find(table, name, &position))
+		stop_at(table, position);
+}
+
+void run_table_stop_dispatcher(struct run_table *table, uint64_t dispatcher)
+{
+	run_table_stop_others(table, dispatcher, NULL, 0);
+}
+
+static bool is_kept(const struct run *run, const struct run_name *kept,
+		    size_t n_kept)
+{
+	for (size_t i = 0; i < n_kept; i++)
+		if (run_name_equal(&run->request.name, &kept[i]))
+			return true;
+	return false;
+}
+
+void run_table_stop_others(struct run_table *table, uint64_t dispatcher,
+			   const struct run_name *kept, size_t n_kept)
+{
+	for (guint i = table->runs->len; i-- > 0;)
+		if (at(table, i)->request.dispatcher == dispatcher &&
+		    !is_kept(at(table, i), kept, n_kept))
+			stop_at(table, i);
+}
+
+void run_table_return_queued(struct run_table *table)
+{
+	for (guint i = table->runs->len; i-- > 0;)
+		if (at(table, i)->state == RUN_QUEUED)
+			stop_at(table, i);
+}
+
+bool run_table_next_stop(struct run_table *table, int64_t now_ms,
+			 struct run_name *name)
+{
+	table->now_ms = now_ms;
+	for (guint i = 0; i < table->runs->len; i++) {
+		struct run *run = at(table, i);
+
+		if (run->state != RUN_STOPPING ||
+		    (run->stop_sent_ms &&
+		     now_ms < run->stop_sent_ms + STOP_AGAIN_MS))
+			continue;
+		run->stop_sent_ms = now_ms;
+		*name = run->request.name;
+		return true;
+	}
+	return false;
+}
+
+void run_table_stop_acked(struct run_table *table, const struct run_name *name,
+			  int64_t now_ms)
+{
+	struct run *run = find(table, name, NULL);
+
+	if (!run || run->state != RUN_STOPPING)
+		return;
+	run->state = RUN_STOPPED;
+	run->stop_acked_ms = now_ms;
+}
+
+int64_t run_table_stop_age_ms(const struct run_table *table, int64_t now_ms)
+{
+	int64_t oldest_ms = NEVER;
+
+	for (guint i = 0; i < table->runs->len; i++)
+		if (at(table, i)->state == RUN_STOPPING)
+			oldest_ms = MIN(oldest_ms,
+					at(table, i)->stop_wanted_ms);
+	return oldest_ms == NEVER ? 0 : MAX(now_ms - oldest_ms, 1);
+}
+
+/* ---- What the server lists ------------------------------------------ */
+
+static enum run_outcome outcome_of(enum run_end_how how)
+{
+	switch (how) {
+	case RUN_END_DONE:
+		return RUN_OUTCOME_DONE;
+	case RUN_END_FAILED:
+		return RUN_OUTCOME_FAILED;
+	default:
+		return RUN_OUTCOME_STOPPED;
+	}
+}
+
+static void take_ends(struct run_table *table, const struct run_lists *lists,
+		      int64_t now_ms)
+{
+	for (guint i = 0; i < lists->ended->len; i++) {
+		const struct run_listed_end *end = &g_array_index(
+			lists->ended, struct run_listed_end, i);
+		guint position;
+
+		if (find(table, &end->name, &position))
+			end_at(table, position, outcome_of(end->how), now_ms);
+	}
+}
+
+static bool is_listed(const struct run_lists *lists,
+		      const struct run_name *name)
+{
+	for (guint i = 0; i < lists->running->len; i++)
+		if (run_name_equal(&g_array_index(lists->running,
+						  struct run_name, i),
+				   name))
+			return true;
+	return false;
+}
+
+/* Neither running nor ended in a list made after its start or stop was
+ * acknowledged: a stopped one never ran, a running one is lost. */
+static void take_missing(struct run_table *table, guint position,
+			 int64_t sent_ms, int64_t now_ms)
+{
+	struct run *run = at(table, position);
+
+	if (run->state == RUN_STOPPED &&
+	    sent_ms > run->stop_acked_ms + RUN_STOP_MS)
+		end_at(table, position,
+		       run->started_ms ? RUN_OUTCOME_STOPPED
+				       : RUN_OUTCOME_NOT_STARTED,
+		       now_ms);
+	else if (run->state == RUN_RUNNING && sent_ms > run->started_ms &&
+		 ++run->looks_missing >= MISSING_LOOKS)
+		end_at(table, position, RUN_OUTCOME_STOPPED, now_ms);
+}
+
+static void find_strangers(const struct run_table *table,
+			   const struct run_lists *lists, GArray *strangers)
+{
+	for (guint i = 0; i < lists->running->len; i++) {
+		const struct run_name *name =
+			&g_array_index(lists->running, struct run_name, i);
+
+		if (!find(table, name, NULL))
+			g_array_append_val(strangers, *name);
+	}
+}
+
+void run_table_take_lists(struct run_table *table,
+			  const struct run_lists *lists, int64_t sent_ms,
+			  int64_t now_ms, GArray *strangers)
+{
+	table->now_ms = now_ms;
+	take_ends(table, lists, now_ms);
+	for (guint i = table->runs->len; i-- > 0;) {
+		struct run *run = at(table, i);
+
+		if (!is_listed(lists, &run->request.name)) {
+			take_missing(table, i, sent_ms, now_ms);
+			continue;
+		}
+		run->looks_missing = 0;
+		if (!run->started_ms)
+			run->started_ms = now_ms;
+	}
+	find_strangers(table, lists, strangers);
+}
+
+/* ---- Ends of everything --------------------------------------------- */
+
+void run_table_lease_ended(struct run_table *table, int64_t now_ms)
+{
+	for (guint i = table->runs->len; i-- > 0;)
+		end_at(table, i,
+		       at(table, i)->maybe_started ? RUN_OUTCOME_STOPPED
+						   : RUN_OUTCOME_NOT_STARTED,
+		       now_ms);
+}
+
+void run_table_new_life(struct run_table *table, int64_t now_ms)
+{
+	for (guint i = table->runs->len; i-- > 0;) {
+		struct run *run = at(table, i);
+		bool answered = run->started_ms || run->state == RUN_STOPPED;
+
+		if (run->state == RUN_QUEUED)
+			continue;
+		if (answered)
+			end_at(table, i, RUN_OUTCOME_STOPPED, now_ms);
+		else if (run->state == RUN_STARTING)
+			want_stop(table, run);
+	}
+}
--- a/src/lib/config.c
+++ b/src/lib/config.c
@@ -44,6 +44,7 @@
 	g_array_unref(config->retired);
 	g_hash_table_destroy(config->outcome_of);
 	g_queue_clear_full(&config->outcomes, g_free);
+	g_clear_pointer(&config->routes, g_bytes_unref);
 	g_free(config);
 }
 
@@ -165,6 +166,12 @@
 	return false;
 }
 
+GBytes *cf_config_routes(const struct cf_config *config, uint64_t *version)
+{
+	*version = config->routes_version;
+	return config->routes;
+}
+
 bool cf_config_is_fenced(const struct cf_config *config, uint64_t incarnation)
 {
 	for (guint i = 0; i < config->fences->len; i++) {
--- a/src/lib/config_change.c
+++ b/src/lib/config_change.c
@@ -237,6 +237,23 @@
 	return CF_COMMAND_DONE;
 }
 
+/* A version that is not higher than the held one is done already. */
+static enum cf_command_status set_routes(struct cf_config *config,
+					 const struct Cfw__RouteTable *change,
+					 struct cf_command_result *result)
+{
+	if (!change->version || !change->document.len)
+		return config_refuse(result, CF_COMMAND_INVALID,
+				     "routes: need a version and a document");
+	if (change->version <= config->routes_version)
+		return CF_COMMAND_DONE;
+	g_clear_pointer(&config->routes, g_bytes_unref);
+	config->routes =
+		g_bytes_new(change->document.data, change->document.len);
+	config->routes_version = change->version;
+	return CF_COMMAND_DONE;
+}
+
 enum cf_command_status config_change(struct cf_config *config,
 				     const struct Cfw__Command *command,
 				     struct cf_command_result *result)
@@ -264,6 +281,8 @@
 	case CFW__COMMAND__CHANGE_MEMBER_IDENTITY:
 		return register_identity(config, command->member_identity,
 					 result);
+	case CFW__COMMAND__CHANGE_ROUTES_SET:
+		return set_routes(config, command->routes_set, result);
 	case CFW__COMMAND__CHANGE_FENCE:
 		return add_fence(config, command->fence, result);
 	default:
--- a/src/lib/config_read.c
+++ b/src/lib/config_read.c
@@ -170,6 +170,11 @@
 
 		g_array_append_val(config->fences, fence);
 	}
+	if (from->routes && from->routes->version) {
+		config->routes_version = from->routes->version;
+		config->routes = g_bytes_new(from->routes->document.data,
+					     from->routes->document.len);
+	}
 	config->revision = from->revision;
 	return fault;
 }
--- a/src/lib/config_state.h
+++ b/src/lib/config_state.h
@@ -39,6 +39,8 @@
 	GArray *members; /* struct cf_member, by id */
 	GArray *views; /* struct cf_view, newest last */
 	GArray *fences; /* struct config_fence, oldest first */
+	uint64_t routes_version; /* 0: none yet */
+	GBytes *routes; /* as the operator sent them, or NULL */
 	/* The rest is the log's side only: adopters don't have it. */
 	GQueue outcomes; /* struct config_outcome, oldest first */
 	GHashTable *outcome_of; /* command id -> link in outcomes */
--- a/src/lib/config_write.c
+++ b/src/lib/config_write.c
@@ -21,6 +21,7 @@
 	struct Cfw__Member *members;
 	struct Cfw__View *views;
 	struct Cfw__Fence *fences;
+	struct Cfw__RouteTable routes;
 };
 
 /* ---- Functions ----------------------------------------------------- */
@@ -123,6 +124,20 @@
 	}
 }
 
+static void write_routes(struct packing *p, const struct cf_config *config)
+{
+	gsize size;
+
+	if (!config->routes)
+		return;
+	cfw__route_table__init(&p->routes);
+	p->routes.version = config->routes_version;
+	p->routes.document.data =
+		(uint8_t *)g_bytes_get_data(config->routes, &size);
+	p->routes.document.len = size;
+	p->message.routes = &p->routes;
+}
+
 static void packing_begin(struct packing *p, const struct cf_config *config)
 {
 	cfw__configuration__init(&p->message);
@@ -130,6 +145,7 @@
 	write_names(p, config);
 	write_members(p, config);
 	write_views(p, config);
+	write_routes(p, config);
 }
 
 static void packing_end(struct packing *p)
--- a/src/main.c
+++ b/src/main.c
@@ -2,6 +2,7 @@
  * main: the first argument names the role or the verb.
  */
 #include "base/logger.h"
+#include "platform/platform.h"
 #include "roles/role.h"
 
 #include "base/clock.h"
@@ -29,6 +30,11 @@
 	  "takes callers' jobs and answers them" },
 	{ "agent", FOR_AGENT, true, agent_main,
 	  "starts tasks at the backend server on its host" },
+	{ "leased-dispatcher", FOR_LEASED_DISPATCHER, true,
+	  leased_dispatcher_main,
+	  "takes jobs that may run again, for servers that run under leases" },
+	{ "leased-agent", FOR_LEASED_AGENT, true, leased_agent_main,
+	  "starts such tasks at the backend server on its host" },
 	{ "standalone", FOR_STANDALONE, true, standalone_main,
 	  "all of these and a backend server in one process, for trying" },
 	{ "backend", FOR_BACKEND, true, backend_main,
@@ -54,10 +60,10 @@
 {
 	fputs("usage: chervilferry ROLE|VERB [FLAGS]\n\nroles:\n", out);
 	for (size_t i = 0; i < G_N_ELEMENTS(roles); i++)
-		fprintf(out, "  %-12s %s\n", roles[i].name, roles[i].help);
+		fprintf(out, "  %-18s %s\n", roles[i].name, roles[i].help);
 	fputs("\noperators' verbs:\n", out);
 	for (size_t i = 0; i < G_N_ELEMENTS(verbs); i++)
-		fprintf(out, "  %-12s %s\n", verbs[i].name, verbs[i].help);
+		fprintf(out, "  %-18s %s\n", verbs[i].name, verbs[i].help);
 	fputs("\nbesides:\n"
 	      "  trace        check event traces against the promises\n"
 	      "  key          print a new job key\n"
@@ -157,6 +163,7 @@
 {
 	const char *name = argc > 1 ? argv[1] : "";
 
+	role_set_formats(&platform_formats);
 	if (apr_initialize() != APR_SUCCESS)
 		return EXIT_FAILURE;
 	for (size_t i = 0; i < G_N_ELEMENTS(roles); i++)
--- a/src/net/http_private.h
+++ b/src/net/http_private.h
@@ -25,6 +25,7 @@
 	int quiesced_listener; /* -1: still accepting */
 	atomic_int holders; /* the owner and each request */
 	atomic_bool quiescing;
+	atomic_bool closing; /* connections, after their answers */
 	atomic_uint connections;
 	atomic_uint open_requests;
 	struct counter *answers[HTTP_CLASSES];
--- a/src/net/http_request.c
+++ b/src/net/http_request.c
@@ -121,7 +121,7 @@
 {
 	enum MHD_Result result;
 
-	if (atomic_load(&server->quiescing))
+	if (atomic_load(&server->quiescing) || atomic_load(&server->closing))
 		MHD_add_response_header(response, MHD_HTTP_HEADER_CONNECTION,
 					"close");
 	counter_add(server->answers[MIN(status / 100, HTTP_CLASSES - 1)], 1);
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -185,6 +185,11 @@
 	}
 }
 
+void http_server_close_after_answers(struct http_server *server)
+{
+	atomic_store(&server->closing, true);
+}
+
 void http_server_quiesce(struct http_server *server)
 {
 	int listener;
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -27,6 +27,8 @@
 				       http_handler_fn *handler, void *arg,
 				       GError **error);
 uint16_t http_server_port(const struct http_server *server);
+/* From here on each answer ends its connection; requests are still taken. */
+void http_server_close_after_answers(struct http_server *server);
 void http_server_quiesce(struct http_server *server); /* accepts no more */
 uint32_t http_server_open_requests(const struct http_server *server);
 void http_server_destroy(struct http_server *server);
