--- a/src/proto/wire.pb-c.c
+++ b/src/proto/wire.pb-c.c
@@ -637,6 +637,51 @@
   assert(message->base.descriptor == &cfw__configuration__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cfw__route_table__init
+                     (Cfw__RouteTable         *message)
+{
+  static const Cfw__RouteTable init_value = CFW__ROUTE_TABLE__INIT;
+  *message = init_value;
+}
+size_t cfw__route_table__get_packed_size
+                     (const Cfw__RouteTable *message)
+{
+  assert(message->base.descriptor == &cfw__route_table__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cfw__route_table__pack
+                     (const Cfw__RouteTable *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cfw__route_table__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cfw__route_table__pack_to_buffer
+                     (const Cfw__RouteTable *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cfw__route_table__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cfw__RouteTable *
+       cfw__route_table__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cfw__RouteTable *)
+     protobuf_c_message_unpack (&cfw__route_table__descriptor,
+                                allocator, len, data);
+}
+void   cfw__route_table__free_unpacked
+                     (Cfw__RouteTable *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cfw__route_table__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cfw__outcome__init
                      (Cfw__Outcome         *message)
 {
@@ -1807,949 +1852,2378 @@
   assert(message->base.descriptor == &cfw__forward_reply__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   cfw__envelope__init
-                     (Cfw__Envelope         *message)
+void   cfw__join_request__init
+                     (Cfw__JoinRequest         *message)
 {
-  static const Cfw__Envelope init_value = CFW__ENVELOPE__INIT;
+  static const Cfw__JoinRequest init_value = CFW__JOIN_REQUEST__INIT;
   *message = init_value;
 }
-size_t cfw__envelope__get_packed_size
-                     (const Cfw__Envelope *message)
+size_t cfw__join_request__get_packed_size
+                     (const Cfw__JoinRequest *message)
 {
-  assert(message->base.descriptor == &cfw__envelope__descriptor);
+  assert(message->base.descriptor == &cfw__join_request__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t cfw__envelope__pack
-                     (const Cfw__Envelope *message,
+size_t cfw__join_request__pack
+                     (const Cfw__JoinRequest *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &cfw__envelope__descriptor);
+  assert(message->base.descriptor == &cfw__join_request__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t cfw__envelope__pack_to_buffer
-                     (const Cfw__Envelope *message,
+size_t cfw__join_request__pack_to_buffer
+                     (const Cfw__JoinRequest *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &cfw__envelope__descriptor);
+  assert(message->base.descriptor == &cfw__join_request__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Cfw__Envelope *
-       cfw__envelope__unpack
+Cfw__JoinRequest *
+       cfw__join_request__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Cfw__Envelope *)
-     protobuf_c_message_unpack (&cfw__envelope__descriptor,
+  return (Cfw__JoinRequest *)
+     protobuf_c_message_unpack (&cfw__join_request__descriptor,
                                 allocator, len, data);
 }
-void   cfw__envelope__free_unpacked
-                     (Cfw__Envelope *message,
+void   cfw__join_request__free_unpacked
+                     (Cfw__JoinRequest *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &cfw__envelope__descriptor);
+  assert(message->base.descriptor == &cfw__join_request__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor cfw__hello__field_descriptors[6] =
+void   cfw__run_lease_ask__init
+                     (Cfw__RunLeaseAsk         *message)
 {
-  {
-    "role",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_ENUM,
-    0,   /* quantifier_offset */
-    offsetof(Cfw__Hello, role),
-    &cfw__role__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "name",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Cfw__Hello, name),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "incarnation",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
-    offsetof(Cfw__Hello, incarnation),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "member_id",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Cfw__Hello, member_id),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "data_centre",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Cfw__Hello, data_centre),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "protocol",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Cfw__Hello, protocol),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned cfw__hello__field_indices_by_name[] = {
-  4,   /* field[4] = data_centre */
-  2,   /* field[2] = incarnation */
-  3,   /* field[3] = member_id */
-  1,   /* field[1] = name */
-  5,   /* field[5] = protocol */
-  0,   /* field[0] = role */
-};
-static const ProtobufCIntRange cfw__hello__number_ranges[1 + 1] =
+  static const Cfw__RunLeaseAsk init_value = CFW__RUN_LEASE_ASK__INIT;
+  *message = init_value;
+}
+size_t cfw__run_lease_ask__get_packed_size
+                     (const Cfw__RunLeaseAsk *message)
 {
-  { 1, 0 },
-  { 0, 6 }
-};
-const ProtobufCMessageDescriptor cfw__hello__descriptor =
+  assert(message->base.descriptor == &cfw__run_lease_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cfw__run_lease_ask__pack
+                     (const Cfw__RunLeaseAsk *message,
+                      uint8_t       *out)
 {
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cfw.Hello",
-  "Hello",
-  "Cfw__Hello",
-  "cfw",
-  sizeof(Cfw__Hello),
-  6,
-  cfw__hello__field_descriptors,
-  cfw__hello__field_indices_by_name,
-  1,  cfw__hello__number_ranges,
-  (ProtobufCMessageInit) cfw__hello__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-#define cfw__heartbeat__field_descriptors NULL
-#define cfw__heartbeat__field_indices_by_name NULL
-#define cfw__heartbeat__number_ranges NULL
-const ProtobufCMessageDescriptor cfw__heartbeat__descriptor =
+  assert(message->base.descriptor == &cfw__run_lease_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cfw__run_lease_ask__pack_to_buffer
+                     (const Cfw__RunLeaseAsk *message,
+                      ProtobufCBuffer *buffer)
 {
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cfw.Heartbeat",
-  "Heartbeat",
-  "Cfw__Heartbeat",
-  "cfw",
-  sizeof(Cfw__Heartbeat),
-  0,
-  cfw__heartbeat__field_descriptors,
-  cfw__heartbeat__field_indices_by_name,
-  0,  cfw__heartbeat__number_ranges,
-  (ProtobufCMessageInit) cfw__heartbeat__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor cfw__log_entry__field_descriptors[5] =
+  assert(message->base.descriptor == &cfw__run_lease_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cfw__RunLeaseAsk *
+       cfw__run_lease_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  {
-    "index",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Cfw__LogEntry, index),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "term",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Cfw__LogEntry, term),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "kind",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Cfw__LogEntry, kind),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "wall_ms",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
-    0,   /* quantifier_offset */
-    offsetof(Cfw__LogEntry, wall_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "data",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
-    0,   /* quantifier_offset */
-    offsetof(Cfw__LogEntry, data),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned cfw__log_entry__field_indices_by_name[] = {
-  4,   /* field[4] = data */
-  0,   /* field[0] = index */
-  2,   /* field[2] = kind */
-  1,   /* field[1] = term */
-  3,   /* field[3] = wall_ms */
-};
-static const ProtobufCIntRange cfw__log_entry__number_ranges[1 + 1] =
+  return (Cfw__RunLeaseAsk *)
+     protobuf_c_message_unpack (&cfw__run_lease_ask__descriptor,
+                                allocator, len, data);
+}
+void   cfw__run_lease_ask__free_unpacked
+                     (Cfw__RunLeaseAsk *message,
+                      ProtobufCAllocator *allocator)
 {
-  { 1, 0 },
-  { 0, 5 }
-};
-const ProtobufCMessageDescriptor cfw__log_entry__descriptor =
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cfw__run_lease_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cfw__run_lease__init
+                     (Cfw__RunLease         *message)
+{
+  static const Cfw__RunLease init_value = CFW__RUN_LEASE__INIT;
+  *message = init_value;
+}
+size_t cfw__run_lease__get_packed_size
+                     (const Cfw__RunLease *message)
+{
+  assert(message->base.descriptor == &cfw__run_lease__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cfw__run_lease__pack
+                     (const Cfw__RunLease *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cfw__run_lease__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cfw__run_lease__pack_to_buffer
+                     (const Cfw__RunLease *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cfw__run_lease__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cfw__RunLease *
+       cfw__run_lease__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cfw__RunLease *)
+     protobuf_c_message_unpack (&cfw__run_lease__descriptor,
+                                allocator, len, data);
+}
+void   cfw__run_lease__free_unpacked
+                     (Cfw__RunLease *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cfw__run_lease__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cfw__run_start__init
+                     (Cfw__RunStart         *message)
+{
+  static const Cfw__RunStart init_value = CFW__RUN_START__INIT;
+  *message = init_value;
+}
+size_t cfw__run_start__get_packed_size
+                     (const Cfw__RunStart *message)
+{
+  assert(message->base.descriptor == &cfw__run_start__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cfw__run_start__pack
+                     (const Cfw__RunStart *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cfw__run_start__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cfw__run_start__pack_to_buffer
+                     (const Cfw__RunStart *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cfw__run_start__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cfw__RunStart *
+       cfw__run_start__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cfw__RunStart *)
+     protobuf_c_message_unpack (&cfw__run_start__descriptor,
+                                allocator, len, data);
+}
+void   cfw__run_start__free_unpacked
+                     (Cfw__RunStart *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cfw__run_start__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cfw__run_stop__init
+                     (Cfw__RunStop         *message)
+{
+  static const Cfw__RunStop init_value = CFW__RUN_STOP__INIT;
+  *message = init_value;
+}
+size_t cfw__run_stop__get_packed_size
+                     (const Cfw__RunStop *message)
+{
+  assert(message->base.descriptor == &cfw__run_stop__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cfw__run_stop__pack
+                     (const Cfw__RunStop *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cfw__run_stop__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cfw__run_stop__pack_to_buffer
+                     (const Cfw__RunStop *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cfw__run_stop__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cfw__RunStop *
+       cfw__run_stop__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cfw__RunStop *)
+     protobuf_c_message_unpack (&cfw__run_stop__descriptor,
+                                allocator, len, data);
+}
+void   cfw__run_stop__free_unpacked
+                     (Cfw__RunStop *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cfw__run_stop__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cfw__run_orders__init
+                     (Cfw__RunOrders         *message)
+{
+  static const Cfw__RunOrders init_value = CFW__RUN_ORDERS__INIT;
+  *message = init_value;
+}
+size_t cfw__run_orders__get_packed_size
+                     (const Cfw__RunOrders *message)
+{
+  assert(message->base.descriptor == &cfw__run_orders__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cfw__run_orders__pack
+                     (const Cfw__RunOrders *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cfw__run_orders__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cfw__run_orders__pack_to_buffer
+                     (const Cfw__RunOrders *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cfw__run_orders__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cfw__RunOrders *
+       cfw__run_orders__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cfw__RunOrders *)
+     protobuf_c_message_unpack (&cfw__run_orders__descriptor,
+                                allocator, len, data);
+}
+void   cfw__run_orders__free_unpacked
+                     (Cfw__RunOrders *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cfw__run_orders__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cfw__run_end__init
+                     (Cfw__RunEnd         *message)
+{
+  static const Cfw__RunEnd init_value = CFW__RUN_END__INIT;
+  *message = init_value;
+}
+size_t cfw__run_end__get_packed_size
+                     (const Cfw__RunEnd *message)
+{
+  assert(message->base.descriptor == &cfw__run_end__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cfw__run_end__pack
+                     (const Cfw__RunEnd *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cfw__run_end__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cfw__run_end__pack_to_buffer
+                     (const Cfw__RunEnd *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cfw__run_end__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cfw__RunEnd *
+       cfw__run_end__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cfw__RunEnd *)
+     protobuf_c_message_unpack (&cfw__run_end__descriptor,
+                                allocator, len, data);
+}
+void   cfw__run_end__free_unpacked
+                     (Cfw__RunEnd *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cfw__run_end__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cfw__server_state__init
+                     (Cfw__ServerState         *message)
+{
+  static const Cfw__ServerState init_value = CFW__SERVER_STATE__INIT;
+  *message = init_value;
+}
+size_t cfw__server_state__get_packed_size
+                     (const Cfw__ServerState *message)
+{
+  assert(message->base.descriptor == &cfw__server_state__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cfw__server_state__pack
+                     (const Cfw__ServerState *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cfw__server_state__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cfw__server_state__pack_to_buffer
+                     (const Cfw__ServerState *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cfw__server_state__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cfw__ServerState *
+       cfw__server_state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cfw__ServerState *)
+     protobuf_c_message_unpack (&cfw__server_state__descriptor,
+                                allocator, len, data);
+}
+void   cfw__server_state__free_unpacked
+                     (Cfw__ServerState *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cfw__server_state__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cfw__run_report__init
+                     (Cfw__RunReport         *message)
+{
+  static const Cfw__RunReport init_value = CFW__RUN_REPORT__INIT;
+  *message = init_value;
+}
+size_t cfw__run_report__get_packed_size
+                     (const Cfw__RunReport *message)
+{
+  assert(message->base.descriptor == &cfw__run_report__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cfw__run_report__pack
+                     (const Cfw__RunReport *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cfw__run_report__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cfw__run_report__pack_to_buffer
+                     (const Cfw__RunReport *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cfw__run_report__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cfw__RunReport *
+       cfw__run_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cfw__RunReport *)
+     protobuf_c_message_unpack (&cfw__run_report__descriptor,
+                                allocator, len, data);
+}
+void   cfw__run_report__free_unpacked
+                     (Cfw__RunReport *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cfw__run_report__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cfw__envelope__init
+                     (Cfw__Envelope         *message)
+{
+  static const Cfw__Envelope init_value = CFW__ENVELOPE__INIT;
+  *message = init_value;
+}
+size_t cfw__envelope__get_packed_size
+                     (const Cfw__Envelope *message)
+{
+  assert(message->base.descriptor == &cfw__envelope__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cfw__envelope__pack
+                     (const Cfw__Envelope *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cfw__envelope__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cfw__envelope__pack_to_buffer
+                     (const Cfw__Envelope *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cfw__envelope__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cfw__Envelope *
+       cfw__envelope__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cfw__Envelope *)
+     protobuf_c_message_unpack (&cfw__envelope__descriptor,
+                                allocator, len, data);
+}
+void   cfw__envelope__free_unpacked
+                     (Cfw__Envelope *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cfw__envelope__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor cfw__hello__field_descriptors[6] =
+{
+  {
+    "role",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__Hello, role),
+    &cfw__role__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "name",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__Hello, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__Hello, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "member_id",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__Hello, member_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data_centre",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__Hello, data_centre),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "protocol",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__Hello, protocol),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cfw__hello__field_indices_by_name[] = {
+  4,   /* field[4] = data_centre */
+  2,   /* field[2] = incarnation */
+  3,   /* field[3] = member_id */
+  1,   /* field[1] = name */
+  5,   /* field[5] = protocol */
+  0,   /* field[0] = role */
+};
+static const ProtobufCIntRange cfw__hello__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor cfw__hello__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cfw.Hello",
+  "Hello",
+  "Cfw__Hello",
+  "cfw",
+  sizeof(Cfw__Hello),
+  6,
+  cfw__hello__field_descriptors,
+  cfw__hello__field_indices_by_name,
+  1,  cfw__hello__number_ranges,
+  (ProtobufCMessageInit) cfw__hello__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+#define cfw__heartbeat__field_descriptors NULL
+#define cfw__heartbeat__field_indices_by_name NULL
+#define cfw__heartbeat__number_ranges NULL
+const ProtobufCMessageDescriptor cfw__heartbeat__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cfw.Heartbeat",
+  "Heartbeat",
+  "Cfw__Heartbeat",
+  "cfw",
+  sizeof(Cfw__Heartbeat),
+  0,
+  cfw__heartbeat__field_descriptors,
+  cfw__heartbeat__field_indices_by_name,
+  0,  cfw__heartbeat__number_ranges,
+  (ProtobufCMessageInit) cfw__heartbeat__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cfw__log_entry__field_descriptors[5] =
+{
+  {
+    "index",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__LogEntry, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__LogEntry, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kind",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__LogEntry, kind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wall_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__LogEntry, wall_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__LogEntry, data),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cfw__log_entry__field_indices_by_name[] = {
+  4,   /* field[4] = data */
+  0,   /* field[0] = index */
+  2,   /* field[2] = kind */
+  1,   /* field[1] = term */
+  3,   /* field[3] = wall_ms */
+};
+static const ProtobufCIntRange cfw__log_entry__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor cfw__log_entry__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cfw.LogEntry",
+  "LogEntry",
+  "Cfw__LogEntry",
+  "cfw",
+  sizeof(Cfw__LogEntry),
+  5,
+  cfw__log_entry__field_descriptors,
+  cfw__log_entry__field_indices_by_name,
+  1,  cfw__log_entry__number_ranges,
+  (ProtobufCMessageInit) cfw__log_entry__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cfw__members__field_descriptors[2] =
+{
+  {
+    "voters",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Cfw__Members, n_voters),
+    offsetof(Cfw__Members, voters),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "learners",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Cfw__Members, n_learners),
+    offsetof(Cfw__Members, learners),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cfw__members__field_indices_by_name[] = {
+  1,   /* field[1] = learners */
+  0,   /* field[0] = voters */
+};
+static const ProtobufCIntRange cfw__members__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor cfw__members__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cfw.Members",
+  "Members",
+  "Cfw__Members",
+  "cfw",
+  sizeof(Cfw__Members),
+  2,
+  cfw__members__field_descriptors,
+  cfw__members__field_indices_by_name,
+  1,  cfw__members__number_ranges,
+  (ProtobufCMessageInit) cfw__members__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cfw__log_message__field_descriptors[14] =
+{
+  {
+    "kind",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__LogMessage, kind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "from",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__LogMessage, from),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "to",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__LogMessage, to),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__LogMessage, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "index",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__LogMessage, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "log_term",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__LogMessage, log_term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "commit",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__LogMessage, commit),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reject",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__LogMessage, reject),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hint",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__LogMessage, hint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sent_ms",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__LogMessage, sent_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "entries",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cfw__LogMessage, n_entries),
+    offsetof(Cfw__LogMessage, entries),
+    &cfw__log_entry__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "members",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__LogMessage, members),
+    &cfw__members__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "snapshot",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__LogMessage, snapshot),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "identity",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__LogMessage, identity),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cfw__log_message__field_indices_by_name[] = {
+  6,   /* field[6] = commit */
+  10,   /* field[10] = entries */
+  1,   /* field[1] = from */
+  8,   /* field[8] = hint */
+  13,   /* field[13] = identity */
+  4,   /* field[4] = index */
+  0,   /* field[0] = kind */
+  5,   /* field[5] = log_term */
+  11,   /* field[11] = members */
+  7,   /* field[7] = reject */
+  9,   /* field[9] = sent_ms */
+  12,   /* field[12] = snapshot */
+  3,   /* field[3] = term */
+  2,   /* field[2] = to */
+};
+static const ProtobufCIntRange cfw__log_message__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 14 }
+};
+const ProtobufCMessageDescriptor cfw__log_message__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cfw.LogMessage",
+  "LogMessage",
+  "Cfw__LogMessage",
+  "cfw",
+  sizeof(Cfw__LogMessage),
+  14,
+  cfw__log_message__field_descriptors,
+  cfw__log_message__field_indices_by_name,
+  1,  cfw__log_message__number_ranges,
+  (ProtobufCMessageInit) cfw__log_message__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cfw__store_record__field_descriptors[7] =
+{
+  {
+    "term",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__StoreRecord, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "vote",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__StoreRecord, vote),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "commit",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__StoreRecord, commit),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reset",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__StoreRecord, reset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reset_index",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__StoreRecord, reset_index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reset_term",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__StoreRecord, reset_term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "entries",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cfw__StoreRecord, n_entries),
+    offsetof(Cfw__StoreRecord, entries),
+    &cfw__log_entry__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cfw__store_record__field_indices_by_name[] = {
+  2,   /* field[2] = commit */
+  6,   /* field[6] = entries */
+  3,   /* field[3] = reset */
+  4,   /* field[4] = reset_index */
+  5,   /* field[5] = reset_term */
+  0,   /* field[0] = term */
+  1,   /* field[1] = vote */
+};
+static const ProtobufCIntRange cfw__store_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor cfw__store_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cfw.StoreRecord",
+  "StoreRecord",
+  "Cfw__StoreRecord",
+  "cfw",
+  sizeof(Cfw__StoreRecord),
+  7,
+  cfw__store_record__field_descriptors,
+  cfw__store_record__field_indices_by_name,
+  1,  cfw__store_record__number_ranges,
+  (ProtobufCMessageInit) cfw__store_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cfw__store_snapshot__field_descriptors[4] =
+{
+  {
+    "index",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__StoreSnapshot, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__StoreSnapshot, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "members",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__StoreSnapshot, members),
+    &cfw__members__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__StoreSnapshot, data),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cfw__store_snapshot__field_indices_by_name[] = {
+  3,   /* field[3] = data */
+  0,   /* field[0] = index */
+  2,   /* field[2] = members */
+  1,   /* field[1] = term */
+};
+static const ProtobufCIntRange cfw__store_snapshot__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor cfw__store_snapshot__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cfw.StoreSnapshot",
+  "StoreSnapshot",
+  "Cfw__StoreSnapshot",
+  "cfw",
+  sizeof(Cfw__StoreSnapshot),
+  4,
+  cfw__store_snapshot__field_descriptors,
+  cfw__store_snapshot__field_indices_by_name,
+  1,  cfw__store_snapshot__number_ranges,
+  (ProtobufCMessageInit) cfw__store_snapshot__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cfw__task_class__field_descriptors[4] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__TaskClass, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__TaskClass, target_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "percentile_milli",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__TaskClass, percentile_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "idempotent",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__TaskClass, idempotent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cfw__task_class__field_indices_by_name[] = {
+  3,   /* field[3] = idempotent */
+  0,   /* field[0] = name */
+  2,   /* field[2] = percentile_milli */
+  1,   /* field[1] = target_ms */
+};
+static const ProtobufCIntRange cfw__task_class__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor cfw__task_class__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cfw.TaskClass",
+  "TaskClass",
+  "Cfw__TaskClass",
+  "cfw",
+  sizeof(Cfw__TaskClass),
+  4,
+  cfw__task_class__field_descriptors,
+  cfw__task_class__field_indices_by_name,
+  1,  cfw__task_class__number_ranges,
+  (ProtobufCMessageInit) cfw__task_class__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cfw__data_centre__field_descriptors[2] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__DataCentre, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "in_service",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__DataCentre, in_service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cfw__data_centre__field_indices_by_name[] = {
+  1,   /* field[1] = in_service */
+  0,   /* field[0] = name */
+};
+static const ProtobufCIntRange cfw__data_centre__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor cfw__data_centre__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cfw.DataCentre",
+  "DataCentre",
+  "Cfw__DataCentre",
+  "cfw",
+  sizeof(Cfw__DataCentre),
+  2,
+  cfw__data_centre__field_descriptors,
+  cfw__data_centre__field_indices_by_name,
+  1,  cfw__data_centre__number_ranges,
+  (ProtobufCMessageInit) cfw__data_centre__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cfw__team__field_descriptors[2] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__Team, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "share_milli",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__Team, share_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cfw__team__field_indices_by_name[] = {
+  0,   /* field[0] = name */
+  1,   /* field[1] = share_milli */
+};
+static const ProtobufCIntRange cfw__team__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor cfw__team__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cfw.Team",
+  "Team",
+  "Cfw__Team",
+  "cfw",
+  sizeof(Cfw__Team),
+  2,
+  cfw__team__field_descriptors,
+  cfw__team__field_indices_by_name,
+  1,  cfw__team__number_ranges,
+  (ProtobufCMessageInit) cfw__team__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cfw__member__field_descriptors[6] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__Member, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__Member, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "admin_address",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__Member, admin_address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "identity",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__Member, identity),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "voter",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__Member, voter),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaving",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__Member, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cfw__member__field_indices_by_name[] = {
+  1,   /* field[1] = address */
+  2,   /* field[2] = admin_address */
+  0,   /* field[0] = id */
+  3,   /* field[3] = identity */
+  5,   /* field[5] = leaving */
+  4,   /* field[4] = voter */
+};
+static const ProtobufCIntRange cfw__member__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor cfw__member__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cfw.Member",
+  "Member",
+  "Cfw__Member",
+  "cfw",
+  sizeof(Cfw__Member),
+  6,
+  cfw__member__field_descriptors,
+  cfw__member__field_indices_by_name,
+  1,  cfw__member__number_ranges,
+  (ProtobufCMessageInit) cfw__member__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cfw__view__field_descriptors[4] =
+{
+  {
+    "number",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__View, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "voters",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Cfw__View, n_voters),
+    offsetof(Cfw__View, voters),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "horizon_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__View, horizon_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "learners",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Cfw__View, n_learners),
+    offsetof(Cfw__View, learners),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cfw__view__field_indices_by_name[] = {
+  2,   /* field[2] = horizon_ms */
+  3,   /* field[3] = learners */
+  0,   /* field[0] = number */
+  1,   /* field[1] = voters */
+};
+static const ProtobufCIntRange cfw__view__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor cfw__view__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cfw.View",
+  "View",
+  "Cfw__View",
+  "cfw",
+  sizeof(Cfw__View),
+  4,
+  cfw__view__field_descriptors,
+  cfw__view__field_indices_by_name,
+  1,  cfw__view__number_ranges,
+  (ProtobufCMessageInit) cfw__view__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cfw__fence__field_descriptors[2] =
+{
+  {
+    "incarnation",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__Fence, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wall_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__Fence, wall_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cfw__fence__field_indices_by_name[] = {
+  0,   /* field[0] = incarnation */
+  1,   /* field[1] = wall_ms */
+};
+static const ProtobufCIntRange cfw__fence__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor cfw__fence__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cfw.Fence",
+  "Fence",
+  "Cfw__Fence",
+  "cfw",
+  sizeof(Cfw__Fence),
+  2,
+  cfw__fence__field_descriptors,
+  cfw__fence__field_indices_by_name,
+  1,  cfw__fence__number_ranges,
+  (ProtobufCMessageInit) cfw__fence__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cfw__configuration__field_descriptors[8] =
+{
+  {
+    "revision",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__Configuration, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "classes",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cfw__Configuration, n_classes),
+    offsetof(Cfw__Configuration, classes),
+    &cfw__task_class__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data_centres",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cfw__Configuration, n_data_centres),
+    offsetof(Cfw__Configuration, data_centres),
+    &cfw__data_centre__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "teams",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cfw__Configuration, n_teams),
+    offsetof(Cfw__Configuration, teams),
+    &cfw__team__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "members",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cfw__Configuration, n_members),
+    offsetof(Cfw__Configuration, members),
+    &cfw__member__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "views",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cfw__Configuration, n_views),
+    offsetof(Cfw__Configuration, views),
+    &cfw__view__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fences",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cfw__Configuration, n_fences),
+    offsetof(Cfw__Configuration, fences),
+    &cfw__fence__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "routes",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__Configuration, routes),
+    &cfw__route_table__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cfw__configuration__field_indices_by_name[] = {
+  1,   /* field[1] = classes */
+  2,   /* field[2] = data_centres */
+  6,   /* field[6] = fences */
+  4,   /* field[4] = members */
+  0,   /* field[0] = revision */
+  7,   /* field[7] = routes */
+  3,   /* field[3] = teams */
+  5,   /* field[5] = views */
+};
+static const ProtobufCIntRange cfw__configuration__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor cfw__configuration__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cfw.LogEntry",
-  "LogEntry",
-  "Cfw__LogEntry",
+  "cfw.Configuration",
+  "Configuration",
+  "Cfw__Configuration",
   "cfw",
-  sizeof(Cfw__LogEntry),
-  5,
-  cfw__log_entry__field_descriptors,
-  cfw__log_entry__field_indices_by_name,
-  1,  cfw__log_entry__number_ranges,
-  (ProtobufCMessageInit) cfw__log_entry__init,
+  sizeof(Cfw__Configuration),
+  8,
+  cfw__configuration__field_descriptors,
+  cfw__configuration__field_indices_by_name,
+  1,  cfw__configuration__number_ranges,
+  (ProtobufCMessageInit) cfw__configuration__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfw__members__field_descriptors[2] =
+static const ProtobufCFieldDescriptor cfw__route_table__field_descriptors[2] =
 {
   {
-    "voters",
+    "version",
     1,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_UINT32,
-    offsetof(Cfw__Members, n_voters),
-    offsetof(Cfw__Members, voters),
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__RouteTable, version),
     NULL,
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "learners",
+    "document",
     2,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_UINT32,
-    offsetof(Cfw__Members, n_learners),
-    offsetof(Cfw__Members, learners),
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__RouteTable, document),
     NULL,
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned cfw__members__field_indices_by_name[] = {
-  1,   /* field[1] = learners */
-  0,   /* field[0] = voters */
+static const unsigned cfw__route_table__field_indices_by_name[] = {
+  1,   /* field[1] = document */
+  0,   /* field[0] = version */
 };
-static const ProtobufCIntRange cfw__members__number_ranges[1 + 1] =
+static const ProtobufCIntRange cfw__route_table__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 2 }
 };
-const ProtobufCMessageDescriptor cfw__members__descriptor =
+const ProtobufCMessageDescriptor cfw__route_table__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cfw.Members",
-  "Members",
-  "Cfw__Members",
+  "cfw.RouteTable",
+  "RouteTable",
+  "Cfw__RouteTable",
   "cfw",
-  sizeof(Cfw__Members),
+  sizeof(Cfw__RouteTable),
   2,
-  cfw__members__field_descriptors,
-  cfw__members__field_indices_by_name,
-  1,  cfw__members__number_ranges,
-  (ProtobufCMessageInit) cfw__members__init,
+  cfw__route_table__field_descriptors,
+  cfw__route_table__field_indices_by_name,
+  1,  cfw__route_table__number_ranges,
+  (ProtobufCMessageInit) cfw__route_table__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfw__log_message__field_descriptors[14] =
+static const ProtobufCFieldDescriptor cfw__outcome__field_descriptors[5] =
 {
   {
-    "kind",
+    "command_id",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Cfw__LogMessage, kind),
+    offsetof(Cfw__Outcome, command_id),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "from",
+    "status",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__LogMessage, from),
+    offsetof(Cfw__Outcome, status),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "to",
+    "revision",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cfw__LogMessage, to),
+    offsetof(Cfw__Outcome, revision),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "term",
+    "message",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cfw__LogMessage, term),
-    NULL,
+    offsetof(Cfw__Outcome, message),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "index",
+    "wall_ms",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_INT64,
     0,   /* quantifier_offset */
-    offsetof(Cfw__LogMessage, index),
+    offsetof(Cfw__Outcome, wall_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned cfw__outcome__field_indices_by_name[] = {
+  0,   /* field[0] = command_id */
+  3,   /* field[3] = message */
+  2,   /* field[2] = revision */
+  1,   /* field[1] = status */
+  4,   /* field[4] = wall_ms */
+};
+static const ProtobufCIntRange cfw__outcome__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor cfw__outcome__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cfw.Outcome",
+  "Outcome",
+  "Cfw__Outcome",
+  "cfw",
+  sizeof(Cfw__Outcome),
+  5,
+  cfw__outcome__field_descriptors,
+  cfw__outcome__field_indices_by_name,
+  1,  cfw__outcome__number_ranges,
+  (ProtobufCMessageInit) cfw__outcome__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cfw__subject__field_descriptors[3] =
+{
   {
-    "log_term",
-    6,
+    "name",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cfw__LogMessage, log_term),
-    NULL,
+    offsetof(Cfw__Subject, name),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "commit",
-    7,
+    "revision",
+    2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cfw__LogMessage, commit),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "reject",
-    8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Cfw__LogMessage, reject),
+    offsetof(Cfw__Subject, revision),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "hint",
-    9,
+    "wall_ms",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_INT64,
     0,   /* quantifier_offset */
-    offsetof(Cfw__LogMessage, hint),
+    offsetof(Cfw__Subject, wall_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned cfw__subject__field_indices_by_name[] = {
+  0,   /* field[0] = name */
+  1,   /* field[1] = revision */
+  2,   /* field[2] = wall_ms */
+};
+static const ProtobufCIntRange cfw__subject__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor cfw__subject__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cfw.Subject",
+  "Subject",
+  "Cfw__Subject",
+  "cfw",
+  sizeof(Cfw__Subject),
+  3,
+  cfw__subject__field_descriptors,
+  cfw__subject__field_indices_by_name,
+  1,  cfw__subject__number_ranges,
+  (ProtobufCMessageInit) cfw__subject__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cfw__config_snapshot__field_descriptors[6] =
+{
   {
-    "sent_ms",
-    10,
+    "configuration",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Cfw__LogMessage, sent_ms),
-    NULL,
+    offsetof(Cfw__ConfigSnapshot, configuration),
+    &cfw__configuration__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "entries",
-    11,
+    "outcomes",
+    2,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cfw__LogMessage, n_entries),
-    offsetof(Cfw__LogMessage, entries),
-    &cfw__log_entry__descriptor,
+    offsetof(Cfw__ConfigSnapshot, n_outcomes),
+    offsetof(Cfw__ConfigSnapshot, outcomes),
+    &cfw__outcome__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "members",
-    12,
-    PROTOBUF_C_LABEL_NONE,
+    "subjects",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Cfw__LogMessage, members),
-    &cfw__members__descriptor,
+    offsetof(Cfw__ConfigSnapshot, n_subjects),
+    offsetof(Cfw__ConfigSnapshot, subjects),
+    &cfw__subject__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "snapshot",
-    13,
+    "forgotten_revision",
+    4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cfw__LogMessage, snapshot),
+    offsetof(Cfw__ConfigSnapshot, forgotten_revision),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "identity",
-    14,
+    "wall_ms",
+    5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_INT64,
     0,   /* quantifier_offset */
-    offsetof(Cfw__LogMessage, identity),
+    offsetof(Cfw__ConfigSnapshot, wall_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "retired",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Cfw__ConfigSnapshot, n_retired),
+    offsetof(Cfw__ConfigSnapshot, retired),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
-static const unsigned cfw__log_message__field_indices_by_name[] = {
-  6,   /* field[6] = commit */
-  10,   /* field[10] = entries */
-  1,   /* field[1] = from */
-  8,   /* field[8] = hint */
-  13,   /* field[13] = identity */
-  4,   /* field[4] = index */
-  0,   /* field[0] = kind */
-  5,   /* field[5] = log_term */
-  11,   /* field[11] = members */
-  7,   /* field[7] = reject */
-  9,   /* field[9] = sent_ms */
-  12,   /* field[12] = snapshot */
-  3,   /* field[3] = term */
-  2,   /* field[2] = to */
-};
-static const ProtobufCIntRange cfw__log_message__number_ranges[1 + 1] =
+static const unsigned cfw__config_snapshot__field_indices_by_name[] = {
+  0,   /* field[0] = configuration */
+  3,   /* field[3] = forgotten_revision */
+  1,   /* field[1] = outcomes */
+  5,   /* field[5] = retired */
+  2,   /* field[2] = subjects */
+  4,   /* field[4] = wall_ms */
+};
+static const ProtobufCIntRange cfw__config_snapshot__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 6 }
 };
-const ProtobufCMessageDescriptor cfw__log_message__descriptor =
+const ProtobufCMessageDescriptor cfw__config_snapshot__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cfw.LogMessage",
-  "LogMessage",
-  "Cfw__LogMessage",
+  "cfw.ConfigSnapshot",
+  "ConfigSnapshot",
+  "Cfw__ConfigSnapshot",
   "cfw",
-  sizeof(Cfw__LogMessage),
-  14,
-  cfw__log_message__field_descriptors,
-  cfw__log_message__field_indices_by_name,
-  1,  cfw__log_message__number_ranges,
-  (ProtobufCMessageInit) cfw__log_message__init,
+  sizeof(Cfw__ConfigSnapshot),
+  6,
+  cfw__config_snapshot__field_descriptors,
+  cfw__config_snapshot__field_indices_by_name,
+  1,  cfw__config_snapshot__number_ranges,
+  (ProtobufCMessageInit) cfw__config_snapshot__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfw__store_record__field_descriptors[7] =
+static const ProtobufCFieldDescriptor cfw__command__field_descriptors[13] =
 {
   {
-    "term",
+    "command_id",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Cfw__StoreRecord, term),
+    offsetof(Cfw__Command, command_id),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "vote",
+    "base_revision",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cfw__StoreRecord, vote),
+    offsetof(Cfw__Command, base_revision),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "commit",
+    "class_set",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Cfw__StoreRecord, commit),
-    NULL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cfw__Command, change_case),
+    offsetof(Cfw__Command, class_set),
+    &cfw__task_class__descriptor,
     NULL,
-    0,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "reset",
+    "class_remove",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Cfw__StoreRecord, reset),
-    NULL,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Cfw__Command, change_case),
+    offsetof(Cfw__Command, class_remove),
     NULL,
-    0,             /* flags */
+    &protobuf_c_empty_string,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "reset_index",
+    "data_centre_set",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Cfw__StoreRecord, reset_index),
-    NULL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cfw__Command, change_case),
+    offsetof(Cfw__Command, data_centre_set),
+    &cfw__data_centre__descriptor,
     NULL,
-    0,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "reset_term",
+    "team_set",
     6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Cfw__StoreRecord, reset_term),
-    NULL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cfw__Command, change_case),
+    offsetof(Cfw__Command, team_set),
+    &cfw__team__descriptor,
     NULL,
-    0,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "entries",
+    "team_remove",
     7,
-    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Cfw__Command, change_case),
+    offsetof(Cfw__Command, team_remove),
+    NULL,
+    &protobuf_c_empty_string,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "member_add",
+    8,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cfw__StoreRecord, n_entries),
-    offsetof(Cfw__StoreRecord, entries),
-    &cfw__log_entry__descriptor,
+    offsetof(Cfw__Command, change_case),
+    offsetof(Cfw__Command, member_add),
+    &cfw__member__descriptor,
     NULL,
-    0,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned cfw__store_record__field_indices_by_name[] = {
-  2,   /* field[2] = commit */
-  6,   /* field[6] = entries */
-  3,   /* field[3] = reset */
-  4,   /* field[4] = reset_index */
-  5,   /* field[5] = reset_term */
-  0,   /* field[0] = term */
-  1,   /* field[1] = vote */
-};
-static const ProtobufCIntRange cfw__store_record__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 7 }
-};
-const ProtobufCMessageDescriptor cfw__store_record__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cfw.StoreRecord",
-  "StoreRecord",
-  "Cfw__StoreRecord",
-  "cfw",
-  sizeof(Cfw__StoreRecord),
-  7,
-  cfw__store_record__field_descriptors,
-  cfw__store_record__field_indices_by_name,
-  1,  cfw__store_record__number_ranges,
-  (ProtobufCMessageInit) cfw__store_record__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor cfw__store_snapshot__field_descriptors[4] =
-{
   {
-    "index",
-    1,
+    "member_remove",
+    9,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Cfw__StoreSnapshot, index),
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Cfw__Command, change_case),
+    offsetof(Cfw__Command, member_remove),
     NULL,
     NULL,
-    0,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "term",
-    2,
+    "fence",
+    10,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Cfw__StoreSnapshot, term),
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Cfw__Command, change_case),
+    offsetof(Cfw__Command, fence),
     NULL,
     NULL,
-    0,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "members",
-    3,
+    "data_centre_remove",
+    11,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Cfw__StoreSnapshot, members),
-    &cfw__members__descriptor,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Cfw__Command, change_case),
+    offsetof(Cfw__Command, data_centre_remove),
     NULL,
-    0,             /* flags */
+    &protobuf_c_empty_string,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "data",
-    4,
+    "member_identity",
+    12,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
-    0,   /* quantifier_offset */
-    offsetof(Cfw__StoreSnapshot, data),
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cfw__Command, change_case),
+    offsetof(Cfw__Command, member_identity),
+    &cfw__member__descriptor,
     NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "routes_set",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cfw__Command, change_case),
+    offsetof(Cfw__Command, routes_set),
+    &cfw__route_table__descriptor,
     NULL,
-    0,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned cfw__store_snapshot__field_indices_by_name[] = {
-  3,   /* field[3] = data */
-  0,   /* field[0] = index */
-  2,   /* field[2] = members */
-  1,   /* field[1] = term */
+static const unsigned cfw__command__field_indices_by_name[] = {
+  1,   /* field[1] = base_revision */
+  3,   /* field[3] = class_remove */
+  2,   /* field[2] = class_set */
+  0,   /* field[0] = command_id */
+  10,   /* field[10] = data_centre_remove */
+  4,   /* field[4] = data_centre_set */
+  9,   /* field[9] = fence */
+  7,   /* field[7] = member_add */
+  11,   /* field[11] = member_identity */
+  8,   /* field[8] = member_remove */
+  12,   /* field[12] = routes_set */
+  6,   /* field[6] = team_remove */
+  5,   /* field[5] = team_set */
 };
-static const ProtobufCIntRange cfw__store_snapshot__number_ranges[1 + 1] =
+static const ProtobufCIntRange cfw__command__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 13 }
 };
-const ProtobufCMessageDescriptor cfw__store_snapshot__descriptor =
+const ProtobufCMessageDescriptor cfw__command__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cfw.StoreSnapshot",
-  "StoreSnapshot",
-  "Cfw__StoreSnapshot",
+  "cfw.Command",
+  "Command",
+  "Cfw__Command",
   "cfw",
-  sizeof(Cfw__StoreSnapshot),
-  4,
-  cfw__store_snapshot__field_descriptors,
-  cfw__store_snapshot__field_indices_by_name,
-  1,  cfw__store_snapshot__number_ranges,
-  (ProtobufCMessageInit) cfw__store_snapshot__init,
+  sizeof(Cfw__Command),
+  13,
+  cfw__command__field_descriptors,
+  cfw__command__field_indices_by_name,
+  1,  cfw__command__number_ranges,
+  (ProtobufCMessageInit) cfw__command__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfw__task_class__field_descriptors[4] =
+static const ProtobufCFieldDescriptor cfw__capacity__field_descriptors[5] =
 {
   {
-    "name",
+    "slots",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__TaskClass, name),
+    offsetof(Cfw__Capacity, slots),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "target_ms",
+    "connections",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__TaskClass, target_ms),
+    offsetof(Cfw__Capacity, connections),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "percentile_milli",
+    "cpu_milli",
     3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__TaskClass, percentile_milli),
+    offsetof(Cfw__Capacity, cpu_milli),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "idempotent",
+    "memory_mb",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__TaskClass, idempotent),
+    offsetof(Cfw__Capacity, memory_mb),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "accelerators",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__Capacity, accelerators),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned cfw__task_class__field_indices_by_name[] = {
-  3,   /* field[3] = idempotent */
-  0,   /* field[0] = name */
-  2,   /* field[2] = percentile_milli */
-  1,   /* field[1] = target_ms */
+static const unsigned cfw__capacity__field_indices_by_name[] = {
+  4,   /* field[4] = accelerators */
+  1,   /* field[1] = connections */
+  2,   /* field[2] = cpu_milli */
+  3,   /* field[3] = memory_mb */
+  0,   /* field[0] = slots */
 };
-static const ProtobufCIntRange cfw__task_class__number_ranges[1 + 1] =
+static const ProtobufCIntRange cfw__capacity__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
-const ProtobufCMessageDescriptor cfw__task_class__descriptor =
+const ProtobufCMessageDescriptor cfw__capacity__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cfw.TaskClass",
-  "TaskClass",
-  "Cfw__TaskClass",
+  "cfw.Capacity",
+  "Capacity",
+  "Cfw__Capacity",
   "cfw",
-  sizeof(Cfw__TaskClass),
-  4,
-  cfw__task_class__field_descriptors,
-  cfw__task_class__field_indices_by_name,
-  1,  cfw__task_class__number_ranges,
-  (ProtobufCMessageInit) cfw__task_class__init,
+  sizeof(Cfw__Capacity),
+  5,
+  cfw__capacity__field_descriptors,
+  cfw__capacity__field_indices_by_name,
+  1,  cfw__capacity__number_ranges,
+  (ProtobufCMessageInit) cfw__capacity__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfw__data_centre__field_descriptors[2] =
+static const ProtobufCFieldDescriptor cfw__lease_request__field_descriptors[13] =
 {
   {
-    "name",
+    "seq",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cfw__DataCentre, name),
+    offsetof(Cfw__LeaseRequest, seq),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "in_service",
+    "role",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_ENUM,
     0,   /* quantifier_offset */
-    offsetof(Cfw__DataCentre, in_service),
+    offsetof(Cfw__LeaseRequest, role),
+    &cfw__role__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__LeaseRequest, incarnation),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned cfw__data_centre__field_indices_by_name[] = {
-  1,   /* field[1] = in_service */
-  0,   /* field[0] = name */
-};
-static const ProtobufCIntRange cfw__data_centre__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor cfw__data_centre__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cfw.DataCentre",
-  "DataCentre",
-  "Cfw__DataCentre",
-  "cfw",
-  sizeof(Cfw__DataCentre),
-  2,
-  cfw__data_centre__field_descriptors,
-  cfw__data_centre__field_indices_by_name,
-  1,  cfw__data_centre__number_ranges,
-  (ProtobufCMessageInit) cfw__data_centre__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor cfw__team__field_descriptors[2] =
-{
   {
     "name",
-    1,
+    4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Team, name),
+    offsetof(Cfw__LeaseRequest, name),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "share_milli",
-    2,
+    "data_centre",
+    5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Team, share_milli),
-    NULL,
+    offsetof(Cfw__LeaseRequest, data_centre),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned cfw__team__field_indices_by_name[] = {
-  0,   /* field[0] = name */
-  1,   /* field[1] = share_milli */
-};
-static const ProtobufCIntRange cfw__team__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor cfw__team__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cfw.Team",
-  "Team",
-  "Cfw__Team",
-  "cfw",
-  sizeof(Cfw__Team),
-  2,
-  cfw__team__field_descriptors,
-  cfw__team__field_indices_by_name,
-  1,  cfw__team__number_ranges,
-  (ProtobufCMessageInit) cfw__team__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor cfw__member__field_descriptors[6] =
-{
   {
-    "id",
-    1,
+    "rack",
+    6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Member, id),
-    NULL,
+    offsetof(Cfw__LeaseRequest, rack),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
     "address",
-    2,
+    7,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Member, address),
+    offsetof(Cfw__LeaseRequest, address),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "admin_address",
-    3,
+    "known_revision",
+    8,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Member, admin_address),
+    offsetof(Cfw__LeaseRequest, known_revision),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "identity",
-    4,
+    "known_roster",
+    9,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Member, identity),
+    offsetof(Cfw__LeaseRequest, known_roster),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "voter",
-    5,
+    "known_leader",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__LeaseRequest, known_leader),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "draining",
+    11,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Member, voter),
+    offsetof(Cfw__LeaseRequest, draining),
     NULL,
     NULL,
     0,             /* flags */
@@ -2757,818 +4231,759 @@
   },
   {
     "leaving",
-    6,
+    12,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Member, leaving),
+    offsetof(Cfw__LeaseRequest, leaving),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "capacity",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__LeaseRequest, capacity),
+    &cfw__capacity__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
-static const unsigned cfw__member__field_indices_by_name[] = {
-  1,   /* field[1] = address */
-  2,   /* field[2] = admin_address */
-  0,   /* field[0] = id */
-  3,   /* field[3] = identity */
-  5,   /* field[5] = leaving */
-  4,   /* field[4] = voter */
+static const unsigned cfw__lease_request__field_indices_by_name[] = {
+  6,   /* field[6] = address */
+  12,   /* field[12] = capacity */
+  4,   /* field[4] = data_centre */
+  10,   /* field[10] = draining */
+  2,   /* field[2] = incarnation */
+  9,   /* field[9] = known_leader */
+  7,   /* field[7] = known_revision */
+  8,   /* field[8] = known_roster */
+  11,   /* field[11] = leaving */
+  3,   /* field[3] = name */
+  5,   /* field[5] = rack */
+  1,   /* field[1] = role */
+  0,   /* field[0] = seq */
 };
-static const ProtobufCIntRange cfw__member__number_ranges[1 + 1] =
+static const ProtobufCIntRange cfw__lease_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 13 }
 };
-const ProtobufCMessageDescriptor cfw__member__descriptor =
+const ProtobufCMessageDescriptor cfw__lease_request__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cfw.Member",
-  "Member",
-  "Cfw__Member",
+  "cfw.LeaseRequest",
+  "LeaseRequest",
+  "Cfw__LeaseRequest",
   "cfw",
-  sizeof(Cfw__Member),
-  6,
-  cfw__member__field_descriptors,
-  cfw__member__field_indices_by_name,
-  1,  cfw__member__number_ranges,
-  (ProtobufCMessageInit) cfw__member__init,
+  sizeof(Cfw__LeaseRequest),
+  13,
+  cfw__lease_request__field_descriptors,
+  cfw__lease_request__field_indices_by_name,
+  1,  cfw__lease_request__number_ranges,
+  (ProtobufCMessageInit) cfw__lease_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfw__view__field_descriptors[4] =
+static const ProtobufCFieldDescriptor cfw__roster_entry__field_descriptors[8] =
 {
   {
-    "number",
+    "role",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_ENUM,
     0,   /* quantifier_offset */
-    offsetof(Cfw__View, number),
-    NULL,
+    offsetof(Cfw__RosterEntry, role),
+    &cfw__role__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "voters",
+    "incarnation",
     2,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_UINT32,
-    offsetof(Cfw__View, n_voters),
-    offsetof(Cfw__View, voters),
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__RosterEntry, incarnation),
     NULL,
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "horizon_ms",
+    "name",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cfw__View, horizon_ms),
-    NULL,
+    offsetof(Cfw__RosterEntry, name),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "learners",
+    "data_centre",
     4,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_UINT32,
-    offsetof(Cfw__View, n_learners),
-    offsetof(Cfw__View, learners),
-    NULL,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__RosterEntry, data_centre),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    &protobuf_c_empty_string,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned cfw__view__field_indices_by_name[] = {
-  2,   /* field[2] = horizon_ms */
-  3,   /* field[3] = learners */
-  0,   /* field[0] = number */
-  1,   /* field[1] = voters */
-};
-static const ProtobufCIntRange cfw__view__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 4 }
-};
-const ProtobufCMessageDescriptor cfw__view__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cfw.View",
-  "View",
-  "Cfw__View",
-  "cfw",
-  sizeof(Cfw__View),
-  4,
-  cfw__view__field_descriptors,
-  cfw__view__field_indices_by_name,
-  1,  cfw__view__number_ranges,
-  (ProtobufCMessageInit) cfw__view__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor cfw__fence__field_descriptors[2] =
-{
   {
-    "incarnation",
-    1,
+    "rack",
+    5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Fence, incarnation),
+    offsetof(Cfw__RosterEntry, rack),
     NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__RosterEntry, address),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "wall_ms",
-    2,
+    "draining",
+    7,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Fence, wall_ms),
+    offsetof(Cfw__RosterEntry, draining),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "capacity",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__RosterEntry, capacity),
+    &cfw__capacity__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
-static const unsigned cfw__fence__field_indices_by_name[] = {
-  0,   /* field[0] = incarnation */
-  1,   /* field[1] = wall_ms */
+static const unsigned cfw__roster_entry__field_indices_by_name[] = {
+  5,   /* field[5] = address */
+  7,   /* field[7] = capacity */
+  3,   /* field[3] = data_centre */
+  6,   /* field[6] = draining */
+  1,   /* field[1] = incarnation */
+  2,   /* field[2] = name */
+  4,   /* field[4] = rack */
+  0,   /* field[0] = role */
 };
-static const ProtobufCIntRange cfw__fence__number_ranges[1 + 1] =
+static const ProtobufCIntRange cfw__roster_entry__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 8 }
 };
-const ProtobufCMessageDescriptor cfw__fence__descriptor =
+const ProtobufCMessageDescriptor cfw__roster_entry__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cfw.Fence",
-  "Fence",
-  "Cfw__Fence",
+  "cfw.RosterEntry",
+  "RosterEntry",
+  "Cfw__RosterEntry",
   "cfw",
-  sizeof(Cfw__Fence),
-  2,
-  cfw__fence__field_descriptors,
-  cfw__fence__field_indices_by_name,
-  1,  cfw__fence__number_ranges,
-  (ProtobufCMessageInit) cfw__fence__init,
+  sizeof(Cfw__RosterEntry),
+  8,
+  cfw__roster_entry__field_descriptors,
+  cfw__roster_entry__field_indices_by_name,
+  1,  cfw__roster_entry__number_ranges,
+  (ProtobufCMessageInit) cfw__roster_entry__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfw__configuration__field_descriptors[7] =
+static const ProtobufCFieldDescriptor cfw__roster__field_descriptors[4] =
 {
   {
-    "revision",
+    "version",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Configuration, revision),
+    offsetof(Cfw__Roster, version),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "classes",
+    "settled",
     2,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cfw__Configuration, n_classes),
-    offsetof(Cfw__Configuration, classes),
-    &cfw__task_class__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "data_centres",
-    3,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cfw__Configuration, n_data_centres),
-    offsetof(Cfw__Configuration, data_centres),
-    &cfw__data_centre__descriptor,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__Roster, settled),
     NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "teams",
-    4,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cfw__Configuration, n_teams),
-    offsetof(Cfw__Configuration, teams),
-    &cfw__team__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "members",
-    5,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cfw__Configuration, n_members),
-    offsetof(Cfw__Configuration, members),
-    &cfw__member__descriptor,
+    "last_departure_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__Roster, last_departure_ms),
     NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "views",
-    6,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cfw__Configuration, n_views),
-    offsetof(Cfw__Configuration, views),
-    &cfw__view__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "fences",
-    7,
+    "entries",
+    4,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cfw__Configuration, n_fences),
-    offsetof(Cfw__Configuration, fences),
-    &cfw__fence__descriptor,
+    offsetof(Cfw__Roster, n_entries),
+    offsetof(Cfw__Roster, entries),
+    &cfw__roster_entry__descriptor,
     NULL,
     0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned cfw__configuration__field_indices_by_name[] = {
-  1,   /* field[1] = classes */
-  2,   /* field[2] = data_centres */
-  6,   /* field[6] = fences */
-  4,   /* field[4] = members */
-  0,   /* field[0] = revision */
-  3,   /* field[3] = teams */
-  5,   /* field[5] = views */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
-static const ProtobufCIntRange cfw__configuration__number_ranges[1 + 1] =
+static const unsigned cfw__roster__field_indices_by_name[] = {
+  3,   /* field[3] = entries */
+  2,   /* field[2] = last_departure_ms */
+  1,   /* field[1] = settled */
+  0,   /* field[0] = version */
+};
+static const ProtobufCIntRange cfw__roster__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 4 }
 };
-const ProtobufCMessageDescriptor cfw__configuration__descriptor =
+const ProtobufCMessageDescriptor cfw__roster__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cfw.Configuration",
-  "Configuration",
-  "Cfw__Configuration",
+  "cfw.Roster",
+  "Roster",
+  "Cfw__Roster",
   "cfw",
-  sizeof(Cfw__Configuration),
-  7,
-  cfw__configuration__field_descriptors,
-  cfw__configuration__field_indices_by_name,
-  1,  cfw__configuration__number_ranges,
-  (ProtobufCMessageInit) cfw__configuration__init,
+  sizeof(Cfw__Roster),
+  4,
+  cfw__roster__field_descriptors,
+  cfw__roster__field_indices_by_name,
+  1,  cfw__roster__number_ranges,
+  (ProtobufCMessageInit) cfw__roster__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfw__outcome__field_descriptors[5] =
+static const ProtobufCFieldDescriptor cfw__lease_grant__field_descriptors[8] =
 {
   {
-    "command_id",
+    "seq",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Outcome, command_id),
+    offsetof(Cfw__LeaseGrant, seq),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "status",
+    "verdict",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_ENUM,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Outcome, status),
-    NULL,
+    offsetof(Cfw__LeaseGrant, verdict),
+    &cfw__lease_verdict__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "revision",
+    "duration_ms",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Outcome, revision),
+    offsetof(Cfw__LeaseGrant, duration_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "message",
+    "revision",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Outcome, message),
+    offsetof(Cfw__LeaseGrant, revision),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "wall_ms",
+    "leader_address",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Outcome, wall_ms),
-    NULL,
+    offsetof(Cfw__LeaseGrant, leader_address),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned cfw__outcome__field_indices_by_name[] = {
-  0,   /* field[0] = command_id */
-  3,   /* field[3] = message */
-  2,   /* field[2] = revision */
-  1,   /* field[1] = status */
-  4,   /* field[4] = wall_ms */
-};
-static const ProtobufCIntRange cfw__outcome__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 5 }
-};
-const ProtobufCMessageDescriptor cfw__outcome__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cfw.Outcome",
-  "Outcome",
-  "Cfw__Outcome",
-  "cfw",
-  sizeof(Cfw__Outcome),
-  5,
-  cfw__outcome__field_descriptors,
-  cfw__outcome__field_indices_by_name,
-  1,  cfw__outcome__number_ranges,
-  (ProtobufCMessageInit) cfw__outcome__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor cfw__subject__field_descriptors[3] =
-{
   {
-    "name",
-    1,
+    "leader_incarnation",
+    6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Subject, name),
+    offsetof(Cfw__LeaseGrant, leader_incarnation),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "revision",
-    2,
+    "configuration",
+    7,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Subject, revision),
-    NULL,
+    offsetof(Cfw__LeaseGrant, configuration),
+    &cfw__configuration__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "wall_ms",
-    3,
+    "roster",
+    8,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Subject, wall_ms),
-    NULL,
+    offsetof(Cfw__LeaseGrant, roster),
+    &cfw__roster__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned cfw__subject__field_indices_by_name[] = {
-  0,   /* field[0] = name */
-  1,   /* field[1] = revision */
-  2,   /* field[2] = wall_ms */
+static const unsigned cfw__lease_grant__field_indices_by_name[] = {
+  6,   /* field[6] = configuration */
+  2,   /* field[2] = duration_ms */
+  4,   /* field[4] = leader_address */
+  5,   /* field[5] = leader_incarnation */
+  3,   /* field[3] = revision */
+  7,   /* field[7] = roster */
+  0,   /* field[0] = seq */
+  1,   /* field[1] = verdict */
 };
-static const ProtobufCIntRange cfw__subject__number_ranges[1 + 1] =
+static const ProtobufCIntRange cfw__lease_grant__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 8 }
 };
-const ProtobufCMessageDescriptor cfw__subject__descriptor =
+const ProtobufCMessageDescriptor cfw__lease_grant__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cfw.Subject",
-  "Subject",
-  "Cfw__Subject",
+  "cfw.LeaseGrant",
+  "LeaseGrant",
+  "Cfw__LeaseGrant",
   "cfw",
-  sizeof(Cfw__Subject),
-  3,
-  cfw__subject__field_descriptors,
-  cfw__subject__field_indices_by_name,
-  1,  cfw__subject__number_ranges,
-  (ProtobufCMessageInit) cfw__subject__init,
+  sizeof(Cfw__LeaseGrant),
+  8,
+  cfw__lease_grant__field_descriptors,
+  cfw__lease_grant__field_indices_by_name,
+  1,  cfw__lease_grant__number_ranges,
+  (ProtobufCMessageInit) cfw__lease_grant__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfw__config_snapshot__field_descriptors[6] =
+static const ProtobufCFieldDescriptor cfw__fence_request__field_descriptors[2] =
 {
   {
-    "configuration",
+    "seq",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Cfw__ConfigSnapshot, configuration),
-    &cfw__configuration__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "outcomes",
-    2,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cfw__ConfigSnapshot, n_outcomes),
-    offsetof(Cfw__ConfigSnapshot, outcomes),
-    &cfw__outcome__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "subjects",
-    3,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cfw__ConfigSnapshot, n_subjects),
-    offsetof(Cfw__ConfigSnapshot, subjects),
-    &cfw__subject__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "forgotten_revision",
-    4,
-    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cfw__ConfigSnapshot, forgotten_revision),
+    offsetof(Cfw__FenceRequest, seq),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "wall_ms",
-    5,
+    "incarnation",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Cfw__ConfigSnapshot, wall_ms),
+    offsetof(Cfw__FenceRequest, incarnation),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "retired",
-    6,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_UINT32,
-    offsetof(Cfw__ConfigSnapshot, n_retired),
-    offsetof(Cfw__ConfigSnapshot, retired),
-    NULL,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
-static const unsigned cfw__config_snapshot__field_indices_by_name[] = {
-  0,   /* field[0] = configuration */
-  3,   /* field[3] = forgotten_revision */
-  1,   /* field[1] = outcomes */
-  5,   /* field[5] = retired */
-  2,   /* field[2] = subjects */
-  4,   /* field[4] = wall_ms */
+static const unsigned cfw__fence_request__field_indices_by_name[] = {
+  1,   /* field[1] = incarnation */
+  0,   /* field[0] = seq */
 };
-static const ProtobufCIntRange cfw__config_snapshot__number_ranges[1 + 1] =
+static const ProtobufCIntRange cfw__fence_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 2 }
 };
-const ProtobufCMessageDescriptor cfw__config_snapshot__descriptor =
+const ProtobufCMessageDescriptor cfw__fence_request__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cfw.ConfigSnapshot",
-  "ConfigSnapshot",
-  "Cfw__ConfigSnapshot",
-  "cfw",
-  sizeof(Cfw__ConfigSnapshot),
-  6,
-  cfw__config_snapshot__field_descriptors,
-  cfw__config_snapshot__field_indices_by_name,
-  1,  cfw__config_snapshot__number_ranges,
-  (ProtobufCMessageInit) cfw__config_snapshot__init,
+  "cfw.FenceRequest",
+  "FenceRequest",
+  "Cfw__FenceRequest",
+  "cfw",
+  sizeof(Cfw__FenceRequest),
+  2,
+  cfw__fence_request__field_descriptors,
+  cfw__fence_request__field_indices_by_name,
+  1,  cfw__fence_request__number_ranges,
+  (ProtobufCMessageInit) cfw__fence_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfw__command__field_descriptors[12] =
+static const ProtobufCFieldDescriptor cfw__fence_reply__field_descriptors[6] =
 {
   {
-    "command_id",
+    "seq",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Command, command_id),
+    offsetof(Cfw__FenceReply, seq),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "base_revision",
+    "fenced",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Command, base_revision),
+    offsetof(Cfw__FenceReply, fenced),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "class_set",
+    "alive",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cfw__Command, change_case),
-    offsetof(Cfw__Command, class_set),
-    &cfw__task_class__descriptor,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__FenceReply, alive),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "class_remove",
+    "revision",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    offsetof(Cfw__Command, change_case),
-    offsetof(Cfw__Command, class_remove),
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__FenceReply, revision),
     NULL,
-    &protobuf_c_empty_string,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "data_centre_set",
+    "roster",
     5,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cfw__Command, change_case),
-    offsetof(Cfw__Command, data_centre_set),
-    &cfw__data_centre__descriptor,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__FenceReply, roster),
+    &cfw__roster__descriptor,
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "team_set",
+    "message",
     6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cfw__Command, change_case),
-    offsetof(Cfw__Command, team_set),
-    &cfw__team__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "team_remove",
-    7,
-    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
-    offsetof(Cfw__Command, change_case),
-    offsetof(Cfw__Command, team_remove),
+    0,   /* quantifier_offset */
+    offsetof(Cfw__FenceReply, message),
     NULL,
     &protobuf_c_empty_string,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned cfw__fence_reply__field_indices_by_name[] = {
+  2,   /* field[2] = alive */
+  1,   /* field[1] = fenced */
+  5,   /* field[5] = message */
+  3,   /* field[3] = revision */
+  4,   /* field[4] = roster */
+  0,   /* field[0] = seq */
+};
+static const ProtobufCIntRange cfw__fence_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor cfw__fence_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cfw.FenceReply",
+  "FenceReply",
+  "Cfw__FenceReply",
+  "cfw",
+  sizeof(Cfw__FenceReply),
+  6,
+  cfw__fence_reply__field_descriptors,
+  cfw__fence_reply__field_indices_by_name,
+  1,  cfw__fence_reply__number_ranges,
+  (ProtobufCMessageInit) cfw__fence_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cfw__claim__field_descriptors[4] =
+{
   {
-    "member_add",
-    8,
+    "key",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cfw__Command, change_case),
-    offsetof(Cfw__Command, member_add),
-    &cfw__member__descriptor,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__Claim, key),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "member_remove",
-    9,
+    "epoch",
+    2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
-    offsetof(Cfw__Command, change_case),
-    offsetof(Cfw__Command, member_remove),
+    0,   /* quantifier_offset */
+    offsetof(Cfw__Claim, epoch),
     NULL,
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "fence",
-    10,
+    "owner",
+    3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED64,
-    offsetof(Cfw__Command, change_case),
-    offsetof(Cfw__Command, fence),
+    0,   /* quantifier_offset */
+    offsetof(Cfw__Claim, owner),
     NULL,
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "data_centre_remove",
-    11,
+    "prior_owner",
+    4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    offsetof(Cfw__Command, change_case),
-    offsetof(Cfw__Command, data_centre_remove),
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__Claim, prior_owner),
     NULL,
-    &protobuf_c_empty_string,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "member_identity",
-    12,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cfw__Command, change_case),
-    offsetof(Cfw__Command, member_identity),
-    &cfw__member__descriptor,
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned cfw__command__field_indices_by_name[] = {
-  1,   /* field[1] = base_revision */
-  3,   /* field[3] = class_remove */
-  2,   /* field[2] = class_set */
-  0,   /* field[0] = command_id */
-  10,   /* field[10] = data_centre_remove */
-  4,   /* field[4] = data_centre_set */
-  9,   /* field[9] = fence */
-  7,   /* field[7] = member_add */
-  11,   /* field[11] = member_identity */
-  8,   /* field[8] = member_remove */
-  6,   /* field[6] = team_remove */
-  5,   /* field[5] = team_set */
+static const unsigned cfw__claim__field_indices_by_name[] = {
+  1,   /* field[1] = epoch */
+  0,   /* field[0] = key */
+  2,   /* field[2] = owner */
+  3,   /* field[3] = prior_owner */
 };
-static const ProtobufCIntRange cfw__command__number_ranges[1 + 1] =
+static const ProtobufCIntRange cfw__claim__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 4 }
 };
-const ProtobufCMessageDescriptor cfw__command__descriptor =
+const ProtobufCMessageDescriptor cfw__claim__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cfw.Command",
-  "Command",
-  "Cfw__Command",
+  "cfw.Claim",
+  "Claim",
+  "Cfw__Claim",
   "cfw",
-  sizeof(Cfw__Command),
-  12,
-  cfw__command__field_descriptors,
-  cfw__command__field_indices_by_name,
-  1,  cfw__command__number_ranges,
-  (ProtobufCMessageInit) cfw__command__init,
+  sizeof(Cfw__Claim),
+  4,
+  cfw__claim__field_descriptors,
+  cfw__claim__field_indices_by_name,
+  1,  cfw__claim__number_ranges,
+  (ProtobufCMessageInit) cfw__claim__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfw__capacity__field_descriptors[5] =
+static const ProtobufCFieldDescriptor cfw__claim_request__field_descriptors[2] =
 {
   {
-    "slots",
+    "seq",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Capacity, slots),
+    offsetof(Cfw__ClaimRequest, seq),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "connections",
+    "claims",
     2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cfw__ClaimRequest, n_claims),
+    offsetof(Cfw__ClaimRequest, claims),
+    &cfw__claim__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cfw__claim_request__field_indices_by_name[] = {
+  1,   /* field[1] = claims */
+  0,   /* field[0] = seq */
+};
+static const ProtobufCIntRange cfw__claim_request__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor cfw__claim_request__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cfw.ClaimRequest",
+  "ClaimRequest",
+  "Cfw__ClaimRequest",
+  "cfw",
+  sizeof(Cfw__ClaimRequest),
+  2,
+  cfw__claim_request__field_descriptors,
+  cfw__claim_request__field_indices_by_name,
+  1,  cfw__claim_request__number_ranges,
+  (ProtobufCMessageInit) cfw__claim_request__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cfw__vote__field_descriptors[4] =
+{
+  {
+    "key",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Capacity, connections),
+    offsetof(Cfw__Vote, key),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "cpu_milli",
-    3,
+    "epoch",
+    2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Capacity, cpu_milli),
+    offsetof(Cfw__Vote, epoch),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "memory_mb",
-    4,
+    "owner",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Capacity, memory_mb),
+    offsetof(Cfw__Vote, owner),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "accelerators",
-    5,
+    "verdict",
+    4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Capacity, accelerators),
+    offsetof(Cfw__Vote, verdict),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned cfw__capacity__field_indices_by_name[] = {
-  4,   /* field[4] = accelerators */
-  1,   /* field[1] = connections */
-  2,   /* field[2] = cpu_milli */
-  3,   /* field[3] = memory_mb */
-  0,   /* field[0] = slots */
+static const unsigned cfw__vote__field_indices_by_name[] = {
+  1,   /* field[1] = epoch */
+  0,   /* field[0] = key */
+  2,   /* field[2] = owner */
+  3,   /* field[3] = verdict */
 };
-static const ProtobufCIntRange cfw__capacity__number_ranges[1 + 1] =
+static const ProtobufCIntRange cfw__vote__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 4 }
 };
-const ProtobufCMessageDescriptor cfw__capacity__descriptor =
+const ProtobufCMessageDescriptor cfw__vote__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cfw.Capacity",
-  "Capacity",
-  "Cfw__Capacity",
+  "cfw.Vote",
+  "Vote",
+  "Cfw__Vote",
   "cfw",
-  sizeof(Cfw__Capacity),
-  5,
-  cfw__capacity__field_descriptors,
-  cfw__capacity__field_indices_by_name,
-  1,  cfw__capacity__number_ranges,
-  (ProtobufCMessageInit) cfw__capacity__init,
+  sizeof(Cfw__Vote),
+  4,
+  cfw__vote__field_descriptors,
+  cfw__vote__field_indices_by_name,
+  1,  cfw__vote__number_ranges,
+  (ProtobufCMessageInit) cfw__vote__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfw__lease_request__field_descriptors[13] =
+static const ProtobufCFieldDescriptor cfw__claim_reply__field_descriptors[6] =
 {
   {
     "seq",
@@ -3576,20 +4991,20 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cfw__LeaseRequest, seq),
+    offsetof(Cfw__ClaimReply, seq),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "role",
+    "member_id",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_ENUM,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__LeaseRequest, role),
-    &cfw__role__descriptor,
+    offsetof(Cfw__ClaimReply, member_id),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
@@ -3600,407 +5015,261 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Cfw__LeaseRequest, incarnation),
+    offsetof(Cfw__ClaimReply, incarnation),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "name",
+    "view",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Cfw__LeaseRequest, name),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "data_centre",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Cfw__LeaseRequest, data_centre),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "rack",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Cfw__LeaseRequest, rack),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "address",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Cfw__LeaseRequest, address),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "known_revision",
-    8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Cfw__LeaseRequest, known_revision),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "known_roster",
-    9,
-    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cfw__LeaseRequest, known_roster),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "known_leader",
-    10,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
-    offsetof(Cfw__LeaseRequest, known_leader),
+    offsetof(Cfw__ClaimReply, view),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "draining",
-    11,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Cfw__LeaseRequest, draining),
-    NULL,
+    "votes",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cfw__ClaimReply, n_votes),
+    offsetof(Cfw__ClaimReply, votes),
+    &cfw__vote__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "leaving",
-    12,
+    "not_voting",
+    6,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Cfw__LeaseRequest, leaving),
-    NULL,
+    offsetof(Cfw__ClaimReply, not_voting),
     NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "capacity",
-    13,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Cfw__LeaseRequest, capacity),
-    &cfw__capacity__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned cfw__lease_request__field_indices_by_name[] = {
-  6,   /* field[6] = address */
-  12,   /* field[12] = capacity */
-  4,   /* field[4] = data_centre */
-  10,   /* field[10] = draining */
+static const unsigned cfw__claim_reply__field_indices_by_name[] = {
   2,   /* field[2] = incarnation */
-  9,   /* field[9] = known_leader */
-  7,   /* field[7] = known_revision */
-  8,   /* field[8] = known_roster */
-  11,   /* field[11] = leaving */
-  3,   /* field[3] = name */
-  5,   /* field[5] = rack */
-  1,   /* field[1] = role */
+  1,   /* field[1] = member_id */
+  5,   /* field[5] = not_voting */
   0,   /* field[0] = seq */
+  3,   /* field[3] = view */
+  4,   /* field[4] = votes */
 };
-static const ProtobufCIntRange cfw__lease_request__number_ranges[1 + 1] =
+static const ProtobufCIntRange cfw__claim_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 6 }
 };
-const ProtobufCMessageDescriptor cfw__lease_request__descriptor =
+const ProtobufCMessageDescriptor cfw__claim_reply__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cfw.LeaseRequest",
-  "LeaseRequest",
-  "Cfw__LeaseRequest",
+  "cfw.ClaimReply",
+  "ClaimReply",
+  "Cfw__ClaimReply",
   "cfw",
-  sizeof(Cfw__LeaseRequest),
-  13,
-  cfw__lease_request__field_descriptors,
-  cfw__lease_request__field_indices_by_name,
-  1,  cfw__lease_request__number_ranges,
-  (ProtobufCMessageInit) cfw__lease_request__init,
+  sizeof(Cfw__ClaimReply),
+  6,
+  cfw__claim_reply__field_descriptors,
+  cfw__claim_reply__field_indices_by_name,
+  1,  cfw__claim_reply__number_ranges,
+  (ProtobufCMessageInit) cfw__claim_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfw__roster_entry__field_descriptors[8] =
+static const ProtobufCFieldDescriptor cfw__task__field_descriptors[6] =
 {
   {
-    "role",
+    "index",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_ENUM,
-    0,   /* quantifier_offset */
-    offsetof(Cfw__RosterEntry, role),
-    &cfw__role__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "incarnation",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__RosterEntry, incarnation),
-    NULL,
+    offsetof(Cfw__Task, index),
     NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "name",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Cfw__RosterEntry, name),
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "data_centre",
-    4,
+    "payload",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Cfw__RosterEntry, data_centre),
+    offsetof(Cfw__Task, payload),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "rack",
-    5,
+    "cpu_milli",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__RosterEntry, rack),
+    offsetof(Cfw__Task, cpu_milli),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "address",
-    6,
+    "memory_mb",
+    4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__RosterEntry, address),
+    offsetof(Cfw__Task, memory_mb),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "draining",
-    7,
+    "accelerators",
+    5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__RosterEntry, draining),
+    offsetof(Cfw__Task, accelerators),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "capacity",
-    8,
+    "predicted_ms",
+    6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__RosterEntry, capacity),
-    &cfw__capacity__descriptor,
+    offsetof(Cfw__Task, predicted_ms),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned cfw__roster_entry__field_indices_by_name[] = {
-  5,   /* field[5] = address */
-  7,   /* field[7] = capacity */
-  3,   /* field[3] = data_centre */
-  6,   /* field[6] = draining */
-  1,   /* field[1] = incarnation */
-  2,   /* field[2] = name */
-  4,   /* field[4] = rack */
-  0,   /* field[0] = role */
+static const unsigned cfw__task__field_indices_by_name[] = {
+  4,   /* field[4] = accelerators */
+  2,   /* field[2] = cpu_milli */
+  0,   /* field[0] = index */
+  3,   /* field[3] = memory_mb */
+  1,   /* field[1] = payload */
+  5,   /* field[5] = predicted_ms */
 };
-static const ProtobufCIntRange cfw__roster_entry__number_ranges[1 + 1] =
+static const ProtobufCIntRange cfw__task__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 6 }
 };
-const ProtobufCMessageDescriptor cfw__roster_entry__descriptor =
+const ProtobufCMessageDescriptor cfw__task__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cfw.RosterEntry",
-  "RosterEntry",
-  "Cfw__RosterEntry",
+  "cfw.Task",
+  "Task",
+  "Cfw__Task",
   "cfw",
-  sizeof(Cfw__RosterEntry),
-  8,
-  cfw__roster_entry__field_descriptors,
-  cfw__roster_entry__field_indices_by_name,
-  1,  cfw__roster_entry__number_ranges,
-  (ProtobufCMessageInit) cfw__roster_entry__init,
+  sizeof(Cfw__Task),
+  6,
+  cfw__task__field_descriptors,
+  cfw__task__field_indices_by_name,
+  1,  cfw__task__number_ranges,
+  (ProtobufCMessageInit) cfw__task__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfw__roster__field_descriptors[4] =
+static const ProtobufCFieldDescriptor cfw__dispatch__field_descriptors[10] =
 {
   {
-    "version",
+    "dispatcher",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Roster, version),
+    offsetof(Cfw__Dispatch, dispatcher),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "settled",
+    "job",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Roster, settled),
+    offsetof(Cfw__Dispatch, job),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "last_departure_ms",
+    "key",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Roster, last_departure_ms),
+    offsetof(Cfw__Dispatch, key),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "entries",
+    "class_name",
     4,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cfw__Roster, n_entries),
-    offsetof(Cfw__Roster, entries),
-    &cfw__roster_entry__descriptor,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__Dispatch, class_name),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned cfw__roster__field_indices_by_name[] = {
-  3,   /* field[3] = entries */
-  2,   /* field[2] = last_departure_ms */
-  1,   /* field[1] = settled */
-  0,   /* field[0] = version */
-};
-static const ProtobufCIntRange cfw__roster__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 4 }
-};
-const ProtobufCMessageDescriptor cfw__roster__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cfw.Roster",
-  "Roster",
-  "Cfw__Roster",
-  "cfw",
-  sizeof(Cfw__Roster),
-  4,
-  cfw__roster__field_descriptors,
-  cfw__roster__field_indices_by_name,
-  1,  cfw__roster__number_ranges,
-  (ProtobufCMessageInit) cfw__roster__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor cfw__lease_grant__field_descriptors[8] =
-{
   {
-    "seq",
-    1,
+    "gated",
+    5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Cfw__LeaseGrant, seq),
+    offsetof(Cfw__Dispatch, gated),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "verdict",
-    2,
+    "slack_ms",
+    6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_ENUM,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__LeaseGrant, verdict),
-    &cfw__lease_verdict__descriptor,
+    offsetof(Cfw__Dispatch, slack_ms),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "duration_ms",
-    3,
+    "deadline_ms",
+    7,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__LeaseGrant, duration_ms),
+    offsetof(Cfw__Dispatch, deadline_ms),
     NULL,
     NULL,
     0,             /* flags */
@@ -4008,455 +5277,511 @@
   },
   {
     "revision",
-    4,
+    8,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cfw__LeaseGrant, revision),
+    offsetof(Cfw__Dispatch, revision),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "leader_address",
-    5,
+    "tasks",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cfw__Dispatch, n_tasks),
+    offsetof(Cfw__Dispatch, tasks),
+    &cfw__task__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fifo",
+    10,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Cfw__LeaseGrant, leader_address),
+    offsetof(Cfw__Dispatch, fifo),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned cfw__dispatch__field_indices_by_name[] = {
+  3,   /* field[3] = class_name */
+  6,   /* field[6] = deadline_ms */
+  0,   /* field[0] = dispatcher */
+  9,   /* field[9] = fifo */
+  4,   /* field[4] = gated */
+  1,   /* field[1] = job */
+  2,   /* field[2] = key */
+  7,   /* field[7] = revision */
+  5,   /* field[5] = slack_ms */
+  8,   /* field[8] = tasks */
+};
+static const ProtobufCIntRange cfw__dispatch__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 10 }
+};
+const ProtobufCMessageDescriptor cfw__dispatch__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cfw.Dispatch",
+  "Dispatch",
+  "Cfw__Dispatch",
+  "cfw",
+  sizeof(Cfw__Dispatch),
+  10,
+  cfw__dispatch__field_descriptors,
+  cfw__dispatch__field_indices_by_name,
+  1,  cfw__dispatch__number_ranges,
+  (ProtobufCMessageInit) cfw__dispatch__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cfw__open__field_descriptors[3] =
+{
   {
-    "leader_incarnation",
-    6,
+    "dispatcher",
+    1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Cfw__LeaseGrant, leader_incarnation),
+    offsetof(Cfw__Open, dispatcher),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "configuration",
-    7,
+    "job",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cfw__LeaseGrant, configuration),
-    &cfw__configuration__descriptor,
+    offsetof(Cfw__Open, job),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "roster",
-    8,
+    "key",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Cfw__LeaseGrant, roster),
-    &cfw__roster__descriptor,
+    offsetof(Cfw__Open, key),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned cfw__lease_grant__field_indices_by_name[] = {
-  6,   /* field[6] = configuration */
-  2,   /* field[2] = duration_ms */
-  4,   /* field[4] = leader_address */
-  5,   /* field[5] = leader_incarnation */
-  3,   /* field[3] = revision */
-  7,   /* field[7] = roster */
-  0,   /* field[0] = seq */
-  1,   /* field[1] = verdict */
+static const unsigned cfw__open__field_indices_by_name[] = {
+  0,   /* field[0] = dispatcher */
+  1,   /* field[1] = job */
+  2,   /* field[2] = key */
 };
-static const ProtobufCIntRange cfw__lease_grant__number_ranges[1 + 1] =
+static const ProtobufCIntRange cfw__open__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 3 }
 };
-const ProtobufCMessageDescriptor cfw__lease_grant__descriptor =
+const ProtobufCMessageDescriptor cfw__open__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cfw.LeaseGrant",
-  "LeaseGrant",
-  "Cfw__LeaseGrant",
+  "cfw.Open",
+  "Open",
+  "Cfw__Open",
   "cfw",
-  sizeof(Cfw__LeaseGrant),
-  8,
-  cfw__lease_grant__field_descriptors,
-  cfw__lease_grant__field_indices_by_name,
-  1,  cfw__lease_grant__number_ranges,
-  (ProtobufCMessageInit) cfw__lease_grant__init,
+  sizeof(Cfw__Open),
+  3,
+  cfw__open__field_descriptors,
+  cfw__open__field_indices_by_name,
+  1,  cfw__open__number_ranges,
+  (ProtobufCMessageInit) cfw__open__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfw__fence_request__field_descriptors[2] =
+static const ProtobufCFieldDescriptor cfw__cancel__field_descriptors[3] =
 {
   {
-    "seq",
+    "dispatcher",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Cfw__FenceRequest, seq),
+    offsetof(Cfw__Cancel, dispatcher),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "incarnation",
+    "job",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cfw__FenceRequest, incarnation),
+    offsetof(Cfw__Cancel, job),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "key",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__Cancel, key),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned cfw__fence_request__field_indices_by_name[] = {
-  1,   /* field[1] = incarnation */
-  0,   /* field[0] = seq */
+static const unsigned cfw__cancel__field_indices_by_name[] = {
+  0,   /* field[0] = dispatcher */
+  1,   /* field[1] = job */
+  2,   /* field[2] = key */
 };
-static const ProtobufCIntRange cfw__fence_request__number_ranges[1 + 1] =
+static const ProtobufCIntRange cfw__cancel__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
-const ProtobufCMessageDescriptor cfw__fence_request__descriptor =
+const ProtobufCMessageDescriptor cfw__cancel__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cfw.FenceRequest",
-  "FenceRequest",
-  "Cfw__FenceRequest",
+  "cfw.Cancel",
+  "Cancel",
+  "Cfw__Cancel",
   "cfw",
-  sizeof(Cfw__FenceRequest),
-  2,
-  cfw__fence_request__field_descriptors,
-  cfw__fence_request__field_indices_by_name,
-  1,  cfw__fence_request__number_ranges,
-  (ProtobufCMessageInit) cfw__fence_request__init,
+  sizeof(Cfw__Cancel),
+  3,
+  cfw__cancel__field_descriptors,
+  cfw__cancel__field_indices_by_name,
+  1,  cfw__cancel__number_ranges,
+  (ProtobufCMessageInit) cfw__cancel__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfw__fence_reply__field_descriptors[6] =
+static const ProtobufCFieldDescriptor cfw__load__field_descriptors[6] =
 {
   {
-    "seq",
+    "slots",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__FenceReply, seq),
+    offsetof(Cfw__Load, slots),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "fenced",
+    "running",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__FenceReply, fenced),
+    offsetof(Cfw__Load, running),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "alive",
+    "queued",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__FenceReply, alive),
+    offsetof(Cfw__Load, queued),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "revision",
+    "backlog_ms",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__FenceReply, revision),
+    offsetof(Cfw__Load, backlog_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "roster",
+    "accepting",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Cfw__FenceReply, roster),
-    &cfw__roster__descriptor,
+    offsetof(Cfw__Load, accepting),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "message",
+    "received",
     6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cfw__FenceReply, message),
+    offsetof(Cfw__Load, received),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned cfw__fence_reply__field_indices_by_name[] = {
-  2,   /* field[2] = alive */
-  1,   /* field[1] = fenced */
-  5,   /* field[5] = message */
-  3,   /* field[3] = revision */
-  4,   /* field[4] = roster */
-  0,   /* field[0] = seq */
+static const unsigned cfw__load__field_indices_by_name[] = {
+  4,   /* field[4] = accepting */
+  3,   /* field[3] = backlog_ms */
+  2,   /* field[2] = queued */
+  5,   /* field[5] = received */
+  1,   /* field[1] = running */
+  0,   /* field[0] = slots */
 };
-static const ProtobufCIntRange cfw__fence_reply__number_ranges[1 + 1] =
+static const ProtobufCIntRange cfw__load__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 6 }
 };
-const ProtobufCMessageDescriptor cfw__fence_reply__descriptor =
+const ProtobufCMessageDescriptor cfw__load__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cfw.FenceReply",
-  "FenceReply",
-  "Cfw__FenceReply",
+  "cfw.Load",
+  "Load",
+  "Cfw__Load",
   "cfw",
-  sizeof(Cfw__FenceReply),
+  sizeof(Cfw__Load),
   6,
-  cfw__fence_reply__field_descriptors,
-  cfw__fence_reply__field_indices_by_name,
-  1,  cfw__fence_reply__number_ranges,
-  (ProtobufCMessageInit) cfw__fence_reply__init,
+  cfw__load__field_descriptors,
+  cfw__load__field_indices_by_name,
+  1,  cfw__load__number_ranges,
+  (ProtobufCMessageInit) cfw__load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfw__claim__field_descriptors[4] =
+static const ProtobufCFieldDescriptor cfw__result__field_descriptors[6] =
 {
   {
-    "key",
+    "index",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Claim, key),
+    offsetof(Cfw__Result, index),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "epoch",
+    "outcome",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_ENUM,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Claim, epoch),
-    NULL,
+    offsetof(Cfw__Result, outcome),
+    &cfw__task_outcome__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "owner",
+    "payload",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Claim, owner),
+    offsetof(Cfw__Result, payload),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "prior_owner",
+    "message",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Claim, prior_owner),
-    NULL,
+    offsetof(Cfw__Result, message),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned cfw__claim__field_indices_by_name[] = {
-  1,   /* field[1] = epoch */
-  0,   /* field[0] = key */
-  2,   /* field[2] = owner */
-  3,   /* field[3] = prior_owner */
-};
-static const ProtobufCIntRange cfw__claim__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 4 }
-};
-const ProtobufCMessageDescriptor cfw__claim__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cfw.Claim",
-  "Claim",
-  "Cfw__Claim",
-  "cfw",
-  sizeof(Cfw__Claim),
-  4,
-  cfw__claim__field_descriptors,
-  cfw__claim__field_indices_by_name,
-  1,  cfw__claim__number_ranges,
-  (ProtobufCMessageInit) cfw__claim__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor cfw__claim_request__field_descriptors[2] =
-{
   {
-    "seq",
-    1,
+    "run_ms",
+    5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__ClaimRequest, seq),
+    offsetof(Cfw__Result, run_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "claims",
-    2,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cfw__ClaimRequest, n_claims),
-    offsetof(Cfw__ClaimRequest, claims),
-    &cfw__claim__descriptor,
+    "queued_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__Result, queued_ms),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned cfw__claim_request__field_indices_by_name[] = {
-  1,   /* field[1] = claims */
-  0,   /* field[0] = seq */
+static const unsigned cfw__result__field_indices_by_name[] = {
+  0,   /* field[0] = index */
+  3,   /* field[3] = message */
+  1,   /* field[1] = outcome */
+  2,   /* field[2] = payload */
+  5,   /* field[5] = queued_ms */
+  4,   /* field[4] = run_ms */
 };
-static const ProtobufCIntRange cfw__claim_request__number_ranges[1 + 1] =
+static const ProtobufCIntRange cfw__result__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 6 }
 };
-const ProtobufCMessageDescriptor cfw__claim_request__descriptor =
+const ProtobufCMessageDescriptor cfw__result__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cfw.ClaimRequest",
-  "ClaimRequest",
-  "Cfw__ClaimRequest",
+  "cfw.Result",
+  "Result",
+  "Cfw__Result",
   "cfw",
-  sizeof(Cfw__ClaimRequest),
-  2,
-  cfw__claim_request__field_descriptors,
-  cfw__claim_request__field_indices_by_name,
-  1,  cfw__claim_request__number_ranges,
-  (ProtobufCMessageInit) cfw__claim_request__init,
+  sizeof(Cfw__Result),
+  6,
+  cfw__result__field_descriptors,
+  cfw__result__field_indices_by_name,
+  1,  cfw__result__number_ranges,
+  (ProtobufCMessageInit) cfw__result__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfw__vote__field_descriptors[4] =
+static const ProtobufCFieldDescriptor cfw__results__field_descriptors[6] =
 {
   {
-    "key",
+    "dispatcher",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Vote, key),
+    offsetof(Cfw__Results, dispatcher),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "epoch",
+    "agent",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Vote, epoch),
+    offsetof(Cfw__Results, agent),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "owner",
+    "job",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Vote, owner),
+    offsetof(Cfw__Results, job),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "verdict",
+    "key",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Vote, verdict),
+    offsetof(Cfw__Results, key),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "results",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cfw__Results, n_results),
+    offsetof(Cfw__Results, results),
+    &cfw__result__descriptor,
     NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "load",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__Results, load),
+    &cfw__load__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned cfw__vote__field_indices_by_name[] = {
-  1,   /* field[1] = epoch */
-  0,   /* field[0] = key */
-  2,   /* field[2] = owner */
-  3,   /* field[3] = verdict */
+static const unsigned cfw__results__field_indices_by_name[] = {
+  1,   /* field[1] = agent */
+  0,   /* field[0] = dispatcher */
+  2,   /* field[2] = job */
+  3,   /* field[3] = key */
+  5,   /* field[5] = load */
+  4,   /* field[4] = results */
 };
-static const ProtobufCIntRange cfw__vote__number_ranges[1 + 1] =
+static const ProtobufCIntRange cfw__results__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
-const ProtobufCMessageDescriptor cfw__vote__descriptor =
+const ProtobufCMessageDescriptor cfw__results__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cfw.Vote",
-  "Vote",
-  "Cfw__Vote",
+  "cfw.Results",
+  "Results",
+  "Cfw__Results",
   "cfw",
-  sizeof(Cfw__Vote),
-  4,
-  cfw__vote__field_descriptors,
-  cfw__vote__field_indices_by_name,
-  1,  cfw__vote__number_ranges,
-  (ProtobufCMessageInit) cfw__vote__init,
+  sizeof(Cfw__Results),
+  6,
+  cfw__results__field_descriptors,
+  cfw__results__field_indices_by_name,
+  1,  cfw__results__number_ranges,
+  (ProtobufCMessageInit) cfw__results__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfw__claim_reply__field_descriptors[6] =
+static const ProtobufCFieldDescriptor cfw__query__field_descriptors[5] =
 {
   {
     "seq",
@@ -4464,1131 +5789,1091 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cfw__ClaimReply, seq),
+    offsetof(Cfw__Query, seq),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "member_id",
+    "key",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Cfw__ClaimReply, member_id),
+    offsetof(Cfw__Query, key),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "incarnation",
+    "indexes",
     3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
-    offsetof(Cfw__ClaimReply, incarnation),
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Cfw__Query, n_indexes),
+    offsetof(Cfw__Query, indexes),
     NULL,
     NULL,
-    0,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "view",
+    "fence",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Cfw__ClaimReply, view),
+    offsetof(Cfw__Query, fence),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "votes",
+    "epoch",
     5,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cfw__ClaimReply, n_votes),
-    offsetof(Cfw__ClaimReply, votes),
-    &cfw__vote__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "not_voting",
-    6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__ClaimReply, not_voting),
+    offsetof(Cfw__Query, epoch),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned cfw__claim_reply__field_indices_by_name[] = {
-  2,   /* field[2] = incarnation */
-  1,   /* field[1] = member_id */
-  5,   /* field[5] = not_voting */
+static const unsigned cfw__query__field_indices_by_name[] = {
+  4,   /* field[4] = epoch */
+  3,   /* field[3] = fence */
+  2,   /* field[2] = indexes */
+  1,   /* field[1] = key */
   0,   /* field[0] = seq */
-  3,   /* field[3] = view */
-  4,   /* field[4] = votes */
 };
-static const ProtobufCIntRange cfw__claim_reply__number_ranges[1 + 1] =
+static const ProtobufCIntRange cfw__query__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 5 }
 };
-const ProtobufCMessageDescriptor cfw__claim_reply__descriptor =
+const ProtobufCMessageDescriptor cfw__query__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cfw.ClaimReply",
-  "ClaimReply",
-  "Cfw__ClaimReply",
+  "cfw.Query",
+  "Query",
+  "Cfw__Query",
   "cfw",
-  sizeof(Cfw__ClaimReply),
-  6,
-  cfw__claim_reply__field_descriptors,
-  cfw__claim_reply__field_indices_by_name,
-  1,  cfw__claim_reply__number_ranges,
-  (ProtobufCMessageInit) cfw__claim_reply__init,
+  sizeof(Cfw__Query),
+  5,
+  cfw__query__field_descriptors,
+  cfw__query__field_indices_by_name,
+  1,  cfw__query__number_ranges,
+  (ProtobufCMessageInit) cfw__query__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfw__task__field_descriptors[6] =
+static const ProtobufCFieldDescriptor cfw__query_reply__field_descriptors[5] =
 {
   {
-    "index",
+    "seq",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Task, index),
+    offsetof(Cfw__QueryReply, seq),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "payload",
+    "key",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Task, payload),
+    offsetof(Cfw__QueryReply, key),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "cpu_milli",
+    "agent",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Task, cpu_milli),
+    offsetof(Cfw__QueryReply, agent),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "memory_mb",
+    "results",
     4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Cfw__Task, memory_mb),
-    NULL,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cfw__QueryReply, n_results),
+    offsetof(Cfw__QueryReply, results),
+    &cfw__result__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "accelerators",
+    "load",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Cfw__Task, accelerators),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "predicted_ms",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Task, predicted_ms),
-    NULL,
+    offsetof(Cfw__QueryReply, load),
+    &cfw__load__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned cfw__task__field_indices_by_name[] = {
-  4,   /* field[4] = accelerators */
-  2,   /* field[2] = cpu_milli */
-  0,   /* field[0] = index */
-  3,   /* field[3] = memory_mb */
-  1,   /* field[1] = payload */
-  5,   /* field[5] = predicted_ms */
+static const unsigned cfw__query_reply__field_indices_by_name[] = {
+  2,   /* field[2] = agent */
+  1,   /* field[1] = key */
+  4,   /* field[4] = load */
+  3,   /* field[3] = results */
+  0,   /* field[0] = seq */
 };
-static const ProtobufCIntRange cfw__task__number_ranges[1 + 1] =
+static const ProtobufCIntRange cfw__query_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 5 }
 };
-const ProtobufCMessageDescriptor cfw__task__descriptor =
+const ProtobufCMessageDescriptor cfw__query_reply__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cfw.Task",
-  "Task",
-  "Cfw__Task",
+  "cfw.QueryReply",
+  "QueryReply",
+  "Cfw__QueryReply",
   "cfw",
-  sizeof(Cfw__Task),
-  6,
-  cfw__task__field_descriptors,
-  cfw__task__field_indices_by_name,
-  1,  cfw__task__number_ranges,
-  (ProtobufCMessageInit) cfw__task__init,
+  sizeof(Cfw__QueryReply),
+  5,
+  cfw__query_reply__field_descriptors,
+  cfw__query_reply__field_indices_by_name,
+  1,  cfw__query_reply__number_ranges,
+  (ProtobufCMessageInit) cfw__query_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfw__dispatch__field_descriptors[10] =
+static const ProtobufCFieldDescriptor cfw__forward__field_descriptors[4] =
 {
   {
-    "dispatcher",
+    "seq",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Dispatch, dispatcher),
+    offsetof(Cfw__Forward, seq),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "job",
+    "key",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Dispatch, job),
+    offsetof(Cfw__Forward, key),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "key",
+    "body",
     3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Dispatch, key),
+    offsetof(Cfw__Forward, body),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "class_name",
+    "method",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Cfw__Dispatch, class_name),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "gated",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Dispatch, gated),
+    offsetof(Cfw__Forward, method),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned cfw__forward__field_indices_by_name[] = {
+  2,   /* field[2] = body */
+  1,   /* field[1] = key */
+  3,   /* field[3] = method */
+  0,   /* field[0] = seq */
+};
+static const ProtobufCIntRange cfw__forward__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor cfw__forward__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cfw.Forward",
+  "Forward",
+  "Cfw__Forward",
+  "cfw",
+  sizeof(Cfw__Forward),
+  4,
+  cfw__forward__field_descriptors,
+  cfw__forward__field_indices_by_name,
+  1,  cfw__forward__number_ranges,
+  (ProtobufCMessageInit) cfw__forward__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cfw__forward_reply__field_descriptors[4] =
+{
   {
-    "slack_ms",
-    6,
+    "seq",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Dispatch, slack_ms),
+    offsetof(Cfw__ForwardReply, seq),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "deadline_ms",
-    7,
+    "status",
+    2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Dispatch, deadline_ms),
+    offsetof(Cfw__ForwardReply, status),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "revision",
-    8,
+    "retry_after_ms",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Dispatch, revision),
-    NULL,
+    offsetof(Cfw__ForwardReply, retry_after_ms),
     NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "tasks",
-    9,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cfw__Dispatch, n_tasks),
-    offsetof(Cfw__Dispatch, tasks),
-    &cfw__task__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "fifo",
-    10,
+    "body",
+    4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Dispatch, fifo),
+    offsetof(Cfw__ForwardReply, body),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned cfw__dispatch__field_indices_by_name[] = {
-  3,   /* field[3] = class_name */
-  6,   /* field[6] = deadline_ms */
-  0,   /* field[0] = dispatcher */
-  9,   /* field[9] = fifo */
-  4,   /* field[4] = gated */
-  1,   /* field[1] = job */
-  2,   /* field[2] = key */
-  7,   /* field[7] = revision */
-  5,   /* field[5] = slack_ms */
-  8,   /* field[8] = tasks */
+static const unsigned cfw__forward_reply__field_indices_by_name[] = {
+  3,   /* field[3] = body */
+  2,   /* field[2] = retry_after_ms */
+  0,   /* field[0] = seq */
+  1,   /* field[1] = status */
 };
-static const ProtobufCIntRange cfw__dispatch__number_ranges[1 + 1] =
+static const ProtobufCIntRange cfw__forward_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 4 }
 };
-const ProtobufCMessageDescriptor cfw__dispatch__descriptor =
+const ProtobufCMessageDescriptor cfw__forward_reply__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cfw.Dispatch",
-  "Dispatch",
-  "Cfw__Dispatch",
+  "cfw.ForwardReply",
+  "ForwardReply",
+  "Cfw__ForwardReply",
   "cfw",
-  sizeof(Cfw__Dispatch),
-  10,
-  cfw__dispatch__field_descriptors,
-  cfw__dispatch__field_indices_by_name,
-  1,  cfw__dispatch__number_ranges,
-  (ProtobufCMessageInit) cfw__dispatch__init,
+  sizeof(Cfw__ForwardReply),
+  4,
+  cfw__forward_reply__field_descriptors,
+  cfw__forward_reply__field_indices_by_name,
+  1,  cfw__forward_reply__number_ranges,
+  (ProtobufCMessageInit) cfw__forward_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfw__open__field_descriptors[3] =
+static const ProtobufCFieldDescriptor cfw__join_request__field_descriptors[3] =
 {
   {
-    "dispatcher",
+    "member_id",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Open, dispatcher),
+    offsetof(Cfw__JoinRequest, member_id),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "job",
+    "address",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Open, job),
-    NULL,
+    offsetof(Cfw__JoinRequest, address),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "key",
+    "admin_address",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Open, key),
-    NULL,
+    offsetof(Cfw__JoinRequest, admin_address),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned cfw__open__field_indices_by_name[] = {
-  0,   /* field[0] = dispatcher */
-  1,   /* field[1] = job */
-  2,   /* field[2] = key */
+static const unsigned cfw__join_request__field_indices_by_name[] = {
+  1,   /* field[1] = address */
+  2,   /* field[2] = admin_address */
+  0,   /* field[0] = member_id */
 };
-static const ProtobufCIntRange cfw__open__number_ranges[1 + 1] =
+static const ProtobufCIntRange cfw__join_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 3 }
 };
-const ProtobufCMessageDescriptor cfw__open__descriptor =
+const ProtobufCMessageDescriptor cfw__join_request__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cfw.Open",
-  "Open",
-  "Cfw__Open",
+  "cfw.JoinRequest",
+  "JoinRequest",
+  "Cfw__JoinRequest",
   "cfw",
-  sizeof(Cfw__Open),
+  sizeof(Cfw__JoinRequest),
   3,
-  cfw__open__field_descriptors,
-  cfw__open__field_indices_by_name,
-  1,  cfw__open__number_ranges,
-  (ProtobufCMessageInit) cfw__open__init,
+  cfw__join_request__field_descriptors,
+  cfw__join_request__field_indices_by_name,
+  1,  cfw__join_request__number_ranges,
+  (ProtobufCMessageInit) cfw__join_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfw__cancel__field_descriptors[3] =
+static const ProtobufCFieldDescriptor cfw__run_lease_ask__field_descriptors[1] =
 {
   {
-    "dispatcher",
+    "seq",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
-    offsetof(Cfw__Cancel, dispatcher),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "job",
-    2,
-    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Cancel, job),
+    offsetof(Cfw__RunLeaseAsk, seq),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned cfw__run_lease_ask__field_indices_by_name[] = {
+  0,   /* field[0] = seq */
+};
+static const ProtobufCIntRange cfw__run_lease_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor cfw__run_lease_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cfw.RunLeaseAsk",
+  "RunLeaseAsk",
+  "Cfw__RunLeaseAsk",
+  "cfw",
+  sizeof(Cfw__RunLeaseAsk),
+  1,
+  cfw__run_lease_ask__field_descriptors,
+  cfw__run_lease_ask__field_indices_by_name,
+  1,  cfw__run_lease_ask__number_ranges,
+  (ProtobufCMessageInit) cfw__run_lease_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cfw__run_lease__field_descriptors[1] =
+{
   {
-    "key",
-    3,
+    "seq",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Cancel, key),
+    offsetof(Cfw__RunLease, seq),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned cfw__cancel__field_indices_by_name[] = {
-  0,   /* field[0] = dispatcher */
-  1,   /* field[1] = job */
-  2,   /* field[2] = key */
+static const unsigned cfw__run_lease__field_indices_by_name[] = {
+  0,   /* field[0] = seq */
 };
-static const ProtobufCIntRange cfw__cancel__number_ranges[1 + 1] =
+static const ProtobufCIntRange cfw__run_lease__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 1 }
 };
-const ProtobufCMessageDescriptor cfw__cancel__descriptor =
+const ProtobufCMessageDescriptor cfw__run_lease__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cfw.Cancel",
-  "Cancel",
-  "Cfw__Cancel",
+  "cfw.RunLease",
+  "RunLease",
+  "Cfw__RunLease",
   "cfw",
-  sizeof(Cfw__Cancel),
-  3,
-  cfw__cancel__field_descriptors,
-  cfw__cancel__field_indices_by_name,
-  1,  cfw__cancel__number_ranges,
-  (ProtobufCMessageInit) cfw__cancel__init,
+  sizeof(Cfw__RunLease),
+  1,
+  cfw__run_lease__field_descriptors,
+  cfw__run_lease__field_indices_by_name,
+  1,  cfw__run_lease__number_ranges,
+  (ProtobufCMessageInit) cfw__run_lease__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfw__load__field_descriptors[6] =
+static const ProtobufCFieldDescriptor cfw__run_start__field_descriptors[10] =
 {
   {
-    "slots",
+    "job",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Load, slots),
-    NULL,
+    offsetof(Cfw__RunStart, job),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "running",
+    "index",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Load, running),
+    offsetof(Cfw__RunStart, index),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "queued",
+    "number",
     3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Load, queued),
+    offsetof(Cfw__RunStart, number),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "backlog_ms",
+    "spec",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Load, backlog_ms),
+    offsetof(Cfw__RunStart, spec),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "accepting",
+    "cpu_milli",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Load, accepting),
+    offsetof(Cfw__RunStart, cpu_milli),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "received",
+    "memory_mb",
     6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Load, received),
+    offsetof(Cfw__RunStart, memory_mb),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned cfw__load__field_indices_by_name[] = {
-  4,   /* field[4] = accepting */
-  3,   /* field[3] = backlog_ms */
-  2,   /* field[2] = queued */
-  5,   /* field[5] = received */
-  1,   /* field[1] = running */
-  0,   /* field[0] = slots */
-};
-static const ProtobufCIntRange cfw__load__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 6 }
-};
-const ProtobufCMessageDescriptor cfw__load__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cfw.Load",
-  "Load",
-  "Cfw__Load",
-  "cfw",
-  sizeof(Cfw__Load),
-  6,
-  cfw__load__field_descriptors,
-  cfw__load__field_indices_by_name,
-  1,  cfw__load__number_ranges,
-  (ProtobufCMessageInit) cfw__load__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor cfw__result__field_descriptors[6] =
-{
   {
-    "index",
-    1,
+    "accelerators",
+    7,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Result, index),
+    offsetof(Cfw__RunStart, accelerators),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "outcome",
-    2,
+    "slack_ms",
+    8,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_ENUM,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Result, outcome),
-    &cfw__task_outcome__descriptor,
+    offsetof(Cfw__RunStart, slack_ms),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "payload",
-    3,
+    "deadline_ms",
+    9,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Result, payload),
+    offsetof(Cfw__RunStart, deadline_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "message",
-    4,
+    "server",
+    10,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Result, message),
+    offsetof(Cfw__RunStart, server),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cfw__run_start__field_indices_by_name[] = {
+  6,   /* field[6] = accelerators */
+  4,   /* field[4] = cpu_milli */
+  8,   /* field[8] = deadline_ms */
+  1,   /* field[1] = index */
+  0,   /* field[0] = job */
+  5,   /* field[5] = memory_mb */
+  2,   /* field[2] = number */
+  9,   /* field[9] = server */
+  7,   /* field[7] = slack_ms */
+  3,   /* field[3] = spec */
+};
+static const ProtobufCIntRange cfw__run_start__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 10 }
+};
+const ProtobufCMessageDescriptor cfw__run_start__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cfw.RunStart",
+  "RunStart",
+  "Cfw__RunStart",
+  "cfw",
+  sizeof(Cfw__RunStart),
+  10,
+  cfw__run_start__field_descriptors,
+  cfw__run_start__field_indices_by_name,
+  1,  cfw__run_start__number_ranges,
+  (ProtobufCMessageInit) cfw__run_start__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cfw__run_stop__field_descriptors[3] =
+{
+  {
+    "job",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__RunStop, job),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "run_ms",
-    5,
+    "index",
+    2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Result, run_ms),
+    offsetof(Cfw__RunStop, index),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "queued_ms",
-    6,
+    "number",
+    3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Result, queued_ms),
+    offsetof(Cfw__RunStop, number),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned cfw__result__field_indices_by_name[] = {
-  0,   /* field[0] = index */
-  3,   /* field[3] = message */
-  1,   /* field[1] = outcome */
-  2,   /* field[2] = payload */
-  5,   /* field[5] = queued_ms */
-  4,   /* field[4] = run_ms */
+static const unsigned cfw__run_stop__field_indices_by_name[] = {
+  1,   /* field[1] = index */
+  0,   /* field[0] = job */
+  2,   /* field[2] = number */
 };
-static const ProtobufCIntRange cfw__result__number_ranges[1 + 1] =
+static const ProtobufCIntRange cfw__run_stop__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 3 }
 };
-const ProtobufCMessageDescriptor cfw__result__descriptor =
+const ProtobufCMessageDescriptor cfw__run_stop__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cfw.Result",
-  "Result",
-  "Cfw__Result",
+  "cfw.RunStop",
+  "RunStop",
+  "Cfw__RunStop",
   "cfw",
-  sizeof(Cfw__Result),
-  6,
-  cfw__result__field_descriptors,
-  cfw__result__field_indices_by_name,
-  1,  cfw__result__number_ranges,
-  (ProtobufCMessageInit) cfw__result__init,
+  sizeof(Cfw__RunStop),
+  3,
+  cfw__run_stop__field_descriptors,
+  cfw__run_stop__field_indices_by_name,
+  1,  cfw__run_stop__number_ranges,
+  (ProtobufCMessageInit) cfw__run_stop__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfw__results__field_descriptors[6] =
+static const ProtobufCFieldDescriptor cfw__run_orders__field_descriptors[4] =
 {
   {
-    "dispatcher",
+    "starts",
     1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
-    offsetof(Cfw__Results, dispatcher),
-    NULL,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cfw__RunOrders, n_starts),
+    offsetof(Cfw__RunOrders, starts),
+    &cfw__run_start__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "agent",
+    "stops",
     2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
-    offsetof(Cfw__Results, agent),
-    NULL,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cfw__RunOrders, n_stops),
+    offsetof(Cfw__RunOrders, stops),
+    &cfw__run_stop__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "job",
+    "resume",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Results, job),
+    offsetof(Cfw__RunOrders, resume),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "key",
+    "kept",
     4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
-    0,   /* quantifier_offset */
-    offsetof(Cfw__Results, key),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "results",
-    5,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cfw__Results, n_results),
-    offsetof(Cfw__Results, results),
-    &cfw__result__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "load",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Cfw__Results, load),
-    &cfw__load__descriptor,
+    offsetof(Cfw__RunOrders, n_kept),
+    offsetof(Cfw__RunOrders, kept),
+    &cfw__run_stop__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned cfw__results__field_indices_by_name[] = {
-  1,   /* field[1] = agent */
-  0,   /* field[0] = dispatcher */
-  2,   /* field[2] = job */
-  3,   /* field[3] = key */
-  5,   /* field[5] = load */
-  4,   /* field[4] = results */
+static const unsigned cfw__run_orders__field_indices_by_name[] = {
+  3,   /* field[3] = kept */
+  2,   /* field[2] = resume */
+  0,   /* field[0] = starts */
+  1,   /* field[1] = stops */
 };
-static const ProtobufCIntRange cfw__results__number_ranges[1 + 1] =
+static const ProtobufCIntRange cfw__run_orders__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 4 }
 };
-const ProtobufCMessageDescriptor cfw__results__descriptor =
+const ProtobufCMessageDescriptor cfw__run_orders__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cfw.Results",
-  "Results",
-  "Cfw__Results",
+  "cfw.RunOrders",
+  "RunOrders",
+  "Cfw__RunOrders",
   "cfw",
-  sizeof(Cfw__Results),
-  6,
-  cfw__results__field_descriptors,
-  cfw__results__field_indices_by_name,
-  1,  cfw__results__number_ranges,
-  (ProtobufCMessageInit) cfw__results__init,
+  sizeof(Cfw__RunOrders),
+  4,
+  cfw__run_orders__field_descriptors,
+  cfw__run_orders__field_indices_by_name,
+  1,  cfw__run_orders__number_ranges,
+  (ProtobufCMessageInit) cfw__run_orders__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfw__query__field_descriptors[5] =
+static const ProtobufCFieldDescriptor cfw__run_end__field_descriptors[5] =
 {
   {
-    "seq",
+    "job",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Query, seq),
-    NULL,
+    offsetof(Cfw__RunEnd, job),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "key",
+    "index",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Query, key),
+    offsetof(Cfw__RunEnd, index),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "indexes",
+    "number",
     3,
-    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
-    offsetof(Cfw__Query, n_indexes),
-    offsetof(Cfw__Query, indexes),
+    0,   /* quantifier_offset */
+    offsetof(Cfw__RunEnd, number),
     NULL,
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "fence",
+    "outcome",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_ENUM,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Query, fence),
-    NULL,
+    offsetof(Cfw__RunEnd, outcome),
+    &cfw__run_outcome__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "epoch",
+    "run_ms",
     5,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Query, epoch),
+    offsetof(Cfw__RunEnd, run_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned cfw__query__field_indices_by_name[] = {
-  4,   /* field[4] = epoch */
-  3,   /* field[3] = fence */
-  2,   /* field[2] = indexes */
-  1,   /* field[1] = key */
-  0,   /* field[0] = seq */
+static const unsigned cfw__run_end__field_indices_by_name[] = {
+  1,   /* field[1] = index */
+  0,   /* field[0] = job */
+  2,   /* field[2] = number */
+  3,   /* field[3] = outcome */
+  4,   /* field[4] = run_ms */
 };
-static const ProtobufCIntRange cfw__query__number_ranges[1 + 1] =
+static const ProtobufCIntRange cfw__run_end__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 5 }
 };
-const ProtobufCMessageDescriptor cfw__query__descriptor =
+const ProtobufCMessageDescriptor cfw__run_end__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cfw.Query",
-  "Query",
-  "Cfw__Query",
+  "cfw.RunEnd",
+  "RunEnd",
+  "Cfw__RunEnd",
   "cfw",
-  sizeof(Cfw__Query),
+  sizeof(Cfw__RunEnd),
   5,
-  cfw__query__field_descriptors,
-  cfw__query__field_indices_by_name,
-  1,  cfw__query__number_ranges,
-  (ProtobufCMessageInit) cfw__query__init,
+  cfw__run_end__field_descriptors,
+  cfw__run_end__field_indices_by_name,
+  1,  cfw__run_end__number_ranges,
+  (ProtobufCMessageInit) cfw__run_end__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfw__query_reply__field_descriptors[5] =
+static const ProtobufCFieldDescriptor cfw__server_state__field_descriptors[12] =
 {
   {
-    "seq",
+    "name",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cfw__QueryReply, seq),
-    NULL,
+    offsetof(Cfw__ServerState, name),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "key",
+    "service",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cfw__QueryReply, key),
-    NULL,
+    offsetof(Cfw__ServerState, service),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "agent",
+    "kind",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cfw__QueryReply, agent),
-    NULL,
+    offsetof(Cfw__ServerState, kind),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "results",
+    "cpu_milli",
     4,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cfw__QueryReply, n_results),
-    offsetof(Cfw__QueryReply, results),
-    &cfw__result__descriptor,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__ServerState, cpu_milli),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "load",
+    "memory_mb",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__QueryReply, load),
-    &cfw__load__descriptor,
+    offsetof(Cfw__ServerState, memory_mb),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned cfw__query_reply__field_indices_by_name[] = {
-  2,   /* field[2] = agent */
-  1,   /* field[1] = key */
-  4,   /* field[4] = load */
-  3,   /* field[3] = results */
-  0,   /* field[0] = seq */
-};
-static const ProtobufCIntRange cfw__query_reply__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 5 }
-};
-const ProtobufCMessageDescriptor cfw__query_reply__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cfw.QueryReply",
-  "QueryReply",
-  "Cfw__QueryReply",
-  "cfw",
-  sizeof(Cfw__QueryReply),
-  5,
-  cfw__query_reply__field_descriptors,
-  cfw__query_reply__field_indices_by_name,
-  1,  cfw__query_reply__number_ranges,
-  (ProtobufCMessageInit) cfw__query_reply__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor cfw__forward__field_descriptors[4] =
-{
   {
-    "seq",
-    1,
+    "accelerators",
+    6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Forward, seq),
+    offsetof(Cfw__ServerState, accelerators),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "key",
-    2,
+    "free_cpu_milli",
+    7,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_INT32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Forward, key),
+    offsetof(Cfw__ServerState, free_cpu_milli),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "body",
-    3,
+    "free_memory_mb",
+    8,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_INT32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Forward, body),
+    offsetof(Cfw__ServerState, free_memory_mb),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "method",
-    4,
+    "accepting",
+    9,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Cfw__Forward, method),
+    offsetof(Cfw__ServerState, accepting),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned cfw__forward__field_indices_by_name[] = {
-  2,   /* field[2] = body */
-  1,   /* field[1] = key */
-  3,   /* field[3] = method */
-  0,   /* field[0] = seq */
-};
-static const ProtobufCIntRange cfw__forward__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 4 }
-};
-const ProtobufCMessageDescriptor cfw__forward__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cfw.Forward",
-  "Forward",
-  "Cfw__Forward",
-  "cfw",
-  sizeof(Cfw__Forward),
-  4,
-  cfw__forward__field_descriptors,
-  cfw__forward__field_indices_by_name,
-  1,  cfw__forward__number_ranges,
-  (ProtobufCMessageInit) cfw__forward__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor cfw__forward_reply__field_descriptors[4] =
-{
   {
-    "seq",
-    1,
+    "running",
+    10,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__ForwardReply, seq),
+    offsetof(Cfw__ServerState, running),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "status",
-    2,
+    "queued",
+    11,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cfw__ForwardReply, status),
+    offsetof(Cfw__ServerState, queued),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "retry_after_ms",
-    3,
+    "received",
+    12,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cfw__ForwardReply, retry_after_ms),
+    offsetof(Cfw__ServerState, received),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned cfw__server_state__field_indices_by_name[] = {
+  5,   /* field[5] = accelerators */
+  8,   /* field[8] = accepting */
+  3,   /* field[3] = cpu_milli */
+  6,   /* field[6] = free_cpu_milli */
+  7,   /* field[7] = free_memory_mb */
+  2,   /* field[2] = kind */
+  4,   /* field[4] = memory_mb */
+  0,   /* field[0] = name */
+  10,   /* field[10] = queued */
+  11,   /* field[11] = received */
+  9,   /* field[9] = running */
+  1,   /* field[1] = service */
+};
+static const ProtobufCIntRange cfw__server_state__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 12 }
+};
+const ProtobufCMessageDescriptor cfw__server_state__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cfw.ServerState",
+  "ServerState",
+  "Cfw__ServerState",
+  "cfw",
+  sizeof(Cfw__ServerState),
+  12,
+  cfw__server_state__field_descriptors,
+  cfw__server_state__field_indices_by_name,
+  1,  cfw__server_state__number_ranges,
+  (ProtobufCMessageInit) cfw__server_state__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cfw__run_report__field_descriptors[2] =
+{
   {
-    "body",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
-    0,   /* quantifier_offset */
-    offsetof(Cfw__ForwardReply, body),
+    "ends",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cfw__RunReport, n_ends),
+    offsetof(Cfw__RunReport, ends),
+    &cfw__run_end__descriptor,
     NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "servers",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cfw__RunReport, n_servers),
+    offsetof(Cfw__RunReport, servers),
+    &cfw__server_state__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned cfw__forward_reply__field_indices_by_name[] = {
-  3,   /* field[3] = body */
-  2,   /* field[2] = retry_after_ms */
-  0,   /* field[0] = seq */
-  1,   /* field[1] = status */
+static const unsigned cfw__run_report__field_indices_by_name[] = {
+  0,   /* field[0] = ends */
+  1,   /* field[1] = servers */
 };
-static const ProtobufCIntRange cfw__forward_reply__number_ranges[1 + 1] =
+static const ProtobufCIntRange cfw__run_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 2 }
 };
-const ProtobufCMessageDescriptor cfw__forward_reply__descriptor =
+const ProtobufCMessageDescriptor cfw__run_report__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cfw.ForwardReply",
-  "ForwardReply",
-  "Cfw__ForwardReply",
+  "cfw.RunReport",
+  "RunReport",
+  "Cfw__RunReport",
   "cfw",
-  sizeof(Cfw__ForwardReply),
-  4,
-  cfw__forward_reply__field_descriptors,
-  cfw__forward_reply__field_indices_by_name,
-  1,  cfw__forward_reply__number_ranges,
-  (ProtobufCMessageInit) cfw__forward_reply__init,
+  sizeof(Cfw__RunReport),
+  2,
+  cfw__run_report__field_descriptors,
+  cfw__run_report__field_indices_by_name,
+  1,  cfw__run_report__number_ranges,
+  (ProtobufCMessageInit) cfw__run_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfw__envelope__field_descriptors[18] =
+static const ProtobufCFieldDescriptor cfw__envelope__field_descriptors[23] =
 {
   {
     "hello",
@@ -5806,6 +7091,66 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "join",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cfw__Envelope, body_case),
+    offsetof(Cfw__Envelope, join),
+    &cfw__join_request__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run_lease_ask",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cfw__Envelope, body_case),
+    offsetof(Cfw__Envelope, run_lease_ask),
+    &cfw__run_lease_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run_lease",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cfw__Envelope, body_case),
+    offsetof(Cfw__Envelope, run_lease),
+    &cfw__run_lease__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run_orders",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cfw__Envelope, body_case),
+    offsetof(Cfw__Envelope, run_orders),
+    &cfw__run_orders__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run_report",
+    23,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cfw__Envelope, body_case),
+    offsetof(Cfw__Envelope, run_report),
+    &cfw__run_report__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cfw__envelope__field_indices_by_name[] = {
   12,   /* field[12] = cancel */
@@ -5818,6 +7163,7 @@
   17,   /* field[17] = forward_reply */
   1,   /* field[1] = heartbeat */
   0,   /* field[0] = hello */
+  18,   /* field[18] = join */
   4,   /* field[4] = lease_grant */
   3,   /* field[3] = lease_request */
   15,   /* field[15] = load */
@@ -5826,11 +7172,15 @@
   13,   /* field[13] = query */
   14,   /* field[14] = query_reply */
   10,   /* field[10] = results */
+  20,   /* field[20] = run_lease */
+  19,   /* field[19] = run_lease_ask */
+  21,   /* field[21] = run_orders */
+  22,   /* field[22] = run_report */
 };
 static const ProtobufCIntRange cfw__envelope__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 18 }
+  { 0, 23 }
 };
 const ProtobufCMessageDescriptor cfw__envelope__descriptor =
 {
@@ -5840,7 +7190,7 @@
   "Cfw__Envelope",
   "cfw",
   sizeof(Cfw__Envelope),
-  18,
+  23,
   cfw__envelope__field_descriptors,
   cfw__envelope__field_indices_by_name,
   1,  cfw__envelope__number_ranges,
@@ -5945,3 +7295,37 @@
   cfw__task_outcome__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
+static const ProtobufCEnumValue cfw__run_outcome__enum_values_by_number[5] =
+{
+  { "RUN_DONE", "CFW__RUN_OUTCOME__RUN_DONE", 0 },
+  { "RUN_FAILED", "CFW__RUN_OUTCOME__RUN_FAILED", 1 },
+  { "RUN_STOPPED", "CFW__RUN_OUTCOME__RUN_STOPPED", 2 },
+  { "RUN_NOT_STARTED", "CFW__RUN_OUTCOME__RUN_NOT_STARTED", 3 },
+  { "RUN_REFUSED", "CFW__RUN_OUTCOME__RUN_REFUSED", 4 },
+};
+static const ProtobufCIntRange cfw__run_outcome__value_ranges[] = {
+{0, 0},{0, 5}
+};
+static const ProtobufCEnumValueIndex cfw__run_outcome__enum_values_by_name[5] =
+{
+  { "RUN_DONE", 0 },
+  { "RUN_FAILED", 1 },
+  { "RUN_NOT_STARTED", 3 },
+  { "RUN_REFUSED", 4 },
+  { "RUN_STOPPED", 2 },
+};
+const ProtobufCEnumDescriptor cfw__run_outcome__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "cfw.RunOutcome",
+  "RunOutcome",
+  "Cfw__RunOutcome",
+  "cfw",
+  5,
+  cfw__run_outcome__enum_values_by_number,
+  5,
+  cfw__run_outcome__enum_values_by_name,
+  1,
+  cfw__run_outcome__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
