--- a/src/proto/wire.pb-c.h
+++ b/src/proto/wire.pb-c.h
@@ -29,6 +29,7 @@
 typedef struct Cfw__View Cfw__View;
 typedef struct Cfw__Fence Cfw__Fence;
 typedef struct Cfw__Configuration Cfw__Configuration;
+typedef struct Cfw__RouteTable Cfw__RouteTable;
 typedef struct Cfw__Outcome Cfw__Outcome;
 typedef struct Cfw__Subject Cfw__Subject;
 typedef struct Cfw__ConfigSnapshot Cfw__ConfigSnapshot;
@@ -55,6 +56,15 @@
 typedef struct Cfw__QueryReply Cfw__QueryReply;
 typedef struct Cfw__Forward Cfw__Forward;
 typedef struct Cfw__ForwardReply Cfw__ForwardReply;
+typedef struct Cfw__JoinRequest Cfw__JoinRequest;
+typedef struct Cfw__RunLeaseAsk Cfw__RunLeaseAsk;
+typedef struct Cfw__RunLease Cfw__RunLease;
+typedef struct Cfw__RunStart Cfw__RunStart;
+typedef struct Cfw__RunStop Cfw__RunStop;
+typedef struct Cfw__RunOrders Cfw__RunOrders;
+typedef struct Cfw__RunEnd Cfw__RunEnd;
+typedef struct Cfw__ServerState Cfw__ServerState;
+typedef struct Cfw__RunReport Cfw__RunReport;
 typedef struct Cfw__Envelope Cfw__Envelope;
 
 
@@ -97,6 +107,23 @@
   CFW__TASK_OUTCOME__TASK_RUNNING = 4
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CFW__TASK_OUTCOME)
 } Cfw__TaskOutcome;
+typedef enum _Cfw__RunOutcome {
+  CFW__RUN_OUTCOME__RUN_DONE = 0,
+  CFW__RUN_OUTCOME__RUN_FAILED = 1,
+  /*
+   * by order or with its lease: it may have run
+   */
+  CFW__RUN_OUTCOME__RUN_STOPPED = 2,
+  /*
+   * never started, never will
+   */
+  CFW__RUN_OUTCOME__RUN_NOT_STARTED = 3,
+  /*
+   * not started: the server refuses work
+   */
+  CFW__RUN_OUTCOME__RUN_REFUSED = 4
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CFW__RUN_OUTCOME)
+} Cfw__RunOutcome;
 
 /* --- messages --- */
 
@@ -345,10 +372,31 @@
   Cfw__View **views;
   size_t n_fences;
   Cfw__Fence **fences;
+  Cfw__RouteTable *routes;
 };
 #define CFW__CONFIGURATION__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cfw__configuration__descriptor) \
-    , 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL }
+
+
+/*
+ * The operators' routes, replaced as a whole.
+ */
+struct  Cfw__RouteTable
+{
+  ProtobufCMessage base;
+  /*
+   * the highest one is in force
+   */
+  uint64_t version;
+  /*
+   * as the operator sent it
+   */
+  ProtobufCBinaryData document;
+};
+#define CFW__ROUTE_TABLE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cfw__route_table__descriptor) \
+    , 0, {0,NULL} }
 
 
 /*
@@ -424,7 +472,8 @@
   CFW__COMMAND__CHANGE_MEMBER_REMOVE = 9,
   CFW__COMMAND__CHANGE_FENCE = 10,
   CFW__COMMAND__CHANGE_DATA_CENTRE_REMOVE = 11,
-  CFW__COMMAND__CHANGE_MEMBER_IDENTITY = 12
+  CFW__COMMAND__CHANGE_MEMBER_IDENTITY = 12,
+  CFW__COMMAND__CHANGE_ROUTES_SET = 13
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CFW__COMMAND__CHANGE__CASE)
 } Cfw__Command__ChangeCase;
 
@@ -457,6 +506,7 @@
      * id and identity only
      */
     Cfw__Member *member_identity;
+    Cfw__RouteTable *routes_set;
   };
 };
 #define CFW__COMMAND__INIT \
@@ -882,6 +932,158 @@
     , 0, 0, 0, {0,NULL} }
 
 
+struct  Cfw__JoinRequest
+{
+  ProtobufCMessage base;
+  uint32_t member_id;
+  char *address;
+  char *admin_address;
+};
+#define CFW__JOIN_REQUEST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cfw__join_request__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+
+
+/*
+ * An agent asks a dispatcher for a lease on what it runs for it; the
+ * dispatcher sends the number back.
+ */
+struct  Cfw__RunLeaseAsk
+{
+  ProtobufCMessage base;
+  uint64_t seq;
+};
+#define CFW__RUN_LEASE_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cfw__run_lease_ask__descriptor) \
+    , 0 }
+
+
+struct  Cfw__RunLease
+{
+  ProtobufCMessage base;
+  uint64_t seq;
+};
+#define CFW__RUN_LEASE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cfw__run_lease__descriptor) \
+    , 0 }
+
+
+struct  Cfw__RunStart
+{
+  ProtobufCMessage base;
+  char *job;
+  uint32_t index;
+  /*
+   * of this start of the task, from 1
+   */
+  uint32_t number;
+  ProtobufCBinaryData spec;
+  uint32_t cpu_milli;
+  uint32_t memory_mb;
+  uint32_t accelerators;
+  /*
+   * latest good start, from now
+   */
+  uint32_t slack_ms;
+  /*
+   * start none after it, from now
+   */
+  uint32_t deadline_ms;
+  char *server;
+};
+#define CFW__RUN_START__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cfw__run_start__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, {0,NULL}, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
+
+
+struct  Cfw__RunStop
+{
+  ProtobufCMessage base;
+  char *job;
+  uint32_t index;
+  uint32_t number;
+};
+#define CFW__RUN_STOP__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cfw__run_stop__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
+struct  Cfw__RunOrders
+{
+  ProtobufCMessage base;
+  size_t n_starts;
+  Cfw__RunStart **starts;
+  size_t n_stops;
+  Cfw__RunStop **stops;
+  /*
+   * After a new connection: every run that the dispatcher counts on.
+   */
+  protobuf_c_boolean resume;
+  size_t n_kept;
+  Cfw__RunStop **kept;
+};
+#define CFW__RUN_ORDERS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cfw__run_orders__descriptor) \
+    , 0,NULL, 0,NULL, 0, 0,NULL }
+
+
+struct  Cfw__RunEnd
+{
+  ProtobufCMessage base;
+  char *job;
+  uint32_t index;
+  uint32_t number;
+  Cfw__RunOutcome outcome;
+  uint32_t run_ms;
+};
+#define CFW__RUN_END__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cfw__run_end__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, CFW__RUN_OUTCOME__RUN_DONE, 0 }
+
+
+struct  Cfw__ServerState
+{
+  ProtobufCMessage base;
+  char *name;
+  char *service;
+  char *kind;
+  /*
+   * capacity
+   */
+  uint32_t cpu_milli;
+  uint32_t memory_mb;
+  uint32_t accelerators;
+  /*
+   * less what runs and what is queued
+   */
+  int32_t free_cpu_milli;
+  int32_t free_memory_mb;
+  protobuf_c_boolean accepting;
+  uint32_t running;
+  uint32_t queued;
+  /*
+   * starts taken from this dispatcher
+   */
+  uint64_t received;
+};
+#define CFW__SERVER_STATE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cfw__server_state__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+
+
+struct  Cfw__RunReport
+{
+  ProtobufCMessage base;
+  size_t n_ends;
+  Cfw__RunEnd **ends;
+  size_t n_servers;
+  Cfw__ServerState **servers;
+};
+#define CFW__RUN_REPORT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cfw__run_report__descriptor) \
+    , 0,NULL, 0,NULL }
+
+
 typedef enum {
   CFW__ENVELOPE__BODY__NOT_SET = 0,
   CFW__ENVELOPE__BODY_HELLO = 1,
@@ -901,7 +1103,12 @@
   CFW__ENVELOPE__BODY_QUERY_REPLY = 15,
   CFW__ENVELOPE__BODY_LOAD = 16,
   CFW__ENVELOPE__BODY_FORWARD = 17,
-  CFW__ENVELOPE__BODY_FORWARD_REPLY = 18
+  CFW__ENVELOPE__BODY_FORWARD_REPLY = 18,
+  CFW__ENVELOPE__BODY_JOIN = 19,
+  CFW__ENVELOPE__BODY_RUN_LEASE_ASK = 20,
+  CFW__ENVELOPE__BODY_RUN_LEASE = 21,
+  CFW__ENVELOPE__BODY_RUN_ORDERS = 22,
+  CFW__ENVELOPE__BODY_RUN_REPORT = 23
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CFW__ENVELOPE__BODY__CASE)
 } Cfw__Envelope__BodyCase;
 
@@ -928,6 +1135,11 @@
     Cfw__Load *load;
     Cfw__Forward *forward;
     Cfw__ForwardReply *forward_reply;
+    Cfw__JoinRequest *join;
+    Cfw__RunLeaseAsk *run_lease_ask;
+    Cfw__RunLease *run_lease;
+    Cfw__RunOrders *run_orders;
+    Cfw__RunReport *run_report;
   };
 };
 #define CFW__ENVELOPE__INIT \
@@ -1201,6 +1413,25 @@
 void   cfw__configuration__free_unpacked
                      (Cfw__Configuration *message,
                       ProtobufCAllocator *allocator);
+/* Cfw__RouteTable methods */
+void   cfw__route_table__init
+                     (Cfw__RouteTable         *message);
+size_t cfw__route_table__get_packed_size
+                     (const Cfw__RouteTable   *message);
+size_t cfw__route_table__pack
+                     (const Cfw__RouteTable   *message,
+                      uint8_t             *out);
+size_t cfw__route_table__pack_to_buffer
+                     (const Cfw__RouteTable   *message,
+                      ProtobufCBuffer     *buffer);
+Cfw__RouteTable *
+       cfw__route_table__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cfw__route_table__free_unpacked
+                     (Cfw__RouteTable *message,
+                      ProtobufCAllocator *allocator);
 /* Cfw__Outcome methods */
 void   cfw__outcome__init
                      (Cfw__Outcome         *message);
@@ -1695,6 +1926,177 @@
 void   cfw__forward_reply__free_unpacked
                      (Cfw__ForwardReply *message,
                       ProtobufCAllocator *allocator);
+/* Cfw__JoinRequest methods */
+void   cfw__join_request__init
+                     (Cfw__JoinRequest         *message);
+size_t cfw__join_request__get_packed_size
+                     (const Cfw__JoinRequest   *message);
+size_t cfw__join_request__pack
+                     (const Cfw__JoinRequest   *message,
+                      uint8_t             *out);
+size_t cfw__join_request__pack_to_buffer
+                     (const Cfw__JoinRequest   *message,
+                      ProtobufCBuffer     *buffer);
+Cfw__JoinRequest *
+       cfw__join_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cfw__join_request__free_unpacked
+                     (Cfw__JoinRequest *message,
+                      ProtobufCAllocator *allocator);
+/* Cfw__RunLeaseAsk methods */
+void   cfw__run_lease_ask__init
+                     (Cfw__RunLeaseAsk         *message);
+size_t cfw__run_lease_ask__get_packed_size
+                     (const Cfw__RunLeaseAsk   *message);
+size_t cfw__run_lease_ask__pack
+                     (const Cfw__RunLeaseAsk   *message,
+                      uint8_t             *out);
+size_t cfw__run_lease_ask__pack_to_buffer
+                     (const Cfw__RunLeaseAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Cfw__RunLeaseAsk *
+       cfw__run_lease_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cfw__run_lease_ask__free_unpacked
+                     (Cfw__RunLeaseAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Cfw__RunLease methods */
+void   cfw__run_lease__init
+                     (Cfw__RunLease         *message);
+size_t cfw__run_lease__get_packed_size
+                     (const Cfw__RunLease   *message);
+size_t cfw__run_lease__pack
+                     (const Cfw__RunLease   *message,
+                      uint8_t             *out);
+size_t cfw__run_lease__pack_to_buffer
+                     (const Cfw__RunLease   *message,
+                      ProtobufCBuffer     *buffer);
+Cfw__RunLease *
+       cfw__run_lease__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cfw__run_lease__free_unpacked
+                     (Cfw__RunLease *message,
+                      ProtobufCAllocator *allocator);
+/* Cfw__RunStart methods */
+void   cfw__run_start__init
+                     (Cfw__RunStart         *message);
+size_t cfw__run_start__get_packed_size
+                     (const Cfw__RunStart   *message);
+size_t cfw__run_start__pack
+                     (const Cfw__RunStart   *message,
+                      uint8_t             *out);
+size_t cfw__run_start__pack_to_buffer
+                     (const Cfw__RunStart   *message,
+                      ProtobufCBuffer     *buffer);
+Cfw__RunStart *
+       cfw__run_start__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cfw__run_start__free_unpacked
+                     (Cfw__RunStart *message,
+                      ProtobufCAllocator *allocator);
+/* Cfw__RunStop methods */
+void   cfw__run_stop__init
+                     (Cfw__RunStop         *message);
+size_t cfw__run_stop__get_packed_size
+                     (const Cfw__RunStop   *message);
+size_t cfw__run_stop__pack
+                     (const Cfw__RunStop   *message,
+                      uint8_t             *out);
+size_t cfw__run_stop__pack_to_buffer
+                     (const Cfw__RunStop   *message,
+                      ProtobufCBuffer     *buffer);
+Cfw__RunStop *
+       cfw__run_stop__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cfw__run_stop__free_unpacked
+                     (Cfw__RunStop *message,
+                      ProtobufCAllocator *allocator);
+/* Cfw__RunOrders methods */
+void   cfw__run_orders__init
+                     (Cfw__RunOrders         *message);
+size_t cfw__run_orders__get_packed_size
+                     (const Cfw__RunOrders   *message);
+size_t cfw__run_orders__pack
+                     (const Cfw__RunOrders   *message,
+                      uint8_t             *out);
+size_t cfw__run_orders__pack_to_buffer
+                     (const Cfw__RunOrders   *message,
+                      ProtobufCBuffer     *buffer);
+Cfw__RunOrders *
+       cfw__run_orders__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cfw__run_orders__free_unpacked
+                     (Cfw__RunOrders *message,
+                      ProtobufCAllocator *allocator);
+/* Cfw__RunEnd methods */
+void   cfw__run_end__init
+                     (Cfw__RunEnd         *message);
+size_t cfw__run_end__get_packed_size
+                     (const Cfw__RunEnd   *message);
+size_t cfw__run_end__pack
+                     (const Cfw__RunEnd   *message,
+                      uint8_t             *out);
+size_t cfw__run_end__pack_to_buffer
+                     (const Cfw__RunEnd   *message,
+                      ProtobufCBuffer     *buffer);
+Cfw__RunEnd *
+       cfw__run_end__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cfw__run_end__free_unpacked
+                     (Cfw__RunEnd *message,
+                      ProtobufCAllocator *allocator);
+/* Cfw__ServerState methods */
+void   cfw__server_state__init
+                     (Cfw__ServerState         *message);
+size_t cfw__server_state__get_packed_size
+                     (const Cfw__ServerState   *message);
+size_t cfw__server_state__pack
+                     (const Cfw__ServerState   *message,
+                      uint8_t             *out);
+size_t cfw__server_state__pack_to_buffer
+                     (const Cfw__ServerState   *message,
+                      ProtobufCBuffer     *buffer);
+Cfw__ServerState *
+       cfw__server_state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cfw__server_state__free_unpacked
+                     (Cfw__ServerState *message,
+                      ProtobufCAllocator *allocator);
+/* Cfw__RunReport methods */
+void   cfw__run_report__init
+                     (Cfw__RunReport         *message);
+size_t cfw__run_report__get_packed_size
+                     (const Cfw__RunReport   *message);
+size_t cfw__run_report__pack
+                     (const Cfw__RunReport   *message,
+                      uint8_t             *out);
+size_t cfw__run_report__pack_to_buffer
+                     (const Cfw__RunReport   *message,
+                      ProtobufCBuffer     *buffer);
+Cfw__RunReport *
+       cfw__run_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cfw__run_report__free_unpacked
+                     (Cfw__RunReport *message,
+                      ProtobufCAllocator *allocator);
 /* Cfw__Envelope methods */
 void   cfw__envelope__init
                      (Cfw__Envelope         *message);
@@ -1758,6 +2160,9 @@
 typedef void (*Cfw__Configuration_Closure)
                  (const Cfw__Configuration *message,
                   void *closure_data);
+typedef void (*Cfw__RouteTable_Closure)
+                 (const Cfw__RouteTable *message,
+                  void *closure_data);
 typedef void (*Cfw__Outcome_Closure)
                  (const Cfw__Outcome *message,
                   void *closure_data);
@@ -1836,6 +2241,33 @@
 typedef void (*Cfw__ForwardReply_Closure)
                  (const Cfw__ForwardReply *message,
                   void *closure_data);
+typedef void (*Cfw__JoinRequest_Closure)
+                 (const Cfw__JoinRequest *message,
+                  void *closure_data);
+typedef void (*Cfw__RunLeaseAsk_Closure)
+                 (const Cfw__RunLeaseAsk *message,
+                  void *closure_data);
+typedef void (*Cfw__RunLease_Closure)
+                 (const Cfw__RunLease *message,
+                  void *closure_data);
+typedef void (*Cfw__RunStart_Closure)
+                 (const Cfw__RunStart *message,
+                  void *closure_data);
+typedef void (*Cfw__RunStop_Closure)
+                 (const Cfw__RunStop *message,
+                  void *closure_data);
+typedef void (*Cfw__RunOrders_Closure)
+                 (const Cfw__RunOrders *message,
+                  void *closure_data);
+typedef void (*Cfw__RunEnd_Closure)
+                 (const Cfw__RunEnd *message,
+                  void *closure_data);
+typedef void (*Cfw__ServerState_Closure)
+                 (const Cfw__ServerState *message,
+                  void *closure_data);
+typedef void (*Cfw__RunReport_Closure)
+                 (const Cfw__RunReport *message,
+                  void *closure_data);
 typedef void (*Cfw__Envelope_Closure)
                  (const Cfw__Envelope *message,
                   void *closure_data);
@@ -1848,6 +2280,7 @@
 extern const ProtobufCEnumDescriptor    cfw__role__descriptor;
 extern const ProtobufCEnumDescriptor    cfw__lease_verdict__descriptor;
 extern const ProtobufCEnumDescriptor    cfw__task_outcome__descriptor;
+extern const ProtobufCEnumDescriptor    cfw__run_outcome__descriptor;
 extern const ProtobufCMessageDescriptor cfw__hello__descriptor;
 extern const ProtobufCMessageDescriptor cfw__heartbeat__descriptor;
 extern const ProtobufCMessageDescriptor cfw__log_entry__descriptor;
@@ -1862,6 +2295,7 @@
 extern const ProtobufCMessageDescriptor cfw__view__descriptor;
 extern const ProtobufCMessageDescriptor cfw__fence__descriptor;
 extern const ProtobufCMessageDescriptor cfw__configuration__descriptor;
+extern const ProtobufCMessageDescriptor cfw__route_table__descriptor;
 extern const ProtobufCMessageDescriptor cfw__outcome__descriptor;
 extern const ProtobufCMessageDescriptor cfw__subject__descriptor;
 extern const ProtobufCMessageDescriptor cfw__config_snapshot__descriptor;
@@ -1888,6 +2322,15 @@
 extern const ProtobufCMessageDescriptor cfw__query_reply__descriptor;
 extern const ProtobufCMessageDescriptor cfw__forward__descriptor;
 extern const ProtobufCMessageDescriptor cfw__forward_reply__descriptor;
+extern const ProtobufCMessageDescriptor cfw__join_request__descriptor;
+extern const ProtobufCMessageDescriptor cfw__run_lease_ask__descriptor;
+extern const ProtobufCMessageDescriptor cfw__run_lease__descriptor;
+extern const ProtobufCMessageDescriptor cfw__run_start__descriptor;
+extern const ProtobufCMessageDescriptor cfw__run_stop__descriptor;
+extern const ProtobufCMessageDescriptor cfw__run_orders__descriptor;
+extern const ProtobufCMessageDescriptor cfw__run_end__descriptor;
+extern const ProtobufCMessageDescriptor cfw__server_state__descriptor;
+extern const ProtobufCMessageDescriptor cfw__run_report__descriptor;
 extern const ProtobufCMessageDescriptor cfw__envelope__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/roles/coordinator.c
+++ b/src/roles/coordinator.c
@@ -58,6 +58,7 @@
 	coordinator_renew_voter_lease(c, now_ms);
 	coordinator_expire_leases(c, now_ms);
 	coordinator_upkeep_members(c, now_ms);
+	coordinator_ask_to_join(c, now_ms);
 	coordinator_answer_reads(c, now_ms);
 	gauge_set(c->counters.revision, (int64_t)cf_config_revision(c->config));
 	if (now_ms < c->next_expiry_ms)
@@ -102,6 +103,12 @@
 	c->data_folder = g_strdup(settings_text(settings, "data"));
 	c->lease_ms = (uint32_t)settings_number(settings, "lease-ms");
 	c->join = g_strdupv(settings_list(settings, "join"));
+	c->formats = role_formats();
+	if (settings_text(settings, "control"))
+		g_strlcpy(c->control_address, settings_text(settings, "control"),
+			  sizeof(c->control_address));
+	c->unreachable = g_hash_table_new_full(g_direct_hash, g_direct_equal,
+					       NULL, g_free);
 	c->config = cf_config_create();
 	c->voter_lease = cf_lease_create();
 	c->peers = g_ptr_array_new();
@@ -119,6 +126,7 @@
 
 static void destroy(struct coordinator *c)
 {
+	http_server_destroy(c->control);
 	if (c->admin)
 		admin_destroy(c->admin);
 	if (c->tick)
@@ -141,6 +149,7 @@
 	g_ptr_array_unref(c->reads);
 	g_hash_table_destroy(c->identities);
 	g_hash_table_destroy(c->waiters);
+	g_hash_table_destroy(c->unreachable);
 	cf_ledger_destroy(c->ledger);
 	cf_lease_destroy(c->voter_lease);
 	cf_config_destroy(c->config);
@@ -153,6 +162,13 @@
 {
 	const char *text = settings_text(settings, "first-members");
 
+	if (settings_list(settings, "seeds")[0])
+		return coordinator_find_identity(c, settings, error);
+	if (!c->id) {
+		g_set_error(error, role_error_quark(), 0,
+			    "id: must be given where no seeds are");
+		return false;
+	}
 	if (text && *text) {
 		c->first_members = first_members_parse(text, c->id, error);
 		return c->first_members != NULL;
@@ -267,6 +283,10 @@
 		destroy(c);
 		return NULL;
 	}
+	if (!coordinator_open_control(c, error)) {
+		destroy(c);
+		return NULL;
+	}
 	c->tick = loop_timer_create(c->loop, tick, c);
 	loop_timer_start(c->tick, TICK_MS, TICK_MS);
 	c->thread = g_thread_new("coordinator", run, c);
@@ -315,6 +335,8 @@
 	g_async_queue_pop(stop.done);
 	g_async_queue_unref(stop.done);
 	/* The loop still answers what comes in until the server is gone. */
+	http_server_destroy(c->control);
+	c->control = NULL;
 	admin_destroy(c->admin);
 	c->admin = NULL;
 	loop_stop(c->loop);
--- a/src/roles/coordinator.h
+++ b/src/roles/coordinator.h
@@ -10,6 +10,7 @@
 #include "base/counters.h"
 #include "net/admin.h"
 #include "net/link.h"
+#include "leased/formats.h"
 #include "roles/role.h"
 #include "store/group.h"
 
@@ -29,6 +30,7 @@
 /* A read that waits for a quorum heard after its arrival. */
 struct waiting_read {
 	struct http_request *request;
+	bool routes; /* the operators' routes as they were sent */
 	int64_t arrived_ms;
 };
 
@@ -90,6 +92,12 @@
 	uint16_t port;
 	GArray *first_members; /* struct cf_member */
 	char **join; /* addresses, or NULL */
+	struct http_server *control; /* the platform's interface, or NULL */
+	const struct formats *formats;
+	char control_address[CF_NAME_SIZE]; /* empty: none */
+	char link_address[CF_NAME_SIZE]; /* where others reach this one */
+	int64_t next_join_ms;
+	GHashTable *unreachable; /* member id -> int64_t *, since when */
 
 	GPtrArray *peers; /* struct link, dialled */
 	GPtrArray *accepted; /* struct link that other coordinators made */
@@ -128,6 +136,22 @@
 /* The log's members are those of the newest applied view. */
 bool coordinator_view_is_stable(const struct coordinator *c);
 
+/* ---- A group that finds its members itself (coordinator_join.c) ----- */
+
+/* Reads or makes this member's id and first members; false: error. */
+bool coordinator_find_identity(struct coordinator *c,
+			       const struct settings *settings, GError **error);
+/* Asks to be added while this member is none. */
+void coordinator_ask_to_join(struct coordinator *c, int64_t now_ms);
+void coordinator_join_request(struct coordinator *c,
+			      const struct Cfw__JoinRequest *request);
+/* Leader: removes a member too many that can't be reached; true: it did. */
+bool coordinator_remove_unreachable(struct coordinator *c, int64_t now_ms);
+
+/* ---- The platform's interface (coordinator_control.c) --------------- */
+
+bool coordinator_open_control(struct coordinator *c, GError **error);
+
 /* ---- Log (coordinator_log.c) ---------------------------------------- */
 
 extern const struct group_handlers coordinator_group_handlers;
--- a/src/roles/coordinator_admin.c
+++ b/src/roles/coordinator_admin.c
@@ -11,6 +11,8 @@
 
 #define READ_WAIT_MS 3000
 #define HTTP_OK_STATUS 200
+#define HTTP_REDIRECT 307
+#define OWN_PATHS "/v1/" /* of the admin interface */
 #define HTTP_BAD_REQUEST 400
 #define HTTP_NOT_FOUND 404
 #define HTTP_CONFLICT 409
@@ -62,6 +64,17 @@
 	reply_json(request, statuses[result->status], json);
 }
 
+/* Callers of the platform's interface follow redirects. */
+static void redirect(struct http_request *request, const char *address)
+{
+	g_autofree char *location =
+		g_strdup_printf("Location: http://%s%s", address,
+				http_path(request));
+	const char *headers[] = { location, NULL };
+
+	http_reply(request, HTTP_REDIRECT, NULL, NULL, 0, headers);
+}
+
 /* 421 with where the leader is; 503 when it is not known or is here. */
 void coordinator_answer_not_leader(struct coordinator *c,
 				   struct http_request *request,
@@ -72,9 +85,13 @@
 		leader && leader != c->id
 			? coordinator_member_address(c, leader, true)
 			: NULL;
-	json_t *json =
-		json_pack("{s:s,s:s}", "reason", "not_leader", "message", why);
+	json_t *json;
 
+	if (address && !g_str_has_prefix(http_path(request), OWN_PATHS)) {
+		redirect(request, address);
+		return;
+	}
+	json = json_pack("{s:s,s:s}", "reason", "not_leader", "message", why);
 	if (address)
 		json_object_set_new(json, "leader_admin", json_string(address));
 	reply_json(request, address ? HTTP_MISDIRECTED : HTTP_UNAVAILABLE,
@@ -145,6 +162,24 @@
 	post(arg, request, NULL, run_read);
 }
 
+static void answer_routes(const struct coordinator *c,
+			  struct http_request *request)
+{
+	uint64_t version;
+	GBytes *routes = cf_config_routes(c->config, &version);
+	gsize size;
+	const void *data;
+
+	if (!routes) {
+		http_reply_error(request, HTTP_UNAVAILABLE, "no_routes",
+				 "no routes were set yet");
+		return;
+	}
+	data = g_bytes_get_data(routes, &size);
+	http_reply(request, HTTP_OK_STATUS, "application/json", data, size,
+		   NULL);
+}
+
 /* A quorum heard after the read's arrival proves that nobody else led
  * when it came. */
 void coordinator_answer_reads(struct coordinator *c, int64_t now_ms)
@@ -152,7 +187,9 @@
 	for (guint i = c->reads->len; i-- > 0;) {
 		struct waiting_read *read = g_ptr_array_index(c->reads, i);
 
-		if (group_quorum_ms(c->group) > read->arrived_ms)
+		if (group_quorum_ms(c->group) > read->arrived_ms && read->routes)
+			answer_routes(c, read->request);
+		else if (group_quorum_ms(c->group) > read->arrived_ms)
 			reply_json(read->request, HTTP_OK_STATUS,
 				   config_to_json(c->config));
 		else if (now_ms - read->arrived_ms > READ_WAIT_MS)
--- /dev/null
+++ b/src/roles/coordinator_control.c
@@ -0,0 +1,166 @@
+/*
+ * coordinator_control: the platform's interface for operators: routes
+ * and the service of data centres. Requests arrive on a server thread
+ * and are carried out on the loop, as commands of the replicated log.
+ */
+#include "roles/coordinator.h"
+
+#include "base/clock.h"
+#include "base/logger.h"
+
+/* ---- Constants ----------------------------------------------------- */
+
+#define CONTROL_THREADS 1
+#define CONTROL_CONNECTIONS_MAX 512
+#define CONTROL_BODY_MAX_BYTES (8U << 20)
+#define HTTP_BAD_REQUEST 400
+#define HTTP_NOT_FOUND 404
+
+/* ---- Types --------------------------------------------------------- */
+
+struct posted {
+	struct coordinator *coordinator;
+	struct http_request *request;
+	struct control_request asked;
+	uint64_t version; /* of the routes */
+};
+
+/* ---- On the loop ---------------------------------------------------- */
+
+static void set_routes(struct coordinator *c, const struct posted *p,
+		       struct Cfw__Command *command,
+		       struct Cfw__RouteTable *routes)
+{
+	size_t size;
+
+	(void)c;
+	cfw__route_table__init(routes);
+	routes->version = p->version;
+	routes->document.data = (uint8_t *)http_body(p->request, &size);
+	routes->document.len = size;
+	command->change_case = CFW__COMMAND__CHANGE_ROUTES_SET;
+	command->routes_set = routes;
+}
+
+static void set_service(const struct posted *p, struct Cfw__Command *command,
+			struct Cfw__DataCentre *dc)
+{
+	cfw__data_centre__init(dc);
+	dc->name = (char *)p->asked.subject;
+	dc->in_service = p->asked.kind == CONTROL_TAKE_IN;
+	command->change_case = CFW__COMMAND__CHANGE_DATA_CENTRE_SET;
+	command->data_centre_set = dc;
+}
+
+static void run_change(void *arg)
+{
+	struct posted *p = arg;
+	struct coordinator *c = p->coordinator;
+	struct waiter waiter = { .request = p->request };
+	struct Cfw__Command command = CFW__COMMAND__INIT;
+	struct Cfw__RouteTable routes;
+	struct Cfw__DataCentre dc;
+
+	if (p->asked.kind == CONTROL_SET_ROUTES)
+		set_routes(c, p, &command, &routes);
+	else
+		set_service(p, &command, &dc);
+	if (!coordinator_propose_own(c, &command, &waiter))
+		coordinator_answer_not_leader(c, p->request,
+					      "this member does not lead");
+	g_free(p);
+}
+
+static void run_read(void *arg)
+{
+	struct posted *p = arg;
+	struct coordinator *c = p->coordinator;
+	struct waiting_read *read;
+
+	if (c->office && !c->stopping) {
+		read = g_new0(struct waiting_read, 1);
+		read->request = p->request;
+		read->routes = true;
+		read->arrived_ms = loop_now_ms(c->loop);
+		g_ptr_array_add(c->reads, read);
+	} else {
+		coordinator_answer_not_leader(c, p->request,
+					      "this member does not lead");
+	}
+	g_free(p);
+}
+
+/* ---- On a server thread --------------------------------------------- */
+
+static void post(struct coordinator *c, struct http_request *request,
+		 const struct control_request *asked, uint64_t version,
+		 loop_fn *fn)
+{
+	struct posted *p = g_new0(struct posted, 1);
+
+	p->coordinator = c;
+	p->request = request;
+	p->asked = *asked;
+	p->version = version;
+	loop_post(c->loop, fn, p);
+}
+
+static void take_routes(struct coordinator *c, struct http_request *request,
+			const struct control_request *asked)
+{
+	g_autoptr(GError) error = NULL;
+	uint64_t version = 0;
+	size_t size;
+	const void *body = http_body(request, &size);
+	GArray *routes = c->formats->read_routes(body, size, &version, &error);
+
+	if (!routes) {
+		log_event(LOG_WARN, "routes_refused", "why=\"%s\"",
+			  error->message);
+		http_reply_error(request, HTTP_BAD_REQUEST, "invalid",
+				 error->message);
+		return;
+	}
+	g_array_unref(routes);
+	post(c, request, asked, version, run_change);
+}
+
+static void handle(void *arg, struct http_request *request)
+{
+	struct coordinator *c = arg;
+	struct control_request asked;
+
+	c->formats->read_control(http_method(request), http_path(request),
+				 &asked);
+	switch (asked.kind) {
+	case CONTROL_SET_ROUTES:
+		take_routes(c, request, &asked);
+		break;
+	case CONTROL_GET_ROUTES:
+		post(c, request, &asked, 0, run_read);
+		break;
+	case CONTROL_TAKE_OUT:
+	case CONTROL_TAKE_IN:
+		post(c, request, &asked, 0, run_change);
+		break;
+	default:
+		http_reply_error(request, HTTP_NOT_FOUND, "not_found",
+				 "this interface has no such call");
+		break;
+	}
+}
+
+bool coordinator_open_control(struct coordinator *c, GError **error)
+{
+	struct http_server_options options = {
+		.address = c->control_address,
+		.threads = CONTROL_THREADS,
+		.connections_max = CONTROL_CONNECTIONS_MAX,
+		.body_max_bytes = CONTROL_BODY_MAX_BYTES,
+	};
+
+	if (!*c->control_address)
+		return true;
+	c->control = http_server_create(&options, handle, c, error);
+	return c->control != NULL;
+}
--- /dev/null
+++ b/src/roles/coordinator_join.c
@@ -0,0 +1,262 @@
+/*
+ * coordinator_join: a group that finds its members itself. It forms from
+ * the seeds when the whole system starts for the first time. Later a
+ * coordinator without an id on its disk takes a new one and asks the
+ * leader to be added; it votes only once it has caught up. The leader
+ * takes out the member that had the same address before, whose disk is
+ * gone, and one too many that it can't reach.
+ */
+#include "roles/coordinator.h"
+
+#include "base/address.h"
+#include "base/clock.h"
+#include "base/logger.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* ---- Constants ----------------------------------------------------- */
+
+#define IDENTITY_FILE "member-id" /* "ID FIRST-MEMBERS" */
+#define NEW_ID_LEAST 1000 /* above the ids of first members */
+#define NEW_ID_MOST 1000000
+#define JOIN_EVERY_MS 500
+#define UNREACHABLE_MS 3000 /* then a member too many is removed */
+#define VOTERS_KEPT 3 /* never fewer by removal of unreachable ones */
+
+/* ---- This member's identity ----------------------------------------- */
+
+static char *with_port(const char *address, int64_t port)
+{
+	const char *colon = strrchr(address, ':');
+
+	return g_strdup_printf("%.*s:%" G_GINT64_FORMAT,
+			       (int)(colon - address), address, port);
+}
+
+static char *first_members_text(char **seeds, int64_t port)
+{
+	GString *text = g_string_new(NULL);
+
+	for (uint32_t i = 0; seeds[i]; i++) {
+		g_autofree char *address = with_port(seeds[i], port);
+
+		g_string_append_printf(text, "%s%u=%s/%s", i ? "," : "", i + 1,
+				       address, seeds[i]);
+	}
+	return g_string_free(text, FALSE);
+}
+
+static uint32_t seed_position(char **seeds, const char *address)
+{
+	for (uint32_t i = 0; seeds[i]; i++) {
+		if (!strcmp(seeds[i], address))
+			return i + 1;
+	}
+	return 0;
+}
+
+static void make_identity(struct coordinator *c,
+			  const struct settings *settings, char **first_members)
+{
+	char **seeds = settings_list(settings, "seeds");
+	uint32_t position = seed_position(seeds, c->control_address);
+
+	if (settings_bool(settings, "first-start") && position) {
+		c->id = position;
+		*first_members = first_members_text(
+			seeds, settings_number(settings, "seeds-port"));
+		return;
+	}
+	c->id = NEW_ID_LEAST +
+		(uint32_t)(clock_random() % (NEW_ID_MOST - NEW_ID_LEAST));
+	*first_members = g_strdup("");
+}
+
+static bool load_identity(struct coordinator *c, char **first_members,
+			  GError **error)
+{
+	GError *fault = NULL;
+	g_autoptr(GBytes) kept =
+		store_get_file(c->data_folder, IDENTITY_FILE, &fault);
+	g_autofree char *text = NULL;
+	gsize size;
+	const char *data;
+	char *rest;
+
+	if (fault) {
+		g_propagate_error(error, fault);
+		return false;
+	}
+	if (!kept)
+		return true;
+	data = g_bytes_get_data(kept, &size);
+	text = g_strndup(data, size);
+	c->id = (uint32_t)strtoul(text, &rest, 10);
+	*first_members = g_strdup(*rest ? rest + 1 : rest);
+	return true;
+}
+
+static bool save_identity(const struct coordinator *c,
+			  const char *first_members, GError **error)
+{
+	char *text = g_strdup_printf("%u %s", c->id, first_members);
+	g_autoptr(GBytes) data = g_bytes_new_take(text, strlen(text));
+
+	return store_put_file(c->data_folder, IDENTITY_FILE, data, error);
+}
+
+static void set_join_addresses(struct coordinator *c,
+			       const struct settings *settings)
+{
+	char **seeds = settings_list(settings, "seeds");
+	int64_t port = settings_number(settings, "seeds-port");
+	GPtrArray *join = g_ptr_array_new();
+
+	for (size_t i = 0; seeds[i]; i++) {
+		if (strcmp(seeds[i], c->control_address) != 0)
+			g_ptr_array_add(join, with_port(seeds[i], port));
+	}
+	g_ptr_array_add(join, NULL);
+	g_strfreev(c->join);
+	c->join = (char **)g_ptr_array_free(join, FALSE);
+}
+
+bool coordinator_find_identity(struct coordinator *c,
+			       const struct settings *settings, GError **error)
+{
+	g_autofree char *first_members = NULL;
+
+	c->id = 0;
+	if (g_mkdir_with_parents(c->data_folder, 0755)) {
+		g_set_error(error, role_error_quark(), 0,
+			    "data: the folder %s can't be made",
+			    c->data_folder);
+		return false;
+	}
+	if (!load_identity(c, &first_members, error))
+		return false;
+	if (!c->id) {
+		make_identity(c, settings, &first_members);
+		if (!save_identity(c, first_members, error))
+			return false;
+	}
+	g_strlcpy(c->link_address, settings_text(settings, "listen"),
+		  sizeof(c->link_address));
+	set_join_addresses(c, settings);
+	if (*first_members)
+		c->first_members =
+			first_members_parse(first_members, c->id, error);
+	else
+		c->first_members =
+			g_array_new(FALSE, TRUE, sizeof(struct cf_member));
+	log_event(LOG_INFO, "identity", "id=%u first_members=%s", c->id,
+		  *first_members ? first_members : "none");
+	return c->first_members != NULL;
+}
+
+/* ---- Joining -------------------------------------------------------- */
+
+void coordinator_ask_to_join(struct coordinator *c, int64_t now_ms)
+{
+	struct Cfw__Envelope envelope = CFW__ENVELOPE__INIT;
+	struct Cfw__JoinRequest request = CFW__JOIN_REQUEST__INIT;
+
+	if (!*c->link_address || now_ms < c->next_join_ms ||
+	    c->first_members->len || cf_config_find_member(c->config, c->id))
+		return;
+	c->next_join_ms = now_ms + JOIN_EVERY_MS;
+	request.member_id = c->id;
+	request.address = c->link_address;
+	request.admin_address = c->control_address;
+	envelope.body_case = CFW__ENVELOPE__BODY_JOIN;
+	envelope.join = &request;
+	for (guint i = 0; i < c->peers->len; i++)
+		link_send(g_ptr_array_index(c->peers, i), &envelope);
+}
+
+static void propose_removal(struct coordinator *c, uint32_t id, const char *why)
+{
+	struct Cfw__Command command = CFW__COMMAND__INIT;
+
+	command.change_case = CFW__COMMAND__CHANGE_MEMBER_REMOVE;
+	command.member_remove = id;
+	c->office->proposed = coordinator_propose_own(c, &command, NULL);
+	log_event(LOG_INFO, "member_removed", "id=%u why=\"%s\"", id, why);
+}
+
+static void propose_addition(struct coordinator *c,
+			     const struct Cfw__JoinRequest *request)
+{
+	struct Cfw__Command command = CFW__COMMAND__INIT;
+	struct Cfw__Member member = CFW__MEMBER__INIT;
+
+	member.id = request->member_id;
+	member.address = request->address;
+	member.admin_address = request->admin_address;
+	command.change_case = CFW__COMMAND__CHANGE_MEMBER_ADD;
+	command.member_add = &member;
+	c->office->proposed = coordinator_propose_own(c, &command, NULL);
+	log_event(LOG_INFO, "member_added", "id=%u address=%s",
+		  request->member_id, request->address);
+}
+
+void coordinator_join_request(struct coordinator *c,
+			      const struct Cfw__JoinRequest *request)
+{
+	const struct cf_member *members;
+	size_t n = cf_config_members(c->config, &members);
+
+	if (!c->office || c->office->proposed > group_applied(c->group) ||
+	    cf_config_find_member(c->config, request->member_id) ||
+	    cf_config_is_retired(c->config, request->member_id))
+		return;
+	for (size_t i = 0; i < n; i++) {
+		if (strcmp(members[i].address, request->address) != 0)
+			continue;
+		if (!members[i].leaving)
+			propose_removal(c, members[i].id,
+					"its host came back with an empty disk");
+		return;
+	}
+	propose_addition(c, request);
+}
+
+/* ---- Members too many ------------------------------------------------ */
+
+static bool is_long_unreachable(struct coordinator *c, uint32_t id,
+				int64_t now_ms)
+{
+	gpointer key = GUINT_TO_POINTER(id);
+	int64_t *since_ms = g_hash_table_lookup(c->unreachable, key);
+
+	if (id == c->id || coordinator_link_to(c, id)) {
+		g_hash_table_remove(c->unreachable, key);
+		return false;
+	}
+	if (!since_ms) {
+		since_ms = g_memdup2(&now_ms, sizeof(now_ms));
+		g_hash_table_insert(c->unreachable, key, since_ms);
+	}
+	return now_ms - *since_ms >= UNREACHABLE_MS;
+}
+
+bool coordinator_remove_unreachable(struct coordinator *c, int64_t now_ms)
+{
+	const struct cf_member *members;
+	size_t n = cf_config_members(c->config, &members);
+	uint32_t voters = 0, gone = 0;
+
+	if (!*c->link_address)
+		return false;
+	for (size_t i = 0; i < n; i++) {
+		voters += members[i].voter && !members[i].leaving;
+		if (is_long_unreachable(c, members[i].id, now_ms) &&
+		    !members[i].leaving)
+			gone = members[i].id;
+	}
+	if (!gone || voters <= VOTERS_KEPT)
+		return false;
+	propose_removal(c, gone, "it can't be reached and others are enough");
+	return true;
+}
--- a/src/roles/coordinator_links.c
+++ b/src/roles/coordinator_links.c
@@ -164,6 +164,9 @@
 	case CFW__ENVELOPE__BODY_FENCE_REQUEST:
 		coordinator_fence_request(c, link, envelope->fence_request);
 		break;
+	case CFW__ENVELOPE__BODY_JOIN:
+		coordinator_join_request(c, envelope->join);
+		break;
 	case CFW__ENVELOPE__BODY_CLAIM_REQUEST:
 		coordinator_claim_request(c, link, envelope->claim_request);
 		break;
--- a/src/roles/coordinator_members.c
+++ b/src/roles/coordinator_members.c
@@ -261,7 +261,8 @@
 		return;
 	office->proposed = 0;
 	office->proposed_ms = now_ms;
-	if (register_first(c) || register_identity(c))
+	if (register_first(c) || register_identity(c) ||
+	    coordinator_remove_unreachable(c, now_ms))
 		return;
 	change_members(c);
 }
--- a/src/roles/role.c
+++ b/src/roles/role.c
@@ -54,6 +54,18 @@
 	return 1;
 }
 
+static const struct formats *platform_formats;
+
+void role_set_formats(const struct formats *formats)
+{
+	platform_formats = formats;
+}
+
+const struct formats *role_formats(void)
+{
+	return platform_formats;
+}
+
 void role_request_stop(void)
 {
 	kill(getpid(), SIGTERM);
--- a/src/roles/role.h
+++ b/src/roles/role.h
@@ -14,6 +14,8 @@
 int standalone_main(const struct settings *settings);
 int backend_main(const struct settings *settings); /* stand-in server */
 int load_main(const struct settings *settings);
+int leased_dispatcher_main(const struct settings *settings);
+int leased_agent_main(const struct settings *settings);
 
 /* Operator verbs; argv[0] is the verb ("class", "status", ...). */
 int operator_main(int argc, char **argv);
@@ -49,6 +51,13 @@
  * and waits for one; SIGPIPE and SIGXFSZ are ignored. */
 void role_block_signals(void);
 void role_wait_for_stop(void);
+/* What role_wait_for_stop calls when SIGHUP came; NULL: nothing. */
+void role_on_reload(void (*reload)(void *arg), void *arg);
+/* How callers, operators and backend servers of the platform speak; set
+ * once, before any role starts. */
+struct formats;
+void role_set_formats(const struct formats *formats);
+const struct formats *role_formats(void);
 void role_request_stop(void); /* as if SIGTERM had come; any thread */
 
 #endif
--- a/src/roles/session.c
+++ b/src/roles/session.c
@@ -440,6 +440,12 @@
 		send_request(s, false);
 }
 
+void session_add_coordinators(struct session *s, char **addresses)
+{
+	for (size_t i = 0; addresses[i]; i++)
+		add_link(s, addresses[i]);
+}
+
 void session_leave(struct session *s)
 {
 	if (!s->begun || s->left)
--- a/src/roles/session.h
+++ b/src/roles/session.h
@@ -53,6 +53,9 @@
 void session_set_capacity(struct session *session,
 			  const struct cf_capacity *capacity);
 
+/* Dials these coordinators too, by reload. */
+void session_add_coordinators(struct session *session, char **addresses);
+
 /* Gives the lease back; the process is off the roster at once. */
 void session_leave(struct session *session);
 
--- a/src/roles/signals.c
+++ b/src/roles/signals.c
@@ -4,14 +4,26 @@
  */
 #include "roles/role.h"
 
+#include "base/logger.h"
+
 #include <pthread.h>
 #include <signal.h>
 
+static void (*reload_fn)(void *arg);
+static void *reload_arg;
+
+void role_on_reload(void (*reload)(void *arg), void *arg)
+{
+	reload_arg = arg;
+	reload_fn = reload;
+}
+
 static void stop_signals(sigset_t *set)
 {
 	sigemptyset(set);
 	sigaddset(set, SIGTERM);
 	sigaddset(set, SIGINT);
+	sigaddset(set, SIGHUP);
 }
 
 void role_block_signals(void)
@@ -31,6 +43,13 @@
 	int number;
 
 	stop_signals(&set);
-	while (sigwait(&set, &number))
-		continue;
+	for (;;) {
+		if (sigwait(&set, &number))
+			continue;
+		if (number != SIGHUP)
+			return;
+		log_event(LOG_INFO, "reload", "cause=signal");
+		if (reload_fn)
+			reload_fn(reload_arg);
+	}
 }
