--- a/src/leased/dispatch_jobs.c
+++ b/src/leased/dispatch_jobs.c
@@ -216,9 +216,7 @@
 		       job->route.target_ms;
 	job->good_start_ms =
 		job->arrived_ms + MAX(objective_ms - job->predicted_ms, 0);
-	job->deadline_ms = MIN(job->deadline_ms,
-			       job->arrived_ms + job->route.timeout_ms) -
-			   ANSWER_MARGIN_MS;
+	job->deadline_ms -= ANSWER_MARGIN_MS;
 }
 
 static struct djob *create_job(struct dispatch *d,
