--- a/src/leased/dispatch_internal.h
+++ b/src/leased/dispatch_internal.h
@@ -30,6 +30,7 @@
 	uint32_t own_runs;
 	int64_t own_cpu_milli;
 	uint32_t late_runs; /* of own ones, far beyond their prediction */
+	int64_t done_ms; /* when one last ended well */
 	bool told; /* by the report that is being read */
 };
 
@@ -88,6 +89,7 @@
 	int64_t arrived_ms, deadline_ms;
 	int64_t good_start_ms; /* the last task should start before */
 	uint32_t predicted_ms;
+	uint32_t slowest_ms; /* of its tasks that have ended well; 0: none */
 	struct dtask *tasks;
 	uint32_t n_waiting, n_sent, n_done;
 	bool ever_sent; /* a start went out that may have been carried out */
--- a/src/leased/dispatch_jobs.c
+++ b/src/leased/dispatch_jobs.c
@@ -368,6 +368,8 @@
 	cf_predict_learn(d->predict, job->class->name,
 			 MAX(job->spec.estimate_ms, 1), run_ms);
 	blame_failures(d, job, task, now_ms);
+	task->server->done_ms = now_ms;
+	job->slowest_ms = MAX(job->slowest_ms, run_ms);
 	leave_server(job, task);
 	task->state = DTASK_DONE;
 	task->server = NULL;
--- a/src/leased/dispatch_place.c
+++ b/src/leased/dispatch_place.c
@@ -20,10 +20,14 @@
 #define FULL_SERVER_MS 8.0 /* beside an empty one: others may send there too */
 #define AVOIDED_MS 10000.0 /* the server that a task was moved away from */
 #define MOVES_MAX 2 /* of one task */
-#define LATE_FACTOR 2.6 /* times the prediction: it is moved */
-#define LATE_FACTOR_SUSPECT 1.7 /* at a server where others are late too */
-#define LATE_LEAST_MS 40 /* beyond the prediction */
-#define SUSPECT_RUNS 2
+/* Tasks of one job take alike, however wrong their common estimate is. */
+#define LATE_BESIDE_SIBLINGS 1.7 /* times the slowest that has ended */
+#define LATE_ALONE 3.5 /* times the prediction, while none has ended */
+#define LATE_SUSPECT 2.0 /* the same at a server that seems to stand still */
+#define LATE_LEAST_MS 40 /* beyond that */
+#define SUSPECT_RUNS 2 /* late ones, and half of all there */
+#define SUSPECT_SLOWNESS 2.0
+#define SUSPECT_STILL_MS 250 /* without any run that ended well */
 
 /* ---- Choice --------------------------------------------------------- */
 
@@ -171,17 +175,24 @@
 
 /* ---- Runs that take too long ----------------------------------------- */
 
-static int64_t late_after_ms(const struct djob *job, double factor)
+static bool is_suspect(const struct dispatch *d, const struct dserver *server,
+		       int64_t now_ms)
 {
-	double ms = (double)job->predicted_ms * factor;
-
-	return MAX((int64_t)ms, (int64_t)job->predicted_ms + LATE_LEAST_MS);
+	if (cf_health_slowness(d->health, server->id) >= SUSPECT_SLOWNESS)
+		return true;
+	return server->late_runs >= SUSPECT_RUNS &&
+	       server->late_runs * 2 >= server->own_runs &&
+	       now_ms - server->done_ms >= SUSPECT_STILL_MS;
 }
 
-static bool is_suspect(const struct dserver *server)
+static int64_t late_after_ms(const struct djob *job, bool suspect)
 {
-	return server->late_runs >= SUSPECT_RUNS &&
-	       server->late_runs * 2 >= server->own_runs;
+	double ms = (double)job->predicted_ms *
+		    (suspect ? LATE_SUSPECT : LATE_ALONE);
+
+	if (job->slowest_ms)
+		ms = (double)job->slowest_ms * LATE_BESIDE_SIBLINGS;
+	return (int64_t)ms + LATE_LEAST_MS;
 }
 
 static void count_late(struct dispatch *d, int64_t now_ms)
@@ -195,7 +206,7 @@
 	g_hash_table_iter_init(&iter, d->jobs);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct djob *job = value;
-		int64_t limit_ms = late_after_ms(job, LATE_FACTOR_SUSPECT);
+		int64_t limit_ms = late_after_ms(job, true);
 
 		for (uint32_t i = 0; job->n_sent && i < job->spec.n_tasks; i++)
 			if (job->tasks[i].state == DTASK_SENT &&
@@ -227,10 +238,9 @@
 			struct dtask *task, int64_t now_ms)
 {
 	int64_t ran_ms = now_ms - task->sent_ms;
-	double factor = is_suspect(task->server) ? LATE_FACTOR_SUSPECT
-						 : LATE_FACTOR;
+	bool suspect = is_suspect(d, task->server, now_ms);
 
-	if (task->stopping || ran_ms <= late_after_ms(job, factor))
+	if (task->stopping || ran_ms <= late_after_ms(job, suspect))
 		return;
 	if (!task->overdue_told) {
 		task->overdue_told = true;
