--- a/include/chervilferry.h
+++ b/include/chervilferry.h
@@ -532,6 +532,7 @@
 CF_API struct cf_health * cf_health_create(uint32_t eject_max_milli); /* at most this part ejected */
 CF_API void cf_health_destroy(struct cf_health *health); /* NULL is allowed */
 CF_API void cf_health_join(struct cf_health *health, uint64_t agent, int64_t now_ms); /* slow start */
+CF_API void cf_health_add(struct cf_health *health, uint64_t agent, int64_t now_ms); /* known and warm: no slow start */
 CF_API void cf_health_leave(struct cf_health *health, uint64_t agent); /* forget it */
 CF_API void cf_health_sent(struct cf_health *health, uint64_t agent, uint32_t n_tasks, int64_t now_ms); /* tasks placed there */
 CF_API void cf_health_result(struct cf_health *health, uint64_t agent, bool ok, uint32_t run_ms, uint32_t predicted_ms, int64_t now_ms); /* a task ended */
--- a/src/leased/dispatch_admit.c
+++ b/src/leased/dispatch_admit.c
@@ -10,6 +10,10 @@
  */
 #include "leased/dispatch_internal.h"
 
+#include "base/logger.h"
+
+#include <inttypes.h>
+
 /* ---- Constants ------------------------------------------------------ */
 
 #define RATE_PERIOD_MS 400 /* over which starts are measured */
@@ -17,6 +21,7 @@
 #define RATE_LEAST_MILLI_PER_MS 100.0 /* of processors; before any start */
 #define SHARE_LEAST 0.05 /* of the starts, for any class */
 #define MS_PER_S 1000
+#define PERCENT 100
 #define RETRY_SPREAD_S 3 /* callers that are refused together return apart */
 
 /* ---- Predicted wait ------------------------------------------------- */
@@ -63,18 +68,32 @@
 	return sum;
 }
 
-double admit_wait_ms(const struct dispatch *d, const struct dclass *class,
-		     int64_t cpu_milli, int64_t now_ms)
+/* What decides: kept together so that a refusal can tell it. */
+struct estimate {
+	double share; /* of the starts, for this class */
+	double free_milli; /* processors free for it */
+	double queued_milli; /* of the class, with the job itself */
+	double rate; /* processors a ms that come free for this dispatcher */
+	double wait_ms;
+};
+
+static void estimate(const struct dispatch *d, const struct dclass *class,
+		     int64_t now_ms, struct estimate *e)
 {
-	double share = class_share(d, class, now_ms);
+	double all = queued_cpu_milli(d);
 	double free_milli = free_cpu_milli(d);
-	double rate = MAX(rate_now(&d->started, RATE_PERIOD_MS, now_ms),
-			  RATE_LEAST_MILLI_PER_MS);
-	double ahead = (double)class->queued_cpu_milli + (double)cpu_milli;
-
-	if (queued_cpu_milli(d) + (double)cpu_milli <= free_milli)
-		return 0;
-	return MAX(ahead - free_milli * share, 0) / (rate * share);
+	double started = rate_now(&d->started, RATE_PERIOD_MS, now_ms);
+
+	e->queued_milli = (double)class->queued_cpu_milli;
+	e->share = class_share(d, class, now_ms);
+	if (all > 0)
+		e->share = MAX(e->share, e->queued_milli / all);
+	e->free_milli = MAX(free_milli * e->share,
+			    free_milli - (all - e->queued_milli));
+	e->rate = MAX(MAX(started, d->freeing_milli_per_ms),
+		      RATE_LEAST_MILLI_PER_MS);
+	e->wait_ms = MAX(e->queued_milli - e->free_milli, 0) /
+		     (e->rate * e->share);
 }
 
 /* ---- Verdict -------------------------------------------------------- */
@@ -82,17 +101,30 @@
 uint32_t admit_retry_after_s(const struct dispatch *d, const struct djob *job,
 			     int64_t now_ms)
 {
-	double wait_ms = admit_wait_ms(d, job->class, 0, now_ms);
 	guint spread = g_str_hash(job->id) % RETRY_SPREAD_S;
+	struct estimate e;
 
-	return 1 + (uint32_t)(wait_ms / MS_PER_S) + spread;
+	estimate(d, job->class, now_ms, &e);
+	return 1 + (uint32_t)(e.wait_ms / MS_PER_S) + spread;
+}
+
+static void tell_refusal(const struct djob *job, const struct estimate *e,
+			 int64_t now_ms)
+{
+	log_event(LOG_INFO, "job_refused",
+		  "job=%s route=%s wait_ms=%d slack_ms=%" PRId64
+		  " queued_cpu_milli=%d free_cpu_milli=%d rate_milli=%d "
+		  "share_percent=%d predicted_ms=%u",
+		  job->id, job->route.name, (int)e->wait_ms,
+		  job->good_start_ms - now_ms, (int)e->queued_milli,
+		  (int)e->free_milli, (int)e->rate, (int)(e->share * PERCENT),
+		  job->predicted_ms);
 }
 
 bool admit_job(const struct dispatch *d, const struct djob *job, int64_t now_ms,
 	       const char **reason, uint32_t *retry_after_s)
 {
-	int64_t cpu_milli = (int64_t)job->spec.cpu_milli * job->spec.n_tasks;
-	double wait_ms;
+	struct estimate e;
 
 	*retry_after_s = admit_retry_after_s(d, job, now_ms);
 	if (!dispatch_can_serve(d)) {
@@ -104,11 +136,10 @@
 		return false;
 	}
 	/* Its own tasks are among the class's queued ones already. */
-	wait_ms = admit_wait_ms(d, job->class, 0, now_ms);
-	(void)cpu_milli;
-	if (now_ms + (int64_t)wait_ms > job->good_start_ms) {
-		*reason = "the queue is too long for its target";
-		return false;
-	}
-	return true;
+	estimate(d, job->class, now_ms, &e);
+	if (now_ms + (int64_t)e.wait_ms <= job->good_start_ms)
+		return true;
+	*reason = "the queue is too long for its target";
+	tell_refusal(job, &e, now_ms);
+	return false;
 }
--- a/src/leased/dispatch_internal.h
+++ b/src/leased/dispatch_internal.h
@@ -110,6 +110,7 @@
 	struct cf_predict *predict;
 	struct cf_health *health;
 	struct rate started; /* cpu_milli of all tasks sent */
+	double freeing_milli_per_ms; /* as the tasks at servers should end */
 	bool pumping;
 };
 
@@ -129,10 +130,6 @@
 
 /* ---- Admission (dispatch_admit.c) ----------------------------------- */
 
-/* Wait until the last task of such a job would start, by what is queued
- * and by how fast starts go; the class's part of the room. */
-double admit_wait_ms(const struct dispatch *d, const struct dclass *class,
-		     int64_t cpu_milli, int64_t now_ms);
 /* Takes the job or tells why not. */
 bool admit_job(const struct dispatch *d, const struct djob *job, int64_t now_ms,
 	       const char **reason, uint32_t *retry_after_s);
@@ -144,8 +141,10 @@
 bool server_is_usable(const struct dispatch *d, const struct dserver *server);
 int64_t server_free_cpu_milli(const struct dserver *server);
 int64_t server_free_memory_mb(const struct dserver *server);
-void server_sent(struct dserver *server, const struct djob *job);
-void server_ended(struct dserver *server, const struct djob *job);
+void server_sent(struct dispatch *d, struct dserver *server,
+		 const struct djob *job);
+void server_ended(struct dispatch *d, struct dserver *server,
+		  const struct djob *job);
 void servers_tick(struct dispatch *d, int64_t now_ms);
 
 /* ---- Placing (dispatch_place.c) ------------------------------------- */
--- a/src/leased/dispatch_jobs.c
+++ b/src/leased/dispatch_jobs.c
@@ -319,16 +319,17 @@
 
 /* ---- Ends of runs --------------------------------------------------- */
 
-static void leave_server(struct djob *job, struct dtask *task)
+static void leave_server(struct dispatch *d, struct djob *job,
+			 struct dtask *task)
 {
-	server_ended(task->server, job);
+	server_ended(d, task->server, job);
 	job->n_sent--;
 }
 
 void dispatch_task_returned(struct dispatch *d, struct djob *job,
 			    struct dtask *task, int64_t now_ms)
 {
-	leave_server(job, task);
+	leave_server(d, job, task);
 	task->state = DTASK_WAITING;
 	task->avoided = task->server->id;
 	task->server = NULL;
@@ -370,7 +371,7 @@
 	blame_failures(d, job, task, now_ms);
 	task->server->done_ms = now_ms;
 	job->slowest_ms = MAX(job->slowest_ms, run_ms);
-	leave_server(job, task);
+	leave_server(d, job, task);
 	task->state = DTASK_DONE;
 	task->server = NULL;
 	job->n_done++;
--- a/src/leased/dispatch_place.c
+++ b/src/leased/dispatch_place.c
@@ -122,7 +122,7 @@
 	task->state = DTASK_SENT;
 	task->server = server;
 	task->sent_ms = now_ms;
-	server_sent(server, job);
+	server_sent(d, server, job);
 	cf_health_sent(d->health, server->id, 1, now_ms);
 	rate_add(&d->started, job->spec.cpu_milli, RATE_PERIOD_MS, now_ms);
 	log_event(LOG_INFO, "run_sent",
--- a/src/leased/dispatch_servers.c
+++ b/src/leased/dispatch_servers.c
@@ -48,7 +48,13 @@
 	return server->state.free_memory_mb - server->pending_memory_mb;
 }
 
-void server_sent(struct dserver *server, const struct djob *job)
+static double freeing_of(const struct djob *job)
+{
+	return (double)job->spec.cpu_milli / MAX(job->predicted_ms, 1);
+}
+
+void server_sent(struct dispatch *d, struct dserver *server,
+		 const struct djob *job)
 {
 	struct unconfirmed *start = g_new0(struct unconfirmed, 1);
 
@@ -61,6 +67,7 @@
 	server->pending_memory_mb += start->memory_mb;
 	server->own_runs++;
 	server->own_cpu_milli += start->cpu_milli;
+	d->freeing_milli_per_ms += freeing_of(job);
 }
 
 static void confirm(struct dagent *agent, uint64_t received)
@@ -155,10 +162,10 @@
 	struct dserver *server = g_new0(struct dserver, 1);
 
 	server->id = ++d->next_server;
+	cf_health_add(d->health, server->id, now_ms);
 	server->agent = agent;
 	g_ptr_array_add(agent->servers, server);
 	g_ptr_array_add(d->servers, server);
-	(void)now_ms;
 	return server;
 }
 
@@ -199,8 +206,10 @@
 
 /* ---- Ends ----------------------------------------------------------- */
 
-void server_ended(struct dserver *server, const struct djob *job)
+void server_ended(struct dispatch *d, struct dserver *server,
+		  const struct djob *job)
 {
+	d->freeing_milli_per_ms -= freeing_of(job);
 	server->own_runs--;
 	server->own_cpu_milli -= job->spec.cpu_milli;
 }
--- a/src/lib/health.c
+++ b/src/lib/health.c
@@ -95,17 +95,25 @@
 	health->changed = true;
 }
 
+static struct server *add(struct cf_health *health, uint64_t agent,
+			  int64_t now_ms)
+{
+	struct server *server = g_new0(struct server, 1);
+
+	server->agent = agent;
+	server->slowness = 1.0;
+	server->forgiven_ms = now_ms;
+	server->result_ms = now_ms;
+	g_hash_table_insert(health->servers, &server->agent, server);
+	return server;
+}
+
 void cf_health_join(struct cf_health *health, uint64_t agent, int64_t now_ms)
 {
 	struct server *server = find(health, agent);
 
 	if (server == NULL) {
-		server = g_new0(struct server, 1);
-		server->agent = agent;
-		server->slowness = 1.0;
-		server->forgiven_ms = now_ms;
-		server->result_ms = now_ms;
-		g_hash_table_insert(health->servers, &server->agent, server);
+		server = add(health, agent, now_ms);
 	} else if (server->state == CF_HEALTH_EJECTED ||
 		   server->state == CF_HEALTH_PROBATION) {
 		return; /* joining again is no way around an ejection */
@@ -113,6 +121,12 @@
 	enter(health, server, CF_HEALTH_WARMING, now_ms);
 }
 
+void cf_health_add(struct cf_health *health, uint64_t agent, int64_t now_ms)
+{
+	if (find(health, agent) == NULL)
+		add(health, agent, now_ms);
+}
+
 void cf_health_leave(struct cf_health *health, uint64_t agent)
 {
 	g_hash_table_remove(health->servers, &agent);
