--- a/src/leased/agent.c
+++ b/src/leased/agent.c
@@ -20,6 +20,7 @@
 #define CONTROL_CONNECTIONS_MAX 64
 #define CONTROL_BODY_MAX_BYTES (4U << 20)
 #define SERVER_CONNECTIONS_MAX 24
+#define SERVER_SILENT_CALLS 4 /* single ones may be lost on their way */
 #define FLUSH_WAIT_MS 300
 #define STOP_LOOK_US 20000
 #define US_PER_MS 1000
@@ -318,6 +319,7 @@
 	a->admin = admin_create(settings_text(s, "admin"), error);
 	if (!a->client || !a->admin)
 		return false;
+	http_client_set_patience(a->client, SERVER_SILENT_CALLS);
 	admin_set_ready(a->admin, true, NULL);
 	if (!admin_start(a->admin, error))
 		return false;
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -40,6 +40,8 @@
 	 * that are older may have gone silent for good. */
 	gint64 distrust_us;
 	gint64 looked_us; /* at the calls under way; thread only */
+	uint32_t silent_calls; /* without an answer in a row; thread only */
+	uint32_t patience;
 };
 
 /* ---- Answers, on the loop's thread ---- */
@@ -108,6 +110,17 @@
 	curl_multi_add_handle(client->multi, call->easy);
 }
 
+/* Connections are left once so many calls in a row got no answer. */
+static void note_silence(struct http_client *client, enum http_result result)
+{
+	if (result != HTTP_TIMED_OUT) {
+		client->silent_calls = 0;
+		return;
+	}
+	if (++client->silent_calls >= client->patience)
+		client->distrust_us = g_get_monotonic_time();
+}
+
 static void finish_call(struct http_client *client, struct call *call,
 			CURLcode code)
 {
@@ -115,8 +128,7 @@
 
 	http_transfer_finish(&call->transfer, easy, code, &call->answer);
 	curl_multi_remove_handle(client->multi, easy);
-	if (call->answer.result == HTTP_TIMED_OUT)
-		client->distrust_us = g_get_monotonic_time();
+	note_silence(client, call->answer.result);
 	g_hash_table_remove(client->active, call);
 	call->easy = NULL;
 	if (client->spare->len < SPARE_HANDLES_MAX) {
@@ -239,6 +251,7 @@
 	}
 	client = g_new0(struct http_client, 1);
 	client->loop = loop;
+	client->patience = 1;
 	client->multi = multi;
 	client->spare = g_ptr_array_new();
 	client->active = g_hash_table_new(NULL, NULL);
@@ -270,6 +283,11 @@
 	g_free(client);
 }
 
+void http_client_set_patience(struct http_client *client, uint32_t calls)
+{
+	client->patience = MAX(calls, 1);
+}
+
 void http_client_call(struct http_client *client, const struct http_call *call,
 		      http_answer_fn *fn, void *arg)
 {
