Settle a start without an answer by a list made after its stop; elect sooner

Cause: a start lost on its way cost 120 ms until its timeout, a stop, 50 ms and the end of a look that waits 150 ms, before the task went elsewhere; a lost look hid an end for 270 ms.

--- a/src/leased/run_table.c
+++ b/src/leased/run_table.c
@@ -10,7 +10,7 @@
 
 /* ---- Constants ------------------------------------------------------ */
 
-#define STOP_AGAIN_MS 60 /* without an acknowledgement */
+#define STOP_AGAIN_MS 65 /* without an acknowledgement */
 #define ROOM_WAIT_MS 15 /* after the server had less room than counted */
 #define MISSING_LOOKS 2 /* that don't list a run: it has ended */
 #define NEVER INT64_MAX
@@ -392,6 +392,14 @@
 	return oldest_ms == NEVER ? 0 : MAX(now_ms - oldest_ms, 1);
 }
 
+bool run_table_awaits_list(const struct run_table *table)
+{
+	for (guint i = 0; i < table->runs->len; i++)
+		if (at(table, i)->state == RUN_STOPPED)
+			return true;
+	return false;
+}
+
 /* ---- What the server lists ------------------------------------------ */
 
 static enum run_outcome outcome_of(enum run_end_how how)
@@ -431,14 +439,15 @@
 }
 
 /* Neither running nor ended in a list made after its start or stop was
- * acknowledged: a stopped one never ran, a running one is lost. */
+ * acknowledged: a stopped one never ran, a running one is lost. One that
+ * is still being stopped is listed as running. */
 static void take_missing(struct run_table *table, guint position,
 			 int64_t sent_ms, int64_t now_ms)
 {
 	struct run *run = at(table, position);
 
 	if (run->state == RUN_STOPPED &&
-	    sent_ms > run->stop_acked_ms + RUN_STOP_MS)
+	    sent_ms >= run->stop_acked_ms)
 		end_at(table, position,
 		       run->started_ms ? RUN_OUTCOME_STOPPED
 				       : RUN_OUTCOME_NOT_STARTED,
--- a/src/leased/run_table.h
+++ b/src/leased/run_table.h
@@ -74,6 +74,8 @@
 			 struct run_name *name);
 void run_table_stop_acked(struct run_table *table, const struct run_name *name,
 			  int64_t now_ms);
+/* A stop was acknowledged, and no list has been seen since. */
+bool run_table_awaits_list(const struct run_table *table);
 /* How long the oldest unacknowledged stop has been wanted; 0: none. */
 int64_t run_table_stop_age_ms(const struct run_table *table, int64_t now_ms);
 
--- a/src/leased/server.c
+++ b/src/leased/server.c
@@ -14,11 +14,12 @@
 
 /* ---- Constants ------------------------------------------------------ */
 
-#define LOOK_WAIT_MS 150 /* at the server, for an end */
-#define LOOK_MARGIN_MS 120 /* more, until the answer has to be here */
+#define LOOK_WAIT_MS 80 /* at the server, for an end */
+#define LOOK_MARGIN_MS 60 /* more, until the answer has to be here */
+#define CHECK_PAUSE_MS 15 /* between looks that don't wait */
 #define LOOK_IDLE_MS 1000 /* between looks while nothing runs */
 #define LOOK_SILENT_MS 150 /* between looks at one that doesn't answer */
-#define CALL_TIMEOUT_MS 120 /* of a start or stop */
+#define CALL_TIMEOUT_MS 60 /* of a start or stop */
 #define REFUSED_PAUSE_MS 300 /* no start after the server refused one */
 #define STOP_AGE_MAX_MS 150 /* unacknowledged: the lease is let go */
 #define FORGET_MS 10000 /* without an answer and a report */
@@ -34,7 +35,8 @@
 	char *life_header;
 	uint64_t seen; /* position of the last end taken note of */
 	uint32_t calls; /* under way */
-	bool looking;
+	bool looking; /* a look that waits is under way */
+	int64_t checked_ms; /* when the last look that doesn't wait was sent */
 	bool left; /* it said that it leaves */
 	bool letting_go; /* the lease is not renewed until it has ended */
 	int64_t reported_ms;
@@ -48,6 +50,7 @@
 	CALL_START,
 	CALL_STOP,
 	CALL_LOOK,
+	CALL_CHECK, /* a look that doesn't wait */
 };
 
 struct call {
@@ -231,7 +234,6 @@
 	if (clock_ms >= 0)
 		hear(s, clock_ms, now_ms);
 	run_table_stop_acked(s->runs, &call->name, now_ms);
-	s->looked_ms = 0; /* its end is looked for at once */
 }
 
 static void send_stop(struct server *s, const struct run_name *name,
@@ -368,16 +370,16 @@
 	send_call(s, CALL_STOP, name, &text, CALL_TIMEOUT_MS, now_ms);
 }
 
-static void send_look(struct server *s, bool renew, int64_t now_ms)
+static void send_look(struct server *s, enum call_kind kind, bool renew,
+		      int64_t now_ms)
 {
-	uint32_t wait_ms = run_table_is_idle(s->runs) ? 0 : LOOK_WAIT_MS;
+	bool waits = kind == CALL_LOOK && !run_table_is_idle(s->runs);
+	uint32_t wait_ms = waits ? LOOK_WAIT_MS : 0;
 	int64_t end_ms = renew ? server_lease_renew(&s->lease, now_ms) : 0;
 	struct run_call text;
 
 	s->options.formats->write_look(end_ms, s->seen, wait_ms, &text);
-	s->looking = true;
-	s->looked_ms = now_ms;
-	send_call(s, CALL_LOOK, NULL, &text, wait_ms + LOOK_MARGIN_MS, now_ms);
+	send_call(s, kind, NULL, &text, wait_ms + LOOK_MARGIN_MS, now_ms);
 }
 
 /* ---- Work ----------------------------------------------------------- */
@@ -435,7 +437,20 @@
 
 	if (s->looking || s->left || now_ms < s->looked_ms + pause_ms)
 		return;
-	send_look(s, !silent && !s->letting_go && !idle, now_ms);
+	s->looking = true;
+	s->looked_ms = now_ms;
+	send_look(s, CALL_LOOK, !silent && !s->letting_go && !idle, now_ms);
+}
+
+/* Whether a run that was stopped has ended, or never began, shows in a
+ * list made after the stop was acknowledged. */
+static void do_check(struct server *s, int64_t now_ms)
+{
+	if (!run_table_awaits_list(s->runs) ||
+	    now_ms < s->checked_ms + CHECK_PAUSE_MS)
+		return;
+	s->checked_ms = now_ms;
+	send_look(s, CALL_CHECK, false, now_ms);
 }
 
 void server_work(struct server *s, int64_t now_ms)
@@ -444,4 +459,5 @@
 	do_starts(s, now_ms);
 	do_stops(s, now_ms);
 	do_look(s, now_ms);
+	do_check(s, now_ms);
 }
--- a/src/roles/coordinator.c
+++ b/src/roles/coordinator.c
@@ -243,7 +243,8 @@
 		.n_first_voters = c->first_members->len,
 		.snapshot_every =
 			(uint32_t)settings_number(settings, "snapshot-every"),
-		.seed = (uint64_t)settings_number(settings, "seed")
+		.seed = (uint64_t)settings_number(settings, "seed"),
+		.election_ms = settings_number(settings, "election-ms")
 	};
 
 	for (guint i = 0; i < c->first_members->len; i++)
--- a/src/store/group.c
+++ b/src/store/group.c
@@ -12,6 +12,7 @@
 
 #define TICK_MS 20
 #define SNAPSHOT_EVERY 2000 /* entries */
+#define HEARTBEATS_AN_ELECTION 6
 #define MEMBERS_FILE "members" /* of the first start */
 
 struct group {
@@ -339,7 +340,12 @@
 static bool restore(struct group *group, const struct group_options *o,
 		    const struct store_recovered *found, GError **error)
 {
-	struct cf_replog_options options = { .id = o->id, .seed = o->seed };
+	struct cf_replog_options options = {
+		.id = o->id,
+		.seed = o->seed,
+		.election_ms = o->election_ms,
+		.heartbeat_ms = o->election_ms / HEARTBEATS_AN_ELECTION
+	};
 	bool fresh = !found->state.term && !found->snapshot.index;
 
 	if (!first_members(o, fresh, &options.members, error))
--- a/src/store/group.h
+++ b/src/store/group.h
@@ -22,6 +22,7 @@
 	uint32_t n_first_voters; /* 0: joins as a learner when added */
 	uint32_t snapshot_every; /* entries between snapshots; 0: 2000 */
 	uint64_t seed;
+	int64_t election_ms; /* without a leader; 0: the log's default */
 	struct store_ops *ops; /* file operations; NULL: the system's */
 };
 
