--- a/src/leased/dispatch_internal.h
+++ b/src/leased/dispatch_internal.h
@@ -44,6 +44,7 @@
 	struct agent_identity identity;
 	GPtrArray *servers; /* struct dserver */
 	bool up;
+	bool quiet; /* it has asked for no lease for long */
 	int64_t lost_ms; /* when it went down */
 	int64_t granted_ms; /* newest lease that it may hold began then */
 	uint64_t sent; /* starts on this connection */
--- a/src/leased/dispatch_servers.c
+++ b/src/leased/dispatch_servers.c
@@ -12,6 +12,7 @@
 
 /* ---- Constants ------------------------------------------------------ */
 
+#define QUIET_MS 400 /* it is about to lose its lease, or is cut off */
 #define AGENT_ENDED_MARGIN_MS 30 /* on top of the chain of leases */
 
 /* ---- Rates ---------------------------------------------------------- */
@@ -32,7 +33,8 @@
 
 bool server_is_usable(const struct dispatch *d, const struct dserver *server)
 {
-	return server->agent && server->agent->up && server->state.accepting &&
+	return server->agent && server->agent->up && !server->agent->quiet &&
+	       server->state.accepting &&
 	       (!d->config ||
 		cf_config_in_service(d->config,
 				     server->agent->identity.data_centre));
@@ -105,6 +107,7 @@
 	confirm(agent, UINT64_MAX);
 	agent->sent = 0;
 	agent->up = true;
+	agent->quiet = false;
 	agent->lost_ms = 0;
 	agent->granted_ms = now_ms;
 	log_event(LOG_INFO, "agent_connected",
@@ -278,6 +281,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct dagent *agent = value;
 
+		agent->quiet = now_ms - agent->granted_ms > QUIET_MS;
 		if (!agent->up && now_ms >= agent->granted_ms + RUN_ENDED_MS +
 						    AGENT_ENDED_MARGIN_MS)
 			g_ptr_array_add(gone, agent);
