--- a/src/base/logger.c
+++ b/src/base/logger.c
@@ -4,12 +4,14 @@
 #include "base/logger.h"
 
 #include "base/clock.h"
+#include "base/log_writer.h"
 
 #include <glib.h>
 #include <jansson.h>
 #include <stdarg.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 #include <unistd.h>
 
 #define LOG_NAME_SIZE 64
@@ -20,6 +22,7 @@
 
 static char log_role[LOG_NAME_SIZE] = "process";
 static char log_name[LOG_NAME_SIZE] = "node";
+static struct log_writer *writer; /* NULL: lines go to standard error */
 static enum log_level least = LOG_INFO;
 static enum log_format line_format = LOG_FORMAT_TEXT;
 
@@ -32,6 +35,20 @@
 	line_format = format;
 }
 
+void log_start_writer(void)
+{
+	if (!writer)
+		writer = log_writer_create(STDOUT_FILENO);
+}
+
+void log_stop_writer(void)
+{
+	struct log_writer *stopped = writer;
+
+	writer = NULL;
+	log_writer_destroy(stopped);
+}
+
 static bool find_name(const char *const *names, size_t n, const char *text,
 		      int *found)
 {
@@ -74,14 +91,13 @@
 static char *format_time(void)
 {
 	int64_t wall_ms = clock_wall_ms();
-	GDateTime *time = g_date_time_new_from_unix_utc(wall_ms / MS_PER_S);
-	char *seconds = g_date_time_format(time, "%Y-%m-%dT%H:%M:%S");
-	char *text =
-		g_strdup_printf("%s.%03dZ", seconds, (int)(wall_ms % MS_PER_S));
+	time_t seconds = (time_t)(wall_ms / MS_PER_S);
+	struct tm utc;
+	char text[32];
 
-	g_free(seconds);
-	g_date_time_unref(time);
-	return text;
+	gmtime_r(&seconds, &utc);
+	strftime(text, sizeof(text), "%Y-%m-%dT%H:%M:%S", &utc);
+	return g_strdup_printf("%s.%03dZ", text, (int)(wall_ms % MS_PER_S));
 }
 
 /* Text from outside must not be able to begin a line of its own. */
@@ -156,10 +172,17 @@
 	return text;
 }
 
-static void write_all(const char *text)
+/* Warnings and errors go first: they tell of what failed. */
+static void write_line(enum log_level level, const char *text)
 {
 	size_t left = strlen(text);
 
+	if (writer) {
+		log_writer_add(writer, text, level >= LOG_WARN,
+			       clock_now_ms());
+		return;
+	}
+
 	while (left) {
 		ssize_t n = write(STDERR_FILENO, text, left);
 
@@ -192,7 +215,7 @@
 				       time, level_names[level], log_role,
 				       log_name, event, text ? " " : "",
 				       text ? text : "");
-	write_all(line);
+	write_line(level, line);
 	g_free(line);
 	g_free(time);
 	g_free(text);
--- a/src/base/logger.h
+++ b/src/base/logger.h
@@ -1,6 +1,7 @@
 /*
- * logger: structured lines on standard error, one for each change of
- * state: time, level, role, event, then key=value fields. Any thread.
+ * logger: structured lines, one for each decision or change of state:
+ * time, level, role, event, then key=value fields. Daemons write to
+ * standard output, verbs to standard error. Any thread.
  *
  * log_event(LOG_INFO, "lease_lost", "leader=%s age_ms=%d", addr, age);
  */
@@ -23,6 +24,10 @@
 
 void log_configure(const char *role, const char *name, enum log_level level,
 		   enum log_format format); /* once, before threads */
+/* From here on lines go to standard output by a thread of their own, and
+ * nobody who logs waits (base/log_writer.h). Once, before threads. */
+void log_start_writer(void);
+void log_stop_writer(void); /* the last lines; no other thread logs */
 bool log_parse_level(const char *text, enum log_level *level);
 bool log_parse_format(const char *text, enum log_format *format);
 bool log_enabled(enum log_level level);
--- a/src/leased/dispatch_admit.c
+++ b/src/leased/dispatch_admit.c
@@ -111,7 +111,7 @@
 static void tell_refusal(const struct djob *job, const struct estimate *e,
 			 int64_t now_ms)
 {
-	log_event(LOG_INFO, "job_refused",
+	log_event(LOG_WARN, "job_refused",
 		  "job=%s route=%s wait_ms=%d slack_ms=%" PRId64
 		  " queued_cpu_milli=%d free_cpu_milli=%d rate_milli=%d "
 		  "share_percent=%d predicted_ms=%u",
--- a/src/leased/dispatch_jobs.c
+++ b/src/leased/dispatch_jobs.c
@@ -167,7 +167,8 @@
 	job->ended = true;
 	if (!job->ever_sent)
 		job->class->unsent_jobs--;
-	log_event(LOG_INFO, "job_ended",
+	log_event(verdict == JOB_VERDICT_COMPLETED ? LOG_INFO : LOG_WARN,
+		  "job_ended",
 		  "job=%s route=%s verdict=%d reason=\"%s\" tasks=%u done=%u "
 		  "sent=%u waiting=%u retry_after_s=%u",
 		  job->id, job->route.name, verdict, reason, job->spec.n_tasks,
--- a/src/leased/dispatcher_http.c
+++ b/src/leased/dispatcher_http.c
@@ -89,7 +89,7 @@
 		g_strdup_printf("{\"reason\":\"%s\",\"message\":\"%s\"}",
 				reason, message);
 
-	log_event(LOG_INFO, "request_refused",
+	log_event(LOG_WARN, "request_refused",
 		  "job=%s status=%u reason=%s why=\"%s\"", c->id, status,
 		  reason, message);
 	reply(c, status, body, retry_after_s);
@@ -119,7 +119,8 @@
 	g_autofree char *state = NULL;
 
 	count_answer(d, answer->verdict, took_ms);
-	log_event(LOG_INFO, "answered",
+	log_event(answer->verdict == JOB_VERDICT_COMPLETED ? LOG_INFO : LOG_WARN,
+		  "answered",
 		  "job=%s verdict=%d reason=\"%s\" took_ms=%" G_GINT64_FORMAT,
 		  c->id, answer->verdict, answer->reason, took_ms);
 	switch (answer->verdict) {
--- a/src/main.c
+++ b/src/main.c
@@ -122,9 +122,13 @@
 	}
 	g_string_free(text, TRUE);
 	configure_log(role, settings);
-	if (role->daemon)
+	if (role->daemon) {
 		role_block_signals();
+		log_start_writer();
+	}
 	status = role->run(settings);
+	if (role->daemon)
+		log_stop_writer();
 	settings_destroy(settings);
 	return status;
 }
--- /dev/null
+++ b/tests/test_run_table.c
@@ -0,0 +1,371 @@
+/*
+ * test_run_table: what an agent does with the runs of one backend server:
+ * order, room, starts without an answer, stops, lists and lost leases.
+ */
+#include "leased/run_table.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+#include <cmocka.h>
+
+#define DISPATCHER 7
+#define NONE (-1)
+
+/* ---- Support ---- */
+
+static struct run_table *make_table(uint32_t cpu_milli)
+{
+	struct run_table *table = run_table_create();
+	struct cf_capacity capacity = { .cpu_milli = cpu_milli,
+					.memory_mb = 1000 };
+
+	run_table_set_capacity(table, &capacity);
+	return table;
+}
+
+static struct run_name name_of(uint32_t index, uint32_t number)
+{
+	struct run_name name = { .index = index, .number = number };
+
+	strcpy(name.job, "a1");
+	return name;
+}
+
+static void offer(struct run_table *table, uint32_t index, uint32_t cpu_milli,
+		  int64_t good_start_ms, int64_t now_ms)
+{
+	struct run_request run = { .name = name_of(index, 1),
+				   .dispatcher = DISPATCHER,
+				   .spec = g_bytes_new("x", 1),
+				   .cpu_milli = cpu_milli,
+				   .memory_mb = 1,
+				   .good_start_ms = good_start_ms,
+				   .deadline_ms = 10000 };
+
+	run_table_offer(table, &run, now_ms);
+	g_bytes_unref(run.spec);
+}
+
+/* The index of the next run to start, or NONE. */
+static int start_next(struct run_table *table, int64_t now_ms)
+{
+	const struct run_request *run = run_table_next_start(table, now_ms);
+
+	return run ? (int)run->name.index : NONE;
+}
+
+static void list(struct run_table *table, const uint32_t *running,
+		 size_t n_running, const struct run_listed_end *ended,
+		 size_t n_ended, int64_t sent_ms, int64_t now_ms,
+		 guint *n_strangers)
+{
+	struct run_lists lists = {
+		.running = g_array_new(FALSE, TRUE, sizeof(struct run_name)),
+		.ended = g_array_new(FALSE, TRUE, sizeof(struct run_listed_end))
+	};
+	GArray *strangers = g_array_new(FALSE, FALSE, sizeof(struct run_name));
+
+	for (size_t i = 0; i < n_running; i++) {
+		struct run_name name = name_of(running[i], 1);
+
+		g_array_append_val(lists.running, name);
+	}
+	if (n_ended)
+		g_array_append_vals(lists.ended, ended, (guint)n_ended);
+	run_table_take_lists(table, &lists, sent_ms, now_ms, strangers);
+	if (n_strangers)
+		*n_strangers = strangers->len;
+	g_array_unref(strangers);
+	run_lists_clear(&lists);
+}
+
+static void assert_result(struct run_table *table, uint32_t index,
+			  enum run_outcome outcome)
+{
+	struct run_result result;
+
+	assert_true(run_table_take_result(table, &result));
+	assert_int_equal(result.name.index, index);
+	assert_int_equal(result.outcome, outcome);
+	assert_int_equal(result.dispatcher, DISPATCHER);
+}
+
+static void assert_no_result(struct run_table *table)
+{
+	struct run_result result;
+
+	assert_false(run_table_take_result(table, &result));
+}
+
+/* ---- Order and room ---- */
+
+static void test_most_urgent_first_and_only_with_room(void **state)
+{
+	struct run_table *table = make_table(10000);
+	struct run_load load;
+
+	(void)state;
+	offer(table, 0, 6000, 300, 0);
+	offer(table, 1, 6000, 100, 0);
+	offer(table, 2, 3000, 200, 0);
+	assert_int_equal(start_next(table, 1), 1);
+	assert_int_equal(start_next(table, 1), 2);
+	assert_int_equal(start_next(table, 1), NONE);
+	run_table_get_load(table, &load);
+	assert_int_equal(load.running, 2);
+	assert_int_equal(load.queued, 1);
+	assert_int_equal(load.free_cpu_milli, -5000);
+	run_table_destroy(table);
+}
+
+static void test_the_same_order_twice_is_one_run(void **state)
+{
+	struct run_table *table = make_table(10000);
+
+	(void)state;
+	offer(table, 0, 1000, 0, 0);
+	offer(table, 0, 1000, 0, 0);
+	assert_int_equal(start_next(table, 1), 0);
+	assert_int_equal(start_next(table, 1), NONE);
+	run_table_destroy(table);
+}
+
+static void test_a_run_past_its_deadline_never_starts(void **state)
+{
+	struct run_table *table = make_table(10000);
+
+	(void)state;
+	offer(table, 0, 1000, 0, 0);
+	assert_int_equal(start_next(table, 10000), NONE);
+	assert_result(table, 0, RUN_OUTCOME_NOT_STARTED);
+	run_table_destroy(table);
+}
+
+/* ---- Answers of a start ---- */
+
+static void test_answers_of_a_start(void **state)
+{
+	static const struct {
+		enum run_refusal refusal;
+		bool again;
+		enum run_outcome outcome;
+	} cases[] = {
+		{ RUN_NO_ROOM, true, 0 },
+		{ RUN_TOO_LATE, true, 0 },
+		{ RUN_OLD, false, RUN_OUTCOME_OUTDATED },
+		{ RUN_FENCED, false, RUN_OUTCOME_OUTDATED },
+		{ RUN_UNHEALTHY, false, RUN_OUTCOME_REFUSED },
+		{ RUN_MALFORMED, false, RUN_OUTCOME_FAILED },
+		{ RUN_OTHER_LIFE, false, RUN_OUTCOME_NOT_STARTED },
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct run_table *table = make_table(10000);
+		struct run_name name = name_of(0, 1);
+
+		offer(table, 0, 1000, 0, 0);
+		assert_int_equal(start_next(table, 1), 0);
+		run_table_started(table, &name, cases[i].refusal, 2);
+		if (cases[i].again) {
+			assert_no_result(table);
+			assert_int_equal(start_next(table, 100), 0);
+		} else {
+			assert_result(table, 0, cases[i].outcome);
+			assert_true(run_table_is_idle(table));
+		}
+		run_table_destroy(table);
+	}
+}
+
+/* ---- A start without an answer ---- */
+
+/* It may be carried out at any moment until a stop is acknowledged; its
+ * room stays taken and no result goes out before a list shows what came
+ * of it. */
+static void test_start_without_an_answer(void **state)
+{
+	static const struct {
+		bool listed_running, listed_done;
+		enum run_outcome outcome;
+	} cases[] = {
+		{ false, false, RUN_OUTCOME_NOT_STARTED },
+		{ false, true, RUN_OUTCOME_DONE },
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct run_table *table = make_table(1000);
+		struct run_name name = name_of(0, 1), stop;
+		struct run_listed_end end = { 1, name, RUN_END_DONE };
+
+		offer(table, 0, 1000, 0, 0);
+		assert_int_equal(start_next(table, 1), 0);
+		run_table_start_unknown(table, &name);
+		offer(table, 1, 1000, 0, 1);
+		assert_int_equal(start_next(table, 2), NONE);
+		assert_true(run_table_next_stop(table, 60, &stop));
+		assert_false(run_table_next_stop(table, 61, &stop));
+		/* A list made before the acknowledgement proves nothing. */
+		list(table, NULL, 0, NULL, 0, 59, 61, NULL);
+		assert_no_result(table);
+		run_table_stop_acked(table, &name, 62);
+		assert_true(run_table_awaits_list(table));
+		list(table, NULL, 0, NULL, 0, 61, 63, NULL);
+		assert_no_result(table);
+		list(table, NULL, 0, cases[i].listed_done ? &end : NULL,
+		     cases[i].listed_done, 62, 64, NULL);
+		assert_result(table, 0, cases[i].outcome);
+		assert_int_equal(start_next(table, 65), 1);
+		run_table_destroy(table);
+	}
+}
+
+static void test_a_stop_is_sent_again_until_acknowledged(void **state)
+{
+	struct run_table *table = make_table(1000);
+	struct run_name name = name_of(0, 1), stop;
+
+	(void)state;
+	offer(table, 0, 1000, 0, 0);
+	start_next(table, 1);
+	run_table_started(table, &name, RUN_ACCEPTED, 2);
+	run_table_stop(table, &name);
+	assert_true(run_table_next_stop(table, 3, &stop));
+	assert_false(run_table_next_stop(table, 10, &stop));
+	assert_true(run_table_next_stop(table, 200, &stop));
+	assert_true(run_table_stop_age_ms(table, 200) > 150);
+	run_table_stop_acked(table, &name, 201);
+	assert_int_equal(run_table_stop_age_ms(table, 300), 0);
+	run_table_destroy(table);
+}
+
+/* A stop that comes while the start is under way is carried out after it. */
+static void test_stop_during_a_start(void **state)
+{
+	struct run_table *table = make_table(1000);
+	struct run_name name = name_of(0, 1), stop;
+
+	(void)state;
+	offer(table, 0, 1000, 0, 0);
+	start_next(table, 1);
+	run_table_stop(table, &name);
+	assert_false(run_table_next_stop(table, 2, &stop));
+	run_table_started(table, &name, RUN_ACCEPTED, 3);
+	assert_true(run_table_next_stop(table, 4, &stop));
+	run_table_destroy(table);
+}
+
+/* ---- Lists ---- */
+
+static void test_ends_strangers_and_missing_runs(void **state)
+{
+	struct run_table *table = make_table(9000);
+	struct run_name first = name_of(0, 1), second = name_of(1, 1);
+	struct run_listed_end end = { 4, first, RUN_END_FAILED };
+	uint32_t running[] = { 1, 9 };
+	guint strangers;
+
+	(void)state;
+	offer(table, 0, 1000, 0, 0);
+	offer(table, 1, 1000, 0, 0);
+	start_next(table, 1);
+	start_next(table, 1);
+	run_table_started(table, &first, RUN_ACCEPTED, 2);
+	run_table_started(table, &second, RUN_ACCEPTED, 2);
+	list(table, running, 2, &end, 1, 3, 20, &strangers);
+	assert_int_equal(strangers, 1);
+	assert_result(table, 0, RUN_OUTCOME_FAILED);
+	/* Two lists without it: it has lapsed and its end is forgotten. */
+	list(table, NULL, 0, NULL, 0, 21, 22, NULL);
+	assert_no_result(table);
+	list(table, NULL, 0, NULL, 0, 23, 24, NULL);
+	assert_result(table, 1, RUN_OUTCOME_STOPPED);
+	run_table_destroy(table);
+}
+
+/* ---- Ends of everything ---- */
+
+static void test_lease_ended(void **state)
+{
+	struct run_table *table = make_table(1000);
+	struct run_name name = name_of(0, 1);
+
+	(void)state;
+	offer(table, 0, 1000, 0, 0);
+	offer(table, 1, 1000, 1, 0);
+	start_next(table, 1);
+	run_table_start_unknown(table, &name);
+	run_table_lease_ended(table, 700);
+	assert_result(table, 1, RUN_OUTCOME_NOT_STARTED);
+	assert_result(table, 0, RUN_OUTCOME_STOPPED);
+	assert_true(run_table_is_idle(table));
+	run_table_destroy(table);
+}
+
+/* What ran in the former life has ended; a start without an answer may
+ * still be carried out by the new one. */
+static void test_new_life(void **state)
+{
+	struct run_table *table = make_table(9000);
+	struct run_name first = name_of(0, 1), second = name_of(1, 1), stop;
+
+	(void)state;
+	offer(table, 0, 1000, 0, 0);
+	offer(table, 1, 1000, 0, 0);
+	start_next(table, 1);
+	start_next(table, 1);
+	run_table_started(table, &first, RUN_ACCEPTED, 2);
+	run_table_new_life(table, 10);
+	assert_result(table, 0, RUN_OUTCOME_STOPPED);
+	assert_no_result(table);
+	assert_true(run_table_next_stop(table, 11, &stop));
+	assert_true(run_name_equal(&stop, &second));
+	run_table_stop_acked(table, &second, 12);
+	list(table, NULL, 0, NULL, 0, 12, 13, NULL);
+	assert_result(table, 1, RUN_OUTCOME_NOT_STARTED);
+	run_table_destroy(table);
+}
+
+static void test_runs_of_a_lost_dispatcher(void **state)
+{
+	struct run_table *table = make_table(1000);
+	struct run_name name = name_of(0, 1), kept = name_of(1, 1), stop;
+
+	(void)state;
+	offer(table, 0, 1000, 0, 0);
+	offer(table, 1, 1000, 1, 0);
+	offer(table, 2, 1000, 2, 0);
+	start_next(table, 1);
+	run_table_started(table, &name, RUN_ACCEPTED, 2);
+	run_table_stop_others(table, DISPATCHER + 1, NULL, 0);
+	assert_no_result(table);
+	run_table_stop_others(table, DISPATCHER, &kept, 1);
+	assert_result(table, 2, RUN_OUTCOME_NOT_STARTED);
+	assert_true(run_table_next_stop(table, 3, &stop));
+	assert_true(run_name_equal(&stop, &name));
+	assert_true(run_table_has(table, &kept));
+	run_table_destroy(table);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_most_urgent_first_and_only_with_room),
+		cmocka_unit_test(test_the_same_order_twice_is_one_run),
+		cmocka_unit_test(test_a_run_past_its_deadline_never_starts),
+		cmocka_unit_test(test_answers_of_a_start),
+		cmocka_unit_test(test_start_without_an_answer),
+		cmocka_unit_test(test_a_stop_is_sent_again_until_acknowledged),
+		cmocka_unit_test(test_stop_during_a_start),
+		cmocka_unit_test(test_ends_strangers_and_missing_runs),
+		cmocka_unit_test(test_lease_ended),
+		cmocka_unit_test(test_new_life),
+		cmocka_unit_test(test_runs_of_a_lost_dispatcher),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_server_lease.c
@@ -0,0 +1,135 @@
+/*
+ * test_server_lease: the chain of leases from dispatcher to run, its
+ * length for each link that fails, and an agent's idea of a server's
+ * clock.
+ */
+#include "leased/leases.h"
+#include "leased/server_lease.h"
+
+#include "chervilferry.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+/* A caller without an answer sends its job again after so long. */
+#define RESEND_MS 1300
+#define SLOW_CLOCK_PERCENT 98
+
+/* ---- The chain ---- */
+
+/* When the last run of a dispatcher that is lost at 0 has ended, if the
+ * agent asked for its last lease as late as it could (at 0) and renewed
+ * the server's lease as late as it could. */
+static int64_t run_ends_ms(bool agent_lives, bool stop_heard)
+{
+	struct server_lease server;
+	struct cf_lease *dispatcher = cf_lease_create();
+	uint64_t seq = cf_lease_request(dispatcher, 0);
+	int64_t renewed_ms = 0;
+	int64_t lost_ms = 0;
+
+	assert_true(cf_lease_grant(dispatcher, seq, RUN_LEASE_MS, 0, 1));
+	server_lease_init(&server, 0);
+	server_lease_heard(&server, 1000, 0);
+	server_lease_renew(&server, 0);
+	while (agent_lives && cf_lease_held(dispatcher, lost_ms))
+		lost_ms++;
+	if (agent_lives)
+		renewed_ms = lost_ms - 1;
+	cf_lease_destroy(dispatcher);
+	if (agent_lives && stop_heard)
+		return lost_ms + RUN_STOP_MS;
+	server_lease_renew(&server, renewed_ms);
+	return renewed_ms + SERVER_LEASE_MS * 100 / SLOW_CLOCK_PERCENT;
+}
+
+static void test_every_run_ends_before_a_job_is_sent_again(void **state)
+{
+	static const struct {
+		const char *lost;
+		bool agent_lives, stop_heard;
+	} cases[] = {
+		{ "dispatcher killed, agent stops the run", true, true },
+		{ "dispatcher cut off, the stop gets no answer", true, false },
+		{ "dispatcher and agent lost together", false, false },
+	};
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		int64_t ended_ms = run_ends_ms(cases[i].agent_lives,
+					       cases[i].stop_heard);
+
+		assert_true(ended_ms < RESEND_MS);
+		assert_true(ended_ms <= RUN_ENDED_MS);
+	}
+	assert_true(RUN_ENDED_MS < RESEND_MS);
+}
+
+/* What waited in sockets while a process stood still renews nothing. */
+static void test_a_late_grant_gives_no_lease(void **state)
+{
+	struct cf_lease *lease = cf_lease_create();
+	uint64_t seq = cf_lease_request(lease, 100);
+
+	(void)state;
+	assert_false(cf_lease_grant(lease, seq, RUN_LEASE_MS, 0,
+				    100 + RUN_LEASE_MS));
+	assert_false(cf_lease_held(lease, 100 + RUN_LEASE_MS));
+	cf_lease_destroy(lease);
+}
+
+/* ---- The server's clock ---- */
+
+static void test_lease_end_follows_the_newest_clock(void **state)
+{
+	struct server_lease lease;
+
+	(void)state;
+	server_lease_init(&lease, 0);
+	assert_int_equal(server_lease_renew(&lease, 10), 0);
+	server_lease_heard(&lease, 5000, 100);
+	assert_int_equal(server_lease_renew(&lease, 110),
+			 5010 + SERVER_LEASE_MS);
+	assert_false(server_lease_has_ended(&lease, 110 + SERVER_LEASE_MS));
+	assert_true(server_lease_has_ended(
+		&lease, 110 + SERVER_LEASE_MS + SERVER_CLOCK_SLACK_MS));
+	/* A slow clock: what is newer counts, though it is less. */
+	server_lease_heard(&lease, 5080, 200);
+	assert_int_equal(server_lease_renew(&lease, 200),
+			 5080 + SERVER_LEASE_MS);
+	server_lease_new_life(&lease);
+	assert_int_equal(server_lease_renew(&lease, 300), 0);
+}
+
+static void test_silence(void **state)
+{
+	struct server_lease lease;
+
+	(void)state;
+	server_lease_init(&lease, 0);
+	server_lease_heard(&lease, 1, 1000);
+	server_lease_unanswered(&lease, 900); /* sent before the last answer */
+	assert_false(server_lease_is_silent(&lease, 2000));
+	server_lease_unanswered(&lease, 1100);
+	server_lease_unanswered(&lease, 1300);
+	assert_false(server_lease_is_silent(&lease, 1399));
+	assert_true(server_lease_is_silent(&lease, 1400));
+	server_lease_heard(&lease, 500, 1500);
+	assert_false(server_lease_is_silent(&lease, 3000));
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(
+			test_every_run_ends_before_a_job_is_sent_again),
+		cmocka_unit_test(test_a_late_grant_gives_no_lease),
+		cmocka_unit_test(test_lease_end_follows_the_newest_clock),
+		cmocka_unit_test(test_silence),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
