--- a/src/leased/dispatch_admit.c
+++ b/src/leased/dispatch_admit.c
@@ -16,18 +16,19 @@
 
 /* ---- Constants ------------------------------------------------------ */
 
-#define RATE_PERIOD_MS 400 /* over which starts are measured */
-#define OFFERED_PERIOD_MS 1000
-#define RATE_LEAST_MILLI_PER_MS 100.0 /* of processors; before any start */
-#define SHARE_LEAST 0.05 /* of the starts, for any class */
+#define FREE_PART 0.7 /* of what is free: other dispatchers take it too */
+#define WORK_MARGIN 1.8 /* predictions are off, and work comes in lumps */
+#define CPU_LEAST_MILLI 1000.0
+#define SHARE_LEAST 0.02
 #define MS_PER_S 1000
 #define PERCENT 100
+#define MILLI 1000
 #define RETRY_SPREAD_S 3 /* callers that are refused together return apart */
 
 /* ---- Predicted wait ------------------------------------------------- */
 
-static double class_share(const struct dispatch *d, const struct dclass *class,
-			  int64_t now_ms)
+double admit_share(const struct dispatch *d, const struct dclass *class,
+		   int64_t now_ms)
 {
 	double own = rate_now(&class->offered, OFFERED_PERIOD_MS, now_ms);
 	double all = 0;
@@ -56,44 +57,62 @@
 	return sum;
 }
 
-static double queued_cpu_milli(const struct dispatch *d)
+/* What decides: kept together so that a refusal can tell it. */
+struct estimate {
+	double share; /* of the service, for the class */
+	double free_milli; /* processors free for the class just now */
+	double cpu_milli; /* processors that the class has or can get */
+	double work; /* ahead of the job, beyond what is free */
+	double wait_ms; /* until its last task starts */
+};
+
+static void sum_up(const struct dispatch *d, double *running_milli,
+		   double *queued_work)
 {
-	double sum = 0;
 	GHashTableIter iter;
 	gpointer value;
 
+	*running_milli = 0;
+	*queued_work = 0;
 	g_hash_table_iter_init(&iter, d->classes);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		sum += (double)((const struct dclass *)value)->queued_cpu_milli;
-	return sum;
-}
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct dclass *class = value;
 
-/* What decides: kept together so that a refusal can tell it. */
-struct estimate {
-	double share; /* of the starts, for this class */
-	double free_milli; /* processors free for it */
-	double queued_milli; /* of the class, with the job itself */
-	double rate; /* processors a ms that come free for this dispatcher */
-	double wait_ms;
-};
+		*running_milli += (double)class->running_cpu_milli;
+		*queued_work += class->queued_work;
+	}
+}
 
-static void estimate(const struct dispatch *d, const struct dclass *class,
+/* What is ahead of the job in its class is done by the class's share of
+ * this dispatcher's processors, or what the others leave of them. Its own
+ * tasks may take more than that for once, so that wide jobs are taken as
+ * often as narrow ones. */
+static void estimate(const struct dispatch *d, const struct djob *job,
 		     int64_t now_ms, struct estimate *e)
 {
-	double all = queued_cpu_milli(d);
-	double free_milli = free_cpu_milli(d);
-	double started = rate_now(&d->started, RATE_PERIOD_MS, now_ms);
-
-	e->queued_milli = (double)class->queued_cpu_milli;
-	e->share = class_share(d, class, now_ms);
-	if (all > 0)
-		e->share = MAX(e->share, e->queued_milli / all);
-	e->free_milli = MAX(free_milli * e->share,
-			    free_milli - (all - e->queued_milli));
-	e->rate = MAX(MAX(started, d->freeing_milli_per_ms),
-		      RATE_LEAST_MILLI_PER_MS);
-	e->wait_ms = MAX(e->queued_milli - e->free_milli, 0) /
-		     (e->rate * e->share);
+	const struct dclass *class = job->class;
+	double own = dispatch_task_work(job) * job->spec.n_tasks;
+	double ahead = class->queued_work - own;
+	double running_milli, queued_work, all_milli, left_milli, room;
+
+	sum_up(d, &running_milli, &queued_work);
+	e->share = admit_share(d, class, now_ms);
+	e->free_milli = free_cpu_milli(d);
+	all_milli = running_milli + e->free_milli * FREE_PART;
+	left_milli = all_milli -
+		     (running_milli - (double)class->running_cpu_milli);
+	e->cpu_milli = MAX(MAX(all_milli * e->share, left_milli),
+			   CPU_LEAST_MILLI);
+	if (queued_work > class->queued_work)
+		e->free_milli *= e->share;
+	room = e->free_milli * FREE_PART * job->predicted_ms;
+	e->work = MAX(ahead - room, 0);
+	own = MAX(own - MAX(room - ahead, 0), 0);
+	e->wait_ms = WORK_MARGIN * (e->work / e->cpu_milli +
+				    own / MAX(all_milli, CPU_LEAST_MILLI));
+	if (ahead <= 0 && queued_work <= class->queued_work &&
+	    (double)job->spec.cpu_milli * job->spec.n_tasks <= e->free_milli)
+		e->wait_ms = 0;
 }
 
 /* ---- Verdict -------------------------------------------------------- */
@@ -104,7 +123,7 @@
 	guint spread = g_str_hash(job->id) % RETRY_SPREAD_S;
 	struct estimate e;
 
-	estimate(d, job->class, now_ms, &e);
+	estimate(d, job, now_ms, &e);
 	return 1 + (uint32_t)(e.wait_ms / MS_PER_S) + spread;
 }
 
@@ -113,11 +132,12 @@
 {
 	log_event(LOG_WARN, "job_refused",
 		  "job=%s route=%s wait_ms=%d slack_ms=%" PRId64
-		  " queued_cpu_milli=%d free_cpu_milli=%d rate_milli=%d "
+		  " work_ms=%d cpu_milli=%d free_cpu_milli=%d "
 		  "share_percent=%d predicted_ms=%u",
 		  job->id, job->route.name, (int)e->wait_ms,
-		  job->good_start_ms - now_ms, (int)e->queued_milli,
-		  (int)e->free_milli, (int)e->rate, (int)(e->share * PERCENT),
+		  job->good_start_ms - now_ms, (int)(e->work / MILLI),
+		  (int)e->cpu_milli, (int)e->free_milli,
+		  (int)(e->share * PERCENT),
 		  job->predicted_ms);
 }
 
@@ -135,8 +155,7 @@
 		*reason = "it can't end before its deadline";
 		return false;
 	}
-	/* Its own tasks are among the class's queued ones already. */
-	estimate(d, job->class, now_ms, &e);
+	estimate(d, job, now_ms, &e);
 	if (now_ms + (int64_t)e.wait_ms <= job->good_start_ms)
 		return true;
 	*reason = "the queue is too long for its target";
--- a/src/leased/dispatch_internal.h
+++ b/src/leased/dispatch_internal.h
@@ -11,6 +11,8 @@
 /* ---- Rates ---------------------------------------------------------- */
 
 /* An exponentially ageing sum of amounts a millisecond. */
+#define OFFERED_PERIOD_MS 1000 /* over which arriving work is measured */
+
 struct rate {
 	double per_ms;
 	int64_t at_ms;
@@ -72,12 +74,15 @@
 	GArray *failed_on; /* uint64_t ids of servers, or NULL */
 };
 
+/* Work is processors times run time: thousandths of a processor x ms. */
 struct dclass {
 	char name[CF_NAME_SIZE];
-	struct rate offered; /* cpu_milli of tasks that arrive */
-	struct rate started; /* cpu_milli of tasks sent */
-	int64_t queued_cpu_milli;
-	uint32_t queued_tasks;
+	GSequence *queue; /* struct djob with waiting tasks, urgent first */
+	struct rate offered; /* work that arrives, a ms */
+	double queued_work; /* of waiting tasks */
+	double running_work; /* of tasks at servers, as predicted */
+	int64_t running_cpu_milli;
+	double service; /* work started, divided by the class's share */
 	uint32_t unsent_jobs;
 };
 
@@ -95,7 +100,7 @@
 	uint32_t n_waiting, n_sent, n_done;
 	bool ever_sent; /* a start went out that may have been carried out */
 	bool ended; /* answered; waits for its runs to end */
-	GSequenceIter *place; /* in the queue; NULL: nothing waits */
+	GSequenceIter *place; /* in its class's queue; NULL: nothing waits */
 };
 
 struct dispatch {
@@ -103,15 +108,13 @@
 	char data_centre[CF_NAME_SIZE];
 	const struct cf_config *config;
 	GHashTable *jobs; /* id -> struct djob */
-	GSequence *queue; /* struct djob with waiting tasks, most urgent first */
 	GHashTable *classes; /* name -> struct dclass */
 	GHashTable *agents; /* incarnation -> struct dagent */
 	GPtrArray *servers; /* struct dserver */
 	uint64_t next_server;
 	struct cf_predict *predict;
 	struct cf_health *health;
-	struct rate started; /* cpu_milli of all tasks sent */
-	double freeing_milli_per_ms; /* as the tasks at servers should end */
+	double service; /* of the class that was served last */
 	bool pumping;
 };
 
@@ -125,12 +128,16 @@
 			    struct dtask *task, int64_t now_ms);
 void dispatch_free_job_if_over(struct dispatch *d, struct djob *job);
 void dispatch_queue_job(struct dispatch *d, struct djob *job);
-void dispatch_unqueue_job(struct dispatch *d, struct djob *job);
+void dispatch_unqueue_job(struct djob *job);
+double dispatch_task_work(const struct djob *job); /* of one of its tasks */
 void dispatch_give_up(struct dispatch *d, struct djob *job, const char *reason,
 		      int64_t now_ms);
 
 /* ---- Admission (dispatch_admit.c) ----------------------------------- */
 
+/* The class's part of all work that arrives, 0 to 1. */
+double admit_share(const struct dispatch *d, const struct dclass *class,
+		   int64_t now_ms);
 /* Takes the job or tells why not. */
 bool admit_job(const struct dispatch *d, const struct djob *job, int64_t now_ms,
 	       const char **reason, uint32_t *retry_after_s);
@@ -142,10 +149,8 @@
 bool server_is_usable(const struct dispatch *d, const struct dserver *server);
 int64_t server_free_cpu_milli(const struct dserver *server);
 int64_t server_free_memory_mb(const struct dserver *server);
-void server_sent(struct dispatch *d, struct dserver *server,
-		 const struct djob *job);
-void server_ended(struct dispatch *d, struct dserver *server,
-		  const struct djob *job);
+void server_sent(struct dserver *server, const struct djob *job);
+void server_ended(struct dserver *server, const struct djob *job);
 void servers_tick(struct dispatch *d, int64_t now_ms);
 
 /* ---- Placing (dispatch_place.c) ------------------------------------- */
--- a/src/leased/dispatch_jobs.c
+++ b/src/leased/dispatch_jobs.c
@@ -34,6 +34,14 @@
 	g_free(job);
 }
 
+static void free_class(gpointer data)
+{
+	struct dclass *class = data;
+
+	g_sequence_free(class->queue);
+	g_free(class);
+}
+
 static void free_agent(gpointer data)
 {
 	struct dagent *agent = data;
@@ -52,9 +60,8 @@
 	g_strlcpy(d->data_centre, data_centre, sizeof(d->data_centre));
 	d->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					free_job);
-	d->queue = g_sequence_new(NULL);
 	d->classes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-					   g_free);
+					   free_class);
 	d->agents = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					  free_agent);
 	d->servers = g_ptr_array_new_with_free_func(g_free);
@@ -67,7 +74,6 @@
 {
 	if (!d)
 		return;
-	g_sequence_free(d->queue);
 	g_hash_table_destroy(d->jobs);
 	g_hash_table_destroy(d->classes);
 	g_hash_table_destroy(d->agents);
@@ -79,45 +85,46 @@
 
 /* ---- The queue ------------------------------------------------------ */
 
-/* How much sooner than a job with much time a job with little may go. */
-#define URGENCY_MAX_MS 150
-
-static int64_t urgency_ms(const struct djob *job)
-{
-	return job->arrived_ms +
-	       MIN(job->good_start_ms - job->arrived_ms, URGENCY_MAX_MS);
-}
-
 static gint compare_jobs(gconstpointer a, gconstpointer b, gpointer unused)
 {
-	int64_t x = urgency_ms(a);
-	int64_t y = urgency_ms(b);
+	const struct djob *x = a;
+	const struct djob *y = b;
 
 	(void)unused;
-	return x < y ? -1 : x > y;
+	return x->good_start_ms < y->good_start_ms
+		       ? -1
+		       : x->good_start_ms > y->good_start_ms;
 }
 
+/* A class that had nothing waiting begins where the others are: it may
+ * not save up service. */
 void dispatch_queue_job(struct dispatch *d, struct djob *job)
 {
-	if (!job->place)
-		job->place = g_sequence_insert_sorted(d->queue, job,
-						      compare_jobs, NULL);
+	GSequence *queue = job->class->queue;
+
+	if (job->place)
+		return;
+	if (g_sequence_is_empty(queue))
+		job->class->service = MAX(job->class->service, d->service);
+	job->place = g_sequence_insert_sorted(queue, job, compare_jobs, NULL);
 }
 
-void dispatch_unqueue_job(struct dispatch *d, struct djob *job)
+void dispatch_unqueue_job(struct djob *job)
 {
-	(void)d;
 	if (job->place)
 		g_sequence_remove(job->place);
 	job->place = NULL;
 }
 
+double dispatch_task_work(const struct djob *job)
+{
+	return (double)job->spec.cpu_milli * job->predicted_ms;
+}
+
 static void count_waiting(struct djob *job, int32_t tasks)
 {
 	job->n_waiting = (uint32_t)((int32_t)job->n_waiting + tasks);
-	job->class->queued_tasks =
-		(uint32_t)((int32_t)job->class->queued_tasks + tasks);
-	job->class->queued_cpu_milli += (int64_t)tasks * job->spec.cpu_milli;
+	job->class->queued_work += tasks * dispatch_task_work(job);
 }
 
 /* ---- Answers -------------------------------------------------------- */
@@ -174,7 +181,7 @@
 		  job->id, job->route.name, verdict, reason, job->spec.n_tasks,
 		  job->n_done, job->n_sent, job->n_waiting, retry_after_s);
 	count_waiting(job, -(int32_t)job->n_waiting);
-	dispatch_unqueue_job(d, job);
+	dispatch_unqueue_job(job);
 	stop_runs(d, job);
 	answer_callers(d, job, &answer);
 }
@@ -200,6 +207,7 @@
 	if (class)
 		return class;
 	class = g_new0(struct dclass, 1);
+	class->queue = g_sequence_new(NULL);
 	g_strlcpy(class->name, name, sizeof(class->name));
 	g_hash_table_insert(d->classes, class->name, class);
 	return class;
@@ -270,8 +278,8 @@
 	job = create_job(d, order);
 	g_hash_table_insert(d->jobs, job->id, job);
 	rate_add(&job->class->offered,
-		 (double)job->spec.cpu_milli * job->spec.n_tasks,
-		 MILLI, now_ms);
+		 dispatch_task_work(job) * job->spec.n_tasks, OFFERED_PERIOD_MS,
+		 now_ms);
 	job->class->unsent_jobs++;
 	count_waiting(job, (int32_t)job->spec.n_tasks);
 	if (!admit_job(d, job, now_ms, &reason, &retry_after_s)) {
@@ -320,17 +328,16 @@
 
 /* ---- Ends of runs --------------------------------------------------- */
 
-static void leave_server(struct dispatch *d, struct djob *job,
-			 struct dtask *task)
+static void leave_server(struct djob *job, struct dtask *task)
 {
-	server_ended(d, task->server, job);
+	server_ended(task->server, job);
 	job->n_sent--;
 }
 
 void dispatch_task_returned(struct dispatch *d, struct djob *job,
 			    struct dtask *task, int64_t now_ms)
 {
-	leave_server(d, job, task);
+	leave_server(job, task);
 	task->state = DTASK_WAITING;
 	task->avoided = task->server->id;
 	task->server = NULL;
@@ -372,7 +379,7 @@
 	blame_failures(d, job, task, now_ms);
 	task->server->done_ms = now_ms;
 	job->slowest_ms = MAX(job->slowest_ms, run_ms);
-	leave_server(d, job, task);
+	leave_server(job, task);
 	task->state = DTASK_DONE;
 	task->server = NULL;
 	job->n_done++;
--- a/src/leased/dispatch_place.c
+++ b/src/leased/dispatch_place.c
@@ -1,8 +1,12 @@
 /*
- * dispatch_place: where tasks start. The most urgent job goes first; a
- * task goes to the server on which it is predicted to end soonest, among
- * those with room. Nothing is sent to a server without room, so that a
- * task stays free to go elsewhere.
+ * dispatch_place: where tasks start, and whose go first. Classes get
+ * service in proportion to the work that arrives for them (fair queueing,
+ * Demers, Keshav and Shenker, 1989); within a class the most urgent job
+ * goes first. A task goes to the server on which it is predicted to end
+ * soonest, among those with room. Nothing is sent to a server without
+ * room, so that a task stays free to go elsewhere. It answers the load at
+ * which all servers are full: no class starves behind one whose target
+ * leaves it more time, and no wide job behind narrow ones.
  */
 #include "leased/dispatch_internal.h"
 
@@ -13,12 +17,12 @@
 
 /* ---- Constants ------------------------------------------------------ */
 
-#define RATE_PERIOD_MS 400
 #define MILLI 1000
-#define LOOK_AHEAD_JOBS 24 /* behind one whose tasks don't fit anywhere */
 #define OTHER_DATA_CENTRE_MS 4.0 /* a server here is as good if so much slower */
 #define FULL_SERVER_MS 8.0 /* beside an empty one: others may send there too */
 #define AVOIDED_MS 10000.0 /* the server that a task was moved away from */
+#define SHARE_LEAST 0.02 /* of the service, for any class */
+#define HOLD_AFTER 0.3 /* of the time until it should start */
 #define MOVES_MAX 2 /* of one task */
 /* Tasks of one job take alike, however wrong their common estimate is. */
 #define LATE_BESIDE_SIBLINGS 1.7 /* times the slowest that has ended */
@@ -96,6 +100,16 @@
 
 /* ---- Sending -------------------------------------------------------- */
 
+static void count_service(struct dispatch *d, const struct djob *job,
+			  int64_t now_ms)
+{
+	struct dclass *class = job->class;
+
+	d->service = MAX(d->service, class->service);
+	class->service += dispatch_task_work(job) /
+			  MAX(admit_share(d, class, now_ms), SHARE_LEAST);
+}
+
 static void send(struct dispatch *d, struct djob *job, struct dtask *task,
 		 struct dserver *server, int64_t now_ms)
 {
@@ -116,15 +130,14 @@
 		job->class->unsent_jobs--;
 	job->ever_sent = true;
 	job->n_waiting--;
-	job->class->queued_tasks--;
-	job->class->queued_cpu_milli -= job->spec.cpu_milli;
+	job->class->queued_work -= dispatch_task_work(job);
 	job->n_sent++;
 	task->state = DTASK_SENT;
 	task->server = server;
 	task->sent_ms = now_ms;
-	server_sent(d, server, job);
+	server_sent(server, job);
 	cf_health_sent(d->health, server->id, 1, now_ms);
-	rate_add(&d->started, job->spec.cpu_milli, RATE_PERIOD_MS, now_ms);
+	count_service(d, job, now_ms);
 	log_event(LOG_INFO, "run_sent",
 		  "job=%s index=%u number=%u agent=%s server=%s "
 		  "predicted_ms=%u waited_ms=%" PRId64 " free_cpu_milli=%" PRId64,
@@ -153,22 +166,54 @@
 	return true;
 }
 
+/* The class with waiting jobs that has had the least service for its
+ * share, among those that were not tried in this round. */
+static struct dclass *next_class(struct dispatch *d, GPtrArray *tried)
+{
+	struct dclass *next = NULL;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, d->classes);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct dclass *class = value;
+
+		if (g_sequence_is_empty(class->queue) ||
+		    g_ptr_array_find(tried, class, NULL))
+			continue;
+		if (!next || class->service < next->service)
+			next = class;
+	}
+	return next;
+}
+
+/* Nobody overtakes a job that has waited for room so long, or it would
+ * never find enough beside smaller ones. */
+static bool holds_room(const struct djob *job, int64_t now_ms)
+{
+	return now_ms - job->arrived_ms >
+	       (job->good_start_ms - job->arrived_ms) * HOLD_AFTER;
+}
+
 void dispatch_pump(struct dispatch *d, int64_t now_ms)
 {
-	GSequenceIter *i = g_sequence_get_begin_iter(d->queue);
-	uint32_t blocked = 0;
+	g_autoptr(GPtrArray) tried = g_ptr_array_new();
+	struct dclass *class;
 
 	if (d->pumping)
 		return;
 	d->pumping = true;
-	while (!g_sequence_iter_is_end(i) && blocked < LOOK_AHEAD_JOBS) {
-		struct djob *job = g_sequence_get(i);
-
-		i = g_sequence_iter_next(i);
-		if (job->deadline_ms <= now_ms || !place_job(d, job, now_ms))
-			blocked++;
-		if (!job->n_waiting)
-			dispatch_unqueue_job(d, job);
+	while ((class = next_class(d, tried))) {
+		struct djob *job = g_sequence_get(
+			g_sequence_get_begin_iter(class->queue));
+
+		if (job->deadline_ms > now_ms && place_job(d, job, now_ms)) {
+			dispatch_unqueue_job(job);
+			continue;
+		}
+		g_ptr_array_add(tried, class);
+		if (holds_room(job, now_ms))
+			break;
 	}
 	d->pumping = false;
 }
--- a/src/leased/dispatch_servers.c
+++ b/src/leased/dispatch_servers.c
@@ -50,13 +50,7 @@
 	return server->state.free_memory_mb - server->pending_memory_mb;
 }
 
-static double freeing_of(const struct djob *job)
-{
-	return (double)job->spec.cpu_milli / MAX(job->predicted_ms, 1);
-}
-
-void server_sent(struct dispatch *d, struct dserver *server,
-		 const struct djob *job)
+void server_sent(struct dserver *server, const struct djob *job)
 {
 	struct unconfirmed *start = g_new0(struct unconfirmed, 1);
 
@@ -69,7 +63,8 @@
 	server->pending_memory_mb += start->memory_mb;
 	server->own_runs++;
 	server->own_cpu_milli += start->cpu_milli;
-	d->freeing_milli_per_ms += freeing_of(job);
+	job->class->running_cpu_milli += start->cpu_milli;
+	job->class->running_work += dispatch_task_work(job);
 }
 
 static void confirm(struct dagent *agent, uint64_t received)
@@ -209,10 +204,10 @@
 
 /* ---- Ends ----------------------------------------------------------- */
 
-void server_ended(struct dispatch *d, struct dserver *server,
-		  const struct djob *job)
+void server_ended(struct dserver *server, const struct djob *job)
 {
-	d->freeing_milli_per_ms -= freeing_of(job);
+	job->class->running_cpu_milli -= job->spec.cpu_milli;
+	job->class->running_work -= dispatch_task_work(job);
 	server->own_runs--;
 	server->own_cpu_milli -= job->spec.cpu_milli;
 }
--- /dev/null
+++ b/tests/test_dispatch.c
@@ -0,0 +1,368 @@
+/*
+ * test_dispatch: what callers get under played loads: in time, refused
+ * at once or late, by class and by size, with sound servers and with
+ * slow, failing, hanging and lost ones. The bounds are the targets:
+ * refusals are true and come at once, nobody starves, one run at a time.
+ */
+#include "support/dispatch_world.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+#include <cmocka.h>
+
+#define SERVERS 11
+#define CPU_MILLI 64000
+#define LENGTH_MS 20000
+
+struct expected {
+	double in_aim; /* least part of the asked, all classes */
+	double served; /* least part of the asked in the worst class */
+	double refused_late; /* most, of the refused */
+};
+
+struct play {
+	const char *name;
+	double factor;
+	double poison;
+	struct world_server odd; /* takes the place of the first n_odd */
+	size_t n_odd;
+	struct expected expected;
+};
+
+static const struct play plays[] = {
+	{ "two thirds of what the servers can do",
+	  0.95,
+	  0,
+	  { 0 },
+	  0,
+	  { 0.95, 0.95, 0.2 } },
+	{ "half more than they can do",
+	  2.1,
+	  0,
+	  { 0 },
+	  0,
+	  { 0.40, 0.30, 0.2 } },
+	{ "two servers seven times slower for a while",
+	  0.8,
+	  0,
+	  { .slowness = 7, .from_ms = 5000, .to_ms = 12000 },
+	  2,
+	  { 0.90, 0.90, 0.2 } },
+	{ "two servers on which nothing ends for a while",
+	  0.8,
+	  0,
+	  { .hangs = true, .from_ms = 5000, .to_ms = 12000 },
+	  2,
+	  { 0.90, 0.90, 0.2 } },
+	{ "two servers that fail everything for a while",
+	  0.8,
+	  0,
+	  { .fails = true, .from_ms = 5000, .to_ms = 12000 },
+	  2,
+	  { 0.90, 0.90, 0.2 } },
+	{ "two agents cut off for a while",
+	  0.8,
+	  0,
+	  { .lost = true, .from_ms = 5000, .to_ms = 12000 },
+	  2,
+	  { 0.90, 0.90, 0.2 } },
+	{ "a twentieth of the jobs can never be done",
+	  0.8,
+	  0.05,
+	  { 0 },
+	  0,
+	  { 0.85, 0.85, 0.2 } },
+};
+
+static struct world_load load_of(const struct play *play)
+{
+	struct world_load load = { .classes = world_order_desk,
+				   .factor = play->factor,
+				   .length_ms = LENGTH_MS,
+				   .n_servers = SERVERS,
+				   .poison = play->poison,
+				   .seed = 20261204 };
+
+	for (size_t i = 0; i < SERVERS; i++) {
+		if (i < play->n_odd)
+			load.servers[i] = play->odd;
+		load.servers[i].cpu_milli = CPU_MILLI;
+	}
+	return load;
+}
+
+static void print_tally(const char *name, const struct world_result *result)
+{
+	for (size_t i = 0; i < WORLD_CLASSES; i++) {
+		const struct world_tally *t = &result->classes[i];
+
+		fprintf(stderr,
+			"count: %s: %s asked=%u in_aim=%u late=%u refused=%u "
+			"refused_late=%u given_up=%u failed=%u large=%u/%u\n",
+			name, world_order_desk[i].name, t->asked, t->in_aim,
+			t->late, t->refused, t->refused_late, t->given_up,
+			t->failed, t->large_served, t->large_asked);
+	}
+}
+
+static void check(const struct play *play, const struct world_result *result)
+{
+	uint32_t asked = 0, in_aim = 0, refused = 0, refused_late = 0;
+
+	for (size_t i = 0; i < WORLD_CLASSES; i++) {
+		const struct world_tally *t = &result->classes[i];
+		uint32_t answered = world_served(t) + t->failed + t->refused +
+				    t->given_up;
+		double served = (double)world_served(t) / t->asked;
+
+		assert_int_equal(answered, t->asked);
+		assert_true(served >= play->expected.served);
+		/* The widest tenth, half as often as the class at least. */
+		assert_true((double)t->large_served >=
+			    served / 2 * t->large_asked);
+		asked += t->asked;
+		in_aim += t->in_aim;
+		refused += t->refused;
+		refused_late += t->refused_late;
+	}
+	assert_true(in_aim >= play->expected.in_aim * asked);
+	assert_true(refused_late <= play->expected.refused_late * refused + 5);
+	assert_int_equal(result->doubles, 0);
+	assert_int_equal(result->false_refusals, 0);
+}
+
+static void test_plays(void **state)
+{
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(plays); i++) {
+		struct world_load load = load_of(&plays[i]);
+		struct world_result result;
+
+		world_play(&load, &result);
+		print_tally(plays[i].name, &result);
+		check(&plays[i], &result);
+	}
+}
+
+/* ---- Single jobs ---- */
+
+struct recorder {
+	struct dispatch_sink sink; /* first member */
+	uint32_t starts, stops, answers;
+	struct start_order last_start;
+	struct job_answer answer;
+};
+
+static void record_start(struct dispatch_sink *sink, uint64_t agent,
+			 const struct start_order *order)
+{
+	struct recorder *r = (struct recorder *)sink;
+
+	(void)agent;
+	r->starts++;
+	r->last_start = *order;
+}
+
+static void record_stop(struct dispatch_sink *sink, uint64_t agent,
+			const struct run_name *name)
+{
+	(void)agent;
+	(void)name;
+	((struct recorder *)sink)->stops++;
+}
+
+static void record_answer(struct dispatch_sink *sink, void *caller,
+			  const struct job_answer *answer)
+{
+	struct recorder *r = (struct recorder *)sink;
+
+	(void)caller;
+	r->answers++;
+	r->answer = *answer;
+}
+
+static struct dispatch *make(struct recorder *r, bool accepting)
+{
+	static const struct dispatch_sink_ops ops = { record_start, record_stop,
+						      record_answer };
+	struct agent_identity agent = { .incarnation = 1 };
+	struct server_state state = { .name = "s",
+				      .service = "desk",
+				      .capacity = { .cpu_milli = 1000,
+						    .memory_mb = 10 },
+				      .free_cpu_milli = 1000,
+				      .free_memory_mb = 10,
+				      .accepting = accepting };
+	struct dispatch *d;
+
+	memset(r, 0, sizeof(*r));
+	r->sink.ops = &ops;
+	d = dispatch_create(&r->sink, "dc");
+	dispatch_agent_up(d, &agent, 0);
+	dispatch_take_state(d, 1, &state, 0);
+	dispatch_states_told(d, 1, 0);
+	return d;
+}
+
+/* The server is empty and has taken so many starts. */
+static void tell_room(struct dispatch *d, uint64_t received)
+{
+	struct server_state state = { .name = "s",
+				      .service = "desk",
+				      .capacity = { .cpu_milli = 1000,
+						    .memory_mb = 10 },
+				      .free_cpu_milli = 1000,
+				      .free_memory_mb = 10,
+				      .accepting = true,
+				      .received = received };
+
+	dispatch_take_state(d, 1, &state, 0);
+}
+
+static void give(struct dispatch *d, const char *id, void *caller,
+		 int64_t deadline_ms)
+{
+	struct job_order order = { .route = { .name = "r",
+					      .service = "desk",
+					      .target_ms = 60,
+					      .stretch_milli = 1600,
+					      .attempts_max = 2 },
+				   .spec = { .n_tasks = 1,
+					     .cpu_milli = 1000,
+					     .memory_mb = 1,
+					     .estimate_ms = 100 },
+				   .deadline_ms = deadline_ms,
+				   .caller = caller };
+
+	g_strlcpy(order.id, id, sizeof(order.id));
+	order.spec.spec = g_bytes_new("x", 1);
+	dispatch_submit(d, &order, 0);
+	g_bytes_unref(order.spec.spec);
+}
+
+static void end(struct dispatch *d, const char *id, uint32_t number,
+		enum run_outcome outcome, int64_t now_ms)
+{
+	struct run_result result = { .name = { .number = number },
+				     .outcome = outcome };
+
+	g_strlcpy(result.name.job, id, sizeof(result.name.job));
+	dispatch_take_end(d, 1, &result, now_ms);
+}
+
+/* What a caller hears if its job ends in this way. */
+static void test_answers_are_true(void **state)
+{
+	static const struct {
+		const char *name;
+		bool accepting; /* the server */
+		enum run_outcome outcomes[3]; /* of runs, one by one */
+		size_t n_outcomes;
+		enum job_verdict verdict;
+	} cases[] = {
+		{ "done", true, { RUN_OUTCOME_DONE }, 1, JOB_VERDICT_COMPLETED },
+		{ "failed as often as it may",
+		  true,
+		  { RUN_OUTCOME_FAILED, RUN_OUTCOME_FAILED },
+		  2,
+		  JOB_VERDICT_FAILED },
+		{ "failed once, then done",
+		  true,
+		  { RUN_OUTCOME_FAILED, RUN_OUTCOME_DONE },
+		  2,
+		  JOB_VERDICT_COMPLETED },
+		{ "stopped with its server, then done",
+		  true,
+		  { RUN_OUTCOME_STOPPED, RUN_OUTCOME_DONE },
+		  2,
+		  JOB_VERDICT_COMPLETED },
+		{ "no server takes work", false, { 0 }, 0, JOB_VERDICT_REFUSED },
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct recorder r;
+		struct dispatch *d = make(&r, cases[i].accepting);
+
+		give(d, "j", &r, 5000);
+		for (size_t n = 0; n < cases[i].n_outcomes; n++) {
+			assert_int_equal(r.starts, n + 1);
+			assert_int_equal(r.last_start.name.number, n + 1);
+			tell_room(d, n + 1);
+			end(d, "j", (uint32_t)n + 1, cases[i].outcomes[n], 10);
+		}
+		assert_int_equal(r.answers, 1);
+		assert_int_equal(r.answer.verdict, cases[i].verdict);
+		if (cases[i].verdict == JOB_VERDICT_REFUSED)
+			assert_true(r.answer.retry_after_s > 0);
+		dispatch_destroy(d);
+	}
+}
+
+/* A run stops when its caller leaves, its deadline passes or it is
+ * cancelled, and the answer goes out at once. */
+static void test_no_run_goes_on_for_nobody(void **state)
+{
+	enum why { LEFT, DEADLINE, CANCELLED };
+
+	(void)state;
+	for (int why = LEFT; why <= CANCELLED; why++) {
+		struct recorder r;
+		struct dispatch *d = make(&r, true);
+
+		give(d, "j", &r, 1000);
+		assert_int_equal(r.starts, 1);
+		if (why == LEFT)
+			dispatch_abandon(d, "j", &r, 20);
+		else if (why == CANCELLED)
+			assert_true(dispatch_cancel(d, "j", 20));
+		else
+			dispatch_tick(d, 1000);
+		assert_int_equal(r.stops, 1);
+		assert_int_equal(r.answers, 1);
+		assert_int_equal(r.answer.verdict, JOB_VERDICT_GIVEN_UP);
+		dispatch_destroy(d);
+	}
+}
+
+/* The same job again while it runs: one run, both are answered. While
+ * stopped runs of it may go on, it is not taken again. */
+static void test_resubmission(void **state)
+{
+	struct recorder r;
+	struct dispatch *d = make(&r, true);
+	int second;
+
+	(void)state;
+	give(d, "j", &r, 5000);
+	give(d, "j", &second, 5000);
+	assert_int_equal(r.starts, 1);
+	dispatch_abandon(d, "j", &r, 10);
+	assert_int_equal(r.stops, 0);
+	dispatch_abandon(d, "j", &second, 20);
+	assert_int_equal(r.stops, 1);
+	give(d, "j", &r, 5000);
+	assert_int_equal(r.starts, 1);
+	assert_int_equal(r.answer.verdict, JOB_VERDICT_GIVEN_UP);
+	end(d, "j", 1, RUN_OUTCOME_STOPPED, 30);
+	tell_room(d, 1);
+	give(d, "j", &r, 5000);
+	assert_int_equal(r.starts, 2);
+	dispatch_destroy(d);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_plays),
+		cmocka_unit_test(test_answers_are_true),
+		cmocka_unit_test(test_no_run_goes_on_for_nobody),
+		cmocka_unit_test(test_resubmission),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
