--- a/src/leased/dispatch.h
+++ b/src/leased/dispatch.h
@@ -97,6 +97,8 @@
 		      int64_t now_ms);
 /* Stops a job whoever waits for it; false: none is in progress. */
 bool dispatch_cancel(struct dispatch *d, const char *id, int64_t now_ms);
+/* Answers everybody now: the process ends. */
+void dispatch_stop_all(struct dispatch *d, int64_t now_ms);
 /* Jobs of a queue (a route's name) of which no task was sent. */
 uint32_t dispatch_pending(const struct dispatch *d, const char *route);
 
--- a/src/leased/dispatch_jobs.c
+++ b/src/leased/dispatch_jobs.c
@@ -319,6 +319,24 @@
 	return true;
 }
 
+void dispatch_stop_all(struct dispatch *d, int64_t now_ms)
+{
+	g_autoptr(GPtrArray) open = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, d->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (!((struct djob *)value)->ended)
+			g_ptr_array_add(open, value);
+	for (guint i = 0; i < open->len; i++) {
+		struct djob *job = g_ptr_array_index(open, i);
+
+		dispatch_give_up(d, job, "the process stops", now_ms);
+		dispatch_free_job_if_over(d, job);
+	}
+}
+
 uint32_t dispatch_pending(const struct dispatch *d, const char *route)
 {
 	const struct dclass *class = g_hash_table_lookup(d->classes, route);
--- a/src/leased/dispatcher.c
+++ b/src/leased/dispatcher.c
@@ -18,7 +18,7 @@
 #define CONTACT_LOST_MS 15000
 #define GAUGES_MS 500
 #define ACCEPT_WHILE_STOPPING_MS 2200 /* until no balancer sends more */
-#define STOP_WAIT_MOST_MS 4000
+#define LAST_ANSWERS_MS 300 /* of what is given up at the end */
 #define STOP_LOOK_US 20000
 #define US_PER_MS 1000
 
@@ -281,21 +281,42 @@
 
 /* ---- Stop ----------------------------------------------------------- */
 
+static void begin_stop(void *arg)
+{
+	struct leased_dispatcher *d = arg;
+
+	d->stop_ms = loop_now_ms(d->loop);
+}
+
+static void give_up_all(void *arg)
+{
+	struct leased_dispatcher *d = arg;
+
+	dispatch_stop_all(d->dispatch, loop_now_ms(d->loop));
+}
+
+static void wait_for_answers(struct leased_dispatcher *d, int64_t end_ms)
+{
+	while (http_server_open_requests(d->http) && clock_now_ms() < end_ms)
+		g_usleep(STOP_LOOK_US);
+}
+
 /* A balancer goes on sending until it has seen that this one isn't
- * ready; then what is open is served to its end. */
+ * ready; then what is open is served to its end, as far as there is time,
+ * and the rest is answered that it is given up. */
 static void serve_to_the_end(struct leased_dispatcher *d)
 {
-	int64_t end_ms;
+	int64_t end_ms = clock_now_ms() +
+			 settings_number(d->settings, "stop-wait-ms");
 
 	g_atomic_int_set(&d->stopping, 1);
+	loop_post(d->loop, begin_stop, d);
 	http_server_close_after_answers(d->http);
 	g_usleep(ACCEPT_WHILE_STOPPING_MS * US_PER_MS);
 	http_server_quiesce(d->http);
-	end_ms = clock_now_ms() +
-		 MIN(settings_number(d->settings, "stop-wait-ms"),
-		     STOP_WAIT_MOST_MS);
-	while (http_server_open_requests(d->http) && clock_now_ms() < end_ms)
-		g_usleep(STOP_LOOK_US);
+	wait_for_answers(d, end_ms);
+	loop_post(d->loop, give_up_all, d);
+	wait_for_answers(d, clock_now_ms() + LAST_ANSWERS_MS);
 }
 
 static void leave(void *arg)
--- a/src/leased/dispatcher_http.c
+++ b/src/leased/dispatcher_http.c
@@ -20,6 +20,7 @@
 #define STATUS_NOT_BUILT 501
 #define STATUS_UNAVAILABLE 503
 #define STATUS_TIMEOUT 504
+#define TAKE_WHILE_STOPPING_MS 2500
 #define JSON_TYPE "application/json"
 #define DEADLINE_STANDARD_MS 30000
 #define DEADLINE_MAX_MS 86400000
@@ -169,6 +170,10 @@
 	const char *why = dispatcher_why_unready(d, loop_now_ms(d->loop));
 	const struct route *route;
 
+	/* One that comes so late on an open connection may not end here. */
+	if (!why && d->stop_ms &&
+	    loop_now_ms(d->loop) - d->stop_ms > TAKE_WHILE_STOPPING_MS)
+		why = "this process is stopping";
 	if (why) {
 		counter_add(d->unready, 1);
 		reply_fault(c, STATUS_UNAVAILABLE, "unready", why, 1);
--- a/src/leased/dispatcher_internal.h
+++ b/src/leased/dispatcher_internal.h
@@ -47,6 +47,7 @@
 	int64_t contact_ms; /* when a lease of the coordinators was last held */
 	int64_t gauged_ms;
 	bool was_ready;
+	int64_t stop_ms; /* when a planned stop began; 0: none */
 	gint stopping; /* atomic */
 	struct counter *verdicts[VERDICTS];
 	struct counter *answer_bins[VERDICTS][ANSWER_BINS];
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -307,7 +307,7 @@
  * cancelled, and the answer goes out at once. */
 static void test_no_run_goes_on_for_nobody(void **state)
 {
-	enum why { LEFT, DEADLINE, CANCELLED };
+	enum why { LEFT, DEADLINE, STOPPING, CANCELLED };
 
 	(void)state;
 	for (int why = LEFT; why <= CANCELLED; why++) {
@@ -318,6 +318,8 @@
 		assert_int_equal(r.starts, 1);
 		if (why == LEFT)
 			dispatch_abandon(d, "j", &r, 20);
+		else if (why == STOPPING)
+			dispatch_stop_all(d, 20);
 		else if (why == CANCELLED)
 			assert_true(dispatch_cancel(d, "j", 20));
 		else
