--- a/src/base/log_writer.c
+++ b/src/base/log_writer.c
@@ -73,10 +73,9 @@
 
 	if (!n)
 		return;
-	g_string_append_printf(w->kept,
-			       "event=log_lines_left_out lines=%" G_GUINT64_FORMAT
-			       "\n",
-			       n);
+	g_string_append_printf(
+		w->kept,
+		"event=log_lines_left_out lines=%" G_GUINT64_FORMAT "\n", n);
 	w->told_left_out = w->left_out;
 }
 
--- a/src/base/logger.c
+++ b/src/base/logger.c
@@ -178,8 +178,7 @@
 	size_t left = strlen(text);
 
 	if (writer) {
-		log_writer_add(writer, text, level >= LOG_WARN,
-			       clock_now_ms());
+		log_writer_add(writer, text, level >= LOG_WARN, clock_now_ms());
 		return;
 	}
 
--- a/src/leased/agent.c
+++ b/src/leased/agent.c
@@ -70,8 +70,7 @@
 {
 	struct posted_report *p = arg;
 	struct leased_agent *a = p->agent;
-	struct server *server =
-		g_hash_table_lookup(a->servers, p->report.name);
+	struct server *server = g_hash_table_lookup(a->servers, p->report.name);
 	int64_t now_ms = loop_now_ms(a->loop);
 
 	counter_add(a->reports, 1);
@@ -122,8 +121,8 @@
 		post_report(a, request, &report, false);
 	} else {
 		counter_add(a->bad_reports, 1);
-		log_event(LOG_WARN, "report_unreadable",
-			  "server=%s why=\"%s\"", asked.subject, fault);
+		log_event(LOG_WARN, "report_unreadable", "server=%s why=\"%s\"",
+			  asked.subject, fault);
 		http_reply_error(request, HTTP_BAD_REQUEST, "invalid", fault);
 	}
 }
@@ -348,8 +347,8 @@
 /* What runs here ends before the process does. */
 static void wait_until_idle(struct leased_agent *a)
 {
-	int64_t end_ms = clock_now_ms() +
-			 settings_number(a->settings, "stop-wait-ms");
+	int64_t end_ms =
+		clock_now_ms() + settings_number(a->settings, "stop-wait-ms");
 
 	g_atomic_int_set(&a->stopping, 1);
 	loop_post(a->loop, tell_stopping, a);
--- a/src/leased/agent_peers.c
+++ b/src/leased/agent_peers.c
@@ -122,7 +122,9 @@
 		follow_lease(a, p, now_ms);
 		while (p->recent->head &&
 		       ((struct recent_result *)p->recent->head->data)
-				       ->ended_ms + RECENT_MS < now_ms)
+					       ->ended_ms +
+				       RECENT_MS <
+			       now_ms)
 			g_free(g_queue_pop_head(p->recent));
 		if (!p->link && !p->held && p->lost_ms + FORGET_MS < now_ms)
 			g_hash_table_iter_remove(&iter);
@@ -286,8 +288,7 @@
 	memset(name, 0, sizeof(*name));
 	name->index = index;
 	name->number = number;
-	return g_strlcpy(name->job, job, sizeof(name->job)) <
-	       sizeof(name->job);
+	return g_strlcpy(name->job, job, sizeof(name->job)) < sizeof(name->job);
 }
 
 static void refuse_start(struct leased_agent *a, const struct peer *p,
--- a/src/leased/dispatch_admit.c
+++ b/src/leased/dispatch_admit.c
@@ -99,10 +99,10 @@
 	e->share = admit_share(d, class, now_ms);
 	e->free_milli = free_cpu_milli(d);
 	all_milli = running_milli + e->free_milli * FREE_PART;
-	left_milli = all_milli -
-		     (running_milli - (double)class->running_cpu_milli);
-	e->cpu_milli = MAX(MAX(all_milli * e->share, left_milli),
-			   CPU_LEAST_MILLI);
+	left_milli =
+		all_milli - (running_milli - (double)class->running_cpu_milli);
+	e->cpu_milli =
+		MAX(MAX(all_milli * e->share, left_milli), CPU_LEAST_MILLI);
 	if (queued_work > class->queued_work)
 		e->free_milli *= e->share;
 	room = e->free_milli * FREE_PART * job->predicted_ms;
@@ -137,8 +137,7 @@
 		  job->id, job->route.name, (int)e->wait_ms,
 		  job->good_start_ms - now_ms, (int)(e->work / MILLI),
 		  (int)e->cpu_milli, (int)e->free_milli,
-		  (int)(e->share * PERCENT),
-		  job->predicted_ms);
+		  (int)(e->share * PERCENT), job->predicted_ms);
 }
 
 bool admit_job(const struct dispatch *d, const struct djob *job, int64_t now_ms,
--- a/src/leased/dispatch_jobs.c
+++ b/src/leased/dispatch_jobs.c
@@ -58,8 +58,8 @@
 
 	d->sink = sink;
 	g_strlcpy(d->data_centre, data_centre, sizeof(d->data_centre));
-	d->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-					free_job);
+	d->jobs =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_job);
 	d->classes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					   free_class);
 	d->agents = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
@@ -133,9 +133,8 @@
 			   const struct job_answer *answer)
 {
 	for (guint i = 0; i < job->callers->len; i++)
-		d->sink->ops->answer(d->sink,
-				     g_ptr_array_index(job->callers, i),
-				     answer);
+		d->sink->ops->answer(
+			d->sink, g_ptr_array_index(job->callers, i), answer);
 	g_ptr_array_set_size(job->callers, 0);
 }
 
@@ -194,8 +193,7 @@
 
 	dispatch_end_job(d, job,
 			 ran ? JOB_VERDICT_GIVEN_UP : JOB_VERDICT_REFUSED,
-			 reason,
-			 ran ? 0 : admit_retry_after_s(d, job, now_ms));
+			 reason, ran ? 0 : admit_retry_after_s(d, job, now_ms));
 }
 
 /* ---- Arrival -------------------------------------------------------- */
@@ -220,9 +218,9 @@
 
 	job->predicted_ms = cf_predict_ms(d->predict, job->class->name,
 					  estimate_ms, MEDIAN_MILLI);
-	objective_ms = (int64_t)job->predicted_ms * job->route.stretch_milli /
-			       MILLI +
-		       job->route.target_ms;
+	objective_ms =
+		(int64_t)job->predicted_ms * job->route.stretch_milli / MILLI +
+		job->route.target_ms;
 	job->good_start_ms =
 		job->arrived_ms + MAX(objective_ms - job->predicted_ms, 0);
 	job->deadline_ms -= ANSWER_MARGIN_MS;
@@ -379,10 +377,9 @@
 			   const struct dtask *task, int64_t now_ms)
 {
 	for (guint i = 0; task->failed_on && i < task->failed_on->len; i++)
-		cf_health_result(d->health,
-				 g_array_index(task->failed_on, uint64_t, i),
-				 false, job->predicted_ms, job->predicted_ms,
-				 now_ms);
+		cf_health_result(
+			d->health, g_array_index(task->failed_on, uint64_t, i),
+			false, job->predicted_ms, job->predicted_ms, now_ms);
 }
 
 static void task_done(struct dispatch *d, struct djob *job, struct dtask *task,
@@ -402,8 +399,8 @@
 	task->server = NULL;
 	job->n_done++;
 	if (job->n_done == job->spec.n_tasks)
-		dispatch_end_job(d, job, JOB_VERDICT_COMPLETED, "all ended well",
-				 0);
+		dispatch_end_job(d, job, JOB_VERDICT_COMPLETED,
+				 "all ended well", 0);
 	dispatch_free_job_if_over(d, job);
 }
 
@@ -431,8 +428,8 @@
 	if (!*job || name->index >= (*job)->spec.n_tasks)
 		return false;
 	*task = &(*job)->tasks[name->index];
-	return (*task)->state == DTASK_SENT && (*task)->number == name->number &&
-	       (*task)->server->agent &&
+	return (*task)->state == DTASK_SENT &&
+	       (*task)->number == name->number && (*task)->server->agent &&
 	       (*task)->server->agent->identity.incarnation == agent;
 }
 
--- a/src/leased/dispatch_place.c
+++ b/src/leased/dispatch_place.c
@@ -18,8 +18,10 @@
 /* ---- Constants ------------------------------------------------------ */
 
 #define MILLI 1000
-#define OTHER_DATA_CENTRE_MS 4.0 /* a server here is as good if so much slower */
-#define FULL_SERVER_MS 8.0 /* beside an empty one: others may send there too */
+#define OTHER_DATA_CENTRE_MS                                                   \
+	4.0 /* a server here is as good if so much slower */
+#define FULL_SERVER_MS 8.0 /* beside an empty one: others may send there too   \
+			    */
 #define AVOIDED_MS 10000.0 /* the server that a task was moved away from */
 #define SHARE_LEAST 0.02 /* of the service, for any class */
 #define HOLD_AFTER 0.3 /* of the time until it should start */
@@ -48,8 +50,8 @@
 {
 	uint32_t weight = cf_health_weight_milli(d->health, server->id, now_ms);
 	int64_t cpu = job->spec.cpu_milli;
-	int64_t allowed = (int64_t)server->state.capacity.cpu_milli * weight /
-			  MILLI;
+	int64_t allowed =
+		(int64_t)server->state.capacity.cpu_milli * weight / MILLI;
 
 	if (!weight || strcmp(server->state.service, job->route.service) != 0)
 		return false;
@@ -140,7 +142,8 @@
 	count_service(d, job, now_ms);
 	log_event(LOG_INFO, "run_sent",
 		  "job=%s index=%u number=%u agent=%s server=%s "
-		  "predicted_ms=%u waited_ms=%" PRId64 " free_cpu_milli=%" PRId64,
+		  "predicted_ms=%u waited_ms=%" PRId64
+		  " free_cpu_milli=%" PRId64,
 		  job->id, task->index, task->number,
 		  server->agent->identity.name, server->state.name,
 		  job->predicted_ms, now_ms - job->arrived_ms,
@@ -204,8 +207,8 @@
 		return;
 	d->pumping = true;
 	while ((class = next_class(d, tried))) {
-		struct djob *job = g_sequence_get(
-			g_sequence_get_begin_iter(class->queue));
+		struct djob *job =
+			g_sequence_get(g_sequence_get_begin_iter(class->queue));
 
 		if (job->deadline_ms > now_ms && place_job(d, job, now_ms)) {
 			dispatch_unqueue_job(job);
@@ -263,8 +266,7 @@
 static void move(struct dispatch *d, struct djob *job, struct dtask *task,
 		 int64_t now_ms)
 {
-	struct run_name name = { .index = task->index,
-				 .number = task->number };
+	struct run_name name = { .index = task->index, .number = task->number };
 
 	task->stopping = true;
 	task->moves++;
@@ -275,8 +277,8 @@
 		  job->id, task->index, task->number, task->server->state.name,
 		  now_ms - task->sent_ms, job->predicted_ms,
 		  task->server->late_runs, task->server->own_runs);
-	d->sink->ops->stop(d->sink,
-			   task->server->agent->identity.incarnation, &name);
+	d->sink->ops->stop(d->sink, task->server->agent->identity.incarnation,
+			   &name);
 }
 
 static void look_at_run(struct dispatch *d, struct djob *job,
@@ -289,8 +291,8 @@
 		return;
 	if (!task->overdue_told) {
 		task->overdue_told = true;
-		cf_health_overdue(d->health, task->server->id,
-				  (uint32_t)ran_ms, job->predicted_ms, now_ms);
+		cf_health_overdue(d->health, task->server->id, (uint32_t)ran_ms,
+				  job->predicted_ms, now_ms);
 	}
 	if (task->moves < MOVES_MAX && task->server->agent->up &&
 	    now_ms + job->predicted_ms < job->deadline_ms)
--- a/src/leased/dispatch_servers.c
+++ b/src/leased/dispatch_servers.c
@@ -86,8 +86,8 @@
 	return g_hash_table_lookup(d->agents, &agent);
 }
 
-void dispatch_agent_up(struct dispatch *d, const struct agent_identity *identity,
-		       int64_t now_ms)
+void dispatch_agent_up(struct dispatch *d,
+		       const struct agent_identity *identity, int64_t now_ms)
 {
 	struct dagent *agent = find_agent(d, identity->incarnation);
 
--- a/src/leased/dispatcher.c
+++ b/src/leased/dispatcher.c
@@ -268,7 +268,8 @@
 	if (!d->admin)
 		return false;
 	admin_set_ready(d->admin, false, "starting");
-	return admin_start(d->admin, error) && dispatcher_open_callers(d, error);
+	return admin_start(d->admin, error) &&
+	       dispatcher_open_callers(d, error);
 }
 
 static gpointer run(gpointer arg)
@@ -306,8 +307,8 @@
  * and the rest is answered that it is given up. */
 static void serve_to_the_end(struct leased_dispatcher *d)
 {
-	int64_t end_ms = clock_now_ms() +
-			 settings_number(d->settings, "stop-wait-ms");
+	int64_t end_ms =
+		clock_now_ms() + settings_number(d->settings, "stop-wait-ms");
 
 	g_atomic_int_set(&d->stopping, 1);
 	loop_post(d->loop, begin_stop, d);
--- a/src/leased/dispatcher_http.c
+++ b/src/leased/dispatcher_http.c
@@ -45,16 +45,17 @@
 {
 	struct caller *c = g_new0(struct caller, 1);
 	const char *host = http_header(request, "Host");
-	const char *deadline = http_header(request, d->formats->deadline_header);
+	const char *deadline =
+		http_header(request, d->formats->deadline_header);
 	gint64 left_ms = 0;
 
 	c->dispatcher = d;
 	c->request = request;
 	c->host = g_strdup(host ? host : "");
 	c->arrived_ms = clock_now_ms();
-	if (!deadline || !g_ascii_string_to_signed(deadline, 10, 1,
-						   DEADLINE_MAX_MS, &left_ms,
-						   NULL))
+	if (!deadline ||
+	    !g_ascii_string_to_signed(deadline, 10, 1, DEADLINE_MAX_MS,
+				      &left_ms, NULL))
 		left_ms = DEADLINE_STANDARD_MS;
 	c->deadline_ms = c->arrived_ms + left_ms;
 	c->holders = 1;
@@ -86,9 +87,8 @@
 static void reply_fault(struct caller *c, uint32_t status, const char *reason,
 			const char *message, uint32_t retry_after_s)
 {
-	g_autofree char *body =
-		g_strdup_printf("{\"reason\":\"%s\",\"message\":\"%s\"}",
-				reason, message);
+	g_autofree char *body = g_strdup_printf(
+		"{\"reason\":\"%s\",\"message\":\"%s\"}", reason, message);
 
 	log_event(LOG_WARN, "request_refused",
 		  "job=%s status=%u reason=%s why=\"%s\"", c->id, status,
@@ -120,7 +120,8 @@
 	g_autofree char *state = NULL;
 
 	count_answer(d, answer->verdict, took_ms);
-	log_event(answer->verdict == JOB_VERDICT_COMPLETED ? LOG_INFO : LOG_WARN,
+	log_event(answer->verdict == JOB_VERDICT_COMPLETED ? LOG_INFO
+							   : LOG_WARN,
 		  "answered",
 		  "job=%s verdict=%d reason=\"%s\" took_ms=%" G_GINT64_FORMAT,
 		  c->id, answer->verdict, answer->reason, took_ms);
@@ -199,7 +200,8 @@
 	g_strlcpy(order.id, c->id, sizeof(order.id));
 	log_event(LOG_INFO, "job_arrived",
 		  "job=%s route=%s routes_version=%" G_GUINT64_FORMAT
-		  " tasks=%u cpu_milli=%u estimate_ms=%u left_ms=%" G_GINT64_FORMAT,
+		  " tasks=%u cpu_milli=%u estimate_ms=%u "
+		  "left_ms=%" G_GINT64_FORMAT,
 		  c->id, route->name, routes_version(c->dispatcher->routes),
 		  c->spec.n_tasks, c->spec.cpu_milli, c->spec.estimate_ms,
 		  c->deadline_ms - c->arrived_ms);
@@ -271,8 +273,8 @@
 	char fault[128] = "";
 	size_t size;
 	const void *body = http_body(c->request, &size);
-	enum job_refusal refusal = c->dispatcher->formats->read_job(
-		body, size, &c->spec, fault);
+	enum job_refusal refusal =
+		c->dispatcher->formats->read_job(body, size, &c->spec, fault);
 
 	if (refusal == JOB_FINE) {
 		loop_post(c->dispatcher->loop, take_submission, c);
@@ -304,8 +306,8 @@
 {
 	struct http_server_options options = {
 		.address = settings_text(d->settings, "http"),
-		.threads = (uint32_t)settings_number(d->settings,
-						     "http-threads"),
+		.threads =
+			(uint32_t)settings_number(d->settings, "http-threads"),
 		.connections_max = (uint32_t)settings_number(
 			d->settings, "http-connections"),
 	};
--- a/src/leased/formats.h
+++ b/src/leased/formats.h
@@ -147,8 +147,8 @@
 			    int64_t lease_end_ms, struct run_call *call);
 	void (*write_stop)(const struct run_name *name, struct run_call *call);
 	/* lease_end_ms 0: the lease stays as it is. */
-	void (*write_look)(int64_t lease_end_ms, uint64_t seen, uint32_t wait_ms,
-			   struct run_call *call);
+	void (*write_look)(int64_t lease_end_ms, uint64_t seen,
+			   uint32_t wait_ms, struct run_call *call);
 	/* clock_ms stays as it was where the answer has none. */
 	enum run_refusal (*read_start)(uint32_t status, const void *data,
 				       size_t size_bytes, int64_t *clock_ms);
--- a/src/leased/reload.c
+++ b/src/leased/reload.c
@@ -61,8 +61,8 @@
 char **reload_coordinators(const struct settings *settings)
 {
 	const char *path = settings_text(settings, "reload-file");
-	g_autofree char *value =
-		path ? read_value(path, COORDINATORS_KEY) : NULL;
+	g_autofree char *value = path ? read_value(path, COORDINATORS_KEY)
+				      : NULL;
 	char **list = value ? g_strsplit(value, ",", -1) : NULL;
 
 	if (list && !are_addresses(list)) {
--- a/src/leased/routes.c
+++ b/src/leased/routes.c
@@ -36,9 +36,9 @@
 	routes->version = version;
 	routes->list = g_array_new(FALSE, FALSE, sizeof(struct route));
 	g_array_append_vals(routes->list, list->data, list->len);
-	routes->hosts = g_hash_table_new_full(
-		g_str_hash, g_str_equal, NULL,
-		(GDestroyNotify)g_ptr_array_unref);
+	routes->hosts =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+				      (GDestroyNotify)g_ptr_array_unref);
 	for (guint i = 0; i < routes->list->len; i++) {
 		struct route *route =
 			&g_array_index(routes->list, struct route, i);
--- a/src/leased/run_table.c
+++ b/src/leased/run_table.c
@@ -109,8 +109,7 @@
 
 	if (run->started_ms && now_ms > run->started_ms)
 		result.run_ms = (uint32_t)(now_ms - run->started_ms);
-	g_queue_push_tail(&table->results,
-			  g_memdup2(&result, sizeof(result)));
+	g_queue_push_tail(&table->results, g_memdup2(&result, sizeof(result)));
 	g_ptr_array_remove_index(table->runs, position);
 }
 
@@ -387,8 +386,8 @@
 
 	for (guint i = 0; i < table->runs->len; i++)
 		if (at(table, i)->state == RUN_STOPPING)
-			oldest_ms = MIN(oldest_ms,
-					at(table, i)->stop_wanted_ms);
+			oldest_ms =
+				MIN(oldest_ms, at(table, i)->stop_wanted_ms);
 	return oldest_ms == NEVER ? 0 : MAX(now_ms - oldest_ms, 1);
 }
 
@@ -418,8 +417,8 @@
 		      int64_t now_ms)
 {
 	for (guint i = 0; i < lists->ended->len; i++) {
-		const struct run_listed_end *end = &g_array_index(
-			lists->ended, struct run_listed_end, i);
+		const struct run_listed_end *end =
+			&g_array_index(lists->ended, struct run_listed_end, i);
 		guint position;
 
 		if (find(table, &end->name, &position))
@@ -431,9 +430,9 @@
 		      const struct run_name *name)
 {
 	for (guint i = 0; i < lists->running->len; i++)
-		if (run_name_equal(&g_array_index(lists->running,
-						  struct run_name, i),
-				   name))
+		if (run_name_equal(
+			    &g_array_index(lists->running, struct run_name, i),
+			    name))
 			return true;
 	return false;
 }
@@ -446,8 +445,7 @@
 {
 	struct run *run = at(table, position);
 
-	if (run->state == RUN_STOPPED &&
-	    sent_ms >= run->stop_acked_ms)
+	if (run->state == RUN_STOPPED && sent_ms >= run->stop_acked_ms)
 		end_at(table, position,
 		       run->started_ms ? RUN_OUTCOME_STOPPED
 				       : RUN_OUTCOME_NOT_STARTED,
--- a/src/leased/server.c
+++ b/src/leased/server.c
@@ -83,18 +83,20 @@
 	s->reported_ms = now_ms;
 	s->starts = counter_get("run_starts_total", NULL,
 				"starts sent to backend servers");
-	s->unanswered = counter_get("run_calls_unanswered_total", NULL,
-				    "calls of backend servers without an answer");
+	s->unanswered =
+		counter_get("run_calls_unanswered_total", NULL,
+			    "calls of backend servers without an answer");
 	s->lapses = counter_get("server_leases_ended_total", NULL,
 				"leases of backend servers let end");
 	run_table_set_capacity(s->runs, &report->capacity);
 	server_lease_init(&s->lease, now_ms);
 	server_lease_heard(&s->lease, report->clock_ms, now_ms);
 	set_address(s);
-	log_event(LOG_INFO, "server_joined",
-		  "server=%s service=%s address=%s cpu_milli=%u born_ms=%" PRId64,
-		  report->name, report->service, report->address,
-		  report->capacity.cpu_milli, report->born_ms);
+	log_event(
+		LOG_INFO, "server_joined",
+		"server=%s service=%s address=%s cpu_milli=%u born_ms=%" PRId64,
+		report->name, report->service, report->address,
+		report->capacity.cpu_milli, report->born_ms);
 	return s;
 }
 
@@ -194,8 +196,9 @@
 static void hear(struct server *s, int64_t clock_ms, int64_t now_ms)
 {
 	if (s->lease.silent_since_ms)
-		log_event(LOG_INFO, "server_answers", "server=%s silent_ms=%" PRId64,
-			  s->report.name, now_ms - s->lease.silent_since_ms);
+		log_event(LOG_INFO, "server_answers",
+			  "server=%s silent_ms=%" PRId64, s->report.name,
+			  now_ms - s->lease.silent_since_ms);
 	server_lease_heard(&s->lease, clock_ms, now_ms);
 }
 
@@ -415,8 +418,7 @@
 {
 	const struct run_request *run;
 
-	while (server_accepting(s, now_ms) &&
-	       s->lease.heard_ms != INT64_MIN &&
+	while (server_accepting(s, now_ms) && s->lease.heard_ms != INT64_MIN &&
 	       (run = run_table_next_start(s->runs, now_ms)))
 		send_start(s, run, now_ms);
 }
--- a/src/leased/server_lease.c
+++ b/src/leased/server_lease.c
@@ -37,9 +37,9 @@
 {
 	if (lease->heard_ms == INT64_MIN)
 		return 0;
-	lease->promised_ms = MAX(lease->promised_ms,
-				 now_ms + SERVER_LEASE_MS +
-					 SERVER_CLOCK_SLACK_MS);
+	lease->promised_ms =
+		MAX(lease->promised_ms,
+		    now_ms + SERVER_LEASE_MS + SERVER_CLOCK_SLACK_MS);
 	return lease->clock_ms + (now_ms - lease->heard_ms) + SERVER_LEASE_MS;
 }
 
--- a/src/roles/coordinator.c
+++ b/src/roles/coordinator.c
@@ -105,7 +105,8 @@
 	c->join = g_strdupv(settings_list(settings, "join"));
 	c->formats = role_formats();
 	if (settings_text(settings, "control"))
-		g_strlcpy(c->control_address, settings_text(settings, "control"),
+		g_strlcpy(c->control_address,
+			  settings_text(settings, "control"),
 			  sizeof(c->control_address));
 	c->unreachable = g_hash_table_new_full(g_direct_hash, g_direct_equal,
 					       NULL, g_free);
--- a/src/roles/coordinator_admin.c
+++ b/src/roles/coordinator_admin.c
@@ -67,9 +67,8 @@
 /* Callers of the platform's interface follow redirects. */
 static void redirect(struct http_request *request, const char *address)
 {
-	g_autofree char *location =
-		g_strdup_printf("Location: http://%s%s", address,
-				http_path(request));
+	g_autofree char *location = g_strdup_printf(
+		"Location: http://%s%s", address, http_path(request));
 	const char *headers[] = { location, NULL };
 
 	http_reply(request, HTTP_REDIRECT, NULL, NULL, 0, headers);
@@ -187,7 +186,8 @@
 	for (guint i = c->reads->len; i-- > 0;) {
 		struct waiting_read *read = g_ptr_array_index(c->reads, i);
 
-		if (group_quorum_ms(c->group) > read->arrived_ms && read->routes)
+		if (group_quorum_ms(c->group) > read->arrived_ms &&
+		    read->routes)
 			answer_routes(c, read->request);
 		else if (group_quorum_ms(c->group) > read->arrived_ms)
 			reply_json(read->request, HTTP_OK_STATUS,
--- a/src/roles/coordinator_join.c
+++ b/src/roles/coordinator_join.c
@@ -30,8 +30,8 @@
 {
 	const char *colon = strrchr(address, ':');
 
-	return g_strdup_printf("%.*s:%" G_GINT64_FORMAT,
-			       (int)(colon - address), address, port);
+	return g_strdup_printf("%.*s:%" G_GINT64_FORMAT, (int)(colon - address),
+			       address, port);
 }
 
 static char *first_members_text(char **seeds, int64_t port)
@@ -77,8 +77,8 @@
 			  GError **error)
 {
 	GError *fault = NULL;
-	g_autoptr(GBytes) kept =
-		store_get_file(c->data_folder, IDENTITY_FILE, &fault);
+	g_autoptr(GBytes)
+		kept = store_get_file(c->data_folder, IDENTITY_FILE, &fault);
 	g_autofree char *text = NULL;
 	gsize size;
 	const char *data;
@@ -215,8 +215,9 @@
 		if (strcmp(members[i].address, request->address) != 0)
 			continue;
 		if (!members[i].leaving)
-			propose_removal(c, members[i].id,
-					"its host came back with an empty disk");
+			propose_removal(
+				c, members[i].id,
+				"its host came back with an empty disk");
 		return;
 	}
 	propose_addition(c, request);
--- a/tests/support/dispatch_world.c
+++ b/tests/support/dispatch_world.c
@@ -112,11 +112,10 @@
 static void end_run(struct world *w, guint position, enum run_outcome outcome)
 {
 	struct wrun *run = g_ptr_array_index(w->runs, position);
-	struct run_result result = {
-		.name = run->name,
-		.outcome = outcome,
-		.run_ms = (uint32_t)(w->now_ms - run->started_ms)
-	};
+	struct run_result result = { .name = run->name,
+				     .outcome = outcome,
+				     .run_ms = (uint32_t)(w->now_ms -
+							  run->started_ms) };
 	uint64_t agent = run->server + 1;
 
 	run->job->running[run->name.index]--;
@@ -206,7 +205,7 @@
 				      .received = w->received[server] };
 
 	g_snprintf(state.name, sizeof(state.name), "s%zu", server);
-	strcpy(state.service, "desk");
+	g_strlcpy(state.service, "desk", sizeof(state.service));
 	state.free_cpu_milli = s->cpu_milli - used_milli(w, server);
 	dispatch_take_state(w->dispatch, server + 1, &state, w->now_ms);
 	dispatch_states_told(w->dispatch, server + 1, w->now_ms);
@@ -217,7 +216,7 @@
 	for (size_t i = 0; i < w->load->n_servers; i++) {
 		struct agent_identity agent = { .incarnation = i + 1 };
 
-		strcpy(agent.data_centre, "dc");
+		g_strlcpy(agent.data_centre, "dc", sizeof(agent.data_centre));
 		dispatch_agent_up(w->dispatch, &agent, w->now_ms);
 		report(w, i);
 	}
@@ -280,14 +279,14 @@
 	job->arrived_ms = w->now_ms;
 	job->poison = g_rand_double(w->random) < w->load->poison;
 	job->large = width > LARGE_TENTH;
-	job->tasks = (uint32_t)MAX(
-		1, lround(c->tasks * exp(WIDTH_SPREAD * width)));
+	job->tasks =
+		(uint32_t)MAX(1, lround(c->tasks * exp(WIDTH_SPREAD * width)));
 	job->work_ms = (uint32_t)around(w->random, c->work_ms, WORK_SPREAD);
 	job->task_ms = g_new0(uint32_t, job->tasks);
 	job->running = g_new0(uint32_t, job->tasks);
 	for (uint32_t i = 0; i < job->tasks; i++) {
-		job->task_ms[i] = (uint32_t)around(w->random, job->work_ms,
-						   UNEVEN);
+		job->task_ms[i] =
+			(uint32_t)around(w->random, job->work_ms, UNEVEN);
 		longest_ms = MAX(longest_ms, job->task_ms[i]);
 	}
 	job->objective_ms =
@@ -304,8 +303,8 @@
 				   .caller = job };
 
 	g_snprintf(order.id, sizeof(order.id), "%u", job->number);
-	strcpy(order.route.service, "desk");
-	strcpy(order.route.name, w->load->classes[class].name);
+	g_strlcpy(order.route.service, "desk", sizeof(order.route.service));
+	g_strlcpy(order.route.name, w->load->classes[class].name, sizeof(order.route.name));
 	order.route.target_ms = TARGET_MS;
 	order.route.stretch_milli = STRETCH_MILLI;
 	order.route.attempts_max = ATTEMPTS;
@@ -325,8 +324,8 @@
 static void arrive(struct world *w)
 {
 	for (size_t i = 0; i < WORLD_CLASSES; i++) {
-		double per_ms = w->load->classes[i].jobs_per_s *
-				w->load->factor / 1000;
+		double per_ms =
+			w->load->classes[i].jobs_per_s * w->load->factor / 1000;
 
 		w->due[i] += -log(1 - g_rand_double(w->random)) * per_ms;
 		for (; w->due[i] >= 1; w->due[i]--)
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -40,12 +40,7 @@
 	  { 0 },
 	  0,
 	  { 0.95, 0.95, 0.2 } },
-	{ "half more than they can do",
-	  2.1,
-	  0,
-	  { 0 },
-	  0,
-	  { 0.40, 0.30, 0.2 } },
+	{ "half more than they can do", 2.1, 0, { 0 }, 0, { 0.40, 0.30, 0.2 } },
 	{ "two servers seven times slower for a while",
 	  0.8,
 	  0,
@@ -115,8 +110,8 @@
 
 	for (size_t i = 0; i < WORLD_CLASSES; i++) {
 		const struct world_tally *t = &result->classes[i];
-		uint32_t answered = world_served(t) + t->failed + t->refused +
-				    t->given_up;
+		uint32_t answered =
+			world_served(t) + t->failed + t->refused + t->given_up;
 		double served = (double)world_served(t) / t->asked;
 
 		assert_int_equal(answered, t->asked);
@@ -264,7 +259,11 @@
 		size_t n_outcomes;
 		enum job_verdict verdict;
 	} cases[] = {
-		{ "done", true, { RUN_OUTCOME_DONE }, 1, JOB_VERDICT_COMPLETED },
+		{ "done",
+		  true,
+		  { RUN_OUTCOME_DONE },
+		  1,
+		  JOB_VERDICT_COMPLETED },
 		{ "failed as often as it may",
 		  true,
 		  { RUN_OUTCOME_FAILED, RUN_OUTCOME_FAILED },
@@ -280,7 +279,11 @@
 		  { RUN_OUTCOME_STOPPED, RUN_OUTCOME_DONE },
 		  2,
 		  JOB_VERDICT_COMPLETED },
-		{ "no server takes work", false, { 0 }, 0, JOB_VERDICT_REFUSED },
+		{ "no server takes work",
+		  false,
+		  { 0 },
+		  0,
+		  JOB_VERDICT_REFUSED },
 	};
 
 	(void)state;
--- a/tests/test_run_table.c
+++ b/tests/test_run_table.c
@@ -30,7 +30,7 @@
 {
 	struct run_name name = { .index = index, .number = number };
 
-	strcpy(name.job, "a1");
+	g_strlcpy(name.job, "a1", sizeof(name.job));
 	return name;
 }
 
--- a/tests/test_server_lease.c
+++ b/tests/test_server_lease.c
@@ -59,8 +59,8 @@
 
 	(void)state;
 	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
-		int64_t ended_ms = run_ends_ms(cases[i].agent_lives,
-					       cases[i].stop_heard);
+		int64_t ended_ms =
+			run_ends_ms(cases[i].agent_lives, cases[i].stop_heard);
 
 		assert_true(ended_ms < RESEND_MS);
 		assert_true(ended_ms <= RUN_ENDED_MS);
