--- a/src/leased/dispatch_place.c
+++ b/src/leased/dispatch_place.c
@@ -20,8 +20,9 @@
 #define MILLI 1000
 #define OTHER_DATA_CENTRE_MS                                                   \
 	4.0 /* a server here is as good if so much slower */
-#define FULL_SERVER_MS 8.0 /* beside an empty one: others may send there too   \
-			    */
+#define FULL_SERVER_MS                                                         \
+	8.0 /* beside an empty one: others may send there too                  \
+	     */
 #define AVOIDED_MS 10000.0 /* the server that a task was moved away from */
 #define SHARE_LEAST 0.02 /* of the service, for any class */
 #define HOLD_AFTER 0.3 /* of the time until it should start */
--- a/tests/support/dispatch_world.c
+++ b/tests/support/dispatch_world.c
@@ -304,7 +304,8 @@
 
 	g_snprintf(order.id, sizeof(order.id), "%u", job->number);
 	g_strlcpy(order.route.service, "desk", sizeof(order.route.service));
-	g_strlcpy(order.route.name, w->load->classes[class].name, sizeof(order.route.name));
+	g_strlcpy(order.route.name, w->load->classes[class].name,
+		  sizeof(order.route.name));
 	order.route.target_ms = TARGET_MS;
 	order.route.stretch_milli = STRETCH_MILLI;
 	order.route.attempts_max = ATTEMPTS;
--- /dev/null
+++ b/tests/test_platform.c
@@ -0,0 +1,324 @@
+/*
+ * test_platform: what the adapter makes of the platform's messages: good
+ * ones, wrong ones with the field that is named, cut ones.
+ */
+#include "platform/platform.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+#include <cmocka.h>
+
+#define ROUTE(name, place, service, timeout)                                   \
+	"{\"name\":\"" name                                                    \
+	"\",\"host\":\"A.example\",\"pathPrefix\":\"" place                    \
+	"\",\"service\":\"" service "\",\"timeoutMs\":" timeout                \
+	",\"targetLatencyMs\":60,\"maxAttempts\":3,\"stretch\":1.6}"
+#define ROUTES(version, list)                                                  \
+	"{\"version\":" version ",\"routes\":[" list                           \
+	"],\"services\":[{\"name\":\"s\"}]}"
+
+/* ---- Calls ---- */
+
+static void test_control_calls(void **state)
+{
+	static const struct {
+		const char *method, *path;
+		enum control_kind kind;
+		const char *subject;
+	} cases[] = {
+		{ "POST", "/Config.Replace", CONTROL_SET_ROUTES, "" },
+		{ "GET", "/Config.Replace", CONTROL_UNKNOWN, "" },
+		{ "GET", "/Config.Read", CONTROL_GET_ROUTES, "" },
+		{ "GET", "/Config.Reads", CONTROL_UNKNOWN, "" },
+		{ "POST", "/Evacuation.Begin/z", CONTROL_TAKE_OUT, "z" },
+		{ "POST", "/Evacuation.Finish/z", CONTROL_TAKE_IN, "z" },
+		{ "POST", "/Evacuation.Begin/", CONTROL_UNKNOWN, "" },
+		{ "POST", "/Instances.Heartbeat/i-1", CONTROL_SERVER_REPORT,
+		  "i-1" },
+		{ "POST", "/Instances.Deregister/i-1", CONTROL_SERVER_LEAVES,
+		  "i-1" },
+		{ "POST", "/", CONTROL_UNKNOWN, "" },
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct control_request request;
+
+		platform_read_control(cases[i].method, cases[i].path, &request);
+		assert_int_equal(request.kind, cases[i].kind);
+		if (request.kind != CONTROL_UNKNOWN)
+			assert_string_equal(request.subject, cases[i].subject);
+	}
+}
+
+/* ---- Routes ---- */
+
+static void test_routes(void **state)
+{
+	static const struct {
+		const char *text, *fault; /* NULL: good */
+	} cases[] = {
+		{ ROUTES("7", ROUTE("r", "/a/", "s", "1500")), NULL },
+		{ ROUTES("7", ""), NULL },
+		{ ROUTES("0", ROUTE("r", "/a/", "s", "1500")), "version" },
+		{ ROUTES("\"7\"", ""), "version" },
+		{ ROUTES("7", ROUTE("r", "/a/", "t", "1500")), "service" },
+		{ ROUTES("7", ROUTE("r", "/a/", "s", "0")), "timeoutMs" },
+		{ ROUTES("7", ROUTE("r", "/a/", "s", "\"9\"")), "timeoutMs" },
+		{ ROUTES("7", ROUTE("r", "a/", "s", "1500")), "pathPrefix" },
+		{ ROUTES("7", ROUTE("", "/a/", "s", "1500")), "name" },
+		{ ROUTES("7", ROUTE("r", "/a/", "s",
+				    "1500") "," ROUTE("q", "/a/", "s", "1500")),
+		  "same host and prefix" },
+		{ "{\"version\":7,\"routes\":[", "JSON" },
+		{ "{\"version\":7,\"services\":[]}", "routes" },
+		{ "{\"version\":7,\"routes\":[]}", "services" },
+		{ "[]", "version" },
+		{ "", "JSON" },
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autoptr(GError) error = NULL;
+		uint64_t version = 0;
+		GArray *routes = platform_read_routes(
+			cases[i].text, strlen(cases[i].text), &version, &error);
+
+		if (cases[i].fault) {
+			assert_null(routes);
+			assert_non_null(strstr(error->message, cases[i].fault));
+			continue;
+		}
+		assert_non_null(routes);
+		assert_int_equal(version, 7);
+		g_array_unref(routes);
+	}
+}
+
+static void test_fields_of_a_route(void **state)
+{
+	const char *text = ROUTES("7", ROUTE("r", "/a/", "s", "1500"));
+	uint64_t version;
+	GArray *routes =
+		platform_read_routes(text, strlen(text), &version, NULL);
+	const struct route *route = &g_array_index(routes, struct route, 0);
+
+	(void)state;
+	assert_string_equal(route->host, "a.example");
+	assert_int_equal(route->timeout_ms, 1500);
+	assert_int_equal(route->target_ms, 60);
+	assert_int_equal(route->stretch_milli, 1600);
+	assert_int_equal(route->attempts_max, 3);
+	g_array_unref(routes);
+}
+
+/* ---- Jobs ---- */
+
+static void test_jobs(void **state)
+{
+	static const struct {
+		const char *text;
+		enum job_refusal refusal;
+		const char *fault;
+	} cases[] = {
+		{ "{\"spec\":\"x\",\"bestEffort\":true,\"steps\":[{\"count\":3,"
+		  "\"cpu\":500,\"memMb\":64,\"estimateMs\":90}]}",
+		  JOB_FINE, "" },
+		{ "{\"spec\":\"x\",\"steps\":[{\"count\":3}]}", JOB_UNSUPPORTED,
+		  "bestEffort" },
+		{ "{\"spec\":\"x\",\"bestEffort\":true,\"steps\":[{\"count\":1}"
+		  ",{\"count\":1,\"after\":[0]}]}",
+		  JOB_UNSUPPORTED, "steps" },
+		{ "{\"spec\":\"x\",\"bestEffort\":true,\"steps\":[{\"count\":2,"
+		  "\"gang\":true}]}",
+		  JOB_UNSUPPORTED, "gang" },
+		{ "{\"spec\":\"x\",\"bestEffort\":true,\"repeats\":2,"
+		  "\"steps\":[{\"count\":2}]}",
+		  JOB_UNSUPPORTED, "repeats" },
+		{ "{\"spec\":\"x\",\"bestEffort\":true,\"longRunning\":false,"
+		  "\"steps\":[{\"count\":2,\"gang\":false,\"requires\":\"\"}]}",
+		  JOB_FINE, "" },
+		{ "{\"spec\":\"x\",\"bestEffort\":true,\"steps\":[{\"count\":0}"
+		  "]}",
+		  JOB_MALFORMED, "count" },
+		{ "{\"spec\":\"x\",\"bestEffort\":true,\"steps\":[{\"count\":2,"
+		  "\"cpu\":-1}]}",
+		  JOB_MALFORMED, "cpu" },
+		{ "{\"spec\":7,\"bestEffort\":true,\"steps\":[{\"count\":2}]}",
+		  JOB_MALFORMED, "spec" },
+		{ "{\"spec\":\"x\",\"bestEffort\":true}", JOB_MALFORMED,
+		  "steps" },
+		{ "{\"spec\":\"x\"", JOB_MALFORMED, "body" },
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct job_spec spec;
+		char fault[128] = "";
+
+		assert_int_equal(platform_read_job(cases[i].text,
+						   strlen(cases[i].text), &spec,
+						   fault),
+				 cases[i].refusal);
+		assert_non_null(strstr(fault, cases[i].fault));
+		if (cases[i].refusal == JOB_FINE)
+			g_bytes_unref(spec.spec);
+	}
+}
+
+/* ---- Servers ---- */
+
+#define REPORT(state, seq, capacity)                                           \
+	"{\"service\":\"s\",\"addr\":\"10.0.0.1:80\",\"zone\":\"z\","          \
+	"\"state\":" state ",\"seq\":" seq ",\"clockMs\":5,\"born\":9,"        \
+	"\"capacity\":" capacity ",\"labels\":[\"b\",\"r1\"]}"
+#define ROOM "{\"cpu\":16000,\"memMb\":100,\"gpu\":0}"
+
+static void test_reports(void **state)
+{
+	static const struct {
+		const char *text, *fault; /* NULL: good */
+		bool draining;
+	} cases[] = {
+		{ REPORT("\"ready\"", "4", ROOM), NULL, false },
+		{ REPORT("\"draining\"", "4", ROOM), NULL, true },
+		{ REPORT("\"other\"", "4", ROOM), "state", false },
+		{ REPORT("7", "4", ROOM), "state", false },
+		{ REPORT("\"ready\"", "\"4\"", ROOM), "seq", false },
+		{ REPORT("\"ready\"", "4", "{}"), "capacity", false },
+		{ REPORT("\"ready\"", "4", "7"), "capacity", false },
+		{ "{}", "service", false },
+		{ "\xff\xfe", "body", false },
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct server_report report;
+		char fault[128] = "";
+		bool good = platform_read_server_report("i-1", cases[i].text,
+							strlen(cases[i].text),
+							&report, fault);
+
+		assert_int_equal(good, cases[i].fault == NULL);
+		if (!good) {
+			assert_non_null(strstr(fault, cases[i].fault));
+			continue;
+		}
+		assert_string_equal(report.name, "i-1");
+		assert_string_equal(report.kind, "b");
+		assert_int_equal(report.draining, cases[i].draining);
+		assert_int_equal(report.capacity.cpu_milli, 16000);
+		assert_int_equal(report.born_ms, 9);
+	}
+}
+
+static void test_answers_of_starts(void **state)
+{
+	static const struct {
+		uint32_t status;
+		const char *text;
+		enum run_refusal refusal;
+		int64_t clock_ms; /* -1: none was told */
+	} cases[] = {
+		{ 200, "{\"clockMs\":5}", RUN_ACCEPTED, 5 },
+		{ 409, "{\"clockMs\":5,\"reason\":\"room\"}", RUN_NO_ROOM, 5 },
+		{ 409, "{\"clockMs\":5,\"reason\":\"late\"}", RUN_TOO_LATE, 5 },
+		{ 409, "{\"clockMs\":5,\"reason\":\"old\"}", RUN_OLD, 5 },
+		{ 409, "{\"clockMs\":5,\"reason\":\"fence\"}", RUN_FENCED, 5 },
+		{ 409, "", RUN_UNHEALTHY, -1 },
+		{ 400, "{}", RUN_MALFORMED, -1 },
+		{ 421, "", RUN_OTHER_LIFE, -1 },
+		{ 429, "", RUN_UNHEALTHY, -1 },
+		{ 503, "", RUN_UNHEALTHY, -1 },
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		int64_t clock_ms = -1;
+
+		assert_int_equal(
+			platform_read_start(cases[i].status, cases[i].text,
+					    strlen(cases[i].text), &clock_ms),
+			cases[i].refusal);
+		assert_int_equal(clock_ms, cases[i].clock_ms);
+	}
+}
+
+static void test_lists(void **state)
+{
+	static const struct {
+		const char *text;
+		bool good;
+		guint running, ended;
+	} cases[] = {
+		{ "{\"clockMs\":5,\"born\":9,\"running\":[[\"ab.0.0.3\",2,\"\","
+		  "41]],\"ended\":[[58,\"ab.0.0.9\",1,\"done\",\"\"],"
+		  "[59,\"ab.0.0.8\",1,\"lapsed\",\"\"]]}",
+		  true, 1, 2 },
+		{ "{\"clockMs\":5,\"running\":[],\"ended\":[]}", true, 0, 0 },
+		{ "{\"running\":[],\"ended\":[]}", false, 0, 0 },
+		{ "{\"clockMs\":5,\"running\":[[\"ab.3\",2]],\"ended\":[]}",
+		  false, 0, 0 },
+		{ "{\"clockMs\":5,\"running\":[],\"ended\":[[1,\"ab.0.0.9\",1,"
+		  "\"other\"]]}",
+		  false, 0, 0 },
+		{ "{\"clockMs\":5,\"running\":7,\"ended\":[]}", false, 0, 0 },
+		{ "", false, 0, 0 },
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct run_lists lists;
+
+		assert_int_equal(platform_read_lists(cases[i].text,
+						     strlen(cases[i].text),
+						     &lists),
+				 cases[i].good);
+		if (!cases[i].good)
+			continue;
+		assert_int_equal(lists.running->len, cases[i].running);
+		assert_int_equal(lists.ended->len, cases[i].ended);
+		run_lists_clear(&lists);
+	}
+}
+
+static void test_names_of_runs_go_there_and_back(void **state)
+{
+	struct run_name name = { .job = "5c0e7a21d94b36f8",
+				 .index = 17,
+				 .number = 2 };
+	struct run_call call;
+	GBytes *spec = g_bytes_new("a\"b", 3);
+
+	(void)state;
+	platform_write_start(&name, spec, 486000, &call);
+	assert_string_equal(call.path, "/run-start");
+	assert_non_null(strstr(call.body, "\"5c0e7a21d94b36f8.0.0.17\""));
+	assert_non_null(strstr(call.body, "a\\\"b"));
+	assert_non_null(strstr(call.body, "\"untilMs\":486000"));
+	run_call_clear(&call);
+	platform_write_look(0, 57, 100, &call);
+	assert_null(strstr(call.body, "untilMs"));
+	assert_non_null(strstr(call.body, "\"lastSeen\":57"));
+	run_call_clear(&call);
+	g_bytes_unref(spec);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_control_calls),
+		cmocka_unit_test(test_routes),
+		cmocka_unit_test(test_fields_of_a_route),
+		cmocka_unit_test(test_jobs),
+		cmocka_unit_test(test_reports),
+		cmocka_unit_test(test_answers_of_starts),
+		cmocka_unit_test(test_lists),
+		cmocka_unit_test(test_names_of_runs_go_there_and_back),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
