Replace voters that can't be reached by members that are ready

--losses-borne says how many vote (2N + 1); further members follow the log. A removed member that comes back starts over as a new one.

--- a/src/base/settings_table.c
+++ b/src/base/settings_table.c
@@ -41,6 +41,7 @@
 	{ "join", SETTING_ADDRESSES, FOR_COORDINATOR, false, 0, 0, NULL, NULL, NULL, "ip:port of members, for a member that is being added" },
 	{ "seeds", SETTING_ADDRESSES, FOR_COORDINATOR, false, 0, 0, NULL, NULL, NULL, "control ip:port of up to three coordinators: the group forms from them at the first start, and is found through them later" },
 	{ "seeds-port", SETTING_NUMBER, FOR_COORDINATOR, false, 1, 65535, NULL, NULL, NULL, "port between processes at the hosts of the seeds" },
+	{ "losses-borne", SETTING_NUMBER, FOR_COORDINATOR, false, 0, 3, "coordinators", "1", NULL, "with seeds: twice as many and one vote; further ones follow the log until one is needed" },
 	{ "first-start", SETTING_BOOL, FOR_COORDINATOR, false, 0, 0, NULL, "false", NULL, "the whole group starts with empty disks: the seeds are its first members" },
 	{ "election-ms", SETTING_NUMBER, FOR_COORDINATOR, false, 100, 60000, "ms", "600", NULL, "a leader that is silent for so long is replaced; heartbeats come six times as often" },
 	{ "snapshot-every", SETTING_NUMBER, FOR_COORDINATOR, false, 10, 1000000, "entries", "2000", NULL, "log entries between snapshots" },
--- a/src/roles/coordinator.c
+++ b/src/roles/coordinator.c
@@ -9,6 +9,7 @@
 #include "base/logger.h"
 #include "base/trace_file.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 /* ---- Constants ----------------------------------------------------- */
@@ -343,6 +344,8 @@
 	c->admin = NULL;
 	loop_stop(c->loop);
 	g_thread_join(c->thread);
+	if (c->start_over)
+		coordinator_clear_folder(c);
 	destroy(c);
 	trace_event("stop_end", "in_progress=0");
 	trace_close();
@@ -354,6 +357,7 @@
 {
 	GError *error = NULL;
 	struct coordinator *c = coordinator_start(settings, &error);
+	int status = EXIT_SUCCESS;
 
 	if (!c)
 		return role_fail(error);
@@ -361,7 +365,9 @@
 		  c->port, admin_port(c->admin));
 	role_wait_for_stop();
 	log_event(LOG_INFO, "stopping", NULL);
+	if (c->start_over)
+		status = EXIT_FAILURE;
 	coordinator_stop(c);
 	log_event(LOG_INFO, "stopped", NULL);
-	return 0;
+	return status;
 }
--- a/src/roles/coordinator.h
+++ b/src/roles/coordinator.h
@@ -96,6 +96,8 @@
 	const struct formats *formats;
 	char control_address[CF_NAME_SIZE]; /* empty: none */
 	char link_address[CF_NAME_SIZE]; /* where others reach this one */
+	uint32_t voters_wanted; /* 0: every member that is added */
+	bool start_over; /* it was removed: ends with an empty data folder */
 	int64_t next_join_ms;
 	GHashTable *unreachable; /* member id -> int64_t *, since when */
 
@@ -129,6 +131,9 @@
 /* "1=IP:PORT/ADMIN-IP:PORT,2=..." to struct cf_member; own_id has to be
  * among them. NULL and error otherwise. */
 GArray *first_members_parse(const char *text, uint32_t own_id, GError **error);
+/* Leader: this member, a voter or not, could be one at once. */
+bool coordinator_can_vote(const struct coordinator *c,
+			  const struct cf_member *member);
 void coordinator_upkeep_members(struct coordinator *c, int64_t now_ms);
 /* Address of a member, as configured or first named; NULL unknown. */
 const char *coordinator_member_address(const struct coordinator *c, uint32_t id,
@@ -145,8 +150,13 @@
 void coordinator_ask_to_join(struct coordinator *c, int64_t now_ms);
 void coordinator_join_request(struct coordinator *c,
 			      const struct Cfw__JoinRequest *request);
-/* Leader: removes a member too many that can't be reached; true: it did. */
+/* Leader: removes a voter that can't be reached where another member is
+ * ready to take its place; true: it did. */
 bool coordinator_remove_unreachable(struct coordinator *c, int64_t now_ms);
+/* Leader: tells one that was removed, and tries to take part, that it is. */
+void coordinator_tell_removed(struct link *link);
+/* Empties the data folder of a member that was removed. */
+void coordinator_clear_folder(const struct coordinator *c);
 
 /* ---- The platform's interface (coordinator_control.c) --------------- */
 
--- a/src/roles/coordinator_join.c
+++ b/src/roles/coordinator_join.c
@@ -4,7 +4,8 @@
  * coordinator without an id on its disk takes a new one and asks the
  * leader to be added; it votes only once it has caught up. The leader
  * takes out the member that had the same address before, whose disk is
- * gone, and one too many that it can't reach.
+ * gone, and a voter that it can't reach where another member is ready to
+ * vote. One that was removed so and comes back starts over as a new one.
  */
 #include "roles/coordinator.h"
 
@@ -12,6 +13,7 @@
 #include "base/clock.h"
 #include "base/logger.h"
 
+#include <glib/gstdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -21,8 +23,7 @@
 #define NEW_ID_LEAST 1000 /* above the ids of first members */
 #define NEW_ID_MOST 1000000
 #define JOIN_EVERY_MS 500
-#define UNREACHABLE_MS 3000 /* then a member too many is removed */
-#define VOTERS_KEPT 3 /* never fewer by removal of unreachable ones */
+#define UNREACHABLE_MS 3000 /* then another takes its place */
 
 /* ---- This member's identity ----------------------------------------- */
 
@@ -141,6 +142,8 @@
 		if (!save_identity(c, first_members, error))
 			return false;
 	}
+	c->voters_wanted =
+		1 + 2 * (uint32_t)settings_number(settings, "losses-borne");
 	g_strlcpy(c->link_address, settings_text(settings, "listen"),
 		  sizeof(c->link_address));
 	set_join_addresses(c, settings);
@@ -162,7 +165,7 @@
 	struct Cfw__Envelope envelope = CFW__ENVELOPE__INIT;
 	struct Cfw__JoinRequest request = CFW__JOIN_REQUEST__INIT;
 
-	if (!*c->link_address || now_ms < c->next_join_ms ||
+	if (!c->voters_wanted || now_ms < c->next_join_ms ||
 	    c->first_members->len || cf_config_find_member(c->config, c->id))
 		return;
 	c->next_join_ms = now_ms + JOIN_EVERY_MS;
@@ -201,12 +204,26 @@
 		  request->member_id, request->address);
 }
 
+static void start_over(struct coordinator *c)
+{
+	if (c->start_over)
+		return;
+	c->start_over = true;
+	log_event(LOG_WARN, "member_starts_over", "id=%u", c->id);
+	role_request_stop();
+}
+
 void coordinator_join_request(struct coordinator *c,
 			      const struct Cfw__JoinRequest *request)
 {
 	const struct cf_member *members;
 	size_t n = cf_config_members(c->config, &members);
 
+	/* A leader's word that this member was removed. */
+	if (request->member_id == c->id) {
+		start_over(c);
+		return;
+	}
 	if (!c->office || c->office->proposed > group_applied(c->group) ||
 	    cf_config_find_member(c->config, request->member_id) ||
 	    cf_config_is_retired(c->config, request->member_id))
@@ -247,17 +264,53 @@
 	const struct cf_member *members;
 	size_t n = cf_config_members(c->config, &members);
 	uint32_t voters = 0, gone = 0;
+	bool has_spare = false;
 
-	if (!*c->link_address)
+	if (!c->voters_wanted)
 		return false;
 	for (size_t i = 0; i < n; i++) {
-		voters += members[i].voter && !members[i].leaving;
-		if (is_long_unreachable(c, members[i].id, now_ms) &&
-		    !members[i].leaving)
+		bool unreachable =
+			is_long_unreachable(c, members[i].id, now_ms);
+
+		if (members[i].leaving)
+			continue;
+		voters += members[i].voter;
+		if (members[i].voter && unreachable)
 			gone = members[i].id;
+		if (!members[i].voter && coordinator_can_vote(c, &members[i]))
+			has_spare = true;
 	}
-	if (!gone || voters <= VOTERS_KEPT)
+	if (!gone || !has_spare || voters < c->voters_wanted)
 		return false;
-	propose_removal(c, gone, "it can't be reached and others are enough");
+	propose_removal(c, gone,
+			"it can't be reached and another takes its place");
 	return true;
 }
+
+/* ---- A member that was removed --------------------------------------- */
+
+void coordinator_tell_removed(struct link *link)
+{
+	struct Cfw__Envelope envelope = CFW__ENVELOPE__INIT;
+	struct Cfw__JoinRequest told = CFW__JOIN_REQUEST__INIT;
+
+	told.member_id = link_peer(link)->member_id;
+	envelope.body_case = CFW__ENVELOPE__BODY_JOIN;
+	envelope.join = &told;
+	link_send(link, &envelope);
+}
+
+void coordinator_clear_folder(const struct coordinator *c)
+{
+	g_autoptr(GDir) folder = g_dir_open(c->data_folder, 0, NULL);
+	const char *name;
+
+	while (folder && (name = g_dir_read_name(folder))) {
+		g_autofree char *path =
+			g_build_filename(c->data_folder, name, NULL);
+
+		if (g_unlink(path))
+			log_event(LOG_ERROR, "disk_failed",
+				  "why=\"%s can't be removed\"", name);
+	}
+}
--- a/src/roles/coordinator_links.c
+++ b/src/roles/coordinator_links.c
@@ -138,6 +138,10 @@
 		counter_add(c->counters.dropped, 1);
 		return;
 	}
+	if (c->office && cf_config_is_retired(c->config, message->from)) {
+		coordinator_tell_removed(link);
+		return;
+	}
 	g_hash_table_replace(
 		c->identities, GUINT_TO_POINTER(message->from),
 		g_bytes_new(message->identity.data, message->identity.len));
--- a/src/roles/coordinator_members.c
+++ b/src/roles/coordinator_members.c
@@ -204,6 +204,14 @@
 	return false;
 }
 
+bool coordinator_can_vote(const struct coordinator *c,
+			  const struct cf_member *member)
+{
+	return member->has_identity && !member->leaving &&
+	       group_caught_up(c->group, member->id) &&
+	       coordinator_link_to(c, member->id);
+}
+
 /* One change to the membership that is still missing; false: none. */
 static bool next_members(const struct coordinator *c, struct cf_members *next)
 {
@@ -225,9 +233,8 @@
 			next->learners[next->n_learners++] = id;
 			return true;
 		}
-		if (!members[i].has_identity ||
-		    !group_caught_up(c->group, id) ||
-		    !coordinator_link_to(c, id))
+		if (!coordinator_can_vote(c, &members[i]) ||
+		    (c->voters_wanted && next->n_voters >= c->voters_wanted))
 			continue;
 		remove_id(next->learners, &next->n_learners, id);
 		next->voters[next->n_voters++] = id;
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -202,11 +202,12 @@
 							strlen(cases[i].text),
 							&report, fault);
 
-		assert_int_equal(good, cases[i].fault == NULL);
-		if (!good) {
+		if (cases[i].fault) {
+			assert_false(good);
 			assert_non_null(strstr(fault, cases[i].fault));
 			continue;
 		}
+		assert_true(good);
 		assert_string_equal(report.name, "i-1");
 		assert_string_equal(report.kind, "b");
 		assert_int_equal(report.draining, cases[i].draining);
