--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -17,7 +17,7 @@
 /* A place for a process; it can be started again after its end. */
 struct proc {
 	char name[32];
-	char role[16];
+	char role[24];
 	char *args[48]; /* flags after the role */
 	int n_args;
 	pid_t pid; /* 0: not running */
