Hand over at a planned stop, wait for a lease between two leaders

Cause 2: followers waited out an election after each planned stop (1 s and 0.7 s in a trace), and the jobs that waited met admission (overloaded). The leader now tells its followers to elect at once.

--- a/include/chervilferry.h
+++ b/include/chervilferry.h
@@ -82,6 +82,7 @@
 	CF_REPLOG_APPEND_REPLY,
 	CF_REPLOG_SNAPSHOT,
 	CF_REPLOG_SNAPSHOT_REPLY,
+	CF_REPLOG_HANDOVER, /* the leader stops: elect at once */
 };
 
 struct cf_replog_message {
@@ -147,6 +148,7 @@
 CF_API void cf_replog_step(struct cf_replog *log, const struct cf_replog_message *message, int64_t now_ms); /* a message came in */
 CF_API uint64_t cf_replog_propose(struct cf_replog *log, GBytes *data, int64_t wall_ms, int64_t now_ms); /* its index, or 0: not the leader */
 CF_API uint64_t cf_replog_propose_members(struct cf_replog *log, const struct cf_members *members, int64_t wall_ms, int64_t now_ms); /* 0: not the leader, one pending, or more than one voter changed */
+CF_API void cf_replog_hand_over(struct cf_replog *log, int64_t now_ms); /* before a planned stop: a leader follows, and the others elect at once */
 CF_API bool cf_replog_has_ready(const struct cf_replog *log); /* anything to do? */
 CF_API void cf_replog_get_ready(struct cf_replog *log, struct cf_replog_ready *ready); /* valid until advance */
 CF_API void cf_replog_advance(struct cf_replog *log, int64_t now_ms); /* all of the last ready is done */
--- a/src/lib/replog.c
+++ b/src/lib/replog.c
@@ -323,6 +323,9 @@
 	case CF_REPLOG_SNAPSHOT_REPLY:
 		replog_on_append_reply(log, m);
 		break;
+	case CF_REPLOG_HANDOVER:
+		replog_on_handover(log, m);
+		break;
 	}
 }
 
--- a/src/lib/replog_election.c
+++ b/src/lib/replog_election.c
@@ -127,6 +127,42 @@
 		replog_lead(log);
 }
 
+/* ---- Handover ------------------------------------------------------- */
+
+/* Others stand within this part of an election's timeout, apart. */
+#define HANDOVER_PART 8
+
+/* Only how soon an election comes changes, not who may win it. */
+void cf_replog_hand_over(struct cf_replog *log, int64_t now_ms)
+{
+	log->now_ms = MAX(log->now_ms, now_ms);
+	if (log->role != REPLOG_LEADER)
+		return;
+	for (size_t i = 0; i < log->n_peers; i++) {
+		const struct replog_peer *peer = &log->peers[i];
+
+		if (!peer->voter || peer->id == log->id)
+			continue;
+		replog_message(log, CF_REPLOG_HANDOVER, peer->id)->commit =
+			log->state.commit;
+	}
+	replog_follow(log, log->state.term, 0);
+	log->heard_ms = log->now_ms - log->election_ms;
+}
+
+void replog_on_handover(struct cf_replog *log,
+			const struct cf_replog_message *m)
+{
+	int64_t jitter_ms = MAX(log->election_ms / HANDOVER_PART, 1);
+
+	if (log->leader != m->from)
+		return;
+	replog_follow(log, m->term, 0);
+	log->heard_ms = log->now_ms - log->election_ms;
+	log->election_at_ms =
+		log->now_ms + (log->election_at_ms - log->now_ms) % jitter_ms;
+}
+
 /* ---- Voters --------------------------------------------------------- */
 
 /* Who follows a leader that is alive takes part in no election, unless
--- a/src/lib/replog_internal.h
+++ b/src/lib/replog_internal.h
@@ -100,6 +100,8 @@
 bool replog_may_stand(const struct cf_replog *log);
 void replog_election_tick(struct cf_replog *log);
 bool replog_ignores_votes(const struct cf_replog *log, uint32_t candidate);
+void replog_on_handover(struct cf_replog *log,
+			const struct cf_replog_message *m);
 void replog_on_vote_request(struct cf_replog *log,
 			    const struct cf_replog_message *message);
 void replog_on_vote_reply(struct cf_replog *log,
--- a/src/roles/coordinator.c
+++ b/src/roles/coordinator.c
@@ -322,6 +322,7 @@
 	c->stopping = true;
 	if (c->office)
 		coordinator_end_office(c);
+	group_hand_over(c->group);
 	coordinator_fail_reads(c, "this coordinator is stopping");
 	coordinator_save_ledger(c);
 	link_flush(c->hub, FLUSH_WAIT_MS);
--- a/src/roles/dispatcher_claim.c
+++ b/src/roles/dispatcher_claim.c
@@ -99,6 +99,15 @@
 	queue_claim(d, j);
 }
 
+/* Between two leaders there is no lease for a moment. */
+void claim_wait_for_lease(struct dispatcher *d, struct djob *j, int64_t now_ms)
+{
+	(void)d;
+	j->phase = DJOB_CLAIMING;
+	j->claim_begin_ms = now_ms;
+	j->claim_ms = now_ms;
+}
+
 void claim_forget(struct dispatcher *d, struct djob *j)
 {
 	g_ptr_array_remove_fast(d->claims, j);
@@ -255,10 +264,24 @@
 		take_vote(d, reply, reply->votes[i]);
 }
 
+static void give_up_without_lease(struct dispatcher *d, struct djob *j,
+				  int64_t now_ms)
+{
+	if (now_ms - j->claim_begin_ms < PATIENCE_MS)
+		return;
+	drop_held(d, j);
+	jobs_finish(d, j, 503, CF_ANSWER_UNKNOWN, "no-lease",
+		    "not taken here; whether the key ran elsewhere "
+		    "is not known",
+		    RETRY_AFTER_MS);
+}
+
 void claim_tick(struct dispatcher *d, struct djob *j, int64_t now_ms)
 {
 	if (!j->ballot) {
-		if (now_ms - j->claim_ms >= TRY_AGAIN_MS)
+		if (!session_held(d->session, now_ms))
+			give_up_without_lease(d, j, now_ms);
+		else if (now_ms - j->claim_ms >= TRY_AGAIN_MS)
 			queue_claim(d, j);
 		return;
 	}
--- a/src/roles/dispatcher_internal.h
+++ b/src/roles/dispatcher_internal.h
@@ -262,6 +262,7 @@
 
 /* dispatcher_claim.c */
 void claim_begin(struct dispatcher *d, struct djob *j);
+void claim_wait_for_lease(struct dispatcher *d, struct djob *j, int64_t now_ms);
 void claim_forget(struct dispatcher *d, struct djob *j); /* no more votes */
 void claim_take_reply(struct dispatcher *d, const Cfw__ClaimReply *reply);
 void claim_tick(struct dispatcher *d, struct djob *j, int64_t now_ms);
--- a/src/roles/dispatcher_jobs.c
+++ b/src/roles/dispatcher_jobs.c
@@ -284,16 +284,17 @@
 			    "the key ran here, and its answer is forgotten", 0);
 		return;
 	}
-	if (d->active->len > max || !session_held(d->session, now_ms)) {
-		bool full = d->active->len > max;
-
-		jobs_finish(d, j, full ? 429 : 503, CF_ANSWER_UNKNOWN,
-			    full ? "busy" : "no-lease",
+	if (d->active->len > max) {
+		jobs_finish(d, j, 429, CF_ANSWER_UNKNOWN, "busy",
 			    "not taken here; whether the key ran elsewhere "
 			    "is not known",
 			    RETRY_AFTER_MS);
 		return;
 	}
+	if (!session_held(d->session, now_ms)) {
+		claim_wait_for_lease(d, j, now_ms);
+		return;
+	}
 	claim_begin(d, j);
 	if (d->along) {
 		j->gated = true;
--- a/src/store/group.c
+++ b/src/store/group.c
@@ -452,6 +452,14 @@
 	return index;
 }
 
+void group_hand_over(struct group *group)
+{
+	if (!group->healthy)
+		return;
+	cf_replog_hand_over(group->log, clock_now_ms());
+	pump(group);
+}
+
 /* ---- Questions ------------------------------------------------------ */
 
 bool group_is_leader(const struct group *group)
--- a/src/store/group.h
+++ b/src/store/group.h
@@ -48,6 +48,7 @@
 uint64_t group_propose_members(struct group *group,
 			       const struct cf_members *members,
 			       int64_t wall_ms);
+void group_hand_over(struct group *group); /* before a planned stop */
 bool group_is_leader(const struct group *group);
 uint32_t group_leader(const struct group *group); /* 0 unknown */
 uint64_t group_term(const struct group *group);
--- a/src/store/log_message.c
+++ b/src/store/log_message.c
@@ -115,8 +115,7 @@
 
 static bool is_sound(const Cfw__LogMessage *packed)
 {
-	if (packed->kind > CF_REPLOG_SNAPSHOT_REPLY || !packed->from ||
-	    !packed->to)
+	if (packed->kind > CF_REPLOG_HANDOVER || !packed->from || !packed->to)
 		return false;
 	for (size_t i = 0; i < packed->n_entries; i++)
 		if (packed->entries[i]->kind > CF_ENTRY_MEMBERS)
