--- a/src/leased/agent.c
+++ b/src/leased/agent.c
@@ -203,64 +203,15 @@
 		return_queued(a);
 }
 
-static void roster_changed(void *arg, const Cfw__Roster *roster)
-{
-	(void)arg;
-	(void)roster;
-}
-
-static void lease_changed(void *arg, bool held)
-{
-	(void)arg;
-	(void)held;
-}
-
-static void fenced(void *arg)
-{
-	(void)arg;
-	log_event(LOG_ERROR, "fenced", NULL);
-	role_request_stop();
-}
-
 static void open_session(struct leased_agent *a)
 {
-	static const struct session_handlers handlers = {
+	static const struct coordinators_handlers handlers = {
 		.config = config_changed,
-		.roster = roster_changed,
-		.lease = lease_changed,
-		.fenced = fenced,
 	};
-	g_auto(GStrv) coordinators = reload_coordinators(a->settings);
-	g_autofree char *address =
-		g_strdup(settings_text(a->settings, "listen"));
-	struct session_options options = { .loop = a->loop,
-					   .hub = a->hub,
-					   .role = CFW__ROLE__ROLE_AGENT,
-					   .incarnation = a->incarnation,
-					   .name = settings_text(a->settings,
-								 "name"),
-					   .data_centre = a->data_centre,
-					   .rack = "",
-					   .address = address,
-					   .coordinators = coordinators };
-
-	a->session = session_create(&options, &handlers, a);
-	session_begin(a->session);
-}
-
-static void reload_on_loop(void *arg)
-{
-	struct leased_agent *a = arg;
-	g_auto(GStrv) coordinators = reload_coordinators(a->settings);
-
-	session_add_coordinators(a->session, coordinators);
-}
-
-static void reload(void *arg)
-{
-	struct leased_agent *a = arg;
 
-	loop_post(a->loop, reload_on_loop, a);
+	a->session = reload_open_session(a->settings, a->loop, a->hub,
+					 CFW__ROLE__ROLE_AGENT, a->incarnation,
+					 &handlers, a);
 }
 
 /* ---- Start and stop ------------------------------------------------- */
@@ -377,8 +328,7 @@
 	a->tick = loop_timer_create(a->loop, tick, a);
 	loop_timer_start(a->tick, TICK_MS, TICK_MS);
 	a->thread = g_thread_new("agent", run, a);
-	role_on_reload(reload, a);
-	reload_watch(settings, reload, a);
+	reload_watch(settings, a->loop, a->session);
 	log_event(LOG_INFO, "started", "listen=%s control=%s data_centre=%s",
 		  settings_text(settings, "listen"),
 		  settings_text(settings, "control"), a->data_centre);
--- a/src/leased/dispatch.h
+++ b/src/leased/dispatch.h
@@ -115,8 +115,10 @@
 void dispatch_states_told(struct dispatch *d, uint64_t agent, int64_t now_ms);
 void dispatch_take_end(struct dispatch *d, uint64_t agent,
 		       const struct run_result *result, int64_t now_ms);
-/* Runs that are counted on at an agent, to be told after a reconnect. */
-GArray *dispatch_runs_at(const struct dispatch *d, uint64_t agent);
+/* Runs at an agent (struct run_name): those that are counted on, to be told
+ * after a reconnect, or also those that are being stopped. */
+GArray *dispatch_runs_at(const struct dispatch *d, uint64_t agent,
+			 bool stopping);
 
 void dispatch_tick(struct dispatch *d, int64_t now_ms);
 bool dispatch_can_serve(const struct dispatch *d); /* any usable server */
--- a/src/leased/dispatch_internal.h
+++ b/src/leased/dispatch_internal.h
@@ -129,6 +129,7 @@
 void dispatch_free_job_if_over(struct dispatch *d, struct djob *job);
 void dispatch_queue_job(struct dispatch *d, struct djob *job);
 void dispatch_unqueue_job(struct djob *job);
+void dispatch_count_waiting(struct djob *job, int32_t tasks); /* more or less */
 double dispatch_task_work(const struct djob *job); /* of one of its tasks */
 void dispatch_give_up(struct dispatch *d, struct djob *job, const char *reason,
 		      int64_t now_ms);
--- a/src/leased/dispatch_jobs.c
+++ b/src/leased/dispatch_jobs.c
@@ -1,13 +1,10 @@
 /*
- * dispatch_jobs: a job from its arrival to its answer, and its tasks'
- * ends.
+ * dispatch_jobs: a job from its arrival to its answer.
  */
 #include "leased/dispatch_internal.h"
 
 #include "base/logger.h"
-#include "leased/leases.h"
 
-#include <inttypes.h>
 #include <string.h>
 
 /* ---- Constants ------------------------------------------------------ */
@@ -15,7 +12,6 @@
 #define MILLI 1000
 #define MEDIAN_MILLI 50000 /* percentile, in thousandths of a percent */
 #define EJECT_MAX_MILLI 400 /* of the servers */
-#define NUMBER_STEP_OUTDATED 16 /* above what an earlier owner used */
 #define ANSWER_MARGIN_MS 15 /* the answer goes out before the deadline */
 #define LATE_FACTOR 3 /* of its objective: of no more use to a caller */
 
@@ -121,7 +117,7 @@
 	return (double)job->spec.cpu_milli * job->predicted_ms;
 }
 
-static void count_waiting(struct djob *job, int32_t tasks)
+void dispatch_count_waiting(struct djob *job, int32_t tasks)
 {
 	job->n_waiting = (uint32_t)((int32_t)job->n_waiting + tasks);
 	job->class->queued_work += tasks * dispatch_task_work(job);
@@ -179,7 +175,7 @@
 		  "sent=%u waiting=%u retry_after_s=%u",
 		  job->id, job->route.name, verdict, reason, job->spec.n_tasks,
 		  job->n_done, job->n_sent, job->n_waiting, retry_after_s);
-	count_waiting(job, -(int32_t)job->n_waiting);
+	dispatch_count_waiting(job, -(int32_t)job->n_waiting);
 	dispatch_unqueue_job(job);
 	stop_runs(d, job);
 	answer_callers(d, job, &answer);
@@ -279,7 +275,7 @@
 		 dispatch_task_work(job) * job->spec.n_tasks, OFFERED_PERIOD_MS,
 		 now_ms);
 	job->class->unsent_jobs++;
-	count_waiting(job, (int32_t)job->spec.n_tasks);
+	dispatch_count_waiting(job, (int32_t)job->spec.n_tasks);
 	if (!admit_job(d, job, now_ms, &reason, &retry_after_s)) {
 		dispatch_end_job(d, job, JOB_VERDICT_REFUSED, reason,
 				 retry_after_s);
@@ -342,160 +338,6 @@
 	return class ? class->unsent_jobs : 0;
 }
 
-/* ---- Ends of runs --------------------------------------------------- */
-
-static void leave_server(struct djob *job, struct dtask *task)
-{
-	server_ended(task->server, job);
-	job->n_sent--;
-}
-
-void dispatch_task_returned(struct dispatch *d, struct djob *job,
-			    struct dtask *task, int64_t now_ms)
-{
-	leave_server(job, task);
-	task->state = DTASK_WAITING;
-	task->avoided = task->server->id;
-	task->server = NULL;
-	task->stopping = false;
-	task->overdue_told = false;
-	if (job->ended) {
-		dispatch_free_job_if_over(d, job);
-		return;
-	}
-	count_waiting(job, 1);
-	if (now_ms + job->predicted_ms > job->deadline_ms) {
-		dispatch_give_up(d, job, "no time is left to run a task again",
-				 now_ms);
-		dispatch_free_job_if_over(d, job);
-		return;
-	}
-	dispatch_queue_job(d, job);
-}
-
-static void blame_failures(struct dispatch *d, const struct djob *job,
-			   const struct dtask *task, int64_t now_ms)
-{
-	for (guint i = 0; task->failed_on && i < task->failed_on->len; i++)
-		cf_health_result(
-			d->health, g_array_index(task->failed_on, uint64_t, i),
-			false, job->predicted_ms, job->predicted_ms, now_ms);
-}
-
-static void task_done(struct dispatch *d, struct djob *job, struct dtask *task,
-		      uint32_t run_ms, int64_t now_ms)
-{
-	uint64_t server = task->server->id;
-
-	cf_health_result(d->health, server, true, run_ms, job->predicted_ms,
-			 now_ms);
-	cf_predict_learn(d->predict, job->class->name,
-			 MAX(job->spec.estimate_ms, 1), run_ms);
-	blame_failures(d, job, task, now_ms);
-	task->server->done_ms = now_ms;
-	job->slowest_ms = MAX(job->slowest_ms, run_ms);
-	leave_server(job, task);
-	task->state = DTASK_DONE;
-	task->server = NULL;
-	job->n_done++;
-	if (job->n_done == job->spec.n_tasks)
-		dispatch_end_job(d, job, JOB_VERDICT_COMPLETED,
-				 "all ended well", 0);
-	dispatch_free_job_if_over(d, job);
-}
-
-static void task_failed(struct dispatch *d, struct djob *job,
-			struct dtask *task, int64_t now_ms)
-{
-	uint64_t server = task->server->id;
-
-	if (!task->failed_on)
-		task->failed_on = g_array_new(FALSE, FALSE, sizeof(uint64_t));
-	g_array_append_val(task->failed_on, server);
-	task->failures++;
-	if (task->failures >= job->route.attempts_max && !job->ended)
-		dispatch_end_job(d, job, JOB_VERDICT_FAILED,
-				 "a task failed as often as it may", 0);
-	dispatch_task_returned(d, job, task, now_ms);
-}
-
-/* False: the run isn't the newest one of a task that is at this agent. */
-static bool find_run(struct dispatch *d, uint64_t agent,
-		     const struct run_name *name, struct djob **job,
-		     struct dtask **task)
-{
-	*job = g_hash_table_lookup(d->jobs, name->job);
-	if (!*job || name->index >= (*job)->spec.n_tasks)
-		return false;
-	*task = &(*job)->tasks[name->index];
-	return (*task)->state == DTASK_SENT &&
-	       (*task)->number == name->number && (*task)->server->agent &&
-	       (*task)->server->agent->identity.incarnation == agent;
-}
-
-void dispatch_take_end(struct dispatch *d, uint64_t agent,
-		       const struct run_result *result, int64_t now_ms)
-{
-	struct djob *job;
-	struct dtask *task;
-
-	if (!find_run(d, agent, &result->name, &job, &task))
-		return;
-	log_event(LOG_INFO, "run_settled",
-		  "job=%s index=%u number=%u agent=%s server=%s outcome=%d "
-		  "run_ms=%u since_sent_ms=%" PRId64,
-		  job->id, task->index, task->number,
-		  task->server->agent->identity.name, task->server->state.name,
-		  result->outcome, result->run_ms, now_ms - task->sent_ms);
-	switch (result->outcome) {
-	case RUN_OUTCOME_DONE:
-		task_done(d, job, task, result->run_ms, now_ms);
-		break;
-	case RUN_OUTCOME_FAILED:
-		task_failed(d, job, task, now_ms);
-		break;
-	case RUN_OUTCOME_REFUSED:
-		cf_health_result(d->health, task->server->id, false,
-				 job->predicted_ms, job->predicted_ms, now_ms);
-		dispatch_task_returned(d, job, task, now_ms);
-		break;
-	case RUN_OUTCOME_OUTDATED:
-		task->number += NUMBER_STEP_OUTDATED;
-		dispatch_task_returned(d, job, task, now_ms);
-		break;
-	default:
-		dispatch_task_returned(d, job, task, now_ms);
-		break;
-	}
-	dispatch_pump(d, now_ms);
-}
-
-GArray *dispatch_runs_at(const struct dispatch *d, uint64_t agent)
-{
-	GArray *runs = g_array_new(FALSE, TRUE, sizeof(struct run_name));
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, d->jobs);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct djob *job = value;
-
-		for (uint32_t i = 0; i < job->spec.n_tasks; i++) {
-			const struct dtask *task = &job->tasks[i];
-			struct run_name name = { .index = i,
-						 .number = task->number };
-
-			if (task->state != DTASK_SENT || task->stopping ||
-			    !task->server->agent ||
-			    task->server->agent->identity.incarnation != agent)
-				continue;
-			g_strlcpy(name.job, job->id, sizeof(name.job));
-			g_array_append_val(runs, name);
-		}
-	}
-	return runs;
-}
-
 /* ---- Periodic work -------------------------------------------------- */
 
 /* Why a job can't be served any more; NULL: it still can. */
--- a/src/leased/dispatch_servers.c
+++ b/src/leased/dispatch_servers.c
@@ -213,37 +213,17 @@
 }
 
 /* Every run that was sent there has ended. */
-static void return_runs(struct dispatch *d, const struct dagent *agent,
-			int64_t now_ms)
+static void return_runs(struct dispatch *d, uint64_t agent, int64_t now_ms)
 {
-	GArray *runs = g_array_new(FALSE, TRUE, sizeof(struct run_result));
-	GHashTableIter iter;
-	gpointer value;
+	g_autoptr(GArray) runs = dispatch_runs_at(d, agent, true);
 
-	g_hash_table_iter_init(&iter, d->jobs);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct djob *job = value;
-
-		for (uint32_t i = 0; i < job->spec.n_tasks; i++) {
-			const struct dtask *task = &job->tasks[i];
-			struct run_result result = {
-				.name = { .index = i, .number = task->number },
-				.outcome = RUN_OUTCOME_STOPPED
-			};
-
-			if (task->state != DTASK_SENT ||
-			    task->server->agent != agent)
-				continue;
-			g_strlcpy(result.name.job, job->id,
-				  sizeof(result.name.job));
-			g_array_append_val(runs, result);
-		}
+	for (guint i = 0; i < runs->len; i++) {
+		struct run_result result = { .name = g_array_index(
+						     runs, struct run_name, i),
+					     .outcome = RUN_OUTCOME_STOPPED };
+
+		dispatch_take_end(d, agent, &result, now_ms);
 	}
-	for (guint i = 0; i < runs->len; i++)
-		dispatch_take_end(d, agent->identity.incarnation,
-				  &g_array_index(runs, struct run_result, i),
-				  now_ms);
-	g_array_unref(runs);
 }
 
 static void forget_agent(struct dispatch *d, struct dagent *agent,
@@ -254,7 +234,7 @@
 	log_event(LOG_WARN, "agent_gone",
 		  "agent=%s incarnation=%016" PRIx64 " lost_ms=%" PRId64,
 		  agent->identity.name, incarnation, now_ms - agent->lost_ms);
-	return_runs(d, agent, now_ms);
+	return_runs(d, incarnation, now_ms);
 	confirm(agent, UINT64_MAX);
 	for (guint i = 0; i < agent->servers->len; i++) {
 		struct dserver *server = g_ptr_array_index(agent->servers, i);
--- a/src/leased/dispatcher.c
+++ b/src/leased/dispatcher.c
@@ -89,6 +89,7 @@
 {
 	struct leased_dispatcher *d = arg;
 
+	d->contact_ms = loop_now_ms(d->loop);
 	take_routes(d);
 	dispatch_set_config(d->dispatch, session_config(d->session));
 }
@@ -98,56 +99,16 @@
 	dispatcher_take_roster(arg, roster);
 }
 
-static void lease_changed(void *arg, bool held)
-{
-	(void)arg;
-	(void)held;
-}
-
-static void fenced(void *arg)
-{
-	(void)arg;
-	log_event(LOG_ERROR, "fenced", NULL);
-	role_request_stop();
-}
-
 static void open_session(struct leased_dispatcher *d)
 {
-	static const struct session_handlers handlers = {
+	static const struct coordinators_handlers handlers = {
 		.config = config_changed,
 		.roster = roster_changed,
-		.lease = lease_changed,
-		.fenced = fenced,
-	};
-	g_auto(GStrv) coordinators = reload_coordinators(d->settings);
-	struct session_options options = {
-		.loop = d->loop,
-		.hub = d->hub,
-		.role = CFW__ROLE__ROLE_DISPATCHER,
-		.incarnation = d->incarnation,
-		.name = settings_text(d->settings, "name"),
-		.data_centre = settings_text(d->settings, "data-centre"),
-		.address = settings_text(d->settings, "listen"),
-		.coordinators = coordinators
 	};
 
-	d->session = session_create(&options, &handlers, d);
-	session_begin(d->session);
-}
-
-static void reload_on_loop(void *arg)
-{
-	struct leased_dispatcher *d = arg;
-	g_auto(GStrv) coordinators = reload_coordinators(d->settings);
-
-	session_add_coordinators(d->session, coordinators);
-}
-
-static void reload(void *arg)
-{
-	struct leased_dispatcher *d = arg;
-
-	loop_post(d->loop, reload_on_loop, d);
+	d->session = reload_open_session(d->settings, d->loop, d->hub,
+					 CFW__ROLE__ROLE_DISPATCHER,
+					 d->incarnation, &handlers, d);
 }
 
 /* ---- Periodic work -------------------------------------------------- */
@@ -339,8 +300,7 @@
 	d->tick = loop_timer_create(d->loop, tick, d);
 	loop_timer_start(d->tick, DISPATCH_TICK_MS, DISPATCH_TICK_MS);
 	d->thread = g_thread_new("dispatcher", run, d);
-	role_on_reload(reload, d);
-	reload_watch(settings, reload, d);
+	reload_watch(settings, d->loop, d->session);
 	log_event(LOG_INFO, "started", "http=%s data_centre=%s",
 		  settings_text(settings, "http"),
 		  settings_text(settings, "data-centre"));
--- a/src/leased/dispatcher_agents.c
+++ b/src/leased/dispatcher_agents.c
@@ -153,7 +153,8 @@
 {
 	Cfw__Envelope envelope = CFW__ENVELOPE__INIT;
 	Cfw__RunOrders orders = CFW__RUN_ORDERS__INIT;
-	g_autoptr(GArray) runs = dispatch_runs_at(d->dispatch, a->incarnation);
+	g_autoptr(GArray)
+		runs = dispatch_runs_at(d->dispatch, a->incarnation, false);
 	g_autoptr(GPtrArray) kept = g_ptr_array_new_with_free_func(free_stop);
 
 	for (guint i = 0; i < runs->len; i++)
--- a/src/leased/reload.c
+++ b/src/leased/reload.c
@@ -6,6 +6,7 @@
 
 #include "base/address.h"
 #include "base/logger.h"
+#include "roles/role.h"
 
 #include <string.h>
 #include <sys/stat.h>
@@ -13,6 +14,7 @@
 /* ---- Constants ------------------------------------------------------ */
 
 #define WATCH_US 1000000
+#define NS_PER_S 1000000000
 #define COORDINATORS_KEY "coordinators="
 
 /* ---- Reading -------------------------------------------------------- */
@@ -58,7 +60,8 @@
 	}
 }
 
-char **reload_coordinators(const struct settings *settings)
+/* The file's, else the setting's, with the port of coordinators-port. */
+static char **read_coordinators(const struct settings *settings)
 {
 	const char *path = settings_text(settings, "reload-file");
 	g_autofree char *value = path ? read_value(path, COORDINATORS_KEY)
@@ -76,54 +79,135 @@
 	return list;
 }
 
+/* ---- Session -------------------------------------------------------- */
+
+struct adapter {
+	struct coordinators_handlers handlers;
+	void *arg;
+};
+
+static void config_changed(void *arg)
+{
+	struct adapter *a = arg;
+
+	a->handlers.config(a->arg);
+}
+
+static void roster_changed(void *arg, const Cfw__Roster *roster)
+{
+	struct adapter *a = arg;
+
+	if (a->handlers.roster)
+		a->handlers.roster(a->arg, roster);
+}
+
+static void lease_changed(void *arg, bool held)
+{
+	(void)arg;
+	(void)held;
+}
+
+static void fenced(void *arg)
+{
+	(void)arg;
+	log_event(LOG_ERROR, "fenced", NULL);
+	role_request_stop();
+}
+
+struct session *
+reload_open_session(const struct settings *settings, struct loop *loop,
+		    struct link_hub *hub, Cfw__Role role, uint64_t incarnation,
+		    const struct coordinators_handlers *handlers, void *arg)
+{
+	static const struct session_handlers adapted = {
+		.config = config_changed,
+		.roster = roster_changed,
+		.lease = lease_changed,
+		.fenced = fenced,
+	};
+	g_auto(GStrv) coordinators = read_coordinators(settings);
+	struct adapter *a = g_new0(struct adapter, 1);
+	struct session_options options = {
+		.loop = loop,
+		.hub = hub,
+		.role = role,
+		.incarnation = incarnation,
+		.name = settings_text(settings, "name"),
+		.data_centre = settings_text(settings, "data-centre"),
+		.address = settings_text(settings, "listen"),
+		.coordinators = coordinators
+	};
+	struct session *session;
+
+	a->handlers = *handlers;
+	a->arg = arg;
+	session = session_create(&options, &adapted, a);
+	session_begin(session);
+	return session;
+}
+
 /* ---- Watching ------------------------------------------------------- */
 
 struct watch {
-	char *path;
-	void (*fn)(void *arg);
-	void *arg;
+	const struct settings *settings;
+	struct loop *loop;
+	struct session *session;
 };
 
+static void reload_on_loop(void *arg)
+{
+	struct watch *w = arg;
+	g_auto(GStrv) coordinators = read_coordinators(w->settings);
+
+	session_add_coordinators(w->session, coordinators);
+}
+
+static void reload(void *arg)
+{
+	struct watch *w = arg;
+
+	loop_post(w->loop, reload_on_loop, w);
+}
+
 static int64_t changed_ns(const char *path)
 {
 	struct stat status;
 
 	if (stat(path, &status))
 		return 0;
-	return (int64_t)status.st_mtim.tv_sec * 1000000000 +
+	return (int64_t)status.st_mtim.tv_sec * NS_PER_S +
 	       status.st_mtim.tv_nsec + status.st_size;
 }
 
 static gpointer watch_file(gpointer data)
 {
 	struct watch *w = data;
-	int64_t seen_ns = changed_ns(w->path);
+	const char *path = settings_text(w->settings, "reload-file");
+	int64_t seen_ns = changed_ns(path);
 
 	for (;;) {
 		int64_t now_ns;
 
 		g_usleep(WATCH_US);
-		now_ns = changed_ns(w->path);
+		now_ns = changed_ns(path);
 		if (!now_ns || now_ns == seen_ns)
 			continue;
 		seen_ns = now_ns;
 		log_event(LOG_INFO, "reload", "cause=file");
-		w->fn(w->arg);
+		reload(w);
 	}
 	return NULL;
 }
 
-void reload_watch(const struct settings *settings, void (*fn)(void *arg),
-		  void *arg)
+void reload_watch(const struct settings *settings, struct loop *loop,
+		  struct session *session)
 {
-	const char *path = settings_text(settings, "reload-file");
-	struct watch *w;
-
-	if (!path)
-		return;
-	w = g_new0(struct watch, 1);
-	w->path = g_strdup(path);
-	w->fn = fn;
-	w->arg = arg;
-	g_thread_unref(g_thread_new("reload", watch_file, w));
+	struct watch *w = g_new0(struct watch, 1);
+
+	w->settings = settings;
+	w->loop = loop;
+	w->session = session;
+	role_on_reload(reload, w);
+	if (settings_text(settings, "reload-file"))
+		g_thread_unref(g_thread_new("reload", watch_file, w));
 }
