--- a/src/leased/dispatch_internal.h
+++ b/src/leased/dispatch_internal.h
@@ -31,7 +31,10 @@
 	int64_t pending_cpu_milli, pending_memory_mb; /* sent, not yet told */
 	uint32_t own_runs;
 	int64_t own_cpu_milli;
-	uint32_t late_runs; /* of own ones, far beyond their prediction */
+	/* Counted anew in each tick: one job's tasks take alike, so they are
+	 * no evidence beside each other. */
+	uint32_t jobs, late_jobs; /* with runs here; far beyond prediction */
+	const struct djob *counted, *counted_late; /* the last of each */
 	int64_t done_ms; /* when one last ended well */
 	bool told; /* by the report that is being read */
 };
--- a/src/leased/dispatch_place.c
+++ b/src/leased/dispatch_place.c
@@ -28,11 +28,13 @@
 #define HOLD_AFTER 0.3 /* of the time until it should start */
 #define MOVES_MAX 2 /* of one task */
 /* Tasks of one job take alike, however wrong their common estimate is. */
-#define LATE_BESIDE_SIBLINGS 1.7 /* times the slowest that has ended */
+#define LATE_BESIDE_SIBLINGS 2.2 /* times the slowest that has ended */
+#define LATE_BESIDE_SUSPECT                                                    \
+	1.6 /* the same at a server that seems to stand still */
 #define LATE_ALONE 3.5 /* times the prediction, while none has ended */
-#define LATE_SUSPECT 2.0 /* the same at a server that seems to stand still */
+#define LATE_SUSPECT 2.0
 #define LATE_LEAST_MS 40 /* beyond that */
-#define SUSPECT_RUNS 2 /* late ones, and half of all there */
+#define SUSPECT_JOBS 2 /* with late runs, and half of all there */
 #define SUSPECT_SLOWNESS 2.0
 #define SUSPECT_STILL_MS 250 /* without any run that ended well */
 
@@ -229,8 +231,8 @@
 {
 	if (cf_health_slowness(d->health, server->id) >= SUSPECT_SLOWNESS)
 		return true;
-	return server->late_runs >= SUSPECT_RUNS &&
-	       server->late_runs * 2 >= server->own_runs &&
+	return server->late_jobs >= SUSPECT_JOBS &&
+	       server->late_jobs * 2 >= server->jobs &&
 	       now_ms - server->done_ms >= SUSPECT_STILL_MS;
 }
 
@@ -240,27 +242,47 @@
 		    (suspect ? LATE_SUSPECT : LATE_ALONE);
 
 	if (job->slowest_ms)
-		ms = (double)job->slowest_ms * LATE_BESIDE_SIBLINGS;
+		ms = (double)job->slowest_ms *
+		     (suspect ? LATE_BESIDE_SUSPECT : LATE_BESIDE_SIBLINGS);
 	return (int64_t)ms + LATE_LEAST_MS;
 }
 
+static void count_run(struct dserver *server, const struct djob *job, bool late)
+{
+	server->jobs += server->counted != job;
+	server->counted = job;
+	if (!late)
+		return;
+	server->late_jobs += server->counted_late != job;
+	server->counted_late = job;
+}
+
 static void count_late(struct dispatch *d, int64_t now_ms)
 {
 	GHashTableIter iter;
 	gpointer value;
 
-	for (guint i = 0; i < d->servers->len; i++)
-		((struct dserver *)g_ptr_array_index(d->servers, i))
-			->late_runs = 0;
+	for (guint i = 0; i < d->servers->len; i++) {
+		struct dserver *server = g_ptr_array_index(d->servers, i);
+
+		server->jobs = 0;
+		server->late_jobs = 0;
+		server->counted = NULL;
+		server->counted_late = NULL;
+	}
 	g_hash_table_iter_init(&iter, d->jobs);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct djob *job = value;
 		int64_t limit_ms = late_after_ms(job, true);
 
-		for (uint32_t i = 0; job->n_sent && i < job->spec.n_tasks; i++)
-			if (job->tasks[i].state == DTASK_SENT &&
-			    now_ms - job->tasks[i].sent_ms > limit_ms)
-				job->tasks[i].server->late_runs++;
+		for (uint32_t i = 0; job->n_sent && i < job->spec.n_tasks;
+		     i++) {
+			const struct dtask *task = &job->tasks[i];
+
+			if (task->state == DTASK_SENT)
+				count_run(task->server, job,
+					  now_ms - task->sent_ms > limit_ms);
+		}
 	}
 }
 
@@ -274,10 +296,10 @@
 	g_strlcpy(name.job, job->id, sizeof(name.job));
 	log_event(LOG_INFO, "run_moved",
 		  "job=%s index=%u number=%u server=%s since_sent_ms=%" PRId64
-		  " predicted_ms=%u late_runs=%u own_runs=%u",
+		  " predicted_ms=%u late_jobs=%u jobs=%u",
 		  job->id, task->index, task->number, task->server->state.name,
 		  now_ms - task->sent_ms, job->predicted_ms,
-		  task->server->late_runs, task->server->own_runs);
+		  task->server->late_jobs, task->server->jobs);
 	d->sink->ops->stop(d->sink, task->server->agent->identity.incarnation,
 			   &name);
 }
