--- a/src/leased/dispatch_place.c
+++ b/src/leased/dispatch_place.c
@@ -115,8 +115,8 @@
 			  MAX(admit_share(d, class, now_ms), SHARE_LEAST);
 }
 
-static void send(struct dispatch *d, struct djob *job, struct dtask *task,
-		 struct dserver *server, int64_t now_ms)
+static void send_task(struct dispatch *d, struct djob *job, struct dtask *task,
+		      struct dserver *server, int64_t now_ms)
 {
 	struct start_order order = {
 		.name = { .index = task->index, .number = ++task->number },
@@ -167,7 +167,7 @@
 		server = choose(d, job, task, now_ms);
 		if (!server)
 			return false;
-		send(d, job, task, server, now_ms);
+		send_task(d, job, task, server, now_ms);
 	}
 	return true;
 }
--- a/src/main.c
+++ b/src/main.c
@@ -3,6 +3,7 @@
  */
 #include "base/logger.h"
 #include "platform/platform.h"
+#include "roles/explain.h"
 #include "roles/role.h"
 
 #include "base/clock.h"
@@ -66,6 +67,7 @@
 		fprintf(out, "  %-18s %s\n", verbs[i].name, verbs[i].help);
 	fputs("\nbesides:\n"
 	      "  trace        check event traces against the promises\n"
+	      "  explain      tell a request's life and cause from logs\n"
 	      "  key          print a new job key\n"
 	      "  settings     list every setting [--json]\n"
 	      "  version      print the version\n\n"
@@ -177,6 +179,8 @@
 		return operator_main(argc - 1, argv + 1);
 	if (!strcmp(name, "trace"))
 		return trace_main(argc - 1, argv + 1);
+	if (!strcmp(name, "explain"))
+		return explain_main(argc - 1, argv + 1);
 	if (!strcmp(name, "settings"))
 		return run_settings(argc - 1, argv + 1);
 	if (!strcmp(name, "key"))
