--- a/tools/fuzz.sh
+++ b/tools/fuzz.sh
@@ -12,7 +12,7 @@
 
 packages="apr-1 glib-2.0 libmicrohttpd libcurl jansson libxxhash liburcu
 libprotobuf-c"
-flags="-std=gnu11 -O1 -g -Iinclude -Isrc -pthread -DCF_VERSION=\"fuzz\"
+flags="-std=gnu11 -O1 -g -Iinclude -Isrc -I. -pthread -DCF_VERSION=\"fuzz\"
 -fsanitize=fuzzer-no-link,address,undefined -fno-omit-frame-pointer
 -fno-sanitize-recover=undefined"
 # shellcheck disable=SC2086
@@ -31,7 +31,7 @@
 
 shopt -s nullglob
 sources=$(printf '%s\n' src/lib/*.c src/base/*.c src/net/*.c src/store/*.c \
-	src/proto/*.c src/roles/command_json.c)
+	src/proto/*.c src/roles/command_json.c src/leased/formats.c platform/*.c)
 fuzzers=$(printf 'fuzz/%s.c\n' "$@")
 printf '%s\n' $sources $fuzzers |
 	xargs -P "$(nproc)" -I{} bash -c 'compile {}'
