--- a/src/leased/agent.c
+++ b/src/leased/agent.c
@@ -23,7 +23,6 @@
 #define SERVER_SILENT_CALLS 4 /* single ones may be lost on their way */
 #define FLUSH_WAIT_MS 300
 #define STOP_LOOK_US 20000
-#define US_PER_MS 1000
 #define HTTP_OK_STATUS 200
 #define HTTP_BAD_REQUEST 400
 #define HTTP_NOT_FOUND 404
--- a/src/leased/agent_internal.h
+++ b/src/leased/agent_internal.h
@@ -64,7 +64,5 @@
 /* Runs of dispatchers whose lease has ended are stopped. */
 void agent_end_leases(struct leased_agent *a, int64_t now_ms);
 void agent_free_peer(gpointer peer);
-bool agent_accepts(const struct leased_agent *a, const struct server *server,
-		   int64_t now_ms);
 
 #endif
--- a/src/leased/agent_peers.c
+++ b/src/leased/agent_peers.c
@@ -173,8 +173,8 @@
 
 /* ---- Telling -------------------------------------------------------- */
 
-bool agent_accepts(const struct leased_agent *a, const struct server *server,
-		   int64_t now_ms)
+static bool accepts(const struct leased_agent *a, const struct server *server,
+		    int64_t now_ms)
 {
 	return a->in_service && !g_atomic_int_get(&a->stopping) &&
 	       server_accepting(server, now_ms);
@@ -198,7 +198,7 @@
 	state->free_memory_mb = (int32_t)load.free_memory_mb;
 	state->running = load.running;
 	state->queued = load.queued;
-	state->accepting = agent_accepts(a, server, now_ms);
+	state->accepting = accepts(a, server, now_ms);
 }
 
 static Cfw__ServerState *fill_states(const struct leased_agent *a,
@@ -319,7 +319,7 @@
 			     now_ms);
 		return;
 	}
-	if (!server || !agent_accepts(a, server, now_ms)) {
+	if (!server || !accepts(a, server, now_ms)) {
 		refuse_start(a, p, &run.name, "the server takes no work",
 			     now_ms);
 		return;
--- a/src/leased/dispatch_admit.c
+++ b/src/leased/dispatch_admit.c
@@ -140,24 +140,27 @@
 		  (int)(e->share * PERCENT), job->predicted_ms);
 }
 
-bool admit_job(const struct dispatch *d, const struct djob *job, int64_t now_ms,
-	       const char **reason, uint32_t *retry_after_s)
+static const char *find_refusal(const struct dispatch *d,
+				const struct djob *job, int64_t now_ms)
 {
 	struct estimate e;
 
-	*retry_after_s = admit_retry_after_s(d, job, now_ms);
-	if (!dispatch_can_serve(d)) {
-		*reason = "no backend server can be reached";
-		return false;
-	}
-	if (now_ms + job->predicted_ms > job->deadline_ms) {
-		*reason = "it can't end before its deadline";
-		return false;
-	}
+	if (!dispatch_can_serve(d))
+		return "no backend server can be reached";
+	if (now_ms + job->predicted_ms > job->deadline_ms)
+		return "it can't end before its deadline";
 	estimate(d, job, now_ms, &e);
 	if (now_ms + (int64_t)e.wait_ms <= job->good_start_ms)
-		return true;
-	*reason = "the queue is too long for its target";
+		return NULL;
 	tell_refusal(job, &e, now_ms);
-	return false;
+	return "the queue is too long for its target";
+}
+
+bool admit_job(const struct dispatch *d, const struct djob *job, int64_t now_ms,
+	       const char **reason, uint32_t *retry_after_s)
+{
+	*reason = find_refusal(d, job, now_ms);
+	if (*reason)
+		*retry_after_s = admit_retry_after_s(d, job, now_ms);
+	return !*reason;
 }
--- a/src/leased/dispatch_internal.h
+++ b/src/leased/dispatch_internal.h
@@ -126,9 +126,6 @@
 void dispatch_end_job(struct dispatch *d, struct djob *job,
 		      enum job_verdict verdict, const char *reason,
 		      uint32_t retry_after_s);
-/* The job's task is no longer at a server and has to be placed again. */
-void dispatch_task_returned(struct dispatch *d, struct djob *job,
-			    struct dtask *task, int64_t now_ms);
 void dispatch_free_job_if_over(struct dispatch *d, struct djob *job);
 void dispatch_queue_job(struct dispatch *d, struct djob *job);
 void dispatch_unqueue_job(struct djob *job);
--- a/src/leased/dispatch_runs.c
+++ b/src/leased/dispatch_runs.c
@@ -21,8 +21,9 @@
 	job->n_sent--;
 }
 
-void dispatch_task_returned(struct dispatch *d, struct djob *job,
-			    struct dtask *task, int64_t now_ms)
+/* It is no longer at a server and has to be placed again. */
+static void task_returned(struct dispatch *d, struct djob *job,
+			  struct dtask *task, int64_t now_ms)
 {
 	leave_server(job, task);
 	task->state = DTASK_WAITING;
@@ -87,7 +88,7 @@
 	if (task->failures >= job->route.attempts_max && !job->ended)
 		dispatch_end_job(d, job, JOB_VERDICT_FAILED,
 				 "a task failed as often as it may", 0);
-	dispatch_task_returned(d, job, task, now_ms);
+	task_returned(d, job, task, now_ms);
 }
 
 static bool is_at(const struct dtask *task, uint64_t agent)
@@ -134,14 +135,14 @@
 	case RUN_OUTCOME_REFUSED:
 		cf_health_result(d->health, task->server->id, false,
 				 job->predicted_ms, job->predicted_ms, now_ms);
-		dispatch_task_returned(d, job, task, now_ms);
+		task_returned(d, job, task, now_ms);
 		break;
 	case RUN_OUTCOME_OUTDATED:
 		task->number += NUMBER_STEP_OUTDATED;
-		dispatch_task_returned(d, job, task, now_ms);
+		task_returned(d, job, task, now_ms);
 		break;
 	default:
-		dispatch_task_returned(d, job, task, now_ms);
+		task_returned(d, job, task, now_ms);
 		break;
 	}
 	dispatch_pump(d, now_ms);
--- a/src/leased/run_table.c
+++ b/src/leased/run_table.c
@@ -321,11 +321,6 @@
 		stop_at(table, position);
 }
 
-void run_table_stop_dispatcher(struct run_table *table, uint64_t dispatcher)
-{
-	run_table_stop_others(table, dispatcher, NULL, 0);
-}
-
 static bool is_kept(const struct run *run, const struct run_name *kept,
 		    size_t n_kept)
 {
--- a/src/leased/run_table.h
+++ b/src/leased/run_table.h
@@ -63,7 +63,6 @@
 			     const struct run_name *name);
 
 void run_table_stop(struct run_table *table, const struct run_name *name);
-void run_table_stop_dispatcher(struct run_table *table, uint64_t dispatcher);
 /* Those of a dispatcher that are not among the names kept. */
 void run_table_stop_others(struct run_table *table, uint64_t dispatcher,
 			   const struct run_name *kept, size_t n_kept);
--- a/src/leased/server.c
+++ b/src/leased/server.c
@@ -14,6 +14,7 @@
 
 /* ---- Constants ------------------------------------------------------ */
 
+#define LOOK_OK 200 /* HTTP */
 #define LOOK_WAIT_MS 80 /* at the server, for an end */
 #define LOOK_MARGIN_MS 60 /* more, until the answer has to be here */
 #define CHECK_PAUSE_MS 15 /* between looks that don't wait */
@@ -120,11 +121,6 @@
 	return s->runs;
 }
 
-bool server_has_calls(const struct server *s)
-{
-	return s->calls > 0;
-}
-
 bool server_accepting(const struct server *s, int64_t now_ms)
 {
 	return !s->report.draining && !s->left && !s->letting_go &&
@@ -274,7 +270,7 @@
 		strangers = g_array_new(FALSE, FALSE, sizeof(struct run_name));
 	struct run_lists lists;
 
-	if (call->life != s->life || answer->status != 200 ||
+	if (call->life != s->life || answer->status != LOOK_OK ||
 	    !s->options.formats->read_lists(answer->body, answer->size_bytes,
 					    &lists))
 		return;
--- a/src/leased/server.h
+++ b/src/leased/server.h
@@ -35,7 +35,6 @@
 bool server_accepting(const struct server *server, int64_t now_ms);
 bool server_is_gone(const struct server *server,
 		    int64_t now_ms); /* silent for long, nothing left */
-bool server_has_calls(const struct server *server); /* under way */
 /* Does what is due: starts, stops, looks. After each change and often. */
 void server_work(struct server *server, int64_t now_ms);
 
