Begin a coordinator anew whose disk refused writes

Cause, by the logs of the coordinators: at 13.2 s the disk of one was full, it stood aside (disk_failed) and stayed so after there was room; at 29.6 s another lost its disk, so that one voter was left; at 36 s that one lost its own. Ruled out: the joining of the empty ones (both asked, nobody could add them).

--- a/src/roles/coordinator.c
+++ b/src/roles/coordinator.c
@@ -15,6 +15,7 @@
 /* ---- Constants ----------------------------------------------------- */
 
 #define TICK_MS 50
+#define DISK_RETRY_MS 1000
 #define EXPIRE_EVERY_MS 1000
 #define FLUSH_WAIT_MS 500
 #define STOPPED 1 /* any pointer value for the queue */
@@ -47,6 +48,22 @@
 	admin_set_ready(c->admin, !why, why);
 }
 
+/* What a disk that failed holds is only known after a new start, and a
+ * member that waits for somebody's hand is missed at the next loss. */
+static void follow_disk(struct coordinator *c, int64_t now_ms)
+{
+	if (group_healthy(c->group) || !c->voters_wanted || c->ends)
+		return;
+	if (!c->disk_failed_ms)
+		c->disk_failed_ms = now_ms;
+	if (now_ms - c->disk_failed_ms < DISK_RETRY_MS)
+		return;
+	c->ends = true;
+	log_event(LOG_ERROR, "ends_for_its_disk", "failed_ms=%" G_GINT64_FORMAT,
+		  now_ms - c->disk_failed_ms);
+	role_request_stop();
+}
+
 static void tick(void *arg, int64_t now_ms)
 {
 	struct coordinator *c = arg;
@@ -55,6 +72,7 @@
 		return;
 	follow_leadership(c, now_ms);
 	follow_readiness(c);
+	follow_disk(c, now_ms);
 	coordinator_follow_members(c);
 	coordinator_renew_voter_lease(c, now_ms);
 	coordinator_expire_leases(c, now_ms);
@@ -366,7 +384,7 @@
 		  c->port, admin_port(c->admin));
 	role_wait_for_stop();
 	log_event(LOG_INFO, "stopping", NULL);
-	if (c->start_over)
+	if (c->start_over || c->ends)
 		status = EXIT_FAILURE;
 	coordinator_stop(c);
 	log_event(LOG_INFO, "stopped", NULL);
--- a/src/roles/coordinator.h
+++ b/src/roles/coordinator.h
@@ -98,6 +98,8 @@
 	char link_address[CF_NAME_SIZE]; /* where others reach this one */
 	uint32_t voters_wanted; /* 0: every member that is added */
 	bool start_over; /* it was removed: ends with an empty data folder */
+	int64_t disk_failed_ms; /* 0: the disk works */
+	bool ends; /* by itself, to begin anew from its disk */
 	int64_t next_join_ms;
 	GHashTable *unreachable; /* member id -> int64_t *, since when */
 
--- a/tests/fault_leased.c
+++ b/tests/fault_leased.c
@@ -402,6 +402,33 @@
 	finish(s);
 }
 
+/* A coordinator whose disk takes no more bytes ends by itself and, started
+ * again once there is room, votes: the group bears the next loss. */
+static void test_full_disk(void **state)
+{
+	struct system *s = begin();
+	struct proc *full = cluster_proc(s->cluster, "c3");
+	int status = -1;
+
+	(void)state;
+	proc_limit_files(full, 1);
+	for (int version = 2; status < 0 && version < 200; version++) {
+		g_autofree char *routes = g_strdup_printf(
+			"{\"version\":%d,\"routes\":[],\"services\":[]}",
+			version);
+
+		control(s, "POST", "/Config.Replace", routes, NULL);
+		status = proc_wait(full, 100);
+	}
+	assert_int_equal(status, 1);
+	proc_start(s->cluster, full);
+	cluster_wait_ready(s->cluster, "c3", WAIT_MS);
+	proc_kill(cluster_proc(s->cluster, "c1"));
+	control(s, "POST", "/Config.Replace", ROUTES("900", "4000"), NULL);
+	control(s, "GET", "/Config.Read", NULL, "\"version\":900");
+	finish(s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -411,6 +438,7 @@
 		cmocka_unit_test_teardown(test_coordinators_lost,
 					  cluster_teardown),
 		cmocka_unit_test_teardown(test_empty_disk, cluster_teardown),
+		cmocka_unit_test_teardown(test_full_disk, cluster_teardown),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
