--- a/tests/test_replog.c
+++ b/tests/test_replog.c
@@ -658,7 +658,7 @@
 static void test_leader_hands_over(void **state)
 {
 	struct cf_replog *log = make_log(3, 4, "112");
-	struct cf_replog_message m;
+	struct cf_replog_message m = { 0 };
 
 	(void)state;
 	lead(log, LATE_MS);
