Free a group's open disk jobs when it is destroyed; no handover alone

Cause, by its trace: a lone voter that hands over at its stop stands for election at once, and the disk job of its vote was still on its way through a loop that had stopped; such a job was never freed. A lone voter now hands nothing over, and open jobs are freed with the group.

--- a/src/lib/replog_election.c
+++ b/src/lib/replog_election.c
@@ -136,7 +136,7 @@
 void cf_replog_hand_over(struct cf_replog *log, int64_t now_ms)
 {
 	log->now_ms = MAX(log->now_ms, now_ms);
-	if (log->role != REPLOG_LEADER)
+	if (log->role != REPLOG_LEADER || log->members.n_voters < 2)
 		return;
 	for (size_t i = 0; i < log->n_peers; i++) {
 		const struct replog_peer *peer = &log->peers[i];
--- a/src/store/group.c
+++ b/src/store/group.c
@@ -34,14 +34,14 @@
 	uint64_t snapshot_index;
 	bool snapshot_busy;
 
-	bool healthy, closed;
+	bool healthy;
 	bool told_leader;
 	uint32_t told_leader_id;
 	uint64_t told_term;
 
 	GThread *thread;
 	GAsyncQueue *jobs; /* struct disk_job */
-	uint32_t jobs_open; /* their outcome has not reached the loop */
+	GPtrArray *jobs_open; /* their outcome has not reached the loop */
 };
 
 enum disk_work {
@@ -99,7 +99,7 @@
 
 static void push_job(struct group *group, struct disk_job *job)
 {
-	group->jobs_open++;
+	g_ptr_array_add(group->jobs_open, job);
 	g_async_queue_push(group->jobs, job);
 }
 
@@ -271,6 +271,7 @@
 	store_close(group->store);
 	if (group->jobs)
 		g_async_queue_unref(group->jobs);
+	g_ptr_array_unref(group->jobs_open);
 	g_free(group);
 }
 
@@ -300,13 +301,9 @@
 	struct disk_job *job = arg;
 	struct group *group = job->group;
 
-	group->jobs_open--;
-	if (!group->closed) {
-		take_outcome(group, job);
-		pump(group);
-	} else if (!group->jobs_open) {
-		free_group(group);
-	}
+	g_ptr_array_remove_fast(group->jobs_open, job);
+	take_outcome(group, job);
+	pump(group);
 	free_job(job);
 }
 
@@ -373,6 +370,7 @@
 	GError *failure = NULL;
 
 	group->loop = loop;
+	group->jobs_open = g_ptr_array_new();
 	group->handlers = *handlers;
 	group->arg = arg;
 	group->id = o->id;
@@ -400,15 +398,18 @@
 {
 	if (!group)
 		return;
-	group->closed = true;
 	loop_timer_destroy(group->timer);
 	g_async_queue_push(group->jobs, new_job(group, DISK_STOP));
 	g_thread_join(group->thread);
 	store_close(group->store);
 	group->store = NULL;
-	/* Outcomes on their way through the loop still point here. */
-	if (!group->jobs_open)
-		free_group(group);
+	/* What the disk thread has done is on its way through the loop. */
+	for (guint i = 0; i < group->jobs_open->len; i++) {
+		loop_forget(group->loop,
+			    g_ptr_array_index(group->jobs_open, i));
+		free_job(g_ptr_array_index(group->jobs_open, i));
+	}
+	free_group(group);
 }
 
 /* ---- In and out ----------------------------------------------------- */
