--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -4,6 +4,7 @@
  * slow, failing, hanging and lost ones. The bounds are the targets:
  * refusals are true and come at once, nobody starves, one run at a time.
  */
+#include "proto/wire.pb-c.h"
 #include "support/dispatch_world.h"
 
 #include <setjmp.h>
@@ -184,7 +185,7 @@
 {
 	static const struct dispatch_sink_ops ops = { record_start, record_stop,
 						      record_answer };
-	struct agent_identity agent = { .incarnation = 1 };
+	struct agent_identity agent = { .incarnation = 1, .data_centre = "dc" };
 	struct server_state state = { .name = "s",
 				      .service = "desk",
 				      .capacity = { .cpu_milli = 1000,
@@ -203,6 +204,25 @@
 	return d;
 }
 
+/* A configuration in which the data centre is in service or out of it. */
+static struct cf_config *config_of(const char *data_centre, bool in_service)
+{
+	struct cf_config *config = cf_config_create();
+	Cfw__Configuration message = CFW__CONFIGURATION__INIT;
+	Cfw__DataCentre dc = CFW__DATA_CENTRE__INIT;
+	Cfw__DataCentre *list[] = { &dc };
+	uint8_t data[256];
+
+	dc.name = (char *)(uintptr_t)data_centre;
+	dc.in_service = in_service;
+	message.revision = 1;
+	message.n_data_centres = 1;
+	message.data_centres = list;
+	assert_true(cf_config_adopt(
+		config, data, cfw__configuration__pack(&message, data), NULL));
+	return config;
+}
+
 /* The server is empty and has taken so many starts. */
 static void tell_room(struct dispatch *d, uint64_t received)
 {
@@ -360,6 +380,45 @@
 	dispatch_destroy(d);
 }
 
+/* Nothing starts at a server of another service, or in a data centre that
+ * is out of service; once it is in again, it does. */
+static void test_where_nothing_may_start(void **state)
+{
+	static const struct {
+		const char *service;
+		bool out;
+		uint32_t starts;
+	} cases[] = {
+		{ "desk", false, 1 },
+		{ "other", false, 0 },
+		{ "desk", true, 0 },
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct recorder r;
+		struct dispatch *d = make(&r, true);
+		struct agent_identity agent = { .incarnation = 1,
+						.data_centre = "dc" };
+		struct server_state told = { .name = "s",
+					     .capacity = { .cpu_milli = 1000,
+							   .memory_mb = 10 },
+					     .free_cpu_milli = 1000,
+					     .free_memory_mb = 10,
+					     .accepting = true };
+		struct cf_config *config = config_of("dc", !cases[i].out);
+
+		g_strlcpy(told.service, cases[i].service, sizeof(told.service));
+		dispatch_agent_up(d, &agent, 0);
+		dispatch_take_state(d, 1, &told, 0);
+		dispatch_set_config(d, config);
+		give(d, "j", &r, 5000);
+		assert_int_equal(r.starts, cases[i].starts);
+		dispatch_destroy(d);
+		cf_config_destroy(config);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -367,6 +426,7 @@
 		cmocka_unit_test(test_answers_are_true),
 		cmocka_unit_test(test_no_run_goes_on_for_nobody),
 		cmocka_unit_test(test_resubmission),
+		cmocka_unit_test(test_where_nothing_may_start),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_run_table.c
+++ b/tests/test_run_table.c
@@ -351,6 +351,24 @@
 	run_table_destroy(table);
 }
 
+/* A server that drains: what waits goes back, what runs ends. */
+static void test_waiting_runs_go_back(void **state)
+{
+	struct run_table *table = make_table(1000);
+	struct run_name running = name_of(0, 1);
+
+	(void)state;
+	offer(table, 0, 1000, 0, 0);
+	offer(table, 1, 1000, 1, 0);
+	start_next(table, 1);
+	run_table_started(table, &running, RUN_ACCEPTED, 2);
+	run_table_return_queued(table);
+	assert_result(table, 1, RUN_OUTCOME_NOT_STARTED);
+	assert_no_result(table);
+	assert_true(run_table_has(table, &running));
+	run_table_destroy(table);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -365,6 +383,7 @@
 		cmocka_unit_test(test_lease_ended),
 		cmocka_unit_test(test_new_life),
 		cmocka_unit_test(test_runs_of_a_lost_dispatcher),
+		cmocka_unit_test(test_waiting_runs_go_back),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
