--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -238,16 +238,16 @@
 	dispatch_take_state(d, 1, &state, 0);
 }
 
-static void give(struct dispatch *d, const char *id, void *caller,
-		 int64_t deadline_ms)
+static void give_tasks(struct dispatch *d, const char *id, void *caller,
+		       int64_t deadline_ms, uint32_t tasks, uint32_t cpu_milli)
 {
 	struct job_order order = { .route = { .name = "r",
 					      .service = "desk",
 					      .target_ms = 60,
 					      .stretch_milli = 1600,
 					      .attempts_max = 2 },
-				   .spec = { .n_tasks = 1,
-					     .cpu_milli = 1000,
+				   .spec = { .n_tasks = tasks,
+					     .cpu_milli = cpu_milli,
 					     .memory_mb = 1,
 					     .estimate_ms = 100 },
 				   .deadline_ms = deadline_ms,
@@ -259,16 +259,30 @@
 	g_bytes_unref(order.spec.spec);
 }
 
-static void end(struct dispatch *d, const char *id, uint32_t number,
-		enum run_outcome outcome, int64_t now_ms)
+static void give(struct dispatch *d, const char *id, void *caller,
+		 int64_t deadline_ms)
 {
-	struct run_result result = { .name = { .number = number },
-				     .outcome = outcome };
+	give_tasks(d, id, caller, deadline_ms, 1, 1000);
+}
+
+static void end_after(struct dispatch *d, const char *id, uint32_t index,
+		      uint32_t number, enum run_outcome outcome, int64_t now_ms)
+{
+	struct run_result result = { .name = { .index = index,
+					       .number = number },
+				     .outcome = outcome,
+				     .run_ms = (uint32_t)now_ms };
 
 	g_strlcpy(result.name.job, id, sizeof(result.name.job));
 	dispatch_take_end(d, 1, &result, now_ms);
 }
 
+static void end(struct dispatch *d, const char *id, uint32_t number,
+		enum run_outcome outcome, int64_t now_ms)
+{
+	end_after(d, id, 0, number, outcome, now_ms);
+}
+
 /* What a caller hears if its job ends in this way. */
 static void test_answers_are_true(void **state)
 {
@@ -419,6 +433,53 @@
 	}
 }
 
+/* When a run is stopped to be started elsewhere: late beside its job's
+ * other task, however wrong the estimate of both is, or far beyond the
+ * estimate while the other has not ended either. */
+static void test_late_runs_move(void **state)
+{
+	static const struct {
+		const char *what;
+		uint32_t sibling_ms; /* 0: it has not ended */
+		int64_t now_ms;
+		uint32_t stops;
+	} cases[] = {
+		{ "as the other", 100, 200, 0 },
+		{ "late beside the other", 100, 300, 1 },
+		{ "both far above the estimate", 400, 800, 0 },
+		{ "late beside the other one that was long", 400, 1000, 1 },
+		{ "none has ended, three times", 0, 300, 0 },
+		{ "none has ended, four times", 0, 420, 2 },
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct recorder r;
+		struct dispatch *d = make(&r, true);
+		int64_t now_ms;
+
+		give_tasks(d, "j", &r, 9000, 2, 500);
+		assert_int_equal(r.starts, 2);
+		for (now_ms = 10; now_ms < cases[i].now_ms; now_ms += 10) {
+			dispatch_agent_granted(d, 1, now_ms);
+			if (now_ms == cases[i].sibling_ms)
+				end_after(d, "j", 1, 1, RUN_OUTCOME_DONE,
+					  now_ms);
+			dispatch_tick(d, now_ms);
+		}
+		assert_int_equal(r.stops, cases[i].stops);
+		/* What was stopped starts again, as another run. */
+		if (cases[i].sibling_ms && cases[i].stops) {
+			tell_room(d, 2);
+			end_after(d, "j", 0, 1, RUN_OUTCOME_STOPPED, now_ms);
+			assert_int_equal(r.starts, 3);
+			assert_int_equal(r.last_start.name.index, 0);
+			assert_int_equal(r.last_start.name.number, 2);
+		}
+		dispatch_destroy(d);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -427,6 +488,7 @@
 		cmocka_unit_test(test_no_run_goes_on_for_nobody),
 		cmocka_unit_test(test_resubmission),
 		cmocka_unit_test(test_where_nothing_may_start),
+		cmocka_unit_test(test_late_runs_move),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
