Test that runs end with their dispatcher before a job is sent again

The plays' tasks take 60 ms, so no test failed when an agent let the runs of a lost dispatcher go on.

--- a/tests/fault_leased.c
+++ b/tests/fault_leased.c
@@ -33,7 +33,10 @@
 #define REFUSED_US 200000
 #define TRIES_MAX 30
 #define STEP_US 700000
-#define DEADLINE_MS 4000
+#define TASKS 3
+#define RUN_MS 60
+#define LONG_RUN_MS 2500 /* longer than a caller waits to send again */
+#define DEADLINE_MS 8000
 #define HOST "h.example"
 #define PREFIX "/q/"
 
@@ -187,15 +190,15 @@
 }
 
 static uint32_t submit(struct system *s, int dispatcher, const char *id,
-		       char **answer)
+		       uint32_t run_ms, char **answer)
 {
-	g_autofree char *body = standin_write_job(3, 700, 60);
+	g_autofree char *body = standin_write_job(TASKS, 700, run_ms);
 	g_autofree char *path = g_strdup_printf(PREFIX "%s", id);
 	char name[16];
 
 	snprintf(name, sizeof(name), "d%d", dispatcher % DISPATCHERS + 1);
 	return call(cluster_address(s->cluster, name, "http"), "POST", path,
-		    body, answer, 4500);
+		    body, answer, DEADLINE_MS + 500);
 }
 
 static void start_all(struct system *s)
@@ -256,7 +259,8 @@
 {
 	for (int i = 0; i < TRIES_MAX; i++) {
 		g_autofree char *answer = NULL;
-		uint32_t status = submit(c->system, first + i, id, &answer);
+		uint32_t status =
+			submit(c->system, first + i, id, RUN_MS, &answer);
 
 		if (status == 200)
 			return standin_is_completed(answer);
@@ -373,6 +377,49 @@
 	play(troubles, G_N_ELEMENTS(troubles));
 }
 
+/* Runs that would go on for longer than a caller waits to send its job
+ * again end with their dispatcher, before another one starts them. */
+static gpointer submit_long(gpointer arg)
+{
+	g_autofree char *answer = NULL;
+
+	submit(arg, 0, "00000000000000aa", LONG_RUN_MS, &answer);
+	return NULL;
+}
+
+static void test_runs_end_with_their_dispatcher(void **state)
+{
+	static const bool frozen[] = { false, true };
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(frozen); i++) {
+		struct system *s = begin();
+		struct proc *lost = cluster_proc(s->cluster, "d1");
+		GThread *caller = g_thread_new("caller", submit_long, s);
+		g_autofree char *answer = NULL;
+		int64_t end_ms = clock_now_ms() + WAIT_MS;
+
+		while (standin_runs(s->record) < TASKS) {
+			assert_true(clock_now_ms() < end_ms);
+			g_usleep(10000);
+		}
+		if (frozen[i])
+			proc_freeze(lost);
+		else
+			proc_kill(lost);
+		g_usleep(RESEND_US);
+		assert_int_equal(
+			submit(s, 1, "00000000000000aa", LONG_RUN_MS, &answer),
+			200);
+		assert_true(standin_is_completed(answer));
+		assert_int_equal(standin_doubles(s->record), 0);
+		if (frozen[i])
+			proc_kill(lost);
+		g_thread_join(caller);
+		finish(s);
+	}
+}
+
 /* A coordinator comes back with an empty disk and joins by itself; then
  * another one is lost, so that what was accepted needs the new one. */
 static void test_empty_disk(void **state)
@@ -444,6 +491,8 @@
 					  cluster_teardown),
 		cmocka_unit_test_teardown(test_coordinators_lost,
 					  cluster_teardown),
+		cmocka_unit_test_teardown(test_runs_end_with_their_dispatcher,
+					  cluster_teardown),
 		cmocka_unit_test_teardown(test_empty_disk, cluster_teardown),
 		cmocka_unit_test_teardown(test_full_disk, cluster_teardown),
 	};
