--- a/src/store/group.c
+++ b/src/store/group.c
@@ -5,6 +5,7 @@
  */
 #include "store/group.h"
 #include "base/clock.h"
+#include "store/disk_queue.h"
 #include "store/log_message.h"
 #include "store/store.h"
 
@@ -39,77 +40,11 @@
 	uint32_t told_leader_id;
 	uint64_t told_term;
 
-	GThread *thread;
-	GAsyncQueue *jobs; /* struct disk_job */
-	GPtrArray *jobs_open; /* their outcome has not reached the loop */
-};
-
-enum disk_work {
-	DISK_APPEND,
-	DISK_SNAPSHOT,
-	DISK_STOP,
-};
-
-struct disk_job {
-	struct group *group;
-	enum disk_work work;
-	struct store_write write; /* borrows from the ready */
-	struct cf_snapshot snapshot;
-	char *failure; /* why, or NULL */
+	struct disk_queue *disk;
 };
 
 static void pump(struct group *group);
 
-/* ---- Disk thread ---------------------------------------------------- */
-
-static void on_written(void *arg);
-
-static gpointer run_disk(gpointer arg)
-{
-	struct group *group = arg;
-
-	for (;;) {
-		struct disk_job *job = g_async_queue_pop(group->jobs);
-		GError *error = NULL;
-
-		if (job->work == DISK_STOP) {
-			g_free(job);
-			return NULL;
-		}
-		if (job->work == DISK_APPEND)
-			store_append(group->store, &job->write, &error);
-		else
-			store_save_snapshot(group->store, &job->snapshot,
-					    &error);
-		if (error)
-			job->failure = g_strdup(error->message);
-		g_clear_error(&error);
-		loop_post(group->loop, on_written, job);
-	}
-}
-
-static struct disk_job *new_job(struct group *group, enum disk_work work)
-{
-	struct disk_job *job = g_new0(struct disk_job, 1);
-
-	job->group = group;
-	job->work = work;
-	return job;
-}
-
-static void push_job(struct group *group, struct disk_job *job)
-{
-	g_ptr_array_add(group->jobs_open, job);
-	g_async_queue_push(group->jobs, job);
-}
-
-static void free_job(struct disk_job *job)
-{
-	g_bytes_unref(job->snapshot.data);
-	g_free(job->failure);
-	g_free(job);
-}
-
 /* ---- Work of one ready ---------------------------------------------- */
 
 /* What the leader sends may go before its own sync, as long as its term
@@ -176,18 +111,16 @@
 
 static void take_snapshot(struct group *group)
 {
-	struct disk_job *job;
+	struct cf_snapshot snapshot = { .index = group->applied,
+					.term = group->applied_term,
+					.members = group->applied_members };
 
 	if (group->snapshot_busy || !group->healthy ||
 	    group->applied - group->snapshot_index < group->snapshot_every)
 		return;
-	job = new_job(group, DISK_SNAPSHOT);
-	job->snapshot.index = group->applied;
-	job->snapshot.term = group->applied_term;
-	job->snapshot.members = group->applied_members;
-	job->snapshot.data = group->handlers.save(group->arg);
+	snapshot.data = group->handlers.save(group->arg);
 	group->snapshot_busy = true;
-	push_job(group, job);
+	disk_queue_save(group->disk, &snapshot);
 }
 
 static void finish_ready(struct group *group)
@@ -225,7 +158,7 @@
 
 static void begin_ready(struct group *group)
 {
-	struct disk_job *job;
+	struct store_write write;
 
 	cf_replog_get_ready(group->log, &group->ready);
 	send_messages(group, true);
@@ -233,13 +166,12 @@
 		finish_ready(group);
 		return;
 	}
-	job = new_job(group, DISK_APPEND);
-	job->write.state = group->ready.hard_state;
-	job->write.snapshot = group->ready.snapshot;
-	job->write.entries = group->ready.entries;
-	job->write.n_entries = group->ready.n_entries;
+	write.state = group->ready.hard_state;
+	write.snapshot = group->ready.snapshot;
+	write.entries = group->ready.entries;
+	write.n_entries = group->ready.n_entries;
 	group->busy = true;
-	push_job(group, job);
+	disk_queue_append(group->disk, &write);
 }
 
 /* Callbacks may propose; what they add is seen by the outermost call. */
@@ -269,42 +201,37 @@
 {
 	cf_replog_destroy(group->log);
 	store_close(group->store);
-	if (group->jobs)
-		g_async_queue_unref(group->jobs);
-	g_ptr_array_unref(group->jobs_open);
 	g_free(group);
 }
 
-static void take_outcome(struct group *group, struct disk_job *job)
+static void take_outcome(struct group *group,
+			 const struct disk_outcome *outcome)
 {
-	if (job->failure) {
-		fail(group, job->failure);
+	if (outcome->failure) {
+		fail(group, outcome->failure);
 		return;
 	}
 	if (!group->healthy)
 		return;
 	group->pumping = true;
-	if (job->work == DISK_APPEND) {
+	if (!outcome->snapshot) {
 		finish_ready(group);
 	} else {
 		group->snapshot_busy = false;
 		group->snapshot_index =
-			MAX(group->snapshot_index, job->snapshot.index);
-		cf_replog_compact(group->log, job->snapshot.index,
-				  job->snapshot.data);
+			MAX(group->snapshot_index, outcome->saved->index);
+		cf_replog_compact(group->log, outcome->saved->index,
+				  outcome->saved->data);
 	}
 	group->pumping = false;
 }
 
-static void on_written(void *arg)
+static void on_written(void *arg, const struct disk_outcome *outcome)
 {
-	struct disk_job *job = arg;
-	struct group *group = job->group;
+	struct group *group = arg;
 
-	g_ptr_array_remove_fast(group->jobs_open, job);
-	take_outcome(group, job);
+	take_outcome(group, outcome);
 	pump(group);
-	free_job(job);
 }
 
 /* ---- Life ----------------------------------------------------------- */
@@ -370,7 +297,6 @@
 	GError *failure = NULL;
 
 	group->loop = loop;
-	group->jobs_open = g_ptr_array_new();
 	group->handlers = *handlers;
 	group->arg = arg;
 	group->id = o->id;
@@ -387,8 +313,7 @@
 		free_group(group);
 		return NULL;
 	}
-	group->jobs = g_async_queue_new();
-	group->thread = g_thread_new("disk", run_disk, group);
+	group->disk = disk_queue_create(loop, group->store, on_written, group);
 	group->timer = loop_timer_create(loop, on_tick, group);
 	loop_timer_start(group->timer, 0, TICK_MS);
 	return group;
@@ -399,16 +324,7 @@
 	if (!group)
 		return;
 	loop_timer_destroy(group->timer);
-	g_async_queue_push(group->jobs, new_job(group, DISK_STOP));
-	g_thread_join(group->thread);
-	store_close(group->store);
-	group->store = NULL;
-	/* What the disk thread has done is on its way through the loop. */
-	for (guint i = 0; i < group->jobs_open->len; i++) {
-		loop_forget(group->loop,
-			    g_ptr_array_index(group->jobs_open, i));
-		free_job(g_ptr_array_index(group->jobs_open, i));
-	}
+	disk_queue_destroy(group->disk);
 	free_group(group);
 }
 
