--- a/src/leased/run_table.c
+++ b/src/leased/run_table.c
@@ -2,9 +2,7 @@
  * run_table: see run_table.h. A server runs a few dozen tasks at once,
  * so runs are kept in one array.
  */
-#include "leased/run_table.h"
-
-#include "leased/leases.h"
+#include "leased/run_table_internal.h"
 
 #include <string.h>
 
@@ -12,39 +10,8 @@
 
 #define STOP_AGAIN_MS 65 /* without an acknowledgement */
 #define ROOM_WAIT_MS 15 /* after the server had less room than counted */
-#define MISSING_LOOKS 2 /* that don't list a run: it has ended */
 #define NEVER INT64_MAX
 
-/* ---- Types ---------------------------------------------------------- */
-
-enum run_state {
-	RUN_QUEUED,
-	RUN_STARTING, /* the call is under way */
-	RUN_RUNNING,
-	RUN_STOPPING, /* a stop has to be acknowledged */
-	RUN_STOPPED, /* acknowledged; its end is not listed yet */
-};
-
-struct run {
-	struct run_request request;
-	enum run_state state;
-	bool stop_wanted; /* while it is being started */
-	bool maybe_started; /* a start was sent */
-	int64_t started_ms; /* when the start was acknowledged */
-	int64_t stop_wanted_ms;
-	int64_t stop_sent_ms;
-	int64_t stop_acked_ms;
-	uint32_t looks_missing;
-};
-
-struct run_table {
-	struct cf_capacity capacity;
-	GPtrArray *runs; /* struct run; waiting ones sorted by good start */
-	GQueue results; /* struct run_result */
-	int64_t room_wait_ms; /* no start before */
-	int64_t now_ms; /* of the newest call, for stops */
-};
-
 /* ---- Life ----------------------------------------------------------- */
 
 static void free_run(gpointer data)
@@ -81,28 +48,29 @@
 
 /* ---- Finding and ending --------------------------------------------- */
 
-static struct run *at(const struct run_table *table, guint i)
+struct run *run_table_at(const struct run_table *table, guint i)
 {
 	return g_ptr_array_index(table->runs, i);
 }
 
-static struct run *find(const struct run_table *table,
-			const struct run_name *name, guint *position)
+struct run *run_table_find(const struct run_table *table,
+			   const struct run_name *name, guint *position)
 {
 	for (guint i = 0; i < table->runs->len; i++) {
-		if (!run_name_equal(&at(table, i)->request.name, name))
+		if (!run_name_equal(&run_table_at(table, i)->request.name,
+				    name))
 			continue;
 		if (position)
 			*position = i;
-		return at(table, i);
+		return run_table_at(table, i);
 	}
 	return NULL;
 }
 
-static void end_at(struct run_table *table, guint position,
-		   enum run_outcome outcome, int64_t now_ms)
+void run_table_end_at(struct run_table *table, guint position,
+		      enum run_outcome outcome, int64_t now_ms)
 {
-	struct run *run = at(table, position);
+	struct run *run = run_table_at(table, position);
 	struct run_result result = { .dispatcher = run->request.dispatcher,
 				     .name = run->request.name,
 				     .outcome = outcome };
@@ -115,7 +83,7 @@
 
 bool run_table_has(const struct run_table *table, const struct run_name *name)
 {
-	return find(table, name, NULL) != NULL;
+	return run_table_find(table, name, NULL) != NULL;
 }
 
 bool run_table_is_idle(const struct run_table *table)
@@ -142,7 +110,7 @@
 	load->free_cpu_milli = table->capacity.cpu_milli;
 	load->free_memory_mb = table->capacity.memory_mb;
 	for (guint i = 0; i < table->runs->len; i++) {
-		const struct run *run = at(table, i);
+		const struct run *run = run_table_at(table, i);
 		bool waits = run->state == RUN_QUEUED;
 
 		load->queued += waits;
@@ -165,8 +133,8 @@
 	uint32_t sum = 0;
 
 	for (guint i = 0; i < table->runs->len; i++)
-		if (at(table, i)->state != RUN_QUEUED)
-			sum += at(table, i)->request.accelerators;
+		if (run_table_at(table, i)->state != RUN_QUEUED)
+			sum += run_table_at(table, i)->request.accelerators;
 	return sum;
 }
 
@@ -192,13 +160,13 @@
 	guint position = 0;
 
 	table->now_ms = now_ms;
-	if (find(table, &request->name, NULL))
+	if (run_table_find(table, &request->name, NULL))
 		return;
 	run = g_new0(struct run, 1);
 	run->request = *request;
 	g_bytes_ref(run->request.spec);
 	while (position < table->runs->len &&
-	       at(table, position)->request.good_start_ms <=
+	       run_table_at(table, position)->request.good_start_ms <=
 		       request->good_start_ms)
 		position++;
 	g_ptr_array_insert(table->runs, (gint)position, run);
@@ -207,9 +175,10 @@
 static void expire_queued(struct run_table *table, int64_t now_ms)
 {
 	for (guint i = table->runs->len; i-- > 0;)
-		if (at(table, i)->state == RUN_QUEUED &&
-		    at(table, i)->request.deadline_ms <= now_ms)
-			end_at(table, i, RUN_OUTCOME_NOT_STARTED, now_ms);
+		if (run_table_at(table, i)->state == RUN_QUEUED &&
+		    run_table_at(table, i)->request.deadline_ms <= now_ms)
+			run_table_end_at(table, i, RUN_OUTCOME_NOT_STARTED,
+					 now_ms);
 }
 
 const struct run_request *run_table_next_start(struct run_table *table,
@@ -220,7 +189,7 @@
 	if (now_ms < table->room_wait_ms)
 		return NULL;
 	for (guint i = 0; i < table->runs->len; i++) {
-		struct run *run = at(table, i);
+		struct run *run = run_table_at(table, i);
 
 		if (run->state != RUN_QUEUED)
 			continue;
@@ -245,7 +214,7 @@
 static void take_refusal(struct run_table *table, guint position,
 			 enum run_refusal refusal, int64_t now_ms)
 {
-	struct run *run = at(table, position);
+	struct run *run = run_table_at(table, position);
 	bool again = refusal == RUN_NO_ROOM || refusal == RUN_TOO_LATE;
 
 	if (again && !run->stop_wanted) {
@@ -255,20 +224,21 @@
 		return;
 	}
 	if (refusal == RUN_OLD || refusal == RUN_FENCED)
-		end_at(table, position, RUN_OUTCOME_OUTDATED, now_ms);
+		run_table_end_at(table, position, RUN_OUTCOME_OUTDATED, now_ms);
 	else if (refusal == RUN_MALFORMED)
-		end_at(table, position, RUN_OUTCOME_FAILED, now_ms);
+		run_table_end_at(table, position, RUN_OUTCOME_FAILED, now_ms);
 	else if (refusal == RUN_UNHEALTHY)
-		end_at(table, position, RUN_OUTCOME_REFUSED, now_ms);
+		run_table_end_at(table, position, RUN_OUTCOME_REFUSED, now_ms);
 	else
-		end_at(table, position, RUN_OUTCOME_NOT_STARTED, now_ms);
+		run_table_end_at(table, position, RUN_OUTCOME_NOT_STARTED,
+				 now_ms);
 }
 
 void run_table_started(struct run_table *table, const struct run_name *name,
 		       enum run_refusal refusal, int64_t now_ms)
 {
 	guint position;
-	struct run *run = find(table, name, &position);
+	struct run *run = run_table_find(table, name, &position);
 
 	table->now_ms = now_ms;
 	if (!run || run->state != RUN_STARTING)
@@ -286,7 +256,7 @@
 void run_table_start_unknown(struct run_table *table,
 			     const struct run_name *name)
 {
-	struct run *run = find(table, name, NULL);
+	struct run *run = run_table_find(table, name, NULL);
 
 	if (run && run->state == RUN_STARTING)
 		want_stop(table, run);
@@ -296,11 +266,12 @@
 
 static void stop_at(struct run_table *table, guint position)
 {
-	struct run *run = at(table, position);
+	struct run *run = run_table_at(table, position);
 
 	switch (run->state) {
 	case RUN_QUEUED:
-		end_at(table, position, RUN_OUTCOME_NOT_STARTED, table->now_ms);
+		run_table_end_at(table, position, RUN_OUTCOME_NOT_STARTED,
+				 table->now_ms);
 		break;
 	case RUN_STARTING:
 		run->stop_wanted = true;
@@ -317,7 +288,7 @@
 {
 	guint position;
 
-	if (find(table, name, &position))
+	if (run_table_find(table, name, &position))
 		stop_at(table, position);
 }
 
@@ -334,15 +305,15 @@
 			   const struct run_name *kept, size_t n_kept)
 {
 	for (guint i = table->runs->len; i-- > 0;)
-		if (at(table, i)->request.dispatcher == dispatcher &&
-		    !is_kept(at(table, i), kept, n_kept))
+		if (run_table_at(table, i)->request.dispatcher == dispatcher &&
+		    !is_kept(run_table_at(table, i), kept, n_kept))
 			stop_at(table, i);
 }
 
 void run_table_return_queued(struct run_table *table)
 {
 	for (guint i = table->runs->len; i-- > 0;)
-		if (at(table, i)->state == RUN_QUEUED)
+		if (run_table_at(table, i)->state == RUN_QUEUED)
 			stop_at(table, i);
 }
 
@@ -351,7 +322,7 @@
 {
 	table->now_ms = now_ms;
 	for (guint i = 0; i < table->runs->len; i++) {
-		struct run *run = at(table, i);
+		struct run *run = run_table_at(table, i);
 
 		if (run->state != RUN_STOPPING ||
 		    (run->stop_sent_ms &&
@@ -367,7 +338,7 @@
 void run_table_stop_acked(struct run_table *table, const struct run_name *name,
 			  int64_t now_ms)
 {
-	struct run *run = find(table, name, NULL);
+	struct run *run = run_table_find(table, name, NULL);
 
 	if (!run || run->state != RUN_STOPPING)
 		return;
@@ -380,129 +351,42 @@
 	int64_t oldest_ms = NEVER;
 
 	for (guint i = 0; i < table->runs->len; i++)
-		if (at(table, i)->state == RUN_STOPPING)
-			oldest_ms =
-				MIN(oldest_ms, at(table, i)->stop_wanted_ms);
+		if (run_table_at(table, i)->state == RUN_STOPPING)
+			oldest_ms = MIN(oldest_ms,
+					run_table_at(table, i)->stop_wanted_ms);
 	return oldest_ms == NEVER ? 0 : MAX(now_ms - oldest_ms, 1);
 }
 
 bool run_table_awaits_list(const struct run_table *table)
 {
 	for (guint i = 0; i < table->runs->len; i++)
-		if (at(table, i)->state == RUN_STOPPED)
-			return true;
-	return false;
-}
-
-/* ---- What the server lists ------------------------------------------ */
-
-static enum run_outcome outcome_of(enum run_end_how how)
-{
-	switch (how) {
-	case RUN_END_DONE:
-		return RUN_OUTCOME_DONE;
-	case RUN_END_FAILED:
-		return RUN_OUTCOME_FAILED;
-	default:
-		return RUN_OUTCOME_STOPPED;
-	}
-}
-
-static void take_ends(struct run_table *table, const struct run_lists *lists,
-		      int64_t now_ms)
-{
-	for (guint i = 0; i < lists->ended->len; i++) {
-		const struct run_listed_end *end =
-			&g_array_index(lists->ended, struct run_listed_end, i);
-		guint position;
-
-		if (find(table, &end->name, &position))
-			end_at(table, position, outcome_of(end->how), now_ms);
-	}
-}
-
-static bool is_listed(const struct run_lists *lists,
-		      const struct run_name *name)
-{
-	for (guint i = 0; i < lists->running->len; i++)
-		if (run_name_equal(
-			    &g_array_index(lists->running, struct run_name, i),
-			    name))
+		if (run_table_at(table, i)->state == RUN_STOPPED)
 			return true;
 	return false;
 }
 
-/* Neither running nor ended in a list made after its start or stop was
- * acknowledged: a stopped one never ran, a running one is lost. One that
- * is still being stopped is listed as running. */
-static void take_missing(struct run_table *table, guint position,
-			 int64_t sent_ms, int64_t now_ms)
-{
-	struct run *run = at(table, position);
-
-	if (run->state == RUN_STOPPED && sent_ms >= run->stop_acked_ms)
-		end_at(table, position,
-		       run->started_ms ? RUN_OUTCOME_STOPPED
-				       : RUN_OUTCOME_NOT_STARTED,
-		       now_ms);
-	else if (run->state == RUN_RUNNING && sent_ms > run->started_ms &&
-		 ++run->looks_missing >= MISSING_LOOKS)
-		end_at(table, position, RUN_OUTCOME_STOPPED, now_ms);
-}
-
-static void find_strangers(const struct run_table *table,
-			   const struct run_lists *lists, GArray *strangers)
-{
-	for (guint i = 0; i < lists->running->len; i++) {
-		const struct run_name *name =
-			&g_array_index(lists->running, struct run_name, i);
-
-		if (!find(table, name, NULL))
-			g_array_append_val(strangers, *name);
-	}
-}
-
-void run_table_take_lists(struct run_table *table,
-			  const struct run_lists *lists, int64_t sent_ms,
-			  int64_t now_ms, GArray *strangers)
-{
-	table->now_ms = now_ms;
-	take_ends(table, lists, now_ms);
-	for (guint i = table->runs->len; i-- > 0;) {
-		struct run *run = at(table, i);
-
-		if (!is_listed(lists, &run->request.name)) {
-			take_missing(table, i, sent_ms, now_ms);
-			continue;
-		}
-		run->looks_missing = 0;
-		if (!run->started_ms)
-			run->started_ms = now_ms;
-	}
-	find_strangers(table, lists, strangers);
-}
-
 /* ---- Ends of everything --------------------------------------------- */
 
 void run_table_lease_ended(struct run_table *table, int64_t now_ms)
 {
 	for (guint i = table->runs->len; i-- > 0;)
-		end_at(table, i,
-		       at(table, i)->maybe_started ? RUN_OUTCOME_STOPPED
-						   : RUN_OUTCOME_NOT_STARTED,
-		       now_ms);
+		run_table_end_at(table, i,
+				 run_table_at(table, i)->maybe_started
+					 ? RUN_OUTCOME_STOPPED
+					 : RUN_OUTCOME_NOT_STARTED,
+				 now_ms);
 }
 
 void run_table_new_life(struct run_table *table, int64_t now_ms)
 {
 	for (guint i = table->runs->len; i-- > 0;) {
-		struct run *run = at(table, i);
+		struct run *run = run_table_at(table, i);
 		bool answered = run->started_ms || run->state == RUN_STOPPED;
 
 		if (run->state == RUN_QUEUED)
 			continue;
 		if (answered)
-			end_at(table, i, RUN_OUTCOME_STOPPED, now_ms);
+			run_table_end_at(table, i, RUN_OUTCOME_STOPPED, now_ms);
 		else if (run->state == RUN_STARTING)
 			want_stop(table, run);
 	}
