--- a/tests/test_replog.c
+++ b/tests/test_replog.c
@@ -617,58 +617,6 @@
 	lognet_destroy(net);
 }
 
-/* A follower that is told of a planned stop elects at once, and not
- * before; one that follows another leader heeds it not. */
-static void test_handover(void **state)
-{
-	static const struct {
-		const char *what;
-		uint32_t leader; /* that member 1 follows */
-		bool told; /* by member 2 */
-		bool stands;
-	} cases[] = {
-		{ "not told", 2, false, false },
-		{ "told by its leader", 2, true, true },
-		{ "told by another", 3, true, false },
-	};
-
-	(void)state;
-	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
-		struct cf_replog *log = make_log(3, 4, "112");
-		struct cf_replog_message m =
-			from(cases[i].leader, CF_REPLOG_APPEND, 4);
-
-		m.index = 3;
-		m.log_term = 2;
-		cf_replog_step(log, &m, 1000);
-		assert_int_equal(cf_replog_leader(log), cases[i].leader);
-		m = from(2, CF_REPLOG_HANDOVER, 4);
-		if (cases[i].told)
-			cf_replog_step(log, &m, 1010);
-		flush(log, 1010, NULL);
-		cf_replog_tick(log, 1010 + ELECTION_MS / 4);
-		assert_int_equal(flush(log, 1010 + ELECTION_MS / 4, &m) &&
-					 m.kind == CF_REPLOG_PREVOTE,
-				 cases[i].stands);
-		cf_replog_destroy(log);
-	}
-}
-
-/* The leader that hands over leads no more and tells the others. */
-static void test_leader_hands_over(void **state)
-{
-	struct cf_replog *log = make_log(3, 4, "112");
-	struct cf_replog_message m = { 0 };
-
-	(void)state;
-	lead(log, LATE_MS);
-	cf_replog_hand_over(log, LATE_MS + 10);
-	assert_int_equal(cf_replog_leader(log), 0);
-	assert_true(flush(log, LATE_MS + 10, &m));
-	assert_int_equal(m.kind, CF_REPLOG_HANDOVER);
-	cf_replog_destroy(log);
-}
-
 static void test_leader_removes_itself(void **state)
 {
 	struct lognet *net = make_net(3);
@@ -710,8 +658,6 @@
 		cmocka_unit_test(test_return_disturbs_nobody),
 		cmocka_unit_test(test_higher_term_rejoins),
 		cmocka_unit_test(test_replace_member),
-		cmocka_unit_test(test_handover),
-		cmocka_unit_test(test_leader_hands_over),
 		cmocka_unit_test(test_leader_removes_itself),
 	};
 
--- /dev/null
+++ b/tests/test_replog_handover.c
@@ -0,0 +1,134 @@
+/*
+ * test_replog_handover: a leader that stops as planned has the others
+ * elect at once, in a network without faults; nobody else can.
+ */
+#include "support/lognet.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+#include <cmocka.h>
+
+#define ELECTION_MS 600
+#define SETTLE_MS 20000
+#define SOON_MS (ELECTION_MS / 2) /* without it, twice that at least */
+#define VOTERS_MAX 5
+
+/* ---- Support ---- */
+
+static struct lognet *make(uint32_t n_voters)
+{
+	const struct lognet_options options = { .seed = 20261204,
+						.n_voters = n_voters,
+						.delay_ms = 10,
+						.disk_ms = 10 };
+	struct lognet *net = lognet_create(&options);
+
+	while (!lognet_leader(net)) {
+		assert_true(net->now_ms < SETTLE_MS);
+		lognet_step(net);
+	}
+	/* All have heard from it. */
+	for (int i = 0; i < ELECTION_MS / LOGNET_STEP_MS / 2; i++)
+		lognet_step(net);
+	assert_non_null(lognet_leader(net));
+	return net;
+}
+
+/* How long until another one leads. */
+static int64_t until_another_leads(struct lognet *net, uint32_t before)
+{
+	int64_t from_ms = net->now_ms;
+
+	for (;;) {
+		const struct lognet_node *leader = lognet_leader(net);
+
+		if (leader && leader->id != before)
+			return net->now_ms - from_ms;
+		assert_true(net->now_ms - from_ms < SETTLE_MS);
+		lognet_step(net);
+	}
+}
+
+/* ---- Tests ---- */
+
+static void test_others_elect_at_once(void **state)
+{
+	(void)state;
+	for (uint32_t n = 3; n <= VOTERS_MAX; n += 2) {
+		struct lognet *net = make(n);
+		struct lognet_node *leader = lognet_leader(net);
+
+		cf_replog_hand_over(leader->log, net->now_ms);
+		assert_int_equal(cf_replog_leader(leader->log), 0);
+		assert_true(until_another_leads(net, leader->id) <= SOON_MS);
+		assert_string_equal(net->fault, "");
+		lognet_destroy(net);
+	}
+}
+
+/* The time that a handover saves. */
+static void test_a_crash_is_waited_out(void **state)
+{
+	struct lognet *net = make(3);
+	struct lognet_node *leader = lognet_leader(net);
+
+	(void)state;
+	lognet_crash(net, leader);
+	assert_true(until_another_leads(net, leader->id) > SOON_MS);
+	assert_string_equal(net->fault, "");
+	lognet_destroy(net);
+}
+
+static void test_only_the_leader_hands_over(void **state)
+{
+	struct lognet *net = make(3);
+	struct lognet_node *leader = lognet_leader(net);
+	uint64_t term = cf_replog_term(leader->log);
+
+	(void)state;
+	for (uint32_t i = 0; i < net->n_nodes; i++) {
+		struct lognet_node *node = &net->nodes[i];
+		struct cf_replog_message told = { .kind = CF_REPLOG_HANDOVER,
+						  .to = node->id,
+						  .term = term };
+
+		if (node == leader)
+			continue;
+		/* By the third one, and by itself as if it led. */
+		told.from = 6 - node->id - leader->id;
+		cf_replog_step(node->log, &told, net->now_ms);
+		cf_replog_hand_over(node->log, net->now_ms);
+	}
+	for (int i = 0; i < SOON_MS / LOGNET_STEP_MS; i++)
+		lognet_step(net);
+	assert_ptr_equal(lognet_leader(net), leader);
+	assert_int_equal(cf_replog_term(leader->log), term);
+	lognet_destroy(net);
+}
+
+/* A lone voter has nobody to hand over to, and goes on. */
+static void test_alone(void **state)
+{
+	struct lognet *net = make(1);
+	struct lognet_node *leader = lognet_leader(net);
+
+	(void)state;
+	cf_replog_hand_over(leader->log, net->now_ms);
+	assert_ptr_equal(lognet_leader(net), leader);
+	lognet_destroy(net);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_others_elect_at_once),
+		cmocka_unit_test(test_a_crash_is_waited_out),
+		cmocka_unit_test(test_only_the_leader_hands_over),
+		cmocka_unit_test(test_alone),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
