--- a/tests/test_replog_handover.c
+++ b/tests/test_replog_handover.c
@@ -101,6 +101,7 @@
 		told.from = 6 - node->id - leader->id;
 		cf_replog_step(node->log, &told, net->now_ms);
 		cf_replog_hand_over(node->log, net->now_ms);
+		assert_int_equal(cf_replog_leader(node->log), leader->id);
 	}
 	for (int i = 0; i < SOON_MS / LOGNET_STEP_MS; i++)
 		lognet_step(net);
