Tests wait until the traces are written before they check them

Cause: the check read the trace files of running processes. Each process writes its events by a thread of its own, so the dispatcher's answer could be in its file while the agent's ends were still buffered. Ruled out: an answer before its tasks had ended (the agent records the end before it sends the result). Change: gauge trace_unwritten_events; cluster_check waits until it is 0 at each process with an admin address. test_logger checks the gauge.

--- a/src/base/trace_file.c
+++ b/src/base/trace_file.c
@@ -5,6 +5,7 @@
 #include "base/trace_file.h"
 
 #include "base/clock.h"
+#include "base/counters.h"
 
 #include <errno.h>
 #include <fcntl.h>
@@ -18,6 +19,8 @@
 static GString *buffer; /* under lock */
 static bool closing; /* under lock */
 static uint64_t next_number; /* under lock */
+static int64_t buffered; /* events in the buffer, under lock */
+static struct counter *unwritten; /* events not in the file yet */
 static GThread *writer;
 static int file = -1;
 static char *process_name;
@@ -46,6 +49,7 @@
 	(void)unused;
 	while (!done) {
 		GString *lines;
+		int64_t events;
 
 		g_mutex_lock(&lock);
 		while (!buffer->len && !closing)
@@ -53,8 +57,11 @@
 		done = closing;
 		lines = buffer;
 		buffer = spare;
+		events = buffered;
+		buffered = 0;
 		g_mutex_unlock(&lock);
 		write_out(lines);
+		counter_add(unwritten, -events);
 		g_string_truncate(lines, 0);
 		spare = lines;
 	}
@@ -90,6 +97,9 @@
 	buffer = g_string_new(NULL);
 	closing = false;
 	next_number = 1;
+	buffered = 0;
+	unwritten = gauge_get("trace_unwritten_events", NULL,
+			      "events that are not in the trace file yet");
 	writer = g_thread_new("trace", run_writer, NULL);
 	atomic_store(&enabled, true);
 	return true;
@@ -108,6 +118,8 @@
 		return;
 	g_mutex_lock(&lock);
 	if (buffer && !closing) {
+		buffered++;
+		counter_add(unwritten, 1);
 		g_string_append_printf(
 			buffer,
 			"t=%" G_GINT64_FORMAT " w=%" G_GINT64_FORMAT
--- a/src/base/trace_file.h
+++ b/src/base/trace_file.h
@@ -1,7 +1,8 @@
 /*
  * trace_file: the event trace of this process (--trace FILE), one line
  * an event, buffered and written by its own thread. Any thread may
- * write; without a file every call returns at once.
+ * write; without a file every call returns at once. The gauge
+ * trace_unwritten_events is 0 once the file holds every event.
  *
  * Line: "t=<monotonic us> w=<wall us> p=<name> i=<incarnation hex>
  * n=<number in file> e=<event> <fields>". Fields are key=value without
--- a/tests/support/cluster.c
+++ b/tests/support/cluster.c
@@ -26,6 +26,7 @@
 #define PORT_HTTP 9001
 #define HTTP_TIMEOUT_MS 2000
 #define FAULTS_SHOWN 20
+#define TRACE_WAIT_MS 10000
 
 /* ---- Layout ---- */
 
@@ -355,6 +356,32 @@
 
 /* ---- Traces ---- */
 
+static bool has_admin(const struct proc *p)
+{
+	for (int i = 0; i < p->n_args; i++)
+		if (!strcmp(p->args[i], "--admin"))
+			return true;
+	return false;
+}
+
+static bool trace_is_written(struct cluster *c, void *name)
+{
+	return !cluster_metric(c, name, "chervilferry_trace_unwritten_events");
+}
+
+/* What a caller was told may be in one process's file before what led to
+ * it is in another's: the files are read once none waits to be written. */
+static void await_traces(struct cluster *c)
+{
+	for (int i = 0; i < c->n_procs; i++) {
+		struct proc *p = &c->procs[i];
+
+		if (p->pid && has_admin(p))
+			assert_true(cluster_wait(c, trace_is_written, p->name,
+						 TRACE_WAIT_MS));
+	}
+}
+
 static void read_traces(struct cluster *c, struct cf_trace *trace,
 			struct cf_replay *replay)
 {
@@ -412,6 +439,7 @@
 
 	if (!summary)
 		summary = &own;
+	await_traces(c);
 	read_traces(c, trace, replay);
 	n = cf_trace_check(trace, summary, faults, FAULTS_SHOWN);
 	cf_replay_get_summary(replay, &replayed);
--- a/tests/test_logger.c
+++ b/tests/test_logger.c
@@ -1,6 +1,7 @@
 /*
  * test_logger: lines of both formats, and the trace file.
  */
+#include "base/counters.h"
 #include "base/logger.h"
 #include "base/trace_file.h"
 
@@ -159,6 +160,41 @@
 	unlink(path);
 }
 
+static int count_events(const char *path)
+{
+	char *text;
+	int n = 0;
+
+	assert_true(g_file_get_contents(path, &text, NULL, NULL));
+	for (const char *at = text; (at = strchr(at, '\n')); at++)
+		n++;
+	g_free(text);
+	return n;
+}
+
+/* Whoever reads the file of a running process waits for the gauge. */
+static void test_trace_tells_what_is_not_written(void **state)
+{
+	struct counter *unwritten =
+		gauge_get("trace_unwritten_events", NULL, NULL);
+	char path[] = "/tmp/test_logger_XXXXXX";
+	int fd = mkstemp(path);
+
+	(void)state;
+	assert_true(trace_open(path, "a1", 0xabcULL, NULL));
+	for (int written = 0; written < EVENTS_A_THREAD;) {
+		trace_event("start", NULL);
+		written++;
+		while (counter_value(unwritten))
+			g_thread_yield();
+		assert_int_equal(count_events(path), written);
+	}
+	trace_close();
+	assert_int_equal(counter_value(unwritten), 0);
+	close(fd);
+	unlink(path);
+}
+
 static void test_trace_that_can_not_be_opened(void **state)
 {
 	GError *error = NULL;
@@ -177,6 +213,7 @@
 		cmocka_unit_test(test_json_lines),
 		cmocka_unit_test(test_level_and_format_names),
 		cmocka_unit_test(test_trace_keeps_every_event_in_order),
+		cmocka_unit_test(test_trace_tells_what_is_not_written),
 		cmocka_unit_test(test_trace_that_can_not_be_opened),
 	};
 
