Elect at once when all members have just started

Cause: after all processes are killed or lose power, a restarted member takes part in no election for a whole timeout (its earlier life may have acknowledged a leader), and stands only after one to two timeouts. Change: such a member asks the other voters whether they know a leader. If each of them says, in this life of the asker, that it leads not and knows none, no leader can be in office that counts on the earlier life, and the members stand in the order of their ids. One that is silent is waited for as before. Replies carry a number of the asker's life.

--- a/include/chervilferry.h
+++ b/include/chervilferry.h
@@ -83,6 +83,8 @@
 	CF_REPLOG_SNAPSHOT,
 	CF_REPLOG_SNAPSHOT_REPLY,
 	CF_REPLOG_HANDOVER, /* the leader stops: elect at once */
+	CF_REPLOG_WHO_LEADS, /* just started: does anybody know a leader? */
+	CF_REPLOG_NOBODY_LEADS, /* its reply, with the same sent_ms */
 };
 
 struct cf_replog_message {
--- a/src/lib/replog.c
+++ b/src/lib/replog.c
@@ -7,6 +7,8 @@
  */
 #include "lib/replog_internal.h"
 
+#include <xxhash.h>
+
 #define REPLOG_HEARTBEAT_MS 100
 #define REPLOG_ELECTION_MS 600
 #define REPLOG_BATCH_BYTES ((size_t)256 << 10)
@@ -162,6 +164,9 @@
 	log->now_ms = now_ms;
 	/* The life before this one may have acknowledged a leader just now. */
 	log->heard_ms = now_ms;
+	log->alone_since_start = true;
+	log->asked_ms = INT64_MIN / 2;
+	log->life = (int64_t)XXH64(&now_ms, sizeof(now_ms), log->seed);
 	log->entries = new_entries();
 	log->messages = new_messages();
 	log->ready_entries = new_entries();
@@ -213,8 +218,10 @@
 	log->now_ms = MAX(log->now_ms, now_ms);
 	if (log->role == REPLOG_LEADER)
 		replog_leader_tick(log);
-	else
+	else {
+		replog_ask_who_leads(log);
 		replog_election_tick(log);
+	}
 }
 
 /* Tells the sender of a request from an older term the newer one. */
@@ -298,6 +305,15 @@
 	log->now_ms = MAX(log->now_ms, now_ms);
 	if (m->to != log->id || m->from == log->id)
 		return;
+	/* About a life, not about a term. */
+	if (m->kind == CF_REPLOG_WHO_LEADS) {
+		replog_on_who_leads(log, m);
+		return;
+	}
+	if (m->kind == CF_REPLOG_NOBODY_LEADS) {
+		replog_on_nobody_leads(log, m);
+		return;
+	}
 	if (m->term > log->state.term && !meet_newer_term(log, m))
 		return;
 	if (m->term < log->state.term) {
@@ -326,6 +342,9 @@
 	case CF_REPLOG_HANDOVER:
 		replog_on_handover(log, m);
 		break;
+	case CF_REPLOG_WHO_LEADS:
+	case CF_REPLOG_NOBODY_LEADS:
+		break;
 	}
 }
 
--- a/src/lib/replog_append.c
+++ b/src/lib/replog_append.c
@@ -113,6 +113,7 @@
 
 	log->role = REPLOG_LEADER;
 	log->leader = log->id;
+	log->alone_since_start = false;
 	log->term_start = noop.index;
 	for (size_t i = 0; i < log->n_peers; i++) {
 		struct replog_peer *peer = &log->peers[i];
@@ -257,6 +258,7 @@
 	if (log->role != REPLOG_FOLLOWER || log->leader != m->from)
 		replog_follow(log, m->term, m->from);
 	log->heard_ms = log->now_ms;
+	log->alone_since_start = false;
 	replog_reset_election(log);
 }
 
--- a/src/lib/replog_internal.h
+++ b/src/lib/replog_internal.h
@@ -28,6 +28,7 @@
 	uint32_t id;
 	bool voter;
 	bool granted; /* its vote in the current (pre-)election */
+	bool leaderless; /* it has told this life that it knows no leader */
 	enum peer_state state;
 	bool probe_sent;
 	uint64_t match; /* holds the log up to here, synced */
@@ -49,6 +50,9 @@
 	int64_t now_ms; /* newest time told */
 	int64_t heard_ms; /* follower: from the leader */
 	int64_t election_at_ms, heartbeat_at_ms;
+	int64_t life; /* told in questions, to know the replies to this life */
+	int64_t asked_ms; /* who leads; when last */
+	bool alone_since_start; /* it has heard of no leader since it started */
 	uint64_t term_start; /* leader: its first entry */
 
 	struct cf_snapshot snapshot; /* the log begins after its index */
@@ -107,6 +111,13 @@
 void replog_on_vote_reply(struct cf_replog *log,
 			  const struct cf_replog_message *message);
 
+/* After a start (replog_start.c). */
+void replog_ask_who_leads(struct cf_replog *log);
+void replog_on_who_leads(struct cf_replog *log,
+			 const struct cf_replog_message *message);
+void replog_on_nobody_leads(struct cf_replog *log,
+			    const struct cf_replog_message *message);
+
 /* Replication. */
 void replog_lead(struct cf_replog *log);
 void replog_leader_tick(struct cf_replog *log);
--- /dev/null
+++ b/src/lib/replog_start.c
@@ -0,0 +1,88 @@
+/*
+ * replog_start: a member that has just started takes part in no election
+ * for a while, as its earlier life may have acknowledged a leader that
+ * counts on it. It asks the other voters. If each of them, at some moment
+ * of this life, leads not and knows no leader, then whoever led before is
+ * out of office, and all of them elect at once. Answers the loss of all
+ * members at the same time, after which nothing is served without a leader.
+ */
+#include "lib/replog_internal.h"
+
+/* ---- Constants ------------------------------------------------------ */
+
+#define ASKS_AN_ELECTION 12 /* questions within an election's timeout */
+#define RANK_PART 8 /* of it, between members that stand */
+
+/* ---- Questions ------------------------------------------------------ */
+
+static bool knows_no_leader(const struct cf_replog *log)
+{
+	return log->role != REPLOG_LEADER && !log->leader;
+}
+
+static bool waits_after_start(const struct cf_replog *log)
+{
+	return log->alone_since_start && knows_no_leader(log) &&
+	       log->now_ms - log->heard_ms < log->election_ms;
+}
+
+void replog_ask_who_leads(struct cf_replog *log)
+{
+	if (!waits_after_start(log) || log->members.n_voters < 2 ||
+	    log->now_ms - log->asked_ms < log->election_ms / ASKS_AN_ELECTION)
+		return;
+	log->asked_ms = log->now_ms;
+	for (size_t i = 0; i < log->n_peers; i++) {
+		const struct replog_peer *peer = &log->peers[i];
+
+		if (peer->voter && peer->id != log->id)
+			replog_message(log, CF_REPLOG_WHO_LEADS, peer->id)
+				->sent_ms = log->life;
+	}
+}
+
+void replog_on_who_leads(struct cf_replog *log,
+			 const struct cf_replog_message *m)
+{
+	if (knows_no_leader(log))
+		replog_message(log, CF_REPLOG_NOBODY_LEADS, m->from)->sent_ms =
+			m->sent_ms;
+}
+
+/* ---- Replies -------------------------------------------------------- */
+
+static bool all_are_leaderless(const struct cf_replog *log)
+{
+	for (size_t i = 0; i < log->n_peers; i++) {
+		const struct replog_peer *peer = &log->peers[i];
+
+		if (peer->voter && peer->id != log->id && !peer->leaderless)
+			return false;
+	}
+	return true;
+}
+
+/* How many voters stand before this one, by their ids. */
+static int64_t rank(const struct cf_replog *log)
+{
+	int64_t n = 0;
+
+	for (size_t i = 0; i < log->n_peers; i++)
+		n += log->peers[i].voter && log->peers[i].id < log->id;
+	return n;
+}
+
+void replog_on_nobody_leads(struct cf_replog *log,
+			    const struct cf_replog_message *m)
+{
+	struct replog_peer *peer = replog_peer(log, m->from);
+
+	if (!peer || m->sent_ms != log->life || !waits_after_start(log))
+		return;
+	peer->leaderless = true;
+	if (!all_are_leaderless(log))
+		return;
+	log->heard_ms = log->now_ms - log->election_ms;
+	log->election_at_ms =
+		log->now_ms + rank(log) * log->election_ms / RANK_PART;
+}
--- a/src/store/log_message.c
+++ b/src/store/log_message.c
@@ -115,7 +115,8 @@
 
 static bool is_sound(const Cfw__LogMessage *packed)
 {
-	if (packed->kind > CF_REPLOG_HANDOVER || !packed->from || !packed->to)
+	if (packed->kind > CF_REPLOG_NOBODY_LEADS || !packed->from ||
+	    !packed->to)
 		return false;
 	for (size_t i = 0; i < packed->n_entries; i++)
 		if (packed->entries[i]->kind > CF_ENTRY_MEMBERS)
--- a/tests/test_replog_handover.c
+++ b/tests/test_replog_handover.c
@@ -1,6 +1,6 @@
 /*
- * test_replog_handover: a leader that stops as planned has the others
- * elect at once, in a network without faults; nobody else can.
+ * test_replog_handover: when members elect at once, in a network without
+ * faults: the leader stops as planned, or all of them have started anew.
  */
 #include "support/lognet.h"
 
@@ -110,6 +110,71 @@
 	lognet_destroy(net);
 }
 
+/* ---- After a start --------------------------------------------------- */
+
+static void test_all_started_anew_elect_at_once(void **state)
+{
+	(void)state;
+	for (uint32_t n = 3; n <= VOTERS_MAX; n += 2) {
+		struct lognet *net = make(n);
+
+		for (uint32_t i = 0; i < n; i++)
+			lognet_crash(net, &net->nodes[i]);
+		for (uint32_t i = 0; i < n; i++)
+			lognet_restart(net, &net->nodes[i]);
+		assert_true(until_another_leads(net, 0) <= SOON_MS);
+		assert_string_equal(net->fault, "");
+		lognet_destroy(net);
+	}
+}
+
+/* One that says nothing may lead: the others wait for it. */
+static void test_one_that_is_missing_is_waited_for(void **state)
+{
+	struct lognet *net = make(3);
+	struct lognet_node *leader = lognet_leader(net);
+
+	(void)state;
+	for (uint32_t i = 0; i < net->n_nodes; i++)
+		lognet_crash(net, &net->nodes[i]);
+	for (uint32_t i = 0; i < net->n_nodes; i++)
+		if (&net->nodes[i] != leader)
+			lognet_restart(net, &net->nodes[i]);
+	assert_true(until_another_leads(net, leader->id) > SOON_MS);
+	assert_string_equal(net->fault, "");
+	lognet_destroy(net);
+}
+
+/* Replies to an earlier life, and of one that isn't asked, count for
+ * nothing; a leader that is there is followed as ever. */
+static void test_replies_to_another_life(void **state)
+{
+	struct lognet *net = make(3);
+	struct lognet_node *leader = lognet_leader(net);
+	uint64_t term = cf_replog_term(leader->log);
+	struct lognet_node *node = &net->nodes[leader->id % net->n_nodes];
+
+	(void)state;
+	lognet_crash(net, node);
+	lognet_restart(net, node);
+	for (uint32_t id = 1; id <= net->n_nodes; id++) {
+		struct cf_replog_message told = {
+			.kind = CF_REPLOG_NOBODY_LEADS,
+			.from = id,
+			.to = node->id,
+			.term = term,
+			.sent_ms = 1
+		};
+
+		cf_replog_step(node->log, &told, net->now_ms);
+	}
+	for (int i = 0; i < ELECTION_MS / LOGNET_STEP_MS; i++)
+		lognet_step(net);
+	assert_ptr_equal(lognet_leader(net), leader);
+	assert_int_equal(cf_replog_term(leader->log), term);
+	lognet_destroy(net);
+}
+
 /* A lone voter has nobody to hand over to, and goes on. */
 static void test_alone(void **state)
 {
@@ -128,6 +193,9 @@
 		cmocka_unit_test(test_others_elect_at_once),
 		cmocka_unit_test(test_a_crash_is_waited_out),
 		cmocka_unit_test(test_only_the_leader_hands_over),
+		cmocka_unit_test(test_all_started_anew_elect_at_once),
+		cmocka_unit_test(test_one_that_is_missing_is_waited_for),
+		cmocka_unit_test(test_replies_to_another_life),
 		cmocka_unit_test(test_alone),
 	};
 
