--- a/src/leased/agent.c
+++ b/src/leased/agent.c
@@ -41,7 +41,6 @@
 	struct leased_agent *a = arg;
 
 	agent_take_results(a, server);
-	a->state_changed = true;
 	agent_tell_peers(a, loop_now_ms(a->loop));
 }
 
@@ -51,13 +50,12 @@
 	struct server_options options = { .formats = a->formats,
 					  .client = a->client,
 					  .loop = a->loop,
-					  .usable_ms = a->usable_ms,
+					  .past_ends_ms = a->past_ends_ms,
 					  .changed = server_changed,
 					  .arg = a };
 	struct server *server = server_create(&options, report, now_ms);
 
 	g_hash_table_insert(a->servers, g_strdup(report->name), server);
-	a->state_changed = true;
 }
 
 static void reply_ok(struct http_request *request)
@@ -137,29 +135,21 @@
 	g_hash_table_iter_init(&iter, a->servers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct server *server = value;
-		bool accepted = server_accepting(server, now_ms);
-
 		server_work(server, now_ms);
 		agent_take_results(a, server);
 		idle = idle && run_table_is_idle(server_runs(server));
-		if (accepted != server_accepting(server, now_ms))
-			a->state_changed = true;
 		if (server_is_gone(server, now_ms)) {
 			log_event(LOG_INFO, "server_forgotten", "server=%s",
 				  server_last_report(server)->name);
 			g_hash_table_iter_remove(&iter);
-			a->state_changed = true;
 		}
 	}
 	return idle;
 }
 
-static void follow_usable(struct leased_agent *a, int64_t now_ms)
+static void look_at_turns(void *arg, int64_t now_ms)
 {
-	if (!a->usable_ms || now_ms < a->usable_ms)
-		return;
-	a->usable_ms = 0;
-	a->state_changed = true;
+	agent_tell_peers(arg, now_ms);
 }
 
 static void tick(void *arg, int64_t now_ms)
@@ -167,7 +157,6 @@
 	struct leased_agent *a = arg;
 
 	agent_end_leases(a, now_ms);
-	follow_usable(a, now_ms);
 	g_atomic_int_set(&a->idle, work_servers(a, now_ms));
 	agent_ask_leases(a, now_ms);
 	agent_tell_peers(a, now_ms);
@@ -183,7 +172,6 @@
 	g_hash_table_iter_init(&iter, a->servers);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		run_table_return_queued(server_runs(value));
-	a->state_changed = true;
 }
 
 static void config_changed(void *arg)
@@ -223,8 +211,8 @@
 	a->formats = role_formats();
 	a->incarnation = clock_random();
 	a->in_service = true;
-	a->usable_ms = clock_now_ms() + SERVER_LEASE_MS +
-		       SERVER_CLOCK_SLACK_MS + RUN_STOP_MS;
+	a->past_ends_ms = clock_now_ms() + SERVER_LEASE_MS +
+			  SERVER_CLOCK_SLACK_MS + RUN_STOP_MS;
 	g_strlcpy(a->data_centre, settings_text(settings, "data-centre"),
 		  sizeof(a->data_centre));
 	a->servers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
@@ -324,6 +312,7 @@
 
 	if (!open_all(a, &error))
 		return role_fail(error);
+	a->turns = loop_timer_create(a->loop, look_at_turns, a);
 	a->tick = loop_timer_create(a->loop, tick, a);
 	loop_timer_start(a->tick, TICK_MS, TICK_MS);
 	a->thread = g_thread_new("agent", run, a);
--- a/src/leased/agent_internal.h
+++ b/src/leased/agent_internal.h
@@ -20,6 +20,7 @@
 	struct cf_lease *lease; /* for its runs; new for each connection */
 	bool held;
 	uint64_t received; /* starts taken from it */
+	uint64_t told; /* digest of the states that it knows; 0: none */
 	GArray *results; /* struct run_result, to be sent */
 	GQueue *recent; /* struct recent_result, newest last */
 	int64_t lost_ms; /* when the connection ended; 0: it is up */
@@ -37,18 +38,18 @@
 	struct loop *loop;
 	GThread *thread;
 	struct loop_timer *tick;
+	struct loop_timer
+		*turns; /* runs while scarce room is offered in turn */
 	struct link_hub *hub;
 	struct session *session;
 	struct admin *admin;
 	struct http_server *control;
 	struct http_client *client;
 	char data_centre[CF_NAME_SIZE];
-	int64_t usable_ms; /* runs of an earlier life have ended then */
+	int64_t past_ends_ms; /* runs of an earlier life have ended then */
 	GHashTable *servers; /* name -> struct server */
 	GHashTable *peers; /* incarnation -> struct peer */
 	int64_t asked_ms; /* leases of the dispatchers */
-	int64_t told_ms; /* the servers' state, to all dispatchers */
-	bool state_changed;
 	bool in_service;
 	gint stopping, idle; /* atomic */
 	struct counter *reports, *bad_reports, *lost_leases, *runs_gauge;
@@ -59,10 +60,18 @@
 extern const struct link_handlers agent_link_handlers;
 
 void agent_take_results(struct leased_agent *a, struct server *server);
-void agent_tell_peers(struct leased_agent *a, int64_t now_ms);
 void agent_ask_leases(struct leased_agent *a, int64_t now_ms);
 /* Runs of dispatchers whose lease has ended are stopped. */
 void agent_end_leases(struct leased_agent *a, int64_t now_ms);
 void agent_free_peer(gpointer peer);
 
+/* ---- What they are told (agent_tell.c) ------------------------------ */
+
+bool agent_accepts(const struct leased_agent *a, const struct server *server,
+		   int64_t now_ms);
+/* Sends results, and states that have changed. */
+void agent_tell_peers(struct leased_agent *a, int64_t now_ms);
+/* This dispatcher gets no more turns at scarce room. */
+void agent_forget_sharer(struct leased_agent *a, uint64_t dispatcher);
+
 #endif
--- a/src/leased/agent_peers.c
+++ b/src/leased/agent_peers.c
@@ -171,115 +171,6 @@
 	return NULL;
 }
 
-/* ---- Telling -------------------------------------------------------- */
-
-static bool accepts(const struct leased_agent *a, const struct server *server,
-		    int64_t now_ms)
-{
-	return a->in_service && !g_atomic_int_get(&a->stopping) &&
-	       server_accepting(server, now_ms);
-}
-
-static void fill_state(const struct leased_agent *a, struct server *server,
-		       int64_t now_ms, Cfw__ServerState *state)
-{
-	const struct server_report *report = server_last_report(server);
-	struct run_load load;
-
-	run_table_get_load(server_runs(server), &load);
-	cfw__server_state__init(state);
-	state->name = (char *)report->name;
-	state->service = (char *)report->service;
-	state->kind = (char *)report->kind;
-	state->cpu_milli = report->capacity.cpu_milli;
-	state->memory_mb = report->capacity.memory_mb;
-	state->accelerators = report->capacity.accelerators;
-	state->free_cpu_milli = (int32_t)load.free_cpu_milli;
-	state->free_memory_mb = (int32_t)load.free_memory_mb;
-	state->running = load.running;
-	state->queued = load.queued;
-	state->accepting = accepts(a, server, now_ms);
-}
-
-static Cfw__ServerState *fill_states(const struct leased_agent *a,
-				     int64_t now_ms, Cfw__RunReport *report)
-{
-	guint n = g_hash_table_size(a->servers);
-	Cfw__ServerState *states = g_new(Cfw__ServerState, n);
-	GHashTableIter iter;
-	gpointer value;
-
-	report->servers = g_new(Cfw__ServerState *, n);
-	g_hash_table_iter_init(&iter, a->servers);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		Cfw__ServerState *state = &states[report->n_servers];
-
-		fill_state(a, value, now_ms, state);
-		report->servers[report->n_servers++] = state;
-	}
-	return states;
-}
-
-static Cfw__RunEnd *fill_ends(const struct peer *p, Cfw__RunReport *report)
-{
-	Cfw__RunEnd *ends = g_new(Cfw__RunEnd, p->results->len);
-
-	report->n_ends = p->results->len;
-	report->ends = g_new(Cfw__RunEnd *, p->results->len);
-	for (guint i = 0; i < p->results->len; i++) {
-		struct run_result *result =
-			&g_array_index(p->results, struct run_result, i);
-
-		cfw__run_end__init(&ends[i]);
-		ends[i].job = result->name.job;
-		ends[i].index = result->name.index;
-		ends[i].number = result->name.number;
-		ends[i].outcome = (Cfw__RunOutcome)result->outcome;
-		ends[i].run_ms = result->run_ms;
-		report->ends[i] = &ends[i];
-	}
-	return ends;
-}
-
-static void tell(struct leased_agent *a, struct peer *p, int64_t now_ms)
-{
-	Cfw__Envelope envelope = CFW__ENVELOPE__INIT;
-	Cfw__RunReport report = CFW__RUN_REPORT__INIT;
-	Cfw__ServerState *states = fill_states(a, now_ms, &report);
-	Cfw__RunEnd *ends = fill_ends(p, &report);
-
-	for (size_t i = 0; i < report.n_servers; i++)
-		states[i].received = p->received;
-	envelope.body_case = CFW__ENVELOPE__BODY_RUN_REPORT;
-	envelope.run_report = &report;
-	if (link_send(p->link, &envelope))
-		g_array_set_size(p->results, 0);
-	g_free(report.servers);
-	g_free(report.ends);
-	g_free(states);
-	g_free(ends);
-}
-
-/* Results go at once; a state that changed goes to all now and then. */
-void agent_tell_peers(struct leased_agent *a, int64_t now_ms)
-{
-	bool all = a->state_changed && now_ms >= a->told_ms;
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, a->peers);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct peer *p = value;
-
-		if (p->link && (all || p->results->len))
-			tell(a, p, now_ms);
-	}
-	if (!all)
-		return;
-	a->state_changed = false;
-	a->told_ms = now_ms;
-}
-
 /* ---- Orders --------------------------------------------------------- */
 
 static bool read_name(const char *job, uint32_t index, uint32_t number,
@@ -319,7 +210,7 @@
 			     now_ms);
 		return;
 	}
-	if (!server || !accepts(a, server, now_ms)) {
+	if (!server || !agent_accepts(a, server, now_ms)) {
 		refuse_start(a, p, &run.name, "the server takes no work",
 			     now_ms);
 		return;
@@ -330,6 +221,7 @@
 	run.accelerators = start->accelerators;
 	run.good_start_ms = now_ms + start->slack_ms;
 	run.deadline_ms = now_ms + start->deadline_ms;
+	room_share_used(server_room(server), p->incarnation);
 	run_table_offer(server_runs(server), &run, now_ms);
 	g_bytes_unref(run.spec);
 }
@@ -389,7 +281,6 @@
 		server_work(value, now_ms);
 		agent_take_results(a, value);
 	}
-	a->state_changed = true;
 	agent_tell_peers(a, now_ms);
 }
 
@@ -437,7 +328,8 @@
 		  "dispatcher=%s incarnation=%016" PRIx64, p->name,
 		  p->incarnation);
 	ask(p, loop_now_ms(a->loop));
-	tell(a, p, loop_now_ms(a->loop));
+	p->told = 0;
+	agent_tell_peers(a, loop_now_ms(a->loop));
 }
 
 static void down(void *arg, struct link *link)
@@ -451,6 +343,7 @@
 	if (!p)
 		return;
 	p->link = NULL;
+	agent_forget_sharer(a, p->incarnation);
 	p->lost_ms = loop_now_ms(a->loop);
 	log_event(LOG_WARN, "dispatcher_lost",
 		  "dispatcher=%s lease_left_ms=%" PRId64, p->name,
--- /dev/null
+++ b/src/leased/agent_tell.c
@@ -0,0 +1,187 @@
+/*
+ * agent_tell: what dispatchers are told of the agent's backend servers,
+ * and when: results at once, a server's state when it has changed for
+ * that dispatcher.
+ */
+#include "leased/agent_internal.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+/* ---- Constants ------------------------------------------------------ */
+
+#define FREE_STEPS 16 /* of the capacity, in which free room is told */
+#define TURN_LOOK_MS 8 /* while scarce room is offered in turn */
+
+/* ---- Room ----------------------------------------------------------- */
+
+bool agent_accepts(const struct leased_agent *a, const struct server *server,
+		   int64_t now_ms)
+{
+	return a->in_service && !g_atomic_int_get(&a->stopping) &&
+	       server_accepting(server, now_ms);
+}
+
+void agent_forget_sharer(struct leased_agent *a, uint64_t dispatcher)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, a->servers);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		room_share_leave(server_room(value), dispatcher);
+}
+
+/* True: room is scarce, so that the turn has to be looked at again soon. */
+static bool pass_turn(struct server *server, int64_t now_ms)
+{
+	const struct server_report *report = server_last_report(server);
+	struct run_load load;
+
+	run_table_get_load(server_runs(server), &load);
+	room_share_turn(server_room(server), load.free_cpu_milli,
+			report->capacity.cpu_milli, now_ms);
+	return room_share_in_turns(server_room(server), load.free_cpu_milli,
+				   report->capacity.cpu_milli);
+}
+
+static void pass_turns(struct leased_agent *a, int64_t now_ms)
+{
+	bool again = false;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, a->servers);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		again |= pass_turn(value, now_ms);
+	if (again)
+		loop_timer_start(a->turns, TURN_LOOK_MS, 0);
+}
+
+/* ---- States --------------------------------------------------------- */
+
+static void fill_state(const struct leased_agent *a, const struct peer *p,
+		       struct server *server, int64_t now_ms,
+		       Cfw__ServerState *state)
+{
+	const struct server_report *report = server_last_report(server);
+	struct room_share *room = server_room(server);
+	struct run_load load;
+
+	room_share_join(room, p->incarnation);
+	run_table_get_load(server_runs(server), &load);
+	cfw__server_state__init(state);
+	state->name = (char *)report->name;
+	state->service = (char *)report->service;
+	state->kind = (char *)report->kind;
+	state->cpu_milli = report->capacity.cpu_milli;
+	state->memory_mb = report->capacity.memory_mb;
+	state->accelerators = report->capacity.accelerators;
+	state->free_cpu_milli = (int32_t)load.free_cpu_milli;
+	state->offered_cpu_milli = (int32_t)room_share_told(
+		room, p->incarnation, load.free_cpu_milli,
+		report->capacity.cpu_milli);
+	state->free_memory_mb = (int32_t)load.free_memory_mb;
+	state->running = load.running;
+	state->queued = load.queued;
+	state->accepting = agent_accepts(a, server, now_ms);
+	state->received = p->received;
+}
+
+static Cfw__ServerState *fill_states(const struct leased_agent *a,
+				     const struct peer *p, int64_t now_ms,
+				     Cfw__RunReport *report)
+{
+	guint n = g_hash_table_size(a->servers);
+	Cfw__ServerState *states = g_new(Cfw__ServerState, n);
+	GHashTableIter iter;
+	gpointer value;
+
+	report->servers = g_new(Cfw__ServerState *, n);
+	g_hash_table_iter_init(&iter, a->servers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		Cfw__ServerState *state = &states[report->n_servers];
+
+		fill_state(a, p, value, now_ms, state);
+		report->servers[report->n_servers++] = state;
+	}
+	return states;
+}
+
+/* What a dispatcher decides by; never 0. */
+static uint64_t digest(const Cfw__RunReport *report)
+{
+	XXH64_hash_t sum = 1;
+
+	for (size_t i = 0; i < report->n_servers; i++) {
+		const Cfw__ServerState *state = report->servers[i];
+		const int64_t fields[] = {
+			state->cpu_milli,    state->memory_mb,
+			state->accelerators, state->free_cpu_milli,
+			state->accepting,    (int64_t)state->received
+		};
+
+		sum = XXH64(state->name, strlen(state->name), sum);
+		sum = XXH64(fields, sizeof(fields), sum);
+	}
+	return sum | 1;
+}
+
+/* ---- Telling -------------------------------------------------------- */
+
+static Cfw__RunEnd *fill_ends(const struct peer *p, Cfw__RunReport *report)
+{
+	Cfw__RunEnd *ends = g_new(Cfw__RunEnd, p->results->len);
+
+	report->n_ends = p->results->len;
+	report->ends = g_new(Cfw__RunEnd *, p->results->len);
+	for (guint i = 0; i < p->results->len; i++) {
+		struct run_result *result =
+			&g_array_index(p->results, struct run_result, i);
+
+		cfw__run_end__init(&ends[i]);
+		ends[i].job = result->name.job;
+		ends[i].index = result->name.index;
+		ends[i].number = result->name.number;
+		ends[i].outcome = (Cfw__RunOutcome)result->outcome;
+		ends[i].run_ms = result->run_ms;
+		report->ends[i] = &ends[i];
+	}
+	return ends;
+}
+
+static void tell(struct leased_agent *a, struct peer *p, int64_t now_ms)
+{
+	Cfw__Envelope envelope = CFW__ENVELOPE__INIT;
+	Cfw__RunReport report = CFW__RUN_REPORT__INIT;
+	Cfw__ServerState *states = fill_states(a, p, now_ms, &report);
+	uint64_t sum = digest(&report);
+	Cfw__RunEnd *ends = fill_ends(p, &report);
+
+	envelope.body_case = CFW__ENVELOPE__BODY_RUN_REPORT;
+	envelope.run_report = &report;
+	if ((report.n_ends || sum != p->told) &&
+	    link_send(p->link, &envelope)) {
+		g_array_set_size(p->results, 0);
+		p->told = sum;
+	}
+	g_free(report.servers);
+	g_free(report.ends);
+	g_free(states);
+	g_free(ends);
+}
+
+void agent_tell_peers(struct leased_agent *a, int64_t now_ms)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	pass_turns(a, now_ms);
+	g_hash_table_iter_init(&iter, a->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct peer *p = value;
+
+		if (p->link)
+			tell(a, p, now_ms);
+	}
+}
--- a/src/leased/dispatch.h
+++ b/src/leased/dispatch.h
@@ -76,6 +76,7 @@
 	char service[CF_NAME_SIZE];
 	struct cf_capacity capacity;
 	int64_t free_cpu_milli, free_memory_mb;
+	int64_t offered_cpu_milli; /* of what is free, to this dispatcher */
 	bool accepting;
 	uint64_t received; /* starts that the agent has taken from here */
 };
--- a/src/leased/dispatch_admit.c
+++ b/src/leased/dispatch_admit.c
@@ -52,7 +52,7 @@
 		const struct dserver *server = g_ptr_array_index(d->servers, i);
 
 		if (server_is_usable(d, server))
-			sum += (double)MAX(server_free_cpu_milli(server), 0);
+			sum += (double)MAX(server_offered_cpu_milli(server), 0);
 	}
 	return sum;
 }
--- a/src/leased/dispatch_internal.h
+++ b/src/leased/dispatch_internal.h
@@ -149,6 +149,7 @@
 
 bool server_is_usable(const struct dispatch *d, const struct dserver *server);
 int64_t server_free_cpu_milli(const struct dserver *server);
+int64_t server_offered_cpu_milli(const struct dserver *server);
 int64_t server_free_memory_mb(const struct dserver *server);
 void server_sent(struct dserver *server, const struct djob *job);
 void server_ended(struct dserver *server, const struct djob *job);
--- a/src/leased/dispatch_place.c
+++ b/src/leased/dispatch_place.c
@@ -60,7 +60,7 @@
 		return false;
 	if (server->own_runs && server->own_cpu_milli + cpu > allowed)
 		return false;
-	return server_free_cpu_milli(server) >= cpu &&
+	return server_offered_cpu_milli(server) >= cpu &&
 	       server_free_memory_mb(server) >= job->spec.memory_mb &&
 	       server->state.capacity.accelerators >= job->spec.accelerators;
 }
--- a/src/leased/dispatch_runs.c
+++ b/src/leased/dispatch_runs.c
@@ -132,11 +132,6 @@
 	case RUN_OUTCOME_FAILED:
 		task_failed(d, job, task, now_ms);
 		break;
-	case RUN_OUTCOME_REFUSED:
-		cf_health_result(d->health, task->server->id, false,
-				 job->predicted_ms, job->predicted_ms, now_ms);
-		task_returned(d, job, task, now_ms);
-		break;
 	case RUN_OUTCOME_OUTDATED:
 		task->number += NUMBER_STEP_OUTDATED;
 		task_returned(d, job, task, now_ms);
--- a/src/leased/dispatch_servers.c
+++ b/src/leased/dispatch_servers.c
@@ -45,6 +45,11 @@
 	return server->state.free_cpu_milli - server->pending_cpu_milli;
 }
 
+int64_t server_offered_cpu_milli(const struct dserver *server)
+{
+	return server->state.offered_cpu_milli - server->pending_cpu_milli;
+}
+
 int64_t server_free_memory_mb(const struct dserver *server)
 {
 	return server->state.free_memory_mb - server->pending_memory_mb;
--- a/src/leased/dispatcher_agents.c
+++ b/src/leased/dispatcher_agents.c
@@ -250,6 +250,8 @@
 {
 	struct server_state state = { .free_cpu_milli = from->free_cpu_milli,
 				      .free_memory_mb = from->free_memory_mb,
+				      .offered_cpu_milli =
+					      from->offered_cpu_milli,
 				      .accepting = from->accepting,
 				      .received = from->received };
 
--- /dev/null
+++ b/src/leased/room_share.c
@@ -0,0 +1,184 @@
+/*
+ * room_share: see room_share.h.
+ */
+#include "leased/room_share.h"
+
+/* ---- Constants ------------------------------------------------------ */
+
+#define PLENTY_MILLI 700 /* of the capacity: so much is no one's alone */
+#define MILLI 1000
+#define STEPS 32 /* of the capacity, in which plenty is told */
+#define HOLDERS 8 /* turns beside each other if all were free */
+#define TURN_MS 8 /* a message there, one back, and a turn of each loop */
+#define PASSED_OVER_MS 50 /* after a turn that was left unused */
+
+/* ---- Types ---------------------------------------------------------- */
+
+struct sharer {
+	uint64_t dispatcher;
+	bool used; /* its turn */
+	int64_t passed_until_ms; /* 0: it is not passed over */
+};
+
+struct room_share {
+	GArray *sharers; /* struct sharer */
+	guint turn; /* position of the one whose turn ends next */
+	int64_t since_ms; /* it has been so */
+};
+
+/* ---- Life ----------------------------------------------------------- */
+
+struct room_share *room_share_create(void)
+{
+	struct room_share *share = g_new0(struct room_share, 1);
+
+	share->sharers = g_array_new(FALSE, FALSE, sizeof(struct sharer));
+	return share;
+}
+
+void room_share_destroy(struct room_share *share)
+{
+	if (!share)
+		return;
+	g_array_unref(share->sharers);
+	g_free(share);
+}
+
+/* ---- Dispatchers ---------------------------------------------------- */
+
+static struct sharer *at(const struct room_share *share, guint i)
+{
+	return &g_array_index(share->sharers, struct sharer, i);
+}
+
+static bool find(const struct room_share *share, uint64_t dispatcher,
+		 guint *position)
+{
+	for (guint i = 0; i < share->sharers->len; i++) {
+		if (at(share, i)->dispatcher != dispatcher)
+			continue;
+		*position = i;
+		return true;
+	}
+	return false;
+}
+
+void room_share_join(struct room_share *share, uint64_t dispatcher)
+{
+	struct sharer sharer = { .dispatcher = dispatcher };
+	guint position;
+
+	if (!find(share, dispatcher, &position))
+		g_array_append_val(share->sharers, sharer);
+}
+
+void room_share_leave(struct room_share *share, uint64_t dispatcher)
+{
+	guint position;
+
+	if (!find(share, dispatcher, &position))
+		return;
+	g_array_remove_index(share->sharers, position);
+	if (share->turn > position)
+		share->turn--;
+	if (share->turn >= share->sharers->len)
+		share->turn = 0;
+}
+
+void room_share_used(struct room_share *share, uint64_t dispatcher)
+{
+	guint position;
+
+	if (!find(share, dispatcher, &position))
+		return;
+	at(share, position)->passed_until_ms = 0;
+	at(share, position)->used = true;
+}
+
+/* ---- Turns ---------------------------------------------------------- */
+
+static bool is_scarce(int64_t free_milli, int64_t capacity_milli)
+{
+	return free_milli * MILLI < capacity_milli * PLENTY_MILLI;
+}
+
+/* How many may have their turn beside each other. */
+static guint holders(int64_t free_milli, int64_t capacity_milli)
+{
+	return 1 + (guint)(free_milli * HOLDERS / MAX(capacity_milli, 1));
+}
+
+static bool has_turn(const struct room_share *share, guint position, guint n)
+{
+	guint next = share->turn;
+
+	for (guint i = 0; n > 0 && i < share->sharers->len; i++) {
+		if (next == position)
+			return true;
+		n -= !at(share, next)->passed_until_ms;
+		next = (next + 1) % share->sharers->len;
+	}
+	return false;
+}
+
+static void forgive(struct room_share *share, int64_t now_ms)
+{
+	for (guint i = 0; i < share->sharers->len; i++)
+		if (at(share, i)->passed_until_ms <= now_ms)
+			at(share, i)->passed_until_ms = 0;
+}
+
+/* The next one that isn't passed over, or the next one if all are. */
+static guint next_turn(const struct room_share *share)
+{
+	guint n = share->sharers->len;
+
+	for (guint step = 1; step <= n; step++) {
+		guint next = (share->turn + step) % n;
+
+		if (!at(share, next)->passed_until_ms)
+			return next;
+	}
+	return (share->turn + 1) % n;
+}
+
+bool room_share_in_turns(const struct room_share *share, int64_t free_milli,
+			 int64_t capacity_milli)
+{
+	return share->sharers->len > 1 && free_milli > 0 &&
+	       is_scarce(free_milli, capacity_milli);
+}
+
+void room_share_turn(struct room_share *share, int64_t free_milli,
+		     int64_t capacity_milli, int64_t now_ms)
+{
+	struct sharer *before;
+
+	if (!room_share_in_turns(share, free_milli, capacity_milli)) {
+		share->since_ms = now_ms;
+		return;
+	}
+	if (now_ms - share->since_ms < TURN_MS)
+		return;
+	forgive(share, now_ms);
+	before = at(share, share->turn);
+	if (!before->used)
+		before->passed_until_ms = now_ms + PASSED_OVER_MS;
+	before->used = false;
+	share->turn = next_turn(share);
+	share->since_ms = now_ms;
+}
+
+int64_t room_share_told(const struct room_share *share, uint64_t dispatcher,
+			int64_t free_milli, int64_t capacity_milli)
+{
+	int64_t step_milli = MAX(capacity_milli / STEPS, 1);
+	guint position;
+
+	if (!is_scarce(free_milli, capacity_milli))
+		return free_milli - free_milli % step_milli;
+	if (free_milli <= 0 || !find(share, dispatcher, &position) ||
+	    has_turn(share, position, holders(free_milli, capacity_milli)))
+		return free_milli;
+	return 0;
+}
--- /dev/null
+++ b/src/leased/room_share.h
@@ -0,0 +1,42 @@
+/*
+ * room_share: how much of a backend server's free room each dispatcher is
+ * told of. All are told of plenty. What is scarce is offered to a few of
+ * them at a time, in turn, the fewer the less there is, so that not all
+ * send a task for the same room; one that leaves its turn unused is passed over
+ *for a while. It answers the load at which many dispatchers compete for the
+ *last room. Pure; one thread at a time.
+ *
+ *	struct room_share *share = room_share_create();
+ *	room_share_join(share, dispatcher);
+ *	room_share_turn(share, free_milli, capacity_milli, now_ms);
+ *	told = room_share_told(share, dispatcher, free_milli, capacity_milli);
+ *	room_share_used(share, dispatcher); // a start of it came
+ */
+#ifndef LEASED_ROOM_SHARE_H
+#define LEASED_ROOM_SHARE_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+struct room_share;
+
+struct room_share *room_share_create(void);
+void room_share_destroy(struct room_share *share); /* NULL is allowed */
+/* Dispatchers by their incarnation; again, or one that isn't there: no
+ * effect. */
+void room_share_join(struct room_share *share, uint64_t dispatcher);
+void room_share_leave(struct room_share *share, uint64_t dispatcher);
+void room_share_used(struct room_share *share, uint64_t dispatcher);
+/* Passes the turn on when it is time to. */
+void room_share_turn(struct room_share *share, int64_t free_milli,
+		     int64_t capacity_milli, int64_t now_ms);
+/* Whether the room is offered in turn. */
+bool room_share_in_turns(const struct room_share *share, int64_t free_milli,
+			 int64_t capacity_milli);
+/* Free processors, in thousandths, that this dispatcher may count on;
+ * of plenty in steps, so that not each change has to be told. */
+int64_t room_share_told(const struct room_share *share, uint64_t dispatcher,
+			int64_t free_milli, int64_t capacity_milli);
+
+#endif
--- a/src/leased/server.c
+++ b/src/leased/server.c
@@ -21,7 +21,6 @@
 #define LOOK_IDLE_MS 1000 /* between looks while nothing runs */
 #define LOOK_SILENT_MS 150 /* between looks at one that doesn't answer */
 #define CALL_TIMEOUT_MS 60 /* of a start or stop */
-#define REFUSED_PAUSE_MS 300 /* no start after the server refused one */
 #define STOP_AGE_MAX_MS 150 /* unacknowledged: the lease is let go */
 #define FORGET_MS 10000 /* without an answer and a report */
 
@@ -31,6 +30,7 @@
 	struct server_options options;
 	struct server_report report;
 	struct run_table *runs;
+	struct room_share *room;
 	struct server_lease lease;
 	char *url; /* "http://ip:port" */
 	char *life_header;
@@ -42,7 +42,8 @@
 	bool letting_go; /* the lease is not renewed until it has ended */
 	int64_t reported_ms;
 	int64_t looked_ms; /* when the last look was sent */
-	int64_t refused_ms; /* start refused; 0: not */
+	struct server_refusals refusals;
+	struct server_past past;
 	uint64_t life; /* counts its lives here */
 	struct counter *starts, *unanswered, *lapses;
 };
@@ -81,7 +82,9 @@
 	s->options = *options;
 	s->report = *report;
 	s->runs = run_table_create();
+	s->room = room_share_create();
 	s->reported_ms = now_ms;
+	s->past.ends_ms = options->past_ends_ms;
 	s->starts = counter_get("run_starts_total", NULL,
 				"starts sent to backend servers");
 	s->unanswered =
@@ -106,6 +109,7 @@
 	if (!s)
 		return;
 	run_table_destroy(s->runs);
+	room_share_destroy(s->room);
 	g_free(s->url);
 	g_free(s->life_header);
 	g_free(s);
@@ -121,12 +125,17 @@
 	return s->runs;
 }
 
+struct room_share *server_room(struct server *s)
+{
+	return s->room;
+}
+
 bool server_accepting(const struct server *s, int64_t now_ms)
 {
 	return !s->report.draining && !s->left && !s->letting_go &&
-	       now_ms >= s->options.usable_ms &&
+	       server_past_is_over(&s->past, now_ms) &&
 	       !server_lease_is_silent(&s->lease, now_ms) &&
-	       (!s->refused_ms || now_ms - s->refused_ms >= REFUSED_PAUSE_MS);
+	       server_refusals_over(&s->refusals, now_ms);
 }
 
 bool server_is_gone(const struct server *s, int64_t now_ms)
@@ -215,9 +224,9 @@
 			  s->report.name, call->name.job, call->name.index,
 			  call->name.number, refusal);
 	if (refusal == RUN_UNHEALTHY)
-		s->refused_ms = now_ms;
+		server_refusals_add(&s->refusals, now_ms);
 	else if (refusal == RUN_ACCEPTED)
-		s->refused_ms = 0;
+		server_refusals_clear(&s->refusals);
 	run_table_started(s->runs, &call->name, refusal, now_ms);
 }
 
@@ -283,6 +292,7 @@
 	hear(s, lists.clock_ms, now_ms);
 	run_table_take_lists(s->runs, &lists, call->sent_ms, now_ms, strangers);
 	note_ends(s, &lists);
+	server_past_listed(&s->past, strangers->len);
 	stop_strangers(s, strangers, now_ms);
 	run_lists_clear(&lists);
 }
@@ -433,6 +443,9 @@
 	bool idle = run_table_is_idle(s->runs);
 	int64_t pause_ms = silent ? LOOK_SILENT_MS : idle ? LOOK_IDLE_MS : 0;
 
+	if (!silent && !server_past_is_over(&s->past, now_ms))
+		pause_ms = CHECK_PAUSE_MS;
+
 	if (s->looking || s->left || now_ms < s->looked_ms + pause_ms)
 		return;
 	s->looking = true;
--- a/src/leased/server.h
+++ b/src/leased/server.h
@@ -7,6 +7,7 @@
 #ifndef LEASED_SERVER_H
 #define LEASED_SERVER_H
 
+#include "leased/room_share.h"
 #include "leased/run_table.h"
 #include "net/http_client.h"
 
@@ -16,7 +17,7 @@
 	const struct formats *formats;
 	struct http_client *client;
 	struct loop *loop;
-	int64_t usable_ms; /* starts nothing before */
+	int64_t past_ends_ms; /* runs of the agent's earlier life: by then */
 	/* Results are there, or its state has changed. */
 	void (*changed)(void *arg, struct server *server);
 	void *arg;
@@ -32,6 +33,7 @@
 void server_leave(struct server *server, int64_t now_ms); /* it said so */
 const struct server_report *server_last_report(const struct server *server);
 struct run_table *server_runs(struct server *server);
+struct room_share *server_room(struct server *server);
 bool server_accepting(const struct server *server, int64_t now_ms);
 bool server_is_gone(const struct server *server,
 		    int64_t now_ms); /* silent for long, nothing left */
--- a/src/leased/server_lease.c
+++ b/src/leased/server_lease.c
@@ -8,6 +8,8 @@
 #include <glib.h>
 
 #define SILENT_MS 300
+#define REFUSED_PAUSE_MS 10 /* doubled with each refusal in a row */
+#define REFUSED_DOUBLINGS_MAX 5
 
 void server_lease_init(struct server_lease *lease, int64_t now_ms)
 {
@@ -59,3 +61,37 @@
 	lease->heard_ms = INT64_MIN;
 	lease->silent_since_ms = 0;
 }
+
+/* ---- The agent's earlier life ---------------------------------------- */
+
+void server_past_listed(struct server_past *past, uint32_t strangers)
+{
+	past->listed_none |= strangers == 0;
+}
+
+bool server_past_is_over(const struct server_past *past, int64_t now_ms)
+{
+	return past->listed_none || now_ms >= past->ends_ms;
+}
+
+/* ---- Refused starts ------------------------------------------------- */
+
+void server_refusals_add(struct server_refusals *refusals, int64_t now_ms)
+{
+	uint32_t doublings = MIN(refusals->in_a_row, REFUSED_DOUBLINGS_MAX);
+
+	refusals->in_a_row++;
+	refusals->until_ms = now_ms + ((int64_t)REFUSED_PAUSE_MS << doublings);
+}
+
+void server_refusals_clear(struct server_refusals *refusals)
+{
+	refusals->in_a_row = 0;
+	refusals->until_ms = 0;
+}
+
+bool server_refusals_over(const struct server_refusals *refusals,
+			  int64_t now_ms)
+{
+	return now_ms >= refusals->until_ms;
+}
--- a/src/leased/server_lease.h
+++ b/src/leased/server_lease.h
@@ -29,4 +29,26 @@
 bool server_lease_has_ended(const struct server_lease *lease, int64_t now_ms);
 void server_lease_new_life(struct server_lease *lease);
 
+/* What the agent's earlier life may have left running on a server: it has
+ * ended by a time, or sooner if the server lists nothing of it. */
+struct server_past {
+	int64_t ends_ms;
+	bool listed_none;
+};
+
+void server_past_listed(struct server_past *past, uint32_t strangers);
+bool server_past_is_over(const struct server_past *past, int64_t now_ms);
+
+/* Starts that a server refused without having done anything: there is a
+ * pause before the next one, longer with each refusal in a row. */
+struct server_refusals {
+	uint32_t in_a_row;
+	int64_t until_ms; /* the pause ends then */
+};
+
+void server_refusals_add(struct server_refusals *refusals, int64_t now_ms);
+void server_refusals_clear(struct server_refusals *refusals);
+bool server_refusals_over(const struct server_refusals *refusals,
+			  int64_t now_ms);
+
 #endif
--- a/src/proto/wire.pb-c.c
+++ b/src/proto/wire.pb-c.c
@@ -6641,7 +6641,7 @@
   (ProtobufCMessageInit) cfw__run_end__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfw__server_state__field_descriptors[12] =
+static const ProtobufCFieldDescriptor cfw__server_state__field_descriptors[13] =
 {
   {
     "name",
@@ -6787,6 +6787,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "offered_cpu_milli",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT32,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__ServerState, offered_cpu_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cfw__server_state__field_indices_by_name[] = {
   5,   /* field[5] = accelerators */
@@ -6797,6 +6809,7 @@
   2,   /* field[2] = kind */
   4,   /* field[4] = memory_mb */
   0,   /* field[0] = name */
+  12,   /* field[12] = offered_cpu_milli */
   10,   /* field[10] = queued */
   11,   /* field[11] = received */
   9,   /* field[9] = running */
@@ -6805,7 +6818,7 @@
 static const ProtobufCIntRange cfw__server_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor cfw__server_state__descriptor =
 {
@@ -6815,7 +6828,7 @@
   "Cfw__ServerState",
   "cfw",
   sizeof(Cfw__ServerState),
-  12,
+  13,
   cfw__server_state__field_descriptors,
   cfw__server_state__field_indices_by_name,
   1,  cfw__server_state__number_ranges,
--- a/tests/support/dispatch_world.c
+++ b/tests/support/dispatch_world.c
@@ -1,49 +1,24 @@
 /*
  * dispatch_world: see dispatch_world.h. One millisecond a step.
  */
-#include "support/dispatch_world.h"
+#include "support/world_jobs.h"
 
 #include <glib.h>
-#include <math.h>
 #include <string.h>
 
 /* ---- Constants ------------------------------------------------------ */
 
-#define STRETCH_MILLI 1600
-#define TARGET_MS 60
-#define ATTEMPTS 3
 #define REPORT_EVERY_MS 20
 #define LEASE_EVERY_MS 100
 #define STOP_TAKES_MS 30
-#define WORK_SPREAD 0.4
-#define ESTIMATE_SPREAD 0.4
-#define UNEVEN 0.15
-#define WIDTH_SPREAD 0.4
-#define LARGE_TENTH 1.28 /* standard deviations above the mean */
 #define TAIL_MS 8000 /* after the last arrival */
 #define FAIL_AFTER_MS 20
 
-const struct world_class world_order_desk[WORLD_CLASSES] = {
-	{ "stock", 34.4, 8, 60, 6200 },
-	{ "quote", 6.25, 4, 900, 6200 },
-	{ "slot", 100.0, 2, 200, 6200 },
-};
-
 /* ---- Types ---------------------------------------------------------- */
 
-struct wjob {
-	uint32_t number;
-	size_t class;
-	bool poison, large, answered, started;
-	uint32_t tasks, work_ms;
-	int64_t arrived_ms, objective_ms;
-	uint32_t *task_ms; /* run time on a sound server */
-	uint32_t *running; /* runs of each task just now */
-};
-
 struct wrun {
 	struct run_name name;
-	struct wjob *job;
+	struct world_job *job;
 	size_t server;
 	uint32_t cpu_milli;
 	int64_t started_ms, ends_ms;
@@ -57,7 +32,7 @@
 	struct world_result *result;
 	struct dispatch *dispatch;
 	GRand *random;
-	GHashTable *jobs; /* id -> struct wjob */
+	GHashTable *jobs; /* id -> struct world_job */
 	GPtrArray *runs; /* struct wrun */
 	uint64_t received[12];
 	int64_t now_ms;
@@ -65,22 +40,6 @@
 	double due[WORLD_CLASSES];
 };
 
-/* ---- Chance --------------------------------------------------------- */
-
-static double normal(GRand *random)
-{
-	double sum = 0;
-
-	for (int i = 0; i < 12; i++)
-		sum += g_rand_double(random);
-	return sum - 6;
-}
-
-static double around(GRand *random, double mean, double spread)
-{
-	return mean * exp(spread * normal(random));
-}
-
 /* ---- Servers -------------------------------------------------------- */
 
 static bool is_off(const struct world *w, size_t server)
@@ -132,7 +91,7 @@
 	struct world *w = (struct world *)sink;
 	size_t server = agent - 1;
 	const struct world_server *s = &w->load->servers[server];
-	struct wjob *job = g_hash_table_lookup(w->jobs, order->name.job);
+	struct world_job *job = g_hash_table_lookup(w->jobs, order->name.job);
 	struct wrun *run = g_new0(struct wrun, 1);
 	double slowness = is_off(w, server) && s->slowness ? s->slowness : 1;
 
@@ -207,6 +166,7 @@
 	g_snprintf(state.name, sizeof(state.name), "s%zu", server);
 	g_strlcpy(state.service, "desk", sizeof(state.service));
 	state.free_cpu_milli = s->cpu_milli - used_milli(w, server);
+	state.offered_cpu_milli = state.free_cpu_milli;
 	dispatch_take_state(w->dispatch, server + 1, &state, w->now_ms);
 	dispatch_states_told(w->dispatch, server + 1, w->now_ms);
 }
@@ -242,79 +202,18 @@
 		   const struct job_answer *given)
 {
 	struct world *w = (struct world *)sink;
-	struct wjob *job = caller;
-	struct world_tally *tally = &w->result->classes[job->class];
-	int64_t took_ms = w->now_ms - job->arrived_ms;
-
-	job->answered = true;
-	switch (given->verdict) {
-	case JOB_VERDICT_COMPLETED:
-		tally->in_aim += took_ms <= job->objective_ms;
-		tally->late += took_ms > job->objective_ms;
-		tally->large_served += job->large;
-		break;
-	case JOB_VERDICT_FAILED:
-		tally->failed++;
-		break;
-	case JOB_VERDICT_REFUSED:
-		tally->refused++;
-		tally->refused_late += took_ms > job->objective_ms / 4;
-		w->result->false_refusals += job->started;
-		break;
-	default:
-		tally->given_up++;
-		break;
-	}
-}
 
-static struct wjob *make_job(struct world *w, size_t class)
-{
-	const struct world_class *c = &w->load->classes[class];
-	struct wjob *job = g_new0(struct wjob, 1);
-	double width = normal(w->random);
-	uint32_t longest_ms = 0;
-
-	job->number = ++w->next_job;
-	job->class = class;
-	job->arrived_ms = w->now_ms;
-	job->poison = g_rand_double(w->random) < w->load->poison;
-	job->large = width > LARGE_TENTH;
-	job->tasks =
-		(uint32_t)MAX(1, lround(c->tasks * exp(WIDTH_SPREAD * width)));
-	job->work_ms = (uint32_t)around(w->random, c->work_ms, WORK_SPREAD);
-	job->task_ms = g_new0(uint32_t, job->tasks);
-	job->running = g_new0(uint32_t, job->tasks);
-	for (uint32_t i = 0; i < job->tasks; i++) {
-		job->task_ms[i] =
-			(uint32_t)around(w->random, job->work_ms, UNEVEN);
-		longest_ms = MAX(longest_ms, job->task_ms[i]);
-	}
-	job->objective_ms =
-		(int64_t)longest_ms * STRETCH_MILLI / 1000 + TARGET_MS;
-	return job;
+	world_job_answered(caller, given, w->result, w->now_ms);
 }
 
 static void submit(struct world *w, size_t class)
 {
-	struct wjob *job = make_job(w, class);
-	struct job_order order = { .arrived_ms = w->now_ms,
-				   .deadline_ms = w->now_ms + 1500 +
-						  2 * job->objective_ms,
-				   .caller = job };
-
-	g_snprintf(order.id, sizeof(order.id), "%u", job->number);
-	g_strlcpy(order.route.service, "desk", sizeof(order.route.service));
-	g_strlcpy(order.route.name, w->load->classes[class].name,
-		  sizeof(order.route.name));
-	order.route.target_ms = TARGET_MS;
-	order.route.stretch_milli = STRETCH_MILLI;
-	order.route.attempts_max = ATTEMPTS;
-	order.spec.spec = g_bytes_new("x", 1);
-	order.spec.n_tasks = job->tasks;
-	order.spec.cpu_milli = w->load->classes[class].cpu_milli;
-	order.spec.memory_mb = 64;
-	order.spec.estimate_ms =
-		(uint32_t)around(w->random, job->work_ms, ESTIMATE_SPREAD);
+	struct world_job *job = world_job_create(w->random, w->load->classes,
+						 class, w->load->poison,
+						 ++w->next_job, w->now_ms);
+	struct job_order order;
+
+	world_job_order(w->random, w->load->classes, job, &order);
 	g_hash_table_insert(w->jobs, g_strdup(order.id), job);
 	w->result->classes[class].asked++;
 	w->result->classes[class].large_asked += job->large;
@@ -324,27 +223,16 @@
 
 static void arrive(struct world *w)
 {
-	for (size_t i = 0; i < WORLD_CLASSES; i++) {
-		double per_ms =
-			w->load->classes[i].jobs_per_s * w->load->factor / 1000;
-
-		w->due[i] += -log(1 - g_rand_double(w->random)) * per_ms;
-		for (; w->due[i] >= 1; w->due[i]--)
+	for (size_t i = 0; i < WORLD_CLASSES; i++)
+		for (uint32_t n =
+			     world_arrivals(w->random, &w->load->classes[i],
+					    w->load->factor, &w->due[i]);
+		     n > 0; n--)
 			submit(w, i);
-	}
 }
 
 /* ---- Playing -------------------------------------------------------- */
 
-static void free_job(gpointer data)
-{
-	struct wjob *job = data;
-
-	g_free(job->task_ms);
-	g_free(job->running);
-	g_free(job);
-}
-
 void world_play(const struct world_load *load, struct world_result *result)
 {
 	static const struct dispatch_sink_ops ops = { start, stop, answer };
@@ -353,7 +241,7 @@
 	memset(result, 0, sizeof(*result));
 	w.random = g_rand_new_with_seed(load->seed);
 	w.jobs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-				       free_job);
+				       world_job_destroy);
 	w.runs = g_ptr_array_new();
 	w.dispatch = dispatch_create(&w.sink, "dc");
 	connect_servers(&w);
@@ -372,8 +260,3 @@
 	g_hash_table_destroy(w.jobs);
 	g_rand_free(w.random);
 }
-
-uint32_t world_served(const struct world_tally *tally)
-{
-	return tally->in_aim + tally->late;
-}
--- /dev/null
+++ b/tests/support/world_jobs.c
@@ -0,0 +1,151 @@
+/*
+ * world_jobs: see world_jobs.h.
+ */
+#include "support/world_jobs.h"
+
+#include <math.h>
+
+/* ---- Constants ------------------------------------------------------ */
+
+#define MS_PER_S 1000
+#define STRETCH_MILLI 1600
+#define TARGET_MS 60
+#define ATTEMPTS 3
+#define WORK_SPREAD 0.4
+#define ESTIMATE_SPREAD 0.4
+#define UNEVEN 0.15
+#define WIDTH_SPREAD 0.4
+#define LARGE_TENTH 1.28 /* standard deviations above the mean */
+#define CALLER_WAITS_MS 1500 /* and twice its objective */
+
+const struct world_class world_order_desk[WORLD_CLASSES] = {
+	{ "stock", 34.4, 8, 60, 6200 },
+	{ "quote", 6.25, 4, 900, 6200 },
+	{ "slot", 100.0, 2, 200, 6200 },
+};
+
+/* ---- Chance --------------------------------------------------------- */
+
+static double normal(GRand *random)
+{
+	double sum = 0;
+
+	for (int i = 0; i < 12; i++)
+		sum += g_rand_double(random);
+	return sum - 6;
+}
+
+static double around(GRand *random, double mean, double spread)
+{
+	return mean * exp(spread * normal(random));
+}
+
+/* ---- Jobs ----------------------------------------------------------- */
+
+uint32_t world_arrivals(GRand *random, const struct world_class *class,
+			double factor, double *due)
+{
+	double per_ms = class->jobs_per_s * factor / MS_PER_S;
+	uint32_t n;
+
+	*due += -log(1 - g_rand_double(random)) * per_ms;
+	n = (uint32_t)*due;
+	*due -= n;
+	return n;
+}
+
+struct world_job *world_job_create(GRand *random,
+				   const struct world_class *classes,
+				   size_t class, double poison, uint32_t number,
+				   int64_t now_ms)
+{
+	const struct world_class *c = &classes[class];
+	struct world_job *job = g_new0(struct world_job, 1);
+	double width = normal(random);
+	uint32_t longest_ms = 0;
+
+	job->number = number;
+	job->class = class;
+	job->arrived_ms = now_ms;
+	job->poison = g_rand_double(random) < poison;
+	job->large = width > LARGE_TENTH;
+	job->tasks =
+		(uint32_t)MAX(1, lround(c->tasks * exp(WIDTH_SPREAD * width)));
+	job->work_ms = (uint32_t)around(random, c->work_ms, WORK_SPREAD);
+	job->task_ms = g_new0(uint32_t, job->tasks);
+	job->running = g_new0(uint32_t, job->tasks);
+	for (uint32_t i = 0; i < job->tasks; i++) {
+		job->task_ms[i] =
+			(uint32_t)around(random, job->work_ms, UNEVEN);
+		longest_ms = MAX(longest_ms, job->task_ms[i]);
+	}
+	job->objective_ms =
+		(int64_t)longest_ms * STRETCH_MILLI / MS_PER_S + TARGET_MS;
+	return job;
+}
+
+void world_job_destroy(gpointer data)
+{
+	struct world_job *job = data;
+
+	g_free(job->task_ms);
+	g_free(job->running);
+	g_free(job);
+}
+
+void world_job_order(GRand *random, const struct world_class *classes,
+		     struct world_job *job, struct job_order *order)
+{
+	const struct world_class *c = &classes[job->class];
+
+	*order = (struct job_order){ .arrived_ms = job->arrived_ms,
+				     .caller = job };
+	order->deadline_ms =
+		job->arrived_ms + CALLER_WAITS_MS + 2 * job->objective_ms;
+	g_snprintf(order->id, sizeof(order->id), "%u", job->number);
+	g_strlcpy(order->route.service, "desk", sizeof(order->route.service));
+	g_strlcpy(order->route.name, c->name, sizeof(order->route.name));
+	order->route.target_ms = TARGET_MS;
+	order->route.stretch_milli = STRETCH_MILLI;
+	order->route.attempts_max = ATTEMPTS;
+	order->spec.spec = g_bytes_new("x", 1);
+	order->spec.n_tasks = job->tasks;
+	order->spec.cpu_milli = c->cpu_milli;
+	order->spec.memory_mb = 64;
+	order->spec.estimate_ms =
+		(uint32_t)around(random, job->work_ms, ESTIMATE_SPREAD);
+}
+
+/* ---- Answers -------------------------------------------------------- */
+
+void world_job_answered(struct world_job *job, const struct job_answer *answer,
+			struct world_result *result, int64_t now_ms)
+{
+	struct world_tally *tally = &result->classes[job->class];
+	int64_t took_ms = now_ms - job->arrived_ms;
+
+	job->answered = true;
+	switch (answer->verdict) {
+	case JOB_VERDICT_COMPLETED:
+		tally->in_aim += took_ms <= job->objective_ms;
+		tally->late += took_ms > job->objective_ms;
+		tally->large_served += job->large;
+		break;
+	case JOB_VERDICT_FAILED:
+		tally->failed++;
+		break;
+	case JOB_VERDICT_REFUSED:
+		tally->refused++;
+		tally->refused_late += took_ms > job->objective_ms / 4;
+		result->false_refusals += job->started;
+		break;
+	default:
+		tally->given_up++;
+		break;
+	}
+}
+
+uint32_t world_served(const struct world_tally *tally)
+{
+	return tally->in_aim + tally->late;
+}
--- /dev/null
+++ b/tests/support/world_jobs.h
@@ -0,0 +1,36 @@
+/*
+ * world_jobs: the jobs of a played load, drawn by chance, and what their
+ * callers get. Shared by the worlds that play dispatchers' decisions.
+ */
+#ifndef SUPPORT_WORLD_JOBS_H
+#define SUPPORT_WORLD_JOBS_H
+
+#include "support/dispatch_world.h"
+
+struct world_job {
+	uint32_t number;
+	size_t class;
+	bool poison, large, answered, started;
+	uint32_t tasks, work_ms;
+	int64_t arrived_ms, objective_ms;
+	uint32_t *task_ms; /* run time on a sound server */
+	uint32_t *running; /* runs of each task just now */
+};
+
+/* How many jobs of each class arrive in this millisecond. */
+uint32_t world_arrivals(GRand *random, const struct world_class *class,
+			double factor, double *due);
+/* A job of a class; poison: the chance that its tasks always fail. */
+struct world_job *world_job_create(GRand *random,
+				   const struct world_class *classes,
+				   size_t class, double poison, uint32_t number,
+				   int64_t now_ms);
+void world_job_destroy(gpointer job);
+/* What a dispatcher is handed; the spec's bytes are the caller's. */
+void world_job_order(GRand *random, const struct world_class *classes,
+		     struct world_job *job, struct job_order *order);
+/* Counts the answer in the tally of the job's class. */
+void world_job_answered(struct world_job *job, const struct job_answer *answer,
+			struct world_result *result, int64_t now_ms);
+
+#endif
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -191,6 +191,7 @@
 				      .capacity = { .cpu_milli = 1000,
 						    .memory_mb = 10 },
 				      .free_cpu_milli = 1000,
+				      .offered_cpu_milli = 1000,
 				      .free_memory_mb = 10,
 				      .accepting = accepting };
 	struct dispatch *d;
@@ -231,6 +232,7 @@
 				      .capacity = { .cpu_milli = 1000,
 						    .memory_mb = 10 },
 				      .free_cpu_milli = 1000,
+				      .offered_cpu_milli = 1000,
 				      .free_memory_mb = 10,
 				      .accepting = true,
 				      .received = received };
@@ -418,6 +420,7 @@
 					     .capacity = { .cpu_milli = 1000,
 							   .memory_mb = 10 },
 					     .free_cpu_milli = 1000,
+					     .offered_cpu_milli = 1000,
 					     .free_memory_mb = 10,
 					     .accepting = true };
 		struct cf_config *config = config_of("dc", !cases[i].out);
--- /dev/null
+++ b/tests/test_dispatch_many.c
@@ -0,0 +1,95 @@
+/*
+ * test_dispatch_many: what callers get when several dispatchers share
+ * backend servers and room is scarce. Bounds: beside one dispatcher that
+ * has all the servers to itself, several lose little.
+ */
+#include "support/many_world.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <cmocka.h>
+
+#define LENGTH_MS 8000
+#define CPU_MILLI 72000
+#define PART_LEAST 0.9 /* of what one dispatcher serves in time */
+
+struct many_case {
+	const char *name;
+	uint32_t dispatchers, servers;
+	double factor; /* of the classes' rates: 1 is 490 processors */
+	uint32_t shedding;
+	double shed;
+};
+
+static const struct many_case cases[] = {
+	{ "9 at two thirds of what the servers can do", 9, 36, 3.5, 0, 0 },
+	{ "9 at nearly all that they can do", 9, 36, 4.8, 0, 0 },
+	{ "9 at a fifth more than they can do", 9, 36, 6.3, 0, 0 },
+	{ "9, a sixth of the servers refuses a third", 9, 36, 4.2, 6, 0.31 },
+	{ "3 at two thirds of what the servers can do", 3, 11, 1.07, 0, 0 },
+	{ "3 at four fifths of what they can do", 3, 11, 1.3, 0, 0 },
+	{ "3 at nearly all that they can do", 3, 11, 1.47, 0, 0 },
+	{ "3 at a fifth more than they can do", 3, 11, 1.93, 0, 0 },
+};
+
+static uint32_t play(const struct many_case *c, uint32_t dispatchers,
+		     struct world_result *result)
+{
+	struct many_load load = { .classes = world_order_desk,
+				  .factor = c->factor,
+				  .length_ms = LENGTH_MS,
+				  .dispatchers = dispatchers,
+				  .servers = c->servers,
+				  .cpu_milli = CPU_MILLI,
+				  .shedding = c->shedding,
+				  .shed = c->shed,
+				  .seed = 20261204 };
+	uint32_t in_aim = 0;
+
+	many_play(&load, result);
+	for (size_t i = 0; i < WORLD_CLASSES; i++) {
+		const struct world_tally *t = &result->classes[i];
+
+		fprintf(stderr,
+			"count: %s, %u dispatchers: %s asked=%u in_aim=%u "
+			"late=%u refused=%u refused_late=%u given_up=%u "
+			"large=%u/%u\n",
+			c->name, dispatchers, world_order_desk[i].name,
+			t->asked, t->in_aim, t->late, t->refused,
+			t->refused_late, t->given_up, t->large_served,
+			t->large_asked);
+		in_aim += t->in_aim;
+	}
+	fprintf(stderr, "count: runs=%u stopped=%u\n", result->runs,
+		result->stopped_runs);
+	assert_int_equal(result->doubles, 0);
+	assert_int_equal(result->false_refusals, 0);
+	return in_aim;
+}
+
+static void test_several_serve_nearly_as_many_as_one(void **state)
+{
+	(void)state;
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct world_result one, several;
+		uint32_t alone = play(&cases[i], 1, &one);
+		uint32_t together =
+			play(&cases[i], cases[i].dispatchers, &several);
+
+		fprintf(stderr, "count: %s: %u alone, %u together\n",
+			cases[i].name, alone, together);
+		assert_true(together >= PART_LEAST * alone);
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_several_serve_nearly_as_many_as_one),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_room_share.c
@@ -0,0 +1,159 @@
+/*
+ * test_room_share: what each dispatcher is told of a server's free room.
+ */
+#include "leased/room_share.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#define CAPACITY_MILLI 64000
+#define SCARCE_MILLI 6400
+#define DISPATCHERS 3
+#define ROUND_MS 100
+
+static struct room_share *make(uint64_t dispatchers)
+{
+	struct room_share *share = room_share_create();
+
+	for (uint64_t i = 1; i <= dispatchers; i++)
+		room_share_join(share, i);
+	return share;
+}
+
+static int64_t told(const struct room_share *share, uint64_t dispatcher,
+		    int64_t free_milli)
+{
+	return room_share_told(share, dispatcher, free_milli, CAPACITY_MILLI);
+}
+
+/* How many are told of this much; the last of them in holder. */
+static uint32_t count_told(const struct room_share *share, int64_t free_milli,
+			   uint64_t *holder)
+{
+	uint32_t n = 0;
+
+	for (uint64_t i = 1; i <= DISPATCHERS; i++) {
+		if (told(share, i, free_milli) != free_milli)
+			continue;
+		n++;
+		*holder = i;
+	}
+	return n;
+}
+
+static void test_what_is_told(void **state)
+{
+	static const struct {
+		uint64_t dispatchers;
+		int64_t free_milli;
+		uint32_t told_all; /* dispatchers that are told of all of it */
+	} cases[] = {
+		{ 3, 64000, 3 }, { 3, 20000, 3 }, { 3, 15999, 2 },
+		{ 3, 7999, 1 },  { 3, 6400, 1 },  { 3, 0, 3 },
+		{ 3, -500, 3 },  { 1, 6400, 3 }, /* told all: not known */
+	};
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct room_share *share = make(cases[i].dispatchers);
+		uint64_t holder;
+
+		assert_int_equal(
+			count_told(share, cases[i].free_milli, &holder),
+			cases[i].told_all);
+		room_share_destroy(share);
+	}
+}
+
+/* Never more than there is, and never told anew for a little. */
+static void test_plenty_is_told_in_steps(void **state)
+{
+	struct room_share *share = make(DISPATCHERS);
+	int64_t before = CAPACITY_MILLI, changes = 0;
+
+	(void)state;
+	for (int64_t free = CAPACITY_MILLI; free >= CAPACITY_MILLI / 4 * 3;
+	     free -= 100) {
+		int64_t now = told(share, 1, free);
+
+		assert_true(now <= free);
+		changes += now != before;
+		before = now;
+	}
+	assert_true(changes <= 32);
+	room_share_destroy(share);
+}
+
+/* Those that use their turns get as many each; nobody else has it then. */
+static void test_turns_go_round(void **state)
+{
+	struct room_share *share = make(DISPATCHERS);
+	uint32_t turns[DISPATCHERS + 1] = { 0 };
+	uint64_t holder = 0;
+
+	(void)state;
+	for (int64_t now_ms = 1; now_ms <= 9 * ROUND_MS; now_ms++) {
+		room_share_turn(share, SCARCE_MILLI, CAPACITY_MILLI, now_ms);
+		assert_int_equal(count_told(share, SCARCE_MILLI, &holder), 1);
+		room_share_used(share, holder);
+		turns[holder]++;
+	}
+	for (int i = 1; i <= DISPATCHERS; i++)
+		assert_in_range(turns[i], 2 * ROUND_MS, 4 * ROUND_MS);
+	room_share_destroy(share);
+}
+
+/* One that has nothing to start is passed over, but not for good. */
+static void test_unused_turns(void **state)
+{
+	struct room_share *share = make(DISPATCHERS);
+	uint32_t turns[DISPATCHERS + 1] = { 0 };
+	uint64_t holder = 0;
+
+	(void)state;
+	for (int64_t now_ms = 1; now_ms <= 9 * ROUND_MS; now_ms++) {
+		room_share_turn(share, SCARCE_MILLI, CAPACITY_MILLI, now_ms);
+		count_told(share, SCARCE_MILLI, &holder);
+		if (holder == 2)
+			room_share_used(share, holder);
+		turns[holder]++;
+	}
+	assert_true(turns[2] > turns[1] + turns[3]);
+	assert_true(turns[1] > 0);
+	assert_true(turns[3] > 0);
+	room_share_destroy(share);
+}
+
+static void test_leaving(void **state)
+{
+	struct room_share *share = make(DISPATCHERS);
+	uint64_t holder = 0;
+
+	(void)state;
+	count_told(share, SCARCE_MILLI, &holder);
+	room_share_leave(share, holder);
+	room_share_leave(share, holder);
+	for (uint64_t i = 1; i <= DISPATCHERS; i++)
+		room_share_leave(share, i);
+	room_share_turn(share, SCARCE_MILLI, CAPACITY_MILLI, 99);
+	assert_false(room_share_in_turns(share, SCARCE_MILLI, CAPACITY_MILLI));
+	room_share_join(share, 7);
+	assert_int_equal(told(share, 7, SCARCE_MILLI), SCARCE_MILLI);
+	room_share_destroy(share);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_what_is_told),
+		cmocka_unit_test(test_plenty_is_told_in_steps),
+		cmocka_unit_test(test_turns_go_round),
+		cmocka_unit_test(test_unused_turns),
+		cmocka_unit_test(test_leaving),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/test_server_lease.c
+++ b/tests/test_server_lease.c
@@ -121,6 +121,50 @@
 	assert_false(server_lease_is_silent(&lease, 3000));
 }
 
+/* ---- After a start of the agent ---- */
+
+static void test_what_an_earlier_life_left(void **state)
+{
+	struct server_past past = { .ends_ms = 1000 };
+
+	(void)state;
+	assert_false(server_past_is_over(&past, 999));
+	assert_true(server_past_is_over(&past, 1000));
+	server_past_listed(&past, 2);
+	assert_false(server_past_is_over(&past, 500));
+	server_past_listed(&past, 0);
+	assert_true(server_past_is_over(&past, 500));
+	server_past_listed(&past, 1); /* carried out late: it is stopped */
+	assert_true(server_past_is_over(&past, 500));
+}
+
+/* ---- Refused starts ---- */
+
+static void test_pauses_after_refusals(void **state)
+{
+	static const struct {
+		uint32_t in_a_row;
+		int64_t pause_ms;
+	} cases[] = {
+		{ 1, 10 }, { 2, 20 }, { 5, 160 }, { 6, 320 }, { 9, 320 }
+	};
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct server_refusals refusals = { 0 };
+
+		assert_true(server_refusals_over(&refusals, 0));
+		for (uint32_t n = 0; n < cases[i].in_a_row; n++)
+			server_refusals_add(&refusals, 100);
+		assert_false(server_refusals_over(&refusals,
+						  99 + cases[i].pause_ms));
+		assert_true(server_refusals_over(&refusals,
+						 100 + cases[i].pause_ms));
+		server_refusals_clear(&refusals);
+		assert_true(server_refusals_over(&refusals, 100));
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -129,6 +173,8 @@
 		cmocka_unit_test(test_a_late_grant_gives_no_lease),
 		cmocka_unit_test(test_lease_end_follows_the_newest_clock),
 		cmocka_unit_test(test_silence),
+		cmocka_unit_test(test_what_an_earlier_life_left),
+		cmocka_unit_test(test_pauses_after_refusals),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
