--- a/src/leased/run_table.c
+++ b/src/leased/run_table.c
@@ -377,17 +377,15 @@
 				 now_ms);
 }
 
+/* An answered start, too, may have reached the new life before it was
+ * known here; only a list of the new life tells. */
 void run_table_new_life(struct run_table *table, int64_t now_ms)
 {
-	for (guint i = table->runs->len; i-- > 0;) {
+	table->now_ms = now_ms;
+	for (guint i = 0; i < table->runs->len; i++) {
 		struct run *run = run_table_at(table, i);
-		bool answered = run->started_ms || run->state == RUN_STOPPED;
 
-		if (run->state == RUN_QUEUED)
-			continue;
-		if (answered)
-			run_table_end_at(table, i, RUN_OUTCOME_STOPPED, now_ms);
-		else if (run->state == RUN_STARTING)
+		if (run->state != RUN_QUEUED && run->state != RUN_STOPPED)
 			want_stop(table, run);
 	}
 }
--- a/src/leased/run_table.h
+++ b/src/leased/run_table.h
@@ -85,8 +85,8 @@
 			  int64_t now_ms, GArray *strangers);
 /* The server's lease has ended: nothing runs there. */
 void run_table_lease_ended(struct run_table *table, int64_t now_ms);
-/* Another life of the server began: nothing of before runs, but starts
- * without an answer may still reach the new life and are stopped there. */
+/* Another life of the server began, at some moment before now: what was
+ * started may run in the new one, and is stopped there. */
 void run_table_new_life(struct run_table *table, int64_t now_ms);
 
 bool run_table_has(const struct run_table *table, const struct run_name *name);
--- /dev/null
+++ b/tests/support/leased_system.c
@@ -0,0 +1,285 @@
+/*
+ * leased_system: see leased_system.h.
+ */
+#include "support/leased_system.h"
+
+#include "base/clock.h"
+#include "net/http_client.h"
+#include "platform/standin.h"
+
+#include <glib.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+/* ---- Constants ---- */
+
+#define STOP_WAIT_MS "5000"
+#define COORDINATOR_PORT 21999
+#define CONTROL_PORT 22999
+#define LISTEN_BASE 21000
+#define ADMIN_BASE 22000
+#define CONTROL_BASE 23000
+#define HTTP_BASE 24000
+#define SERVER_BASE 25000
+#define AGENT_RELAY_BASE 26000
+#define SERVER_RELAY_BASE 27000
+#define HOST "h.example"
+#define PREFIX "/q/"
+#define TASK_CPU_MILLI 700
+#define ROUTE_TIMEOUT_MS 4000
+#define CALL_SLACK_MS 500
+#define CONTROL_WAIT_MS 2000
+#define CONTROL_PAUSE_US 50000
+
+/* ---- Layout ---- */
+
+static void add_address(struct leased_system *s, struct proc *p,
+			const char *flag, int base)
+{
+	char text[40];
+
+	snprintf(text, sizeof(text), "%s:%d", s->cluster->ip,
+		 base + (int)(p - s->cluster->procs));
+	proc_add(p, flag, text);
+}
+
+static struct proc *add(struct leased_system *s, const char *role,
+			const char *prefix, int i)
+{
+	char name[16];
+	struct proc *p;
+
+	snprintf(name, sizeof(name), "%s%d", prefix, i);
+	p = cluster_add(s->cluster, role, name);
+	proc_add(p, "--data-centre", "dc1");
+	add_address(s, p, "--listen", LISTEN_BASE);
+	add_address(s, p, "--admin", ADMIN_BASE);
+	return p;
+}
+
+/* All coordinators need one port between processes, as on hosts of their
+ * own; here each has a loopback address of its own in its place. */
+static void add_coordinator(struct leased_system *s, int i,
+			    const char *first_start)
+{
+	char name[16], text[260];
+	struct proc *p;
+
+	snprintf(name, sizeof(name), "c%d", i);
+	p = cluster_add(s->cluster, "coordinator", name);
+	snprintf(text, sizeof(text), "127.0.%d.%d:%d", 100 + i,
+		 (int)getpid() % 250 + 1, COORDINATOR_PORT);
+	proc_add(p, "--listen", text);
+	snprintf(text, sizeof(text), "127.0.%d.%d:%d", 100 + i,
+		 (int)getpid() % 250 + 1, CONTROL_PORT);
+	proc_add(p, "--control", text);
+	add_address(s, p, "--admin", ADMIN_BASE);
+	snprintf(text, sizeof(text), "%s/%s", s->cluster->folder, name);
+	proc_add(p, "--data", text);
+	proc_add(p, "--seeds", s->seeds);
+	proc_add(p, "--seeds-port", G_STRINGIFY(COORDINATOR_PORT));
+	proc_add(p, "--first-start", first_start);
+	proc_add(p, "--election-ms", "300");
+}
+
+static void lay_out(struct leased_system *s)
+{
+	int host = (int)getpid() % 250 + 1;
+
+	for (int i = 1; i <= SYSTEM_COORDINATORS; i++) {
+		size_t n = strlen(s->seeds), m = strlen(s->links);
+
+		snprintf(s->seeds + n, sizeof(s->seeds) - n, "%s127.0.%d.%d:%d",
+			 i > 1 ? "," : "", 100 + i, host, CONTROL_PORT);
+		snprintf(s->links + m, sizeof(s->links) - m, "%s127.0.%d.%d:%d",
+			 i > 1 ? "," : "", 100 + i, host, COORDINATOR_PORT);
+	}
+	for (int i = 1; i <= SYSTEM_COORDINATORS; i++)
+		add_coordinator(s, i, "true");
+	for (int i = 1; i <= SYSTEM_AGENTS; i++) {
+		struct proc *p = add(s, "leased-agent", "a", i);
+
+		proc_add(p, "--coordinators", s->links);
+		add_address(s, p, "--control", CONTROL_BASE);
+	}
+	for (int i = 1; i <= SYSTEM_DISPATCHERS; i++) {
+		struct proc *p = add(s, "leased-dispatcher", "d", i);
+
+		proc_add(p, "--coordinators", s->links);
+		add_address(s, p, "--http", HTTP_BASE);
+		proc_add(p, "--stop-wait-ms", STOP_WAIT_MS);
+	}
+}
+
+/* ---- Calls ---- */
+
+static uint32_t call(const char *address, const char *method, const char *path,
+		     const char *body, char **answer, int64_t timeout_ms)
+{
+	g_autofree char *url = g_strdup_printf("http://%s%s", address, path);
+	g_autofree char *deadline = standin_deadline_line(SYSTEM_DEADLINE_MS);
+	const char *headers[] = { "Host: " HOST, deadline, NULL };
+	struct http_call http = { .method = method,
+				  .url = url,
+				  .body = body,
+				  .size_bytes = body ? strlen(body) : 0,
+				  .headers = headers,
+				  .timeout_ms = timeout_ms };
+	struct http_answer got;
+
+	http_call_now(&http, &got);
+	if (answer)
+		*answer = got.body ? g_strndup(got.body, got.size_bytes)
+				   : g_strdup("");
+	g_free((void *)(uintptr_t)got.body);
+	if (got.result == HTTP_NOT_CONNECTED)
+		return SYSTEM_NOT_CONNECTED;
+	return got.result == HTTP_OK ? got.status : SYSTEM_NO_ANSWER;
+}
+
+uint32_t leased_system_call(struct leased_system *s, int coordinator,
+			    const char *interface, const char *method,
+			    const char *path, const char *body, char **answer)
+{
+	char name[16];
+
+	snprintf(name, sizeof(name), "c%d", coordinator);
+	return call(cluster_address(s->cluster, name, interface), method, path,
+		    body, answer, CONTROL_WAIT_MS);
+}
+
+void leased_system_control(struct leased_system *s, const char *method,
+			   const char *path, const char *body, uint32_t version)
+{
+	int64_t end_ms = clock_now_ms() + SYSTEM_WAIT_MS;
+
+	for (int i = 0;; i++) {
+		g_autofree char *answer = NULL;
+		uint32_t status = leased_system_call(
+			s, i % SYSTEM_COORDINATORS + 1, "control", method, path,
+			body, &answer);
+
+		if (status == 200 &&
+		    (!version || standin_has_version(answer, version)))
+			return;
+		assert_true(clock_now_ms() < end_ms);
+		g_usleep(CONTROL_PAUSE_US);
+	}
+}
+
+char *leased_system_routes(uint32_t version)
+{
+	return standin_write_routes(version, "desk", HOST, PREFIX,
+				    ROUTE_TIMEOUT_MS);
+}
+
+void leased_system_set_routes(struct leased_system *s, uint32_t version)
+{
+	g_autofree char *routes = leased_system_routes(version);
+
+	leased_system_control(s, "POST", standin_set_routes_path, routes, 0);
+}
+
+void leased_system_expect_routes(struct leased_system *s, uint32_t version)
+{
+	leased_system_control(s, "GET", standin_get_routes_path, NULL, version);
+}
+
+uint32_t leased_system_submit(struct leased_system *s, int dispatcher,
+			      const char *id, uint32_t run_ms, char **answer)
+{
+	g_autofree char *body =
+		standin_write_job(SYSTEM_TASKS, TASK_CPU_MILLI, run_ms);
+	g_autofree char *path = g_strdup_printf(PREFIX "%s", id);
+	char name[16];
+
+	snprintf(name, sizeof(name), "d%d",
+		 dispatcher % SYSTEM_DISPATCHERS + 1);
+	return call(cluster_address(s->cluster, name, "http"), "POST", path,
+		    body, answer, SYSTEM_DEADLINE_MS + CALL_SLACK_MS);
+}
+
+static void address_at(const struct leased_system *s, int base, int i,
+		       char address[40])
+{
+	snprintf(address, 40, "%s:%d", s->cluster->ip, base + i);
+}
+
+static void start_standin(struct leased_system *s, int i)
+{
+	char agent[16], name[16], address[40], told[40];
+
+	snprintf(agent, sizeof(agent), "a%d", i + 1);
+	snprintf(name, sizeof(name), "i-%d", i + 1);
+	address_at(s, SERVER_BASE, i, address);
+	address_at(s, s->server_relays[i] ? SERVER_RELAY_BASE : SERVER_BASE, i,
+		   told);
+	s->standins[i] =
+		standin_create(s->record, name, address, told,
+			       cluster_address(s->cluster, agent, "control"));
+}
+
+/* Dispatchers reach the agent, the agent its server by these. */
+static void put_relays(struct leased_system *s, int i)
+{
+	char name[16], address[40], target[40];
+	struct proc *agent;
+
+	snprintf(name, sizeof(name), "a%d", i + 1);
+	agent = cluster_proc(s->cluster, name);
+	address_at(s, AGENT_RELAY_BASE, i, address);
+	s->agent_relays[i] = relay_create(
+		address, cluster_address(s->cluster, name, "listen"));
+	proc_add(agent, "--advertise", address);
+	address_at(s, SERVER_RELAY_BASE, i, address);
+	address_at(s, SERVER_BASE, i, target);
+	s->server_relays[i] = relay_create(address, target);
+}
+
+static void start_all(struct leased_system *s)
+{
+	for (int i = 0; i < s->cluster->n_procs; i++)
+		proc_start(s->cluster, &s->cluster->procs[i]);
+	for (int i = 0; i < SYSTEM_AGENTS; i++)
+		start_standin(s, i);
+	leased_system_set_routes(s, 1);
+	for (int i = 1; i <= SYSTEM_DISPATCHERS; i++) {
+		char name[16];
+
+		snprintf(name, sizeof(name), "d%d", i);
+		cluster_wait_ready(s->cluster, name, SYSTEM_WAIT_MS);
+	}
+}
+
+struct leased_system *leased_system_begin(bool relays)
+{
+	const struct cluster_options none = { 0 };
+	struct leased_system *s = g_new0(struct leased_system, 1);
+
+	s->cluster = cluster_create(&none);
+	s->record = standin_record_create();
+	lay_out(s);
+	for (int i = 0; relays && i < SYSTEM_AGENTS; i++)
+		put_relays(s, i);
+	start_all(s);
+	return s;
+}
+
+void leased_system_finish(struct leased_system *s)
+{
+	for (int i = 0; i < SYSTEM_AGENTS; i++)
+		standin_destroy(s->standins[i]);
+	assert_int_equal(standin_doubles(s->record), 0);
+	standin_record_destroy(s->record);
+	cluster_destroy(s->cluster);
+	for (int i = 0; s->agent_relays[0] && i < SYSTEM_AGENTS; i++) {
+		relay_destroy(s->agent_relays[i]);
+		relay_destroy(s->server_relays[i]);
+	}
+	g_free(s);
+}
--- a/tests/support/relay.c
+++ b/tests/support/relay.c
@@ -27,6 +27,7 @@
 #define BUFFER_BYTES 65536
 #define FIRST_BYTES 128 /* of what a caller sends: its Hello */
 #define RULES_MAX 16
+#define US_PER_MS 1000
 
 /* ---- Types ---- */
 
@@ -49,6 +50,7 @@
 	GThread *thread;
 	gint stop, silent_all, silence_open; /* atomic */
 	gint accepted; /* atomic */
+	gint reset_open, delay_ms; /* atomic */
 	struct pair pairs[PAIRS_MAX];
 	int n_pairs;
 	struct rule rules[RULES_MAX];
@@ -107,6 +109,17 @@
 	r->pairs[i] = r->pairs[--r->n_pairs];
 }
 
+static void reset_pair(struct relay *r, int i)
+{
+	struct linger at_once = { 1, 0 };
+
+	setsockopt(r->pairs[i].caller, SOL_SOCKET, SO_LINGER, &at_once,
+		   sizeof(at_once));
+	setsockopt(r->pairs[i].target, SOL_SOCKET, SO_LINGER, &at_once,
+		   sizeof(at_once));
+	close_pair(r, i);
+}
+
 /* ---- Passing on ---- */
 
 static bool write_all(int fd, const char *data, ssize_t size)
@@ -158,6 +171,8 @@
 	/* A silent pair does not pass the end on either. */
 	if (silent & way)
 		return n > 0;
+	if (n > 0 && g_atomic_int_get(&r->delay_ms))
+		g_usleep((gulong)g_atomic_int_get(&r->delay_ms) * US_PER_MS);
 	return n > 0 && write_all(to, buffer, n);
 }
 
@@ -186,6 +201,9 @@
 	int i, n, way;
 
 	while (!g_atomic_int_get(&r->stop)) {
+		if (g_atomic_int_and((guint *)&r->reset_open, 0))
+			while (r->n_pairs)
+				reset_pair(r, 0);
 		way = g_atomic_int_and((guint *)&r->silence_open, 0);
 		n = r->n_pairs;
 		polls[0] = (struct pollfd){ r->listener, POLLIN, 0 };
@@ -262,6 +280,16 @@
 	g_atomic_int_inc(&r->n_rules);
 }
 
+void relay_reset_open(struct relay *r)
+{
+	g_atomic_int_set(&r->reset_open, 1);
+}
+
+void relay_delay(struct relay *r, int32_t delay_ms)
+{
+	g_atomic_int_set(&r->delay_ms, delay_ms);
+}
+
 uint64_t relay_accepted(const struct relay *r)
 {
 	return (uint64_t)g_atomic_int_get(&r->accepted);
--- a/tests/support/relay.h
+++ b/tests/support/relay.h
@@ -1,7 +1,8 @@
 /*
  * relay: a TCP relay between two processes of a test, on a thread of
- * its own, that can go silent: it then swallows what comes and keeps the
- * connections open, as equipment does that has lost track of them.
+ * its own, that can delay, break connections and go silent: it then swallows
+ * what comes and keeps the connections open, as equipment does that has lost
+ * track of them.
  */
 #ifndef SUPPORT_RELAY_H
 #define SUPPORT_RELAY_H
@@ -28,6 +29,10 @@
  * there are and new ones; to be called by one thread. */
 void relay_silence_caller(struct relay *relay, const char *name,
 			  enum relay_way way);
+/* Breaks the connections that there are, as by a reset. */
+void relay_reset_open(struct relay *relay);
+/* Each piece passed on waits so long, and what is behind it; 0: none. */
+void relay_delay(struct relay *relay, int32_t delay_ms);
 uint64_t relay_accepted(const struct relay *relay); /* connections so far */
 
 #endif
