Give up dials that hang sooner; answer on the other end's connection

Ruled out: the processes' own start (0.05 s). Change: a dial without an answer is given up after a third of a heartbeat interval (before: after one, seen by a tick of half of one), and a message to a coordinator goes on the connection that it made if ours isn't up. Test: test_link, a listener whose queue is full; fails before the change.

--- a/src/net/link.c
+++ b/src/net/link.c
@@ -12,6 +12,10 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+/* A host without power doesn't answer once it is back: the opening packet
+ * comes again after seconds only. */
+#define CONNECT_PART 3 /* of a heartbeat interval */
+#define CONNECT_MIN_MS 50
 #define REDIAL_MIN_MS 20
 #define REDIAL_MAX_MS 500
 #define REDIAL_FIRST_BOUND_MS 100
@@ -23,10 +27,16 @@
 
 /* ---- Life ---- */
 
+/* The timer runs while a connection is awaited, and between dials. */
 static void on_redial(void *arg, int64_t now_ms)
 {
+	struct link *link = arg;
+
 	(void)now_ms;
-	start_dial(arg);
+	if (link->state == LINK_CONNECTING)
+		link_shut(link, "connect_timeout");
+	else
+		start_dial(link);
 }
 
 struct link *link_create(struct link_hub *hub, bool dialled, char *address)
@@ -360,6 +370,8 @@
 {
 	struct link_hub *hub = link->hub;
 
+	if (link->redial)
+		loop_timer_stop(link->redial);
 	link->state = LINK_GREETING;
 	link->refused = false;
 	link->opened_ms = loop_now_ms(hub->loop);
@@ -436,6 +448,10 @@
 	link->watch =
 		loop_watch_create(hub->loop, link->socket, on_socket, link);
 	loop_watch_set(link->watch, false, true);
+	loop_timer_start(
+		link->redial,
+		MAX(hub->options.heartbeat_ms / CONNECT_PART, CONNECT_MIN_MS),
+		0);
 }
 
 struct link *link_dial(struct link_hub *hub, const char *address)
--- a/src/net/link_hub.c
+++ b/src/net/link_hub.c
@@ -55,12 +55,7 @@
 
 	switch (link->state) {
 	case LINK_DOWN:
-		return;
 	case LINK_CONNECTING:
-		/* A host without power doesn't answer once it is back: the
-		 * opening packet comes again after seconds only. */
-		if (now_ms - link->opened_ms >= heartbeat_ms)
-			link_shut(link, "connect_timeout");
 		return;
 	case LINK_GREETING:
 		if (now_ms - link->opened_ms >= limit_ms)
--- a/src/roles/coordinator_links.c
+++ b/src/roles/coordinator_links.c
@@ -99,15 +99,14 @@
 	return NULL;
 }
 
-/* One that joins knows the addresses of --join alone, and the leader may
- * be another: it answers on the connection that the leader made. */
+/* The other one's connection serves too: one that joins knows the
+ * addresses of --join alone, and one that comes back dials before it is
+ * dialled again. */
 struct link *coordinator_link_to(const struct coordinator *c, uint32_t id)
 {
 	struct link *link = find_link(c->peers, id);
 
-	if (!link && !cf_config_revision(c->config))
-		link = find_link(c->accepted, id);
-	return link;
+	return link ? link : find_link(c->accepted, id);
 }
 
 /* ---- Handlers ------------------------------------------------------ */
--- a/tests/test_link.c
+++ b/tests/test_link.c
@@ -21,6 +21,8 @@
 
 #define HEARTBEAT_MS 60
 #define FRAME_MAX_BYTES 65536
+#define QUEUE_FILLERS 4
+#define SLOW_HEARTBEAT_MS 900 /* packets are repeated after 1 s */
 
 struct side {
 	struct link_hub *hub;
@@ -355,6 +357,47 @@
 	close(s);
 }
 
+/* A listener whose queue is full drops the opening packets, as a host
+ * without power does; the next dial comes well before they are repeated. */
+static void test_a_dial_that_hangs_is_given_up(void **state)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET };
+	socklen_t size = sizeof(address);
+	int listener = socket(AF_INET, SOCK_STREAM, 0);
+	struct reason reason = { "connect_timeout",
+				 closed("connect_timeout") + 1 };
+	const struct link_options options = {
+		.self = { .role = CFW__ROLE__ROLE_AGENT, .name = "slow" },
+		.heartbeat_ms = SLOW_HEARTBEAT_MS
+	};
+	struct link_hub *hub =
+		link_hub_create(loop, &options, &handlers, &client);
+	int64_t begin_ms = loop_now_ms(loop);
+	int fillers[QUEUE_FILLERS];
+	char text[32];
+
+	(void)state;
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	assert_int_equal(
+		bind(listener, (struct sockaddr *)&address, sizeof(address)),
+		0);
+	assert_int_equal(listen(listener, 0), 0);
+	getsockname(listener, (struct sockaddr *)&address, &size);
+	for (int i = 0; i < QUEUE_FILLERS; i++) {
+		fillers[i] = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+		connect(fillers[i], (struct sockaddr *)&address,
+			sizeof(address));
+	}
+	g_snprintf(text, sizeof(text), "127.0.0.1:%u", ntohs(address.sin_port));
+	link_dial(hub, text);
+	assert_true(loop_until(loop, reason_counted, &reason));
+	assert_true(loop_now_ms(loop) - begin_ms < SLOW_HEARTBEAT_MS);
+	link_hub_destroy(hub);
+	for (int i = 0; i < QUEUE_FILLERS; i++)
+		close(fillers[i]);
+	close(listener);
+}
+
 static void test_dialled_peer_that_goes_silent_is_given_up(void **state)
 {
 	struct sockaddr_in address = { .sin_family = AF_INET };
@@ -456,6 +499,7 @@
 		LINK_TEST(test_redials_after_a_loss_and_after_a_restart),
 		LINK_TEST(test_bad_peers_are_closed_with_a_reason),
 		LINK_TEST(test_other_protocol_is_refused),
+		LINK_TEST(test_a_dial_that_hangs_is_given_up),
 		LINK_TEST(test_dialled_peer_that_goes_silent_is_given_up),
 		LINK_TEST(test_connections_above_the_limit_are_closed),
 		LINK_TEST(test_peer_that_does_not_read_is_closed),
