--- a/tests/support/leased_system.c
+++ b/tests/support/leased_system.c
@@ -19,6 +19,7 @@
 /* ---- Constants ---- */
 
 #define STOP_WAIT_MS "5000"
+#define FIRST_NET 210 /* 127.211 and so on */
 #define COORDINATOR_PORT 21999
 #define CONTROL_PORT 22999
 #define LISTEN_BASE 21000
@@ -62,6 +63,23 @@
 	return p;
 }
 
+/* Every process id has addresses of its own, so that tests that run at
+ * once don't meet. */
+static void coordinator_address(int i, int port, char address[40])
+{
+	unsigned int id = (unsigned int)getpid();
+
+	snprintf(address, 40, "127.%d.%u.%u:%d", FIRST_NET + i, (id >> 8) & 255,
+		 1 + (id & 255) % 254, port);
+}
+
+static void append(char *list, size_t size, const char *address)
+{
+	if (list[0])
+		g_strlcat(list, ",", size);
+	g_strlcat(list, address, size);
+}
+
 /* All coordinators need one port between processes, as on hosts of their
  * own; here each has a loopback address of its own in its place. */
 static void add_coordinator(struct leased_system *s, int i,
@@ -72,11 +90,9 @@
 
 	snprintf(name, sizeof(name), "c%d", i);
 	p = cluster_add(s->cluster, "coordinator", name);
-	snprintf(text, sizeof(text), "127.0.%d.%d:%d", 100 + i,
-		 (int)getpid() % 250 + 1, COORDINATOR_PORT);
+	coordinator_address(i, COORDINATOR_PORT, text);
 	proc_add(p, "--listen", text);
-	snprintf(text, sizeof(text), "127.0.%d.%d:%d", 100 + i,
-		 (int)getpid() % 250 + 1, CONTROL_PORT);
+	coordinator_address(i, CONTROL_PORT, text);
 	proc_add(p, "--control", text);
 	add_address(s, p, "--admin", ADMIN_BASE);
 	snprintf(text, sizeof(text), "%s/%s", s->cluster->folder, name);
@@ -89,15 +105,13 @@
 
 static void lay_out(struct leased_system *s)
 {
-	int host = (int)getpid() % 250 + 1;
-
 	for (int i = 1; i <= SYSTEM_COORDINATORS; i++) {
-		size_t n = strlen(s->seeds), m = strlen(s->links);
+		char address[40];
 
-		snprintf(s->seeds + n, sizeof(s->seeds) - n, "%s127.0.%d.%d:%d",
-			 i > 1 ? "," : "", 100 + i, host, CONTROL_PORT);
-		snprintf(s->links + m, sizeof(s->links) - m, "%s127.0.%d.%d:%d",
-			 i > 1 ? "," : "", 100 + i, host, COORDINATOR_PORT);
+		coordinator_address(i, CONTROL_PORT, address);
+		append(s->seeds, sizeof(s->seeds), address);
+		coordinator_address(i, COORDINATOR_PORT, address);
+		append(s->links, sizeof(s->links), address);
 	}
 	for (int i = 1; i <= SYSTEM_COORDINATORS; i++)
 		add_coordinator(s, i, "true");
