--- a/tests/test_replog_handover.c
+++ b/tests/test_replog_handover.c
@@ -145,14 +145,20 @@
 	lognet_destroy(net);
 }
 
-/* Replies to an earlier life, and of one that isn't asked, count for
- * nothing; a leader that is there is followed as ever. */
+/* Replies to an earlier life count for nothing: a vote is not heeded, and
+ * the leader that is there is followed as ever. */
 static void test_replies_to_another_life(void **state)
 {
 	struct lognet *net = make(3);
 	struct lognet_node *leader = lognet_leader(net);
 	uint64_t term = cf_replog_term(leader->log);
 	struct lognet_node *node = &net->nodes[leader->id % net->n_nodes];
+	struct cf_replog_message vote = { .kind = CF_REPLOG_VOTE,
+					  .from = 6 - node->id - leader->id,
+					  .to = node->id,
+					  .term = term + 1,
+					  .index = 1000,
+					  .log_term = term };
 
 	(void)state;
 	lognet_crash(net, node);
@@ -168,6 +174,8 @@
 
 		cf_replog_step(node->log, &told, net->now_ms);
 	}
+	cf_replog_step(node->log, &vote, net->now_ms);
+	assert_int_equal(cf_replog_term(node->log), term);
 	for (int i = 0; i < ELECTION_MS / LOGNET_STEP_MS; i++)
 		lognet_step(net);
 	assert_ptr_equal(lognet_leader(net), leader);
