--- a/tests/fault_stops.c
+++ b/tests/fault_stops.c
@@ -74,6 +74,8 @@
 	whole = cluster_load_field(load, "complete");
 	fprintf(stderr, "count: jobs=%d complete=%d\n", (int)jobs, (int)whole);
 	assert_true(jobs > 100);
+	if (whole != jobs)
+		cluster_load_explain(c, load);
 	assert_int_equal(whole, jobs);
 	assert_int_equal(cluster_check(c, &summary), 0);
 	assert_int_equal(summary.doubles, 0);
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -103,6 +103,9 @@
 struct proc *cluster_load(struct cluster *c, const char *const *args);
 /* Waits for it; its JSON report's integer field, or -1. */
 int64_t cluster_load_field(struct proc *load, const char *field);
+/* Prints the whole report and each answer that was not complete, from the
+ * dispatchers' traces, on stderr. */
+void cluster_load_explain(struct cluster *c, struct proc *load);
 
 /* Checks and replays all traces; prints faults and counts on stderr;
  * number of faults and of replayed decisions that differ. */
--- a/tests/support/cluster_jobs.c
+++ b/tests/support/cluster_jobs.c
@@ -117,6 +117,38 @@
 	return p;
 }
 
+static void print_refusals(const char *path)
+{
+	g_autofree char *text = NULL;
+	g_auto(GStrv) lines = NULL;
+
+	if (!g_file_get_contents(path, &text, NULL, NULL))
+		return;
+	lines = g_strsplit(text, "\n", -1);
+	for (int i = 0; lines[i]; i++)
+		if (strstr(lines[i], " e=answer ") &&
+		    !strstr(lines[i], "outcome=complete"))
+			fprintf(stderr, "%s: %s\n", path, lines[i]);
+}
+
+void cluster_load_explain(struct cluster *c, struct proc *load)
+{
+	g_autofree char *text = NULL;
+	GDir *dir = g_dir_open(c->folder, 0, NULL);
+	const char *name;
+
+	if (g_file_get_contents(load->log, &text, NULL, NULL))
+		fprintf(stderr, "load: %s\n", text);
+	while (dir && (name = g_dir_read_name(dir))) {
+		g_autofree char *path = g_build_filename(c->folder, name, NULL);
+
+		if (g_str_has_suffix(name, ".trace"))
+			print_refusals(path);
+	}
+	if (dir)
+		g_dir_close(dir);
+}
+
 int64_t cluster_load_field(struct proc *load, const char *field)
 {
 	char *text = NULL, *start;
