A folder for each role

Plain moves: src/roles/ held 57 files of all roles. Now src/dispatcher/, src/agent/, src/coordinator/ (the processes), src/verbs/ (operators' verbs, explain, trace check), src/load/, src/backend/ (load tool, stand-in), and src/roles/ with what all share.

--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,9 @@
 
 LIB_SRC = $(wildcard src/lib/*.c) src/proto/wire.pb-c.c
 APP_SRC = $(filter-out src/main.c,$(wildcard src/*.c src/base/*.c \
-	src/net/*.c src/store/*.c src/roles/*.c src/leased/*.c platform/platform*.c))
+	src/net/*.c src/store/*.c src/roles/*.c src/agent/*.c src/backend/*.c \
+	src/coordinator/*.c src/dispatcher/*.c src/load/*.c src/verbs/*.c \
+	src/leased/*.c platform/platform*.c))
 LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o)
 LIB_PIC = $(LIB_SRC:%.c=$(BUILD)/pic/%.o)
 APP_OBJ = $(APP_SRC:%.c=$(BUILD)/%.o)
--- a/fuzz/fuzz_config.c
+++ b/fuzz/fuzz_config.c
@@ -3,7 +3,7 @@
  * changes from arbitrary bytes. The first byte chooses the decoder.
  */
 #include "chervilferry.h"
-#include "roles/command_json.h"
+#include "verbs/command_json.h"
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
 
--- a/src/roles/agent.c
+++ b/src/agent/agent.c
@@ -3,13 +3,13 @@
  * to the system under a lease, gates each start, calls the server over
  * HTTP and drains it.
  */
-#include "roles/agent_internal.h"
+#include "agent/agent_internal.h"
 
 #include "base/clock.h"
 #include "base/counters.h"
 #include "base/logger.h"
 #include "base/trace_file.h"
-#include "roles/agent_trace.h"
+#include "agent/agent_trace.h"
 
 #include <inttypes.h>
 
--- a/src/roles/agent_backend.c
+++ b/src/agent/agent_backend.c
@@ -3,14 +3,14 @@
  * over HTTP; tasks are POSTed to it. Announcements arrive on a thread of
  * the HTTP server and are handled on the loop thread.
  */
-#include "roles/agent_internal.h"
+#include "agent/agent_internal.h"
 
 #include "base/address.h"
 #include "base/clock.h"
 #include "base/counters.h"
 #include "base/logger.h"
 #include "base/trace_file.h"
-#include "roles/agent_trace.h"
+#include "agent/agent_trace.h"
 
 #include <inttypes.h>
 #include <jansson.h>
--- a/src/roles/agent_load.c
+++ b/src/agent/agent_load.c
@@ -4,7 +4,7 @@
  * follows unasked, since a dispatcher that takes an agent for full or
  * closed sends nothing that an answer could come to. Loop thread only.
  */
-#include "roles/agent_internal.h"
+#include "agent/agent_internal.h"
 
 #include "base/clock.h"
 
--- a/src/roles/agent_results.c
+++ b/src/agent/agent_results.c
@@ -2,7 +2,7 @@
  * agent_results: the tasks of one Dispatch, until all of their results go
  * back together. Loop thread only.
  */
-#include "roles/agent_internal.h"
+#include "agent/agent_internal.h"
 
 #include "base/clock.h"
 #include "base/counters.h"
--- a/src/roles/agent_tasks.c
+++ b/src/agent/agent_tasks.c
@@ -2,12 +2,12 @@
  * agent_tasks: tasks from their Dispatch through the start gate to one
  * Results message. All on the loop thread.
  */
-#include "roles/agent_internal.h"
+#include "agent/agent_internal.h"
 
 #include "base/clock.h"
 #include "base/counters.h"
 #include "base/logger.h"
-#include "roles/agent_trace.h"
+#include "agent/agent_trace.h"
 
 #include <inttypes.h>
 #include <string.h>
--- a/src/roles/agent_trace.c
+++ b/src/agent/agent_trace.c
@@ -2,7 +2,7 @@
  * agent_trace: see agent_trace.h. Without a trace file nothing is
  * formatted.
  */
-#include "roles/agent_trace.h"
+#include "agent/agent_trace.h"
 
 #include "base/trace_file.h"
 
--- a/src/roles/backend.c
+++ b/src/backend/backend.c
@@ -3,7 +3,7 @@
  * measurements. It announces itself to the agent on its host every
  * second, and tells it when it leaves.
  */
-#include "roles/backend_internal.h"
+#include "backend/backend_internal.h"
 
 #include "base/address.h"
 #include "base/clock.h"
--- a/src/roles/backend_task.c
+++ b/src/backend/backend_task.c
@@ -5,7 +5,7 @@
  * is looked at in the moment of the start: later, the answer is 412 and
  * the task has not started.
  */
-#include "roles/backend_internal.h"
+#include "backend/backend_internal.h"
 
 #include "base/clock.h"
 #include "base/trace_file.h"
--- a/src/roles/coordinator.c
+++ b/src/coordinator/coordinator.c
@@ -3,7 +3,7 @@
  * grants leases and votes on claims. This file starts and stops it and
  * has its periodic work.
  */
-#include "roles/coordinator.h"
+#include "coordinator/coordinator.h"
 
 #include "base/clock.h"
 #include "base/logger.h"
--- a/src/roles/coordinator_admin.c
+++ b/src/coordinator/coordinator_admin.c
@@ -2,10 +2,10 @@
  * coordinator_admin: the operators' HTTP interface of a coordinator.
  * Requests arrive on server threads and are carried out on the loop.
  */
-#include "roles/coordinator.h"
+#include "coordinator/coordinator.h"
 
 #include "base/clock.h"
-#include "roles/command_json.h"
+#include "verbs/command_json.h"
 
 /* ---- Constants ----------------------------------------------------- */
 
--- a/src/roles/coordinator_claims.c
+++ b/src/coordinator/coordinator_claims.c
@@ -4,7 +4,7 @@
  * synced, before anything is voted on again. After any other end this
  * member abstains on keys that it may have voted on.
  */
-#include "roles/coordinator.h"
+#include "coordinator/coordinator.h"
 
 #include "base/clock.h"
 #include "base/logger.h"
--- a/src/roles/coordinator_control.c
+++ b/src/coordinator/coordinator_control.c
@@ -3,7 +3,7 @@
  * and the service of data centres. Requests arrive on a server thread
  * and are carried out on the loop, as commands of the replicated log.
  */
-#include "roles/coordinator.h"
+#include "coordinator/coordinator.h"
 
 #include "base/clock.h"
 #include "base/logger.h"
--- a/src/roles/coordinator_join.c
+++ b/src/coordinator/coordinator_join.c
@@ -7,7 +7,7 @@
  * gone, and a voter that it can't reach where another member is ready to
  * vote. One that was removed so and comes back starts over as a new one.
  */
-#include "roles/coordinator.h"
+#include "coordinator/coordinator.h"
 
 #include "base/address.h"
 #include "base/clock.h"
--- a/src/roles/coordinator_leases.c
+++ b/src/coordinator/coordinator_leases.c
@@ -5,7 +5,7 @@
  * The leader grants only if a quorum acknowledged what it sent within
  * the last QUORUM_FRESH_MS, so that what it confirms is in force.
  */
-#include "roles/coordinator.h"
+#include "coordinator/coordinator.h"
 
 #include "base/clock.h"
 #include "base/logger.h"
--- a/src/roles/coordinator_links.c
+++ b/src/coordinator/coordinator_links.c
@@ -3,7 +3,7 @@
  * every other one and sends its log messages on the links that it
  * dialled; all other messages are answered on the link they came by.
  */
-#include "roles/coordinator.h"
+#include "coordinator/coordinator.h"
 
 #include "base/logger.h"
 
--- a/src/roles/coordinator_log.c
+++ b/src/coordinator/coordinator_log.c
@@ -3,7 +3,7 @@
  * applies entries to the configuration, and answers those who wait for
  * one of them.
  */
-#include "roles/coordinator.h"
+#include "coordinator/coordinator.h"
 
 #include "base/clock.h"
 #include "base/logger.h"
--- a/src/roles/coordinator_members.c
+++ b/src/coordinator/coordinator_members.c
@@ -4,7 +4,7 @@
  * learner, then a voter once it has caught up; one that leaves is taken
  * out. Whoever leads takes the next step, also after a crash.
  */
-#include "roles/coordinator.h"
+#include "coordinator/coordinator.h"
 
 #include "base/address.h"
 #include "base/clock.h"
--- a/src/roles/coordinator_roster.c
+++ b/src/coordinator/coordinator_roster.c
@@ -2,7 +2,7 @@
  * coordinator_roster: who holds a lease, as dispatchers are told, and
  * the fencing of a holder that is gone.
  */
-#include "roles/coordinator.h"
+#include "coordinator/coordinator.h"
 
 #include "base/clock.h"
 
--- a/src/roles/dispatcher.c
+++ b/src/dispatcher/dispatcher.c
@@ -3,7 +3,7 @@
  * claims them, places their tasks on agents and gathers one whole
  * answer.
  */
-#include "roles/dispatcher_internal.h"
+#include "dispatcher/dispatcher_internal.h"
 
 #include "base/clock.h"
 #include "base/counters.h"
--- a/src/roles/dispatcher_adopt.c
+++ b/src/dispatcher/dispatcher_adopt.c
@@ -4,7 +4,7 @@
  * owner, and every agent on the roster read after the fence says what it
  * knows of the key and fences the rest. Loop thread only.
  */
-#include "roles/dispatcher_internal.h"
+#include "dispatcher/dispatcher_internal.h"
 
 #include "base/clock.h"
 #include "base/counters.h"
--- a/src/roles/dispatcher_agents.c
+++ b/src/dispatcher/dispatcher_agents.c
@@ -2,7 +2,7 @@
  * dispatcher_agents: the agents on the roster, connections to them, and
  * what placement knows of each. Loop thread only.
  */
-#include "roles/dispatcher_internal.h"
+#include "dispatcher/dispatcher_internal.h"
 
 #include "base/clock.h"
 #include "base/counters.h"
--- a/src/roles/dispatcher_claim.c
+++ b/src/dispatcher/dispatcher_claim.c
@@ -2,7 +2,7 @@
  * dispatcher_claim: asks the coordinators for keys, those of one turn of
  * the loop together, and counts the votes. Loop thread only.
  */
-#include "roles/dispatcher_internal.h"
+#include "dispatcher/dispatcher_internal.h"
 
 #include "base/clock.h"
 #include "base/counters.h"
--- a/src/roles/dispatcher_http.c
+++ b/src/dispatcher/dispatcher_http.c
@@ -2,7 +2,7 @@
  * dispatcher_http: the callers' interface, answers as JSON, and the
  * burn report on the admin port.
  */
-#include "roles/dispatcher_internal.h"
+#include "dispatcher/dispatcher_internal.h"
 
 #include "base/clock.h"
 
--- a/src/roles/dispatcher_jobs.c
+++ b/src/dispatcher/dispatcher_jobs.c
@@ -2,7 +2,7 @@
  * dispatcher_jobs: a job from its submission to its answer. Loop thread
  * only.
  */
-#include "roles/dispatcher_internal.h"
+#include "dispatcher/dispatcher_internal.h"
 
 #include "base/clock.h"
 #include "base/counters.h"
--- a/src/roles/dispatcher_memory.c
+++ b/src/dispatcher/dispatcher_memory.c
@@ -2,7 +2,7 @@
  * dispatcher_memory: answers kept for resubmissions, and the keys whose
  * answers had to go. Loop thread only.
  */
-#include "roles/dispatcher_internal.h"
+#include "dispatcher/dispatcher_internal.h"
 
 #include "base/clock.h"
 #include "base/counters.h"
--- a/src/roles/dispatcher_peer.c
+++ b/src/dispatcher/dispatcher_peer.c
@@ -3,7 +3,7 @@
  * goes to the key's owner; cancellations and look-ups of keys that are
  * not known here go to all others. Loop thread only.
  */
-#include "roles/dispatcher_internal.h"
+#include "dispatcher/dispatcher_internal.h"
 
 #include "base/clock.h"
 #include "base/counters.h"
--- a/src/roles/dispatcher_place.c
+++ b/src/dispatcher/dispatcher_place.c
@@ -3,7 +3,7 @@
  * urgent job first, and sends one Dispatch to each agent. Loop thread
  * only.
  */
-#include "roles/dispatcher_internal.h"
+#include "dispatcher/dispatcher_internal.h"
 
 #include "base/clock.h"
 #include "base/counters.h"
--- a/src/roles/dispatcher_request.c
+++ b/src/dispatcher/dispatcher_request.c
@@ -2,7 +2,7 @@
  * dispatcher_request: a caller's job, read and checked against the
  * board. Any thread; the board is read under RCU.
  */
-#include "roles/dispatcher_internal.h"
+#include "dispatcher/dispatcher_internal.h"
 
 #include <jansson.h>
 #include <string.h>
--- a/src/roles/dispatcher_settle.c
+++ b/src/dispatcher/dispatcher_settle.c
@@ -2,7 +2,7 @@
  * dispatcher_settle: what agents say of tasks, and what becomes of tasks
  * whose agent cannot say. Loop thread only.
  */
-#include "roles/dispatcher_internal.h"
+#include "dispatcher/dispatcher_internal.h"
 
 #include "base/clock.h"
 #include "base/counters.h"
--- a/src/roles/load.c
+++ b/src/load/load.c
@@ -4,7 +4,7 @@
  * arrival; answers arrive on the loop's thread. Response times count
  * from the planned arrival, so the tool's own lateness shows in them.
  */
-#include "roles/load_internal.h"
+#include "load/load_internal.h"
 
 #include "base/clock.h"
 #include "base/logger.h"
--- a/src/roles/load_check.c
+++ b/src/load/load_check.c
@@ -1,7 +1,7 @@
 /*
  * load_check: is an answer whole, and this job's own?
  */
-#include "roles/load_internal.h"
+#include "load/load_internal.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/roles/load_metrics.c
+++ b/src/load/load_metrics.c
@@ -2,7 +2,7 @@
  * load_metrics: how many messages of each kind processes have sent, from
  * their /metrics.
  */
-#include "roles/load_internal.h"
+#include "load/load_internal.h"
 
 #include "net/http_client.h"
 
--- a/src/roles/load_plan.c
+++ b/src/load/load_plan.c
@@ -2,7 +2,7 @@
  * load_plan: which jobs arrive when. Arrivals don't wait for answers
  * (open loop): gaps are exponential, or as recorded.
  */
-#include "roles/load_internal.h"
+#include "load/load_internal.h"
 
 #include "base/clock.h"
 
--- a/src/roles/load_report.c
+++ b/src/load/load_report.c
@@ -2,7 +2,7 @@
  * load_report: what a run of the load tool found, as text or JSON. One
  * flat JSON object of integers; times in microseconds, ratios in 1/1000.
  */
-#include "roles/load_internal.h"
+#include "load/load_internal.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/main.c
+++ b/src/main.c
@@ -3,7 +3,7 @@
  */
 #include "base/logger.h"
 #include "platform/platform.h"
-#include "roles/explain.h"
+#include "verbs/explain.h"
 #include "roles/role.h"
 
 #include "base/clock.h"
--- a/src/roles/command_json.c
+++ b/src/verbs/command_json.c
@@ -1,7 +1,7 @@
 /*
  * command_json: configuration changes and the configuration as JSON.
  */
-#include "roles/command_json.h"
+#include "verbs/command_json.h"
 
 #include "proto/wire.pb-c.h"
 
--- a/src/roles/explain.c
+++ b/src/verbs/explain.c
@@ -2,7 +2,7 @@
  * explain: see explain.h. Only lines in the text format are read; what
  * stands before their time (a prefix of whoever collected them) is cut.
  */
-#include "roles/explain.h"
+#include "verbs/explain.h"
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/roles/operator.c
+++ b/src/verbs/operator.c
@@ -2,7 +2,7 @@
  * operator: runs the operators' verbs. Exit status: 0 done, 1 refused
  * or failed with the reason on standard error, 2 bad use.
  */
-#include "roles/operator.h"
+#include "verbs/operator.h"
 
 #include "base/clock.h"
 #include "base/settings.h"
--- a/src/roles/operator.h
+++ b/src/verbs/operator.h
@@ -5,7 +5,7 @@
 #define ROLES_OPERATOR_H
 
 #include "chervilferry.h"
-#include "roles/command_json.h"
+#include "verbs/command_json.h"
 
 #include <glib.h>
 
--- a/src/roles/operator_args.c
+++ b/src/verbs/operator_args.c
@@ -2,7 +2,7 @@
  * operator_args: the command line of the operators' verbs. One table
  * of verbs gives the parser and the help text.
  */
-#include "roles/operator.h"
+#include "verbs/operator.h"
 
 #include "base/address.h"
 
--- a/src/roles/operator_client.c
+++ b/src/verbs/operator_client.c
@@ -3,7 +3,7 @@
  * same command id each time it is sent, so that sending it again after
  * a lost answer makes it once.
  */
-#include "roles/operator.h"
+#include "verbs/operator.h"
 
 #include "base/clock.h"
 #include "net/http_client.h"
--- a/src/roles/operator_print.c
+++ b/src/verbs/operator_print.c
@@ -1,7 +1,7 @@
 /*
  * operator_print: the text output of the operators' verbs.
  */
-#include "roles/operator.h"
+#include "verbs/operator.h"
 
 /* ---- Fields -------------------------------------------------------- */
 
--- a/src/roles/trace_verbs.c
+++ b/src/verbs/trace_verbs.c
@@ -3,7 +3,7 @@
  * all processes and names the first event that breaks each promise;
  * "trace replay FILE..." has the decision parts decide again.
  */
-#include "roles/trace_verbs.h"
+#include "verbs/trace_verbs.h"
 
 #include "roles/role.h"
 
--- a/tests/support/cluster.c
+++ b/tests/support/cluster.c
@@ -5,7 +5,7 @@
 
 #include "base/clock.h"
 #include "net/http_client.h"
-#include "roles/trace_verbs.h"
+#include "verbs/trace_verbs.h"
 
 #include <glib/gstdio.h>
 #include <jansson.h>
--- a/tests/support/coordinators.c
+++ b/tests/support/coordinators.c
@@ -4,7 +4,7 @@
 #include "support/coordinators.h"
 
 #include "base/clock.h"
-#include "roles/operator.h"
+#include "verbs/operator.h"
 
 #include <arpa/inet.h>
 #include <setjmp.h>
--- a/tests/support/coordinators.h
+++ b/tests/support/coordinators.h
@@ -7,7 +7,7 @@
 #define SUPPORT_COORDINATORS_H
 
 #include "base/settings.h"
-#include "roles/coordinator.h"
+#include "coordinator/coordinator.h"
 
 #include <jansson.h>
 
--- a/tests/test_coordinator.c
+++ b/tests/test_coordinator.c
@@ -4,7 +4,7 @@
  * are added and removed. Every wait is for a condition.
  */
 #include "base/logger.h"
-#include "roles/operator.h"
+#include "verbs/operator.h"
 #include "support/coordinators.h"
 
 #include <apr_general.h>
--- a/tests/test_explain.c
+++ b/tests/test_explain.c
@@ -2,7 +2,7 @@
  * test_explain: from a request's id to its cause, for each way in which a
  * request ends.
  */
-#include "roles/explain.h"
+#include "verbs/explain.h"
 
 #include <setjmp.h>
 #include <stdarg.h>
--- a/tests/test_load.c
+++ b/tests/test_load.c
@@ -2,7 +2,7 @@
  * test_load: plans, the check of answers, and the report of the load
  * tool.
  */
-#include "roles/load_internal.h"
+#include "load/load_internal.h"
 
 #include <glib/gstdio.h>
 #include <setjmp.h>
--- a/tests/test_operator.c
+++ b/tests/test_operator.c
@@ -4,8 +4,8 @@
  */
 #include "chervilferry.h"
 #include "proto/wire.pb-c.h"
-#include "roles/coordinator.h"
-#include "roles/operator.h"
+#include "coordinator/coordinator.h"
+#include "verbs/operator.h"
 
 #include <setjmp.h>
 #include <stdarg.h>
--- a/tests/test_recorded.c
+++ b/tests/test_recorded.c
@@ -3,7 +3,7 @@
  * the same traces with one event planted, which must be found.
  */
 #include "chervilferry.h"
-#include "roles/trace_verbs.h"
+#include "verbs/trace_verbs.h"
 
 #include <setjmp.h>
 #include <stdarg.h>
