--- a/tests/support/leased_system.c
+++ b/tests/support/leased_system.c
@@ -7,6 +7,7 @@
 #include "net/http_client.h"
 #include "platform/standin.h"
 
+#include <curl/curl.h>
 #include <glib.h>
 #include <setjmp.h>
 #include <stdarg.h>
@@ -204,6 +205,113 @@
 	leased_system_control(s, "GET", standin_get_routes_path, NULL, version);
 }
 
+/* ---- Callers that keep their connections ---- */
+
+struct leased_caller {
+	struct leased_system *system;
+	CURL *handles[SYSTEM_DISPATCHERS];
+	struct curl_slist *headers;
+};
+
+struct leased_caller *leased_caller_create(struct leased_system *s)
+{
+	struct leased_caller *caller = g_new0(struct leased_caller, 1);
+	g_autofree char *deadline = standin_deadline_line(SYSTEM_DEADLINE_MS);
+
+	caller->system = s;
+	for (int i = 0; i < SYSTEM_DISPATCHERS; i++)
+		caller->handles[i] = curl_easy_init();
+	caller->headers = curl_slist_append(NULL, "Host: " HOST);
+	caller->headers = curl_slist_append(caller->headers, deadline);
+	caller->headers = curl_slist_append(caller->headers, "Expect:");
+	return caller;
+}
+
+void leased_caller_destroy(struct leased_caller *caller)
+{
+	for (int i = 0; i < SYSTEM_DISPATCHERS; i++)
+		curl_easy_cleanup(caller->handles[i]);
+	curl_slist_free_all(caller->headers);
+	g_free(caller);
+}
+
+static size_t keep_answer(char *data, size_t one, size_t n, void *answer)
+{
+	g_string_append_len(answer, data, (gssize)(one * n));
+	return one * n;
+}
+
+/* Only once: libcurl would send a request again by itself where a kept
+ * connection ends before the answer. */
+struct once {
+	const char *body;
+	size_t size, sent;
+	bool again;
+};
+
+static size_t send_once(char *buffer, size_t one, size_t n, void *arg)
+{
+	struct once *once = arg;
+	size_t size = MIN(one * n, once->size - once->sent);
+
+	if (once->again)
+		return CURL_READFUNC_ABORT;
+	memcpy(buffer, once->body + once->sent, size);
+	once->sent += size;
+	return size;
+}
+
+static int refuse_rewind(void *arg, curl_off_t offset, int origin)
+{
+	(void)offset;
+	(void)origin;
+	((struct once *)arg)->again = true;
+	return CURL_SEEKFUNC_FAIL;
+}
+
+/* libcurl dials anew where a kept connection had been closed before the
+ * request was sent. */
+uint32_t leased_caller_submit(struct leased_caller *caller, int dispatcher,
+			      const char *id, uint32_t run_ms, char **answer)
+{
+	int to = dispatcher % SYSTEM_DISPATCHERS;
+	CURL *curl = caller->handles[to];
+	g_autofree char *body =
+		standin_write_job(SYSTEM_TASKS, TASK_CPU_MILLI, run_ms);
+	struct once once = { body, strlen(body), 0, false };
+	g_autofree char *url = NULL;
+	GString *got = g_string_new(NULL);
+	char name[16];
+	long status = 0;
+	CURLcode outcome;
+
+	snprintf(name, sizeof(name), "d%d", to + 1);
+	url = g_strdup_printf(
+		"http://%s" PREFIX "%s",
+		cluster_address(caller->system->cluster, name, "http"), id);
+	curl_easy_setopt(curl, CURLOPT_URL, url);
+	curl_easy_setopt(curl, CURLOPT_HTTPHEADER, caller->headers);
+	curl_easy_setopt(curl, CURLOPT_POST, 1L);
+	curl_easy_setopt(curl, CURLOPT_POSTFIELDSIZE, (long)once.size);
+	curl_easy_setopt(curl, CURLOPT_READFUNCTION, send_once);
+	curl_easy_setopt(curl, CURLOPT_READDATA, &once);
+	curl_easy_setopt(curl, CURLOPT_SEEKFUNCTION, refuse_rewind);
+	curl_easy_setopt(curl, CURLOPT_SEEKDATA, &once);
+	curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS,
+			 (long)(SYSTEM_DEADLINE_MS + CALL_SLACK_MS));
+	curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, keep_answer);
+	curl_easy_setopt(curl, CURLOPT_WRITEDATA, got);
+	outcome = curl_easy_perform(curl);
+	curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &status);
+	*answer = g_string_free(got, FALSE);
+	if (outcome == CURLE_COULDNT_CONNECT)
+		return SYSTEM_NOT_CONNECTED;
+	return outcome == CURLE_OK ? (uint32_t)status : SYSTEM_NO_ANSWER;
+}
+
+/* ---- Calls of their own ---- */
+
 uint32_t leased_system_submit(struct leased_system *s, int dispatcher,
 			      const char *id, uint32_t run_ms, char **answer)
 {
--- a/tests/support/leased_system.h
+++ b/tests/support/leased_system.h
@@ -42,6 +42,14 @@
  * two above. The answer is freed with g_free, also then. */
 uint32_t leased_system_submit(struct leased_system *s, int dispatcher,
 			      const char *id, uint32_t run_ms, char **answer);
+/* A caller that keeps its connections open, one to each dispatcher, until
+ * the process is gone. One thread at a time. */
+struct leased_caller;
+struct leased_caller *leased_caller_create(struct leased_system *s);
+void leased_caller_destroy(struct leased_caller *caller);
+uint32_t leased_caller_submit(struct leased_caller *caller, int dispatcher,
+			      const char *id, uint32_t run_ms, char **answer);
+
 /* Asks the coordinators in turn until one answers, with these routes if a
  * version is wanted; fails after SYSTEM_WAIT_MS. */
 void leased_system_control(struct leased_system *s, const char *method,
