A stopping agent stays until nothing is on its way to it

Ruled out: a task that ran (the agent never had the offer). Change: a stopping agent waits until no dispatch has come for 500 ms; what comes is answered "not started" and goes elsewhere.

--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -18,6 +18,9 @@
 #define TICK_MS 20
 #define STOP_POLL_MS 10
 #define LEAVE_WAIT_MS 100
+/* Without a dispatch for so long after it said that it leaves, each
+ * dispatcher has heard that, and nothing is on its way any more. */
+#define QUIET_MS 500
 
 /* ---- Messages ---- */
 
@@ -326,6 +329,29 @@
 	g_atomic_int_set(&agent->session_left, 1);
 }
 
+/* Tasks still in progress when it is quiet, or the time is over. */
+static int wait_until_quiet(struct agent *agent, int64_t end_ms)
+{
+	int64_t quiet_since_ms = clock_now_ms();
+	gint seen = g_atomic_int_get(&agent->dispatches);
+	int64_t now_ms;
+	int in_progress;
+
+	do {
+		gint dispatches;
+
+		g_usleep(STOP_POLL_MS * 1000);
+		now_ms = clock_now_ms();
+		dispatches = g_atomic_int_get(&agent->dispatches);
+		in_progress = g_atomic_int_get(&agent->in_progress);
+		if (dispatches != seen)
+			quiet_since_ms = now_ms;
+		seen = dispatches;
+	} while (now_ms < end_ms &&
+		 (in_progress || now_ms - quiet_since_ms < QUIET_MS));
+	return in_progress;
+}
+
 void agent_stop(struct agent *agent)
 {
 	int64_t end_ms = clock_now_ms() +
@@ -336,10 +362,7 @@
 	trace_event("stop_begin", NULL);
 	log_event(LOG_INFO, "stopping", NULL);
 	loop_post(agent->loop, begin_stop, agent);
-	do {
-		g_usleep(STOP_POLL_MS * 1000);
-		cut_off = g_atomic_int_get(&agent->in_progress);
-	} while (cut_off && clock_now_ms() < end_ms);
+	cut_off = wait_until_quiet(agent, end_ms);
 	loop_post(agent->loop, leave, agent);
 	while (!g_atomic_int_get(&agent->session_left) ||
 	       g_atomic_int_get(&agent->backend_calls))
--- a/src/agent/agent_internal.h
+++ b/src/agent/agent_internal.h
@@ -91,6 +91,7 @@
 	uint16_t port, backend_port;
 	gint in_progress; /* tasks with an unsent result, atomic */
 	gint session_left; /* atomic */
+	gint dispatches; /* messages taken, atomic */
 	gint backend_calls; /* announcements being handled, atomic */
 };
 
--- a/src/agent/agent_tasks.c
+++ b/src/agent/agent_tasks.c
@@ -156,6 +156,7 @@
 				    NULL, 0, 0 };
 	size_t i;
 
+	g_atomic_int_inc(&agent->dispatches);
 	/* The sender must be who the message says it is. */
 	if (dispatch->dispatcher != link_peer(link)->incarnation ||
 	    !read_key(&dispatch->key, &key) || !dispatch->n_tasks) {
--- a/tests/fault_stops.c
+++ b/tests/fault_stops.c
@@ -3,6 +3,7 @@
  * request is cut off, and what leaves gets no new work.
  */
 #include "support/cluster.h"
+#include "support/relay.h"
 
 #include "base/clock.h"
 
@@ -16,6 +17,9 @@
 /* ---- Constants ---- */
 
 #define LOAD_WAIT_MS 60000
+#define RELAY_PORT 6001
+#define SLOW_MS 15 /* of each piece through the relay */
+#define STOPS 3
 #define MIDDLE_STARTS 40 /* the stop comes once so many tasks started */
 
 /* ---- Helpers ---- */
@@ -118,6 +122,38 @@
 	cluster_destroy(c);
 }
 
+/* What is on its way to an agent when it says that it leaves is answered
+ * "not started", and goes elsewhere. */
+static void test_agent_behind_a_slow_connection(void **state)
+{
+	static const struct cluster_options options = { .coordinators = 3,
+							.dispatchers = 2,
+							.agents = 4 };
+	struct cluster *c = cluster_create(&options);
+	struct proc *agent = cluster_proc(c, "a1");
+	struct relay *relay;
+	struct proc *load;
+	char address[40];
+
+	(void)state;
+	snprintf(address, sizeof(address), "%s:%d", c->ip, RELAY_PORT);
+	relay = relay_create(address, cluster_address(c, "a1", "listen"));
+	proc_set(agent, "--advertise", address);
+	cluster_start(c);
+	load = cluster_load(c, load_args);
+	assert_true(cluster_wait(c, in_the_middle, NULL, LOAD_WAIT_MS));
+	relay_delay(relay, SLOW_MS);
+	for (int i = 0; i < STOPS; i++) {
+		assert_int_equal(proc_stop(agent), 0);
+		proc_start(c, agent);
+		cluster_wait_ready(c, agent->name, LOAD_WAIT_MS);
+	}
+	relay_delay(relay, 0);
+	check_load(c, load);
+	cluster_destroy(c);
+	relay_destroy(relay);
+}
+
 static void test_term_twice(void **state)
 {
 	struct cluster *c = start();
@@ -157,6 +193,8 @@
 		  (void *)&cases[2] },
 		{ "stop_coordinators", test_planned_stop, NULL,
 		  cluster_teardown, (void *)&cases[3] },
+		cmocka_unit_test_teardown(test_agent_behind_a_slow_connection,
+					  cluster_teardown),
 		cmocka_unit_test_teardown(test_term_twice, cluster_teardown),
 	};
 
