Say in plainer words what the parts of this change decide

Comments alone: replog_start, server_lease, dispatch_place; no line of code changed, so nothing was run for it but the build and the formatter.

--- a/src/leased/dispatch_place.c
+++ b/src/leased/dispatch_place.c
@@ -3,10 +3,10 @@
  * service in proportion to the work that arrives for them (fair queueing,
  * Demers, Keshav and Shenker, 1989); within a class the most urgent job
  * goes first. A task goes to the server on which it is predicted to end
- * soonest, among those with room. Nothing is sent to a server without
- * room, so that a task stays free to go elsewhere. It answers the load at
- * which all servers are full: no class starves behind one whose target
- * leaves it more time, and no wide job behind narrow ones.
+ * soonest, among those that offer room to this dispatcher. Nothing is
+ * sent where none is offered, so that a task stays free to go elsewhere. It
+ * answers the load at which all servers are full: no class starves behind one
+ * whose target leaves it more time, and no wide job behind narrow ones.
  */
 #include "leased/dispatch_internal.h"
 
--- a/src/leased/server_lease.h
+++ b/src/leased/server_lease.h
@@ -1,6 +1,7 @@
 /*
- * server_lease: what an agent knows of a backend server's clock, and how
- * long everything on it may still run. Pure; one thread at a time.
+ * server_lease: what an agent knows of a backend server's clock, how long
+ * everything on it may still run, and when the next start may go there.
+ * Pure; one thread at a time.
  */
 #ifndef LEASED_SERVER_LEASE_H
 #define LEASED_SERVER_LEASE_H
--- a/src/lib/replog_start.c
+++ b/src/lib/replog_start.c
@@ -1,17 +1,19 @@
 /*
  * replog_start: a member that has just started takes part in no election
- * for a while, as its earlier life may have acknowledged a leader that
- * counts on it. It asks the other voters. If each of them, at some moment
- * of this life, leads not and knows no leader, then whoever led before is
- * out of office, and all of them elect at once. Answers the loss of all
- * members at the same time, after which nothing is served without a leader.
+ * for a timeout, as its earlier life may have acknowledged a leader that
+ * counts on it. Meanwhile it asks the other voters. Once each of them has
+ * replied to this life that it is no leader and knows none, the leader
+ * that the earlier life may have acknowledged is out of office, and the
+ * members elect at once. A voter that doesn't reply is waited for. It
+ * answers the loss of all members at the same time, after which nothing is
+ * served without a leader.
  */
 #include "lib/replog_internal.h"
 
 /* ---- Constants ------------------------------------------------------ */
 
 #define ASKS_AN_ELECTION 12 /* questions within an election's timeout */
-#define RANK_PART 8 /* of it, between members that stand */
+#define RANK_PART 8 /* of it, between two members that stand */
 
 /* ---- Questions ------------------------------------------------------ */
 
