Dispatchers connect to a subset of the agents

Every dispatcher held a connection to every agent: at 240 agents and 51 dispatchers 12,240 links, and what goes over a link goes whether or not a run is there (a lease request and a grant every 150 ms, a server's state with each of its changes).

Lost agents and data centres out of service don't count; a connection with runs of the dispatcher stays.

Ruled out: heartbeats on these links (none are sent beside the lease requests: 75 in 4 s, all of them to coordinators); bytes of the roster.

Also: messages of the leased roles were not counted by kind, as the array of counters was smaller than the list of kinds.

--- /dev/null
+++ b/src/leased/agent_subset.c
@@ -0,0 +1,126 @@
+/*
+ * agent_subset: see agent_subset.h.
+ */
+#include "leased/agent_subset.h"
+
+#include <glib.h>
+#include <string.h>
+#include <xxhash.h>
+
+/* ---- Constants ------------------------------------------------------ */
+
+#define GROW_AGENTS 16
+#define GROW_EVERY_MS 200 /* so that the last ones have told their room */
+#define SHRINK_AGENTS 8
+#define SHRINK_EVERY_MS 2000
+#define CALM_MS 5000 /* without a shortage, before it shrinks */
+
+/* ---- Types ---------------------------------------------------------- */
+
+struct agent_subset {
+	char *data_centre;
+	uint64_t seed; /* of this dispatcher's order */
+	uint32_t size, size_min, size_max;
+	bool is_short; /* since the last tick */
+	int64_t short_ms; /* when room was short last */
+	int64_t resized_ms;
+};
+
+/* ---- Life ----------------------------------------------------------- */
+
+struct agent_subset *
+agent_subset_create(const struct agent_subset_options *options)
+{
+	struct agent_subset *subset = g_new0(struct agent_subset, 1);
+
+	subset->data_centre = g_strdup(options->data_centre);
+	subset->seed = XXH64(options->name, strlen(options->name), 0);
+	subset->size_min = options->agents_min;
+	subset->size_max = MAX(options->agents_max, options->agents_min);
+	subset->size = subset->size_min;
+	return subset;
+}
+
+void agent_subset_destroy(struct agent_subset *subset)
+{
+	if (!subset)
+		return;
+	g_free(subset->data_centre);
+	g_free(subset);
+}
+
+/* ---- Size ----------------------------------------------------------- */
+
+void agent_subset_short(struct agent_subset *subset, int64_t now_ms)
+{
+	subset->is_short = true;
+	subset->short_ms = now_ms;
+}
+
+static bool resize(struct agent_subset *subset, uint32_t size, int64_t now_ms)
+{
+	if (size == subset->size)
+		return false;
+	subset->size = size;
+	subset->resized_ms = now_ms;
+	return true;
+}
+
+bool agent_subset_tick(struct agent_subset *subset, int64_t now_ms)
+{
+	bool was_short = subset->is_short;
+
+	subset->is_short = false;
+	if (was_short && now_ms - subset->resized_ms >= GROW_EVERY_MS)
+		return resize(subset,
+			      MIN(subset->size + GROW_AGENTS, subset->size_max),
+			      now_ms);
+	if (now_ms - subset->short_ms < CALM_MS ||
+	    now_ms - subset->resized_ms < SHRINK_EVERY_MS)
+		return false;
+	return resize(subset,
+		      MAX(subset->size, subset->size_min + SHRINK_AGENTS) -
+			      SHRINK_AGENTS,
+		      now_ms);
+}
+
+uint32_t agent_subset_size(const struct agent_subset *subset)
+{
+	return subset->size;
+}
+
+/* ---- Choice --------------------------------------------------------- */
+
+static gint compare(gconstpointer a, gconstpointer b, gpointer arg)
+{
+	const struct agent_subset *subset = arg;
+	const struct subset_candidate *x = *(struct subset_candidate *const *)a;
+	const struct subset_candidate *y = *(struct subset_candidate *const *)b;
+	bool x_here = !strcmp(x->data_centre, subset->data_centre);
+	bool y_here = !strcmp(y->data_centre, subset->data_centre);
+	uint64_t x_rank, y_rank;
+
+	if (x_here != y_here)
+		return x_here ? -1 : 1;
+	x_rank = XXH64(x->address, strlen(x->address), subset->seed);
+	y_rank = XXH64(y->address, strlen(y->address), subset->seed);
+	if (x_rank != y_rank)
+		return x_rank < y_rank ? -1 : 1;
+	return strcmp(x->address, y->address);
+}
+
+void agent_subset_choose(const struct agent_subset *subset,
+			 struct subset_candidate **candidates, size_t n)
+{
+	uint32_t left = subset->size;
+
+	g_qsort_with_data(candidates, (gint)n, sizeof(*candidates), compare,
+			  (gpointer)subset);
+	for (size_t i = 0; i < n; i++) {
+		struct subset_candidate *candidate = candidates[i];
+
+		candidate->chosen = left > 0 && candidate->in_service;
+		if (candidate->chosen && !candidate->unreachable)
+			left--;
+	}
+}
--- a/src/leased/dispatch.h
+++ b/src/leased/dispatch.h
@@ -121,6 +121,10 @@
 GArray *dispatch_runs_at(const struct dispatch *d, uint64_t agent,
 			 bool stopping);
 
+bool dispatch_has_runs_at(const struct dispatch *d, uint64_t agent);
+/* How often a task or a job found too little room, ever. */
+uint64_t dispatch_shortages(const struct dispatch *d);
+
 void dispatch_tick(struct dispatch *d, int64_t now_ms);
 bool dispatch_can_serve(const struct dispatch *d); /* any usable server */
 void dispatch_get_load(const struct dispatch *d, struct dispatch_load *load);
--- a/src/leased/dispatch_admit.c
+++ b/src/leased/dispatch_admit.c
@@ -140,8 +140,8 @@
 		  (int)(e->share * PERCENT), job->predicted_ms);
 }
 
-static const char *find_refusal(const struct dispatch *d,
-				const struct djob *job, int64_t now_ms)
+static const char *find_refusal(struct dispatch *d, const struct djob *job,
+				int64_t now_ms)
 {
 	struct estimate e;
 
@@ -152,11 +152,12 @@
 	estimate(d, job, now_ms, &e);
 	if (now_ms + (int64_t)e.wait_ms <= job->good_start_ms)
 		return NULL;
+	d->shortages++;
 	tell_refusal(job, &e, now_ms);
 	return "the queue is too long for its target";
 }
 
-bool admit_job(const struct dispatch *d, const struct djob *job, int64_t now_ms,
+bool admit_job(struct dispatch *d, const struct djob *job, int64_t now_ms,
 	       const char **reason, uint32_t *retry_after_s)
 {
 	*reason = find_refusal(d, job, now_ms);
--- a/src/leased/dispatch_internal.h
+++ b/src/leased/dispatch_internal.h
@@ -119,6 +119,7 @@
 	struct cf_health *health;
 	double service; /* of the class that was served last */
 	bool pumping;
+	uint64_t shortages;
 };
 
 /* ---- Jobs (dispatch_jobs.c) ----------------------------------------- */
@@ -140,7 +141,7 @@
 double admit_share(const struct dispatch *d, const struct dclass *class,
 		   int64_t now_ms);
 /* Takes the job or tells why not. */
-bool admit_job(const struct dispatch *d, const struct djob *job, int64_t now_ms,
+bool admit_job(struct dispatch *d, const struct djob *job, int64_t now_ms,
 	       const char **reason, uint32_t *retry_after_s);
 uint32_t admit_retry_after_s(const struct dispatch *d, const struct djob *job,
 			     int64_t now_ms);
--- a/src/leased/dispatch_place.c
+++ b/src/leased/dispatch_place.c
@@ -165,8 +165,10 @@
 		if (task->state != DTASK_WAITING)
 			continue;
 		server = choose(d, job, task, now_ms);
-		if (!server)
+		if (!server) {
+			d->shortages++;
 			return false;
+		}
 		send_task(d, job, task, server, now_ms);
 	}
 	return true;
--- a/src/leased/dispatch_servers.c
+++ b/src/leased/dispatch_servers.c
@@ -146,6 +146,25 @@
 	d->config = config;
 }
 
+bool dispatch_has_runs_at(const struct dispatch *d, uint64_t incarnation)
+{
+	const struct dagent *agent = find_agent(d, incarnation);
+
+	for (guint i = 0; agent && i < agent->servers->len; i++) {
+		const struct dserver *server =
+			g_ptr_array_index(agent->servers, i);
+
+		if (server->own_runs)
+			return true;
+	}
+	return false;
+}
+
+uint64_t dispatch_shortages(const struct dispatch *d)
+{
+	return d->shortages;
+}
+
 /* ---- What agents tell ----------------------------------------------- */
 
 static struct dserver *find_server(const struct dagent *agent, const char *name)
--- a/src/leased/dispatcher.c
+++ b/src/leased/dispatcher.c
@@ -92,6 +92,7 @@
 	d->contact_ms = loop_now_ms(d->loop);
 	take_routes(d);
 	dispatch_set_config(d->dispatch, session_config(d->session));
+	dispatcher_choose_agents(d, loop_now_ms(d->loop));
 }
 
 static void roster_changed(void *arg, const Cfw__Roster *roster)
@@ -135,6 +136,7 @@
 
 	dispatch_tick(d->dispatch, now_ms);
 	dispatcher_drop_unlisted(d, now_ms);
+	dispatcher_follow_shortage(d, now_ms);
 	follow_readiness(d, now_ms);
 	set_gauges(d, now_ms);
 }
@@ -185,6 +187,10 @@
 	d->usable = gauge_get("servers_usable", NULL, "servers that take work");
 	d->free_milli = gauge_get("servers_free_cpu_milli", NULL,
 				  "processors free by the newest reports");
+	d->agents_wanted = gauge_get("agents_wanted", NULL,
+				     "agents to be connected to");
+	d->agents_listed =
+		gauge_get("agents_listed", NULL, "agents on the roster");
 	d->routes_version = gauge_get("routes_version", NULL,
 				      "version of the routes in force");
 }
@@ -196,6 +202,12 @@
 		.stop = dispatcher_send_stop,
 		.answer = dispatcher_answer,
 	};
+	struct agent_subset_options subset = {
+		.name = settings_text(settings, "name"),
+		.data_centre = settings_text(settings, "data-centre"),
+		.agents_min = (uint32_t)settings_number(settings, "agents-min"),
+		.agents_max = (uint32_t)settings_number(settings, "agents-max"),
+	};
 	struct leased_dispatcher *d = g_new0(struct leased_dispatcher, 1);
 
 	d->sink.ops = &ops;
@@ -203,6 +215,7 @@
 	d->formats = role_formats();
 	d->incarnation = clock_random();
 	d->links = g_ptr_array_new();
+	d->subset = agent_subset_create(&subset);
 	d->dispatch = dispatch_create(&d->sink,
 				      settings_text(settings, "data-centre"));
 	get_counters(d);
--- a/src/leased/dispatcher_agents.c
+++ b/src/leased/dispatcher_agents.c
@@ -11,19 +11,16 @@
 /* ---- Constants ------------------------------------------------------ */
 
 #define UNLISTED_MS 10000 /* then an agent without a connection is dropped */
+#define UNREACHABLE_MS 300 /* dialled for so long, another takes its place */
+#define UNWANTED_MS 5000 /* without a run there, the connection is closed */
+#define CHOOSE_EVERY_MS 250 /* agents are lost and come back meanwhile */
 
 /* ---- Finding -------------------------------------------------------- */
 
-static struct agent_link *find_by_link(const struct leased_dispatcher *d,
-				       const struct link *link)
+/* NULL: the connection is to a coordinator. */
+static struct agent_link *find_by_link(const struct link *link)
 {
-	for (guint i = 0; i < d->links->len; i++) {
-		struct agent_link *a = g_ptr_array_index(d->links, i);
-
-		if (a->link == link)
-			return a;
-	}
-	return NULL;
+	return link_data(link);
 }
 
 static struct agent_link *find_by_agent(const struct leased_dispatcher *d,
@@ -84,7 +81,7 @@
 	envelope.body_case = CFW__ENVELOPE__BODY_RUN_ORDERS;
 	envelope.run_orders = &orders;
 	/* What a lost connection did not take is told when it is back. */
-	if (orders.n_starts || orders.n_stops)
+	if (a->link && (orders.n_starts || orders.n_stops))
 		link_send(a->link, &envelope);
 	g_ptr_array_set_size(a->starts, 0);
 	g_ptr_array_set_size(a->stops, 0);
@@ -107,7 +104,7 @@
 	gsize size;
 	const void *spec = g_bytes_get_data(order->spec, &size);
 
-	if (!a)
+	if (!a || !a->link)
 		return;
 	start = g_new(Cfw__RunStart, 1);
 	cfw__run_start__init(start);
@@ -143,7 +140,7 @@
 	struct leased_dispatcher *d = (struct leased_dispatcher *)sink;
 	struct agent_link *a = find_by_agent(d, agent);
 
-	if (!a)
+	if (!a || !a->link)
 		return;
 	g_ptr_array_add(a->stops, make_stop(name));
 	flush_later(a);
@@ -170,18 +167,32 @@
 
 /* ---- Roster --------------------------------------------------------- */
 
-static void add_agent(struct leased_dispatcher *d, const char *address)
+static void add_agent(struct leased_dispatcher *d,
+		      const Cfw__RosterEntry *entry)
 {
 	struct agent_link *a = g_new0(struct agent_link, 1);
 
 	a->dispatcher = d;
-	a->address = g_strdup(address);
+	a->address = g_strdup(entry->address);
+	a->data_centre = g_strdup(entry->data_centre);
 	a->starts = g_ptr_array_new_with_free_func(free_start);
 	a->stops = g_ptr_array_new_with_free_func(free_stop);
 	a->listed = true;
 	g_ptr_array_add(d->links, a);
-	a->link = link_dial(d->hub, a->address);
-	log_event(LOG_INFO, "agent_found", "address=%s", address);
+	log_event(LOG_INFO, "agent_found", "address=%s data_centre=%s",
+		  a->address, a->data_centre);
+}
+
+static void free_agent(struct leased_dispatcher *d, struct agent_link *a)
+{
+	loop_forget(d->loop, a);
+	if (a->link)
+		link_drop(a->link);
+	g_ptr_array_unref(a->starts);
+	g_ptr_array_unref(a->stops);
+	g_free(a->data_centre);
+	g_free(a->address);
+	g_free(a);
 }
 
 void dispatcher_take_roster(struct leased_dispatcher *d,
@@ -206,8 +217,10 @@
 		if (a)
 			a->listed = true;
 		else
-			add_agent(d, entry->address);
+			add_agent(d, entry);
 	}
+	gauge_set(d->agents_listed, d->links->len);
+	dispatcher_choose_agents(d, now_ms);
 }
 
 void dispatcher_drop_unlisted(struct leased_dispatcher *d, int64_t now_ms)
@@ -215,17 +228,104 @@
 	for (guint i = d->links->len; i-- > 0;) {
 		struct agent_link *a = g_ptr_array_index(d->links, i);
 
-		if (a->listed || link_is_up(a->link) ||
+		if (a->listed || (a->link && link_is_up(a->link)) ||
 		    now_ms - a->unlisted_ms < UNLISTED_MS)
 			continue;
 		log_event(LOG_INFO, "agent_dropped", "address=%s", a->address);
-		loop_forget(d->loop, a);
-		link_drop(a->link);
-		g_ptr_array_unref(a->starts);
-		g_ptr_array_unref(a->stops);
-		g_free(a->address);
-		g_free(a);
 		g_ptr_array_remove_index(d->links, i);
+		free_agent(d, a);
+	}
+}
+
+/* ---- Subset --------------------------------------------------------- */
+
+static void connect_agent(struct leased_dispatcher *d, struct agent_link *a,
+			  int64_t now_ms)
+{
+	a->unwanted_ms = 0;
+	if (a->link)
+		return;
+	a->dialled_ms = now_ms;
+	a->link = link_dial(d->hub, a->address);
+	link_set_data(a->link, a);
+}
+
+/* An agent keeps its connection as long as runs of this dispatcher are
+ * there: they would end with it. */
+static void disconnect_agent(struct leased_dispatcher *d, struct agent_link *a,
+			     int64_t now_ms)
+{
+	struct link *link = a->link;
+
+	if (!link)
+		return;
+	if (!a->unwanted_ms)
+		a->unwanted_ms = now_ms;
+	if (now_ms - a->unwanted_ms < UNWANTED_MS ||
+	    dispatch_has_runs_at(d->dispatch, a->incarnation))
+		return;
+	log_event(LOG_INFO, "agent_unwanted",
+		  "address=%s data_centre=%s wanted=%u", a->address,
+		  a->data_centre, agent_subset_size(d->subset));
+	link_drop(link);
+	a->link = NULL;
+	a->incarnation = 0;
+}
+
+static void fill_candidate(const struct leased_dispatcher *d,
+			   const struct agent_link *a, int64_t now_ms,
+			   struct subset_candidate *candidate)
+{
+	const struct cf_config *config = session_config(d->session);
+
+	candidate->address = a->address;
+	candidate->data_centre = a->data_centre;
+	candidate->in_service = cf_config_in_service(config, a->data_centre);
+	candidate->unreachable = a->link && a->dialled_ms &&
+				 now_ms - a->dialled_ms >= UNREACHABLE_MS;
+}
+
+void dispatcher_choose_agents(struct leased_dispatcher *d, int64_t now_ms)
+{
+	guint n = d->links->len;
+	g_autofree struct subset_candidate *candidates =
+		g_new0(struct subset_candidate, n);
+	g_autofree struct subset_candidate **order =
+		g_new(struct subset_candidate *, n);
+
+	d->chosen_ms = now_ms;
+	for (guint i = 0; i < n; i++) {
+		fill_candidate(d, g_ptr_array_index(d->links, i), now_ms,
+			       &candidates[i]);
+		order[i] = &candidates[i];
+	}
+	agent_subset_choose(d->subset, order, n);
+	for (guint i = 0; i < n; i++) {
+		struct agent_link *a = g_ptr_array_index(d->links, i);
+
+		if (candidates[i].chosen)
+			connect_agent(d, a, now_ms);
+		else
+			disconnect_agent(d, a, now_ms);
+	}
+}
+
+void dispatcher_follow_shortage(struct leased_dispatcher *d, int64_t now_ms)
+{
+	uint64_t shortages = dispatch_shortages(d->dispatch);
+
+	if (shortages != d->shortages)
+		agent_subset_short(d->subset, now_ms);
+	d->shortages = shortages;
+	if (agent_subset_tick(d->subset, now_ms)) {
+		gauge_set(d->agents_wanted, agent_subset_size(d->subset));
+		log_event(LOG_INFO, "agents_wanted",
+			  "wanted=%u listed=%u shortages=%" G_GUINT64_FORMAT,
+			  agent_subset_size(d->subset), d->links->len,
+			  shortages);
+		dispatcher_choose_agents(d, now_ms);
+	} else if (now_ms - d->chosen_ms >= CHOOSE_EVERY_MS) {
+		dispatcher_choose_agents(d, now_ms);
 	}
 }
 
@@ -296,12 +396,13 @@
 
 	if (session_link_up(d->session, link))
 		return;
-	a = find_by_link(d, link);
+	a = find_by_link(link);
 	if (!a)
 		return;
 	if (a->incarnation && a->incarnation != link_peer(link)->incarnation)
 		dispatch_agent_down(d->dispatch, a->incarnation, now_ms);
 	a->incarnation = link_peer(link)->incarnation;
+	a->dialled_ms = 0;
 	identity.incarnation = a->incarnation;
 	g_strlcpy(identity.name, link_peer(link)->name, sizeof(identity.name));
 	g_strlcpy(identity.data_centre, link_peer(link)->data_centre,
@@ -317,8 +418,11 @@
 
 	if (session_link_down(d->session, link))
 		return;
-	a = find_by_link(d, link);
-	if (a && a->incarnation)
+	a = find_by_link(link);
+	if (!a)
+		return;
+	a->dialled_ms = loop_now_ms(d->loop);
+	if (a->incarnation)
 		dispatch_agent_down(d->dispatch, a->incarnation,
 				    loop_now_ms(d->loop));
 }
@@ -330,7 +434,7 @@
 
 	if (session_message(d->session, link, envelope))
 		return;
-	a = find_by_link(d, link);
+	a = find_by_link(link);
 	if (!a)
 		return;
 	if (envelope->body_case == CFW__ENVELOPE__BODY_RUN_LEASE_ASK)
--- a/src/leased/dispatcher_internal.h
+++ b/src/leased/dispatcher_internal.h
@@ -7,6 +7,7 @@
 
 #include "base/counters.h"
 #include "base/settings.h"
+#include "leased/agent_subset.h"
 #include "leased/dispatch.h"
 #include "leased/routes.h"
 #include "net/admin.h"
@@ -16,11 +17,15 @@
 #define VERDICTS 4
 #define ANSWER_BINS 10
 
-/* A connection to an agent, and what goes there in this turn. */
+/* An agent of the roster: the connection to it, if it is in the subset,
+ * and what goes there in this turn. */
 struct agent_link {
 	struct leased_dispatcher *dispatcher;
 	char *address;
-	struct link *link;
+	char *data_centre;
+	struct link *link; /* NULL: not in the subset */
+	int64_t dialled_ms; /* since when it is dialled; 0: it is up */
+	int64_t unwanted_ms; /* since when it isn't chosen; 0: it is */
 	uint64_t incarnation; /* of the agent that answered last; 0: none */
 	bool listed; /* on the newest roster */
 	int64_t unlisted_ms;
@@ -44,6 +49,9 @@
 	struct dispatch *dispatch;
 	struct routes *routes; /* NULL: none yet */
 	GPtrArray *links; /* struct agent_link */
+	struct agent_subset *subset; /* of them, that is connected to */
+	uint64_t shortages; /* of room that the subset was told of */
+	int64_t chosen_ms; /* when the subset was chosen last */
 	int64_t contact_ms; /* when a lease of the coordinators was last held */
 	int64_t gauged_ms;
 	bool was_ready;
@@ -54,6 +62,7 @@
 	struct counter *answer_sum_ms[VERDICTS];
 	struct counter *no_route, *unready, *malformed;
 	struct counter *jobs, *waiting, *sent, *servers, *usable, *free_milli;
+	struct counter *agents_wanted, *agents_listed;
 	struct counter *routes_version;
 };
 
@@ -68,6 +77,9 @@
 void dispatcher_take_roster(struct leased_dispatcher *d,
 			    const Cfw__Roster *roster);
 void dispatcher_drop_unlisted(struct leased_dispatcher *d, int64_t now_ms);
+/* Connects to the agents of the subset, and closes what isn't in it. */
+void dispatcher_choose_agents(struct leased_dispatcher *d, int64_t now_ms);
+void dispatcher_follow_shortage(struct leased_dispatcher *d, int64_t now_ms);
 
 /* ---- Callers (dispatcher_http.c) ------------------------------------ */
 
--- a/src/net/link.c
+++ b/src/net/link.c
@@ -172,7 +172,7 @@
 {
 	struct link_hub *hub = link->hub;
 
-	if ((size_t)envelope->body_case < G_N_ELEMENTS(hub->messages[0]))
+	if ((size_t)envelope->body_case < hub->n_kinds)
 		counter_add(hub->messages[direction][envelope->body_case], 1);
 }
 
--- a/src/net/link_hub.c
+++ b/src/net/link_hub.c
@@ -106,10 +106,12 @@
 	static const char *const directions[] = { "in", "out" };
 	const ProtobufCMessageDescriptor *kinds = &cfw__envelope__descriptor;
 
+	hub->n_kinds = kinds->fields[kinds->n_fields - 1].id + 1;
 	for (int d = LINK_IN; d <= LINK_OUT; d++) {
 		char labels[96];
 
-		for (size_t k = 1; k < G_N_ELEMENTS(hub->messages[d]); k++) {
+		hub->messages[d] = g_new0(struct counter *, hub->n_kinds);
+		for (size_t k = 1; k < hub->n_kinds; k++) {
 			const ProtobufCFieldDescriptor *field =
 				protobuf_c_message_descriptor_get_field(
 					kinds, (unsigned int)k);
@@ -210,6 +212,8 @@
 	g_ptr_array_free(hub->dropped, TRUE);
 	g_ptr_array_free(hub->to_flush, TRUE);
 	g_rand_free(hub->random);
+	g_free(hub->messages[LINK_IN]);
+	g_free(hub->messages[LINK_OUT]);
 	g_free((char *)hub->options.self.name);
 	g_free((char *)hub->options.self.data_centre);
 	g_free(hub);
--- a/src/net/link_private.h
+++ b/src/net/link_private.h
@@ -65,7 +65,8 @@
 	Cfw__Envelope hello, heartbeat;
 	Cfw__Hello hello_body;
 	Cfw__Heartbeat heartbeat_body;
-	struct counter *messages[2][CFW__ENVELOPE__BODY_FORWARD_REPLY + 1];
+	struct counter **messages[2]; /* by kind, an envelope's field */
+	size_t n_kinds;
 	struct counter *bytes[2];
 	uint8_t buffer[READ_BYTES];
 };
