Agents tell of servers that fail all they start

A backend server that fails whatever it is given is free sooner than the others, so that it draws work; each dispatcher had to learn of it alone, and blames a server only once the task has ended well elsewhere, so that jobs whose tasks failed twice taught it nothing.

The agent sees what all dispatchers run there: after four jobs in a row that failed (tasks of one job count once) it says so with the server's state. Dispatchers then send it one task every 2 s until one ends well, unless three in ten servers fail: then the fault is the work.

Ruled out: the jobs' own fault (their tasks end well elsewhere); a health check (servers look healthy here).

Tests: test_dispatch test_servers_that_fail_all, test_run_table test_failures_in_a_row; both fail without the change.

--- a/src/leased/agent_tell.c
+++ b/src/leased/agent_tell.c
@@ -94,6 +94,7 @@
 	state->free_memory_mb = (int32_t)load.free_memory_mb;
 	state->running = load.running;
 	state->queued = load.queued;
+	state->failed_in_a_row = load.failed_in_a_row;
 	state->accepting = agent_accepts(a, server, now_ms);
 	state->received = p->received;
 }
@@ -125,11 +126,14 @@
 
 	for (size_t i = 0; i < report->n_servers; i++) {
 		const Cfw__ServerState *state = report->servers[i];
-		const int64_t fields[] = {
-			state->cpu_milli,    state->memory_mb,
-			state->accelerators, state->offered_cpu_milli,
-			state->accepting,    (int64_t)state->received
-		};
+		const int64_t fields[] = { state->cpu_milli,
+					   state->memory_mb,
+					   state->accelerators,
+					   state->offered_cpu_milli,
+					   state->accepting,
+					   (int64_t)state->received,
+					   state->failed_in_a_row ==
+						   RUN_FAILED_COUNTED };
 
 		sum = XXH64(state->name, strlen(state->name), sum);
 		sum = XXH64(fields, sizeof(fields), sum);
--- a/src/leased/dispatch_admit.c
+++ b/src/leased/dispatch_admit.c
@@ -44,14 +44,15 @@
 	return all > 0 ? MAX(own / all, SHARE_LEAST) : 1.0;
 }
 
-static double free_cpu_milli(const struct dispatch *d)
+static double free_cpu_milli(const struct dispatch *d, int64_t now_ms)
 {
 	double sum = 0;
 
 	for (guint i = 0; i < d->servers->len; i++) {
 		const struct dserver *server = g_ptr_array_index(d->servers, i);
 
-		if (server_is_usable(d, server))
+		if (server_is_usable(d, server) &&
+		    !server_is_avoided(d, server, now_ms))
 			sum += (double)MAX(server_offered_cpu_milli(server), 0);
 	}
 	return sum;
@@ -97,7 +98,7 @@
 
 	sum_up(d, &running_milli, &queued_work);
 	e->share = admit_share(d, class, now_ms);
-	e->free_milli = free_cpu_milli(d);
+	e->free_milli = free_cpu_milli(d, now_ms);
 	all_milli = running_milli + e->free_milli * FREE_PART;
 	left_milli =
 		all_milli - (running_milli - (double)class->running_cpu_milli);
--- a/src/leased/dispatch_internal.h
+++ b/src/leased/dispatch_internal.h
@@ -36,6 +36,7 @@
 	uint32_t jobs, late_jobs; /* with runs here; far beyond prediction */
 	const struct djob *counted, *counted_late; /* the last of each */
 	int64_t done_ms; /* when one last ended well */
+	int64_t tried_ms; /* when a task was last sent there */
 	bool told; /* by the report that is being read */
 };
 
@@ -119,6 +120,7 @@
 	struct cf_health *health;
 	double service; /* of the class that was served last */
 	bool pumping;
+	bool avoids_failing; /* few enough servers fail all they start */
 	bool wants_room;
 	int64_t short_ms; /* when a task or a job last found too little */
 };
@@ -155,6 +157,9 @@
 int64_t server_free_memory_mb(const struct dserver *server);
 void server_sent(struct dserver *server, const struct djob *job);
 void server_ended(struct dserver *server, const struct djob *job);
+/* It fails what is started there and isn't to be tried again yet. */
+bool server_is_avoided(const struct dispatch *d, const struct dserver *server,
+		       int64_t now_ms);
 void servers_tick(struct dispatch *d, int64_t now_ms);
 
 /* ---- Placing (dispatch_place.c) ------------------------------------- */
--- a/src/leased/dispatch_place.c
+++ b/src/leased/dispatch_place.c
@@ -93,6 +93,7 @@
 		double ms;
 
 		if (!server_is_usable(d, server) ||
+		    server_is_avoided(d, server, now_ms) ||
 		    !has_room(d, server, job, now_ms))
 			continue;
 		ms = finish_ms(d, server, job, task);
@@ -165,6 +166,7 @@
 	task->state = DTASK_SENT;
 	task->server = server;
 	task->sent_ms = now_ms;
+	server->tried_ms = now_ms;
 	server_sent(server, job);
 	cf_health_sent(d->health, server->id, 1, now_ms);
 	count_service(d, job, now_ms);
--- a/src/leased/dispatch_servers.c
+++ b/src/leased/dispatch_servers.c
@@ -12,7 +12,11 @@
 
 /* ---- Constants ------------------------------------------------------ */
 
+#define MILLI 1000U
 #define QUIET_MS 400 /* it is about to lose its lease, or is cut off */
+#define PROBE_EVERY_MS 2000 /* of a server that fails what it starts */
+/* When more fail, the fault is the work or something that they share. */
+#define AVOIDED_MOST_MILLI 300
 #define AGENT_ENDED_MARGIN_MS 30 /* on top of the chain of leases */
 
 /* ---- Rates ---------------------------------------------------------- */
@@ -160,6 +164,30 @@
 	return false;
 }
 
+/* ---- Servers that fail what they start ------------------------------ */
+
+bool server_is_avoided(const struct dispatch *d, const struct dserver *server,
+		       int64_t now_ms)
+{
+	return d->avoids_failing && server->state.fails_all &&
+	       (server->own_runs || now_ms - server->tried_ms < PROBE_EVERY_MS);
+}
+
+static void count_failing(struct dispatch *d)
+{
+	uint32_t usable = 0, failing = 0;
+
+	for (guint i = 0; i < d->servers->len; i++) {
+		const struct dserver *server = g_ptr_array_index(d->servers, i);
+
+		if (!server_is_usable(d, server))
+			continue;
+		usable++;
+		failing += server->state.fails_all;
+	}
+	d->avoids_failing = failing * MILLI <= usable * AVOIDED_MOST_MILLI;
+}
+
 /* ---- What agents tell ----------------------------------------------- */
 
 static struct dserver *find_server(const struct dagent *agent, const char *name)
@@ -197,6 +225,10 @@
 	server = find_server(agent, state->name);
 	if (!server)
 		server = add_server(d, agent, now_ms);
+	if (server->state.fails_all != state->fails_all)
+		log_event(LOG_INFO, "server_fails_all",
+			  "agent=%s server=%s fails_all=%d",
+			  agent->identity.name, state->name, state->fails_all);
 	if (server->state.accepting != state->accepting)
 		log_event(LOG_INFO, "server_accepting",
 			  "agent=%s server=%s accepting=%d",
@@ -271,6 +303,7 @@
 	gpointer value;
 
 	cf_health_tick(d->health, now_ms);
+	count_failing(d);
 	g_hash_table_iter_init(&iter, d->agents);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct dagent *agent = value;
--- a/src/leased/dispatcher_agents.c
+++ b/src/leased/dispatcher_agents.c
@@ -363,12 +363,14 @@
 static void take_state(struct leased_dispatcher *d, const struct agent_link *a,
 		       const Cfw__ServerState *from)
 {
-	struct server_state state = { .free_cpu_milli = from->free_cpu_milli,
-				      .free_memory_mb = from->free_memory_mb,
-				      .offered_cpu_milli =
-					      from->offered_cpu_milli,
-				      .accepting = from->accepting,
-				      .received = from->received };
+	struct server_state state = {
+		.free_cpu_milli = from->free_cpu_milli,
+		.free_memory_mb = from->free_memory_mb,
+		.offered_cpu_milli = from->offered_cpu_milli,
+		.accepting = from->accepting,
+		.fails_all = from->failed_in_a_row >= RUN_FAILED_COUNTED,
+		.received = from->received
+	};
 
 	g_strlcpy(state.name, from->name, sizeof(state.name));
 	g_strlcpy(state.service, from->service, sizeof(state.service));
--- a/src/leased/run_table.c
+++ b/src/leased/run_table.c
@@ -67,6 +67,22 @@
 	return NULL;
 }
 
+static void count_failure(struct run_table *table,
+			  const struct run_result *result)
+{
+	if (result->outcome == RUN_OUTCOME_DONE) {
+		table->failed_in_a_row = 0;
+		table->failed_job[0] = '\0';
+	}
+	if (result->outcome != RUN_OUTCOME_FAILED ||
+	    !strcmp(table->failed_job, result->name.job))
+		return;
+	table->failed_in_a_row =
+		MIN(table->failed_in_a_row + 1, RUN_FAILED_COUNTED);
+	g_strlcpy(table->failed_job, result->name.job,
+		  sizeof(table->failed_job));
+}
+
 void run_table_end_at(struct run_table *table, guint position,
 		      enum run_outcome outcome, int64_t now_ms)
 {
@@ -77,6 +93,7 @@
 
 	if (run->started_ms && now_ms > run->started_ms)
 		result.run_ms = (uint32_t)(now_ms - run->started_ms);
+	count_failure(table, &result);
 	g_queue_push_tail(&table->results, g_memdup2(&result, sizeof(result)));
 	g_ptr_array_remove_index(table->runs, position);
 }
@@ -134,6 +151,7 @@
 {
 	memset(load, 0, sizeof(*load));
 	count(table, true, load);
+	load->failed_in_a_row = table->failed_in_a_row;
 }
 
 static uint32_t accelerators_in_use(const struct run_table *table)
@@ -390,6 +408,7 @@
 void run_table_new_life(struct run_table *table, int64_t now_ms)
 {
 	table->now_ms = now_ms;
+	table->failed_in_a_row = 0;
 	for (guint i = 0; i < table->runs->len; i++) {
 		struct run *run = run_table_at(table, i);
 
--- a/src/leased/run_table.h
+++ b/src/leased/run_table.h
@@ -39,9 +39,15 @@
 	uint32_t run_ms;
 };
 
+#define RUN_FAILED_COUNTED 4
+
 struct run_load {
 	int64_t free_cpu_milli, free_memory_mb; /* less what waits, too */
 	uint32_t running, queued;
+	/* Jobs, of any dispatcher, that failed one after the other; tasks of
+	 * one count once, as they fail alike if the fault is theirs. At most
+	 * RUN_FAILED_COUNTED. */
+	uint32_t failed_in_a_row;
 };
 
 struct run_table *run_table_create(void);
--- a/src/leased/run_table_internal.h
+++ b/src/leased/run_table_internal.h
@@ -30,6 +30,8 @@
 	struct cf_capacity capacity;
 	GPtrArray *runs; /* struct run; waiting ones sorted by good start */
 	GQueue results; /* struct run_result */
+	uint32_t failed_in_a_row; /* see struct run_load */
+	char failed_job[LEASED_JOB_SIZE]; /* the last of them */
 	int64_t room_wait_ms; /* no start before */
 	int64_t now_ms; /* of the newest call, for stops */
 };
--- a/src/proto/wire.pb-c.c
+++ b/src/proto/wire.pb-c.c
@@ -6654,7 +6654,7 @@
   (ProtobufCMessageInit) cfw__run_end__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfw__server_state__field_descriptors[13] =
+static const ProtobufCFieldDescriptor cfw__server_state__field_descriptors[14] =
 {
   {
     "name",
@@ -6812,11 +6812,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "failed_in_a_row",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__ServerState, failed_in_a_row),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cfw__server_state__field_indices_by_name[] = {
   5,   /* field[5] = accelerators */
   8,   /* field[8] = accepting */
   3,   /* field[3] = cpu_milli */
+  13,   /* field[13] = failed_in_a_row */
   6,   /* field[6] = free_cpu_milli */
   7,   /* field[7] = free_memory_mb */
   2,   /* field[2] = kind */
@@ -6831,7 +6844,7 @@
 static const ProtobufCIntRange cfw__server_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor cfw__server_state__descriptor =
 {
@@ -6841,7 +6854,7 @@
   "Cfw__ServerState",
   "cfw",
   sizeof(Cfw__ServerState),
-  13,
+  14,
   cfw__server_state__field_descriptors,
   cfw__server_state__field_indices_by_name,
   1,  cfw__server_state__number_ranges,
--- a/src/proto/wire.pb-c.h
+++ b/src/proto/wire.pb-c.h
@@ -1073,10 +1073,14 @@
    * of what is free, to this dispatcher
    */
   int32_t offered_cpu_milli;
+  /*
+   * jobs of anyone, none ended well since
+   */
+  uint32_t failed_in_a_row;
 };
 #define CFW__SERVER_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cfw__server_state__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Cfw__RunReport
--- a/tests/support/many_world.c
+++ b/tests/support/many_world.c
@@ -17,6 +17,7 @@
 #define LEASE_EVERY_MS 100
 #define TAIL_MS 8000 /* after the last arrival */
 #define MEMORY_MB 100000
+#define FAIL_MS 20 /* after its start, at a server that fails all */
 
 /* ---- Types ---------------------------------------------------------- */
 
@@ -44,7 +45,7 @@
 	struct server_state told[MANY_DISPATCHERS_MAX];
 	struct server_refusals refusals;
 	struct room_share *share;
-	bool sheds, changed;
+	bool sheds, fails, changed;
 };
 
 enum mkind {
@@ -162,7 +163,7 @@
 
 		if (run->ends_ms > m->now_ms)
 			continue;
-		list_end(s, run, RUN_END_DONE);
+		list_end(s, run, s->fails ? RUN_END_FAILED : RUN_END_DONE);
 		g_ptr_array_remove_index_fast(s->runs, i);
 	}
 }
@@ -212,7 +213,8 @@
 	struct mrun *run = g_new0(struct mrun, 1);
 
 	run->name = *name;
-	run->ends_ms = m->now_ms + job->task_ms[name->index];
+	run->ends_ms =
+		m->now_ms + (s->fails ? FAIL_MS : job->task_ms[name->index]);
 	job->started = true;
 	m->result->runs++;
 	g_ptr_array_add(s->runs, run);
@@ -247,6 +249,7 @@
 {
 	return told->offered_cpu_milli != state->offered_cpu_milli ||
 	       told->accepting != state->accepting ||
+	       told->fails_all != state->fails_all ||
 	       told->received != state->received;
 }
 
@@ -266,6 +269,7 @@
 		s->share, dispatcher, load.free_cpu_milli, m->load->cpu_milli);
 	state->free_memory_mb = load.free_memory_mb;
 	state->accepting = server_refusals_over(&s->refusals, m->now_ms);
+	state->fails_all = load.failed_in_a_row >= RUN_FAILED_COUNTED;
 	state->received = s->received[dispatcher];
 }
 
@@ -427,6 +431,7 @@
 	s->runs = g_ptr_array_new_with_free_func(g_free);
 	s->ends = g_array_new(FALSE, FALSE, sizeof(struct run_listed_end));
 	s->sheds = number < m->load->shedding;
+	s->fails = number < m->load->failing;
 	s->changed = true;
 }
 
--- a/tests/support/many_world.h
+++ b/tests/support/many_world.h
@@ -19,6 +19,7 @@
 	uint32_t dispatchers, servers;
 	uint32_t cpu_milli; /* of each server */
 	uint32_t busy; /* how many times more callers the first one has; 0: 1 */
+	uint32_t failing; /* servers on which each task soon fails */
 	uint32_t shedding; /* servers that refuse a part of their starts */
 	double shed; /* that part */
 	uint32_t seed;
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -148,7 +148,7 @@
 
 struct recorder {
 	struct dispatch_sink sink; /* first member */
-	uint32_t starts, stops, answers;
+	uint32_t starts, starts_at_a, stops, answers;
 	bool wants_room;
 	struct start_order last_start;
 	struct job_answer answer;
@@ -161,6 +161,7 @@
 
 	(void)agent;
 	r->starts++;
+	r->starts_at_a += !strcmp(order->server, "a");
 	r->last_start = *order;
 }
 
@@ -247,8 +248,9 @@
 	dispatch_take_state(d, 1, &state, 0);
 }
 
-static void give_tasks(struct dispatch *d, const char *id, void *caller,
-		       int64_t deadline_ms, uint32_t tasks, uint32_t cpu_milli)
+static void give_tasks_at(struct dispatch *d, const char *id, void *caller,
+			  int64_t deadline_ms, uint32_t tasks,
+			  uint32_t cpu_milli, int64_t now_ms)
 {
 	struct job_order order = { .route = { .name = "r",
 					      .service = "desk",
@@ -259,15 +261,22 @@
 					     .cpu_milli = cpu_milli,
 					     .memory_mb = 1,
 					     .estimate_ms = 100 },
+				   .arrived_ms = now_ms,
 				   .deadline_ms = deadline_ms,
 				   .caller = caller };
 
 	g_strlcpy(order.id, id, sizeof(order.id));
 	order.spec.spec = g_bytes_new("x", 1);
-	dispatch_submit(d, &order, 0);
+	dispatch_submit(d, &order, now_ms);
 	g_bytes_unref(order.spec.spec);
 }
 
+static void give_tasks(struct dispatch *d, const char *id, void *caller,
+		       int64_t deadline_ms, uint32_t tasks, uint32_t cpu_milli)
+{
+	give_tasks_at(d, id, caller, deadline_ms, tasks, cpu_milli, 0);
+}
+
 static void give(struct dispatch *d, const char *id, void *caller,
 		 int64_t deadline_ms)
 {
@@ -446,6 +455,65 @@
 /* When a run is stopped to be started elsewhere: late beside its job's
  * other task, however wrong the estimate of both is, or far beyond the
  * estimate while the other has not ended either. */
+static void tell_of_four(struct dispatch *d, uint32_t failing,
+			 uint64_t received, int64_t now_ms)
+{
+	static const char *const names[] = { "a", "b", "c", "d" };
+
+	for (uint32_t i = 0; i < G_N_ELEMENTS(names); i++) {
+		struct server_state told = { .service = "desk",
+					     .capacity = { .cpu_milli = 1000,
+							   .memory_mb = 10 },
+					     .free_cpu_milli = 1000,
+					     .offered_cpu_milli = 1000,
+					     .free_memory_mb = 10,
+					     .accepting = true,
+					     .fails_all = i < failing,
+					     .received = received };
+
+		g_strlcpy(told.name, names[i], sizeof(told.name));
+		dispatch_take_state(d, 1, &told, now_ms);
+	}
+	dispatch_states_told(d, 1, now_ms);
+	dispatch_tick(d, now_ms);
+}
+
+/* A server that fails the jobs of all gets a task now and then, unless so
+ * many do that the fault isn't theirs. */
+static void test_servers_that_fail_all(void **state)
+{
+	static const struct {
+		uint32_t failing;
+		int64_t again_ms; /* after the first task there */
+		uint32_t starts_at_a; /* of the second job */
+	} cases[] = {
+		{ 0, 100, 1 },
+		{ 1, 100, 0 },
+		{ 1, 2100, 1 },
+		{ 2, 100, 1 },
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct recorder r;
+		struct dispatch *d = make(&r, false);
+		struct agent_identity agent = { .incarnation = 1,
+						.data_centre = "dc" };
+
+		dispatch_agent_up(d, &agent, 0);
+		tell_of_four(d, 0, 0, 0);
+		give(d, "j", &r, 9000);
+		assert_int_equal(r.starts_at_a, 1);
+		end(d, "j", 1, RUN_OUTCOME_DONE, 10);
+		r.starts_at_a = 0;
+		dispatch_agent_granted(d, 1, cases[i].again_ms);
+		tell_of_four(d, cases[i].failing, 1, cases[i].again_ms);
+		give_tasks_at(d, "k", &r, 9000, 1, 1000, cases[i].again_ms);
+		assert_int_equal(r.starts_at_a, cases[i].starts_at_a);
+		dispatch_destroy(d);
+	}
+}
+
 static void test_late_runs_move(void **state)
 {
 	static const struct {
@@ -498,6 +566,7 @@
 		cmocka_unit_test(test_no_run_goes_on_for_nobody),
 		cmocka_unit_test(test_resubmission),
 		cmocka_unit_test(test_where_nothing_may_start),
+		cmocka_unit_test(test_servers_that_fail_all),
 		cmocka_unit_test(test_late_runs_move),
 	};
 
--- a/tests/test_dispatch_many.c
+++ b/tests/test_dispatch_many.c
@@ -15,6 +15,7 @@
 #define LENGTH_MS 8000
 #define CPU_MILLI 72000
 #define PART_LEAST 0.9 /* of what one dispatcher serves in time */
+#define FAILED_PART 1 /* times the failing servers' part of all */
 #define CALM_REFUSED_MOST 0.01 /* of the jobs, where there is room for all */
 
 struct many_case {
@@ -115,10 +116,48 @@
 	}
 }
 
+/* Servers that fail all they start are free sooner than the others. */
+static void test_failing_servers_cost_their_part_at_most(void **state)
+{
+	static const struct {
+		uint32_t dispatchers, servers, failing;
+		double factor;
+	} plays[] = {
+		{ 3, 11, 1, 1.07 },
+		{ 9, 36, 3, 3.5 },
+		{ 14, 64, 4, 6.2 },
+	};
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(plays) / sizeof(plays[0]); i++) {
+		struct many_load load = { .classes = world_order_desk,
+					  .factor = plays[i].factor,
+					  .length_ms = LENGTH_MS,
+					  .dispatchers = plays[i].dispatchers,
+					  .servers = plays[i].servers,
+					  .cpu_milli = CPU_MILLI,
+					  .failing = plays[i].failing,
+					  .seed = 20261204 };
+		struct world_result result;
+		uint32_t asked = 0, failed = 0;
+
+		many_play(&load, &result);
+		for (size_t k = 0; k < WORLD_CLASSES; k++) {
+			asked += result.classes[k].asked;
+			failed += result.classes[k].failed;
+		}
+		fprintf(stderr, "count: %u of %u servers fail: %u of %u jobs\n",
+			load.failing, load.servers, failed, asked);
+		assert_true(failed * FAILED_PART * load.servers <=
+			    load.failing * asked);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_several_serve_nearly_as_many_as_one),
+		cmocka_unit_test(test_failing_servers_cost_their_part_at_most),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_run_table.c
+++ b/tests/test_run_table.c
@@ -244,6 +244,49 @@
 }
 
 /* A stop that comes while the start is under way is carried out after it. */
+/* Jobs that fail one after the other are counted, their tasks are not. */
+static void test_failures_in_a_row(void **state)
+{
+	static const struct {
+		const char *ends; /* a job's letter: upper case ended well */
+		uint32_t in_a_row;
+	} cases[] = {
+		{ "a", 1 },    { "aaaaaa", 1 }, { "abc", 3 },
+		{ "abcA", 0 }, { "abcdef", 4 }, { "abAcd", 2 },
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct run_table *table = make_table(100000);
+		struct run_load load;
+
+		for (uint32_t k = 0; cases[i].ends[k]; k++) {
+			char letter = cases[i].ends[k];
+			struct run_request run = { .name = { .index = k,
+							     .number = 1 },
+						   .spec = g_bytes_new("x", 1),
+						   .cpu_milli = 1,
+						   .deadline_ms = 1000 };
+			struct run_listed_end end;
+
+			run.name.job[0] = g_ascii_tolower(letter);
+			run_table_offer(table, &run, 0);
+			assert_non_null(run_table_next_start(table, 1));
+			run_table_started(table, &run.name, RUN_ACCEPTED, 2);
+			end = (struct run_listed_end){
+				k + 1, run.name,
+				g_ascii_isupper(letter) ? RUN_END_DONE
+							: RUN_END_FAILED
+			};
+			list(table, NULL, 0, &end, 1, 3, 4, NULL);
+			g_bytes_unref(run.spec);
+		}
+		run_table_get_load(table, &load);
+		assert_int_equal(load.failed_in_a_row, cases[i].in_a_row);
+		run_table_destroy(table);
+	}
+}
+
 static void test_stop_during_a_start(void **state)
 {
 	struct run_table *table = make_table(1000);
@@ -387,6 +430,7 @@
 		cmocka_unit_test(test_answers_of_a_start),
 		cmocka_unit_test(test_start_without_an_answer),
 		cmocka_unit_test(test_a_stop_is_sent_again_until_acknowledged),
+		cmocka_unit_test(test_failures_in_a_row),
 		cmocka_unit_test(test_stop_during_a_start),
 		cmocka_unit_test(test_ends_strangers_and_missing_runs),
 		cmocka_unit_test(test_lease_ended),
