room_share: no turn without dispatchers, also for the analyzer

clang-analyzer can't see that room_share_turn() asks for the next turn only while there are sharers; next_turn() says so itself again, as it did before dispatchers wanted room. No change of behaviour.

--- a/src/leased/room_share.c
+++ b/src/leased/room_share.c
@@ -176,6 +176,8 @@
 {
 	guint n = share->sharers->len;
 
+	if (!n)
+		return 0;
 	for (guint step = 1; step <= n; step++) {
 		guint next = (share->turn + step) % n;
 
