Keep connections to agents out of service where there is a place

Agents out of service now come last instead of never.

Ruled out: the runs there (a connection with runs was kept).

--- a/src/leased/agent_subset.c
+++ b/src/leased/agent_subset.c
@@ -109,6 +109,22 @@
 	return strcmp(x->address, y->address);
 }
 
+/* Returns how many more are wanted. */
+static uint32_t choose_some(struct subset_candidate **candidates, size_t n,
+			    bool in_service, uint32_t left)
+{
+	for (size_t i = 0; i < n; i++) {
+		struct subset_candidate *candidate = candidates[i];
+
+		if (candidate->in_service != in_service)
+			continue;
+		candidate->chosen = left > 0;
+		if (left > 0 && !candidate->unreachable)
+			left--;
+	}
+	return left;
+}
+
 void agent_subset_choose(const struct agent_subset *subset,
 			 struct subset_candidate **candidates, size_t n)
 {
@@ -116,11 +132,6 @@
 
 	g_qsort_with_data(candidates, (gint)n, sizeof(*candidates), compare,
 			  (gpointer)subset);
-	for (size_t i = 0; i < n; i++) {
-		struct subset_candidate *candidate = candidates[i];
-
-		candidate->chosen = left > 0 && candidate->in_service;
-		if (candidate->chosen && !candidate->unreachable)
-			left--;
-	}
+	left = choose_some(candidates, n, true, left);
+	choose_some(candidates, n, false, left);
 }
--- a/src/leased/agent_subset.h
+++ b/src/leased/agent_subset.h
@@ -6,8 +6,8 @@
  * (rendezvous hashing), so that dispatchers spread over the agents and a
  * lost agent changes one place in each order. The subset grows while room
  * is short and shrinks when it no longer is. Agents that can't be reached
- * or whose data centre is out of service don't count, so that others take
- * their places. Pure; one thread at a time.
+ * don't count and those in a data centre out of service come last, so that
+ * others take their places. Pure; one thread at a time.
  *
  *	struct agent_subset *subset = agent_subset_create(&options);
  *	agent_subset_short(subset, now_ms); // a task found no room
