--- a/tests/test_agent_subset.c
+++ b/tests/test_agent_subset.c
@@ -84,6 +84,8 @@
 		  48 },
 		{ "out of service", 64, 0, true, 64, 0 },
 		{ "both", 64, 20, true, 64, 0 },
+		{ "out of service, but there is a place", 500, 0, true, 240,
+		  48 },
 	};
 
 	(void)state;
