--- a/src/leased/dispatch_jobs.c
+++ b/src/leased/dispatch_jobs.c
@@ -387,6 +387,7 @@
 	end_hopeless(d, now_ms);
 	dispatch_move_late(d, now_ms);
 	dispatch_pump(d, now_ms);
+	dispatch_end_want(d, now_ms);
 }
 
 void dispatch_get_load(const struct dispatch *d, struct dispatch_load *load)
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -514,6 +514,29 @@
 	}
 }
 
+/* It wants room from the first task that found none until a while after
+ * the last. */
+static void test_wanting_room_begins_and_ends(void **state)
+{
+	static const struct {
+		int64_t at_ms;
+		bool wants;
+	} looks[] = { { 10, true }, { 250, true }, { 1200, false } };
+	struct recorder r;
+	struct dispatch *d = make(&r, true);
+
+	(void)state;
+	give(d, "j", &r, 5000);
+	assert_false(r.wants_room);
+	give(d, "k", &r, 200); /* no room for it before its deadline */
+	for (size_t i = 0; i < G_N_ELEMENTS(looks); i++) {
+		dispatch_agent_granted(d, 1, looks[i].at_ms);
+		dispatch_tick(d, looks[i].at_ms);
+		assert_int_equal(r.wants_room, looks[i].wants);
+	}
+	dispatch_destroy(d);
+}
+
 static void test_late_runs_move(void **state)
 {
 	static const struct {
@@ -567,6 +590,7 @@
 		cmocka_unit_test(test_resubmission),
 		cmocka_unit_test(test_where_nothing_may_start),
 		cmocka_unit_test(test_servers_that_fail_all),
+		cmocka_unit_test(test_wanting_room_begins_and_ends),
 		cmocka_unit_test(test_late_runs_move),
 	};
 
