A server that joins knows who wants room

The agent keeps it, and a server is told when the dispatcher joins its turns.

Test: test_room_share test_joining_with_a_want (without it the first in the server's order holds the offer, whoever wants it).

--- a/src/leased/agent_internal.h
+++ b/src/leased/agent_internal.h
@@ -19,6 +19,7 @@
 	struct link *link; /* NULL: lost */
 	struct cf_lease *lease; /* for its runs; new for each connection */
 	bool held;
+	bool wants_room; /* it finds too little; told to servers that join */
 	int64_t asked_ms; /* for the lease */
 	uint64_t received; /* starts taken from it */
 	uint64_t told; /* digest of the states that it knows; 0: none */
@@ -71,8 +72,7 @@
 		   int64_t now_ms);
 /* Sends results, and states that have changed. */
 void agent_tell_peers(struct leased_agent *a, int64_t now_ms);
-void agent_note_want(struct leased_agent *a, uint64_t dispatcher,
-		     bool wants_room);
+void agent_note_want(struct leased_agent *a, struct peer *p, bool wants_room);
 /* This dispatcher gets no more turns at scarce room. */
 void agent_forget_sharer(struct leased_agent *a, uint64_t dispatcher);
 
--- a/src/leased/agent_peers.c
+++ b/src/leased/agent_peers.c
@@ -311,7 +311,7 @@
 	struct run_name name;
 
 	follow_lease(a, p, now_ms);
-	agent_note_want(a, p->incarnation, orders->wants_room);
+	agent_note_want(a, p, orders->wants_room);
 	if (orders->resume)
 		resume(a, p, orders, now_ms);
 	for (size_t i = 0; i < orders->n_starts; i++)
--- a/src/leased/agent_tell.c
+++ b/src/leased/agent_tell.c
@@ -31,15 +31,15 @@
 		room_share_leave(server_room(value), dispatcher);
 }
 
-void agent_note_want(struct leased_agent *a, uint64_t dispatcher,
-		     bool wants_room)
+void agent_note_want(struct leased_agent *a, struct peer *p, bool wants_room)
 {
 	GHashTableIter iter;
 	gpointer value;
 
+	p->wants_room = wants_room;
 	g_hash_table_iter_init(&iter, a->servers);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		room_share_want(server_room(value), dispatcher, wants_room);
+		room_share_want(server_room(value), p->incarnation, wants_room);
 }
 
 /* True: room is scarce, so that the turn has to be looked at again soon. */
@@ -78,7 +78,7 @@
 	struct room_share *room = server_room(server);
 	struct run_load load;
 
-	room_share_join(room, p->incarnation);
+	room_share_join(room, p->incarnation, p->wants_room);
 	run_table_get_load(server_runs(server), &load);
 	cfw__server_state__init(state);
 	state->name = (char *)report->name;
--- a/src/leased/room_share.c
+++ b/src/leased/room_share.c
@@ -69,10 +69,11 @@
 	return false;
 }
 
-void room_share_join(struct room_share *share, uint64_t dispatcher)
+void room_share_join(struct room_share *share, uint64_t dispatcher, bool wants)
 {
 	struct sharer sharer = {
 		.dispatcher = dispatcher,
+		.wants = wants,
 		.rank = XXH64(&dispatcher, sizeof(dispatcher), share->seed),
 	};
 	guint position;
--- a/src/leased/room_share.h
+++ b/src/leased/room_share.h
@@ -9,7 +9,7 @@
  * thread at a time.
  *
  *	struct room_share *share = room_share_create(seed);
- *	room_share_join(share, dispatcher);
+ *	room_share_join(share, dispatcher, wants);
  *	room_share_turn(share, free_milli, capacity_milli, now_ms);
  *	told = room_share_told(share, dispatcher, free_milli, capacity_milli);
  *	room_share_used(share, dispatcher); // a start of it came
@@ -28,8 +28,8 @@
 struct room_share *room_share_create(uint64_t seed);
 void room_share_destroy(struct room_share *share); /* NULL is allowed */
 /* Dispatchers by their incarnation; again, or one that isn't there: no
- * effect. */
-void room_share_join(struct room_share *share, uint64_t dispatcher);
+ * effect. Wants: see room_share_want(). */
+void room_share_join(struct room_share *share, uint64_t dispatcher, bool wants);
 void room_share_leave(struct room_share *share, uint64_t dispatcher);
 /* Whether it has work that finds too little room. */
 void room_share_want(struct room_share *share, uint64_t dispatcher, bool wants);
--- a/tests/support/many_world.c
+++ b/tests/support/many_world.c
@@ -426,7 +426,7 @@
 	s->table = run_table_create();
 	s->share = room_share_create(number);
 	for (uint32_t i = 0; i < m->load->dispatchers; i++)
-		room_share_join(s->share, i);
+		room_share_join(s->share, i, false);
 	run_table_set_capacity(s->table, &capacity);
 	s->runs = g_ptr_array_new_with_free_func(g_free);
 	s->ends = g_array_new(FALSE, FALSE, sizeof(struct run_listed_end));
--- a/tests/test_room_share.c
+++ b/tests/test_room_share.c
@@ -19,7 +19,7 @@
 	struct room_share *share = room_share_create(7);
 
 	for (uint64_t i = 1; i <= dispatchers; i++)
-		room_share_join(share, i);
+		room_share_join(share, i, false);
 	return share;
 }
 
@@ -128,6 +128,22 @@
 	}
 }
 
+/* A server that joins offers first to those that want room already. */
+static void test_joining_with_a_want(void **state)
+{
+	(void)state;
+	for (uint64_t wanting = 1; wanting <= DISPATCHERS; wanting++) {
+		struct room_share *share = room_share_create(7);
+		uint64_t holder = 0;
+
+		for (uint64_t i = 1; i <= DISPATCHERS; i++)
+			room_share_join(share, i, i == wanting);
+		assert_int_equal(count_told(share, SCARCE_MILLI, &holder), 1);
+		assert_int_equal(holder, wanting);
+		room_share_destroy(share);
+	}
+}
+
 /* Those that use their turns get as many each; nobody else has it then. */
 static void test_turns_go_round(void **state)
 {
@@ -181,7 +197,7 @@
 		uint64_t holder = 0;
 
 		for (uint64_t i = 1; i <= DISPATCHERS; i++)
-			room_share_join(share, i);
+			room_share_join(share, i, false);
 		assert_int_equal(count_told(share, SCARCE_MILLI, &holder), 1);
 		offers[holder]++;
 		room_share_destroy(share);
@@ -203,7 +219,7 @@
 		room_share_leave(share, i);
 	room_share_turn(share, SCARCE_MILLI, CAPACITY_MILLI, 99);
 	assert_false(room_share_in_turns(share, SCARCE_MILLI, CAPACITY_MILLI));
-	room_share_join(share, 7);
+	room_share_join(share, 7, false);
 	assert_int_equal(told(share, 7, SCARCE_MILLI), SCARCE_MILLI);
 	room_share_destroy(share);
 }
@@ -215,6 +231,7 @@
 		cmocka_unit_test(test_plenty_is_told_in_steps),
 		cmocka_unit_test(test_unwanted_room_stays_where_it_is),
 		cmocka_unit_test(test_wanted_room_comes_at_once),
+		cmocka_unit_test(test_joining_with_a_want),
 		cmocka_unit_test(test_turns_go_round),
 		cmocka_unit_test(test_unused_turns),
 		cmocka_unit_test(test_servers_offer_to_different_ones),
