Seams for speed, need and interference: wire fields, expected run times, split of dispatch_place

Runs now carry the expected run time on an average server and the name of their class from the dispatcher to the agent and back to the agent's own results; ServerState has fields for a server's measured speed, the classes that run there and slowdowns between classes. server_run_ms() is the one place that says how long a task takes on a server. dispatch_place.c gives its late runs and its demand to files of their own.

--- a/src/leased/agent_peers.c
+++ b/src/leased/agent_peers.c
@@ -246,6 +246,8 @@
 	run.accelerators = start->accelerators;
 	run.target_start_ms = now_ms + start->slack_ms;
 	run.deadline_ms = now_ms + start->deadline_ms;
+	run.expected_ms = start->expected_ms;
+	g_strlcpy(run.class_name, start->class_name, sizeof(run.class_name));
 	capacity_share_mark_used(server_capacity_share(server), p->incarnation);
 	run_table_enqueue(server_runs(server), &run, now_ms);
 	g_bytes_unref(run.spec);
--- a/src/leased/dispatch.h
+++ b/src/leased/dispatch.h
@@ -43,6 +43,8 @@
 	/* From now: the latest start that meets the target, and the latest
 	 * start that is allowed. */
 	uint32_t slack_ms, deadline_ms;
+	uint32_t expected_ms; /* run time on a server of average speed */
+	const char *class_name;
 };
 
 struct dispatch_sink_ops {
@@ -84,6 +86,9 @@
 	bool accepting;
 	/* The last RUN_FAILURES_COUNTED_MAX jobs there failed. */
 	bool fails_all;
+	/* Natural logarithm of run time / expected run time, as its agent
+	 * measured it, and the standard deviation of that; 0: not known. */
+	double speed_log, speed_sd;
 	/* Start commands that the agent has received on this connection. */
 	uint64_t received;
 };
--- a/src/leased/dispatch_internal.h
+++ b/src/leased/dispatch_internal.h
@@ -167,6 +167,10 @@
 int64_t server_free_cpu_milli(const struct dispatch_server *server);
 int64_t server_offered_cpu_milli(const struct dispatch_server *server);
 int64_t server_free_memory_mb(const struct dispatch_server *server);
+/* Predicted run time of a task of the job on this server. */
+double server_run_ms(const struct dispatch *d,
+		     const struct dispatch_server *server,
+		     const struct dispatch_job *job);
 void server_add_run(struct dispatch_server *server,
 		    const struct dispatch_job *job);
 void server_remove_run(struct dispatch_server *server,
@@ -180,10 +184,16 @@
 
 /* Starts as many waiting tasks as fit. */
 void dispatch_place_tasks(struct dispatch *d, int64_t now_ms);
+
+/* ---- Demand (dispatch_demand.c) ------------------------------------- */
+
 /* Records that a task or a job found too little free capacity. */
 void dispatch_note_demand(struct dispatch *d, int64_t now_ms);
 /* Ends the demand once capacity was not short for DEMAND_HOLD_MS. */
 void dispatch_expire_demand(struct dispatch *d, int64_t now_ms);
+
+/* ---- Late runs (dispatch_late.c) ------------------------------------ */
+
 /* Stops runs that take far longer than predicted, to run them elsewhere, while
  * there is time left for another run. */
 void dispatch_move_late_runs(struct dispatch *d, int64_t now_ms);
--- a/src/leased/dispatch_servers.c
+++ b/src/leased/dispatch_servers.c
@@ -66,6 +66,14 @@
 	return server->state.free_memory_mb - server->pending_memory_mb;
 }
 
+double server_run_ms(const struct dispatch *d,
+		     const struct dispatch_server *server,
+		     const struct dispatch_job *job)
+{
+	return (double)job->predicted_ms *
+	       cf_health_slowness(d->health, server->id);
+}
+
 void server_add_run(struct dispatch_server *server,
 		    const struct dispatch_job *job)
 {
--- a/src/leased/dispatcher_agents.c
+++ b/src/leased/dispatcher_agents.c
@@ -20,6 +20,7 @@
 #define UNSELECTED_CLOSE_MS 5000
 /* The subset is selected again periodically, as agents are lost and return. */
 #define SELECT_INTERVAL_MS 250
+#define MILLI 1000.0
 
 /* ---- Lookup --------------------------------------------------------- */
 
@@ -61,6 +62,7 @@
 
 	g_free(start->job);
 	g_free(start->server);
+	g_free(start->class_name);
 	g_free(start->spec.data);
 	g_free(start);
 }
@@ -128,6 +130,8 @@
 	start->accelerators = command->accelerators;
 	start->slack_ms = command->slack_ms;
 	start->deadline_ms = command->deadline_ms;
+	start->expected_ms = command->expected_ms;
+	start->class_name = g_strdup(command->class_name);
 	g_ptr_array_add(a->starts, start);
 	schedule_flush(a);
 }
@@ -375,6 +379,8 @@
 		.offered_cpu_milli = from->offered_cpu_milli,
 		.accepting = from->accepting,
 		.fails_all = from->failed_in_a_row >= RUN_FAILURES_COUNTED_MAX,
+		.speed_log = from->speed_log_milli / MILLI,
+		.speed_sd = from->speed_sd_milli / MILLI,
 		.received = from->received
 	};
 
--- a/src/leased/run_table.c
+++ b/src/leased/run_table.c
@@ -92,8 +92,11 @@
 	struct run *run = run_table_at(table, position);
 	struct run_result result = { .dispatcher = run->request.dispatcher,
 				     .name = run->request.name,
-				     .outcome = outcome };
+				     .outcome = outcome,
+				     .expected_ms = run->request.expected_ms };
 
+	g_strlcpy(result.class_name, run->request.class_name,
+		  sizeof(result.class_name));
 	if (run->started_ms && now_ms > run->started_ms)
 		result.run_ms = (uint32_t)(now_ms - run->started_ms);
 	count_failure(table, &result);
--- a/src/leased/run_table.h
+++ b/src/leased/run_table.h
@@ -22,6 +22,8 @@
 	uint32_t cpu_milli, memory_mb, accelerators;
 	int64_t target_start_ms; /* queued runs start in this order */
 	int64_t deadline_ms; /* not started from then on */
+	uint32_t expected_ms; /* on a server of average speed; 0: unknown */
+	char class_name[CF_NAME_SIZE]; /* empty: unknown */
 };
 
 enum run_outcome {
@@ -38,6 +40,9 @@
 	struct run_name name;
 	enum run_outcome outcome;
 	uint32_t run_ms;
+	/* Of the request; not sent to the dispatcher. */
+	uint32_t expected_ms;
+	char class_name[CF_NAME_SIZE];
 };
 
 #define RUN_FAILURES_COUNTED_MAX 4
--- a/src/proto/wire.pb-c.c
+++ b/src/proto/wire.pb-c.c
@@ -2077,6 +2077,51 @@
   assert(message->base.descriptor == &cfw__run_stop__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cfw__run_need__init
+                     (Cfw__RunNeed         *message)
+{
+  static const Cfw__RunNeed init_value = CFW__RUN_NEED__INIT;
+  *message = init_value;
+}
+size_t cfw__run_need__get_packed_size
+                     (const Cfw__RunNeed *message)
+{
+  assert(message->base.descriptor == &cfw__run_need__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cfw__run_need__pack
+                     (const Cfw__RunNeed *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cfw__run_need__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cfw__run_need__pack_to_buffer
+                     (const Cfw__RunNeed *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cfw__run_need__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cfw__RunNeed *
+       cfw__run_need__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cfw__RunNeed *)
+     protobuf_c_message_unpack (&cfw__run_need__descriptor,
+                                allocator, len, data);
+}
+void   cfw__run_need__free_unpacked
+                     (Cfw__RunNeed *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cfw__run_need__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cfw__run_orders__init
                      (Cfw__RunOrders         *message)
 {
@@ -2167,6 +2212,96 @@
   assert(message->base.descriptor == &cfw__run_end__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cfw__class_runs__init
+                     (Cfw__ClassRuns         *message)
+{
+  static const Cfw__ClassRuns init_value = CFW__CLASS_RUNS__INIT;
+  *message = init_value;
+}
+size_t cfw__class_runs__get_packed_size
+                     (const Cfw__ClassRuns *message)
+{
+  assert(message->base.descriptor == &cfw__class_runs__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cfw__class_runs__pack
+                     (const Cfw__ClassRuns *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cfw__class_runs__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cfw__class_runs__pack_to_buffer
+                     (const Cfw__ClassRuns *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cfw__class_runs__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cfw__ClassRuns *
+       cfw__class_runs__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cfw__ClassRuns *)
+     protobuf_c_message_unpack (&cfw__class_runs__descriptor,
+                                allocator, len, data);
+}
+void   cfw__class_runs__free_unpacked
+                     (Cfw__ClassRuns *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cfw__class_runs__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cfw__class_slowdown__init
+                     (Cfw__ClassSlowdown         *message)
+{
+  static const Cfw__ClassSlowdown init_value = CFW__CLASS_SLOWDOWN__INIT;
+  *message = init_value;
+}
+size_t cfw__class_slowdown__get_packed_size
+                     (const Cfw__ClassSlowdown *message)
+{
+  assert(message->base.descriptor == &cfw__class_slowdown__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cfw__class_slowdown__pack
+                     (const Cfw__ClassSlowdown *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cfw__class_slowdown__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cfw__class_slowdown__pack_to_buffer
+                     (const Cfw__ClassSlowdown *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cfw__class_slowdown__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cfw__ClassSlowdown *
+       cfw__class_slowdown__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cfw__ClassSlowdown *)
+     protobuf_c_message_unpack (&cfw__class_slowdown__descriptor,
+                                allocator, len, data);
+}
+void   cfw__class_slowdown__free_unpacked
+                     (Cfw__ClassSlowdown *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cfw__class_slowdown__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cfw__server_state__init
                      (Cfw__ServerState         *message)
 {
@@ -6255,7 +6390,7 @@
   (ProtobufCMessageInit) cfw__run_lease__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfw__run_start__field_descriptors[10] =
+static const ProtobufCFieldDescriptor cfw__run_start__field_descriptors[12] =
 {
   {
     "job",
@@ -6377,11 +6512,37 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "expected_ms",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__RunStart, expected_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "class_name",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__RunStart, class_name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cfw__run_start__field_indices_by_name[] = {
   6,   /* field[6] = accelerators */
+  11,   /* field[11] = class_name */
   4,   /* field[4] = cpu_milli */
   8,   /* field[8] = deadline_ms */
+  10,   /* field[10] = expected_ms */
   1,   /* field[1] = index */
   0,   /* field[0] = job */
   5,   /* field[5] = memory_mb */
@@ -6393,7 +6554,7 @@
 static const ProtobufCIntRange cfw__run_start__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor cfw__run_start__descriptor =
 {
@@ -6403,7 +6564,7 @@
   "Cfw__RunStart",
   "cfw",
   sizeof(Cfw__RunStart),
-  10,
+  12,
   cfw__run_start__field_descriptors,
   cfw__run_start__field_indices_by_name,
   1,  cfw__run_start__number_ranges,
@@ -6474,7 +6635,71 @@
   (ProtobufCMessageInit) cfw__run_stop__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfw__run_orders__field_descriptors[5] =
+static const ProtobufCFieldDescriptor cfw__run_need__field_descriptors[3] =
+{
+  {
+    "priority",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__RunNeed, priority),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "work",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__RunNeed, work),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slack_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__RunNeed, slack_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cfw__run_need__field_indices_by_name[] = {
+  0,   /* field[0] = priority */
+  2,   /* field[2] = slack_ms */
+  1,   /* field[1] = work */
+};
+static const ProtobufCIntRange cfw__run_need__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor cfw__run_need__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cfw.RunNeed",
+  "RunNeed",
+  "Cfw__RunNeed",
+  "cfw",
+  sizeof(Cfw__RunNeed),
+  3,
+  cfw__run_need__field_descriptors,
+  cfw__run_need__field_indices_by_name,
+  1,  cfw__run_need__number_ranges,
+  (ProtobufCMessageInit) cfw__run_need__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cfw__run_orders__field_descriptors[6] =
 {
   {
     "starts",
@@ -6536,9 +6761,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "needs",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cfw__RunOrders, n_needs),
+    offsetof(Cfw__RunOrders, needs),
+    &cfw__run_need__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cfw__run_orders__field_indices_by_name[] = {
   3,   /* field[3] = kept */
+  5,   /* field[5] = needs */
   2,   /* field[2] = resume */
   0,   /* field[0] = starts */
   1,   /* field[1] = stops */
@@ -6547,7 +6785,7 @@
 static const ProtobufCIntRange cfw__run_orders__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor cfw__run_orders__descriptor =
 {
@@ -6557,7 +6795,7 @@
   "Cfw__RunOrders",
   "cfw",
   sizeof(Cfw__RunOrders),
-  5,
+  6,
   cfw__run_orders__field_descriptors,
   cfw__run_orders__field_indices_by_name,
   1,  cfw__run_orders__number_ranges,
@@ -6654,7 +6892,135 @@
   (ProtobufCMessageInit) cfw__run_end__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfw__server_state__field_descriptors[14] =
+static const ProtobufCFieldDescriptor cfw__class_runs__field_descriptors[2] =
+{
+  {
+    "class_name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__ClassRuns, class_name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "running",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__ClassRuns, running),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cfw__class_runs__field_indices_by_name[] = {
+  0,   /* field[0] = class_name */
+  1,   /* field[1] = running */
+};
+static const ProtobufCIntRange cfw__class_runs__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor cfw__class_runs__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cfw.ClassRuns",
+  "ClassRuns",
+  "Cfw__ClassRuns",
+  "cfw",
+  sizeof(Cfw__ClassRuns),
+  2,
+  cfw__class_runs__field_descriptors,
+  cfw__class_runs__field_indices_by_name,
+  1,  cfw__class_runs__number_ranges,
+  (ProtobufCMessageInit) cfw__class_runs__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cfw__class_slowdown__field_descriptors[4] =
+{
+  {
+    "class_name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__ClassSlowdown, class_name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "beside",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__ClassSlowdown, beside),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "log_milli",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__ClassSlowdown, log_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "samples",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__ClassSlowdown, samples),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cfw__class_slowdown__field_indices_by_name[] = {
+  1,   /* field[1] = beside */
+  0,   /* field[0] = class_name */
+  2,   /* field[2] = log_milli */
+  3,   /* field[3] = samples */
+};
+static const ProtobufCIntRange cfw__class_slowdown__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor cfw__class_slowdown__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cfw.ClassSlowdown",
+  "ClassSlowdown",
+  "Cfw__ClassSlowdown",
+  "cfw",
+  sizeof(Cfw__ClassSlowdown),
+  4,
+  cfw__class_slowdown__field_descriptors,
+  cfw__class_slowdown__field_indices_by_name,
+  1,  cfw__class_slowdown__number_ranges,
+  (ProtobufCMessageInit) cfw__class_slowdown__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cfw__server_state__field_descriptors[19] =
 {
   {
     "name",
@@ -6824,10 +7190,71 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "speed_log_milli",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__ServerState, speed_log_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "speed_sd_milli",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__ServerState, speed_sd_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "speed_age_ms",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__ServerState, speed_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "classes",
+    18,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cfw__ServerState, n_classes),
+    offsetof(Cfw__ServerState, classes),
+    &cfw__class_runs__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slowdowns",
+    19,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cfw__ServerState, n_slowdowns),
+    offsetof(Cfw__ServerState, slowdowns),
+    &cfw__class_slowdown__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cfw__server_state__field_indices_by_name[] = {
   5,   /* field[5] = accelerators */
   8,   /* field[8] = accepting */
+  17,   /* field[17] = classes */
   3,   /* field[3] = cpu_milli */
   13,   /* field[13] = failed_in_a_row */
   6,   /* field[6] = free_cpu_milli */
@@ -6840,11 +7267,15 @@
   11,   /* field[11] = received */
   9,   /* field[9] = running */
   1,   /* field[1] = service */
+  18,   /* field[18] = slowdowns */
+  16,   /* field[16] = speed_age_ms */
+  14,   /* field[14] = speed_log_milli */
+  15,   /* field[15] = speed_sd_milli */
 };
 static const ProtobufCIntRange cfw__server_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor cfw__server_state__descriptor =
 {
@@ -6854,7 +7285,7 @@
   "Cfw__ServerState",
   "cfw",
   sizeof(Cfw__ServerState),
-  14,
+  19,
   cfw__server_state__field_descriptors,
   cfw__server_state__field_indices_by_name,
   1,  cfw__server_state__number_ranges,
--- a/src/proto/wire.pb-c.h
+++ b/src/proto/wire.pb-c.h
@@ -61,8 +61,11 @@
 typedef struct Cfw__RunLease Cfw__RunLease;
 typedef struct Cfw__RunStart Cfw__RunStart;
 typedef struct Cfw__RunStop Cfw__RunStop;
+typedef struct Cfw__RunNeed Cfw__RunNeed;
 typedef struct Cfw__RunOrders Cfw__RunOrders;
 typedef struct Cfw__RunEnd Cfw__RunEnd;
+typedef struct Cfw__ClassRuns Cfw__ClassRuns;
+typedef struct Cfw__ClassSlowdown Cfw__ClassSlowdown;
 typedef struct Cfw__ServerState Cfw__ServerState;
 typedef struct Cfw__RunReport Cfw__RunReport;
 typedef struct Cfw__Envelope Cfw__Envelope;
@@ -990,10 +993,18 @@
    */
   uint32_t deadline_ms;
   char *server;
+  /*
+   * predicted run time on an average server
+   */
+  uint32_t expected_ms;
+  /*
+   * runs of one class behave alike
+   */
+  char *class_name;
 };
 #define CFW__RUN_START__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cfw__run_start__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, {0,NULL}, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, 0, 0, {0,NULL}, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
 
 
 struct  Cfw__RunStop
@@ -1008,6 +1019,30 @@
     , (char *)protobuf_c_empty_string, 0, 0 }
 
 
+/*
+ * Work of one priority that waits for capacity.
+ */
+struct  Cfw__RunNeed
+{
+  ProtobufCMessage base;
+  /*
+   * 0 is the most urgent
+   */
+  uint32_t priority;
+  /*
+   * thousandths of a processor x ms
+   */
+  uint64_t work;
+  /*
+   * until the earliest latest good start
+   */
+  uint32_t slack_ms;
+};
+#define CFW__RUN_NEED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cfw__run_need__descriptor) \
+    , 0, 0, 0 }
+
+
 struct  Cfw__RunOrders
 {
   ProtobufCMessage base;
@@ -1025,10 +1060,15 @@
    * it has work that finds too little
    */
   protobuf_c_boolean wants_room;
+  /*
+   * replaces what was sent before
+   */
+  size_t n_needs;
+  Cfw__RunNeed **needs;
 };
 #define CFW__RUN_ORDERS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cfw__run_orders__descriptor) \
-    , 0,NULL, 0,NULL, 0, 0,NULL, 0 }
+    , 0,NULL, 0,NULL, 0, 0,NULL, 0, 0,NULL }
 
 
 struct  Cfw__RunEnd
@@ -1045,6 +1085,36 @@
     , (char *)protobuf_c_empty_string, 0, 0, CFW__RUN_OUTCOME__RUN_DONE, 0 }
 
 
+struct  Cfw__ClassRuns
+{
+  ProtobufCMessage base;
+  char *class_name;
+  uint32_t running;
+};
+#define CFW__CLASS_RUNS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cfw__class_runs__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
+/*
+ * How much longer the runs of a class take beside runs of another class.
+ */
+struct  Cfw__ClassSlowdown
+{
+  ProtobufCMessage base;
+  char *class_name;
+  char *beside;
+  /*
+   * natural logarithm of the ratio x 1000
+   */
+  int32_t log_milli;
+  uint32_t samples;
+};
+#define CFW__CLASS_SLOWDOWN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cfw__class_slowdown__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+
+
 struct  Cfw__ServerState
 {
   ProtobufCMessage base;
@@ -1077,10 +1147,25 @@
    * jobs of anyone, none ended well since
    */
   uint32_t failed_in_a_row;
+  /*
+   * Natural logarithm of run time / expected run time x 1000, its standard
+   * deviation x 1000 (0: nothing is known), and the age of the last run
+   * that it counts.
+   */
+  int32_t speed_log_milli;
+  uint32_t speed_sd_milli;
+  uint32_t speed_age_ms;
+  /*
+   * what runs there now
+   */
+  size_t n_classes;
+  Cfw__ClassRuns **classes;
+  size_t n_slowdowns;
+  Cfw__ClassSlowdown **slowdowns;
 };
 #define CFW__SERVER_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cfw__server_state__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL }
 
 
 struct  Cfw__RunReport
@@ -2033,6 +2118,25 @@
 void   cfw__run_stop__free_unpacked
                      (Cfw__RunStop *message,
                       ProtobufCAllocator *allocator);
+/* Cfw__RunNeed methods */
+void   cfw__run_need__init
+                     (Cfw__RunNeed         *message);
+size_t cfw__run_need__get_packed_size
+                     (const Cfw__RunNeed   *message);
+size_t cfw__run_need__pack
+                     (const Cfw__RunNeed   *message,
+                      uint8_t             *out);
+size_t cfw__run_need__pack_to_buffer
+                     (const Cfw__RunNeed   *message,
+                      ProtobufCBuffer     *buffer);
+Cfw__RunNeed *
+       cfw__run_need__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cfw__run_need__free_unpacked
+                     (Cfw__RunNeed *message,
+                      ProtobufCAllocator *allocator);
 /* Cfw__RunOrders methods */
 void   cfw__run_orders__init
                      (Cfw__RunOrders         *message);
@@ -2071,6 +2175,44 @@
 void   cfw__run_end__free_unpacked
                      (Cfw__RunEnd *message,
                       ProtobufCAllocator *allocator);
+/* Cfw__ClassRuns methods */
+void   cfw__class_runs__init
+                     (Cfw__ClassRuns         *message);
+size_t cfw__class_runs__get_packed_size
+                     (const Cfw__ClassRuns   *message);
+size_t cfw__class_runs__pack
+                     (const Cfw__ClassRuns   *message,
+                      uint8_t             *out);
+size_t cfw__class_runs__pack_to_buffer
+                     (const Cfw__ClassRuns   *message,
+                      ProtobufCBuffer     *buffer);
+Cfw__ClassRuns *
+       cfw__class_runs__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cfw__class_runs__free_unpacked
+                     (Cfw__ClassRuns *message,
+                      ProtobufCAllocator *allocator);
+/* Cfw__ClassSlowdown methods */
+void   cfw__class_slowdown__init
+                     (Cfw__ClassSlowdown         *message);
+size_t cfw__class_slowdown__get_packed_size
+                     (const Cfw__ClassSlowdown   *message);
+size_t cfw__class_slowdown__pack
+                     (const Cfw__ClassSlowdown   *message,
+                      uint8_t             *out);
+size_t cfw__class_slowdown__pack_to_buffer
+                     (const Cfw__ClassSlowdown   *message,
+                      ProtobufCBuffer     *buffer);
+Cfw__ClassSlowdown *
+       cfw__class_slowdown__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cfw__class_slowdown__free_unpacked
+                     (Cfw__ClassSlowdown *message,
+                      ProtobufCAllocator *allocator);
 /* Cfw__ServerState methods */
 void   cfw__server_state__init
                      (Cfw__ServerState         *message);
@@ -2268,12 +2410,21 @@
 typedef void (*Cfw__RunStop_Closure)
                  (const Cfw__RunStop *message,
                   void *closure_data);
+typedef void (*Cfw__RunNeed_Closure)
+                 (const Cfw__RunNeed *message,
+                  void *closure_data);
 typedef void (*Cfw__RunOrders_Closure)
                  (const Cfw__RunOrders *message,
                   void *closure_data);
 typedef void (*Cfw__RunEnd_Closure)
                  (const Cfw__RunEnd *message,
                   void *closure_data);
+typedef void (*Cfw__ClassRuns_Closure)
+                 (const Cfw__ClassRuns *message,
+                  void *closure_data);
+typedef void (*Cfw__ClassSlowdown_Closure)
+                 (const Cfw__ClassSlowdown *message,
+                  void *closure_data);
 typedef void (*Cfw__ServerState_Closure)
                  (const Cfw__ServerState *message,
                   void *closure_data);
@@ -2339,8 +2490,11 @@
 extern const ProtobufCMessageDescriptor cfw__run_lease__descriptor;
 extern const ProtobufCMessageDescriptor cfw__run_start__descriptor;
 extern const ProtobufCMessageDescriptor cfw__run_stop__descriptor;
+extern const ProtobufCMessageDescriptor cfw__run_need__descriptor;
 extern const ProtobufCMessageDescriptor cfw__run_orders__descriptor;
 extern const ProtobufCMessageDescriptor cfw__run_end__descriptor;
+extern const ProtobufCMessageDescriptor cfw__class_runs__descriptor;
+extern const ProtobufCMessageDescriptor cfw__class_slowdown__descriptor;
 extern const ProtobufCMessageDescriptor cfw__server_state__descriptor;
 extern const ProtobufCMessageDescriptor cfw__run_report__descriptor;
 extern const ProtobufCMessageDescriptor cfw__envelope__descriptor;
