Priorities and a lane of late jobs in the order of starts

A job that can't start in time for its target waits in a lane of late jobs, which gets capacity that no job in time can use, until an answer would be of no use (three times its target) or 45 % of its caller's time is over; before, it was refused.

--- a/src/leased/dispatch_admit.c
+++ b/src/leased/dispatch_admit.c
@@ -1,12 +1,9 @@
 /*
  * dispatch_admit: admission control. When more work arrives than the servers
  * can do, a job whose last task is predicted to start too late for its target
- * is refused at once. Its caller learns this without delay, and the admitted
- * jobs still meet their targets.
- *
- * Each class gets a share of the starts in proportion to the processors that
- * its jobs request, so that no class starves beside one whose target leaves
- * it more time.
+ * becomes a late job, so that the other admitted jobs still meet their targets.
+ * It is refused at once if late jobs can't be served so soon that its answer is
+ * of use: its caller learns this without delay.
  */
 #include "leased/dispatch_internal.h"
 
@@ -23,7 +20,6 @@
  * arrives in bursts. */
 #define WORK_MARGIN 1.8
 #define CPU_MIN_MILLI 1000.0
-#define SHARE_MIN 0.02
 #define MS_PER_S 1000
 #define PERCENT 100
 #define MILLI 1000
@@ -32,24 +28,6 @@
 
 /* ---- Predicted wait ------------------------------------------------- */
 
-double admit_share(const struct dispatch *d, const struct dispatch_class *class,
-		   int64_t now_ms)
-{
-	double own = rate_now(&class->arrival_rate, ARRIVAL_PERIOD_MS, now_ms);
-	double all = 0;
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, d->classes);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct dispatch_class *other = value;
-
-		all += rate_now(&other->arrival_rate, ARRIVAL_PERIOD_MS,
-				now_ms);
-	}
-	return all > 0 ? MAX(own / all, SHARE_MIN) : 1.0;
-}
-
 static double free_cpu_milli(const struct dispatch *d, int64_t now_ms)
 {
 	double sum = 0;
@@ -72,6 +50,7 @@
 	double cpu_milli; /* processors that the class uses or can get */
 	double work; /* queued ahead of the job, less what can start now */
 	double wait_ms; /* predicted time until its last task starts */
+	double late_wait_ms; /* the same for a late job */
 };
 
 static void sum_classes(const struct dispatch *d, double *running_milli,
@@ -87,10 +66,31 @@
 		const struct dispatch_class *class = value;
 
 		*running_milli += (double)class->running_cpu_milli;
-		*queued_work += class->queued_work;
+		*queued_work += class->lane.queued_work;
 	}
 }
 
+/* Late jobs get what arriving work leaves of this dispatcher's processors. */
+static double late_wait_ms(const struct dispatch *d,
+			   const struct dispatch_job *job, double all_milli,
+			   int64_t now_ms)
+{
+	double ahead = d->late.queued_work +
+		       dispatch_task_work(job) * job->spec.n_tasks;
+	double spare_milli = all_milli;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, d->classes);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct dispatch_class *class = value;
+
+		spare_milli -= rate_now(&class->arrival_rate, ARRIVAL_PERIOD_MS,
+					now_ms);
+	}
+	return ahead / MAX(spare_milli, CPU_MIN_MILLI);
+}
+
 /* Work queued ahead of the job in its class runs on the class's share of this
  * dispatcher's processors, or on what the other classes leave of them if that
  * is more. The job's own tasks may use all of the processors, so that jobs
@@ -100,27 +100,28 @@
 {
 	const struct dispatch_class *class = job->class;
 	double own = dispatch_task_work(job) * job->spec.n_tasks;
-	double ahead = class->queued_work - own;
+	double ahead = class->lane.queued_work - own;
 	double running_milli, queued_work, all_milli, left_milli, free_work;
 
 	sum_classes(d, &running_milli, &queued_work);
-	e->share = admit_share(d, class, now_ms);
+	e->share = dispatch_class_share(d, class, now_ms);
 	e->free_milli = free_cpu_milli(d, now_ms);
 	all_milli = running_milli + e->free_milli * FREE_CPU_FRACTION;
 	left_milli =
 		all_milli - (running_milli - (double)class->running_cpu_milli);
 	e->cpu_milli =
 		MAX(MAX(all_milli * e->share, left_milli), CPU_MIN_MILLI);
-	if (queued_work > class->queued_work)
+	if (queued_work > class->lane.queued_work)
 		e->free_milli *= e->share;
 	free_work = e->free_milli * FREE_CPU_FRACTION * job->predicted_ms;
 	e->work = MAX(ahead - free_work, 0);
 	own = MAX(own - MAX(free_work - ahead, 0), 0);
 	e->wait_ms = WORK_MARGIN * (e->work / e->cpu_milli +
 				    own / MAX(all_milli, CPU_MIN_MILLI));
-	if (ahead <= 0 && queued_work <= class->queued_work &&
+	if (ahead <= 0 && queued_work <= class->lane.queued_work &&
 	    (double)job->spec.cpu_milli * job->spec.n_tasks <= e->free_milli)
 		e->wait_ms = 0;
+	e->late_wait_ms = late_wait_ms(d, job, all_milli, now_ms);
 }
 
 /* ---- Verdict -------------------------------------------------------- */
@@ -140,16 +141,18 @@
 {
 	log_event(LOG_WARN, "job_refused",
 		  "job=%s route=%s wait_ms=%d slack_ms=%" PRId64
+		  " late_wait_ms=%d late_slack_ms=%" PRId64
 		  " work_ms=%d cpu_milli=%d free_cpu_milli=%d "
 		  "share_percent=%d predicted_ms=%u",
 		  job->id, job->route.name, (int)e->wait_ms,
-		  job->target_start_ms - now_ms, (int)(e->work / MILLI),
+		  job->target_start_ms - now_ms, (int)e->late_wait_ms,
+		  job->useful_start_ms - now_ms, (int)(e->work / MILLI),
 		  (int)e->cpu_milli, (int)e->free_milli,
 		  (int)(e->share * PERCENT), job->predicted_ms);
 }
 
-static const char *find_refusal(struct dispatch *d,
-				const struct dispatch_job *job, int64_t now_ms)
+static const char *find_refusal(struct dispatch *d, struct dispatch_job *job,
+				int64_t now_ms)
 {
 	struct estimate e;
 
@@ -161,12 +164,16 @@
 	if (now_ms + (int64_t)e.wait_ms <= job->target_start_ms)
 		return NULL;
 	dispatch_note_demand(d, now_ms);
+	if (now_ms + (int64_t)e.late_wait_ms <= job->useful_start_ms) {
+		dispatch_make_late(d, job, now_ms);
+		return NULL;
+	}
 	log_refusal(job, &e, now_ms);
 	return "the queue is too long for its target";
 }
 
-bool admit_job(struct dispatch *d, const struct dispatch_job *job,
-	       int64_t now_ms, const char **reason, uint32_t *retry_after_s)
+bool admit_job(struct dispatch *d, struct dispatch_job *job, int64_t now_ms,
+	       const char **reason, uint32_t *retry_after_s)
 {
 	*reason = find_refusal(d, job, now_ms);
 	if (*reason)
--- a/src/leased/dispatch_internal.h
+++ b/src/leased/dispatch_internal.h
@@ -81,16 +81,22 @@
 	GArray *failed_on; /* uint64_t server ids, or NULL */
 };
 
-/* Work is processors times run time, in thousandths of a processor x ms. */
-struct dispatch_class {
-	char name[CF_NAME_SIZE];
+/* Jobs that wait for capacity in one order. Work is processors times run time,
+ * in thousandths of a processor x ms. */
+struct dispatch_lane {
 	/* struct dispatch_job with waiting tasks, most urgent first */
 	GSequence *queue;
-	struct rate arrival_rate; /* work that arrives per ms */
 	double queued_work; /* predicted work of waiting tasks */
+	double virtual_time; /* work started divided by the lane's share */
+};
+
+struct dispatch_class {
+	char name[CF_NAME_SIZE];
+	uint32_t priority; /* of the route last seen; 0 is the most urgent */
+	struct dispatch_lane lane; /* jobs that can still meet their target */
+	struct rate arrival_rate; /* work that arrives per ms */
 	double running_work; /* predicted work of tasks at servers */
 	int64_t running_cpu_milli;
-	double virtual_time; /* work started divided by the class's share */
 	uint32_t unsent_jobs; /* jobs of which no task was sent */
 };
 
@@ -103,6 +109,9 @@
 	int64_t arrived_ms, deadline_ms;
 	/* Latest start of its last task that meets its target. */
 	int64_t target_start_ms;
+	/* Latest start of its first task after which its answer is of use. */
+	int64_t useful_start_ms;
+	bool is_late; /* waits in the lane of late jobs */
 	uint32_t predicted_ms;
 	uint32_t slowest_ms; /* longest successful run so far; 0: none */
 	struct dispatch_task *tasks;
@@ -123,7 +132,9 @@
 	uint64_t next_server;
 	struct cf_predict *predict;
 	struct cf_health *health;
-	double virtual_time; /* of the class served last */
+	struct dispatch_lane late; /* jobs that can't meet their target */
+	uint64_t late_jobs; /* that ever were in it */
+	double virtual_time; /* of the lane served last */
 	bool placing; /* dispatch_place_tasks() is running */
 	/* Set while few servers fail all their tasks. If many do, the fault is
 	 * likely in the tasks or in something the servers share. */
@@ -139,24 +150,42 @@
 		      uint32_t retry_after_s);
 void dispatch_free_job_if_finished(struct dispatch *d,
 				   struct dispatch_job *job);
+void dispatch_abort_job(struct dispatch *d, struct dispatch_job *job,
+			const char *reason, int64_t now_ms);
+
+/* ---- Order (dispatch_order.c) --------------------------------------- */
+
+/* The class's share of the starts, from 0 to 1. */
+double dispatch_class_share(const struct dispatch *d,
+			    const struct dispatch_class *class, int64_t now_ms);
+void dispatch_lane_init(struct dispatch_lane *lane);
+void dispatch_lane_clear(struct dispatch_lane *lane);
+/* The lane that the job waits in. */
+struct dispatch_lane *dispatch_job_lane(struct dispatch *d,
+					const struct dispatch_job *job);
 void dispatch_queue_job(struct dispatch *d, struct dispatch_job *job);
 void dispatch_unqueue_job(struct dispatch_job *job);
 /* Adds tasks to the waiting ones; a negative number removes them. */
-void dispatch_count_waiting(struct dispatch_job *job, int32_t tasks);
+void dispatch_count_waiting(struct dispatch *d, struct dispatch_job *job,
+			    int32_t tasks);
 /* Predicted work of one task of the job. */
 double dispatch_task_work(const struct dispatch_job *job);
-void dispatch_abort_job(struct dispatch *d, struct dispatch_job *job,
-			const char *reason, int64_t now_ms);
+/* Moves a job of which nothing was sent to the lane of late jobs. */
+void dispatch_make_late(struct dispatch *d, struct dispatch_job *job,
+			int64_t now_ms);
+/* Returns the lane with waiting jobs that is served next, among those not
+ * tried in this round; NULL if there is none. */
+struct dispatch_lane *dispatch_next_lane(struct dispatch *d, GPtrArray *tried);
+/* Counts a start of a task against the share of the job's lane. */
+void dispatch_charge_lane(struct dispatch *d, const struct dispatch_job *job,
+			  int64_t now_ms);
 
 /* ---- Admission (dispatch_admit.c) ----------------------------------- */
 
-/* The class's share of all arriving work, from 0 to 1. */
-double admit_share(const struct dispatch *d, const struct dispatch_class *class,
-		   int64_t now_ms);
-/* Returns whether the job is admitted; if not, sets the reason and when to
- * retry. */
-bool admit_job(struct dispatch *d, const struct dispatch_job *job,
-	       int64_t now_ms, const char **reason, uint32_t *retry_after_s);
+/* Returns whether the job is admitted, in time or late; if not, sets the reason
+ * and when to retry. */
+bool admit_job(struct dispatch *d, struct dispatch_job *job, int64_t now_ms,
+	       const char **reason, uint32_t *retry_after_s);
 uint32_t admit_retry_after_s(const struct dispatch *d,
 			     const struct dispatch_job *job, int64_t now_ms);
 
--- a/src/leased/dispatch_jobs.c
+++ b/src/leased/dispatch_jobs.c
@@ -19,6 +19,9 @@
 /* A job that would take more than this many times its target latency is
  * aborted, because its result is of no use to the caller any more. */
 #define TARGET_FACTOR_MAX 3
+/* A job of which nothing was started is refused by this fraction of the time
+ * that its caller waits, so that the caller has time left to act. */
+#define LATE_WAIT_MAX_FRACTION 0.45
 
 /* ---- Creation and destruction --------------------------------------- */
 
@@ -39,7 +42,7 @@
 {
 	struct dispatch_class *class = data;
 
-	g_sequence_free(class->queue);
+	dispatch_lane_clear(&class->lane);
 	g_free(class);
 }
 
@@ -66,6 +69,7 @@
 	d->agents = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					  free_agent);
 	d->servers = g_ptr_array_new_with_free_func(g_free);
+	dispatch_lane_init(&d->late);
 	d->predict = cf_predict_create();
 	d->health = cf_health_create(EJECT_MAX_MILLI);
 	return d;
@@ -78,58 +82,13 @@
 	g_hash_table_destroy(d->jobs);
 	g_hash_table_destroy(d->classes);
 	g_hash_table_destroy(d->agents);
+	dispatch_lane_clear(&d->late);
 	g_ptr_array_unref(d->servers);
 	cf_predict_destroy(d->predict);
 	cf_health_destroy(d->health);
 	g_free(d);
 }
 
-/* ---- Queue ---------------------------------------------------------- */
-
-static gint compare_jobs(gconstpointer a, gconstpointer b, gpointer unused)
-{
-	const struct dispatch_job *x = a;
-	const struct dispatch_job *y = b;
-
-	(void)unused;
-	return x->target_start_ms < y->target_start_ms
-		       ? -1
-		       : x->target_start_ms > y->target_start_ms;
-}
-
-/* A class whose queue was empty continues at the current virtual time, so that
- * it can't build up credit while it is idle. */
-void dispatch_queue_job(struct dispatch *d, struct dispatch_job *job)
-{
-	GSequence *queue = job->class->queue;
-
-	if (job->queue_entry)
-		return;
-	if (g_sequence_is_empty(queue))
-		job->class->virtual_time =
-			MAX(job->class->virtual_time, d->virtual_time);
-	job->queue_entry =
-		g_sequence_insert_sorted(queue, job, compare_jobs, NULL);
-}
-
-void dispatch_unqueue_job(struct dispatch_job *job)
-{
-	if (job->queue_entry)
-		g_sequence_remove(job->queue_entry);
-	job->queue_entry = NULL;
-}
-
-double dispatch_task_work(const struct dispatch_job *job)
-{
-	return (double)job->spec.cpu_milli * job->predicted_ms;
-}
-
-void dispatch_count_waiting(struct dispatch_job *job, int32_t tasks)
-{
-	job->n_waiting = (uint32_t)((int32_t)job->n_waiting + tasks);
-	job->class->queued_work += tasks * dispatch_task_work(job);
-}
-
 /* ---- Answers -------------------------------------------------------- */
 
 static void answer_callers(struct dispatch *d, struct dispatch_job *job,
@@ -182,7 +141,7 @@
 		  "sent=%u waiting=%u retry_after_s=%u",
 		  job->id, job->route.name, verdict, reason, job->spec.n_tasks,
 		  job->n_done, job->n_sent, job->n_waiting, retry_after_s);
-	dispatch_count_waiting(job, -(int32_t)job->n_waiting);
+	dispatch_count_waiting(d, job, -(int32_t)job->n_waiting);
 	dispatch_unqueue_job(job);
 	stop_runs(d, job);
 	answer_callers(d, job, &answer);
@@ -209,7 +168,7 @@
 	if (class)
 		return class;
 	class = g_new0(struct dispatch_class, 1);
-	class->queue = g_sequence_new(NULL);
+	dispatch_lane_init(&class->lane);
 	g_strlcpy(class->name, name, sizeof(class->name));
 	g_hash_table_insert(d->classes, class->name, class);
 	return class;
@@ -228,6 +187,15 @@
 	job->target_start_ms =
 		job->arrived_ms + MAX(target_latency_ms - job->predicted_ms, 0);
 	job->deadline_ms -= ANSWER_MARGIN_MS;
+	job->useful_start_ms =
+		MIN(job->arrived_ms + TARGET_FACTOR_MAX * target_latency_ms,
+		    job->deadline_ms) -
+		job->predicted_ms;
+	job->useful_start_ms =
+		MIN(job->useful_start_ms,
+		    job->arrived_ms + (int64_t)(LATE_WAIT_MAX_FRACTION *
+						(double)(job->deadline_ms -
+							 job->arrived_ms)));
 }
 
 static struct dispatch_job *create_job(struct dispatch *d,
@@ -240,6 +208,7 @@
 	job->spec = request->spec;
 	g_bytes_ref(job->spec.spec);
 	job->class = find_class(d, request->route.name);
+	job->class->priority = request->route.priority;
 	job->callers = g_ptr_array_new();
 	g_ptr_array_add(job->callers, request->caller);
 	job->arrived_ms = request->arrived_ms;
@@ -286,7 +255,7 @@
 		 dispatch_task_work(job) * job->spec.n_tasks, ARRIVAL_PERIOD_MS,
 		 now_ms);
 	job->class->unsent_jobs++;
-	dispatch_count_waiting(job, (int32_t)job->spec.n_tasks);
+	dispatch_count_waiting(d, job, (int32_t)job->spec.n_tasks);
 	if (!admit_job(d, job, now_ms, &reason, &retry_after_s)) {
 		dispatch_end_job(d, job, JOB_VERDICT_REFUSED, reason,
 				 retry_after_s);
@@ -352,6 +321,23 @@
 
 /* ---- Periodic work -------------------------------------------------- */
 
+/* Jobs that can't start in time for their target any more wait in the lane of
+ * late jobs. A job whose first tasks have started stays where it is. */
+static void find_late_jobs(struct dispatch *d, int64_t now_ms)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, d->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct dispatch_job *job = value;
+
+		if (!job->ended && !job->ever_sent && !job->is_late &&
+		    now_ms > job->target_start_ms)
+			dispatch_make_late(d, job, now_ms);
+	}
+}
+
 /* Returns why a job can't be completed usefully any more, or NULL if it can. */
 static const char *find_end_reason(const struct dispatch_job *job,
 				   int64_t now_ms)
@@ -367,8 +353,8 @@
 		return NULL;
 	if (now_ms + job->predicted_ms > job->deadline_ms)
 		return "it can't end before its deadline";
-	if (!job->ever_sent && now_ms > job->target_start_ms)
-		return "no room came in time for its target";
+	if (!job->ever_sent && now_ms > job->useful_start_ms)
+		return "no capacity came free in time";
 	if (now_ms + job->predicted_ms > late_ms)
 		return "it would be of no use so late";
 	return NULL;
@@ -400,6 +386,7 @@
 {
 	servers_tick(d, now_ms);
 	end_unservable_jobs(d, now_ms);
+	find_late_jobs(d, now_ms);
 	dispatch_move_late_runs(d, now_ms);
 	dispatch_place_tasks(d, now_ms);
 	dispatch_expire_demand(d, now_ms);
--- a/src/leased/dispatch_place.c
+++ b/src/leased/dispatch_place.c
@@ -1,14 +1,10 @@
 /*
  * dispatch_place: placement, which decides where and in which order tasks
- * start. Classes are served in proportion to the work that arrives for them
- * (fair queueing; Demers, Keshav and Shenker, 1989). Within a class the job
- * with the earliest target start goes first. A task goes to the server on
- * which it is predicted to end soonest, among those that offer enough
- * capacity to this dispatcher. No task is sent to a server that offers too
- * little, so that it can still go to another one.
- *
- * While all servers are full, no class starves behind one whose target leaves
- * it more time, and no job with many tasks starves behind smaller ones.
+ * start; dispatch_order.c has the order. A task goes to the server on which it
+ * is predicted to end soonest, among those that offer enough capacity to this
+ * dispatcher. No task is sent to a server that offers too little, so that it
+ * can still go to another one. While all servers are full, no job with many
+ * tasks starves behind smaller ones.
  */
 #include "leased/dispatch_internal.h"
 
@@ -28,8 +24,6 @@
 #define FULL_SERVER_PENALTY_MS 8.0
 /* A server that the task failed on or was moved away from. */
 #define AVOIDED_SERVER_PENALTY_MS 10000.0
-/* Smallest share of any class, as a fraction. */
-#define SHARE_MIN 0.02
 /* A job reserves capacity after this fraction of the time between its arrival
  * and its target start. */
 #define RESERVE_AFTER_FRACTION 0.3
@@ -107,16 +101,6 @@
 
 /* ---- Sending -------------------------------------------------------- */
 
-static void charge_class(struct dispatch *d, const struct dispatch_job *job,
-			 int64_t now_ms)
-{
-	struct dispatch_class *class = job->class;
-
-	d->virtual_time = MAX(d->virtual_time, class->virtual_time);
-	class->virtual_time += dispatch_task_work(job) /
-			       MAX(admit_share(d, class, now_ms), SHARE_MIN);
-}
-
 static void send_task(struct dispatch *d, struct dispatch_job *job,
 		      struct dispatch_task *task,
 		      struct dispatch_server *server, int64_t now_ms)
@@ -140,7 +124,7 @@
 		job->class->unsent_jobs--;
 	job->ever_sent = true;
 	job->n_waiting--;
-	job->class->queued_work -= dispatch_task_work(job);
+	dispatch_job_lane(d, job)->queued_work -= dispatch_task_work(job);
 	job->n_sent++;
 	task->state = DISPATCH_TASK_SENT;
 	task->server = server;
@@ -148,7 +132,7 @@
 	server->last_start_ms = now_ms;
 	server_add_run(server, job);
 	cf_health_sent(d->health, server->id, 1, now_ms);
-	charge_class(d, job, now_ms);
+	dispatch_charge_lane(d, job, now_ms);
 	log_event(LOG_INFO, "run_sent",
 		  "job=%s index=%u number=%u agent=%s server=%s "
 		  "predicted_ms=%u waited_ms=%" PRId64
@@ -173,7 +157,8 @@
 			continue;
 		server = choose_server(d, job, task, now_ms);
 		if (!server) {
-			dispatch_note_demand(d, now_ms);
+			if (!job->is_late)
+				dispatch_note_demand(d, now_ms);
 			return false;
 		}
 		send_task(d, job, task, server, now_ms);
@@ -181,53 +166,33 @@
 	return true;
 }
 
-/* Returns the class with waiting jobs and the lowest virtual time, among those
- * not tried in this round. */
-static struct dispatch_class *next_class(struct dispatch *d, GPtrArray *tried)
-{
-	struct dispatch_class *next = NULL;
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, d->classes);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct dispatch_class *class = value;
-
-		if (g_sequence_is_empty(class->queue) ||
-		    g_ptr_array_find(tried, class, NULL))
-			continue;
-		if (!next || class->virtual_time < next->virtual_time)
-			next = class;
-	}
-	return next;
-}
-
 /* No other job may start before one that has waited this long for capacity.
  * Otherwise smaller jobs would keep taking the capacity that it needs. */
 static bool reserves_capacity(const struct dispatch_job *job, int64_t now_ms)
 {
-	return now_ms - job->arrived_ms >
-	       (job->target_start_ms - job->arrived_ms) *
-		       RESERVE_AFTER_FRACTION;
+	return !job->is_late &&
+	       now_ms - job->arrived_ms >
+		       (job->target_start_ms - job->arrived_ms) *
+			       RESERVE_AFTER_FRACTION;
 }
 
 void dispatch_place_tasks(struct dispatch *d, int64_t now_ms)
 {
 	g_autoptr(GPtrArray) tried = g_ptr_array_new();
-	struct dispatch_class *class;
+	struct dispatch_lane *lane;
 
 	if (d->placing)
 		return;
 	d->placing = true;
-	while ((class = next_class(d, tried))) {
+	while ((lane = dispatch_next_lane(d, tried))) {
 		struct dispatch_job *job =
-			g_sequence_get(g_sequence_get_begin_iter(class->queue));
+			g_sequence_get(g_sequence_get_begin_iter(lane->queue));
 
 		if (job->deadline_ms > now_ms && place_job(d, job, now_ms)) {
 			dispatch_unqueue_job(job);
 			continue;
 		}
-		g_ptr_array_add(tried, class);
+		g_ptr_array_add(tried, lane);
 		if (reserves_capacity(job, now_ms))
 			break;
 	}
--- a/src/leased/dispatch_runs.c
+++ b/src/leased/dispatch_runs.c
@@ -38,7 +38,7 @@
 		dispatch_free_job_if_finished(d, job);
 		return;
 	}
-	dispatch_count_waiting(job, 1);
+	dispatch_count_waiting(d, job, 1);
 	if (now_ms + job->predicted_ms > job->deadline_ms) {
 		dispatch_abort_job(
 			d, job, "no time is left to run a task again", now_ms);
