--- a/src/leased/dispatch_late.c
+++ b/src/leased/dispatch_late.c
@@ -127,9 +127,10 @@
 		cf_health_overdue(d->health, task->server->id, (uint32_t)ran_ms,
 				  job->predicted_ms, now_ms);
 	}
-	/* Where other runs succeed meanwhile, the task is long and not the
-	 * server slow. */
-	if (!suspect && task->server->last_success_ms > task->sent_ms)
+	/* Where other runs succeed meanwhile and no other task of the job shows
+	 * how long it takes, the job is long and not the server slow. */
+	if (!suspect && !job->slowest_ms &&
+	    task->server->last_success_ms > task->sent_ms)
 		return;
 	if (task->moves < MOVES_MAX && task->server->agent->connected &&
 	    now_ms + job->predicted_ms < job->deadline_ms)
