Agents return runs that found no free capacity for 12 ms

Dispatchers that are offered the same scarce capacity at the same time send more than fits; such a run waited at its agent, though other servers had room. A run that waits 12 ms for capacity goes back to its dispatcher now, and the server isn't avoided for it.

--- a/src/leased/dispatch_runs.c
+++ b/src/leased/dispatch_runs.c
@@ -24,13 +24,16 @@
 	job->n_sent--;
 }
 
-/* The task's run has ended without success: queues the task again. */
+/* The task's run has ended without success: queues the task again. A server
+ * that had no free capacity isn't avoided. */
 static void requeue_task(struct dispatch *d, struct dispatch_job *job,
-			 struct dispatch_task *task, int64_t now_ms)
+			 struct dispatch_task *task, enum run_outcome outcome,
+			 int64_t now_ms)
 {
 	detach_from_server(job, task);
 	task->state = DISPATCH_TASK_WAITING;
-	task->avoided_server = task->server->id;
+	if (outcome != RUN_OUTCOME_NOT_STARTED)
+		task->avoided_server = task->server->id;
 	task->server = NULL;
 	task->stopping = false;
 	task->overdue_reported = false;
@@ -93,7 +96,7 @@
 	if (task->failures >= job->route.attempts_max && !job->ended)
 		dispatch_end_job(d, job, JOB_VERDICT_FAILED,
 				 "a task failed as often as it may", 0);
-	requeue_task(d, job, task, now_ms);
+	requeue_task(d, job, task, RUN_OUTCOME_FAILED, now_ms);
 }
 
 static bool is_at_agent(const struct dispatch_task *task, uint64_t agent)
@@ -140,10 +143,10 @@
 		break;
 	case RUN_OUTCOME_STALE:
 		task->number += NUMBER_STEP_STALE;
-		requeue_task(d, job, task, now_ms);
+		requeue_task(d, job, task, result->outcome, now_ms);
 		break;
 	default:
-		requeue_task(d, job, task, now_ms);
+		requeue_task(d, job, task, result->outcome, now_ms);
 		break;
 	}
 	dispatch_place_tasks(d, now_ms);
--- a/src/leased/run_table.c
+++ b/src/leased/run_table.c
@@ -13,6 +13,10 @@
 /* Pause before the next start after the server refused one as too late or
  * because it had less free capacity than was computed here. */
 #define NO_CAPACITY_PAUSE_MS 15
+/* A run that waits for capacity this long goes back to its dispatcher:
+ * another server may have some. Dispatchers that are offered the same capacity
+ * at the same time send more than fits. */
+#define QUEUED_MAX_MS 12
 #define NEVER INT64_MAX
 
 /* ---- Lifecycle ------------------------------------------------------ */
@@ -197,6 +201,7 @@
 		return;
 	run = g_new0(struct run, 1);
 	run->request = *request;
+	run->queued_ms = now_ms;
 	g_bytes_ref(run->request.spec);
 	while (position < table->runs->len &&
 	       run_table_at(table, position)->request.target_start_ms <=
@@ -214,6 +219,16 @@
 					    now_ms);
 }
 
+/* Returns the runs that were queued for long to their dispatchers. */
+static void return_blocked(struct run_table *table, int64_t now_ms)
+{
+	for (guint i = table->runs->len; i-- > 0;)
+		if (run_table_at(table, i)->state == RUN_QUEUED &&
+		    now_ms - run_table_at(table, i)->queued_ms > QUEUED_MAX_MS)
+			run_table_finish_at(table, i, RUN_OUTCOME_NOT_STARTED,
+					    now_ms);
+}
+
 const struct run_request *run_table_next_start(struct run_table *table,
 					       int64_t now_ms)
 {
@@ -227,8 +242,10 @@
 		if (run->state != RUN_QUEUED)
 			continue;
 		/* Smaller runs don't overtake the first queued run. */
-		if (!fits(table, run))
+		if (!fits(table, run)) {
+			return_blocked(table, now_ms);
 			return NULL;
+		}
 		run->state = RUN_STARTING;
 		run->may_have_started = true;
 		return &run->request;
--- a/src/leased/run_table_internal.h
+++ b/src/leased/run_table_internal.h
@@ -19,6 +19,7 @@
 	enum run_state state;
 	bool stop_requested; /* during the start call */
 	bool may_have_started; /* a start call was sent */
+	int64_t queued_ms;
 	int64_t started_ms; /* start acknowledged or run first listed; 0: not */
 	int64_t stop_requested_ms;
 	int64_t stop_sent_ms;
