--- a/tests/test_run_table.c
+++ b/tests/test_run_table.c
@@ -427,9 +427,45 @@
 	run_table_destroy(table);
 }
 
+/* A run that can't start goes back to its dispatcher in time to start at
+ * another server. One that only waits for a pause after a refusal stays. */
+static void test_blocked_runs_go_back(void **state)
+{
+	static const struct {
+		const char *what;
+		uint32_t running_cpu_milli;
+		int64_t asked_ms;
+		int expected_start; /* index, or NONE */
+		bool expected_back;
+	} cases[] = {
+		{ "free capacity at once", 500, 1, 1, false },
+		{ "no capacity for a short time", 600, 12, NONE, false },
+		{ "no capacity for long", 600, 13, NONE, true },
+		{ "free capacity after a long pause", 500, 40, 1, false },
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct run_table *table = make_table(1000);
+		struct run_name running = name_of(0, 1);
+
+		enqueue(table, 0, cases[i].running_cpu_milli, 0, 0);
+		start_next(table, 0);
+		run_table_start_answered(table, &running, RUN_ACCEPTED, 0);
+		enqueue(table, 1, 500, 0, 0);
+		assert_int_equal(start_next(table, cases[i].asked_ms),
+				 cases[i].expected_start);
+		if (cases[i].expected_back)
+			assert_result(table, 1, RUN_OUTCOME_NOT_STARTED);
+		assert_no_result(table);
+		run_table_destroy(table);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_blocked_runs_go_back),
 		cmocka_unit_test(test_starts_in_order_within_capacity),
 		cmocka_unit_test(test_duplicate_request_is_one_run),
 		cmocka_unit_test(test_a_run_past_its_deadline_never_starts),
