Shared speeds of servers: estimate at the agent, view at the dispatcher

Cause: each dispatcher learned the speed of each server alone and without prior data, and judged runs by the run time at an average server. On uneven servers, runs on slow ones looked late and were stopped, and jobs were late until each dispatcher had learned each server.

Change: the agent estimates log(run time / expected run time) over the runs of all dispatchers (speed_estimate, agent_speeds) and reports it. The dispatcher takes it relative to the average of the known servers (speed_view). Run times are learned at average speed; late runs, also between siblings, and the health records use what was expected on that server. cf_health_rescale() keeps a slowness from counting twice when predictions begin to include it. A run sent before its server hung is still judged by what was expected when it was sent.

--- a/include/chervilferry.h
+++ b/include/chervilferry.h
@@ -570,6 +570,7 @@
 CF_API void cf_health_sent(struct cf_health *health, uint64_t agent, uint32_t n_tasks, int64_t now_ms); /* tasks were placed there */
 CF_API void cf_health_result(struct cf_health *health, uint64_t agent, bool ok, uint32_t run_ms, uint32_t predicted_ms, int64_t now_ms); /* a task ended */
 CF_API void cf_health_overdue(struct cf_health *health, uint64_t agent, uint32_t run_ms, uint32_t predicted_ms, int64_t now_ms); /* optional, once for each task: a task runs for several times its predicted time */
+CF_API void cf_health_rescale(struct cf_health *health, uint64_t agent, double factor); /* its predicted times change by this factor from now on */
 CF_API bool cf_health_tick(struct cf_health *health, int64_t now_ms); /* true: the state of a server changed */
 CF_API enum cf_health_state cf_health_state(const struct cf_health *health, uint64_t agent); /* CF_HEALTH_HEALTHY if unknown */
 CF_API uint32_t cf_health_weight_milli(const struct cf_health *health, uint64_t agent, int64_t now_ms); /* 0..1000 */
--- a/src/leased/agent.c
+++ b/src/leased/agent.c
@@ -162,6 +162,7 @@
 	agent_expire_leases(a, now_ms);
 	g_atomic_int_set(&a->idle, process_servers(a, now_ms));
 	agent_request_leases(a, now_ms);
+	agent_update_speeds(a, now_ms);
 	agent_send_reports(a, now_ms);
 }
 
@@ -220,6 +221,8 @@
 		  sizeof(a->data_centre));
 	a->servers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					   (GDestroyNotify)server_destroy);
+	a->speeds = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					  agent_free_speed);
 	a->peers = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					 agent_free_peer);
 	a->reports = counter_get("server_reports_total", NULL,
--- a/src/leased/agent_internal.h
+++ b/src/leased/agent_internal.h
@@ -8,6 +8,7 @@
 #include "base/counters.h"
 #include "base/settings.h"
 #include "leased/server.h"
+#include "leased/speed_estimate.h"
 #include "net/admin.h"
 #include "net/link.h"
 #include "roles/session.h"
@@ -53,6 +54,7 @@
 	/* By this time, runs started by an earlier agent process have ended. */
 	int64_t previous_runs_end_ms;
 	GHashTable *servers; /* name -> struct server */
+	GHashTable *speeds; /* name -> struct agent_speed */
 	GHashTable *peers; /* incarnation -> struct peer */
 	bool in_service;
 	gint stopping, idle; /* atomic */
@@ -69,6 +71,20 @@
 void agent_expire_leases(struct leased_agent *a, int64_t now_ms);
 void agent_free_peer(gpointer peer);
 
+/* ---- Speeds of servers (agent_speeds.c) ----------------------------- */
+
+void agent_free_speed(gpointer speed);
+/* Counts a run that has ended at this server. */
+void agent_count_speed(struct leased_agent *a, const struct server *server,
+		       const struct run_result *result, int64_t now_ms);
+/* Considers the runs in progress, logs changes and sets the gauges. */
+void agent_update_speeds(struct leased_agent *a, int64_t now_ms);
+void agent_get_speed(const struct leased_agent *a, const char *server,
+		     int64_t now_ms, struct speed *speed);
+/* As speed_estimate_step. */
+int32_t agent_speed_step(const struct leased_agent *a, const char *server,
+			 int64_t now_ms);
+
 /* ---- Reports to dispatchers (agent_reports.c) -------------------------- */
 
 bool agent_accepts(const struct leased_agent *a, const struct server *server,
--- a/src/leased/agent_peers.c
+++ b/src/leased/agent_peers.c
@@ -178,10 +178,13 @@
 
 void agent_collect_results(struct leased_agent *a, struct server *server)
 {
+	int64_t now_ms = loop_now_ms(a->loop);
 	struct run_result result;
 
-	while (run_table_pop_result(server_runs(server), &result))
-		add_result(a, &result, loop_now_ms(a->loop));
+	while (run_table_pop_result(server_runs(server), &result)) {
+		agent_count_speed(a, server, &result, now_ms);
+		add_result(a, &result, now_ms);
+	}
 }
 
 static const struct run_result *find_recent(const struct peer *p,
--- a/src/leased/agent_reports.c
+++ b/src/leased/agent_reports.c
@@ -5,6 +5,7 @@
  */
 #include "leased/agent_internal.h"
 
+#include <math.h>
 #include <string.h>
 #include <xxhash.h>
 
@@ -12,6 +13,7 @@
 
 /* Between updates while scarce capacity is offered to dispatchers in turn. */
 #define TURN_INTERVAL_MS 8
+#define MILLI 1000
 
 /* ---- Capacity ------------------------------------------------------- */
 
@@ -82,6 +84,7 @@
 	const struct server_report *report = server_last_report(server);
 	struct capacity_share *share = server_capacity_share(server);
 	struct run_load load;
+	struct speed speed;
 
 	capacity_share_join(share, p->incarnation, p->has_demand);
 	run_table_get_load(server_runs(server), &load);
@@ -102,6 +105,10 @@
 	state->failed_in_a_row = load.failed_in_a_row;
 	state->accepting = agent_accepts(a, server, now_ms);
 	state->received = p->received;
+	agent_get_speed(a, report->name, now_ms, &speed);
+	state->speed_log_milli = (int32_t)lround(speed.log * MILLI);
+	state->speed_sd_milli = (uint32_t)lround(speed.sd * MILLI);
+	state->speed_age_ms = (uint32_t)MIN(speed.age_ms, UINT32_MAX);
 }
 
 static Cfw__ServerState *fill_states(const struct leased_agent *a,
@@ -125,20 +132,23 @@
 }
 
 /* Hash of the fields that a dispatcher's decisions depend on; never 0. */
-static uint64_t report_digest(const Cfw__RunReport *report)
+static uint64_t report_digest(const struct leased_agent *a,
+			      const Cfw__RunReport *report, int64_t now_ms)
 {
 	XXH64_hash_t sum = 1;
 
 	for (size_t i = 0; i < report->n_servers; i++) {
 		const Cfw__ServerState *state = report->servers[i];
-		const int64_t fields[] = { state->cpu_milli,
-					   state->memory_mb,
-					   state->accelerators,
-					   state->offered_cpu_milli,
-					   state->accepting,
-					   (int64_t)state->received,
-					   state->failed_in_a_row ==
-						   RUN_FAILURES_COUNTED_MAX };
+		const int64_t fields[] = {
+			state->cpu_milli,
+			state->memory_mb,
+			state->accelerators,
+			state->offered_cpu_milli,
+			state->accepting,
+			(int64_t)state->received,
+			state->failed_in_a_row == RUN_FAILURES_COUNTED_MAX,
+			agent_speed_step(a, state->name, now_ms)
+		};
 
 		sum = XXH64(state->name, strlen(state->name), sum);
 		sum = XXH64(fields, sizeof(fields), sum);
@@ -174,7 +184,7 @@
 	Cfw__Envelope envelope = CFW__ENVELOPE__INIT;
 	Cfw__RunReport report = CFW__RUN_REPORT__INIT;
 	Cfw__ServerState *states = fill_states(a, p, now_ms, &report);
-	uint64_t sum = report_digest(&report);
+	uint64_t sum = report_digest(a, &report, now_ms);
 	Cfw__RunEnd *ends = fill_ends(p, &report);
 
 	envelope.body_case = CFW__ENVELOPE__BODY_RUN_REPORT;
--- a/src/leased/dispatch.h
+++ b/src/leased/dispatch.h
@@ -80,6 +80,7 @@
 struct server_state {
 	char name[CF_NAME_SIZE];
 	char service[CF_NAME_SIZE];
+	char kind[CF_NAME_SIZE]; /* machine type; empty: not reported */
 	struct cf_capacity capacity;
 	int64_t free_cpu_milli, free_memory_mb;
 	int64_t offered_cpu_milli; /* part offered to this dispatcher */
@@ -89,12 +90,14 @@
 	/* Natural logarithm of run time / expected run time, as its agent
 	 * measured it, and the standard deviation of that; 0: not known. */
 	double speed_log, speed_sd;
+	int64_t speed_age_ms; /* of the newest run that was measured */
 	/* Start commands that the agent has received on this connection. */
 	uint64_t received;
 };
 
 struct dispatch_load {
 	uint32_t jobs, waiting_tasks, sent_tasks, servers, usable_servers;
+	uint32_t speeds_known; /* servers whose speed was measured */
 	uint64_t capacity_milli, free_milli;
 };
 
--- a/src/leased/dispatch_internal.h
+++ b/src/leased/dispatch_internal.h
@@ -5,6 +5,7 @@
 #define LEASED_DISPATCH_INTERNAL_H
 
 #include "leased/dispatch.h"
+#include "leased/speed_view.h"
 
 #include <math.h>
 
@@ -40,6 +41,10 @@
 	const struct dispatch_job *last_counted_job, *last_late_job;
 	int64_t last_success_ms; /* when a run last succeeded */
 	int64_t last_start_ms; /* when a task was last sent */
+	double speed; /* factor on run times at a server of average speed */
+	int64_t speed_measured_ms; /* end of the newest run that was measured */
+	/* Its speed has to be measured anew, as it has been replaced. */
+	bool speed_reset;
 	bool reported; /* included in the report that is being read */
 };
 
@@ -78,6 +83,7 @@
 	struct dispatch_server *server; /* DISPATCH_TASK_SENT */
 	uint64_t avoided_server; /* server that it last left without success */
 	int64_t sent_ms;
+	double expected_ms; /* run time as expected when it was sent */
 	GArray *failed_on; /* uint64_t server ids, or NULL */
 };
 
@@ -113,7 +119,8 @@
 	int64_t useful_start_ms;
 	bool is_late; /* waits in the lane of late jobs */
 	uint32_t predicted_ms;
-	uint32_t slowest_ms; /* longest successful run so far; 0: none */
+	/* Longest successful run so far, at average speed; 0: none. */
+	uint32_t slowest_ms;
 	struct dispatch_task *tasks;
 	uint32_t n_waiting, n_sent, n_done;
 	bool ever_sent; /* a start was sent, so a task may have run */
@@ -132,6 +139,7 @@
 	uint64_t next_server;
 	struct cf_predict *predict;
 	struct cf_health *health;
+	struct speed_view *speeds;
 	struct dispatch_lane late; /* jobs that can't meet their target */
 	uint64_t late_jobs; /* that ever were in it */
 	double virtual_time; /* of the lane served last */
@@ -196,7 +204,12 @@
 int64_t server_free_cpu_milli(const struct dispatch_server *server);
 int64_t server_offered_cpu_milli(const struct dispatch_server *server);
 int64_t server_free_memory_mb(const struct dispatch_server *server);
-/* Predicted run time of a task of the job on this server. */
+/* Run time of a task of the job on this server by the measured speed. Slow runs
+ * are judged by it. */
+double server_expected_ms(const struct dispatch_server *server,
+			  const struct dispatch_job *job);
+/* Predicted run time of a task of the job on this server: the expected one,
+ * longer if its runs were slower than expected lately. */
 double server_run_ms(const struct dispatch *d,
 		     const struct dispatch_server *server,
 		     const struct dispatch_job *job);
--- a/src/leased/dispatch_late.c
+++ b/src/leased/dispatch_late.c
@@ -13,8 +13,8 @@
 /* Most times that one task is moved. */
 #define MOVES_MAX 2
 /* A run is late if it takes this many times as long as the slowest successful
- * run of its job. Tasks of one job take similar times, even if their common
- * estimate is wrong. */
+ * run of its job, at equal speed of their servers. Tasks of one job take
+ * similar times, even if their common estimate is wrong. */
 #define LATE_FACTOR_SIBLINGS 2.2
 /* The same at a suspect server, which may be slow or hang. */
 #define LATE_FACTOR_SIBLINGS_SUSPECT 1.6
@@ -42,16 +42,29 @@
 	       now_ms - server->last_success_ms >= SUSPECT_NO_SUCCESS_MS;
 }
 
-static int64_t late_after_ms(const struct dispatch_job *job, bool suspect)
+/* The run time that was expected when the run was sent. A speed measured since
+ * replaces it if it is slower: runs end there, only later. Without a run that
+ * ended since, the server may hang. */
+static double expected_ms(const struct dispatch_job *job,
+			  const struct dispatch_task *task)
 {
-	double ms = (double)job->predicted_ms *
-		    (suspect ? LATE_FACTOR_PREDICTION_SUSPECT
-			     : LATE_FACTOR_PREDICTION);
+	if (task->server->speed_measured_ms <= task->sent_ms)
+		return task->expected_ms;
+	return MAX(task->expected_ms, server_expected_ms(task->server, job));
+}
+
+static int64_t late_after_ms(const struct dispatch_job *job,
+			     const struct dispatch_task *task, bool suspect)
+{
+	double ms = expected_ms(job, task);
 
 	if (job->slowest_ms)
-		ms = (double)job->slowest_ms *
-		     (suspect ? LATE_FACTOR_SIBLINGS_SUSPECT
-			      : LATE_FACTOR_SIBLINGS);
+		ms *= (suspect ? LATE_FACTOR_SIBLINGS_SUSPECT
+			       : LATE_FACTOR_SIBLINGS) *
+		      job->slowest_ms / job->predicted_ms;
+	else
+		ms *= suspect ? LATE_FACTOR_PREDICTION_SUSPECT
+			      : LATE_FACTOR_PREDICTION;
 	return (int64_t)ms + LATE_MARGIN_MS;
 }
 
@@ -83,15 +96,16 @@
 	g_hash_table_iter_init(&iter, d->jobs);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct dispatch_job *job = value;
-		int64_t limit_ms = late_after_ms(job, true);
 
 		for (uint32_t i = 0; job->n_sent && i < job->spec.n_tasks;
 		     i++) {
 			const struct dispatch_task *task = &job->tasks[i];
 
 			if (task->state == DISPATCH_TASK_SENT)
-				count_run(task->server, job,
-					  now_ms - task->sent_ms > limit_ms);
+				count_run(
+					task->server, job,
+					now_ms - task->sent_ms >
+						late_after_ms(job, task, true));
 		}
 	}
 }
@@ -106,9 +120,9 @@
 	g_strlcpy(name.job, job->id, sizeof(name.job));
 	log_event(LOG_INFO, "run_moved",
 		  "job=%s index=%u number=%u server=%s since_sent_ms=%" PRId64
-		  " predicted_ms=%u late_jobs=%u jobs=%u",
+		  " expected_ms=%d late_jobs=%u jobs=%u",
 		  job->id, task->index, task->number, task->server->state.name,
-		  now_ms - task->sent_ms, job->predicted_ms,
+		  now_ms - task->sent_ms, (int)expected_ms(job, task),
 		  task->server->late_jobs, task->server->jobs);
 	d->sink->ops->stop(d->sink, task->server->agent->identity.incarnation,
 			   &name);
@@ -120,12 +134,13 @@
 	int64_t ran_ms = now_ms - task->sent_ms;
 	bool suspect = is_suspect(d, task->server, now_ms);
 
-	if (task->stopping || ran_ms <= late_after_ms(job, suspect))
+	if (task->stopping || ran_ms <= late_after_ms(job, task, suspect))
 		return;
 	if (!task->overdue_reported) {
 		task->overdue_reported = true;
 		cf_health_overdue(d->health, task->server->id, (uint32_t)ran_ms,
-				  job->predicted_ms, now_ms);
+				  (uint32_t)lround(expected_ms(job, task)),
+				  now_ms);
 	}
 	/* Where other runs succeed meanwhile and no other task of the job shows
 	 * how long it takes, the job is long and not the server slow. */
--- a/src/leased/dispatch_runs.c
+++ b/src/leased/dispatch_runs.c
@@ -62,15 +62,18 @@
 		      struct dispatch_task *task, uint32_t run_ms,
 		      int64_t now_ms)
 {
-	uint64_t server = task->server->id;
+	double expected_ms = server_expected_ms(task->server, job);
+	/* What the run would have taken at average speed. */
+	uint32_t average_ms = (uint32_t)lround(run_ms * job->predicted_ms /
+					       MAX(expected_ms, 1));
 
-	cf_health_result(d->health, server, true, run_ms, job->predicted_ms,
-			 now_ms);
+	cf_health_result(d->health, task->server->id, true, run_ms,
+			 (uint32_t)lround(expected_ms), now_ms);
 	cf_predict_learn(d->predict, job->class->name,
-			 MAX(job->spec.estimate_ms, 1), run_ms);
+			 MAX(job->spec.estimate_ms, 1), average_ms);
 	record_failures(d, job, task, now_ms);
 	task->server->last_success_ms = now_ms;
-	job->slowest_ms = MAX(job->slowest_ms, run_ms);
+	job->slowest_ms = MAX(job->slowest_ms, average_ms);
 	detach_from_server(job, task);
 	task->state = DISPATCH_TASK_DONE;
 	task->server = NULL;
--- a/src/leased/dispatch_servers.c
+++ b/src/leased/dispatch_servers.c
@@ -66,11 +66,17 @@
 	return server->state.free_memory_mb - server->pending_memory_mb;
 }
 
+double server_expected_ms(const struct dispatch_server *server,
+			  const struct dispatch_job *job)
+{
+	return job->predicted_ms * server->speed;
+}
+
 double server_run_ms(const struct dispatch *d,
 		     const struct dispatch_server *server,
 		     const struct dispatch_job *job)
 {
-	return (double)job->predicted_ms *
+	return server_expected_ms(server, job) *
 	       cf_health_slowness(d->health, server->id);
 }
 
@@ -208,6 +214,41 @@
 	d->avoids_failing = failing * MILLI <= usable * FAILING_MAX_MILLI;
 }
 
+/* ---- Speeds --------------------------------------------------------- */
+
+static void record_speed(struct dispatch *d, struct dispatch_server *server,
+			 const struct server_state *state, int64_t now_ms)
+{
+	struct speed_report report = { .log = state->speed_log,
+				       .sd = state->speed_sd };
+
+	g_strlcpy(report.kind, state->kind, sizeof(report.kind));
+	if (server->state.speed_sd > 0 && state->speed_sd <= 0)
+		server->speed_reset = true;
+	if (state->speed_sd > 0)
+		server->speed_measured_ms = now_ms - state->speed_age_ms;
+	speed_view_update(d->speeds, server->id, &report, now_ms);
+}
+
+/* The health records compare runs with what was expected on their server, so
+ * they follow a change of its speed. A replaced server's don't: what they hold
+ * is not about the new one. */
+static void apply_speeds(struct dispatch *d, int64_t now_ms)
+{
+	speed_view_refresh(d->speeds, now_ms);
+	for (guint i = 0; i < d->servers->len; i++) {
+		struct dispatch_server *server =
+			g_ptr_array_index(d->servers, i);
+		double speed = speed_view_factor(d->speeds, server->id);
+
+		if (speed != server->speed && !server->speed_reset)
+			cf_health_rescale(d->health, server->id,
+					  speed / server->speed);
+		server->speed_reset = false;
+		server->speed = speed;
+	}
+}
+
 /* ---- Reports of agents ---------------------------------------------- */
 
 static struct dispatch_server *find_server(const struct dispatch_agent *agent,
@@ -231,6 +272,7 @@
 	server->id = ++d->next_server;
 	cf_health_add(d->health, server->id, now_ms);
 	server->agent = agent;
+	server->speed = 1;
 	g_ptr_array_add(agent->servers, server);
 	g_ptr_array_add(d->servers, server);
 	return server;
@@ -255,6 +297,7 @@
 		log_event(LOG_INFO, "server_accepting",
 			  "agent=%s server=%s accepting=%d",
 			  agent->identity.name, state->name, state->accepting);
+	record_speed(d, server, state, now_ms);
 	server->state = *state;
 	server->reported = true;
 	acknowledge_starts(agent, state->received);
@@ -318,6 +361,7 @@
 			g_ptr_array_index(agent->servers, i);
 
 		cf_health_leave(d->health, server->id);
+		speed_view_remove(d->speeds, server->id);
 		g_ptr_array_remove(d->servers, server);
 	}
 	g_hash_table_remove(d->agents, &incarnation);
@@ -330,6 +374,7 @@
 	gpointer value;
 
 	cf_health_tick(d->health, now_ms);
+	apply_speeds(d, now_ms);
 	update_avoidance(d);
 	g_hash_table_iter_init(&iter, d->agents);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
--- a/src/leased/dispatcher.c
+++ b/src/leased/dispatcher.c
@@ -129,6 +129,7 @@
 	gauge_set(d->sent, load.sent_tasks);
 	gauge_set(d->servers, load.servers);
 	gauge_set(d->usable, load.usable_servers);
+	gauge_set(d->speeds_known, load.speeds_known);
 	gauge_set(d->free_milli, (int64_t)load.free_milli);
 }
 
@@ -188,6 +189,8 @@
 	d->sent = gauge_get("tasks_sent", NULL, "tasks at servers");
 	d->servers = gauge_get("servers_known", NULL, "servers known");
 	d->usable = gauge_get("servers_usable", NULL, "servers that take work");
+	d->speeds_known = gauge_get("servers_speed_known", NULL,
+				    "servers whose speed was measured");
 	d->free_milli = gauge_get("servers_free_cpu_milli", NULL,
 				  "processors free by the newest reports");
 	d->agents_wanted =
--- a/src/leased/dispatcher_agents.c
+++ b/src/leased/dispatcher_agents.c
@@ -381,11 +381,13 @@
 		.fails_all = from->failed_in_a_row >= RUN_FAILURES_COUNTED_MAX,
 		.speed_log = from->speed_log_milli / MILLI,
 		.speed_sd = from->speed_sd_milli / MILLI,
+		.speed_age_ms = from->speed_age_ms,
 		.received = from->received
 	};
 
 	g_strlcpy(state.name, from->name, sizeof(state.name));
 	g_strlcpy(state.service, from->service, sizeof(state.service));
+	g_strlcpy(state.kind, from->kind, sizeof(state.kind));
 	state.capacity.cpu_milli = from->cpu_milli;
 	state.capacity.memory_mb = from->memory_mb;
 	state.capacity.accelerators = from->accelerators;
--- a/src/leased/dispatcher_internal.h
+++ b/src/leased/dispatcher_internal.h
@@ -65,6 +65,7 @@
 	struct counter *answer_sum_ms[VERDICT_COUNT];
 	struct counter *no_route, *unready, *malformed;
 	struct counter *jobs, *waiting, *sent, *servers, *usable, *free_milli;
+	struct counter *speeds_known;
 	struct counter *agents_wanted, *agents_listed;
 	struct counter *routes_version;
 };
--- a/src/leased/run_table.h
+++ b/src/leased/run_table.h
@@ -45,6 +45,12 @@
 	char class_name[CF_NAME_SIZE];
 };
 
+/* A run in progress. */
+struct run_progress {
+	char job[LEASED_JOB_SIZE];
+	uint32_t ran_ms, expected_ms; /* so far; of the request */
+};
+
 #define RUN_FAILURES_COUNTED_MAX 4
 
 struct run_load {
@@ -107,6 +113,10 @@
 			      uint64_t dispatcher);
 bool run_table_is_idle(const struct run_table *table); /* it has no runs */
 void run_table_get_load(const struct run_table *table, struct run_load *load);
+/* Appends a struct run_progress for each run that is known to run and isn't
+ * being stopped. */
+void run_table_list_progress(const struct run_table *table, int64_t now_ms,
+			     GArray *progress);
 /* Removes the oldest result; false if there is none. */
 bool run_table_pop_result(struct run_table *table, struct run_result *result);
 
--- a/src/leased/run_table_lists.c
+++ b/src/leased/run_table_lists.c
@@ -1,6 +1,7 @@
 /*
  * run_table_lists: applies a server's lists to the run table: ended runs,
  * unknown runs, which are not in the table, and runs that the server has lost.
+ * It also lists the runs in progress.
  */
 #include "leased/run_table_internal.h"
 
@@ -100,3 +101,21 @@
 	}
 	collect_unknown_runs(table, lists, unknown_runs);
 }
+
+/* ---- Runs in progress ----------------------------------------------- */
+
+void run_table_list_progress(const struct run_table *table, int64_t now_ms,
+			     GArray *progress)
+{
+	for (guint i = 0; i < table->runs->len; i++) {
+		const struct run *run = run_table_at(table, i);
+		struct run_progress p = { .expected_ms =
+						  run->request.expected_ms };
+
+		if (run->state != RUN_RUNNING)
+			continue;
+		g_strlcpy(p.job, run->request.name.job, sizeof(p.job));
+		p.ran_ms = (uint32_t)MAX(now_ms - run->started_ms, 0);
+		g_array_append_val(progress, p);
+	}
+}
--- a/src/lib/health.c
+++ b/src/lib/health.c
@@ -65,6 +65,7 @@
 	uint32_t probation_successes;
 	uint32_t results;
 	double log_ratio; /* decaying mean of log(run time / predicted) */
+	double peers_log_ratio; /* median when slowness was computed */
 	double slowness;
 	bool probed; /* slow by its last result: gets one slot's work */
 	int64_t last_result_ms; /* time of the last result */
@@ -312,8 +313,9 @@
 
 	if (server->results < RESULTS_MIN || !has_peers(health, server))
 		return;
-	slowness = exp(server->log_ratio -
-		       median_of_peers(health, server, MEASURE_LOG_RATIO));
+	server->peers_log_ratio =
+		median_of_peers(health, server, MEASURE_LOG_RATIO);
+	slowness = exp(server->log_ratio - server->peers_log_ratio);
 	server->slowness = CLAMP(slowness, 1 / SLOWNESS_MAX, SLOWNESS_MAX);
 	server->probed = slowness >= PROBE_SLOWNESS;
 }
@@ -362,6 +364,21 @@
 	server->results++;
 }
 
+/* Earlier results are compared with the new predictions. Otherwise a slowness
+ * that these include would count twice until new results replace the old. */
+void cf_health_rescale(struct cf_health *health, uint64_t agent, double factor)
+{
+	struct server *server = find(health, agent);
+
+	if (server == NULL || server->results == 0)
+		return;
+	server->log_ratio -= log(factor);
+	if (server->results >= RESULTS_MIN)
+		server->slowness /= factor;
+	server->probed &= exp(server->log_ratio - server->peers_log_ratio) >=
+			  PROBE_SLOWNESS;
+}
+
 /* ---- Time ----------------------------------------------------------- */
 
 static void tick_state(struct cf_health *health, struct server *server,
--- a/tests/support/many_world.c
+++ b/tests/support/many_world.c
@@ -6,6 +6,7 @@
 
 #include "leased/capacity_share.h"
 #include "leased/server_lease.h"
+#include "leased/speed_estimate.h"
 #include "support/world_jobs.h"
 
 #include <glib.h>
@@ -15,6 +16,7 @@
 
 #define MESSAGE_DELAY_MS 2
 #define LEASE_RENEWAL_MS 100
+#define AGENT_TICK_MS 20
 /* The simulation goes on this long after the last arrival. */
 #define DRAIN_MS 8000
 #define MEMORY_MB 100000
@@ -47,6 +49,9 @@
 	struct server_state last_reported[MANY_DISPATCHERS_MAX];
 	struct server_backoff refusals;
 	struct capacity_share *share;
+	struct speed_estimate *speed;
+	int32_t speed_steps[MANY_DISPATCHERS_MAX]; /* last reported */
+	double factor; /* on run times */
 	bool refuses_starts, fails, changed;
 };
 
@@ -120,6 +125,9 @@
 	message->run.memory_mb = command->memory_mb;
 	message->run.target_start_ms = d->many->now_ms + command->slack_ms;
 	message->run.deadline_ms = d->many->now_ms + command->deadline_ms;
+	message->run.expected_ms = command->expected_ms;
+	g_strlcpy(message->run.class_name, command->class_name,
+		  sizeof(message->run.class_name));
 }
 
 static void stop(struct dispatch_sink *sink, uint64_t agent,
@@ -219,8 +227,10 @@
 	struct many_run *run = g_new0(struct many_run, 1);
 
 	run->name = *name;
-	run->ends_ms = m->now_ms +
-		       (s->fails ? FAIL_DELAY_MS : job->task_ms[name->index]);
+	run->ends_ms =
+		m->now_ms +
+		(s->fails ? FAIL_DELAY_MS
+			  : (int64_t)(job->task_ms[name->index] * s->factor));
 	job->started = true;
 	m->result->runs++;
 	g_ptr_array_add(s->runs, run);
@@ -265,6 +275,7 @@
 {
 	const struct many_server *s = &m->servers[server];
 	struct run_load load;
+	struct speed speed;
 
 	run_table_get_load(s->table, &load);
 	g_snprintf(state->name, sizeof(state->name), "s%u", server);
@@ -278,21 +289,32 @@
 	state->accepting = server_backoff_has_elapsed(&s->refusals, m->now_ms);
 	state->fails_all = load.failed_in_a_row >= RUN_FAILURES_COUNTED_MAX;
 	state->received = s->received[dispatcher];
+	if (m->load->hides_speed)
+		return;
+	speed_estimate_get(s->speed, m->now_ms, &speed);
+	state->speed_log = speed.log;
+	state->speed_sd = speed.sd;
+	state->speed_age_ms = speed.age_ms;
 }
 
 static void report_state(struct many *m, uint32_t server, uint32_t dispatcher,
 			 GArray *results)
 {
-	struct server_state *last_reported =
-		&m->servers[server].last_reported[dispatcher];
+	struct many_server *s = &m->servers[server];
+	struct server_state *last_reported = &s->last_reported[dispatcher];
 	struct server_state state = { 0 };
 	struct many_message *message;
+	int32_t step = m->load->hides_speed
+			       ? SPEED_STEP_UNKNOWN
+			       : speed_estimate_step(s->speed, m->now_ms);
 
 	fill_state(m, server, dispatcher, &state);
-	if (!results->len && !state_has_changed(last_reported, &state)) {
+	if (!results->len && step == s->speed_steps[dispatcher] &&
+	    !state_has_changed(last_reported, &state)) {
 		g_array_unref(results);
 		return;
 	}
+	s->speed_steps[dispatcher] = step;
 	*last_reported = state;
 	m->result->states++;
 	message = post(m, MANY_MESSAGE_STATE, dispatcher, server);
@@ -309,13 +331,28 @@
 	for (uint32_t i = 0; i < m->load->dispatchers; i++)
 		results[i] =
 			g_array_new(FALSE, FALSE, sizeof(struct run_result));
-	while (run_table_pop_result(s->table, &result))
+	while (run_table_pop_result(s->table, &result)) {
+		speed_estimate_add(s->speed, &result, m->now_ms);
 		g_array_append_val(results[result.dispatcher], result);
+	}
 	for (uint32_t i = 0; i < m->load->dispatchers; i++)
 		report_state(m, server, i, results[i]);
 	s->changed = false;
 }
 
+/* Like the agent in each of its ticks. */
+static void watch_runs(struct many *m, struct many_server *s)
+{
+	g_autoptr(GArray) progress =
+		g_array_new(FALSE, FALSE, sizeof(struct run_progress));
+
+	run_table_list_progress(s->table, m->now_ms, progress);
+	speed_estimate_watch(s->speed,
+			     (const struct run_progress *)progress->data,
+			     progress->len);
+	s->changed = true;
+}
+
 static void run_servers(struct many *m)
 {
 	for (uint32_t i = 0; i < m->load->servers; i++) {
@@ -333,6 +370,8 @@
 				      m->load->cpu_milli, m->now_ms);
 		s->changed |= capacity_share_is_rotating(
 			s->share, load.free_cpu_milli, m->load->cpu_milli);
+		if (m->now_ms % AGENT_TICK_MS == i % AGENT_TICK_MS)
+			watch_runs(m, s);
 		if (s->changed)
 			report_to_all(m, i);
 	}
@@ -442,6 +481,13 @@
 	s->ends = g_array_new(FALSE, FALSE, sizeof(struct listed_run_end));
 	s->refuses_starts = number < m->load->refusing;
 	s->fails = number < m->load->failing;
+	s->speed = speed_estimate_create();
+	for (uint32_t i = 0; i < m->load->dispatchers; i++)
+		s->speed_steps[i] = SPEED_STEP_UNKNOWN;
+	s->factor = 1;
+	if (m->load->slow_every)
+		s->factor = number % m->load->slow_every ? m->load->fast_factor
+							 : m->load->slow_factor;
 	s->changed = true;
 }
 
@@ -485,6 +531,7 @@
 	for (uint32_t i = 0; i < m->load->servers; i++) {
 		run_table_destroy(m->servers[i].table);
 		capacity_share_destroy(m->servers[i].share);
+		speed_estimate_destroy(m->servers[i].speed);
 		g_ptr_array_unref(m->servers[i].runs);
 		g_array_unref(m->servers[i].ends);
 	}
--- a/tests/support/many_world.h
+++ b/tests/support/many_world.h
@@ -24,6 +24,12 @@
 	uint32_t failing; /* number of servers that fail all tasks */
 	uint32_t refusing; /* number of servers that refuse some starts */
 	double refused_fraction; /* of the starts at those servers */
+	/* Of every slow_every servers, one takes slow_factor times as long as
+	 * a server of average speed, and the others fast_factor times; 0: all
+	 * take 1. */
+	uint32_t slow_every;
+	double slow_factor, fast_factor;
+	bool hides_speed; /* agents report no speeds, as older versions do */
 	uint32_t seed;
 };
 
--- /dev/null
+++ b/tests/test_dispatch_speed.c
@@ -0,0 +1,114 @@
+/*
+ * test_dispatch_speed: simulates several dispatchers on servers of which some
+ * are slower than the others. All start without knowing so. The test fails if
+ * the dispatchers don't share what the agents measure: then more jobs are late
+ * and more runs are stopped because they look late on a slow server.
+ */
+#include "support/many_world.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <cmocka.h>
+
+#define SERVERS 69
+#define DISPATCHERS 8
+/* A task takes a tenth of a server. */
+#define CPU_MILLI 62000
+/* Without shared speeds, at least this many times as many jobs are late and
+ * runs stopped. */
+#define LESS 1.5
+
+static const struct world_class classes[WORLD_CLASSES] = {
+	{ "short", 34.4, 8, 55, 6200 },
+	{ "long", 6.25, 4, 830, 6200 },
+	{ "middle", 100.0, 2, 185, 6200 },
+};
+
+struct totals {
+	uint32_t asked, in_target, late, refused, given_up;
+};
+
+static void simulate(const char *name, const struct many_load *load,
+		     struct world_result *result, struct totals *totals)
+{
+	many_simulate(load, result);
+	*totals = (struct totals){ 0 };
+	for (size_t i = 0; i < WORLD_CLASSES; i++) {
+		const struct world_tally *t = &result->classes[i];
+
+		fprintf(stderr,
+			"count: %s: %s asked=%u in_target=%u late=%u "
+			"refused=%u given_up=%u\n",
+			name, classes[i].name, t->asked, t->in_target, t->late,
+			t->refused, t->given_up);
+		totals->asked += t->asked;
+		totals->in_target += t->in_target;
+		totals->late += t->late;
+		totals->refused += t->refused;
+		totals->given_up += t->given_up;
+	}
+	fprintf(stderr,
+		"count: %s: asked=%u in_target=%u late=%u refused=%u "
+		"given_up=%u runs=%u stopped=%u states=%u\n",
+		name, totals->asked, totals->in_target, totals->late,
+		totals->refused, totals->given_up, result->runs,
+		result->stopped_runs, result->states);
+	assert_int_equal(result->overlapping_runs, 0);
+	assert_int_equal(result->false_refusals, 0);
+}
+
+struct speed_case {
+	const char *name;
+	double factor; /* of the arrival rates */
+	int64_t arrivals_ms;
+};
+
+static const struct speed_case cases[] = {
+	{ "the first 4 s", 3.5, 4000 },
+	{ "at half of the capacity", 4.5, 12000 },
+	{ "at three quarters of the capacity", 6.5, 12000 },
+	{ "at nearly the full capacity", 8, 12000 },
+	{ "at a fifth above the capacity", 10.5, 12000 },
+};
+
+static void test_uneven_servers(void **state)
+{
+	(void)state;
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct many_load load = { .classes = classes,
+					  .factor = cases[i].factor,
+					  .arrivals_ms = cases[i].arrivals_ms,
+					  .dispatchers = DISPATCHERS,
+					  .servers = SERVERS,
+					  .cpu_milli = CPU_MILLI,
+					  .slow_every = 3,
+					  .slow_factor = 1.7,
+					  .fast_factor = 0.7,
+					  .seed = 20261204 };
+		struct world_result result;
+		struct totals with, without;
+		uint32_t stopped;
+
+		fprintf(stderr, "count: -- %s\n", cases[i].name);
+		simulate("shared", &load, &result, &with);
+		load.hides_speed = true;
+		stopped = result.stopped_runs;
+		simulate("hidden", &load, &result, &without);
+		assert_true(with.in_target > without.in_target);
+		assert_true(with.late * LESS <= without.late);
+		assert_true(with.refused <= without.refused);
+		assert_true(stopped * LESS <= result.stopped_runs);
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_uneven_servers),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
