Leased dispatcher: hold jobs that arrive during the start for up to 1 s

start_hold decides whether such a job is held: for at most 1 s after the process started and half of its caller's time, 2,000 jobs at most, until routes are known and a server can be reached. Then it is served in the order of arrival, or refused with 503 and Retry-After 1. The caller may leave or cancel meanwhile. Queries and cancels aren't held. A job whose host and path have no route is refused at once.

The watch for a closed connection kept its reference to the caller when the job was answered normally, so each answered job leaked its request; the reference now ends with the answer.

--- a/src/leased/dispatcher.c
+++ b/src/leased/dispatcher.c
@@ -139,6 +139,7 @@
 	dispatch_tick(d->dispatch, now_ms);
 	dispatcher_drop_unlisted(d, now_ms);
 	dispatcher_adjust_subset(d, now_ms);
+	dispatcher_release_held(d);
 	update_readiness(d, now_ms);
 	set_gauges(d, now_ms);
 }
@@ -183,6 +184,11 @@
 				 "requests that came before routes were known");
 	d->malformed = counter_get("requests_malformed_total", NULL,
 				   "requests that can't be read");
+	d->held_total =
+		counter_get("requests_held_total", NULL,
+			    "submissions held while the process started");
+	d->held = gauge_get("requests_held", NULL,
+			    "submissions held until the process can serve");
 	d->jobs = gauge_get("jobs_open", NULL, "jobs not yet answered");
 	d->waiting = gauge_get("tasks_waiting", NULL, "tasks not yet sent");
 	d->sent = gauge_get("tasks_sent", NULL, "tasks at servers");
@@ -218,6 +224,7 @@
 	d->settings = settings;
 	d->formats = role_formats();
 	d->incarnation = clock_random();
+	d->start_hold = start_hold_create(clock_now_ms());
 	d->links = g_ptr_array_new();
 	d->subset = agent_subset_create(&subset);
 	d->dispatch = dispatch_create(&d->sink,
--- a/src/leased/dispatcher_http.c
+++ b/src/leased/dispatcher_http.c
@@ -38,6 +38,8 @@
 	int64_t arrived_ms, deadline_ms;
 	/* Atomic; held by the loop and by the watch for a closed connection. */
 	gint ref_count;
+	bool watched; /* a closed connection is reported */
+	gint gone; /* atomic; the watch has reported it */
 };
 
 /* ---- Lifecycle ------------------------------------------------------ */
@@ -78,9 +80,9 @@
 	return c;
 }
 
-static void unref_caller(struct caller *c)
+static void unref_caller(struct caller *c, gint n)
 {
-	if (!g_atomic_int_dec_and_test(&c->ref_count))
+	if (g_atomic_int_add(&c->ref_count, -n) > n)
 		return;
 	if (c->spec.spec)
 		g_bytes_unref(c->spec.spec);
@@ -88,6 +90,13 @@
 	g_free(c);
 }
 
+/* Releases an answered caller. After the answer, the watch reports nothing
+ * more, so its reference ends as well. */
+static void finish_caller(struct caller *c)
+{
+	unref_caller(c, c->watched && !g_atomic_int_get(&c->gone) ? 2 : 1);
+}
+
 static void reply(struct caller *c, uint32_t status, const char *body,
 		  uint32_t retry_after_s)
 {
@@ -159,19 +168,29 @@
 		reply_error(c, STATUS_TIMEOUT, "given_up", answer->reason, 0);
 		break;
 	}
-	unref_caller(c);
+	finish_caller(c);
 }
 
 /* ---- Loop thread ---------------------------------------------------- */
 
+static void reply_not_run(struct caller *c, const char *reason)
+{
+	reply_error(c, STATUS_TOO_MANY, "not_run", reason, 1);
+}
+
 static void abandon_job(void *arg)
 {
 	struct caller *c = arg;
 
+	if (c->request && start_hold_abandon(c->dispatcher->start_hold, c)) {
+		reply_not_run(c, "the caller left");
+		unref_caller(c, 2);
+		return;
+	}
 	if (c->request)
 		dispatch_abandon(c->dispatcher->dispatch, c->id, c,
 				 loop_now_ms(c->dispatcher->loop));
-	unref_caller(c);
+	unref_caller(c, 1);
 }
 
 /* Runs on the thread that watches for closed connections. */
@@ -179,9 +198,19 @@
 {
 	struct caller *c = arg;
 
+	g_atomic_int_set(&c->gone, 1);
 	loop_post(c->dispatcher->loop, abandon_job, c);
 }
 
+static void watch_caller(struct caller *c)
+{
+	if (c->watched)
+		return;
+	c->watched = true;
+	g_atomic_int_inc(&c->ref_count);
+	http_on_disconnect(c->request, on_caller_gone, c);
+}
+
 static const struct route *find_route(struct caller *c)
 {
 	struct leased_dispatcher *d = c->dispatcher;
@@ -225,8 +254,7 @@
 		  c->id, route->name, routes_version(c->dispatcher->routes),
 		  c->spec.n_tasks, c->spec.cpu_milli, c->spec.estimate_ms,
 		  c->deadline_ms - c->arrived_ms);
-	g_atomic_int_inc(&c->ref_count);
-	http_on_disconnect(c->request, on_caller_gone, c);
+	watch_caller(c);
 	dispatch_submit(c->dispatcher->dispatch, &submission,
 			loop_now_ms(c->dispatcher->loop));
 }
@@ -239,9 +267,8 @@
 	       g_strlcpy(c->id, id, sizeof(c->id)) < sizeof(c->id);
 }
 
-static void handle_submission(void *arg)
+static void serve_submission(struct caller *c)
 {
-	struct caller *c = arg;
 	const struct route *route = find_route(c);
 
 	if (route && parse_job_id(c, route)) {
@@ -251,9 +278,97 @@
 	if (route)
 		reply_error(c, STATUS_BAD_REQUEST, "invalid",
 			    "id: must be 1 to 23 characters", 0);
-	unref_caller(c);
+	finish_caller(c);
+}
+
+/* ---- Start of the process ------------------------------------------- */
+
+static bool can_serve(const struct leased_dispatcher *d)
+{
+	return !dispatcher_unready_reason(d, loop_now_ms(d->loop)) &&
+	       dispatch_can_serve(d->dispatch);
 }
 
+static void refuse_unready(struct caller *c)
+{
+	struct leased_dispatcher *d = c->dispatcher;
+	const char *reason = dispatcher_unready_reason(d, loop_now_ms(d->loop));
+
+	counter_add(d->unready, 1);
+	reply_error(c, STATUS_UNAVAILABLE, "unready",
+		    reason ? reason : "no backend server can be reached", 1);
+	finish_caller(c);
+}
+
+/* Without a route, a job can't be served however long it waits. */
+static bool may_have_route(const struct caller *c)
+{
+	const struct routes *routes = c->dispatcher->routes;
+
+	return !routes || routes_find(routes, c->host, http_path(c->request));
+}
+
+static void handle_submission(void *arg)
+{
+	struct caller *c = arg;
+	struct leased_dispatcher *d = c->dispatcher;
+	struct start_job job = { .id = c->id,
+				 .arrived_ms = c->arrived_ms,
+				 .deadline_ms = c->deadline_ms,
+				 .caller = c };
+	enum start_verdict verdict = START_PASS;
+
+	if (may_have_route(c))
+		verdict = start_hold_arrive(d->start_hold, &job, can_serve(d),
+					    loop_now_ms(d->loop));
+	if (verdict == START_PASS) {
+		serve_submission(c);
+	} else if (verdict == START_REFUSED) {
+		refuse_unready(c);
+	} else {
+		counter_add(d->held_total, 1);
+		watch_caller(c);
+	}
+}
+
+void dispatcher_release_held(struct leased_dispatcher *d)
+{
+	bool ready = can_serve(d);
+	uint32_t served = 0, refused = 0;
+	enum start_verdict verdict;
+	struct caller *c;
+
+	while ((c = start_hold_next(d->start_hold, ready, loop_now_ms(d->loop),
+				    &verdict))) {
+		if (verdict == START_PASS) {
+			served++;
+			serve_submission(c);
+		} else {
+			refused++;
+			refuse_unready(c);
+		}
+	}
+	gauge_set(d->held, start_hold_count(d->start_hold));
+	if (served || refused)
+		log_event(LOG_INFO, "held_released", "served=%u refused=%u",
+			  served, refused);
+}
+
+static bool cancel_held(struct caller *c)
+{
+	struct leased_dispatcher *d = c->dispatcher;
+	struct caller *held = start_hold_cancel(d->start_hold, c->id);
+	bool found = held != NULL;
+
+	for (; held; held = start_hold_cancel(d->start_hold, c->id)) {
+		reply_not_run(held, "it was cancelled");
+		finish_caller(held);
+	}
+	return found;
+}
+
+/* ---- Queries and cancellations -------------------------------------- */
+
 static void handle_query(void *arg)
 {
 	struct caller *c = arg;
@@ -269,7 +384,7 @@
 			dispatch_count_unsent_jobs(d->dispatch, route->name));
 		reply(c, STATUS_OK, pending, 0);
 	}
-	unref_caller(c);
+	finish_caller(c);
 }
 
 static void handle_cancel(void *arg)
@@ -279,11 +394,12 @@
 	struct leased_dispatcher *d = c->dispatcher;
 
 	if (route && parse_job_id(c, route) &&
-	    dispatch_cancel(d->dispatch, c->id, loop_now_ms(d->loop)))
+	    (cancel_held(c) ||
+	     dispatch_cancel(d->dispatch, c->id, loop_now_ms(d->loop))))
 		reply(c, STATUS_OK, "{}", 0);
 	else if (route)
 		reply_error(c, STATUS_GONE, "unknown", "no job has this id", 0);
-	unref_caller(c);
+	finish_caller(c);
 }
 
 /* ---- HTTP threads --------------------------------------------------- */
@@ -306,7 +422,7 @@
 	else
 		reply_error(c, STATUS_NOT_IMPLEMENTED, "unsupported",
 			    error_text, 0);
-	unref_caller(c);
+	finish_caller(c);
 }
 
 static void handle(void *arg, struct http_request *request)
--- a/src/leased/dispatcher_internal.h
+++ b/src/leased/dispatcher_internal.h
@@ -11,6 +11,7 @@
 #include "leased/agent_subset.h"
 #include "leased/dispatch.h"
 #include "leased/routes.h"
+#include "leased/start_hold.h"
 #include "net/admin.h"
 #include "net/link.h"
 #include "roles/session.h"
@@ -49,6 +50,7 @@
 	struct admin *admin;
 	struct http_server *http;
 	struct dispatch *dispatch;
+	struct start_hold *start_hold; /* jobs that wait for the start */
 	struct routes *routes; /* NULL: none yet */
 	GPtrArray *links; /* struct agent_link */
 	struct agent_subset *subset; /* the agents to connect to */
@@ -64,6 +66,7 @@
 	struct counter *answer_buckets[VERDICT_COUNT][ANSWER_BUCKETS];
 	struct counter *answer_sum_ms[VERDICT_COUNT];
 	struct counter *no_route, *unready, *malformed;
+	struct counter *held_total, *held;
 	struct counter *jobs, *waiting, *sent, *servers, *usable, *free_milli;
 	struct counter *agents_wanted, *agents_listed;
 	struct counter *routes_version;
@@ -90,6 +93,8 @@
 bool dispatcher_start_http(struct leased_dispatcher *d, GError **error);
 void dispatcher_send_answer(struct dispatch_sink *sink, void *caller,
 			    const struct job_answer *answer);
+/* Serves or refuses the held jobs whose wait is over. */
+void dispatcher_release_held(struct leased_dispatcher *d);
 /* Why requests can't be served now; NULL if they can. */
 const char *dispatcher_unready_reason(const struct leased_dispatcher *d,
 				      int64_t now_ms);
