coordinator: a removed member joins again within its process

A coordinator that was replaced while it was frozen or cut off ended with status 1, and only its next process joined again. Now it discards the state of its old identity (log, votes, configuration, links) and joins with a new number and an empty data folder, as that next process did. Its loop and HTTP servers keep running: requests get a redirect or 503 meanwhile.

Any member whose applied configuration lists the sender as retired tells it so, as the removed member may not know the address of the present leader. With --id in the settings the process ends as before.

--- a/src/coordinator/coordinator.c
+++ b/src/coordinator/coordinator.c
@@ -53,13 +53,14 @@
  * this member would be missing when the next one fails. So it exits. */
 static void check_disk(struct coordinator *c, int64_t now_ms)
 {
-	if (group_healthy(c->group) || !c->target_voters || c->exit_for_disk)
+	if (group_healthy(c->group) || !c->target_voters || c->exit_failed ||
+	    c->rejoining)
 		return;
 	if (!c->disk_failed_ms)
 		c->disk_failed_ms = now_ms;
 	if (now_ms - c->disk_failed_ms < DISK_RETRY_MS)
 		return;
-	c->exit_for_disk = true;
+	c->exit_failed = true;
 	log_event(LOG_ERROR, "ends_for_its_disk", "failed_ms=%" G_GINT64_FORMAT,
 		  now_ms - c->disk_failed_ms);
 	role_request_stop();
@@ -69,7 +70,7 @@
 {
 	struct coordinator *c = arg;
 
-	if (c->stopping)
+	if (c->stopping || c->rejoining)
 		return;
 	update_leadership(c, now_ms);
 	update_readiness(c);
@@ -103,6 +104,9 @@
 					 "configuration commands applied");
 	counters->dropped = counter_get("coordinator_dropped_total", NULL,
 					"messages that were not expected");
+	counters->rejoins =
+		counter_get("member_rejoins_total", NULL,
+			    "times that this process joined as a new member");
 	counters->leading =
 		gauge_get("leading", NULL, "1 while this member leads");
 	counters->holders = gauge_get("lease_holders", NULL,
@@ -115,8 +119,8 @@
 {
 	struct coordinator *c = g_new0(struct coordinator, 1);
 
+	c->settings = settings;
 	c->id = (uint32_t)settings_number(settings, "id");
-	c->incarnation = clock_random();
 	g_strlcpy(c->name, settings_text(settings, "name"), sizeof(c->name));
 	g_strlcpy(c->data_centre, settings_text(settings, "data-centre"),
 		  sizeof(c->data_centre));
@@ -128,19 +132,7 @@
 		g_strlcpy(c->control_address,
 			  settings_text(settings, "control"),
 			  sizeof(c->control_address));
-	c->unreachable = g_hash_table_new_full(g_direct_hash, g_direct_equal,
-					       NULL, g_free);
-	c->config = cf_config_create();
-	c->voter_lease = cf_lease_create();
-	c->peers = g_ptr_array_new();
-	c->accepted = g_ptr_array_new();
-	c->reads = g_ptr_array_new_with_free_func(g_free);
-	c->identities = g_hash_table_new_full(g_direct_hash, g_direct_equal,
-					      NULL,
-					      (GDestroyNotify)g_bytes_unref);
-	c->waiters = g_hash_table_new_full(g_bytes_hash, g_bytes_equal,
-					   (GDestroyNotify)g_bytes_unref,
-					   (GDestroyNotify)g_ptr_array_unref);
+	coordinator_create_state(c);
 	get_counters(&c->counters);
 	return c;
 }
@@ -152,28 +144,10 @@
 		admin_destroy(c->admin);
 	if (c->tick)
 		loop_timer_destroy(c->tick);
-	if (c->leadership)
-		coordinator_end_leadership(c);
-	if (c->group)
-		group_destroy(c->group);
-	if (c->hub)
-		link_hub_destroy(c->hub);
+	coordinator_destroy_state(c);
 	if (c->loop)
 		loop_destroy(c->loop);
-	if (c->grant_config)
-		cfw__configuration__free_unpacked(c->grant_config, NULL);
-	if (c->first_members)
-		g_array_unref(c->first_members);
 	g_strfreev(c->join);
-	g_ptr_array_unref(c->peers);
-	g_ptr_array_unref(c->accepted);
-	g_ptr_array_unref(c->reads);
-	g_hash_table_destroy(c->identities);
-	g_hash_table_destroy(c->waiters);
-	g_hash_table_destroy(c->unreachable);
-	cf_ledger_destroy(c->ledger);
-	cf_lease_destroy(c->voter_lease);
-	cf_config_destroy(c->config);
 	g_free(c->data_folder);
 	g_free(c);
 }
@@ -202,9 +176,9 @@
 	return false;
 }
 
-static bool open_links(struct coordinator *c, const struct settings *settings,
-		       GError **error)
+bool coordinator_open_links(struct coordinator *c, GError **error)
 {
+	const struct settings *settings = c->settings;
 	struct link_options options = {
 		.self = { .role = CFW__ROLE__ROLE_COORDINATOR,
 			  .name = c->name,
@@ -253,9 +227,9 @@
 	}
 }
 
-static bool open_group(struct coordinator *c, const struct settings *settings,
-		       GError **error)
+static bool open_group(struct coordinator *c, GError **error)
 {
+	const struct settings *settings = c->settings;
 	uint32_t voters[CF_MEMBERS_MAX];
 	struct group_options options = {
 		.id = c->id,
@@ -278,6 +252,13 @@
 	return c->group != NULL;
 }
 
+bool coordinator_open_replica(struct coordinator *c, GError **error)
+{
+	return role_open_trace(c->settings, c->incarnation, error) &&
+	       open_group(c, error) &&
+	       coordinator_open_ledger(c, clock_wall_ms(), error);
+}
+
 static gpointer run(gpointer arg)
 {
 	struct coordinator *c = arg;
@@ -293,19 +274,14 @@
 
 	c->loop = loop_create(error);
 	if (!c->loop || !read_members(c, settings, error) ||
-	    !open_links(c, settings, error) ||
+	    !coordinator_open_links(c, error) ||
 	    !open_admin(c, settings, error)) {
 		destroy(c);
 		return NULL;
 	}
 	fill_in_ports(c);
-	if (!role_open_trace(settings, c->incarnation, error) ||
-	    !open_group(c, settings, error) ||
-	    !coordinator_open_ledger(c, clock_wall_ms(), error)) {
-		destroy(c);
-		return NULL;
-	}
-	if (!coordinator_open_control(c, error)) {
+	if (!coordinator_open_replica(c, error) ||
+	    !coordinator_open_control(c, error)) {
 		destroy(c);
 		return NULL;
 	}
@@ -341,16 +317,19 @@
 	c->stopping = true;
 	if (c->leadership)
 		coordinator_end_leadership(c);
-	group_hand_over(c->group);
 	coordinator_fail_reads(c, "this coordinator is stopping");
-	coordinator_save_ledger(c);
-	link_flush(c->hub, FLUSH_TIMEOUT_MS);
+	if (c->group && !c->rejoining) {
+		group_hand_over(c->group);
+		coordinator_save_ledger(c);
+		link_flush(c->hub, FLUSH_TIMEOUT_MS);
+	}
 	g_async_queue_push(stop->done, GINT_TO_POINTER(STOPPED));
 }
 
 void coordinator_stop(struct coordinator *c)
 {
 	struct stop stop = { .coordinator = c, .done = g_async_queue_new() };
+	g_autoptr(GError) error = NULL;
 
 	trace_event("stop_begin", "in_progress=0");
 	admin_set_ready(c->admin, false, "stopping");
@@ -364,8 +343,9 @@
 	c->admin = NULL;
 	loop_stop(c->loop);
 	g_thread_join(c->thread);
-	if (c->reset_and_rejoin)
-		coordinator_clear_folder(c);
+	if (c->exit_removed && !coordinator_clear_folder(c, &error))
+		log_event(LOG_ERROR, "disk_failed", "why=\"%s\"",
+			  error->message);
 	destroy(c);
 	trace_event("stop_end", "in_progress=0");
 	trace_close();
@@ -385,7 +365,7 @@
 		  c->port, admin_port(c->admin));
 	role_wait_for_stop();
 	log_event(LOG_INFO, "stopping", NULL);
-	if (c->reset_and_rejoin || c->exit_for_disk)
+	if (c->exit_removed || c->exit_failed)
 		status = EXIT_FAILURE;
 	coordinator_stop(c);
 	log_event(LOG_INFO, "stopped", NULL);
--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -74,12 +74,14 @@
 	struct counter *votes_none;
 	struct counter *commands;
 	struct counter *dropped;
+	struct counter *rejoins;
 	struct counter *leading;
 	struct counter *holders;
 	struct counter *revision;
 };
 
 struct coordinator {
+	const struct settings *settings;
 	struct loop *loop;
 	GThread *thread;
 	struct loop_timer *tick;
@@ -105,11 +107,14 @@
 	char control_address[CF_NAME_SIZE]; /* empty: no control interface */
 	char link_address[CF_NAME_SIZE]; /* advertised to other members */
 	uint32_t target_voters; /* 0: every added member votes */
-	/* This member was removed: it exits with an empty data folder and
-	 * joins again as a new member. */
-	bool reset_and_rejoin;
+	/* This member was removed and changes its identity. Also set while
+	 * the process stops because the change failed: then group is NULL. */
+	bool rejoining;
+	/* Removed, but its id is fixed by the settings: it exits with an
+	 * empty data folder. */
+	bool exit_removed;
 	int64_t disk_failed_ms; /* 0: the disk works */
-	bool exit_for_disk; /* exits to be restarted and recover its disk */
+	bool exit_failed; /* exits with status 1, to be restarted */
 	int64_t next_join_ms;
 	GHashTable *unreachable; /* member id -> int64_t *, since (ms) */
 
@@ -135,6 +140,12 @@
 	struct coordinator_counters counters;
 };
 
+/* ---- Start (coordinator.c) -------------------------------------------- */
+
+bool coordinator_open_links(struct coordinator *c, GError **error);
+/* Opens the trace, the replicated log and the ledger. */
+bool coordinator_open_replica(struct coordinator *c, GError **error);
+
 /* ---- Ports (coordinator.c), also used by standalone ------------------ */
 
 uint16_t coordinator_port(const struct coordinator *c);
@@ -166,6 +177,11 @@
  * false: error. */
 bool coordinator_init_identity(struct coordinator *c,
 			       const struct settings *settings, GError **error);
+/* Marks the data folder as one of a removed member. A folder with the mark
+ * is emptied before anything in it is used. */
+bool coordinator_mark_rejoin(const struct coordinator *c, GError **error);
+/* Empties a marked folder, stores a new id there and removes the mark. */
+bool coordinator_renew_identity(struct coordinator *c, GError **error);
 /* Requests membership from the other members while this one isn't a member. */
 void coordinator_send_join_request(struct coordinator *c, int64_t now_ms);
 void coordinator_join_request(struct coordinator *c,
@@ -173,11 +189,20 @@
 /* Leader: removes an unreachable voter if another member is ready to
  * replace it. Returns true if a removal was proposed. */
 bool coordinator_remove_unreachable(struct coordinator *c, int64_t now_ms);
-/* Leader: tells a removed member that still sends messages that it was
- * removed. */
+/* Tells a removed member that still sends messages that it was removed. */
 void coordinator_notify_removed(struct link *link);
 /* Empties the data folder of a member that was removed. */
-void coordinator_clear_folder(const struct coordinator *c);
+bool coordinator_clear_folder(const struct coordinator *c, GError **error);
+
+/* ---- Change of identity (coordinator_rejoin.c) ------------------------- */
+
+/* State that is discarded together with the member's identity: its replica,
+ * links, ledger, configuration and the requests that wait for them. */
+void coordinator_create_state(struct coordinator *c);
+void coordinator_destroy_state(struct coordinator *c);
+/* Replaces this removed member by a new one at the end of the loop
+ * iteration. */
+void coordinator_begin_rejoin(struct coordinator *c);
 
 /* ---- Platform control interface (coordinator_control.c) -------------- */
 
--- a/src/coordinator/coordinator_admin.c
+++ b/src/coordinator/coordinator_admin.c
@@ -81,7 +81,7 @@
 				   struct http_request *request,
 				   const char *why)
 {
-	uint32_t leader = group_leader(c->group);
+	uint32_t leader = c->group ? group_leader(c->group) : 0;
 	const char *address =
 		leader && leader != c->id
 			? coordinator_member_address(c, leader, true)
@@ -276,10 +276,8 @@
 	return array;
 }
 
-static void run_status(void *arg)
+static json_t *status_to_json(const struct coordinator *c)
 {
-	struct posted_request *posted_request = arg;
-	struct coordinator *c = posted_request->coordinator;
 	uint32_t leader = group_leader(c->group);
 	const char *leader_admin = coordinator_member_address(c, leader, true);
 	json_t *json = json_pack(
@@ -299,7 +297,21 @@
 	json_object_set_new(
 		json, "votes_held",
 		json_integer((json_int_t)cf_ledger_size(c->ledger)));
-	reply_json(posted_request->request, HTTP_OK_STATUS, json);
+	return json;
+}
+
+static void run_status(void *arg)
+{
+	struct posted_request *posted_request = arg;
+	struct coordinator *c = posted_request->coordinator;
+
+	if (c->group) {
+		reply_json(posted_request->request, HTTP_OK_STATUS,
+			   status_to_json(c));
+	} else {
+		coordinator_answer_not_leader(c, posted_request->request,
+					      c->why_not_ready);
+	}
 	g_free(posted_request);
 }
 
--- a/src/coordinator/coordinator_join.c
+++ b/src/coordinator/coordinator_join.c
@@ -6,7 +6,7 @@
  *  - the member that had the same address before: its disk is lost;
  *  - an unreachable voter, if another member is ready to vote.
  * A removed member that comes back empties its data folder and joins as a
- * new member.
+ * new member (coordinator_rejoin.c).
  */
 #include "coordinator/coordinator.h"
 
@@ -21,6 +21,8 @@
 /* ---- Constants ----------------------------------------------------- */
 
 #define IDENTITY_FILE "member-id" /* "ID FIRST-MEMBERS" */
+/* Marks the folder of a removed member until it has a new id. */
+#define REJOIN_FILE "rejoin"
 #define NEW_ID_MIN 1000 /* above the ids of the first members */
 #define NEW_ID_MAX 1000000
 #define JOIN_INTERVAL_MS 500
@@ -58,6 +60,12 @@
 	return 0;
 }
 
+static uint32_t new_id(void)
+{
+	return NEW_ID_MIN +
+	       (uint32_t)(clock_random() % (NEW_ID_MAX - NEW_ID_MIN));
+}
+
 static void create_identity(struct coordinator *c,
 			    const struct settings *settings,
 			    char **first_members)
@@ -71,8 +79,7 @@
 			seeds, settings_number(settings, "seeds-port"));
 		return;
 	}
-	c->id = NEW_ID_MIN +
-		(uint32_t)(clock_random() % (NEW_ID_MAX - NEW_ID_MIN));
+	c->id = new_id();
 	*first_members = g_strdup("");
 }
 
@@ -109,6 +116,48 @@
 	return store_put_file(c->data_folder, IDENTITY_FILE, data, error);
 }
 
+/* ---- Change of identity ---------------------------------------------- */
+
+bool coordinator_mark_rejoin(const struct coordinator *c, GError **error)
+{
+	g_autofree char *text = g_strdup_printf("%u", c->id);
+	g_autoptr(GBytes) data = g_bytes_new(text, strlen(text));
+
+	return store_put_file(c->data_folder, REJOIN_FILE, data, error);
+}
+
+/* The mark is removed only after the emptied folder and the new id have been
+ * synced, so that a crash at any point leads here again. A folder without the
+ * old log but with the old id could otherwise vote twice. */
+bool coordinator_renew_identity(struct coordinator *c, GError **error)
+{
+	uint32_t old_id = c->id;
+
+	if (!coordinator_clear_folder(c, error))
+		return false;
+	while (c->id == old_id || !c->id)
+		c->id = new_id();
+	c->first_members = g_array_new(FALSE, TRUE, sizeof(struct cf_member));
+	return save_identity(c, "", error) &&
+	       store_remove_file(c->data_folder, REJOIN_FILE, error);
+}
+
+/* Completes a change of identity that a crash interrupted. */
+static bool finish_rejoin(struct coordinator *c, GError **error)
+{
+	g_autofree char *mark =
+		g_build_filename(c->data_folder, REJOIN_FILE, NULL);
+
+	if (!g_file_test(mark, G_FILE_TEST_EXISTS))
+		return true;
+	if (!coordinator_renew_identity(c, error))
+		return false;
+	g_clear_pointer(&c->first_members, g_array_unref);
+	return true;
+}
+
+/* ---- Start ------------------------------------------------------------ */
+
 static void set_join_addresses(struct coordinator *c,
 			       const struct settings *settings)
 {
@@ -130,13 +179,15 @@
 {
 	g_autofree char *first_members = NULL;
 
-	c->id = 0;
 	if (g_mkdir_with_parents(c->data_folder, 0755)) {
 		g_set_error(error, role_error_quark(), 0,
 			    "data: cannot create the folder %s",
 			    c->data_folder);
 		return false;
 	}
+	if (!finish_rejoin(c, error))
+		return false;
+	c->id = 0; /* read from the folder, not from the settings */
 	if (!load_identity(c, &first_members, error))
 		return false;
 	if (!c->id) {
@@ -208,11 +259,16 @@
 		  request->member_id, request->address);
 }
 
-static void reset_and_rejoin(struct coordinator *c)
+/* An id that the settings fix can't be replaced here, so the process ends. */
+static void handle_own_removal(struct coordinator *c)
 {
-	if (c->reset_and_rejoin)
+	if (c->target_voters) {
+		coordinator_begin_rejoin(c);
 		return;
-	c->reset_and_rejoin = true;
+	}
+	if (c->exit_removed)
+		return;
+	c->exit_removed = true;
 	log_event(LOG_WARN, "member_starts_over", "id=%u", c->id);
 	role_request_stop();
 }
@@ -223,9 +279,9 @@
 	const struct cf_member *members;
 	size_t n = cf_config_members(c->config, &members);
 
-	/* The leader sends this member's own id back if it was removed. */
+	/* A member that was removed gets its own id back. */
 	if (request->member_id == c->id) {
-		reset_and_rejoin(c);
+		handle_own_removal(c);
 		return;
 	}
 	if (!c->leadership ||
@@ -305,17 +361,20 @@
 	link_send(link, &envelope);
 }
 
-void coordinator_clear_folder(const struct coordinator *c)
+bool coordinator_clear_folder(const struct coordinator *c, GError **error)
 {
-	g_autoptr(GDir) folder = g_dir_open(c->data_folder, 0, NULL);
+	g_autoptr(GDir) folder = g_dir_open(c->data_folder, 0, error);
 	const char *name;
 
 	while (folder && (name = g_dir_read_name(folder))) {
 		g_autofree char *path =
 			g_build_filename(c->data_folder, name, NULL);
 
-		if (g_unlink(path))
-			log_event(LOG_ERROR, "disk_failed",
-				  "why=\"cannot remove %s\"", name);
+		if (strcmp(name, REJOIN_FILE) != 0 && g_unlink(path)) {
+			g_set_error(error, role_error_quark(), 0,
+				    "cannot remove %s", path);
+			return false;
+		}
 	}
+	return folder != NULL;
 }
--- a/src/coordinator/coordinator_links.c
+++ b/src/coordinator/coordinator_links.c
@@ -137,7 +137,9 @@
 		counter_add(c->counters.dropped, 1);
 		return;
 	}
-	if (c->leadership && cf_config_is_retired(c->config, message->from)) {
+	/* Any member may tell: a retirement is final once it is applied. The
+	 * removed member may not know the address of the present leader. */
+	if (cf_config_is_retired(c->config, message->from)) {
 		coordinator_notify_removed(link);
 		return;
 	}
@@ -152,7 +154,7 @@
 {
 	struct coordinator *c = arg;
 
-	if (c->stopping)
+	if (c->stopping || c->rejoining)
 		return;
 	switch (envelope->body_case) {
 	case CFW__ENVELOPE__BODY_LOG:
--- a/tests/support/leased_system.c
+++ b/tests/support/leased_system.c
@@ -85,8 +85,8 @@
 /* All coordinators must use the same port for connections between processes.
  * In production, each one has a host of its own; here each one has a loopback
  * address of its own. */
-static void add_coordinator(struct leased_system *s, int i,
-			    const char *first_start)
+static struct proc *add_coordinator(struct leased_system *s, int i,
+				    const char *first_start)
 {
 	char name[16], text[260];
 	struct proc *p;
@@ -104,6 +104,12 @@
 	proc_add(p, "--seeds-port", G_STRINGIFY(COORDINATOR_PORT));
 	proc_add(p, "--first-start", first_start);
 	proc_add(p, "--election-ms", "300");
+	return p;
+}
+
+struct proc *leased_system_add_coordinator(struct leased_system *s, int number)
+{
+	return add_coordinator(s, number, "false");
 }
 
 static void configure_processes(struct leased_system *s)
--- a/tests/support/leased_system.h
+++ b/tests/support/leased_system.h
@@ -36,6 +36,10 @@
 /* Stops everything. Fails if runs of one task overlapped. */
 void leased_system_finish(struct leased_system *s);
 
+/* Configures one more coordinator, which joins the group when it is started.
+ * Its number must be SYSTEM_COORDINATORS + 1. */
+struct proc *leased_system_add_coordinator(struct leased_system *s, int number);
+
 #define SYSTEM_NO_ANSWER 0
 #define SYSTEM_NOT_CONNECTED 1 /* the request was not sent */
 
