--- a/src/leased/dispatch.h
+++ b/src/leased/dispatch.h
@@ -97,6 +97,9 @@
 
 struct dispatch_load {
 	uint32_t jobs, waiting_tasks, sent_tasks, servers, usable_servers;
+	uint32_t late_waiting_tasks; /* included in waiting_tasks */
+	uint64_t
+		late_jobs; /* that ever waited without a chance to be in time */
 	uint32_t speeds_known; /* servers whose speed was measured */
 	uint64_t capacity_milli, free_milli;
 };
--- a/src/leased/dispatch_jobs.c
+++ b/src/leased/dispatch_jobs.c
@@ -406,8 +406,11 @@
 
 		load->jobs += !job->ended;
 		load->waiting_tasks += job->ended ? 0 : job->n_waiting;
+		load->late_waiting_tasks +=
+			job->is_late && !job->ended ? job->n_waiting : 0;
 		load->sent_tasks += job->n_sent;
 	}
+	load->late_jobs = d->late_jobs;
 	load->servers = d->servers->len;
 	load->speeds_known = speed_view_known(d->speeds);
 	for (guint i = 0; i < d->servers->len; i++) {
--- a/src/leased/dispatcher.c
+++ b/src/leased/dispatcher.c
@@ -126,6 +126,10 @@
 	dispatch_get_load(d->dispatch, &load);
 	gauge_set(d->jobs, load.jobs);
 	gauge_set(d->waiting, load.waiting_tasks);
+	gauge_set(d->late_waiting, load.late_waiting_tasks);
+	counter_add(d->late_jobs,
+		    (int64_t)(load.late_jobs - d->counted_late_jobs));
+	d->counted_late_jobs = load.late_jobs;
 	gauge_set(d->sent, load.sent_tasks);
 	gauge_set(d->servers, load.servers);
 	gauge_set(d->usable, load.usable_servers);
@@ -192,6 +196,11 @@
 			    "submissions held until the process can serve");
 	d->jobs = gauge_get("jobs_open", NULL, "jobs not yet answered");
 	d->waiting = gauge_get("tasks_waiting", NULL, "tasks not yet sent");
+	d->late_waiting = gauge_get("late_tasks_waiting", NULL,
+				    "tasks not yet sent that can't be in time");
+	d->late_jobs = counter_get("jobs_late_total", NULL,
+				   "jobs that waited without a chance to be "
+				   "in time");
 	d->sent = gauge_get("tasks_sent", NULL, "tasks at servers");
 	d->servers = gauge_get("servers_known", NULL, "servers known");
 	d->usable = gauge_get("servers_usable", NULL, "servers that take work");
--- a/src/leased/dispatcher_internal.h
+++ b/src/leased/dispatcher_internal.h
@@ -59,6 +59,7 @@
 	 * last received. */
 	int64_t coordinator_contact_ms;
 	int64_t gauges_set_ms;
+	uint64_t counted_late_jobs; /* already in the counter late_jobs */
 	bool was_ready;
 	int64_t stop_ms; /* when shutdown began; 0: not stopping */
 	gint stopping; /* atomic */
@@ -67,6 +68,7 @@
 	struct counter *answer_sum_ms[VERDICT_COUNT];
 	struct counter *no_route, *unready, *malformed;
 	struct counter *held_total, *held;
+	struct counter *late_jobs, *late_waiting;
 	struct counter *jobs, *waiting, *sent, *servers, *usable, *free_milli;
 	struct counter *speeds_known;
 	struct counter *agents_wanted, *agents_listed;
