--- a/src/leased/dispatcher_agents.c
+++ b/src/leased/dispatcher_agents.c
@@ -338,6 +338,18 @@
 	}
 }
 
+uint32_t dispatcher_count_selected(const struct leased_dispatcher *d)
+{
+	uint32_t n = 0;
+
+	for (guint i = 0; i < d->links->len; i++) {
+		const struct agent_link *a = g_ptr_array_index(d->links, i);
+
+		n += a->link != NULL;
+	}
+	return n;
+}
+
 void dispatcher_adjust_subset(struct leased_dispatcher *d, int64_t now_ms)
 {
 	if (dispatch_has_demand(d->dispatch))
--- a/src/leased/dispatcher_http.c
+++ b/src/leased/dispatcher_http.c
@@ -22,6 +22,8 @@
 #define STATUS_TIMEOUT 504
 /* Later requests on open connections are refused during shutdown. */
 #define ACCEPT_WHILE_STOPPING_MAX_MS 2500
+/* Held jobs are served once one in this many agents has a usable server. */
+#define USABLE_FRACTION_MIN 2
 #define JSON_TYPE "application/json"
 #define DEADLINE_DEFAULT_MS 30000
 #define DEADLINE_MAX_MS 86400000
@@ -283,12 +285,25 @@
 
 /* ---- Start of the process ------------------------------------------- */
 
-static bool can_serve(const struct leased_dispatcher *d)
+static bool can_serve_some(const struct leased_dispatcher *d)
 {
 	return !dispatcher_unready_reason(d, loop_now_ms(d->loop)) &&
 	       dispatch_can_serve(d->dispatch);
 }
 
+/* With the first few servers of many, admission would refuse most of the jobs
+ * that were held for all of them. */
+static bool can_serve(const struct leased_dispatcher *d)
+{
+	struct dispatch_load load;
+
+	if (!can_serve_some(d))
+		return false;
+	dispatch_get_load(d->dispatch, &load);
+	return load.usable_servers * USABLE_FRACTION_MIN >=
+	       dispatcher_count_selected(d);
+}
+
 static void refuse_unready(struct caller *c)
 {
 	struct leased_dispatcher *d = c->dispatcher;
@@ -318,7 +333,8 @@
 				 .caller = c };
 	enum start_verdict verdict = START_PASS;
 
-	if (may_have_route(c))
+	if (start_hold_is_open(d->start_hold, loop_now_ms(d->loop)) &&
+	    may_have_route(c))
 		verdict = start_hold_arrive(d->start_hold, &job, can_serve(d),
 					    loop_now_ms(d->loop));
 	if (verdict == START_PASS) {
@@ -333,14 +349,14 @@
 
 void dispatcher_release_held(struct leased_dispatcher *d)
 {
-	bool ready = can_serve(d);
+	bool ready = start_hold_count(d->start_hold) && can_serve(d);
 	uint32_t served = 0, refused = 0;
 	enum start_verdict verdict;
 	struct caller *c;
 
 	while ((c = start_hold_next(d->start_hold, ready, loop_now_ms(d->loop),
 				    &verdict))) {
-		if (verdict == START_PASS) {
+		if (verdict == START_PASS || can_serve_some(d)) {
 			served++;
 			serve_submission(c);
 		} else {
--- a/src/leased/dispatcher_internal.h
+++ b/src/leased/dispatcher_internal.h
@@ -90,6 +90,8 @@
 /* Connects to the agents of the subset and closes other connections. */
 void dispatcher_select_agents(struct leased_dispatcher *d, int64_t now_ms);
 void dispatcher_adjust_subset(struct leased_dispatcher *d, int64_t now_ms);
+/* Number of agents to be connected to. */
+uint32_t dispatcher_count_selected(const struct leased_dispatcher *d);
 
 /* ---- Callers (dispatcher_http.c) ------------------------------------ */
 
--- a/src/leased/start_hold.c
+++ b/src/leased/start_hold.c
@@ -47,6 +47,11 @@
 
 /* ---- Decisions ------------------------------------------------------ */
 
+bool start_hold_is_open(const struct start_hold *hold, int64_t now_ms)
+{
+	return !hold->has_served && now_ms < hold->end_ms;
+}
+
 enum start_verdict start_hold_arrive(struct start_hold *hold,
 				     const struct start_job *job,
 				     bool can_serve, int64_t now_ms)
@@ -57,7 +62,7 @@
 	struct held_job *held;
 
 	hold->has_served = hold->has_served || can_serve;
-	if (hold->has_served || now_ms >= hold->end_ms)
+	if (!start_hold_is_open(hold, now_ms))
 		return START_PASS;
 	if (now_ms >= until_ms || hold->jobs.length >= START_HOLD_JOBS_MAX)
 		return START_REFUSED;
--- a/src/leased/start_hold.h
+++ b/src/leased/start_hold.h
@@ -40,8 +40,11 @@
 
 struct start_hold *start_hold_create(int64_t started_ms);
 void start_hold_destroy(struct start_hold *hold); /* NULL is allowed */
-/* Decides about a new job. can_serve: routes are known and a backend server
- * can be reached. */
+/* False once the dispatcher could serve or the time for holding is over: then
+ * jobs pass. */
+bool start_hold_is_open(const struct start_hold *hold, int64_t now_ms);
+/* Decides about a new job. can_serve: routes are known and enough backend
+ * servers can be reached. */
 enum start_verdict start_hold_arrive(struct start_hold *hold,
 				     const struct start_job *job,
 				     bool can_serve, int64_t now_ms);
