replog: no random wait for the first election after a start

A member that started waited 300 to 600 ms (--election-ms 300) for its first campaign, and as long again when a pre-vote reached a member that was itself in its wait after a start. Until the first leader is known, the first campaign now comes after the election timeout without its random part, in the order of the ids; pre-votes are repeated every sixth of the timeout; a member that grants one lets that candidate go first. The wait of one election timeout without a vote, and the replies of all voters that shorten it, are unchanged, so no member votes earlier than before.

--- a/src/lib/replog.c
+++ b/src/lib/replog.c
@@ -177,7 +177,7 @@
 	log->ready_messages = new_messages();
 	log->snapshot.members = options->members;
 	replog_use_members(log, &options->members, 0);
-	replog_reset_election(log);
+	replog_schedule_first_campaign(log);
 	return log;
 }
 
@@ -212,6 +212,7 @@
 	log->state.commit = CLAMP(log->state.commit, log->snapshot.index,
 				  cf_replog_last_index(log));
 	log->reported_state = log->state;
+	replog_schedule_first_campaign(log);
 }
 
 /* ---- Time and messages ---------------------------------------------- */
--- a/src/lib/replog_election.c
+++ b/src/lib/replog_election.c
@@ -65,6 +65,7 @@
 		log->peers[i].vote_granted = log->peers[i].id == log->id;
 	if (pre_vote && count_granted(log) < replog_quorum(log)) {
 		log->role = REPLOG_PRE_CANDIDATE;
+		replog_schedule_next_pre_vote(log);
 		send_vote_requests(log, true);
 		return;
 	}
@@ -202,8 +203,10 @@
 	grant = m->term > log->state.term && is_up_to_date(log, m);
 	reply = replog_message(log, CF_REPLOG_PREVOTE_REPLY, m->from);
 	reply->reject = !grant;
-	if (grant)
+	if (grant) {
 		reply->term = m->term;
+		replog_yield_to_candidate(log);
+	}
 }
 
 void replog_on_vote_request(struct cf_replog *log,
--- a/src/lib/replog_internal.h
+++ b/src/lib/replog_internal.h
@@ -120,6 +120,10 @@
 
 /* Leader queries after a start (replog_start.c). */
 void replog_send_leader_queries(struct cf_replog *log);
+void replog_schedule_first_campaign(struct cf_replog *log);
+/* These two have an effect only until the first leader is known. */
+void replog_schedule_next_pre_vote(struct cf_replog *log);
+void replog_yield_to_candidate(struct cf_replog *log);
 void replog_on_leader_query(struct cf_replog *log,
 			    const struct cf_replog_message *message);
 void replog_on_no_leader_reply(struct cf_replog *log,
--- a/src/lib/replog_start.c
+++ b/src/lib/replog_start.c
@@ -8,16 +8,23 @@
  * of them has replied to this incarnation that it is no leader and knows
  * none, that earlier leader can no longer be leading, and the election
  * starts at once. If any voter does not reply, the member waits out the
- * timeout.
+ * timeout, and then campaigns without the random part of it.
+ *
+ * A pre-vote request is ignored by members that still wait, so it is repeated
+ * at short intervals until the first leader is known. Members with a lower id
+ * are first in each round, and a member that grants a pre-vote lets that
+ * candidate go first; this makes a split vote unlikely.
  */
 #include "lib/replog_internal.h"
 
 /* ---- Constants ------------------------------------------------------ */
 
 /* Leader queries are repeated this many times per election timeout. */
-#define QUERIES_PER_TIMEOUT 12
+#define QUERIES_PER_TIMEOUT 15
 /* Voters campaign election_ms / this apart, in the order of their ids. */
 #define ELECTION_STAGGER_DIVISOR 8
+/* Until the first leader is known, pre-votes are repeated this often. */
+#define PRE_VOTES_PER_TIMEOUT 6
 
 /* ---- Queries -------------------------------------------------------- */
 
@@ -80,6 +87,12 @@
 	return n;
 }
 
+static int64_t stagger_ms(const struct cf_replog *log)
+{
+	return rank_among_voters(log) * log->election_ms /
+	       ELECTION_STAGGER_DIVISOR;
+}
+
 void replog_on_no_leader_reply(struct cf_replog *log,
 			       const struct cf_replog_message *m)
 {
@@ -91,7 +104,29 @@
 	if (!all_voters_report_no_leader(log))
 		return;
 	log->last_contact_ms = log->now_ms - log->election_ms;
-	log->election_at_ms = log->now_ms + rank_among_voters(log) *
-						    log->election_ms /
-						    ELECTION_STAGGER_DIVISOR;
+	log->election_at_ms = log->now_ms + stagger_ms(log);
+}
+
+/* ---- Campaigns before the first leader ------------------------------- */
+
+void replog_schedule_first_campaign(struct cf_replog *log)
+{
+	log->election_at_ms = log->now_ms + log->election_ms + stagger_ms(log);
+}
+
+void replog_schedule_next_pre_vote(struct cf_replog *log)
+{
+	if (log->no_leader_since_start)
+		log->election_at_ms = log->now_ms + stagger_ms(log) +
+				      log->election_ms / PRE_VOTES_PER_TIMEOUT;
+}
+
+void replog_yield_to_candidate(struct cf_replog *log)
+{
+	int64_t after_ms = log->election_ms / PRE_VOTES_PER_TIMEOUT;
+
+	if (log->no_leader_since_start)
+		log->election_at_ms =
+			MAX(log->election_at_ms,
+			    log->now_ms + after_ms + stagger_ms(log));
 }
--- a/tests/test_replog_handover.c
+++ b/tests/test_replog_handover.c
@@ -17,6 +17,8 @@
 /* An election that waits for the timeout takes at least twice as long. */
 #define FAST_ELECTION_MS (ELECTION_MS / 2)
 #define VOTERS_MAX 5
+/* The timeout of the member that completes the quorum, and some rounds. */
+#define STAGGERED_MAX_MS (ELECTION_MS + ELECTION_MS / 2)
 
 /* ---- Support ---- */
 
@@ -148,6 +150,43 @@
 	lognet_destroy(net);
 }
 
+/*
+ * Members that start one after the other must not wait for the random part of
+ * the election timeout, nor for a new timeout after a pre-vote that a member
+ * ignored because it had only just started.
+ */
+static void test_staggered_restart(void **state)
+{
+	static const int64_t gaps_ms[] = { 50, 150, 300, 450, 700 };
+	static const uint32_t orders[][3] = { { 0, 1, 2 }, { 0, 2, 1 },
+					      { 1, 0, 2 }, { 1, 2, 0 },
+					      { 2, 0, 1 }, { 2, 1, 0 } };
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(gaps_ms) * 6; i++) {
+		const uint32_t *order = orders[i % 6];
+		struct lognet *net = make_net(3);
+		int64_t quorum_ms = 0;
+
+		for (uint32_t k = 0; k < 3; k++)
+			lognet_crash(net, &net->nodes[k]);
+		for (uint32_t k = 0; k < 3; k++) {
+			int64_t until_ms = net->now_ms + gaps_ms[i / 6];
+
+			lognet_restart(net, &net->nodes[order[k]]);
+			if (k == 1)
+				quorum_ms = net->now_ms;
+			while (k < 2 && net->now_ms < until_ms)
+				lognet_step(net);
+		}
+		if (!lognet_leader(net))
+			time_until_new_leader(net, 0);
+		assert_in_range(net->now_ms - quorum_ms, 0, STAGGERED_MAX_MS);
+		assert_string_equal(net->fault, "");
+		lognet_destroy(net);
+	}
+}
+
 /*
  * Replies to queries of an earlier incarnation are ignored: the member still
  * ignores vote requests after its start and then follows the leader.
@@ -208,6 +247,7 @@
 		cmocka_unit_test(test_only_the_leader_hands_over),
 		cmocka_unit_test(test_full_restart_elects_at_once),
 		cmocka_unit_test(test_missing_voter_delays_election),
+		cmocka_unit_test(test_staggered_restart),
 		cmocka_unit_test(test_replies_to_earlier_incarnation),
 		cmocka_unit_test(test_single_voter_keeps_leading),
 	};
