session, coordinator: a new leader is announced to lease holders at once

After a return of all hosts, an elected leader began to grant at its next tick (up to 50 ms), and processes that had been refused found it by asking the coordinators in turn, every 50 ms, also those that were not connected. Now the leader begins at once; it and the members that learn of it send their sessions a refusal with seq 0 that names it. A session asks the named coordinator at once, at most three times a tick, asks each coordinator that it gets connected to until it has a lease, and skips those that are down. A coordinator's first tick, which dials the others, comes at its start.

The fence calls move to a file of their own.

--- a/src/coordinator/coordinator.c
+++ b/src/coordinator/coordinator.c
@@ -286,7 +286,8 @@
 		return NULL;
 	}
 	c->tick = loop_timer_create(c->loop, tick, c);
-	loop_timer_start(c->tick, TICK_MS, TICK_MS);
+	/* The first tick dials the other members. */
+	loop_timer_start(c->tick, 0, TICK_MS);
 	c->thread = g_thread_new("coordinator", run, c);
 	return c;
 }
--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -120,6 +120,7 @@
 
 	GPtrArray *peers; /* struct link, dialled by this member */
 	GPtrArray *accepted; /* struct link, dialled by other coordinators */
+	GPtrArray *sessions; /* struct link, dialled by lease holders */
 	uint64_t peers_revision; /* configuration revision behind the peers */
 	GHashTable *identities; /* member id -> GBytes, last received */
 
@@ -239,6 +240,9 @@
 void coordinator_end_leadership(struct coordinator *c);
 void coordinator_lease_request(struct coordinator *c, struct link *link,
 			       const struct Cfw__LeaseRequest *request);
+/* Names the leader to all lease holders that are connected, without waiting
+ * for their next request. */
+void coordinator_announce_leader(struct coordinator *c);
 void coordinator_expire_leases(struct coordinator *c, int64_t now_ms);
 void coordinator_renew_voter_lease(struct coordinator *c, int64_t now_ms);
 void coordinator_lease_grant(struct coordinator *c,
--- a/src/coordinator/coordinator_leases.c
+++ b/src/coordinator/coordinator_leases.c
@@ -115,6 +115,22 @@
 	link_send(link, &envelope);
 }
 
+/* A refusal that answers no request. Holders ask the named leader then. */
+void coordinator_announce_leader(struct coordinator *c)
+{
+	struct Cfw__LeaseGrant grant = CFW__LEASE_GRANT__INIT;
+	uint32_t leader = group_leader(c->group);
+	const char *address = coordinator_member_address(c, leader, false);
+
+	/* A member that was elected leads once it has applied its log. */
+	if (!address || (leader == c->id && !c->leadership))
+		return;
+	grant.verdict = CFW__LEASE_VERDICT__LEASE_NOT_LEADER;
+	grant.leader_address = (char *)address;
+	for (guint i = 0; i < c->sessions->len; i++)
+		send_grant(g_ptr_array_index(c->sessions, i), &grant);
+}
+
 static void refuse(struct coordinator *c, struct link *link,
 		   const struct Cfw__LeaseRequest *request,
 		   Cfw__LeaseVerdict verdict)
--- a/src/coordinator/coordinator_links.c
+++ b/src/coordinator/coordinator_links.c
@@ -115,8 +115,9 @@
 {
 	struct coordinator *c = arg;
 
-	if (link_peer(link)->role == CFW__ROLE__ROLE_COORDINATOR &&
-	    !g_ptr_array_find(c->peers, link, NULL))
+	if (link_peer(link)->role != CFW__ROLE__ROLE_COORDINATOR)
+		g_ptr_array_add(c->sessions, link);
+	else if (!g_ptr_array_find(c->peers, link, NULL))
 		g_ptr_array_add(c->accepted, link);
 }
 
@@ -125,6 +126,7 @@
 	struct coordinator *c = arg;
 
 	g_ptr_array_remove_fast(c->accepted, link);
+	g_ptr_array_remove_fast(c->sessions, link);
 	coordinator_drop_waiters(c, link);
 }
 
--- a/src/coordinator/coordinator_log.c
+++ b/src/coordinator/coordinator_log.c
@@ -309,6 +309,11 @@
 		  "leader=%u term=%" G_GUINT64_FORMAT, leader_id, term);
 	if (!leader && c->leadership)
 		coordinator_end_leadership(c);
+	/* Not left to the next tick: until then, requests are refused. */
+	if (leader && !c->leadership && !c->stopping)
+		coordinator_begin_leadership(c, loop_now_ms(c->loop));
+	if (leader_id && !c->stopping)
+		coordinator_announce_leader(c);
 }
 
 static void disk_failed(void *arg, const char *why)
--- a/src/coordinator/coordinator_rejoin.c
+++ b/src/coordinator/coordinator_rejoin.c
@@ -23,6 +23,7 @@
 	c->voter_lease = cf_lease_create();
 	c->peers = g_ptr_array_new();
 	c->accepted = g_ptr_array_new();
+	c->sessions = g_ptr_array_new();
 	c->reads = g_ptr_array_new_with_free_func(g_free);
 	c->unreachable = g_hash_table_new_full(g_direct_hash, g_direct_equal,
 					       NULL, g_free);
@@ -53,6 +54,7 @@
 	g_clear_pointer(&c->first_members, g_array_unref);
 	g_clear_pointer(&c->peers, g_ptr_array_unref);
 	g_clear_pointer(&c->accepted, g_ptr_array_unref);
+	g_clear_pointer(&c->sessions, g_ptr_array_unref);
 	g_clear_pointer(&c->reads, g_ptr_array_unref);
 	g_clear_pointer(&c->unreachable, g_hash_table_destroy);
 	g_clear_pointer(&c->identities, g_hash_table_destroy);
--- a/src/roles/session.c
+++ b/src/roles/session.c
@@ -4,6 +4,7 @@
  * other, the session tries the next coordinator, round robin.
  */
 #include "roles/session.h"
+#include "roles/fence_calls.h"
 
 #include "base/clock.h"
 #include "base/counters.h"
@@ -22,17 +23,12 @@
 /* The next coordinator is tried after this long without an answer. */
 #define ANSWER_TIMEOUT_MS 300
 #define TICK_MS 50
-#define FENCE_TIMEOUT_MS 1000
+/* Limits the requests when two coordinators name each other as the leader. The
+ * other members may name a leader before it grants, so one is not enough. */
+#define REDIRECTS_PER_TICK 3
 
 /* ---- Types ---- */
 
-struct fence_call {
-	uint64_t seq;
-	int64_t end_ms;
-	session_fence_fn *fn;
-	void *arg;
-};
-
 struct session {
 	struct session_options options;
 	struct session_handlers handlers;
@@ -52,9 +48,10 @@
 	int64_t lease_lost_ms; /* when the lease last expired, 0: never */
 	bool answered;
 	bool no_leader; /* no known leader: retry every TICK_MS */
+	/* Requests sent at once on a redirect since the last tick. */
+	uint32_t redirects;
 	bool started, draining, left, lease_was_held, fenced;
-	uint64_t next_fence_seq;
-	GArray *fence_calls; /* struct fence_call */
+	struct fence_calls *fence_calls;
 	struct counter *grants, *refusals;
 };
 
@@ -115,6 +112,18 @@
 	to->accelerators = from->accelerators;
 }
 
+/* The next coordinator that is connected, else the next one. */
+static size_t next_link(const struct session *s)
+{
+	for (size_t i = 1; i < s->n_links; i++) {
+		size_t next = (s->leader_index + i) % s->n_links;
+
+		if (link_is_up(s->links[next]))
+			return next;
+	}
+	return (s->leader_index + 1) % s->n_links;
+}
+
 static void send_request(struct session *s, bool leaving)
 {
 	Cfw__Envelope envelope = CFW__ENVELOPE__INIT;
@@ -143,7 +152,7 @@
 	s->requested_ms = now_ms;
 	s->answered = !link_send(s->links[s->leader_index], &envelope);
 	if (s->answered)
-		s->leader_index = (s->leader_index + 1) % s->n_links;
+		s->leader_index = next_link(s);
 }
 
 static void enter_fenced(struct session *s)
@@ -168,23 +177,6 @@
 	s->handlers.lease(s->arg, held);
 }
 
-static void expire_fence_calls(struct session *s, int64_t now_ms)
-{
-	guint i = 0;
-
-	while (i < s->fence_calls->len) {
-		struct fence_call call =
-			g_array_index(s->fence_calls, struct fence_call, i);
-
-		if (call.end_ms > now_ms) {
-			i++;
-			continue;
-		}
-		g_array_remove_index(s->fence_calls, i);
-		call.fn(call.arg, NULL);
-	}
-}
-
 static int64_t renew_after_ms(const struct session *s)
 {
 	if (s->no_leader)
@@ -197,15 +189,16 @@
 	struct session *s = arg;
 	int64_t waited_ms;
 
+	s->redirects = 0;
 	update_lease_state(s, now_ms);
-	expire_fence_calls(s, now_ms);
+	fence_calls_expire(s->fence_calls, now_ms);
 	if (!s->started || s->left || s->fenced)
 		return;
 	waited_ms = s->requested_ms == INT64_MIN ? INT64_MAX
 						 : now_ms - s->requested_ms;
 	if (!s->answered && waited_ms >= ANSWER_TIMEOUT_MS) {
 		s->no_leader = true;
-		s->leader_index = (s->leader_index + 1) % s->n_links;
+		s->leader_index = next_link(s);
 		send_request(s, false);
 		return;
 	}
@@ -256,26 +249,57 @@
 	s->handlers.roster(s->arg, grant->roster);
 }
 
+/* Asks the coordinator that was named as the leader, at once unless a request
+ * is on its way there. */
+static void follow_redirect(struct session *s, size_t leader)
+{
+	bool asked = leader == s->leader_index && !s->answered;
+
+	s->leader_index = leader;
+	s->no_leader = true;
+	if (asked || s->redirects >= REDIRECTS_PER_TICK || !s->started ||
+	    !link_is_up(s->links[leader]))
+		return;
+	s->redirects++;
+	send_request(s, false);
+}
+
+/* A leader that has just been elected, and members that learn of it, announce
+ * it by a refusal that answers no request (seq 0). */
 static void handle_not_leader(struct session *s, const Cfw__LeaseGrant *grant)
 {
-	size_t next = SIZE_MAX;
+	size_t leader = SIZE_MAX;
 
-	counter_add(s->refusals, 1);
 	if (grant->leader_address && *grant->leader_address)
-		next = add_link(s, grant->leader_address);
-	if (next == SIZE_MAX)
-		next = (s->leader_index + 1) % s->n_links;
-	s->leader_index = next;
+		leader = add_link(s, grant->leader_address);
+	if (!grant->seq) {
+		if (leader != SIZE_MAX &&
+		    (leader != s->leader_index || s->no_leader))
+			follow_redirect(s, leader);
+		return;
+	}
+	counter_add(s->refusals, 1);
+	s->answered = true;
+	if (leader != SIZE_MAX && leader != s->leader_index) {
+		follow_redirect(s, leader);
+		return;
+	}
+	s->leader_index = leader == SIZE_MAX ? next_link(s) : leader;
 	s->no_leader = true;
 }
 
-static void handle_grant(struct session *s, const Cfw__LeaseGrant *grant)
+static void handle_grant(struct session *s, const struct link *link,
+			 const Cfw__LeaseGrant *grant)
 {
 	int64_t now_ms = clock_now_ms();
 
-	s->answered = true;
 	if (s->left || s->fenced)
 		return;
+	if (grant->verdict == CFW__LEASE_VERDICT__LEASE_NOT_LEADER) {
+		handle_not_leader(s, grant);
+		return;
+	}
+	s->answered = true;
 	if (grant->verdict == CFW__LEASE_VERDICT__LEASE_FENCED) {
 		cf_lease_revoke(s->lease);
 		update_lease_state(s, now_ms);
@@ -301,28 +325,14 @@
 			    grant->revision, now_ms))
 		return;
 	counter_add(s->grants, 1);
+	if (find_link(s, link) != SIZE_MAX)
+		s->leader_index = find_link(s, link);
 	s->no_leader = false;
 	if (grant->roster)
 		apply_roster(s, grant);
 	update_lease_state(s, now_ms);
 }
 
-static void handle_fence_reply(struct session *s, const Cfw__FenceReply *reply)
-{
-	guint i;
-
-	for (i = 0; i < s->fence_calls->len; i++) {
-		struct fence_call call =
-			g_array_index(s->fence_calls, struct fence_call, i);
-
-		if (call.seq != reply->seq)
-			continue;
-		g_array_remove_index(s->fence_calls, i);
-		call.fn(call.arg, reply);
-		return;
-	}
-}
-
 /* ---- Public functions ---- */
 
 struct session *session_create(const struct session_options *options,
@@ -344,7 +354,7 @@
 	s->requested_ms = INT64_MIN;
 	s->answered = true;
 	s->no_leader = true;
-	s->fence_calls = g_array_new(FALSE, FALSE, sizeof(struct fence_call));
+	s->fence_calls = fence_calls_create();
 	s->grants = counter_get("lease_grants_total", NULL,
 				"Lease renewals that were granted");
 	s->refusals = counter_get("lease_not_leader_total", NULL,
@@ -363,7 +373,7 @@
 	loop_timer_destroy(s->timer);
 	cf_lease_destroy(s->lease);
 	cf_config_destroy(s->config);
-	g_array_free(s->fence_calls, TRUE);
+	fence_calls_destroy(s->fence_calls);
 	g_free(s->name);
 	g_free(s->data_centre);
 	g_free(s->rack);
@@ -382,13 +392,12 @@
 bool session_handle_message(struct session *s, struct link *link,
 			    const Cfw__Envelope *envelope)
 {
-	(void)link;
 	switch (envelope->body_case) {
 	case CFW__ENVELOPE__BODY_LEASE_GRANT:
-		handle_grant(s, envelope->lease_grant);
+		handle_grant(s, link, envelope->lease_grant);
 		return true;
 	case CFW__ENVELOPE__BODY_FENCE_REPLY:
-		handle_fence_reply(s, envelope->fence_reply);
+		fence_calls_reply(s->fence_calls, envelope->fence_reply);
 		return true;
 	default:
 		return false;
@@ -401,7 +410,8 @@
 
 	if (i == SIZE_MAX)
 		return false;
-	if (s->started && !s->left && s->answered && !s->lease_was_held) {
+	if (s->started && !s->left && !s->fenced && !s->lease_was_held &&
+	    (s->answered || s->no_leader)) {
 		s->leader_index = i;
 		send_request(s, false);
 	}
@@ -417,7 +427,7 @@
 	if (i == s->leader_index) {
 		s->answered = true;
 		s->requested_ms = INT64_MIN;
-		s->leader_index = (s->leader_index + 1) % s->n_links;
+		s->leader_index = next_link(s);
 	}
 	return true;
 }
@@ -475,16 +485,15 @@
 {
 	Cfw__Envelope envelope = CFW__ENVELOPE__INIT;
 	Cfw__FenceRequest request = CFW__FENCE_REQUEST__INIT;
-	struct fence_call call = { ++s->next_fence_seq,
-				   clock_now_ms() + FENCE_TIMEOUT_MS, fn, arg };
+	struct link *leader = s->n_links ? s->links[s->leader_index] : NULL;
 
-	request.seq = call.seq;
-	request.incarnation = incarnation;
-	envelope.body_case = CFW__ENVELOPE__BODY_FENCE_REQUEST;
-	envelope.fence_request = &request;
-	if (!s->n_links || !link_send(s->links[s->leader_index], &envelope)) {
+	if (!leader || !link_is_up(leader)) {
 		fn(arg, NULL);
 		return;
 	}
-	g_array_append_val(s->fence_calls, call);
+	request.seq = fence_calls_add(s->fence_calls, fn, arg, clock_now_ms());
+	request.incarnation = incarnation;
+	envelope.body_case = CFW__ENVELOPE__BODY_FENCE_REQUEST;
+	envelope.fence_request = &request;
+	link_send(leader, &envelope);
 }
