Agents pause 20 ms after a poll without an answer

A server that is down refuses connections at once, and its agent polled again at once, for 300 ms until the server counted as unresponsive. The interval is a decision of server_lease now. test_polls_pause_without_answers fails without it.

--- a/src/leased/server.c
+++ b/src/leased/server.c
@@ -22,10 +22,6 @@
 #define POLL_TIMEOUT_MARGIN_MS 60
 /* Between polls that the server answers at once. */
 #define POLL_NOW_INTERVAL_MS 15
-/* Between polls while nothing runs. */
-#define IDLE_POLL_INTERVAL_MS 1000
-/* Between polls of a server that does not answer. */
-#define UNRESPONSIVE_POLL_INTERVAL_MS 150
 /* Timeout of a start or stop call. */
 #define CALL_TIMEOUT_MS 60
 /* After a stop is unacknowledged for this long, the lease is left to expire. */
@@ -188,7 +184,7 @@
 	set_address(s);
 	run_table_set_capacity(s->runs, &report->capacity);
 	if (s->lease.clock_read_ms == INT64_MIN ||
-	    now_ms - s->lease.clock_read_ms > IDLE_POLL_INTERVAL_MS)
+	    now_ms - s->lease.clock_read_ms > SERVER_IDLE_POLL_INTERVAL_MS)
 		server_lease_answered(&s->lease, report->clock_ms, now_ms);
 	if (report->draining && !was_draining) {
 		log_event(LOG_INFO, "server_draining", "server=%s seq=%" PRIu64,
@@ -462,14 +458,12 @@
 {
 	bool unresponsive = server_lease_is_unresponsive(&s->lease, now_ms);
 	bool idle = run_table_is_idle(s->runs);
-	int64_t interval_ms = unresponsive ? UNRESPONSIVE_POLL_INTERVAL_MS
-			      : idle       ? IDLE_POLL_INTERVAL_MS
-					   : 0;
+	int64_t interval_ms =
+		server_lease_poll_interval_ms(&s->lease, idle, now_ms);
 
 	if (!unresponsive &&
 	    !server_previous_runs_have_ended(&s->previous_runs, now_ms))
 		interval_ms = POLL_NOW_INTERVAL_MS;
-
 	if (s->poll_open || s->has_left ||
 	    now_ms < s->poll_sent_ms + interval_ms)
 		return;
--- a/src/leased/server_lease.c
+++ b/src/leased/server_lease.c
@@ -9,6 +9,11 @@
 
 /* A server without answers for this long is unresponsive. */
 #define UNRESPONSIVE_MS 300
+/* Between polls of a server that does not answer. */
+#define UNRESPONSIVE_POLL_INTERVAL_MS 150
+/* After a poll without an answer: a server that is down refuses connections at
+ * once, and polls would follow each other without a pause. */
+#define UNANSWERED_POLL_INTERVAL_MS 20
 /* Doubled with each consecutive refusal, up to BACKOFF_DOUBLINGS_MAX times. */
 #define BACKOFF_INITIAL_MS 10
 #define BACKOFF_DOUBLINGS_MAX 5
@@ -55,6 +60,16 @@
 	       now_ms - lease->unanswered_since_ms >= UNRESPONSIVE_MS;
 }
 
+int64_t server_lease_poll_interval_ms(const struct server_lease *lease,
+				      bool idle, int64_t now_ms)
+{
+	if (server_lease_is_unresponsive(lease, now_ms))
+		return UNRESPONSIVE_POLL_INTERVAL_MS;
+	if (idle)
+		return SERVER_IDLE_POLL_INTERVAL_MS;
+	return lease->unanswered_since_ms ? UNANSWERED_POLL_INTERVAL_MS : 0;
+}
+
 bool server_lease_has_expired(const struct server_lease *lease, int64_t now_ms)
 {
 	return now_ms >= lease->expires_ms;
--- a/src/leased/server_lease.h
+++ b/src/leased/server_lease.h
@@ -10,6 +10,9 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/* Between polls of a server that answers and has no runs. */
+#define SERVER_IDLE_POLL_INTERVAL_MS 1000
+
 struct server_lease {
 	/* At clock_read_ms the server's clock showed this or a later time. */
 	int64_t clock_ms;
@@ -33,6 +36,10 @@
  * server is not renewed, so that it expires. */
 bool server_lease_is_unresponsive(const struct server_lease *lease,
 				  int64_t now_ms);
+/* Time from the start of a poll to the start of the next one, which follows
+ * once the first has ended. idle: the server has no runs. */
+int64_t server_lease_poll_interval_ms(const struct server_lease *lease,
+				      bool idle, int64_t now_ms);
 bool server_lease_has_expired(const struct server_lease *lease, int64_t now_ms);
 /* Discards the clock of the server's previous incarnation. */
 void server_lease_server_restarted(struct server_lease *lease);
--- a/tests/test_server_lease.c
+++ b/tests/test_server_lease.c
@@ -140,6 +140,41 @@
 	assert_true(server_previous_runs_have_ended(&previous, 500));
 }
 
+/* ---- Polls ---- */
+
+/* A server that is down refuses connections at once. Without a pause, its
+ * agent would open connections without end until the server counts as
+ * unresponsive. */
+static void test_polls_pause_without_answers(void **state)
+{
+	static const struct {
+		const char *what;
+		bool idle;
+		int64_t unanswered_ms; /* time of the first such call; 0: none
+					*/
+		int64_t now_ms, interval_ms;
+	} cases[] = {
+		{ "with runs", false, 0, 1000, 0 },
+		{ "without runs", true, 0, 1000, 1000 },
+		{ "one call unanswered", false, 990, 1000, 20 },
+		{ "unresponsive", false, 500, 1000, 150 },
+		{ "unresponsive without runs", true, 500, 1000, 150 },
+	};
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct server_lease lease;
+
+		server_lease_init(&lease, 0);
+		if (cases[i].unanswered_ms)
+			server_lease_unanswered(&lease, cases[i].unanswered_ms);
+		assert_int_equal(server_lease_poll_interval_ms(&lease,
+							       cases[i].idle,
+							       cases[i].now_ms),
+				 cases[i].interval_ms);
+	}
+}
+
 /* ---- Backoff after refused starts ---- */
 
 static void test_backoff_after_refusals(void **state)
@@ -175,6 +210,7 @@
 		cmocka_unit_test(test_lease_end_follows_the_newest_clock),
 		cmocka_unit_test(test_unanswered_calls),
 		cmocka_unit_test(test_previous_runs_of_agent),
+		cmocka_unit_test(test_polls_pause_without_answers),
 		cmocka_unit_test(test_backoff_after_refusals),
 	};
 
