HTTP server: own threads and listener, and closing of idle connections

Cause of the abort "Failed to remove listen FD from epoll set" in test_backend: MHD_quiesce_daemon() removes the listening socket from the epoll set of each thread of the pool, and a thread that wakes between the mark and the removal does the same; the second removal finds nothing and libmicrohttpd aborts the process. No lock of the library's users can keep its threads out of that window.

Each thread of the server now runs a libmicrohttpd daemon of its own by external polling, without a listening socket, and accepts from the listener that all of them share. Quiescing is a step of one of these threads, which serves the backlog first, and MHD_quiesce_daemon() is not called any more. Suspended connections are resumed on their own thread.

http_server_close_idle() closes connections without a request in progress, on the thread that reads them, so that nothing that was read is cut off. A request whose headers are incomplete is not visible in libmicrohttpd; the bytes that the kernel has received (TCP_INFO) are compared with those of the requests that were read. A connection that has sent a body in chunks doesn't count as idle.

--- a/src/net/http_private.h
+++ b/src/net/http_private.h
@@ -1,6 +1,6 @@
 /*
- * http_private: declarations shared by http_server.c (the daemon) and
- * http_request.c (one request).
+ * http_private: declarations shared by http_server.c, http_worker.c (one
+ * thread of a server) and http_request.c (one request).
  */
 #ifndef NET_HTTP_PRIVATE_H
 #define NET_HTTP_PRIVATE_H
@@ -8,24 +8,30 @@
 #include "base/counters.h"
 #include "net/http_gone.h"
 #include "net/http_server.h"
+#include "net/http_worker.h"
 
 #include <microhttpd.h>
 #include <stdatomic.h>
 
 #define HTTP_STATUS_CLASSES 6 /* status / 100; class 0 is unused */
+#define HTTP_LISTEN_BACKLOG 1024
 
 struct http_server {
-	struct MHD_Daemon *daemon;
+	GPtrArray *workers; /* struct http_worker */
+	int listener;
 	http_handler_fn *handler;
 	void *arg;
 	uint32_t body_max_bytes;
 	uint32_t connections_max;
+	/* Above connections_max, connections are accepted up to this number to
+	 * be answered with a 503. */
+	uint32_t accepted_max;
 	uint32_t timeout_s;
 	uint16_t port;
-	int quiesced_listener; /* -1: not quiesced */
 	atomic_int ref_count; /* one for the owner and one per request */
 	atomic_bool quiescing;
 	atomic_bool closing; /* each response closes its connection */
+	atomic_bool closing_idle;
 	atomic_uint connections;
 	atomic_uint open_requests;
 	struct counter *answers[HTTP_STATUS_CLASSES];
@@ -34,12 +40,14 @@
 	GMutex lock; /* guards the fields below and the state of requests */
 	GHashTable *requests; /* passed to the handler, not yet answered */
 	bool destroying;
-	GCond completed; /* signalled when a request ends */
+	bool quiesced; /* the listen backlog has been served */
+	GCond completed; /* when a request ends or the server is quiesced */
 };
 
 struct http_request {
 	struct http_server *server;
 	struct MHD_Connection *connection;
+	struct http_worker *worker;
 	char *method;
 	char *path;
 	GByteArray *body;
--- a/src/net/http_request.c
+++ b/src/net/http_request.c
@@ -45,6 +45,7 @@
 
 	request->server = http_server_ref(server);
 	request->connection = connection;
+	request->worker = http_connection_of(connection)->worker;
 	request->method = g_strdup(method);
 	request->path = g_strdup(path);
 	request->body = g_byte_array_sized_new(BODY_FIRST_BYTES);
@@ -158,7 +159,7 @@
 	if (!request->suspended)
 		return;
 	request->suspended = false;
-	MHD_resume_connection(request->connection);
+	http_worker_resume(request->worker, request->connection);
 }
 
 void http_request_abandon(struct http_request *request)
@@ -212,6 +213,16 @@
 
 /* ---- libmicrohttpd callbacks ---- */
 
+static void count_header(struct MHD_Connection *connection)
+{
+	struct http_connection *c = http_connection_of(connection);
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+		connection, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE);
+
+	c->in_request = true;
+	c->request_bytes += info ? info->header_size : 0;
+}
+
 static enum MHD_Result append_body(struct http_request *request,
 				   const char *data, size_t size_bytes)
 {
@@ -220,6 +231,7 @@
 	int64_t limit_ms = (int64_t)server->timeout_s * MS_PER_S * SLOW_FACTOR;
 
 	request->received_bytes += size_bytes;
+	http_connection_of(request->connection)->request_bytes += size_bytes;
 	if (clock_now_ms() - request->began_ms > limit_ms ||
 	    request->received_bytes > OVERSIZE_FACTOR * limit_bytes)
 		return MHD_NO;
@@ -272,6 +284,7 @@
 	const char *length = MHD_lookup_connection_value(
 		connection, MHD_HEADER_KIND, MHD_HTTP_HEADER_CONTENT_LENGTH);
 
+	count_header(connection);
 	if (atomic_load(&server->connections) > server->connections_max) {
 		counter_add(server->refused_connections, 1);
 		return refuse(server, connection, MHD_HTTP_SERVICE_UNAVAILABLE,
@@ -319,8 +332,8 @@
 	struct http_request *request = *context;
 	struct http_server *server = arg;
 
-	(void)connection;
 	(void)code;
+	http_connection_of(connection)->in_request = false;
 	*context = NULL;
 	if (!request)
 		return;
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -1,6 +1,6 @@
 /*
- * http_server: see http_server.h. Runs the libmicrohttpd daemon with a
- * pool of epoll threads. Handles its limits, quiescing and shutdown.
+ * http_server: see http_server.h. Opens the listening socket and starts
+ * the workers. Handles quiescing and shutdown.
  */
 #include "net/http_private.h"
 
@@ -15,8 +15,6 @@
 #define DEFAULT_CONNECTIONS_MAX 4096
 #define DEFAULT_BODY_MAX_BYTES (8U << 20)
 #define DEFAULT_TIMEOUT_S 30
-#define CONNECTION_MEMORY_BYTES 32768
-#define LISTEN_BACKLOG 1024
 /* Connections above the limit that are accepted to be answered with a 503. */
 #define EXCESS_CONNECTIONS_MIN 64
 /* Time for clients to read their last responses at shutdown. */
@@ -36,6 +34,7 @@
 		return;
 	http_gone_destroy(server->gone);
 	g_hash_table_destroy(server->requests);
+	g_ptr_array_unref(server->workers);
 	g_mutex_clear(&server->lock);
 	g_cond_clear(&server->completed);
 	g_free(server);
@@ -43,20 +42,6 @@
 
 /* ---- Create ---- */
 
-static void on_connection(void *arg, struct MHD_Connection *connection,
-			  void **context,
-			  enum MHD_ConnectionNotificationCode code)
-{
-	struct http_server *server = arg;
-
-	(void)connection;
-	(void)context;
-	if (code == MHD_CONNECTION_NOTIFY_STARTED)
-		atomic_fetch_add(&server->connections, 1);
-	else
-		atomic_fetch_sub(&server->connections, 1);
-}
-
 static void create_counters(struct http_server *server)
 {
 	for (unsigned int i = 0; i < HTTP_STATUS_CLASSES; i++) {
@@ -71,40 +56,44 @@
 			    "HTTP connections above the limit");
 }
 
-static void start_daemon(struct http_server *server, uint32_t threads,
-			 const struct sockaddr_storage *address)
+/* SO_REUSEPORT lets a new process listen while the old one still drains. */
+static int open_listener(const struct sockaddr_storage *address, socklen_t size)
 {
-	uint32_t excess =
-		MAX(EXCESS_CONNECTIONS_MIN, server->connections_max / 8);
-	unsigned int flags = MHD_USE_EPOLL_INTERNAL_THREAD |
-			     MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC;
+	static const int on = 1;
+	int listener = socket(address->ss_family,
+			      SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 
-	if (address->ss_family == AF_INET6)
-		flags |= MHD_USE_IPv6;
-	/* libmicrohttpd runs a single thread if the pool size is 0. */
-	server->daemon = MHD_start_daemon(
-		flags, 0, NULL, NULL, http_request_access, server,
-		MHD_OPTION_SOCK_ADDR, (const struct sockaddr *)address,
-		MHD_OPTION_THREAD_POOL_SIZE,
-		(unsigned int)(threads > 1 ? threads : 0),
-		MHD_OPTION_CONNECTION_LIMIT,
-		(unsigned int)(server->connections_max + excess),
-		MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int)server->timeout_s,
-		MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-		(size_t)CONNECTION_MEMORY_BYTES, MHD_OPTION_LISTEN_BACKLOG_SIZE,
-		(unsigned int)LISTEN_BACKLOG,
-		MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
-		MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_NOTIFY_COMPLETED,
-		http_request_completed, server, MHD_OPTION_NOTIFY_CONNECTION,
-		on_connection, server, MHD_OPTION_END);
+	if (listener < 0)
+		return -1;
+	if (setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)) ||
+	    setsockopt(listener, SOL_SOCKET, SO_REUSEPORT, &on, sizeof(on)) ||
+	    (address->ss_family == AF_INET6 &&
+	     setsockopt(listener, IPPROTO_IPV6, IPV6_V6ONLY, &on,
+			sizeof(on))) ||
+	    bind(listener, (const struct sockaddr *)address, size) ||
+	    listen(listener, HTTP_LISTEN_BACKLOG)) {
+		int saved_errno = errno;
+
+		close(listener);
+		errno = saved_errno;
+		return -1;
+	}
+	return listener;
 }
 
-static uint16_t bound_port(struct http_server *server)
+static uint16_t bound_port(int listener)
 {
-	const union MHD_DaemonInfo *info =
-		MHD_get_daemon_info(server->daemon, MHD_DAEMON_INFO_BIND_PORT);
+	union {
+		struct sockaddr any;
+		struct sockaddr_in v4;
+		struct sockaddr_in6 v6;
+	} address = { 0 };
+	socklen_t size = sizeof(address);
 
-	return info ? info->port : 0;
+	if (getsockname(listener, &address.any, &size))
+		return 0;
+	return ntohs(address.any.sa_family == AF_INET6 ? address.v6.sin6_port
+						       : address.v4.sin_port);
 }
 
 static uint32_t or_default(uint32_t value, uint32_t default_value)
@@ -112,6 +101,29 @@
 	return value ? value : default_value;
 }
 
+static bool start_workers(struct http_server *server, uint32_t n,
+			  GError **error)
+{
+	for (uint32_t i = 0; i < n; i++) {
+		struct http_worker *worker =
+			http_worker_create(server, i, error);
+
+		if (!worker)
+			return false;
+		g_ptr_array_add(server->workers, worker);
+	}
+	return true;
+}
+
+static void stop_workers(struct http_server *server)
+{
+	for (guint i = 0; i < server->workers->len; i++)
+		http_worker_destroy(g_ptr_array_index(server->workers, i));
+	g_ptr_array_set_size(server->workers, 0);
+	if (server->listener >= 0)
+		close(server->listener);
+}
+
 struct http_server *http_server_create(const struct http_server_options *o,
 				       http_handler_fn *handler, void *arg,
 				       GError **error)
@@ -132,28 +144,34 @@
 		or_default(o->body_max_bytes, DEFAULT_BODY_MAX_BYTES);
 	server->connections_max =
 		or_default(o->connections_max, DEFAULT_CONNECTIONS_MAX);
+	server->accepted_max =
+		server->connections_max +
+		MAX(EXCESS_CONNECTIONS_MIN, server->connections_max / 8);
 	server->timeout_s = or_default(o->timeout_s, DEFAULT_TIMEOUT_S);
-	server->quiesced_listener = -1;
+	server->listener = -1;
+	server->workers = g_ptr_array_new();
 	atomic_store(&server->ref_count, 1);
 	g_mutex_init(&server->lock);
 	g_cond_init(&server->completed);
 	server->requests = g_hash_table_new(NULL, NULL);
 	create_counters(server);
 	server->gone = http_gone_create(error);
-	if (!server->gone) {
-		http_server_unref(server);
-		return NULL;
-	}
-	errno = 0;
-	start_daemon(server, or_default(o->threads, DEFAULT_THREADS), &address);
-	if (!server->daemon) {
+	if (!server->gone)
+		goto fail;
+	server->listener = open_listener(&address, size);
+	if (server->listener < 0) {
 		g_set_error(error, G_FILE_ERROR, G_FILE_ERROR_FAILED,
 			    "HTTP on %s: %s", o->address, g_strerror(errno));
-		http_server_unref(server);
-		return NULL;
+		goto fail;
 	}
-	server->port = bound_port(server);
-	return server;
+	server->port = bound_port(server->listener);
+	if (start_workers(server, or_default(o->threads, DEFAULT_THREADS),
+			  error))
+		return server;
+fail:
+	stop_workers(server);
+	http_server_unref(server);
+	return NULL;
 }
 
 uint16_t http_server_port(const struct http_server *server)
@@ -166,26 +184,17 @@
 	return atomic_load(&((struct http_server *)server)->open_requests);
 }
 
+uint32_t http_server_connections(const struct http_server *server)
+{
+	return atomic_load(&((struct http_server *)server)->connections);
+}
+
 /* ---- Shutdown ---- */
 
-/* Serves connections already in the listen backlog. Closing the listener
- * would reset them. */
-static void accept_backlog(struct http_server *server, int listener)
+static void wake_workers(struct http_server *server)
 {
-	struct sockaddr_storage address;
-	socklen_t size = sizeof(address);
-	int descriptor = accept4(listener, (struct sockaddr *)&address, &size,
-				 SOCK_NONBLOCK | SOCK_CLOEXEC);
-
-	while (descriptor >= 0) {
-		if (MHD_add_connection(server->daemon, descriptor,
-				       (struct sockaddr *)&address,
-				       size) != MHD_YES)
-			break; /* it closed the descriptor */
-		size = sizeof(address);
-		descriptor = accept4(listener, (struct sockaddr *)&address,
-				     &size, SOCK_NONBLOCK | SOCK_CLOEXEC);
-	}
+	for (guint i = 0; i < server->workers->len; i++)
+		http_worker_wake(g_ptr_array_index(server->workers, i));
 }
 
 void http_server_close_after_answers(struct http_server *server)
@@ -195,18 +204,20 @@
 
 void http_server_quiesce(struct http_server *server)
 {
-	int listener;
-
 	if (atomic_exchange(&server->quiescing, true))
 		return;
-	listener = MHD_quiesce_daemon(server->daemon);
-	if (listener < 0)
-		return;
-	accept_backlog(server, listener);
-	/* New connections are refused from now on. libmicrohttpd's threads
-	 * may still use the descriptor, so it is closed only at the end. */
-	shutdown(listener, SHUT_RDWR);
-	server->quiesced_listener = listener;
+	wake_workers(server);
+	g_mutex_lock(&server->lock);
+	while (!server->quiesced)
+		g_cond_wait(&server->completed, &server->lock);
+	g_mutex_unlock(&server->lock);
+}
+
+void http_server_close_idle(struct http_server *server)
+{
+	atomic_store(&server->closing, true);
+	atomic_store(&server->closing_idle, true);
+	wake_workers(server);
 }
 
 /* Answers suspended requests with 503, so that the daemon can stop. */
@@ -248,8 +259,6 @@
 	http_server_quiesce(server);
 	abandon_requests(server);
 	wait_for_answers(server);
-	MHD_stop_daemon(server->daemon);
-	if (server->quiesced_listener >= 0)
-		close(server->quiesced_listener);
+	stop_workers(server);
 	http_server_unref(server);
 }
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -30,9 +30,15 @@
 uint16_t http_server_port(const struct http_server *server);
 /* Closes each connection after its next response. Still accepts requests. */
 void http_server_close_after_answers(struct http_server *server);
-/* Stops accepting connections. */
+/* Stops accepting connections. Those that wait to be accepted are served. Must
+ * not be called from the handler. */
 void http_server_quiesce(struct http_server *server);
+/* From now on, closes connections without a request in progress. A request of
+ * which a part has been read is served, and its response closes its
+ * connection. */
+void http_server_close_idle(struct http_server *server);
 uint32_t http_server_open_requests(const struct http_server *server);
+uint32_t http_server_connections(const struct http_server *server);
 void http_server_destroy(struct http_server *server);
 
 const char *http_method(const struct http_request *request);
