--- a/src/leased/dispatcher_internal.h
+++ b/src/leased/dispatcher_internal.h
@@ -10,6 +10,7 @@
 #include "base/settings.h"
 #include "leased/agent_subset.h"
 #include "leased/dispatch.h"
+#include "leased/drain.h"
 #include "leased/routes.h"
 #include "leased/start_hold.h"
 #include "net/admin.h"
@@ -61,13 +62,14 @@
 	int64_t gauges_set_ms;
 	uint64_t counted_late_jobs; /* already in the counter late_jobs */
 	bool was_ready;
-	int64_t stop_ms; /* when shutdown began; 0: not stopping */
+	struct drain drain; /* valid while draining */
+	bool draining;
 	gint stopping; /* atomic */
 	struct counter *verdicts[VERDICT_COUNT];
 	struct counter *answer_buckets[VERDICT_COUNT][ANSWER_BUCKETS];
 	struct counter *answer_sum_ms[VERDICT_COUNT];
 	struct counter *no_route, *unready, *malformed;
-	struct counter *held_total, *held;
+	struct counter *held_total, *held, *too_late;
 	struct counter *late_jobs, *late_waiting;
 	struct counter *jobs, *waiting, *sent, *servers, *usable, *free_milli;
 	struct counter *speeds_known;
