--- a/src/net/http_request.c
+++ b/src/net/http_request.c
@@ -334,6 +334,7 @@
 
 	(void)code;
 	http_connection_of(connection)->in_request = false;
+	http_connection_of(connection)->used_ms = clock_now_ms();
 	*context = NULL;
 	if (!request)
 		return;
--- a/src/net/http_worker.c
+++ b/src/net/http_worker.c
@@ -12,6 +12,7 @@
 #include <poll.h>
 #include <string.h>
 #include <sys/eventfd.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -26,6 +27,8 @@
 #define IDLE_CHECK_MS 20
 /* The first request of a new connection may still be on its way. */
 #define IDLE_NEW_MS 200
+/* Without a count of received bytes: time since the last request. */
+#define IDLE_QUIET_MS 100
 
 struct http_worker {
 	struct http_server *server;
@@ -68,7 +71,7 @@
 	c = g_new0(struct http_connection, 1);
 	c->worker = worker;
 	c->connection = connection;
-	c->opened_ms = clock_now_ms();
+	c->used_ms = clock_now_ms();
 	c->descriptor = MHD_get_connection_info(
 				connection, MHD_CONNECTION_INFO_CONNECTION_FD)
 				->connect_fd;
@@ -78,17 +81,26 @@
 
 /* A request that was read in part is not visible in libmicrohttpd before its
  * headers are complete, but the kernel counts its bytes. After a request in
- * chunks, the bytes differ and the connection doesn't count as idle. */
-static bool is_idle(const struct http_connection *c, int64_t now_ms)
+ * chunks, the bytes differ and the connection doesn't count as idle. Where the
+ * kernel doesn't count, a connection is idle after a time without bytes. */
+static bool has_partial_request(const struct http_connection *c, int64_t now_ms)
 {
 	struct tcp_info info = { 0 };
 	socklen_t size = sizeof(info);
+	int unread_bytes = 0;
+
+	if (!getsockopt(c->descriptor, IPPROTO_TCP, TCP_INFO, &info, &size) &&
+	    info.tcpi_bytes_received)
+		return info.tcpi_bytes_received != c->request_bytes;
+	return now_ms - c->used_ms < IDLE_QUIET_MS ||
+	       ioctl(c->descriptor, FIONREAD, &unread_bytes) || unread_bytes;
+}
 
-	if (c->in_request ||
-	    getsockopt(c->descriptor, IPPROTO_TCP, TCP_INFO, &info, &size) ||
-	    info.tcpi_bytes_received != c->request_bytes)
+static bool is_idle(const struct http_connection *c, int64_t now_ms)
+{
+	if (c->in_request || has_partial_request(c, now_ms))
 		return false;
-	return c->request_bytes || now_ms - c->opened_ms >= IDLE_NEW_MS;
+	return c->request_bytes || now_ms - c->used_ms >= IDLE_NEW_MS;
 }
 
 /* The library closes a connection when it reads the end of the stream. */
--- a/src/net/http_worker.h
+++ b/src/net/http_worker.h
@@ -25,7 +25,7 @@
 	struct http_worker *worker;
 	struct MHD_Connection *connection;
 	int descriptor;
-	int64_t opened_ms;
+	int64_t used_ms; /* when it was opened or its last request ended */
 	uint64_t request_bytes; /* of the requests that were read */
 	bool in_request;
 };
