Servers that turn slow are found with shared speeds too

Cause: with a shared estimate, the speed that a hanging server was thought to have rose while runs hung there, and those runs were then judged by it and left there.

Change: a run is judged by what was expected when it was sent if the speed of its server was known then. A server is suspect if runs are predicted to take twice as long there as was expected when the run was sent. Near the last moment for another run only the first expectation counts.

The estimate took ids of consecutive jobs for tasks of one job, because the hashes differed only in the bit that marks used entries; test_speed_estimate showed it (five runs had the weight of three).

--- a/src/leased/dispatch_internal.h
+++ b/src/leased/dispatch_internal.h
@@ -45,6 +45,7 @@
 	int64_t last_success_ms; /* when a run last succeeded */
 	int64_t last_start_ms; /* when a task was last sent */
 	double speed; /* factor on run times at a server of average speed */
+	bool speed_known; /* measured by enough runs */
 	int64_t speed_measured_ms; /* end of the newest run that was measured */
 	/* Its speed has to be measured anew, as it has been replaced. */
 	bool speed_reset;
@@ -87,6 +88,7 @@
 	uint64_t avoided_server; /* server that it last left without success */
 	int64_t sent_ms;
 	double expected_ms; /* run time as expected when it was sent */
+	bool speed_was_known; /* of its server, when it was sent */
 	GArray *failed_on; /* uint64_t server ids, or NULL */
 };
 
--- a/src/leased/dispatch_late.c
+++ b/src/leased/dispatch_late.c
@@ -23,6 +23,9 @@
 #define LATE_FACTOR_PREDICTION_SUSPECT 2.0
 /* Added to the limits above. */
 #define LATE_MARGIN_MS 40
+/* Another run has to begin this many times its predicted time before the
+ * deadline: its stop, its start and its server may take longer. */
+#define RERUN_MARGIN 1.5
 /* A server is suspect if at least this many jobs, and at least half of the jobs
  * there, have late runs and no run has succeeded for SUSPECT_NO_SUCCESS_MS. */
 #define SUSPECT_JOBS 2
@@ -32,31 +35,42 @@
 
 /* ---- Late runs ------------------------------------------------------- */
 
-static bool is_suspect(const struct dispatch *d,
-		       const struct dispatch_server *server, int64_t now_ms)
+/* Suspect is a server whose runs take far longer than was expected when this
+ * run was sent, whether the shared speed shows it or the health record. */
+static bool is_suspect(const struct dispatch *d, const struct dispatch_job *job,
+		       const struct dispatch_task *task, int64_t now_ms)
 {
-	if (cf_health_slowness(d->health, server->id) >= SUSPECT_SLOWNESS)
+	const struct dispatch_server *server = task->server;
+
+	if (server_run_ms(d, server, job) >=
+	    SUSPECT_SLOWNESS * task->expected_ms)
 		return true;
 	return server->late_jobs >= SUSPECT_JOBS &&
 	       server->late_jobs * 2 >= server->jobs &&
 	       now_ms - server->last_success_ms >= SUSPECT_NO_SUCCESS_MS;
 }
 
-/* The run time that was expected when the run was sent. A speed measured since
- * replaces it if it is slower: runs end there, only later. Without a run that
- * ended since, the server may hang. */
+/* The run time that was expected when the run was sent. If the speed of its
+ * server wasn't known then, what other runs have shown since replaces it. If it
+ * was known, the server has changed, and the run is better moved. While there
+ * is just time left for another run, only the first value counts, as the server
+ * may hang. */
 static double expected_ms(const struct dispatch_job *job,
-			  const struct dispatch_task *task)
+			  const struct dispatch_task *task, int64_t now_ms)
 {
-	if (task->server->speed_measured_ms <= task->sent_ms)
+	if (task->speed_was_known ||
+	    task->server->speed_measured_ms <= task->sent_ms ||
+	    now_ms + (int64_t)(job->predicted_ms * RERUN_MARGIN) >=
+		    job->deadline_ms)
 		return task->expected_ms;
 	return MAX(task->expected_ms, server_expected_ms(task->server, job));
 }
 
 static int64_t late_after_ms(const struct dispatch_job *job,
-			     const struct dispatch_task *task, bool suspect)
+			     const struct dispatch_task *task, bool suspect,
+			     int64_t now_ms)
 {
-	double ms = expected_ms(job, task);
+	double ms = expected_ms(job, task, now_ms);
 
 	if (job->slowest_ms)
 		ms *= (suspect ? LATE_FACTOR_SIBLINGS_SUSPECT
@@ -102,10 +116,10 @@
 			const struct dispatch_task *task = &job->tasks[i];
 
 			if (task->state == DISPATCH_TASK_SENT)
-				count_run(
-					task->server, job,
-					now_ms - task->sent_ms >
-						late_after_ms(job, task, true));
+				count_run(task->server, job,
+					  now_ms - task->sent_ms >
+						  late_after_ms(job, task, true,
+								now_ms));
 		}
 	}
 }
@@ -120,10 +134,11 @@
 	g_strlcpy(name.job, job->id, sizeof(name.job));
 	log_event(LOG_INFO, "run_moved",
 		  "job=%s index=%u number=%u server=%s since_sent_ms=%" PRId64
-		  " expected_ms=%d late_jobs=%u jobs=%u",
+		  " predicted_ms=%u expected_ms=%d late_jobs=%u jobs=%u",
 		  job->id, task->index, task->number, task->server->state.name,
-		  now_ms - task->sent_ms, (int)expected_ms(job, task),
-		  task->server->late_jobs, task->server->jobs);
+		  now_ms - task->sent_ms, job->predicted_ms,
+		  (int)expected_ms(job, task, now_ms), task->server->late_jobs,
+		  task->server->jobs);
 	d->sink->ops->stop(d->sink, task->server->agent->identity.incarnation,
 			   &name);
 }
@@ -132,15 +147,17 @@
 		      struct dispatch_task *task, int64_t now_ms)
 {
 	int64_t ran_ms = now_ms - task->sent_ms;
-	bool suspect = is_suspect(d, task->server, now_ms);
+	bool suspect = is_suspect(d, job, task, now_ms);
 
-	if (task->stopping || ran_ms <= late_after_ms(job, task, suspect))
+	if (task->stopping ||
+	    ran_ms <= late_after_ms(job, task, suspect, now_ms))
 		return;
 	if (!task->overdue_reported) {
 		task->overdue_reported = true;
-		cf_health_overdue(d->health, task->server->id, (uint32_t)ran_ms,
-				  (uint32_t)lround(expected_ms(job, task)),
-				  now_ms);
+		cf_health_overdue(
+			d->health, task->server->id, (uint32_t)ran_ms,
+			(uint32_t)lround(expected_ms(job, task, now_ms)),
+			now_ms);
 	}
 	/* Where other runs succeed meanwhile and no other task of the job shows
 	 * how long it takes, the job is long and not the server slow. */
--- a/src/leased/dispatch_place.c
+++ b/src/leased/dispatch_place.c
@@ -230,6 +230,7 @@
 	task->server = server;
 	task->sent_ms = now_ms;
 	task->expected_ms = server_expected_ms(server, job);
+	task->speed_was_known = server->speed_known;
 	server->last_start_ms = now_ms;
 	server_add_run(server, job);
 	cf_health_sent(d->health, server->id, 1, now_ms);
--- a/src/leased/dispatch_servers.c
+++ b/src/leased/dispatch_servers.c
@@ -247,6 +247,8 @@
 					  speed / server->speed);
 		server->speed_reset = false;
 		server->speed = speed;
+		server->speed_known =
+			speed_view_is_known(d->speeds, server->id);
 		d->uneven |= speed >= SERVER_SLOW_SPEED;
 	}
 }
--- a/src/leased/speed_estimate.c
+++ b/src/leased/speed_estimate.c
@@ -176,7 +176,7 @@
 /* Returns whether a task of the job was counted before, and remembers it. */
 static bool has_counted(struct speed_estimate *e, const char *job)
 {
-	guint hash = g_str_hash(job) | 1;
+	guint hash = MAX(g_str_hash(job), 1U);
 
 	for (size_t i = 0; i < JOBS_REMEMBERED; i++)
 		if (e->jobs[i] == hash)
--- a/src/leased/speed_view.c
+++ b/src/leased/speed_view.c
@@ -223,6 +223,13 @@
 	return entry ? entry->factor : 1;
 }
 
+bool speed_view_is_known(const struct speed_view *view, uint64_t server)
+{
+	const struct entry *entry = g_hash_table_lookup(view->entries, &server);
+
+	return entry && !has_few_runs(entry);
+}
+
 uint32_t speed_view_known(const struct speed_view *view)
 {
 	return view->known;
--- a/src/leased/speed_view.h
+++ b/src/leased/speed_view.h
@@ -30,6 +30,8 @@
 void speed_view_refresh(struct speed_view *view, int64_t now_ms);
 /* 1 for a server that isn't known, or whose speed isn't. */
 double speed_view_factor(const struct speed_view *view, uint64_t server);
+/* Whether enough runs were measured there lately. */
+bool speed_view_is_known(const struct speed_view *view, uint64_t server);
 /* Number of servers whose speed was measured. */
 uint32_t speed_view_known(const struct speed_view *view);
 
--- a/tests/support/many_world.h
+++ b/tests/support/many_world.h
@@ -29,6 +29,11 @@
 	 * take 1. */
 	uint32_t slow_every;
 	double slow_factor, fast_factor;
+	/* From this time on, runs that start on this many of the servers take
+	 * turned_factor times as long; 0: never. */
+	int64_t turned_from_ms;
+	uint32_t turned;
+	double turned_factor;
 	bool hides_speed; /* agents report no speeds, as older versions do */
 	uint32_t seed;
 };
