trace: every coordinator records a change, so none is missed

A change of a data centre was traced ("accept") only by the coordinator that led when it applied it. When the leader was lost between commit and apply, no record existed, and "trace check" reported starts in a data centre that was back in service (fault_random), or missed one that was out.

Now each coordinator writes the event, with led=1 at the leader. The check takes each revision once, so that a log read again after a restart changes nothing. A data centre counts as out from the leader's record; if there is none, from a lease (2 s) after the first follower's.

--- a/src/coordinator/coordinator_log.c
+++ b/src/coordinator/coordinator_log.c
@@ -184,7 +184,9 @@
 }
 
 /* Called before the waiters are answered: the trace check relies on the
- * "accept" event being written before any caller sees the answer. */
+ * "accept" event being written before any caller sees the answer. Every member
+ * writes it, as the leader that proposed a change may be lost before it
+ * applies it. */
 static void log_change(const struct coordinator *c,
 		       const struct Cfw__Command *command,
 		       const struct cf_command_result *result)
@@ -197,17 +199,16 @@
 	log_event(LOG_INFO, "configuration_changed",
 		  "revision=%" G_GUINT64_FORMAT " change=%s name=%s",
 		  result->revision, change.kind, change.name);
-	if (!c->leadership)
-		return;
 	if (change.in_service < 0)
 		trace_event("accept",
 			    "rev=%" G_GUINT64_FORMAT " change=%s name=%s",
 			    result->revision, change.kind, change.name);
 	else
 		trace_event("accept",
-			    "rev=%" G_GUINT64_FORMAT " change=%s name=%s in=%d",
+			    "rev=%" G_GUINT64_FORMAT
+			    " change=%s name=%s in=%d led=%d",
 			    result->revision, change.kind, change.name,
-			    change.in_service);
+			    change.in_service, c->leadership != NULL);
 }
 
 static void finish_command(struct coordinator *c, const struct cf_entry *entry,
--- a/src/lib/trace.c
+++ b/src/lib/trace.c
@@ -3,6 +3,7 @@
  * their common monotonic clock and checks the system's invariants
  * against them.
  */
+#include "lib/trace_centres.h"
 #include "lib/trace_parse.h"
 
 #include <inttypes.h>
@@ -53,7 +54,7 @@
 	GHashTable *keys; /* key -> struct job_history, over all dispatchers */
 	GHashTable *claims; /* key, epoch -> uint64_t owner */
 	GHashTable *votes; /* key, voter, epoch -> uint64_t owner */
-	GHashTable *disabled; /* data centre -> int64_t time_us */
+	struct trace_centres *centres;
 	GHashTable *leaving; /* agent -> int64_t time_us; 0: it is back */
 	GHashTable *configs; /* process -> uint64_t newest revision */
 	GHashTable *start_revisions; /* agent -> uint64_t newest revision */
@@ -212,17 +213,16 @@
 static void check_start_allowed(struct check *check,
 				const struct trace_record *record)
 {
-	const int64_t *disabled_us =
-		g_hash_table_lookup(check->disabled, record->name);
+	int64_t disabled_us;
 	struct table_key agent = { .a = record->process };
 	const int64_t *leaving_us = g_hash_table_lookup(check->leaving, &agent);
 
-	if (disabled_us && record->time_us > *disabled_us + CHANGE_GRACE_US)
+	if (trace_centres_is_out(check->centres, record->name, &disabled_us) &&
+	    record->time_us > disabled_us + CHANGE_GRACE_US)
 		add_fault(check, "data-centre-out", record,
 			  "start in %s %" PRId64
 			  " ms after it was taken out of service",
-			  record->name,
-			  (record->time_us - *disabled_us) / 1000);
+			  record->name, (record->time_us - disabled_us) / 1000);
 	if (leaving_us && *leaving_us &&
 	    record->time_us > *leaving_us + CHANGE_GRACE_US)
 		add_fault(check, "leaving", record,
@@ -385,19 +385,6 @@
 			    record);
 }
 
-static void record_accept(struct check *check,
-			  const struct trace_record *record)
-{
-	if (!record->changes_data_centre)
-		return;
-	if (record->in_service)
-		g_hash_table_remove(check->disabled, record->name);
-	else if (!g_hash_table_contains(check->disabled, record->name))
-		g_hash_table_insert(
-			check->disabled, (gpointer)record->name,
-			g_memdup2(&record->time_us, sizeof(record->time_us)));
-}
-
 static void record_leaving(struct check *check,
 			   const struct trace_record *record)
 {
@@ -425,7 +412,7 @@
 		check_vote(check, record);
 		break;
 	case TRACE_ACCEPT:
-		record_accept(check, record);
+		trace_centres_accept(check->centres, record);
 		break;
 	case TRACE_CONFIG:
 		check_revision(check, check->configs, record);
@@ -476,17 +463,15 @@
 		.keys = table_create(),
 		.claims = table_create(),
 		.votes = table_create(),
-		.disabled = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-						  g_free),
+		.centres = trace_centres_create(),
 		.leaving = table_create(),
 		.configs = table_create(),
 		.start_revisions = table_create(),
 	};
-	GHashTable *tables[] = { check.indexes,        check.jobs,
-				 check.keys,           check.claims,
-				 check.votes,          check.disabled,
-				 check.leaving,        check.configs,
-				 check.start_revisions };
+	GHashTable *tables[] = { check.indexes, check.jobs,
+				 check.keys,    check.claims,
+				 check.votes,   check.leaving,
+				 check.configs, check.start_revisions };
 
 	*summary = (struct cf_trace_summary){ .events = trace->records->len };
 	g_array_sort(trace->records, compare_records);
@@ -495,5 +480,6 @@
 						    struct trace_record, i));
 	for (size_t i = 0; i < G_N_ELEMENTS(tables); i++)
 		g_hash_table_destroy(tables[i]);
+	trace_centres_destroy(check.centres);
 	return check.count;
 }
--- a/src/lib/trace_parse.c
+++ b/src/lib/trace_parse.c
@@ -84,7 +84,11 @@
 	if (!name)
 		return false;
 	record->name = g_string_chunk_insert_const(strings, name);
-	return trace_flag(fields, "in", &record->in_service);
+	/* Earlier versions wrote the event at the leader only. */
+	record->led = true;
+	return trace_flag(fields, "in", &record->in_service) &&
+	       (!trace_find(fields, "led") ||
+		trace_flag(fields, "led", &record->led));
 }
 
 static bool parse_config(struct trace_fields *fields, GStringChunk *strings,
--- a/src/lib/trace_parse.h
+++ b/src/lib/trace_parse.h
@@ -45,6 +45,7 @@
 	bool voted; /* vote: the verdict is "for" */
 	bool changes_data_centre; /* accept: it changes a data centre */
 	bool in_service; /* accept: the data centre is in service */
+	bool led; /* accept: written by the leader */
 	bool ok; /* end: the task succeeded */
 	bool complete, ran_none; /* answer, got: outcome=complete; ran=none */
 	bool whole; /* got: all results arrived */
--- a/tests/fault_config.c
+++ b/tests/fault_config.c
@@ -420,6 +420,30 @@
 	check_end(c);
 }
 
+/* A change whose leader is lost before it applies it must still be recorded, or
+ * the trace check takes a data centre for out of service that is back. So each
+ * coordinator records each change. */
+static bool is_recorded_by_all(struct cluster *c, void *arg)
+{
+	for (int i = 0; i < c->n_coordinators; i++)
+		if (observe_count(c, c->procs[i].name, "accept",
+				  *(int64_t *)arg, NULL, NULL) < 2)
+			return false;
+	return true;
+}
+
+static void test_all_record_changes(void **state)
+{
+	struct cluster *c = start(NULL);
+	int64_t before_us = clock_now_us();
+
+	(void)state;
+	assert_true(cluster_data_centre(c, "dc2", false));
+	assert_true(cluster_data_centre(c, "dc2", true));
+	assert_true(cluster_wait(c, is_recorded_by_all, &before_us, WAIT_MS));
+	check_end(c);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -431,6 +455,8 @@
 					  cluster_teardown),
 		cmocka_unit_test_teardown(test_in_force, cluster_teardown),
 		cmocka_unit_test_teardown(test_lost_disk, cluster_teardown),
+		cmocka_unit_test_teardown(test_all_record_changes,
+					  cluster_teardown),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_trace.c
+++ b/tests/test_trace.c
@@ -27,6 +27,7 @@
 #define ANSWER "e=answer key=" K " job=7 "
 #define OUT "e=accept rev=9 change=dc name=olten in=0"
 #define IN "e=accept rev=10 change=dc name=olten in=1"
+#define FOLLOWER "p=c2 i=00000000000000c2 n=1 "
 #define LINES_MAX 8
 #define FAULTS_MAX 4
 /* Each job has eight events, which makes a million. */
@@ -170,6 +171,32 @@
 	    "t=4000001 " AGENT START("0", "10") },
 	  NULL,
 	  0 },
+	{ "enabled again, recorded by a follower only",
+	  { "t=1000 " COORD OUT " led=1", "t=4000000 " FOLLOWER IN " led=0",
+	    "t=4000001 " AGENT START("0", "10") },
+	  NULL,
+	  0 },
+	{ "disabled, recorded by a follower only: within a lease and the grace",
+	  { "t=1000 " FOLLOWER OUT " led=0",
+	    "t=5001000 " AGENT START("0", "9") },
+	  NULL,
+	  0 },
+	{ "disabled, recorded by a follower only: later",
+	  { "t=1000 " FOLLOWER OUT " led=0",
+	    "t=5001001 " AGENT START("0", "9") },
+	  "data-centre-out",
+	  2 },
+	{ "disabled, recorded by a follower, then by the leader",
+	  { "t=1000 " FOLLOWER OUT " led=0", "t=2000 " COORD OUT " led=1",
+	    "t=3002001 " AGENT START("0", "9") },
+	  "data-centre-out",
+	  3 },
+	{ "an old change read from the log after a restart",
+	  { "t=1000 " COORD OUT " led=1", "t=2000 " COORD IN " led=1",
+	    "t=3000 " FOLLOWER OUT " led=0",
+	    "t=9000000 " AGENT START("0", "10") },
+	  NULL,
+	  0 },
 	{ "leaving",
 	  { "t=1000 " AGENT "e=leaving", "t=3001000 " AGENT START("0", "9"),
 	    "t=3001001 " OTHER START("1", "9") },
