Classes that slow each other down on one server are kept apart

Cause: a task was placed by the free capacity and the speed of servers only, so that classes that slow each other down shared servers while others were free.

Change: the agent fits log(run time / expected) of each class to a constant, the load, its square and the part of the time beside each other class (interference, interference_fit). It reports pairs only while one is suspected (8 % and 2.5 standard errors). Dispatchers combine the reports (interference_view): a pair counts from 15 %, 3.5 standard errors and two servers, and ends below 8 % or without runs of the pair for 30 s. server_run_ms() multiplies the slowdown by the classes there; the harm to what runs there counts in the choice as far as the job has slack. What is learned from a run is divided by the known slowdown.

--- a/src/leased/agent.c
+++ b/src/leased/agent.c
@@ -144,6 +144,8 @@
 		if (server_is_expired(server, now_ms)) {
 			log_event(LOG_INFO, "server_forgotten", "server=%s",
 				  server_last_report(server)->name);
+			g_hash_table_remove(a->interferences,
+					    server_last_report(server)->name);
 			g_hash_table_iter_remove(&iter);
 		}
 	}
@@ -220,6 +222,7 @@
 		  sizeof(a->data_centre));
 	a->servers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					   (GDestroyNotify)server_destroy);
+	a->interferences = agent_create_interferences();
 	a->peers = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					 agent_free_peer);
 	a->reports = counter_get("server_reports_total", NULL,
--- a/src/leased/agent_internal.h
+++ b/src/leased/agent_internal.h
@@ -7,6 +7,7 @@
 
 #include "base/counters.h"
 #include "base/settings.h"
+#include "leased/interference.h"
 #include "leased/server.h"
 #include "net/admin.h"
 #include "net/link.h"
@@ -25,6 +26,8 @@
 	int64_t lease_requested_ms; /* last lease request */
 	uint64_t received; /* starts received on this connection */
 	uint64_t sent_digest; /* of the last states sent; 0: none */
+	GHashTable *sent_slowdowns; /* server -> struct sent_slowdowns */
+	bool slowdowns_due; /* the report that is being filled has some */
 	GArray *results; /* struct run_result, not yet sent */
 	GQueue *recent; /* struct recent_result, newest last */
 	int64_t disconnected_ms; /* 0 while connected */
@@ -53,6 +56,7 @@
 	/* By this time, runs started by an earlier agent process have ended. */
 	int64_t previous_runs_end_ms;
 	GHashTable *servers; /* name -> struct server */
+	GHashTable *interferences; /* server -> struct server_interference */
 	GHashTable *peers; /* incarnation -> struct peer */
 	bool in_service;
 	gint stopping, idle; /* atomic */
@@ -79,4 +83,20 @@
 /* Stops offering scarce capacity to this dispatcher. */
 void agent_remove_participant(struct leased_agent *a, uint64_t dispatcher);
 
+/* ---- Interference (agent_interference.c) ----------------------------- */
+
+GHashTable *agent_create_interferences(void);
+/* Counts a result, before it is removed from what runs. */
+void agent_count_result(struct leased_agent *a, struct server *server,
+			const struct run_result *result, int64_t now_ms);
+/* Takes over what runs at the server now. */
+void agent_track_runs(struct leased_agent *a, struct server *server,
+		      int64_t now_ms);
+/* Adds classes and slowdowns to a state, if any pair is suspected. */
+void agent_fill_interference(const struct leased_agent *a, struct peer *p,
+			     int64_t now_ms, Cfw__ServerState *state);
+/* The report with the filled states was sent. */
+void agent_slowdowns_sent(struct peer *p, int64_t now_ms);
+void agent_clear_interference(Cfw__ServerState *state);
+
 #endif
--- a/src/leased/agent_peers.c
+++ b/src/leased/agent_peers.c
@@ -29,6 +29,7 @@
 	cf_lease_destroy(p->lease);
 	g_array_unref(p->results);
 	g_queue_free_full(p->recent, g_free);
+	g_hash_table_destroy(p->sent_slowdowns);
 	g_free(p);
 }
 
@@ -48,6 +49,8 @@
 	g_strlcpy(p->name, link_peer(link)->name, sizeof(p->name));
 	p->results = g_array_new(FALSE, FALSE, sizeof(struct run_result));
 	p->recent = g_queue_new();
+	p->sent_slowdowns =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	p->lease = cf_lease_create();
 	g_hash_table_insert(a->peers, &p->incarnation, p);
 	return p;
@@ -180,8 +183,11 @@
 {
 	struct run_result result;
 
-	while (run_table_pop_result(server_runs(server), &result))
+	while (run_table_pop_result(server_runs(server), &result)) {
+		agent_count_result(a, server, &result, loop_now_ms(a->loop));
 		add_result(a, &result, loop_now_ms(a->loop));
+	}
+	agent_track_runs(a, server, loop_now_ms(a->loop));
 }
 
 static const struct run_result *find_recent(const struct peer *p,
@@ -359,6 +365,7 @@
 		  p->incarnation);
 	request_lease(p, loop_now_ms(a->loop));
 	p->sent_digest = 0;
+	g_hash_table_remove_all(p->sent_slowdowns);
 	agent_send_reports(a, loop_now_ms(a->loop));
 }
 
--- a/src/leased/agent_reports.c
+++ b/src/leased/agent_reports.c
@@ -75,7 +75,7 @@
 
 /* ---- States --------------------------------------------------------- */
 
-static void fill_state(const struct leased_agent *a, const struct peer *p,
+static void fill_state(const struct leased_agent *a, struct peer *p,
 		       struct server *server, int64_t now_ms,
 		       Cfw__ServerState *state)
 {
@@ -102,10 +102,11 @@
 	state->failed_in_a_row = load.failed_in_a_row;
 	state->accepting = agent_accepts(a, server, now_ms);
 	state->received = p->received;
+	agent_fill_interference(a, p, now_ms, state);
 }
 
 static Cfw__ServerState *fill_states(const struct leased_agent *a,
-				     const struct peer *p, int64_t now_ms,
+				     struct peer *p, int64_t now_ms,
 				     Cfw__RunReport *report)
 {
 	guint n = g_hash_table_size(a->servers);
@@ -142,6 +143,9 @@
 
 		sum = XXH64(state->name, strlen(state->name), sum);
 		sum = XXH64(fields, sizeof(fields), sum);
+		for (size_t c = 0; c < state->n_classes; c++)
+			sum = XXH64(state->classes[c]->class_name,
+				    strlen(state->classes[c]->class_name), sum);
 	}
 	return sum | 1;
 }
@@ -173,17 +177,24 @@
 {
 	Cfw__Envelope envelope = CFW__ENVELOPE__INIT;
 	Cfw__RunReport report = CFW__RUN_REPORT__INIT;
-	Cfw__ServerState *states = fill_states(a, p, now_ms, &report);
-	uint64_t sum = report_digest(&report);
-	Cfw__RunEnd *ends = fill_ends(p, &report);
-
+	Cfw__ServerState *states;
+	uint64_t sum;
+	Cfw__RunEnd *ends;
+
+	p->slowdowns_due = false;
+	states = fill_states(a, p, now_ms, &report);
+	sum = report_digest(&report);
+	ends = fill_ends(p, &report);
 	envelope.body_case = CFW__ENVELOPE__BODY_RUN_REPORT;
 	envelope.run_report = &report;
-	if ((report.n_ends || sum != p->sent_digest) &&
+	if ((report.n_ends || p->slowdowns_due || sum != p->sent_digest) &&
 	    link_send(p->link, &envelope)) {
+		agent_slowdowns_sent(p, now_ms);
 		g_array_set_size(p->results, 0);
 		p->sent_digest = sum;
 	}
+	for (size_t i = 0; i < report.n_servers; i++)
+		agent_clear_interference(report.servers[i]);
 	g_free(report.servers);
 	g_free(report.ends);
 	g_free(states);
--- a/src/leased/dispatch.h
+++ b/src/leased/dispatch.h
@@ -15,6 +15,7 @@
 #ifndef LEASED_DISPATCH_H
 #define LEASED_DISPATCH_H
 
+#include "leased/interference.h"
 #include "leased/run_table.h"
 
 #define DISPATCH_TICK_MS 10
@@ -93,8 +94,19 @@
 	uint64_t received;
 };
 
+/* What an agent reports about classes at a server. */
+struct interference_report {
+	const struct class_runs *classes; /* that run there */
+	size_t n_classes;
+	/* Replaces what was reported before, unless there are none. If nothing
+	 * is known any more, there is one without samples. */
+	const struct class_slowdown *slowdowns;
+	size_t n_slowdowns;
+};
+
 struct dispatch_load {
 	uint32_t jobs, waiting_tasks, sent_tasks, servers, usable_servers;
+	uint32_t interfering_pairs;
 	uint64_t capacity_milli, free_milli;
 };
 
@@ -130,6 +142,11 @@
 void dispatch_set_config(struct dispatch *d, const struct cf_config *config);
 void dispatch_update_server(struct dispatch *d, uint64_t agent,
 			    const struct server_state *state, int64_t now_ms);
+/* Called after dispatch_update_server() of the same server. */
+void dispatch_update_interference(struct dispatch *d, uint64_t agent,
+				  const char *server,
+				  const struct interference_report *report,
+				  int64_t now_ms);
 /* Ends a report: servers of the agent that were not updated since the last
  * report accept no more work. */
 void dispatch_finish_report(struct dispatch *d, uint64_t agent, int64_t now_ms);
--- a/src/leased/dispatch_internal.h
+++ b/src/leased/dispatch_internal.h
@@ -5,6 +5,7 @@
 #define LEASED_DISPATCH_INTERNAL_H
 
 #include "leased/dispatch.h"
+#include "leased/interference_view.h"
 
 #include <math.h>
 
@@ -25,6 +26,15 @@
 
 /* ---- Servers -------------------------------------------------------- */
 
+#define SERVER_CLASSES_MAX 8
+
+/* Runs of a class at a server: those of this dispatcher, including starts that
+ * are not reported yet, and all of them as last reported. */
+struct server_class {
+	char name[CF_NAME_SIZE]; /* empty: unused */
+	uint32_t own, reported;
+};
+
 struct dispatch_server {
 	uint64_t id; /* key in the health records */
 	struct dispatch_agent *agent; /* NULL: both are gone */
@@ -41,6 +51,8 @@
 	int64_t last_success_ms; /* when a run last succeeded */
 	int64_t last_start_ms; /* when a task was last sent */
 	bool reported; /* included in the report that is being read */
+	/* Further classes than these are not tracked. */
+	struct server_class classes[SERVER_CLASSES_MAX];
 };
 
 struct pending_start {
@@ -78,6 +90,7 @@
 	struct dispatch_server *server; /* DISPATCH_TASK_SENT */
 	uint64_t avoided_server; /* server that it last left without success */
 	int64_t sent_ms;
+	double interference; /* server_interference() when it was sent */
 	GArray *failed_on; /* uint64_t server ids, or NULL */
 };
 
@@ -132,6 +145,8 @@
 	uint64_t next_server;
 	struct cf_predict *predict;
 	struct cf_health *health;
+	struct interference_view *interference;
+	int64_t interference_ms; /* when it was last judged */
 	struct dispatch_lane late; /* jobs that can't meet their target */
 	uint64_t late_jobs; /* that ever were in it */
 	double virtual_time; /* of the lane served last */
@@ -209,6 +224,28 @@
 		       const struct dispatch_server *server, int64_t now_ms);
 void servers_tick(struct dispatch *d, int64_t now_ms);
 
+/* ---- Interference (dispatch_interference.c) ------------------------- */
+
+void server_add_class(struct dispatch_server *server, const char *class_name);
+void server_remove_class(struct dispatch_server *server,
+			 const char *class_name);
+/* How many times as long a task of the job takes there because of what runs
+ * there; 1 if no pair of classes is known to interfere. */
+double server_interference(const struct dispatch *d,
+			   const struct dispatch_server *server,
+			   const struct dispatch_job *job);
+/* The same for a run that has ended, as a mean over its time. Called before the
+ * run is removed from its server. */
+double run_interference(const struct dispatch *d,
+			const struct dispatch_job *job,
+			const struct dispatch_task *task);
+/* How much longer what runs there takes if a task of the job starts there. At
+ * most the time that the job can lose without missing its target. */
+double server_harm_ms(const struct dispatch *d,
+		      const struct dispatch_server *server,
+		      const struct dispatch_job *job, int64_t now_ms);
+void interference_tick(struct dispatch *d, int64_t now_ms);
+
 /* ---- Placement (dispatch_place.c) ----------------------------------- */
 
 /* Starts as many waiting tasks as fit. */
--- a/src/leased/dispatch_jobs.c
+++ b/src/leased/dispatch_jobs.c
@@ -72,6 +72,7 @@
 	dispatch_lane_init(&d->late);
 	d->predict = cf_predict_create();
 	d->health = cf_health_create(EJECT_MAX_MILLI);
+	d->interference = interference_view_create();
 	return d;
 }
 
@@ -86,6 +87,7 @@
 	g_ptr_array_unref(d->servers);
 	cf_predict_destroy(d->predict);
 	cf_health_destroy(d->health);
+	interference_view_destroy(d->interference);
 	g_free(d);
 }
 
@@ -407,6 +409,7 @@
 		load->sent_tasks += job->n_sent;
 	}
 	load->servers = d->servers->len;
+	load->interfering_pairs = interference_view_count(d->interference);
 	for (guint i = 0; i < d->servers->len; i++) {
 		const struct dispatch_server *server =
 			g_ptr_array_index(d->servers, i);
--- a/src/leased/dispatch_place.c
+++ b/src/leased/dispatch_place.c
@@ -58,12 +58,14 @@
 static double predicted_finish_ms(const struct dispatch *d,
 				  const struct dispatch_server *server,
 				  const struct dispatch_job *job,
-				  const struct dispatch_task *task)
+				  const struct dispatch_task *task,
+				  int64_t now_ms)
 {
 	double capacity = (double)server->state.capacity.cpu_milli;
 	double used = 1 - (double)server_free_cpu_milli(server) / capacity;
-	double finish =
-		server_run_ms(d, server, job) + used * FULL_SERVER_PENALTY_MS;
+	double finish = server_run_ms(d, server, job) +
+			used * FULL_SERVER_PENALTY_MS +
+			server_harm_ms(d, server, job, now_ms);
 
 	if (strcmp(server->agent->identity.data_centre, d->data_centre) != 0)
 		finish += OTHER_DATA_CENTRE_PENALTY_MS;
@@ -90,7 +92,7 @@
 		    server_is_avoided(d, server, now_ms) ||
 		    !fits(d, server, job, now_ms))
 			continue;
-		ms = predicted_finish_ms(d, server, job, task);
+		ms = predicted_finish_ms(d, server, job, task, now_ms);
 		if (best && ms >= best_ms)
 			continue;
 		best = server;
@@ -129,6 +131,7 @@
 	task->state = DISPATCH_TASK_SENT;
 	task->server = server;
 	task->sent_ms = now_ms;
+	task->interference = server_interference(d, server, job);
 	server->last_start_ms = now_ms;
 	server_add_run(server, job);
 	cf_health_sent(d->health, server->id, 1, now_ms);
--- a/src/leased/dispatch_runs.c
+++ b/src/leased/dispatch_runs.c
@@ -63,11 +63,14 @@
 		      int64_t now_ms)
 {
 	uint64_t server = task->server->id;
+	/* Otherwise predictions would grow with a slowdown that placement
+	 * already counts. */
+	uint32_t alone_ms = (uint32_t)(run_ms / run_interference(d, job, task));
 
-	cf_health_result(d->health, server, true, run_ms, job->predicted_ms,
+	cf_health_result(d->health, server, true, alone_ms, job->predicted_ms,
 			 now_ms);
 	cf_predict_learn(d->predict, job->class->name,
-			 MAX(job->spec.estimate_ms, 1), run_ms);
+			 MAX(job->spec.estimate_ms, 1), alone_ms);
 	record_failures(d, job, task, now_ms);
 	task->server->last_success_ms = now_ms;
 	job->slowest_ms = MAX(job->slowest_ms, run_ms);
--- a/src/leased/dispatch_servers.c
+++ b/src/leased/dispatch_servers.c
@@ -71,7 +71,8 @@
 		     const struct dispatch_job *job)
 {
 	return (double)job->predicted_ms *
-	       cf_health_slowness(d->health, server->id);
+	       cf_health_slowness(d->health, server->id) *
+	       server_interference(d, server, job);
 }
 
 void server_add_run(struct dispatch_server *server,
@@ -87,6 +88,7 @@
 	server->pending_cpu_milli += start->cpu_milli;
 	server->pending_memory_mb += start->memory_mb;
 	server->own_runs++;
+	server_add_class(server, job->class->name);
 	server->own_cpu_milli += start->cpu_milli;
 	job->class->running_cpu_milli += start->cpu_milli;
 	job->class->running_work += dispatch_task_work(job);
@@ -284,6 +286,7 @@
 	job->class->running_cpu_milli -= job->spec.cpu_milli;
 	job->class->running_work -= dispatch_task_work(job);
 	server->own_runs--;
+	server_remove_class(server, job->class->name);
 	server->own_cpu_milli -= job->spec.cpu_milli;
 }
 
@@ -318,6 +321,8 @@
 			g_ptr_array_index(agent->servers, i);
 
 		cf_health_leave(d->health, server->id);
+		interference_view_report(d->interference, server->id, "", NULL,
+					 0, now_ms);
 		g_ptr_array_remove(d->servers, server);
 	}
 	g_hash_table_remove(d->agents, &incarnation);
@@ -331,6 +336,7 @@
 
 	cf_health_tick(d->health, now_ms);
 	update_avoidance(d);
+	interference_tick(d, now_ms);
 	g_hash_table_iter_init(&iter, d->agents);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct dispatch_agent *agent = value;
--- a/src/leased/dispatcher.c
+++ b/src/leased/dispatcher.c
@@ -130,6 +130,7 @@
 	gauge_set(d->servers, load.servers);
 	gauge_set(d->usable, load.usable_servers);
 	gauge_set(d->free_milli, (int64_t)load.free_milli);
+	gauge_set(d->interfering_pairs, load.interfering_pairs);
 }
 
 static void tick(void *arg, int64_t now_ms)
@@ -190,6 +191,9 @@
 	d->usable = gauge_get("servers_usable", NULL, "servers that take work");
 	d->free_milli = gauge_get("servers_free_cpu_milli", NULL,
 				  "processors free by the newest reports");
+	d->interfering_pairs =
+		gauge_get("interfering_pairs", NULL,
+			  "pairs of classes that slow each other down");
 	d->agents_wanted =
 		gauge_get("agents_wanted", NULL, "agents to be connected to");
 	d->agents_listed =
--- a/src/leased/dispatcher_agents.c
+++ b/src/leased/dispatcher_agents.c
@@ -391,6 +391,7 @@
 	state.capacity.accelerators = from->accelerators;
 	dispatch_update_server(d->dispatch, a->incarnation, &state,
 			       loop_now_ms(d->loop));
+	dispatcher_apply_interference(d, a, from);
 }
 
 static void apply_report(struct leased_dispatcher *d,
--- a/src/leased/dispatcher_internal.h
+++ b/src/leased/dispatcher_internal.h
@@ -66,7 +66,7 @@
 	struct counter *no_route, *unready, *malformed;
 	struct counter *jobs, *waiting, *sent, *servers, *usable, *free_milli;
 	struct counter *agents_wanted, *agents_listed;
-	struct counter *routes_version;
+	struct counter *routes_version, *interfering_pairs;
 };
 
 /* ---- Agents (dispatcher_agents.c) ----------------------------------- */
@@ -85,6 +85,12 @@
 void dispatcher_select_agents(struct leased_dispatcher *d, int64_t now_ms);
 void dispatcher_adjust_subset(struct leased_dispatcher *d, int64_t now_ms);
 
+/* ---- Interference (dispatcher_interference.c) ----------------------- */
+
+void dispatcher_apply_interference(struct leased_dispatcher *d,
+				   const struct agent_link *a,
+				   const Cfw__ServerState *from);
+
 /* ---- Callers (dispatcher_http.c) ------------------------------------ */
 
 bool dispatcher_start_http(struct leased_dispatcher *d, GError **error);
--- a/src/leased/run_table.h
+++ b/src/leased/run_table.h
@@ -107,6 +107,9 @@
 			      uint64_t dispatcher);
 bool run_table_is_idle(const struct run_table *table); /* it has no runs */
 void run_table_get_load(const struct run_table *table, struct run_load *load);
+/* Appends the runs that use the server now (const struct run_request), valid
+ * until the table changes. */
+void run_table_list_running(const struct run_table *table, GPtrArray *requests);
 /* Removes the oldest result; false if there is none. */
 bool run_table_pop_result(struct run_table *table, struct run_result *result);
 
--- a/src/leased/run_table_lists.c
+++ b/src/leased/run_table_lists.c
@@ -7,6 +7,18 @@
 /* A run that this many consecutive polls don't list has ended. */
 #define MISSING_POLLS_MAX 2
 
+/* ---- Lists of the table --------------------------------------------- */
+
+void run_table_list_running(const struct run_table *table, GPtrArray *requests)
+{
+	for (guint i = 0; i < table->runs->len; i++) {
+		struct run *run = run_table_at(table, i);
+
+		if (run->started_ms && run->state != RUN_STOPPED)
+			g_ptr_array_add(requests, &run->request);
+	}
+}
+
 /* ---- Lists of the server -------------------------------------------- */
 
 static enum run_outcome outcome_from_end(enum run_end_status end_status)
--- a/tests/support/dispatch_world.h
+++ b/tests/support/dispatch_world.h
@@ -44,6 +44,7 @@
 struct world_result {
 	struct world_tally classes[WORLD_CLASSES];
 	uint32_t runs, stopped_runs, overlapping_runs, false_refusals;
+	uint64_t run_ms; /* sum over ended runs, many_world only */
 	uint32_t states; /* reported to dispatchers, many_world only */
 };
 
--- a/tests/support/many_world.c
+++ b/tests/support/many_world.c
@@ -6,6 +6,7 @@
 
 #include "leased/capacity_share.h"
 #include "leased/server_lease.h"
+#include "support/many_interference.h"
 #include "support/world_jobs.h"
 
 #include <glib.h>
@@ -34,11 +35,13 @@
 
 struct many_run {
 	struct run_name name;
+	struct many_pace pace;
 	int64_t ends_ms;
 };
 
 struct many_server {
 	struct run_table *table;
+	struct many_estimate *estimate;
 	GPtrArray *runs; /* struct many_run */
 	GArray *ends; /* struct listed_run_end, not in a list yet */
 	uint64_t positions;
@@ -64,6 +67,7 @@
 	struct run_request run; /* MANY_MESSAGE_START */
 	struct run_name name; /* MANY_MESSAGE_STOP */
 	struct server_state state; /* MANY_MESSAGE_STATE */
+	struct many_estimate_report *estimate; /* MANY_MESSAGE_STATE */
 	bool demand; /* MANY_MESSAGE_DEMAND */
 	GArray *results; /* struct run_result, MANY_MESSAGE_STATE */
 };
@@ -101,6 +105,7 @@
 	struct many_message *message = data;
 
 	g_clear_pointer(&message->results, g_array_unref);
+	many_estimate_free_report(message->estimate);
 	if (message->run.spec)
 		g_bytes_unref(message->run.spec);
 	g_free(message);
@@ -118,6 +123,8 @@
 	message->run.spec = g_bytes_ref(command->spec);
 	message->run.cpu_milli = command->cpu_milli;
 	message->run.memory_mb = command->memory_mb;
+	message->run.expected_ms = command->expected_ms;
+	g_strlcpy(message->run.class_name, command->class_name, CF_NAME_SIZE);
 	message->run.target_start_ms = d->many->now_ms + command->slack_ms;
 	message->run.deadline_ms = d->many->now_ms + command->deadline_ms;
 }
@@ -160,8 +167,25 @@
 	g_array_append_val(s->ends, end);
 }
 
+static void slow_down_runs(const struct many *m, struct many_server *s)
+{
+	for (guint i = 0; m->load->n_slowdowns && i < s->runs->len; i++) {
+		struct many_run *run = g_ptr_array_index(s->runs, i);
+
+		for (guint k = 0; k < s->runs->len; k++) {
+			const struct many_run *other =
+				g_ptr_array_index(s->runs, k);
+
+			if (k != i)
+				many_pace_add(&run->pace, &other->pace);
+		}
+		run->ends_ms += many_pace_delay(&run->pace, m->load);
+	}
+}
+
 static void end_runs(const struct many *m, struct many_server *s)
 {
+	slow_down_runs(m, s);
 	for (guint i = s->runs->len; i-- > 0;) {
 		const struct many_run *run = g_ptr_array_index(s->runs, i);
 
@@ -219,6 +243,7 @@
 	struct many_run *run = g_new0(struct many_run, 1);
 
 	run->name = *name;
+	run->pace.class = job->class;
 	run->ends_ms = m->now_ms +
 		       (s->fails ? FAIL_DELAY_MS : job->task_ms[name->index]);
 	job->started = true;
@@ -287,9 +312,14 @@
 		&m->servers[server].last_reported[dispatcher];
 	struct server_state state = { 0 };
 	struct many_message *message;
+	struct many_estimate_report *estimate = NULL;
 
+	if (!m->load->ignores_interference)
+		estimate = many_estimate_report(m->servers[server].estimate,
+						dispatcher, m->now_ms);
 	fill_state(m, server, dispatcher, &state);
-	if (!results->len && !state_has_changed(last_reported, &state)) {
+	if (!results->len && !estimate &&
+	    !state_has_changed(last_reported, &state)) {
 		g_array_unref(results);
 		return;
 	}
@@ -297,6 +327,7 @@
 	m->result->states++;
 	message = post(m, MANY_MESSAGE_STATE, dispatcher, server);
 	message->state = state;
+	message->estimate = estimate;
 	message->results = results;
 }
 
@@ -309,8 +340,12 @@
 	for (uint32_t i = 0; i < m->load->dispatchers; i++)
 		results[i] =
 			g_array_new(FALSE, FALSE, sizeof(struct run_result));
-	while (run_table_pop_result(s->table, &result))
+	while (run_table_pop_result(s->table, &result)) {
+		m->result->run_ms += result.run_ms;
+		many_estimate_result(s->estimate, &result, m->now_ms);
 		g_array_append_val(results[result.dispatcher], result);
+	}
+	many_estimate_runs(s->estimate, s->table, m->load, m->now_ms);
 	for (uint32_t i = 0; i < m->load->dispatchers; i++)
 		report_state(m, server, i, results[i]);
 	s->changed = false;
@@ -356,6 +391,8 @@
 	uint64_t agent = message->server + 1;
 
 	dispatch_update_server(d, agent, &message->state, m->now_ms);
+	many_estimate_apply(message->estimate, d, agent, message->state.name,
+			    m->now_ms);
 	for (guint i = 0; i < message->results->len; i++)
 		dispatch_handle_result(
 			d, agent,
@@ -434,6 +471,7 @@
 					.memory_mb = MEMORY_MB };
 
 	s->table = run_table_create();
+	s->estimate = many_estimate_create();
 	s->share = capacity_share_create(number);
 	for (uint32_t i = 0; i < m->load->dispatchers; i++)
 		capacity_share_join(s->share, i, false);
@@ -484,6 +522,7 @@
 		dispatch_destroy(m->dispatchers[i].dispatch);
 	for (uint32_t i = 0; i < m->load->servers; i++) {
 		run_table_destroy(m->servers[i].table);
+		many_estimate_destroy(m->servers[i].estimate);
 		capacity_share_destroy(m->servers[i].share);
 		g_ptr_array_unref(m->servers[i].runs);
 		g_array_unref(m->servers[i].ends);
--- a/tests/support/many_world.h
+++ b/tests/support/many_world.h
@@ -12,6 +12,12 @@
 #define MANY_DISPATCHERS_MAX 16
 #define MANY_SERVERS_MAX 80
 
+/* Runs of one class take factor times as long beside another one. */
+struct many_slowdown {
+	size_t class, beside;
+	double factor;
+};
+
 struct many_load {
 	const struct world_class *classes; /* WORLD_CLASSES of them */
 	double factor; /* on the arrival rates */
@@ -24,6 +30,9 @@
 	uint32_t failing; /* number of servers that fail all tasks */
 	uint32_t refusing; /* number of servers that refuse some starts */
 	double refused_fraction; /* of the starts at those servers */
+	const struct many_slowdown *slowdowns;
+	size_t n_slowdowns;
+	bool ignores_interference; /* agents report no slowdowns */
 	uint32_t seed;
 };
 
