--- a/src/leased/dispatch_jobs.c
+++ b/src/leased/dispatch_jobs.c
@@ -73,6 +73,7 @@
 	d->predict = cf_predict_create();
 	d->health = cf_health_create(EJECT_MAX_MILLI);
 	d->speeds = speed_view_create();
+	d->interference = interference_view_create();
 	return d;
 }
 
@@ -88,6 +89,7 @@
 	cf_predict_destroy(d->predict);
 	cf_health_destroy(d->health);
 	speed_view_destroy(d->speeds);
+	interference_view_destroy(d->interference);
 	g_free(d);
 }
 
@@ -413,6 +415,7 @@
 	load->late_jobs = d->late_jobs;
 	load->servers = d->servers->len;
 	load->speeds_known = speed_view_known(d->speeds);
+	load->interfering_pairs = interference_view_count(d->interference);
 	for (guint i = 0; i < d->servers->len; i++) {
 		const struct dispatch_server *server =
 			g_ptr_array_index(d->servers, i);
--- a/src/leased/dispatch_late.c
+++ b/src/leased/dispatch_late.c
@@ -44,19 +44,24 @@
 
 /* The run time that was expected when the run was sent. A speed measured since
  * replaces it if it is slower: runs end there, only later. Without a run that
- * ended since, the server may hang. */
-static double expected_ms(const struct dispatch_job *job,
+ * ended since, the server may hang. A run that is slowed down by runs beside it
+ * isn't late because of that. */
+static double expected_ms(const struct dispatch *d,
+			  const struct dispatch_job *job,
 			  const struct dispatch_task *task)
 {
-	if (task->server->speed_measured_ms <= task->sent_ms)
-		return task->expected_ms;
-	return MAX(task->expected_ms, server_expected_ms(task->server, job));
+	double ms = task->expected_ms;
+
+	if (task->server->speed_measured_ms > task->sent_ms)
+		ms = MAX(ms, server_expected_ms(task->server, job));
+	return ms * run_interference(d, job, task);
 }
 
-static int64_t late_after_ms(const struct dispatch_job *job,
+static int64_t late_after_ms(const struct dispatch *d,
+			     const struct dispatch_job *job,
 			     const struct dispatch_task *task, bool suspect)
 {
-	double ms = expected_ms(job, task);
+	double ms = expected_ms(d, job, task);
 
 	if (job->slowest_ms)
 		ms *= (suspect ? LATE_FACTOR_SIBLINGS_SUSPECT
@@ -102,10 +107,10 @@
 			const struct dispatch_task *task = &job->tasks[i];
 
 			if (task->state == DISPATCH_TASK_SENT)
-				count_run(
-					task->server, job,
-					now_ms - task->sent_ms >
-						late_after_ms(job, task, true));
+				count_run(task->server, job,
+					  now_ms - task->sent_ms >
+						  late_after_ms(d, job, task,
+								true));
 		}
 	}
 }
@@ -122,7 +127,7 @@
 		  "job=%s index=%u number=%u server=%s since_sent_ms=%" PRId64
 		  " expected_ms=%d late_jobs=%u jobs=%u",
 		  job->id, task->index, task->number, task->server->state.name,
-		  now_ms - task->sent_ms, (int)expected_ms(job, task),
+		  now_ms - task->sent_ms, (int)expected_ms(d, job, task),
 		  task->server->late_jobs, task->server->jobs);
 	d->sink->ops->stop(d->sink, task->server->agent->identity.incarnation,
 			   &name);
@@ -134,12 +139,12 @@
 	int64_t ran_ms = now_ms - task->sent_ms;
 	bool suspect = is_suspect(d, task->server, now_ms);
 
-	if (task->stopping || ran_ms <= late_after_ms(job, task, suspect))
+	if (task->stopping || ran_ms <= late_after_ms(d, job, task, suspect))
 		return;
 	if (!task->overdue_reported) {
 		task->overdue_reported = true;
 		cf_health_overdue(d->health, task->server->id, (uint32_t)ran_ms,
-				  (uint32_t)lround(expected_ms(job, task)),
+				  (uint32_t)lround(expected_ms(d, job, task)),
 				  now_ms);
 	}
 	/* Where other runs succeed meanwhile and no other task of the job shows
--- a/tests/support/many_internal.h
+++ b/tests/support/many_internal.h
@@ -7,6 +7,7 @@
 #include "leased/capacity_share.h"
 #include "leased/server_lease.h"
 #include "leased/speed_estimate.h"
+#include "support/many_interference.h"
 #include "support/many_world.h"
 #include "support/speed_observer.h"
 
@@ -27,11 +28,13 @@
 
 struct many_run {
 	struct run_name name;
+	struct many_pace pace;
 	int64_t ends_ms;
 };
 
 struct many_server {
 	struct run_table *table;
+	struct many_estimate *estimate;
 	GPtrArray *runs; /* struct many_run */
 	GArray *ends; /* struct listed_run_end, not in a list yet */
 	uint64_t positions;
@@ -60,6 +63,7 @@
 	struct run_request run; /* MANY_MESSAGE_START */
 	struct run_name name; /* MANY_MESSAGE_STOP */
 	struct server_state state; /* MANY_MESSAGE_STATE */
+	struct many_estimate_report *estimate; /* MANY_MESSAGE_STATE */
 	bool demand; /* MANY_MESSAGE_DEMAND */
 	GArray *results; /* struct run_result, MANY_MESSAGE_STATE */
 };
--- a/tests/support/many_world.h
+++ b/tests/support/many_world.h
@@ -12,6 +12,12 @@
 #define MANY_DISPATCHERS_MAX 16
 #define MANY_SERVERS_MAX 80
 
+/* Runs of one class take factor times as long beside another one. */
+struct many_slowdown {
+	size_t class, beside;
+	double factor;
+};
+
 struct many_load {
 	const struct world_class *classes; /* WORLD_CLASSES of them */
 	double factor; /* on the arrival rates */
@@ -30,6 +36,9 @@
 	uint32_t slow_every;
 	double slow_factor, fast_factor;
 	bool hides_speed; /* agents report no speeds, as older versions do */
+	const struct many_slowdown *slowdowns;
+	size_t n_slowdowns;
+	bool ignores_interference; /* agents report no slowdowns */
 	uint32_t seed;
 };
 
