--- a/src/leased/dispatch_late.c
+++ b/src/leased/dispatch_late.c
@@ -54,23 +54,28 @@
  * server wasn't known then, what other runs have shown since replaces it. If it
  * was known, the server has changed, and the run is better moved. While there
  * is just time left for another run, only the first value counts, as the server
- * may hang. */
-static double expected_ms(const struct dispatch_job *job,
+ * may hang. A run that is slowed down by runs beside it isn't late because of
+ * that. */
+static double expected_ms(const struct dispatch *d,
+			  const struct dispatch_job *job,
 			  const struct dispatch_task *task, int64_t now_ms)
 {
-	if (task->speed_was_known ||
-	    task->server->speed_measured_ms <= task->sent_ms ||
-	    now_ms + (int64_t)(job->predicted_ms * RERUN_MARGIN) >=
+	double ms = task->expected_ms;
+
+	if (!task->speed_was_known &&
+	    task->server->speed_measured_ms > task->sent_ms &&
+	    now_ms + (int64_t)(job->predicted_ms * RERUN_MARGIN) <
 		    job->deadline_ms)
-		return task->expected_ms;
-	return MAX(task->expected_ms, server_expected_ms(task->server, job));
+		ms = MAX(ms, server_expected_ms(task->server, job));
+	return ms * run_interference(d, job, task);
 }
 
-static int64_t late_after_ms(const struct dispatch_job *job,
+static int64_t late_after_ms(const struct dispatch *d,
+			     const struct dispatch_job *job,
 			     const struct dispatch_task *task, bool suspect,
 			     int64_t now_ms)
 {
-	double ms = expected_ms(job, task, now_ms);
+	double ms = expected_ms(d, job, task, now_ms);
 
 	if (job->slowest_ms)
 		ms *= (suspect ? LATE_FACTOR_SIBLINGS_SUSPECT
@@ -118,8 +123,8 @@
 			if (task->state == DISPATCH_TASK_SENT)
 				count_run(task->server, job,
 					  now_ms - task->sent_ms >
-						  late_after_ms(job, task, true,
-								now_ms));
+						  late_after_ms(d, job, task,
+								true, now_ms));
 		}
 	}
 }
@@ -137,8 +142,8 @@
 		  " predicted_ms=%u expected_ms=%d late_jobs=%u jobs=%u",
 		  job->id, task->index, task->number, task->server->state.name,
 		  now_ms - task->sent_ms, job->predicted_ms,
-		  (int)expected_ms(job, task, now_ms), task->server->late_jobs,
-		  task->server->jobs);
+		  (int)expected_ms(d, job, task, now_ms),
+		  task->server->late_jobs, task->server->jobs);
 	d->sink->ops->stop(d->sink, task->server->agent->identity.incarnation,
 			   &name);
 }
@@ -150,13 +155,13 @@
 	bool suspect = is_suspect(d, job, task, now_ms);
 
 	if (task->stopping ||
-	    ran_ms <= late_after_ms(job, task, suspect, now_ms))
+	    ran_ms <= late_after_ms(d, job, task, suspect, now_ms))
 		return;
 	if (!task->overdue_reported) {
 		task->overdue_reported = true;
 		cf_health_overdue(
 			d->health, task->server->id, (uint32_t)ran_ms,
-			(uint32_t)lround(expected_ms(job, task, now_ms)),
+			(uint32_t)lround(expected_ms(d, job, task, now_ms)),
 			now_ms);
 	}
 	/* Where other runs succeed meanwhile and no other task of the job shows
--- a/src/leased/dispatch_place.c
+++ b/src/leased/dispatch_place.c
@@ -147,8 +147,9 @@
 {
 	double capacity = (double)server->state.capacity.cpu_milli;
 	double used = 1 - (double)server_free_cpu_milli(server) / capacity;
-	double finish =
-		server_run_ms(d, server, job) + used * FULL_SERVER_PENALTY_MS;
+	double finish = server_run_ms(d, server, job) +
+			used * FULL_SERVER_PENALTY_MS +
+			server_harm_ms(d, server, job, now_ms);
 
 	if (strcmp(server->agent->identity.data_centre, d->data_centre) != 0)
 		finish += OTHER_DATA_CENTRE_PENALTY_MS;
@@ -237,6 +238,7 @@
 	task->sent_ms = now_ms;
 	task->expected_ms = server_expected_ms(server, job);
 	task->speed_was_known = server->speed_known;
+	task->interference = server_interference(d, server, job);
 	server->last_start_ms = now_ms;
 	server_add_run(server, job);
 	cf_health_sent(d->health, server->id, 1, now_ms);
--- a/src/leased/dispatch_runs.c
+++ b/src/leased/dispatch_runs.c
@@ -66,11 +66,15 @@
 		      int64_t now_ms)
 {
 	double expected_ms = server_expected_ms(task->server, job);
-	/* What the run would have taken at average speed. */
-	uint32_t average_ms = (uint32_t)lround(run_ms * job->predicted_ms /
+	/* The run's time without the slowdown by runs beside it, which
+	 * placement counts separately, and what that would have been at average
+	 * speed. Predictions would otherwise grow with both. */
+	double alone_ms = run_ms / run_interference(d, job, task);
+	uint32_t average_ms = (uint32_t)lround(alone_ms * job->predicted_ms /
 					       MAX(expected_ms, 1));
 
-	cf_health_result(d->health, task->server->id, true, run_ms,
+	cf_health_result(d->health, task->server->id, true,
+			 (uint32_t)lround(alone_ms),
 			 (uint32_t)lround(expected_ms), now_ms);
 	cf_predict_learn(d->predict, job->class->name,
 			 MAX(job->spec.estimate_ms, 1), average_ms);
--- a/src/leased/dispatcher_internal.h
+++ b/src/leased/dispatcher_internal.h
@@ -74,7 +74,7 @@
 	struct counter *jobs, *waiting, *sent, *servers, *usable, *free_milli;
 	struct counter *speeds_known;
 	struct counter *agents_wanted, *agents_listed;
-	struct counter *routes_version;
+	struct counter *routes_version, *interfering_pairs;
 };
 
 /* ---- Agents (dispatcher_agents.c) ----------------------------------- */
@@ -95,6 +95,12 @@
 /* Number of agents to be connected to. */
 uint32_t dispatcher_count_selected(const struct leased_dispatcher *d);
 
+/* ---- Interference (dispatcher_interference.c) ----------------------- */
+
+void dispatcher_apply_interference(struct leased_dispatcher *d,
+				   const struct agent_link *a,
+				   const Cfw__ServerState *from);
+
 /* ---- Callers (dispatcher_http.c) ------------------------------------ */
 
 bool dispatcher_start_http(struct leased_dispatcher *d, GError **error);
--- a/src/leased/run_table.h
+++ b/src/leased/run_table.h
@@ -117,6 +117,9 @@
  * being stopped. */
 void run_table_list_progress(const struct run_table *table, int64_t now_ms,
 			     GArray *progress);
+/* Appends the runs that use the server now (const struct run_request), valid
+ * until the table changes. */
+void run_table_list_running(const struct run_table *table, GPtrArray *requests);
 /* Removes the oldest result; false if there is none. */
 bool run_table_pop_result(struct run_table *table, struct run_result *result);
 
--- a/tests/support/dispatch_world.h
+++ b/tests/support/dispatch_world.h
@@ -45,6 +45,7 @@
 	struct world_tally classes[WORLD_CLASSES];
 	uint32_t runs, stopped_runs, overlapping_runs, false_refusals;
 	/* many_world only: */
+	uint64_t run_ms; /* sum over ended runs */
 	uint32_t states; /* reported to dispatchers */
 	/* Jobs submitted, and time, until the first dispatcher knew nine in ten
 	 * of the slow servers and took no more than one in ten of the others
--- a/tests/support/many_world.c
+++ b/tests/support/many_world.c
@@ -34,6 +34,7 @@
 	struct many_message *message = data;
 
 	g_clear_pointer(&message->results, g_array_unref);
+	many_estimate_free_report(message->estimate);
 	if (message->run.spec)
 		g_bytes_unref(message->run.spec);
 	g_free(message);
@@ -105,6 +106,8 @@
 	if (message->dispatcher == 0)
 		speed_observer_update(m->observer, message->server,
 				      &message->state, m->now_ms);
+	many_estimate_apply(message->estimate, d, agent, message->state.name,
+			    m->now_ms);
 	for (guint i = 0; i < message->results->len; i++)
 		dispatch_handle_result(
 			d, agent,
