--- a/src/leased/speed_view.c
+++ b/src/leased/speed_view.c
@@ -47,6 +47,7 @@
 	GHashTable *entries; /* id -> struct entry */
 	GHashTable *kinds; /* name -> struct kind, of the last refresh */
 	double mean; /* of the known logarithms */
+	double mean_variance; /* how uncertain the mean is */
 	uint32_t known;
 };
 
@@ -106,7 +107,7 @@
 
 static void average(struct speed_view *view, int64_t now_ms)
 {
-	double sum = 0;
+	double sum = 0, variances = 0;
 	GHashTableIter iter;
 	gpointer value;
 
@@ -120,8 +121,11 @@
 			continue;
 		view->known++;
 		sum += CLAMP(entry->report.log, -LOG_MAX, LOG_MAX);
+		variances += entry->sd * entry->sd;
 	}
 	view->mean = view->known ? sum / view->known : 0;
+	view->mean_variance =
+		view->known ? variances / view->known / view->known : 0;
 }
 
 static double relative_log(const struct speed_view *view,
@@ -189,13 +193,13 @@
 static double entry_log(const struct speed_view *view, struct entry *entry)
 {
 	double own = relative_log(view, entry);
+	double sd = sqrt(entry->sd * entry->sd + view->mean_variance);
 	double of_kind =
 		has_few_runs(entry) ? kind_log(view, entry->report.kind) : 0;
 
 	entry->counts = entry->sd > 0 &&
-			fabs(own) > entry->sd * (entry->counts
-							 ? COUNTS_UNTIL_SD
-							 : COUNTS_FROM_SD);
+			fabs(own) > sd * (entry->counts ? COUNTS_UNTIL_SD
+							: COUNTS_FROM_SD);
 	if (of_kind != 0)
 		return of_kind;
 	return entry->counts ? own : 0;
