Even servers: chance differences of measured speed don't count

Cause: of 69 even servers, three or four differ from the average by two standard deviations at any time.

Change: two standard deviations suffice only while the servers scatter more than their uncertainty explains (chi-square test of homogeneity); otherwise a server needs 3.5. A test of cf_health_rescale() is added.

--- a/src/leased/speed_view.c
+++ b/src/leased/speed_view.c
@@ -16,6 +16,13 @@
  * it is nearer than the second value, so that it doesn't flap. */
 #define COUNTS_FROM_SD 2.0
 #define COUNTS_UNTIL_SD 1.0
+/* While the servers scatter no more than their uncertainty explains, some
+ * differ by two standard deviations by chance. Then a speed counts from this
+ * value on. */
+#define COUNTS_FROM_SD_EVEN 3.5
+/* The servers scatter more if the mean square of their deviations exceeds 1 by
+ * this many of its standard deviations (chi-square test of homogeneity). */
+#define UNEVEN_FROM_SD 3.0
 /* Beyond this standard deviation, which a single run gives, a server's estimate
  * is too uncertain to count. */
 #define SD_MAX 0.5
@@ -48,6 +55,7 @@
 	GHashTable *kinds; /* name -> struct kind, of the last refresh */
 	double mean; /* of the known logarithms */
 	double mean_variance; /* how uncertain the mean is */
+	bool uneven; /* the servers differ by more than chance */
 	uint32_t known;
 };
 
@@ -134,6 +142,23 @@
 	return CLAMP(entry->report.log - view->mean, -LOG_MAX, LOG_MAX);
 }
 
+static void compare_servers(struct speed_view *view)
+{
+	double sum = 0, freedom = MAX((double)view->known - 1, 1);
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, view->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct entry *entry = value;
+		double log = relative_log(view, entry);
+
+		if (entry->sd > 0)
+			sum += log * log / (entry->sd * entry->sd);
+	}
+	view->uneven = sum / freedom > 1 + UNEVEN_FROM_SD * sqrt(2 / freedom);
+}
+
 /* ---- Kinds ---------------------------------------------------------- */
 
 static bool has_few_runs(const struct entry *entry)
@@ -190,19 +215,25 @@
 
 /* ---- Factors -------------------------------------------------------- */
 
-static double entry_log(const struct speed_view *view, struct entry *entry)
+static bool counts(const struct speed_view *view, const struct entry *entry)
 {
-	double own = relative_log(view, entry);
 	double sd = sqrt(entry->sd * entry->sd + view->mean_variance);
+	double from_sd = view->uneven ? COUNTS_FROM_SD : COUNTS_FROM_SD_EVEN;
+
+	return entry->sd > 0 &&
+	       fabs(relative_log(view, entry)) >
+		       sd * (entry->counts ? COUNTS_UNTIL_SD : from_sd);
+}
+
+static double entry_log(const struct speed_view *view, struct entry *entry)
+{
 	double of_kind =
 		has_few_runs(entry) ? kind_log(view, entry->report.kind) : 0;
 
-	entry->counts = entry->sd > 0 &&
-			fabs(own) > sd * (entry->counts ? COUNTS_UNTIL_SD
-							: COUNTS_FROM_SD);
+	entry->counts = counts(view, entry);
 	if (of_kind != 0)
 		return of_kind;
-	return entry->counts ? own : 0;
+	return entry->counts ? relative_log(view, entry) : 0;
 }
 
 void speed_view_refresh(struct speed_view *view, int64_t now_ms)
@@ -211,6 +242,7 @@
 	gpointer value;
 
 	average(view, now_ms);
+	compare_servers(view);
 	sum_kinds(view);
 	g_hash_table_iter_init(&iter, view->entries);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
--- a/tests/test_dispatch_speed.c
+++ b/tests/test_dispatch_speed.c
@@ -21,7 +21,7 @@
  * runs stopped. */
 #define LESS 1.5
 /* Fraction of the jobs by which results with even servers may differ. */
-#define EVEN_MARGIN 0.005
+#define EVEN_MARGIN 0.002
 /* The same for jobs without an answer. A single task on a server that hangs
  * stays there while runs that began earlier still succeed, with and without
  * shared speeds. */
--- a/tests/test_health.c
+++ b/tests/test_health.c
@@ -312,6 +312,44 @@
 	cf_health_destroy(health);
 }
 
+/* When predictions begin to include that a server is slow, its health record
+ * must follow. Otherwise the slowness counts twice. */
+static void test_rescale(void **state)
+{
+	static const struct {
+		int results; /* of the slow server */
+		double factor; /* on its predictions */
+		double slowness_min, slowness_max;
+		uint32_t weight_min;
+	} cases[] = {
+		{ 40, 1, 2.9, 3.1, 0 }, /* probed */
+		{ 40, 3, 1, 1, 1000 },    { 40, 1.5, 1.9, 2.1, 1000 },
+		{ 40, 1.1, 2.6, 2.8, 0 }, /* still probed */
+		{ 2, 3, 1, 1, 1000 }, /* too few results to judge by */
+		{ 0, 3, 1, 1, 1000 },
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct cf_health *health = make_health(300);
+		double slowness;
+		uint32_t weight;
+
+		for (uint64_t agent = 1; agent <= SERVERS; agent++)
+			send_tasks(health, agent,
+				   agent == BAD ? cases[i].results : 40, true,
+				   agent == BAD ? 300 : 100, 10);
+		cf_health_rescale(health, BAD, cases[i].factor);
+		slowness = cf_health_slowness(health, BAD);
+		assert_true(slowness >= cases[i].slowness_min);
+		assert_true(slowness <= cases[i].slowness_max);
+		weight = cf_health_weight_milli(health, BAD, 20);
+		assert_true(cases[i].weight_min ? weight == 1000
+						: weight < 1000);
+		cf_health_destroy(health);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -325,6 +363,7 @@
 		cmocka_unit_test(test_slowness_is_forgotten),
 		cmocka_unit_test(test_overdue),
 		cmocka_unit_test(test_slow_start),
+		cmocka_unit_test(test_rescale),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
