Interference: a test with real processes, admission counts the mean slowdown

Predictions no longer contained the slowdown, but classes can't be kept apart there, so that admission took the work for smaller and the latest start for later than they were.

Change: each class has a mean of the known slowdown of its runs. Work and latest start count it; the predicted run time stays without it. Classes at a server are sent with reports that are sent anyway, not on their own.

--- a/src/leased/agent_reports.c
+++ b/src/leased/agent_reports.c
@@ -143,9 +143,6 @@
 
 		sum = XXH64(state->name, strlen(state->name), sum);
 		sum = XXH64(fields, sizeof(fields), sum);
-		for (size_t c = 0; c < state->n_classes; c++)
-			sum = XXH64(state->classes[c]->class_name,
-				    strlen(state->classes[c]->class_name), sum);
 	}
 	return sum | 1;
 }
--- a/src/leased/dispatch_interference.c
+++ b/src/leased/dispatch_interference.c
@@ -15,6 +15,8 @@
 /* What a run has left to run on average, as a fraction of its run time. */
 #define REMAINING_FRACTION 0.5
 #define PERCENT 100
+/* Weight of a run in the mean slowdown of its class. */
+#define MEAN_GAIN 0.02
 
 /* ---- Classes at a server -------------------------------------------- */
 
@@ -132,8 +134,16 @@
 			const struct dispatch_task *task)
 {
 	double at_end = slowdown_of(d, task->server, job->class->name, 1);
+	double factor = sqrt(MAX(task->interference, 1) * at_end);
 
-	return sqrt(MAX(task->interference, 1) * at_end);
+	job->class->slowdown_log +=
+		MEAN_GAIN * (log(factor) - job->class->slowdown_log);
+	return factor;
+}
+
+double class_slowdown(const struct dispatch_class *class)
+{
+	return exp(class->slowdown_log);
 }
 
 /* Mean predicted run time of the class's tasks that run now; 0: unknown. */
--- a/src/leased/dispatch_internal.h
+++ b/src/leased/dispatch_internal.h
@@ -111,6 +111,8 @@
 	double running_work; /* predicted work of tasks at servers */
 	int64_t running_cpu_milli;
 	uint32_t unsent_jobs; /* jobs of which no task was sent */
+	/* Mean logarithm by which known interference has slowed its runs. */
+	double slowdown_log;
 };
 
 struct dispatch_job {
@@ -125,7 +127,8 @@
 	/* Latest start of its first task after which its answer is of use. */
 	int64_t useful_start_ms;
 	bool is_late; /* waits in the lane of late jobs */
-	uint32_t predicted_ms;
+	uint32_t predicted_ms; /* on an average server, without interference */
+	double slowdown; /* factor that its class had when the job arrived */
 	uint32_t slowest_ms; /* longest successful run so far; 0: none */
 	struct dispatch_task *tasks;
 	uint32_t n_waiting, n_sent, n_done;
@@ -239,6 +242,10 @@
 double run_interference(const struct dispatch *d,
 			const struct dispatch_job *job,
 			const struct dispatch_task *task);
+/* How many times as long runs of the class have taken lately because of known
+ * interference. Where capacity is short, classes can't be kept apart, and
+ * admission has to count on that. */
+double class_slowdown(const struct dispatch_class *class);
 /* How much longer what runs there takes if a task of the job starts there. At
  * most the time that the job can lose without missing its target. */
 double server_harm_ms(const struct dispatch *d,
--- a/src/leased/dispatch_jobs.c
+++ b/src/leased/dispatch_jobs.c
@@ -179,20 +179,22 @@
 static void set_times(const struct dispatch *d, struct dispatch_job *job)
 {
 	uint32_t estimate_ms = MAX(job->spec.estimate_ms, 1);
-	int64_t target_latency_ms;
+	int64_t target_latency_ms, run_ms;
 
 	job->predicted_ms = cf_predict_ms(d->predict, job->class->name,
 					  estimate_ms, MEDIAN_MILLI);
+	job->slowdown = class_slowdown(job->class);
+	run_ms = (int64_t)(job->predicted_ms * job->slowdown);
 	target_latency_ms =
 		(int64_t)job->predicted_ms * job->route.stretch_milli / MILLI +
 		job->route.target_ms;
 	job->target_start_ms =
-		job->arrived_ms + MAX(target_latency_ms - job->predicted_ms, 0);
+		job->arrived_ms + MAX(target_latency_ms - run_ms, 0);
 	job->deadline_ms -= ANSWER_MARGIN_MS;
 	job->useful_start_ms =
 		MIN(job->arrived_ms + TARGET_FACTOR_MAX * target_latency_ms,
 		    job->deadline_ms) -
-		job->predicted_ms;
+		run_ms;
 	job->useful_start_ms =
 		MIN(job->useful_start_ms,
 		    job->arrived_ms + (int64_t)(LATE_WAIT_MAX_FRACTION *
--- a/src/leased/dispatch_order.c
+++ b/src/leased/dispatch_order.c
@@ -104,7 +104,7 @@
 
 double dispatch_task_work(const struct dispatch_job *job)
 {
-	return (double)job->spec.cpu_milli * job->predicted_ms;
+	return job->spec.cpu_milli * job->predicted_ms * job->slowdown;
 }
 
 void dispatch_count_waiting(struct dispatch *d, struct dispatch_job *job,
--- a/tests/support/leased_standin.c
+++ b/tests/support/leased_standin.c
@@ -26,22 +26,32 @@
 #define LEASE_MAX_MS 1000
 #define STATUS_OK 200
 #define STATUS_CONFLICT 409
+#define SLOWDOWNS_MAX 2
 
 /* ---- Types ---- */
 
 struct interval {
 	char task[STANDIN_TASK_ID_SIZE];
+	char label[STANDIN_LABEL_SIZE];
+	const struct standin *server;
 	int64_t begin_ms, end_ms; /* end_ms is 0 while it runs */
 };
 
+struct slowdown {
+	char label[STANDIN_LABEL_SIZE], beside[STANDIN_LABEL_SIZE];
+	double factor; /* 0: none */
+};
+
 struct standin_record {
 	GMutex lock;
 	GPtrArray *intervals; /* struct interval */
+	struct slowdown slowdowns[SLOWDOWNS_MAX];
 };
 
 struct standin_run {
 	char task[STANDIN_TASK_ID_SIZE];
 	int64_t number, end_ms;
+	double delay_ms; /* not yet added to end_ms */
 	struct interval *interval;
 };
 
@@ -57,6 +67,7 @@
 	/* task -> highest number of a run that was stopped or has ended */
 	GHashTable *refused_numbers;
 	int64_t lease_ms, last_position, seq, born_ms;
+	int64_t advanced_ms;
 };
 
 /* ---- Record ---- */
@@ -78,11 +89,15 @@
 }
 
 static struct interval *begin_interval(struct standin_record *record,
-				       const char *task, int64_t now_ms)
+				       const struct standin *server,
+				       const struct standin_request *order,
+				       int64_t now_ms)
 {
 	struct interval *interval = g_new0(struct interval, 1);
 
-	g_strlcpy(interval->task, task, sizeof(interval->task));
+	g_strlcpy(interval->task, order->task, sizeof(interval->task));
+	g_strlcpy(interval->label, order->label, sizeof(interval->label));
+	interval->server = server;
 	interval->begin_ms = now_ms;
 	g_mutex_lock(&record->lock);
 	g_ptr_array_add(record->intervals, interval);
@@ -136,6 +151,59 @@
 	return n;
 }
 
+/* ---- Labels ---- */
+
+void standin_set_slowdown(struct standin_record *record, const char *label,
+			  const char *beside, double factor)
+{
+	for (size_t i = 0; i < SLOWDOWNS_MAX; i++) {
+		struct slowdown *slowdown = &record->slowdowns[i];
+
+		if (slowdown->factor > 0)
+			continue;
+		g_strlcpy(slowdown->label, label, sizeof(slowdown->label));
+		g_strlcpy(slowdown->beside, beside, sizeof(slowdown->beside));
+		slowdown->factor = factor;
+		return;
+	}
+}
+
+static bool was_beside(const struct standin_record *record,
+		       const struct interval *run, const char *label)
+{
+	for (guint i = 0; i < record->intervals->len; i++) {
+		const struct interval *other =
+			g_ptr_array_index(record->intervals, i);
+
+		if (other != run && other->server == run->server &&
+		    !strcmp(other->label, label) &&
+		    other->begin_ms < run->end_ms &&
+		    run->begin_ms < (other->end_ms ? other->end_ms : INT64_MAX))
+			return true;
+	}
+	return false;
+}
+
+void standin_count_beside(struct standin_record *record, const char *label,
+			  const char *beside, int64_t from_ms, uint32_t *runs,
+			  uint32_t *beside_runs)
+{
+	*runs = 0;
+	*beside_runs = 0;
+	g_mutex_lock(&record->lock);
+	for (guint i = 0; i < record->intervals->len; i++) {
+		const struct interval *run =
+			g_ptr_array_index(record->intervals, i);
+
+		if (!run->end_ms || run->begin_ms < from_ms ||
+		    strcmp(run->label, label) != 0)
+			continue;
+		(*runs)++;
+		*beside_runs += was_beside(record, run, beside);
+	}
+	g_mutex_unlock(&record->lock);
+}
+
 /* ---- Runs ---- */
 
 static struct standin_run *find(struct standin *s, const char *task)
@@ -176,8 +244,47 @@
 	g_ptr_array_remove(s->runs, run);
 }
 
+static bool has_label(const struct standin *s, const struct standin_run *except,
+		      const char *label)
+{
+	for (guint i = 0; i < s->runs->len; i++) {
+		const struct standin_run *run = g_ptr_array_index(s->runs, i);
+
+		if (run != except && !strcmp(run->interval->label, label))
+			return true;
+	}
+	return false;
+}
+
+/* Moves the ends of runs that were slowed down since the last call. */
+static void slow_down(struct standin *s, int64_t now_ms)
+{
+	double passed_ms = (double)(now_ms - s->advanced_ms);
+
+	s->advanced_ms = now_ms;
+	for (guint i = 0; i < s->runs->len; i++) {
+		struct standin_run *run = g_ptr_array_index(s->runs, i);
+		int64_t whole_ms;
+
+		for (size_t k = 0; k < SLOWDOWNS_MAX; k++) {
+			const struct slowdown *slowdown =
+				&s->record->slowdowns[k];
+
+			if (slowdown->factor > 0 &&
+			    !strcmp(slowdown->label, run->interval->label) &&
+			    has_label(s, run, slowdown->beside))
+				run->delay_ms +=
+					passed_ms * (1 - 1 / slowdown->factor);
+		}
+		whole_ms = (int64_t)run->delay_ms;
+		run->delay_ms -= (double)whole_ms;
+		run->end_ms += whole_ms;
+	}
+}
+
 static void advance(struct standin *s, int64_t now_ms)
 {
+	slow_down(s, now_ms);
 	for (guint i = s->runs->len; i-- > 0;) {
 		struct standin_run *run = g_ptr_array_index(s->runs, i);
 
@@ -215,7 +322,7 @@
 	g_strlcpy(run->task, order->task, sizeof(run->task));
 	run->number = order->number;
 	run->end_ms = now_ms + order->run_ms;
-	run->interval = begin_interval(s->record, order->task, now_ms);
+	run->interval = begin_interval(s->record, s, order, now_ms);
 	g_ptr_array_add(s->runs, run);
 	return true;
 }
@@ -372,6 +479,7 @@
 	s->address = g_strdup(advertised_address);
 	s->control = g_strdup(agent_control);
 	s->born_ms = clock_wall_ms();
+	s->advanced_ms = clock_now_ms();
 	g_mutex_init(&s->lock);
 	s->runs = g_ptr_array_new_with_free_func(g_free);
 	s->ends = g_array_new(FALSE, TRUE, sizeof(struct standin_end));
--- a/tests/support/leased_standin.h
+++ b/tests/support/leased_standin.h
@@ -21,6 +21,16 @@
 /* Number of runs of the tasks of one job. */
 uint32_t standin_runs_of(struct standin_record *record, const char *job);
 
+/* Runs with this label take factor times as long while a run with the other
+ * label is at the same stand-in. Set before the first run. */
+void standin_set_slowdown(struct standin_record *record, const char *label,
+			  const char *beside, double factor);
+/* Counts the ended runs with this label that began at from_ms or later, and
+ * those of them that were beside a run with the other label. */
+void standin_count_beside(struct standin_record *record, const char *label,
+			  const char *beside, int64_t from_ms, uint32_t *runs,
+			  uint32_t *beside_runs);
+
 /* The stand-in listens at address and reports advertised_address to the
  * agent. */
 struct standin *standin_create(struct standin_record *record, const char *name,
--- a/tests/support/leased_system.c
+++ b/tests/support/leased_system.c
@@ -332,6 +332,30 @@
 			 SYSTEM_DEADLINE_MS + CALL_SLACK_MS);
 }
 
+void leased_system_set_named_routes(struct leased_system *s, uint32_t version,
+				    const char *const *names)
+{
+	g_autofree char *routes = standin_write_named_routes(
+		version, "desk", HOST, names, ROUTE_TIMEOUT_MS);
+
+	leased_system_control(s, "POST", standin_set_routes_path, routes, 0);
+}
+
+uint32_t leased_system_submit_named(struct leased_system *s, int dispatcher,
+				    const char *name, const char *id,
+				    uint32_t run_ms)
+{
+	g_autofree char *body =
+		standin_write_labelled_job(1, TASK_CPU_MILLI, run_ms, name);
+	g_autofree char *path = g_strdup_printf("/%s/%s", name, id);
+	char process[16];
+
+	snprintf(process, sizeof(process), "d%d",
+		 dispatcher % SYSTEM_DISPATCHERS + 1);
+	return send_call(cluster_address(s->cluster, process, "http"), "POST",
+			 path, body, NULL, SYSTEM_DEADLINE_MS + CALL_SLACK_MS);
+}
+
 static void address_at(const struct leased_system *s, int base, int i,
 		       char address[40])
 {
--- a/tests/support/leased_system.h
+++ b/tests/support/leased_system.h
@@ -44,6 +44,14 @@
  * all cases. */
 uint32_t leased_system_submit(struct leased_system *s, int dispatcher,
 			      const char *id, uint32_t run_ms, char **answer);
+/* Sets one route for each name (ends with NULL). */
+void leased_system_set_named_routes(struct leased_system *s, uint32_t version,
+				    const char *const *names);
+/* Submits a job of one task to a named route; the stand-in gets the name as the
+ * task's label. Returns what leased_system_submit() returns. */
+uint32_t leased_system_submit_named(struct leased_system *s, int dispatcher,
+				    const char *name, const char *id,
+				    uint32_t run_ms);
 /* A caller that keeps one connection to each dispatcher open until that
  * process has exited. One thread at a time. */
 struct leased_caller;
--- a/tests/support/many_interference.c
+++ b/tests/support/many_interference.c
@@ -105,6 +105,11 @@
 	return report;
 }
 
+bool many_estimate_is_due(const struct many_estimate_report *report)
+{
+	return report && report->slowdowns->len > 0;
+}
+
 void many_estimate_free_report(struct many_estimate_report *report)
 {
 	if (!report)
--- a/tests/support/many_interference.h
+++ b/tests/support/many_interference.h
@@ -33,6 +33,8 @@
 struct many_estimate_report *
 many_estimate_report(struct many_estimate *estimate, uint32_t dispatcher,
 		     int64_t now_ms);
+/* Whether the report has to be sent even if nothing else has changed. */
+bool many_estimate_is_due(const struct many_estimate_report *report);
 void many_estimate_free_report(struct many_estimate_report *report);
 void many_estimate_apply(const struct many_estimate_report *report,
 			 struct dispatch *d, uint64_t agent, const char *server,
--- a/tests/support/many_world.c
+++ b/tests/support/many_world.c
@@ -318,8 +318,9 @@
 		estimate = many_estimate_report(m->servers[server].estimate,
 						dispatcher, m->now_ms);
 	fill_state(m, server, dispatcher, &state);
-	if (!results->len && !estimate &&
+	if (!results->len && !many_estimate_is_due(estimate) &&
 	    !state_has_changed(last_reported, &state)) {
+		many_estimate_free_report(estimate);
 		g_array_unref(results);
 		return;
 	}
--- a/tests/test_interference.c
+++ b/tests/test_interference.c
@@ -391,6 +391,60 @@
 	}
 }
 
+static uint32_t twelve_servers(const void *arg, const char *service)
+{
+	(void)arg;
+	(void)service;
+	return 12;
+}
+
+/* Reports of few servers are not enough, as those that report are the ones
+ * where chance made runs slow; and what isn't renewed is forgotten. */
+static void test_what_the_view_takes_for_interference(void **state)
+{
+	static const struct {
+		const char *name;
+		uint32_t servers; /* that report, of 12 */
+		double log;
+		uint32_t samples;
+		int64_t age_ms; /* of the reports */
+		uint32_t pairs;
+	} reports[] = {
+		{ "all servers", 12, 0.3, 40, 0, 1 },
+		{ "one server", 1, 1.1, 1000, 0, 0 },
+		{ "two of twelve servers", 2, 0.4, 40, 0, 0 },
+		{ "a small slowdown", 12, 0.1, 1000, 0, 0 },
+		{ "few samples", 12, 0.3, 2, 0, 0 },
+		{ "no samples", 12, 0.3, 0, 0, 0 },
+		{ "still known", 12, 0.3, 40, 29000, 1 },
+		{ "forgotten", 12, 0.3, 40, 30000, 0 },
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(reports); i++) {
+		struct interference_view *view = interference_view_create();
+		const struct class_slowdown slowdown = { "a", "b",
+							 reports[i].log,
+							 reports[i].samples };
+		g_autoptr(GArray) changes = g_array_new(
+			FALSE, FALSE, sizeof(struct interfering_pair));
+
+		for (uint32_t k = 1; k <= reports[i].servers; k++)
+			interference_view_report(view, k, "desk", &slowdown, 1,
+						 1000);
+		interference_view_tick(view, twelve_servers, NULL, 1000,
+				       changes);
+		interference_view_tick(view, twelve_servers, NULL,
+				       1000 + reports[i].age_ms, changes);
+		fprintf(stderr, "count: view, %s: %u pairs\n", reports[i].name,
+			interference_view_count(view));
+		assert_int_equal(interference_view_count(view),
+				 reports[i].pairs);
+		assert_true(interference_view_factor(view, "b", "a") <= 1);
+		interference_view_destroy(view);
+	}
+}
+
 /* Declared run times have large errors, so that some runs beside a class are
  * slow by chance. */
 static void test_chance_is_not_interference(void **state)
@@ -429,6 +483,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_pairs_are_told_from_other_causes),
+		cmocka_unit_test(test_what_the_view_takes_for_interference),
 		cmocka_unit_test(test_chance_is_not_interference),
 	};
 
