--- a/tests/support/many_servers.c
+++ b/tests/support/many_servers.c
@@ -185,8 +185,10 @@
 		estimate = many_estimate_report(s->estimate, dispatcher,
 						m->now_ms);
 	fill_state(m, server, dispatcher, &state);
-	if (!results->len && !estimate && step == s->speed_steps[dispatcher] &&
+	if (!results->len && !many_estimate_is_due(estimate) &&
+	    step == s->speed_steps[dispatcher] &&
 	    !state_has_changed(last_reported, &state)) {
+		many_estimate_free_report(estimate);
 		g_array_unref(results);
 		return;
 	}
