--- a/src/leased/dispatch_internal.h
+++ b/src/leased/dispatch_internal.h
@@ -163,7 +163,6 @@
 	struct cf_health *health;
 	struct speed_view *speeds;
 	bool uneven; /* some servers are slow (SERVER_SLOW_SPEED) */
-	uint32_t urgent_priority; /* the most urgent of the classes in use */
 	bool fast_scarce; /* the others have little free capacity */
 	/* Servers of at most this speed are reserved for a job that waits for
 	 * one; 0: none. Set during dispatch_place_tasks(). */
@@ -197,8 +196,6 @@
 /* The class's share of the starts, from 0 to 1. */
 double dispatch_class_share(const struct dispatch *d,
 			    const struct dispatch_class *class, int64_t now_ms);
-/* The most urgent priority of the classes for which work arrives. */
-uint32_t dispatch_urgent_priority(const struct dispatch *d, int64_t now_ms);
 void dispatch_lane_init(struct dispatch_lane *lane);
 void dispatch_lane_clear(struct dispatch_lane *lane);
 /* The lane that the job waits in. */
--- a/src/leased/dispatch_order.c
+++ b/src/leased/dispatch_order.c
@@ -22,8 +22,6 @@
 #define SHARE_MIN 0.02
 /* A class gets this many times the share of one whose priority is one lower. */
 #define PRIORITY_WEIGHT 4.0
-/* Work for a processor or more arrives for a class in use. */
-#define IN_USE_MILLI 1000
 /* Greatest difference of priorities that counts. */
 #define PRIORITY_MAX 8U
 
@@ -51,23 +49,6 @@
 	return all > 0 ? MAX(own / all, SHARE_MIN) : 1.0;
 }
 
-uint32_t dispatch_urgent_priority(const struct dispatch *d, int64_t now_ms)
-{
-	uint32_t priority = UINT32_MAX;
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, d->classes);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct dispatch_class *class = value;
-
-		if (rate_now(&class->arrival_rate, ARRIVAL_PERIOD_MS, now_ms) >=
-		    IN_USE_MILLI)
-			priority = MIN(priority, class->priority);
-	}
-	return priority;
-}
-
 /* ---- Lanes ---------------------------------------------------------- */
 
 void dispatch_lane_init(struct dispatch_lane *lane)
--- a/src/leased/dispatch_place.c
+++ b/src/leased/dispatch_place.c
@@ -22,10 +22,8 @@
 
 #define MILLI 1000
 /* Part of a server's capacity that late jobs leave free for jobs that can be in
- * time, and that jobs with slack leave free for more urgent ones. */
-#define RESERVE_MILLI 100
-/* A job leaves it free while it has this fraction of its slack. */
-#define SPARE_SLACK_FRACTION 0.5
+ * time. */
+#define LATE_RESERVE_MILLI 100
 /* How much slower a server of this data centre may be and still be preferred
  * to one of another data centre. */
 #define OTHER_DATA_CENTRE_PENALTY_MS 4.0
@@ -123,19 +121,6 @@
 	       server->state.capacity.accelerators >= job->spec.accelerators;
 }
 
-/* Wide jobs of an urgent class need room on many servers at once. Jobs that can
- * wait don't take the last of it. */
-static bool leaves_reserve(const struct dispatch *d,
-			   const struct dispatch_job *job, int64_t now_ms)
-{
-	double slack_ms = (double)(job->target_start_ms - job->arrived_ms);
-
-	return job->is_late ||
-	       (job->class->priority > d->urgent_priority && !job->n_sent &&
-		(double)(job->target_start_ms - now_ms) >
-			slack_ms * SPARE_SLACK_FRACTION);
-}
-
 static bool has_room(const struct dispatch *d,
 		     const struct dispatch_server *server,
 		     const struct dispatch_job *job, int64_t now_ms)
@@ -147,8 +132,9 @@
 
 	if (server->own_runs && server->own_cpu_milli + cpu > allowed)
 		return false;
-	if (leaves_reserve(d, job, now_ms))
-		cpu += server->state.capacity.cpu_milli * RESERVE_MILLI / MILLI;
+	if (job->is_late)
+		cpu += server->state.capacity.cpu_milli * LATE_RESERVE_MILLI /
+		       MILLI;
 	return server_offered_cpu_milli(server) >= cpu &&
 	       server_free_memory_mb(server) >= job->spec.memory_mb;
 }
@@ -333,7 +319,6 @@
 	d->placing = true;
 	d->reserved_speed = 0;
 	d->fast_scarce = is_fast_scarce(d);
-	d->urgent_priority = dispatch_urgent_priority(d, now_ms);
 	while ((lane = dispatch_next_lane(d, tried))) {
 		struct dispatch_job *job =
 			g_sequence_get(g_sequence_get_begin_iter(lane->queue));
