--- a/src/leased/agent_reports.c
+++ b/src/leased/agent_reports.c
@@ -14,8 +14,6 @@
 /* Between updates while scarce capacity is offered to dispatchers in turn. */
 #define TURN_INTERVAL_MS 8
 #define MILLI 1000
-/* A change of the fraction of failing jobs is reported in these steps. */
-#define FAILING_STEP_MILLI 100
 
 /* ---- Capacity ------------------------------------------------------- */
 
@@ -105,7 +103,6 @@
 	state->running = load.running;
 	state->queued = load.queued;
 	state->failed_in_a_row = load.failed_in_a_row;
-	state->failing_milli = load.failing_milli;
 	state->accepting = agent_accepts(a, server, now_ms);
 	state->received = p->received;
 	agent_get_speed(a, report->name, now_ms, &speed);
@@ -151,7 +148,6 @@
 			state->accepting,
 			(int64_t)state->received,
 			state->failed_in_a_row == RUN_FAILURES_COUNTED_MAX,
-			state->failing_milli / FAILING_STEP_MILLI,
 			agent_speed_step(a, state->name, now_ms)
 		};
 
--- a/src/leased/dispatch.h
+++ b/src/leased/dispatch.h
@@ -88,7 +88,6 @@
 	bool accepting;
 	/* The last RUN_FAILURES_COUNTED_MAX jobs there failed. */
 	bool fails_all;
-	double failing; /* fraction of the recent jobs there that failed */
 	/* Natural logarithm of run time / expected run time, as its agent
 	 * measured it, and the standard deviation of that; 0: not known. */
 	double speed_log, speed_sd;
--- a/src/leased/dispatch_place.c
+++ b/src/leased/dispatch_place.c
@@ -27,8 +27,6 @@
 /* How much slower a server of this data centre may be and still be preferred
  * to one of another data centre. */
 #define OTHER_DATA_CENTRE_PENALTY_MS 4.0
-/* A failed run costs this and its time: its answer and another start. */
-#define FAILED_RUN_PENALTY_MS 50.0
 /* A full server compared with an empty one: other dispatchers may also send
  * tasks there. */
 #define FULL_SERVER_PENALTY_MS 8.0
@@ -153,8 +151,6 @@
 			used * FULL_SERVER_PENALTY_MS +
 			server_harm_ms(d, server, job, now_ms);
 
-	/* A run that fails there has to be repeated elsewhere. */
-	finish += server->state.failing * (finish + FAILED_RUN_PENALTY_MS);
 	if (strcmp(server->agent->identity.data_centre, d->data_centre) != 0)
 		finish += OTHER_DATA_CENTRE_PENALTY_MS;
 	if (task->avoided_server == server->id ||
--- a/src/leased/run_table.c
+++ b/src/leased/run_table.c
@@ -4,7 +4,6 @@
  */
 #include "leased/run_table_internal.h"
 
-#include <math.h>
 #include <string.h>
 
 /* ---- Constants ------------------------------------------------------ */
@@ -19,10 +18,6 @@
  * at the same time send more than fits. */
 #define QUEUED_MAX_MS 12
 #define NEVER INT64_MAX
-#define MILLI 1000
-/* Weight of the newest job in the fraction that failed. */
-#define FAILING_WEIGHT 0.1
-#define FAILING_FADE_MS 5000.0
 
 /* ---- Lifecycle ------------------------------------------------------ */
 
@@ -79,36 +74,9 @@
 	return NULL;
 }
 
-/* A server that fails gets few tasks, so its record also fades without any. */
-static double failing_now(const struct run_table *table)
-{
-	return table->failing *
-	       exp(-(double)(table->now_ms - table->failing_ms) /
-		   FAILING_FADE_MS);
-}
-
-/* Tasks of one job count once: they fail together if the job is faulty. */
-static void average_failures(struct run_table *table,
-			     const struct run_result *result)
-{
-	bool failed = result->outcome == RUN_OUTCOME_FAILED;
-	char *last = failed ? table->failed_job : table->done_job;
-
-	if ((!failed && result->outcome != RUN_OUTCOME_DONE) ||
-	    !strcmp(last, result->name.job))
-		return;
-	table->failing = failing_now(table);
-	table->failing += ((failed ? 1 : 0) - table->failing) * FAILING_WEIGHT;
-	table->failing_ms = table->now_ms;
-	if (!failed)
-		g_strlcpy(table->done_job, result->name.job,
-			  sizeof(table->done_job));
-}
-
 static void count_failure(struct run_table *table,
 			  const struct run_result *result)
 {
-	average_failures(table, result);
 	if (result->outcome == RUN_OUTCOME_DONE) {
 		table->failed_in_a_row = 0;
 		table->failed_job[0] = '\0';
@@ -135,7 +103,6 @@
 		  sizeof(result.class_name));
 	if (run->started_ms && now_ms > run->started_ms)
 		result.run_ms = (uint32_t)(now_ms - run->started_ms);
-	table->now_ms = MAX(table->now_ms, now_ms);
 	count_failure(table, &result);
 	g_queue_push_tail(&table->results, g_memdup2(&result, sizeof(result)));
 	g_ptr_array_remove_index(table->runs, position);
@@ -196,7 +163,6 @@
 	memset(load, 0, sizeof(*load));
 	sum_load(table, true, load);
 	load->failed_in_a_row = table->failed_in_a_row;
-	load->failing_milli = (uint32_t)(failing_now(table) * MILLI);
 }
 
 static uint32_t accelerators_in_use(const struct run_table *table)
--- a/src/leased/run_table.h
+++ b/src/leased/run_table.h
@@ -60,9 +60,6 @@
 	 * one job count once, because they all fail if the job itself is
 	 * faulty. At most RUN_FAILURES_COUNTED_MAX. */
 	uint32_t failed_in_a_row;
-	/* Fraction of the recent jobs there that failed, in thousandths. A job
-	 * counts once for its failures and once for its successes. */
-	uint32_t failing_milli;
 };
 
 struct run_table *run_table_create(void);
--- a/src/leased/run_table_internal.h
+++ b/src/leased/run_table_internal.h
@@ -33,9 +33,6 @@
 	GQueue results; /* struct run_result */
 	uint32_t failed_in_a_row; /* see struct run_load */
 	char failed_job[LEASED_JOB_SIZE]; /* the last job that failed */
-	char done_job[LEASED_JOB_SIZE]; /* the last job with a success */
-	double failing; /* see struct run_load; a fraction, at failing_ms */
-	int64_t failing_ms;
 	int64_t next_start_ms; /* no start is sent before */
 	int64_t now_ms; /* time of the latest call; stop requests use it */
 };
--- a/src/proto/wire.pb-c.c
+++ b/src/proto/wire.pb-c.c
@@ -7020,7 +7020,7 @@
   (ProtobufCMessageInit) cfw__class_slowdown__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfw__server_state__field_descriptors[20] =
+static const ProtobufCFieldDescriptor cfw__server_state__field_descriptors[19] =
 {
   {
     "name",
@@ -7250,18 +7250,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "failing_milli",
-    20,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Cfw__ServerState, failing_milli),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned cfw__server_state__field_indices_by_name[] = {
   5,   /* field[5] = accelerators */
@@ -7269,7 +7257,6 @@
   17,   /* field[17] = classes */
   3,   /* field[3] = cpu_milli */
   13,   /* field[13] = failed_in_a_row */
-  19,   /* field[19] = failing_milli */
   6,   /* field[6] = free_cpu_milli */
   7,   /* field[7] = free_memory_mb */
   2,   /* field[2] = kind */
@@ -7288,7 +7275,7 @@
 static const ProtobufCIntRange cfw__server_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 20 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor cfw__server_state__descriptor =
 {
@@ -7298,7 +7285,7 @@
   "Cfw__ServerState",
   "cfw",
   sizeof(Cfw__ServerState),
-  20,
+  19,
   cfw__server_state__field_descriptors,
   cfw__server_state__field_indices_by_name,
   1,  cfw__server_state__number_ranges,
--- a/src/proto/wire.pb-c.h
+++ b/src/proto/wire.pb-c.h
@@ -1162,14 +1162,10 @@
   Cfw__ClassRuns **classes;
   size_t n_slowdowns;
   Cfw__ClassSlowdown **slowdowns;
-  /*
-   * part of the recent jobs there that failed
-   */
-  uint32_t failing_milli;
 };
 #define CFW__SERVER_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cfw__server_state__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL }
 
 
 struct  Cfw__RunReport
--- a/tests/test_run_table.c
+++ b/tests/test_run_table.c
@@ -427,57 +427,6 @@
 	run_table_destroy(table);
 }
 
-/* The part of the jobs that failed lately: tasks of one job count once, and a
- * server that isn't used any more doesn't stay marked. */
-static void test_failing_jobs(void **state)
-{
-	static const struct {
-		const char *what;
-		uint32_t failed, done; /* runs, in this order */
-		bool one_job;
-		int64_t asked_ms;
-		uint32_t min_milli, max_milli;
-	} cases[] = {
-		{ "none failed", 0, 5, false, 20, 0, 0 },
-		{ "all of five jobs failed", 5, 0, false, 20, 380, 420 },
-		{ "five tasks of one job failed", 5, 0, true, 20, 90, 110 },
-		{ "five failed, then five done", 5, 5, false, 20, 220, 260 },
-		{ "five failed, long ago", 5, 0, false, 20000, 0, 10 },
-	};
-
-	(void)state;
-	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-		struct run_table *table = make_table(1000);
-		struct run_load load;
-
-		for (uint32_t n = 0; n < cases[i].failed + cases[i].done; n++) {
-			struct run_request run = { .cpu_milli = 1,
-						   .spec = g_bytes_new("x", 1),
-						   .deadline_ms = 10000 };
-			struct listed_run_end end = { .position = n + 1 };
-
-			g_snprintf(run.name.job, sizeof(run.name.job), "job-%u",
-				   cases[i].one_job ? 0 : n);
-			run.name.index = n;
-			run.name.number = 1;
-			run_table_enqueue(table, &run, n);
-			g_bytes_unref(run.spec);
-			run_table_next_start(table, n);
-			run_table_start_answered(table, &run.name, RUN_ACCEPTED,
-						 n);
-			end.name = run.name;
-			end.end_status = n < cases[i].failed ? RUN_END_FAILED
-							     : RUN_END_DONE;
-			apply_lists(table, NULL, 0, &end, 1, n, n + 1, NULL);
-		}
-		run_table_next_start(table, cases[i].asked_ms);
-		run_table_get_load(table, &load);
-		assert_in_range(load.failing_milli, cases[i].min_milli,
-				cases[i].max_milli);
-		run_table_destroy(table);
-	}
-}
-
 /* A run that can't start goes back to its dispatcher in time to start at
  * another server. One that only waits for a pause after a refusal stays. */
 static void test_blocked_runs_go_back(void **state)
@@ -516,7 +465,6 @@
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test(test_failing_jobs),
 		cmocka_unit_test(test_blocked_runs_go_back),
 		cmocka_unit_test(test_starts_in_order_within_capacity),
 		cmocka_unit_test(test_duplicate_request_is_one_run),
