coordinator: a request to join waits for a link

The first request to join was counted as sent while no link was up, so the next one came 500 ms later. In a logged run that was half of the second from thawing a replaced coordinator to its place as a learner.

--- a/src/coordinator/coordinator_join.c
+++ b/src/coordinator/coordinator_join.c
@@ -217,18 +217,20 @@
 {
 	struct Cfw__Envelope envelope = CFW__ENVELOPE__INIT;
 	struct Cfw__JoinRequest request = CFW__JOIN_REQUEST__INIT;
+	bool sent = false;
 
 	if (!c->target_voters || now_ms < c->next_join_ms ||
 	    c->first_members->len || cf_config_find_member(c->config, c->id))
 		return;
-	c->next_join_ms = now_ms + JOIN_INTERVAL_MS;
 	request.member_id = c->id;
 	request.address = c->link_address;
 	request.admin_address = c->control_address;
 	envelope.body_case = CFW__ENVELOPE__BODY_JOIN;
 	envelope.join = &request;
 	for (guint i = 0; i < c->peers->len; i++)
-		link_send(g_ptr_array_index(c->peers, i), &envelope);
+		sent |= link_send(g_ptr_array_index(c->peers, i), &envelope);
+	if (sent)
+		c->next_join_ms = now_ms + JOIN_INTERVAL_MS;
 }
 
 static void propose_removal(struct coordinator *c, uint32_t id, const char *why)
