fault_restarts: a caller that leaves while its job is held

Guards against a held job that is run although its caller has left: the number of held jobs must fall when the connection closes. Threads are joined before their results are checked, so that a failed check doesn't free what they use. Each refusal is printed.

--- a/tests/fault_restarts.c
+++ b/tests/fault_restarts.c
@@ -8,11 +8,15 @@
 #include "base/clock.h"
 #include "platform/standin.h"
 
+#include <arpa/inet.h>
 #include <glib.h>
+#include <netinet/in.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <cmocka.h>
 
@@ -52,6 +56,9 @@
 		c->status =
 			leased_system_submit(c->system, 0, id, RUN_MS, &answer);
 		c->completed = c->status == 200 && standin_is_completed(answer);
+		if (c->status != 200 && c->status != SYSTEM_NOT_CONNECTED)
+			fprintf(stderr, "job %s: %u %s\n", id, c->status,
+				answer);
 	} while (c->status == SYSTEM_NOT_CONNECTED && clock_now_ms() < end_ms);
 	return NULL;
 }
@@ -71,17 +78,41 @@
 {
 	int64_t end_ms = clock_now_ms() + SYSTEM_WAIT_MS;
 
-	while (cluster_metric(s->cluster, "d1", "chervilferry_requests_held") <
+	while (cluster_metric(s->cluster, "d1", "chervilferry_requests_held") !=
 	       n) {
 		assert_true(clock_now_ms() < end_ms);
 		g_usleep(POLL_US);
 	}
 }
 
+/* Submits a job to dispatcher 1 on a connection that the test can close. */
+static int submit_raw(struct leased_system *s)
+{
+	g_auto(GStrv) address =
+		g_strsplit(cluster_address(s->cluster, "d1", "http"), ":", 2);
+	g_autofree char *body = standin_write_job(1, 100, RUN_MS);
+	g_autofree char *text =
+		g_strdup_printf("POST /q/leaver HTTP/1.1\r\nHost: h.example\r\n"
+				"Content-Length: %zu\r\n\r\n%s",
+				strlen(body), body);
+	struct sockaddr_in to = { .sin_family = AF_INET,
+				  .sin_port = htons((uint16_t)g_ascii_strtoull(
+					  address[1], NULL, 10)) };
+	int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+
+	assert_int_equal(inet_pton(AF_INET, address[0], &to.sin_addr), 1);
+	assert_int_equal(
+		connect(descriptor, (struct sockaddr *)&to, sizeof(to)), 0);
+	assert_int_equal(send(descriptor, text, strlen(text), MSG_NOSIGNAL),
+			 strlen(text));
+	return descriptor;
+}
+
 /* A dispatcher that has just started holds jobs until it has routes and a
  * server can be reached; without that, it refuses them with 503. Frozen
  * coordinators delay the routes, and frozen agents the first server. The held
- * jobs must be served once these processes run again. */
+ * jobs must be served once these processes run again, except that of a caller
+ * that has left. */
 static void test_jobs_at_the_start(void **state)
 {
 	static const struct {
@@ -95,6 +126,7 @@
 		struct proc *dispatcher = cluster_proc(s->cluster, "d1");
 		struct early_caller callers[EARLY_CALLERS] = { 0 };
 		GThread *threads[EARLY_CALLERS];
+		int leaver;
 
 		proc_kill(dispatcher);
 		signal_group(s, cases[i].frozen, cases[i].n, proc_freeze);
@@ -106,9 +138,14 @@
 		}
 		proc_start(s->cluster, dispatcher);
 		wait_for_held(s, EARLY_CALLERS);
+		leaver = submit_raw(s);
+		wait_for_held(s, EARLY_CALLERS + 1);
+		close(leaver);
+		wait_for_held(s, EARLY_CALLERS);
 		signal_group(s, cases[i].frozen, cases[i].n, proc_thaw);
-		for (int c = 0; c < EARLY_CALLERS; c++) {
+		for (int c = 0; c < EARLY_CALLERS; c++)
 			g_thread_join(threads[c]);
+		for (int c = 0; c < EARLY_CALLERS; c++) {
 			assert_int_equal(callers[c].status, 200);
 			assert_true(callers[c].completed);
 		}
