Interference: dispatchers learn of classes that come and go at a server

Cause: classes at a server were sent only with other reports. That test counted runs that overlapped at any time, which the dispatcher of the other class causes as well.

Change: while a pair is suspected, a class that has come or gone is reported within 100 ms. The test counts what ran there when a run began.

--- a/src/leased/agent_interference.c
+++ b/src/leased/agent_interference.c
@@ -15,6 +15,10 @@
  * at least this often, as dispatchers forget what isn't renewed. */
 #define SEND_INTERVAL_MS 1000
 #define RENEW_INTERVAL_MS 5000
+/* A class that has come or gone is reported after this time even if nothing
+ * else is to be sent: while capacity is ample, states hardly change otherwise.
+ */
+#define CLASSES_INTERVAL_MS 100
 #define MILLI 1000.0
 /* Changes of less than this don't count. */
 #define LOG_STEP 0.05
@@ -31,6 +35,9 @@
 	int64_t sent_ms;
 	uint64_t due_digest; /* of those in the report that is being filled */
 	bool due;
+	/* The same for the set of classes that run. */
+	uint64_t classes_digest, due_classes_digest;
+	int64_t classes_sent_ms;
 };
 
 static void free_interference(gpointer data)
@@ -149,6 +156,23 @@
 	}
 }
 
+static bool classes_are_due(struct peer *p, const Cfw__ServerState *state,
+			    int64_t now_ms)
+{
+	struct sent_slowdowns *sent =
+		g_hash_table_lookup(p->sent_slowdowns, state->name);
+	XXH64_hash_t sum = 1;
+
+	if (!sent)
+		return false;
+	for (size_t i = 0; i < state->n_classes; i++)
+		sum = XXH64(state->classes[i]->class_name,
+			    strlen(state->classes[i]->class_name), sum);
+	sent->due_classes_digest = sum;
+	return sum != sent->classes_digest &&
+	       now_ms - sent->classes_sent_ms >= CLASSES_INTERVAL_MS;
+}
+
 static void fill_classes(Cfw__ServerState *state,
 			 const struct interference *interference)
 {
@@ -187,8 +211,10 @@
 		p->slowdowns_due = true;
 		fill_slowdowns(state, slowdowns);
 	}
-	if (slowdowns->len)
-		fill_classes(state, s->interference);
+	if (!slowdowns->len)
+		return;
+	fill_classes(state, s->interference);
+	p->slowdowns_due |= classes_are_due(p, state, now_ms);
 }
 
 void agent_slowdowns_sent(struct peer *p, int64_t now_ms)
@@ -200,6 +226,9 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct sent_slowdowns *sent = value;
 
+		if (sent->classes_digest != sent->due_classes_digest)
+			sent->classes_sent_ms = now_ms;
+		sent->classes_digest = sent->due_classes_digest;
 		if (!sent->due)
 			continue;
 		sent->due = false;
--- a/src/leased/agent_internal.h
+++ b/src/leased/agent_internal.h
@@ -27,7 +27,8 @@
 	uint64_t received; /* starts received on this connection */
 	uint64_t sent_digest; /* of the last states sent; 0: none */
 	GHashTable *sent_slowdowns; /* server -> struct sent_slowdowns */
-	bool slowdowns_due; /* the report that is being filled has some */
+	/* The report that is being filled has new slowdowns or classes. */
+	bool slowdowns_due;
 	GArray *results; /* struct run_result, not yet sent */
 	GQueue *recent; /* struct recent_result, newest last */
 	int64_t disconnected_ms; /* 0 while connected */
--- a/src/leased/dispatch_interference.c
+++ b/src/leased/dispatch_interference.c
@@ -112,9 +112,10 @@
 		return 1;
 	for (size_t i = 0; i < SERVER_CLASSES_MAX; i++) {
 		const struct server_class *class = &server->classes[i];
-		bool same = !strcmp(class->name, class_name);
+		uint32_t runs = runs_of(class);
 
-		if (runs_of(class) > (same ? ignored : 0))
+		if (runs &&
+		    (runs > ignored || strcmp(class->name, class_name) != 0))
 			factor *= interference_view_factor(
 				d->interference, class_name, class->name);
 	}
@@ -168,19 +169,19 @@
 		const struct dispatch_class *class;
 		double factor, left_ms;
 
+		if (!runs_of(there))
+			continue;
 		/* Runs beside which the job's class runs already are slowed
 		 * down in any case. */
-		if (!strcmp(there->name, job->class->name)) {
-			if (runs_of(there))
-				return 0;
+		if (!strcmp(there->name, job->class->name))
+			return 0;
+		factor = interference_view_factor(d->interference, there->name,
+						  job->class->name);
+		if (factor <= 1)
 			continue;
-		}
 		class = g_hash_table_lookup(d->classes, there->name);
-		if (!runs_of(there) || !class ||
-		    class->priority > job->class->priority)
+		if (!class || class->priority > job->class->priority)
 			continue;
-		factor = interference_view_factor(d->interference, there->name,
-						  job->class->name);
 		left_ms = MIN(mean_run_ms(class) * REMAINING_FRACTION,
 			      (double)job->predicted_ms);
 		harm_ms += runs_of(there) * left_ms * (1 - 1 / factor);
--- a/tests/fault_interference.c
+++ b/tests/fault_interference.c
@@ -65,7 +65,8 @@
 	uint32_t beside;
 
 	standin_count_beside(s->record, "a", "b", from_ms, runs, &beside);
-	fprintf(stderr, "count: %s: %u runs of class a, %u beside class b\n",
+	fprintf(stderr,
+		"count: %s: %u runs of class a, %u began beside class b\n",
 		when, *runs, beside);
 	return *runs ? (double)beside / *runs : 0;
 }
--- a/tests/support/leased_standin.c
+++ b/tests/support/leased_standin.c
@@ -2,12 +2,11 @@
  * leased_standin: see leased_standin.h. Each call first advances the state to
  * the current time. All times are from this host's monotonic clock.
  */
-#include "support/leased_standin.h"
+#include "support/leased_standin_internal.h"
 
 #include "base/clock.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
-#include "platform/standin.h"
 
 #include <glib.h>
 #include <setjmp.h>
@@ -26,28 +25,9 @@
 #define LEASE_MAX_MS 1000
 #define STATUS_OK 200
 #define STATUS_CONFLICT 409
-#define SLOWDOWNS_MAX 2
 
 /* ---- Types ---- */
 
-struct interval {
-	char task[STANDIN_TASK_ID_SIZE];
-	char label[STANDIN_LABEL_SIZE];
-	const struct standin *server;
-	int64_t begin_ms, end_ms; /* end_ms is 0 while it runs */
-};
-
-struct slowdown {
-	char label[STANDIN_LABEL_SIZE], beside[STANDIN_LABEL_SIZE];
-	double factor; /* 0: none */
-};
-
-struct standin_record {
-	GMutex lock;
-	GPtrArray *intervals; /* struct interval */
-	struct slowdown slowdowns[SLOWDOWNS_MAX];
-};
-
 struct standin_run {
 	char task[STANDIN_TASK_ID_SIZE];
 	int64_t number, end_ms;
@@ -70,140 +50,6 @@
 	int64_t advanced_ms;
 };
 
-/* ---- Record ---- */
-
-struct standin_record *standin_record_create(void)
-{
-	struct standin_record *record = g_new0(struct standin_record, 1);
-
-	g_mutex_init(&record->lock);
-	record->intervals = g_ptr_array_new_with_free_func(g_free);
-	return record;
-}
-
-void standin_record_destroy(struct standin_record *record)
-{
-	g_ptr_array_unref(record->intervals);
-	g_mutex_clear(&record->lock);
-	g_free(record);
-}
-
-static struct interval *begin_interval(struct standin_record *record,
-				       const struct standin *server,
-				       const struct standin_request *order,
-				       int64_t now_ms)
-{
-	struct interval *interval = g_new0(struct interval, 1);
-
-	g_strlcpy(interval->task, order->task, sizeof(interval->task));
-	g_strlcpy(interval->label, order->label, sizeof(interval->label));
-	interval->server = server;
-	interval->begin_ms = now_ms;
-	g_mutex_lock(&record->lock);
-	g_ptr_array_add(record->intervals, interval);
-	g_mutex_unlock(&record->lock);
-	return interval;
-}
-
-static bool overlap(const struct interval *a, const struct interval *b)
-{
-	return !strcmp(a->task, b->task) &&
-	       a->begin_ms < (b->end_ms ? b->end_ms : INT64_MAX) &&
-	       b->begin_ms < (a->end_ms ? a->end_ms : INT64_MAX);
-}
-
-uint32_t standin_overlapping_runs(struct standin_record *record)
-{
-	uint32_t overlaps = 0;
-
-	g_mutex_lock(&record->lock);
-	for (guint i = 0; i < record->intervals->len; i++)
-		for (guint j = 0; j < i; j++)
-			overlaps += overlap(
-				g_ptr_array_index(record->intervals, i),
-				g_ptr_array_index(record->intervals, j));
-	g_mutex_unlock(&record->lock);
-	return overlaps;
-}
-
-uint32_t standin_runs(struct standin_record *record)
-{
-	uint32_t n;
-
-	g_mutex_lock(&record->lock);
-	n = record->intervals->len;
-	g_mutex_unlock(&record->lock);
-	return n;
-}
-
-uint32_t standin_runs_of(struct standin_record *record, const char *job)
-{
-	uint32_t n = 0;
-
-	g_mutex_lock(&record->lock);
-	for (guint i = 0; i < record->intervals->len; i++) {
-		const struct interval *run =
-			g_ptr_array_index(record->intervals, i);
-
-		n += g_str_has_prefix(run->task, job);
-	}
-	g_mutex_unlock(&record->lock);
-	return n;
-}
-
-/* ---- Labels ---- */
-
-void standin_set_slowdown(struct standin_record *record, const char *label,
-			  const char *beside, double factor)
-{
-	for (size_t i = 0; i < SLOWDOWNS_MAX; i++) {
-		struct slowdown *slowdown = &record->slowdowns[i];
-
-		if (slowdown->factor > 0)
-			continue;
-		g_strlcpy(slowdown->label, label, sizeof(slowdown->label));
-		g_strlcpy(slowdown->beside, beside, sizeof(slowdown->beside));
-		slowdown->factor = factor;
-		return;
-	}
-}
-
-static bool was_beside(const struct standin_record *record,
-		       const struct interval *run, const char *label)
-{
-	for (guint i = 0; i < record->intervals->len; i++) {
-		const struct interval *other =
-			g_ptr_array_index(record->intervals, i);
-
-		if (other != run && other->server == run->server &&
-		    !strcmp(other->label, label) &&
-		    other->begin_ms < run->end_ms &&
-		    run->begin_ms < (other->end_ms ? other->end_ms : INT64_MAX))
-			return true;
-	}
-	return false;
-}
-
-void standin_count_beside(struct standin_record *record, const char *label,
-			  const char *beside, int64_t from_ms, uint32_t *runs,
-			  uint32_t *beside_runs)
-{
-	*runs = 0;
-	*beside_runs = 0;
-	g_mutex_lock(&record->lock);
-	for (guint i = 0; i < record->intervals->len; i++) {
-		const struct interval *run =
-			g_ptr_array_index(record->intervals, i);
-
-		if (!run->end_ms || run->begin_ms < from_ms ||
-		    strcmp(run->label, label) != 0)
-			continue;
-		(*runs)++;
-		*beside_runs += was_beside(record, run, beside);
-	}
-	g_mutex_unlock(&record->lock);
-}
-
 /* ---- Runs ---- */
 
 static struct standin_run *find(struct standin *s, const char *task)
@@ -322,7 +168,7 @@
 	g_strlcpy(run->task, order->task, sizeof(run->task));
 	run->number = order->number;
 	run->end_ms = now_ms + order->run_ms;
-	run->interval = begin_interval(s->record, s, order, now_ms);
+	run->interval = standin_begin_interval(s->record, s, order, now_ms);
 	g_ptr_array_add(s->runs, run);
 	return true;
 }
--- a/tests/support/leased_standin.h
+++ b/tests/support/leased_standin.h
@@ -26,7 +26,8 @@
 void standin_set_slowdown(struct standin_record *record, const char *label,
 			  const char *beside, double factor);
 /* Counts the ended runs with this label that began at from_ms or later, and
- * those of them that were beside a run with the other label. */
+ * those of them that began while a run with the other label was at the same
+ * stand-in. */
 void standin_count_beside(struct standin_record *record, const char *label,
 			  const char *beside, int64_t from_ms, uint32_t *runs,
 			  uint32_t *beside_runs);
