--- a/include/chervilferry.h
+++ b/include/chervilferry.h
@@ -163,8 +163,6 @@
 CF_API bool cf_replog_has_ready(const struct cf_replog *log); /* true if there is work for the embedder */
 CF_API void cf_replog_get_ready(struct cf_replog *log, struct cf_replog_ready *ready); /* valid until cf_replog_advance */
 CF_API void cf_replog_advance(struct cf_replog *log, int64_t now_ms); /* the work of the last ready is done */
-typedef void cf_replog_send_fn(void *arg, const struct cf_replog_message *message);
-CF_API void cf_replog_send_early(struct cf_replog *log, cf_replog_send_fn *send, void *arg); /* between get_ready and advance: sends the messages that need not wait for the sync */
 CF_API void cf_replog_compact(struct cf_replog *log, uint64_t index, GBytes *snapshot); /* drops entries up to an applied index; snapshot is the state there */
 CF_API bool cf_replog_is_leader(const struct cf_replog *log); /* true once the first entry of its term is applied */
 CF_API uint32_t cf_replog_leader(const struct cf_replog *log); /* member id, 0: unknown */
--- a/src/lib/replog.c
+++ b/src/lib/replog.c
@@ -212,7 +212,6 @@
 	log->state.commit = CLAMP(log->state.commit, log->snapshot.index,
 				  cf_replog_last_index(log));
 	log->reported_state = log->state;
-	log->synced_term = log->state.term;
 	replog_schedule_first_campaign(log);
 }
 
--- a/src/lib/replog_append.c
+++ b/src/lib/replog_append.c
@@ -114,7 +114,6 @@
 
 	log->role = REPLOG_LEADER;
 	log->leader = log->id;
-	log->failed_candidacies = 0;
 	log->no_leader_since_start = false;
 	log->term_start_index = noop.index;
 	for (size_t i = 0; i < log->n_peers; i++) {
@@ -266,7 +265,6 @@
 		replog_become_follower(log, m->term, m->from);
 	log->last_contact_ms = log->now_ms;
 	log->no_leader_since_start = false;
-	log->failed_candidacies = 0;
 	replog_reset_election(log);
 }
 
--- a/src/lib/replog_election.c
+++ b/src/lib/replog_election.c
@@ -5,11 +5,6 @@
 
 #include <xxhash.h>
 
-/* A candidate waits at most this power of two times the election timeout. Disks
- * that take longer than the timeout to sync a vote would otherwise prevent
- * every election. */
-#define CANDIDACY_SHIFT_MAX 3
-
 /* ---- Roles ---------------------------------------------------------- */
 
 void replog_reset_election(struct cf_replog *log)
@@ -21,14 +16,6 @@
 			      (int64_t)(draw % (uint64_t)log->election_ms);
 }
 
-void replog_reset_candidacy(struct cf_replog *log)
-{
-	uint32_t shift = MIN(log->failed_candidacies, CANDIDACY_SHIFT_MAX);
-
-	replog_reset_election(log);
-	log->election_at_ms += (log->election_ms << shift) - log->election_ms;
-}
-
 void replog_become_follower(struct cf_replog *log, uint64_t term,
 			    uint32_t leader)
 {
@@ -73,7 +60,6 @@
 void replog_campaign(struct cf_replog *log, bool pre_vote)
 {
 	log->leader = 0;
-	log->failed_candidacies += log->role == REPLOG_CANDIDATE;
 	replog_reset_election(log);
 	for (size_t i = 0; i < log->n_peers; i++)
 		log->peers[i].vote_granted = log->peers[i].id == log->id;
@@ -84,7 +70,6 @@
 		return;
 	}
 	log->role = REPLOG_CANDIDATE;
-	replog_reset_candidacy(log);
 	log->state.term++;
 	log->state.vote = log->id;
 	if (count_granted(log) >= replog_quorum(log))
--- a/src/lib/replog_internal.h
+++ b/src/lib/replog_internal.h
@@ -55,7 +55,6 @@
 	int64_t incarnation; /* sent in leader queries, echoed by replies */
 	int64_t query_sent_ms;
 	bool no_leader_since_start;
-	uint32_t failed_candidacies; /* in a row */
 	uint64_t term_start_index; /* leader: index of its first entry */
 
 	struct cf_snapshot snapshot; /* entries start after its index */
@@ -63,8 +62,6 @@
 	uint64_t persisted_index;
 	uint64_t delivered_index; /* highest index handed out to be applied */
 	uint64_t applied_index;
-	uint64_t synced_term; /* of the last state that was synced */
-	uint64_t ready_term; /* of the state in the outstanding ready */
 
 	struct cf_members members; /* from the newest members entry */
 	uint64_t members_index;
@@ -72,7 +69,6 @@
 	size_t n_peers;
 
 	GArray *messages; /* struct cf_replog_message, for the next ready */
-	guint early_scanned; /* messages examined by cf_replog_send_early */
 	bool send_pending; /* leader: new entries or commit index to send */
 	bool snapshot_pending; /* received, for the next ready */
 	struct cf_hard_state reported_state; /* as of the last ready */
@@ -109,8 +105,6 @@
 
 /* Elections. */
 void replog_reset_election(struct cf_replog *log);
-/* The same for a candidate, longer after each one that was not decided. */
-void replog_reset_candidacy(struct cf_replog *log);
 void replog_become_follower(struct cf_replog *log, uint64_t term,
 			    uint32_t leader);
 void replog_campaign(struct cf_replog *log, bool pre_vote);
--- a/src/lib/replog_ready.c
+++ b/src/lib/replog_ready.c
@@ -72,7 +72,6 @@
 
 	log->messages = log->ready_messages;
 	log->ready_messages = messages;
-	log->early_scanned = 0;
 	ready->messages = (const struct cf_replog_message *)messages->data;
 	ready->n_messages = messages->len;
 }
@@ -89,7 +88,6 @@
 	*ready = (struct cf_replog_ready){ .hard_state = log->state };
 	ready->hard_state_changed = state_changed(log);
 	log->reported_state = log->state;
-	log->ready_term = log->state.term;
 	if (log->snapshot_pending) {
 		replog_copy_snapshot(&log->ready_snapshot, &log->snapshot);
 		log->snapshot_pending = false;
@@ -104,16 +102,10 @@
 void cf_replog_advance(struct cf_replog *log, int64_t now_ms)
 {
 	struct replog_peer *self;
-	bool new_term = log->synced_term != log->ready_term;
 
 	g_assert(log->ready_outstanding);
 	log->now_ms = MAX(log->now_ms, now_ms);
 	log->ready_outstanding = false;
-	log->synced_term = log->ready_term;
-	/* Its vote requests are sent only now. */
-	if (new_term && log->role == REPLOG_CANDIDATE &&
-	    log->ready_term == log->state.term)
-		replog_reset_candidacy(log);
 	log->persisted_index = MAX(log->persisted_index, log->ready_last);
 	log->applied_index = MAX(log->applied_index, log->ready_applied);
 	g_array_set_size(log->ready_entries, 0);
@@ -128,54 +120,6 @@
 	replog_update_commit(log);
 }
 
-/* ---- Messages during a sync ------------------------------------------ */
-
-/* A reply to the leader that acknowledges what is durable already. Without it,
- * a leader loses its quorum while the followers' disks are slow. */
-static bool acknowledges_durable(const struct cf_replog *log,
-				 const struct cf_replog_message *m)
-{
-	return m->kind == CF_REPLOG_APPEND_REPLY && !m->reject &&
-	       !log->snapshot_pending && !log->ready_snapshot.index;
-}
-
-/* Sends the message, or a part of what it says; true: all of it. */
-static bool send_early(const struct cf_replog *log,
-		       const struct cf_replog_message *m,
-		       cf_replog_send_fn *send, void *arg)
-{
-	struct cf_replog_message part = *m;
-
-	/* The leader's own vote was synced before it was elected. */
-	if (m->kind == CF_REPLOG_APPEND) {
-		send(arg, m);
-		return true;
-	}
-	if (!acknowledges_durable(log, m))
-		return false;
-	part.index = MIN(m->index, log->persisted_index);
-	send(arg, &part);
-	return part.index == m->index;
-}
-
-void cf_replog_send_early(struct cf_replog *log, cf_replog_send_fn *send,
-			  void *arg)
-{
-	if (!log->ready_outstanding || log->synced_term != log->state.term)
-		return;
-	while (log->early_scanned < log->messages->len) {
-		const struct cf_replog_message *m =
-			&g_array_index(log->messages, struct cf_replog_message,
-				       log->early_scanned);
-
-		if (m->term == log->synced_term &&
-		    send_early(log, m, send, arg))
-			g_array_remove_index(log->messages, log->early_scanned);
-		else
-			log->early_scanned++;
-	}
-}
-
 /* ---- Snapshots ------------------------------------------------------ */
 
 void cf_replog_compact(struct cf_replog *log, uint64_t index, GBytes *snapshot)
--- a/src/store/group.c
+++ b/src/store/group.c
@@ -66,25 +66,19 @@
 	       message->kind == CF_REPLOG_SNAPSHOT;
 }
 
-static void send_now(void *arg, const struct cf_replog_message *message)
-{
-	struct group *group = arg;
-	struct log_packed packed;
-
-	log_message_pack(message, store_identity(group->store),
-			 GROUP_IDENTITY_SIZE, &packed);
-	group->handlers.send(group->arg, message->to, &packed.message);
-	log_packed_clear(&packed);
-}
-
 static void send_messages(struct group *group, bool before_sync)
 {
 	for (size_t i = 0; i < group->ready.n_messages; i++) {
 		const struct cf_replog_message *message =
 			&group->ready.messages[i];
-
-		if (can_send_before_sync(group, message) == before_sync)
-			send_now(group, message);
+		struct log_packed packed;
+
+		if (can_send_before_sync(group, message) != before_sync)
+			continue;
+		log_message_pack(message, store_identity(group->store),
+				 GROUP_IDENTITY_SIZE, &packed);
+		group->handlers.send(group->arg, message->to, &packed.message);
+		log_packed_clear(&packed);
 	}
 }
 
@@ -200,8 +194,6 @@
 	while (group->healthy && !group->write_in_progress &&
 	       cf_replog_has_ready(group->log))
 		begin_ready(group);
-	if (group->healthy && group->write_in_progress)
-		cf_replog_send_early(group->log, send_now, group);
 	report_role(group);
 	group->processing_ready = false;
 }
