--- a/src/proto/wire.pb-c.c
+++ b/src/proto/wire.pb-c.c
@@ -2077,51 +2077,6 @@
   assert(message->base.descriptor == &cfw__run_stop__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   cfw__run_need__init
-                     (Cfw__RunNeed         *message)
-{
-  static const Cfw__RunNeed init_value = CFW__RUN_NEED__INIT;
-  *message = init_value;
-}
-size_t cfw__run_need__get_packed_size
-                     (const Cfw__RunNeed *message)
-{
-  assert(message->base.descriptor == &cfw__run_need__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
-}
-size_t cfw__run_need__pack
-                     (const Cfw__RunNeed *message,
-                      uint8_t       *out)
-{
-  assert(message->base.descriptor == &cfw__run_need__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
-}
-size_t cfw__run_need__pack_to_buffer
-                     (const Cfw__RunNeed *message,
-                      ProtobufCBuffer *buffer)
-{
-  assert(message->base.descriptor == &cfw__run_need__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
-}
-Cfw__RunNeed *
-       cfw__run_need__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
-{
-  return (Cfw__RunNeed *)
-     protobuf_c_message_unpack (&cfw__run_need__descriptor,
-                                allocator, len, data);
-}
-void   cfw__run_need__free_unpacked
-                     (Cfw__RunNeed *message,
-                      ProtobufCAllocator *allocator)
-{
-  if(!message)
-    return;
-  assert(message->base.descriptor == &cfw__run_need__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
-}
 void   cfw__run_orders__init
                      (Cfw__RunOrders         *message)
 {
@@ -6635,71 +6590,7 @@
   (ProtobufCMessageInit) cfw__run_stop__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfw__run_need__field_descriptors[3] =
-{
-  {
-    "priority",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Cfw__RunNeed, priority),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "work",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Cfw__RunNeed, work),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "slack_ms",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Cfw__RunNeed, slack_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned cfw__run_need__field_indices_by_name[] = {
-  0,   /* field[0] = priority */
-  2,   /* field[2] = slack_ms */
-  1,   /* field[1] = work */
-};
-static const ProtobufCIntRange cfw__run_need__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 3 }
-};
-const ProtobufCMessageDescriptor cfw__run_need__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cfw.RunNeed",
-  "RunNeed",
-  "Cfw__RunNeed",
-  "cfw",
-  sizeof(Cfw__RunNeed),
-  3,
-  cfw__run_need__field_descriptors,
-  cfw__run_need__field_indices_by_name,
-  1,  cfw__run_need__number_ranges,
-  (ProtobufCMessageInit) cfw__run_need__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor cfw__run_orders__field_descriptors[6] =
+static const ProtobufCFieldDescriptor cfw__run_orders__field_descriptors[5] =
 {
   {
     "starts",
@@ -6761,22 +6652,9 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "needs",
-    6,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cfw__RunOrders, n_needs),
-    offsetof(Cfw__RunOrders, needs),
-    &cfw__run_need__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned cfw__run_orders__field_indices_by_name[] = {
   3,   /* field[3] = kept */
-  5,   /* field[5] = needs */
   2,   /* field[2] = resume */
   0,   /* field[0] = starts */
   1,   /* field[1] = stops */
@@ -6785,7 +6663,7 @@
 static const ProtobufCIntRange cfw__run_orders__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor cfw__run_orders__descriptor =
 {
@@ -6795,7 +6673,7 @@
   "Cfw__RunOrders",
   "cfw",
   sizeof(Cfw__RunOrders),
-  6,
+  5,
   cfw__run_orders__field_descriptors,
   cfw__run_orders__field_indices_by_name,
   1,  cfw__run_orders__number_ranges,
--- a/src/proto/wire.pb-c.h
+++ b/src/proto/wire.pb-c.h
@@ -61,7 +61,6 @@
 typedef struct Cfw__RunLease Cfw__RunLease;
 typedef struct Cfw__RunStart Cfw__RunStart;
 typedef struct Cfw__RunStop Cfw__RunStop;
-typedef struct Cfw__RunNeed Cfw__RunNeed;
 typedef struct Cfw__RunOrders Cfw__RunOrders;
 typedef struct Cfw__RunEnd Cfw__RunEnd;
 typedef struct Cfw__ClassRuns Cfw__ClassRuns;
@@ -1019,30 +1018,6 @@
     , (char *)protobuf_c_empty_string, 0, 0 }
 
 
-/*
- * Work of one priority that waits for capacity.
- */
-struct  Cfw__RunNeed
-{
-  ProtobufCMessage base;
-  /*
-   * 0 is the most urgent
-   */
-  uint32_t priority;
-  /*
-   * thousandths of a processor x ms
-   */
-  uint64_t work;
-  /*
-   * until the earliest latest good start
-   */
-  uint32_t slack_ms;
-};
-#define CFW__RUN_NEED__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&cfw__run_need__descriptor) \
-    , 0, 0, 0 }
-
-
 struct  Cfw__RunOrders
 {
   ProtobufCMessage base;
@@ -1060,15 +1035,10 @@
    * it has work that finds too little
    */
   protobuf_c_boolean wants_room;
-  /*
-   * replaces what was sent before
-   */
-  size_t n_needs;
-  Cfw__RunNeed **needs;
 };
 #define CFW__RUN_ORDERS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cfw__run_orders__descriptor) \
-    , 0,NULL, 0,NULL, 0, 0,NULL, 0, 0,NULL }
+    , 0,NULL, 0,NULL, 0, 0,NULL, 0 }
 
 
 struct  Cfw__RunEnd
@@ -2118,25 +2088,6 @@
 void   cfw__run_stop__free_unpacked
                      (Cfw__RunStop *message,
                       ProtobufCAllocator *allocator);
-/* Cfw__RunNeed methods */
-void   cfw__run_need__init
-                     (Cfw__RunNeed         *message);
-size_t cfw__run_need__get_packed_size
-                     (const Cfw__RunNeed   *message);
-size_t cfw__run_need__pack
-                     (const Cfw__RunNeed   *message,
-                      uint8_t             *out);
-size_t cfw__run_need__pack_to_buffer
-                     (const Cfw__RunNeed   *message,
-                      ProtobufCBuffer     *buffer);
-Cfw__RunNeed *
-       cfw__run_need__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data);
-void   cfw__run_need__free_unpacked
-                     (Cfw__RunNeed *message,
-                      ProtobufCAllocator *allocator);
 /* Cfw__RunOrders methods */
 void   cfw__run_orders__init
                      (Cfw__RunOrders         *message);
@@ -2410,9 +2361,6 @@
 typedef void (*Cfw__RunStop_Closure)
                  (const Cfw__RunStop *message,
                   void *closure_data);
-typedef void (*Cfw__RunNeed_Closure)
-                 (const Cfw__RunNeed *message,
-                  void *closure_data);
 typedef void (*Cfw__RunOrders_Closure)
                  (const Cfw__RunOrders *message,
                   void *closure_data);
@@ -2490,7 +2438,6 @@
 extern const ProtobufCMessageDescriptor cfw__run_lease__descriptor;
 extern const ProtobufCMessageDescriptor cfw__run_start__descriptor;
 extern const ProtobufCMessageDescriptor cfw__run_stop__descriptor;
-extern const ProtobufCMessageDescriptor cfw__run_need__descriptor;
 extern const ProtobufCMessageDescriptor cfw__run_orders__descriptor;
 extern const ProtobufCMessageDescriptor cfw__run_end__descriptor;
 extern const ProtobufCMessageDescriptor cfw__class_runs__descriptor;
