Dispatchers place tasks only when an agent offers more

Every report of an agent tried all lanes, and each try looked up the health records of all servers, also of those that offer nothing. Placement is tried when an offer grew or a server accepts work again, and each tick; servers without an offer are passed over before the look-ups.

--- a/src/leased/dispatch_internal.h
+++ b/src/leased/dispatch_internal.h
@@ -60,6 +60,7 @@
 	/* Its speed has to be measured anew, as it has been replaced. */
 	bool speed_reset;
 	bool reported; /* included in the report that is being read */
+	bool offers_more; /* than before that report */
 	/* Further classes than these are not tracked. */
 	struct server_class classes[SERVER_CLASSES_MAX];
 };
@@ -165,6 +166,7 @@
 	struct speed_view *speeds;
 	bool uneven; /* some servers are slow (SERVER_SLOW_SPEED) */
 	bool fast_scarce; /* the others have little free capacity */
+	int64_t fast_counted_ms; /* when that was last determined */
 	/* Servers of at most this speed are reserved for a job that waits for
 	 * one; 0: none. Set during dispatch_place_tasks(). */
 	double reserved_speed;
--- a/src/leased/dispatch_place.c
+++ b/src/leased/dispatch_place.c
@@ -121,6 +121,12 @@
 	       server->state.capacity.accelerators >= job->spec.accelerators;
 }
 
+static bool offers(const struct dispatch_server *server,
+		   const struct dispatch_job *job)
+{
+	return server_offered_cpu_milli(server) >= job->spec.cpu_milli;
+}
+
 static bool has_room(const struct dispatch *d,
 		     const struct dispatch_server *server,
 		     const struct dispatch_job *job, int64_t now_ms)
@@ -191,6 +197,10 @@
 			g_ptr_array_index(d->servers, i);
 		bool slow = is_too_slow(server, job, now_ms);
 
+		/* In a shortage, most servers offer nothing. The health records
+		 * are looked up for the others only. */
+		if (!offers(server, job) && (can_be_in_time || slow))
+			continue;
 		if (!serves(d, server, job, now_ms))
 			continue;
 		can_be_in_time |= !slow;
@@ -318,7 +328,9 @@
 		return;
 	d->placing = true;
 	d->reserved_speed = 0;
-	d->fast_scarce = is_fast_scarce(d);
+	if (d->fast_counted_ms != now_ms)
+		d->fast_scarce = is_fast_scarce(d);
+	d->fast_counted_ms = now_ms;
 	while ((lane = dispatch_next_lane(d, tried))) {
 		struct dispatch_job *job =
 			g_sequence_get(g_sequence_get_begin_iter(lane->queue));
--- a/src/leased/dispatch_servers.c
+++ b/src/leased/dispatch_servers.c
@@ -289,6 +289,8 @@
 {
 	struct dispatch_agent *agent = find_agent(d, incarnation);
 	struct dispatch_server *server;
+	int64_t offered_milli;
+	bool could_accept;
 
 	if (!agent)
 		return;
@@ -304,9 +306,14 @@
 			  "agent=%s server=%s accepting=%d",
 			  agent->identity.name, state->name, state->accepting);
 	record_speed(d, server, state, now_ms);
+	offered_milli = server_offered_cpu_milli(server);
+	could_accept = server->state.accepting;
 	server->state = *state;
 	server->reported = true;
 	acknowledge_starts(agent, state->received);
+	server->offers_more |= server_offered_cpu_milli(server) >
+				       offered_milli ||
+			       (state->accepting && !could_accept);
 }
 
 void dispatch_finish_report(struct dispatch *d, uint64_t incarnation,
@@ -314,15 +321,20 @@
 {
 	struct dispatch_agent *agent = find_agent(d, incarnation);
 
+	bool offers_more = false;
+
 	for (guint i = 0; agent && i < agent->servers->len; i++) {
 		struct dispatch_server *server =
 			g_ptr_array_index(agent->servers, i);
 
 		if (!server->reported)
 			server->state.accepting = false;
+		offers_more |= server->offers_more;
 		server->reported = false;
+		server->offers_more = false;
 	}
-	dispatch_place_tasks(d, now_ms);
+	if (offers_more)
+		dispatch_place_tasks(d, now_ms);
 }
 
 /* ---- Ended runs and lost agents ------------------------------------- */
