--- a/tests/support/many_world.c
+++ b/tests/support/many_world.c
@@ -3,6 +3,8 @@
  * is delivered after MESSAGE_DELAY_MS. many_servers.c has the servers.
  */
 #include "support/many_internal.h"
+
+#include "base/logger.h"
 #include "support/world_jobs.h"
 
 #include <string.h>
@@ -227,6 +229,8 @@
 {
 	struct many *m = g_new0(struct many, 1);
 
+	/* Millions of lines would take most of the time. */
+	log_configure("test", "many", LOG_ERROR, LOG_FORMAT_TEXT);
 	memset(result, 0, sizeof(*result));
 	m->load = load;
 	m->result = result;
