Wire: outcomes of stale and lost runs, losses of a task and of a class

Change: fields only, nothing sets or reads them yet. An older process ignores them and treats a lost run as one that was stopped.

--- a/src/leased/run_table.h
+++ b/src/leased/run_table.h
@@ -33,6 +33,7 @@
 	RUN_OUTCOME_NOT_STARTED, /* it never ran and never will */
 	RUN_OUTCOME_REFUSED, /* not started: the server refuses work */
 	RUN_OUTCOME_STALE, /* not started: superseded by a higher number */
+	RUN_OUTCOME_LOST, /* its server crashed while it may have run */
 };
 
 struct run_result {
--- a/src/proto/wire.pb-c.c
+++ b/src/proto/wire.pb-c.c
@@ -2257,6 +2257,51 @@
   assert(message->base.descriptor == &cfw__class_slowdown__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cfw__class_loss__init
+                     (Cfw__ClassLoss         *message)
+{
+  static const Cfw__ClassLoss init_value = CFW__CLASS_LOSS__INIT;
+  *message = init_value;
+}
+size_t cfw__class_loss__get_packed_size
+                     (const Cfw__ClassLoss *message)
+{
+  assert(message->base.descriptor == &cfw__class_loss__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cfw__class_loss__pack
+                     (const Cfw__ClassLoss *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cfw__class_loss__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cfw__class_loss__pack_to_buffer
+                     (const Cfw__ClassLoss *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cfw__class_loss__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cfw__ClassLoss *
+       cfw__class_loss__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cfw__ClassLoss *)
+     protobuf_c_message_unpack (&cfw__class_loss__descriptor,
+                                allocator, len, data);
+}
+void   cfw__class_loss__free_unpacked
+                     (Cfw__ClassLoss *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cfw__class_loss__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cfw__server_state__init
                      (Cfw__ServerState         *message)
 {
@@ -6345,7 +6390,7 @@
   (ProtobufCMessageInit) cfw__run_lease__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfw__run_start__field_descriptors[12] =
+static const ProtobufCFieldDescriptor cfw__run_start__field_descriptors[13] =
 {
   {
     "job",
@@ -6491,6 +6536,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "losses",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__RunStart, losses),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cfw__run_start__field_indices_by_name[] = {
   6,   /* field[6] = accelerators */
@@ -6500,6 +6557,7 @@
   10,   /* field[10] = expected_ms */
   1,   /* field[1] = index */
   0,   /* field[0] = job */
+  12,   /* field[12] = losses */
   5,   /* field[5] = memory_mb */
   2,   /* field[2] = number */
   9,   /* field[9] = server */
@@ -6509,7 +6567,7 @@
 static const ProtobufCIntRange cfw__run_start__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor cfw__run_start__descriptor =
 {
@@ -6519,7 +6577,7 @@
   "Cfw__RunStart",
   "cfw",
   sizeof(Cfw__RunStart),
-  12,
+  13,
   cfw__run_start__field_descriptors,
   cfw__run_start__field_indices_by_name,
   1,  cfw__run_start__number_ranges,
@@ -6898,7 +6956,58 @@
   (ProtobufCMessageInit) cfw__class_slowdown__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfw__server_state__field_descriptors[19] =
+static const ProtobufCFieldDescriptor cfw__class_loss__field_descriptors[2] =
+{
+  {
+    "class_name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__ClassLoss, class_name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__ClassLoss, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cfw__class_loss__field_indices_by_name[] = {
+  1,   /* field[1] = age_ms */
+  0,   /* field[0] = class_name */
+};
+static const ProtobufCIntRange cfw__class_loss__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor cfw__class_loss__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cfw.ClassLoss",
+  "ClassLoss",
+  "Cfw__ClassLoss",
+  "cfw",
+  sizeof(Cfw__ClassLoss),
+  2,
+  cfw__class_loss__field_descriptors,
+  cfw__class_loss__field_indices_by_name,
+  1,  cfw__class_loss__number_ranges,
+  (ProtobufCMessageInit) cfw__class_loss__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cfw__server_state__field_descriptors[20] =
 {
   {
     "name",
@@ -7128,6 +7237,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "losses",
+    20,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cfw__ServerState, n_losses),
+    offsetof(Cfw__ServerState, losses),
+    &cfw__class_loss__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cfw__server_state__field_indices_by_name[] = {
   5,   /* field[5] = accelerators */
@@ -7138,6 +7259,7 @@
   6,   /* field[6] = free_cpu_milli */
   7,   /* field[7] = free_memory_mb */
   2,   /* field[2] = kind */
+  19,   /* field[19] = losses */
   4,   /* field[4] = memory_mb */
   0,   /* field[0] = name */
   12,   /* field[12] = offered_cpu_milli */
@@ -7153,7 +7275,7 @@
 static const ProtobufCIntRange cfw__server_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 19 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor cfw__server_state__descriptor =
 {
@@ -7163,7 +7285,7 @@
   "Cfw__ServerState",
   "cfw",
   sizeof(Cfw__ServerState),
-  19,
+  20,
   cfw__server_state__field_descriptors,
   cfw__server_state__field_indices_by_name,
   1,  cfw__server_state__number_ranges,
@@ -7643,23 +7765,27 @@
   cfw__task_outcome__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCEnumValue cfw__run_outcome__enum_values_by_number[5] =
+static const ProtobufCEnumValue cfw__run_outcome__enum_values_by_number[7] =
 {
   { "RUN_DONE", "CFW__RUN_OUTCOME__RUN_DONE", 0 },
   { "RUN_FAILED", "CFW__RUN_OUTCOME__RUN_FAILED", 1 },
   { "RUN_STOPPED", "CFW__RUN_OUTCOME__RUN_STOPPED", 2 },
   { "RUN_NOT_STARTED", "CFW__RUN_OUTCOME__RUN_NOT_STARTED", 3 },
   { "RUN_REFUSED", "CFW__RUN_OUTCOME__RUN_REFUSED", 4 },
+  { "RUN_STALE", "CFW__RUN_OUTCOME__RUN_STALE", 5 },
+  { "RUN_LOST", "CFW__RUN_OUTCOME__RUN_LOST", 6 },
 };
 static const ProtobufCIntRange cfw__run_outcome__value_ranges[] = {
-{0, 0},{0, 5}
+{0, 0},{0, 7}
 };
-static const ProtobufCEnumValueIndex cfw__run_outcome__enum_values_by_name[5] =
+static const ProtobufCEnumValueIndex cfw__run_outcome__enum_values_by_name[7] =
 {
   { "RUN_DONE", 0 },
   { "RUN_FAILED", 1 },
+  { "RUN_LOST", 6 },
   { "RUN_NOT_STARTED", 3 },
   { "RUN_REFUSED", 4 },
+  { "RUN_STALE", 5 },
   { "RUN_STOPPED", 2 },
 };
 const ProtobufCEnumDescriptor cfw__run_outcome__descriptor =
@@ -7669,9 +7795,9 @@
   "RunOutcome",
   "Cfw__RunOutcome",
   "cfw",
-  5,
+  7,
   cfw__run_outcome__enum_values_by_number,
-  5,
+  7,
   cfw__run_outcome__enum_values_by_name,
   1,
   cfw__run_outcome__value_ranges,
--- a/src/proto/wire.pb-c.h
+++ b/src/proto/wire.pb-c.h
@@ -65,6 +65,7 @@
 typedef struct Cfw__RunEnd Cfw__RunEnd;
 typedef struct Cfw__ClassRuns Cfw__ClassRuns;
 typedef struct Cfw__ClassSlowdown Cfw__ClassSlowdown;
+typedef struct Cfw__ClassLoss Cfw__ClassLoss;
 typedef struct Cfw__ServerState Cfw__ServerState;
 typedef struct Cfw__RunReport Cfw__RunReport;
 typedef struct Cfw__Envelope Cfw__Envelope;
@@ -123,7 +124,15 @@
   /*
    * not started: the server refuses work
    */
-  CFW__RUN_OUTCOME__RUN_REFUSED = 4
+  CFW__RUN_OUTCOME__RUN_REFUSED = 4,
+  /*
+   * not started: a higher number was there
+   */
+  CFW__RUN_OUTCOME__RUN_STALE = 5,
+  /*
+   * its server crashed while it may have run
+   */
+  CFW__RUN_OUTCOME__RUN_LOST = 6
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CFW__RUN_OUTCOME)
 } Cfw__RunOutcome;
 
@@ -1000,10 +1009,14 @@
    * runs of one class behave alike
    */
   char *class_name;
+  /*
+   * servers that crashed under the task
+   */
+  uint32_t losses;
 };
 #define CFW__RUN_START__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cfw__run_start__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, {0,NULL}, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, 0, 0, {0,NULL}, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Cfw__RunStop
@@ -1085,6 +1098,26 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
 
 
+/*
+ * A server crashed under a task under which another one had crashed before.
+ */
+struct  Cfw__ClassLoss
+{
+  ProtobufCMessage base;
+  /*
+   * of the task
+   */
+  char *class_name;
+  /*
+   * since the last such crash here
+   */
+  uint32_t age_ms;
+};
+#define CFW__CLASS_LOSS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cfw__class_loss__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
 struct  Cfw__ServerState
 {
   ProtobufCMessage base;
@@ -1132,10 +1165,12 @@
   Cfw__ClassRuns **classes;
   size_t n_slowdowns;
   Cfw__ClassSlowdown **slowdowns;
+  size_t n_losses;
+  Cfw__ClassLoss **losses;
 };
 #define CFW__SERVER_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cfw__server_state__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL }
 
 
 struct  Cfw__RunReport
@@ -2164,6 +2199,25 @@
 void   cfw__class_slowdown__free_unpacked
                      (Cfw__ClassSlowdown *message,
                       ProtobufCAllocator *allocator);
+/* Cfw__ClassLoss methods */
+void   cfw__class_loss__init
+                     (Cfw__ClassLoss         *message);
+size_t cfw__class_loss__get_packed_size
+                     (const Cfw__ClassLoss   *message);
+size_t cfw__class_loss__pack
+                     (const Cfw__ClassLoss   *message,
+                      uint8_t             *out);
+size_t cfw__class_loss__pack_to_buffer
+                     (const Cfw__ClassLoss   *message,
+                      ProtobufCBuffer     *buffer);
+Cfw__ClassLoss *
+       cfw__class_loss__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cfw__class_loss__free_unpacked
+                     (Cfw__ClassLoss *message,
+                      ProtobufCAllocator *allocator);
 /* Cfw__ServerState methods */
 void   cfw__server_state__init
                      (Cfw__ServerState         *message);
@@ -2373,6 +2427,9 @@
 typedef void (*Cfw__ClassSlowdown_Closure)
                  (const Cfw__ClassSlowdown *message,
                   void *closure_data);
+typedef void (*Cfw__ClassLoss_Closure)
+                 (const Cfw__ClassLoss *message,
+                  void *closure_data);
 typedef void (*Cfw__ServerState_Closure)
                  (const Cfw__ServerState *message,
                   void *closure_data);
@@ -2442,6 +2499,7 @@
 extern const ProtobufCMessageDescriptor cfw__run_end__descriptor;
 extern const ProtobufCMessageDescriptor cfw__class_runs__descriptor;
 extern const ProtobufCMessageDescriptor cfw__class_slowdown__descriptor;
+extern const ProtobufCMessageDescriptor cfw__class_loss__descriptor;
 extern const ProtobufCMessageDescriptor cfw__server_state__descriptor;
 extern const ProtobufCMessageDescriptor cfw__run_report__descriptor;
 extern const ProtobufCMessageDescriptor cfw__envelope__descriptor;
