Server lease: the decision to renew or to let it expire is free of I/O

Cause: when a server's lease may be renewed and when it is left to expire was decided in server.c between calls, so that no test reached it; test_server_lease added up the constants instead.

Change: server_lease_begin_expiry, _end_expiry, _for_poll and _for_start in server_lease.c decide, server.c sends. No change of behaviour.

--- a/src/leased/server.c
+++ b/src/leased/server.c
@@ -24,8 +24,6 @@
 #define POLL_NOW_INTERVAL_MS 15
 /* Timeout of a start or stop call. */
 #define CALL_TIMEOUT_MS 60
-/* After a stop is unacknowledged for this long, the lease is left to expire. */
-#define STOP_ACK_TIMEOUT_MS 150
 /* A server that neither answers nor reports for this long is removed. */
 #define SERVER_EXPIRY_MS 10000
 
@@ -44,7 +42,6 @@
 	bool poll_open; /* a CALL_POLL is in flight */
 	int64_t poll_now_sent_ms; /* last CALL_POLL_NOW */
 	bool has_left; /* the server announced that it leaves */
-	bool expiring_lease; /* not renewed until the lease has ended */
 	int64_t last_report_ms;
 	int64_t poll_sent_ms; /* last CALL_POLL */
 	struct server_backoff backoff;
@@ -137,7 +134,7 @@
 
 bool server_accepting(const struct server *s, int64_t now_ms)
 {
-	return !s->report.draining && !s->has_left && !s->expiring_lease &&
+	return !s->report.draining && !s->has_left && !s->lease.expiring &&
 	       server_previous_runs_have_ended(&s->previous_runs, now_ms) &&
 	       !server_lease_is_unresponsive(&s->lease, now_ms) &&
 	       server_backoff_has_elapsed(&s->backoff, now_ms);
@@ -376,9 +373,9 @@
 	struct run_call encoded;
 
 	counter_add(s->starts, 1);
-	s->options.formats->write_start(&run->name, run->spec,
-					server_lease_renew(&s->lease, now_ms),
-					&encoded);
+	s->options.formats->write_start(
+		&run->name, run->spec,
+		server_lease_for_start(&s->lease, now_ms), &encoded);
 	send_call(s, CALL_START, &run->name, &encoded, CALL_TIMEOUT_MS, now_ms);
 }
 
@@ -391,13 +388,11 @@
 	send_call(s, CALL_STOP, name, &encoded, CALL_TIMEOUT_MS, now_ms);
 }
 
-static void send_poll(struct server *s, enum call_kind kind, bool renew,
-		      int64_t now_ms)
+static void send_poll(struct server *s, enum call_kind kind,
+		      int64_t lease_end_ms, int64_t now_ms)
 {
 	bool waits = kind == CALL_POLL && !run_table_is_idle(s->runs);
 	uint32_t wait_ms = waits ? POLL_WAIT_MS : 0;
-	int64_t lease_end_ms = renew ? server_lease_renew(&s->lease, now_ms)
-				     : 0;
 	struct run_call encoded;
 
 	s->options.formats->write_poll(lease_end_ms, s->last_end_position,
@@ -412,12 +407,10 @@
  * not answer: when the lease ends, so does every run on the server. */
 static void expire_lease(struct server *s, int64_t now_ms)
 {
-	bool must_expire = server_lease_is_unresponsive(&s->lease, now_ms) ||
-			   run_table_stop_age_ms(s->runs, now_ms) >
-				   STOP_ACK_TIMEOUT_MS;
+	int64_t stop_age_ms = run_table_stop_age_ms(s->runs, now_ms);
 
-	if (must_expire && !s->expiring_lease && !run_table_is_idle(s->runs)) {
-		s->expiring_lease = true;
+	if (server_lease_begin_expiry(&s->lease, stop_age_ms,
+				      run_table_is_idle(s->runs), now_ms)) {
 		counter_add(s->expirations, 1);
 		log_event(LOG_WARN, "server_lease_let_end",
 			  "server=%s silent=%d ends_in_ms=%" PRId64,
@@ -426,14 +419,8 @@
 			  s->lease.expires_ms - now_ms);
 		run_table_return_queued(s->runs);
 	}
-	if (!s->expiring_lease)
-		return;
-	if (server_lease_has_expired(&s->lease, now_ms)) {
+	if (server_lease_end_expiry(&s->lease, stop_age_ms, now_ms))
 		run_table_lease_expired(s->runs, now_ms);
-		s->expiring_lease = false;
-	} else if (!must_expire && !run_table_stop_age_ms(s->runs, now_ms)) {
-		s->expiring_lease = false;
-	}
 }
 
 static void send_due_starts(struct server *s, int64_t now_ms)
@@ -469,7 +456,7 @@
 		return;
 	s->poll_open = true;
 	s->poll_sent_ms = now_ms;
-	send_poll(s, CALL_POLL, !unresponsive && !s->expiring_lease && !idle,
+	send_poll(s, CALL_POLL, server_lease_for_poll(&s->lease, idle, now_ms),
 		  now_ms);
 }
 
@@ -481,7 +468,7 @@
 	    now_ms < s->poll_now_sent_ms + POLL_NOW_INTERVAL_MS)
 		return;
 	s->poll_now_sent_ms = now_ms;
-	send_poll(s, CALL_POLL_NOW, false, now_ms);
+	send_poll(s, CALL_POLL_NOW, 0, now_ms);
 }
 
 void server_process(struct server *s, int64_t now_ms)
--- a/src/leased/server_lease.c
+++ b/src/leased/server_lease.c
@@ -9,6 +9,8 @@
 
 /* A server without answers for this long is unresponsive. */
 #define UNRESPONSIVE_MS 300
+/* After a stop is unacknowledged for this long, the lease is left to expire. */
+#define STOP_ACK_TIMEOUT_MS 150
 /* Between polls of a server that does not answer. */
 #define UNRESPONSIVE_POLL_INTERVAL_MS 150
 /* After a poll without an answer: a server that is down refuses connections at
@@ -23,6 +25,7 @@
 	lease->clock_ms = 0;
 	lease->clock_read_ms = INT64_MIN;
 	lease->expires_ms = now_ms;
+	lease->expiring = false;
 	lease->answered_ms = now_ms;
 	lease->unanswered_since_ms = 0;
 }
@@ -75,6 +78,48 @@
 	return now_ms >= lease->expires_ms;
 }
 
+static bool must_expire(const struct server_lease *lease, int64_t stop_age_ms,
+			int64_t now_ms)
+{
+	return server_lease_is_unresponsive(lease, now_ms) ||
+	       stop_age_ms > STOP_ACK_TIMEOUT_MS;
+}
+
+bool server_lease_begin_expiry(struct server_lease *lease, int64_t stop_age_ms,
+			       bool idle, int64_t now_ms)
+{
+	if (lease->expiring || idle || !must_expire(lease, stop_age_ms, now_ms))
+		return false;
+	lease->expiring = true;
+	return true;
+}
+
+bool server_lease_end_expiry(struct server_lease *lease, int64_t stop_age_ms,
+			     int64_t now_ms)
+{
+	bool expired = lease->expiring &&
+		       server_lease_has_expired(lease, now_ms);
+
+	if (expired ||
+	    (!stop_age_ms && !must_expire(lease, stop_age_ms, now_ms)))
+		lease->expiring = false;
+	return expired;
+}
+
+int64_t server_lease_for_poll(struct server_lease *lease, bool idle,
+			      int64_t now_ms)
+{
+	if (idle || lease->expiring ||
+	    server_lease_is_unresponsive(lease, now_ms))
+		return 0;
+	return server_lease_renew(lease, now_ms);
+}
+
+int64_t server_lease_for_start(struct server_lease *lease, int64_t now_ms)
+{
+	return server_lease_renew(lease, now_ms);
+}
+
 void server_lease_server_restarted(struct server_lease *lease)
 {
 	lease->clock_read_ms = INT64_MIN;
--- a/src/leased/server_lease.h
+++ b/src/leased/server_lease.h
@@ -20,6 +20,7 @@
 	/* On the agent's clock: all runs have ended by then if the lease isn't
 	 * renewed. */
 	int64_t expires_ms;
+	bool expiring; /* not renewed until it has expired */
 	int64_t answered_ms; /* time of the last answer */
 	int64_t unanswered_since_ms; /* first call without an answer; 0: none */
 };
@@ -41,6 +42,20 @@
 int64_t server_lease_poll_interval_ms(const struct server_lease *lease,
 				      bool idle, int64_t now_ms);
 bool server_lease_has_expired(const struct server_lease *lease, int64_t now_ms);
+/* Returns true if the lease is left to expire from now on: the server is
+ * unresponsive, or a stop has been unacknowledged for long. stop_age_ms: of the
+ * oldest unacknowledged stop; 0: none. idle: the server has no runs. */
+bool server_lease_begin_expiry(struct server_lease *lease, int64_t stop_age_ms,
+			       bool idle, int64_t now_ms);
+/* Returns true if a lease that was left to expire has expired. It is renewed
+ * again from then on, or once the reason is gone. */
+bool server_lease_end_expiry(struct server_lease *lease, int64_t stop_age_ms,
+			     int64_t now_ms);
+/* Return the lease end to send with a poll or a start, on the server's clock. 0
+ * with a poll: the lease is not renewed. */
+int64_t server_lease_for_poll(struct server_lease *lease, bool idle,
+			      int64_t now_ms);
+int64_t server_lease_for_start(struct server_lease *lease, int64_t now_ms);
 /* Discards the clock of the server's previous incarnation. */
 void server_lease_server_restarted(struct server_lease *lease);
 
