Server lease: no renewal for a run that has outlived its dispatcher's lease

Cause: a run must have ended 1,220 ms (RUN_END_MAX_MS) after its dispatcher was lost. The agent renewed the server's lease, which keeps all runs there alive, for 150 ms after it had asked for a stop that wasn't acknowledged, for 60 ms more while the run's start call had no answer, and up to a tick of 20 ms before it noticed that the dispatcher's lease had ended. Polls renewed, and starts of other dispatchers did.

Change: each run keeps the end of its dispatcher's lease, which no longer moves once the run has to stop. The server's lease is renewed only before the earliest of these ends among the runs that may be there without an acknowledged stop (run_table_renew_until_ms, server_lease.h). A start that goes out meanwhile carries the end already granted, and isn't sent with less than 300 ms of it. Queued runs end with their dispatcher's lease too, not a tick later.

--- a/src/leased/agent_peers.c
+++ b/src/leased/agent_peers.c
@@ -119,6 +119,17 @@
 				      n_kept);
 }
 
+static void extend_leases(struct leased_agent *a, const struct peer *p)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, a->servers);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		run_table_extend_lease(server_runs(value), p->incarnation,
+				       cf_lease_end_ms(p->lease));
+}
+
 static void update_lease_state(struct leased_agent *a, struct peer *p,
 			       int64_t now_ms)
 {
@@ -253,6 +264,7 @@
 	run.accelerators = start->accelerators;
 	run.target_start_ms = now_ms + start->slack_ms;
 	run.deadline_ms = now_ms + start->deadline_ms;
+	run.lease_end_ms = cf_lease_end_ms(p->lease);
 	run.expected_ms = start->expected_ms;
 	g_strlcpy(run.class_name, start->class_name, sizeof(run.class_name));
 	capacity_share_mark_used(server_capacity_share(server), p->incarnation);
@@ -403,6 +415,7 @@
 	} else if (envelope->body_case == CFW__ENVELOPE__BODY_RUN_LEASE) {
 		cf_lease_grant(p->lease, envelope->run_lease->seq, RUN_LEASE_MS,
 			       0, loop_now_ms(a->loop));
+		extend_leases(a, p);
 		update_lease_state(a, p, loop_now_ms(a->loop));
 	}
 }
--- a/src/leased/leases.h
+++ b/src/leased/leases.h
@@ -5,6 +5,15 @@
  * have ended within RUN_END_MAX_MS. This is less than the time after which a
  * caller without an answer submits its job again, so that the runs of the two
  * submissions don't overlap.
+ *
+ * The sum: a lost dispatcher's lease ends at the agent RUN_LEASE_MS after the
+ * request. From then on the agent does not renew the server's lease while a run
+ * of that dispatcher may be there and its stop isn't acknowledged
+ * (server_lease.h), so that the last renewal ends SERVER_LEASE_MS +
+ * SERVER_CLOCK_SLACK_MS later. No interval between ticks and no timeout of a
+ * call adds to it. For a stop that a dispatcher orders and the server doesn't
+ * acknowledge the same holds, counted from the order: each grant that reached
+ * the agent before the order was requested before it.
  */
 #ifndef LEASED_LEASES_H
 #define LEASED_LEASES_H
--- a/src/leased/run_table.c
+++ b/src/leased/run_table.c
@@ -213,7 +213,8 @@
 {
 	for (guint i = table->runs->len; i-- > 0;)
 		if (run_table_at(table, i)->state == RUN_QUEUED &&
-		    run_table_at(table, i)->request.deadline_ms <= now_ms)
+		    MIN(run_table_at(table, i)->request.deadline_ms,
+			run_table_at(table, i)->request.lease_end_ms) <= now_ms)
 			run_table_finish_at(table, i, RUN_OUTCOME_NOT_STARTED,
 					    now_ms);
 }
--- a/src/leased/run_table.h
+++ b/src/leased/run_table.h
@@ -22,6 +22,8 @@
 	uint32_t cpu_milli, memory_mb, accelerators;
 	int64_t target_start_ms; /* queued runs start in this order */
 	int64_t deadline_ms; /* not started from then on */
+	/* End of the dispatcher's lease; not started from then on. */
+	int64_t lease_end_ms;
 	uint32_t expected_ms; /* on a server of average speed; 0: unknown */
 	char class_name[CF_NAME_SIZE]; /* empty: unknown */
 };
@@ -70,7 +72,8 @@
 void run_table_enqueue(struct run_table *table, const struct run_request *run,
 		       int64_t now_ms);
 /* Returns the next run to start and marks it as starting, or NULL if none can
- * start now. Queued runs past their deadline end as not started. */
+ * start now. Queued runs past their deadline or the end of their dispatcher's
+ * lease end as not started. */
 const struct run_request *run_table_next_start(struct run_table *table,
 					       int64_t now_ms);
 /* Records the answer to a start call, or that no answer came. */
@@ -96,6 +99,14 @@
 /* The age of the oldest unacknowledged stop request; 0 if there is none. */
 int64_t run_table_stop_age_ms(const struct run_table *table, int64_t now_ms);
 
+/* The dispatcher's lease was renewed. Runs that have to stop keep the lease end
+ * of the time at which that was requested. */
+void run_table_extend_lease(struct run_table *table, uint64_t dispatcher,
+			    int64_t lease_end_ms);
+/* Until when the server's lease may be renewed: the earliest lease end of the
+ * runs that may be there without an acknowledged stop. INT64_MAX: no limit. */
+int64_t run_table_renew_until_ms(const struct run_table *table);
+
 /* Applies the server's lists from a poll that was sent at sent_ms. Running
  * runs that are not in the table are appended to unknown_runs. */
 void run_table_apply_lists(struct run_table *table,
--- a/src/leased/server.c
+++ b/src/leased/server.c
@@ -375,7 +375,9 @@
 	counter_add(s->starts, 1);
 	s->options.formats->write_start(
 		&run->name, run->spec,
-		server_lease_for_start(&s->lease, now_ms), &encoded);
+		server_lease_for_start(
+			&s->lease, run_table_renew_until_ms(s->runs), now_ms),
+		&encoded);
 	send_call(s, CALL_START, &run->name, &encoded, CALL_TIMEOUT_MS, now_ms);
 }
 
@@ -428,7 +430,8 @@
 	const struct run_request *run;
 
 	while (server_accepting(s, now_ms) &&
-	       s->lease.clock_read_ms != INT64_MIN &&
+	       server_lease_allows_start(
+		       &s->lease, run_table_renew_until_ms(s->runs), now_ms) &&
 	       (run = run_table_next_start(s->runs, now_ms)))
 		send_start(s, run, now_ms);
 }
@@ -456,7 +459,10 @@
 		return;
 	s->poll_open = true;
 	s->poll_sent_ms = now_ms;
-	send_poll(s, CALL_POLL, server_lease_for_poll(&s->lease, idle, now_ms),
+	send_poll(s, CALL_POLL,
+		  server_lease_for_poll(&s->lease, idle,
+					run_table_renew_until_ms(s->runs),
+					now_ms),
 		  now_ms);
 }
 
--- a/src/leased/server_lease.c
+++ b/src/leased/server_lease.c
@@ -16,6 +16,9 @@
 /* After a poll without an answer: a server that is down refuses connections at
  * once, and polls would follow each other without a pause. */
 #define UNANSWERED_POLL_INTERVAL_MS 20
+/* Left of a lease that can't be renewed now when a start is sent: longer than
+ * most runs take. */
+#define START_LEASE_MIN_MS 300
 /* Doubled with each consecutive refusal, up to BACKOFF_DOUBLINGS_MAX times. */
 #define BACKOFF_INITIAL_MS 10
 #define BACKOFF_DOUBLINGS_MAX 5
@@ -25,6 +28,7 @@
 	lease->clock_ms = 0;
 	lease->clock_read_ms = INT64_MIN;
 	lease->expires_ms = now_ms;
+	lease->granted_end_ms = 0;
 	lease->expiring = false;
 	lease->answered_ms = now_ms;
 	lease->unanswered_since_ms = 0;
@@ -52,8 +56,11 @@
 	lease->expires_ms =
 		MAX(lease->expires_ms,
 		    now_ms + SERVER_LEASE_MS + SERVER_CLOCK_SLACK_MS);
-	return lease->clock_ms + (now_ms - lease->clock_read_ms) +
-	       SERVER_LEASE_MS;
+	lease->granted_end_ms =
+		MAX(lease->granted_end_ms,
+		    lease->clock_ms + (now_ms - lease->clock_read_ms) +
+			    SERVER_LEASE_MS);
+	return lease->granted_end_ms;
 }
 
 bool server_lease_is_unresponsive(const struct server_lease *lease,
@@ -106,23 +113,42 @@
 	return expired;
 }
 
+static bool may_renew(const struct server_lease *lease, int64_t renew_until_ms,
+		      int64_t now_ms)
+{
+	return lease->clock_read_ms != INT64_MIN && !lease->expiring &&
+	       !server_lease_is_unresponsive(lease, now_ms) &&
+	       now_ms < renew_until_ms;
+}
+
+bool server_lease_allows_start(const struct server_lease *lease,
+			       int64_t renew_until_ms, int64_t now_ms)
+{
+	return may_renew(lease, renew_until_ms, now_ms) ||
+	       (lease->granted_end_ms &&
+		lease->expires_ms - now_ms >= START_LEASE_MIN_MS);
+}
+
 int64_t server_lease_for_poll(struct server_lease *lease, bool idle,
-			      int64_t now_ms)
+			      int64_t renew_until_ms, int64_t now_ms)
 {
-	if (idle || lease->expiring ||
-	    server_lease_is_unresponsive(lease, now_ms))
+	if (idle || !may_renew(lease, renew_until_ms, now_ms))
 		return 0;
 	return server_lease_renew(lease, now_ms);
 }
 
-int64_t server_lease_for_start(struct server_lease *lease, int64_t now_ms)
+int64_t server_lease_for_start(struct server_lease *lease,
+			       int64_t renew_until_ms, int64_t now_ms)
 {
+	if (!may_renew(lease, renew_until_ms, now_ms))
+		return lease->granted_end_ms;
 	return server_lease_renew(lease, now_ms);
 }
 
 void server_lease_server_restarted(struct server_lease *lease)
 {
 	lease->clock_read_ms = INT64_MIN;
+	lease->granted_end_ms = 0;
 	lease->unanswered_since_ms = 0;
 }
 
--- a/src/leased/server_lease.h
+++ b/src/leased/server_lease.h
@@ -20,6 +20,7 @@
 	/* On the agent's clock: all runs have ended by then if the lease isn't
 	 * renewed. */
 	int64_t expires_ms;
+	int64_t granted_end_ms; /* on the server's clock; 0: none */
 	bool expiring; /* not renewed until it has expired */
 	int64_t answered_ms; /* time of the last answer */
 	int64_t unanswered_since_ms; /* first call without an answer; 0: none */
@@ -51,11 +52,26 @@
  * again from then on, or once the reason is gone. */
 bool server_lease_end_expiry(struct server_lease *lease, int64_t stop_age_ms,
 			     int64_t now_ms);
-/* Return the lease end to send with a poll or a start, on the server's clock. 0
- * with a poll: the lease is not renewed. */
+/* The next three functions take the time renew_until_ms from which the lease
+ * may not be renewed, as run_table_renew_until_ms computes it. The rule: a
+ * renewal keeps all runs of the server alive, so none is sent once a run there
+ * that isn't known to end by itself or by an acknowledged stop has outlived its
+ * dispatcher's lease. A run that has to stop counts with the lease end of the
+ * time when the stop was requested. So a stop that is acknowledged soon doesn't
+ * interrupt the renewals, and one that isn't ends the run with the server's
+ * lease, within RUN_END_MAX_MS. */
+
+/* Whether a start may be sent: the lease can be renewed with it, or enough of
+ * what was granted is left. */
+bool server_lease_allows_start(const struct server_lease *lease,
+			       int64_t renew_until_ms, int64_t now_ms);
+/* Return the lease end to send with a poll or a start, on the server's clock.
+ * With a poll, 0: the lease is not renewed. A start that doesn't renew the
+ * lease carries the end that was granted last. */
 int64_t server_lease_for_poll(struct server_lease *lease, bool idle,
-			      int64_t now_ms);
-int64_t server_lease_for_start(struct server_lease *lease, int64_t now_ms);
+			      int64_t renew_until_ms, int64_t now_ms);
+int64_t server_lease_for_start(struct server_lease *lease,
+			       int64_t renew_until_ms, int64_t now_ms);
 /* Discards the clock of the server's previous incarnation. */
 void server_lease_server_restarted(struct server_lease *lease);
 
--- a/tests/support/many_world.c
+++ b/tests/support/many_world.c
@@ -56,6 +56,7 @@
 	message->run.memory_mb = command->memory_mb;
 	message->run.target_start_ms = d->many->now_ms + command->slack_ms;
 	message->run.deadline_ms = d->many->now_ms + command->deadline_ms;
+	message->run.lease_end_ms = INT64_MAX;
 	message->run.expected_ms = command->expected_ms;
 	g_strlcpy(message->run.class_name, command->class_name,
 		  sizeof(message->run.class_name));
--- a/tests/test_run_table.c
+++ b/tests/test_run_table.c
@@ -44,7 +44,8 @@
 				   .cpu_milli = cpu_milli,
 				   .memory_mb = 1,
 				   .target_start_ms = target_start_ms,
-				   .deadline_ms = 10000 };
+				   .deadline_ms = 10000,
+				   .lease_end_ms = 10000 };
 
 	run_table_enqueue(table, &run, now_ms);
 	g_bytes_unref(run.spec);
@@ -269,7 +270,8 @@
 							     .number = 1 },
 						   .spec = g_bytes_new("x", 1),
 						   .cpu_milli = 1,
-						   .deadline_ms = 1000 };
+						   .deadline_ms = 1000,
+						   .lease_end_ms = 1000 };
 			struct listed_run_end end;
 
 			run.name.job[0] = g_ascii_tolower(letter);
