Server lease: an old reading of the server's clock gives no longer lease

Cause: a lease end is computed from the server's clock as last read plus the time since. On a clock 2 % slow the estimate runs ahead by 2 % of that time, up to 20 ms for an idle server, which is polled every second. So the lease of the first start there took up to 684 ms, but the agent takes all runs as ended after 670 ms (SERVER_LEASE_MS + SERVER_CLOCK_SLACK_MS), and so does the sum in leases.h.

Change: the estimate counts the time since the reading as on the slowest clock.

--- a/src/leased/leases.h
+++ b/src/leased/leases.h
@@ -26,7 +26,10 @@
 #define RUN_LEASE_RENEW_IDLE_MS 200
 /* Granted by an agent to a backend server. */
 #define SERVER_LEASE_MS 650
-/* The server's clock may run 2 % slow. */
+/* The server's clock may run this much slow. */
+#define SERVER_CLOCK_SLOW_PERCENT 2
+/* What a lease of SERVER_LEASE_MS may take longer on such a clock, rounded up.
+ */
 #define SERVER_CLOCK_SLACK_MS 20
 /* Upper bound on the time that a server takes to stop a run. */
 #define RUN_STOP_MAX_MS 50
--- a/src/leased/server_lease.c
+++ b/src/leased/server_lease.c
@@ -49,6 +49,16 @@
 		lease->unanswered_since_ms = sent_ms;
 }
 
+/* What the server's clock shows at least, if it is as slow as it may be. */
+static int64_t clock_at_least_ms(const struct server_lease *lease,
+				 int64_t now_ms)
+{
+	int64_t age_ms = now_ms - lease->clock_read_ms;
+
+	return lease->clock_ms + age_ms -
+	       age_ms * SERVER_CLOCK_SLOW_PERCENT / 100;
+}
+
 int64_t server_lease_renew(struct server_lease *lease, int64_t now_ms)
 {
 	if (lease->clock_read_ms == INT64_MIN)
@@ -58,8 +68,7 @@
 		    now_ms + SERVER_LEASE_MS + SERVER_CLOCK_SLACK_MS);
 	lease->granted_end_ms =
 		MAX(lease->granted_end_ms,
-		    lease->clock_ms + (now_ms - lease->clock_read_ms) +
-			    SERVER_LEASE_MS);
+		    clock_at_least_ms(lease, now_ms) + SERVER_LEASE_MS);
 	return lease->granted_end_ms;
 }
 
--- a/tests/test_server_lease.c
+++ b/tests/test_server_lease.c
@@ -105,6 +105,29 @@
 	assert_int_equal(server_lease_renew(&lease, 300), 0);
 }
 
+/* A run would go on after its agent reported that the lease ended it. */
+static void test_old_clock_gives_no_longer_lease(void **state)
+{
+	static const int64_t ages_ms[] = { 0, 1, 80, 500, 1000, 1100 };
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(ages_ms) / sizeof(ages_ms[0]); i++) {
+		struct server_lease lease;
+		int64_t clock_ms = 5000 + ages_ms[i] * SLOW_CLOCK_PERCENT / 100;
+		int64_t left_ms;
+
+		server_lease_init(&lease, 0);
+		server_lease_answered(&lease, 5000, 0);
+		left_ms = server_lease_renew(&lease, ages_ms[i]) - clock_ms;
+		assert_true(left_ms * 100 / SLOW_CLOCK_PERCENT <=
+			    SERVER_LEASE_MS + SERVER_CLOCK_SLACK_MS);
+		assert_true(left_ms >= SERVER_LEASE_MS);
+		assert_true(server_lease_has_expired(
+			&lease,
+			ages_ms[i] + SERVER_LEASE_MS + SERVER_CLOCK_SLACK_MS));
+	}
+}
+
 static void test_unanswered_calls(void **state)
 {
 	struct server_lease lease;
@@ -208,6 +231,7 @@
 		cmocka_unit_test(test_runs_end_before_caller_retries),
 		cmocka_unit_test(test_a_late_grant_gives_no_lease),
 		cmocka_unit_test(test_lease_end_follows_the_newest_clock),
+		cmocka_unit_test(test_old_clock_gives_no_longer_lease),
 		cmocka_unit_test(test_unanswered_calls),
 		cmocka_unit_test(test_previous_runs_of_agent),
 		cmocka_unit_test(test_polls_pause_without_answers),
