Server lease: not renewed while the server lists unknown runs

Cause: a run that the agent doesn't know (ordered by the agent before it and carried out late, or in an earlier life of the server) is stopped, but if that stop isn't acknowledged, the agent's renewals keep it alive beside another run of the same task.

An unknown run ends with the lease at the latest.

--- a/src/leased/run_table.c
+++ b/src/leased/run_table.c
@@ -438,6 +438,7 @@
 {
 	table->now_ms = now_ms;
 	table->failed_in_a_row = 0;
+	table->unknown_listed = false;
 	for (guint i = 0; i < table->runs->len; i++) {
 		struct run *run = run_table_at(table, i);
 
--- a/src/leased/run_table.h
+++ b/src/leased/run_table.h
@@ -103,8 +103,11 @@
  * of the time at which that was requested. */
 void run_table_extend_lease(struct run_table *table, uint64_t dispatcher,
 			    int64_t lease_end_ms);
+/* True if the server's last list had runs that aren't in the table. */
+bool run_table_has_unknown_runs(const struct run_table *table);
 /* Until when the server's lease may be renewed: the earliest lease end of the
- * runs that may be there without an acknowledged stop. INT64_MAX: no limit. */
+ * runs that may be there without an acknowledged stop. INT64_MIN: there are
+ * unknown runs, which have to stop. INT64_MAX: no limit. */
 int64_t run_table_renew_until_ms(const struct run_table *table);
 
 /* Applies the server's lists from a poll that was sent at sent_ms. Running
--- a/src/leased/run_table_leases.c
+++ b/src/leased/run_table_leases.c
@@ -23,9 +23,14 @@
 	}
 }
 
+bool run_table_has_unknown_runs(const struct run_table *table)
+{
+	return table->unknown_listed;
+}
+
 int64_t run_table_renew_until_ms(const struct run_table *table)
 {
-	int64_t until_ms = INT64_MAX;
+	int64_t until_ms = table->unknown_listed ? INT64_MIN : INT64_MAX;
 
 	for (guint i = 0; i < table->runs->len; i++) {
 		const struct run *run = run_table_at(table, i);
--- a/src/leased/run_table_lists.c
+++ b/src/leased/run_table_lists.c
@@ -112,6 +112,7 @@
 			run->started_ms = now_ms;
 	}
 	collect_unknown_runs(table, lists, unknown_runs);
+	table->unknown_listed = unknown_runs->len > 0;
 }
 
 /* ---- Runs in progress ----------------------------------------------- */
--- a/src/leased/server.c
+++ b/src/leased/server.c
@@ -452,7 +452,8 @@
 		server_lease_poll_interval_ms(&s->lease, idle, now_ms);
 
 	if (!unresponsive &&
-	    !server_previous_runs_have_ended(&s->previous_runs, now_ms))
+	    (run_table_has_unknown_runs(s->runs) ||
+	     !server_previous_runs_have_ended(&s->previous_runs, now_ms)))
 		interval_ms = POLL_NOW_INTERVAL_MS;
 	if (s->poll_open || s->has_left ||
 	    now_ms < s->poll_sent_ms + interval_ms)
--- a/tests/test_lease_chain.c
+++ b/tests/test_lease_chain.c
@@ -389,6 +389,33 @@
 	assert_int_equal(n_late, 0);
 }
 
+/* What nobody here ordered may be another's run of the same task. */
+static void test_unknown_runs_are_not_kept_alive(void **state)
+{
+	struct sim s = { .stop_ms = 3, .slow_stop_ms = 3 };
+	struct run_name name = name_of("other", 1);
+	struct sim_run unknown = { name_of("unknown", 1), INT64_MAX };
+
+	(void)state;
+	sim_init(&s);
+	order(&s, OTHER, s.other, &name);
+	sim_step(&s);
+	g_array_append_val(s.runs, unknown);
+	sim_step(&s);
+	sim_step(&s);
+	assert_true(run_table_has_unknown_runs(s.table));
+	assert_int_equal(server_lease_for_poll(
+				 &s.lease, false,
+				 run_table_renew_until_ms(s.table), s.now_ms),
+			 0);
+	g_array_set_size(s.runs, 0);
+	sim_step(&s);
+	sim_step(&s);
+	assert_false(run_table_has_unknown_runs(s.table));
+	assert_true(run_table_renew_until_ms(s.table) > s.now_ms);
+	sim_clear(&s);
+}
+
 /* Renewals that pause for each stop would end all runs of a busy server. */
 static void test_frequent_stops_keep_the_lease(void **state)
 {
@@ -429,6 +456,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_no_run_outlives_its_bound),
+		cmocka_unit_test(test_unknown_runs_are_not_kept_alive),
 		cmocka_unit_test(test_frequent_stops_keep_the_lease),
 	};
 
