Server lease: an end granted in an earlier life isn't kept as the newest one

A server that was restarted has a new clock; until the agent knows of the restart, its answers carry that clock, and a renewal would carry the old end, which the server takes as its longest lease (1,000 ms) in place of 650 ms.

--- a/src/leased/server_lease.c
+++ b/src/leased/server_lease.c
@@ -67,8 +67,7 @@
 		MAX(lease->expires_ms,
 		    now_ms + SERVER_LEASE_MS + SERVER_CLOCK_SLACK_MS);
 	lease->granted_end_ms =
-		MAX(lease->granted_end_ms,
-		    clock_at_least_ms(lease, now_ms) + SERVER_LEASE_MS);
+		clock_at_least_ms(lease, now_ms) + SERVER_LEASE_MS;
 	return lease->granted_end_ms;
 }
 
--- a/tests/test_server_lease.c
+++ b/tests/test_server_lease.c
@@ -101,6 +101,10 @@
 	server_lease_answered(&lease, 5080, 200);
 	assert_int_equal(server_lease_renew(&lease, 200),
 			 5080 + SERVER_LEASE_MS);
+	/* A server that was restarted, which isn't known yet: its clock is new.
+	 */
+	server_lease_answered(&lease, 30, 250);
+	assert_int_equal(server_lease_renew(&lease, 250), 30 + SERVER_LEASE_MS);
 	server_lease_server_restarted(&lease);
 	assert_int_equal(server_lease_renew(&lease, 300), 0);
 }
