Dispatcher: a lease is stamped after its request was read

Cause: a grant was recorded with the loop's time, which is read once an iteration. If the process is suspended within an iteration, a request of an agent that arrives meanwhile is granted with the earlier time. The agent counts its lease from the request, so that its runs may outlive the time after which the dispatcher starts their tasks again (lease_granted_ms + 1,250 ms), by the length of the suspension as far as the connection survives it.

Change: the clock is read at the grant.

Evidence: derived from loop.c (run_iteration); not shown red, as the order of the two can't be arranged without a process stopped within an iteration.

--- a/src/leased/dispatcher_agents.c
+++ b/src/leased/dispatcher_agents.c
@@ -5,6 +5,7 @@
  */
 #include "leased/dispatcher_internal.h"
 
+#include "base/clock.h"
 #include "base/logger.h"
 
 #include <string.h>
@@ -377,9 +378,10 @@
 	lease.seq = request->seq;
 	envelope.body_case = CFW__ENVELOPE__BODY_RUN_LEASE;
 	envelope.run_lease = &lease;
+	/* The loop's time may be earlier than the request. */
 	if (link_send(a->link, &envelope))
 		dispatch_agent_lease_granted(d->dispatch, a->incarnation,
-					     loop_now_ms(d->loop));
+					     clock_now_ms());
 }
 
 static void apply_state(struct leased_dispatcher *d, const struct agent_link *a,
