Server lease: the server's clock is stamped after it was read

Cause: the reading of a server's clock was stamped with the loop's time, which is read once an iteration. If the agent is suspended within an iteration, an answer that was written meanwhile gets the earlier time, the server's clock is taken for later than it is, and the lease ends sent until the next answer lie beyond SERVER_LEASE_MS by as much, up to a poll's wait of 80 ms.

Change: the agent's clock is read when the answer is handled.

--- a/src/leased/server.c
+++ b/src/leased/server.c
@@ -5,6 +5,7 @@
  */
 #include "leased/server.h"
 
+#include "base/clock.h"
 #include "base/counters.h"
 #include "base/logger.h"
 #include "leased/leases.h"
@@ -96,7 +97,7 @@
 				     "leases of backend servers let end");
 	run_table_set_capacity(s->runs, &report->capacity);
 	server_lease_init(&s->lease, now_ms);
-	server_lease_answered(&s->lease, report->clock_ms, now_ms);
+	server_lease_answered(&s->lease, report->clock_ms, clock_now_ms());
 	set_address(s);
 	log_event(
 		LOG_INFO, "server_joined",
@@ -182,7 +183,8 @@
 	run_table_set_capacity(s->runs, &report->capacity);
 	if (s->lease.clock_read_ms == INT64_MIN ||
 	    now_ms - s->lease.clock_read_ms > SERVER_IDLE_POLL_INTERVAL_MS)
-		server_lease_answered(&s->lease, report->clock_ms, now_ms);
+		server_lease_answered(&s->lease, report->clock_ms,
+				      clock_now_ms());
 	if (report->draining && !was_draining) {
 		log_event(LOG_INFO, "server_draining", "server=%s seq=%" PRIu64,
 			  report->name, report->seq);
@@ -209,7 +211,8 @@
 		log_event(LOG_INFO, "server_answers",
 			  "server=%s silent_ms=%" PRId64, s->report.name,
 			  now_ms - s->lease.unanswered_since_ms);
-	server_lease_answered(&s->lease, clock_ms, now_ms);
+	/* The loop's time may be earlier than the answer. */
+	server_lease_answered(&s->lease, clock_ms, clock_now_ms());
 }
 
 static void handle_start_answer(struct server *s, const struct call *call,
