Agent: count how long runs outlive their dispatcher's lease

Cause: nothing showed that the chain of leases was longer than its bound: run_lease_lost and server_lease_let_end tell of the leases, not of the runs.

Change: run_end_after_lease_ms, a histogram of the runs that outlived the end of their dispatcher's lease, up to RUN_OUTLIVE_MAX_MS (720) and above, and run_end_after_lease_max_ms. Above it a line run_outlived_lease, at most one a second. The agent sees an end in a list, so its own stalls count too.

--- a/src/leased/agent.c
+++ b/src/leased/agent.c
@@ -228,6 +228,7 @@
 	a->interferences = agent_create_interferences();
 	a->peers = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					 agent_free_peer);
+	a->overruns = lease_overruns_create();
 	a->reports = counter_get("server_reports_total", NULL,
 				 "reports of backend servers");
 	a->bad_reports = counter_get("server_reports_unreadable_total", NULL,
--- a/src/leased/agent_internal.h
+++ b/src/leased/agent_internal.h
@@ -8,6 +8,7 @@
 #include "base/counters.h"
 #include "base/settings.h"
 #include "leased/interference.h"
+#include "leased/lease_overruns.h"
 #include "leased/server.h"
 #include "leased/speed_estimate.h"
 #include "net/admin.h"
@@ -64,6 +65,7 @@
 	bool in_service;
 	gint stopping, idle; /* atomic */
 	struct counter *reports, *bad_reports, *lost_leases, *runs_gauge;
+	struct lease_overruns *overruns;
 };
 
 /* ---- Dispatchers (agent_peers.c) ------------------------------------ */
--- a/src/leased/agent_peers.c
+++ b/src/leased/agent_peers.c
@@ -190,6 +190,21 @@
 		g_free(g_queue_pop_head(p->recent));
 }
 
+static void count_overrun(struct leased_agent *a,
+			  const struct run_result *result, int64_t now_ms)
+{
+	uint32_t n_unlogged;
+
+	if (lease_overruns_add(a->overruns, result->outlived_ms, now_ms,
+			       &n_unlogged))
+		log_event(LOG_WARN, "run_outlived_lease",
+			  "job=%s index=%u number=%u by_ms=%" PRId64
+			  " bound_ms=%d unlogged=%u",
+			  result->name.job, result->name.index,
+			  result->name.number, result->outlived_ms,
+			  RUN_OUTLIVE_MAX_MS, n_unlogged);
+}
+
 void agent_collect_results(struct leased_agent *a, struct server *server)
 {
 	int64_t now_ms = loop_now_ms(a->loop);
@@ -197,6 +212,7 @@
 
 	while (run_table_pop_result(server_runs(server), &result)) {
 		agent_count_result(a, server, &result, now_ms);
+		count_overrun(a, &result, now_ms);
 		add_result(a, &result, now_ms);
 	}
 	agent_track_runs(a, server, now_ms);
--- a/src/leased/leases.h
+++ b/src/leased/leases.h
@@ -37,5 +37,7 @@
 #define RUN_END_MAX_MS                                                         \
 	(RUN_LEASE_MS + SERVER_LEASE_MS + SERVER_CLOCK_SLACK_MS +              \
 	 RUN_STOP_MAX_MS)
+/* Of this, after the end of the dispatcher's lease. */
+#define RUN_OUTLIVE_MAX_MS (RUN_END_MAX_MS - RUN_LEASE_MS)
 
 #endif
--- a/src/leased/run_table.c
+++ b/src/leased/run_table.c
@@ -100,6 +100,8 @@
 				     .outcome = outcome,
 				     .expected_ms = run->request.expected_ms };
 
+	if (outcome != RUN_OUTCOME_NOT_STARTED)
+		result.outlived_ms = run_outlived_ms(run, now_ms);
 	if (run->started_ms && now_ms > run->started_ms)
 		result.run_ms = (uint32_t)(now_ms - run->started_ms);
 	count_failure(table, &result);
--- a/src/leased/run_table.h
+++ b/src/leased/run_table.h
@@ -43,7 +43,10 @@
 	struct run_name name;
 	enum run_outcome outcome;
 	uint32_t run_ms;
-	uint32_t expected_ms; /* of the request; not sent to the dispatcher */
+	/* Not sent to the dispatcher: of the request; for how long the run went
+	 * on after its dispatcher's lease had ended. */
+	uint32_t expected_ms;
+	int64_t outlived_ms;
 };
 
 /* A run in progress. */
--- a/src/leased/run_table_internal.h
+++ b/src/leased/run_table_internal.h
@@ -41,6 +41,9 @@
 struct run *run_table_at(const struct run_table *table, guint i);
 struct run *run_table_find(const struct run_table *table,
 			   const struct run_name *name, guint *position);
+/* How long this run, which has ended by now, outlived its dispatcher's lease.
+ */
+int64_t run_outlived_ms(const struct run *run, int64_t now_ms);
 /* Removes the run at this position and queues its result. */
 void run_table_finish_at(struct run_table *table, guint position,
 			 enum run_outcome outcome, int64_t now_ms);
--- a/src/leased/run_table_leases.c
+++ b/src/leased/run_table_leases.c
@@ -5,6 +5,8 @@
  */
 #include "leased/run_table_internal.h"
 
+#include "leased/leases.h"
+
 static bool has_to_stop(const struct run *run)
 {
 	return run->stop_requested || run->state == RUN_STOPPING ||
@@ -23,6 +25,19 @@
 	}
 }
 
+/* An end is seen in a list some time later. A run whose stop was acknowledged
+ * has ended RUN_STOP_MAX_MS after that. */
+int64_t run_outlived_ms(const struct run *run, int64_t now_ms)
+{
+	int64_t ended_ms = now_ms;
+
+	if (!run->may_have_started)
+		return 0;
+	if (run->state == RUN_STOPPED)
+		ended_ms = MIN(now_ms, run->stop_acked_ms + RUN_STOP_MAX_MS);
+	return MAX(ended_ms - run->request.lease_end_ms, 0);
+}
+
 bool run_table_has_unknown_runs(const struct run_table *table)
 {
 	return table->unknown_listed;
--- a/tests/test_lease_chain.c
+++ b/tests/test_lease_chain.c
@@ -56,6 +56,7 @@
 	bool poll_open;
 	uint32_t orders, stops, done, lapses, expiries;
 	int64_t ended_ms, reported_ms; /* the lost dispatcher's run; 0: not */
+	int64_t outlived_ms; /* the same run's */
 	int64_t left_min_ms; /* of the server's lease */
 };
 
@@ -273,8 +274,10 @@
 
 	while (run_table_pop_result(s->table, &result)) {
 		s->done += result.outcome == RUN_OUTCOME_DONE;
-		if (result.name.job[0] == 'l')
-			s->reported_ms = s->now_ms;
+		if (result.name.job[0] != 'l')
+			continue;
+		s->reported_ms = s->now_ms;
+		s->outlived_ms = result.outlived_ms;
 	}
 }
 
@@ -376,6 +379,10 @@
 				      cases[i].stop_order_ms);
 			assert_true(s.ended_ms > 0);
 			assert_true(s.reported_ms >= s.ended_ms);
+			assert_true(s.outlived_ms <= RUN_OUTLIVE_MAX_MS);
+			if (!cases[i].stop_order_ms)
+				assert_true(s.outlived_ms >=
+					    s.ended_ms - RUN_LEASE_MS);
 			if (cases[i].stop_ms)
 				assert_int_equal(s.lapses, 0);
 			last_ms = MAX(last_ms,
--- a/tests/test_server_lease.c
+++ b/tests/test_server_lease.c
@@ -2,6 +2,8 @@
  * test_server_lease: how long a run may outlive a failed dispatcher or agent,
  * an agent's view of a server's clock, and its backoff after refusals.
  */
+#include "base/counters.h"
+#include "leased/lease_overruns.h"
 #include "leased/leases.h"
 #include "leased/server_lease.h"
 
@@ -149,6 +151,48 @@
 	assert_false(server_lease_is_unresponsive(&lease, 3000));
 }
 
+/* ---- Runs that outlive their dispatcher's lease ---- */
+
+/* Nobody would see that the chain of leases is longer than its bound. */
+static void test_overruns_are_counted(void **state)
+{
+	static const struct {
+		int64_t outlived_ms, now_ms;
+		const char *bucket; /* NULL: not counted */
+		bool logged;
+		uint32_t n_unlogged;
+	} cases[] = {
+		{ 0, 0, NULL, false, 0 },
+		{ 45, 0, "45", false, 0 },
+		{ 46, 0, "90", false, 0 },
+		{ RUN_OUTLIVE_MAX_MS, 0, "720", false, 0 },
+		{ RUN_OUTLIVE_MAX_MS + 1, 0, "more", true, 0 },
+		{ 800, 999, "more", false, 0 },
+		{ 900, 1000, "more", true, 1 },
+	};
+	struct lease_overruns *overruns = lease_overruns_create();
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		g_autofree char *label = g_strdup_printf(
+			"up_to_ms=\"%s\"",
+			cases[i].bucket ? cases[i].bucket : "45");
+		struct counter *bucket =
+			counter_get("run_end_after_lease_ms", label, NULL);
+		int64_t before = counter_value(bucket);
+		uint32_t n_unlogged = 0;
+
+		assert_int_equal(
+			lease_overruns_add(overruns, cases[i].outlived_ms,
+					   cases[i].now_ms, &n_unlogged),
+			cases[i].logged);
+		assert_int_equal(n_unlogged, cases[i].n_unlogged);
+		assert_int_equal(counter_value(bucket) - before,
+				 cases[i].bucket != NULL);
+	}
+	lease_overruns_destroy(overruns);
+}
+
 /* ---- After a restart of the agent ---- */
 
 static void test_previous_runs_of_agent(void **state)
@@ -237,6 +281,7 @@
 		cmocka_unit_test(test_lease_end_follows_the_newest_clock),
 		cmocka_unit_test(test_old_clock_gives_no_longer_lease),
 		cmocka_unit_test(test_unanswered_calls),
+		cmocka_unit_test(test_overruns_are_counted),
 		cmocka_unit_test(test_previous_runs_of_agent),
 		cmocka_unit_test(test_polls_pause_without_answers),
 		cmocka_unit_test(test_backoff_after_refusals),
