fault_leased: runs end with their dispatcher when servers refuse stops

Guards against renewals of a server's lease that keep the runs of a lost dispatcher alive: servers that poll as usual but refuse stops, with the dispatcher killed and frozen. The last run must have ended RUN_LEASE_MS + SERVER_LEASE_MS (1,150 ms) after the loss.

--- a/tests/fault_leased.c
+++ b/tests/fault_leased.c
@@ -9,6 +9,7 @@
 #include "support/leased_system.h"
 
 #include "base/clock.h"
+#include "leased/leases.h"
 #include "platform/standin.h"
 
 #include <glib.h>
@@ -174,31 +175,49 @@
 
 static void test_runs_end_with_their_dispatcher(void **state)
 {
-	static const bool frozen[] = { false, true };
+	static const struct {
+		bool frozen, refuses_stops;
+	} cases[] = {
+		{ false, false },
+		{ true, false },
+		{ false, true },
+		{ true, true },
+	};
 
 	(void)state;
-	for (size_t i = 0; i < G_N_ELEMENTS(frozen); i++) {
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
 		struct leased_system *s = leased_system_begin(false);
 		struct proc *lost = cluster_proc(s->cluster, "d1");
 		GThread *caller = g_thread_new("caller", submit_long, s);
 		g_autofree char *answer = NULL;
 		int64_t end_ms = clock_now_ms() + SYSTEM_WAIT_MS;
+		int64_t lost_ms;
 
+		if (cases[i].refuses_stops)
+			standin_refuse_stops(s->record);
 		while (standin_runs(s->record) < SYSTEM_TASKS) {
 			assert_true(clock_now_ms() < end_ms);
 			g_usleep(10000);
 		}
-		if (frozen[i])
+		if (cases[i].frozen)
 			proc_freeze(lost);
 		else
 			proc_kill(lost);
+		lost_ms = clock_now_ms();
 		g_usleep(RESEND_US);
+		print_message("count: the last run ended %d ms after the "
+			      "dispatcher\n",
+			      (int)(standin_last_end_ms(s->record) - lost_ms));
+		assert_true(standin_last_end_ms(s->record) > 0);
+		/* The clocks of these servers aren't slow. */
+		assert_true(standin_last_end_ms(s->record) <=
+			    lost_ms + RUN_LEASE_MS + SERVER_LEASE_MS);
 		assert_int_equal(leased_system_submit(s, 1, "00000000000000aa",
 						      LONG_RUN_MS, &answer),
 				 200);
 		assert_true(standin_is_completed(answer));
 		assert_int_equal(standin_overlapping_runs(s->record), 0);
-		if (frozen[i])
+		if (cases[i].frozen)
 			proc_kill(lost);
 		g_thread_join(caller);
 		leased_system_finish(s);
--- a/tests/support/leased_standin.c
+++ b/tests/support/leased_standin.c
@@ -260,6 +260,8 @@
 	advance(s, clock_now_ms());
 	if (order.call == STANDIN_START)
 		accepted = start(s, &order, clock_now_ms());
+	else if (order.call == STANDIN_STOP && s->record->refuses_stops)
+		accepted = false;
 	else if (order.call == STANDIN_STOP)
 		stop(s, &order, clock_now_ms());
 	else
--- a/tests/support/leased_standin.h
+++ b/tests/support/leased_standin.h
@@ -21,6 +21,11 @@
 /* Number of runs of the tasks of one job. */
 uint32_t standin_runs_of(struct standin_record *record, const char *job);
 
+/* When the last run has ended; 0: a run that is not known to have ended. */
+int64_t standin_last_end_ms(struct standin_record *record);
+/* Stops are refused. Set before the first run. */
+void standin_refuse_stops(struct standin_record *record);
+
 /* Runs with this label take factor times as long while a run with the other
  * label is at the same stand-in. Set before the first run. */
 void standin_set_slowdown(struct standin_record *record, const char *label,
--- a/tests/support/leased_standin_internal.h
+++ b/tests/support/leased_standin_internal.h
@@ -27,6 +27,7 @@
 	GMutex lock;
 	GPtrArray *intervals; /* struct interval */
 	struct slowdown slowdowns[SLOWDOWNS_MAX];
+	bool refuses_stops;
 };
 
 struct interval *standin_begin_interval(struct standin_record *record,
--- a/tests/support/leased_standin_record.c
+++ b/tests/support/leased_standin_record.c
@@ -42,6 +42,30 @@
 	return interval;
 }
 
+int64_t standin_last_end_ms(struct standin_record *record)
+{
+	int64_t last_ms = 0;
+
+	g_mutex_lock(&record->lock);
+	for (guint i = 0; i < record->intervals->len; i++) {
+		const struct interval *interval =
+			g_ptr_array_index(record->intervals, i);
+
+		if (!interval->end_ms) {
+			last_ms = 0;
+			break;
+		}
+		last_ms = MAX(last_ms, interval->end_ms);
+	}
+	g_mutex_unlock(&record->lock);
+	return last_ms;
+}
+
+void standin_refuse_stops(struct standin_record *record)
+{
+	record->refuses_stops = true;
+}
+
 static bool overlap(const struct interval *a, const struct interval *b)
 {
 	return !strcmp(a->task, b->task) &&
