Server: not accepting while its lease allows no start

Cause: a server whose lease can't be renewed now and has under 300 ms left took orders from dispatchers and kept them queued.

Change: server_accepting asks the lease too, so that dispatchers send elsewhere.

--- a/src/leased/server.c
+++ b/src/leased/server.c
@@ -138,7 +138,9 @@
 	return !s->report.draining && !s->has_left && !s->lease.expiring &&
 	       server_previous_runs_have_ended(&s->previous_runs, now_ms) &&
 	       !server_lease_is_unresponsive(&s->lease, now_ms) &&
-	       server_backoff_has_elapsed(&s->backoff, now_ms);
+	       server_backoff_has_elapsed(&s->backoff, now_ms) &&
+	       server_lease_allows_start(
+		       &s->lease, run_table_renew_until_ms(s->runs), now_ms);
 }
 
 bool server_is_expired(const struct server *s, int64_t now_ms)
@@ -433,8 +435,6 @@
 	const struct run_request *run;
 
 	while (server_accepting(s, now_ms) &&
-	       server_lease_allows_start(
-		       &s->lease, run_table_renew_until_ms(s->runs), now_ms) &&
 	       (run = run_table_next_start(s->runs, now_ms)))
 		send_start(s, run, now_ms);
 }
