Tests: orders that a backend server carries out late

A call without an answer may be carried out seconds later, after newer calls, and no order carries a fencing token. The stand-in now keeps the highest token, has a clock that starts anew with each incarnation, and can hold starts and stops back and carry them out later.

--- a/tests/support/leased_standin.c
+++ b/tests/support/leased_standin.c
@@ -1,6 +1,7 @@
 /*
  * leased_standin: see leased_standin.h. Each call first advances the state to
- * the current time. All times are from this host's monotonic clock.
+ * the current time. Times are from this host's monotonic clock; a lease end is
+ * converted from the stand-in's own clock, which starts anew with each life.
  */
 #include "support/leased_standin_internal.h"
 
@@ -23,6 +24,7 @@
 #define WAIT_STEP_US 2000
 #define THREADS 6
 #define LEASE_MAX_MS 1000
+#define CLOCK_START_MS 1
 #define STATUS_OK 200
 #define STATUS_CONFLICT 409
 
@@ -35,6 +37,11 @@
 	struct interval *interval;
 };
 
+struct held_call {
+	struct standin_request order;
+	struct http_request *request;
+};
+
 struct standin {
 	struct standin_record *record;
 	char *name, *address, *control;
@@ -47,7 +54,11 @@
 	/* task -> highest number of a run that was stopped or has ended */
 	GHashTable *refused_numbers;
 	int64_t lease_ms, last_position, seq, born_ms;
+	int64_t clock_zero_ms; /* when the stand-in's clock showed 0 */
+	int64_t fence; /* highest fencing token seen */
 	int64_t advanced_ms;
+	bool hold_starts, hold_stops, use_renewed_lease;
+	GQueue held; /* struct held_call */
 };
 
 /* ---- Runs ---- */
@@ -149,28 +160,29 @@
 	s->lease_ms = MAX(s->lease_ms, end_ms);
 }
 
-/* Returns false if a run with this number or a higher one has ended or was
- * stopped here, or if the lease in the order has already ended. */
-static bool start(struct standin *s, const struct standin_request *order,
-		  int64_t now_ms)
+static enum standin_refusal
+start(struct standin *s, const struct standin_request *order, int64_t now_ms)
 {
 	const int64_t *highest_refused =
 		g_hash_table_lookup(s->refused_numbers, order->task);
 	struct standin_run *run;
+	int64_t end_ms;
 
 	renew(s, order, now_ms);
-	if (order->lease_end_ms <= now_ms ||
-	    (highest_refused && *highest_refused >= order->number))
-		return false;
+	end_ms = s->use_renewed_lease ? s->lease_ms : order->lease_end_ms;
+	if (end_ms <= now_ms)
+		return STANDIN_LATE;
+	if (highest_refused && *highest_refused >= order->number)
+		return STANDIN_STALE;
 	if (find(s, order->task))
-		return true;
+		return STANDIN_ACCEPTED;
 	run = g_new0(struct standin_run, 1);
 	g_strlcpy(run->task, order->task, sizeof(run->task));
 	run->number = order->number;
 	run->end_ms = now_ms + order->run_ms;
 	run->interval = standin_begin_interval(s->record, s, order, now_ms);
 	g_ptr_array_add(s->runs, run);
-	return true;
+	return STANDIN_ACCEPTED;
 }
 
 static void stop(struct standin *s, const struct standin_request *order,
@@ -184,6 +196,11 @@
 }
 
 void standin_restart(struct standin *s)
+{
+	standin_restart_born(s, MAX(standin_born_ms(s) + 1, clock_wall_ms()));
+}
+
+void standin_restart_born(struct standin *s, int64_t born_ms)
 {
 	int64_t now_ms = clock_now_ms();
 
@@ -196,8 +213,20 @@
 	s->last_position = 0;
 	s->lease_ms = 0;
 	s->seq = 0;
-	s->born_ms = MAX(s->born_ms + 1, clock_wall_ms());
+	s->fence = 0;
+	s->clock_zero_ms = now_ms - CLOCK_START_MS;
+	s->born_ms = born_ms;
+	g_mutex_unlock(&s->lock);
+}
+
+int64_t standin_born_ms(struct standin *s)
+{
+	int64_t born_ms;
+
+	g_mutex_lock(&s->lock);
+	born_ms = s->born_ms;
 	g_mutex_unlock(&s->lock);
+	return born_ms;
 }
 
 /* ---- Lists ---- */
@@ -222,7 +251,8 @@
 		g_strlcpy(row.task, run->task, sizeof(row.task));
 		g_array_append_val(running, row);
 	}
-	return standin_write_lists(now_ms, s->born_ms, running, s->ends);
+	return standin_write_lists(now_ms - s->clock_zero_ms, s->born_ms,
+				   running, s->ends);
 }
 
 /* Long poll: waits for an end that the caller has not seen. */
@@ -246,38 +276,83 @@
 
 /* ---- HTTP ---- */
 
+/* Carries out a call with the lock held. Sets answer to the lists of a poll. */
+static enum standin_refusal
+carry_out(struct standin *s, struct standin_request *order, char **answer)
+{
+	int64_t now_ms = clock_now_ms();
+
+	advance(s, now_ms);
+	if (order->fence < s->fence)
+		return STANDIN_FENCED;
+	s->fence = order->fence;
+	if (order->lease_end_ms)
+		order->lease_end_ms += s->clock_zero_ms;
+	if (order->call == STANDIN_START)
+		return start(s, order, now_ms);
+	if (order->call == STANDIN_STOP)
+		stop(s, order, now_ms);
+	else
+		*answer = poll_runs(s, order);
+	return STANDIN_ACCEPTED;
+}
+
+static void execute(struct standin *s, struct standin_request *order,
+		    struct http_request *request)
+{
+	g_autofree char *answer = NULL;
+	enum standin_refusal refusal;
+
+	g_mutex_lock(&s->lock);
+	refusal = carry_out(s, order, &answer);
+	if (!answer)
+		answer = standin_write_answer(clock_now_ms() - s->clock_zero_ms,
+					      refusal);
+	g_mutex_unlock(&s->lock);
+	http_reply(request,
+		   refusal == STANDIN_ACCEPTED ? STATUS_OK : STATUS_CONFLICT,
+		   "application/json", answer, strlen(answer), NULL);
+}
+
+static bool hold(struct standin *s, const struct standin_request *order,
+		 struct http_request *request)
+{
+	struct held_call *call;
+	bool held;
+
+	g_mutex_lock(&s->lock);
+	held = (s->hold_starts && order->call == STANDIN_START) ||
+	       (s->hold_stops && order->call == STANDIN_STOP);
+	if (held) {
+		call = g_new0(struct held_call, 1);
+		call->order = *order;
+		call->request = request;
+		g_queue_push_tail(&s->held, call);
+	}
+	g_mutex_unlock(&s->lock);
+	return held;
+}
+
 static void handle(void *arg, struct http_request *request)
 {
 	struct standin *s = arg;
 	struct standin_request order;
 	size_t size;
 	const void *data = http_body(request, &size);
-	g_autofree char *answer = NULL;
-	bool accepted = true;
 
 	standin_read_request(http_path(request), data, size, &order);
-	g_mutex_lock(&s->lock);
-	advance(s, clock_now_ms());
-	if (order.call == STANDIN_START)
-		accepted = start(s, &order, clock_now_ms());
-	else if (order.call == STANDIN_STOP)
-		stop(s, &order, clock_now_ms());
-	else
-		answer = poll_runs(s, &order);
-	g_mutex_unlock(&s->lock);
-	if (!answer)
-		answer = standin_write_answer(clock_now_ms(), !accepted);
-	http_reply(request, accepted ? STATUS_OK : STATUS_CONFLICT,
-		   "application/json", answer, strlen(answer), NULL);
+	if (!hold(s, &order, request))
+		execute(s, &order, request);
 }
 
-static char *write_report(struct standin *s)
+char *standin_report(struct standin *s)
 {
 	char *body;
 
 	g_mutex_lock(&s->lock);
 	body = standin_write_report("desk", s->address, CPU_MILLI,
-				    clock_now_ms(), s->born_ms, ++s->seq);
+				    clock_now_ms() - s->clock_zero_ms,
+				    s->born_ms, ++s->seq);
 	g_mutex_unlock(&s->lock);
 	return body;
 }
@@ -286,7 +361,7 @@
 {
 	g_autofree char *path = standin_report_path(s->name);
 	g_autofree char *url = g_strdup_printf("http://%s%s", s->control, path);
-	g_autofree char *body = write_report(s);
+	g_autofree char *body = standin_report(s);
 	struct http_call call = { .method = "POST",
 				  .url = url,
 				  .body = body,
@@ -309,6 +384,52 @@
 	return NULL;
 }
 
+/* ---- Held calls ---- */
+
+void standin_hold(struct standin *s, bool starts, bool stops)
+{
+	g_mutex_lock(&s->lock);
+	s->hold_starts = starts;
+	s->hold_stops = stops;
+	g_mutex_unlock(&s->lock);
+}
+
+uint32_t standin_held(struct standin *s)
+{
+	uint32_t n;
+
+	g_mutex_lock(&s->lock);
+	n = g_queue_get_length(&s->held);
+	g_mutex_unlock(&s->lock);
+	return n;
+}
+
+static struct held_call *pop_held(struct standin *s)
+{
+	struct held_call *call;
+
+	g_mutex_lock(&s->lock);
+	call = g_queue_pop_head(&s->held);
+	g_mutex_unlock(&s->lock);
+	return call;
+}
+
+void standin_release(struct standin *s)
+{
+	struct held_call *call;
+
+	standin_hold(s, false, false);
+	while ((call = pop_held(s))) {
+		execute(s, &call->order, call->request);
+		g_free(call);
+	}
+}
+
+void standin_use_renewed_lease(struct standin *s)
+{
+	s->use_renewed_lease = true;
+}
+
 /* ---- Lifecycle ---- */
 
 struct standin *standin_create(struct standin_record *record, const char *name,
@@ -326,6 +447,8 @@
 	s->control = g_strdup(agent_control);
 	s->born_ms = clock_wall_ms();
 	s->advanced_ms = clock_now_ms();
+	s->clock_zero_ms = s->advanced_ms - CLOCK_START_MS;
+	g_queue_init(&s->held);
 	g_mutex_init(&s->lock);
 	s->runs = g_ptr_array_new_with_free_func(g_free);
 	s->ends = g_array_new(FALSE, TRUE, sizeof(struct standin_end));
@@ -337,10 +460,16 @@
 	return s;
 }
 
+uint16_t standin_port(const struct standin *s)
+{
+	return http_server_port(s->server);
+}
+
 void standin_destroy(struct standin *s)
 {
 	g_atomic_int_set(&s->stopping, 1);
 	g_thread_join(s->reporter);
+	standin_release(s);
 	http_server_destroy(s->server);
 	g_ptr_array_unref(s->runs);
 	g_array_unref(s->ends);
--- a/tests/support/leased_standin.h
+++ b/tests/support/leased_standin.h
@@ -8,6 +8,7 @@
 #ifndef SUPPORT_LEASED_STANDIN_H
 #define SUPPORT_LEASED_STANDIN_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 struct standin;
@@ -39,8 +40,23 @@
 			       const char *advertised_address,
 			       const char *agent_control);
 /* Simulates a crash and a restart under the same name: all runs and all state
- * are lost. */
+ * are lost, and the stand-in's clock starts anew. */
 void standin_restart(struct standin *standin);
+/* The same with a given start time, as after a change of the host's clock. */
+void standin_restart_born(struct standin *standin, int64_t born_ms);
+int64_t standin_born_ms(struct standin *standin);
+uint16_t standin_port(const struct standin *standin);
+/* The body of a new report; free with g_free. */
+char *standin_report(struct standin *standin);
+
+/* While set, starts or stops are neither carried out nor answered. */
+void standin_hold(struct standin *standin, bool starts, bool stops);
+uint32_t standin_held(struct standin *standin);
+/* Carries out the held calls now, in the order in which they came. */
+void standin_release(struct standin *standin);
+/* A start is late if the stand-in's lease has expired, whatever the lease end
+ * in the start itself. */
+void standin_use_renewed_lease(struct standin *standin);
 void standin_destroy(struct standin *standin);
 
 #endif
--- /dev/null
+++ b/tests/test_late_orders.c
@@ -0,0 +1,257 @@
+/*
+ * test_late_orders: orders that a backend server carries out late, after the
+ * server or its agent was restarted or the server's lease has ended. Agents
+ * run in this process, against a stand-in that holds calls back.
+ */
+#include "base/clock.h"
+#include "leased/leases.h"
+#include "leased/server.h"
+#include "platform/platform.h"
+#include "support/leased_standin.h"
+#include "support/loop_until.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+#include <cmocka.h>
+
+#define CONNECTIONS_MAX 24
+#define UNANSWERED_CALLS_MAX 4
+#define RUN_MS 2000
+#define DRAIN_MS 400 /* longer than the timeout of any call */
+#define NAME "i-1"
+
+struct agent {
+	struct loop *loop;
+	struct http_client *client;
+	struct server *server;
+	int64_t drained_ms;
+};
+
+static struct standin_record *record;
+static struct standin *standin;
+
+/* ---- Set-up ---- */
+
+static int set_up(void **state)
+{
+	(void)state;
+	record = standin_record_create();
+	/* Nothing listens at port 1: the tests apply the reports. */
+	standin = standin_create(record, NAME, "127.0.0.1:0", "127.0.0.1:1",
+				 "127.0.0.1:1");
+	return 0;
+}
+
+static int tear_down(void **state)
+{
+	(void)state;
+	standin_destroy(standin);
+	standin_record_destroy(record);
+	return 0;
+}
+
+static void ignore_change(void *arg, struct server *server)
+{
+	(void)arg;
+	(void)server;
+}
+
+static void read_report(struct server_report *report)
+{
+	g_autofree char *body = standin_report(standin);
+	char error_text[128];
+
+	assert_true(platform_read_server_report(NAME, body, strlen(body),
+						report, error_text));
+	g_snprintf(report->address, sizeof(report->address), "127.0.0.1:%u",
+		   standin_port(standin));
+}
+
+static void apply_report(struct agent *a)
+{
+	struct server_report report;
+
+	read_report(&report);
+	server_apply_report(a->server, &report, clock_now_ms());
+}
+
+/* started_ms: time of day at the start of the agent's process. */
+static struct agent *agent_begin(int64_t started_ms, int64_t runs_end_ms)
+{
+	struct agent *a = g_new0(struct agent, 1);
+	struct server_options options = { .formats = &platform_formats,
+					  .changed = ignore_change,
+					  .previous_runs_end_ms = runs_end_ms };
+	struct server_report report;
+
+	(void)started_ms;
+	a->loop = loop_create(NULL);
+	a->client = http_client_create(a->loop, CONNECTIONS_MAX, NULL);
+	http_client_set_timeouts_max(a->client, UNANSWERED_CALLS_MAX);
+	options.loop = a->loop;
+	options.client = a->client;
+	read_report(&report);
+	a->server = server_create(&options, &report, clock_now_ms());
+	return a;
+}
+
+/* ---- Conditions; each check also does the agent's periodic work ---- */
+
+static struct run_table *process(struct agent *a)
+{
+	server_process(a->server, clock_now_ms());
+	return server_runs(a->server);
+}
+
+static bool is_accepting(void *arg)
+{
+	process(arg);
+	return server_accepting(((struct agent *)arg)->server, clock_now_ms());
+}
+
+static bool is_idle(void *arg)
+{
+	return run_table_is_idle(process(arg));
+}
+
+static bool start_is_held(void *arg)
+{
+	process(arg);
+	return standin_held(standin) > 0;
+}
+
+static bool is_running(void *arg)
+{
+	process(arg);
+	return standin_runs(record) > 0;
+}
+
+static bool is_drained(void *arg)
+{
+	struct agent *a = arg;
+
+	return is_idle(a) && clock_now_ms() >= a->drained_ms;
+}
+
+static void wait_until(struct agent *a, bool (*condition)(void *arg))
+{
+	assert_true(loop_until(a->loop, condition, a));
+}
+
+/* No call may be in flight when a server is destroyed. */
+static void agent_end(struct agent *a)
+{
+	server_mark_left(a->server, clock_now_ms());
+	a->drained_ms = clock_now_ms() + DRAIN_MS;
+	wait_until(a, is_drained);
+	http_client_destroy(a->client);
+	server_destroy(a->server);
+	loop_destroy(a->loop);
+	g_free(a);
+}
+
+static void order(struct agent *a, const char *job)
+{
+	g_autofree char *text = g_strdup_printf("%d", RUN_MS);
+	struct run_request run = { .cpu_milli = 100,
+				   .memory_mb = 1,
+				   .target_start_ms = clock_now_ms(),
+				   .deadline_ms = clock_now_ms() + 10000 };
+
+	g_strlcpy(run.name.job, job, sizeof(run.name.job));
+	run.name.number = 1;
+	run.spec = g_bytes_new(text, strlen(text));
+	run_table_enqueue(server_runs(a->server), &run, clock_now_ms());
+	g_bytes_unref(run.spec);
+}
+
+/* ---- Orders carried out late ---- */
+
+/* The agent gives a run up, so that it may be started elsewhere, and then the
+ * server begins anew: the old start must not run in the new incarnation. */
+static void test_start_outlives_server_incarnation(void **state)
+{
+	static const bool reported[] = { true, false };
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(reported); i++) {
+		struct agent *a = agent_begin(1000, 0);
+
+		wait_until(a, is_accepting);
+		standin_hold(standin, true, false);
+		order(a, "00000000000000a0");
+		wait_until(a, start_is_held);
+		wait_until(a, is_idle);
+		standin_restart(standin);
+		if (reported[i])
+			apply_report(a);
+		else
+			order(a, "00000000000000a1");
+		wait_until(a, is_accepting);
+		wait_until(a, is_idle);
+		standin_release(standin);
+		assert_int_equal(standin_runs_of(record, "00000000000000a0"),
+				 0);
+		agent_end(a);
+	}
+}
+
+/* The restarted agent doesn't know the orders of the process before it. */
+static void test_start_outlives_agent_process(void **state)
+{
+	struct agent *before, *after;
+
+	(void)state;
+	before = agent_begin(1000, 0);
+	wait_until(before, is_accepting);
+	standin_hold(standin, true, false);
+	order(before, "00000000000000b0");
+	wait_until(before, start_is_held);
+	after = agent_begin(2000, clock_now_ms() + SERVER_LEASE_MS);
+	wait_until(after, is_accepting);
+	standin_release(standin);
+	assert_int_equal(standin_runs(record), 0);
+	agent_end(after);
+	agent_end(before);
+}
+
+/* A server may judge a late start by the lease that was renewed meanwhile. */
+static void test_start_outlives_server_lease(void **state)
+{
+	struct agent *a = agent_begin(1000, 0);
+
+	(void)state;
+	standin_use_renewed_lease(standin);
+	wait_until(a, is_accepting);
+	standin_hold(standin, true, true);
+	order(a, "00000000000000c0");
+	wait_until(a, is_idle);
+	assert_true(standin_held(standin) > 1);
+	standin_hold(standin, false, false);
+	wait_until(a, is_accepting);
+	order(a, "00000000000000c1");
+	wait_until(a, is_running);
+	standin_release(standin);
+	assert_int_equal(standin_runs_of(record, "00000000000000c0"), 0);
+	run_table_stop(
+		server_runs(a->server),
+		&(struct run_name){ .job = "00000000000000c1", .number = 1 });
+	agent_end(a);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(
+			test_start_outlives_server_incarnation, set_up,
+			tear_down),
+		cmocka_unit_test_setup_teardown(
+			test_start_outlives_agent_process, set_up, tear_down),
+		cmocka_unit_test_setup_teardown(
+			test_start_outlives_server_lease, set_up, tear_down),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
