Agent: orders carry a fencing token

Cause: a start without an answer may be carried out seconds later, by the server's next incarnation (whose clock starts anew, so that the order's lease end lies ahead, and which has forgotten acknowledged stops), under a restarted agent, or after the agent gave the run up with the server's lease.

Change: each start, stop and poll carries a token. It begins with the time of day at the process's start and rises with each incarnation of the server that the agent learns of and with each lease that it lets end. A poll announces it at once, also right after a server's report; no start is sent before the server has accepted it.

--- a/src/leased/agent.c
+++ b/src/leased/agent.c
@@ -48,16 +48,19 @@
 static void add_server(struct leased_agent *a,
 		       const struct server_report *report, int64_t now_ms)
 {
-	struct server_options options = { .formats = a->formats,
-					  .client = a->client,
-					  .loop = a->loop,
-					  .previous_runs_end_ms =
-						  a->previous_runs_end_ms,
-					  .changed = server_changed,
-					  .arg = a };
+	struct server_options options = {
+		.formats = a->formats,
+		.client = a->client,
+		.loop = a->loop,
+		.previous_runs_end_ms = a->previous_runs_end_ms,
+		.agent_started_ms = a->started_wall_ms,
+		.changed = server_changed,
+		.arg = a
+	};
 	struct server *server = server_create(&options, report, now_ms);
 
 	g_hash_table_insert(a->servers, g_strdup(report->name), server);
+	server_process(server, now_ms);
 }
 
 static void reply_ok(struct http_request *request)
@@ -78,8 +81,8 @@
 			server_mark_left(server, now_ms);
 	} else if (!server) {
 		add_server(a, &p->report, now_ms);
-	} else {
-		server_apply_report(server, &p->report, now_ms);
+	} else if (server_apply_report(server, &p->report, now_ms)) {
+		server_process(server, now_ms);
 	}
 	reply_ok(p->request);
 	agent_send_reports(a, now_ms);
@@ -217,6 +220,7 @@
 	a->formats = role_formats();
 	a->incarnation = clock_random();
 	a->in_service = true;
+	a->started_wall_ms = clock_wall_ms();
 	a->previous_runs_end_ms = clock_now_ms() + SERVER_LEASE_MS +
 				  SERVER_CLOCK_SLACK_MS + RUN_STOP_MAX_MS;
 	g_strlcpy(a->data_centre, settings_text(settings, "data-centre"),
--- a/src/leased/formats.h
+++ b/src/leased/formats.h
@@ -155,14 +155,18 @@
 	/* A header that restricts a call to this incarnation of a server. */
 	char *(*write_incarnation_header)(const char *server,
 					  int64_t start_time_ms);
+	/* Calls carry a fencing token (server_fence.h). */
 	void (*write_start)(const struct run_name *name, GBytes *spec,
-			    int64_t lease_end_ms, struct run_call *call);
-	void (*write_stop)(const struct run_name *name, struct run_call *call);
+			    int64_t lease_end_ms, int64_t fence,
+			    struct run_call *call);
+	void (*write_stop)(const struct run_name *name, int64_t fence,
+			   struct run_call *call);
 	/* lease_end_ms 0 leaves the lease unchanged. */
-	void (*write_poll)(int64_t lease_end_ms, uint64_t acked_position,
-			   uint32_t wait_ms, struct run_call *call);
-	/* Reads the answer to a start or a stop. Leaves clock_ms unchanged if
-	 * the answer doesn't include it. */
+	void (*write_poll)(int64_t lease_end_ms, int64_t fence,
+			   uint64_t acked_position, uint32_t wait_ms,
+			   struct run_call *call);
+	/* Reads the answer to a start or a stop, or a poll's refusal. Leaves
+	 * clock_ms unchanged if the answer doesn't include it. */
 	enum run_refusal (*read_start)(uint32_t status, const void *data,
 				       size_t size_bytes, int64_t *clock_ms);
 	bool (*read_lists)(const void *data, size_t size_bytes,
--- a/src/leased/server.c
+++ b/src/leased/server.c
@@ -3,19 +3,16 @@
  * it until a run ends or the wait time is over. While anything runs, the next
  * long poll follows at once.
  */
-#include "leased/server.h"
+#include "leased/server_internal.h"
 
-#include "base/counters.h"
 #include "base/logger.h"
 #include "leased/leases.h"
-#include "leased/server_lease.h"
 
 #include <inttypes.h>
 #include <string.h>
 
 /* ---- Constants ------------------------------------------------------ */
 
-#define HTTP_STATUS_OK 200
 /* How long the server may hold a long poll while waiting for a run to end. */
 #define POLL_WAIT_MS 80
 /* Added to the wait time to get the timeout of a poll. */
@@ -29,45 +26,6 @@
 /* A server that neither answers nor reports for this long is removed. */
 #define SERVER_EXPIRY_MS 10000
 
-/* ---- Types ---------------------------------------------------------- */
-
-struct server {
-	struct server_options options;
-	struct server_report report;
-	struct run_table *runs;
-	struct capacity_share *share;
-	struct server_lease lease;
-	char *url; /* "http://ip:port" */
-	char *incarnation_header;
-	uint64_t last_end_position; /* of the newest end that was processed */
-	uint32_t open_calls; /* in flight */
-	bool poll_open; /* a CALL_POLL is in flight */
-	int64_t poll_now_sent_ms; /* last CALL_POLL_NOW */
-	bool has_left; /* the server announced that it leaves */
-	bool expiring_lease; /* not renewed until the lease has ended */
-	int64_t last_report_ms;
-	int64_t poll_sent_ms; /* last CALL_POLL */
-	struct server_backoff backoff;
-	struct server_previous_runs previous_runs;
-	uint64_t restarts; /* of the server, as seen by this agent */
-	struct counter *starts, *unanswered, *expirations;
-};
-
-enum call_kind {
-	CALL_START,
-	CALL_STOP,
-	CALL_POLL, /* may wait at the server for a run to end */
-	CALL_POLL_NOW, /* is answered at once */
-};
-
-struct call {
-	struct server *server;
-	enum call_kind kind;
-	struct run_name name;
-	int64_t sent_ms;
-	uint64_t restarts; /* of the server when the call was sent */
-};
-
 /* ---- Lifecycle ------------------------------------------------------ */
 
 static void set_address(struct server *s)
@@ -97,8 +55,12 @@
 			    "calls of backend servers without an answer");
 	s->expirations = counter_get("server_leases_ended_total", NULL,
 				     "leases of backend servers let end");
+	s->fence_refusals =
+		counter_get("server_fences_refused_total", NULL,
+			    "fencing tokens that a backend server refused");
 	run_table_set_capacity(s->runs, &report->capacity);
 	server_lease_init(&s->lease, now_ms);
+	server_fence_init(&s->fence, options->agent_started_ms);
 	server_lease_answered(&s->lease, report->clock_ms, now_ms);
 	set_address(s);
 	log_event(
@@ -138,6 +100,7 @@
 bool server_accepting(const struct server *s, int64_t now_ms)
 {
 	return !s->report.draining && !s->has_left && !s->expiring_lease &&
+	       s->fence.accepted &&
 	       server_previous_runs_have_ended(&s->previous_runs, now_ms) &&
 	       !server_lease_is_unresponsive(&s->lease, now_ms) &&
 	       server_backoff_has_elapsed(&s->backoff, now_ms);
@@ -165,6 +128,7 @@
 	s->restarts++;
 	run_table_server_restarted(s->runs, now_ms);
 	server_lease_server_restarted(&s->lease);
+	server_raise_token(s, "restart");
 }
 
 bool server_apply_report(struct server *s, const struct server_report *report,
@@ -232,6 +196,8 @@
 			  "server=%s job=%s index=%u number=%u refusal=%d",
 			  s->report.name, call->name.job, call->name.index,
 			  call->name.number, refusal);
+	if (refusal == RUN_FENCED)
+		server_token_refused(s, call);
 	if (refusal == RUN_UNHEALTHY)
 		server_backoff_increase(&s->backoff, now_ms);
 	else if (refusal == RUN_ACCEPTED)
@@ -246,7 +212,11 @@
 	enum run_refusal refusal = s->options.formats->read_start(
 		answer->status, answer->body, answer->size_bytes, &clock_ms);
 
-	if (call->restarts != s->restarts || refusal != RUN_ACCEPTED)
+	if (call->restarts != s->restarts)
+		return;
+	if (refusal == RUN_FENCED)
+		server_token_refused(s, call);
+	if (refusal != RUN_ACCEPTED)
 		return;
 	if (clock_ms >= 0)
 		record_contact(s, clock_ms, now_ms);
@@ -289,7 +259,10 @@
 		g_array_new(FALSE, FALSE, sizeof(struct run_name));
 	struct run_lists lists;
 
-	if (call->restarts != s->restarts || answer->status != HTTP_STATUS_OK ||
+	if (call->restarts != s->restarts)
+		return;
+	server_token_polled(s, call, answer);
+	if (answer->status != HTTP_STATUS_OK ||
 	    !s->options.formats->read_lists(answer->body, answer->size_bytes,
 					    &lists))
 		return;
@@ -362,6 +335,7 @@
 	call->server = s;
 	call->kind = kind;
 	call->sent_ms = now_ms;
+	call->fence = s->fence.token;
 	call->restarts = s->restarts;
 	if (name)
 		call->name = *name;
@@ -378,7 +352,7 @@
 	counter_add(s->starts, 1);
 	s->options.formats->write_start(&run->name, run->spec,
 					server_lease_renew(&s->lease, now_ms),
-					&encoded);
+					s->fence.token, &encoded);
 	send_call(s, CALL_START, &run->name, &encoded, CALL_TIMEOUT_MS, now_ms);
 }
 
@@ -387,7 +361,7 @@
 {
 	struct run_call encoded;
 
-	s->options.formats->write_stop(name, &encoded);
+	s->options.formats->write_stop(name, s->fence.token, &encoded);
 	send_call(s, CALL_STOP, name, &encoded, CALL_TIMEOUT_MS, now_ms);
 }
 
@@ -400,8 +374,8 @@
 				     : 0;
 	struct run_call encoded;
 
-	s->options.formats->write_poll(lease_end_ms, s->last_end_position,
-				       wait_ms, &encoded);
+	s->options.formats->write_poll(lease_end_ms, s->fence.token,
+				       s->last_end_position, wait_ms, &encoded);
 	send_call(s, kind, NULL, &encoded, wait_ms + POLL_TIMEOUT_MARGIN_MS,
 		  now_ms);
 }
@@ -430,6 +404,7 @@
 		return;
 	if (server_lease_has_expired(&s->lease, now_ms)) {
 		run_table_lease_expired(s->runs, now_ms);
+		server_raise_token(s, "lease_expired");
 		s->expiring_lease = false;
 	} else if (!must_expire && !run_table_stop_age_ms(s->runs, now_ms)) {
 		s->expiring_lease = false;
@@ -484,9 +459,21 @@
 	send_poll(s, CALL_POLL_NOW, false, now_ms);
 }
 
+/* No start is sent before the server has accepted the fencing token. While
+ * the server does not answer, the regular polls carry the token. */
+static void announce_token_if_due(struct server *s, int64_t now_ms)
+{
+	if (s->has_left || server_lease_is_unresponsive(&s->lease, now_ms) ||
+	    !server_fence_is_announcement_due(&s->fence, now_ms))
+		return;
+	server_fence_announced(&s->fence, now_ms);
+	send_poll(s, CALL_POLL_NOW, false, now_ms);
+}
+
 void server_process(struct server *s, int64_t now_ms)
 {
 	expire_lease(s, now_ms);
+	announce_token_if_due(s, now_ms);
 	send_due_starts(s, now_ms);
 	send_due_stops(s, now_ms);
 	poll_if_due(s, now_ms);
--- a/tests/test_late_orders.c
+++ b/tests/test_late_orders.c
@@ -83,10 +83,10 @@
 	struct agent *a = g_new0(struct agent, 1);
 	struct server_options options = { .formats = &platform_formats,
 					  .changed = ignore_change,
-					  .previous_runs_end_ms = runs_end_ms };
+					  .previous_runs_end_ms = runs_end_ms,
+					  .agent_started_ms = started_ms };
 	struct server_report report;
 
-	(void)started_ms;
 	a->loop = loop_create(NULL);
 	a->client = http_client_create(a->loop, CONNECTIONS_MAX, NULL);
 	http_client_set_timeouts_max(a->client, UNANSWERED_CALLS_MAX);
@@ -198,23 +198,30 @@
 	}
 }
 
-/* The restarted agent doesn't know the orders of the process before it. */
+/* The restarted agent doesn't know the orders of the process before it. Its
+ * clock may have been set back in between. */
 static void test_start_outlives_agent_process(void **state)
 {
-	struct agent *before, *after;
+	static const int64_t clock_steps_ms[] = { 500, -5000, -86400000 };
+	int64_t started_ms = clock_wall_ms();
 
 	(void)state;
-	before = agent_begin(1000, 0);
-	wait_until(before, is_accepting);
-	standin_hold(standin, true, false);
-	order(before, "00000000000000b0");
-	wait_until(before, start_is_held);
-	after = agent_begin(2000, clock_now_ms() + SERVER_LEASE_MS);
-	wait_until(after, is_accepting);
-	standin_release(standin);
-	assert_int_equal(standin_runs(record), 0);
-	agent_end(after);
-	agent_end(before);
+	for (size_t i = 0; i < G_N_ELEMENTS(clock_steps_ms); i++) {
+		struct agent *before = agent_begin(started_ms, 0), *after;
+
+		wait_until(before, is_accepting);
+		standin_hold(standin, true, false);
+		order(before, "00000000000000b0");
+		wait_until(before, start_is_held);
+		after = agent_begin(started_ms + clock_steps_ms[i],
+				    clock_now_ms() + SERVER_LEASE_MS);
+		wait_until(after, is_accepting);
+		standin_release(standin);
+		assert_int_equal(standin_runs(record), 0);
+		agent_end(after);
+		agent_end(before);
+		standin_restart(standin);
+	}
 }
 
 /* A server may judge a late start by the lease that was renewed meanwhile. */
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -299,13 +299,18 @@
 	GBytes *spec = g_bytes_new("a\"b", 3);
 
 	(void)state;
-	platform_write_start(&name, spec, 486000, &call);
+	platform_write_start(&name, spec, 486000, 7, &call);
 	assert_string_equal(call.path, "/run-start");
 	assert_non_null(strstr(call.body, "\"5c0e7a21d94b36f8.0.0.17\""));
 	assert_non_null(strstr(call.body, "a\\\"b"));
 	assert_non_null(strstr(call.body, "\"untilMs\":486000"));
+	assert_non_null(strstr(call.body, "\"fence\":7"));
 	run_call_clear(&call);
-	platform_write_poll(0, 57, 100, &call);
+	platform_write_stop(&name, 8, &call);
+	assert_non_null(strstr(call.body, "\"fence\":8"));
+	run_call_clear(&call);
+	platform_write_poll(0, 9, 57, 100, &call);
+	assert_non_null(strstr(call.body, "\"fence\":9"));
 	assert_null(strstr(call.body, "untilMs"));
 	assert_non_null(strstr(call.body, "\"lastSeen\":57"));
 	run_call_clear(&call);
