Agent: a new incarnation with a smaller start time is recognised

Cause: reports and lists with a smaller start time than the known one were taken as stale. After a server's host had its clock set back and the server began anew, all that it reported was refused, its lists were ignored, and its runs never ended. A list that showed a new incarnation also left the newest report's number in place, so that the new incarnation's reports were taken as old until they had passed it.

The answer to a poll that was sent after an incarnation became known comes from that one or a later one, whatever its start time. A report proves that only if its start time is greater and isn't that of an earlier incarnation; otherwise a poll goes to its address, and a late report of an earlier incarnation changes nothing.

Before: test_late_orders test_incarnation_with_another_start_time: the condition (the new incarnation's report is applied) not met in 30 s. After: test_late_orders 4 of 4, test_server_incarnation 2 of 2.

--- a/src/leased/server.c
+++ b/src/leased/server.c
@@ -62,6 +62,8 @@
 	server_lease_init(&s->lease, now_ms);
 	server_fence_init(&s->fence, options->agent_started_ms);
 	server_lease_answered(&s->lease, report->clock_ms, now_ms);
+	server_incarnation_begin(&s->incarnation, report->start_time_ms);
+	server_incarnation_reported(&s->incarnation, report->seq);
 	set_address(s);
 	log_event(
 		LOG_INFO, "server_joined",
@@ -123,6 +125,7 @@
 		  "server=%s born_ms=%" PRId64 " before_ms=%" PRId64,
 		  s->report.name, start_time_ms, s->report.start_time_ms);
 	s->report.start_time_ms = start_time_ms;
+	server_incarnation_begin(&s->incarnation, start_time_ms);
 	s->last_end_position = 0;
 	s->has_left = false;
 	s->restarts++;
@@ -131,18 +134,24 @@
 	server_raise_token(s, "restart");
 }
 
+static void verify_incarnation(struct server *s,
+			       const struct server_report *report,
+			       int64_t now_ms);
+
 bool server_apply_report(struct server *s, const struct server_report *report,
 			 int64_t now_ms)
 {
-	bool same_incarnation = report->start_time_ms ==
-				s->report.start_time_ms;
+	enum server_message message = server_incarnation_check_report(
+		&s->incarnation, report->start_time_ms, report->seq);
 	bool was_draining = s->report.draining;
 
-	if (report->start_time_ms < s->report.start_time_ms ||
-	    (same_incarnation && report->seq <= s->report.seq))
+	if (message == SERVER_MESSAGE_UNPROVEN) {
+		verify_incarnation(s, report, now_ms);
 		return false;
-	if (!same_incarnation)
+	}
+	if (message == SERVER_MESSAGE_NEW)
 		begin_incarnation(s, report->start_time_ms, now_ms);
+	server_incarnation_reported(&s->incarnation, report->seq);
 	s->report = *report;
 	s->last_report_ms = now_ms;
 	set_address(s);
@@ -223,35 +232,6 @@
 	run_table_stop_acked(s->runs, &call->name, now_ms);
 }
 
-static void send_stop(struct server *s, const struct run_name *name,
-		      int64_t now_ms);
-
-static void stop_unknown_runs(struct server *s, const GArray *unknown_runs,
-			      int64_t now_ms)
-{
-	for (guint i = 0; i < unknown_runs->len; i++) {
-		const struct run_name *name =
-			&g_array_index(unknown_runs, struct run_name, i);
-
-		log_event(LOG_WARN, "stranger_stopped",
-			  "server=%s job=%s index=%u number=%u", s->report.name,
-			  name->job, name->index, name->number);
-		send_stop(s, name, now_ms);
-	}
-}
-
-static void record_end_positions(struct server *s,
-				 const struct run_lists *lists)
-{
-	for (guint i = 0; i < lists->ended->len; i++) {
-		uint64_t position =
-			g_array_index(lists->ended, struct listed_run_end, i)
-				.position;
-
-		s->last_end_position = MAX(s->last_end_position, position);
-	}
-}
-
 static void handle_poll_answer(struct server *s, const struct call *call,
 			       const struct http_answer *answer, int64_t now_ms)
 {
@@ -266,26 +246,26 @@
 	    !s->options.formats->read_lists(answer->body, answer->size_bytes,
 					    &lists))
 		return;
-	if (lists.start_time_ms &&
-	    lists.start_time_ms != s->report.start_time_ms) {
-		if (lists.start_time_ms > s->report.start_time_ms)
-			begin_incarnation(s, lists.start_time_ms, now_ms);
+	if (server_incarnation_check_lists(&s->incarnation,
+					   lists.start_time_ms) ==
+	    SERVER_MESSAGE_NEW) {
+		begin_incarnation(s, lists.start_time_ms, now_ms);
 		run_lists_clear(&lists);
 		return;
 	}
 	record_contact(s, lists.clock_ms, now_ms);
 	run_table_apply_lists(s->runs, &lists, call->sent_ms, now_ms,
 			      unknown_runs);
-	record_end_positions(s, &lists);
+	server_record_end_positions(s, &lists);
 	server_previous_runs_listed(&s->previous_runs, unknown_runs->len);
-	stop_unknown_runs(s, unknown_runs, now_ms);
+	server_stop_unknown_runs(s, unknown_runs, now_ms);
 	run_lists_clear(&lists);
 }
 
 static void handle_no_answer(struct server *s, const struct call *call)
 {
 	counter_add(s->unanswered, 1);
-	if (call->restarts != s->restarts)
+	if (call->restarts != s->restarts || call->kind == CALL_VERIFY)
 		return;
 	server_lease_unanswered(&s->lease, call->sent_ms);
 	if (call->kind == CALL_START)
@@ -301,6 +281,8 @@
 	s->open_calls--;
 	if (call->kind == CALL_POLL)
 		s->poll_open = false;
+	if (call->kind == CALL_VERIFY)
+		s->verify_open = false;
 	if (answer->result != HTTP_OK)
 		handle_no_answer(s, call);
 	else if (call->kind == CALL_START)
@@ -320,7 +302,11 @@
 		      const struct run_name *name, struct run_call *encoded,
 		      int64_t timeout_ms, int64_t now_ms)
 {
-	g_autofree char *url = g_strconcat(s->url, encoded->path, NULL);
+	g_autofree char *url =
+		kind == CALL_VERIFY
+			? g_strconcat("http://", s->unproven_address,
+				      encoded->path, NULL)
+			: g_strconcat(s->url, encoded->path, NULL);
 	const char *headers[] = { "Content-Type: application/json",
 				  s->incarnation_header, NULL };
 	struct http_call http = { .method = "POST",
@@ -356,7 +342,7 @@
 	send_call(s, CALL_START, &run->name, &encoded, CALL_TIMEOUT_MS, now_ms);
 }
 
-static void send_stop(struct server *s, const struct run_name *name,
+void server_send_stop(struct server *s, const struct run_name *name,
 		      int64_t now_ms)
 {
 	struct run_call encoded;
@@ -380,6 +366,20 @@
 		  now_ms);
 }
 
+/* A poll that is sent now is answered by the incarnation that exists now. The
+ * report may come from another address than the known one. */
+static void verify_incarnation(struct server *s,
+			       const struct server_report *report,
+			       int64_t now_ms)
+{
+	if (s->verify_open)
+		return;
+	s->verify_open = true;
+	g_strlcpy(s->unproven_address, report->address,
+		  sizeof(s->unproven_address));
+	send_poll(s, CALL_VERIFY, false, now_ms);
+}
+
 /* ---- Periodic work -------------------------------------------------- */
 
 /* Stops renewing the lease if a stop is not acknowledged or the server does
@@ -426,7 +426,7 @@
 	struct run_name name;
 
 	while (run_table_next_stop(s->runs, now_ms, &name))
-		send_stop(s, &name, now_ms);
+		server_send_stop(s, &name, now_ms);
 }
 
 static void poll_if_due(struct server *s, int64_t now_ms)
--- a/src/leased/server_internal.h
+++ b/src/leased/server_internal.h
@@ -8,6 +8,7 @@
 #include "base/counters.h"
 #include "leased/server.h"
 #include "leased/server_fence.h"
+#include "leased/server_incarnation.h"
 #include "leased/server_lease.h"
 
 #define HTTP_STATUS_OK 200
@@ -19,6 +20,10 @@
 	struct capacity_share *share;
 	struct server_lease lease;
 	struct server_fence fence;
+	struct server_incarnation incarnation;
+	/* Of the newest report that may come from a new incarnation. */
+	char unproven_address[CF_NAME_SIZE];
+	bool verify_open; /* a CALL_VERIFY is in flight */
 	char *url; /* "http://ip:port" */
 	char *incarnation_header;
 	uint64_t last_end_position; /* of the newest end that was processed */
@@ -40,6 +45,7 @@
 	CALL_STOP,
 	CALL_POLL, /* may wait at the server for a run to end */
 	CALL_POLL_NOW, /* is answered at once */
+	CALL_VERIFY, /* the same, to the address in an unproven report */
 };
 
 struct call {
@@ -61,4 +67,17 @@
 void server_token_polled(struct server *server, const struct call *call,
 			 const struct http_answer *answer);
 
+/* ---- Lists (server_lists.c) ------------------------------------------ */
+
+void server_record_end_positions(struct server *server,
+				 const struct run_lists *lists);
+/* unknown_runs: struct run_name, listed as running but not in the table. */
+void server_stop_unknown_runs(struct server *server, const GArray *unknown_runs,
+			      int64_t now_ms);
+
+/* ---- Calls (server.c) ------------------------------------------------ */
+
+void server_send_stop(struct server *server, const struct run_name *name,
+		      int64_t now_ms);
+
 #endif
--- a/tests/test_late_orders.c
+++ b/tests/test_late_orders.c
@@ -27,6 +27,7 @@
 	struct http_client *client;
 	struct server *server;
 	int64_t drained_ms;
+	uint32_t runs_before; /* the last order */
 };
 
 static struct standin_record *record;
@@ -69,12 +70,12 @@
 		   standin_port(standin));
 }
 
-static void apply_report(struct agent *a)
+static bool apply_report(struct agent *a)
 {
 	struct server_report report;
 
 	read_report(&report);
-	server_apply_report(a->server, &report, clock_now_ms());
+	return server_apply_report(a->server, &report, clock_now_ms());
 }
 
 /* started_ms: time of day at the start of the agent's process. */
@@ -125,7 +126,13 @@
 static bool is_running(void *arg)
 {
 	process(arg);
-	return standin_runs(record) > 0;
+	return standin_runs(record) > ((struct agent *)arg)->runs_before;
+}
+
+static bool is_reported(void *arg)
+{
+	process(arg);
+	return apply_report(arg);
 }
 
 static bool is_drained(void *arg)
@@ -160,6 +167,7 @@
 				   .target_start_ms = clock_now_ms(),
 				   .deadline_ms = clock_now_ms() + 10000 };
 
+	a->runs_before = standin_runs(record);
 	g_strlcpy(run.name.job, job, sizeof(run.name.job));
 	run.name.number = 1;
 	run.spec = g_bytes_new(text, strlen(text));
@@ -248,6 +256,41 @@
 	agent_end(a);
 }
 
+/* ---- Incarnations --------------------------------------------------- */
+
+/* If the host's clock was set back before the server began anew, the agent
+ * ignored all that the new incarnation reported, and its runs never ended. */
+static void test_incarnation_with_another_start_time(void **state)
+{
+	static const int64_t clock_steps_ms[] = { -5000, 5000, -100 };
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(clock_steps_ms); i++) {
+		struct agent *a = agent_begin(1000 + 100000 * (int64_t)i, 0);
+		int64_t born_ms = standin_born_ms(standin) + clock_steps_ms[i];
+		g_autofree char *job = g_strdup_printf("%016zx", i);
+		struct server_report late;
+
+		wait_until(a, is_accepting);
+		order(a, job);
+		wait_until(a, is_running);
+		assert_true(apply_report(a));
+		read_report(&late);
+		standin_restart_born(standin, born_ms);
+		wait_until(a, is_reported);
+		wait_until(a, is_idle);
+		wait_until(a, is_accepting);
+		for (int n = 0; n < 3; n++) {
+			assert_false(server_apply_report(a->server, &late,
+							 clock_now_ms()));
+			wait_until(a, is_accepting);
+		}
+		assert_int_equal(server_last_report(a->server)->start_time_ms,
+				 born_ms);
+		agent_end(a);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -258,6 +301,9 @@
 			test_start_outlives_agent_process, set_up, tear_down),
 		cmocka_unit_test_setup_teardown(
 			test_start_outlives_server_lease, set_up, tear_down),
+		cmocka_unit_test_setup_teardown(
+			test_incarnation_with_another_start_time, set_up,
+			tear_down),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- /dev/null
+++ b/tests/test_server_incarnation.c
@@ -0,0 +1,84 @@
+/*
+ * test_server_incarnation: which incarnation of a backend server a report or a
+ * list comes from.
+ */
+#include "leased/server_incarnation.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+/* The host's clock was set back between 9000 and 5000. */
+static void begin(struct server_incarnation *incarnation)
+{
+	server_incarnation_begin(incarnation, 1000);
+	server_incarnation_begin(incarnation, 9000);
+	server_incarnation_reported(incarnation, 70);
+	server_incarnation_begin(incarnation, 5000);
+}
+
+/* A late report of an earlier incarnation must not be taken for a new one, and
+ * a smaller start time is no proof that it is late. */
+static void test_reports(void **state)
+{
+	static const struct {
+		const char *what;
+		int64_t start_time_ms;
+		uint64_t seq;
+		enum server_message message;
+	} cases[] = {
+		{ "newer", 5000, 4, SERVER_MESSAGE_CURRENT },
+		{ "the same again", 5000, 3, SERVER_MESSAGE_UNPROVEN },
+		{ "older", 5000, 2, SERVER_MESSAGE_UNPROVEN },
+		{ "late, from before", 9000, 71, SERVER_MESSAGE_UNPROVEN },
+		{ "late, the first one", 1000, 9, SERVER_MESSAGE_UNPROVEN },
+		{ "clock set back", 4000, 1, SERVER_MESSAGE_UNPROVEN },
+		{ "restarted", 6000, 1, SERVER_MESSAGE_NEW },
+		{ "restarted later", 9001, 1, SERVER_MESSAGE_NEW },
+	};
+	struct server_incarnation incarnation = { 0 };
+
+	(void)state;
+	begin(&incarnation);
+	/* seq starts anew; that of the earlier incarnation doesn't count. */
+	assert_int_equal(server_incarnation_check_report(&incarnation, 5000, 3),
+			 SERVER_MESSAGE_CURRENT);
+	server_incarnation_reported(&incarnation, 3);
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++)
+		assert_int_equal(server_incarnation_check_report(
+					 &incarnation, cases[i].start_time_ms,
+					 cases[i].seq),
+				 cases[i].message);
+}
+
+static void test_lists_prove_the_incarnation(void **state)
+{
+	static const struct {
+		int64_t start_time_ms;
+		enum server_message message;
+	} cases[] = {
+		{ 0, SERVER_MESSAGE_CURRENT }, { 5000, SERVER_MESSAGE_CURRENT },
+		{ 4000, SERVER_MESSAGE_NEW },  { 6000, SERVER_MESSAGE_NEW },
+		{ 9000, SERVER_MESSAGE_NEW },
+	};
+	struct server_incarnation incarnation = { 0 };
+
+	(void)state;
+	begin(&incarnation);
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++)
+		assert_int_equal(server_incarnation_check_lists(
+					 &incarnation, cases[i].start_time_ms),
+				 cases[i].message);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_reports),
+		cmocka_unit_test(test_lists_prove_the_incarnation),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
