Agent: two incarnations with the same start time are told apart

Cause: a server that began anew with the start time that it had before (its host's clock was set back) was taken for the same incarnation: its token was not raised, so that a late start of before was carried out, and its reports were refused until their numbers had passed the old ones.

Change: the server's clock in the lists tells. It starts anew, so a list whose clock is lower than one that had arrived before the poll was sent comes from a new incarnation.

--- a/src/leased/server.c
+++ b/src/leased/server.c
@@ -142,7 +142,8 @@
 			 int64_t now_ms)
 {
 	enum server_message message = server_incarnation_check_report(
-		&s->incarnation, report->start_time_ms, report->seq);
+		&s->incarnation, report->start_time_ms, report->seq,
+		report->clock_ms, now_ms);
 	bool was_draining = s->report.draining;
 
 	if (message == SERVER_MESSAGE_UNPROVEN) {
@@ -246,13 +247,18 @@
 	    !s->options.formats->read_lists(answer->body, answer->size_bytes,
 					    &lists))
 		return;
-	if (server_incarnation_check_lists(&s->incarnation,
-					   lists.start_time_ms) ==
+	if (server_incarnation_check_lists(&s->incarnation, lists.start_time_ms,
+					   lists.clock_ms, call->sent_ms) ==
 	    SERVER_MESSAGE_NEW) {
-		begin_incarnation(s, lists.start_time_ms, now_ms);
+		begin_incarnation(s,
+				  lists.start_time_ms ? lists.start_time_ms
+						      : s->report.start_time_ms,
+				  now_ms);
 		run_lists_clear(&lists);
 		return;
 	}
+	server_incarnation_listed(&s->incarnation, lists.clock_ms,
+				  call->sent_ms, now_ms);
 	record_contact(s, lists.clock_ms, now_ms);
 	run_table_apply_lists(s->runs, &lists, call->sent_ms, now_ms,
 			      unknown_runs);
--- a/src/leased/server_incarnation.c
+++ b/src/leased/server_incarnation.c
@@ -3,6 +3,10 @@
  */
 #include "leased/server_incarnation.h"
 
+/* How far a server's clock may get ahead of the agent's. */
+#define CLOCK_FAST_PERCENT 102
+#define CLOCK_SLACK_MS 50
+
 void server_incarnation_begin(struct server_incarnation *incarnation,
 			      int64_t start_time_ms)
 {
@@ -14,6 +18,7 @@
 	}
 	incarnation->start_time_ms = start_time_ms;
 	incarnation->has_report = false;
+	incarnation->has_clock = false;
 }
 
 static bool is_earlier(const struct server_incarnation *incarnation,
@@ -27,12 +32,28 @@
 	return false;
 }
 
+/* Whether the clock in a report shows more than that of the known incarnation
+ * can show now. Then an earlier one with the same start time sent it. */
+static bool is_clock_ahead(const struct server_incarnation *incarnation,
+			   int64_t clock_ms, int64_t now_ms)
+{
+	int64_t elapsed_ms = now_ms - incarnation->clock_sent_ms;
+
+	return incarnation->has_clock &&
+	       clock_ms > incarnation->clock_ms +
+				  elapsed_ms * CLOCK_FAST_PERCENT / 100 +
+				  CLOCK_SLACK_MS;
+}
+
 enum server_message
 server_incarnation_check_report(const struct server_incarnation *incarnation,
-				int64_t start_time_ms, uint64_t seq)
+				int64_t start_time_ms, uint64_t seq,
+				int64_t clock_ms, int64_t now_ms)
 {
+	bool outdated = incarnation->has_report && seq <= incarnation->seq;
+
 	if (start_time_ms == incarnation->start_time_ms)
-		return incarnation->has_report && seq <= incarnation->seq
+		return outdated || is_clock_ahead(incarnation, clock_ms, now_ms)
 			       ? SERVER_MESSAGE_UNPROVEN
 			       : SERVER_MESSAGE_CURRENT;
 	if (start_time_ms < incarnation->start_time_ms ||
@@ -50,9 +71,27 @@
 
 enum server_message
 server_incarnation_check_lists(const struct server_incarnation *incarnation,
-			       int64_t start_time_ms)
+			       int64_t start_time_ms, int64_t clock_ms,
+			       int64_t sent_ms)
 {
-	return start_time_ms && start_time_ms != incarnation->start_time_ms
+	if (start_time_ms && start_time_ms != incarnation->start_time_ms)
+		return SERVER_MESSAGE_NEW;
+	/* Answers may overtake each other, so the clock has gone back only if
+	 * the poll was sent after the known reading had arrived. */
+	return incarnation->has_clock && sent_ms > incarnation->clock_read_ms &&
+			       clock_ms < incarnation->clock_ms
 		       ? SERVER_MESSAGE_NEW
 		       : SERVER_MESSAGE_CURRENT;
 }
+
+void server_incarnation_listed(struct server_incarnation *incarnation,
+			       int64_t clock_ms, int64_t sent_ms,
+			       int64_t now_ms)
+{
+	if (incarnation->has_clock && clock_ms < incarnation->clock_ms)
+		return;
+	incarnation->clock_ms = clock_ms;
+	incarnation->clock_sent_ms = sent_ms;
+	incarnation->clock_read_ms = now_ms;
+	incarnation->has_clock = true;
+}
--- a/tests/support/leased_standin.c
+++ b/tests/support/leased_standin.c
@@ -229,6 +229,16 @@
 	return born_ms;
 }
 
+int64_t standin_fence(struct standin *s)
+{
+	int64_t fence;
+
+	g_mutex_lock(&s->lock);
+	fence = s->fence;
+	g_mutex_unlock(&s->lock);
+	return fence;
+}
+
 /* ---- Lists ---- */
 
 static void drop_seen_ends(struct standin *s, int64_t last_seen)
--- a/tests/test_late_orders.c
+++ b/tests/test_late_orders.c
@@ -28,6 +28,7 @@
 	struct server *server;
 	int64_t drained_ms;
 	uint32_t runs_before; /* the last order */
+	int64_t fence_before; /* the restart of the server */
 };
 
 static struct standin_record *record;
@@ -129,6 +130,12 @@
 	return standin_runs(record) > ((struct agent *)arg)->runs_before;
 }
 
+static bool is_fenced(void *arg)
+{
+	process(arg);
+	return standin_fence(standin) > ((struct agent *)arg)->fence_before;
+}
+
 static bool is_reported(void *arg)
 {
 	process(arg);
@@ -181,27 +188,30 @@
  * server begins anew: the old start must not run in the new incarnation. */
 static void test_start_outlives_server_incarnation(void **state)
 {
-	static const bool reported[] = { true, false };
+	static const struct {
+		bool is_reported;
+		int64_t clock_step_ms; /* of the start time */
+	} cases[] = {
+		{ true, 5000 }, { false, 5000 }, { true, -5000 }, { true, 0 }
+	};
 
 	(void)state;
-	for (size_t i = 0; i < G_N_ELEMENTS(reported); i++) {
-		struct agent *a = agent_begin(1000, 0);
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct agent *a = agent_begin(1000 * ((int64_t)i + 1), 0);
 
 		wait_until(a, is_accepting);
 		standin_hold(standin, true, false);
 		order(a, "00000000000000a0");
 		wait_until(a, start_is_held);
 		wait_until(a, is_idle);
-		standin_restart(standin);
-		if (reported[i])
+		a->fence_before = standin_fence(standin);
+		standin_restart_born(standin, standin_born_ms(standin) +
+						      cases[i].clock_step_ms);
+		if (cases[i].is_reported)
 			apply_report(a);
-		else
-			order(a, "00000000000000a1");
-		wait_until(a, is_accepting);
-		wait_until(a, is_idle);
+		wait_until(a, is_fenced);
 		standin_release(standin);
-		assert_int_equal(standin_runs_of(record, "00000000000000a0"),
-				 0);
+		assert_int_equal(standin_runs(record), 0);
 		agent_end(a);
 	}
 }
@@ -262,7 +272,7 @@
  * ignored all that the new incarnation reported, and its runs never ended. */
 static void test_incarnation_with_another_start_time(void **state)
 {
-	static const int64_t clock_steps_ms[] = { -5000, 5000, -100 };
+	static const int64_t clock_steps_ms[] = { -5000, 5000, 0, -100 };
 
 	(void)state;
 	for (size_t i = 0; i < G_N_ELEMENTS(clock_steps_ms); i++) {
