Run table: stops are requested again after a restart of the server

Cause: a server that begins anew has forgotten the stops that its earlier incarnation acknowledged. A run that waited for the list after such a stop kept its state, so that its start, carried out late by the new incarnation before the new token reached it, ran on without another stop.

Before: test_run_table test_server_restart_forgets_stops: 0 != 1 (stop age).

--- a/src/leased/run_table.c
+++ b/src/leased/run_table.c
@@ -432,7 +432,8 @@
 
 /* Even a start that was answered may have reached the new incarnation before
  * the agent knew of it, so only a list of the new incarnation shows which runs
- * it has. */
+ * it has. Stops that the earlier incarnation acknowledged are requested again.
+ */
 void run_table_server_restarted(struct run_table *table, int64_t now_ms)
 {
 	table->now_ms = now_ms;
@@ -440,7 +441,9 @@
 	for (guint i = 0; i < table->runs->len; i++) {
 		struct run *run = run_table_at(table, i);
 
-		if (run->state != RUN_QUEUED && run->state != RUN_STOPPED)
+		if (run->state == RUN_STOPPED)
+			run->stop_requested_ms = 0;
+		if (run->state != RUN_QUEUED)
 			request_stop(table, run);
 	}
 }
--- a/tests/test_run_table.c
+++ b/tests/test_run_table.c
@@ -388,6 +388,30 @@
 	run_table_destroy(table);
 }
 
+/* A restarted server has forgotten the stops that it acknowledged before, and
+ * may carry the start out late. */
+static void test_server_restart_forgets_stops(void **state)
+{
+	struct run_table *table = make_table(9000);
+	struct run_name name = name_of(0, 1), stop;
+	uint32_t running = 0;
+
+	(void)state;
+	enqueue(table, 0, 1000, 0, 0);
+	start_next(table, 1);
+	run_table_start_unanswered(table, &name);
+	assert_true(run_table_next_stop(table, 60, &stop));
+	run_table_stop_acked(table, &name, 61);
+	run_table_server_restarted(table, 500);
+	assert_int_equal(run_table_stop_age_ms(table, 501), 1);
+	apply_lists(table, &running, 1, NULL, 0, 500, 501, NULL);
+	assert_true(run_table_next_stop(table, 502, &stop));
+	run_table_stop_acked(table, &name, 503);
+	apply_lists(table, NULL, 0, NULL, 0, 503, 504, NULL);
+	assert_result(table, 0, RUN_OUTCOME_STOPPED);
+	run_table_destroy(table);
+}
+
 static void test_runs_of_a_lost_dispatcher(void **state)
 {
 	struct run_table *table = make_table(1000);
@@ -477,6 +501,7 @@
 		cmocka_unit_test(test_ended_unknown_and_missing_runs),
 		cmocka_unit_test(test_lease_expired),
 		cmocka_unit_test(test_server_restart),
+		cmocka_unit_test(test_server_restart_forgets_stops),
 		cmocka_unit_test(test_runs_of_a_lost_dispatcher),
 		cmocka_unit_test(test_drain_returns_queued_runs),
 	};
