Agent: runs of stale lists are told from runs carried out late

Cause: a run in a server's list that the agent doesn't have was logged as stranger_stopped and stopped.

A run whose end the server has listed since it last began is counted (runs_in_stale_lists_total) and needs no stop. All others are stopped, counted (unknown_runs_stopped_total) and logged with what is known of them: never known, or given up how long ago and with which outcome.

--- a/src/leased/run_table.c
+++ b/src/leased/run_table.c
@@ -103,10 +103,18 @@
 	if (run->started_ms && now_ms > run->started_ms)
 		result.run_ms = (uint32_t)(now_ms - run->started_ms);
 	count_failure(table, &result);
+	ended_runs_add(&table->ended, &result.name, outcome, now_ms);
 	g_queue_push_tail(&table->results, g_memdup2(&result, sizeof(result)));
 	g_ptr_array_remove_index(table->runs, position);
 }
 
+const struct ended_run *run_table_find_ended(const struct run_table *table,
+					     const struct run_name *name,
+					     int64_t now_ms)
+{
+	return ended_runs_find(&table->ended, name, now_ms);
+}
+
 bool run_table_has(const struct run_table *table, const struct run_name *name)
 {
 	return run_table_find(table, name, NULL) != NULL;
@@ -438,6 +446,7 @@
 {
 	table->now_ms = now_ms;
 	table->failed_in_a_row = 0;
+	ended_runs_server_restarted(&table->ended);
 	for (guint i = 0; i < table->runs->len; i++) {
 		struct run *run = run_table_at(table, i);
 
--- a/src/leased/run_table.h
+++ b/src/leased/run_table.h
@@ -13,6 +13,7 @@
 
 #include "leased/formats.h"
 
+struct ended_run;
 struct run_table;
 
 struct run_request {
@@ -107,6 +108,10 @@
  * started may be running in the new incarnation and are stopped there. */
 void run_table_server_restarted(struct run_table *table, int64_t now_ms);
 
+/* What is known of a run that ended in the last seconds; NULL: nothing. */
+const struct ended_run *run_table_find_ended(const struct run_table *table,
+					     const struct run_name *name,
+					     int64_t now_ms);
 bool run_table_has(const struct run_table *table, const struct run_name *name);
 bool run_table_has_dispatcher(const struct run_table *table,
 			      uint64_t dispatcher);
--- a/src/leased/run_table_internal.h
+++ b/src/leased/run_table_internal.h
@@ -4,6 +4,7 @@
 #ifndef LEASED_RUN_TABLE_INTERNAL_H
 #define LEASED_RUN_TABLE_INTERNAL_H
 
+#include "leased/ended_runs.h"
 #include "leased/run_table.h"
 
 enum run_state {
@@ -31,6 +32,7 @@
 	struct cf_capacity capacity;
 	GPtrArray *runs; /* struct run, by target start */
 	GQueue results; /* struct run_result */
+	struct ended_runs ended;
 	uint32_t failed_in_a_row; /* see struct run_load */
 	char failed_job[LEASED_JOB_SIZE]; /* the last job that failed */
 	int64_t next_start_ms; /* no start is sent before */
--- a/src/leased/run_table_lists.c
+++ b/src/leased/run_table_lists.c
@@ -40,12 +40,13 @@
 	for (guint i = 0; i < lists->ended->len; i++) {
 		const struct listed_run_end *end =
 			&g_array_index(lists->ended, struct listed_run_end, i);
+		enum run_outcome outcome = outcome_from_end(end->end_status);
 		guint position;
 
 		if (run_table_find(table, &end->name, &position))
-			run_table_finish_at(table, position,
-					    outcome_from_end(end->end_status),
-					    now_ms);
+			run_table_finish_at(table, position, outcome, now_ms);
+		ended_runs_add_listed(&table->ended, &end->name, outcome,
+				      now_ms);
 	}
 }
 
--- a/src/leased/server.c
+++ b/src/leased/server.c
@@ -37,17 +37,8 @@
 		s->report.name, s->report.start_time_ms);
 }
 
-struct server *server_create(const struct server_options *options,
-			     const struct server_report *report, int64_t now_ms)
+static void get_counters(struct server *s)
 {
-	struct server *s = g_new0(struct server, 1);
-
-	s->options = *options;
-	s->report = *report;
-	s->runs = run_table_create();
-	s->share = capacity_share_create(g_str_hash(report->name));
-	s->last_report_ms = now_ms;
-	s->previous_runs.ends_ms = options->previous_runs_end_ms;
 	s->starts = counter_get("run_starts_total", NULL,
 				"starts sent to backend servers");
 	s->unanswered =
@@ -58,6 +49,26 @@
 	s->fence_refusals =
 		counter_get("server_fences_refused_total", NULL,
 			    "fencing tokens that a backend server refused");
+	s->unknown_runs_stopped =
+		counter_get("unknown_runs_stopped_total", NULL,
+			    "stops of runs that the agent did not expect");
+	s->runs_in_stale_lists = counter_get(
+		"runs_in_stale_lists_total", NULL,
+		"runs in lists of backend servers that were overtaken");
+}
+
+struct server *server_create(const struct server_options *options,
+			     const struct server_report *report, int64_t now_ms)
+{
+	struct server *s = g_new0(struct server, 1);
+
+	s->options = *options;
+	s->report = *report;
+	s->runs = run_table_create();
+	s->share = capacity_share_create(g_str_hash(report->name));
+	s->last_report_ms = now_ms;
+	s->previous_runs.ends_ms = options->previous_runs_end_ms;
+	get_counters(s);
 	run_table_set_capacity(s->runs, &report->capacity);
 	server_lease_init(&s->lease, now_ms);
 	server_fence_init(&s->fence, options->agent_started_ms);
@@ -263,8 +274,9 @@
 	run_table_apply_lists(s->runs, &lists, call->sent_ms, now_ms,
 			      unknown_runs);
 	server_record_end_positions(s, &lists);
-	server_previous_runs_listed(&s->previous_runs, unknown_runs->len);
-	server_stop_unknown_runs(s, unknown_runs, now_ms);
+	server_previous_runs_listed(
+		&s->previous_runs,
+		server_stop_unknown_runs(s, unknown_runs, now_ms));
 	run_lists_clear(&lists);
 }
 
--- a/src/leased/server_internal.h
+++ b/src/leased/server_internal.h
@@ -38,6 +38,7 @@
 	struct server_previous_runs previous_runs;
 	uint64_t restarts; /* of the server, as seen by this agent */
 	struct counter *starts, *unanswered, *expirations, *fence_refusals;
+	struct counter *unknown_runs_stopped, *runs_in_stale_lists;
 };
 
 enum call_kind {
@@ -71,9 +72,11 @@
 
 void server_record_end_positions(struct server *server,
 				 const struct run_lists *lists);
-/* unknown_runs: struct run_name, listed as running but not in the table. */
-void server_stop_unknown_runs(struct server *server, const GArray *unknown_runs,
-			      int64_t now_ms);
+/* unknown_runs: struct run_name, listed as running but not in the table. Stops
+ * them and returns their number, without those that have been listed as ended:
+ * the list was overtaken by a newer one. */
+uint32_t server_stop_unknown_runs(struct server *server,
+				  const GArray *unknown_runs, int64_t now_ms);
 
 /* ---- Calls (server.c) ------------------------------------------------ */
 
--- a/tests/test_late_orders.c
+++ b/tests/test_late_orders.c
@@ -4,6 +4,7 @@
  * run in this process, against a stand-in that holds calls back.
  */
 #include "base/clock.h"
+#include "base/counters.h"
 #include "leased/leases.h"
 #include "leased/server.h"
 #include "platform/platform.h"
@@ -266,6 +267,26 @@
 	agent_end(a);
 }
 
+/* What an earlier agent process has left running must be stopped and counted;
+ * the later process has never known it. */
+static void test_unknown_runs_are_stopped(void **state)
+{
+	struct counter *stopped =
+		counter_get("unknown_runs_stopped_total", NULL, NULL);
+	struct agent *before = agent_begin(1000, 0), *after;
+	int64_t stopped_before = counter_value(stopped);
+
+	(void)state;
+	wait_until(before, is_accepting);
+	order(before, "00000000000000e0");
+	wait_until(before, is_running);
+	after = agent_begin(2000, clock_now_ms() + 10000);
+	wait_until(after, is_accepting);
+	assert_true(counter_value(stopped) > stopped_before);
+	agent_end(after);
+	agent_end(before);
+}
+
 /* ---- Incarnations --------------------------------------------------- */
 
 /* If the host's clock was set back before the server began anew, the agent
@@ -311,6 +332,8 @@
 			test_start_outlives_agent_process, set_up, tear_down),
 		cmocka_unit_test_setup_teardown(
 			test_start_outlives_server_lease, set_up, tear_down),
+		cmocka_unit_test_setup_teardown(test_unknown_runs_are_stopped,
+						set_up, tear_down),
 		cmocka_unit_test_setup_teardown(
 			test_incarnation_with_another_start_time, set_up,
 			tear_down),
--- a/tests/test_run_table.c
+++ b/tests/test_run_table.c
@@ -3,6 +3,7 @@
  * start order, free capacity, unanswered starts, stops, lists, expired leases
  * and server restarts.
  */
+#include "leased/ended_runs.h"
 #include "leased/run_table.h"
 
 #include <setjmp.h>
@@ -326,6 +327,9 @@
 	run_table_start_answered(table, &second, RUN_ACCEPTED, 2);
 	apply_lists(table, running, 2, &end, 1, 3, 20, &unknown_runs);
 	assert_int_equal(unknown_runs, 1);
+	assert_true(run_table_find_ended(table, &end.name, 21)->end_listed);
+	assert_null(run_table_find_ended(table,
+					 &(struct run_name){ "zz", 0, 1 }, 21));
 	assert_result(table, 0, RUN_OUTCOME_FAILED);
 	/* Two lists without the run: its lease expired and the server no longer
 	 * lists its end. */
