--- a/src/leased/run_table_lists.c
+++ b/src/leased/run_table_lists.c
@@ -40,12 +40,13 @@
 	for (guint i = 0; i < lists->ended->len; i++) {
 		const struct listed_run_end *end =
 			&g_array_index(lists->ended, struct listed_run_end, i);
+		enum run_outcome outcome = outcome_from_end(end->end_status);
 		guint position;
 
 		if (run_table_find(table, &end->name, &position))
-			run_table_finish_at(table, position,
-					    outcome_from_end(end->end_status),
-					    now_ms);
+			run_table_finish_at(table, position, outcome, now_ms);
+		ended_runs_add_listed(&table->ended, &end->name, outcome,
+				      now_ms);
 	}
 }
 
@@ -94,6 +95,23 @@
 	}
 }
 
+/* True if one of these runs may be running: a list in which its end was shown
+ * is newer than the one that lists it as running. */
+static bool any_may_run(const struct run_table *table,
+			const GArray *unknown_runs, int64_t now_ms)
+{
+	for (guint i = 0; i < unknown_runs->len; i++) {
+		const struct ended_run *known = ended_runs_find(
+			&table->ended,
+			&g_array_index(unknown_runs, struct run_name, i),
+			now_ms);
+
+		if (!known || !known->end_listed)
+			return true;
+	}
+	return false;
+}
+
 void run_table_apply_lists(struct run_table *table,
 			   const struct run_lists *lists, int64_t sent_ms,
 			   int64_t now_ms, GArray *unknown_runs)
@@ -112,7 +130,7 @@
 			run->started_ms = now_ms;
 	}
 	collect_unknown_runs(table, lists, unknown_runs);
-	table->unknown_listed = unknown_runs->len > 0;
+	table->unknown_listed = any_may_run(table, unknown_runs, now_ms);
 }
 
 /* ---- Runs in progress ----------------------------------------------- */
--- a/src/leased/server.c
+++ b/src/leased/server.c
@@ -3,20 +3,17 @@
  * it until a run ends or the wait time is over. While anything runs, the next
  * long poll follows at once.
  */
-#include "leased/server.h"
+#include "leased/server_internal.h"
 
 #include "base/clock.h"
-#include "base/counters.h"
 #include "base/logger.h"
 #include "leased/leases.h"
-#include "leased/server_lease.h"
 
 #include <inttypes.h>
 #include <string.h>
 
 /* ---- Constants ------------------------------------------------------ */
 
-#define HTTP_STATUS_OK 200
 /* How long the server may hold a long poll while waiting for a run to end. */
 #define POLL_WAIT_MS 80
 /* Added to the wait time to get the timeout of a poll. */
@@ -28,44 +25,6 @@
 /* A server that neither answers nor reports for this long is removed. */
 #define SERVER_EXPIRY_MS 10000
 
-/* ---- Types ---------------------------------------------------------- */
-
-struct server {
-	struct server_options options;
-	struct server_report report;
-	struct run_table *runs;
-	struct capacity_share *share;
-	struct server_lease lease;
-	char *url; /* "http://ip:port" */
-	char *incarnation_header;
-	uint64_t last_end_position; /* of the newest end that was processed */
-	uint32_t open_calls; /* in flight */
-	bool poll_open; /* a CALL_POLL is in flight */
-	int64_t poll_now_sent_ms; /* last CALL_POLL_NOW */
-	bool has_left; /* the server announced that it leaves */
-	int64_t last_report_ms;
-	int64_t poll_sent_ms; /* last CALL_POLL */
-	struct server_backoff backoff;
-	struct server_previous_runs previous_runs;
-	uint64_t restarts; /* of the server, as seen by this agent */
-	struct counter *starts, *unanswered, *expirations;
-};
-
-enum call_kind {
-	CALL_START,
-	CALL_STOP,
-	CALL_POLL, /* may wait at the server for a run to end */
-	CALL_POLL_NOW, /* is answered at once */
-};
-
-struct call {
-	struct server *server;
-	enum call_kind kind;
-	struct run_name name;
-	int64_t sent_ms;
-	uint64_t restarts; /* of the server when the call was sent */
-};
-
 /* ---- Lifecycle ------------------------------------------------------ */
 
 static void set_address(struct server *s)
@@ -77,6 +36,26 @@
 		s->report.name, s->report.start_time_ms);
 }
 
+static void get_counters(struct server *s)
+{
+	s->starts = counter_get("run_starts_total", NULL,
+				"starts sent to backend servers");
+	s->unanswered =
+		counter_get("run_calls_unanswered_total", NULL,
+			    "calls of backend servers without an answer");
+	s->expirations = counter_get("server_leases_ended_total", NULL,
+				     "leases of backend servers let end");
+	s->fence_refusals =
+		counter_get("server_fences_refused_total", NULL,
+			    "fencing tokens that a backend server refused");
+	s->unknown_runs_stopped =
+		counter_get("unknown_runs_stopped_total", NULL,
+			    "stops of runs that the agent did not expect");
+	s->runs_in_stale_lists = counter_get(
+		"runs_in_stale_lists_total", NULL,
+		"runs in lists of backend servers that were overtaken");
+}
+
 struct server *server_create(const struct server_options *options,
 			     const struct server_report *report, int64_t now_ms)
 {
@@ -88,16 +67,13 @@
 	s->share = capacity_share_create(g_str_hash(report->name));
 	s->last_report_ms = now_ms;
 	s->previous_runs.ends_ms = options->previous_runs_end_ms;
-	s->starts = counter_get("run_starts_total", NULL,
-				"starts sent to backend servers");
-	s->unanswered =
-		counter_get("run_calls_unanswered_total", NULL,
-			    "calls of backend servers without an answer");
-	s->expirations = counter_get("server_leases_ended_total", NULL,
-				     "leases of backend servers let end");
+	get_counters(s);
 	run_table_set_capacity(s->runs, &report->capacity);
 	server_lease_init(&s->lease, now_ms);
 	server_lease_answered(&s->lease, report->clock_ms, clock_now_ms());
+	server_fence_init(&s->fence, options->agent_started_ms);
+	server_incarnation_begin(&s->incarnation, report->start_time_ms);
+	server_incarnation_reported(&s->incarnation, report->seq);
 	set_address(s);
 	log_event(
 		LOG_INFO, "server_joined",
@@ -136,6 +112,7 @@
 bool server_accepting(const struct server *s, int64_t now_ms)
 {
 	return !s->report.draining && !s->has_left && !s->lease.expiring &&
+	       s->fence.accepted &&
 	       server_previous_runs_have_ended(&s->previous_runs, now_ms) &&
 	       !server_lease_is_unresponsive(&s->lease, now_ms) &&
 	       server_backoff_has_elapsed(&s->backoff, now_ms) &&
@@ -160,25 +137,34 @@
 		  "server=%s born_ms=%" PRId64 " before_ms=%" PRId64,
 		  s->report.name, start_time_ms, s->report.start_time_ms);
 	s->report.start_time_ms = start_time_ms;
+	server_incarnation_begin(&s->incarnation, start_time_ms);
 	s->last_end_position = 0;
 	s->has_left = false;
 	s->restarts++;
 	run_table_server_restarted(s->runs, now_ms);
 	server_lease_server_restarted(&s->lease);
+	server_raise_token(s, "restart");
 }
 
+static void verify_incarnation(struct server *s,
+			       const struct server_report *report,
+			       int64_t now_ms);
+
 bool server_apply_report(struct server *s, const struct server_report *report,
 			 int64_t now_ms)
 {
-	bool same_incarnation = report->start_time_ms ==
-				s->report.start_time_ms;
+	enum server_message message = server_incarnation_check_report(
+		&s->incarnation, report->start_time_ms, report->seq,
+		report->clock_ms, now_ms);
 	bool was_draining = s->report.draining;
 
-	if (report->start_time_ms < s->report.start_time_ms ||
-	    (same_incarnation && report->seq <= s->report.seq))
+	if (message == SERVER_MESSAGE_UNPROVEN) {
+		verify_incarnation(s, report, now_ms);
 		return false;
-	if (!same_incarnation)
+	}
+	if (message == SERVER_MESSAGE_NEW)
 		begin_incarnation(s, report->start_time_ms, now_ms);
+	server_incarnation_reported(&s->incarnation, report->seq);
 	s->report = *report;
 	s->last_report_ms = now_ms;
 	set_address(s);
@@ -234,6 +220,8 @@
 			  "server=%s job=%s index=%u number=%u refusal=%d",
 			  s->report.name, call->name.job, call->name.index,
 			  call->name.number, refusal);
+	if (refusal == RUN_FENCED)
+		server_token_refused(s, call);
 	if (refusal == RUN_UNHEALTHY)
 		server_backoff_increase(&s->backoff, now_ms);
 	else if (refusal == RUN_ACCEPTED)
@@ -248,42 +236,17 @@
 	enum run_refusal refusal = s->options.formats->read_start(
 		answer->status, answer->body, answer->size_bytes, &clock_ms);
 
-	if (call->restarts != s->restarts || refusal != RUN_ACCEPTED)
+	if (call->restarts != s->restarts)
+		return;
+	if (refusal == RUN_FENCED)
+		server_token_refused(s, call);
+	if (refusal != RUN_ACCEPTED)
 		return;
 	if (clock_ms >= 0)
 		record_contact(s, clock_ms, now_ms);
 	run_table_stop_acked(s->runs, &call->name, now_ms);
 }
 
-static void send_stop(struct server *s, const struct run_name *name,
-		      int64_t now_ms);
-
-static void stop_unknown_runs(struct server *s, const GArray *unknown_runs,
-			      int64_t now_ms)
-{
-	for (guint i = 0; i < unknown_runs->len; i++) {
-		const struct run_name *name =
-			&g_array_index(unknown_runs, struct run_name, i);
-
-		log_event(LOG_WARN, "stranger_stopped",
-			  "server=%s job=%s index=%u number=%u", s->report.name,
-			  name->job, name->index, name->number);
-		send_stop(s, name, now_ms);
-	}
-}
-
-static void record_end_positions(struct server *s,
-				 const struct run_lists *lists)
-{
-	for (guint i = 0; i < lists->ended->len; i++) {
-		uint64_t position =
-			g_array_index(lists->ended, struct listed_run_end, i)
-				.position;
-
-		s->last_end_position = MAX(s->last_end_position, position);
-	}
-}
-
 static void handle_poll_answer(struct server *s, const struct call *call,
 			       const struct http_answer *answer, int64_t now_ms)
 {
@@ -291,30 +254,39 @@
 		g_array_new(FALSE, FALSE, sizeof(struct run_name));
 	struct run_lists lists;
 
-	if (call->restarts != s->restarts || answer->status != HTTP_STATUS_OK ||
+	if (call->restarts != s->restarts)
+		return;
+	server_token_polled(s, call, answer);
+	if (answer->status != HTTP_STATUS_OK ||
 	    !s->options.formats->read_lists(answer->body, answer->size_bytes,
 					    &lists))
 		return;
-	if (lists.start_time_ms &&
-	    lists.start_time_ms != s->report.start_time_ms) {
-		if (lists.start_time_ms > s->report.start_time_ms)
-			begin_incarnation(s, lists.start_time_ms, now_ms);
+	if (server_incarnation_check_lists(&s->incarnation, lists.start_time_ms,
+					   lists.clock_ms, call->sent_ms) ==
+	    SERVER_MESSAGE_NEW) {
+		begin_incarnation(s,
+				  lists.start_time_ms ? lists.start_time_ms
+						      : s->report.start_time_ms,
+				  now_ms);
 		run_lists_clear(&lists);
 		return;
 	}
+	server_incarnation_listed(&s->incarnation, lists.clock_ms,
+				  call->sent_ms, now_ms);
 	record_contact(s, lists.clock_ms, now_ms);
 	run_table_apply_lists(s->runs, &lists, call->sent_ms, now_ms,
 			      unknown_runs);
-	record_end_positions(s, &lists);
-	server_previous_runs_listed(&s->previous_runs, unknown_runs->len);
-	stop_unknown_runs(s, unknown_runs, now_ms);
+	server_record_end_positions(s, &lists);
+	server_previous_runs_listed(
+		&s->previous_runs,
+		server_stop_unknown_runs(s, unknown_runs, now_ms));
 	run_lists_clear(&lists);
 }
 
 static void handle_no_answer(struct server *s, const struct call *call)
 {
 	counter_add(s->unanswered, 1);
-	if (call->restarts != s->restarts)
+	if (call->restarts != s->restarts || call->kind == CALL_VERIFY)
 		return;
 	server_lease_unanswered(&s->lease, call->sent_ms);
 	if (call->kind == CALL_START)
@@ -330,6 +302,8 @@
 	s->open_calls--;
 	if (call->kind == CALL_POLL)
 		s->poll_open = false;
+	if (call->kind == CALL_VERIFY)
+		s->verify_open = false;
 	if (answer->result != HTTP_OK)
 		handle_no_answer(s, call);
 	else if (call->kind == CALL_START)
@@ -349,7 +323,11 @@
 		      const struct run_name *name, struct run_call *encoded,
 		      int64_t timeout_ms, int64_t now_ms)
 {
-	g_autofree char *url = g_strconcat(s->url, encoded->path, NULL);
+	g_autofree char *url =
+		kind == CALL_VERIFY
+			? g_strconcat("http://", s->unproven_address,
+				      encoded->path, NULL)
+			: g_strconcat(s->url, encoded->path, NULL);
 	const char *headers[] = { "Content-Type: application/json",
 				  s->incarnation_header, NULL };
 	struct http_call http = { .method = "POST",
@@ -364,6 +342,7 @@
 	call->server = s;
 	call->kind = kind;
 	call->sent_ms = now_ms;
+	call->fence = s->fence.token;
 	call->restarts = s->restarts;
 	if (name)
 		call->name = *name;
@@ -382,16 +361,16 @@
 		&run->name, run->spec,
 		server_lease_for_start(
 			&s->lease, run_table_renew_until_ms(s->runs), now_ms),
-		&encoded);
+		s->fence.token, &encoded);
 	send_call(s, CALL_START, &run->name, &encoded, CALL_TIMEOUT_MS, now_ms);
 }
 
-static void send_stop(struct server *s, const struct run_name *name,
+void server_send_stop(struct server *s, const struct run_name *name,
 		      int64_t now_ms)
 {
 	struct run_call encoded;
 
-	s->options.formats->write_stop(name, &encoded);
+	s->options.formats->write_stop(name, s->fence.token, &encoded);
 	send_call(s, CALL_STOP, name, &encoded, CALL_TIMEOUT_MS, now_ms);
 }
 
@@ -402,12 +381,26 @@
 	uint32_t wait_ms = waits ? POLL_WAIT_MS : 0;
 	struct run_call encoded;
 
-	s->options.formats->write_poll(lease_end_ms, s->last_end_position,
-				       wait_ms, &encoded);
+	s->options.formats->write_poll(lease_end_ms, s->fence.token,
+				       s->last_end_position, wait_ms, &encoded);
 	send_call(s, kind, NULL, &encoded, wait_ms + POLL_TIMEOUT_MARGIN_MS,
 		  now_ms);
 }
 
+/* A poll that is sent now is answered by the incarnation that exists now. The
+ * report may come from another address than the known one. */
+static void verify_incarnation(struct server *s,
+			       const struct server_report *report,
+			       int64_t now_ms)
+{
+	if (s->verify_open)
+		return;
+	s->verify_open = true;
+	g_strlcpy(s->unproven_address, report->address,
+		  sizeof(s->unproven_address));
+	send_poll(s, CALL_VERIFY, false, now_ms);
+}
+
 /* ---- Periodic work -------------------------------------------------- */
 
 /* Stops renewing the lease if a stop is not acknowledged or the server does
@@ -426,8 +419,10 @@
 			  s->lease.expires_ms - now_ms);
 		run_table_return_queued(s->runs);
 	}
-	if (server_lease_end_expiry(&s->lease, stop_age_ms, now_ms))
+	if (server_lease_end_expiry(&s->lease, stop_age_ms, now_ms)) {
 		run_table_lease_expired(s->runs, now_ms);
+		server_raise_token(s, "lease_expired");
+	}
 }
 
 static void send_due_starts(struct server *s, int64_t now_ms)
@@ -444,7 +439,7 @@
 	struct run_name name;
 
 	while (run_table_next_stop(s->runs, now_ms, &name))
-		send_stop(s, &name, now_ms);
+		server_send_stop(s, &name, now_ms);
 }
 
 static void poll_if_due(struct server *s, int64_t now_ms)
@@ -481,9 +476,21 @@
 	send_poll(s, CALL_POLL_NOW, 0, now_ms);
 }
 
+/* No start is sent before the server has accepted the fencing token. While
+ * the server does not answer, the regular polls carry the token. */
+static void announce_token_if_due(struct server *s, int64_t now_ms)
+{
+	if (s->has_left || server_lease_is_unresponsive(&s->lease, now_ms) ||
+	    !server_fence_is_announcement_due(&s->fence, now_ms))
+		return;
+	server_fence_announced(&s->fence, now_ms);
+	send_poll(s, CALL_POLL_NOW, 0, now_ms);
+}
+
 void server_process(struct server *s, int64_t now_ms)
 {
 	expire_lease(s, now_ms);
+	announce_token_if_due(s, now_ms);
 	send_due_starts(s, now_ms);
 	send_due_stops(s, now_ms);
 	poll_if_due(s, now_ms);
