HTTP client: tell a refused connection from one that timed out

Change: http_answer.refused. It is also set where libcurl's second try, after a reused connection broke, was refused; the result is HTTP_BROKEN then, as the request was sent in the first try. HTTP_NOT_CONNECTED still means that no byte was sent in any try, which a test now shows for that case.

--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -36,6 +36,10 @@
 
 struct http_answer {
 	enum http_result result;
+	/* The call ended because the server's host refused a connection: no
+	 * process listens there. It was also sent before, on a reused
+	 * connection that broke, unless the result is HTTP_NOT_CONNECTED. */
+	bool refused;
 	uint32_t status; /* HTTP_OK only */
 	const void *body; /* valid during the callback only */
 	size_t size_bytes;
--- a/src/net/http_transfer.c
+++ b/src/net/http_transfer.c
@@ -10,6 +10,7 @@
  */
 #include "net/http_transfer.h"
 
+#include <errno.h>
 #include <string.h>
 
 #define DEFAULT_CONNECT_MS 1000
@@ -130,6 +131,16 @@
 	return HTTP_BROKEN;
 }
 
+static bool was_refused(CURL *easy, CURLcode code)
+{
+	long error = 0;
+
+	if (code != CURLE_COULDNT_CONNECT)
+		return false;
+	curl_easy_getinfo(easy, CURLINFO_OS_ERRNO, &error);
+	return error == ECONNREFUSED;
+}
+
 void http_transfer_finish(struct http_transfer *transfer, CURL *easy,
 			  CURLcode code, struct http_answer *answer)
 {
@@ -138,6 +149,7 @@
 
 	memset(answer, 0, sizeof(*answer));
 	answer->result = classify_result(transfer, code);
+	answer->refused = was_refused(easy, code);
 	if (answer->result != HTTP_OK)
 		return;
 	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -100,6 +100,7 @@
 struct outcome {
 	int n;
 	enum http_result result;
+	bool refused;
 	uint32_t status, retry_after_s;
 	GString *body;
 };
@@ -110,6 +111,7 @@
 
 	outcome->n++;
 	outcome->result = answer->result;
+	outcome->refused = answer->refused;
 	outcome->status = answer->status;
 	outcome->retry_after_s = answer->retry_after_s;
 	outcome->body =
@@ -393,6 +395,7 @@
 	const char *answer; /* to the first request; NULL: closes instead */
 	bool hangs; /* never answers and never closes */
 	bool closes; /* after the first response, not the second request */
+	bool dies; /* at the second request: stops listening, then closes */
 	atomic_int requests;
 };
 
@@ -429,6 +432,8 @@
 			atomic_fetch_add(&peer->requests, 1);
 			if (peer->hangs)
 				continue;
+			if (!first && peer->dies)
+				shutdown(peer->listener, SHUT_RDWR);
 			if (!first || !peer->answer)
 				break;
 			send(s, peer->answer, strlen(peer->answer),
@@ -483,6 +488,57 @@
 	}
 }
 
+/* Guards against a run taken for never started: its request was sent on a
+ * reused connection, and only libcurl's second try was refused. */
+static void test_refused_after_the_request_was_sent(void **state)
+{
+	struct peer peer = { .answer = "HTTP/1.1 200 OK\r\n"
+				       "Content-Length: 2\r\n\r\nok",
+			     .dies = true };
+	char base[64];
+	GThread *thread = start_peer(&peer, base);
+	struct outcome first, second;
+
+	(void)state;
+	call_and_wait(&first, base, "/", "end");
+	assert_int_equal(first.result, HTTP_OK);
+	call_and_wait(&second, base, "/", "end");
+	assert_int_equal(second.result, HTTP_BROKEN);
+	assert_true(second.refused);
+	free_outcome(&first);
+	free_outcome(&second);
+	stop_peer(&peer, thread);
+	assert_int_equal(atomic_load(&peer.requests), 2);
+}
+
+/* Guards against a connect timeout taken for a crash: the queue of connections
+ * is full, so that further ones get no answer. */
+static void test_connect_timeout_is_not_refused(void **state)
+{
+	char base[64];
+	int listener = raw_listen(base);
+	int waiting[4];
+	struct sockaddr_in address;
+	socklen_t size = sizeof(address);
+	struct outcome outcome;
+
+	(void)state;
+	assert_int_equal(listen(listener, 0), 0);
+	getsockname(listener, (struct sockaddr *)&address, &size);
+	for (size_t i = 0; i < G_N_ELEMENTS(waiting); i++) {
+		waiting[i] = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+		(void)connect(waiting[i], (struct sockaddr *)&address, size);
+	}
+	start_call(&outcome, base, "/", "end", 300);
+	wait_answer(&outcome);
+	assert_int_equal(outcome.result, HTTP_NOT_CONNECTED);
+	assert_false(outcome.refused);
+	free_outcome(&outcome);
+	for (size_t i = 0; i < G_N_ELEMENTS(waiting); i++)
+		close(waiting[i]);
+	close(listener);
+}
+
 static void test_results_of_failed_calls(void **state)
 {
 	static const struct {
@@ -512,8 +568,10 @@
 			stop_peer(&peer, thread);
 		start_call(&outcome, base, "/", "end", cases[i].timeout_ms);
 		wait_answer(&outcome);
-		if (outcome.result != cases[i].result)
-			fail_msg("case %zu: %d", i, outcome.result);
+		if (outcome.result != cases[i].result ||
+		    outcome.refused != cases[i].refuses)
+			fail_msg("case %zu: %d, refused %d", i, outcome.result,
+				 outcome.refused);
 		free_outcome(&outcome);
 		if (!cases[i].refuses)
 			stop_peer(&peer, thread);
@@ -567,6 +625,8 @@
 		HTTP_TEST(test_quiesce_finishes_open_requests),
 		HTTP_TEST(test_destroy_answers_open_requests),
 		HTTP_TEST(test_reused_connection_closed_after_the_request),
+		HTTP_TEST(test_refused_after_the_request_was_sent),
+		HTTP_TEST(test_connect_timeout_is_not_refused),
 		HTTP_TEST(test_results_of_failed_calls),
 		HTTP_TEST(test_destroying_the_client_ends_each_call_once),
 		HTTP_TEST(test_call_now),
