Agent: runs whose server has crashed end as lost

Change: server_crash.[ch] judge the evidence: connections refused with no answer since, a newer start time, or a newer server that reports from the same address. Runs that the server may have had then end as RUN_OUTCOME_LOST, their run_ms counted to the first sign of the crash. The result still waits for the end of the lease, or for a list of the new incarnation. Silence, a server that drains or left, a stop that was acknowledged before, and a start sent after the first sign leave the run STOPPED. A lost run that was ordered to stop is told as lost: the dispatcher moves late runs, and a run on a crashed server looks late. The answer of another incarnation (421) no longer counts as contact with a server that was replaced, and the lease of a replaced one is let end.

--- a/src/leased/agent.c
+++ b/src/leased/agent.c
@@ -11,6 +11,7 @@
 #include "leased/reload.h"
 #include "roles/role.h"
 
+#include <inttypes.h>
 #include <string.h>
 
 /* ---- Constants ------------------------------------------------------ */
@@ -58,6 +59,22 @@
 	struct server *server = server_create(&options, report, now_ms);
 
 	g_hash_table_insert(a->servers, g_strdup(report->name), server);
+	log_event(
+		LOG_INFO, "server_joined",
+		"server=%s service=%s address=%s cpu_milli=%u born_ms=%" PRId64,
+		report->name, report->service, report->address,
+		report->capacity.cpu_milli, report->start_time_ms);
+}
+
+static void check_replaced(struct leased_agent *a,
+			   const struct server_report *report)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, a->servers);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		server_check_replaced(value, report);
 }
 
 static void reply_ok(struct http_request *request)
@@ -73,6 +90,8 @@
 	int64_t now_ms = loop_now_ms(a->loop);
 
 	counter_add(a->reports, 1);
+	if (!p->is_leaving)
+		check_replaced(a, &p->report);
 	if (p->is_leaving) {
 		if (server)
 			server_mark_left(server, now_ms);
--- a/src/leased/formats.c
+++ b/src/leased/formats.c
@@ -17,6 +17,15 @@
 	g_clear_pointer(&lists->ended, g_array_unref);
 }
 
+void run_lists_raise_position(const struct run_lists *lists, uint64_t *position)
+{
+	for (guint i = 0; i < lists->ended->len; i++)
+		*position =
+			MAX(*position, g_array_index(lists->ended,
+						     struct listed_run_end, i)
+					       .position);
+}
+
 bool run_name_equal(const struct run_name *a, const struct run_name *b)
 {
 	return a->index == b->index && a->number == b->number &&
--- a/src/leased/formats.h
+++ b/src/leased/formats.h
@@ -171,6 +171,9 @@
 
 void run_call_clear(struct run_call *call);
 void run_lists_clear(struct run_lists *lists);
+/* Raises position to that of the newest end listed. */
+void run_lists_raise_position(const struct run_lists *lists,
+			      uint64_t *position);
 bool run_name_equal(const struct run_name *a, const struct run_name *b);
 
 #endif
--- a/src/leased/run_table.c
+++ b/src/leased/run_table.c
@@ -91,6 +91,20 @@
 		  sizeof(table->failed_job));
 }
 
+static int64_t elapsed_ms(const struct run *run, enum run_outcome outcome,
+			  int64_t now_ms)
+{
+	if (outcome == RUN_OUTCOME_LOST)
+		return run->lost_ms -
+		       (run->started_ms ? run->started_ms : run->start_sent_ms);
+	return run->started_ms ? now_ms - run->started_ms : 0;
+}
+
+enum run_outcome run_table_cut_outcome(const struct run *run)
+{
+	return run->lost_ms ? RUN_OUTCOME_LOST : RUN_OUTCOME_STOPPED;
+}
+
 void run_table_finish_at(struct run_table *table, guint position,
 			 enum run_outcome outcome, int64_t now_ms)
 {
@@ -100,8 +114,7 @@
 				     .outcome = outcome,
 				     .expected_ms = run->request.expected_ms };
 
-	if (run->started_ms && now_ms > run->started_ms)
-		result.run_ms = (uint32_t)(now_ms - run->started_ms);
+	result.run_ms = (uint32_t)MAX(elapsed_ms(run, outcome, now_ms), 0);
 	count_failure(table, &result);
 	g_queue_push_tail(&table->results, g_memdup2(&result, sizeof(result)));
 	g_ptr_array_remove_index(table->runs, position);
@@ -246,6 +259,7 @@
 			return NULL;
 		}
 		run->state = RUN_STARTING;
+		run->start_sent_ms = now_ms;
 		run->may_have_started = true;
 		return &run->request;
 	}
@@ -418,16 +432,32 @@
 	return false;
 }
 
-/* ---- Lease expiry and server restart -------------------------------- */
+/* ---- Lease expiry, crash and restart of the server ------------------- */
+
+/* A run whose stop was acknowledged had ended, and a start that was sent later
+ * can't have arrived. */
+static bool may_be_lost(const struct run *run, int64_t crashed_ms)
+{
+	return run->may_have_started && run->state != RUN_STOPPED &&
+	       !run->lost_ms && run->start_sent_ms <= crashed_ms;
+}
+
+void run_table_server_crashed(struct run_table *table, int64_t crashed_ms)
+{
+	for (guint i = 0; i < table->runs->len; i++)
+		if (may_be_lost(run_table_at(table, i), crashed_ms))
+			run_table_at(table, i)->lost_ms = crashed_ms;
+}
 
 void run_table_lease_expired(struct run_table *table, int64_t now_ms)
 {
 	for (guint i = table->runs->len; i-- > 0;)
-		run_table_finish_at(table, i,
-				    run_table_at(table, i)->may_have_started
-					    ? RUN_OUTCOME_STOPPED
-					    : RUN_OUTCOME_NOT_STARTED,
-				    now_ms);
+		run_table_finish_at(
+			table, i,
+			run_table_at(table, i)->may_have_started
+				? run_table_cut_outcome(run_table_at(table, i))
+				: RUN_OUTCOME_NOT_STARTED,
+			now_ms);
 }
 
 /* Even a start that was answered may have reached the new incarnation before
--- a/src/leased/run_table.h
+++ b/src/leased/run_table.h
@@ -40,6 +40,7 @@
 	uint64_t dispatcher;
 	struct run_name name;
 	enum run_outcome outcome;
+	/* Until its end, or, if it was lost, until its server's crash. */
 	uint32_t run_ms;
 	uint32_t expected_ms; /* of the request; not sent to the dispatcher */
 };
@@ -101,6 +102,10 @@
 void run_table_apply_lists(struct run_table *table,
 			   const struct run_lists *lists, int64_t sent_ms,
 			   int64_t now_ms, GArray *unknown_runs);
+/* The server process crashed at crashed_ms, or shortly before. Runs that it may
+ * have had then are lost; each still ends with the lease or with a list of the
+ * new incarnation. */
+void run_table_server_crashed(struct run_table *table, int64_t crashed_ms);
 /* Ends all runs: the server's lease has expired, so nothing runs there. */
 void run_table_lease_expired(struct run_table *table, int64_t now_ms);
 /* The server process was restarted some time before now. Runs that were
--- a/src/leased/run_table_internal.h
+++ b/src/leased/run_table_internal.h
@@ -20,7 +20,9 @@
 	bool stop_requested; /* during the start call */
 	bool may_have_started; /* a start call was sent */
 	int64_t queued_ms;
+	int64_t start_sent_ms;
 	int64_t started_ms; /* start acknowledged or run first listed; 0: not */
+	int64_t lost_ms; /* when its server crashed; 0: it hasn't */
 	int64_t stop_requested_ms;
 	int64_t stop_sent_ms;
 	int64_t stop_acked_ms;
@@ -40,6 +42,9 @@
 struct run *run_table_at(const struct run_table *table, guint i);
 struct run *run_table_find(const struct run_table *table,
 			   const struct run_name *name, guint *position);
+/* The outcome of a run that may have begun and has ended without its own
+ * doing. */
+enum run_outcome run_table_cut_outcome(const struct run *run);
 /* Removes the run at this position and queues its result. */
 void run_table_finish_at(struct run_table *table, guint position,
 			 enum run_outcome outcome, int64_t now_ms);
--- a/src/leased/run_table_lists.c
+++ b/src/leased/run_table_lists.c
@@ -72,8 +72,9 @@
 
 	if (run->state == RUN_STOPPED && sent_ms >= run->stop_acked_ms)
 		run_table_finish_at(table, position,
-				    run->started_ms ? RUN_OUTCOME_STOPPED
-						    : RUN_OUTCOME_NOT_STARTED,
+				    run->started_ms || run->lost_ms
+					    ? run_table_cut_outcome(run)
+					    : RUN_OUTCOME_NOT_STARTED,
 				    now_ms);
 	else if (run->state == RUN_RUNNING && sent_ms > run->started_ms &&
 		 ++run->polls_missing >= MISSING_POLLS_MAX)
--- a/src/leased/server.c
+++ b/src/leased/server.c
@@ -8,6 +8,7 @@
 #include "base/counters.h"
 #include "base/logger.h"
 #include "leased/leases.h"
+#include "leased/server_crash.h"
 #include "leased/server_lease.h"
 
 #include <inttypes.h>
@@ -37,6 +38,7 @@
 	struct run_table *runs;
 	struct capacity_share *share;
 	struct server_lease lease;
+	struct server_crash crash;
 	char *url; /* "http://ip:port" */
 	char *incarnation_header;
 	uint64_t last_end_position; /* of the newest end that was processed */
@@ -101,11 +103,6 @@
 	server_lease_init(&s->lease, now_ms);
 	server_lease_answered(&s->lease, report->clock_ms, now_ms);
 	set_address(s);
-	log_event(
-		LOG_INFO, "server_joined",
-		"server=%s service=%s address=%s cpu_milli=%u born_ms=%" PRId64,
-		report->name, report->service, report->address,
-		report->capacity.cpu_milli, report->start_time_ms);
 	return s;
 }
 
@@ -153,12 +150,22 @@
 
 /* ---- Reports -------------------------------------------------------- */
 
+static void lose_runs(struct server *s, enum server_crash_evidence evidence,
+		      int64_t now_ms)
+{
+	if (!s->has_left)
+		server_crash_lose_runs(&s->crash, evidence, &s->report, s->runs,
+				       now_ms);
+}
+
 static void begin_incarnation(struct server *s, int64_t start_time_ms,
 			      int64_t now_ms)
 {
 	log_event(LOG_WARN, "server_restarted",
 		  "server=%s born_ms=%" PRId64 " before_ms=%" PRId64,
 		  s->report.name, start_time_ms, s->report.start_time_ms);
+	lose_runs(s, SERVER_CRASH_RESTARTED, now_ms);
+	server_crash_answered(&s->crash);
 	s->report.start_time_ms = start_time_ms;
 	s->last_end_position = 0;
 	s->has_left = false;
@@ -195,6 +202,11 @@
 	return true;
 }
 
+void server_check_replaced(struct server *s, const struct server_report *other)
+{
+	s->crash.replaced |= server_crash_is_replacement(&s->report, other);
+}
+
 void server_mark_left(struct server *s, int64_t now_ms)
 {
 	(void)now_ms;
@@ -213,6 +225,7 @@
 			  "server=%s silent_ms=%" PRId64, s->report.name,
 			  now_ms - s->lease.unanswered_since_ms);
 	server_lease_answered(&s->lease, clock_ms, now_ms);
+	server_crash_answered(&s->crash);
 }
 
 static void handle_start_answer(struct server *s, const struct call *call,
@@ -225,7 +238,8 @@
 
 	if (call->restarts != s->restarts)
 		return;
-	if (clock_ms >= 0)
+	/* Another server answers in place of one that was replaced. */
+	if (clock_ms >= 0 && refusal != RUN_OTHER_INCARNATION)
 		record_contact(s, clock_ms, now_ms);
 	if (refusal != RUN_ACCEPTED)
 		log_event(LOG_INFO, "start_refused",
@@ -270,18 +284,6 @@
 	}
 }
 
-static void record_end_positions(struct server *s,
-				 const struct run_lists *lists)
-{
-	for (guint i = 0; i < lists->ended->len; i++) {
-		uint64_t position =
-			g_array_index(lists->ended, struct listed_run_end, i)
-				.position;
-
-		s->last_end_position = MAX(s->last_end_position, position);
-	}
-}
-
 static void handle_poll_answer(struct server *s, const struct call *call,
 			       const struct http_answer *answer, int64_t now_ms)
 {
@@ -303,17 +305,19 @@
 	record_contact(s, lists.clock_ms, now_ms);
 	run_table_apply_lists(s->runs, &lists, call->sent_ms, now_ms,
 			      unknown_runs);
-	record_end_positions(s, &lists);
+	run_lists_raise_position(&lists, &s->last_end_position);
 	server_previous_runs_listed(&s->previous_runs, unknown_runs->len);
 	stop_unknown_runs(s, unknown_runs, now_ms);
 	run_lists_clear(&lists);
 }
 
-static void handle_no_answer(struct server *s, const struct call *call)
+static void handle_no_answer(struct server *s, const struct call *call,
+			     const struct http_answer *answer, int64_t now_ms)
 {
 	counter_add(s->unanswered, 1);
 	if (call->restarts != s->restarts)
 		return;
+	server_crash_call_failed(&s->crash, answer, now_ms);
 	server_lease_unanswered(&s->lease, call->sent_ms);
 	if (call->kind == CALL_START)
 		run_table_start_unanswered(s->runs, &call->name);
@@ -329,7 +333,7 @@
 	if (call->kind == CALL_POLL)
 		s->poll_open = false;
 	if (answer->result != HTTP_OK)
-		handle_no_answer(s, call);
+		handle_no_answer(s, call, answer, now_ms);
 	else if (call->kind == CALL_START)
 		handle_start_answer(s, call, answer, now_ms);
 	else if (call->kind == CALL_STOP)
@@ -413,6 +417,7 @@
 static void expire_lease(struct server *s, int64_t now_ms)
 {
 	bool must_expire = server_lease_is_unresponsive(&s->lease, now_ms) ||
+			   s->crash.replaced ||
 			   run_table_stop_age_ms(s->runs, now_ms) >
 				   STOP_ACK_TIMEOUT_MS;
 
@@ -429,6 +434,7 @@
 	if (!s->expiring_lease)
 		return;
 	if (server_lease_has_expired(&s->lease, now_ms)) {
+		lose_runs(s, server_crash_get(&s->crash), now_ms);
 		run_table_lease_expired(s->runs, now_ms);
 		s->expiring_lease = false;
 	} else if (!must_expire && !run_table_stop_age_ms(s->runs, now_ms)) {
--- a/src/leased/server.h
+++ b/src/leased/server.h
@@ -32,6 +32,10 @@
  * than the last one. */
 bool server_apply_report(struct server *server,
 			 const struct server_report *report, int64_t now_ms);
+/* Another server has reported. If it has taken this one's address, this one
+ * has crashed. */
+void server_check_replaced(struct server *server,
+			   const struct server_report *other);
 /* The server announced that it leaves. */
 void server_mark_left(struct server *server, int64_t now_ms);
 const struct server_report *server_last_report(const struct server *server);
--- /dev/null
+++ b/tests/test_server_crash.c
@@ -0,0 +1,343 @@
+/*
+ * test_server_crash: which signs show that a backend server has crashed, which
+ * runs are lost with it, and what an agent does until then. The last tests run
+ * a server client against a simulated backend server on a socket.
+ */
+#include "base/clock.h"
+#include "leased/server.h"
+#include "leased/server_crash.h"
+#include "platform/platform.h"
+#include "support/leased_standin.h"
+#include "support/loop_until.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+#include <unistd.h>
+#include <cmocka.h>
+
+#define CRASHED_MS 50
+
+/* ---- Evidence ------------------------------------------------------- */
+
+/* Guards against silence, late reports or an answer since taken for a crash. */
+static void test_evidence(void **state)
+{
+	static const struct http_answer refused = {
+		.result = HTTP_NOT_CONNECTED, .refused = true
+	};
+	static const struct http_answer not_connected = {
+		.result = HTTP_NOT_CONNECTED
+	};
+	static const struct http_answer timed_out = { .result =
+							      HTTP_TIMED_OUT };
+	static const struct http_answer broken = { .result = HTTP_BROKEN };
+	static const struct http_answer ok = { .result = HTTP_OK };
+	static const struct {
+		const struct http_answer *calls[4]; /* at 10, 20, ... ms */
+		enum server_crash_evidence evidence;
+		int64_t failed_ms;
+	} cases[] = {
+		{ { &timed_out, &not_connected, &timed_out },
+		  SERVER_CRASH_NONE,
+		  10 },
+		{ { &broken, &broken }, SERVER_CRASH_NONE, 10 },
+		{ { &refused, &refused }, SERVER_CRASH_REFUSED, 10 },
+		{ { &broken, &refused }, SERVER_CRASH_REFUSED, 10 },
+		{ { &timed_out, &broken, &refused }, SERVER_CRASH_REFUSED, 20 },
+		{ { &refused, &ok, &timed_out }, SERVER_CRASH_NONE, 30 },
+		{ { &refused, &ok }, SERVER_CRASH_NONE, 0 },
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct server_crash crash = { 0 };
+
+		for (int k = 0; k < 4 && cases[i].calls[k]; k++)
+			if (cases[i].calls[k] == &ok)
+				server_crash_answered(&crash);
+			else
+				server_crash_call_failed(
+					&crash, cases[i].calls[k], 10 + k * 10);
+		if (server_crash_get(&crash) != cases[i].evidence ||
+		    crash.failed_ms != cases[i].failed_ms)
+			fail_msg("case %zu: evidence %d, failed at %d", i,
+				 server_crash_get(&crash),
+				 (int)crash.failed_ms);
+	}
+}
+
+/* Guards against a late report of a predecessor taken for a replacement. */
+static void test_replacement(void **state)
+{
+	static const struct server_report server = { .name = "s2",
+						     .address = "h:1",
+						     .start_time_ms = 100 };
+	static const struct {
+		struct server_report other;
+		bool replaces;
+	} cases[] = {
+		{ { .name = "s3", .address = "h:1", .start_time_ms = 200 },
+		  true },
+		{ { .name = "s1", .address = "h:1", .start_time_ms = 50 },
+		  false },
+		{ { .name = "s3", .address = "h:2", .start_time_ms = 200 },
+		  false },
+		{ { .name = "s2", .address = "h:1", .start_time_ms = 200 },
+		  false },
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++)
+		if (server_crash_is_replacement(&server, &cases[i].other) !=
+		    cases[i].replaces)
+			fail_msg("case %zu", i);
+}
+
+/* ---- Runs ----------------------------------------------------------- */
+
+struct run_case {
+	const char *name;
+	bool queued; /* no start was sent */
+	int64_t sent_ms, accepted_ms; /* accepted_ms 0: no answer */
+	bool stop_acked; /* before the crash */
+	bool ordered_stop; /* without an answer */
+	bool draining, no_evidence;
+	enum run_outcome outcome;
+	uint32_t run_ms;
+};
+
+static const struct run_case run_cases[] = {
+	{ "running", .sent_ms = 2, .accepted_ms = 20,
+	  .outcome = RUN_OUTCOME_LOST, .run_ms = CRASHED_MS - 20 },
+	{ "no answer to its start", .sent_ms = 2, .outcome = RUN_OUTCOME_LOST,
+	  .run_ms = CRASHED_MS - 2 },
+	{ "ordered to stop, which the server did not hear", .sent_ms = 2,
+	  .accepted_ms = 20, .ordered_stop = true, .outcome = RUN_OUTCOME_LOST,
+	  .run_ms = CRASHED_MS - 20 },
+	{ "stopped before", .sent_ms = 2, .accepted_ms = 20, .stop_acked = true,
+	  .outcome = RUN_OUTCOME_STOPPED, .run_ms = 700 - 20 },
+	{ "sent after the crash", .sent_ms = CRASHED_MS + 1,
+	  .outcome = RUN_OUTCOME_STOPPED },
+	{ "queued", .queued = true, .outcome = RUN_OUTCOME_NOT_STARTED },
+	{ "the server drains", .sent_ms = 2, .accepted_ms = 20,
+	  .draining = true, .outcome = RUN_OUTCOME_STOPPED,
+	  .run_ms = 700 - 20 },
+	{ "the server is only silent", .sent_ms = 2, .accepted_ms = 20,
+	  .no_evidence = true, .outcome = RUN_OUTCOME_STOPPED,
+	  .run_ms = 700 - 20 },
+};
+
+static void prepare_run(struct run_table *table, const struct run_name *name,
+			const struct run_case *c)
+{
+	struct run_request request = { .name = *name,
+				       .spec = g_bytes_new("x", 1),
+				       .cpu_milli = 1,
+				       .memory_mb = 1,
+				       .deadline_ms = 1000 };
+	struct run_name stop;
+
+	run_table_enqueue(table, &request, 1);
+	g_bytes_unref(request.spec);
+	if (!c->queued)
+		assert_non_null(run_table_next_start(table, c->sent_ms));
+	if (c->accepted_ms)
+		run_table_start_answered(table, name, RUN_ACCEPTED,
+					 c->accepted_ms);
+	if (c->stop_acked || c->ordered_stop) {
+		run_table_stop(table, name);
+		assert_true(run_table_next_stop(table, 30, &stop));
+	}
+	if (c->stop_acked)
+		run_table_stop_acked(table, name, 31);
+}
+
+/* Guards against a crash told as a stop, and a stop told as a crash. */
+static void test_runs_lost_with_the_lease(void **state)
+{
+	struct cf_capacity capacity = { .cpu_milli = 9, .memory_mb = 9 };
+	struct run_name name = { .job = "a1", .number = 1 };
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(run_cases); i++) {
+		const struct run_case *c = &run_cases[i];
+		struct run_table *table = run_table_create();
+		struct server_crash crash = { .failed_ms = CRASHED_MS,
+					      .refused = !c->no_evidence };
+		struct server_report report = { .draining = c->draining };
+		struct run_result result;
+
+		run_table_set_capacity(table, &capacity);
+		prepare_run(table, &name, c);
+		server_crash_lose_runs(&crash, server_crash_get(&crash),
+				       &report, table, 690);
+		assert_false(run_table_pop_result(table, &result));
+		run_table_lease_expired(table, 700);
+		assert_true(run_table_pop_result(table, &result));
+		if (result.outcome != c->outcome || result.run_ms != c->run_ms)
+			fail_msg("%s: outcome %d after %u ms", c->name,
+				 result.outcome, result.run_ms);
+		run_table_destroy(table);
+	}
+}
+
+/* ---- A server on a socket ------------------------------------------- */
+
+struct client {
+	struct loop *loop;
+	struct server *server;
+	struct http_client *http;
+	struct standin_record *record;
+	struct standin *standin;
+	struct server_report report;
+	struct loop_timer *timer;
+};
+
+static void changed(void *arg, struct server *server)
+{
+	(void)arg;
+	(void)server;
+}
+
+static void tick(void *arg, int64_t now_ms)
+{
+	struct client *c = arg;
+
+	server_process(c->server, now_ms);
+}
+
+static bool start_time_is_known(void *arg)
+{
+	const struct client *c = arg;
+
+	return server_last_report(c->server)->start_time_ms > 1;
+}
+
+static void begin(struct client *c)
+{
+	int id = getpid();
+	g_autofree char *address =
+		g_strdup_printf("127.%d.%d.%d:7000", 1 + (id >> 16) % 200,
+				(id >> 8) & 255, 1 + (id & 255) % 254);
+	struct server_options options = { .formats = &platform_formats,
+					  .changed = changed };
+
+	memset(c, 0, sizeof(*c));
+	c->loop = loop_create(NULL);
+	c->http = http_client_create(c->loop, 8, NULL);
+	c->record = standin_record_create();
+	c->standin = standin_create(c->record, "s1", address, address,
+				    "127.0.0.1:1");
+	g_strlcpy(c->report.name, "s1", sizeof(c->report.name));
+	g_strlcpy(c->report.address, address, sizeof(c->report.address));
+	c->report.start_time_ms = 1;
+	c->report.clock_ms = clock_now_ms();
+	c->report.capacity.cpu_milli = 8000;
+	c->report.capacity.memory_mb = 8000;
+	options.client = c->http;
+	options.loop = c->loop;
+	c->server = server_create(&options, &c->report, loop_now_ms(c->loop));
+	c->timer = loop_timer_create(c->loop, tick, c);
+	loop_timer_start(c->timer, 1, 5);
+	assert_true(loop_until(c->loop, start_time_is_known, c));
+}
+
+static void end(struct client *c)
+{
+	loop_timer_destroy(c->timer);
+	http_client_destroy(c->http);
+	server_destroy(c->server);
+	standin_record_destroy(c->record);
+	loop_destroy(c->loop);
+}
+
+static void start(struct client *c, uint32_t index)
+{
+	int64_t now_ms = loop_now_ms(c->loop);
+	struct run_request run = {
+		.name = { .job = "a1", .index = index, .number = 1 },
+		.spec = g_bytes_new("5000", 4),
+		.cpu_milli = 1000,
+		.memory_mb = 1,
+		.deadline_ms = now_ms + 9000
+	};
+
+	run_table_enqueue(server_runs(c->server), &run, now_ms);
+	g_bytes_unref(run.spec);
+	server_process(c->server, now_ms);
+}
+
+static bool runs(void *arg)
+{
+	struct client *c = arg;
+	g_autoptr(GArray) progress =
+		g_array_new(FALSE, FALSE, sizeof(struct run_progress));
+
+	run_table_list_progress(server_runs(c->server), clock_now_ms(),
+				progress);
+	return progress->len > 0;
+}
+
+static bool is_idle(void *arg)
+{
+	return run_table_is_idle(server_runs(((struct client *)arg)->server));
+}
+
+/* Guards against a crash told as a stop, and against runs that are told as
+ * ended before their lease has. */
+static void test_server_process_ends(void **state)
+{
+	struct client c;
+	struct run_result result;
+	int64_t ended_ms;
+
+	(void)state;
+	begin(&c);
+	start(&c, 0);
+	assert_true(loop_until(c.loop, runs, &c));
+	standin_destroy(c.standin);
+	ended_ms = clock_now_ms();
+	assert_true(loop_until(c.loop, is_idle, &c));
+	assert_true(run_table_pop_result(server_runs(c.server), &result));
+	assert_int_equal(result.outcome, RUN_OUTCOME_LOST);
+	assert_in_range(result.run_ms, 0, 500);
+	assert_in_range(clock_now_ms() - ended_ms, 400, 1500);
+	end(&c);
+}
+
+/* Guards against a run of the previous incarnation told as stopped. */
+static void test_server_restarts(void **state)
+{
+	struct client c;
+	struct run_result result;
+	int64_t ended_ms;
+
+	(void)state;
+	begin(&c);
+	start(&c, 0);
+	assert_true(loop_until(c.loop, runs, &c));
+	ended_ms = clock_now_ms();
+	standin_restart(c.standin);
+	assert_true(loop_until(c.loop, is_idle, &c));
+	assert_true(run_table_pop_result(server_runs(c.server), &result));
+	assert_int_equal(result.outcome, RUN_OUTCOME_LOST);
+	assert_true(clock_now_ms() - ended_ms < 600);
+	standin_destroy(c.standin);
+	end(&c);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_evidence),
+		cmocka_unit_test(test_replacement),
+		cmocka_unit_test(test_runs_lost_with_the_lease),
+		cmocka_unit_test(test_server_process_ends),
+		cmocka_unit_test(test_server_restarts),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
