Dispatcher: a task under which servers crash is given up

Change: a task counts the servers that crashed under it. Its job fails at the third, or at the second if both crashed within 100 ms of the start of its run: a task that was just started is the likelier cause than one that had run for long beside it. A loss is no attempt and doesn't count against the health of the server. Retries avoid all servers that the task was lost with, and the start command carries the count. A loss that an agent couldn't tell, as it was lost too, isn't counted: its runs end by time alone.

--- a/src/leased/agent_peers.c
+++ b/src/leased/agent_peers.c
@@ -254,6 +254,7 @@
 	run.target_start_ms = now_ms + start->slack_ms;
 	run.deadline_ms = now_ms + start->deadline_ms;
 	run.expected_ms = start->expected_ms;
+	run.losses = start->losses;
 	g_strlcpy(run.class_name, start->class_name, sizeof(run.class_name));
 	capacity_share_mark_used(server_capacity_share(server), p->incarnation);
 	run_table_enqueue(server_runs(server), &run, now_ms);
--- a/src/leased/dispatch.h
+++ b/src/leased/dispatch.h
@@ -25,7 +25,8 @@
 
 enum job_verdict {
 	JOB_VERDICT_COMPLETED,
-	JOB_VERDICT_FAILED, /* a task used up its attempts */
+	/* A task used up its attempts, or servers crashed under it. */
+	JOB_VERDICT_FAILED,
 	JOB_VERDICT_REFUSED, /* none of its tasks has run or will run */
 	JOB_VERDICT_GIVEN_UP, /* tasks may have run; no more will start */
 };
@@ -46,6 +47,7 @@
 	uint32_t slack_ms, deadline_ms;
 	uint32_t expected_ms; /* run time on a server of average speed */
 	const char *class_name;
+	uint32_t losses; /* servers that crashed under the task */
 };
 
 struct dispatch_sink_ops {
--- a/src/leased/dispatch_internal.h
+++ b/src/leased/dispatch_internal.h
@@ -90,11 +90,23 @@
 	DISPATCH_TASK_DONE,
 };
 
+/* A task under which this many servers have crashed is given up, with its
+ * job. */
+#define TASK_LOSSES_MAX 3
+/* The same for crashes within LOSS_SUSPECT_MS of the start of its run. A task
+ * that was just started is the likelier cause of a crash than one that had run
+ * for long, which may only have run beside the cause. */
+#define TASK_SUSPECT_LOSSES_MAX 2
+#define LOSS_SUSPECT_MS 100
+
 struct dispatch_task {
 	uint32_t index;
 	enum dispatch_task_state state;
 	uint32_t number; /* number of the newest run */
 	uint32_t failures, moves;
+	uint32_t losses; /* servers that crashed under it */
+	uint32_t suspect_losses; /* those within LOSS_SUSPECT_MS of its start */
+	uint64_t lost_on[TASK_LOSSES_MAX]; /* their ids */
 	bool stopping; /* a stop command was sent */
 	bool overdue_reported;
 	struct dispatch_server *server; /* DISPATCH_TASK_SENT */
--- a/src/leased/dispatch_place.c
+++ b/src/leased/dispatch_place.c
@@ -30,7 +30,7 @@
 /* A full server compared with an empty one: other dispatchers may also send
  * tasks there. */
 #define FULL_SERVER_PENALTY_MS 8.0
-/* A server that the task failed on or was moved away from. */
+/* A server that the task failed on, was lost with or was moved away from. */
 #define AVOIDED_SERVER_PENALTY_MS 10000.0
 /* A job reserves capacity after this fraction of the time between its arrival
  * and its target start. */
@@ -109,6 +109,14 @@
 	return false;
 }
 
+static bool was_lost_on(const struct dispatch_task *task, uint64_t server)
+{
+	for (uint32_t i = 0; i < MIN(task->losses, TASK_LOSSES_MAX); i++)
+		if (task->lost_on[i] == server)
+			return true;
+	return false;
+}
+
 /* Whether the job's tasks can run there when there is room. */
 static bool serves(const struct dispatch *d,
 		   const struct dispatch_server *server,
@@ -160,7 +168,7 @@
 	if (strcmp(server->agent->identity.data_centre, d->data_centre) != 0)
 		finish += OTHER_DATA_CENTRE_PENALTY_MS;
 	if (task->avoided_server == server->id ||
-	    has_failed_on(task, server->id))
+	    has_failed_on(task, server->id) || was_lost_on(task, server->id))
 		finish += AVOIDED_SERVER_PENALTY_MS;
 	else if (spares_faster(d, server, job, now_ms))
 		finish -= PREFERENCE_MS;
@@ -234,6 +242,7 @@
 			job->deadline_ms - job->predicted_ms / 2 - now_ms, 1),
 		.expected_ms = job->predicted_ms,
 		.class_name = job->class->name,
+		.losses = task->losses,
 	};
 
 	g_strlcpy(command.name.job, job->id, sizeof(command.name.job));
--- a/src/leased/dispatch_runs.c
+++ b/src/leased/dispatch_runs.c
@@ -1,6 +1,7 @@
 /*
  * dispatch_runs: handles the outcome of each run. Its task is done, is
- * retried on another server, or has used up its attempts.
+ * retried on another server, has used up its attempts, or is given up because
+ * servers crashed under it.
  */
 #include "leased/dispatch_internal.h"
 
@@ -108,6 +109,33 @@
 	requeue_task(d, job, task, RUN_OUTCOME_FAILED, now_ms);
 }
 
+static const char *find_loss_limit(const struct dispatch_task *task)
+{
+	if (task->losses >= TASK_LOSSES_MAX)
+		return "as many servers crashed under a task as may";
+	if (task->suspect_losses >= TASK_SUSPECT_LOSSES_MAX)
+		return "servers crashed when a task was started there";
+	return NULL;
+}
+
+/* The task's server has crashed. That counts neither as an attempt of the task
+ * nor against the health of the server. run_ms: until the crash. */
+static void task_lost(struct dispatch *d, struct dispatch_job *job,
+		      struct dispatch_task *task, uint32_t run_ms,
+		      int64_t now_ms)
+{
+	const char *reason;
+
+	if (task->losses < TASK_LOSSES_MAX)
+		task->lost_on[task->losses] = task->server->id;
+	task->losses++;
+	task->suspect_losses += run_ms <= LOSS_SUSPECT_MS;
+	reason = find_loss_limit(task);
+	if (reason && !job->ended)
+		dispatch_end_job(d, job, JOB_VERDICT_FAILED, reason, 0);
+	requeue_task(d, job, task, RUN_OUTCOME_LOST, now_ms);
+}
+
 static bool is_at_agent(const struct dispatch_task *task, uint64_t agent)
 {
 	return task->state == DISPATCH_TASK_SENT && task->server->agent &&
@@ -150,6 +178,9 @@
 	case RUN_OUTCOME_FAILED:
 		task_failed(d, job, task, now_ms);
 		break;
+	case RUN_OUTCOME_LOST:
+		task_lost(d, job, task, result->run_ms, now_ms);
+		break;
 	case RUN_OUTCOME_STALE:
 		task->number += NUMBER_STEP_STALE;
 		requeue_task(d, job, task, result->outcome, now_ms);
--- a/src/leased/dispatch_servers.c
+++ b/src/leased/dispatch_servers.c
@@ -350,7 +350,8 @@
 }
 
 /* Queues the tasks of a lost agent again, after its lease has ended and with
- * it every run that was sent there. */
+ * it every run that was sent there. Whether a server crashed under one of them
+ * isn't known, so that none counts as a loss. */
 static void requeue_runs(struct dispatch *d, uint64_t agent, int64_t now_ms)
 {
 	g_autoptr(GArray) runs = dispatch_list_runs(d, agent, true);
--- a/src/leased/dispatcher_agents.c
+++ b/src/leased/dispatcher_agents.c
@@ -132,6 +132,7 @@
 	start->deadline_ms = command->deadline_ms;
 	start->expected_ms = command->expected_ms;
 	start->class_name = g_strdup(command->class_name);
+	start->losses = command->losses;
 	g_ptr_array_add(a->starts, start);
 	schedule_flush(a);
 }
--- a/src/leased/run_table.h
+++ b/src/leased/run_table.h
@@ -24,6 +24,7 @@
 	int64_t deadline_ms; /* not started from then on */
 	uint32_t expected_ms; /* on a server of average speed; 0: unknown */
 	char class_name[CF_NAME_SIZE]; /* empty: unknown */
+	uint32_t losses; /* servers that crashed under the task before */
 };
 
 enum run_outcome {
--- a/tests/support/dispatch_world.c
+++ b/tests/support/dispatch_world.c
@@ -14,6 +14,11 @@
 /* The simulation goes on this long after the last arrival. */
 #define DRAIN_MS 8000
 #define FAIL_DELAY_MS 20
+/* From the start of a crashing task to the crash, from there until its agent
+ * tells of the lost runs, and until the server is back. */
+#define CRASH_DELAY_MS 11
+#define LOSS_DELAY_MS 700
+#define DOWN_MS 3000
 
 /* ---- Types ---------------------------------------------------------- */
 
@@ -24,7 +29,9 @@
 	uint32_t cpu_milli;
 	int64_t started_ms, ends_ms;
 	int64_t stop_ms; /* 0: none */
-	bool fails;
+	int64_t crash_ms; /* 0: never */
+	int64_t lost_ms; /* when its server crashed; 0: not */
+	bool fails, never_started;
 };
 
 struct world {
@@ -36,6 +43,7 @@
 	GHashTable *jobs; /* id -> struct world_job */
 	GPtrArray *runs; /* struct world_run */
 	uint64_t received[12];
+	int64_t down_until_ms[12];
 	int64_t now_ms;
 	uint32_t next_job;
 	double arrivals_due[WORLD_CLASSES];
@@ -56,6 +64,11 @@
 	return w->load->servers[server].lost && is_faulty(w, server);
 }
 
+static bool is_down(const struct world *w, size_t server)
+{
+	return w->now_ms < w->down_until_ms[server];
+}
+
 static int64_t used_milli(const struct world *w, size_t server)
 {
 	int64_t used = 0;
@@ -72,10 +85,12 @@
 static void end_run(struct world *w, guint position, enum run_outcome outcome)
 {
 	struct world_run *run = g_ptr_array_index(w->runs, position);
-	struct run_result result = { .name = run->name,
-				     .outcome = outcome,
-				     .run_ms = (uint32_t)(w->now_ms -
-							  run->started_ms) };
+	struct run_result result = {
+		.name = run->name,
+		.outcome = outcome,
+		.run_ms = (uint32_t)((run->lost_ms ? run->lost_ms : w->now_ms) -
+				     run->started_ms)
+	};
 	uint64_t agent = run->server + 1;
 
 	run->job->running[run->name.index]--;
@@ -113,6 +128,11 @@
 	run->fails = job->poison || (is_faulty(w, server) && s->fails);
 	if (run->fails)
 		run->ends_ms = w->now_ms + FAIL_DELAY_MS;
+	run->never_started = is_down(w, server);
+	if (run->never_started)
+		run->ends_ms = w->now_ms + 1;
+	else if (job->crashing && !command->name.index)
+		run->crash_ms = w->now_ms + CRASH_DELAY_MS;
 	job->started = true;
 	w->result->runs++;
 	w->result->overlapping_runs += job->running[command->name.index]++ > 0;
@@ -140,15 +160,53 @@
 	       w->now_ms >= w->load->servers[run->server].from_ms + 1150;
 }
 
+static enum run_outcome own_outcome(const struct world_run *run)
+{
+	if (run->lost_ms)
+		return RUN_OUTCOME_LOST;
+	if (run->never_started)
+		return RUN_OUTCOME_NOT_STARTED;
+	return run->fails ? RUN_OUTCOME_FAILED : RUN_OUTCOME_DONE;
+}
+
+/* The run crashes its server: all runs there are lost. */
+static void crash_server(struct world *w, const struct world_run *cause)
+{
+	w->down_until_ms[cause->server] = w->now_ms + DOWN_MS;
+	w->result->crashes++;
+	cause->job->crashes++;
+	w->result->crashes_of_job_max =
+		MAX(w->result->crashes_of_job_max, cause->job->crashes);
+	for (guint i = 0; i < w->runs->len; i++) {
+		struct world_run *run = g_ptr_array_index(w->runs, i);
+
+		if (run->server != cause->server || run->lost_ms)
+			continue;
+		run->lost_ms = w->now_ms;
+		run->ends_ms = w->now_ms + LOSS_DELAY_MS;
+	}
+}
+
+static void crash_servers(struct world *w)
+{
+	for (guint i = 0; i < w->runs->len; i++) {
+		const struct world_run *run = g_ptr_array_index(w->runs, i);
+
+		if (run->crash_ms == w->now_ms && !run->lost_ms)
+			crash_server(w, run);
+	}
+}
+
 static void run_servers(struct world *w)
 {
+	crash_servers(w);
 	for (guint i = w->runs->len; i-- > 0;) {
 		struct world_run *run = g_ptr_array_index(w->runs, i);
 
 		if (w->now_ms >= run->ends_ms)
-			end_run(w, i,
-				run->fails ? RUN_OUTCOME_FAILED
-					   : RUN_OUTCOME_DONE);
+			end_run(w, i, own_outcome(run));
+		else if (run->lost_ms)
+			continue;
 		else if ((run->stop_ms && w->now_ms >= run->stop_ms) ||
 			 lease_has_ended(w, run))
 			end_run(w, i, RUN_OUTCOME_STOPPED);
@@ -161,7 +219,7 @@
 	struct server_state state = { .capacity = { .cpu_milli = s->cpu_milli,
 						    .memory_mb = 100000 },
 				      .free_memory_mb = 100000,
-				      .accepting = true,
+				      .accepting = !is_down(w, server),
 				      .received = w->received[server] };
 
 	g_snprintf(state.name, sizeof(state.name), "s%zu", server);
@@ -224,6 +282,9 @@
 						 ++w->next_job, w->now_ms);
 	struct job_request request;
 
+	job->crashing = w->load->crashing > 0 &&
+			g_rand_double(w->random) < w->load->crashing;
+	w->result->crashing_jobs += job->crashing;
 	world_job_request(w->random, w->load->classes, job, &request);
 	g_hash_table_insert(w->jobs, g_strdup(request.id), job);
 	w->result->classes[class].asked++;
--- a/tests/support/dispatch_world.h
+++ b/tests/support/dispatch_world.h
@@ -32,6 +32,9 @@
 	struct world_server servers[12];
 	size_t n_servers;
 	double poison; /* fraction of the jobs whose tasks always fail */
+	/* Fraction of the jobs whose first task crashes its server soon after
+	 * its start. The server is back after some seconds. */
+	double crashing;
 	uint32_t seed;
 };
 
@@ -44,6 +47,9 @@
 struct world_result {
 	struct world_tally classes[WORLD_CLASSES];
 	uint32_t runs, stopped_runs, overlapping_runs, false_refusals;
+	uint32_t crashing_jobs, crashes;
+	uint32_t crashes_of_job_max; /* under one task */
+	uint32_t failed_innocent; /* failed jobs that crash no server */
 	/* many_world only: */
 	uint64_t run_ms; /* sum over ended runs */
 	uint32_t states; /* reported to dispatchers */
--- a/tests/support/world_jobs.h
+++ b/tests/support/world_jobs.h
@@ -11,6 +11,8 @@
 	uint32_t number;
 	size_t class;
 	bool poison, large, answered, started;
+	bool crashing; /* its first task crashes its server */
+	uint32_t crashes;
 	uint32_t tasks, work_ms;
 	int64_t arrived_ms, objective_ms;
 	uint32_t *task_ms; /* run times on a healthy server */
--- /dev/null
+++ b/tests/test_dispatch_losses.c
@@ -0,0 +1,364 @@
+/*
+ * test_dispatch_losses: a dispatcher's decisions about tasks under which
+ * servers crash: when their job is given up, where they are retried and what
+ * does not count. The last test simulates a load in which some jobs crash the
+ * servers that start them.
+ */
+#include "base/logger.h"
+#include "support/dispatch_world.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+#include <cmocka.h>
+
+#define AGENTS 2
+#define SERVERS 8
+#define STEPS_MAX 8
+#define FAR_MS 100000
+
+/* ---- Support -------------------------------------------------------- */
+
+struct recorder {
+	struct dispatch_sink sink; /* first member */
+	uint32_t starts, losses;
+	struct run_name last;
+	char server[CF_NAME_SIZE];
+	uint64_t agent;
+	bool repeated_server; /* a start went where the task had been */
+	char servers[STEPS_MAX + 1][CF_NAME_SIZE];
+	uint32_t answers;
+	struct job_answer answer;
+};
+
+static void record_start(struct dispatch_sink *sink, uint64_t agent,
+			 const struct start_command *command)
+{
+	struct recorder *r = (struct recorder *)sink;
+
+	for (uint32_t i = 0; i < r->starts; i++)
+		r->repeated_server |= !strcmp(r->servers[i], command->server);
+	g_strlcpy(r->servers[r->starts], command->server, CF_NAME_SIZE);
+	r->starts++;
+	r->losses = command->losses;
+	r->last = command->name;
+	r->agent = agent;
+}
+
+static void record_stop(struct dispatch_sink *sink, uint64_t agent,
+			const struct run_name *name)
+{
+	(void)sink;
+	(void)agent;
+	(void)name;
+}
+
+static void record_answer(struct dispatch_sink *sink, void *caller,
+			  const struct job_answer *answer)
+{
+	struct recorder *r = (struct recorder *)sink;
+
+	(void)caller;
+	r->answers++;
+	r->answer = *answer;
+}
+
+static void record_demand(struct dispatch_sink *sink, bool has_demand)
+{
+	(void)sink;
+	(void)has_demand;
+}
+
+static void report_servers(struct dispatch *d, uint64_t agent, int64_t now_ms)
+{
+	struct server_state state = { .service = "desk",
+				      .capacity = { .cpu_milli = 1000,
+						    .memory_mb = 10 },
+				      .free_cpu_milli = 1000,
+				      .offered_cpu_milli = 1000,
+				      .free_memory_mb = 10,
+				      .accepting = true,
+				      .received = 100 };
+
+	for (int i = 0; i < SERVERS / AGENTS; i++) {
+		g_snprintf(state.name, sizeof(state.name), "s%d-%d", (int)agent,
+			   i);
+		dispatch_update_server(d, agent, &state, now_ms);
+	}
+	dispatch_finish_report(d, agent, now_ms);
+}
+
+static void connect_agent(struct dispatch *d, uint64_t agent, int64_t now_ms)
+{
+	struct agent_identity identity = { .incarnation = agent,
+					   .data_centre = "dc" };
+
+	dispatch_agent_connected(d, &identity, now_ms);
+	report_servers(d, agent, now_ms);
+}
+
+static struct dispatch *create_dispatch(struct recorder *r)
+{
+	static const struct dispatch_sink_ops ops = { record_start, record_stop,
+						      record_answer,
+						      record_demand };
+	struct job_request request = { .id = "j",
+				       .route = { .name = "r",
+						  .service = "desk",
+						  .target_ms = FAR_MS,
+						  .stretch_milli = 1600,
+						  .attempts_max = 2 },
+				       .spec = { .n_tasks = 1,
+						 .cpu_milli = 1000,
+						 .memory_mb = 1,
+						 .estimate_ms = 100 },
+				       .deadline_ms = FAR_MS };
+	struct dispatch *d;
+
+	memset(r, 0, sizeof(*r));
+	r->sink.ops = &ops;
+	d = dispatch_create(&r->sink, "dc");
+	for (uint64_t agent = 1; agent <= AGENTS; agent++)
+		connect_agent(d, agent, 0);
+	request.caller = r;
+	request.spec.spec = g_bytes_new("x", 1);
+	dispatch_submit(d, &request, 0);
+	g_bytes_unref(request.spec.spec);
+	return d;
+}
+
+static void end_run(struct dispatch *d, const struct recorder *r,
+		    enum run_outcome outcome, uint32_t run_ms, int64_t now_ms)
+{
+	struct run_result result = { .name = r->last,
+				     .outcome = outcome,
+				     .run_ms = run_ms };
+
+	dispatch_handle_result(d, r->agent, &result, now_ms);
+}
+
+/* ---- Losses of one task --------------------------------------------- */
+
+enum step_kind {
+	STEP_NONE,
+	STEP_LOST,
+	STEP_FAILED,
+	STEP_STOPPED,
+	STEP_NOT_STARTED,
+	STEP_DONE,
+	STEP_LOST_TWICE, /* the agent tells the same result again */
+	STEP_RECONNECT, /* the agent reconnects and then tells of the loss */
+	STEP_AGENT_LOST, /* and doesn't return */
+};
+
+struct step {
+	enum step_kind kind;
+	uint32_t run_ms;
+};
+
+static const struct {
+	const char *name;
+	struct step steps[STEPS_MAX];
+	uint32_t starts; /* in all */
+	uint32_t losses; /* in the last start */
+	uint32_t answers;
+	enum job_verdict verdict;
+} cases[] = {
+	{ "two crashes at its start",
+	  { { STEP_LOST, 0 }, { STEP_LOST, 100 } },
+	  2,
+	  1,
+	  1,
+	  JOB_VERDICT_FAILED },
+	{ "two crashes after it had run for long",
+	  { { STEP_LOST, 500 }, { STEP_LOST, 101 }, { STEP_DONE, 100 } },
+	  3,
+	  2,
+	  1,
+	  JOB_VERDICT_COMPLETED },
+	{ "one crash at its start and one later",
+	  { { STEP_LOST, 11 }, { STEP_LOST, 101 }, { STEP_DONE, 100 } },
+	  3,
+	  2,
+	  1,
+	  JOB_VERDICT_COMPLETED },
+	{ "three crashes after it had run for long",
+	  { { STEP_LOST, 500 }, { STEP_LOST, 500 }, { STEP_LOST, 500 } },
+	  3,
+	  2,
+	  1,
+	  JOB_VERDICT_FAILED },
+	{ "crashes between runs that were stopped or didn't start",
+	  { { STEP_LOST, 500 },
+	    { STEP_STOPPED, 50 },
+	    { STEP_LOST, 500 },
+	    { STEP_NOT_STARTED, 0 },
+	    { STEP_LOST, 500 } },
+	  5,
+	  2,
+	  1,
+	  JOB_VERDICT_FAILED },
+	{ "a crash is no attempt",
+	  { { STEP_LOST, 500 },
+	    { STEP_FAILED, 20 },
+	    { STEP_LOST, 500 },
+	    { STEP_DONE, 100 } },
+	  4,
+	  2,
+	  1,
+	  JOB_VERDICT_COMPLETED },
+	{ "an attempt is no crash",
+	  { { STEP_FAILED, 5 }, { STEP_LOST, 5 }, { STEP_FAILED, 5 } },
+	  3,
+	  1,
+	  1,
+	  JOB_VERDICT_FAILED },
+	{ "each crash counts once",
+	  { { STEP_LOST_TWICE, 5 }, { STEP_DONE, 100 } },
+	  2,
+	  1,
+	  1,
+	  JOB_VERDICT_COMPLETED },
+	{ "told after a reconnect",
+	  { { STEP_RECONNECT, 5 }, { STEP_RECONNECT, 5 } },
+	  2,
+	  1,
+	  1,
+	  JOB_VERDICT_FAILED },
+	{ "a lost agent can't tell of a crash",
+	  { { STEP_LOST, 5 }, { STEP_AGENT_LOST, 0 }, { STEP_LOST, 5 } },
+	  3,
+	  1,
+	  1,
+	  JOB_VERDICT_FAILED },
+};
+
+static void lose_agent(struct dispatch *d, uint64_t agent, int64_t *now_ms)
+{
+	dispatch_agent_disconnected(d, agent, *now_ms);
+	for (int i = 0; i < 200; i++) {
+		*now_ms += 10;
+		dispatch_agent_lease_granted(d, AGENTS + 1 - agent, *now_ms);
+		dispatch_tick(d, *now_ms);
+	}
+}
+
+static void take_step(struct dispatch *d, struct recorder *r,
+		      const struct step *step, int64_t *now_ms)
+{
+	static const enum run_outcome outcomes[] = {
+		[STEP_LOST] = RUN_OUTCOME_LOST,
+		[STEP_FAILED] = RUN_OUTCOME_FAILED,
+		[STEP_STOPPED] = RUN_OUTCOME_STOPPED,
+		[STEP_NOT_STARTED] = RUN_OUTCOME_NOT_STARTED,
+		[STEP_DONE] = RUN_OUTCOME_DONE,
+		[STEP_LOST_TWICE] = RUN_OUTCOME_LOST,
+		[STEP_RECONNECT] = RUN_OUTCOME_LOST,
+	};
+	struct recorder before = *r;
+
+	*now_ms += 10;
+	if (step->kind == STEP_AGENT_LOST) {
+		lose_agent(d, r->agent, now_ms);
+		return;
+	}
+	if (step->kind == STEP_RECONNECT) {
+		dispatch_agent_disconnected(d, r->agent, *now_ms);
+		connect_agent(d, r->agent, *now_ms);
+	}
+	for (uint64_t agent = 1; agent <= AGENTS; agent++)
+		dispatch_agent_lease_granted(d, agent, *now_ms);
+	end_run(d, &before, outcomes[step->kind], step->run_ms, *now_ms);
+	if (step->kind == STEP_LOST_TWICE)
+		end_run(d, &before, RUN_OUTCOME_LOST, step->run_ms, *now_ms);
+	for (uint64_t agent = 1; agent <= AGENTS; agent++)
+		report_servers(d, agent, *now_ms);
+}
+
+/* Guards against tasks that crash server after server, and against giving up
+ * those that only ran beside one. */
+static void test_losses_of_a_task(void **state)
+{
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct recorder r;
+		struct dispatch *d = create_dispatch(&r);
+		int64_t now_ms = 0;
+
+		for (int k = 0; cases[i].steps[k].kind; k++)
+			take_step(d, &r, &cases[i].steps[k], &now_ms);
+		if (r.starts != cases[i].starts ||
+		    r.losses != cases[i].losses ||
+		    r.answers != cases[i].answers ||
+		    r.answer.verdict != cases[i].verdict)
+			fail_msg("%s: %u starts, losses %u, %u answers, "
+				 "verdict %d",
+				 cases[i].name, r.starts, r.losses, r.answers,
+				 r.answer.verdict);
+		dispatch_destroy(d);
+	}
+}
+
+/* Guards against retries on servers that crashed under the task and are back
+ * under their names: all of them, not only the last one. */
+static void test_retries_avoid_the_servers(void **state)
+{
+	struct recorder r;
+	struct dispatch *d = create_dispatch(&r);
+	int64_t now_ms = 0;
+	struct step lost = { STEP_LOST, 500 };
+
+	(void)state;
+	take_step(d, &r, &lost, &now_ms);
+	take_step(d, &r, &lost, &now_ms);
+	assert_int_equal(r.starts, 3);
+	assert_false(r.repeated_server);
+	dispatch_destroy(d);
+}
+
+/* ---- Load ----------------------------------------------------------- */
+
+/* Guards against crashes without end, and against jobs given up in masses
+ * because they ran beside the cause. */
+static void test_load_with_crashing_jobs(void **state)
+{
+	struct world_load load = { .classes = world_order_desk,
+				   .factor = 0.6,
+				   .arrivals_ms = 20000,
+				   .n_servers = 11,
+				   .crashing = 0.01,
+				   .seed = 20261204 };
+	struct world_result result;
+	uint32_t failed = 0;
+
+	(void)state;
+	log_configure("test", "losses", LOG_ERROR, LOG_FORMAT_TEXT);
+	for (size_t i = 0; i < load.n_servers; i++)
+		load.servers[i].cpu_milli = 64000;
+	world_simulate(&load, &result);
+	for (size_t i = 0; i < WORLD_CLASSES; i++)
+		failed += result.classes[i].failed;
+	fprintf(stderr,
+		"count: crashing=%u crashes=%u most=%u failed=%u innocent=%u\n",
+		result.crashing_jobs, result.crashes, result.crashes_of_job_max,
+		failed, result.failed_innocent);
+	assert_true(result.crashing_jobs > 3);
+	assert_in_range(result.crashes_of_job_max, 1, 3);
+	assert_true(failed - result.failed_innocent > result.crashing_jobs / 2);
+	assert_true(result.failed_innocent < result.crashing_jobs);
+	assert_int_equal(result.overlapping_runs, 0);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_losses_of_a_task),
+		cmocka_unit_test(test_retries_avoid_the_servers),
+		cmocka_unit_test(test_load_with_crashing_jobs),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
