Agent: no starts on a server that refuses connections

Cause: refused connections counted as missing answers for 150 to 300 ms, in which starts went on. Change: from the first refused connection on, the server accepts no starts and its lease isn't renewed, until it answers again. A start that was refused at the connect ends as NOT_STARTED at once; HTTP_NOT_CONNECTED with a refusal means that no byte was sent in any try. A connect timeout is handled as before.

--- a/src/leased/agent.c
+++ b/src/leased/agent.c
@@ -94,7 +94,7 @@
 		check_replaced(a, &p->report);
 	if (p->is_leaving) {
 		if (server)
-			server_mark_left(server, now_ms);
+			server_mark_left(server);
 	} else if (!server) {
 		add_server(a, &p->report, now_ms);
 	} else {
--- a/src/leased/run_table.c
+++ b/src/leased/run_table.c
@@ -328,6 +328,17 @@
 		request_stop(table, run);
 }
 
+void run_table_start_not_sent(struct run_table *table,
+			      const struct run_name *name, int64_t now_ms)
+{
+	guint position;
+	const struct run *run = run_table_find(table, name, &position);
+
+	if (run && run->state == RUN_STARTING)
+		run_table_finish_at(table, position, RUN_OUTCOME_NOT_STARTED,
+				    now_ms);
+}
+
 /* ---- Stopping ------------------------------------------------------- */
 
 static void stop_at(struct run_table *table, guint position)
--- a/src/leased/run_table.h
+++ b/src/leased/run_table.h
@@ -81,6 +81,9 @@
 			      enum run_refusal refusal, int64_t now_ms);
 void run_table_start_unanswered(struct run_table *table,
 				const struct run_name *name);
+/* The start call was never sent: the run ends as not started. */
+void run_table_start_not_sent(struct run_table *table,
+			      const struct run_name *name, int64_t now_ms);
 
 void run_table_stop(struct run_table *table, const struct run_name *name);
 /* Stops all runs of a dispatcher except those listed in kept. */
--- a/src/leased/server.c
+++ b/src/leased/server.c
@@ -137,6 +137,7 @@
 	return !s->report.draining && !s->has_left && !s->expiring_lease &&
 	       server_previous_runs_have_ended(&s->previous_runs, now_ms) &&
 	       !server_lease_is_unresponsive(&s->lease, now_ms) &&
+	       !server_crash_get(&s->crash) &&
 	       server_backoff_has_elapsed(&s->backoff, now_ms);
 }
 
@@ -207,9 +208,8 @@
 	s->crash.replaced |= server_crash_is_replacement(&s->report, other);
 }
 
-void server_mark_left(struct server *s, int64_t now_ms)
+void server_mark_left(struct server *s)
 {
-	(void)now_ms;
 	s->has_left = true;
 	log_event(LOG_INFO, "server_left", "server=%s", s->report.name);
 	run_table_return_queued(s->runs);
@@ -319,7 +319,9 @@
 		return;
 	server_crash_call_failed(&s->crash, answer, now_ms);
 	server_lease_unanswered(&s->lease, call->sent_ms);
-	if (call->kind == CALL_START)
+	if (call->kind == CALL_START && server_crash_never_sent(answer))
+		run_table_start_not_sent(s->runs, &call->name, now_ms);
+	else if (call->kind == CALL_START)
 		run_table_start_unanswered(s->runs, &call->name);
 }
 
@@ -413,11 +415,12 @@
 /* ---- Periodic work -------------------------------------------------- */
 
 /* Stops renewing the lease if a stop is not acknowledged or the server does
- * not answer: when the lease ends, so does every run on the server. */
+ * not answer or has crashed: when the lease ends, so does every run on the
+ * server. */
 static void expire_lease(struct server *s, int64_t now_ms)
 {
 	bool must_expire = server_lease_is_unresponsive(&s->lease, now_ms) ||
-			   s->crash.replaced ||
+			   server_crash_get(&s->crash) ||
 			   run_table_stop_age_ms(s->runs, now_ms) >
 				   STOP_ACK_TIMEOUT_MS;
 
@@ -464,8 +467,8 @@
 {
 	bool unresponsive = server_lease_is_unresponsive(&s->lease, now_ms);
 	bool idle = run_table_is_idle(s->runs);
-	int64_t interval_ms =
-		server_lease_poll_interval_ms(&s->lease, idle, now_ms);
+	int64_t interval_ms = server_lease_poll_interval_ms(
+		&s->lease, idle && !s->crash.refused, now_ms);
 
 	if (!unresponsive &&
 	    !server_previous_runs_have_ended(&s->previous_runs, now_ms))
--- a/src/leased/server.h
+++ b/src/leased/server.h
@@ -37,7 +37,7 @@
 void server_check_replaced(struct server *server,
 			   const struct server_report *other);
 /* The server announced that it leaves. */
-void server_mark_left(struct server *server, int64_t now_ms);
+void server_mark_left(struct server *server);
 const struct server_report *server_last_report(const struct server *server);
 struct run_table *server_runs(struct server *server);
 struct capacity_share *server_capacity_share(struct server *server);
--- a/src/leased/server_crash.c
+++ b/src/leased/server_crash.c
@@ -25,6 +25,11 @@
 	crash->refused = false;
 }
 
+bool server_crash_never_sent(const struct http_answer *answer)
+{
+	return answer->refused && answer->result == HTTP_NOT_CONNECTED;
+}
+
 bool server_crash_is_replacement(const struct server_report *server,
 				 const struct server_report *other)
 {
--- a/src/leased/server_crash.h
+++ b/src/leased/server_crash.h
@@ -31,6 +31,10 @@
 void server_crash_call_failed(struct server_crash *crash,
 			      const struct http_answer *answer, int64_t now_ms);
 void server_crash_answered(struct server_crash *crash);
+/* Whether the call was not even sent, as a refused connection shows. Of a
+ * connect timeout that is true too, but there the server may be reachable
+ * again at once, and would be tried again and again. */
+bool server_crash_never_sent(const struct http_answer *answer);
 /* Whether the other report shows that the server of the first one is gone. The
  * start times tell a replacement from a late report of a predecessor. */
 bool server_crash_is_replacement(const struct server_report *server,
--- a/tests/test_server_crash.c
+++ b/tests/test_server_crash.c
@@ -194,6 +194,8 @@
 	struct standin *standin;
 	struct server_report report;
 	struct loop_timer *timer;
+	struct run_result results[4];
+	size_t n_results, wanted;
 };
 
 static void changed(void *arg, struct server *server)
@@ -308,6 +310,62 @@
 	end(&c);
 }
 
+static bool has_result(void *arg)
+{
+	struct client *c = arg;
+
+	c->n_results += run_table_pop_result(server_runs(c->server),
+					     &c->results[c->n_results]);
+	return c->n_results == c->wanted;
+}
+
+static void wait_results(struct client *c, size_t n)
+{
+	c->wanted = n;
+	assert_true(loop_until(c->loop, has_result, c));
+}
+
+static bool accepts(void *arg)
+{
+	const struct client *c = arg;
+
+	return server_accepting(c->server, loop_now_ms(c->loop));
+}
+
+/* Guards against starts on a server that refuses connections, and against runs
+ * that wait for the end of a lease though their start was never sent. */
+static void test_refused_starts(void **state)
+{
+	struct client c;
+	int64_t crashed_ms;
+
+	(void)state;
+	begin(&c);
+	assert_true(loop_until(c.loop, accepts, &c));
+	start(&c, 0);
+	assert_true(loop_until(c.loop, runs, &c));
+	standin_destroy(c.standin);
+	crashed_ms = clock_now_ms();
+	start(&c, 1);
+	start(&c, 2);
+	wait_results(&c, 2);
+	assert_true(clock_now_ms() - crashed_ms < 150);
+	for (int i = 0; i < 2; i++)
+		assert_int_equal(c.results[i].outcome, RUN_OUTCOME_NOT_STARTED);
+	assert_false(accepts(&c));
+	wait_results(&c, 3);
+	assert_int_equal(c.results[2].outcome, RUN_OUTCOME_LOST);
+	assert_in_range(clock_now_ms() - crashed_ms, 400, 850);
+	assert_false(accepts(&c));
+	c.standin = standin_create(c.record, "s1", c.report.address,
+				   c.report.address, "127.0.0.1:1");
+	crashed_ms = clock_now_ms();
+	assert_true(loop_until(c.loop, accepts, &c));
+	assert_true(clock_now_ms() - crashed_ms < 500);
+	standin_destroy(c.standin);
+	end(&c);
+}
+
 /* Guards against a run of the previous incarnation told as stopped. */
 static void test_server_restarts(void **state)
 {
@@ -336,6 +394,7 @@
 		cmocka_unit_test(test_replacement),
 		cmocka_unit_test(test_runs_lost_with_the_lease),
 		cmocka_unit_test(test_server_process_ends),
+		cmocka_unit_test(test_refused_starts),
 		cmocka_unit_test(test_server_restarts),
 	};
 
