Platform: a server whose capacity has shrunk to nothing stays readable

Cause: a report with cpu or memMb 0 was refused as a whole, so that the agent went on with the old capacity and heard neither of draining nor of a restart.

--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -183,17 +183,21 @@
 {
 	static const struct {
 		const char *text, *fault; /* NULL: valid */
-		bool draining;
+		bool draining, no_room;
 	} cases[] = {
-		{ REPORT("\"ready\"", "4", CAPACITY), NULL, false },
-		{ REPORT("\"draining\"", "4", CAPACITY), NULL, true },
-		{ REPORT("\"other\"", "4", CAPACITY), "state", false },
-		{ REPORT("7", "4", CAPACITY), "state", false },
-		{ REPORT("\"ready\"", "\"4\"", CAPACITY), "seq", false },
-		{ REPORT("\"ready\"", "4", "{}"), "capacity", false },
-		{ REPORT("\"ready\"", "4", "7"), "capacity", false },
-		{ "{}", "service", false },
-		{ "\xff\xfe", "body", false },
+		{ REPORT("\"ready\"", "4", CAPACITY), NULL, false, false },
+		{ REPORT("\"draining\"", "4", "{\"cpu\":0,\"memMb\":0}"), NULL,
+		  true, true },
+		{ REPORT("\"ready\"", "4", "{\"cpu\":-1,\"memMb\":9}"),
+		  "capacity", false, false },
+		{ REPORT("\"draining\"", "4", CAPACITY), NULL, true, false },
+		{ REPORT("\"other\"", "4", CAPACITY), "state", false, false },
+		{ REPORT("7", "4", CAPACITY), "state", false, false },
+		{ REPORT("\"ready\"", "\"4\"", CAPACITY), "seq", false, false },
+		{ REPORT("\"ready\"", "4", "{}"), "capacity", false, false },
+		{ REPORT("\"ready\"", "4", "7"), "capacity", false, false },
+		{ "{}", "service", false, false },
+		{ "\xff\xfe", "body", false, false },
 	};
 
 	(void)state;
@@ -213,7 +217,8 @@
 		assert_string_equal(report.name, "i-1");
 		assert_string_equal(report.kind, "b");
 		assert_int_equal(report.draining, cases[i].draining);
-		assert_int_equal(report.capacity.cpu_milli, 16000);
+		assert_int_equal(report.capacity.cpu_milli,
+				 cases[i].no_room ? 0 : 16000);
 		assert_int_equal(report.start_time_ms, 9);
 	}
 }
