Agent: a server over its shrunk capacity offers and starts nothing

Cause: where memory or accelerators had shrunk below what runs there, free processors were still offered to dispatchers, and a task without accelerators was started while these were exceeded. Change: while one resource is exceeded, none is free. The shares of dispatchers needed no change for a capacity of 0 or a negative remainder; a test shows it.

--- a/src/leased/run_table.c
+++ b/src/leased/run_table.c
@@ -170,34 +170,34 @@
 	}
 }
 
+static int64_t free_accelerators(const struct run_table *table)
+{
+	int64_t free = table->capacity.accelerators;
+
+	for (guint i = 0; i < table->runs->len; i++)
+		if (run_table_at(table, i)->state != RUN_QUEUED)
+			free -= run_table_at(table, i)->request.accelerators;
+	return free;
+}
+
 void run_table_get_load(const struct run_table *table, struct run_load *load)
 {
 	memset(load, 0, sizeof(*load));
 	sum_load(table, true, load);
 	load->failed_in_a_row = table->failed_in_a_row;
+	if (load->free_memory_mb < 0 || free_accelerators(table) < 0)
+		load->free_cpu_milli = MIN(load->free_cpu_milli, -1);
 }
 
-static uint32_t accelerators_in_use(const struct run_table *table)
-{
-	uint32_t sum = 0;
-
-	for (guint i = 0; i < table->runs->len; i++)
-		if (run_table_at(table, i)->state != RUN_QUEUED)
-			sum += run_table_at(table, i)->request.accelerators;
-	return sum;
-}
-
+/* Nothing fits while the capacity is below what runs there. */
 static bool fits(const struct run_table *table, const struct run *run)
 {
 	struct run_load load = { 0 };
 
 	sum_load(table, false, &load);
-	if (run->request.accelerators &&
-	    run->request.accelerators + accelerators_in_use(table) >
-		    table->capacity.accelerators)
-		return false;
 	return run->request.cpu_milli <= load.free_cpu_milli &&
-	       run->request.memory_mb <= load.free_memory_mb;
+	       run->request.memory_mb <= load.free_memory_mb &&
+	       run->request.accelerators <= free_accelerators(table);
 }
 
 /* ---- Starting ------------------------------------------------------- */
--- a/src/leased/run_table.h
+++ b/src/leased/run_table.h
@@ -55,7 +55,9 @@
 #define RUN_FAILURES_COUNTED_MAX 4
 
 struct run_load {
-	int64_t free_cpu_milli, free_memory_mb; /* minus queued runs too */
+	/* Minus queued runs too. While one resource is exceeded, as the
+	 * server's capacity has shrunk, no processors are free either. */
+	int64_t free_cpu_milli, free_memory_mb;
 	uint32_t running, queued;
 	/* Consecutive failed jobs, of all dispatchers. Several failed tasks of
 	 * one job count once, because they all fail if the job itself is
--- a/tests/test_capacity_share.c
+++ b/tests/test_capacity_share.c
@@ -72,6 +72,27 @@
 	}
 }
 
+/* Guards against a division by zero, and against capacity reported on a server
+ * that has shrunk below what runs there. */
+static void test_shrunk_to_nothing(void **state)
+{
+	static const int64_t free_milli[] = { 0, -1, -64000 };
+	struct capacity_share *share = make(DISPATCHERS);
+
+	(void)state;
+	capacity_share_set_demand(share, 1, true);
+	for (size_t i = 0; i < sizeof(free_milli) / sizeof(free_milli[0]);
+	     i++) {
+		capacity_share_rotate(share, free_milli[i], 0, 100);
+		assert_false(
+			capacity_share_is_rotating(share, free_milli[i], 0));
+		for (uint64_t k = 1; k <= DISPATCHERS + 1; k++)
+			assert_true(capacity_share_reported(
+					    share, k, free_milli[i], 0) <= 0);
+	}
+	capacity_share_destroy(share);
+}
+
 /* The reported value never exceeds the free capacity, and small changes don't
  * alter it. */
 static void test_plentiful_capacity_is_rounded_to_steps(void **state)
@@ -242,6 +263,7 @@
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_shrunk_to_nothing),
 		cmocka_unit_test(test_reported_capacity),
 		cmocka_unit_test(test_plentiful_capacity_is_rounded_to_steps),
 		cmocka_unit_test(test_no_rotation_without_demand),
--- a/tests/test_run_table.c
+++ b/tests/test_run_table.c
@@ -123,6 +123,56 @@
 	run_table_destroy(table);
 }
 
+/* Guards against starts on a server whose capacity has shrunk below what runs
+ * there, in any of its resources, until it fits again. */
+static void test_shrunk_capacity(void **state)
+{
+	static const uint32_t shrunk[][3] = { { 0, 0, 0 },
+					      { 1999, 1000, 2 },
+					      { 4000, 1, 2 },
+					      { 4000, 1000, 1 } };
+	static const struct cf_capacity full = { .cpu_milli = 4000,
+						 .memory_mb = 1000,
+						 .accelerators = 2 };
+	static const uint32_t accelerators[] = { 2, 0, 0 };
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(shrunk); i++) {
+		struct run_table *table = run_table_create();
+		struct cf_capacity less = { .cpu_milli = shrunk[i][0],
+					    .memory_mb = shrunk[i][1],
+					    .accelerators = shrunk[i][2] };
+		struct run_load load;
+
+		run_table_set_capacity(table, &full);
+		for (uint32_t k = 0; k < 3; k++) {
+			struct run_request run = {
+				.name = name_of(k, 1),
+				.dispatcher = DISPATCHER,
+				.spec = g_bytes_new("x", 1),
+				.cpu_milli = k < 2 ? 1000 : 0,
+				.memory_mb = k < 2 ? 1 : 0,
+				.accelerators = accelerators[k],
+				.deadline_ms = 10000
+			};
+
+			if (k == 2)
+				run_table_set_capacity(table, &less);
+			run_table_enqueue(table, &run, 1);
+			g_bytes_unref(run.spec);
+			assert_int_equal(start_next(table, 1),
+					 k < 2 ? (int)k : NONE);
+		}
+		run_table_get_load(table, &load);
+		assert_true(load.free_cpu_milli < 0);
+		run_table_set_capacity(table, &full);
+		run_table_get_load(table, &load);
+		assert_int_equal(load.free_cpu_milli, 2000);
+		assert_int_equal(start_next(table, 2), 2);
+		run_table_destroy(table);
+	}
+}
+
 static void test_duplicate_request_is_one_run(void **state)
 {
 	struct run_table *table = make_table(10000);
@@ -467,6 +517,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_blocked_runs_go_back),
 		cmocka_unit_test(test_starts_in_order_within_capacity),
+		cmocka_unit_test(test_shrunk_capacity),
 		cmocka_unit_test(test_duplicate_request_is_one_run),
 		cmocka_unit_test(test_a_run_past_its_deadline_never_starts),
 		cmocka_unit_test(test_start_answers),
