Dispatcher: no division by a capacity of 0

Cause: a server without processors got NaN as its predicted end of a task that needs none, and NaN is chosen in preference to all others. Change: the capacity counts as 1 at least there. Admission and the other users of a server's capacity only add or compare it. Evidence: test_dispatch before: test_server_shrunk_to_nothing failed with '0x1 != 0' starts at the server without processors, now 9 of 9.

--- a/src/leased/dispatch_place.c
+++ b/src/leased/dispatch_place.c
@@ -159,7 +159,7 @@
 				  const struct dispatch_task *task,
 				  int64_t now_ms)
 {
-	double capacity = (double)server->state.capacity.cpu_milli;
+	double capacity = MAX((double)server->state.capacity.cpu_milli, 1);
 	double used = 1 - (double)server_free_cpu_milli(server) / capacity;
 	double finish = server_run_ms(d, server, job) +
 			used * FULL_SERVER_PENALTY_MS +
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -602,6 +602,26 @@
 	}
 }
 
+/* Guards against a division by zero: a task that needs no processors would go
+ * to a server that has shrunk to none, in preference to all others. */
+static void test_server_shrunk_to_nothing(void **state)
+{
+	struct recorder r;
+	struct dispatch *d = create_dispatch(&r, true);
+	struct server_state shrunk = { .name = "a",
+				       .service = "desk",
+				       .capacity = { .memory_mb = 10 },
+				       .free_memory_mb = 10,
+				       .accepting = true };
+
+	(void)state;
+	dispatch_update_server(d, 1, &shrunk, 0);
+	submit_tasks(d, "j", &r, 5000, 1, 0);
+	assert_int_equal(r.starts, 1);
+	assert_int_equal(r.starts_at_a, 0);
+	dispatch_destroy(d);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -613,6 +633,7 @@
 		cmocka_unit_test(test_servers_that_fail_all),
 		cmocka_unit_test(test_demand_begins_and_ends),
 		cmocka_unit_test(test_late_runs_move),
+		cmocka_unit_test(test_server_shrunk_to_nothing),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
