Logs and metrics of lost servers, lost tasks and jobs given up

Cause: on-call could not see that a class crashes servers, nor why its jobs end. Change: agents log server_lost (evidence, runs, the five youngest with class, age and earlier losses) and count servers_lost_total{evidence} and runs_lost_total; dispatchers log task_lost and task_given_up and count tasks_lost_total and jobs_crashing_total.

--- a/src/leased/dispatch.h
+++ b/src/leased/dispatch.h
@@ -113,6 +113,8 @@
 	uint32_t late_waiting_tasks; /* included in waiting_tasks */
 	uint64_t
 		late_jobs; /* that ever waited without a chance to be in time */
+	uint64_t lost_runs; /* that ever were lost with their servers */
+	uint64_t crashing_jobs; /* that ever failed because servers crashed */
 	uint32_t speeds_known; /* servers whose speed was measured */
 	uint32_t interfering_pairs;
 	uint64_t capacity_milli, free_milli;
--- a/src/leased/dispatch_internal.h
+++ b/src/leased/dispatch_internal.h
@@ -187,6 +187,9 @@
 	struct dispatch_lane late; /* jobs that can't meet their target */
 	uint64_t late_jobs; /* that ever were in it */
 	struct rate in_time_rate; /* work of jobs admitted to be in time */
+	uint64_t lost_runs; /* with their servers */
+	uint64_t
+		crashing_jobs; /* given up because servers crashed under them */
 	double virtual_time; /* of the lane served last */
 	bool placing; /* dispatch_place_tasks() is running */
 	/* Set while few servers fail all their tasks. If many do, the fault is
--- a/src/leased/dispatch_jobs.c
+++ b/src/leased/dispatch_jobs.c
@@ -421,6 +421,8 @@
 		load->sent_tasks += job->n_sent;
 	}
 	load->late_jobs = d->late_jobs;
+	load->lost_runs = d->lost_runs;
+	load->crashing_jobs = d->crashing_jobs;
 	load->servers = d->servers->len;
 	load->speeds_known = speed_view_known(d->speeds);
 	load->interfering_pairs = interference_view_count(d->interference);
--- a/src/leased/dispatch_runs.c
+++ b/src/leased/dispatch_runs.c
@@ -130,9 +130,22 @@
 		task->lost_on[task->losses] = task->server->id;
 	task->losses++;
 	task->suspect_losses += run_ms <= LOSS_SUSPECT_MS;
+	d->lost_runs++;
+	log_event(LOG_WARN, "task_lost",
+		  "job=%s class=%s index=%u server=%s losses=%u suspect=%u "
+		  "age_ms=%u",
+		  job->id, job->class->name, task->index,
+		  task->server->state.name, task->losses, task->suspect_losses,
+		  run_ms);
 	reason = find_loss_limit(task);
-	if (reason && !job->ended)
+	if (reason && !job->ended) {
+		d->crashing_jobs++;
+		log_event(LOG_WARN, "task_given_up",
+			  "job=%s class=%s index=%u losses=%u reason=\"%s\"",
+			  job->id, job->class->name, task->index, task->losses,
+			  reason);
 		dispatch_end_job(d, job, JOB_VERDICT_FAILED, reason, 0);
+	}
 	requeue_task(d, job, task, RUN_OUTCOME_LOST, now_ms);
 }
 
--- a/src/leased/dispatcher.c
+++ b/src/leased/dispatcher.c
@@ -112,6 +112,13 @@
 
 /* ---- Periodic work -------------------------------------------------- */
 
+static void raise_counter(struct counter *counter, uint64_t *counted,
+			  uint64_t total)
+{
+	counter_add(counter, (int64_t)(total - *counted));
+	*counted = total;
+}
+
 static void set_gauges(struct leased_dispatcher *d, int64_t now_ms)
 {
 	struct dispatch_load load;
@@ -123,9 +130,10 @@
 	gauge_set(d->jobs, load.jobs);
 	gauge_set(d->waiting, load.waiting_tasks);
 	gauge_set(d->late_waiting, load.late_waiting_tasks);
-	counter_add(d->late_jobs,
-		    (int64_t)(load.late_jobs - d->counted_late_jobs));
-	d->counted_late_jobs = load.late_jobs;
+	raise_counter(d->late_jobs, &d->counted_late_jobs, load.late_jobs);
+	raise_counter(d->lost_runs, &d->counted_lost_runs, load.lost_runs);
+	raise_counter(d->crashing_jobs, &d->counted_crashing_jobs,
+		      load.crashing_jobs);
 	gauge_set(d->sent, load.sent_tasks);
 	gauge_set(d->servers, load.servers);
 	gauge_set(d->usable, load.usable_servers);
@@ -202,6 +210,11 @@
 	d->late_jobs = counter_get("jobs_late_total", NULL,
 				   "jobs that waited without a chance to be "
 				   "in time");
+	d->lost_runs = counter_get("tasks_lost_total", NULL,
+				   "runs of tasks lost with their server");
+	d->crashing_jobs =
+		counter_get("jobs_crashing_total", NULL,
+			    "jobs that failed because servers crashed");
 	d->sent = gauge_get("tasks_sent", NULL, "tasks at servers");
 	d->servers = gauge_get("servers_known", NULL, "servers known");
 	d->usable = gauge_get("servers_usable", NULL, "servers that take work");
--- a/src/leased/run_table.c
+++ b/src/leased/run_table.c
@@ -91,13 +91,12 @@
 		  sizeof(table->failed_job));
 }
 
-static int64_t elapsed_ms(const struct run *run, enum run_outcome outcome,
-			  int64_t now_ms)
+uint32_t run_table_lost_after_ms(const struct run *run)
 {
-	if (outcome == RUN_OUTCOME_LOST)
-		return run->lost_ms -
-		       (run->started_ms ? run->started_ms : run->start_sent_ms);
-	return run->started_ms ? now_ms - run->started_ms : 0;
+	int64_t began_ms = run->started_ms ? run->started_ms
+					   : run->start_sent_ms;
+
+	return (uint32_t)MAX(run->lost_ms - began_ms, 0);
 }
 
 enum run_outcome run_table_cut_outcome(const struct run *run)
@@ -114,7 +113,10 @@
 				     .outcome = outcome,
 				     .expected_ms = run->request.expected_ms };
 
-	result.run_ms = (uint32_t)MAX(elapsed_ms(run, outcome, now_ms), 0);
+	if (outcome == RUN_OUTCOME_LOST)
+		result.run_ms = run_table_lost_after_ms(run);
+	else if (run->started_ms && now_ms > run->started_ms)
+		result.run_ms = (uint32_t)(now_ms - run->started_ms);
 	count_failure(table, &result);
 	g_queue_push_tail(&table->results, g_memdup2(&result, sizeof(result)));
 	g_ptr_array_remove_index(table->runs, position);
@@ -443,22 +445,7 @@
 	return false;
 }
 
-/* ---- Lease expiry, crash and restart of the server ------------------- */
-
-/* A run whose stop was acknowledged had ended, and a start that was sent later
- * can't have arrived. */
-static bool may_be_lost(const struct run *run, int64_t crashed_ms)
-{
-	return run->may_have_started && run->state != RUN_STOPPED &&
-	       !run->lost_ms && run->start_sent_ms <= crashed_ms;
-}
-
-void run_table_server_crashed(struct run_table *table, int64_t crashed_ms)
-{
-	for (guint i = 0; i < table->runs->len; i++)
-		if (may_be_lost(run_table_at(table, i), crashed_ms))
-			run_table_at(table, i)->lost_ms = crashed_ms;
-}
+/* ---- Lease expiry and server restart -------------------------------- */
 
 void run_table_lease_expired(struct run_table *table, int64_t now_ms)
 {
--- a/src/leased/run_table.h
+++ b/src/leased/run_table.h
@@ -52,6 +52,13 @@
 	uint32_t ran_ms, expected_ms; /* so far; of the request */
 };
 
+/* A run that was lost with its server. */
+struct run_loss {
+	char class_name[CF_NAME_SIZE];
+	uint32_t ran_ms; /* until the crash */
+	uint32_t losses; /* servers that crashed under its task before */
+};
+
 #define RUN_FAILURES_COUNTED_MAX 4
 
 struct run_load {
@@ -110,8 +117,10 @@
 			   int64_t now_ms, GArray *unknown_runs);
 /* The server process crashed at crashed_ms, or shortly before. Runs that it may
  * have had then are lost; each still ends with the lease or with a list of the
- * new incarnation. */
-void run_table_server_crashed(struct run_table *table, int64_t crashed_ms);
+ * new incarnation. They are appended to losses (struct run_loss), the youngest
+ * first. */
+void run_table_server_crashed(struct run_table *table, int64_t crashed_ms,
+			      GArray *losses);
 /* Ends all runs: the server's lease has expired, so nothing runs there. */
 void run_table_lease_expired(struct run_table *table, int64_t now_ms);
 /* The server process was restarted some time before now. Runs that were
--- a/src/leased/run_table_internal.h
+++ b/src/leased/run_table_internal.h
@@ -45,6 +45,9 @@
 /* The outcome of a run that may have begun and has ended without its own
  * doing. */
 enum run_outcome run_table_cut_outcome(const struct run *run);
+/* Time from the start of a lost run, or from the start call if that has no
+ * answer, to the crash. */
+uint32_t run_table_lost_after_ms(const struct run *run);
 /* Removes the run at this position and queues its result. */
 void run_table_finish_at(struct run_table *table, guint position,
 			 enum run_outcome outcome, int64_t now_ms);
--- a/src/leased/server_crash.c
+++ b/src/leased/server_crash.c
@@ -3,8 +3,15 @@
  */
 #include "leased/server_crash.h"
 
+#include "base/counters.h"
+#include "base/logger.h"
+
+#include <inttypes.h>
 #include <string.h>
 
+/* Bounds the log line of a server with many runs. */
+#define LOGGED_RUNS_MAX 5
+
 void server_crash_call_failed(struct server_crash *crash,
 			      const struct http_answer *answer, int64_t now_ms)
 {
@@ -45,13 +52,61 @@
 	return crash->refused ? SERVER_CRASH_REFUSED : SERVER_CRASH_NONE;
 }
 
+/* Lists the youngest runs, one of which likely caused the crash, as
+ * "class:age:losses". */
+static char *format_youngest(const GArray *losses)
+{
+	GString *text = g_string_new(NULL);
+
+	for (guint i = 0; i < losses->len && i < LOGGED_RUNS_MAX; i++) {
+		const struct run_loss *loss =
+			&g_array_index(losses, struct run_loss, i);
+
+		g_string_append_printf(text, "%s%s:%u:%u", i ? " " : "",
+				       loss->class_name, loss->ran_ms,
+				       loss->losses);
+	}
+	return g_string_free(text, FALSE);
+}
+
+static void report_losses(enum server_crash_evidence evidence,
+			  const char *server, const GArray *losses,
+			  int64_t ago_ms)
+{
+	static const char *const names[] = {
+		[SERVER_CRASH_REFUSED] = "refused",
+		[SERVER_CRASH_RESTARTED] = "restarted",
+		[SERVER_CRASH_REPLACED] = "replaced",
+	};
+	g_autofree char *youngest = format_youngest(losses);
+	g_autofree char *label =
+		g_strdup_printf("evidence=\"%s\"", names[evidence]);
+
+	counter_add(counter_get("servers_lost_total", label,
+				"backend servers that crashed with runs"),
+		    1);
+	counter_add(counter_get("runs_lost_total", NULL,
+				"runs lost with their backend server"),
+		    losses->len);
+	log_event(LOG_WARN, "server_lost",
+		  "server=%s evidence=%s runs=%u ago_ms=%" PRId64
+		  " youngest=\"%s\"",
+		  server, names[evidence], losses->len, ago_ms, youngest);
+}
+
 void server_crash_lose_runs(const struct server_crash *crash,
 			    enum server_crash_evidence evidence,
 			    const struct server_report *server,
 			    struct run_table *runs, int64_t now_ms)
 {
+	g_autoptr(GArray)
+		losses = g_array_new(FALSE, FALSE, sizeof(struct run_loss));
+	int64_t crashed_ms = crash->failed_ms ? crash->failed_ms : now_ms;
+
 	if (evidence == SERVER_CRASH_NONE || server->draining)
 		return;
-	run_table_server_crashed(runs,
-				 crash->failed_ms ? crash->failed_ms : now_ms);
+	run_table_server_crashed(runs, crashed_ms, losses);
+	if (losses->len)
+		report_losses(evidence, server->name, losses,
+			      now_ms - crashed_ms);
 }
