Dispatchers remember the servers that crashed under a task

Cause: a dispatcher learns of a loss when the lease has ended, 0.7 s after the crash, and the callers of short jobs don't wait for three of them. A job that is sent again, to this dispatcher or another one, began without losses, so that its task went on taking server after server. Change: dispatch_losses.c keeps the losses of a task by job id for a minute after the last, for 2000 jobs at most, and a job that is sent again begins with them; it fails at once if a task had lost too many. A loss told while the job runs here counts too.

--- a/src/leased/agent_peers.c
+++ b/src/leased/agent_peers.c
@@ -161,6 +161,26 @@
 
 /* ---- Results -------------------------------------------------------- */
 
+/* A job that crashes servers may be sent again to another dispatcher, so all
+ * of them count its losses. The run number 0, which no run has, tells the
+ * others that it isn't a run of theirs. */
+static void tell_others_of_loss(struct leased_agent *a,
+				const struct run_result *result)
+{
+	struct run_result foreign = *result;
+	GHashTableIter iter;
+	gpointer value;
+
+	foreign.name.number = 0;
+	g_hash_table_iter_init(&iter, a->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct peer *p = value;
+
+		if (p->link && p->incarnation != result->dispatcher)
+			g_array_append_val(p->results, foreign);
+	}
+}
+
 static void add_result(struct leased_agent *a, const struct run_result *result,
 		       int64_t now_ms)
 {
@@ -171,6 +191,8 @@
 		  "job=%s index=%u number=%u outcome=%d run_ms=%u",
 		  result->name.job, result->name.index, result->name.number,
 		  result->outcome, result->run_ms);
+	if (result->outcome == RUN_OUTCOME_LOST)
+		tell_others_of_loss(a, result);
 	if (!p)
 		return;
 	g_array_append_val(p->results, *result);
--- a/src/leased/dispatch.h
+++ b/src/leased/dispatch.h
@@ -163,6 +163,7 @@
 /* Ends a report: servers of the agent that were not updated since the last
  * report accept no more work. */
 void dispatch_finish_report(struct dispatch *d, uint64_t agent, int64_t now_ms);
+/* Run number 0 stands for a lost run of another dispatcher. */
 void dispatch_handle_result(struct dispatch *d, uint64_t agent,
 			    const struct run_result *result, int64_t now_ms);
 /* Returns the runs at an agent (struct run_name). Runs that are being stopped
--- a/src/leased/dispatch_internal.h
+++ b/src/leased/dispatch_internal.h
@@ -106,7 +106,8 @@
 	uint32_t failures, moves;
 	uint32_t losses; /* servers that crashed under it */
 	uint32_t suspect_losses; /* those within LOSS_SUSPECT_MS of its start */
-	uint64_t lost_on[TASK_LOSSES_MAX]; /* their ids */
+	uint64_t lost_on[TASK_LOSSES_MAX]; /* ids of those where it was sent */
+	uint32_t n_lost_on;
 	bool stopping; /* a stop command was sent */
 	bool overdue_reported;
 	struct dispatch_server *server; /* DISPATCH_TASK_SENT */
@@ -170,6 +171,7 @@
 	const struct cf_config *config;
 	GHashTable *jobs; /* id -> struct dispatch_job */
 	GHashTable *classes; /* name -> struct dispatch_class */
+	GHashTable *losses; /* job id -> struct job_losses */
 	GHashTable *agents; /* incarnation -> struct dispatch_agent */
 	GPtrArray *servers; /* struct dispatch_server */
 	uint64_t next_server;
@@ -209,6 +211,22 @@
 void dispatch_abort_job(struct dispatch *d, struct dispatch_job *job,
 			const char *reason, int64_t now_ms);
 
+/* ---- Losses (dispatch_losses.c) ------------------------------------- */
+
+GHashTable *losses_create(void);
+/* Applies the losses of an earlier submission of the job. */
+void losses_restore(struct dispatch *d, struct dispatch_job *job,
+		    int64_t now_ms);
+/* Counts a server that crashed run_ms after the start of this run there. */
+void losses_add(struct dispatch *d, const struct run_name *name,
+		uint32_t run_ms, int64_t now_ms);
+/* The same for a run of another dispatcher. */
+void losses_add_foreign(struct dispatch *d, const struct run_result *result,
+			int64_t now_ms);
+/* Ends the job as failed if a task has lost too many servers; returns whether
+ * it has. */
+bool losses_end_job(struct dispatch *d, struct dispatch_job *job);
+
 /* ---- Order (dispatch_order.c) --------------------------------------- */
 
 /* The class's share of the starts, from 0 to 1. */
--- a/src/leased/dispatch_jobs.c
+++ b/src/leased/dispatch_jobs.c
@@ -68,6 +68,7 @@
 					   free_class);
 	d->agents = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					  free_agent);
+	d->losses = losses_create();
 	d->servers = g_ptr_array_new_with_free_func(g_free);
 	dispatch_lane_init(&d->late);
 	d->predict = cf_predict_create();
@@ -84,6 +85,7 @@
 	g_hash_table_destroy(d->jobs);
 	g_hash_table_destroy(d->classes);
 	g_hash_table_destroy(d->agents);
+	g_hash_table_destroy(d->losses);
 	dispatch_lane_clear(&d->late);
 	g_ptr_array_unref(d->servers);
 	cf_predict_destroy(d->predict);
@@ -268,6 +270,11 @@
 		 now_ms);
 	job->class->unsent_jobs++;
 	dispatch_count_waiting(d, job, (int32_t)job->spec.n_tasks);
+	losses_restore(d, job, now_ms);
+	if (losses_end_job(d, job)) {
+		dispatch_free_job_if_finished(d, job);
+		return;
+	}
 	if (!admit_job(d, job, now_ms, &reason, &retry_after_s)) {
 		dispatch_end_job(d, job, JOB_VERDICT_REFUSED, reason,
 				 retry_after_s);
--- /dev/null
+++ b/src/leased/dispatch_losses.c
@@ -0,0 +1,182 @@
+/*
+ * dispatch_losses: the servers that crashed under the tasks of a job. They are
+ * remembered after the job has ended, as its caller may send it again: a task
+ * that crashes servers takes most of a second for each, and callers don't wait
+ * for three. Losses under other dispatchers count too, as the caller may choose
+ * another one.
+ */
+#include "leased/dispatch_internal.h"
+
+#include "base/logger.h"
+
+#include <string.h>
+
+/* ---- Constants ------------------------------------------------------ */
+
+/* A job that is sent again after this time starts without losses. */
+#define REMEMBERED_MS 60000
+/* Beyond these, the losses of the job that expires next are forgotten. */
+#define REMEMBERED_JOBS_MAX 2000
+
+/* ---- Types ---------------------------------------------------------- */
+
+struct task_losses {
+	uint32_t index, losses, suspect;
+};
+
+struct job_losses {
+	char job[LEASED_JOB_SIZE]; /* key */
+	int64_t expires_ms;
+	GArray *tasks; /* struct task_losses */
+};
+
+/* ---- Memory --------------------------------------------------------- */
+
+static void free_job_losses(gpointer data)
+{
+	struct job_losses *known = data;
+
+	g_array_unref(known->tasks);
+	g_free(known);
+}
+
+GHashTable *losses_create(void)
+{
+	return g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+				     free_job_losses);
+}
+
+static void forget_expired(struct dispatch *d, int64_t now_ms)
+{
+	GHashTableIter iter;
+	gpointer value;
+	const struct job_losses *oldest = NULL;
+
+	g_hash_table_iter_init(&iter, d->losses);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct job_losses *known = value;
+
+		if (known->expires_ms <= now_ms)
+			g_hash_table_iter_remove(&iter);
+		else if (!oldest || known->expires_ms < oldest->expires_ms)
+			oldest = known;
+	}
+	if (oldest && g_hash_table_size(d->losses) >= REMEMBERED_JOBS_MAX)
+		g_hash_table_remove(d->losses, oldest->job);
+}
+
+static struct job_losses *find_job_losses(struct dispatch *d, const char *job,
+					  int64_t now_ms)
+{
+	struct job_losses *known = g_hash_table_lookup(d->losses, job);
+
+	if (!known) {
+		forget_expired(d, now_ms);
+		known = g_new0(struct job_losses, 1);
+		g_strlcpy(known->job, job, sizeof(known->job));
+		known->tasks =
+			g_array_new(FALSE, TRUE, sizeof(struct task_losses));
+		g_hash_table_insert(d->losses, known->job, known);
+	}
+	known->expires_ms = now_ms + REMEMBERED_MS;
+	return known;
+}
+
+static struct task_losses *find_task_losses(struct job_losses *known,
+					    uint32_t index)
+{
+	struct task_losses added = { .index = index };
+
+	for (guint i = 0; i < known->tasks->len; i++) {
+		struct task_losses *task =
+			&g_array_index(known->tasks, struct task_losses, i);
+
+		if (task->index == index)
+			return task;
+	}
+	g_array_append_val(known->tasks, added);
+	return &g_array_index(known->tasks, struct task_losses,
+			      known->tasks->len - 1);
+}
+
+void losses_restore(struct dispatch *d, struct dispatch_job *job,
+		    int64_t now_ms)
+{
+	const struct job_losses *known =
+		g_hash_table_lookup(d->losses, job->id);
+
+	for (guint i = 0; known && i < known->tasks->len; i++) {
+		const struct task_losses *from =
+			&g_array_index(known->tasks, struct task_losses, i);
+
+		if (known->expires_ms <= now_ms ||
+		    from->index >= job->spec.n_tasks)
+			continue;
+		job->tasks[from->index].losses = from->losses;
+		job->tasks[from->index].suspect_losses = from->suspect;
+	}
+}
+
+/* ---- Losses --------------------------------------------------------- */
+
+void losses_add(struct dispatch *d, const struct run_name *name,
+		uint32_t run_ms, int64_t now_ms)
+{
+	struct dispatch_job *job = g_hash_table_lookup(d->jobs, name->job);
+	struct task_losses *known = find_task_losses(
+		find_job_losses(d, name->job, now_ms), name->index);
+	struct dispatch_task *task;
+
+	known->losses++;
+	known->suspect += run_ms <= LOSS_SUSPECT_MS;
+	if (!job || name->index >= job->spec.n_tasks)
+		return;
+	task = &job->tasks[name->index];
+	task->losses = known->losses;
+	task->suspect_losses = known->suspect;
+	log_event(LOG_WARN, "task_lost",
+		  "job=%s class=%s index=%u server=%s losses=%u suspect=%u "
+		  "age_ms=%u",
+		  job->id, job->class->name, task->index,
+		  name->number && task->server ? task->server->state.name : "",
+		  task->losses, task->suspect_losses, run_ms);
+}
+
+static const char *find_limit(const struct dispatch_task *task)
+{
+	if (task->losses >= TASK_LOSSES_MAX)
+		return "as many servers crashed under a task as may";
+	if (task->suspect_losses >= TASK_SUSPECT_LOSSES_MAX)
+		return "servers crashed when a task was started there";
+	return NULL;
+}
+
+bool losses_end_job(struct dispatch *d, struct dispatch_job *job)
+{
+	for (uint32_t i = 0; !job->ended && i < job->spec.n_tasks; i++) {
+		const struct dispatch_task *task = &job->tasks[i];
+		const char *reason = find_limit(task);
+
+		if (!reason || task->state == DISPATCH_TASK_DONE)
+			continue;
+		d->crashing_jobs++;
+		log_event(LOG_WARN, "task_given_up",
+			  "job=%s class=%s index=%u losses=%u reason=\"%s\"",
+			  job->id, job->class->name, task->index, task->losses,
+			  reason);
+		dispatch_end_job(d, job, JOB_VERDICT_FAILED, reason, 0);
+		return true;
+	}
+	return false;
+}
+
+void losses_add_foreign(struct dispatch *d, const struct run_result *result,
+			int64_t now_ms)
+{
+	struct dispatch_job *job =
+		g_hash_table_lookup(d->jobs, result->name.job);
+
+	losses_add(d, &result->name, result->run_ms, now_ms);
+	if (job && losses_end_job(d, job))
+		dispatch_free_job_if_finished(d, job);
+}
--- a/src/leased/dispatch_place.c
+++ b/src/leased/dispatch_place.c
@@ -111,7 +111,7 @@
 
 static bool was_lost_on(const struct dispatch_task *task, uint64_t server)
 {
-	for (uint32_t i = 0; i < MIN(task->losses, TASK_LOSSES_MAX); i++)
+	for (uint32_t i = 0; i < MIN(task->n_lost_on, TASK_LOSSES_MAX); i++)
 		if (task->lost_on[i] == server)
 			return true;
 	return false;
--- a/src/leased/dispatch_runs.c
+++ b/src/leased/dispatch_runs.c
@@ -109,43 +109,16 @@
 	requeue_task(d, job, task, RUN_OUTCOME_FAILED, now_ms);
 }
 
-static const char *find_loss_limit(const struct dispatch_task *task)
-{
-	if (task->losses >= TASK_LOSSES_MAX)
-		return "as many servers crashed under a task as may";
-	if (task->suspect_losses >= TASK_SUSPECT_LOSSES_MAX)
-		return "servers crashed when a task was started there";
-	return NULL;
-}
-
 /* The task's server has crashed. That counts neither as an attempt of the task
- * nor against the health of the server. run_ms: until the crash. */
+ * nor against the health of the server. */
 static void task_lost(struct dispatch *d, struct dispatch_job *job,
-		      struct dispatch_task *task, uint32_t run_ms,
-		      int64_t now_ms)
+		      struct dispatch_task *task,
+		      const struct run_result *result, int64_t now_ms)
 {
-	const char *reason;
-
-	if (task->losses < TASK_LOSSES_MAX)
-		task->lost_on[task->losses] = task->server->id;
-	task->losses++;
-	task->suspect_losses += run_ms <= LOSS_SUSPECT_MS;
+	task->lost_on[task->n_lost_on++ % TASK_LOSSES_MAX] = task->server->id;
 	d->lost_runs++;
-	log_event(LOG_WARN, "task_lost",
-		  "job=%s class=%s index=%u server=%s losses=%u suspect=%u "
-		  "age_ms=%u",
-		  job->id, job->class->name, task->index,
-		  task->server->state.name, task->losses, task->suspect_losses,
-		  run_ms);
-	reason = find_loss_limit(task);
-	if (reason && !job->ended) {
-		d->crashing_jobs++;
-		log_event(LOG_WARN, "task_given_up",
-			  "job=%s class=%s index=%u losses=%u reason=\"%s\"",
-			  job->id, job->class->name, task->index, task->losses,
-			  reason);
-		dispatch_end_job(d, job, JOB_VERDICT_FAILED, reason, 0);
-	}
+	losses_add(d, &result->name, result->run_ms, now_ms);
+	losses_end_job(d, job);
 	requeue_task(d, job, task, RUN_OUTCOME_LOST, now_ms);
 }
 
@@ -176,6 +149,10 @@
 	struct dispatch_job *job;
 	struct dispatch_task *task;
 
+	if (!result->name.number && result->outcome == RUN_OUTCOME_LOST) {
+		losses_add_foreign(d, result, now_ms);
+		return;
+	}
 	if (!find_run(d, agent, &result->name, &job, &task))
 		return;
 	log_event(LOG_INFO, "run_settled",
@@ -192,7 +169,7 @@
 		task_failed(d, job, task, now_ms);
 		break;
 	case RUN_OUTCOME_LOST:
-		task_lost(d, job, task, result->run_ms, now_ms);
+		task_lost(d, job, task, result, now_ms);
 		break;
 	case RUN_OUTCOME_STALE:
 		task->number += NUMBER_STEP_STALE;
--- a/tests/support/leased_standin.c
+++ b/tests/support/leased_standin.c
@@ -339,9 +339,14 @@
 
 void standin_destroy(struct standin *s)
 {
+	if (!s)
+		return;
 	g_atomic_int_set(&s->stopping, 1);
-	g_thread_join(s->reporter);
 	http_server_destroy(s->server);
+	g_thread_join(s->reporter);
+	while (s->runs->len)
+		end_run(s, g_ptr_array_index(s->runs, 0), false,
+			clock_now_ms());
 	g_ptr_array_unref(s->runs);
 	g_array_unref(s->ends);
 	g_hash_table_destroy(s->refused_numbers);
--- a/tests/support/leased_standin.h
+++ b/tests/support/leased_standin.h
@@ -21,6 +21,10 @@
 /* Number of runs of the tasks of one job. */
 uint32_t standin_runs_of(struct standin_record *record, const char *job);
 
+/* The stand-in where this task of the job runs now, or NULL. */
+const struct standin *standin_running(struct standin_record *record,
+				      const char *job, uint32_t index);
+
 /* Runs with this label take factor times as long while a run with the other
  * label is at the same stand-in. Set before the first run. */
 void standin_set_slowdown(struct standin_record *record, const char *label,
@@ -41,6 +45,8 @@
 /* Simulates a crash and a restart under the same name: all runs and all state
  * are lost. */
 void standin_restart(struct standin *standin);
+/* Also simulates a crash: connections are refused from then on. NULL is
+ * allowed. */
 void standin_destroy(struct standin *standin);
 
 #endif
--- a/tests/support/leased_standin_record.c
+++ b/tests/support/leased_standin_record.c
@@ -88,6 +88,25 @@
 	return n;
 }
 
+const struct standin *standin_running(struct standin_record *record,
+				      const char *job, uint32_t index)
+{
+	g_autofree char *end = g_strdup_printf(".%u", index);
+	const struct standin *server = NULL;
+
+	g_mutex_lock(&record->lock);
+	for (guint i = 0; i < record->intervals->len; i++) {
+		const struct interval *run =
+			g_ptr_array_index(record->intervals, i);
+
+		if (!run->end_ms && g_str_has_prefix(run->task, job) &&
+		    g_str_has_suffix(run->task, end))
+			server = run->server;
+	}
+	g_mutex_unlock(&record->lock);
+	return server;
+}
+
 /* ---- Labels ---- */
 
 void standin_set_slowdown(struct standin_record *record, const char *label,
--- a/tests/support/leased_system.c
+++ b/tests/support/leased_system.c
@@ -368,12 +368,12 @@
 	snprintf(address, 40, "%s:%d", s->cluster->ip, base + i);
 }
 
-static void start_standin(struct leased_system *s, int i)
+void leased_system_start_server(struct leased_system *s, int i)
 {
-	char agent[16], name[16], address[40], advertised[40];
+	char agent[16], name[40], address[40], advertised[40];
 
 	snprintf(agent, sizeof(agent), "a%d", i + 1);
-	snprintf(name, sizeof(name), "i-%d", i + 1);
+	snprintf(name, sizeof(name), "i-%d-%d", i + 1, ++s->lives[i]);
 	address_at(s, SERVER_BASE, i, address);
 	address_at(s, s->server_relays[i] ? SERVER_RELAY_BASE : SERVER_BASE, i,
 		   advertised);
@@ -382,6 +382,12 @@
 			       cluster_address(s->cluster, agent, "control"));
 }
 
+void leased_system_crash_server(struct leased_system *s, int i)
+{
+	standin_destroy(s->standins[i]);
+	s->standins[i] = NULL;
+}
+
 /* Adds the relay between the dispatchers and an agent, and the one between the
  * agent and its backend server. */
 static void add_relays(struct leased_system *s, int i)
@@ -405,7 +411,7 @@
 	for (int i = 0; i < s->cluster->n_procs; i++)
 		proc_start(s->cluster, &s->cluster->procs[i]);
 	for (int i = 0; i < SYSTEM_AGENTS; i++)
-		start_standin(s, i);
+		leased_system_start_server(s, i);
 	leased_system_set_routes(s, 1);
 	for (int i = 1; i <= SYSTEM_DISPATCHERS; i++) {
 		char name[16];
--- a/tests/support/leased_system.h
+++ b/tests/support/leased_system.h
@@ -22,6 +22,7 @@
 	struct cluster *cluster;
 	struct standin_record *record;
 	struct standin *standins[SYSTEM_AGENTS];
+	int lives[SYSTEM_AGENTS]; /* of the stand-ins */
 	/* Relays between the dispatchers and an agent, and between an agent and
 	 * its stand-in; NULL without relays. */
 	struct relay *agent_relays[SYSTEM_AGENTS];
@@ -40,6 +41,10 @@
  * Its number must be SYSTEM_COORDINATORS + 1. */
 struct proc *leased_system_add_coordinator(struct leased_system *s, int number);
 
+/* Crashes a stand-in, and starts it again under another name. */
+void leased_system_crash_server(struct leased_system *s, int i);
+void leased_system_start_server(struct leased_system *s, int i);
+
 #define SYSTEM_NO_ANSWER 0
 #define SYSTEM_NOT_CONNECTED 1 /* the request was not sent */
 
--- a/tests/test_dispatch_losses.c
+++ b/tests/test_dispatch_losses.c
@@ -100,11 +100,8 @@
 	report_servers(d, agent, now_ms);
 }
 
-static struct dispatch *create_dispatch(struct recorder *r)
+static void submit(struct dispatch *d, struct recorder *r, int64_t now_ms)
 {
-	static const struct dispatch_sink_ops ops = { record_start, record_stop,
-						      record_answer,
-						      record_demand };
 	struct job_request request = { .id = "j",
 				       .route = { .name = "r",
 						  .service = "desk",
@@ -115,7 +112,20 @@
 						 .cpu_milli = 1000,
 						 .memory_mb = 1,
 						 .estimate_ms = 100 },
-				       .deadline_ms = FAR_MS };
+				       .arrived_ms = now_ms,
+				       .deadline_ms = now_ms + FAR_MS,
+				       .caller = r };
+
+	request.spec.spec = g_bytes_new("x", 1);
+	dispatch_submit(d, &request, now_ms);
+	g_bytes_unref(request.spec.spec);
+}
+
+static struct dispatch *create_dispatch(struct recorder *r)
+{
+	static const struct dispatch_sink_ops ops = { record_start, record_stop,
+						      record_answer,
+						      record_demand };
 	struct dispatch *d;
 
 	memset(r, 0, sizeof(*r));
@@ -123,10 +133,6 @@
 	d = dispatch_create(&r->sink, "dc");
 	for (uint64_t agent = 1; agent <= AGENTS; agent++)
 		connect_agent(d, agent, 0);
-	request.caller = r;
-	request.spec.spec = g_bytes_new("x", 1);
-	dispatch_submit(d, &request, 0);
-	g_bytes_unref(request.spec.spec);
 	return d;
 }
 
@@ -152,6 +158,9 @@
 	STEP_LOST_TWICE, /* the agent tells the same result again */
 	STEP_RECONNECT, /* the agent reconnects and then tells of the loss */
 	STEP_AGENT_LOST, /* and doesn't return */
+	STEP_FOREIGN, /* lost under another dispatcher */
+	STEP_RESENT, /* the caller leaves and sends the job again */
+	STEP_MUCH_LATER,
 };
 
 struct step {
@@ -257,6 +266,7 @@
 		[STEP_DONE] = RUN_OUTCOME_DONE,
 		[STEP_LOST_TWICE] = RUN_OUTCOME_LOST,
 		[STEP_RECONNECT] = RUN_OUTCOME_LOST,
+		[STEP_FOREIGN] = RUN_OUTCOME_LOST,
 	};
 	struct recorder before = *r;
 
@@ -265,6 +275,20 @@
 		lose_agent(d, r->agent, now_ms);
 		return;
 	}
+	if (step->kind == STEP_FOREIGN) {
+		before.last.number = 0;
+		g_strlcpy(before.last.job, "j", sizeof(before.last.job));
+	}
+	if (step->kind == STEP_MUCH_LATER) {
+		*now_ms += 60000;
+		return;
+	}
+	if (step->kind == STEP_RESENT) {
+		dispatch_abandon(d, "j", r, *now_ms);
+		end_run(d, &before, RUN_OUTCOME_STOPPED, 0, *now_ms);
+		submit(d, r, *now_ms);
+		return;
+	}
 	if (step->kind == STEP_RECONNECT) {
 		dispatch_agent_disconnected(d, r->agent, *now_ms);
 		connect_agent(d, r->agent, *now_ms);
@@ -288,6 +312,7 @@
 		struct dispatch *d = create_dispatch(&r);
 		int64_t now_ms = 0;
 
+		submit(d, &r, 0);
 		for (int k = 0; cases[i].steps[k].kind; k++)
 			take_step(d, &r, &cases[i].steps[k], &now_ms);
 		if (r.starts != cases[i].starts ||
@@ -312,6 +337,7 @@
 	struct step lost = { STEP_LOST, 500 };
 
 	(void)state;
+	submit(d, &r, 0);
 	take_step(d, &r, &lost, &now_ms);
 	take_step(d, &r, &lost, &now_ms);
 	assert_int_equal(r.starts, 3);
@@ -319,6 +345,75 @@
 	dispatch_destroy(d);
 }
 
+static const struct {
+	const char *name;
+	struct step before[3]; /* the job is sent */
+	struct step after[STEPS_MAX];
+	uint32_t starts, answers;
+	enum job_verdict verdict;
+} sent_again[] = {
+	{ "lost, sent again and lost, sent again",
+	  { { 0 } },
+	  { { STEP_LOST, 5 },
+	    { STEP_RESENT, 0 },
+	    { STEP_LOST, 5 },
+	    { STEP_RESENT, 0 } },
+	  3,
+	  3,
+	  JOB_VERDICT_FAILED },
+	{ "lost twice under another dispatcher",
+	  { { STEP_FOREIGN, 5 }, { STEP_FOREIGN, 5 } },
+	  { { 0 } },
+	  0,
+	  1,
+	  JOB_VERDICT_FAILED },
+	{ "lost under another dispatcher while it runs here",
+	  { { STEP_FOREIGN, 5 } },
+	  { { STEP_FOREIGN, 5 } },
+	  1,
+	  1,
+	  JOB_VERDICT_FAILED },
+	{ "lost here and there",
+	  { { STEP_FOREIGN, 500 } },
+	  { { STEP_LOST, 500 }, { STEP_DONE, 100 } },
+	  2,
+	  1,
+	  JOB_VERDICT_COMPLETED },
+	{ "lost under another dispatcher long ago",
+	  { { STEP_FOREIGN, 5 }, { STEP_FOREIGN, 5 }, { STEP_MUCH_LATER, 0 } },
+	  { { STEP_DONE, 100 } },
+	  1,
+	  1,
+	  JOB_VERDICT_COMPLETED },
+};
+
+/* Guards against a task that goes on crashing servers because its caller sends
+ * the job again, here or to another dispatcher. */
+static void test_losses_outlive_the_job(void **state)
+{
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(sent_again); i++) {
+		struct recorder r;
+		struct dispatch *d = create_dispatch(&r);
+		int64_t now_ms = 0;
+
+		for (int k = 0; k < 3 && sent_again[i].before[k].kind; k++)
+			take_step(d, &r, &sent_again[i].before[k], &now_ms);
+		for (uint64_t agent = 1; agent <= AGENTS; agent++)
+			dispatch_agent_lease_granted(d, agent, now_ms);
+		submit(d, &r, now_ms);
+		for (int k = 0; sent_again[i].after[k].kind; k++)
+			take_step(d, &r, &sent_again[i].after[k], &now_ms);
+		if (r.starts != sent_again[i].starts ||
+		    r.answers != sent_again[i].answers ||
+		    r.answer.verdict != sent_again[i].verdict)
+			fail_msg("%s: %u starts, %u answers, verdict %d",
+				 sent_again[i].name, r.starts, r.answers,
+				 r.answer.verdict);
+		dispatch_destroy(d);
+	}
+}
+
 /* ---- Load ----------------------------------------------------------- */
 
 /* Guards against crashes without end, and against jobs given up in masses
@@ -357,6 +452,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_losses_of_a_task),
 		cmocka_unit_test(test_retries_avoid_the_servers),
+		cmocka_unit_test(test_losses_outlive_the_job),
 		cmocka_unit_test(test_load_with_crashing_jobs),
 	};
 
