explain: jobs that failed because servers crashed

Cause: explain said of such a job that a task failed as often as it may, and named no server. Change: with task_given_up it lists the task_lost lines. Evidence: test_explain before: test_causes failed, now 2 of 2 passed.

--- a/src/verbs/explain.c
+++ b/src/verbs/explain.c
@@ -130,6 +130,24 @@
 	}
 }
 
+static void add_losses(const GPtrArray *lines, GString *out)
+{
+	g_string_append(out, "servers crashed under a task:");
+	for (guint i = 0; i < lines->len; i++) {
+		const char *line = g_ptr_array_index(lines, i);
+		char server[FIELD_SIZE], index[FIELD_SIZE], age[FIELD_SIZE];
+
+		if (is_event(line, "task_lost") &&
+		    get_field(line, "server", server) &&
+		    get_field(line, "index", index) &&
+		    get_field(line, "age_ms", age))
+			g_string_append_printf(
+				out, " %s (task %s, %s ms after its start)",
+				*server ? server : "under another dispatcher",
+				index, age);
+	}
+}
+
 static bool is_settled(const GPtrArray *lines, const char *sent)
 {
 	char index[FIELD_SIZE] = "", number[FIELD_SIZE] = "";
@@ -212,6 +230,8 @@
 	g_string_append(out, "cause: ");
 	if (v == VERDICT_COMPLETED)
 		g_string_append(out, "none, it was completed");
+	else if (v == VERDICT_FAILED && find_last_event(lines, "task_given_up"))
+		add_losses(lines, out);
 	else if (v == VERDICT_FAILED)
 		add_failure(lines, out);
 	else if (v == VERDICT_REFUSED || (v == VERDICT_NONE && refusal))
