Agent: a replaced server isn't polled, and its crash has the right time

Cause: what replaced a server answers polls for it, each at once, and resets the time of the first failed call, so that the age of lost runs was counted to the end of the lease. Change: the time of the replacement is kept; a replaced server isn't polled. Evidence: test_server_crash before: '670 is not within the range 0-300' (run_ms in test_server_replaced); with the lease renewed for a replaced server '0 != 0x6' (the run ended by itself after 5 s).

--- a/src/leased/agent.c
+++ b/src/leased/agent.c
@@ -67,14 +67,14 @@
 }
 
 static void check_replaced(struct leased_agent *a,
-			   const struct server_report *report)
+			   const struct server_report *report, int64_t now_ms)
 {
 	GHashTableIter iter;
 	gpointer value;
 
 	g_hash_table_iter_init(&iter, a->servers);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		server_check_replaced(value, report);
+		server_check_replaced(value, report, now_ms);
 }
 
 static void reply_ok(struct http_request *request)
@@ -91,7 +91,7 @@
 
 	counter_add(a->reports, 1);
 	if (!p->is_leaving)
-		check_replaced(a, &p->report);
+		check_replaced(a, &p->report, now_ms);
 	if (p->is_leaving) {
 		if (server)
 			server_mark_left(server);
--- a/src/leased/server.c
+++ b/src/leased/server.c
@@ -151,22 +151,15 @@
 
 /* ---- Reports -------------------------------------------------------- */
 
-static void lose_runs(struct server *s, enum server_crash_evidence evidence,
-		      int64_t now_ms)
-{
-	if (!s->has_left)
-		server_crash_lose_runs(&s->crash, evidence, &s->report, s->runs,
-				       now_ms);
-}
-
 static void begin_incarnation(struct server *s, int64_t start_time_ms,
 			      int64_t now_ms)
 {
 	log_event(LOG_WARN, "server_restarted",
 		  "server=%s born_ms=%" PRId64 " before_ms=%" PRId64,
 		  s->report.name, start_time_ms, s->report.start_time_ms);
-	lose_runs(s, SERVER_CRASH_RESTARTED, now_ms);
-	server_crash_answered(&s->crash);
+	server_crash_lose_runs(&s->crash, SERVER_CRASH_RESTARTED, &s->report,
+			       s->runs, now_ms);
+	s->crash = (struct server_crash){ 0 };
 	s->report.start_time_ms = start_time_ms;
 	s->last_end_position = 0;
 	s->has_left = false;
@@ -203,14 +196,16 @@
 	return true;
 }
 
-void server_check_replaced(struct server *s, const struct server_report *other)
+void server_check_replaced(struct server *s, const struct server_report *other,
+			   int64_t now_ms)
 {
-	s->crash.replaced |= server_crash_is_replacement(&s->report, other);
+	server_crash_check_report(&s->crash, &s->report, other, now_ms);
 }
 
 void server_mark_left(struct server *s)
 {
 	s->has_left = true;
+	s->crash.has_left = true;
 	log_event(LOG_INFO, "server_left", "server=%s", s->report.name);
 	run_table_return_queued(s->runs);
 	s->options.changed(s->options.arg, s);
@@ -437,7 +432,8 @@
 	if (!s->expiring_lease)
 		return;
 	if (server_lease_has_expired(&s->lease, now_ms)) {
-		lose_runs(s, server_crash_get(&s->crash), now_ms);
+		server_crash_lose_runs(&s->crash, server_crash_get(&s->crash),
+				       &s->report, s->runs, now_ms);
 		run_table_lease_expired(s->runs, now_ms);
 		s->expiring_lease = false;
 	} else if (!must_expire && !run_table_stop_age_ms(s->runs, now_ms)) {
@@ -473,7 +469,7 @@
 	if (!unresponsive &&
 	    !server_previous_runs_have_ended(&s->previous_runs, now_ms))
 		interval_ms = POLL_NOW_INTERVAL_MS;
-	if (s->poll_open || s->has_left ||
+	if (s->poll_open || s->has_left || s->crash.replaced_ms ||
 	    now_ms < s->poll_sent_ms + interval_ms)
 		return;
 	s->poll_open = true;
--- a/src/leased/server.h
+++ b/src/leased/server.h
@@ -35,7 +35,7 @@
 /* Another server has reported. If it has taken this one's address, this one
  * has crashed. */
 void server_check_replaced(struct server *server,
-			   const struct server_report *other);
+			   const struct server_report *other, int64_t now_ms);
 /* The server announced that it leaves. */
 void server_mark_left(struct server *server);
 const struct server_report *server_last_report(const struct server *server);
--- a/src/leased/server_crash.c
+++ b/src/leased/server_crash.c
@@ -37,17 +37,27 @@
 	return answer->refused && answer->result == HTTP_NOT_CONNECTED;
 }
 
-bool server_crash_is_replacement(const struct server_report *server,
-				 const struct server_report *other)
+static bool is_replacement(const struct server_report *server,
+			   const struct server_report *other)
 {
 	return strcmp(server->name, other->name) != 0 &&
 	       !strcmp(server->address, other->address) &&
 	       other->start_time_ms > server->start_time_ms;
 }
 
+void server_crash_check_report(struct server_crash *crash,
+			       const struct server_report *server,
+			       const struct server_report *other,
+			       int64_t now_ms)
+{
+	if (!crash->replaced_ms && is_replacement(server, other))
+		crash->replaced_ms = crash->failed_ms ? crash->failed_ms
+						      : now_ms;
+}
+
 enum server_crash_evidence server_crash_get(const struct server_crash *crash)
 {
-	if (crash->replaced)
+	if (crash->replaced_ms)
 		return SERVER_CRASH_REPLACED;
 	return crash->refused ? SERVER_CRASH_REFUSED : SERVER_CRASH_NONE;
 }
@@ -94,6 +104,14 @@
 		  server, names[evidence], losses->len, ago_ms, youngest);
 }
 
+/* What replaced a server answers in its place, which is no sign of life. */
+static int64_t first_sign_ms(const struct server_crash *crash, int64_t now_ms)
+{
+	if (crash->replaced_ms)
+		return crash->replaced_ms;
+	return crash->failed_ms ? crash->failed_ms : now_ms;
+}
+
 void server_crash_lose_runs(const struct server_crash *crash,
 			    enum server_crash_evidence evidence,
 			    const struct server_report *server,
@@ -101,9 +119,10 @@
 {
 	g_autoptr(GArray)
 		losses = g_array_new(FALSE, FALSE, sizeof(struct run_loss));
-	int64_t crashed_ms = crash->failed_ms ? crash->failed_ms : now_ms;
+	int64_t crashed_ms = first_sign_ms(crash, now_ms);
 
-	if (evidence == SERVER_CRASH_NONE || server->draining)
+	if (evidence == SERVER_CRASH_NONE || crash->has_left ||
+	    server->draining)
 		return;
 	run_table_server_crashed(runs, crashed_ms, losses);
 	if (losses->len)
--- a/tests/test_server_crash.c
+++ b/tests/test_server_crash.c
@@ -90,10 +90,15 @@
 	};
 
 	(void)state;
-	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++)
-		if (server_crash_is_replacement(&server, &cases[i].other) !=
-		    cases[i].replaces)
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct server_crash crash = { 0 };
+
+		server_crash_check_report(&crash, &server, &cases[i].other, 9);
+		if (server_crash_get(&crash) != (cases[i].replaces
+							 ? SERVER_CRASH_REPLACED
+							 : SERVER_CRASH_NONE))
 			fail_msg("case %zu", i);
+	}
 }
 
 /* ---- Runs ----------------------------------------------------------- */
@@ -104,7 +109,7 @@
 	int64_t sent_ms, accepted_ms; /* accepted_ms 0: no answer */
 	bool stop_acked; /* before the crash */
 	bool ordered_stop; /* without an answer */
-	bool draining, no_evidence;
+	bool draining, has_left, no_evidence;
 	enum run_outcome outcome;
 	uint32_t run_ms;
 };
@@ -125,6 +130,8 @@
 	{ "the server drains", .sent_ms = 2, .accepted_ms = 20,
 	  .draining = true, .outcome = RUN_OUTCOME_STOPPED,
 	  .run_ms = 700 - 20 },
+	{ "the server left", .sent_ms = 2, .accepted_ms = 20, .has_left = true,
+	  .outcome = RUN_OUTCOME_STOPPED, .run_ms = 700 - 20 },
 	{ "the server is only silent", .sent_ms = 2, .accepted_ms = 20,
 	  .no_evidence = true, .outcome = RUN_OUTCOME_STOPPED,
 	  .run_ms = 700 - 20 },
@@ -166,6 +173,7 @@
 		const struct run_case *c = &run_cases[i];
 		struct run_table *table = run_table_create();
 		struct server_crash crash = { .failed_ms = CRASHED_MS,
+					      .has_left = c->has_left,
 					      .refused = !c->no_evidence };
 		struct server_report report = { .draining = c->draining };
 		struct run_result result;
@@ -366,6 +374,32 @@
 	end(&c);
 }
 
+/* Guards against runs that never end because another server answers in place of
+ * theirs, which renews the lease, and against calls to that server. */
+static void test_server_replaced(void **state)
+{
+	struct client c;
+	struct server_report other;
+	int64_t replaced_ms;
+
+	(void)state;
+	begin(&c);
+	start(&c, 0);
+	assert_true(loop_until(c.loop, runs, &c));
+	other = *server_last_report(c.server);
+	g_strlcpy(other.name, "s2", sizeof(other.name));
+	other.start_time_ms++;
+	replaced_ms = clock_now_ms();
+	server_check_replaced(c.server, &other, replaced_ms);
+	assert_false(accepts(&c));
+	wait_results(&c, 1);
+	assert_int_equal(c.results[0].outcome, RUN_OUTCOME_LOST);
+	assert_in_range(c.results[0].run_ms, 0, 300);
+	assert_in_range(clock_now_ms() - replaced_ms, 400, 850);
+	standin_destroy(c.standin);
+	end(&c);
+}
+
 /* Guards against a run of the previous incarnation told as stopped. */
 static void test_server_restarts(void **state)
 {
@@ -395,6 +429,7 @@
 		cmocka_unit_test(test_runs_lost_with_the_lease),
 		cmocka_unit_test(test_server_process_ends),
 		cmocka_unit_test(test_refused_starts),
+		cmocka_unit_test(test_server_replaced),
 		cmocka_unit_test(test_server_restarts),
 	};
 
