Dispatcher: a crashed server isn't taken for a slow one

Cause: until the runs of a crashed server are known to be lost, they look late, and the health record of the server learned that as slowness. A server that is back under its name then got little work. Change: runs at a server that accepts nothing aren't counted as overdue; if it accepts work again while they go on, they are counted then. Late runs are moved as before.

--- a/src/leased/dispatch_late.c
+++ b/src/leased/dispatch_late.c
@@ -157,7 +157,9 @@
 	if (task->stopping ||
 	    ran_ms <= late_after_ms(d, job, task, suspect, now_ms))
 		return;
-	if (!task->overdue_reported) {
+	/* A server that accepts nothing may have crashed. If it hasn't, its
+	 * runs are judged when it accepts work again. */
+	if (!task->overdue_reported && task->server->state.accepting) {
 		task->overdue_reported = true;
 		cf_health_overdue(
 			d->health, task->server->id, (uint32_t)ran_ms,
--- a/tests/test_dispatch_losses.c
+++ b/tests/test_dispatch_losses.c
@@ -19,6 +19,8 @@
 #define SERVERS 8
 #define STEPS_MAX 8
 #define FAR_MS 100000
+#define STARTS_MAX 40
+#define WIDE_TASKS 8
 
 /* ---- Support -------------------------------------------------------- */
 
@@ -29,7 +31,7 @@
 	char server[CF_NAME_SIZE];
 	uint64_t agent;
 	bool repeated_server; /* a start went where the task had been */
-	char servers[STEPS_MAX + 1][CF_NAME_SIZE];
+	char servers[STARTS_MAX][CF_NAME_SIZE];
 	uint32_t answers;
 	struct job_answer answer;
 };
@@ -39,6 +41,7 @@
 {
 	struct recorder *r = (struct recorder *)sink;
 
+	assert_true(r->starts < STARTS_MAX);
 	for (uint32_t i = 0; i < r->starts; i++)
 		r->repeated_server |= !strcmp(r->servers[i], command->server);
 	g_strlcpy(r->servers[r->starts], command->server, CF_NAME_SIZE);
@@ -72,7 +75,8 @@
 	(void)has_demand;
 }
 
-static void report_servers(struct dispatch *d, uint64_t agent, int64_t now_ms)
+static void report_server(struct dispatch *d, uint64_t agent, int number,
+			  bool accepting, int64_t now_ms)
 {
 	struct server_state state = { .service = "desk",
 				      .capacity = { .cpu_milli = 1000,
@@ -80,14 +84,18 @@
 				      .free_cpu_milli = 1000,
 				      .offered_cpu_milli = 1000,
 				      .free_memory_mb = 10,
-				      .accepting = true,
+				      .accepting = accepting,
 				      .received = 100 };
 
-	for (int i = 0; i < SERVERS / AGENTS; i++) {
-		g_snprintf(state.name, sizeof(state.name), "s%d-%d", (int)agent,
-			   i);
-		dispatch_update_server(d, agent, &state, now_ms);
-	}
+	g_snprintf(state.name, sizeof(state.name), "s%d-%d", (int)agent,
+		   number);
+	dispatch_update_server(d, agent, &state, now_ms);
+}
+
+static void report_servers(struct dispatch *d, uint64_t agent, int64_t now_ms)
+{
+	for (int i = 0; i < SERVERS / AGENTS; i++)
+		report_server(d, agent, i, true, now_ms);
 	dispatch_finish_report(d, agent, now_ms);
 }
 
@@ -100,27 +108,33 @@
 	report_servers(d, agent, now_ms);
 }
 
-static void submit(struct dispatch *d, struct recorder *r, int64_t now_ms)
+static void submit_tasks(struct dispatch *d, struct recorder *r, const char *id,
+			 uint32_t tasks, int64_t now_ms)
 {
-	struct job_request request = { .id = "j",
-				       .route = { .name = "r",
+	struct job_request request = { .route = { .name = "r",
 						  .service = "desk",
 						  .target_ms = FAR_MS,
 						  .stretch_milli = 1600,
 						  .attempts_max = 2 },
-				       .spec = { .n_tasks = 1,
-						 .cpu_milli = 1000,
+				       .spec = { .n_tasks = tasks,
+						 .cpu_milli = 1000 / tasks,
 						 .memory_mb = 1,
 						 .estimate_ms = 100 },
 				       .arrived_ms = now_ms,
 				       .deadline_ms = now_ms + FAR_MS,
 				       .caller = r };
 
+	g_strlcpy(request.id, id, sizeof(request.id));
 	request.spec.spec = g_bytes_new("x", 1);
 	dispatch_submit(d, &request, now_ms);
 	g_bytes_unref(request.spec.spec);
 }
 
+static void submit(struct dispatch *d, struct recorder *r, int64_t now_ms)
+{
+	submit_tasks(d, r, "j", 1, now_ms);
+}
+
 static struct dispatch *create_dispatch(struct recorder *r)
 {
 	static const struct dispatch_sink_ops ops = { record_start, record_stop,
@@ -414,6 +428,61 @@
 	}
 }
 
+/* Sends a job of WIDE_TASKS tasks while the agent's first server is the only
+ * one that accepts work. */
+static void send_wide_job(struct dispatch *d, struct recorder *r,
+			  const char *id, uint64_t agent, int64_t now_ms)
+{
+	uint32_t starts = r->starts;
+
+	report_server(d, agent, 0, true, now_ms);
+	for (uint64_t i = 1; i <= AGENTS; i++)
+		dispatch_finish_report(d, i, now_ms);
+	submit_tasks(d, r, id, WIDE_TASKS, now_ms);
+	assert_int_equal(r->starts, starts + WIDE_TASKS);
+}
+
+static void end_wide_job(struct dispatch *d, const char *id, uint64_t agent,
+			 enum run_outcome outcome, uint32_t run_ms,
+			 int64_t now_ms)
+{
+	struct run_result result = { .outcome = outcome, .run_ms = run_ms };
+
+	g_strlcpy(result.name.job, id, sizeof(result.name.job));
+	result.name.number = 1;
+	for (uint32_t i = 0; i < WIDE_TASKS; i++) {
+		result.name.index = i;
+		dispatch_handle_result(d, agent, &result, now_ms);
+	}
+}
+
+/* Guards against a crashed server that is taken for a slow one when it is back,
+ * as its runs seemed late until they were known to be lost. */
+static void test_a_crash_is_not_slowness(void **state)
+{
+	struct recorder r;
+	struct dispatch *d = create_dispatch(&r);
+
+	(void)state;
+	send_wide_job(d, &r, "w", 2, 0);
+	end_wide_job(d, "w", 2, RUN_OUTCOME_DONE, 100, 100);
+	send_wide_job(d, &r, "j", 1, 100);
+	report_servers(d, 2, 101);
+	report_server(d, 1, 0, false, 101);
+	for (int64_t now_ms = 110; now_ms < 800; now_ms += DISPATCH_TICK_MS) {
+		for (uint64_t agent = 1; agent <= AGENTS; agent++)
+			dispatch_agent_lease_granted(d, agent, now_ms);
+		dispatch_tick(d, now_ms);
+	}
+	end_wide_job(d, "j", 1, RUN_OUTCOME_LOST, 500, 800);
+	assert_int_equal(r.starts, 3 * WIDE_TASKS);
+	report_server(d, 1, 0, true, 800);
+	submit_tasks(d, &r, "k", WIDE_TASKS, 800);
+	assert_int_equal(r.starts, 4 * WIDE_TASKS);
+	assert_string_equal(r.servers[3 * WIDE_TASKS], "s1-0");
+	dispatch_destroy(d);
+}
+
 /* ---- Load ----------------------------------------------------------- */
 
 /* Guards against crashes without end, and against jobs given up in masses
@@ -453,6 +522,7 @@
 		cmocka_unit_test(test_losses_of_a_task),
 		cmocka_unit_test(test_retries_avoid_the_servers),
 		cmocka_unit_test(test_losses_outlive_the_job),
+		cmocka_unit_test(test_a_crash_is_not_slowness),
 		cmocka_unit_test(test_load_with_crashing_jobs),
 	};
 
