--- a/src/leased/agent.c
+++ b/src/leased/agent.c
@@ -11,6 +11,7 @@
 #include "leased/reload.h"
 #include "roles/role.h"
 
+#include <inttypes.h>
 #include <string.h>
 
 /* ---- Constants ------------------------------------------------------ */
@@ -60,9 +61,25 @@
 	struct server *server = server_create(&options, report, now_ms);
 
 	g_hash_table_insert(a->servers, g_strdup(report->name), server);
+	log_event(
+		LOG_INFO, "server_joined",
+		"server=%s service=%s address=%s cpu_milli=%u born_ms=%" PRId64,
+		report->name, report->service, report->address,
+		report->capacity.cpu_milli, report->start_time_ms);
 	server_process(server, now_ms);
 }
 
+static void check_replaced(struct leased_agent *a,
+			   const struct server_report *report, int64_t now_ms)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, a->servers);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		server_check_replaced(value, report, now_ms);
+}
+
 static void reply_ok(struct http_request *request)
 {
 	http_reply(request, HTTP_OK_STATUS, "application/json", "{}", 2, NULL);
@@ -76,9 +93,11 @@
 	int64_t now_ms = loop_now_ms(a->loop);
 
 	counter_add(a->reports, 1);
+	if (!p->is_leaving)
+		check_replaced(a, &p->report, now_ms);
 	if (p->is_leaving) {
 		if (server)
-			server_mark_left(server, now_ms);
+			server_mark_left(server);
 	} else if (!server) {
 		add_server(a, &p->report, now_ms);
 	} else if (server_apply_report(server, &p->report, now_ms)) {
--- a/src/leased/dispatch.h
+++ b/src/leased/dispatch.h
@@ -25,7 +25,8 @@
 
 enum job_verdict {
 	JOB_VERDICT_COMPLETED,
-	JOB_VERDICT_FAILED, /* a task used up its attempts */
+	/* A task used up its attempts, or servers crashed under it. */
+	JOB_VERDICT_FAILED,
 	JOB_VERDICT_REFUSED, /* none of its tasks has run or will run */
 	JOB_VERDICT_GIVEN_UP, /* tasks may have run; no more will start */
 };
@@ -46,6 +47,7 @@
 	uint32_t slack_ms, deadline_ms;
 	uint32_t expected_ms; /* run time on a server of average speed */
 	const char *class_name;
+	uint32_t losses; /* servers that crashed under the task */
 };
 
 struct dispatch_sink_ops {
@@ -111,6 +113,8 @@
 	uint32_t late_waiting_tasks; /* included in waiting_tasks */
 	uint64_t
 		late_jobs; /* that ever waited without a chance to be in time */
+	uint64_t lost_runs; /* that ever were lost with their servers */
+	uint64_t crashing_jobs; /* that ever failed because servers crashed */
 	uint32_t speeds_known; /* servers whose speed was measured */
 	uint32_t interfering_pairs;
 	uint64_t capacity_milli, free_milli;
@@ -159,6 +163,7 @@
 /* Ends a report: servers of the agent that were not updated since the last
  * report accept no more work. */
 void dispatch_finish_report(struct dispatch *d, uint64_t agent, int64_t now_ms);
+/* Run number 0 stands for a lost run of another dispatcher. */
 void dispatch_handle_result(struct dispatch *d, uint64_t agent,
 			    const struct run_result *result, int64_t now_ms);
 /* Returns the runs at an agent (struct run_name). Runs that are being stopped
--- a/src/leased/dispatch_internal.h
+++ b/src/leased/dispatch_internal.h
@@ -90,11 +90,24 @@
 	DISPATCH_TASK_DONE,
 };
 
+/* A task under which this many servers have crashed is given up, with its
+ * job. */
+#define TASK_LOSSES_MAX 3
+/* The same for crashes within LOSS_SUSPECT_MS of the start of its run. A task
+ * that was just started is the likelier cause of a crash than one that had run
+ * for long, which may only have run beside the cause. */
+#define TASK_SUSPECT_LOSSES_MAX 2
+#define LOSS_SUSPECT_MS 100
+
 struct dispatch_task {
 	uint32_t index;
 	enum dispatch_task_state state;
 	uint32_t number; /* number of the newest run */
 	uint32_t failures, moves;
+	uint32_t losses; /* servers that crashed under it */
+	uint32_t suspect_losses; /* those within LOSS_SUSPECT_MS of its start */
+	uint64_t lost_on[TASK_LOSSES_MAX]; /* ids of those where it was sent */
+	uint32_t n_lost_on;
 	bool stopping; /* a stop command was sent */
 	bool overdue_reported;
 	struct dispatch_server *server; /* DISPATCH_TASK_SENT */
@@ -158,6 +171,7 @@
 	const struct cf_config *config;
 	GHashTable *jobs; /* id -> struct dispatch_job */
 	GHashTable *classes; /* name -> struct dispatch_class */
+	GHashTable *losses; /* job id -> struct job_losses */
 	GHashTable *agents; /* incarnation -> struct dispatch_agent */
 	GPtrArray *servers; /* struct dispatch_server */
 	uint64_t next_server;
@@ -175,6 +189,9 @@
 	struct dispatch_lane late; /* jobs that can't meet their target */
 	uint64_t late_jobs; /* that ever were in it */
 	struct rate in_time_rate; /* work of jobs admitted to be in time */
+	uint64_t lost_runs; /* with their servers */
+	uint64_t
+		crashing_jobs; /* given up because servers crashed under them */
 	double virtual_time; /* of the lane served last */
 	bool placing; /* dispatch_place_tasks() is running */
 	/* Set while few servers fail all their tasks. If many do, the fault is
@@ -194,6 +211,22 @@
 void dispatch_abort_job(struct dispatch *d, struct dispatch_job *job,
 			const char *reason, int64_t now_ms);
 
+/* ---- Losses (dispatch_losses.c) ------------------------------------- */
+
+GHashTable *losses_create(void);
+/* Applies the losses of an earlier submission of the job. */
+void losses_restore(struct dispatch *d, struct dispatch_job *job,
+		    int64_t now_ms);
+/* Counts a server that crashed run_ms after the start of this run there. */
+void losses_add(struct dispatch *d, const struct run_name *name,
+		uint32_t run_ms, int64_t now_ms);
+/* The same for a run of another dispatcher. */
+void losses_add_foreign(struct dispatch *d, const struct run_result *result,
+			int64_t now_ms);
+/* Ends the job as failed if a task has lost too many servers; returns whether
+ * it has. */
+bool losses_end_job(struct dispatch *d, struct dispatch_job *job);
+
 /* ---- Order (dispatch_order.c) --------------------------------------- */
 
 /* The class's share of the starts, from 0 to 1. */
--- a/src/leased/dispatch_runs.c
+++ b/src/leased/dispatch_runs.c
@@ -1,6 +1,7 @@
 /*
  * dispatch_runs: handles the outcome of each run. Its task is done, is
- * retried on another server, or has used up its attempts.
+ * retried on another server, has used up its attempts, or is given up because
+ * servers crashed under it.
  */
 #include "leased/dispatch_internal.h"
 
@@ -108,6 +109,19 @@
 	requeue_task(d, job, task, RUN_OUTCOME_FAILED, now_ms);
 }
 
+/* The task's server has crashed. That counts neither as an attempt of the task
+ * nor against the health of the server. */
+static void task_lost(struct dispatch *d, struct dispatch_job *job,
+		      struct dispatch_task *task,
+		      const struct run_result *result, int64_t now_ms)
+{
+	task->lost_on[task->n_lost_on++ % TASK_LOSSES_MAX] = task->server->id;
+	d->lost_runs++;
+	losses_add(d, &result->name, result->run_ms, now_ms);
+	losses_end_job(d, job);
+	requeue_task(d, job, task, RUN_OUTCOME_LOST, now_ms);
+}
+
 static bool is_at_agent(const struct dispatch_task *task, uint64_t agent)
 {
 	return task->state == DISPATCH_TASK_SENT && task->server->agent &&
@@ -135,6 +149,10 @@
 	struct dispatch_job *job;
 	struct dispatch_task *task;
 
+	if (!result->name.number && result->outcome == RUN_OUTCOME_LOST) {
+		losses_add_foreign(d, result, now_ms);
+		return;
+	}
 	if (!find_run(d, agent, &result->name, &job, &task))
 		return;
 	log_event(LOG_INFO, "run_settled",
@@ -150,6 +168,9 @@
 	case RUN_OUTCOME_FAILED:
 		task_failed(d, job, task, now_ms);
 		break;
+	case RUN_OUTCOME_LOST:
+		task_lost(d, job, task, result, now_ms);
+		break;
 	case RUN_OUTCOME_STALE:
 		task->number += NUMBER_STEP_STALE;
 		requeue_task(d, job, task, result->outcome, now_ms);
--- a/src/leased/run_table.c
+++ b/src/leased/run_table.c
@@ -91,6 +91,19 @@
 		  sizeof(table->failed_job));
 }
 
+uint32_t run_table_lost_after_ms(const struct run *run)
+{
+	int64_t began_ms = run->started_ms ? run->started_ms
+					   : run->start_sent_ms;
+
+	return (uint32_t)MAX(run->lost_ms - began_ms, 0);
+}
+
+enum run_outcome run_table_cut_outcome(const struct run *run)
+{
+	return run->lost_ms ? RUN_OUTCOME_LOST : RUN_OUTCOME_STOPPED;
+}
+
 void run_table_finish_at(struct run_table *table, guint position,
 			 enum run_outcome outcome, int64_t now_ms)
 {
@@ -102,7 +115,9 @@
 
 	if (outcome != RUN_OUTCOME_NOT_STARTED)
 		result.outlived_ms = run_outlived_ms(run, now_ms);
-	if (run->started_ms && now_ms > run->started_ms)
+	if (outcome == RUN_OUTCOME_LOST)
+		result.run_ms = run_table_lost_after_ms(run);
+	else if (run->started_ms && now_ms > run->started_ms)
 		result.run_ms = (uint32_t)(now_ms - run->started_ms);
 	count_failure(table, &result);
 	ended_runs_add(&table->ended, &result.name, outcome, now_ms);
@@ -167,34 +182,34 @@
 	}
 }
 
+static int64_t free_accelerators(const struct run_table *table)
+{
+	int64_t free = table->capacity.accelerators;
+
+	for (guint i = 0; i < table->runs->len; i++)
+		if (run_table_at(table, i)->state != RUN_QUEUED)
+			free -= run_table_at(table, i)->request.accelerators;
+	return free;
+}
+
 void run_table_get_load(const struct run_table *table, struct run_load *load)
 {
 	memset(load, 0, sizeof(*load));
 	sum_load(table, true, load);
 	load->failed_in_a_row = table->failed_in_a_row;
+	if (load->free_memory_mb < 0 || free_accelerators(table) < 0)
+		load->free_cpu_milli = MIN(load->free_cpu_milli, -1);
 }
 
-static uint32_t accelerators_in_use(const struct run_table *table)
-{
-	uint32_t sum = 0;
-
-	for (guint i = 0; i < table->runs->len; i++)
-		if (run_table_at(table, i)->state != RUN_QUEUED)
-			sum += run_table_at(table, i)->request.accelerators;
-	return sum;
-}
-
+/* Nothing fits while the capacity is below what runs there. */
 static bool fits(const struct run_table *table, const struct run *run)
 {
 	struct run_load load = { 0 };
 
 	sum_load(table, false, &load);
-	if (run->request.accelerators &&
-	    run->request.accelerators + accelerators_in_use(table) >
-		    table->capacity.accelerators)
-		return false;
 	return run->request.cpu_milli <= load.free_cpu_milli &&
-	       run->request.memory_mb <= load.free_memory_mb;
+	       run->request.memory_mb <= load.free_memory_mb &&
+	       run->request.accelerators <= free_accelerators(table);
 }
 
 /* ---- Starting ------------------------------------------------------- */
@@ -257,6 +272,7 @@
 			return NULL;
 		}
 		run->state = RUN_STARTING;
+		run->start_sent_ms = now_ms;
 		run->may_have_started = true;
 		return &run->request;
 	}
@@ -325,6 +341,17 @@
 		request_stop(table, run);
 }
 
+void run_table_start_not_sent(struct run_table *table,
+			      const struct run_name *name, int64_t now_ms)
+{
+	guint position;
+	const struct run *run = run_table_find(table, name, &position);
+
+	if (run && run->state == RUN_STARTING)
+		run_table_finish_at(table, position, RUN_OUTCOME_NOT_STARTED,
+				    now_ms);
+}
+
 /* ---- Stopping ------------------------------------------------------- */
 
 static void stop_at(struct run_table *table, guint position)
@@ -434,11 +461,12 @@
 void run_table_lease_expired(struct run_table *table, int64_t now_ms)
 {
 	for (guint i = table->runs->len; i-- > 0;)
-		run_table_finish_at(table, i,
-				    run_table_at(table, i)->may_have_started
-					    ? RUN_OUTCOME_STOPPED
-					    : RUN_OUTCOME_NOT_STARTED,
-				    now_ms);
+		run_table_finish_at(
+			table, i,
+			run_table_at(table, i)->may_have_started
+				? run_table_cut_outcome(run_table_at(table, i))
+				: RUN_OUTCOME_NOT_STARTED,
+			now_ms);
 }
 
 /* Even a start that was answered may have reached the new incarnation before
--- a/src/leased/run_table.h
+++ b/src/leased/run_table.h
@@ -27,6 +27,7 @@
 	int64_t lease_end_ms;
 	uint32_t expected_ms; /* on a server of average speed; 0: unknown */
 	char class_name[CF_NAME_SIZE]; /* empty: unknown */
+	uint32_t losses; /* servers that crashed under the task before */
 };
 
 enum run_outcome {
@@ -43,6 +44,7 @@
 	uint64_t dispatcher;
 	struct run_name name;
 	enum run_outcome outcome;
+	/* Until its end, or, if it was lost, until its server's crash. */
 	uint32_t run_ms;
 	/* Not sent to the dispatcher: of the request; for how long the run went
 	 * on after its dispatcher's lease had ended. */
@@ -56,10 +58,19 @@
 	uint32_t ran_ms, expected_ms; /* so far; of the request */
 };
 
+/* A run that was lost with its server. */
+struct run_loss {
+	char class_name[CF_NAME_SIZE];
+	uint32_t ran_ms; /* until the crash */
+	uint32_t losses; /* servers that crashed under its task before */
+};
+
 #define RUN_FAILURES_COUNTED_MAX 4
 
 struct run_load {
-	int64_t free_cpu_milli, free_memory_mb; /* minus queued runs too */
+	/* Minus queued runs too. While one resource is exceeded, as the
+	 * server's capacity has shrunk, no processors are free either. */
+	int64_t free_cpu_milli, free_memory_mb;
 	uint32_t running, queued;
 	/* Consecutive failed jobs, of all dispatchers. Several failed tasks of
 	 * one job count once, because they all fail if the job itself is
@@ -86,6 +97,9 @@
 			      enum run_refusal refusal, int64_t now_ms);
 void run_table_start_unanswered(struct run_table *table,
 				const struct run_name *name);
+/* The start call was never sent: the run ends as not started. */
+void run_table_start_not_sent(struct run_table *table,
+			      const struct run_name *name, int64_t now_ms);
 
 void run_table_stop(struct run_table *table, const struct run_name *name);
 /* Stops all runs of a dispatcher except those listed in kept. */
@@ -119,6 +133,12 @@
 void run_table_apply_lists(struct run_table *table,
 			   const struct run_lists *lists, int64_t sent_ms,
 			   int64_t now_ms, GArray *unknown_runs);
+/* The server process crashed at crashed_ms, or shortly before. Runs that it may
+ * have had then are lost; each still ends with the lease or with a list of the
+ * new incarnation. They are appended to losses (struct run_loss), the youngest
+ * first. */
+void run_table_server_crashed(struct run_table *table, int64_t crashed_ms,
+			      GArray *losses);
 /* Ends all runs: the server's lease has expired, so nothing runs there. */
 void run_table_lease_expired(struct run_table *table, int64_t now_ms);
 /* The server process was restarted some time before now. Runs that were
--- a/src/leased/run_table_internal.h
+++ b/src/leased/run_table_internal.h
@@ -21,7 +21,9 @@
 	bool stop_requested; /* during the start call */
 	bool may_have_started; /* a start call was sent */
 	int64_t queued_ms;
+	int64_t start_sent_ms;
 	int64_t started_ms; /* start acknowledged or run first listed; 0: not */
+	int64_t lost_ms; /* when its server crashed; 0: it hasn't */
 	int64_t stop_requested_ms;
 	int64_t stop_sent_ms;
 	int64_t stop_acked_ms;
@@ -46,6 +48,12 @@
 /* How long this run, which has ended by now, outlived its dispatcher's lease.
  */
 int64_t run_outlived_ms(const struct run *run, int64_t now_ms);
+/* The outcome of a run that may have begun and has ended without its own
+ * doing. */
+enum run_outcome run_table_cut_outcome(const struct run *run);
+/* Time from the start of a lost run, or from the start call if that has no
+ * answer, to the crash. */
+uint32_t run_table_lost_after_ms(const struct run *run);
 /* Removes the run at this position and queues its result. */
 void run_table_finish_at(struct run_table *table, guint position,
 			 enum run_outcome outcome, int64_t now_ms);
--- a/src/leased/server.c
+++ b/src/leased/server.c
@@ -75,11 +75,6 @@
 	server_incarnation_begin(&s->incarnation, report->start_time_ms);
 	server_incarnation_reported(&s->incarnation, report->seq);
 	set_address(s);
-	log_event(
-		LOG_INFO, "server_joined",
-		"server=%s service=%s address=%s cpu_milli=%u born_ms=%" PRId64,
-		report->name, report->service, report->address,
-		report->capacity.cpu_milli, report->start_time_ms);
 	return s;
 }
 
@@ -115,6 +110,7 @@
 	       s->fence.accepted &&
 	       server_previous_runs_have_ended(&s->previous_runs, now_ms) &&
 	       !server_lease_is_unresponsive(&s->lease, now_ms) &&
+	       !server_crash_get(&s->crash) &&
 	       server_backoff_has_elapsed(&s->backoff, now_ms) &&
 	       server_lease_allows_start(
 		       &s->lease, run_table_renew_until_ms(s->runs), now_ms);
@@ -136,6 +132,9 @@
 	log_event(LOG_WARN, "server_restarted",
 		  "server=%s born_ms=%" PRId64 " before_ms=%" PRId64,
 		  s->report.name, start_time_ms, s->report.start_time_ms);
+	server_crash_lose_runs(&s->crash, SERVER_CRASH_RESTARTED, &s->report,
+			       s->runs, now_ms);
+	s->crash = (struct server_crash){ 0 };
 	s->report.start_time_ms = start_time_ms;
 	server_incarnation_begin(&s->incarnation, start_time_ms);
 	s->last_end_position = 0;
@@ -182,10 +181,16 @@
 	return true;
 }
 
-void server_mark_left(struct server *s, int64_t now_ms)
+void server_check_replaced(struct server *s, const struct server_report *other,
+			   int64_t now_ms)
+{
+	server_crash_check_report(&s->crash, &s->report, other, now_ms);
+}
+
+void server_mark_left(struct server *s)
 {
-	(void)now_ms;
 	s->has_left = true;
+	s->crash.has_left = true;
 	log_event(LOG_INFO, "server_left", "server=%s", s->report.name);
 	run_table_return_queued(s->runs);
 	s->options.changed(s->options.arg, s);
@@ -201,6 +206,7 @@
 			  now_ms - s->lease.unanswered_since_ms);
 	/* The loop's time may be earlier than the answer. */
 	server_lease_answered(&s->lease, clock_ms, clock_now_ms());
+	server_crash_answered(&s->crash);
 }
 
 static void handle_start_answer(struct server *s, const struct call *call,
@@ -213,7 +219,8 @@
 
 	if (call->restarts != s->restarts)
 		return;
-	if (clock_ms >= 0)
+	/* Another server answers in place of one that was replaced. */
+	if (clock_ms >= 0 && refusal != RUN_OTHER_INCARNATION)
 		record_contact(s, clock_ms, now_ms);
 	if (refusal != RUN_ACCEPTED)
 		log_event(LOG_INFO, "start_refused",
@@ -276,20 +283,24 @@
 	record_contact(s, lists.clock_ms, now_ms);
 	run_table_apply_lists(s->runs, &lists, call->sent_ms, now_ms,
 			      unknown_runs);
-	server_record_end_positions(s, &lists);
+	run_lists_raise_position(&lists, &s->last_end_position);
 	server_previous_runs_listed(
 		&s->previous_runs,
 		server_stop_unknown_runs(s, unknown_runs, now_ms));
 	run_lists_clear(&lists);
 }
 
-static void handle_no_answer(struct server *s, const struct call *call)
+static void handle_no_answer(struct server *s, const struct call *call,
+			     const struct http_answer *answer, int64_t now_ms)
 {
 	counter_add(s->unanswered, 1);
 	if (call->restarts != s->restarts || call->kind == CALL_VERIFY)
 		return;
+	server_crash_call_failed(&s->crash, answer, now_ms);
 	server_lease_unanswered(&s->lease, call->sent_ms);
-	if (call->kind == CALL_START)
+	if (call->kind == CALL_START && server_crash_never_sent(answer))
+		run_table_start_not_sent(s->runs, &call->name, now_ms);
+	else if (call->kind == CALL_START)
 		run_table_start_unanswered(s->runs, &call->name);
 }
 
@@ -305,7 +316,7 @@
 	if (call->kind == CALL_VERIFY)
 		s->verify_open = false;
 	if (answer->result != HTTP_OK)
-		handle_no_answer(s, call);
+		handle_no_answer(s, call, answer, now_ms);
 	else if (call->kind == CALL_START)
 		handle_start_answer(s, call, answer, now_ms);
 	else if (call->kind == CALL_STOP)
@@ -404,10 +415,12 @@
 /* ---- Periodic work -------------------------------------------------- */
 
 /* Stops renewing the lease if a stop is not acknowledged or the server does
- * not answer: when the lease ends, so does every run on the server. */
+ * not answer or has crashed: when the lease ends, so does every run on the
+ * server. */
 static void expire_lease(struct server *s, int64_t now_ms)
 {
 	int64_t stop_age_ms = run_table_stop_age_ms(s->runs, now_ms);
+	s->lease.crashed = server_crash_get(&s->crash);
 
 	if (server_lease_begin_expiry(&s->lease, stop_age_ms,
 				      run_table_is_idle(s->runs), now_ms)) {
@@ -420,6 +433,8 @@
 		run_table_return_queued(s->runs);
 	}
 	if (server_lease_end_expiry(&s->lease, stop_age_ms, now_ms)) {
+		server_crash_lose_runs(&s->crash, server_crash_get(&s->crash),
+				       &s->report, s->runs, now_ms);
 		run_table_lease_expired(s->runs, now_ms);
 		server_raise_token(s, "lease_expired");
 	}
@@ -446,14 +461,14 @@
 {
 	bool unresponsive = server_lease_is_unresponsive(&s->lease, now_ms);
 	bool idle = run_table_is_idle(s->runs);
-	int64_t interval_ms =
-		server_lease_poll_interval_ms(&s->lease, idle, now_ms);
+	int64_t interval_ms = server_lease_poll_interval_ms(
+		&s->lease, idle && !s->crash.refused, now_ms);
 
 	if (!unresponsive &&
 	    (run_table_has_unknown_runs(s->runs) ||
 	     !server_previous_runs_have_ended(&s->previous_runs, now_ms)))
 		interval_ms = POLL_NOW_INTERVAL_MS;
-	if (s->poll_open || s->has_left ||
+	if (s->poll_open || s->has_left || s->crash.replaced_ms ||
 	    now_ms < s->poll_sent_ms + interval_ms)
 		return;
 	s->poll_open = true;
--- a/src/leased/server_internal.h
+++ b/src/leased/server_internal.h
@@ -7,6 +7,7 @@
 
 #include "base/counters.h"
 #include "leased/server.h"
+#include "leased/server_crash.h"
 #include "leased/server_fence.h"
 #include "leased/server_incarnation.h"
 #include "leased/server_lease.h"
@@ -19,6 +20,7 @@
 	struct run_table *runs;
 	struct capacity_share *share;
 	struct server_lease lease;
+	struct server_crash crash;
 	struct server_fence fence;
 	struct server_incarnation incarnation;
 	/* Of the newest report that may come from a new incarnation. */
@@ -69,8 +71,6 @@
 
 /* ---- Lists (server_lists.c) ------------------------------------------ */
 
-void server_record_end_positions(struct server *server,
-				 const struct run_lists *lists);
 /* unknown_runs: struct run_name, listed as running but not in the table. Stops
  * them and returns their number, without those that have been listed as ended:
  * the list was overtaken by a newer one. */
--- a/src/leased/server_lease.c
+++ b/src/leased/server_lease.c
@@ -30,6 +30,7 @@
 	lease->expires_ms = now_ms;
 	lease->granted_end_ms = 0;
 	lease->expiring = false;
+	lease->crashed = false;
 	lease->answered_ms = now_ms;
 	lease->unanswered_since_ms = 0;
 }
@@ -96,7 +97,7 @@
 static bool must_expire(const struct server_lease *lease, int64_t stop_age_ms,
 			int64_t now_ms)
 {
-	return server_lease_is_unresponsive(lease, now_ms) ||
+	return lease->crashed || server_lease_is_unresponsive(lease, now_ms) ||
 	       stop_age_ms > STOP_ACK_TIMEOUT_MS;
 }
 
@@ -125,6 +126,7 @@
 		      int64_t now_ms)
 {
 	return lease->clock_read_ms != INT64_MIN && !lease->expiring &&
+	       !lease->crashed &&
 	       !server_lease_is_unresponsive(lease, now_ms) &&
 	       now_ms < renew_until_ms;
 }
--- a/src/leased/server_lease.h
+++ b/src/leased/server_lease.h
@@ -22,6 +22,7 @@
 	int64_t expires_ms;
 	int64_t granted_end_ms; /* on the server's clock; 0: none */
 	bool expiring; /* not renewed until it has expired */
+	bool crashed; /* set by the owner: not renewed either */
 	int64_t answered_ms; /* time of the last answer */
 	int64_t unanswered_since_ms; /* first call without an answer; 0: none */
 };
--- a/src/leased/server_lists.c
+++ b/src/leased/server_lists.c
@@ -1,6 +1,6 @@
 /*
  * server_lists: what follows from a backend server's lists beyond the run
- * table: the newest end seen, and runs that this agent does not know.
+ * table: runs that this agent does not know.
  */
 #include "leased/server_internal.h"
 
@@ -9,18 +9,6 @@
 
 #include <inttypes.h>
 
-void server_record_end_positions(struct server *s,
-				 const struct run_lists *lists)
-{
-	for (guint i = 0; i < lists->ended->len; i++) {
-		uint64_t position =
-			g_array_index(lists->ended, struct listed_run_end, i)
-				.position;
-
-		s->last_end_position = MAX(s->last_end_position, position);
-	}
-}
-
 static void log_stopped(const struct server *s, const struct run_name *name,
 			const struct ended_run *ended, int64_t now_ms)
 {
--- a/tests/support/leased_standin.c
+++ b/tests/support/leased_standin.c
@@ -479,10 +479,15 @@
 
 void standin_destroy(struct standin *s)
 {
+	if (!s)
+		return;
 	g_atomic_int_set(&s->stopping, 1);
-	g_thread_join(s->reporter);
 	standin_release(s);
 	http_server_destroy(s->server);
+	g_thread_join(s->reporter);
+	while (s->runs->len)
+		end_run(s, g_ptr_array_index(s->runs, 0), false,
+			clock_now_ms());
 	g_ptr_array_unref(s->runs);
 	g_array_unref(s->ends);
 	g_hash_table_destroy(s->refused_numbers);
--- a/tests/support/leased_standin.h
+++ b/tests/support/leased_standin.h
@@ -26,6 +26,9 @@
 int64_t standin_last_end_ms(struct standin_record *record);
 /* Stops are refused. Set before the first run. */
 void standin_refuse_stops(struct standin_record *record);
+/* The stand-in where this task of the job runs now, or NULL. */
+const struct standin *standin_running(struct standin_record *record,
+				      const char *job, uint32_t index);
 
 /* Runs with this label take factor times as long while a run with the other
  * label is at the same stand-in. Set before the first run. */
@@ -64,6 +67,8 @@
 /* A start is late if the stand-in's lease has expired, whatever the lease end
  * in the start itself. */
 void standin_use_renewed_lease(struct standin *standin);
+/* Also simulates a crash: connections are refused from then on. NULL is
+ * allowed. */
 void standin_destroy(struct standin *standin);
 
 #endif
--- a/tests/test_late_orders.c
+++ b/tests/test_late_orders.c
@@ -158,7 +158,7 @@
 /* No call may be in flight when a server is destroyed. */
 static void agent_end(struct agent *a)
 {
-	server_mark_left(a->server, clock_now_ms());
+	server_mark_left(a->server);
 	a->drained_ms = clock_now_ms() + DRAIN_MS;
 	wait_until(a, is_drained);
 	http_client_destroy(a->client);
