Agent: a server that was forgotten gets a higher token again

Cause: an agent forgets a server that is silent for 10 s. If it came back, the agent began with the token of its process's start, below those that it had used before; an old order with one of these could be carried out late.

Change: the first token for a server is the time of day at the process's start plus the time since then. The stand-in can hold polls too, and a test shows that no start goes out before the token is accepted.

The forgotten server has no test of its own.

--- a/src/leased/agent.c
+++ b/src/leased/agent.c
@@ -45,6 +45,13 @@
 	agent_send_reports(a, loop_now_ms(a->loop));
 }
 
+/* Higher than the tokens of an earlier process and than those that this one
+ * used for a server of the same name before it was forgotten. */
+static int64_t fence_token(const struct leased_agent *a, int64_t now_ms)
+{
+	return a->started_wall_ms + (now_ms - a->started_ms);
+}
+
 static void add_server(struct leased_agent *a,
 		       const struct server_report *report, int64_t now_ms)
 {
@@ -53,7 +60,7 @@
 		.client = a->client,
 		.loop = a->loop,
 		.previous_runs_end_ms = a->previous_runs_end_ms,
-		.agent_started_ms = a->started_wall_ms,
+		.fence_token = fence_token(a, now_ms),
 		.changed = server_changed,
 		.arg = a
 	};
@@ -220,6 +227,7 @@
 	a->formats = role_formats();
 	a->incarnation = clock_random();
 	a->in_service = true;
+	a->started_ms = clock_now_ms();
 	a->started_wall_ms = clock_wall_ms();
 	a->previous_runs_end_ms = clock_now_ms() + SERVER_LEASE_MS +
 				  SERVER_CLOCK_SLACK_MS + RUN_STOP_MAX_MS;
--- a/src/leased/agent_internal.h
+++ b/src/leased/agent_internal.h
@@ -57,7 +57,8 @@
 	char data_centre[CF_NAME_SIZE];
 	/* By this time, runs started by an earlier agent process have ended. */
 	int64_t previous_runs_end_ms;
-	int64_t started_wall_ms; /* time of day at the process's start */
+	/* Of the process's start, on the monotonic clock and as time of day. */
+	int64_t started_ms, started_wall_ms;
 	GHashTable *servers; /* name -> struct server */
 	GHashTable *speeds; /* name -> struct agent_speed */
 	GHashTable *interferences; /* server -> struct server_interference */
--- a/src/leased/server.c
+++ b/src/leased/server.c
@@ -71,7 +71,7 @@
 	get_counters(s);
 	run_table_set_capacity(s->runs, &report->capacity);
 	server_lease_init(&s->lease, now_ms);
-	server_fence_init(&s->fence, options->agent_started_ms);
+	server_fence_init(&s->fence, options->fence_token);
 	server_lease_answered(&s->lease, report->clock_ms, now_ms);
 	server_incarnation_begin(&s->incarnation, report->start_time_ms);
 	server_incarnation_reported(&s->incarnation, report->seq);
--- a/src/leased/server.h
+++ b/src/leased/server.h
@@ -19,7 +19,8 @@
 	struct loop *loop;
 	/* By this time, runs started by an earlier agent process have ended. */
 	int64_t previous_runs_end_ms;
-	int64_t agent_started_ms; /* time of day at the process's start */
+	/* First fencing token (server_fence.h). */
+	int64_t fence_token;
 	/* Called when results are available or the state may have changed. */
 	void (*changed)(void *arg, struct server *server);
 	void *arg;
--- a/src/leased/server_fence.c
+++ b/src/leased/server_fence.c
@@ -13,9 +13,9 @@
 /* The sum of 2^25 - 1 seconds is more than a year. */
 #define REFUSALS_MAX 25
 
-void server_fence_init(struct server_fence *fence, int64_t started_ms)
+void server_fence_init(struct server_fence *fence, int64_t token)
 {
-	fence->token = started_ms;
+	fence->token = token;
 	fence->accepted = false;
 	fence->refusals = 0;
 	fence->announced_ms = 0;
--- a/src/leased/server_fence.h
+++ b/src/leased/server_fence.h
@@ -30,8 +30,9 @@
 	SERVER_FENCE_EXHAUSTED, /* the bound on raises has been reached */
 };
 
-/* started_ms: the time of day when the agent's process started. */
-void server_fence_init(struct server_fence *fence, int64_t started_ms);
+/* token: higher than all tokens of this and of earlier agent processes, as far
+ * as the time of day tells. */
+void server_fence_init(struct server_fence *fence, int64_t token);
 /* Invalidates all earlier calls, once the server accepts the new token: the
  * server was restarted, or its lease has expired. */
 void server_fence_raise(struct server_fence *fence);
--- a/tests/support/leased_standin.c
+++ b/tests/support/leased_standin.c
@@ -57,7 +57,8 @@
 	int64_t clock_zero_ms; /* when the stand-in's clock showed 0 */
 	int64_t fence; /* highest fencing token seen */
 	int64_t advanced_ms;
-	bool hold_starts, hold_stops, use_renewed_lease;
+	bool use_renewed_lease;
+	uint32_t held_kinds; /* mask of 1 << enum standin_call */
 	GQueue held; /* struct held_call */
 };
 
@@ -331,8 +332,7 @@
 	bool held;
 
 	g_mutex_lock(&s->lock);
-	held = (s->hold_starts && order->call == STANDIN_START) ||
-	       (s->hold_stops && order->call == STANDIN_STOP);
+	held = (s->held_kinds & (1U << order->call)) != 0;
 	if (held) {
 		call = g_new0(struct held_call, 1);
 		call->order = *order;
@@ -396,11 +396,10 @@
 
 /* ---- Held calls ---- */
 
-void standin_hold(struct standin *s, bool starts, bool stops)
+void standin_hold(struct standin *s, uint32_t kinds)
 {
 	g_mutex_lock(&s->lock);
-	s->hold_starts = starts;
-	s->hold_stops = stops;
+	s->held_kinds = kinds;
 	g_mutex_unlock(&s->lock);
 }
 
@@ -428,7 +427,7 @@
 {
 	struct held_call *call;
 
-	standin_hold(s, false, false);
+	standin_hold(s, 0);
 	while ((call = pop_held(s))) {
 		execute(s, &call->order, call->request);
 		g_free(call);
--- a/tests/support/leased_standin.h
+++ b/tests/support/leased_standin.h
@@ -8,7 +8,6 @@
 #ifndef SUPPORT_LEASED_STANDIN_H
 #define SUPPORT_LEASED_STANDIN_H
 
-#include <stdbool.h>
 #include <stdint.h>
 
 struct standin;
@@ -51,8 +50,9 @@
 /* The body of a new report; free with g_free. */
 char *standin_report(struct standin *standin);
 
-/* While set, starts or stops are neither carried out nor answered. */
-void standin_hold(struct standin *standin, bool starts, bool stops);
+/* From now on, calls of the kinds in the mask (1 << enum standin_call) are
+ * neither carried out nor answered. */
+void standin_hold(struct standin *standin, uint32_t kinds);
 uint32_t standin_held(struct standin *standin);
 /* Carries out the held calls now, in the order in which they came. */
 void standin_release(struct standin *standin);
--- a/tests/test_late_orders.c
+++ b/tests/test_late_orders.c
@@ -8,6 +8,7 @@
 #include "leased/leases.h"
 #include "leased/server.h"
 #include "platform/platform.h"
+#include "platform/standin.h"
 #include "support/leased_standin.h"
 #include "support/loop_until.h"
 
@@ -22,12 +23,16 @@
 #define RUN_MS 2000
 #define DRAIN_MS 400 /* longer than the timeout of any call */
 #define NAME "i-1"
+#define STARTS (1U << STANDIN_START)
+#define STOPS (1U << STANDIN_STOP)
+#define POLLS (1U << STANDIN_POLL)
+#define HELD_MS 200
 
 struct agent {
 	struct loop *loop;
 	struct http_client *client;
 	struct server *server;
-	int64_t drained_ms;
+	int64_t drained_ms, held_until_ms;
 	uint32_t runs_before; /* the last order */
 	int64_t fence_before; /* the restart of the server */
 };
@@ -80,14 +85,14 @@
 	return server_apply_report(a->server, &report, clock_now_ms());
 }
 
-/* started_ms: time of day at the start of the agent's process. */
-static struct agent *agent_begin(int64_t started_ms, int64_t runs_end_ms)
+/* runs_end_ms: when the runs of an earlier agent process have ended. */
+static struct agent *agent_begin(int64_t fence_token, int64_t runs_end_ms)
 {
 	struct agent *a = g_new0(struct agent, 1);
 	struct server_options options = { .formats = &platform_formats,
 					  .changed = ignore_change,
 					  .previous_runs_end_ms = runs_end_ms,
-					  .agent_started_ms = started_ms };
+					  .fence_token = fence_token };
 	struct server_report report;
 
 	a->loop = loop_create(NULL);
@@ -143,6 +148,12 @@
 	return apply_report(arg);
 }
 
+static bool is_time_over(void *arg)
+{
+	process(arg);
+	return clock_now_ms() >= ((struct agent *)arg)->held_until_ms;
+}
+
 static bool is_drained(void *arg)
 {
 	struct agent *a = arg;
@@ -158,6 +169,8 @@
 /* No call may be in flight when a server is destroyed. */
 static void agent_end(struct agent *a)
 {
+	run_table_stop_others(server_runs(a->server), 0, NULL, 0);
+	wait_until(a, is_idle);
 	server_mark_left(a->server, clock_now_ms());
 	a->drained_ms = clock_now_ms() + DRAIN_MS;
 	wait_until(a, is_drained);
@@ -201,7 +214,7 @@
 		struct agent *a = agent_begin(1000 * ((int64_t)i + 1), 0);
 
 		wait_until(a, is_accepting);
-		standin_hold(standin, true, false);
+		standin_hold(standin, STARTS);
 		order(a, "00000000000000a0");
 		wait_until(a, start_is_held);
 		wait_until(a, is_idle);
@@ -229,7 +242,7 @@
 		struct agent *before = agent_begin(started_ms, 0), *after;
 
 		wait_until(before, is_accepting);
-		standin_hold(standin, true, false);
+		standin_hold(standin, STARTS);
 		order(before, "00000000000000b0");
 		wait_until(before, start_is_held);
 		after = agent_begin(started_ms + clock_steps_ms[i],
@@ -251,11 +264,11 @@
 	(void)state;
 	standin_use_renewed_lease(standin);
 	wait_until(a, is_accepting);
-	standin_hold(standin, true, true);
+	standin_hold(standin, STARTS | STOPS);
 	order(a, "00000000000000c0");
 	wait_until(a, is_idle);
 	assert_true(standin_held(standin) > 1);
-	standin_hold(standin, false, false);
+	standin_hold(standin, 0);
 	wait_until(a, is_accepting);
 	order(a, "00000000000000c1");
 	wait_until(a, is_running);
@@ -267,6 +280,28 @@
 	agent_end(a);
 }
 
+/* If a start went out before the server has accepted the new token, earlier
+ * ones could still be carried out after it. */
+static void test_no_start_before_the_token_is_accepted(void **state)
+{
+	struct agent *a = agent_begin(1000, 0);
+
+	(void)state;
+	wait_until(a, is_accepting);
+	standin_hold(standin, POLLS);
+	standin_restart(standin);
+	apply_report(a);
+	a->held_until_ms = clock_now_ms() + HELD_MS;
+	order(a, "00000000000000f0");
+	wait_until(a, is_time_over);
+	assert_int_equal(standin_runs(record), 0);
+	standin_release(standin);
+	wait_until(a, is_accepting);
+	order(a, "00000000000000f1");
+	wait_until(a, is_running);
+	agent_end(a);
+}
+
 /* What an earlier agent process has left running must be stopped and counted;
  * the later process has never known it. */
 static void test_unknown_runs_are_stopped(void **state)
@@ -332,6 +367,9 @@
 			test_start_outlives_agent_process, set_up, tear_down),
 		cmocka_unit_test_setup_teardown(
 			test_start_outlives_server_lease, set_up, tear_down),
+		cmocka_unit_test_setup_teardown(
+			test_no_start_before_the_token_is_accepted, set_up,
+			tear_down),
 		cmocka_unit_test_setup_teardown(test_unknown_runs_are_stopped,
 						set_up, tear_down),
 		cmocka_unit_test_setup_teardown(
