Agent: the same start time is noticed at once, and by reports too

Cause: a server that began anew with the same start time was missed in two ways. If its first poll was sent in the millisecond in which the last clock reading had arrived, the lower clock proved nothing, and by the next poll its clock had passed the old reading. And a report with a higher number was taken as one of the known incarnation although its clock had gone back. test_start_outlives_server_incarnation case { true, 0 } failed in 3 of 8 runs and later in 3 of 6 (the new token didn't reach the server in 30 s).

Change: a list with a lower clock that may have been overtaken is followed by another poll at once; a report whose number rose but whose clock went back is verified by a poll.

--- a/src/leased/server.c
+++ b/src/leased/server.c
@@ -37,26 +37,6 @@
 		s->report.name, s->report.start_time_ms);
 }
 
-static void get_counters(struct server *s)
-{
-	s->starts = counter_get("run_starts_total", NULL,
-				"starts sent to backend servers");
-	s->unanswered =
-		counter_get("run_calls_unanswered_total", NULL,
-			    "calls of backend servers without an answer");
-	s->expirations = counter_get("server_leases_ended_total", NULL,
-				     "leases of backend servers let end");
-	s->fence_refusals =
-		counter_get("server_fences_refused_total", NULL,
-			    "fencing tokens that a backend server refused");
-	s->unknown_runs_stopped =
-		counter_get("unknown_runs_stopped_total", NULL,
-			    "stops of runs that the agent did not expect");
-	s->runs_in_stale_lists = counter_get(
-		"runs_in_stale_lists_total", NULL,
-		"runs in lists of backend servers that were overtaken");
-}
-
 struct server *server_create(const struct server_options *options,
 			     const struct server_report *report, int64_t now_ms)
 {
@@ -68,13 +48,14 @@
 	s->share = capacity_share_create(g_str_hash(report->name));
 	s->last_report_ms = now_ms;
 	s->previous_runs.ends_ms = options->previous_runs_end_ms;
-	get_counters(s);
+	server_get_counters(s);
 	run_table_set_capacity(s->runs, &report->capacity);
 	server_lease_init(&s->lease, now_ms);
 	server_fence_init(&s->fence, options->fence_token);
 	server_lease_answered(&s->lease, report->clock_ms, now_ms);
 	server_incarnation_begin(&s->incarnation, report->start_time_ms);
-	server_incarnation_reported(&s->incarnation, report->seq);
+	server_incarnation_reported(&s->incarnation, report->seq,
+				    report->clock_ms);
 	set_address(s);
 	log_event(
 		LOG_INFO, "server_joined",
@@ -163,7 +144,8 @@
 	}
 	if (message == SERVER_MESSAGE_NEW)
 		begin_incarnation(s, report->start_time_ms, now_ms);
-	server_incarnation_reported(&s->incarnation, report->seq);
+	server_incarnation_reported(&s->incarnation, report->seq,
+				    report->clock_ms);
 	s->report = *report;
 	s->last_report_ms = now_ms;
 	set_address(s);
@@ -249,6 +231,7 @@
 {
 	g_autoptr(GArray) unknown_runs =
 		g_array_new(FALSE, FALSE, sizeof(struct run_name));
+	enum server_message message;
 	struct run_lists lists;
 
 	if (call->restarts != s->restarts)
@@ -258,9 +241,10 @@
 	    !s->options.formats->read_lists(answer->body, answer->size_bytes,
 					    &lists))
 		return;
-	if (server_incarnation_check_lists(&s->incarnation, lists.start_time_ms,
-					   lists.clock_ms, call->sent_ms) ==
-	    SERVER_MESSAGE_NEW) {
+	message = server_incarnation_check_lists(&s->incarnation,
+						 lists.start_time_ms,
+						 lists.clock_ms, call->sent_ms);
+	if (message == SERVER_MESSAGE_NEW) {
 		begin_incarnation(s,
 				  lists.start_time_ms ? lists.start_time_ms
 						      : s->report.start_time_ms,
@@ -268,6 +252,8 @@
 		run_lists_clear(&lists);
 		return;
 	}
+	if (message == SERVER_MESSAGE_UNPROVEN)
+		verify_incarnation(s, &s->report, now_ms);
 	server_incarnation_listed(&s->incarnation, lists.clock_ms,
 				  call->sent_ms, now_ms);
 	record_contact(s, lists.clock_ms, now_ms);
--- a/src/leased/server_incarnation.c
+++ b/src/leased/server_incarnation.c
@@ -50,7 +50,10 @@
 				int64_t start_time_ms, uint64_t seq,
 				int64_t clock_ms, int64_t now_ms)
 {
-	bool outdated = incarnation->has_report && seq <= incarnation->seq;
+	/* Both rise with each report of an incarnation. */
+	bool outdated = incarnation->has_report &&
+			(seq <= incarnation->seq ||
+			 clock_ms < incarnation->report_clock_ms);
 
 	if (start_time_ms == incarnation->start_time_ms)
 		return outdated || is_clock_ahead(incarnation, clock_ms, now_ms)
@@ -63,9 +66,10 @@
 }
 
 void server_incarnation_reported(struct server_incarnation *incarnation,
-				 uint64_t seq)
+				 uint64_t seq, int64_t clock_ms)
 {
 	incarnation->seq = seq;
+	incarnation->report_clock_ms = clock_ms;
 	incarnation->has_report = true;
 }
 
@@ -76,12 +80,12 @@
 {
 	if (start_time_ms && start_time_ms != incarnation->start_time_ms)
 		return SERVER_MESSAGE_NEW;
+	if (!incarnation->has_clock || clock_ms >= incarnation->clock_ms)
+		return SERVER_MESSAGE_CURRENT;
 	/* Answers may overtake each other, so the clock has gone back only if
 	 * the poll was sent after the known reading had arrived. */
-	return incarnation->has_clock && sent_ms > incarnation->clock_read_ms &&
-			       clock_ms < incarnation->clock_ms
-		       ? SERVER_MESSAGE_NEW
-		       : SERVER_MESSAGE_CURRENT;
+	return sent_ms > incarnation->clock_read_ms ? SERVER_MESSAGE_NEW
+						    : SERVER_MESSAGE_UNPROVEN;
 }
 
 void server_incarnation_listed(struct server_incarnation *incarnation,
--- a/src/leased/server_incarnation.h
+++ b/src/leased/server_incarnation.h
@@ -19,7 +19,8 @@
 struct server_incarnation {
 	int64_t start_time_ms;
 	uint64_t seq; /* of the newest report */
-	bool has_report; /* false: seq is not known */
+	int64_t report_clock_ms; /* the server's clock in it */
+	bool has_report; /* false: these two are not known */
 	/* The server's clock in the newest list of the incarnation, and when on
 	 * the agent's clock that poll was sent and answered. */
 	int64_t clock_ms, clock_sent_ms, clock_read_ms;
@@ -32,8 +33,8 @@
 enum server_message {
 	SERVER_MESSAGE_CURRENT,
 	SERVER_MESSAGE_NEW, /* from a new incarnation */
-	/* From an earlier incarnation, or from a new one; or an old report of
-	 * the known one. The answer to a poll tells. */
+	/* From an earlier incarnation, or from a new one; or an old message of
+	 * the known one. The answer to another poll tells. */
 	SERVER_MESSAGE_UNPROVEN,
 };
 
@@ -45,7 +46,7 @@
 				int64_t start_time_ms, uint64_t seq,
 				int64_t clock_ms, int64_t now_ms);
 void server_incarnation_reported(struct server_incarnation *incarnation,
-				 uint64_t seq);
+				 uint64_t seq, int64_t clock_ms);
 /* For the answer to a poll that was sent after the incarnation became known.
  * start_time_ms 0: not included. */
 enum server_message
--- a/src/leased/server_internal.h
+++ b/src/leased/server_internal.h
@@ -58,6 +58,8 @@
 	uint64_t restarts; /* of the server when the call was sent */
 };
 
+void server_get_counters(struct server *server); /* server_counters.c */
+
 /* ---- Fencing token (server_token.c) --------------------------------- */
 
 /* Invalidates all calls sent so far; why: for the log. */
--- a/tests/test_server_incarnation.c
+++ b/tests/test_server_incarnation.c
@@ -15,7 +15,7 @@
 {
 	server_incarnation_begin(incarnation, 1000);
 	server_incarnation_begin(incarnation, 9000);
-	server_incarnation_reported(incarnation, 70);
+	server_incarnation_reported(incarnation, 70, 7000);
 	server_incarnation_begin(incarnation, 5000);
 	server_incarnation_listed(incarnation, 300, 20000, 20010);
 }
@@ -33,6 +33,8 @@
 	} cases[] = {
 		{ "newer", 5000, 4, 1300, SERVER_MESSAGE_CURRENT },
 		{ "delayed", 5000, 4, 100, SERVER_MESSAGE_CURRENT },
+		{ "same start, restarted", 5000, 4, 89,
+		  SERVER_MESSAGE_UNPROVEN },
 		{ "same start, before", 5000, 71, 8000,
 		  SERVER_MESSAGE_UNPROVEN },
 		{ "the same again", 5000, 3, 1300, SERVER_MESSAGE_UNPROVEN },
@@ -53,7 +55,7 @@
 	assert_int_equal(server_incarnation_check_report(&incarnation, 5000, 3,
 							 1300, 21000),
 			 SERVER_MESSAGE_CURRENT);
-	server_incarnation_reported(&incarnation, 3);
+	server_incarnation_reported(&incarnation, 3, 90);
 	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++)
 		assert_int_equal(server_incarnation_check_report(
 					 &incarnation, cases[i].start_time_ms,
@@ -76,7 +78,8 @@
 		/* The clock went back, or the answer was overtaken. */
 		{ 5000, 299, 20011, SERVER_MESSAGE_NEW },
 		{ 0, 299, 20011, SERVER_MESSAGE_NEW },
-		{ 5000, 299, 20010, SERVER_MESSAGE_CURRENT },
+		{ 5000, 299, 20010, SERVER_MESSAGE_UNPROVEN },
+		{ 5000, 300, 20011, SERVER_MESSAGE_CURRENT },
 	};
 	struct server_incarnation incarnation = { 0 };
 
