Agent: no renewal after a failed call until a later poll is answered

Cause: a server that crashes breaks the poll in flight. The next poll renewed the lease with an end computed from the clock before, and often was the first call that the new incarnation got. If the agent or a stop was then lost, runs outlived RUN_END_MAX_MS.

Change: after a failed call, polls don't renew, and are answered at once, until one that was sent later is answered by the known incarnation. Starts still carry a lease end; see docs/design/fencing-orders.md.

--- a/src/leased/server.c
+++ b/src/leased/server.c
@@ -256,6 +256,7 @@
 		verify_incarnation(s, &s->report, now_ms);
 	server_incarnation_listed(&s->incarnation, lists.clock_ms,
 				  call->sent_ms, now_ms);
+	server_lease_poll_answered(&s->lease, call->sent_ms);
 	record_contact(s, lists.clock_ms, now_ms);
 	run_table_apply_lists(s->runs, &lists, call->sent_ms, now_ms,
 			      unknown_runs);
@@ -266,12 +267,14 @@
 	run_lists_clear(&lists);
 }
 
-static void handle_no_answer(struct server *s, const struct call *call)
+static void handle_no_answer(struct server *s, const struct call *call,
+			     int64_t now_ms)
 {
 	counter_add(s->unanswered, 1);
 	if (call->restarts != s->restarts || call->kind == CALL_VERIFY)
 		return;
 	server_lease_unanswered(&s->lease, call->sent_ms);
+	server_lease_call_failed(&s->lease, now_ms);
 	if (call->kind == CALL_START)
 		run_table_start_unanswered(s->runs, &call->name);
 }
@@ -288,7 +291,7 @@
 	if (call->kind == CALL_VERIFY)
 		s->verify_open = false;
 	if (answer->result != HTTP_OK)
-		handle_no_answer(s, call);
+		handle_no_answer(s, call, now_ms);
 	else if (call->kind == CALL_START)
 		handle_start_answer(s, call, answer, now_ms);
 	else if (call->kind == CALL_STOP)
@@ -358,7 +361,9 @@
 static void send_poll(struct server *s, enum call_kind kind, bool renew,
 		      int64_t now_ms)
 {
-	bool waits = kind == CALL_POLL && !run_table_is_idle(s->runs);
+	/* The next renewal needs an answer first, so it isn't delayed. */
+	bool waits = kind == CALL_POLL && !run_table_is_idle(s->runs) &&
+		     server_lease_may_renew(&s->lease);
 	uint32_t wait_ms = waits ? POLL_WAIT_MS : 0;
 	int64_t lease_end_ms = renew ? server_lease_renew(&s->lease, now_ms)
 				     : 0;
@@ -448,7 +453,9 @@
 		return;
 	s->poll_open = true;
 	s->poll_sent_ms = now_ms;
-	send_poll(s, CALL_POLL, !unresponsive && !s->expiring_lease && !idle,
+	send_poll(s, CALL_POLL,
+		  server_lease_may_renew(&s->lease) && !unresponsive &&
+			  !s->expiring_lease && !idle,
 		  now_ms);
 }
 
--- a/src/leased/server_lease.c
+++ b/src/leased/server_lease.c
@@ -25,6 +25,7 @@
 	lease->expires_ms = now_ms;
 	lease->answered_ms = now_ms;
 	lease->unanswered_since_ms = 0;
+	lease->call_failed_ms = 0;
 }
 
 void server_lease_answered(struct server_lease *lease, int64_t clock_ms,
@@ -53,6 +54,22 @@
 	       SERVER_LEASE_MS;
 }
 
+void server_lease_call_failed(struct server_lease *lease, int64_t now_ms)
+{
+	lease->call_failed_ms = now_ms;
+}
+
+void server_lease_poll_answered(struct server_lease *lease, int64_t sent_ms)
+{
+	if (sent_ms >= lease->call_failed_ms)
+		lease->call_failed_ms = 0;
+}
+
+bool server_lease_may_renew(const struct server_lease *lease)
+{
+	return !lease->call_failed_ms;
+}
+
 bool server_lease_is_unresponsive(const struct server_lease *lease,
 				  int64_t now_ms)
 {
@@ -79,6 +96,7 @@
 {
 	lease->clock_read_ms = INT64_MIN;
 	lease->unanswered_since_ms = 0;
+	lease->call_failed_ms = 0;
 }
 
 /* ---- Runs of the agent's previous incarnation ----------------------- */
--- a/src/leased/server_lease.h
+++ b/src/leased/server_lease.h
@@ -22,6 +22,7 @@
 	int64_t expires_ms;
 	int64_t answered_ms; /* time of the last answer */
 	int64_t unanswered_since_ms; /* first call without an answer; 0: none */
+	int64_t call_failed_ms; /* see server_lease_may_renew; 0: none */
 };
 
 void server_lease_init(struct server_lease *lease, int64_t now_ms);
@@ -32,6 +33,14 @@
 /* Returns the lease end to send to the server now, on the server's clock, and
  * extends expires_ms accordingly. 0: the server's clock is unknown. */
 int64_t server_lease_renew(struct server_lease *lease, int64_t now_ms);
+/* A call was given up without an answer, at now_ms. */
+void server_lease_call_failed(struct server_lease *lease, int64_t now_ms);
+/* The known incarnation answered a poll that was sent at sent_ms. */
+void server_lease_poll_answered(struct server_lease *lease, int64_t sent_ms);
+/* False after a failed call, until a poll that was sent later is answered: the
+ * server may have begun anew, and a renewal computed from the clock that it had
+ * before would last far too long. */
+bool server_lease_may_renew(const struct server_lease *lease);
 /* True if calls have stayed unanswered for long. The lease of an unresponsive
  * server is not renewed, so that it expires. */
 bool server_lease_is_unresponsive(const struct server_lease *lease,
--- a/tests/support/leased_standin.c
+++ b/tests/support/leased_standin.c
@@ -222,22 +222,23 @@
 
 int64_t standin_born_ms(struct standin *s)
 {
-	int64_t born_ms;
+	g_autoptr(GMutexLocker) locker = g_mutex_locker_new(&s->lock);
 
-	g_mutex_lock(&s->lock);
-	born_ms = s->born_ms;
-	g_mutex_unlock(&s->lock);
-	return born_ms;
+	return s->born_ms;
 }
 
 int64_t standin_fence(struct standin *s)
 {
-	int64_t fence;
+	g_autoptr(GMutexLocker) locker = g_mutex_locker_new(&s->lock);
 
-	g_mutex_lock(&s->lock);
-	fence = s->fence;
-	g_mutex_unlock(&s->lock);
-	return fence;
+	return s->fence;
+}
+
+int64_t standin_lease_end_ms(struct standin *s)
+{
+	g_autoptr(GMutexLocker) locker = g_mutex_locker_new(&s->lock);
+
+	return s->lease_ms;
 }
 
 /* ---- Lists ---- */
--- a/tests/support/leased_standin.h
+++ b/tests/support/leased_standin.h
@@ -46,6 +46,8 @@
 int64_t standin_born_ms(struct standin *standin);
 /* The highest fencing token that it has seen; 0: none. */
 int64_t standin_fence(struct standin *standin);
+/* When its lease ends, on the clock of this host. */
+int64_t standin_lease_end_ms(struct standin *standin);
 uint16_t standin_port(const struct standin *standin);
 /* The body of a new report; free with g_free. */
 char *standin_report(struct standin *standin);
--- a/tests/test_late_orders.c
+++ b/tests/test_late_orders.c
@@ -27,6 +27,7 @@
 #define STOPS (1U << STANDIN_STOP)
 #define POLLS (1U << STANDIN_POLL)
 #define HELD_MS 200
+#define LIVED_US 500000
 
 struct agent {
 	struct loop *loop;
@@ -357,6 +358,47 @@
 	}
 }
 
+/* A renewal that is computed from the clock of the incarnation before gives the
+ * new one a lease far longer than its agent knows. */
+static void test_renewal_reaches_the_next_incarnation(void **state)
+{
+	struct agent *a = agent_begin(1000, 0);
+
+	(void)state;
+	g_usleep(LIVED_US);
+	wait_until(a, is_accepting);
+	order(a, "00000000000000ab");
+	wait_until(a, is_running);
+	standin_hold(standin, POLLS);
+	a->held_until_ms = clock_now_ms() + HELD_MS;
+	wait_until(a, is_time_over);
+	a->fence_before = standin_fence(standin);
+	standin_restart(standin);
+	standin_hold(standin, 0);
+	wait_until(a, is_fenced);
+	assert_true(standin_lease_end_ms(standin) <=
+		    clock_now_ms() + SERVER_LEASE_MS);
+	agent_end(a);
+}
+
+/* Polls of the old address can't show an incarnation that listens elsewhere. */
+static void test_incarnation_at_another_address(void **state)
+{
+	struct agent *a = agent_begin(1000, 0);
+	int64_t born_ms = standin_born_ms(standin) - 5000;
+
+	(void)state;
+	wait_until(a, is_accepting);
+	standin_destroy(standin);
+	standin = standin_create(record, NAME, "127.0.0.1:0", "127.0.0.1:1",
+				 "127.0.0.1:1");
+	standin_restart_born(standin, born_ms);
+	wait_until(a, is_reported);
+	wait_until(a, is_accepting);
+	assert_int_equal(server_last_report(a->server)->start_time_ms, born_ms);
+	agent_end(a);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -375,6 +417,11 @@
 		cmocka_unit_test_setup_teardown(
 			test_incarnation_with_another_start_time, set_up,
 			tear_down),
+		cmocka_unit_test_setup_teardown(
+			test_incarnation_at_another_address, set_up, tear_down),
+		cmocka_unit_test_setup_teardown(
+			test_renewal_reaches_the_next_incarnation, set_up,
+			tear_down),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_server_lease.c
+++ b/tests/test_server_lease.c
@@ -122,6 +122,34 @@
 	assert_false(server_lease_is_unresponsive(&lease, 3000));
 }
 
+/* The server may have begun anew since the failed call. */
+static void test_renewal_after_failed_calls(void **state)
+{
+	static const struct {
+		int64_t failed_ms, poll_sent_ms;
+		bool may_renew;
+	} cases[] = {
+		{ 0, 100, true },
+		{ 200, 0, false },
+		{ 200, 199, false },
+		{ 200, 200, true },
+	};
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct server_lease lease;
+
+		server_lease_init(&lease, 0);
+		if (cases[i].failed_ms)
+			server_lease_call_failed(&lease, cases[i].failed_ms);
+		if (cases[i].poll_sent_ms)
+			server_lease_poll_answered(&lease,
+						   cases[i].poll_sent_ms);
+		assert_int_equal(server_lease_may_renew(&lease),
+				 cases[i].may_renew);
+	}
+}
+
 /* ---- After a restart of the agent ---- */
 
 static void test_previous_runs_of_agent(void **state)
@@ -209,6 +237,7 @@
 		cmocka_unit_test(test_a_late_grant_gives_no_lease),
 		cmocka_unit_test(test_lease_end_follows_the_newest_clock),
 		cmocka_unit_test(test_unanswered_calls),
+		cmocka_unit_test(test_renewal_after_failed_calls),
 		cmocka_unit_test(test_previous_runs_of_agent),
 		cmocka_unit_test(test_polls_pause_without_answers),
 		cmocka_unit_test(test_backoff_after_refusals),
