--- a/src/leased/agent.c
+++ b/src/leased/agent.c
@@ -55,15 +55,14 @@
 static void add_server(struct leased_agent *a,
 		       const struct server_report *report, int64_t now_ms)
 {
-	struct server_options options = {
-		.formats = a->formats,
-		.client = a->client,
-		.loop = a->loop,
-		.previous_runs_end_ms = a->previous_runs_end_ms,
-		.fence_token = fence_token(a, now_ms),
-		.changed = server_changed,
-		.arg = a
-	};
+	struct server_options options = { .formats = a->formats,
+					  .client = a->client,
+					  .loop = a->loop,
+					  .previous_runs_end_ms =
+						  a->previous_runs_end_ms,
+					  .fence_token = fence_token(a, now_ms),
+					  .changed = server_changed,
+					  .arg = a };
 	struct server *server = server_create(&options, report, now_ms);
 
 	g_hash_table_insert(a->servers, g_strdup(report->name), server);
