Agent: polls that a new incarnation may get acknowledge no ends

Cause: a poll's acknowledged position belongs to the incarnation that is known. If the next one got the poll, it forgot its own ends up to that position, so that finished runs counted as missing.

Change: position 0 in polls after a failed call and in those that verify a report. Acknowledged ends are forgotten already, so the known incarnation repeats nothing else.

--- a/src/leased/server.c
+++ b/src/leased/server.c
@@ -361,16 +361,21 @@
 static void send_poll(struct server *s, enum call_kind kind, bool renew,
 		      int64_t now_ms)
 {
-	/* The next renewal needs an answer first, so it isn't delayed. */
+	/* A new incarnation may get this poll: the next renewal waits for the
+	 * answer, and ends of the earlier one must not hide those of the new
+	 * one. */
+	bool unproven = kind == CALL_VERIFY ||
+			!server_lease_may_renew(&s->lease);
 	bool waits = kind == CALL_POLL && !run_table_is_idle(s->runs) &&
-		     server_lease_may_renew(&s->lease);
+		     !unproven;
 	uint32_t wait_ms = waits ? POLL_WAIT_MS : 0;
 	int64_t lease_end_ms = renew ? server_lease_renew(&s->lease, now_ms)
 				     : 0;
 	struct run_call encoded;
 
 	s->options.formats->write_poll(lease_end_ms, s->fence.token,
-				       s->last_end_position, wait_ms, &encoded);
+				       unproven ? 0 : s->last_end_position,
+				       wait_ms, &encoded);
 	send_call(s, kind, NULL, &encoded, wait_ms + POLL_TIMEOUT_MARGIN_MS,
 		  now_ms);
 }
