--- a/src/leased/agent.c
+++ b/src/leased/agent.c
@@ -46,18 +46,24 @@
 	agent_send_reports(a, loop_now_ms(a->loop));
 }
 
+/* Higher than the tokens of an earlier process and than those that this one
+ * used for a server of the same name before it was forgotten. */
+static int64_t fence_token(const struct leased_agent *a, int64_t now_ms)
+{
+	return a->started_wall_ms + (now_ms - a->started_ms);
+}
+
 static void add_server(struct leased_agent *a,
 		       const struct server_report *report, int64_t now_ms)
 {
-	struct server_options options = {
-		.formats = a->formats,
-		.client = a->client,
-		.loop = a->loop,
-		.previous_runs_end_ms = a->previous_runs_end_ms,
-		.agent_started_ms = a->started_wall_ms,
-		.changed = server_changed,
-		.arg = a
-	};
+	struct server_options options = { .formats = a->formats,
+					  .client = a->client,
+					  .loop = a->loop,
+					  .previous_runs_end_ms =
+						  a->previous_runs_end_ms,
+					  .fence_token = fence_token(a, now_ms),
+					  .changed = server_changed,
+					  .arg = a };
 	struct server *server = server_create(&options, report, now_ms);
 
 	g_hash_table_insert(a->servers, g_strdup(report->name), server);
@@ -239,6 +245,7 @@
 	a->formats = role_formats();
 	a->incarnation = clock_random();
 	a->in_service = true;
+	a->started_ms = clock_now_ms();
 	a->started_wall_ms = clock_wall_ms();
 	a->previous_runs_end_ms = clock_now_ms() + SERVER_LEASE_MS +
 				  SERVER_CLOCK_SLACK_MS + RUN_STOP_MAX_MS;
--- a/src/leased/server_lease.c
+++ b/src/leased/server_lease.c
@@ -33,6 +33,7 @@
 	lease->crashed = false;
 	lease->answered_ms = now_ms;
 	lease->unanswered_since_ms = 0;
+	lease->call_failed_ms = 0;
 }
 
 void server_lease_answered(struct server_lease *lease, int64_t clock_ms,
@@ -72,6 +73,22 @@
 	return lease->granted_end_ms;
 }
 
+void server_lease_call_failed(struct server_lease *lease, int64_t now_ms)
+{
+	lease->call_failed_ms = now_ms;
+}
+
+void server_lease_poll_answered(struct server_lease *lease, int64_t sent_ms)
+{
+	if (sent_ms >= lease->call_failed_ms)
+		lease->call_failed_ms = 0;
+}
+
+bool server_lease_may_renew(const struct server_lease *lease)
+{
+	return !lease->call_failed_ms;
+}
+
 bool server_lease_is_unresponsive(const struct server_lease *lease,
 				  int64_t now_ms)
 {
@@ -125,7 +142,8 @@
 static bool may_renew(const struct server_lease *lease, int64_t renew_until_ms,
 		      int64_t now_ms)
 {
-	return lease->clock_read_ms != INT64_MIN && !lease->expiring &&
+	return server_lease_may_renew(lease) &&
+	       lease->clock_read_ms != INT64_MIN && !lease->expiring &&
 	       !lease->crashed &&
 	       !server_lease_is_unresponsive(lease, now_ms) &&
 	       now_ms < renew_until_ms;
@@ -160,6 +178,7 @@
 	lease->clock_read_ms = INT64_MIN;
 	lease->granted_end_ms = 0;
 	lease->unanswered_since_ms = 0;
+	lease->call_failed_ms = 0;
 }
 
 /* ---- Runs of the agent's previous incarnation ----------------------- */
--- a/tests/support/leased_standin.c
+++ b/tests/support/leased_standin.c
@@ -57,7 +57,8 @@
 	int64_t clock_zero_ms; /* when the stand-in's clock showed 0 */
 	int64_t fence; /* highest fencing token seen */
 	int64_t advanced_ms;
-	bool hold_starts, hold_stops, use_renewed_lease;
+	bool use_renewed_lease;
+	uint32_t held_kinds; /* mask of 1 << enum standin_call */
 	GQueue held; /* struct held_call */
 };
 
@@ -221,22 +222,23 @@
 
 int64_t standin_born_ms(struct standin *s)
 {
-	int64_t born_ms;
+	g_autoptr(GMutexLocker) locker = g_mutex_locker_new(&s->lock);
 
-	g_mutex_lock(&s->lock);
-	born_ms = s->born_ms;
-	g_mutex_unlock(&s->lock);
-	return born_ms;
+	return s->born_ms;
 }
 
 int64_t standin_fence(struct standin *s)
 {
-	int64_t fence;
+	g_autoptr(GMutexLocker) locker = g_mutex_locker_new(&s->lock);
 
-	g_mutex_lock(&s->lock);
-	fence = s->fence;
-	g_mutex_unlock(&s->lock);
-	return fence;
+	return s->fence;
+}
+
+int64_t standin_lease_end_ms(struct standin *s)
+{
+	g_autoptr(GMutexLocker) locker = g_mutex_locker_new(&s->lock);
+
+	return s->lease_ms;
 }
 
 /* ---- Lists ---- */
@@ -333,8 +335,7 @@
 	bool held;
 
 	g_mutex_lock(&s->lock);
-	held = (s->hold_starts && order->call == STANDIN_START) ||
-	       (s->hold_stops && order->call == STANDIN_STOP);
+	held = (s->held_kinds & (1U << order->call)) != 0;
 	if (held) {
 		call = g_new0(struct held_call, 1);
 		call->order = *order;
@@ -398,11 +399,10 @@
 
 /* ---- Held calls ---- */
 
-void standin_hold(struct standin *s, bool starts, bool stops)
+void standin_hold(struct standin *s, uint32_t kinds)
 {
 	g_mutex_lock(&s->lock);
-	s->hold_starts = starts;
-	s->hold_stops = stops;
+	s->held_kinds = kinds;
 	g_mutex_unlock(&s->lock);
 }
 
@@ -430,7 +430,7 @@
 {
 	struct held_call *call;
 
-	standin_hold(s, false, false);
+	standin_hold(s, 0);
 	while ((call = pop_held(s))) {
 		execute(s, &call->order, call->request);
 		g_free(call);
--- a/tests/support/leased_standin.h
+++ b/tests/support/leased_standin.h
@@ -8,7 +8,6 @@
 #ifndef SUPPORT_LEASED_STANDIN_H
 #define SUPPORT_LEASED_STANDIN_H
 
-#include <stdbool.h>
 #include <stdint.h>
 
 struct standin;
@@ -55,12 +54,15 @@
 int64_t standin_born_ms(struct standin *standin);
 /* The highest fencing token that it has seen; 0: none. */
 int64_t standin_fence(struct standin *standin);
+/* When its lease ends, on the clock of this host. */
+int64_t standin_lease_end_ms(struct standin *standin);
 uint16_t standin_port(const struct standin *standin);
 /* The body of a new report; free with g_free. */
 char *standin_report(struct standin *standin);
 
-/* While set, starts or stops are neither carried out nor answered. */
-void standin_hold(struct standin *standin, bool starts, bool stops);
+/* From now on, calls of the kinds in the mask (1 << enum standin_call) are
+ * neither carried out nor answered. */
+void standin_hold(struct standin *standin, uint32_t kinds);
 uint32_t standin_held(struct standin *standin);
 /* Carries out the held calls now, in the order in which they came. */
 void standin_release(struct standin *standin);
--- a/tests/test_server_crash.c
+++ b/tests/test_server_crash.c
@@ -227,6 +227,22 @@
 	return server_last_report(c->server)->start_time_ms > 1;
 }
 
+static void read_report(struct client *c)
+{
+	g_autofree char *body = standin_report(c->standin);
+	char error_text[128];
+
+	assert_true(platform_formats.read_server_report(
+		"s1", body, strlen(body), &c->report, error_text));
+}
+
+static bool accepts(void *arg)
+{
+	const struct client *c = arg;
+
+	return server_accepting(c->server, loop_now_ms(c->loop));
+}
+
 static void begin(struct client *c)
 {
 	int id = getpid();
@@ -242,18 +258,14 @@
 	c->record = standin_record_create();
 	c->standin = standin_create(c->record, "s1", address, address,
 				    "127.0.0.1:1");
-	g_strlcpy(c->report.name, "s1", sizeof(c->report.name));
-	g_strlcpy(c->report.address, address, sizeof(c->report.address));
-	c->report.start_time_ms = standin_born_ms(c->standin);
-	c->report.clock_ms = clock_now_ms();
-	c->report.capacity.cpu_milli = 8000;
-	c->report.capacity.memory_mb = 8000;
+	read_report(c);
 	options.client = c->http;
 	options.loop = c->loop;
 	c->server = server_create(&options, &c->report, loop_now_ms(c->loop));
 	c->timer = loop_timer_create(c->loop, tick, c);
 	loop_timer_start(c->timer, 1, 5);
 	assert_true(loop_until(c->loop, start_time_is_known, c));
+	assert_true(loop_until(c->loop, accepts, c));
 }
 
 static void end(struct client *c)
@@ -335,13 +347,6 @@
 	assert_true(loop_until(c->loop, has_result, c));
 }
 
-static bool accepts(void *arg)
-{
-	const struct client *c = arg;
-
-	return server_accepting(c->server, loop_now_ms(c->loop));
-}
-
 /* Guards against starts on a server that refuses connections, and against runs
  * that wait for the end of a lease though their start was never sent. */
 static void test_refused_starts(void **state)
@@ -351,7 +356,6 @@
 
 	(void)state;
 	begin(&c);
-	assert_true(loop_until(c.loop, accepts, &c));
 	start(&c, 0);
 	assert_true(loop_until(c.loop, runs, &c));
 	standin_destroy(c.standin);
