Wire: ages of lost runs, for the comparison of crashes

Cause: which class crashes servers can't be told from the crashes of one task alone. A lost run is settled 0.7 s later, when its server's lease has ended, and short jobs are not run again then (docs/design/containment.md). Change: RunStart.lost_after_ms, ClassLoss.ran_ms and .repeats. ClassLoss now stands for the youngest run of a class that a crash ended; nothing has sent it so far. Older processes ignore the fields.

--- a/src/proto/wire.pb-c.c
+++ b/src/proto/wire.pb-c.c
@@ -6390,7 +6390,7 @@
   (ProtobufCMessageInit) cfw__run_lease__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfw__run_start__field_descriptors[13] =
+static const ProtobufCFieldDescriptor cfw__run_start__field_descriptors[14] =
 {
   {
     "job",
@@ -6548,6 +6548,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "lost_after_ms",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__RunStart, lost_after_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cfw__run_start__field_indices_by_name[] = {
   6,   /* field[6] = accelerators */
@@ -6558,6 +6570,7 @@
   1,   /* field[1] = index */
   0,   /* field[0] = job */
   12,   /* field[12] = losses */
+  13,   /* field[13] = lost_after_ms */
   5,   /* field[5] = memory_mb */
   2,   /* field[2] = number */
   9,   /* field[9] = server */
@@ -6567,7 +6580,7 @@
 static const ProtobufCIntRange cfw__run_start__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor cfw__run_start__descriptor =
 {
@@ -6577,7 +6590,7 @@
   "Cfw__RunStart",
   "cfw",
   sizeof(Cfw__RunStart),
-  13,
+  14,
   cfw__run_start__field_descriptors,
   cfw__run_start__field_indices_by_name,
   1,  cfw__run_start__number_ranges,
@@ -6956,7 +6969,7 @@
   (ProtobufCMessageInit) cfw__class_slowdown__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfw__class_loss__field_descriptors[2] =
+static const ProtobufCFieldDescriptor cfw__class_loss__field_descriptors[4] =
 {
   {
     "class_name",
@@ -6982,15 +6995,41 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ran_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__ClassLoss, ran_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "repeats",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__ClassLoss, repeats),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cfw__class_loss__field_indices_by_name[] = {
   1,   /* field[1] = age_ms */
   0,   /* field[0] = class_name */
+  2,   /* field[2] = ran_ms */
+  3,   /* field[3] = repeats */
 };
 static const ProtobufCIntRange cfw__class_loss__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor cfw__class_loss__descriptor =
 {
@@ -7000,7 +7039,7 @@
   "Cfw__ClassLoss",
   "cfw",
   sizeof(Cfw__ClassLoss),
-  2,
+  4,
   cfw__class_loss__field_descriptors,
   cfw__class_loss__field_indices_by_name,
   1,  cfw__class_loss__number_ranges,
--- a/src/proto/wire.pb-c.h
+++ b/src/proto/wire.pb-c.h
@@ -1013,10 +1013,14 @@
    * servers that crashed under the task
    */
   uint32_t losses;
+  /*
+   * age of its last run that crash ended
+   */
+  uint32_t lost_after_ms;
 };
 #define CFW__RUN_START__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cfw__run_start__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, {0,NULL}, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, {0,NULL}, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Cfw__RunStop
@@ -1099,23 +1103,28 @@
 
 
 /*
- * A server crashed under a task under which another one had crashed before.
+ * The youngest run of a class that the last crash of a server here ended.
  */
 struct  Cfw__ClassLoss
 {
   ProtobufCMessage base;
-  /*
-   * of the task
-   */
   char *class_name;
   /*
-   * since the last such crash here
+   * since the crash
    */
   uint32_t age_ms;
+  /*
+   * from the start of the run
+   */
+  uint32_t ran_ms;
+  /*
+   * its task had lost such a run before
+   */
+  protobuf_c_boolean repeats;
 };
 #define CFW__CLASS_LOSS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cfw__class_loss__descriptor) \
-    , (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Cfw__ServerState
