Contain classes that crash backend servers on a third of them

Change: agents report the youngest run of each class that a crash of their server ended. containment.[ch] compares the crashes: a class with a run of the same age in four of them is contained for 10 s after the last. Its tasks, and tasks that were lost young themselves, run on a third of the hosts of the service, chosen by rendezvous hashing; other tasks prefer the rest.

--- a/src/base/settings_table.c
+++ b/src/base/settings_table.c
@@ -50,6 +50,7 @@
 	{ "http", SETTING_ADDRESS, FOR_DISPATCHER | FOR_LEASED_DISPATCHER | FOR_STANDALONE, false, 0, 0, NULL, "127.0.0.1:8200", NULL, "ip:port for callers" },
 	{ "http-threads", SETTING_NUMBER, FOR_DISPATCHER | FOR_LEASED_DISPATCHER | FOR_STANDALONE, false, 1, 64, NULL, "2", NULL, "threads that read callers' requests" },
 	{ "http-connections", SETTING_NUMBER, FOR_DISPATCHER | FOR_LEASED_DISPATCHER, false, 1, 100000, NULL, "4096", NULL, "callers' connections at once" },
+	{ "containment", SETTING_BOOL, FOR_LEASED_DISPATCHER, false, 0, 0, NULL, "true", NULL, "run classes and tasks that crash backend servers on a third of them only" },
 	{ "agents-min", SETTING_NUMBER, FOR_LEASED_DISPATCHER, false, 1, 100000, "agents", "64", NULL, "agents that it keeps connections to, those of its data centre first" },
 	{ "agents-max", SETTING_NUMBER, FOR_LEASED_DISPATCHER, false, 1, 100000, "agents", "128", NULL, "the same while it finds too little room; below agents-min: that" },
 	{ "body-max-bytes", SETTING_NUMBER, FOR_DISPATCHER, false, 1024, 67108864, "bytes", "4194304", NULL, "largest request" },
--- a/src/leased/agent.c
+++ b/src/leased/agent.c
@@ -226,6 +226,7 @@
 	a->speeds = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					  agent_free_speed);
 	a->interferences = agent_create_interferences();
+	a->losses = agent_create_losses();
 	a->peers = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					 agent_free_peer);
 	a->reports = counter_get("server_reports_total", NULL,
--- a/src/leased/agent_internal.h
+++ b/src/leased/agent_internal.h
@@ -60,6 +60,7 @@
 	GHashTable *servers; /* name -> struct server */
 	GHashTable *speeds; /* name -> struct agent_speed */
 	GHashTable *interferences; /* server -> struct server_interference */
+	struct agent_losses *losses;
 	GHashTable *peers; /* incarnation -> struct peer */
 	bool in_service;
 	gint stopping, idle; /* atomic */
@@ -100,6 +101,19 @@
 /* Stops offering scarce capacity to this dispatcher. */
 void agent_remove_participant(struct leased_agent *a, uint64_t dispatcher);
 
+/* ---- Crashes of the server (agent_losses.c) ------------------------- */
+
+struct agent_losses *agent_create_losses(void);
+/* Takes over the runs that were lost with the server since the last call. */
+void agent_count_losses(struct leased_agent *a, struct server *server,
+			int64_t now_ms);
+/* Adds what the last crash ended to a state, unless that is long ago. */
+void agent_fill_losses(const struct leased_agent *a, int64_t now_ms,
+		       Cfw__ServerState *state);
+void agent_clear_losses(Cfw__ServerState *state);
+/* Number of crashes with losses so far. */
+uint32_t agent_count_crashes(const struct leased_agent *a);
+
 /* ---- Interference (agent_interference.c) ----------------------------- */
 
 GHashTable *agent_create_interferences(void);
--- a/src/leased/agent_peers.c
+++ b/src/leased/agent_peers.c
@@ -188,6 +188,7 @@
 		agent_count_result(a, server, &result, now_ms);
 		add_result(a, &result, now_ms);
 	}
+	agent_count_losses(a, server, now_ms);
 	agent_track_runs(a, server, now_ms);
 }
 
@@ -254,6 +255,8 @@
 	run.target_start_ms = now_ms + start->slack_ms;
 	run.deadline_ms = now_ms + start->deadline_ms;
 	run.expected_ms = start->expected_ms;
+	run.losses = start->losses;
+	run.lost_after_ms = start->lost_after_ms;
 	g_strlcpy(run.class_name, start->class_name, sizeof(run.class_name));
 	capacity_share_mark_used(server_capacity_share(server), p->incarnation);
 	run_table_enqueue(server_runs(server), &run, now_ms);
--- a/src/leased/agent_reports.c
+++ b/src/leased/agent_reports.c
@@ -110,6 +110,7 @@
 	state->speed_sd_milli = (uint32_t)lround(speed.sd * MILLI);
 	state->speed_age_ms = (uint32_t)MIN(speed.age_ms, UINT32_MAX);
 	agent_fill_interference(a, p, now_ms, state);
+	agent_fill_losses(a, now_ms, state);
 }
 
 static Cfw__ServerState *fill_states(const struct leased_agent *a,
@@ -136,7 +137,7 @@
 static uint64_t report_digest(const struct leased_agent *a,
 			      const Cfw__RunReport *report, int64_t now_ms)
 {
-	XXH64_hash_t sum = 1;
+	XXH64_hash_t sum = 1 + agent_count_crashes(a);
 
 	for (size_t i = 0; i < report->n_servers; i++) {
 		const Cfw__ServerState *state = report->servers[i];
@@ -200,8 +201,10 @@
 		g_array_set_size(p->results, 0);
 		p->sent_digest = sum;
 	}
-	for (size_t i = 0; i < report.n_servers; i++)
+	for (size_t i = 0; i < report.n_servers; i++) {
 		agent_clear_interference(report.servers[i]);
+		agent_clear_losses(report.servers[i]);
+	}
 	g_free(report.servers);
 	g_free(report.ends);
 	g_free(states);
--- a/src/leased/dispatch.h
+++ b/src/leased/dispatch.h
@@ -15,6 +15,7 @@
 #ifndef LEASED_DISPATCH_H
 #define LEASED_DISPATCH_H
 
+#include "leased/containment.h"
 #include "leased/interference.h"
 #include "leased/run_table.h"
 
@@ -46,6 +47,8 @@
 	uint32_t slack_ms, deadline_ms;
 	uint32_t expected_ms; /* run time on a server of average speed */
 	const char *class_name;
+	uint32_t losses; /* servers that crashed under the task */
+	uint32_t lost_after_ms; /* age of its last run that was lost so */
 };
 
 struct dispatch_sink_ops {
@@ -113,12 +116,16 @@
 		late_jobs; /* that ever waited without a chance to be in time */
 	uint32_t speeds_known; /* servers whose speed was measured */
 	uint32_t interfering_pairs;
+	uint32_t contained_classes, suspect_tasks;
+	uint64_t crashes_explained; /* that ever proved a class */
 	uint64_t capacity_milli, free_milli;
 };
 
 struct dispatch *dispatch_create(struct dispatch_sink *sink,
 				 const char *data_centre);
 void dispatch_destroy(struct dispatch *d); /* sends no answers */
+/* Containment is enabled at first. To be called before the first job. */
+void dispatch_set_containment(struct dispatch *d, bool enabled);
 
 /* Admits a job or refuses it at once. */
 void dispatch_submit(struct dispatch *d, const struct job_request *request,
@@ -156,6 +163,11 @@
 				  const char *server,
 				  const struct interference_report *report,
 				  int64_t now_ms);
+/* The last crash of the agent's server, this long ago; may repeat a known one.
+ */
+void dispatch_update_losses(struct dispatch *d, uint64_t agent,
+			    const struct class_loss *losses, size_t n,
+			    int64_t age_ms, int64_t now_ms);
 /* Ends a report: servers of the agent that were not updated since the last
  * report accept no more work. */
 void dispatch_finish_report(struct dispatch *d, uint64_t agent, int64_t now_ms);
--- a/src/leased/dispatch_admit.c
+++ b/src/leased/dispatch_admit.c
@@ -28,7 +28,9 @@
 
 /* ---- Predicted wait ------------------------------------------------- */
 
-static double free_cpu_milli(const struct dispatch *d, int64_t now_ms)
+/* A contained class can count only on the servers for contained tasks. */
+static double free_cpu_milli(const struct dispatch *d, bool contained,
+			     int64_t now_ms)
 {
 	double sum = 0;
 
@@ -37,7 +39,8 @@
 			g_ptr_array_index(d->servers, i);
 
 		if (server_is_usable(d, server) &&
-		    !server_is_avoided(d, server, now_ms))
+		    !server_is_avoided(d, server, now_ms) &&
+		    (!contained || server->agent->runs_contained))
 			sum += (double)MAX(server_offered_cpu_milli(server), 0);
 	}
 	return sum;
@@ -53,6 +56,16 @@
 	double late_wait_ms; /* the same for a late job */
 };
 
+/* A contained class has the servers for contained tasks to itself, apart from
+ * other jobs with contained tasks. */
+static void sum_contained(const struct dispatch *d,
+			  const struct dispatch_class *class,
+			  double *running_milli, double *queued_work)
+{
+	*running_milli = (double)class->running_cpu_milli;
+	*queued_work = d->contained.queued_work;
+}
+
 static void sum_classes(const struct dispatch *d, double *running_milli,
 			double *queued_work)
 {
@@ -94,25 +107,30 @@
 {
 	const struct dispatch_class *class = job->class;
 	double own = dispatch_task_work(job) * job->spec.n_tasks;
-	double ahead = class->lane.queued_work - own;
+	const struct dispatch_lane *lane = class->contained ? &d->contained
+							    : &class->lane;
+	double ahead = lane->queued_work - own;
 	double running_milli, queued_work, all_milli, left_milli, free_work;
 
-	sum_classes(d, &running_milli, &queued_work);
+	if (class->contained)
+		sum_contained(d, class, &running_milli, &queued_work);
+	else
+		sum_classes(d, &running_milli, &queued_work);
 	e->share = dispatch_class_share(d, class, now_ms);
-	e->free_milli = free_cpu_milli(d, now_ms);
+	e->free_milli = free_cpu_milli(d, class->contained, now_ms);
 	all_milli = running_milli + e->free_milli * FREE_CPU_FRACTION;
 	left_milli =
 		all_milli - (running_milli - (double)class->running_cpu_milli);
 	e->cpu_milli =
 		MAX(MAX(all_milli * e->share, left_milli), CPU_MIN_MILLI);
-	if (queued_work > class->lane.queued_work)
+	if (queued_work > lane->queued_work)
 		e->free_milli *= e->share;
 	free_work = e->free_milli * FREE_CPU_FRACTION * job->predicted_ms;
 	e->work = MAX(ahead - free_work, 0);
 	own = MAX(own - MAX(free_work - ahead, 0), 0);
 	e->wait_ms = WORK_MARGIN * (e->work / e->cpu_milli +
 				    own / MAX(all_milli, CPU_MIN_MILLI));
-	if (ahead <= 0 && queued_work <= class->lane.queued_work &&
+	if (ahead <= 0 && queued_work <= lane->queued_work &&
 	    (double)job->spec.cpu_milli * job->spec.n_tasks <= e->free_milli)
 		e->wait_ms = 0;
 	e->late_wait_ms = late_wait_ms(d, job, all_milli, queued_work, now_ms);
@@ -127,7 +145,9 @@
 	struct estimate e;
 
 	estimate(d, job, now_ms, &e);
-	return 1 + (uint32_t)(e.wait_ms / MS_PER_S) + spread;
+	return 1 + spread +
+	       (uint32_t)(contain_wait_ms(d, job, (int64_t)e.wait_ms, now_ms) /
+			  MS_PER_S);
 }
 
 static void log_refusal(const struct dispatch_job *job,
@@ -154,6 +174,8 @@
 		return "no backend server can be reached";
 	if (now_ms + job->predicted_ms > job->deadline_ms)
 		return "it can't end before its deadline";
+	if (contain_refuses(d, job, now_ms))
+		return CONTAINED_REFUSAL;
 	estimate(d, job, now_ms, &e);
 	if (now_ms + (int64_t)e.wait_ms <= job->target_start_ms) {
 		rate_add(&d->in_time_rate,
--- a/src/leased/dispatch_internal.h
+++ b/src/leased/dispatch_internal.h
@@ -61,6 +61,8 @@
 	bool speed_reset;
 	bool reported; /* included in the report that is being read */
 	bool offers_more; /* than before that report */
+	uint32_t suspects; /* runs of suspect tasks here */
+	int64_t last_usable_ms;
 	/* Further classes than these are not tracked. */
 	struct server_class classes[SERVER_CLASSES_MAX];
 };
@@ -80,6 +82,7 @@
 	int64_t lease_granted_ms; /* start of the newest lease it may hold */
 	uint64_t starts_sent; /* on this connection */
 	GQueue *pending_starts; /* struct pending_start, oldest first */
+	bool runs_contained; /* its server may run contained tasks */
 };
 
 /* ---- Jobs ----------------------------------------------------------- */
@@ -95,6 +98,9 @@
 	enum dispatch_task_state state;
 	uint32_t number; /* number of the newest run */
 	uint32_t failures, moves;
+	uint32_t losses; /* servers that crashed under it */
+	uint32_t lost_after_ms; /* age of its last run that was lost so */
+	bool suspect; /* it may have crashed a server */
 	bool stopping; /* a stop command was sent */
 	bool overdue_reported;
 	struct dispatch_server *server; /* DISPATCH_TASK_SENT */
@@ -123,6 +129,7 @@
 	double running_work; /* predicted work of tasks at servers */
 	int64_t running_cpu_milli;
 	uint32_t unsent_jobs; /* jobs of which no task was sent */
+	bool contained; /* runs on few servers, see containment.h */
 	/* Mean logarithm by which known interference has slowed its runs. */
 	double slowdown_log;
 };
@@ -141,6 +148,8 @@
 	int64_t useful_start_ms;
 	int64_t useful_end_ms; /* its answer is of no use afterwards */
 	bool is_late; /* waits in the lane of late jobs */
+	bool is_contained; /* waits in the lane of contained jobs */
+	bool has_suspect; /* one of its tasks is or was suspect */
 	uint32_t predicted_ms; /* on an average server, without interference */
 	double slowdown; /* factor that its class had when the job arrived */
 	/* Longest successful run so far, at average speed; 0: none. */
@@ -172,6 +181,11 @@
 	double reserved_speed;
 	struct interference_view *interference;
 	int64_t interference_ms; /* when it was last judged */
+	struct containment *containment;
+	bool containment_disabled;
+	bool containing; /* some class or task is contained */
+	uint32_t suspects; /* unfinished suspect tasks */
+	struct dispatch_lane contained; /* jobs with contained tasks */
 	struct dispatch_lane late; /* jobs that can't meet their target */
 	uint64_t late_jobs; /* that ever were in it */
 	struct rate in_time_rate; /* work of jobs admitted to be in time */
@@ -284,6 +298,39 @@
 		      const struct dispatch_job *job, int64_t now_ms);
 void interference_tick(struct dispatch *d, int64_t now_ms);
 
+/* ---- Containment (dispatch_contain.c) ------------------------------- */
+
+#define CONTAINED_REFUSAL "its class crashes servers and none for it is up"
+
+/* Whether the task may run on few servers only. */
+bool contain_task(const struct dispatch_job *job,
+		  const struct dispatch_task *task);
+/* Whether the task may run there. */
+bool contain_allows(const struct dispatch *d,
+		    const struct dispatch_server *server,
+		    const struct dispatch_job *job,
+		    const struct dispatch_task *task);
+/* How much later the task may end elsewhere for that to be preferred. */
+double contain_penalty_ms(const struct dispatch *d,
+			  const struct dispatch_server *server,
+			  const struct dispatch_job *job,
+			  const struct dispatch_task *task);
+/* The task's run was lost with its server after this time. Called while the
+ * task is still at the server. */
+void contain_note_loss(struct dispatch *d, struct dispatch_job *job,
+		       struct dispatch_task *task, uint32_t ran_ms);
+void contain_choose_servers(struct dispatch *d);
+/* The job's class is contained, nothing of the job was sent, and no server for
+ * it will be up before its useful start. */
+bool contain_refuses(const struct dispatch *d, const struct dispatch_job *job,
+		     int64_t now_ms);
+/* A predicted wait of a refused job. If its class is contained, at least until
+ * a server for it is up and at most until the containment can end. */
+int64_t contain_wait_ms(const struct dispatch *d,
+			const struct dispatch_job *job, int64_t wait_ms,
+			int64_t now_ms);
+void contain_tick(struct dispatch *d, int64_t now_ms);
+
 /* ---- Placement (dispatch_place.c) ----------------------------------- */
 
 /* Starts as many waiting tasks as fit. */
--- a/src/leased/dispatch_jobs.c
+++ b/src/leased/dispatch_jobs.c
@@ -70,6 +70,8 @@
 					  free_agent);
 	d->servers = g_ptr_array_new_with_free_func(g_free);
 	dispatch_lane_init(&d->late);
+	dispatch_lane_init(&d->contained);
+	d->containment = containment_create();
 	d->predict = cf_predict_create();
 	d->health = cf_health_create(EJECT_MAX_MILLI);
 	d->speeds = speed_view_create();
@@ -85,6 +87,8 @@
 	g_hash_table_destroy(d->classes);
 	g_hash_table_destroy(d->agents);
 	dispatch_lane_clear(&d->late);
+	dispatch_lane_clear(&d->contained);
+	containment_destroy(d->containment);
 	g_ptr_array_unref(d->servers);
 	cf_predict_destroy(d->predict);
 	cf_health_destroy(d->health);
@@ -174,6 +178,7 @@
 	class = g_new0(struct dispatch_class, 1);
 	dispatch_lane_init(&class->lane);
 	g_strlcpy(class->name, name, sizeof(class->name));
+	class->contained = containment_has(d->containment, name);
 	g_hash_table_insert(d->classes, class->name, class);
 	return class;
 }
@@ -221,6 +226,7 @@
 	g_bytes_ref(job->spec.spec);
 	job->class = find_class(d, request->route.name);
 	job->class->priority = request->route.priority;
+	job->is_contained = job->class->contained;
 	job->callers = g_ptr_array_new();
 	g_ptr_array_add(job->callers, request->caller);
 	job->arrived_ms = request->arrived_ms;
@@ -397,6 +403,7 @@
 void dispatch_tick(struct dispatch *d, int64_t now_ms)
 {
 	servers_tick(d, now_ms);
+	contain_tick(d, now_ms);
 	end_unservable_jobs(d, now_ms);
 	find_late_jobs(d, now_ms);
 	dispatch_move_late_runs(d, now_ms);
@@ -424,6 +431,9 @@
 	load->servers = d->servers->len;
 	load->speeds_known = speed_view_known(d->speeds);
 	load->interfering_pairs = interference_view_count(d->interference);
+	load->contained_classes = containment_count(d->containment);
+	load->suspect_tasks = d->suspects;
+	load->crashes_explained = containment_proofs(d->containment);
 	for (guint i = 0; i < d->servers->len; i++) {
 		const struct dispatch_server *server =
 			g_ptr_array_index(d->servers, i);
--- a/src/leased/dispatch_order.c
+++ b/src/leased/dispatch_order.c
@@ -5,7 +5,8 @@
  * arrives for it and with its priority, so that in a shortage the most urgent
  * class comes first and no class starves. Within a lane the most urgent job
  * goes first. Jobs that can't meet their target any more share one lane, which
- * gets the capacity that no other job can use now.
+ * gets the capacity that no other job can use now. Jobs with contained tasks
+ * have a lane of their own, which dispatch_place.c serves first.
  *
  * Answers load above what the servers can do: those jobs are in time that can
  * be, and the others are answered late rather than never.
@@ -66,6 +67,8 @@
 struct dispatch_lane *dispatch_job_lane(struct dispatch *d,
 					const struct dispatch_job *job)
 {
+	if (job->is_contained)
+		return &d->contained;
 	return job->is_late ? &d->late : &job->class->lane;
 }
 
@@ -172,7 +175,7 @@
 {
 	struct dispatch_lane *lane = dispatch_job_lane(d, job);
 
-	if (job->is_late)
+	if (job->is_late || job->is_contained)
 		return;
 	d->virtual_time = MAX(d->virtual_time, lane->virtual_time);
 	lane->virtual_time += dispatch_task_work(job) /
--- a/src/leased/dispatch_place.c
+++ b/src/leased/dispatch_place.c
@@ -46,6 +46,8 @@
  * Fuller ones would be chosen by several dispatchers at once, and the runs
  * queue there. */
 #define SLOW_SERVER_FREE_MIN 0.5
+/* Most jobs with contained tasks that are tried at a time. */
+#define CONTAINED_TRIES_MAX 16
 /* Preference for a server; more than any run takes. */
 #define PREFERENCE_MS 1000000.0
 
@@ -155,7 +157,8 @@
 	double used = 1 - (double)server_free_cpu_milli(server) / capacity;
 	double finish = server_run_ms(d, server, job) +
 			used * FULL_SERVER_PENALTY_MS +
-			server_harm_ms(d, server, job, now_ms);
+			server_harm_ms(d, server, job, now_ms) +
+			contain_penalty_ms(d, server, job, task);
 
 	if (strcmp(server->agent->identity.data_centre, d->data_centre) != 0)
 		finish += OTHER_DATA_CENTRE_PENALTY_MS;
@@ -201,7 +204,8 @@
 		 * are looked up for the others only. */
 		if (!offers(server, job) && (can_be_in_time || slow))
 			continue;
-		if (!serves(d, server, job, now_ms))
+		if (!contain_allows(d, server, job, task) ||
+		    !serves(d, server, job, now_ms))
 			continue;
 		can_be_in_time |= !slow;
 		if (server->speed <= d->reserved_speed ||
@@ -234,6 +238,8 @@
 			job->deadline_ms - job->predicted_ms / 2 - now_ms, 1),
 		.expected_ms = job->predicted_ms,
 		.class_name = job->class->name,
+		.losses = task->losses,
+		.lost_after_ms = task->lost_after_ms,
 	};
 
 	g_strlcpy(command.name.job, job->id, sizeof(command.name.job));
@@ -251,6 +257,7 @@
 	task->interference = server_interference(d, server, job);
 	server->last_start_ms = now_ms;
 	server_add_run(server, job);
+	server->suspects += task->suspect;
 	cf_health_sent(d->health, server->id, 1, now_ms);
 	dispatch_charge_lane(d, job, now_ms);
 	log_event(LOG_INFO, "run_sent",
@@ -271,7 +278,8 @@
 	PLACEMENT_WAITS_FOR_FASTER, /* one fits only servers too slow for it */
 };
 
-/* Sends the job's waiting tasks. */
+/* Sends the job's waiting tasks. Those that wait for one of the few servers for
+ * contained tasks don't hold up the others. */
 static enum placement place_job(struct dispatch *d, struct dispatch_job *job,
 				int64_t now_ms)
 {
@@ -282,6 +290,8 @@
 		if (task->state != DISPATCH_TASK_WAITING)
 			continue;
 		choice = choose_server(d, job, task, now_ms);
+		if (!choice.best && contain_task(job, task))
+			continue;
 		if (!choice.best) {
 			if (!job->is_late)
 				dispatch_note_demand(d, now_ms);
@@ -291,7 +301,7 @@
 		}
 		send_task(d, job, task, choice.best, now_ms);
 	}
-	return PLACEMENT_ALL;
+	return job->n_waiting ? PLACEMENT_WAITS : PLACEMENT_ALL;
 }
 
 /* No other job may start before one that has waited this long for capacity.
@@ -319,6 +329,24 @@
 	return true;
 }
 
+/* The servers for contained tasks are of little use to other jobs, so jobs with
+ * such tasks come first, and each is tried, as they wait for different servers.
+ */
+static void place_contained_jobs(struct dispatch *d, int64_t now_ms)
+{
+	GSequenceIter *iter = g_sequence_get_begin_iter(d->contained.queue);
+
+	for (uint32_t i = 0;
+	     i < CONTAINED_TRIES_MAX && !g_sequence_iter_is_end(iter); i++) {
+		struct dispatch_job *job = g_sequence_get(iter);
+
+		iter = g_sequence_iter_next(iter);
+		if (job->deadline_ms > now_ms &&
+		    place_job(d, job, now_ms) == PLACEMENT_ALL)
+			dispatch_unqueue_job(job);
+	}
+}
+
 void dispatch_place_tasks(struct dispatch *d, int64_t now_ms)
 {
 	g_autoptr(GPtrArray) tried = g_ptr_array_new();
@@ -331,6 +359,7 @@
 	if (d->fast_counted_ms != now_ms)
 		d->fast_scarce = is_fast_scarce(d);
 	d->fast_counted_ms = now_ms;
+	place_contained_jobs(d, now_ms);
 	while ((lane = dispatch_next_lane(d, tried))) {
 		struct dispatch_job *job =
 			g_sequence_get(g_sequence_get_begin_iter(lane->queue));
--- a/src/leased/dispatch_runs.c
+++ b/src/leased/dispatch_runs.c
@@ -21,6 +21,7 @@
 			       struct dispatch_task *task)
 {
 	server_remove_run(task->server, job);
+	task->server->suspects -= task->suspect;
 	job->n_sent--;
 }
 
@@ -154,6 +155,11 @@
 		task->number += NUMBER_STEP_STALE;
 		requeue_task(d, job, task, result->outcome, now_ms);
 		break;
+	case RUN_OUTCOME_LOST:
+		task->losses++;
+		contain_note_loss(d, job, task, result->run_ms);
+		requeue_task(d, job, task, result->outcome, now_ms);
+		break;
 	default:
 		requeue_task(d, job, task, result->outcome, now_ms);
 		break;
--- a/src/leased/dispatcher.c
+++ b/src/leased/dispatcher.c
@@ -132,6 +132,7 @@
 	gauge_set(d->speeds_known, load.speeds_known);
 	gauge_set(d->free_milli, (int64_t)load.free_milli);
 	gauge_set(d->interfering_pairs, load.interfering_pairs);
+	dispatcher_count_losses(d, &load);
 }
 
 static void tick(void *arg, int64_t now_ms)
@@ -212,6 +213,15 @@
 	d->interfering_pairs =
 		gauge_get("interfering_pairs", NULL,
 			  "pairs of classes that slow each other down");
+	d->contained_classes = gauge_get("classes_contained", NULL,
+					 "classes that run on few servers "
+					 "because they crash servers");
+	d->suspect_tasks = gauge_get("tasks_contained", NULL,
+				     "tasks that may have crashed a server");
+	d->crashes_explained =
+		counter_get("crashes_explained_total", NULL,
+			    "crashes of servers that prove a class to be "
+			    "the cause");
 	d->agents_wanted =
 		gauge_get("agents_wanted", NULL, "agents to be connected to");
 	d->agents_listed =
@@ -245,6 +255,8 @@
 	d->subset = agent_subset_create(&subset);
 	d->dispatch = dispatch_create(&d->sink,
 				      settings_text(settings, "data-centre"));
+	dispatch_set_containment(d->dispatch,
+				 settings_bool(settings, "containment"));
 	get_counters(d);
 	return d;
 }
--- a/src/leased/dispatcher_agents.c
+++ b/src/leased/dispatcher_agents.c
@@ -132,6 +132,8 @@
 	start->deadline_ms = command->deadline_ms;
 	start->expected_ms = command->expected_ms;
 	start->class_name = g_strdup(command->class_name);
+	start->losses = command->losses;
+	start->lost_after_ms = command->lost_after_ms;
 	g_ptr_array_add(a->starts, start);
 	schedule_flush(a);
 }
@@ -406,6 +408,7 @@
 	dispatch_update_server(d->dispatch, a->incarnation, &state,
 			       loop_now_ms(d->loop));
 	dispatcher_apply_interference(d, a, from);
+	dispatcher_apply_losses(d, a, from);
 }
 
 static void apply_report(struct leased_dispatcher *d,
--- a/src/leased/dispatcher_internal.h
+++ b/src/leased/dispatcher_internal.h
@@ -75,6 +75,9 @@
 	struct counter *speeds_known;
 	struct counter *agents_wanted, *agents_listed;
 	struct counter *routes_version, *interfering_pairs;
+	struct counter *contained_classes, *suspect_tasks;
+	struct counter *crashes_explained;
+	uint64_t counted_crashes_explained; /* already in the counter */
 };
 
 /* ---- Agents (dispatcher_agents.c) ----------------------------------- */
@@ -101,6 +104,15 @@
 				   const struct agent_link *a,
 				   const Cfw__ServerState *from);
 
+/* ---- Crashes of servers (dispatcher_losses.c) ----------------------- */
+
+void dispatcher_apply_losses(struct leased_dispatcher *d,
+			     const struct agent_link *a,
+			     const Cfw__ServerState *from);
+/* Sets the metrics of containment. */
+void dispatcher_count_losses(struct leased_dispatcher *d,
+			     const struct dispatch_load *load);
+
 /* ---- Callers (dispatcher_http.c) ------------------------------------ */
 
 bool dispatcher_start_http(struct leased_dispatcher *d, GError **error);
--- a/src/leased/run_table.c
+++ b/src/leased/run_table.c
@@ -36,6 +36,7 @@
 
 	table->runs = g_ptr_array_new_with_free_func(free_run);
 	g_queue_init(&table->results);
+	table->lost = g_array_new(FALSE, FALSE, sizeof(struct lost_run));
 	return table;
 }
 
@@ -44,6 +45,7 @@
 	if (!table)
 		return;
 	g_ptr_array_unref(table->runs);
+	g_array_unref(table->lost);
 	g_queue_clear_full(&table->results, g_free);
 	g_free(table);
 }
@@ -91,6 +93,18 @@
 		  sizeof(table->failed_job));
 }
 
+static void note_lost(struct run_table *table,
+		      const struct run_request *request, uint32_t ran_ms)
+{
+	struct lost_run lost = { .ran_ms = ran_ms,
+				 .losses = request->losses,
+				 .lost_after_ms = request->lost_after_ms };
+
+	g_strlcpy(lost.class_name, request->class_name,
+		  sizeof(lost.class_name));
+	g_array_append_val(table->lost, lost);
+}
+
 void run_table_finish_at(struct run_table *table, guint position,
 			 enum run_outcome outcome, int64_t now_ms)
 {
@@ -103,6 +117,8 @@
 	if (run->started_ms && now_ms > run->started_ms)
 		result.run_ms = (uint32_t)(now_ms - run->started_ms);
 	count_failure(table, &result);
+	if (outcome == RUN_OUTCOME_LOST)
+		note_lost(table, &run->request, result.run_ms);
 	g_queue_push_tail(&table->results, g_memdup2(&result, sizeof(result)));
 	g_ptr_array_remove_index(table->runs, position);
 }
@@ -137,6 +153,14 @@
 	return true;
 }
 
+GArray *run_table_take_lost(struct run_table *table)
+{
+	GArray *lost = table->lost;
+
+	table->lost = g_array_new(FALSE, FALSE, sizeof(struct lost_run));
+	return lost;
+}
+
 /* ---- Free capacity -------------------------------------------------- */
 
 static void sum_load(const struct run_table *table, bool include_queued,
--- a/src/leased/run_table.h
+++ b/src/leased/run_table.h
@@ -11,6 +11,7 @@
 #ifndef LEASED_RUN_TABLE_H
 #define LEASED_RUN_TABLE_H
 
+#include "leased/containment.h"
 #include "leased/formats.h"
 
 struct run_table;
@@ -24,6 +25,8 @@
 	int64_t deadline_ms; /* not started from then on */
 	uint32_t expected_ms; /* on a server of average speed; 0: unknown */
 	char class_name[CF_NAME_SIZE]; /* empty: unknown */
+	uint32_t losses; /* servers that crashed under the task */
+	uint32_t lost_after_ms; /* age of its last run that was lost so */
 };
 
 enum run_outcome {
@@ -121,5 +124,8 @@
 void run_table_list_running(const struct run_table *table, GPtrArray *requests);
 /* Removes the oldest result; false if there is none. */
 bool run_table_pop_result(struct run_table *table, struct run_result *result);
+/* Returns the runs lost with the server since the last call (struct lost_run).
+ * The caller releases the array. */
+GArray *run_table_take_lost(struct run_table *table);
 
 #endif
--- a/src/leased/run_table_internal.h
+++ b/src/leased/run_table_internal.h
@@ -31,6 +31,7 @@
 	struct cf_capacity capacity;
 	GPtrArray *runs; /* struct run, by target start */
 	GQueue results; /* struct run_result */
+	GArray *lost; /* struct lost_run */
 	uint32_t failed_in_a_row; /* see struct run_load */
 	char failed_job[LEASED_JOB_SIZE]; /* the last job that failed */
 	int64_t next_start_ms; /* no start is sent before */
--- a/tests/support/dispatch_world.h
+++ b/tests/support/dispatch_world.h
@@ -38,6 +38,7 @@
 struct world_tally {
 	uint32_t asked, in_target, late, failed, given_up;
 	uint32_t refused, refused_late; /* after a quarter of the target */
+	uint32_t retry_after_max_s;
 	uint32_t large_asked, large_served; /* jobs with the most tasks */
 };
 
@@ -47,6 +48,10 @@
 	/* many_world only: */
 	uint64_t run_ms; /* sum over ended runs */
 	uint32_t states; /* reported to dispatchers */
+	uint32_t server_crashes; /* many_world only */
+	/* In the time of many_load.counted_from_ms to counted_to_ms. */
+	struct world_tally counted[WORLD_CLASSES];
+	uint64_t contained_ms; /* classes x time, at the first dispatcher */
 	/* Jobs submitted, and time, until the first dispatcher knew nine in ten
 	 * of the slow servers and took no more than one in ten of the others
 	 * for slow; 0: never. */
--- a/tests/support/many_internal.h
+++ b/tests/support/many_internal.h
@@ -29,7 +29,9 @@
 struct many_run {
 	struct run_name name;
 	struct many_pace pace;
-	int64_t ends_ms;
+	int64_t started_ms, ends_ms;
+	int64_t crashes_ms; /* when it crashes its server; 0: never */
+	uint32_t losses, lost_after_ms;
 };
 
 struct many_server {
@@ -47,6 +49,7 @@
 	int32_t speed_steps[MANY_DISPATCHERS_MAX]; /* last reported */
 	double factor; /* on the times of runs that start now */
 	bool refuses_starts, fails, changed;
+	struct many_crash *crash;
 };
 
 enum many_message_kind {
@@ -87,6 +90,31 @@
 struct many_message *many_post(struct many *m, enum many_message_kind kind,
 			       uint32_t dispatcher, uint32_t server);
 
+/* ---- Crashes (many_crash.c) ----------------------------------------- */
+
+struct many_crash *many_crash_create(void);
+void many_crash_destroy(struct many_crash *crash);
+/* Crashes the server if it is time, lets its agent notice, and brings the
+ * server back. */
+void many_crash_step(struct many *m, uint32_t server);
+bool many_crash_is_down(const struct many_crash *crash);
+/* Whether the agent has noticed. */
+bool many_crash_is_known(const struct many_crash *crash);
+/* How often the server has come back, which is part of its name. */
+uint32_t many_crash_returns(const struct many_crash *crash);
+/* Whether a task of the job at this time crashes its server. */
+bool many_crash_is_poison(struct many *m, size_t class);
+/* Changes a result of a run that was lost with the server. */
+void many_crash_settle(struct many *m, uint32_t server,
+		       struct run_result *result);
+/* What the last crash ended, and when it was noticed; 0: never. */
+int64_t many_crash_report(const struct many *m, uint32_t server,
+			  const struct class_loss **losses, size_t *n);
+/* Whether there was a crash that the dispatcher wasn't told of. */
+bool many_crash_is_due(const struct many *m, uint32_t server,
+		       uint32_t dispatcher);
+void many_crash_reported(struct many *m, uint32_t server, uint32_t dispatcher);
+
 /* ---- Servers (many_servers.c) --------------------------------------- */
 
 void many_create_server(struct many *m, uint32_t number);
--- a/tests/support/many_servers.c
+++ b/tests/support/many_servers.c
@@ -9,6 +9,8 @@
 /* Run time at a server that fails all tasks. */
 #define FAIL_DELAY_MS 20
 #define AGENT_TICK_MS 20
+/* A task that crashes its server does so after this time. */
+#define CRASH_AFTER_MS 11
 
 /* ---- Servers -------------------------------------------------------- */
 
@@ -92,12 +94,18 @@
 }
 
 static void start_run(struct many *m, struct many_server *s,
-		      const struct run_name *name)
+		      const struct run_request *request)
 {
+	const struct run_name *name = &request->name;
 	struct world_job *job = g_hash_table_lookup(m->jobs, name->job);
 	struct many_run *run = g_new0(struct many_run, 1);
 
 	run->name = *name;
+	run->started_ms = m->now_ms;
+	run->losses = request->losses;
+	run->lost_after_ms = request->lost_after_ms;
+	run->crashes_ms =
+		job->poison && !name->index ? m->now_ms + CRASH_AFTER_MS : 0;
 	run->pace.class = job->class;
 	run->ends_ms =
 		m->now_ms +
@@ -115,14 +123,19 @@
 	while (server_backoff_has_elapsed(&s->refusals, m->now_ms) &&
 	       (next = run_table_next_start(s->table, m->now_ms))) {
 		struct run_name name = next->name;
-		bool refused = s->refuses_starts &&
-			       g_rand_double(m->random) <
-				       m->load->refused_fraction;
+		bool refused;
+
+		if (many_crash_is_down(s->crash)) {
+			run_table_start_unanswered(s->table, &name);
+			continue;
+		}
+		refused = s->refuses_starts &&
+			  g_rand_double(m->random) < m->load->refused_fraction;
 
 		if (refused)
 			server_backoff_increase(&s->refusals, m->now_ms);
 		else
-			start_run(m, s, &name);
+			start_run(m, s, next);
 		if (!refused)
 			server_backoff_reset(&s->refusals);
 		run_table_start_answered(s->table, &name,
@@ -139,7 +152,8 @@
 	return last_reported->offered_cpu_milli != state->offered_cpu_milli ||
 	       last_reported->accepting != state->accepting ||
 	       last_reported->fails_all != state->fails_all ||
-	       last_reported->received != state->received;
+	       last_reported->received != state->received ||
+	       strcmp(last_reported->name, state->name) != 0;
 }
 
 static void fill_state(const struct many *m, uint32_t server,
@@ -150,7 +164,8 @@
 	struct speed speed;
 
 	run_table_get_load(s->table, &load);
-	g_snprintf(state->name, sizeof(state->name), "s%u", server);
+	g_snprintf(state->name, sizeof(state->name), "s%u-%u", server,
+		   many_crash_returns(s->crash));
 	g_strlcpy(state->service, "desk", sizeof(state->service));
 	state->capacity.cpu_milli = m->load->cpu_milli;
 	state->capacity.memory_mb = MANY_MEMORY_MB;
@@ -158,7 +173,9 @@
 	state->offered_cpu_milli = capacity_share_reported(
 		s->share, dispatcher, load.free_cpu_milli, m->load->cpu_milli);
 	state->free_memory_mb = load.free_memory_mb;
-	state->accepting = server_backoff_has_elapsed(&s->refusals, m->now_ms);
+	state->accepting =
+		server_backoff_has_elapsed(&s->refusals, m->now_ms) &&
+		!many_crash_is_known(s->crash);
 	state->fails_all = load.failed_in_a_row >= RUN_FAILURES_COUNTED_MAX;
 	state->received = s->received[dispatcher];
 	if (m->load->hides_speed)
@@ -186,6 +203,7 @@
 						m->now_ms);
 	fill_state(m, server, dispatcher, &state);
 	if (!results->len && !many_estimate_is_due(estimate) &&
+	    !many_crash_is_due(m, server, dispatcher) &&
 	    step == s->speed_steps[dispatcher] &&
 	    !state_has_changed(last_reported, &state)) {
 		many_estimate_free_report(estimate);
@@ -199,6 +217,7 @@
 	message->state = state;
 	message->estimate = estimate;
 	message->results = results;
+	many_crash_reported(m, server, dispatcher);
 }
 
 static void report_to_all(struct many *m, uint32_t server)
@@ -212,6 +231,7 @@
 		results[i] =
 			g_array_new(FALSE, FALSE, sizeof(struct run_result));
 	while (run_table_pop_result(s->table, &result)) {
+		many_crash_settle(m, server, &result);
 		m->result->run_ms += result.run_ms;
 		many_estimate_result(s->estimate, s->speed, &result, m->now_ms);
 		g_array_append_val(results[result.dispatcher], result);
@@ -241,9 +261,12 @@
 		struct many_server *s = &m->servers[i];
 		struct run_load load;
 
-		end_runs(m, s);
-		stop_runs(m, s);
-		list_runs(m, s);
+		many_crash_step(m, i);
+		if (!many_crash_is_down(s->crash)) {
+			end_runs(m, s);
+			stop_runs(m, s);
+			list_runs(m, s);
+		}
 		s->factor = many_server_factor(m->load, i, m->now_ms);
 		start_runs(m, s);
 		if (s->refusals.until_ms == m->now_ms)
@@ -277,6 +300,7 @@
 	s->fails = number < m->load->failing;
 	s->speed = speed_estimate_create();
 	s->estimate = many_estimate_create();
+	s->crash = many_crash_create();
 	for (uint32_t i = 0; i < m->load->dispatchers; i++)
 		s->speed_steps[i] = SPEED_STEP_UNKNOWN;
 	s->changed = true;
@@ -290,6 +314,7 @@
 	capacity_share_destroy(s->share);
 	speed_estimate_destroy(s->speed);
 	many_estimate_destroy(s->estimate);
+	many_crash_destroy(s->crash);
 	g_ptr_array_unref(s->runs);
 	g_array_unref(s->ends);
 }
--- a/tests/support/many_world.c
+++ b/tests/support/many_world.c
@@ -57,6 +57,8 @@
 	message->run.target_start_ms = d->many->now_ms + command->slack_ms;
 	message->run.deadline_ms = d->many->now_ms + command->deadline_ms;
 	message->run.expected_ms = command->expected_ms;
+	message->run.losses = command->losses;
+	message->run.lost_after_ms = command->lost_after_ms;
 	g_strlcpy(message->run.class_name, command->class_name,
 		  sizeof(message->run.class_name));
 }
@@ -70,12 +72,30 @@
 		->name = *name;
 }
 
+static void count_answer(struct many *m, const struct world_job *job,
+			 const struct job_answer *reply)
+{
+	struct world_tally *tally = &m->result->counted[job->class];
+
+	if (job->poison || job->arrived_ms < m->load->counted_from_ms ||
+	    job->arrived_ms >= m->load->counted_to_ms)
+		return;
+	tally->asked++;
+	if (reply->verdict != JOB_VERDICT_COMPLETED)
+		return;
+	if (m->now_ms - job->arrived_ms <= job->objective_ms)
+		tally->in_target++;
+	else
+		tally->late++;
+}
+
 static void answer(struct dispatch_sink *sink, void *caller,
 		   const struct job_answer *reply)
 {
 	const struct many_dispatcher *d = (const struct many_dispatcher *)sink;
 
 	world_job_answered(caller, reply, d->many->result, d->many->now_ms);
+	count_answer(d->many, caller, reply);
 }
 
 static void set_demand(struct dispatch_sink *sink, bool has_demand)
@@ -103,6 +123,9 @@
 {
 	struct dispatch *d = m->dispatchers[message->dispatcher].dispatch;
 	uint64_t agent = message->server + 1;
+	const struct class_loss *losses;
+	int64_t crashed_ms;
+	size_t n;
 
 	dispatch_update_server(d, agent, &message->state, m->now_ms);
 	if (message->dispatcher == 0)
@@ -110,11 +133,21 @@
 				      &message->state, m->now_ms);
 	many_estimate_apply(message->estimate, d, agent, message->state.name,
 			    m->now_ms);
-	for (guint i = 0; i < message->results->len; i++)
-		dispatch_handle_result(
-			d, agent,
-			&g_array_index(message->results, struct run_result, i),
-			m->now_ms);
+	crashed_ms = many_crash_report(m, message->server, &losses, &n);
+	if (crashed_ms)
+		dispatch_update_losses(d, agent, losses, n,
+				       m->now_ms - crashed_ms, m->now_ms);
+	for (guint i = 0; i < message->results->len; i++) {
+		const struct run_result *result =
+			&g_array_index(message->results, struct run_result, i);
+		const struct world_job *job =
+			g_hash_table_lookup(m->jobs, result->name.job);
+
+		dispatch_handle_result(d, agent, result, m->now_ms);
+		/* Tasks that crash servers don't get a third one. */
+		if (job->lost_twice)
+			dispatch_cancel(d, result->name.job, m->now_ms);
+	}
 	dispatch_finish_report(d, agent, m->now_ms);
 }
 
@@ -161,6 +194,7 @@
 	uint32_t to = drawn < m->load->dispatchers ? drawn : 0;
 	struct job_request request;
 
+	job->poison = many_crash_is_poison(m, class);
 	world_job_request(m->random, m->load->classes, job, &request);
 	g_hash_table_insert(m->jobs, g_strdup(request.id), job);
 	m->result->classes[class].asked++;
@@ -191,9 +225,11 @@
 	d->many = m;
 	d->number = number;
 	d->dispatch = dispatch_create(&d->sink, "dc");
+	dispatch_set_containment(d->dispatch, m->load->contains);
 	for (uint32_t i = 0; i < m->load->servers; i++) {
 		struct agent_identity agent = { .incarnation = i + 1 };
 
+		g_snprintf(agent.name, sizeof(agent.name), "agent-%u", i);
 		g_strlcpy(agent.data_centre, "dc", sizeof(agent.data_centre));
 		dispatch_agent_connected(d->dispatch, &agent, 0);
 	}
@@ -211,6 +247,13 @@
 		if (m->now_ms % DISPATCH_TICK_MS == i)
 			dispatch_tick(d, m->now_ms);
 	}
+	if (m->now_ms % DISPATCH_TICK_MS == 0) {
+		struct dispatch_load load;
+
+		dispatch_get_load(m->dispatchers[0].dispatch, &load);
+		m->result->contained_ms +=
+			load.contained_classes * DISPATCH_TICK_MS;
+	}
 }
 
 static void destroy_all(struct many *m)
--- a/tests/support/many_world.h
+++ b/tests/support/many_world.h
@@ -44,6 +44,19 @@
 	const struct many_slowdown *slowdowns;
 	size_t n_slowdowns;
 	bool ignores_interference; /* agents report no slowdowns */
+	/* In this time, this part of the jobs of a class hold a task that
+	 * crashes its server. */
+	size_t crash_class;
+	double crash_fraction;
+	int64_t crash_from_ms, crash_to_ms;
+	double random_crashes_per_s; /* of all servers together */
+	/* At this time, servers from 0 to below rack crash together; 0: never.
+	 * Their agents go on. */
+	int64_t rack_crashes_ms;
+	uint32_t rack;
+	/* Jobs that arrive in this time are counted separately. */
+	int64_t counted_from_ms, counted_to_ms;
+	bool contains; /* dispatchers contain classes that crash servers */
 	uint32_t seed;
 };
 
--- a/tests/support/world_jobs.c
+++ b/tests/support/world_jobs.c
@@ -141,6 +141,8 @@
 		break;
 	case JOB_VERDICT_REFUSED:
 		tally->refused++;
+		tally->retry_after_max_s =
+			MAX(tally->retry_after_max_s, answer->retry_after_s);
 		tally->refused_late += took_ms > job->objective_ms / 4;
 		result->false_refusals += job->started;
 		break;
--- a/tests/support/world_jobs.h
+++ b/tests/support/world_jobs.h
@@ -11,6 +11,7 @@
 	uint32_t number;
 	size_t class;
 	bool poison, large, answered, started;
+	bool lost_twice; /* a young run of one task, with its server */
 	uint32_t tasks, work_ms;
 	int64_t arrived_ms, objective_ms;
 	uint32_t *task_ms; /* run times on a healthy server */
