--- a/src/leased/run_table.c
+++ b/src/leased/run_table.c
@@ -36,6 +36,7 @@
 
 	table->runs = g_ptr_array_new_with_free_func(free_run);
 	g_queue_init(&table->results);
+	table->lost = g_array_new(FALSE, FALSE, sizeof(struct lost_run));
 	return table;
 }
 
@@ -44,6 +45,7 @@
 	if (!table)
 		return;
 	g_ptr_array_unref(table->runs);
+	g_array_unref(table->lost);
 	g_queue_clear_full(&table->results, g_free);
 	g_free(table);
 }
@@ -152,6 +154,14 @@
 	return true;
 }
 
+GArray *run_table_take_lost(struct run_table *table)
+{
+	GArray *lost = table->lost;
+
+	table->lost = g_array_new(FALSE, FALSE, sizeof(struct lost_run));
+	return lost;
+}
+
 /* ---- Free capacity -------------------------------------------------- */
 
 static void sum_load(const struct run_table *table, bool include_queued,
--- a/src/leased/server.c
+++ b/src/leased/server.c
@@ -313,6 +313,8 @@
 	if (call->restarts != s->restarts)
 		return;
 	server_crash_call_failed(&s->crash, answer, now_ms);
+	server_crash_lose_runs(&s->crash, server_crash_get(&s->crash),
+			       &s->report, s->runs, now_ms);
 	server_lease_unanswered(&s->lease, call->sent_ms);
 	if (call->kind == CALL_START && server_crash_never_sent(answer))
 		run_table_start_not_sent(s->runs, &call->name, now_ms);
