--- a/src/leased/agent_peers.c
+++ b/src/leased/agent_peers.c
@@ -237,6 +237,7 @@
 		count_overrun(a, &result, now_ms);
 		add_result(a, &result, now_ms);
 	}
+	agent_count_losses(a, server, now_ms);
 	agent_track_runs(a, server, now_ms);
 }
 
@@ -305,6 +306,7 @@
 	run.lease_end_ms = cf_lease_end_ms(p->lease);
 	run.expected_ms = start->expected_ms;
 	run.losses = start->losses;
+	run.lost_after_ms = start->lost_after_ms;
 	g_strlcpy(run.class_name, start->class_name, sizeof(run.class_name));
 	capacity_share_mark_used(server_capacity_share(server), p->incarnation);
 	run_table_enqueue(server_runs(server), &run, now_ms);
--- a/src/leased/dispatch_runs.c
+++ b/src/leased/dispatch_runs.c
@@ -22,6 +22,7 @@
 			       struct dispatch_task *task)
 {
 	server_remove_run(task->server, job);
+	task->server->suspects -= task->suspect;
 	job->n_sent--;
 }
 
@@ -119,6 +120,7 @@
 	d->lost_runs++;
 	losses_add(d, &result->name, result->run_ms, now_ms);
 	losses_end_job(d, job);
+	contain_note_loss(d, job, task, result->run_ms);
 	requeue_task(d, job, task, RUN_OUTCOME_LOST, now_ms);
 }
 
--- a/src/leased/run_table_crash.c
+++ b/src/leased/run_table_crash.c
@@ -18,6 +18,17 @@
 	return (left->ran_ms > right->ran_ms) - (left->ran_ms < right->ran_ms);
 }
 
+static void note_lost(struct run_table *table, const struct run *run)
+{
+	struct lost_run lost = { .ran_ms = run_table_lost_after_ms(run),
+				 .losses = run->request.losses,
+				 .lost_after_ms = run->request.lost_after_ms };
+
+	g_strlcpy(lost.class_name, run->request.class_name,
+		  sizeof(lost.class_name));
+	g_array_append_val(table->lost, lost);
+}
+
 void run_table_server_crashed(struct run_table *table, int64_t crashed_ms,
 			      GArray *losses)
 {
@@ -32,6 +43,7 @@
 		g_strlcpy(loss.class_name, run->request.class_name,
 			  sizeof(loss.class_name));
 		g_array_append_val(losses, loss);
+		note_lost(table, run);
 	}
 	g_array_sort(losses, compare_ages);
 }
--- a/src/leased/run_table_internal.h
+++ b/src/leased/run_table_internal.h
@@ -36,6 +36,7 @@
 	GQueue results; /* struct run_result */
 	bool unknown_listed; /* the last list had runs not in the table */
 	struct ended_runs ended;
+	GArray *lost; /* struct lost_run */
 	uint32_t failed_in_a_row; /* see struct run_load */
 	char failed_job[LEASED_JOB_SIZE]; /* the last job that failed */
 	int64_t next_start_ms; /* no start is sent before */
--- a/src/leased/server.c
+++ b/src/leased/server.c
@@ -284,6 +284,8 @@
 	if (call->restarts != s->restarts || call->kind == CALL_VERIFY)
 		return;
 	server_crash_call_failed(&s->crash, answer, now_ms);
+	server_crash_lose_runs(&s->crash, server_crash_get(&s->crash),
+			       &s->report, s->runs, now_ms);
 	server_lease_unanswered(&s->lease, call->sent_ms);
 	server_lease_call_failed(&s->lease, now_ms);
 	if (call->kind == CALL_START && server_crash_never_sent(answer))
