Leased agent and dispatcher: files by one job each again

Creation and destruction move to server_create.c, reading of reported states to dispatcher_states.c.

--- a/src/leased/dispatcher_agents.c
+++ b/src/leased/dispatcher_agents.c
@@ -21,7 +21,6 @@
 #define UNSELECTED_CLOSE_MS 5000
 /* The subset is selected again periodically, as agents are lost and return. */
 #define SELECT_INTERVAL_MS 250
-#define MILLI 1000.0
 
 /* ---- Lookup --------------------------------------------------------- */
 
@@ -386,33 +385,6 @@
 					     clock_now_ms());
 }
 
-static void apply_state(struct leased_dispatcher *d, const struct agent_link *a,
-			const Cfw__ServerState *from)
-{
-	struct server_state state = {
-		.free_cpu_milli = from->free_cpu_milli,
-		.free_memory_mb = from->free_memory_mb,
-		.offered_cpu_milli = from->offered_cpu_milli,
-		.accepting = from->accepting,
-		.fails_all = from->failed_in_a_row >= RUN_FAILURES_COUNTED_MAX,
-		.speed_log = from->speed_log_milli / MILLI,
-		.speed_sd = from->speed_sd_milli / MILLI,
-		.speed_age_ms = from->speed_age_ms,
-		.received = from->received
-	};
-
-	g_strlcpy(state.name, from->name, sizeof(state.name));
-	g_strlcpy(state.service, from->service, sizeof(state.service));
-	g_strlcpy(state.kind, from->kind, sizeof(state.kind));
-	state.capacity.cpu_milli = from->cpu_milli;
-	state.capacity.memory_mb = from->memory_mb;
-	state.capacity.accelerators = from->accelerators;
-	dispatch_update_server(d->dispatch, a->incarnation, &state,
-			       loop_now_ms(d->loop));
-	dispatcher_apply_interference(d, a, from);
-	dispatcher_apply_losses(d, a, from);
-}
-
 static void apply_report(struct leased_dispatcher *d,
 			 const struct agent_link *a,
 			 const Cfw__RunReport *report)
@@ -420,7 +392,7 @@
 	int64_t now_ms = loop_now_ms(d->loop);
 
 	for (size_t i = 0; i < report->n_servers; i++)
-		apply_state(d, a, report->servers[i]);
+		dispatcher_apply_state(d, a, report->servers[i]);
 	for (size_t i = 0; i < report->n_ends; i++) {
 		const Cfw__RunEnd *end = report->ends[i];
 		struct run_result result = {
--- a/src/leased/dispatcher_internal.h
+++ b/src/leased/dispatcher_internal.h
@@ -99,17 +99,12 @@
 /* Number of agents to be connected to. */
 uint32_t dispatcher_count_selected(const struct leased_dispatcher *d);
 
-/* ---- Interference (dispatcher_interference.c) ----------------------- */
+/* ---- States of servers (dispatcher_states.c) ------------------------ */
 
-void dispatcher_apply_interference(struct leased_dispatcher *d,
-				   const struct agent_link *a,
-				   const Cfw__ServerState *from);
-
-/* ---- Crashes of servers (dispatcher_losses.c) ----------------------- */
-
-void dispatcher_apply_losses(struct leased_dispatcher *d,
-			     const struct agent_link *a,
-			     const Cfw__ServerState *from);
+/* Takes over what an agent reports about a server. */
+void dispatcher_apply_state(struct leased_dispatcher *d,
+			    const struct agent_link *a,
+			    const Cfw__ServerState *from);
 /* Sets the metrics of containment. */
 void dispatcher_count_losses(struct leased_dispatcher *d,
 			     const struct dispatch_load *load);
--- a/src/leased/server.c
+++ b/src/leased/server.c
@@ -25,65 +25,7 @@
 /* A server that neither answers nor reports for this long is removed. */
 #define SERVER_EXPIRY_MS 10000
 
-/* ---- Lifecycle ------------------------------------------------------ */
-
-static void set_address(struct server *s)
-{
-	g_free(s->url);
-	g_free(s->incarnation_header);
-	s->url = g_strdup_printf("http://%s", s->report.address);
-	s->incarnation_header = s->options.formats->write_incarnation_header(
-		s->report.name, s->report.start_time_ms);
-}
-
-struct server *server_create(const struct server_options *options,
-			     const struct server_report *report, int64_t now_ms)
-{
-	struct server *s = g_new0(struct server, 1);
-
-	s->options = *options;
-	s->report = *report;
-	s->runs = run_table_create();
-	s->share = capacity_share_create(g_str_hash(report->name));
-	s->last_report_ms = now_ms;
-	s->previous_runs.ends_ms = options->previous_runs_end_ms;
-	server_get_counters(s);
-	run_table_set_capacity(s->runs, &report->capacity);
-	server_lease_init(&s->lease, now_ms);
-	server_lease_answered(&s->lease, report->clock_ms, clock_now_ms());
-	server_fence_init(&s->fence, options->fence_token);
-	server_incarnation_begin(&s->incarnation, report->start_time_ms);
-	server_incarnation_reported(&s->incarnation, report->seq,
-				    report->clock_ms);
-	set_address(s);
-	return s;
-}
-
-void server_destroy(struct server *s)
-{
-	if (!s)
-		return;
-	run_table_destroy(s->runs);
-	capacity_share_destroy(s->share);
-	g_free(s->url);
-	g_free(s->incarnation_header);
-	g_free(s);
-}
-
-const struct server_report *server_last_report(const struct server *s)
-{
-	return &s->report;
-}
-
-struct run_table *server_runs(struct server *s)
-{
-	return s->runs;
-}
-
-struct capacity_share *server_capacity_share(struct server *s)
-{
-	return s->share;
-}
+/* ---- State ---------------------------------------------------------- */
 
 bool server_accepting(const struct server *s, int64_t now_ms)
 {
@@ -148,7 +90,7 @@
 				    report->clock_ms);
 	s->report = *report;
 	s->last_report_ms = now_ms;
-	set_address(s);
+	server_set_address(s);
 	run_table_set_capacity(s->runs, &report->capacity);
 	if (s->lease.clock_read_ms == INT64_MIN ||
 	    now_ms - s->lease.clock_read_ms > SERVER_IDLE_POLL_INTERVAL_MS)
--- a/src/leased/server_internal.h
+++ b/src/leased/server_internal.h
@@ -59,7 +59,10 @@
 	uint64_t restarts; /* of the server when the call was sent */
 };
 
-void server_get_counters(struct server *server); /* server_counters.c */
+/* ---- Lifecycle (server_create.c) -------------------------------------- */
+
+/* The address and the start time in the report are used from now on. */
+void server_set_address(struct server *server); /* server_counters.c */
 
 /* ---- Fencing token (server_token.c) --------------------------------- */
 
