Test of joins while a coordinator outside the seeds leads; known red

A member that was replaced, or that lost its disk, knows only the seeds. Two tests with real processes show that it isn't added while another coordinator leads, and with all seeds replaced and down.

--- /dev/null
+++ b/tests/fault_join.c
@@ -0,0 +1,142 @@
+/*
+ * Coordinators that join while a coordinator outside the seeds leads. The
+ * tests use real processes.
+ */
+#include "support/members.h"
+
+#include "base/clock.h"
+
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stdio.h>
+
+#include <cmocka.h>
+
+#define SPARE (SYSTEM_COORDINATORS + 1)
+#define JOIN_BOUND_MS 8000
+#define POLL_US 20000
+#define LEADS_MAX 60
+
+/* ---- Steps ------------------------------------------------------------ */
+
+/* Freezes each leader until the wanted coordinator leads; shorter than a member
+ * may be unreachable. */
+static void make_lead(struct leased_system *s, int wanted)
+{
+	int leader = members_wait_leader(s);
+
+	for (int i = 0; leader != wanted; i++) {
+		struct proc *p = members_proc(s, leader);
+
+		assert_true(i < LEADS_MAX);
+		proc_freeze(p);
+		leader = members_wait_other_leader(s, leader);
+		proc_thaw(p);
+	}
+}
+
+static void empty_disk(struct leased_system *s, int number)
+{
+	g_autofree char *folder =
+		g_strdup_printf("%s/c%d", s->cluster->folder, number);
+	g_autoptr(GDir) files = g_dir_open(folder, 0, NULL);
+	const char *name;
+
+	while (files && (name = g_dir_read_name(files))) {
+		g_autofree char *path = g_build_filename(folder, name, NULL);
+
+		g_unlink(path);
+	}
+}
+
+/* Kills a voter and waits until the spare has taken its place. */
+static void replace(struct leased_system *s, int number, int spare)
+{
+	int leader;
+
+	proc_start(s->cluster, leased_system_add_coordinator(s, spare));
+	members_wait(s, members_wait_leader(s), spare, MEMBER_LEARNER);
+	proc_kill(members_proc(s, number));
+	leader = members_wait_leader(s);
+	members_wait(s, leader, spare, MEMBER_VOTER);
+	members_wait(s, leader, number, MEMBER_NOT_LISTED);
+}
+
+/* Starts a coordinator whose old member id is given, and checks that it is
+ * listed under a new one in time. */
+static void check_joins(struct leased_system *s, int number, uint32_t old_id)
+{
+	int64_t started_ms = clock_now_ms(), waited_ms = 0;
+	uint32_t id = old_id;
+
+	proc_set(members_proc(s, number), "--first-start", "false");
+	proc_start(s->cluster, members_proc(s, number));
+	while (id == old_id) {
+		int leader = members_wait_leader(s);
+
+		if (!members_find(s, leader, number, &id))
+			id = old_id;
+		waited_ms = clock_now_ms() - started_ms;
+		if (waited_ms > JOIN_BOUND_MS)
+			fail_msg("c%d isn't a member after %d ms; c%d leads",
+				 number, JOIN_BOUND_MS, leader);
+		g_usleep(POLL_US);
+	}
+	fprintf(stderr, "count: c%d joined_ms=%d\n", number, (int)waited_ms);
+}
+
+/* ---- Tests ------------------------------------------------------------ */
+
+/* A member that was replaced, and one that lost its disk, know only the seeds
+ * and stayed out of the group for good while another coordinator led. */
+static void test_joins_leader_outside_seeds(void **state)
+{
+	struct leased_system *s = leased_system_begin_group();
+	uint32_t old_id = 0;
+
+	(void)state;
+	replace(s, 1, SPARE);
+	make_lead(s, SPARE);
+	check_joins(s, 1, 1);
+	make_lead(s, SPARE);
+	assert_int_equal(members_find(s, SPARE, 3, &old_id), MEMBER_VOTER);
+	proc_kill(members_proc(s, 3));
+	empty_disk(s, 3);
+	check_joins(s, 3, old_id);
+	members_wait(s, SPARE, 3, MEMBER_VOTER);
+	leased_system_finish(s);
+}
+
+/* With every seed replaced and down, neither a seed that comes back nor a
+ * former member at another address has a seed to ask. */
+static void test_joins_without_seeds(void **state)
+{
+	struct leased_system *s = leased_system_begin_group();
+
+	(void)state;
+	for (int seed = 1; seed <= SYSTEM_COORDINATORS; seed++)
+		replace(s, seed, SYSTEM_COORDINATORS + seed);
+	empty_disk(s, 1);
+	check_joins(s, 1, 1);
+	proc_kill(members_proc(s, SPARE));
+	members_wait(s, members_wait_leader(s), 1, MEMBER_VOTER);
+	members_wait(s, members_wait_leader(s), SPARE, MEMBER_NOT_LISTED);
+	replace(s, 1, SYSTEM_COORDINATORS * 2 + 1);
+	empty_disk(s, SPARE);
+	check_joins(s, SPARE, 0);
+	leased_system_finish(s);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_teardown(test_joins_leader_outside_seeds,
+					  cluster_teardown),
+		cmocka_unit_test_teardown(test_joins_without_seeds,
+					  cluster_teardown),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/fault_rejoin.c
+++ b/tests/fault_rejoin.c
@@ -3,7 +3,7 @@
  * processes of a leased system and one more coordinator, which follows the
  * log and takes the place of the frozen one.
  */
-#include "support/leased_system.h"
+#include "support/members.h"
 
 #include "base/clock.h"
 #include "platform/standin.h"
@@ -18,76 +18,8 @@
 #include <cmocka.h>
 
 #define SPARE (SYSTEM_COORDINATORS + 1)
-#define POLL_US 20000
 #define STATUS_TEMPORARY_REDIRECT 307
 
-/* ---- Members as one coordinator reports them -------------------------- */
-
-enum membership { NOT_LISTED, LEARNER, VOTER };
-
-/* The object of the member with this admin address in a status answer, or NULL.
- * Free it with g_free. */
-static char *find_member(const char *status, const char *control)
-{
-	g_autofree char *field =
-		g_strdup_printf("\"admin_address\":\"%s\"", control);
-	const char *members = strstr(status, "\"members\":[");
-	const char *at = members ? strstr(members, field) : NULL;
-	const char *start = at, *end = at ? strchr(at, '}') : NULL;
-
-	if (!end)
-		return NULL;
-	while (start > members && *start != '{')
-		start--;
-	return g_strndup(start, (gsize)(end - start));
-}
-
-static enum membership membership_of(struct leased_system *s, int observer,
-				     int member)
-{
-	g_autofree char *answer = NULL;
-	g_autofree char *found = NULL;
-	char name[16];
-
-	snprintf(name, sizeof(name), "c%d", member);
-	leased_system_call(s, observer, "admin", "GET", "/v1/status", NULL,
-			   &answer);
-	found = find_member(answer,
-			    cluster_address(s->cluster, name, "control"));
-	if (!found || strstr(found, "\"leaving\":true") ||
-	    !strstr(found, "\"disk_known\":true"))
-		return NOT_LISTED;
-	return strstr(found, "\"voter\":true") ? VOTER : LEARNER;
-}
-
-static void wait_membership(struct leased_system *s, int observer, int member,
-			    enum membership expected)
-{
-	int64_t end_ms = clock_now_ms() + SYSTEM_WAIT_MS;
-
-	while (membership_of(s, observer, member) != expected) {
-		assert_true(clock_now_ms() < end_ms);
-		g_usleep(POLL_US);
-	}
-}
-
-static int wait_leader(struct leased_system *s)
-{
-	int64_t end_ms = clock_now_ms() + SYSTEM_WAIT_MS;
-
-	for (int i = 0;; i++) {
-		int coordinator = i % SYSTEM_COORDINATORS + 1;
-		g_autofree char *answer = NULL;
-
-		leased_system_call(s, coordinator, "admin", "GET", "/v1/status",
-				   NULL, &answer);
-		if (strstr(answer, "\"role\":\"leader\""))
-			return coordinator;
-		assert_true(clock_now_ms() < end_ms);
-		g_usleep(POLL_US);
-	}
-}
-
 /* ---- Tests ------------------------------------------------------------ */
 
 /* Sends operators' requests to the woken coordinator until it is a member
@@ -99,7 +31,7 @@
 	int64_t end_ms = clock_now_ms() + SYSTEM_WAIT_MS;
 	int answered = 0;
 
-	while (membership_of(s, observer, woken) == NOT_LISTED) {
+	while (members_find(s, observer, woken, NULL) == MEMBER_NOT_LISTED) {
 		g_autofree char *answer = NULL;
 		uint32_t status = leased_system_call(s, woken, "control", "GET",
 						     standin_get_routes_path,
@@ -127,8 +59,8 @@
 	char name[16];
 
 	proc_start(s->cluster, spare);
-	wait_membership(s, wait_leader(s), SPARE, LEARNER);
-	leader = wait_leader(s);
+	members_wait(s, members_wait_leader(s), SPARE, MEMBER_LEARNER);
+	leader = members_wait_leader(s);
 	frozen = freeze_leader ? leader : leader % SYSTEM_COORDINATORS + 1;
 	for (int i = 1; i <= SYSTEM_COORDINATORS; i++)
 		if (i != frozen)
@@ -136,15 +68,15 @@
 	snprintf(name, sizeof(name), "c%d", frozen);
 	p = cluster_proc(s->cluster, name);
 	proc_freeze(p);
-	wait_membership(s, others[0], frozen, NOT_LISTED);
-	wait_membership(s, others[0], SPARE, VOTER);
+	members_wait(s, others[0], frozen, MEMBER_NOT_LISTED);
+	members_wait(s, others[0], SPARE, MEMBER_VOTER);
 	leased_system_set_routes(s, 7);
 	proc_thaw(p);
 	call_until_member(s, frozen, others[0], 7);
-	wait_membership(s, others[0], frozen, LEARNER);
+	members_wait(s, others[0], frozen, MEMBER_LEARNER);
 	proc_kill(spare);
-	wait_membership(s, others[0], frozen, VOTER);
-	wait_membership(s, others[0], SPARE, NOT_LISTED);
+	members_wait(s, others[0], frozen, MEMBER_VOTER);
+	members_wait(s, others[0], SPARE, MEMBER_NOT_LISTED);
 	snprintf(name, sizeof(name), "c%d", others[1]);
 	proc_kill(cluster_proc(s->cluster, name));
 	leased_system_set_routes(s, 9);
@@ -182,7 +114,7 @@
 	g_bytes_unref(mark);
 	proc_start(s->cluster, p);
 	cluster_wait_ready(s->cluster, "c3", SYSTEM_WAIT_MS);
-	wait_membership(s, 1, 3, VOTER);
+	members_wait(s, 1, 3, MEMBER_VOTER);
 	leased_system_call(s, 1, "admin", "GET", "/v1/status", NULL, &answer);
 	assert_null(strstr(answer, "\"id\":3,"));
 	assert_null(store_get_file(folder, "rejoin", NULL));
--- a/tests/support/leased_system.c
+++ b/tests/support/leased_system.c
@@ -109,10 +109,11 @@
 
 struct proc *leased_system_add_coordinator(struct leased_system *s, int number)
 {
+	s->coordinators = MAX(s->coordinators, number);
 	return add_coordinator(s, number, "false");
 }
 
-static void configure_processes(struct leased_system *s)
+static void add_seeds(struct leased_system *s)
 {
 	for (int i = 1; i <= SYSTEM_COORDINATORS; i++) {
 		char address[40];
@@ -125,6 +126,12 @@
 	}
 	for (int i = 1; i <= SYSTEM_COORDINATORS; i++)
 		add_coordinator(s, i, "true");
+	s->coordinators = SYSTEM_COORDINATORS;
+}
+
+static void configure_processes(struct leased_system *s)
+{
+	add_seeds(s);
 	for (int i = 1; i <= SYSTEM_AGENTS; i++) {
 		struct proc *p = add(s, "leased-agent", "a", i);
 
@@ -186,9 +193,9 @@
 
 	for (int i = 0;; i++) {
 		g_autofree char *answer = NULL;
-		uint32_t status = leased_system_call(
-			s, i % SYSTEM_COORDINATORS + 1, "control", method, path,
-			body, &answer);
+		uint32_t status = leased_system_call(s, i % s->coordinators + 1,
+						     "control", method, path,
+						     body, &answer);
 
 		if (status == 200 &&
 		    (!version || standin_has_version(answer, version)))
@@ -429,9 +436,23 @@
 	return s;
 }
 
+struct leased_system *leased_system_begin_group(void)
+{
+	const struct cluster_options none = { 0 };
+	struct leased_system *s = g_new0(struct leased_system, 1);
+
+	s->cluster = cluster_create(&none);
+	s->record = standin_record_create();
+	add_seeds(s);
+	for (int i = 0; i < s->cluster->n_procs; i++)
+		proc_start(s->cluster, &s->cluster->procs[i]);
+	leased_system_set_routes(s, 1);
+	return s;
+}
+
 void leased_system_finish(struct leased_system *s)
 {
-	for (int i = 0; i < SYSTEM_AGENTS; i++)
+	for (int i = 0; i < SYSTEM_AGENTS && s->standins[i]; i++)
 		standin_destroy(s->standins[i]);
 	assert_int_equal(standin_overlapping_runs(s->record), 0);
 	standin_record_destroy(s->record);
--- a/tests/support/leased_system.h
+++ b/tests/support/leased_system.h
@@ -26,6 +26,7 @@
 	 * its stand-in; NULL without relays. */
 	struct relay *agent_relays[SYSTEM_AGENTS];
 	struct relay *server_relays[SYSTEM_AGENTS];
+	int coordinators; /* configured ones, from 1 */
 	char seeds[200];
 	char coordinator_addresses[200]; /* for --coordinators */
 };
@@ -33,11 +34,14 @@
 /* Starts everything, sets routes with version 1, and waits until the
  * dispatchers are ready. */
 struct leased_system *leased_system_begin(bool relays);
+/* Starts only the coordinators that are seeds, and sets routes with version
+ * 1. */
+struct leased_system *leased_system_begin_group(void);
 /* Stops everything. Fails if runs of one task overlapped. */
 void leased_system_finish(struct leased_system *s);
 
 /* Configures one more coordinator, which joins the group when it is started.
- * Its number must be SYSTEM_COORDINATORS + 1. */
+ * Its number is the next one after SYSTEM_COORDINATORS. */
 struct proc *leased_system_add_coordinator(struct leased_system *s, int number);
 
 #define SYSTEM_NO_ANSWER 0
