Requests to join reach whoever leads

Cause: a joiner asks on the links that it dialled, and it knows only the seeds. A follower dropped the request, and nobody dials the address of a removed member. So nobody was added unless a seed led.

Change: a joiner asks on all links to coordinators, accepted ones too, and sends a lease request with number 0, whose refusal names the leader, also by members of earlier versions; it dials that address. A member that doesn't lead forwards a joiner's own request to the leader, one hop, at most every 200 ms for each joiner. Members go on dialling the seeds and the last 16 former members, and tell a coordinator with a retired id when its link comes up. The leader keeps requests for 3 s and takes the next step for them as soon as a change is applied. It removes the member at a joiner's address only if it has no link to it, as a forwarded request may be late. No new message or field.

--- a/src/coordinator/coordinator.c
+++ b/src/coordinator/coordinator.c
@@ -78,6 +78,7 @@
 	coordinator_update_peers(c);
 	coordinator_renew_voter_lease(c, now_ms);
 	coordinator_expire_leases(c, now_ms);
+	coordinator_expire_joiners(c, now_ms);
 	coordinator_reconcile_members(c, now_ms);
 	coordinator_send_join_request(c, now_ms);
 	coordinator_answer_reads(c, now_ms);
@@ -107,6 +108,9 @@
 	counters->rejoins =
 		counter_get("member_rejoins_total", NULL,
 			    "times that this process joined as a new member");
+	counters->joins_forwarded =
+		counter_get("joins_forwarded_total", NULL,
+			    "requests to join that were sent to the leader");
 	counters->leading =
 		gauge_get("leading", NULL, "1 while this member leads");
 	counters->holders = gauge_get("lease_holders", NULL,
@@ -132,6 +136,7 @@
 		g_strlcpy(c->control_address,
 			  settings_text(settings, "control"),
 			  sizeof(c->control_address));
+	c->contacts = g_ptr_array_new_with_free_func(g_free);
 	coordinator_create_state(c);
 	get_counters(&c->counters);
 	return c;
@@ -147,6 +152,7 @@
 	coordinator_destroy_state(c);
 	if (c->loop)
 		loop_destroy(c->loop);
+	g_ptr_array_unref(c->contacts);
 	g_strfreev(c->join);
 	g_free(c->data_folder);
 	g_free(c);
--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -67,6 +67,13 @@
 	int64_t member_change_ms; /* when it was proposed */
 };
 
+/* A coordinator that has asked to be added and isn't a member yet. */
+struct joiner {
+	struct cf_member member; /* id and addresses only */
+	int64_t first_ms, last_ms; /* requests */
+	int64_t forwarded_ms; /* to the leader; INT64_MIN: never */
+};
+
 struct coordinator_counters {
 	struct counter *granted;
 	struct counter *refused;
@@ -75,6 +82,7 @@
 	struct counter *commands;
 	struct counter *dropped;
 	struct counter *rejoins;
+	struct counter *joins_forwarded;
 	struct counter *leading;
 	struct counter *holders;
 	struct counter *revision;
@@ -118,6 +126,13 @@
 	int64_t next_join_ms;
 	GHashTable *unreachable; /* member id -> int64_t *, since (ms) */
 
+	GArray *joiners; /* struct joiner, at most one for each address */
+	/* Addresses that are dialled besides those of members and seeds: former
+	 * members, and leaders that were named to this joiner. Kept when the
+	 * identity changes, lost when the process ends. */
+	GPtrArray *contacts; /* char * */
+	bool contacts_changed; /* since the peers were last updated */
+
 	GPtrArray *peers; /* struct link, dialled by this member */
 	GPtrArray *accepted; /* struct link, dialled by other coordinators */
 	GPtrArray *sessions; /* struct link, dialled by lease holders */
@@ -183,10 +198,6 @@
 bool coordinator_mark_rejoin(const struct coordinator *c, GError **error);
 /* Empties a marked folder, stores a new id there and removes the mark. */
 bool coordinator_renew_identity(struct coordinator *c, GError **error);
-/* Requests membership from the other members while this one isn't a member. */
-void coordinator_send_join_request(struct coordinator *c, int64_t now_ms);
-void coordinator_join_request(struct coordinator *c,
-			      const struct Cfw__JoinRequest *request);
 /* Leader: removes an unreachable voter if another member is ready to
  * replace it. Returns true if a removal was proposed. */
 bool coordinator_remove_unreachable(struct coordinator *c, int64_t now_ms);
@@ -195,6 +206,23 @@
 /* Empties the data folder of a member that was removed. */
 bool coordinator_clear_folder(const struct coordinator *c, GError **error);
 
+/* ---- Joiners (coordinator_joiners.c) ---------------------------------- */
+
+/* Whether this coordinator isn't a member and has to be added. */
+bool coordinator_waits_to_join(const struct coordinator *c);
+/* Requests membership from the other coordinators while this one waits. */
+void coordinator_send_join_request(struct coordinator *c, int64_t now_ms);
+void coordinator_join_request(struct coordinator *c, struct link *link,
+			      const struct Cfw__JoinRequest *request);
+/* Leader: proposes the next step for one of the waiting joiners. Returns true
+ * if a change was proposed. */
+bool coordinator_admit_joiners(struct coordinator *c, int64_t now_ms);
+void coordinator_expire_joiners(struct coordinator *c, int64_t now_ms);
+void coordinator_propose_removal(struct coordinator *c, uint32_t id,
+				 const char *why);
+/* Dials this address besides those of members and seeds. */
+void coordinator_add_contact(struct coordinator *c, const char *address);
+
 /* ---- Change of identity (coordinator_rejoin.c) ------------------------- */
 
 /* State that is discarded together with the member's identity: its replica,
--- a/src/coordinator/coordinator_join.c
+++ b/src/coordinator/coordinator_join.c
@@ -1,8 +1,9 @@
 /*
  * coordinator_join: automatic membership. The seeds form the group when
  * the whole system starts for the first time. Later, a coordinator that
- * has no id on its disk chooses a new one and asks the leader to add it;
- * it votes only after it has caught up. The leader removes
+ * has no id on its disk chooses a new one and asks the leader to add it
+ * (coordinator_joiners.c); it votes only after it has caught up. The leader
+ * removes
  *  - the member that had the same address before: its disk is lost;
  *  - an unreachable voter, if another member is ready to vote.
  * A removed member that comes back empties its data folder and joins as a
@@ -25,7 +26,6 @@
 #define REJOIN_FILE "rejoin"
 #define NEW_ID_MIN 1000 /* above the ids of the first members */
 #define NEW_ID_MAX 1000000
-#define JOIN_INTERVAL_MS 500
 #define UNREACHABLE_TIMEOUT_MS 3000 /* until a voter may be replaced */
 
 /* ---- This member's identity ----------------------------------------- */
@@ -211,98 +211,6 @@
 	return c->first_members != NULL;
 }
 
-/* ---- Joining -------------------------------------------------------- */
-
-void coordinator_send_join_request(struct coordinator *c, int64_t now_ms)
-{
-	struct Cfw__Envelope envelope = CFW__ENVELOPE__INIT;
-	struct Cfw__JoinRequest request = CFW__JOIN_REQUEST__INIT;
-	bool sent = false;
-
-	if (!c->target_voters || now_ms < c->next_join_ms ||
-	    c->first_members->len || cf_config_find_member(c->config, c->id))
-		return;
-	request.member_id = c->id;
-	request.address = c->link_address;
-	request.admin_address = c->control_address;
-	envelope.body_case = CFW__ENVELOPE__BODY_JOIN;
-	envelope.join = &request;
-	for (guint i = 0; i < c->peers->len; i++)
-		sent |= link_send(g_ptr_array_index(c->peers, i), &envelope);
-	if (sent)
-		c->next_join_ms = now_ms + JOIN_INTERVAL_MS;
-}
-
-static void propose_removal(struct coordinator *c, uint32_t id, const char *why)
-{
-	struct Cfw__Command command = CFW__COMMAND__INIT;
-
-	command.change_case = CFW__COMMAND__CHANGE_MEMBER_REMOVE;
-	command.member_remove = id;
-	c->leadership->member_change_index =
-		coordinator_propose_own(c, &command, NULL);
-	log_event(LOG_INFO, "member_removed", "id=%u why=\"%s\"", id, why);
-}
-
-static void propose_addition(struct coordinator *c,
-			     const struct Cfw__JoinRequest *request)
-{
-	struct Cfw__Command command = CFW__COMMAND__INIT;
-	struct Cfw__Member member = CFW__MEMBER__INIT;
-
-	member.id = request->member_id;
-	member.address = request->address;
-	member.admin_address = request->admin_address;
-	command.change_case = CFW__COMMAND__CHANGE_MEMBER_ADD;
-	command.member_add = &member;
-	c->leadership->member_change_index =
-		coordinator_propose_own(c, &command, NULL);
-	log_event(LOG_INFO, "member_added", "id=%u address=%s",
-		  request->member_id, request->address);
-}
-
-/* An id that the settings fix can't be replaced here, so the process ends. */
-static void handle_own_removal(struct coordinator *c)
-{
-	if (c->target_voters) {
-		coordinator_begin_rejoin(c);
-		return;
-	}
-	if (c->exit_removed)
-		return;
-	c->exit_removed = true;
-	log_event(LOG_WARN, "member_starts_over", "id=%u", c->id);
-	role_request_stop();
-}
-
-void coordinator_join_request(struct coordinator *c,
-			      const struct Cfw__JoinRequest *request)
-{
-	const struct cf_member *members;
-	size_t n = cf_config_members(c->config, &members);
-
-	/* A member that was removed gets its own id back. */
-	if (request->member_id == c->id) {
-		handle_own_removal(c);
-		return;
-	}
-	if (!c->leadership ||
-	    c->leadership->member_change_index > group_applied(c->group) ||
-	    cf_config_find_member(c->config, request->member_id) ||
-	    cf_config_is_retired(c->config, request->member_id))
-		return;
-	for (size_t i = 0; i < n; i++) {
-		if (strcmp(members[i].address, request->address) != 0)
-			continue;
-		if (!members[i].leaving)
-			propose_removal(
-				c, members[i].id,
-				"its host restarted with an empty disk");
-		return;
-	}
-	propose_addition(c, request);
-}
-
 /* ---- Unreachable voters ----------------------------------------------- */
 
 static bool is_long_unreachable(struct coordinator *c, uint32_t id,
@@ -345,8 +253,8 @@
 	}
 	if (!unreachable_voter || !has_spare || voters < c->target_voters)
 		return false;
-	propose_removal(c, unreachable_voter,
-			"unreachable, another member replaces it");
+	coordinator_propose_removal(c, unreachable_voter,
+				    "unreachable, another member replaces it");
 	return true;
 }
 
--- a/src/coordinator/coordinator_leases.c
+++ b/src/coordinator/coordinator_leases.c
@@ -409,7 +409,10 @@
 void coordinator_lease_grant(struct coordinator *c,
 			     const struct Cfw__LeaseGrant *grant)
 {
-	if (grant->verdict != CFW__LEASE_VERDICT__LEASE_GRANTED)
+	if (grant->leader_address && *grant->leader_address &&
+	    coordinator_waits_to_join(c))
+		coordinator_add_contact(c, grant->leader_address);
+	if (grant->verdict != CFW__LEASE_VERDICT__LEASE_GRANTED || !grant->seq)
 		return;
 	if (!cf_lease_grant(c->voter_lease, grant->seq,
 			    MIN(grant->duration_ms, CF_LEASE_MS),
--- a/src/coordinator/coordinator_links.c
+++ b/src/coordinator/coordinator_links.c
@@ -20,36 +20,45 @@
 	return false;
 }
 
+static void add_address(GPtrArray *addresses, const char *address)
+{
+	if (!has_address(addresses, address))
+		g_ptr_array_add(addresses, g_strdup(address));
+}
+
 static void add_members(const struct coordinator *c, GPtrArray *addresses,
 			const struct cf_member *members, size_t n)
 {
 	for (size_t i = 0; i < n; i++) {
-		if (members[i].id != c->id &&
-		    !has_address(addresses, members[i].address))
-			g_ptr_array_add(addresses,
-					(gpointer)members[i].address);
+		if (members[i].id != c->id)
+			add_address(addresses, members[i].address);
 	}
 }
 
 /* Addresses to dial: those of the members or, until the members are known,
- * those from the settings. */
+ * those from the settings. With automatic membership also the seeds and the
+ * contacts, because a coordinator there that isn't a member may know no other
+ * way to the leader. */
 static GPtrArray *find_addresses(const struct coordinator *c)
 {
-	GPtrArray *addresses = g_ptr_array_new();
+	GPtrArray *addresses = g_ptr_array_new_with_free_func(g_free);
 	const struct cf_member *members;
 	size_t n = cf_config_members(c->config, &members);
 	const struct cf_view *views;
+	bool known = n && cf_config_views(c->config, &views);
 
 	add_members(c, addresses, members, n);
-	if (n && cf_config_views(c->config, &views))
+	if (known && !c->target_voters)
 		return addresses;
-	add_members(c, addresses,
-		    (const struct cf_member *)(void *)c->first_members->data,
-		    c->first_members->len);
-	for (char **join = c->join; join && *join; join++) {
-		if (!has_address(addresses, *join))
-			g_ptr_array_add(addresses, *join);
-	}
+	if (!known)
+		add_members(c, addresses,
+			    (const struct cf_member *)(void *)
+				    c->first_members->data,
+			    c->first_members->len);
+	for (char **join = c->join; join && *join; join++)
+		add_address(addresses, *join);
+	for (guint i = 0; i < c->contacts->len; i++)
+		add_address(addresses, g_ptr_array_index(c->contacts, i));
 	return addresses;
 }
 
@@ -63,14 +72,31 @@
 	return false;
 }
 
+/* A former member that comes back may know only addresses where nobody
+ * listens, so the members go on dialling it. */
+static void keep_former_members(struct coordinator *c)
+{
+	g_autoptr(GPtrArray) addresses = find_addresses(c);
+
+	for (guint i = 0; i < c->peers->len; i++) {
+		const char *address =
+			link_address(g_ptr_array_index(c->peers, i));
+
+		if (!has_address(addresses, address))
+			coordinator_add_contact(c, address);
+	}
+}
+
 void coordinator_update_peers(struct coordinator *c)
 {
 	g_autoptr(GPtrArray) addresses = NULL;
 
 	if (c->peers_revision == cf_config_revision(c->config) &&
-	    (c->peers->len || c->peers_revision))
+	    !c->contacts_changed && (c->peers->len || c->peers_revision))
 		return;
 	c->peers_revision = cf_config_revision(c->config);
+	keep_former_members(c);
+	c->contacts_changed = false;
 	addresses = find_addresses(c);
 	for (guint i = c->peers->len; i-- > 0;) {
 		struct link *link = g_ptr_array_index(c->peers, i);
@@ -115,10 +141,16 @@
 {
 	struct coordinator *c = arg;
 
-	if (link_peer(link)->role != CFW__ROLE__ROLE_COORDINATOR)
+	if (link_peer(link)->role != CFW__ROLE__ROLE_COORDINATOR) {
 		g_ptr_array_add(c->sessions, link);
-	else if (!g_ptr_array_find(c->peers, link, NULL))
+		return;
+	}
+	if (!g_ptr_array_find(c->peers, link, NULL))
 		g_ptr_array_add(c->accepted, link);
+	/* It sends no log message if it knows only members that are gone. */
+	if (cf_config_is_retired(c->config, link_peer(link)->member_id))
+		coordinator_notify_removed(link);
+	c->next_join_ms = 0; /* a joiner asks on the new link, too */
 }
 
 static void down(void *arg, struct link *link)
@@ -172,7 +204,7 @@
 		coordinator_fence_request(c, link, envelope->fence_request);
 		break;
 	case CFW__ENVELOPE__BODY_JOIN:
-		coordinator_join_request(c, envelope->join);
+		coordinator_join_request(c, link, envelope->join);
 		break;
 	case CFW__ENVELOPE__BODY_CLAIM_REQUEST:
 		coordinator_claim_request(c, link, envelope->claim_request);
--- a/src/coordinator/coordinator_members.c
+++ b/src/coordinator/coordinator_members.c
@@ -277,6 +277,7 @@
 	leadership->member_change_index = 0;
 	leadership->member_change_ms = now_ms;
 	if (register_first_members(c) || register_identity(c) ||
+	    coordinator_admit_joiners(c, now_ms) ||
 	    coordinator_remove_unreachable(c, now_ms))
 		return;
 	change_members(c);
--- a/src/coordinator/coordinator_rejoin.c
+++ b/src/coordinator/coordinator_rejoin.c
@@ -24,6 +24,7 @@
 	c->peers = g_ptr_array_new();
 	c->accepted = g_ptr_array_new();
 	c->sessions = g_ptr_array_new();
+	c->joiners = g_array_new(FALSE, TRUE, sizeof(struct joiner));
 	c->reads = g_ptr_array_new_with_free_func(g_free);
 	c->unreachable = g_hash_table_new_full(g_direct_hash, g_direct_equal,
 					       NULL, g_free);
@@ -55,6 +56,7 @@
 	g_clear_pointer(&c->peers, g_ptr_array_unref);
 	g_clear_pointer(&c->accepted, g_ptr_array_unref);
 	g_clear_pointer(&c->sessions, g_ptr_array_unref);
+	g_clear_pointer(&c->joiners, g_array_unref);
 	g_clear_pointer(&c->reads, g_ptr_array_unref);
 	g_clear_pointer(&c->unreachable, g_hash_table_destroy);
 	g_clear_pointer(&c->identities, g_hash_table_destroy);
@@ -110,6 +112,9 @@
 	admin_set_ready(c->admin, false, c->why_not_ready);
 	coordinator_fail_reads(c, c->why_not_ready);
 	trace_close();
+	for (guint i = 0; i < c->peers->len; i++)
+		coordinator_add_contact(
+			c, link_address(g_ptr_array_index(c->peers, i)));
 	coordinator_destroy_state(c);
 	if (open_new_state(c, &error)) {
 		counter_add(c->counters.rejoins, 1);
--- a/tests/fault_join.c
+++ b/tests/fault_join.c
@@ -87,6 +87,24 @@
 	fprintf(stderr, "count: c%d joined_ms=%d\n", number, (int)waited_ms);
 }
 
+/* Waits until the group has as many voters as it is meant to have. */
+static void wait_voters(struct leased_system *s)
+{
+	int64_t end_ms = clock_now_ms() + SYSTEM_WAIT_MS;
+	int voters = 0;
+
+	while (voters != SYSTEM_COORDINATORS) {
+		int leader = members_wait_leader(s);
+
+		voters = 0;
+		for (int i = 1; i <= s->coordinators; i++)
+			voters += members_find(s, leader, i, NULL) ==
+				  MEMBER_VOTER;
+		assert_true(clock_now_ms() < end_ms);
+		g_usleep(POLL_US);
+	}
+}
+
 /* ---- Tests ------------------------------------------------------------ */
 
 /* A member that was replaced, and one that lost its disk, know only the seeds
@@ -105,7 +123,7 @@
 	proc_kill(members_proc(s, 3));
 	empty_disk(s, 3);
 	check_joins(s, 3, old_id);
-	members_wait(s, SPARE, 3, MEMBER_VOTER);
+	wait_voters(s);
 	leased_system_finish(s);
 }
 
--- a/tests/support/proc.c
+++ b/tests/support/proc.c
@@ -62,9 +62,15 @@
 /* Writes each pair as "--flag=value", or as "--flag" if the value is "true". */
 static void fill_argv(struct proc *p, char **argv)
 {
-	const char *binary = getenv("CHERVILFERRY_BINARY");
+	char own[64];
+	const char *binary;
 	int i, n = 0;
 
+	/* Lets one process run another version, such as
+	 * CHERVILFERRY_BINARY_c1. */
+	snprintf(own, sizeof(own), "CHERVILFERRY_BINARY_%s", p->name);
+	binary = getenv(own) ? getenv(own) : getenv("CHERVILFERRY_BINARY");
+
 	argv[n++] = g_strdup(binary ? binary : "build/chervilferry");
 	argv[n++] = g_strdup(p->role);
 	for (i = 0; i + 1 < p->n_args; i += 2)
