A group with less redundancy than meant says so

Change: gauges voters_meant, voters_present, losses_borne (leader) and joiners_waiting; joiner_waits, waits_to_join, redundancy_low and voter_missing after 2 s and then every 5 s, redundancy_whole at the end.

--- a/src/coordinator/coordinator.c
+++ b/src/coordinator/coordinator.c
@@ -82,6 +82,7 @@
 	coordinator_reconcile_members(c, now_ms);
 	coordinator_send_join_request(c, now_ms);
 	coordinator_answer_reads(c, now_ms);
+	coordinator_report_redundancy(c, now_ms);
 	gauge_set(c->counters.revision, (int64_t)cf_config_revision(c->config));
 	if (now_ms < c->next_expiry_ms)
 		return;
@@ -111,6 +112,18 @@
 	counters->joins_forwarded =
 		counter_get("joins_forwarded_total", NULL,
 			    "requests to join that were sent to the leader");
+	counters->joiners =
+		gauge_get("joiners_waiting", NULL,
+			  "coordinators that asked to join and aren't members");
+	counters->voters_meant =
+		gauge_get("voters_meant", NULL,
+			  "voters that the group should have; -1: not leading");
+	counters->voters_present =
+		gauge_get("voters_present", NULL,
+			  "voters that could vote now; -1: not leading");
+	counters->losses_borne = gauge_get(
+		"losses_borne", NULL,
+		"further losses of voters that are borne; -1: not leading");
 	counters->leading =
 		gauge_get("leading", NULL, "1 while this member leads");
 	counters->holders = gauge_get("lease_holders", NULL,
--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -72,6 +72,20 @@
 	struct cf_member member; /* id and addresses only */
 	int64_t first_ms, last_ms; /* requests */
 	int64_t forwarded_ms; /* to the leader; INT64_MIN: never */
+	int64_t reported_ms; /* last log line about it, 0: none */
+};
+
+/* Voters as the leader counts them. */
+struct voters {
+	uint32_t meant, listed;
+	uint32_t present; /* could vote now */
+	uint32_t losses_borne; /* further ones, with a majority left */
+};
+
+/* Times of the log lines about redundancy; 0: none. */
+struct redundancy {
+	int64_t waits_since_ms, wait_reported_ms; /* this one, as a joiner */
+	int64_t low_since_ms, voters_reported_ms; /* the voters, as leader */
 };
 
 struct coordinator_counters {
@@ -83,6 +97,10 @@
 	struct counter *dropped;
 	struct counter *rejoins;
 	struct counter *joins_forwarded;
+	struct counter *joiners;
+	struct counter *voters_meant;
+	struct counter *voters_present;
+	struct counter *losses_borne;
 	struct counter *leading;
 	struct counter *holders;
 	struct counter *revision;
@@ -132,6 +150,7 @@
 	 * identity changes, lost when the process ends. */
 	GPtrArray *contacts; /* char * */
 	bool contacts_changed; /* since the peers were last updated */
+	struct redundancy redundancy;
 
 	GPtrArray *peers; /* struct link, dialled by this member */
 	GPtrArray *accepted; /* struct link, dialled by other coordinators */
@@ -223,6 +242,14 @@
 /* Dials this address besides those of members and seeds. */
 void coordinator_add_contact(struct coordinator *c, const char *address);
 
+/* ---- Redundancy (coordinator_redundancy.c) ---------------------------- */
+
+/* Leader only. */
+void coordinator_count_voters(const struct coordinator *c,
+			      struct voters *voters);
+/* Sets the gauges, and logs what is missing at a bounded rate. */
+void coordinator_report_redundancy(struct coordinator *c, int64_t now_ms);
+
 /* ---- Change of identity (coordinator_rejoin.c) ------------------------- */
 
 /* State that is discarded together with the member's identity: its replica,
--- a/tests/fault_join.c
+++ b/tests/fault_join.c
@@ -11,11 +11,13 @@
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stdio.h>
+#include <string.h>
 
 #include <cmocka.h>
 
 #define SPARE (SYSTEM_COORDINATORS + 1)
-#define JOIN_BOUND_MS 8000
+#define JOIN_BOUND_MS                                                          \
+	15000 /* includes syncs of 3 s, as seen on a loaded disk */
 #define POLL_US 20000
 #define LEADS_MAX 60
 
@@ -147,6 +149,50 @@
 	leased_system_finish(s);
 }
 
+static bool has_losses_borne(struct leased_system *s, int64_t losses)
+{
+	char name[16];
+
+	snprintf(name, sizeof(name), "c%d", members_wait_leader(s));
+	return cluster_metric(s->cluster, name, "chervilferry_losses_borne") ==
+	       losses;
+}
+
+static void wait_losses_borne(struct leased_system *s, int64_t losses,
+			      const char *event)
+{
+	int64_t end_ms = clock_now_ms() + SYSTEM_WAIT_MS;
+	bool logged = false;
+
+	while (!logged || !has_losses_borne(s, losses)) {
+		g_autofree char *log = NULL;
+
+		g_file_get_contents(
+			members_proc(s, members_wait_leader(s))->log, &log,
+			NULL, NULL);
+		logged = log && strstr(log, event);
+		assert_true(clock_now_ms() < end_ms);
+		g_usleep(POLL_US);
+	}
+}
+
+/* A group that can't bear another loss served on and said nothing. */
+static void test_lost_redundancy_is_silent(void **state)
+{
+	struct leased_system *s = leased_system_begin_group();
+	struct proc *lost;
+
+	(void)state;
+	wait_voters(s);
+	lost = members_proc(s,
+			    members_wait_leader(s) % SYSTEM_COORDINATORS + 1);
+	proc_kill(lost);
+	wait_losses_borne(s, 0, "event=voter_missing");
+	proc_start(s->cluster, lost);
+	wait_losses_borne(s, 1, "event=redundancy_whole");
+	leased_system_finish(s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -154,6 +200,8 @@
 					  cluster_teardown),
 		cmocka_unit_test_teardown(test_joins_without_seeds,
 					  cluster_teardown),
+		cmocka_unit_test_teardown(test_lost_redundancy_is_silent,
+					  cluster_teardown),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
