Members are reconciled every 100 ms in place of every second

Cause: after a pass of the leader without a proposal the next one came a second later, so a learner that had caught up meanwhile, or a voter that had been unreachable long enough, waited for up to a second more.

--- a/src/coordinator/coordinator_members.c
+++ b/src/coordinator/coordinator_members.c
@@ -14,7 +14,7 @@
 
 /* ---- Constants ----------------------------------------------------- */
 
-#define REPROPOSE_INTERVAL_MS 1000
+#define REPROPOSE_INTERVAL_MS 100 /* after a pass without a proposal */
 #define MEMBER_ID_MAX 1000000
 
 /* ---- First members ------------------------------------------------- */
--- a/tests/fault_join.c
+++ b/tests/fault_join.c
@@ -56,13 +56,17 @@
 /* Kills a voter and waits until the spare has taken its place. */
 static void replace(struct leased_system *s, int number, int spare)
 {
+	int64_t killed_ms;
 	int leader;
 
 	proc_start(s->cluster, leased_system_add_coordinator(s, spare));
 	members_wait(s, members_wait_leader(s), spare, MEMBER_LEARNER);
+	killed_ms = clock_now_ms();
 	proc_kill(members_proc(s, number));
 	leader = members_wait_leader(s);
 	members_wait(s, leader, spare, MEMBER_VOTER);
+	fprintf(stderr, "count: c%d replaced_ms=%d\n", number,
+		(int)(clock_now_ms() - killed_ms));
 	members_wait(s, leader, number, MEMBER_NOT_LISTED);
 }
 
