--- a/tests/support/members.c
+++ b/tests/support/members.c
@@ -6,6 +6,7 @@
 #include "base/clock.h"
 
 #include <glib.h>
+#include <glib/gstdio.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stdio.h>
@@ -15,6 +16,7 @@
 #include <cmocka.h>
 
 #define POLL_US 20000
+#define LEADS_MAX 100
 #define ID_FIELD "\"id\":"
 
 /* The object of the member with this admin address in a status answer, or NULL.
@@ -98,3 +100,47 @@
 {
 	return members_wait_other_leader(s, 0);
 }
+
+void members_make_lead(struct leased_system *s, int wanted)
+{
+	int leader = members_wait_leader(s);
+
+	for (int i = 0; leader != wanted; i++) {
+		struct proc *p = members_proc(s, leader);
+
+		assert_true(i < LEADS_MAX);
+		proc_freeze(p);
+		leader = members_wait_other_leader(s, leader);
+		proc_thaw(p);
+	}
+}
+
+void members_empty_disk(struct leased_system *s, int number)
+{
+	g_autofree char *folder =
+		g_strdup_printf("%s/c%d", s->cluster->folder, number);
+	g_autoptr(GDir) files = g_dir_open(folder, 0, NULL);
+	const char *name;
+
+	while (files && (name = g_dir_read_name(files))) {
+		g_autofree char *path = g_build_filename(folder, name, NULL);
+
+		g_unlink(path);
+	}
+}
+
+void members_wait_voters(struct leased_system *s, int expected)
+{
+	int64_t end_ms = clock_now_ms() + SYSTEM_WAIT_MS;
+	int64_t present = 0;
+
+	while (present != expected) {
+		char name[16];
+
+		snprintf(name, sizeof(name), "c%d", members_wait_leader(s));
+		present = cluster_metric(s->cluster, name,
+					 "chervilferry_voters_present");
+		assert_true(clock_now_ms() < end_ms);
+		g_usleep(POLL_US);
+	}
+}
