A lost learner in a full group makes room for a joiner

Cause: a group has at most seven members, and only unreachable voters were removed. A learner that was gone for good held its place, so no other coordinator was added. Each request of one that waited was proposed and refused, one entry of the log every 500 ms.

Change: a full group proposes no addition. It removes an unreachable learner, or an unreachable voter if all seven vote, when a joiner waits. An addition is proposed at most every 500 ms for each joiner.

--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -72,6 +72,7 @@
 	struct cf_member member; /* id and addresses only */
 	int64_t first_ms, last_ms; /* requests */
 	int64_t forwarded_ms; /* to the leader; INT64_MIN: never */
+	int64_t proposed_ms; /* its addition; INT64_MIN: never */
 	int64_t reported_ms; /* last log line about it, 0: none */
 };
 
@@ -217,6 +218,9 @@
 bool coordinator_mark_rejoin(const struct coordinator *c, GError **error);
 /* Empties a marked folder, stores a new id there and removes the mark. */
 bool coordinator_renew_identity(struct coordinator *c, GError **error);
+/* Leader: whether there was no link to the member for 3 s of calls. */
+bool coordinator_is_unreachable(struct coordinator *c, uint32_t id,
+				int64_t now_ms);
 /* Leader: removes an unreachable voter if another member is ready to
  * replace it. Returns true if a removal was proposed. */
 bool coordinator_remove_unreachable(struct coordinator *c, int64_t now_ms);
--- a/src/coordinator/coordinator_join.c
+++ b/src/coordinator/coordinator_join.c
@@ -213,7 +213,7 @@
 
 /* ---- Unreachable voters ----------------------------------------------- */
 
-static bool is_long_unreachable(struct coordinator *c, uint32_t id,
+bool coordinator_is_unreachable(struct coordinator *c, uint32_t id,
 				int64_t now_ms)
 {
 	gpointer key = GUINT_TO_POINTER(id);
@@ -241,7 +241,7 @@
 		return false;
 	for (size_t i = 0; i < n; i++) {
 		bool unreachable =
-			is_long_unreachable(c, members[i].id, now_ms);
+			coordinator_is_unreachable(c, members[i].id, now_ms);
 
 		if (members[i].leaving)
 			continue;
--- a/src/coordinator/coordinator_joiners.c
+++ b/src/coordinator/coordinator_joiners.c
@@ -118,7 +118,9 @@
 				  int64_t now_ms)
 {
 	struct joiner *joiner = find_joiner(c, request);
-	struct joiner added = { .first_ms = now_ms, .forwarded_ms = INT64_MIN };
+	struct joiner added = { .first_ms = now_ms,
+				.forwarded_ms = INT64_MIN,
+				.proposed_ms = INT64_MIN };
 
 	if (!*request->address || strlen(request->address) >= CF_NAME_SIZE ||
 	    strlen(request->admin_address) >= CF_NAME_SIZE)
@@ -182,11 +184,40 @@
 		  member.address, now_ms - joiner->first_ms);
 }
 
+/* Makes room in a full group: a learner that is gone would hold its place for
+ * good, as only voters are replaced. A voter is removed if all are voters,
+ * because no other member can take its place then. */
+static bool remove_lost_member(struct coordinator *c, int64_t now_ms)
+{
+	const struct cf_member *members;
+	size_t n = cf_config_members(c->config, &members);
+	bool all_vote = true;
+
+	for (size_t i = 0; i < n; i++)
+		all_vote &= members[i].voter;
+	for (size_t i = 0; i < n; i++) {
+		if (members[i].voter != all_vote || members[i].leaving ||
+		    !coordinator_is_unreachable(c, members[i].id, now_ms))
+			continue;
+		coordinator_propose_removal(
+			c, members[i].id,
+			"unreachable, another coordinator waits for its place");
+		return true;
+	}
+	return false;
+}
+
+/* An addition that is refused isn't proposed again at once. */
+static bool was_proposed(const struct joiner *joiner, int64_t now_ms)
+{
+	return joiner->proposed_ms != INT64_MIN &&
+	       now_ms - joiner->proposed_ms < JOIN_INTERVAL_MS;
+}
+
 /* Proposes the next step for a joiner. A forwarded request may arrive late, so
  * a member at the same address is removed only if this leader has no link to
  * it. Returns false if there is nothing to propose. */
-static bool admit(struct coordinator *c, const struct joiner *joiner,
-		  int64_t now_ms)
+static bool admit(struct coordinator *c, struct joiner *joiner, int64_t now_ms)
 {
 	const struct cf_member *members;
 	size_t n = cf_config_members(c->config, &members);
@@ -204,6 +235,11 @@
 			"its host restarted with an empty disk");
 		return true;
 	}
+	if (n >= CF_MEMBERS_MAX)
+		return remove_lost_member(c, now_ms);
+	if (was_proposed(joiner, now_ms))
+		return false;
+	joiner->proposed_ms = now_ms;
 	propose_addition(c, joiner, now_ms);
 	return true;
 }
--- a/src/coordinator/coordinator_redundancy.c
+++ b/src/coordinator/coordinator_redundancy.c
@@ -30,6 +30,9 @@
 
 static void report_joiners(struct coordinator *c, int64_t now_ms)
 {
+	const struct cf_member *members;
+	size_t n = cf_config_members(c->config, &members);
+
 	for (guint i = 0; i < c->joiners->len; i++) {
 		struct joiner *joiner =
 			&g_array_index(c->joiners, struct joiner, i);
@@ -37,10 +40,10 @@
 		if (is_due(joiner->first_ms, &joiner->reported_ms, now_ms))
 			log_event(LOG_WARN, "joiner_waits",
 				  "id=%u address=%s waited_ms=%" G_GINT64_FORMAT
-				  " leader=%u",
+				  " leader=%u members=%zu",
 				  joiner->member.id, joiner->member.address,
 				  now_ms - joiner->first_ms,
-				  group_leader(c->group));
+				  group_leader(c->group), n);
 	}
 	gauge_set(c->counters.joiners, c->joiners->len);
 }
--- a/tests/fault_join.c
+++ b/tests/fault_join.c
@@ -18,6 +18,7 @@
 #define JOIN_BOUND_MS                                                          \
 	15000 /* includes syncs of 3 s, as seen on a loaded disk */
 #define POLL_US 20000
+#define FULL_US 1000000 /* two requests to join */
 
 /* ---- Steps ------------------------------------------------------------ */
 
@@ -103,6 +104,29 @@
 	leased_system_finish(s);
 }
 
+/* A learner that is gone for good held one of the seven places, and nobody else
+ * was added. */
+static void test_lost_learner_in_full_group(void **state)
+{
+	struct leased_system *s = leased_system_begin_group(1);
+	int waiting = CF_MEMBERS_MAX + 1;
+
+	(void)state;
+	for (int i = SPARE; i <= waiting; i++) {
+		proc_start(s->cluster, leased_system_add_coordinator(s, i));
+		if (i < waiting)
+			members_wait(s, members_wait_leader(s), i,
+				     MEMBER_LEARNER);
+	}
+	g_usleep(FULL_US);
+	assert_int_equal(members_find(s, members_wait_leader(s), waiting, NULL),
+			 MEMBER_NOT_LISTED);
+	proc_kill(members_proc(s, SPARE));
+	members_wait(s, members_wait_leader(s), waiting, MEMBER_LEARNER);
+	members_wait(s, members_wait_leader(s), SPARE, MEMBER_NOT_LISTED);
+	leased_system_finish(s);
+}
+
 static bool has_losses_borne(struct leased_system *s, int64_t losses)
 {
 	char name[16];
@@ -154,6 +178,8 @@
 					  cluster_teardown),
 		cmocka_unit_test_teardown(test_joins_without_seeds,
 					  cluster_teardown),
+		cmocka_unit_test_teardown(test_lost_learner_in_full_group,
+					  cluster_teardown),
 		cmocka_unit_test_teardown(test_lost_redundancy_is_silent,
 					  cluster_teardown),
 	};
--- a/tests/test_join_versions.c
+++ b/tests/test_join_versions.c
@@ -8,6 +8,7 @@
 #include "base/logger.h"
 #include "support/coordinators.h"
 #include "support/loop_until.h"
+#include "verbs/operator.h"
 
 #include <apr_general.h>
 #include <glib/gstdio.h>
@@ -19,6 +20,7 @@
 
 #define JOINER_ID 77
 #define BURST 50
+#define COMMAND_ID "00000000000000000000000000000001"
 #define FORWARD_INTERVAL_MS 200 /* as in coordinator_joiners.c */
 
 static struct loop *loop;
@@ -187,6 +189,43 @@
 	fixture_clear(&c);
 }
 
+/* A joiner whose id was retired, and a member that was away while all members
+ * that it knew were replaced, were never told and waited for good. */
+static void test_retired_id_is_told(void **state)
+{
+	struct operator_request r = { .verb = VERB_MEMBER_REMOVE,
+				      .member_id = JOINER_ID };
+	g_autofree char *body = operator_command_body(&r, COMMAND_ID);
+	struct group_fixture c;
+	struct peer away;
+
+	(void)state;
+	fixture_prepare(&c, 1);
+	fixture_start(&c, 0, false);
+	open_peer(&away, JOINER_ID);
+	{
+		g_autofree char *address =
+			g_strdup_printf("127.0.0.1:%u", c.nodes[0].port);
+
+		away.link = link_dial(away.hub, address);
+	}
+	assert_true(loop_until(loop, is_up, &away));
+	fixture_leader(&c);
+	request_join(&away, JOINER_ID);
+	assert_true(link_flush(away.hub, FIXTURE_WAIT_MS));
+	fixture_wait_voter(&c, JOINER_ID, 0);
+	json_decref(fixture_request(&c, "POST", "/v1/commands", body, 200));
+	fixture_wait_voter(&c, JOINER_ID, -1);
+	away.joins = 0;
+	request_join(&away, JOINER_ID);
+	assert_true(loop_until(loop, is_asked, &away));
+	away.joins = 0;
+	link_close(away.link);
+	assert_true(loop_until(loop, is_asked, &away));
+	link_hub_destroy(away.hub);
+	fixture_clear(&c);
+}
+
 static int setup(void **state)
 {
 	(void)state;
@@ -208,6 +247,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_new_joiner_with_old_members),
 		cmocka_unit_test(test_old_joiner_with_new_members),
+		cmocka_unit_test(test_retired_id_is_told),
 	};
 
 	return cmocka_run_group_tests(tests, setup, teardown);
