--- a/src/coordinator/coordinator.c
+++ b/src/coordinator/coordinator.c
@@ -39,7 +39,9 @@
 	if (!group_healthy(c->group))
 		why = "the disk fails";
 	else if (!group_leader(c->group))
-		why = "no leader is known";
+		why = coordinator_waits_to_join(c)
+			      ? "it waits to be added to the group"
+			      : "no leader is known";
 	else if (clock_wall_ms() <= c->abstain_until_ms)
 		why = "it does not vote yet on keys of now";
 	if (why == c->why_not_ready)
