A joiner that drew a member's id doesn't make that member leave

Cause: the news of a removal is a request to join with the receiver's own id.

Change: the news counts only from another coordinator than one with that id. A joiner whose id is taken or retired is told, and draws another.

--- a/src/coordinator/coordinator_joiners.c
+++ b/src/coordinator/coordinator_joiners.c
@@ -291,20 +291,33 @@
 		counter_add(c->counters.joins_forwarded, 1);
 }
 
+/* Ids are drawn at random, so another member may have this one. */
+static bool is_taken(const struct coordinator *c,
+		     const struct Cfw__JoinRequest *request)
+{
+	const struct cf_member *member =
+		cf_config_find_member(c->config, request->member_id);
+
+	return cf_config_is_retired(c->config, request->member_id) ||
+	       request->member_id == c->id ||
+	       (member && strcmp(member->address, request->address) != 0);
+}
+
 void coordinator_join_request(struct coordinator *c, struct link *link,
 			      const struct Cfw__JoinRequest *request)
 {
 	int64_t now_ms = loop_now_ms(c->loop);
+	bool own = link_peer(link)->member_id == request->member_id;
 	struct joiner *joiner;
 
-	/* A member that was removed gets its own id back. */
-	if (request->member_id == c->id) {
+	/* A member that was removed gets its own id back, from a member. */
+	if (request->member_id == c->id && !own) {
 		handle_own_removal(c);
 		return;
 	}
-	/* A retired id is never added again; the joiner has to choose one. */
-	if (cf_config_is_retired(c->config, request->member_id)) {
-		if (link_peer(link)->member_id == request->member_id)
+	/* It can't be added under this id and has to choose another one. */
+	if (is_taken(c, request)) {
+		if (own)
 			coordinator_notify_removed(link);
 		return;
 	}
--- a/tests/test_join_versions.c
+++ b/tests/test_join_versions.c
@@ -90,6 +90,15 @@
 	return link_is_up(((struct peer *)arg)->link);
 }
 
+static void dial(struct peer *peer, const struct group_fixture *c, size_t node)
+{
+	g_autofree char *address =
+		g_strdup_printf("127.0.0.1:%u", c->nodes[node].port);
+
+	peer->link = link_dial(peer->hub, address);
+	assert_true(loop_until(loop, is_up, peer));
+}
+
 static void request_join(struct peer *peer, uint32_t id)
 {
 	Cfw__Envelope envelope = CFW__ENVELOPE__INIT;
@@ -168,13 +177,7 @@
 		fixture_wait_voter(&c, id, 1);
 	follower = (fixture_leader(&c) + 1) % 3;
 	open_peer(&joiner, JOINER_ID);
-	{
-		g_autofree char *address =
-			g_strdup_printf("127.0.0.1:%u", c.nodes[follower].port);
-
-		joiner.link = link_dial(joiner.hub, address);
-	}
-	assert_true(loop_until(loop, is_up, &joiner));
+	dial(&joiner, &c, follower);
 	before = counter_value(forwarded);
 	request_join(&joiner, JOINER_ID + 1);
 	began_ms = clock_now_ms();
@@ -203,13 +206,7 @@
 	fixture_prepare(&c, 1);
 	fixture_start(&c, 0, false);
 	open_peer(&away, JOINER_ID);
-	{
-		g_autofree char *address =
-			g_strdup_printf("127.0.0.1:%u", c.nodes[0].port);
-
-		away.link = link_dial(away.hub, address);
-	}
-	assert_true(loop_until(loop, is_up, &away));
+	dial(&away, &c, 0);
 	fixture_leader(&c);
 	request_join(&away, JOINER_ID);
 	assert_true(link_flush(away.hub, FIXTURE_WAIT_MS));
@@ -226,6 +223,25 @@
 	fixture_clear(&c);
 }
 
+/* A joiner that drew the id of a member made that member leave the group. */
+static void test_taken_id_is_told(void **state)
+{
+	struct group_fixture c;
+	struct peer joiner;
+
+	(void)state;
+	fixture_prepare(&c, 1);
+	fixture_start(&c, 0, false);
+	fixture_wait_voter(&c, 1, 1);
+	open_peer(&joiner, 1);
+	dial(&joiner, &c, 0);
+	request_join(&joiner, 1);
+	assert_true(loop_until(loop, is_asked, &joiner));
+	assert_false(c.nodes[0].coordinator->exit_removed);
+	link_hub_destroy(joiner.hub);
+	fixture_clear(&c);
+}
+
 static int setup(void **state)
 {
 	(void)state;
@@ -248,6 +264,7 @@
 		cmocka_unit_test(test_new_joiner_with_old_members),
 		cmocka_unit_test(test_old_joiner_with_new_members),
 		cmocka_unit_test(test_retired_id_is_told),
+		cmocka_unit_test(test_taken_id_is_told),
 	};
 
 	return cmocka_run_group_tests(tests, setup, teardown);
