--- a/src/coordinator/coordinator.c
+++ b/src/coordinator/coordinator.c
@@ -39,7 +39,9 @@
 	if (!group_healthy(c->group))
 		why = "the disk fails";
 	else if (!group_leader(c->group))
-		why = "no leader is known";
+		why = coordinator_waits_to_join(c)
+			      ? "it waits to be added to the group"
+			      : "no leader is known";
 	else if (clock_wall_ms() <= c->abstain_until_ms)
 		why = "it does not vote yet on keys of now";
 	if (why == c->why_not_ready)
@@ -78,9 +80,11 @@
 	coordinator_update_peers(c);
 	coordinator_renew_voter_lease(c, now_ms);
 	coordinator_expire_leases(c, now_ms);
+	coordinator_expire_joiners(c, now_ms);
 	coordinator_reconcile_members(c, now_ms);
 	coordinator_send_join_request(c, now_ms);
 	coordinator_answer_reads(c, now_ms);
+	coordinator_report_redundancy(c, now_ms);
 	gauge_set(c->counters.revision, (int64_t)cf_config_revision(c->config));
 	if (now_ms < c->next_expiry_ms)
 		return;
@@ -107,6 +111,21 @@
 	counters->rejoins =
 		counter_get("member_rejoins_total", NULL,
 			    "times that this process joined as a new member");
+	counters->joins_forwarded =
+		counter_get("joins_forwarded_total", NULL,
+			    "requests to join that were sent to the leader");
+	counters->joiners =
+		gauge_get("joiners_waiting", NULL,
+			  "coordinators that asked to join and aren't members");
+	counters->voters_meant =
+		gauge_get("voters_meant", NULL,
+			  "voters that the group should have; -1: not leading");
+	counters->voters_present =
+		gauge_get("voters_present", NULL,
+			  "voters that could vote now; -1: not leading");
+	counters->losses_borne = gauge_get(
+		"losses_borne", NULL,
+		"further losses of voters that are borne; -1: not leading");
 	counters->leading =
 		gauge_get("leading", NULL, "1 while this member leads");
 	counters->holders = gauge_get("lease_holders", NULL,
@@ -132,6 +151,7 @@
 		g_strlcpy(c->control_address,
 			  settings_text(settings, "control"),
 			  sizeof(c->control_address));
+	c->contacts = g_ptr_array_new_with_free_func(g_free);
 	coordinator_create_state(c);
 	get_counters(&c->counters);
 	return c;
@@ -147,6 +167,7 @@
 	coordinator_destroy_state(c);
 	if (c->loop)
 		loop_destroy(c->loop);
+	g_ptr_array_unref(c->contacts);
 	g_strfreev(c->join);
 	g_free(c->data_folder);
 	g_free(c);
--- a/src/coordinator/coordinator_members.c
+++ b/src/coordinator/coordinator_members.c
@@ -14,7 +14,7 @@
 
 /* ---- Constants ----------------------------------------------------- */
 
-#define REPROPOSE_INTERVAL_MS 1000
+#define REPROPOSE_INTERVAL_MS 100 /* after a pass without a proposal */
 #define MEMBER_ID_MAX 1000000
 
 /* ---- First members ------------------------------------------------- */
@@ -277,6 +277,7 @@
 	leadership->member_change_index = 0;
 	leadership->member_change_ms = now_ms;
 	if (register_first_members(c) || register_identity(c) ||
+	    coordinator_admit_joiners(c, now_ms) ||
 	    coordinator_remove_unreachable(c, now_ms))
 		return;
 	change_members(c);
--- a/tests/support/leased_system.h
+++ b/tests/support/leased_system.h
@@ -27,6 +27,8 @@
 	 * its stand-in; NULL without relays. */
 	struct relay *agent_relays[SYSTEM_AGENTS];
 	struct relay *server_relays[SYSTEM_AGENTS];
+	int coordinators; /* configured ones, from 1 */
+	char losses_borne[8]; /* empty: the default */
 	char seeds[200];
 	char coordinator_addresses[200]; /* for --coordinators */
 };
@@ -34,11 +36,14 @@
 /* Starts everything, sets routes with version 1, and waits until the
  * dispatchers are ready. */
 struct leased_system *leased_system_begin(bool relays);
+/* Starts only the coordinators that are seeds, and sets routes with version
+ * 1. */
+struct leased_system *leased_system_begin_group(int losses_borne);
 /* Stops everything. Fails if runs of one task overlapped. */
 void leased_system_finish(struct leased_system *s);
 
 /* Configures one more coordinator, which joins the group when it is started.
- * Its number must be SYSTEM_COORDINATORS + 1. */
+ * Its number is the next one after SYSTEM_COORDINATORS. */
 struct proc *leased_system_add_coordinator(struct leased_system *s, int number);
 
 /* Crashes a stand-in, and starts it again under another name. */
