--- a/src/leased/server_internal.h
+++ b/src/leased/server_internal.h
@@ -62,7 +62,7 @@
 /* ---- Lifecycle (server_create.c) -------------------------------------- */
 
 /* The address and the start time in the report are used from now on. */
-void server_set_address(struct server *server); /* server_counters.c */
+void server_set_address(struct server *server);
 
 /* ---- Fencing token (server_token.c) --------------------------------- */
 
