--- a/src/leased/server.c
+++ b/src/leased/server.c
@@ -189,6 +189,7 @@
 	if (call->restarts != s->restarts)
 		return;
 	server_token_polled(s, call, answer);
+	s->poll_refused = answer->status != HTTP_STATUS_OK;
 	if (answer->status != HTTP_STATUS_OK ||
 	    !s->options.formats->read_lists(answer->body, answer->size_bytes,
 					    &lists))
@@ -348,7 +349,7 @@
 	s->verify_open = true;
 	g_strlcpy(s->unproven_address, report->address,
 		  sizeof(s->unproven_address));
-	send_poll(s, CALL_VERIFY, false, now_ms);
+	send_poll(s, CALL_VERIFY, 0, now_ms);
 }
 
 /* ---- Periodic work -------------------------------------------------- */
@@ -359,8 +360,8 @@
 static void expire_lease(struct server *s, int64_t now_ms)
 {
 	int64_t stop_age_ms = run_table_stop_age_ms(s->runs, now_ms);
-	s->lease.crashed = server_crash_get(&s->crash);
 
+	s->lease.crashed = server_crash_get(&s->crash) != SERVER_CRASH_NONE;
 	if (server_lease_begin_expiry(&s->lease, stop_age_ms,
 				      run_table_is_idle(s->runs), now_ms)) {
 		counter_add(s->expirations, 1);
@@ -396,16 +397,22 @@
 		server_send_stop(s, &name, now_ms);
 }
 
+/* Starts or renewals wait for the answer to a poll. */
+static bool awaits_poll(const struct server *s, int64_t now_ms)
+{
+	return s->poll_refused || !server_lease_may_renew(&s->lease) ||
+	       run_table_has_unknown_runs(s->runs) ||
+	       !server_previous_runs_have_ended(&s->previous_runs, now_ms);
+}
+
 static void poll_if_due(struct server *s, int64_t now_ms)
 {
 	bool unresponsive = server_lease_is_unresponsive(&s->lease, now_ms);
 	bool idle = run_table_is_idle(s->runs);
-	int64_t interval_ms = server_lease_poll_interval_ms(
-		&s->lease, idle && !s->crash.refused, now_ms);
+	int64_t interval_ms =
+		server_lease_poll_interval_ms(&s->lease, idle, now_ms);
 
-	if (!unresponsive &&
-	    (run_table_has_unknown_runs(s->runs) ||
-	     !server_previous_runs_have_ended(&s->previous_runs, now_ms)))
+	if (!unresponsive && awaits_poll(s, now_ms))
 		interval_ms = POLL_NOW_INTERVAL_MS;
 	if (s->poll_open || s->has_left || s->crash.replaced_ms ||
 	    now_ms < s->poll_sent_ms + interval_ms)
--- a/src/leased/server_internal.h
+++ b/src/leased/server_internal.h
@@ -31,6 +31,7 @@
 	uint64_t last_end_position; /* of the newest end that was processed */
 	uint32_t open_calls; /* in flight */
 	bool poll_open; /* a CALL_POLL is in flight */
+	bool poll_refused; /* the last poll that was answered */
 	int64_t poll_now_sent_ms; /* last CALL_POLL_NOW */
 	bool has_left; /* the server announced that it leaves */
 	int64_t last_report_ms;
--- a/tests/support/leased_standin.c
+++ b/tests/support/leased_standin.c
@@ -304,6 +304,9 @@
 		return start(s, order, now_ms);
 	if (order->call == STANDIN_STOP && s->record->refuses_stops)
 		return STANDIN_STALE;
+	s->record->polls += order->call == STANDIN_POLL;
+	if (order->call == STANDIN_POLL && s->record->refuses_polls)
+		return STANDIN_STALE;
 	if (order->call == STANDIN_STOP)
 		stop(s, order, now_ms);
 	else
--- a/tests/support/leased_standin_internal.h
+++ b/tests/support/leased_standin_internal.h
@@ -27,7 +27,8 @@
 	GMutex lock;
 	GPtrArray *intervals; /* struct interval */
 	struct slowdown slowdowns[SLOWDOWNS_MAX];
-	bool refuses_stops;
+	bool refuses_stops, refuses_polls;
+	uint32_t polls; /* of all stand-ins */
 };
 
 struct interval *standin_begin_interval(struct standin_record *record,
--- a/tests/support/leased_standin_record.c
+++ b/tests/support/leased_standin_record.c
@@ -66,6 +66,16 @@
 	record->refuses_stops = true;
 }
 
+void standin_refuse_polls(struct standin_record *record)
+{
+	record->refuses_polls = true;
+}
+
+uint32_t standin_polls(const struct standin_record *record)
+{
+	return record->polls;
+}
+
 static bool overlap(const struct interval *a, const struct interval *b)
 {
 	return !strcmp(a->task, b->task) &&
--- a/tests/test_server_crash.c
+++ b/tests/test_server_crash.c
@@ -205,6 +205,7 @@
 	struct loop_timer *timer;
 	struct run_result results[4];
 	size_t n_results, wanted;
+	int64_t until_ms;
 };
 
 static void changed(void *arg, struct server *server)
@@ -427,6 +428,31 @@
 	end(&c);
 }
 
+static bool is_over(void *arg)
+{
+	return clock_now_ms() >= ((struct client *)arg)->until_ms;
+}
+
+/* Guards against polls without a pause at a server that refuses them. */
+static void test_refused_polls_are_paced(void **state)
+{
+	struct client c;
+	uint32_t before;
+
+	(void)state;
+	begin(&c);
+	start(&c, 0);
+	assert_true(loop_until(c.loop, runs, &c));
+	standin_refuse_polls(c.record);
+	before = standin_polls(c.record);
+	c.until_ms = clock_now_ms() + 300;
+	assert_true(loop_until(c.loop, is_over, &c));
+	assert_in_range(standin_polls(c.record) - before, 2, 60);
+	standin_destroy(c.standin);
+	assert_true(loop_until(c.loop, is_idle, &c));
+	end(&c);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -437,6 +463,7 @@
 		cmocka_unit_test(test_refused_starts),
 		cmocka_unit_test(test_server_replaced),
 		cmocka_unit_test(test_server_restarts),
+		cmocka_unit_test(test_refused_polls_are_paced),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
