Coordinator: a leader's own id is never forwarded to it as a joiner

Cause: a lagging member that reads an old request of a joiner which leads by now would send it back, and the leader would take it for its own removal. Found by the review, derived from the code; not shown red.

--- a/src/coordinator/coordinator_joiners.c
+++ b/src/coordinator/coordinator_joiners.c
@@ -279,7 +279,8 @@
 	struct Cfw__Envelope envelope = CFW__ENVELOPE__INIT;
 	struct link *leader = coordinator_link_to(c, group_leader(c->group));
 
-	if (!leader || link_peer(from)->member_id != request->member_id ||
+	if (!leader || request->member_id == group_leader(c->group) ||
+	    link_peer(from)->member_id != request->member_id ||
 	    cf_config_find_member(c->config, request->member_id) ||
 	    (joiner->forwarded_ms != INT64_MIN &&
 	     now_ms - joiner->forwarded_ms < FORWARD_INTERVAL_MS))
