--- a/src/leased/agent_losses.c
+++ b/src/leased/agent_losses.c
@@ -10,7 +10,7 @@
 /* ---- Constants ------------------------------------------------------ */
 
 /* A crash is reported this long: to dispatchers that connect meanwhile too. */
-#define REPORTED_MS 3000
+#define REPORTED_MS 2000
 
 /* ---- Types ---------------------------------------------------------- */
 
--- a/src/leased/dispatch_place.c
+++ b/src/leased/dispatch_place.c
@@ -291,15 +291,22 @@
 static enum placement place_job(struct dispatch *d, struct dispatch_job *job,
 				int64_t now_ms)
 {
+	bool contained_wait = false;
+
 	for (uint32_t i = 0; i < job->spec.n_tasks && job->n_waiting; i++) {
 		struct dispatch_task *task = &job->tasks[i];
 		struct choice choice;
 
-		if (task->state != DISPATCH_TASK_WAITING)
+		if (task->state != DISPATCH_TASK_WAITING ||
+		    (contained_wait && contain_task(job, task)))
 			continue;
 		choice = choose_server(d, job, task, now_ms);
-		if (!choice.best && contain_task(job, task))
+		if (!choice.best && contain_task(job, task)) {
+			contained_wait = true;
+			if (!job->is_late)
+				dispatch_note_demand(d, now_ms);
 			continue;
+		}
 		if (!choice.best) {
 			if (!job->is_late)
 				dispatch_note_demand(d, now_ms);
