Agent: runs that were never sent, or live on, aren't lost in a crash

And a mark stayed when the server answered again: a run stopped by order 390 ms later was told as lost.

Change: the failed start is settled first, open starts aren't marked, and an answer clears the marks.

--- a/src/leased/run_table.c
+++ b/src/leased/run_table.c
@@ -93,19 +93,6 @@
 		  sizeof(table->failed_job));
 }
 
-uint32_t run_table_lost_after_ms(const struct run *run)
-{
-	int64_t began_ms = run->started_ms ? run->started_ms
-					   : run->start_sent_ms;
-
-	return (uint32_t)MAX(run->lost_ms - began_ms, 0);
-}
-
-enum run_outcome run_table_cut_outcome(const struct run *run)
-{
-	return run->lost_ms ? RUN_OUTCOME_LOST : RUN_OUTCOME_STOPPED;
-}
-
 void run_table_finish_at(struct run_table *table, guint position,
 			 enum run_outcome outcome, int64_t now_ms)
 {
@@ -306,6 +293,7 @@
 	if (retry && !run->stop_requested) {
 		run->state = RUN_QUEUED;
 		run->may_have_started = false;
+		run->lost_ms = 0;
 		table->next_start_ms = now_ms + NO_CAPACITY_PAUSE_MS;
 		return;
 	}
--- a/src/leased/run_table.h
+++ b/src/leased/run_table.h
@@ -141,6 +141,8 @@
  * first. */
 void run_table_server_crashed(struct run_table *table, int64_t crashed_ms,
 			      GArray *losses);
+/* The server has not crashed after all. */
+void run_table_server_answered(struct run_table *table);
 /* Ends all runs: the server's lease has expired, so nothing runs there. */
 void run_table_lease_expired(struct run_table *table, int64_t now_ms);
 /* The server process was restarted some time before now. Runs that were
--- a/src/leased/run_table_crash.c
+++ b/src/leased/run_table_crash.c
@@ -3,12 +3,27 @@
  */
 #include "leased/run_table_internal.h"
 
+uint32_t run_table_lost_after_ms(const struct run *run)
+{
+	int64_t began_ms = run->started_ms ? run->started_ms
+					   : run->start_sent_ms;
+
+	return (uint32_t)MAX(run->lost_ms - began_ms, 0);
+}
+
+enum run_outcome run_table_cut_outcome(const struct run *run)
+{
+	return run->lost_ms ? RUN_OUTCOME_LOST : RUN_OUTCOME_STOPPED;
+}
+
 /* A run whose stop was acknowledged had ended, and a start that was sent later
- * can't have arrived. */
+ * can't have arrived. A start call that is still open may turn out not to have
+ * been sent. */
 static bool may_be_lost(const struct run *run, int64_t crashed_ms)
 {
 	return run->may_have_started && run->state != RUN_STOPPED &&
-	       !run->lost_ms && run->start_sent_ms <= crashed_ms;
+	       run->state != RUN_STARTING && !run->lost_ms &&
+	       run->start_sent_ms <= crashed_ms;
 }
 
 static int compare_ages(const void *a, const void *b)
@@ -47,3 +62,9 @@
 	}
 	g_array_sort(losses, compare_ages);
 }
+
+void run_table_server_answered(struct run_table *table)
+{
+	for (guint i = 0; i < table->runs->len; i++)
+		run_table_at(table, i)->lost_ms = 0;
+}
--- a/src/leased/server.c
+++ b/src/leased/server.c
@@ -130,6 +130,8 @@
 			  now_ms - s->lease.unanswered_since_ms);
 	/* The loop's time may be earlier than the answer. */
 	server_lease_answered(&s->lease, clock_ms, clock_now_ms());
+	if (s->crash.refused && !s->crash.replaced_ms)
+		run_table_server_answered(s->runs);
 	server_crash_answered(&s->crash);
 }
 
@@ -227,14 +229,14 @@
 	if (call->restarts != s->restarts || call->kind == CALL_VERIFY)
 		return;
 	server_crash_call_failed(&s->crash, answer, now_ms);
-	server_crash_lose_runs(&s->crash, server_crash_get(&s->crash),
-			       &s->report, s->runs, now_ms);
 	server_lease_unanswered(&s->lease, call->sent_ms);
 	server_lease_call_failed(&s->lease, now_ms);
 	if (call->kind == CALL_START && server_crash_never_sent(answer))
 		run_table_start_not_sent(s->runs, &call->name, now_ms);
 	else if (call->kind == CALL_START)
 		run_table_start_unanswered(s->runs, &call->name);
+	server_crash_lose_runs(&s->crash, server_crash_get(&s->crash),
+			       &s->report, s->runs, now_ms);
 }
 
 static void on_answer(void *arg, const struct http_answer *answer)
--- a/tests/test_server_crash.c
+++ b/tests/test_server_crash.c
@@ -106,10 +106,12 @@
 struct run_case {
 	const char *name;
 	bool queued; /* no start was sent */
+	bool start_open; /* its call may turn out not to have been sent */
 	int64_t sent_ms, accepted_ms; /* accepted_ms 0: no answer */
 	bool stop_acked; /* before the crash */
 	bool ordered_stop; /* without an answer */
 	bool draining, has_left, no_evidence;
+	bool answers; /* after the refused connection */
 	enum run_outcome outcome;
 	uint32_t run_ms;
 };
@@ -119,6 +121,8 @@
 	  .outcome = RUN_OUTCOME_LOST, .run_ms = CRASHED_MS - 20 },
 	{ "no answer to its start", .sent_ms = 2, .outcome = RUN_OUTCOME_LOST,
 	  .run_ms = CRASHED_MS - 2 },
+	{ "its start call is open", .start_open = true, .sent_ms = 2,
+	  .outcome = RUN_OUTCOME_STOPPED },
 	{ "ordered to stop, which the server did not hear", .sent_ms = 2,
 	  .accepted_ms = 20, .ordered_stop = true, .outcome = RUN_OUTCOME_LOST,
 	  .run_ms = CRASHED_MS - 20 },
@@ -132,6 +136,8 @@
 	  .run_ms = 700 - 20 },
 	{ "the server left", .sent_ms = 2, .accepted_ms = 20, .has_left = true,
 	  .outcome = RUN_OUTCOME_STOPPED, .run_ms = 700 - 20 },
+	{ "the server answers again", .sent_ms = 2, .accepted_ms = 20,
+	  .answers = true, .outcome = RUN_OUTCOME_STOPPED, .run_ms = 700 - 20 },
 	{ "the server is only silent", .sent_ms = 2, .accepted_ms = 20,
 	  .no_evidence = true, .outcome = RUN_OUTCOME_STOPPED,
 	  .run_ms = 700 - 20 },
@@ -152,6 +158,8 @@
 	g_bytes_unref(request.spec);
 	if (!c->queued)
 		assert_non_null(run_table_next_start(table, c->sent_ms));
+	if (!c->queued && !c->accepted_ms && !c->start_open)
+		run_table_start_unanswered(table, name);
 	if (c->accepted_ms)
 		run_table_start_answered(table, name, RUN_ACCEPTED,
 					 c->accepted_ms);
@@ -183,6 +191,8 @@
 		prepare_run(table, &name, c);
 		server_crash_lose_runs(&crash, server_crash_get(&crash),
 				       &report, table, 690);
+		if (c->answers)
+			run_table_server_answered(table);
 		assert_false(run_table_pop_result(table, &result));
 		run_table_lease_expired(table, 700);
 		assert_true(run_table_pop_result(table, &result));
