--- a/src/leased/server.c
+++ b/src/leased/server.c
@@ -194,8 +194,11 @@
 	s->poll_refused = answer->status != HTTP_STATUS_OK;
 	if (answer->status != HTTP_STATUS_OK ||
 	    !s->options.formats->read_lists(answer->body, answer->size_bytes,
-					    &lists))
+					    &lists)) {
+		if (call->kind != CALL_VERIFY)
+			server_lease_unanswered(&s->lease, call->sent_ms);
 		return;
+	}
 	message = server_incarnation_check_lists(&s->incarnation,
 						 lists.start_time_ms,
 						 lists.clock_ms, call->sent_ms);
