Agent: calls go to the address at which a new incarnation answered

Cause: an incarnation found by a poll to the address in an unproven report was called at the old one until its next report, and a token was announced to what had replaced a server.

--- a/src/leased/server.c
+++ b/src/leased/server.c
@@ -203,10 +203,14 @@
 						 lists.start_time_ms,
 						 lists.clock_ms, call->sent_ms);
 	if (message == SERVER_MESSAGE_NEW) {
+		if (call->kind == CALL_VERIFY)
+			g_strlcpy(s->report.address, s->unproven_address,
+				  sizeof(s->report.address));
 		begin_incarnation(s,
 				  lists.start_time_ms ? lists.start_time_ms
 						      : s->report.start_time_ms,
 				  now_ms);
+		server_set_address(s);
 		run_lists_clear(&lists);
 		return;
 	}
@@ -446,7 +450,8 @@
  * the server does not answer, the regular polls carry the token. */
 static void announce_token_if_due(struct server *s, int64_t now_ms)
 {
-	if (s->has_left || server_lease_is_unresponsive(&s->lease, now_ms) ||
+	if (s->has_left || s->crash.replaced_ms ||
+	    server_lease_is_unresponsive(&s->lease, now_ms) ||
 	    !server_fence_is_announcement_due(&s->fence, now_ms))
 		return;
 	server_fence_announced(&s->fence, now_ms);
