--- a/review/1/case.c
+++ b/review/1/case.c
@@ -14,7 +14,7 @@
 #define ID "5c0e7a21d94b36f8"
 #define RETRANSMIT_MS 1300
 #define DEADLINE_MS 8000
-#define WORK_MS 2500
+#define WORK "ms=2500"
 
 int main(void)
 {
@@ -24,7 +24,7 @@
 	int runner, status;
 
 	rig_begin();
-	job = rig_job(1, 6200, 2500, WORK_MS);
+	job = rig_job(1, 6200, 2500, WORK);
 	if (rig_trouble())
 		rig_shed_starts(1);
 	sent_ms = rig_now();
--- a/review/common/rig.c
+++ b/review/common/rig.c
@@ -91,6 +91,7 @@
 struct run {
 	struct rig_run r;
 	int64_t due_ms, stop_at;
+	bool fails; /* ends "failed", through the task's own fault */
 	int incarnation;
 	bool stopped_only; /* a stop of a run that isn't there */
 };
@@ -602,6 +603,20 @@
 			   front);
 }
 
+void rig_send_reset(int front, const char *method, const char *id)
+{
+	char ip[32];
+	int fd;
+
+	ip_of("front", front, ip);
+	fd = connect_to(ip, PORT_FRONT, 1000);
+	rig_record("%s %s to front%d: the connection is reset before the "
+		   "front has read anything",
+		   method, id, front);
+	if (fd >= 0)
+		close_with_reset(fd);
+}
+
 int rig_response(struct rig_client *client, int64_t until_ms, char *body,
 		 int size)
 {
@@ -624,14 +639,14 @@
 	client->descriptor = -1;
 }
 
-char *rig_job(int count, int cpu, int estimate_ms, int run_ms)
+char *rig_job(int count, int cpu, int estimate_ms, const char *spec)
 {
 	char *text;
 
 	if (asprintf(&text,
-		     "{\"spec\":\"ms=%d\",\"steps\":[{\"count\":%d,\"cpu\":%d,"
+		     "{\"spec\":\"%s\",\"steps\":[{\"count\":%d,\"cpu\":%d,"
 		     "\"memMb\":64,\"estimateMs\":%d}],\"bestEffort\":true}",
-		     run_ms, count, cpu, estimate_ms) < 0)
+		     spec, count, cpu, estimate_ms) < 0)
 		rig_abort("memory");
 	return text;
 }
@@ -763,6 +778,15 @@
 	return 409;
 }
 
+/* "fail=3" in a spec: the task with index 3 fails. */
+static bool fails(const char *task, const char *spec)
+{
+	const char *wanted = strstr(spec, "fail=");
+	const char *index = strrchr(task, '.');
+
+	return wanted && index && atoi(wanted + 5) == atoi(index + 1);
+}
+
 static int start_task(struct runner *r, json_t *body, json_t *answer)
 {
 	const char *task = json_string_value(json_object_get(body, "task"));
@@ -795,6 +819,7 @@
 	run->due_ms =
 		rig_now() +
 		(strstr(spec, "ms=") ? atoi(strstr(spec, "ms=") + 3) : 100);
+	run->fails = fails(task, spec);
 	run->incarnation = r->incarnation;
 	rig_record("runner%d: %s run %d begins", r->index, task, number);
 	pthread_cond_broadcast(&changed);
@@ -1090,7 +1115,8 @@
 					 rig_now() >= run->stop_at)
 					end_run(r, run, "stopped");
 				else if (rig_now() >= run->due_ms)
-					end_run(r, run, "done");
+					end_run(r, run,
+						run->fails ? "failed" : "done");
 			}
 		}
 		pthread_mutex_unlock(&lock);
--- a/review/common/rig.h
+++ b/review/common/rig.h
@@ -56,8 +56,12 @@
 /* Closes the connection with a reset, or in order. */
 void rig_reset(struct rig_client *client);
 void rig_close(struct rig_client *client);
-/* A whole job with count tasks that take run_ms each. */
-char *rig_job(int count, int cpu, int estimate_ms, int run_ms);
+/* The same, but the connection is reset before the front has read the
+ * request. */
+void rig_send_reset(int front, const char *method, const char *id);
+/* A whole job with count tasks. spec: "ms=300", the time that each takes, or
+ * "ms=300 fail=3", of which the one with index 3 then fails. */
+char *rig_job(int count, int cpu, int estimate_ms, const char *spec);
 /* Sends a call to the control addresses in turn until one acknowledges it. */
 int rig_control(const char *method, const char *path, const char *body,
 		int64_t until_ms, char *answer, int size);
