review: case 3, fronts refuse everything after silent connections

A run that is being stopped when the connection to its agent is lost and made again is counted for ever; the fronts' room is used up by runs that aren't there.

--- a/review/common/rig.c
+++ b/review/common/rig.c
@@ -122,6 +122,7 @@
 static struct kept_call kept;
 static struct pipe_pair pairs[512];
 static bool finishing;
+static bool quiet; /* runs aren't recorded one by one */
 
 /* ---- Time and record --------------------------------------------------- */
 
@@ -596,8 +597,9 @@
 			   front);
 		return;
 	}
-	rig_record("%s %s to front%d, Deadline-Ms %d", method, id, front,
-		   deadline_ms);
+	if (!quiet)
+		rig_record("%s %s to front%d, Deadline-Ms %d", method, id,
+			   front, deadline_ms);
 	if (!send_request(client->descriptor, method, path, HOST, extra, body))
 		rig_record("%s %s to front%d: could not be sent", method, id,
 			   front);
@@ -726,8 +728,9 @@
 	snprintf(run->r.how, sizeof(run->r.how), "%s", how);
 	r->ends[r->n_ends].number = ++r->next_end;
 	r->ends[r->n_ends++].run = (int)(run - runs);
-	rig_record("runner%d: %s run %d ended %s", r->index, run->r.task,
-		   run->r.number, how);
+	if (!quiet)
+		rig_record("runner%d: %s run %d ended %s", r->index,
+			   run->r.task, run->r.number, how);
 	pthread_cond_broadcast(&changed);
 }
 
@@ -821,7 +824,9 @@
 		(strstr(spec, "ms=") ? atoi(strstr(spec, "ms=") + 3) : 100);
 	run->fails = fails(task, spec);
 	run->incarnation = r->incarnation;
-	rig_record("runner%d: %s run %d begins", r->index, task, number);
+	if (!quiet)
+		rig_record("runner%d: %s run %d begins", r->index, task,
+			   number);
 	pthread_cond_broadcast(&changed);
 	return 200;
 }
@@ -990,7 +995,7 @@
 			pthread_cond_broadcast(&changed);
 		} else {
 			status = start_task(r, body, answer);
-			if (status != 200)
+			if (status != 200 && !quiet)
 				rig_record("runner%d: %d to a start: %s",
 					   r->index, status, posted->data);
 		}
@@ -1210,6 +1215,11 @@
 	capacity_cpu = cpu;
 }
 
+void rig_quiet(void)
+{
+	quiet = true;
+}
+
 void rig_stop_takes(int ms)
 {
 	stop_takes_ms = ms;
@@ -1413,6 +1423,24 @@
 	mark_links(agent, true);
 }
 
+int rig_tasks_sent(int front)
+{
+	static char body[1 << 18];
+	char ip[32], *at = NULL;
+	int fd, status = -1;
+
+	ip_of("front", front, ip);
+	fd = connect_to(ip, PORT_READY, 500);
+	if (fd >= 0 && send_request(fd, "GET", "/metrics", ip, "", NULL))
+		status = read_response(fd, rig_now() + 1000, NULL, 0, body,
+				       sizeof(body));
+	if (fd >= 0)
+		close(fd);
+	if (status == 200)
+		at = strstr(body, "\nchervilferry_tasks_sent ");
+	return at ? atoi(strchr(at, ' ') + 1) : -1;
+}
+
 /* ---- Start ----------------------------------------------------------------
  */
 
--- a/review/common/rig.h
+++ b/review/common/rig.h
@@ -92,6 +92,10 @@
 /* It starts again under its id, having seen and holding nothing. */
 void rig_runner_restart(int runner);
 void rig_runner_capacity(int cpu); /* of all, before rig_begin() */
+/* Requests and runs aren't recorded one by one; the case does it. */
+void rig_quiet(void);
+/* Tasks that a front counts as being at runners (its metrics), -1: unknown. */
+int rig_tasks_sent(int front);
 /* Time that a stop takes, at most 50 ms. */
 void rig_stop_takes(int ms);
 /* Copies up to max runs of tasks that begin with the prefix. */
