review: case 4, an old order runs in a runner's new incarnation

A start without an answer is carried out by the runner that has begun anew behind a cut, while the task runs elsewhere.

--- a/review/common/rig.c
+++ b/review/common/rig.c
@@ -76,7 +76,7 @@
 struct runner {
 	int index; /* 1.. */
 	char id[32], ip[32];
-	bool up;
+	bool up, cut;
 	int incarnation;
 	int64_t born_wall, born_ms;
 	int seq;
@@ -974,7 +974,9 @@
 	pthread_mutex_lock(&lock);
 	answer = base_answer(r);
 	incarnation = r->incarnation;
-	if (!strcmp(method, "GET")) {
+	if (r->cut) {
+		dropped = true;
+	} else if (!strcmp(method, "GET")) {
 		status = !strcmp(url, "/health") ? 200 : 404;
 	} else if (expected && strcmp(expected, r->id) != 0) {
 		status = 421;
@@ -1004,14 +1006,14 @@
 	} else if (!strcmp(url, "/hold")) {
 		status = hold(r, body, answer);
 	}
-	if (!r->up || r->incarnation != incarnation)
+	if (!r->up || r->cut || r->incarnation != incarnation)
 		dropped = true;
 	pthread_mutex_unlock(&lock);
 	json_decref(body);
 	if (dropped) {
 		/* No answer: the caller gives up first. */
 		json_decref(answer);
-		sleep_ms(3000);
+		sleep_ms(250);
 		return MHD_NO;
 	}
 	return answer_json(connection, status, answer);
@@ -1092,7 +1094,7 @@
 	struct runner *r = arg;
 
 	while (!finishing) {
-		if (r->up && rig_now() >= r->next_beat)
+		if (r->up && !r->cut && rig_now() >= r->next_beat)
 			beat(r);
 		sleep_ms(5);
 	}
@@ -1210,6 +1212,16 @@
 	listen_runner(&runners[runner]);
 }
 
+void rig_runner_cut(int runner, bool cut)
+{
+	pthread_mutex_lock(&lock);
+	runners[runner].cut = cut;
+	pthread_cond_broadcast(&changed);
+	pthread_mutex_unlock(&lock);
+	rig_record("runner%d %s", runner,
+		   cut ? "is cut off" : "can be reached again");
+}
+
 void rig_runner_capacity(int cpu)
 {
 	capacity_cpu = cpu;
--- a/review/common/rig.h
+++ b/review/common/rig.h
@@ -91,6 +91,8 @@
 void rig_runner_crash(int runner);
 /* It starts again under its id, having seen and holding nothing. */
 void rig_runner_restart(int runner);
+/* Cut off: no call to it is carried out or answered, and it sends none. */
+void rig_runner_cut(int runner, bool cut);
 void rig_runner_capacity(int cpu); /* of all, before rig_begin() */
 /* Requests and runs aren't recorded one by one; the case does it. */
 void rig_quiet(void);
