review: case 4, one malformed request ends agents one after the other

An id in a path that isn't UTF-8 makes an agent read a NULL; the front sends the task on to the next agent, and the caller sends its request again.

--- a/review/common/rig.c
+++ b/review/common/rig.c
@@ -60,6 +60,7 @@
 	char *args[ARGS_MAX];
 	int n_args;
 	pid_t pid;
+	int exits; /* by itself, counted by rig_restart_exited() */
 };
 
 struct end {
@@ -355,8 +356,44 @@
 	start_proc(p);
 }
 
+static bool stopping; /* signals of this program, not ends by itself */
+
+int rig_restart_exited(void)
+{
+	int n = 0;
+
+	for (int i = 0; i < n_procs && !stopping; i++) {
+		struct proc *p = &procs[i];
+		int status;
+
+		if (p->pid <= 0 || waitpid(p->pid, &status, WNOHANG) != p->pid)
+			continue;
+		p->exits++;
+		n++;
+		if (WIFSIGNALED(status))
+			rig_record("%s ended by itself, by signal %d", p->name,
+				   WTERMSIG(status));
+		else
+			rig_record("%s ended by itself, with status %d",
+				   p->name, WEXITSTATUS(status));
+		p->pid = 0;
+		sleep_ms(100);
+		rig_restart(p->name, false);
+	}
+	return n;
+}
+
+int rig_exits(int index, const char **process)
+{
+	if (index >= n_procs)
+		return -1;
+	*process = procs[index].name;
+	return procs[index].exits;
+}
+
 static void stop_all(void)
 {
+	stopping = true;
 	finishing = true;
 	for (int i = 0; i < n_procs; i++)
 		if (procs[i].pid > 0) {
--- a/review/common/rig.h
+++ b/review/common/rig.h
@@ -39,6 +39,11 @@
 /* Starts it again with the command that it had. A coordinator is told that
  * it isn't the first start; wipe: its folder is emptied before. */
 void rig_restart(const char *process, bool wipe);
+/* Starts processes that ended by themselves again, as the platform does after
+ * a short delay. Returns how many there were. */
+int rig_restart_exited(void);
+/* How often a process (from 0) has ended by itself; -1: there are no more. */
+int rig_exits(int index, const char **process);
 
 /* ---- Clients and operators -------------------------------------------- */
 
