review: case 3, fronts lose the core for good after 29 replacements

A session keeps at most 32 links and drops none of a member that is gone. A configuration isn't applied after that, and every request is refused 15 s later.

--- a/review/common/rig.c
+++ b/review/common/rig.c
@@ -41,7 +41,7 @@
 #define SERVICE "order-desk"
 #define RUNS_MAX 20000
 #define TEXT 256
-#define PROCS_MAX (2 * RIG_ZONES + RIG_RUNNERS)
+#define PROCS_MAX (2 * RIG_ZONES + RIG_RUNNERS + RIG_CORES_MAX)
 #define ARGS_MAX 40
 
 static const char *const zone_names[RIG_ZONES] = { "ch-olten", "ch-aarau",
@@ -123,6 +123,8 @@
 static struct kept_call kept;
 static struct pipe_pair pairs[512];
 static bool finishing;
+static bool direct; /* no relays between fronts and the others */
+static int live_cores[RIG_CORES_MAX], n_live_cores;
 static bool quiet; /* runs aren't recorded one by one */
 
 /* ---- Time and record --------------------------------------------------- */
@@ -187,7 +189,9 @@
  * agents through relays at these numbers and 100 more; see run_relay(). */
 static void ip_of(const char *kind, int i, char out[32])
 {
-	int base = kind[0] == 'c' ? 110 : kind[0] == 's' ? 120 : 140;
+	int base = kind[0] == 'c'   ? (i > RIG_ZONES ? 150 : 110)
+		   : kind[0] == 's' ? 120
+				    : 140;
 
 	snprintf(out, 32, "127.%d.%d.%d", net_a, net_b, base + i);
 }
@@ -441,6 +445,45 @@
 }
 
 /* The commands of deploy/system.toml. */
+static struct proc *add_core(int i, const char *seeds, bool first_start)
+{
+	char name[16], ip[32];
+	struct proc *p;
+
+	snprintf(name, sizeof(name), "core%d", i);
+	ip_of("core", i, ip);
+	p = add_proc("coordinator", name);
+	add_arg(p, "--name");
+	add_arg(p, "%s", name);
+	add_arg(p, "--heartbeat-ms");
+	add_arg(p, "300");
+	add_arg(p, "--data-centre");
+	add_arg(p, "%s", zone_names[(i - 1) % RIG_ZONES]);
+	add_arg(p, "--listen");
+	add_arg(p, "%s:%d", ip, PORT_LINK);
+	add_arg(p, "--admin");
+	add_arg(p, "%s:%d", ip, PORT_ADMIN);
+	add_arg(p, "--control");
+	add_arg(p, "%s:%d", ip, PORT_CONTROL);
+	add_arg(p, "--data");
+	add_arg(p, "%s/%s", folder, name);
+	mkdir(p->args[p->n_args - 1], 0700);
+	add_arg(p, "--seeds");
+	add_arg(p, "%s", seeds);
+	add_arg(p, "--seeds-port");
+	add_arg(p, "%d", PORT_LINK);
+	add_arg(p, "--first-start");
+	add_arg(p, first_start ? "true" : "false");
+	add_arg(p, "--losses-borne");
+	add_arg(p, "1");
+	add_arg(p, "--snapshot-every");
+	add_arg(p, "300");
+	add_arg(p, "--election-ms");
+	add_arg(p, "300");
+	live_cores[n_live_cores++] = i;
+	return p;
+}
+
 static void add_all(void)
 {
 	char seeds[TEXT] = "", front_seeds[TEXT] = "", ip[32], name[16];
@@ -449,45 +492,14 @@
 		ip_of("core", i, ip);
 		snprintf(seeds + strlen(seeds), sizeof(seeds) - strlen(seeds),
 			 "%s%s:%d", i > 1 ? "," : "", ip, PORT_CONTROL);
-		relay_ip_of("core", i, ip);
+		if (!direct)
+			relay_ip_of("core", i, ip);
 		snprintf(front_seeds + strlen(front_seeds),
 			 sizeof(front_seeds) - strlen(front_seeds), "%s%s:%d",
 			 i > 1 ? "," : "", ip, PORT_CONTROL);
 	}
-	for (int i = 1; i <= RIG_ZONES; i++) {
-		struct proc *p;
-
-		snprintf(name, sizeof(name), "core%d", i);
-		ip_of("core", i, ip);
-		p = add_proc("coordinator", name);
-		add_arg(p, "--name");
-		add_arg(p, "%s", name);
-		add_arg(p, "--heartbeat-ms");
-		add_arg(p, "300");
-		add_arg(p, "--data-centre");
-		add_arg(p, "%s", zone_names[i - 1]);
-		add_arg(p, "--listen");
-		add_arg(p, "%s:%d", ip, PORT_LINK);
-		add_arg(p, "--admin");
-		add_arg(p, "%s:%d", ip, PORT_ADMIN);
-		add_arg(p, "--control");
-		add_arg(p, "%s:%d", ip, PORT_CONTROL);
-		add_arg(p, "--data");
-		add_arg(p, "%s/%s", folder, name);
-		mkdir(p->args[p->n_args - 1], 0700);
-		add_arg(p, "--seeds");
-		add_arg(p, "%s", seeds);
-		add_arg(p, "--seeds-port");
-		add_arg(p, "%d", PORT_LINK);
-		add_arg(p, "--first-start");
-		add_arg(p, "true");
-		add_arg(p, "--losses-borne");
-		add_arg(p, "1");
-		add_arg(p, "--snapshot-every");
-		add_arg(p, "300");
-		add_arg(p, "--election-ms");
-		add_arg(p, "300");
-	}
+	for (int i = 1; i <= RIG_ZONES; i++)
+		add_core(i, seeds, true);
 	for (int i = 1; i <= RIG_ZONES; i++) {
 		struct proc *p;
 
@@ -715,14 +727,14 @@
 int rig_control(const char *method, const char *path, const char *body,
 		int64_t until_ms, char *answer, int size)
 {
-	int status = 0, core = 1;
+	int status = 0, core = 0;
 	char target[64] = "";
 
 	while (rig_now() < until_ms) {
 		char ip[32], headers[2048] = "", *at;
 		int port = PORT_CONTROL, fd;
 
-		ip_of("core", core, ip);
+		ip_of("core", live_cores[core % n_live_cores], ip);
 		if (target[0]) {
 			char *colon = strchr(target, ':');
 
@@ -746,12 +758,130 @@
 			sscanf(at + 17, "%63[^/]", target);
 			continue;
 		}
-		core = core % RIG_ZONES + 1;
+		core++;
 		sleep_ms(100);
 	}
 	return status;
 }
 
+/* ---- Changes of the core ------------------------------------------------- */
+
+void rig_direct(void)
+{
+	direct = true;
+}
+
+static void seeds_of(const int *cores, char *text, size_t size)
+{
+	text[0] = '\0';
+	for (int i = 0; i < RIG_ZONES; i++) {
+		char ip[32];
+
+		ip_of("core", cores[i], ip);
+		snprintf(text + strlen(text), size - strlen(text), "%s%s:%d",
+			 i ? "," : "", ip, PORT_CONTROL);
+	}
+}
+
+void rig_core_start(int core, const int *seeds)
+{
+	char text[TEXT];
+
+	seeds_of(seeds, text, sizeof(text));
+	rig_record("start of core%d at an address of its own, empty", core);
+	start_proc(add_core(core, text, false));
+}
+
+void rig_core_stop(int core)
+{
+	char name[16];
+	struct proc *p;
+
+	snprintf(name, sizeof(name), "core%d", core);
+	p = find_proc(name);
+	rig_signal(name, SIGTERM);
+	waitpid(p->pid, NULL, 0);
+	p->pid = 0;
+	for (int i = 0; i < n_live_cores; i++)
+		if (live_cores[i] == core)
+			live_cores[i] = live_cores[--n_live_cores];
+	rig_record("%s has ended and doesn't come back", name);
+}
+
+void rig_name_seeds(const int *cores)
+{
+	char text[TEXT];
+
+	seeds_of(cores, text, sizeof(text));
+	write_settings("settings", text);
+	write_settings("front-settings", text);
+	rig_record("the settings name the seeds core%d, core%d, core%d",
+		   cores[0], cores[1], cores[2]);
+}
+
+/* Members as the leader tells them on its admin address. */
+int rig_members(int *cores, bool *votes, int max, int *leader)
+{
+	static char body[1 << 16];
+	int n = 0;
+
+	for (int c = 0; c < n_live_cores; c++) {
+		char ip[32];
+		int fd, status = -1;
+		json_t *json, *member;
+		size_t i;
+
+		ip_of("core", live_cores[c], ip);
+		fd = connect_to(ip, PORT_ADMIN, 300);
+		if (fd >= 0 &&
+		    send_request(fd, "GET", "/v1/status", ip, "", NULL))
+			status = read_response(fd, rig_now() + 500, NULL, 0,
+					       body, sizeof(body));
+		if (fd >= 0)
+			close(fd);
+		json = status == 200 ? json_loads(body, 0, NULL) : NULL;
+		if (!json ||
+		    strcmp(json_string_value(json_object_get(json, "role")),
+			   "leader") != 0) {
+			json_decref(json);
+			continue;
+		}
+		*leader = live_cores[c];
+		json_array_foreach(json_object_get(json, "members"), i, member)
+		{
+			const char *address = json_string_value(
+				json_object_get(member, "address"));
+			int last = 0;
+
+			if (n == max || !address ||
+			    sscanf(address, "%*d.%*d.%*d.%d", &last) != 1)
+				continue;
+			votes[n] =
+				json_is_true(json_object_get(member, "voter"));
+			cores[n++] = last > 150 ? last - 150 : last - 110;
+		}
+		json_decref(json);
+		return n;
+	}
+	return 0;
+}
+
+int rig_get(int front, const char *path, int *status_out)
+{
+	char ip[32];
+	int fd, status = -1;
+
+	ip_of("front", front, ip);
+	fd = connect_to(ip, PORT_FRONT, 500);
+	if (fd >= 0 && send_request(fd, "GET", path, HOST, "", NULL))
+		status = read_response(fd, rig_now() + 1000, NULL, 0, NULL, 0);
+	if (fd >= 0)
+		close(fd);
+	*status_out = status;
+	rig_record("GET %s at front%d: %d", path, front, status);
+	return status;
+}
+
 /* ---- Runners ------------------------------------------------------------ */
 
 static int64_t clock_of(const struct runner *r)
--- a/review/common/rig.h
+++ b/review/common/rig.h
@@ -12,6 +12,7 @@
 #include <stdint.h>
 
 #define RIG_ZONES 3
+#define RIG_CORES_MAX 60 /* members of the core in all */
 #define RIG_RUNNERS 11 /* and as many agents: 4, 4 and 3 in the zones */
 
 /* ---- The whole deployment -------------------------------------------- */
@@ -72,6 +73,23 @@
 		int64_t until_ms, char *answer, int size);
 char *rig_config(int version);
 
+/* ---- Changes of the core ----------------------------------------------- */
+
+/* Before rig_begin(): fronts reach the others without relays. */
+void rig_direct(void);
+/* One more member of the core, from RIG_ZONES + 1, at an address of its own
+ * with an empty disk; its settings name three others. */
+void rig_core_start(int core, const int *seeds);
+/* SIGTERM; it doesn't come back. */
+void rig_core_stop(int core);
+/* The settings files name these from now on. */
+void rig_name_seeds(const int *cores);
+/* The members of the group, which of them vote, and who leads. Returns their
+ * number, 0: nobody leads. */
+int rig_members(int *cores, bool *votes, int max, int *leader);
+/* Asks a front for the count of a queue. */
+int rig_get(int front, const char *path, int *status);
+
 /* ---- Runners ----------------------------------------------------------- */
 
 /* One run that a runner began. */
