--- a/review/common/rig.c
+++ b/review/common/rig.c
@@ -18,6 +18,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -294,6 +295,8 @@
 	if (p->pid == 0) {
 		int fd = open(log, O_WRONLY | O_CREAT | O_APPEND, 0600);
 
+		/* It doesn't outlive this program. */
+		prctl(PR_SET_PDEATHSIG, SIGKILL);
 		dup2(fd, 1);
 		dup2(fd, 2);
 		execv(p->args[0], p->args);
