--- a/src/leased/reload.c
+++ b/src/leased/reload.c
@@ -127,6 +127,7 @@
 		.fenced = fenced,
 	};
 	g_auto(GStrv) coordinators = read_coordinators(settings);
+	const char *advertised = settings_text(settings, "advertise");
 	struct session_adapter *a = g_new0(struct session_adapter, 1);
 	struct session_options options = {
 		.loop = loop,
@@ -135,7 +136,8 @@
 		.incarnation = incarnation,
 		.name = settings_text(settings, "name"),
 		.data_centre = settings_text(settings, "data-centre"),
-		.address = settings_text(settings, "listen"),
+		.address = advertised ? advertised
+				      : settings_text(settings, "listen"),
 		.coordinators = coordinators
 	};
 	struct session *session;
--- a/tests/support/leased_system.c
+++ b/tests/support/leased_system.c
@@ -415,6 +415,19 @@
 	s->server_relays[i] = relay_create(address, target);
 }
 
+/* A relay that no dispatcher uses would disturb nothing. */
+static void wait_for_relayed_links(struct leased_system *s)
+{
+	int64_t end_ms = clock_now_ms() + SYSTEM_WAIT_MS;
+
+	for (int i = 0; s->agent_relays[0] && i < SYSTEM_AGENTS; i++)
+		while (relay_accepted(s->agent_relays[i]) <
+		       SYSTEM_DISPATCHERS) {
+			assert_true(clock_now_ms() < end_ms);
+			g_usleep(CONTROL_PAUSE_US);
+		}
+}
+
 static void start_all(struct leased_system *s)
 {
 	for (int i = 0; i < s->cluster->n_procs; i++)
@@ -428,6 +441,7 @@
 		snprintf(name, sizeof(name), "d%d", i);
 		cluster_wait_ready(s->cluster, name, SYSTEM_WAIT_MS);
 	}
+	wait_for_relayed_links(s);
 }
 
 struct leased_system *leased_system_begin(bool relays)
