Dispatcher: a job that is sent again continues its run numbers

Cause: the name of a run (job, index, number) is what dispatcher, agent and backend server tell runs apart by, and create_job() began at number 1 for each try of a job. An agent keeps results for 3 s for a dispatcher that reconnects; after a reconnect it found the result "refused" of run 1 of the earlier try when it was asked for run 1 of the present one, and reported it. The dispatcher started the task again while the run went on.

Starts of a retry also aren't refused as stale any more by a server that has seen the earlier numbers. Metric jobs_remembered.

--- a/src/leased/dispatch.h
+++ b/src/leased/dispatch.h
@@ -117,6 +117,7 @@
 		late_jobs; /* that ever waited without a chance to be in time */
 	uint64_t lost_runs; /* that ever were lost with their servers */
 	uint64_t crashing_jobs; /* that ever failed because servers crashed */
+	uint32_t remembered_jobs; /* ended ones whose run numbers are known */
 	uint32_t speeds_known; /* servers whose speed was measured */
 	uint32_t interfering_pairs;
 	uint32_t contained_classes, suspect_tasks;
--- a/src/leased/dispatch_contain.c
+++ b/src/leased/dispatch_contain.c
@@ -285,7 +285,7 @@
 		struct dispatch_job *job = g_ptr_array_index(refused, i);
 
 		dispatch_abort_job(d, job, CONTAINED_REFUSAL, now_ms);
-		dispatch_free_job_if_finished(d, job);
+		dispatch_free_job_if_finished(d, job, now_ms);
 	}
 }
 
--- a/src/leased/dispatch_internal.h
+++ b/src/leased/dispatch_internal.h
@@ -6,6 +6,7 @@
 
 #include "leased/dispatch.h"
 #include "leased/interference_view.h"
+#include "leased/run_numbers.h"
 #include "leased/speed_view.h"
 
 #include <math.h>
@@ -105,7 +106,9 @@
 struct dispatch_task {
 	uint32_t index;
 	enum dispatch_task_state state;
-	uint32_t number; /* number of the newest run */
+	/* Of the newest run; before the first one, the highest number of an
+	 * earlier try of the job. */
+	uint32_t number;
 	uint32_t failures, moves;
 	uint32_t losses; /* servers that crashed under it */
 	uint32_t lost_after_ms; /* age of its last run that was lost so */
@@ -180,6 +183,7 @@
 	GHashTable *jobs; /* id -> struct dispatch_job */
 	GHashTable *classes; /* name -> struct dispatch_class */
 	GHashTable *losses; /* job id -> struct job_losses */
+	struct run_numbers *numbers; /* of jobs that have ended */
 	GHashTable *agents; /* incarnation -> struct dispatch_agent */
 	GPtrArray *servers; /* struct dispatch_server */
 	uint64_t next_server;
@@ -219,8 +223,8 @@
 void dispatch_end_job(struct dispatch *d, struct dispatch_job *job,
 		      enum job_verdict verdict, const char *reason,
 		      uint32_t retry_after_s);
-void dispatch_free_job_if_finished(struct dispatch *d,
-				   struct dispatch_job *job);
+void dispatch_free_job_if_finished(struct dispatch *d, struct dispatch_job *job,
+				   int64_t now_ms);
 void dispatch_abort_job(struct dispatch *d, struct dispatch_job *job,
 			const char *reason, int64_t now_ms);
 
--- a/src/leased/dispatch_jobs.c
+++ b/src/leased/dispatch_jobs.c
@@ -69,6 +69,7 @@
 	d->agents = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					  free_agent);
 	d->losses = losses_create();
+	d->numbers = run_numbers_create();
 	d->servers = g_ptr_array_new_with_free_func(g_free);
 	dispatch_lane_init(&d->late);
 	dispatch_lane_init(&d->contained);
@@ -88,6 +89,7 @@
 	g_hash_table_destroy(d->classes);
 	g_hash_table_destroy(d->agents);
 	g_hash_table_destroy(d->losses);
+	run_numbers_destroy(d->numbers);
 	dispatch_lane_clear(&d->late);
 	dispatch_lane_clear(&d->contained);
 	containment_destroy(d->containment);
@@ -128,10 +130,22 @@
 	}
 }
 
-void dispatch_free_job_if_finished(struct dispatch *d, struct dispatch_job *job)
+static uint32_t highest_number(const struct dispatch_job *job)
 {
-	if (job->ended && !job->n_sent)
-		g_hash_table_remove(d->jobs, job->id);
+	uint32_t highest = 0;
+
+	for (uint32_t i = 0; i < job->spec.n_tasks; i++)
+		highest = MAX(highest, job->tasks[i].number);
+	return highest;
+}
+
+void dispatch_free_job_if_finished(struct dispatch *d, struct dispatch_job *job,
+				   int64_t now_ms)
+{
+	if (!job->ended || job->n_sent)
+		return;
+	run_numbers_remember(d->numbers, job->id, highest_number(job), now_ms);
+	g_hash_table_remove(d->jobs, job->id);
 }
 
 void dispatch_end_job(struct dispatch *d, struct dispatch_job *job,
@@ -234,8 +248,10 @@
 	job->arrived_ms = request->arrived_ms;
 	job->deadline_ms = request->deadline_ms;
 	job->tasks = g_new0(struct dispatch_task, job->spec.n_tasks);
-	for (uint32_t i = 0; i < job->spec.n_tasks; i++)
+	for (uint32_t i = 0; i < job->spec.n_tasks; i++) {
 		job->tasks[i].index = i;
+		job->tasks[i].number = run_numbers_last(d->numbers, job->id);
+	}
 	set_times(d, job);
 	return job;
 }
@@ -278,13 +294,13 @@
 	dispatch_count_waiting(d, job, (int32_t)job->spec.n_tasks);
 	losses_restore(d, job, now_ms);
 	if (losses_end_job(d, job)) {
-		dispatch_free_job_if_finished(d, job);
+		dispatch_free_job_if_finished(d, job, now_ms);
 		return;
 	}
 	if (!admit_job(d, job, now_ms, &reason, &retry_after_s)) {
 		dispatch_end_job(d, job, JOB_VERDICT_REFUSED, reason,
 				 retry_after_s);
-		dispatch_free_job_if_finished(d, job);
+		dispatch_free_job_if_finished(d, job, now_ms);
 		return;
 	}
 	dispatch_queue_job(d, job);
@@ -304,7 +320,7 @@
 	if (job->callers->len)
 		return;
 	dispatch_abort_job(d, job, "the caller left", now_ms);
-	dispatch_free_job_if_finished(d, job);
+	dispatch_free_job_if_finished(d, job, now_ms);
 }
 
 bool dispatch_cancel(struct dispatch *d, const char *id, int64_t now_ms)
@@ -314,7 +330,7 @@
 	if (!job || job->ended)
 		return false;
 	dispatch_abort_job(d, job, "it was cancelled", now_ms);
-	dispatch_free_job_if_finished(d, job);
+	dispatch_free_job_if_finished(d, job, now_ms);
 	return true;
 }
 
@@ -332,7 +348,7 @@
 		struct dispatch_job *job = g_ptr_array_index(unfinished, i);
 
 		dispatch_abort_job(d, job, "the process stops", now_ms);
-		dispatch_free_job_if_finished(d, job);
+		dispatch_free_job_if_finished(d, job, now_ms);
 	}
 }
 
@@ -403,7 +419,7 @@
 
 		dispatch_abort_job(d, job, find_end_reason(job, now_ms),
 				   now_ms);
-		dispatch_free_job_if_finished(d, job);
+		dispatch_free_job_if_finished(d, job, now_ms);
 	}
 }
 
@@ -438,6 +454,7 @@
 	load->lost_runs = d->lost_runs;
 	load->crashing_jobs = d->crashing_jobs;
 	load->servers = d->servers->len;
+	load->remembered_jobs = run_numbers_count(d->numbers);
 	load->speeds_known = speed_view_known(d->speeds);
 	load->interfering_pairs = interference_view_count(d->interference);
 	load->contained_classes = containment_count(d->containment);
--- a/src/leased/dispatch_losses.c
+++ b/src/leased/dispatch_losses.c
@@ -178,5 +178,5 @@
 
 	losses_add(d, &result->name, result->run_ms, now_ms);
 	if (job && losses_end_job(d, job))
-		dispatch_free_job_if_finished(d, job);
+		dispatch_free_job_if_finished(d, job, now_ms);
 }
--- a/src/leased/dispatch_runs.c
+++ b/src/leased/dispatch_runs.c
@@ -40,14 +40,14 @@
 	task->stopping = false;
 	task->overdue_reported = false;
 	if (job->ended) {
-		dispatch_free_job_if_finished(d, job);
+		dispatch_free_job_if_finished(d, job, now_ms);
 		return;
 	}
 	dispatch_count_waiting(d, job, 1);
 	if (now_ms + job->predicted_ms > job->deadline_ms) {
 		dispatch_abort_job(
 			d, job, "no time is left to run a task again", now_ms);
-		dispatch_free_job_if_finished(d, job);
+		dispatch_free_job_if_finished(d, job, now_ms);
 		return;
 	}
 	dispatch_queue_job(d, job);
@@ -92,7 +92,7 @@
 	if (job->n_done == job->spec.n_tasks)
 		dispatch_end_job(d, job, JOB_VERDICT_COMPLETED,
 				 "all ended well", 0);
-	dispatch_free_job_if_finished(d, job);
+	dispatch_free_job_if_finished(d, job, now_ms);
 }
 
 static void task_failed(struct dispatch *d, struct dispatch_job *job,
--- a/src/leased/dispatcher.c
+++ b/src/leased/dispatcher.c
@@ -135,6 +135,7 @@
 	raise_counter(d->crashing_jobs, &d->counted_crashing_jobs,
 		      load.crashing_jobs);
 	gauge_set(d->sent, load.sent_tasks);
+	gauge_set(d->remembered_jobs, load.remembered_jobs);
 	gauge_set(d->servers, load.servers);
 	gauge_set(d->usable, load.usable_servers);
 	gauge_set(d->speeds_known, load.speeds_known);
@@ -217,6 +218,9 @@
 		counter_get("jobs_crashing_total", NULL,
 			    "jobs that failed because servers crashed");
 	d->sent = gauge_get("tasks_sent", NULL, "tasks at servers");
+	d->remembered_jobs =
+		gauge_get("jobs_remembered", NULL,
+			  "ended jobs whose run numbers are remembered");
 	d->servers = gauge_get("servers_known", NULL, "servers known");
 	d->usable = gauge_get("servers_usable", NULL, "servers that take work");
 	d->speeds_known = gauge_get("servers_speed_known", NULL,
--- a/src/leased/dispatcher_internal.h
+++ b/src/leased/dispatcher_internal.h
@@ -73,6 +73,7 @@
 	struct counter *held_total, *held, *too_late;
 	struct counter *late_jobs, *late_waiting, *lost_runs, *crashing_jobs;
 	struct counter *jobs, *waiting, *sent, *servers, *usable, *free_milli;
+	struct counter *remembered_jobs;
 	struct counter *speeds_known;
 	struct counter *agents_wanted, *agents_listed;
 	struct counter *routes_version, *interfering_pairs;
--- a/tests/support/leased_standin.c
+++ b/tests/support/leased_standin.c
@@ -27,6 +27,7 @@
 #define CLOCK_START_MS 1
 #define STATUS_OK 200
 #define STATUS_CONFLICT 409
+#define STATUS_UNAVAILABLE 503
 
 /* ---- Types ---- */
 
@@ -161,6 +162,17 @@
 	s->lease_ms = MAX(s->lease_ms, end_ms);
 }
 
+static bool takes_refusal(struct standin_record *record)
+{
+	bool refused;
+
+	g_mutex_lock(&record->lock);
+	refused = record->starts_to_refuse > 0;
+	record->starts_to_refuse -= refused;
+	g_mutex_unlock(&record->lock);
+	return refused;
+}
+
 static enum standin_refusal
 start(struct standin *s, const struct standin_request *order, int64_t now_ms)
 {
@@ -169,6 +181,8 @@
 	struct standin_run *run;
 	int64_t end_ms;
 
+	if (takes_refusal(s->record))
+		return STANDIN_UNHEALTHY;
 	renew(s, order, now_ms);
 	end_ms = s->use_renewed_lease ? s->lease_ms : order->lease_end_ms;
 	if (end_ms <= now_ms)
@@ -314,6 +328,18 @@
 	return STANDIN_ACCEPTED;
 }
 
+static uint32_t status_of(enum standin_refusal refusal)
+{
+	switch (refusal) {
+	case STANDIN_ACCEPTED:
+		return STATUS_OK;
+	case STANDIN_UNHEALTHY:
+		return STATUS_UNAVAILABLE;
+	default:
+		return STATUS_CONFLICT;
+	}
+}
+
 static void execute(struct standin *s, struct standin_request *order,
 		    struct http_request *request)
 {
@@ -326,9 +352,8 @@
 		answer = standin_write_answer(clock_now_ms() - s->clock_zero_ms,
 					      refusal);
 	g_mutex_unlock(&s->lock);
-	http_reply(request,
-		   refusal == STANDIN_ACCEPTED ? STATUS_OK : STATUS_CONFLICT,
-		   "application/json", answer, strlen(answer), NULL);
+	http_reply(request, status_of(refusal), "application/json", answer,
+		   strlen(answer), NULL);
 }
 
 static bool hold(struct standin *s, const struct standin_request *order,
--- a/tests/support/leased_standin.h
+++ b/tests/support/leased_standin.h
@@ -25,7 +25,9 @@
 int64_t standin_last_end_ms(struct standin_record *record);
 /* Stops are refused. Set before the first run. */
 void standin_refuse_stops(struct standin_record *record);
-/* The same for polls; and how many polls there were. */
+/* The next n starts, at any stand-in, are refused with status 503. */
+void standin_refuse_starts(struct standin_record *record, uint32_t n);
+/* Polls are refused; and how many polls there were. */
 void standin_refuse_polls(struct standin_record *record);
 uint32_t standin_polls(const struct standin_record *record);
 /* The stand-in where this task of the job runs now, or NULL. */
--- a/tests/support/leased_standin_internal.h
+++ b/tests/support/leased_standin_internal.h
@@ -28,6 +28,7 @@
 	GPtrArray *intervals; /* struct interval */
 	struct slowdown slowdowns[SLOWDOWNS_MAX];
 	bool refuses_stops, refuses_polls;
+	uint32_t starts_to_refuse;
 	uint32_t polls; /* of all stand-ins */
 };
 
--- a/tests/support/leased_standin_record.c
+++ b/tests/support/leased_standin_record.c
@@ -66,6 +66,13 @@
 	record->refuses_stops = true;
 }
 
+void standin_refuse_starts(struct standin_record *record, uint32_t n)
+{
+	g_mutex_lock(&record->lock);
+	record->starts_to_refuse = n;
+	g_mutex_unlock(&record->lock);
+}
+
 void standin_refuse_polls(struct standin_record *record)
 {
 	record->refuses_polls = true;
--- a/tests/support/leased_system.c
+++ b/tests/support/leased_system.c
@@ -359,6 +359,14 @@
 uint32_t leased_system_submit_named(struct leased_system *s, int dispatcher,
 				    const char *name, const char *id,
 				    uint32_t run_ms)
+{
+	return leased_system_submit_within(s, dispatcher, name, id, run_ms,
+					   SYSTEM_DEADLINE_MS + CALL_SLACK_MS);
+}
+
+uint32_t leased_system_submit_within(struct leased_system *s, int dispatcher,
+				     const char *name, const char *id,
+				     uint32_t run_ms, int64_t wait_ms)
 {
 	g_autofree char *body =
 		standin_write_labelled_job(1, TASK_CPU_MILLI, run_ms, name);
@@ -368,7 +376,7 @@
 	snprintf(process, sizeof(process), "d%d",
 		 dispatcher % SYSTEM_DISPATCHERS + 1);
 	return send_call(cluster_address(s->cluster, process, "http"), "POST",
-			 path, body, NULL, SYSTEM_DEADLINE_MS + CALL_SLACK_MS);
+			 path, body, NULL, wait_ms);
 }
 
 static void address_at(const struct leased_system *s, int base, int i,
--- a/tests/support/leased_system.h
+++ b/tests/support/leased_system.h
@@ -66,6 +66,10 @@
 uint32_t leased_system_submit_named(struct leased_system *s, int dispatcher,
 				    const char *name, const char *id,
 				    uint32_t run_ms);
+/* The same for a caller that breaks its connection off after wait_ms. */
+uint32_t leased_system_submit_within(struct leased_system *s, int dispatcher,
+				     const char *name, const char *id,
+				     uint32_t run_ms, int64_t wait_ms);
 /* A caller that keeps one connection to each dispatcher open until that
  * process has exited. One thread at a time. */
 struct leased_caller;
