Agent: runs of two dispatchers under one name are two runs

What callers and on-call people saw: a job that was sent to two dispatchers got run 1 from each. An agent that had run 1 of the first took the second's for the same one: it dropped the start without a word, so the second dispatcher counted the run for good and refused the job's id from then on ("runs of an earlier try are being stopped"); and the second's order to stop ended the first one's run.

Change: start, stop and resume look up a run by dispatcher and name. What the backend server says is matched by name, as before, with the run that it may have. A run waits in the agent's queue while the server has a run of the same task for another dispatcher, so one agent doesn't run a task twice at a time.

The first test waited for a gauge that is refreshed only now and then, so 2 of 11 runs crashed a server before the first try had ended; it waits for the log line of that end now.

--- a/src/leased/agent_peers.c
+++ b/src/leased/agent_peers.c
@@ -313,24 +313,26 @@
 	g_bytes_unref(run.spec);
 }
 
-static void stop_everywhere(struct leased_agent *a, const struct run_name *name)
+static void stop_everywhere(struct leased_agent *a, uint64_t dispatcher,
+			    const struct run_name *name)
 {
 	GHashTableIter iter;
 	gpointer value;
 
 	g_hash_table_iter_init(&iter, a->servers);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		run_table_stop(server_runs(value), name);
+		run_table_stop(server_runs(value), dispatcher, name);
 }
 
-static bool has_run(struct leased_agent *a, const struct run_name *name)
+static bool has_run(struct leased_agent *a, uint64_t dispatcher,
+		    const struct run_name *name)
 {
 	GHashTableIter iter;
 	gpointer value;
 
 	g_hash_table_iter_init(&iter, a->servers);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		if (run_table_has(server_runs(value), name))
+		if (run_table_has(server_runs(value), dispatcher, name))
 			return true;
 	return false;
 }
@@ -353,7 +355,7 @@
 
 		if (recent)
 			g_array_append_val(p->results, *recent);
-		else if (!has_run(a, &kept[i]))
+		else if (!has_run(a, p->incarnation, &kept[i]))
 			refuse_start(a, p, &kept[i],
 				     "start order was not received", now_ms);
 	}
@@ -389,7 +391,7 @@
 		const Cfw__RunStop *stop = orders->stops[i];
 
 		if (parse_run_name(stop->job, stop->index, stop->number, &name))
-			stop_everywhere(a, &name);
+			stop_everywhere(a, p->incarnation, &name);
 	}
 	process_servers(a, now_ms);
 }
--- a/src/leased/run_table.c
+++ b/src/leased/run_table.c
@@ -65,18 +65,45 @@
 
 struct run *run_table_find(const struct run_table *table,
 			   const struct run_name *name, guint *position)
+{
+	struct run *found = NULL;
+
+	for (guint i = 0; i < table->runs->len; i++) {
+		struct run *run = run_table_at(table, i);
+
+		if (!run_name_equal(&run->request.name, name) ||
+		    (found && run->state == RUN_QUEUED))
+			continue;
+		if (position)
+			*position = i;
+		found = run;
+	}
+	return found;
+}
+
+static struct run *find_of(const struct run_table *table, uint64_t dispatcher,
+			   const struct run_name *name, guint *position)
 {
 	for (guint i = 0; i < table->runs->len; i++) {
-		if (!run_name_equal(&run_table_at(table, i)->request.name,
-				    name))
+		struct run *run = run_table_at(table, i);
+
+		if (run->request.dispatcher != dispatcher ||
+		    !run_name_equal(&run->request.name, name))
 			continue;
 		if (position)
 			*position = i;
-		return run_table_at(table, i);
+		return run;
 	}
 	return NULL;
 }
 
+static bool is_task_of_another(const struct run *a, const struct run *b)
+{
+	return a->request.dispatcher != b->request.dispatcher &&
+	       a->request.name.index == b->request.name.index &&
+	       !strcmp(a->request.name.job, b->request.name.job);
+}
+
 static void count_failure(struct run_table *table,
 			  const struct run_result *result)
 {
@@ -121,9 +148,10 @@
 	return ended_runs_find(&table->ended, name, now_ms);
 }
 
-bool run_table_has(const struct run_table *table, const struct run_name *name)
+bool run_table_has(const struct run_table *table, uint64_t dispatcher,
+		   const struct run_name *name)
 {
-	return run_table_find(table, name, NULL) != NULL;
+	return find_of(table, dispatcher, name, NULL) != NULL;
 }
 
 bool run_table_has_dispatcher(const struct run_table *table,
@@ -218,7 +246,7 @@
 	guint position = 0;
 
 	table->now_ms = now_ms;
-	if (run_table_find(table, &request->name, NULL))
+	if (find_of(table, request->dispatcher, &request->name, NULL))
 		return;
 	run = g_new0(struct run, 1);
 	run->request = *request;
@@ -231,6 +259,19 @@
 	g_ptr_array_insert(table->runs, (gint)position, run);
 }
 
+/* Whether another dispatcher, to which the job was sent too, runs the task. */
+static bool runs_for_another(const struct run_table *table,
+			     const struct run *queued)
+{
+	for (guint i = 0; i < table->runs->len; i++) {
+		const struct run *run = run_table_at(table, i);
+
+		if (run->state != RUN_QUEUED && is_task_of_another(run, queued))
+			return true;
+	}
+	return false;
+}
+
 static void expire_queued(struct run_table *table, int64_t now_ms)
 {
 	for (guint i = table->runs->len; i-- > 0;)
@@ -261,7 +302,7 @@
 	for (guint i = 0; i < table->runs->len; i++) {
 		struct run *run = run_table_at(table, i);
 
-		if (run->state != RUN_QUEUED)
+		if (run->state != RUN_QUEUED || runs_for_another(table, run))
 			continue;
 		/* Smaller runs don't overtake the first queued run. */
 		if (!fits(table, run)) {
@@ -372,11 +413,12 @@
 	}
 }
 
-void run_table_stop(struct run_table *table, const struct run_name *name)
+void run_table_stop(struct run_table *table, uint64_t dispatcher,
+		    const struct run_name *name)
 {
 	guint position;
 
-	if (run_table_find(table, name, &position))
+	if (find_of(table, dispatcher, name, &position))
 		stop_at(table, position);
 }
 
--- a/src/leased/run_table.h
+++ b/src/leased/run_table.h
@@ -85,7 +85,8 @@
 void run_table_set_capacity(struct run_table *table,
 			    const struct cf_capacity *capacity);
 
-/* Queues a run. A run that is in the table already is left unchanged. */
+/* Queues a run. A run that is in the table already is left unchanged. It isn't
+ * started while the server has a run of its task for another dispatcher. */
 void run_table_enqueue(struct run_table *table, const struct run_request *run,
 		       int64_t now_ms);
 /* Returns the next run to start and marks it as starting, or NULL if none can
@@ -103,7 +104,9 @@
 void run_table_start_not_sent(struct run_table *table,
 			      const struct run_name *name, int64_t now_ms);
 
-void run_table_stop(struct run_table *table, const struct run_name *name);
+/* Runs of two dispatchers may have the same name. */
+void run_table_stop(struct run_table *table, uint64_t dispatcher,
+		    const struct run_name *name);
 /* Stops all runs of a dispatcher except those listed in kept. */
 void run_table_stop_others(struct run_table *table, uint64_t dispatcher,
 			   const struct run_name *kept, size_t n_kept);
@@ -153,7 +156,8 @@
 const struct ended_run *run_table_find_ended(const struct run_table *table,
 					     const struct run_name *name,
 					     int64_t now_ms);
-bool run_table_has(const struct run_table *table, const struct run_name *name);
+bool run_table_has(const struct run_table *table, uint64_t dispatcher,
+		   const struct run_name *name);
 bool run_table_has_dispatcher(const struct run_table *table,
 			      uint64_t dispatcher);
 bool run_table_is_idle(const struct run_table *table); /* it has no runs */
--- a/src/leased/run_table_internal.h
+++ b/src/leased/run_table_internal.h
@@ -44,6 +44,8 @@
 };
 
 struct run *run_table_at(const struct run_table *table, guint i);
+/* The run of this name that the server may have, else a queued one. At most one
+ * run of a name is started at a time. NULL: there is none. */
 struct run *run_table_find(const struct run_table *table,
 			   const struct run_name *name, guint *position);
 /* How long this run, which has ended by now, outlived its dispatcher's lease.
--- a/tests/fault_resume.c
+++ b/tests/fault_resume.c
@@ -83,6 +83,24 @@
 	}
 }
 
+static void wait_log(struct leased_system *s, const char *process,
+		     const char *text)
+{
+	int64_t end_ms = clock_now_ms() + SYSTEM_WAIT_MS;
+
+	for (;;) {
+		g_autofree char *log = NULL;
+
+		assert_true(g_file_get_contents(
+			cluster_proc(s->cluster, process)->log, &log, NULL,
+			NULL));
+		if (strstr(log, text))
+			return;
+		assert_true(clock_now_ms() < end_ms);
+		g_usleep(POLL_US);
+	}
+}
+
 /* ---- Callers ---- */
 
 struct caller {
@@ -135,7 +153,7 @@
 	other = wait_run(s);
 	refusing = 1 - other;
 	assert_int_equal(join_caller(&first), SYSTEM_NO_ANSWER);
-	wait_metric(s, "d1", SENT, 0);
+	wait_log(s, "d1", "event=run_settled job=" JOB " index=0 number=2");
 	leased_system_crash_server(s, other);
 	wait_metric(s, "d1", USABLE, 1);
 	start_caller(&second, s, 0, SYSTEM_DEADLINE_MS);
@@ -149,12 +167,38 @@
 	finish(s);
 }
 
+/* Guards against a dispatcher that counts a run for good, and against the end
+ * of another one's run: an agent took the runs of two dispatchers for one,
+ * because the job and the number were the same. */
+static void test_two_dispatchers_submit_one_job(void **state)
+{
+	struct leased_system *s = begin();
+	struct caller first, second;
+
+	(void)state;
+	leased_system_crash_server(s, 1);
+	leased_system_crash_server(s, 2);
+	wait_metric(s, "d1", USABLE, 1);
+	wait_metric(s, "d2", USABLE, 1);
+	start_caller(&first, s, 0, SYSTEM_DEADLINE_MS);
+	wait_run(s);
+	start_caller(&second, s, 1, 2 * ABANDON_MS);
+	wait_metric(s, "d2", SENT, 1);
+	assert_int_equal(join_caller(&second), SYSTEM_NO_ANSWER);
+	wait_metric(s, "d2", SENT, 0);
+	assert_int_equal(join_caller(&first), 200);
+	assert_int_equal(standin_runs_of(s->record, JOB), 1);
+	finish(s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test_teardown(
 			test_a_retry_gets_no_result_of_an_earlier_try,
 			cluster_teardown),
+		cmocka_unit_test_teardown(test_two_dispatchers_submit_one_job,
+					  cluster_teardown),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/support/many_world.c
+++ b/tests/support/many_world.c
@@ -172,7 +172,7 @@
 			receive_start(m, message);
 		else if (message->kind == MANY_MESSAGE_STOP)
 			run_table_stop(m->servers[message->server].table,
-				       &message->name);
+				       message->dispatcher, &message->name);
 		else if (message->kind == MANY_MESSAGE_DEMAND)
 			receive_demand(m, message);
 		else
--- a/tests/test_late_orders.c
+++ b/tests/test_late_orders.c
@@ -277,7 +277,7 @@
 	standin_release(standin);
 	assert_int_equal(standin_runs_of(record, "00000000000000c0"), 0);
 	run_table_stop(
-		server_runs(a->server),
+		server_runs(a->server), 0,
 		&(struct run_name){ .job = "00000000000000c1", .number = 1 });
 	agent_end(a);
 }
--- a/tests/test_lease_chain.c
+++ b/tests/test_lease_chain.c
@@ -339,7 +339,7 @@
 			order(s, stop_ms ? OTHER : LOST,
 			      stop_ms ? s->other : s->lost, &lost);
 		if (stop_ms && s->now_ms == stop_ms)
-			run_table_stop(s->table, &lost);
+			run_table_stop(s->table, OTHER, &lost);
 		if (others && s->now_ms % OTHER_RUNS_EVERY_MS == 0)
 			order(s, OTHER, s->other, &other);
 		sim_step(s);
@@ -442,7 +442,7 @@
 				order(&s, OTHER, s.other, &name);
 				order(&s, OTHER, s.other, &stopped);
 				stopped.number -= 10;
-				run_table_stop(s.table, &stopped);
+				run_table_stop(s.table, OTHER, &stopped);
 			}
 			sim_step(&s);
 		}
--- a/tests/test_run_table.c
+++ b/tests/test_run_table.c
@@ -288,7 +288,7 @@
 	enqueue(table, 0, 1000, 0, 0);
 	start_next(table, 1);
 	run_table_start_answered(table, &name, RUN_ACCEPTED, 2);
-	run_table_stop(table, &name);
+	run_table_stop(table, DISPATCHER, &name);
 	assert_true(run_table_next_stop(table, 3, &stop));
 	assert_false(run_table_next_stop(table, 10, &stop));
 	assert_true(run_table_next_stop(table, 200, &stop));
@@ -354,7 +354,7 @@
 	(void)state;
 	enqueue(table, 0, 1000, 0, 0);
 	start_next(table, 1);
-	run_table_stop(table, &name);
+	run_table_stop(table, DISPATCHER, &name);
 	assert_false(run_table_next_stop(table, 2, &stop));
 	run_table_start_answered(table, &name, RUN_ACCEPTED, 3);
 	assert_true(run_table_next_stop(table, 4, &stop));
@@ -486,7 +486,52 @@
 	assert_result(table, 2, RUN_OUTCOME_NOT_STARTED);
 	assert_true(run_table_next_stop(table, 3, &stop));
 	assert_true(run_name_equal(&stop, &name));
-	assert_true(run_table_has(table, &kept));
+	assert_true(run_table_has(table, DISPATCHER, &kept));
+	run_table_destroy(table);
+}
+
+/* Guards against runs of two dispatchers being taken for one when their names
+ * are the same: a job was sent to both. */
+static void test_runs_of_two_dispatchers_under_one_name(void **state)
+{
+	struct run_table *table = make_table(4000);
+	struct run_name name = name_of(0, 1), stop;
+	struct run_request other = { .name = name,
+				     .dispatcher = DISPATCHER + 1,
+				     .spec = g_bytes_new("x", 1),
+				     .cpu_milli = 1000,
+				     .memory_mb = 1,
+				     .deadline_ms = 10000,
+				     .lease_end_ms = 10000 };
+	struct run_result result;
+
+	(void)state;
+	enqueue(table, 0, 1000, 0, 0);
+	start_next(table, 1);
+	run_table_start_answered(table, &name, RUN_ACCEPTED, 2);
+	assert_false(run_table_has(table, DISPATCHER + 1, &name));
+	run_table_enqueue(table, &other, 3);
+	assert_true(run_table_has(table, DISPATCHER + 1, &name));
+	/* The second run waits until the first has ended, also with a target
+	 * start before that of others. */
+	assert_int_equal(start_next(table, 4), NONE);
+	enqueue(table, 1, 1000, 5, 5);
+	assert_int_equal(start_next(table, 6), 1);
+	/* An order of one dispatcher doesn't stop the other one's run. */
+	run_table_stop(table, DISPATCHER + 1, &name);
+	assert_false(run_table_next_stop(table, 7, &stop));
+	assert_true(run_table_pop_result(table, &result));
+	assert_int_equal(result.dispatcher, DISPATCHER + 1);
+	assert_int_equal(result.outcome, RUN_OUTCOME_NOT_STARTED);
+	assert_true(run_table_has(table, DISPATCHER, &name));
+	/* An end that the server lists is that of the started run. */
+	run_table_enqueue(table, &other, 8);
+	apply_lists(table, NULL, 0,
+		    &(struct listed_run_end){ 1, name, RUN_END_DONE }, 1, 8, 9,
+		    NULL);
+	assert_result(table, 0, RUN_OUTCOME_DONE);
+	assert_int_equal(start_next(table, 10), 0);
+	g_bytes_unref(other.spec);
 	run_table_destroy(table);
 }
 
@@ -504,7 +549,7 @@
 	run_table_return_queued(table);
 	assert_result(table, 1, RUN_OUTCOME_NOT_STARTED);
 	assert_no_result(table);
-	assert_true(run_table_has(table, &running));
+	assert_true(run_table_has(table, DISPATCHER, &running));
 	run_table_destroy(table);
 }
 
@@ -561,6 +606,7 @@
 		cmocka_unit_test(test_server_restart),
 		cmocka_unit_test(test_server_restart_forgets_stops),
 		cmocka_unit_test(test_runs_of_a_lost_dispatcher),
+		cmocka_unit_test(test_runs_of_two_dispatchers_under_one_name),
 		cmocka_unit_test(test_drain_returns_queued_runs),
 	};
 
--- a/tests/test_server_crash.c
+++ b/tests/test_server_crash.c
@@ -164,7 +164,7 @@
 		run_table_start_answered(table, name, RUN_ACCEPTED,
 					 c->accepted_ms);
 	if (c->stop_acked || c->ordered_stop) {
-		run_table_stop(table, name);
+		run_table_stop(table, 0, name);
 		assert_true(run_table_next_stop(table, 30, &stop));
 	}
 	if (c->stop_acked)
