Dispatcher: runs that are being stopped are listed after a reconnect too

After a reconnect the dispatcher listed the runs that it expected without those it had ordered to stop. The agent sends a result once per connection and repeats it for listed runs only, so a result that was lost with the connection never came, and nothing else ends a stopped run while its agent is connected.

Change: all runs without a result are listed, and the stops of those that are being stopped are sent again in the same message. The agent answers each: the run goes on, its result is sent again, or it never came.

--- a/src/leased/agent_peers.c
+++ b/src/leased/agent_peers.c
@@ -337,9 +337,10 @@
 	return false;
 }
 
-/* After a reconnect, the dispatcher lists the runs that it still expects. All
- * its other runs are stopped. Results that it missed are sent again, and runs
- * that never arrived are reported as not started. */
+/* After a reconnect, the dispatcher lists the runs whose results it still
+ * expects. All its other runs are stopped. Runs that go on are left alone,
+ * results that it missed are sent again, and runs that never arrived are
+ * reported as not started. */
 static void resume(struct leased_agent *a, struct peer *p,
 		   const Cfw__RunOrders *orders, int64_t now_ms)
 {
@@ -353,9 +354,11 @@
 	for (size_t i = 0; i < orders->n_kept; i++) {
 		const struct run_result *recent = find_recent(p, &kept[i]);
 
+		if (has_run(a, p->incarnation, &kept[i]))
+			continue;
 		if (recent)
 			g_array_append_val(p->results, *recent);
-		else if (!has_run(a, p->incarnation, &kept[i]))
+		else
 			refuse_start(a, p, &kept[i],
 				     "start order was not received", now_ms);
 	}
--- a/src/leased/dispatch.h
+++ b/src/leased/dispatch.h
@@ -178,11 +178,15 @@
 /* Run number 0 stands for a lost run of another dispatcher. */
 void dispatch_handle_result(struct dispatch *d, uint64_t agent,
 			    const struct run_result *result, int64_t now_ms);
-/* Returns the runs at an agent (struct run_name). Runs that are being stopped
- * are included only if stopping is set. After a reconnect the agent is sent
- * the list without them, and stops every run that is not on it. */
-GArray *dispatch_list_runs(const struct dispatch *d, uint64_t agent,
-			   bool stopping);
+struct sent_run {
+	struct run_name name;
+	bool stopping; /* its stop was ordered */
+};
+
+/* Returns the runs sent to an agent whose results haven't come (struct
+ * sent_run). After a reconnect the agent is sent the list: it stops every run
+ * that is not on it and returns a result for every one that is. */
+GArray *dispatch_list_runs(const struct dispatch *d, uint64_t agent);
 
 bool dispatch_has_runs_at(const struct dispatch *d, uint64_t agent);
 void dispatch_tick(struct dispatch *d, int64_t now_ms);
--- a/src/leased/dispatch_runs.c
+++ b/src/leased/dispatch_runs.c
@@ -184,10 +184,9 @@
 	dispatch_place_tasks(d, now_ms);
 }
 
-GArray *dispatch_list_runs(const struct dispatch *d, uint64_t agent,
-			   bool stopping)
+GArray *dispatch_list_runs(const struct dispatch *d, uint64_t agent)
 {
-	GArray *runs = g_array_new(FALSE, TRUE, sizeof(struct run_name));
+	GArray *runs = g_array_new(FALSE, TRUE, sizeof(struct sent_run));
 	GHashTableIter iter;
 	gpointer value;
 
@@ -197,14 +196,14 @@
 
 		for (uint32_t i = 0; i < job->spec.n_tasks; i++) {
 			const struct dispatch_task *task = &job->tasks[i];
-			struct run_name name = { .index = i,
-						 .number = task->number };
+			struct sent_run run = { { .index = i,
+						  .number = task->number },
+						task->stopping };
 
-			if (!is_at_agent(task, agent) ||
-			    (task->stopping && !stopping))
+			if (!is_at_agent(task, agent))
 				continue;
-			g_strlcpy(name.job, job->id, sizeof(name.job));
-			g_array_append_val(runs, name);
+			g_strlcpy(run.name.job, job->id, sizeof(run.name.job));
+			g_array_append_val(runs, run);
 		}
 	}
 	return runs;
--- a/src/leased/dispatch_servers.c
+++ b/src/leased/dispatch_servers.c
@@ -354,12 +354,13 @@
  * isn't known, so that none counts as a loss. */
 static void requeue_runs(struct dispatch *d, uint64_t agent, int64_t now_ms)
 {
-	g_autoptr(GArray) runs = dispatch_list_runs(d, agent, true);
+	g_autoptr(GArray) runs = dispatch_list_runs(d, agent);
 
 	for (guint i = 0; i < runs->len; i++) {
-		struct run_result result = { .name = g_array_index(
-						     runs, struct run_name, i),
-					     .outcome = RUN_OUTCOME_STOPPED };
+		struct run_result result = {
+			.name = g_array_index(runs, struct sent_run, i).name,
+			.outcome = RUN_OUTCOME_STOPPED
+		};
 
 		dispatch_handle_result(d, agent, &result, now_ms);
 	}
--- a/src/leased/dispatcher_agents.c
+++ b/src/leased/dispatcher_agents.c
@@ -174,22 +174,32 @@
 	}
 }
 
+/* Lists all runs whose results haven't come. Those that are being stopped are
+ * listed too, or a result that was lost with the connection never comes. */
 static void send_resume(struct leased_dispatcher *d, struct agent_link *a)
 {
 	Cfw__Envelope envelope = CFW__ENVELOPE__INIT;
 	Cfw__RunOrders orders = CFW__RUN_ORDERS__INIT;
 	g_autoptr(GArray)
-		runs = dispatch_list_runs(d->dispatch, a->incarnation, false);
+		runs = dispatch_list_runs(d->dispatch, a->incarnation);
 	g_autoptr(GPtrArray) kept = g_ptr_array_new_with_free_func(free_stop);
+	g_autoptr(GPtrArray) stops = g_ptr_array_new_with_free_func(free_stop);
 
-	for (guint i = 0; i < runs->len; i++)
-		g_ptr_array_add(kept, make_stop(&g_array_index(
-					      runs, struct run_name, i)));
+	for (guint i = 0; i < runs->len; i++) {
+		const struct sent_run *run =
+			&g_array_index(runs, struct sent_run, i);
+
+		g_ptr_array_add(kept, make_stop(&run->name));
+		if (run->stopping)
+			g_ptr_array_add(stops, make_stop(&run->name));
+	}
 	orders.resume = true;
 	orders.wants_room = dispatch_has_demand(d->dispatch);
 	a->sent_has_demand = orders.wants_room;
 	orders.n_kept = kept->len;
 	orders.kept = (Cfw__RunStop **)kept->pdata;
+	orders.n_stops = stops->len;
+	orders.stops = (Cfw__RunStop **)stops->pdata;
 	envelope.body_case = CFW__ENVELOPE__BODY_RUN_ORDERS;
 	envelope.run_orders = &orders;
 	link_send(a->link, &envelope);
--- a/tests/fault_resume.c
+++ b/tests/fault_resume.c
@@ -191,6 +191,29 @@
 	finish(s);
 }
 
+/* Guards against runs that a dispatcher counts for good: the result of a run
+ * that was being stopped was lost with the connection. */
+static void test_a_stopped_run_is_settled_after_a_reconnect(void **state)
+{
+	struct leased_system *s = begin();
+	struct caller caller;
+	char agent[16];
+	int at;
+
+	(void)state;
+	start_caller(&caller, s, 0, 2 * ABANDON_MS);
+	at = wait_run(s);
+	wait_metric(s, "d1", SENT, 1);
+	snprintf(agent, sizeof(agent), "a%d", at + 1);
+	relay_blackhole_all(s->agent_relays[at], RELAY_FROM_TARGET);
+	assert_int_equal(join_caller(&caller), SYSTEM_NO_ANSWER);
+	wait_log(s, agent, "event=run_ended job=" JOB);
+	relay_blackhole_all(s->agent_relays[at], RELAY_NONE);
+	relay_reset_open(s->agent_relays[at]);
+	wait_metric(s, "d1", SENT, 0);
+	finish(s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -199,6 +222,9 @@
 			cluster_teardown),
 		cmocka_unit_test_teardown(test_two_dispatchers_submit_one_job,
 					  cluster_teardown),
+		cmocka_unit_test_teardown(
+			test_a_stopped_run_is_settled_after_a_reconnect,
+			cluster_teardown),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
