Session: entries of the roster that can't be connected to are left out

What other operators reported: another writer left an odd entry among those of the servers, with a port out of range, and machines that read the list ended or stopped following it.

Here: a process that registers such an address came on the roster as it was. Each reader dialled it for good (the dial fails, the process lives on), and a dispatcher gave it a place in its subset of agents.

Change: the session leaves entries without an IP address and a port from 1 to 65535 out before any reader sees the roster, for all roles, and logs one line when their number changes (roster_entries_unusable).

--- a/src/roles/session.c
+++ b/src/roles/session.c
@@ -6,6 +6,7 @@
 #include "roles/session.h"
 #include "roles/fence_calls.h"
 
+#include "base/address.h"
 #include "base/clock.h"
 #include "base/counters.h"
 #include "base/logger.h"
@@ -52,6 +53,7 @@
 	uint32_t redirects;
 	bool started, draining, left, lease_was_held, fenced;
 	struct fence_calls *fence_calls;
+	size_t n_unusable; /* entries of the newest roster */
 	struct counter *grants, *refusals;
 };
 
@@ -241,12 +243,40 @@
 	g_free(data);
 }
 
+static bool is_usable(const Cfw__RosterEntry *entry)
+{
+	char host[ADDRESS_HOST_SIZE];
+	uint16_t port;
+
+	return address_parse(entry->address, host, &port) && port;
+}
+
+static void log_unusable(struct session *s, size_t n_unusable)
+{
+	if (n_unusable != s->n_unusable)
+		log_event(LOG_WARN, "roster_entries_unusable",
+			  "entries=%zu before=%zu", n_unusable, s->n_unusable);
+	s->n_unusable = n_unusable;
+}
+
+/* Entries of processes that nobody can connect to are left out. */
 static void apply_roster(struct session *s, const Cfw__LeaseGrant *grant)
 {
-	s->roster_version = grant->roster->version;
-	s->roster_unsettled = !grant->roster->settled;
+	Cfw__Roster roster = *grant->roster;
+	g_autofree Cfw__RosterEntry **usable =
+		g_new(Cfw__RosterEntry *, roster.n_entries);
+	size_t n = 0;
+
+	for (size_t i = 0; i < roster.n_entries; i++)
+		if (is_usable(roster.entries[i]))
+			usable[n++] = roster.entries[i];
+	log_unusable(s, roster.n_entries - n);
+	roster.entries = usable;
+	roster.n_entries = n;
+	s->roster_version = roster.version;
+	s->roster_unsettled = !roster.settled;
 	s->roster_leader = grant->leader_incarnation;
-	s->handlers.roster(s->arg, grant->roster);
+	s->handlers.roster(s->arg, &roster);
 }
 
 /* Asks the coordinator that was named as the leader, at once unless a request
--- a/src/roles/session.h
+++ b/src/roles/session.h
@@ -25,6 +25,7 @@
 
 struct session_handlers {
 	void (*config)(void *arg); /* a newer configuration applies */
+	/* Without entries whose address can't be connected to. */
 	void (*roster)(void *arg, const Cfw__Roster *roster);
 	void (*lease)(void *arg, bool held); /* acquired or expired */
 	void (*fenced)(void *arg); /* this incarnation must stop working */
--- a/tests/test_session.c
+++ b/tests/test_session.c
@@ -25,6 +25,8 @@
 	struct loop *loop;
 	struct link_hub *hub;
 	bool settled; /* it knows all lease holders */
+	Cfw__RosterEntry **entries; /* of the roster that it sends */
+	size_t n_entries;
 	int requests;
 	int64_t times_ms[RENEWALS + 1]; /* when the first requests arrived */
 };
@@ -50,6 +52,8 @@
 	leader->requests++;
 	roster.version = (uint64_t)leader->requests;
 	roster.settled = leader->settled;
+	roster.entries = leader->entries;
+	roster.n_entries = leader->n_entries;
 	reply.seq = received->lease_request->seq;
 	reply.verdict = CFW__LEASE_VERDICT__LEASE_GRANTED;
 	reply.duration_ms = LEASE_MS;
@@ -65,6 +69,8 @@
 struct process {
 	struct link_hub *hub;
 	struct session *session;
+	GString *addresses; /* of the newest roster; NULL: not recorded */
+	bool has_roster;
 };
 
 static void on_link_up(void *arg, struct link *link)
@@ -89,10 +95,17 @@
 	(void)arg;
 }
 
-static void ignore_roster(void *arg, const Cfw__Roster *roster)
+static void record_roster(void *arg, const Cfw__Roster *roster)
 {
-	(void)arg;
-	(void)roster;
+	struct process *p = arg;
+
+	p->has_roster = true;
+	if (!p->addresses)
+		return;
+	g_string_truncate(p->addresses, 0);
+	for (size_t i = 0; i < roster->n_entries; i++)
+		g_string_append_printf(p->addresses, "%s ",
+				       roster->entries[i]->address);
 }
 
 static void ignore_lease(void *arg, bool held)
@@ -107,7 +120,7 @@
 	static const struct link_handlers links = { on_link_up, on_message,
 						    on_link_down };
 	static const struct session_handlers handlers = {
-		ignore_event, ignore_roster, ignore_lease, ignore_event
+		ignore_event, record_roster, ignore_lease, ignore_event
 	};
 	struct link_options options = { .self = { CFW__ROLE__ROLE_DISPATCHER,
 						  "d", 3, 0, "olten" },
@@ -129,6 +142,59 @@
 	session_begin(p->session);
 }
 
+static bool has_roster(void *arg)
+{
+	return ((struct process *)arg)->has_roster;
+}
+
+/* Guards against an odd entry of the roster that a process can't connect to: it
+ * is left out, and the others are followed. */
+static void test_odd_roster_entries_are_left_out(void **state)
+{
+	static const struct link_handlers links = { ignore_link,
+						    handle_lease_request,
+						    ignore_link };
+	static char *const addresses[] = { "10.0.0.1:80",
+					   "10.0.0.2:65536",
+					   "10.0.0.3:0",
+					   "10.0.0.4",
+					   "",
+					   "10.0.0.5:99999999999999999999",
+					   "10.0.0.6:-1",
+					   "not an address:80",
+					   "\xff\xfe:80",
+					   "[fd00::1]:65535" };
+	Cfw__RosterEntry entries[G_N_ELEMENTS(addresses)];
+	Cfw__RosterEntry *list[G_N_ELEMENTS(addresses)];
+	struct leader leader = { .settled = true,
+				 .entries = list,
+				 .n_entries = G_N_ELEMENTS(addresses) };
+	struct link_options options = { .self = { CFW__ROLE__ROLE_COORDINATOR,
+						  "c", 9, 1, "olten" },
+					.heartbeat_ms = HEARTBEAT_MS };
+	struct process process = { .addresses = g_string_new(NULL) };
+	uint16_t port;
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(addresses); i++) {
+		cfw__roster_entry__init(&entries[i]);
+		entries[i].address = addresses[i];
+		list[i] = &entries[i];
+	}
+	leader.loop = loop_create(NULL);
+	leader.hub = link_hub_create(leader.loop, &options, &links, &leader);
+	assert_true(link_hub_listen(leader.hub, "127.0.0.1:0", &port, NULL));
+	open_process(&process, leader.loop, port, 0);
+	assert_true(loop_until(leader.loop, has_roster, &process));
+	assert_string_equal(process.addresses->str,
+			    "10.0.0.1:80 [fd00::1]:65535 ");
+	session_destroy(process.session);
+	link_hub_destroy(process.hub);
+	link_hub_destroy(leader.hub);
+	loop_destroy(leader.loop);
+	g_string_free(process.addresses, TRUE);
+}
+
 static bool has_renewed(void *arg)
 {
 	return ((struct leader *)arg)->requests > RENEWALS;
@@ -322,6 +388,7 @@
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_odd_roster_entries_are_left_out),
 		cmocka_unit_test(test_renews_faster_until_roster_settled),
 		cmocka_unit_test(test_asks_all_at_start),
 		cmocka_unit_test(test_redirects_are_limited),
