Agent: an odd entry in a server's list doesn't make the list unreadable

What callers would see: with one entry of another writer in the lists of runs (nested too deeply, a number that is too large, bytes that are no text, an unknown state) the agent took the whole poll for unanswered. No result came, the server's lease wasn't renewed, and every run on it ended: 504 for all.

Cause: the JSON library refuses a whole document for one such value, and read_running() and read_ended() a whole list for one row. Numbers weren't checked either: run was taken for run 1, and a position of any size was acknowledged, after which the server forgets all ends up to there.

A running row whose number can't be read keeps the runs of its task from being taken for lost, and is stopped by nobody.

--- a/src/leased/formats.h
+++ b/src/leased/formats.h
@@ -122,8 +122,10 @@
 struct run_lists {
 	int64_t clock_ms;
 	int64_t start_time_ms; /* of the server; 0: not included */
-	GArray *running; /* struct run_name */
+	/* struct run_name; number 0: it can't be read */
+	GArray *running;
 	GArray *ended; /* struct listed_run_end, by position */
+	uint32_t n_unreadable; /* entries left out, as another writer's */
 };
 
 /* ---- Table of functions --------------------------------------------- */
@@ -169,13 +171,16 @@
 	 * clock_ms unchanged if the answer doesn't include it. */
 	enum run_refusal (*read_start)(uint32_t status, const void *data,
 				       size_t size_bytes, int64_t *clock_ms);
+	/* Entries that can't be read are left out; the others count. False if
+	 * the lists themselves or the server's clock can't be read. */
 	bool (*read_lists)(const void *data, size_t size_bytes,
 			   struct run_lists *lists);
 };
 
 void run_call_clear(struct run_call *call);
 void run_lists_clear(struct run_lists *lists);
-/* Raises position to that of the newest end listed. */
+/* Raises position to that of the newest end listed. Positions too far ahead are
+ * an error: the server would forget all ends up to there. */
 void run_lists_raise_position(const struct run_lists *lists,
 			      uint64_t *position);
 bool run_name_equal(const struct run_name *a, const struct run_name *b);
--- a/src/leased/run_table_lists.c
+++ b/src/leased/run_table_lists.c
@@ -50,14 +50,19 @@
 	}
 }
 
+/* A listed run whose number can't be read may be any one of its task. */
 static bool is_listed(const struct run_lists *lists,
 		      const struct run_name *name)
 {
-	for (guint i = 0; i < lists->running->len; i++)
-		if (run_name_equal(
-			    &g_array_index(lists->running, struct run_name, i),
-			    name))
+	for (guint i = 0; i < lists->running->len; i++) {
+		struct run_name listed =
+			g_array_index(lists->running, struct run_name, i);
+
+		if (!listed.number)
+			listed.number = name->number;
+		if (run_name_equal(&listed, name))
 			return true;
+	}
 	return false;
 }
 
@@ -91,7 +96,7 @@
 		const struct run_name *name =
 			&g_array_index(lists->running, struct run_name, i);
 
-		if (!run_table_find(table, name, NULL))
+		if (name->number && !run_table_find(table, name, NULL))
 			g_array_append_val(unknown_runs, *name);
 	}
 }
--- a/src/leased/server.c
+++ b/src/leased/server.c
@@ -199,6 +199,7 @@
 			server_lease_unanswered(&s->lease, call->sent_ms);
 		return;
 	}
+	server_count_unreadable(s, lists.n_unreadable);
 	message = server_incarnation_check_lists(&s->incarnation,
 						 lists.start_time_ms,
 						 lists.clock_ms, call->sent_ms);
--- a/src/leased/server_create.c
+++ b/src/leased/server_create.c
@@ -23,6 +23,10 @@
 	s->runs_in_stale_lists = counter_get(
 		"runs_in_stale_lists_total", NULL,
 		"runs in lists of backend servers that were overtaken");
+	s->list_entries_unreadable =
+		counter_get("list_entries_unreadable_total", NULL,
+			    "entries in lists of backend servers that were "
+			    "left out");
 }
 
 void server_set_address(struct server *s)
--- a/src/leased/server_internal.h
+++ b/src/leased/server_internal.h
@@ -41,6 +41,8 @@
 	uint64_t restarts; /* of the server, as seen by this agent */
 	struct counter *starts, *unanswered, *expirations, *fence_refusals;
 	struct counter *unknown_runs_stopped, *runs_in_stale_lists;
+	struct counter *list_entries_unreadable;
+	uint32_t n_unreadable; /* entries of the last list */
 };
 
 enum call_kind {
@@ -83,6 +85,9 @@
 uint32_t server_stop_unknown_runs(struct server *server,
 				  const GArray *unknown_runs, int64_t now_ms);
 
+/* Counts entries that were left out of a list. */
+void server_count_unreadable(struct server *server, uint32_t n);
+
 /* ---- Calls (server.c) ------------------------------------------------ */
 
 void server_send_stop(struct server *server, const struct run_name *name,
--- a/src/leased/server_lists.c
+++ b/src/leased/server_lists.c
@@ -9,6 +9,16 @@
 
 #include <inttypes.h>
 
+void server_count_unreadable(struct server *s, uint32_t n)
+{
+	counter_add(s->list_entries_unreadable, n);
+	if (n != s->n_unreadable)
+		log_event(LOG_WARN, "list_entries_unreadable",
+			  "server=%s entries=%u before=%u", s->report.name, n,
+			  s->n_unreadable);
+	s->n_unreadable = n;
+}
+
 static void log_stopped(const struct server *s, const struct run_name *name,
 			const struct ended_run *ended, int64_t now_ms)
 {
--- a/tests/support/leased_standin.h
+++ b/tests/support/leased_standin.h
@@ -25,6 +25,8 @@
 int64_t standin_last_end_ms(struct standin_record *record);
 /* Stops are refused. Set before the first run. */
 void standin_refuse_stops(struct standin_record *record);
+/* From now on, all lists have entries of another writer. */
+void standin_add_odd(struct standin_record *record);
 /* The next n starts, at any stand-in, are refused with status 503. */
 void standin_refuse_starts(struct standin_record *record, uint32_t n);
 /* Polls are refused; and how many polls there were. */
--- a/tests/support/leased_standin_internal.h
+++ b/tests/support/leased_standin_internal.h
@@ -29,6 +29,7 @@
 	struct slowdown slowdowns[SLOWDOWNS_MAX];
 	bool refuses_stops, refuses_polls;
 	uint32_t starts_to_refuse;
+	bool adds_odd_entries;
 	uint32_t polls; /* of all stand-ins */
 };
 
--- a/tests/support/leased_standin_record.c
+++ b/tests/support/leased_standin_record.c
@@ -66,6 +66,11 @@
 	record->refuses_stops = true;
 }
 
+void standin_add_odd(struct standin_record *record)
+{
+	record->adds_odd_entries = true;
+}
+
 void standin_refuse_starts(struct standin_record *record, uint32_t n)
 {
 	g_mutex_lock(&record->lock);
--- a/tests/test_run_table.c
+++ b/tests/test_run_table.c
@@ -588,6 +588,83 @@
 	}
 }
 
+/* Guards against a run that is taken for lost, or started again, because its
+ * entry in a list can't be read in full. */
+static void test_listed_run_without_a_number(void **state)
+{
+	struct run_table *table = make_table(1000);
+	struct run_name name = name_of(0, 1), unreadable = name_of(0, 0);
+	struct run_lists lists = {
+		.running = g_array_new(FALSE, TRUE, sizeof(struct run_name)),
+		.ended = g_array_new(FALSE, TRUE, sizeof(struct listed_run_end))
+	};
+	GArray *unknown_runs =
+		g_array_new(FALSE, FALSE, sizeof(struct run_name));
+
+	(void)state;
+	enqueue(table, 0, 1000, 0, 0);
+	start_next(table, 1);
+	run_table_start_answered(table, &name, RUN_ACCEPTED, 2);
+	g_array_append_val(lists.running, unreadable);
+	unreadable.index = 7;
+	g_array_append_val(lists.running, unreadable);
+	for (int64_t now_ms = 10; now_ms < 100; now_ms += 10)
+		run_table_apply_lists(table, &lists, now_ms, now_ms + 1,
+				      unknown_runs);
+	assert_true(run_table_has(table, DISPATCHER, &name));
+	assert_no_result(table);
+	assert_int_equal(unknown_runs->len, 0);
+	assert_false(run_table_has_unknown_runs(table));
+	g_array_unref(unknown_runs);
+	run_lists_clear(&lists);
+	run_table_destroy(table);
+}
+
+/* Guards against ends that a server forgets before they were listed, because an
+ * odd position was acknowledged. */
+static void test_positions_far_ahead(void **state)
+{
+	static const struct {
+		const char *what;
+		uint64_t known, listed[3], expected;
+	} cases[] = {
+		{ "none listed", 7, { 0 }, 7 },
+		{ "the next ones", 7, { 8, 9 }, 9 },
+		{ "in any order", 7, { 9, 8 }, 9 },
+		{ "an old list", 7, { 5, 6 }, 7 },
+		{ "one far ahead", 7, { 8, 1000000, 9 }, 9 },
+		{ "only one far ahead", 7, { 1000000 }, 7 },
+		{ "the first list of an agent",
+		  0,
+		  { 5000000, 5000001 },
+		  5000001 },
+		{ "the first list, one far ahead", 0, { 58, 59, 1000000 }, 59 },
+	};
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct run_lists lists = {
+			.running = g_array_new(FALSE, TRUE,
+					       sizeof(struct run_name)),
+			.ended = g_array_new(FALSE, TRUE,
+					     sizeof(struct listed_run_end))
+		};
+		uint64_t position = cases[i].known;
+
+		for (size_t k = 0; k < 3 && cases[i].listed[k]; k++) {
+			struct listed_run_end end = {
+				.position = cases[i].listed[k]
+			};
+
+			g_array_append_val(lists.ended, end);
+		}
+		run_lists_raise_position(&lists, &position);
+		if (position != cases[i].expected)
+			fail_msg("%s: %d", cases[i].what, (int)position);
+		run_lists_clear(&lists);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -606,6 +683,8 @@
 		cmocka_unit_test(test_server_restart),
 		cmocka_unit_test(test_server_restart_forgets_stops),
 		cmocka_unit_test(test_runs_of_a_lost_dispatcher),
+		cmocka_unit_test(test_listed_run_without_a_number),
+		cmocka_unit_test(test_positions_far_ahead),
 		cmocka_unit_test(test_runs_of_two_dispatchers_under_one_name),
 		cmocka_unit_test(test_drain_returns_queued_runs),
 	};
