Agent: reports with a port or a number out of range are refused

What other operators reported: an odd entry among those of the servers, very deeply nested, with a number too large, or with a port out of range; the machines that read it ended or stopped following the list.

Here: a report with port 70000, 0 or -1, or with none, was accepted, and the server was called there; so were times and sequence numbers up to 2^63, after which the server's true reports looked outdated, and capacities of two million processors. Deep nesting and larger numbers refused the report as a whole ("body"), which is right, without naming the field.

A sequence number more than a million ahead is proved by a poll before it counts.

--- a/src/leased/server_incarnation.c
+++ b/src/leased/server_incarnation.c
@@ -6,6 +6,8 @@
 /* How far a server's clock may get ahead of the agent's. */
 #define CLOCK_FAST_PERCENT 102
 #define CLOCK_SLACK_MS 50
+/* A server sends far fewer reports between two that arrive. */
+#define SEQ_STEP_MAX 1000000
 
 void server_incarnation_begin(struct server_incarnation *incarnation,
 			      int64_t start_time_ms)
@@ -50,9 +52,11 @@
 				int64_t start_time_ms, uint64_t seq,
 				int64_t clock_ms, int64_t now_ms)
 {
-	/* Both rise with each report of an incarnation. */
+	/* Both rise with each report of an incarnation. One with a number far
+	 * ahead would make all later ones look outdated. */
 	bool outdated = incarnation->has_report &&
 			(seq <= incarnation->seq ||
+			 seq - incarnation->seq > SEQ_STEP_MAX ||
 			 clock_ms < incarnation->report_clock_ms);
 
 	if (start_time_ms == incarnation->start_time_ms)
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -238,6 +238,10 @@
 		  5 },
 		{ 409, "{\"clockMs\":5,\"reason\":\"old\"}", RUN_STALE, 5 },
 		{ 409, "{\"clockMs\":5,\"reason\":\"fence\"}", RUN_FENCED, 5 },
+		{ 409, "{\"clockMs\":99999999999999999999,\"reason\":\"old\"}",
+		  RUN_STALE, -1 },
+		{ 409, "{\"clockMs\":9223372036854775807,\"reason\":\"old\"}",
+		  RUN_STALE, -1 },
 		{ 409, "", RUN_UNHEALTHY, -1 },
 		{ 400, "{}", RUN_MALFORMED, -1 },
 		{ 421, "", RUN_OTHER_INCARNATION, -1 },
@@ -381,6 +385,63 @@
 	}
 }
 
+/* Guards against an odd entry from which an agent takes an address that nobody
+ * can call, or a number with which no later report is believed. */
+static void test_odd_reports(void **state)
+{
+	static const struct {
+		const char *name, *address, *seq, *clock, *cpu;
+		const char *fault; /* NULL: valid */
+	} cases[] = {
+		{ "i-1", "10.0.0.1:80", "4", "5", "16000", NULL },
+		{ "i-1", "[fd00::1]:65535", "4", "5", "0", NULL },
+		{ "i-1", "host.example:1", "4", "5", "16000", NULL },
+		{ "i-1", "10.0.0.1:65536", "4", "5", "16000", "addr" },
+		{ "i-1", "10.0.0.1:0", "4", "5", "16000", "addr" },
+		{ "i-1", "10.0.0.1:-1", "4", "5", "16000", "addr" },
+		{ "i-1", "10.0.0.1:" LARGE, "4", "5", "16000", "addr" },
+		{ "i-1", "10.0.0.1:", "4", "5", "16000", "addr" },
+		{ "i-1", "10.0.0.1", "4", "5", "16000", "addr" },
+		{ "i-1", ":80", "4", "5", "16000", "addr" },
+		{ "i-1", "u@10.0.0.1:80", "4", "5", "16000", "addr" },
+		{ "i-1", "10.0.0.1/a:80", "4", "5", "16000", "addr" },
+		{ "i-1", "10.0.0.1 :80", "4", "5", "16000", "addr" },
+		{ "i-1", "10.0.0.1:80", LARGE, "5", "16000", "seq" },
+		{ "i-1", "10.0.0.1:80", "9223372036854775807", "5", "16000",
+		  "seq" },
+		{ "i-1", "10.0.0.1:80", "4", "9223372036854775807", "16000",
+		  "clockMs" },
+		{ "i-1", "10.0.0.1:80", "4", "1e999", "16000", "clockMs" },
+		{ "i-1", "10.0.0.1:80", "4", "5", "2147483647", "capacity" },
+		{ "i-1", "10.0.0.1:80", "4", "5", LARGE, "capacity" },
+		{ "i-1\r\nX: y", "10.0.0.1:80", "4", "5", "16000", "id" },
+		{ "i 1", "10.0.0.1:80", "4", "5", "16000", "id" },
+		{ "\xff", "10.0.0.1:80", "4", "5", "16000", "id" },
+	};
+	g_autofree char *nested = nest(100000);
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autofree char *text = g_strdup_printf(
+			"{\"service\":\"s\",\"addr\":\"%s\",\"zone\":\"z\","
+			"\"state\":\"ready\",\"note\":%s,\"seq\":%s,"
+			"\"clockMs\":%s,\"born\":9,"
+			"\"capacity\":{\"cpu\":%s,\"memMb\":9}}",
+			cases[i].address, nested, cases[i].seq, cases[i].clock,
+			cases[i].cpu);
+		struct server_report report;
+		char fault[128] = "";
+		bool valid = platform_read_server_report(
+			cases[i].name, text, strlen(text), &report, fault);
+
+		if (valid != !cases[i].fault)
+			fail_msg("case %d: %s", (int)i, fault);
+		if (cases[i].fault)
+			if (!g_str_has_prefix(fault, cases[i].fault))
+				fail_msg("case %d: %s", (int)i, fault);
+	}
+}
+
 static void test_start_and_poll_bodies(void **state)
 {
 	struct run_name name = { .job = "5c0e7a21d94b36f8",
@@ -420,6 +481,7 @@
 		cmocka_unit_test(test_lists),
 		cmocka_unit_test(test_odd_entries_of_lists),
 		cmocka_unit_test(test_nested_entries_of_lists),
+		cmocka_unit_test(test_odd_reports),
 		cmocka_unit_test(test_start_and_poll_bodies),
 	};
 
--- a/tests/test_server_incarnation.c
+++ b/tests/test_server_incarnation.c
@@ -39,6 +39,7 @@
 		  SERVER_MESSAGE_UNPROVEN },
 		{ "the same again", 5000, 3, 1300, SERVER_MESSAGE_UNPROVEN },
 		{ "older", 5000, 2, 1300, SERVER_MESSAGE_UNPROVEN },
+		{ "far ahead", 5000, 1000004, 1300, SERVER_MESSAGE_UNPROVEN },
 		{ "late, from before", 9000, 71, 1300,
 		  SERVER_MESSAGE_UNPROVEN },
 		{ "late, the first one", 1000, 9, 1300,
