Run table: a queued run isn't marked as begun by another's entry in a list

A server's list names runs without a dispatcher, and each run of the table with a listed name was marked as begun, so that a run that waits for the other dispatcher's one counted as running beside others.

Change: only runs that were started are marked.

--- a/src/leased/run_table_lists.c
+++ b/src/leased/run_table_lists.c
@@ -132,7 +132,7 @@
 			continue;
 		}
 		run->polls_missing = 0;
-		if (!run->started_ms)
+		if (!run->started_ms && run->state != RUN_QUEUED)
 			run->started_ms = now_ms;
 	}
 	collect_unknown_runs(table, lists, unknown_runs);
--- a/tests/test_run_table.c
+++ b/tests/test_run_table.c
@@ -504,6 +504,7 @@
 				     .deadline_ms = 10000,
 				     .lease_end_ms = 10000 };
 	struct run_result result;
+	g_autoptr(GPtrArray) running = g_ptr_array_new();
 
 	(void)state;
 	enqueue(table, 0, 1000, 0, 0);
@@ -517,6 +518,10 @@
 	assert_int_equal(start_next(table, 4), NONE);
 	enqueue(table, 1, 1000, 5, 5);
 	assert_int_equal(start_next(table, 6), 1);
+	/* A listed run of that name is the first one. */
+	apply_lists(table, (uint32_t[]){ 0, 1 }, 2, NULL, 0, 6, 6, NULL);
+	run_table_list_running(table, running);
+	assert_int_equal(running->len, 2);
 	/* An order of one dispatcher doesn't stop the other one's run. */
 	run_table_stop(table, DISPATCHER + 1, &name);
 	assert_false(run_table_next_stop(table, 7, &stop));
