Agent: the log says why a loss isn't certain; no decision changes

No log line told why a run was counted as lost with its server, so the hypotheses of docs/incidents/lost-issue-38.md could not be told apart.

--- a/src/leased/agent_peers.c
+++ b/src/leased/agent_peers.c
@@ -197,12 +197,14 @@
 {
 	struct peer *p = g_hash_table_lookup(a->peers, &result->dispatcher);
 	struct recent_result recent = { *result, now_ms };
+	bool is_lost = result->outcome == RUN_OUTCOME_LOST;
 
 	log_event(LOG_INFO, "run_ended",
-		  "job=%s index=%u number=%u outcome=%d run_ms=%u",
+		  "job=%s index=%u number=%u outcome=%d run_ms=%u%s%s",
 		  result->name.job, result->name.index, result->name.number,
-		  result->outcome, result->run_ms);
-	if (result->outcome == RUN_OUTCOME_LOST)
+		  result->outcome, result->run_ms, is_lost ? " doubt=" : "",
+		  is_lost ? loss_doubt_name(result->doubt) : "");
+	if (is_lost)
 		tell_others_of_loss(a, result);
 	if (!p)
 		return;
--- a/src/leased/dispatch_losses.c
+++ b/src/leased/dispatch_losses.c
@@ -135,9 +135,9 @@
 	task->losses = known->losses;
 	task->suspect_losses = known->suspect;
 	log_event(LOG_WARN, "task_lost",
-		  "job=%s class=%s index=%u server=%s losses=%u suspect=%u "
-		  "age_ms=%u",
-		  job->id, job->class->name, task->index,
+		  "job=%s class=%s index=%u number=%u server=%s losses=%u "
+		  "suspect=%u age_ms=%u",
+		  job->id, job->class->name, task->index, name->number,
 		  name->number && task->server ? task->server->state.name : "",
 		  task->losses, task->suspect_losses, run_ms);
 }
--- a/src/leased/run_table.c
+++ b/src/leased/run_table.c
@@ -131,10 +131,12 @@
 
 	if (outcome != RUN_OUTCOME_NOT_STARTED)
 		result.outlived_ms = run_outlived_ms(run, now_ms);
-	if (outcome == RUN_OUTCOME_LOST)
+	if (outcome == RUN_OUTCOME_LOST) {
 		result.run_ms = run_table_lost_after_ms(run);
-	else if (run->started_ms && now_ms > run->started_ms)
+		result.doubt = run->loss_doubt;
+	} else if (run->started_ms && now_ms > run->started_ms) {
 		result.run_ms = (uint32_t)(now_ms - run->started_ms);
+	}
 	count_failure(table, &result);
 	ended_runs_add(&table->ended, &result.name, outcome, now_ms);
 	g_queue_push_tail(&table->results, g_memdup2(&result, sizeof(result)));
@@ -367,6 +369,7 @@
 	}
 	run->state = RUN_RUNNING;
 	run->started_ms = now_ms;
+	run->seen_ms = now_ms;
 	if (run->stop_requested)
 		request_stop(table, run);
 }
@@ -522,6 +525,7 @@
 	for (guint i = 0; i < table->runs->len; i++) {
 		struct run *run = run_table_at(table, i);
 
+		run->listed = false;
 		if (run->state == RUN_STOPPED)
 			run->stop_requested_ms = 0;
 		if (run->state != RUN_QUEUED)
--- a/src/leased/run_table.h
+++ b/src/leased/run_table.h
@@ -42,10 +42,23 @@
 	RUN_OUTCOME_LOST, /* its server crashed while it may have run */
 };
 
+/* Why it isn't certain that a run was at work when its server crashed. */
+enum loss_doubt {
+	LOSS_CONFIRMED, /* it was */
+	LOSS_START_UNANSWERED, /* it may not have begun */
+	LOSS_STOP_SENT, /* it may have been stopped before */
+	LOSS_NOT_SEEN, /* not in the last moments: it may have ended */
+	LOSS_CALLS_UNANSWERED, /* the same: the server ignored calls */
+	LOSS_NOT_LISTED, /* the next incarnation may have begun it */
+};
+
+#define LOSS_DOUBTS (LOSS_NOT_LISTED + 1)
+
 struct run_result {
 	uint64_t dispatcher;
 	struct run_name name;
 	enum run_outcome outcome;
+	enum loss_doubt doubt; /* RUN_OUTCOME_LOST */
 	/* Until its end, or, if it was lost, until its server's crash. */
 	uint32_t run_ms;
 	/* Not sent to the dispatcher: of the request; for how long the run went
@@ -65,8 +78,18 @@
 	char class_name[CF_NAME_SIZE];
 	uint32_t ran_ms; /* until the crash */
 	uint32_t losses; /* servers that crashed under its task before */
+	enum loss_doubt doubt;
 };
 
+/* What shows that a server's process crashed. */
+struct crash_sign {
+	int64_t crashed_ms; /* or shortly before */
+	bool by_next_incarnation; /* which may have answered calls already */
+	bool calls_unanswered; /* it left calls unanswered lately */
+};
+
+const char *loss_doubt_name(enum loss_doubt doubt);
+
 #define RUN_FAILURES_COUNTED_MAX 4
 
 struct run_load {
@@ -138,11 +161,11 @@
 void run_table_apply_lists(struct run_table *table,
 			   const struct run_lists *lists, int64_t sent_ms,
 			   int64_t now_ms, GArray *unknown_runs);
-/* The server process crashed at crashed_ms, or shortly before. Runs that it may
- * have had then are lost; each still ends with the lease or with a list of the
- * new incarnation. They are appended to losses (struct run_loss), the youngest
- * first. */
-void run_table_server_crashed(struct run_table *table, int64_t crashed_ms,
+/* The server process crashed. Runs that it may have had then are lost; each
+ * still ends with the lease or with a list of the new incarnation. They are
+ * appended to losses (struct run_loss), the youngest first. */
+void run_table_server_crashed(struct run_table *table,
+			      const struct crash_sign *sign, int64_t now_ms,
 			      GArray *losses);
 /* The server has not crashed after all. */
 void run_table_server_answered(struct run_table *table);
--- a/src/leased/run_table_crash.c
+++ b/src/leased/run_table_crash.c
@@ -3,6 +3,45 @@
  */
 #include "leased/run_table_internal.h"
 
+/* ---- Constants ------------------------------------------------------ */
+
+/* While a server answers, it lists each run in intervals shorter than this, and
+ * a refused connection shows its crash soon after. */
+#define SEEN_MAX_MS 140
+
+/* ---- Certainty ------------------------------------------------------ */
+
+const char *loss_doubt_name(enum loss_doubt doubt)
+{
+	static const char *const names[] = {
+		[LOSS_CONFIRMED] = "none",
+		[LOSS_START_UNANSWERED] = "start_unanswered",
+		[LOSS_STOP_SENT] = "stop_sent",
+		[LOSS_NOT_SEEN] = "not_seen",
+		[LOSS_CALLS_UNANSWERED] = "calls_unanswered",
+		[LOSS_NOT_LISTED] = "not_listed",
+	};
+
+	return names[doubt];
+}
+
+static enum loss_doubt find_doubt(const struct run *run,
+				  const struct crash_sign *sign, int64_t now_ms)
+{
+	if (!run->started_ms)
+		return LOSS_START_UNANSWERED;
+	if (run->state != RUN_RUNNING)
+		return LOSS_STOP_SENT;
+	if (sign->by_next_incarnation && !run->listed)
+		return LOSS_NOT_LISTED;
+	if (sign->calls_unanswered)
+		return LOSS_CALLS_UNANSWERED;
+	return now_ms - run->seen_ms > SEEN_MAX_MS ? LOSS_NOT_SEEN
+						   : LOSS_CONFIRMED;
+}
+
+/* ---- Lost runs ------------------------------------------------------ */
+
 uint32_t run_table_lost_after_ms(const struct run *run)
 {
 	int64_t began_ms = run->started_ms ? run->started_ms
@@ -44,17 +83,20 @@
 	g_array_append_val(table->lost, lost);
 }
 
-void run_table_server_crashed(struct run_table *table, int64_t crashed_ms,
+void run_table_server_crashed(struct run_table *table,
+			      const struct crash_sign *sign, int64_t now_ms,
 			      GArray *losses)
 {
 	for (guint i = 0; i < table->runs->len; i++) {
 		struct run *run = run_table_at(table, i);
 		struct run_loss loss = { .losses = run->request.losses };
 
-		if (!may_be_lost(run, crashed_ms))
+		if (!may_be_lost(run, sign->crashed_ms))
 			continue;
-		run->lost_ms = crashed_ms;
+		run->lost_ms = sign->crashed_ms;
+		run->loss_doubt = find_doubt(run, sign, now_ms);
 		loss.ran_ms = run_table_lost_after_ms(run);
+		loss.doubt = run->loss_doubt;
 		g_strlcpy(loss.class_name, run->request.class_name,
 			  sizeof(loss.class_name));
 		g_array_append_val(losses, loss);
--- a/src/leased/run_table_lists.c
+++ b/src/leased/run_table_lists.c
@@ -132,6 +132,8 @@
 			continue;
 		}
 		run->polls_missing = 0;
+		run->listed = true;
+		run->seen_ms = now_ms;
 		if (!run->started_ms && run->state != RUN_QUEUED)
 			run->started_ms = now_ms;
 	}
--- a/src/leased/server_crash.h
+++ b/src/leased/server_crash.h
@@ -24,6 +24,8 @@
 	int64_t failed_ms;
 	bool connection_failed;
 	bool refused; /* a connection was refused since the last answer */
+	/* When a call last timed out, also before the last answer; 0: never. */
+	int64_t timed_out_ms;
 	bool has_left; /* it announced that it leaves, which is no crash */
 	int64_t replaced_ms; /* when that was first seen; 0: it isn't */
 };
