Dispatcher: jobs are failed only for confirmed losses

Cause: a start that got no answer before its server crashed was counted as a run that the crash ended. Two of these within 100 ms of their starts, or three, show the job as failed. Whether such a run ever began is not known; the counting was an assumption that was used like an observation.

Change: an agent tells with each lost run whether it was surely at work: its start was answered or it was listed lately, no stop was sent, the server left no call unanswered, and the next incarnation can't have answered. Confirmed losses at their limit fail the job. Others count against starting the task again as before (three in all, also over several tries and dispatchers), but the caller is told that the job was given up (504): that is what is known. An older agent tells no doubt; its losses aren't confirmed.

Why this works: `failed` now needs two or three observed crashes, which is when the platform allows it, and the bound on starts still counts all that may have been.

--- a/src/leased/agent_reports.c
+++ b/src/leased/agent_reports.c
@@ -176,6 +176,7 @@
 		ends[i].number = result->name.number;
 		ends[i].outcome = (Cfw__RunOutcome)result->outcome;
 		ends[i].run_ms = result->run_ms;
+		ends[i].doubt = (Cfw__LossDoubt)result->doubt;
 		report->ends[i] = &ends[i];
 	}
 	return ends;
--- a/src/leased/dispatch_internal.h
+++ b/src/leased/dispatch_internal.h
@@ -94,15 +94,22 @@
 	DISPATCH_TASK_DONE,
 };
 
-/* A task under which this many servers have crashed is given up, with its
- * job. */
+/* A task under which this many servers have crashed is given up, with its job.
+ * Its job has failed if all of these losses are confirmed. */
 #define TASK_LOSSES_MAX 3
-/* The same for crashes within LOSS_SUSPECT_MS of the start of its run. A task
- * that was just started is the likelier cause of a crash than one that had run
- * for long, which may only have run beside the cause. */
+/* The same for confirmed crashes within LOSS_SUSPECT_MS of the start of its
+ * run. A task that was just started is the likelier cause of a crash than one
+ * that had run for long, which may only have run beside the cause. */
 #define TASK_SUSPECT_LOSSES_MAX 2
 #define LOSS_SUSPECT_MS 100
 
+/* Servers that crashed while a run of the task may have been at work there. */
+struct loss_count {
+	uint32_t all;
+	uint32_t confirmed; /* the run was at work */
+	uint32_t suspect; /* of these, within LOSS_SUSPECT_MS of its start */
+};
+
 struct dispatch_task {
 	uint32_t index;
 	enum dispatch_task_state state;
@@ -110,10 +117,9 @@
 	 * earlier try of the job. */
 	uint32_t number;
 	uint32_t failures, moves;
-	uint32_t losses; /* servers that crashed under it */
+	struct loss_count losses;
 	uint32_t lost_after_ms; /* age of its last run that was lost so */
 	bool suspect; /* it may have crashed a server */
-	uint32_t suspect_losses; /* those within LOSS_SUSPECT_MS of its start */
 	uint64_t lost_on[TASK_LOSSES_MAX]; /* ids of those where it was sent */
 	uint32_t n_lost_on;
 	bool stopping; /* a stop command was sent */
@@ -207,8 +213,8 @@
 	uint64_t late_jobs; /* that ever were in it */
 	struct rate in_time_rate; /* work of jobs admitted to be in time */
 	uint64_t lost_runs; /* with their servers */
-	uint64_t
-		crashing_jobs; /* given up because servers crashed under them */
+	uint64_t crashing_jobs; /* failed: servers crashed under them */
+	uint64_t doubtful_jobs; /* given up: servers may have */
 	double virtual_time; /* of the lane served last */
 	bool placing; /* dispatch_place_tasks() is running */
 	/* Set while few servers fail all their tasks. If many do, the fault is
@@ -234,9 +240,9 @@
 /* Applies the losses of an earlier submission of the job. */
 void losses_restore(struct dispatch *d, struct dispatch_job *job,
 		    int64_t now_ms);
-/* Counts a server that crashed run_ms after the start of this run there. */
-void losses_add(struct dispatch *d, const struct run_name *name,
-		uint32_t run_ms, int64_t now_ms);
+/* Counts a lost run. */
+void losses_add(struct dispatch *d, const struct run_result *lost,
+		int64_t now_ms);
 /* The same for a run of another dispatcher. */
 void losses_add_foreign(struct dispatch *d, const struct run_result *result,
 			int64_t now_ms);
--- a/src/leased/dispatch_jobs.c
+++ b/src/leased/dispatch_jobs.c
@@ -453,6 +453,7 @@
 	load->late_jobs = d->late_jobs;
 	load->lost_runs = d->lost_runs;
 	load->crashing_jobs = d->crashing_jobs;
+	load->doubtful_jobs = d->doubtful_jobs;
 	load->servers = d->servers->len;
 	load->remembered_jobs = run_numbers_count(d->numbers);
 	load->speeds_known = speed_view_known(d->speeds);
--- a/src/leased/dispatch_losses.c
+++ b/src/leased/dispatch_losses.c
@@ -21,7 +21,8 @@
 /* ---- Types ---------------------------------------------------------- */
 
 struct task_losses {
-	uint32_t index, losses, suspect;
+	uint32_t index;
+	struct loss_count count;
 };
 
 struct job_losses {
@@ -112,42 +113,58 @@
 		if (known->expires_ms <= now_ms ||
 		    from->index >= job->spec.n_tasks)
 			continue;
-		job->tasks[from->index].losses = from->losses;
-		job->tasks[from->index].suspect_losses = from->suspect;
+		job->tasks[from->index].losses = from->count;
 	}
 }
 
 /* ---- Losses --------------------------------------------------------- */
 
-void losses_add(struct dispatch *d, const struct run_name *name,
-		uint32_t run_ms, int64_t now_ms)
+static void add_loss(struct loss_count *count, const struct run_result *lost)
 {
+	bool confirmed = lost->doubt == LOSS_CONFIRMED;
+
+	count->all++;
+	count->confirmed += confirmed;
+	count->suspect += confirmed && lost->run_ms <= LOSS_SUSPECT_MS;
+}
+
+void losses_add(struct dispatch *d, const struct run_result *lost,
+		int64_t now_ms)
+{
+	const struct run_name *name = &lost->name;
 	struct dispatch_job *job = g_hash_table_lookup(d->jobs, name->job);
 	struct task_losses *known = find_task_losses(
 		find_job_losses(d, name->job, now_ms), name->index);
 	struct dispatch_task *task;
 
-	known->losses++;
-	known->suspect += run_ms <= LOSS_SUSPECT_MS;
+	add_loss(&known->count, lost);
 	if (!job || name->index >= job->spec.n_tasks)
 		return;
 	task = &job->tasks[name->index];
-	task->losses = known->losses;
-	task->suspect_losses = known->suspect;
+	task->losses = known->count;
 	log_event(LOG_WARN, "task_lost",
 		  "job=%s class=%s index=%u number=%u server=%s losses=%u "
-		  "suspect=%u age_ms=%u",
+		  "confirmed=%u suspect=%u age_ms=%u doubt=%s",
 		  job->id, job->class->name, task->index, name->number,
 		  name->number && task->server ? task->server->state.name : "",
-		  task->losses, task->suspect_losses, run_ms);
+		  task->losses.all, task->losses.confirmed,
+		  task->losses.suspect, lost->run_ms,
+		  loss_doubt_name(lost->doubt));
 }
 
-static const char *find_limit(const struct dispatch_task *task)
+/* Returns why the task isn't started again, or NULL. Only losses that are
+ * confirmed show that its job can't be done. */
+static const char *find_limit(const struct dispatch_task *task,
+			      enum job_verdict *verdict)
 {
-	if (task->losses >= TASK_LOSSES_MAX)
+	*verdict = JOB_VERDICT_FAILED;
+	if (task->losses.confirmed >= TASK_LOSSES_MAX)
 		return "as many servers crashed under a task as may";
-	if (task->suspect_losses >= TASK_SUSPECT_LOSSES_MAX)
+	if (task->losses.suspect >= TASK_SUSPECT_LOSSES_MAX)
 		return "servers crashed when a task was started there";
+	*verdict = JOB_VERDICT_GIVEN_UP;
+	if (task->losses.all >= TASK_LOSSES_MAX)
+		return "as many servers may have crashed under a task as may";
 	return NULL;
 }
 
@@ -155,16 +172,22 @@
 {
 	for (uint32_t i = 0; !job->ended && i < job->spec.n_tasks; i++) {
 		const struct dispatch_task *task = &job->tasks[i];
-		const char *reason = find_limit(task);
+		enum job_verdict verdict;
+		const char *reason = find_limit(task, &verdict);
 
 		if (!reason || task->state == DISPATCH_TASK_DONE)
 			continue;
-		d->crashing_jobs++;
+		if (verdict == JOB_VERDICT_FAILED)
+			d->crashing_jobs++;
+		else
+			d->doubtful_jobs++;
 		log_event(LOG_WARN, "task_given_up",
-			  "job=%s class=%s index=%u losses=%u reason=\"%s\"",
-			  job->id, job->class->name, task->index, task->losses,
-			  reason);
-		dispatch_end_job(d, job, JOB_VERDICT_FAILED, reason, 0);
+			  "job=%s class=%s index=%u losses=%u confirmed=%u "
+			  "suspect=%u verdict=%d reason=\"%s\"",
+			  job->id, job->class->name, task->index,
+			  task->losses.all, task->losses.confirmed,
+			  task->losses.suspect, verdict, reason);
+		dispatch_end_job(d, job, verdict, reason, 0);
 		return true;
 	}
 	return false;
@@ -176,7 +199,7 @@
 	struct dispatch_job *job =
 		g_hash_table_lookup(d->jobs, result->name.job);
 
-	losses_add(d, &result->name, result->run_ms, now_ms);
+	losses_add(d, result, now_ms);
 	if (job && losses_end_job(d, job))
 		dispatch_free_job_if_finished(d, job, now_ms);
 }
--- a/src/leased/dispatch_place.c
+++ b/src/leased/dispatch_place.c
@@ -246,7 +246,7 @@
 			job->deadline_ms - job->predicted_ms / 2 - now_ms, 1),
 		.expected_ms = job->predicted_ms,
 		.class_name = job->class->name,
-		.losses = task->losses,
+		.losses = task->losses.all,
 		.lost_after_ms = task->lost_after_ms,
 	};
 
--- a/src/leased/dispatch_runs.c
+++ b/src/leased/dispatch_runs.c
@@ -118,7 +118,7 @@
 {
 	task->lost_on[task->n_lost_on++ % TASK_LOSSES_MAX] = task->server->id;
 	d->lost_runs++;
-	losses_add(d, &result->name, result->run_ms, now_ms);
+	losses_add(d, result, now_ms);
 	losses_end_job(d, job);
 	contain_note_loss(d, job, task, result->run_ms);
 	requeue_task(d, job, task, RUN_OUTCOME_LOST, now_ms);
--- a/src/leased/dispatcher.c
+++ b/src/leased/dispatcher.c
@@ -134,6 +134,8 @@
 	raise_counter(d->lost_runs, &d->counted_lost_runs, load.lost_runs);
 	raise_counter(d->crashing_jobs, &d->counted_crashing_jobs,
 		      load.crashing_jobs);
+	raise_counter(d->doubtful_jobs, &d->counted_doubtful_jobs,
+		      load.doubtful_jobs);
 	gauge_set(d->sent, load.sent_tasks);
 	gauge_set(d->remembered_jobs, load.remembered_jobs);
 	gauge_set(d->servers, load.servers);
@@ -217,6 +219,9 @@
 	d->crashing_jobs =
 		counter_get("jobs_crashing_total", NULL,
 			    "jobs that failed because servers crashed");
+	d->doubtful_jobs =
+		counter_get("jobs_crash_suspected_total", NULL,
+			    "jobs given up because servers may have crashed");
 	d->sent = gauge_get("tasks_sent", NULL, "tasks at servers");
 	d->remembered_jobs =
 		gauge_get("jobs_remembered", NULL,
--- a/src/leased/dispatcher_agents.c
+++ b/src/leased/dispatcher_agents.c
@@ -408,6 +408,7 @@
 		struct run_result result = {
 			.name = { .index = end->index, .number = end->number },
 			.outcome = (enum run_outcome)end->outcome,
+			.doubt = (enum loss_doubt)end->doubt,
 			.run_ms = end->run_ms
 		};
 
--- a/src/leased/dispatcher_internal.h
+++ b/src/leased/dispatcher_internal.h
@@ -61,7 +61,8 @@
 	int64_t coordinator_contact_ms;
 	int64_t gauges_set_ms;
 	/* Already in the counters. */
-	uint64_t counted_late_jobs, counted_lost_runs, counted_crashing_jobs;
+	uint64_t counted_late_jobs, counted_lost_runs, counted_crashing_jobs,
+		counted_doubtful_jobs;
 	bool was_ready;
 	struct drain drain; /* valid while draining */
 	bool draining;
@@ -71,7 +72,8 @@
 	struct counter *answer_sum_ms[VERDICT_COUNT];
 	struct counter *no_route, *unready, *malformed;
 	struct counter *held_total, *held, *too_late;
-	struct counter *late_jobs, *late_waiting, *lost_runs, *crashing_jobs;
+	struct counter *late_jobs, *late_waiting, *lost_runs, *crashing_jobs,
+		*doubtful_jobs;
 	struct counter *jobs, *waiting, *sent, *servers, *usable, *free_milli;
 	struct counter *remembered_jobs;
 	struct counter *speeds_known;
--- a/src/leased/run_table.h
+++ b/src/leased/run_table.h
@@ -44,6 +44,7 @@
 
 /* Why it isn't certain that a run was at work when its server crashed. */
 enum loss_doubt {
+	LOSS_UNTOLD, /* an older agent doesn't say */
 	LOSS_CONFIRMED, /* it was */
 	LOSS_START_UNANSWERED, /* it may not have begun */
 	LOSS_STOP_SENT, /* it may have been stopped before */
@@ -88,6 +89,7 @@
 	bool calls_unanswered; /* it left calls unanswered lately */
 };
 
+/* For logs and labels; also for values of newer agents. */
 const char *loss_doubt_name(enum loss_doubt doubt);
 
 #define RUN_FAILURES_COUNTED_MAX 4
--- a/src/leased/run_table_crash.c
+++ b/src/leased/run_table_crash.c
@@ -14,6 +14,7 @@
 const char *loss_doubt_name(enum loss_doubt doubt)
 {
 	static const char *const names[] = {
+		[LOSS_UNTOLD] = "untold",
 		[LOSS_CONFIRMED] = "none",
 		[LOSS_START_UNANSWERED] = "start_unanswered",
 		[LOSS_STOP_SENT] = "stop_sent",
@@ -22,7 +23,7 @@
 		[LOSS_NOT_LISTED] = "not_listed",
 	};
 
-	return names[doubt];
+	return doubt < LOSS_DOUBTS ? names[doubt] : names[LOSS_UNTOLD];
 }
 
 static enum loss_doubt find_doubt(const struct run *run,
--- a/src/proto/wire.pb-c.c
+++ b/src/proto/wire.pb-c.c
@@ -6751,7 +6751,7 @@
   (ProtobufCMessageInit) cfw__run_orders__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfw__run_end__field_descriptors[5] =
+static const ProtobufCFieldDescriptor cfw__run_end__field_descriptors[6] =
 {
   {
     "job",
@@ -6813,8 +6813,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "doubt",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__RunEnd, doubt),
+    &cfw__loss_doubt__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cfw__run_end__field_indices_by_name[] = {
+  5,   /* field[5] = doubt */
   1,   /* field[1] = index */
   0,   /* field[0] = job */
   2,   /* field[2] = number */
@@ -6824,7 +6837,7 @@
 static const ProtobufCIntRange cfw__run_end__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor cfw__run_end__descriptor =
 {
@@ -6834,7 +6847,7 @@
   "Cfw__RunEnd",
   "cfw",
   sizeof(Cfw__RunEnd),
-  5,
+  6,
   cfw__run_end__field_descriptors,
   cfw__run_end__field_indices_by_name,
   1,  cfw__run_end__number_ranges,
@@ -7842,3 +7855,41 @@
   cfw__run_outcome__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
+static const ProtobufCEnumValue cfw__loss_doubt__enum_values_by_number[7] =
+{
+  { "LOSS_UNTOLD", "CFW__LOSS_DOUBT__LOSS_UNTOLD", 0 },
+  { "LOSS_CONFIRMED", "CFW__LOSS_DOUBT__LOSS_CONFIRMED", 1 },
+  { "LOSS_START_UNANSWERED", "CFW__LOSS_DOUBT__LOSS_START_UNANSWERED", 2 },
+  { "LOSS_STOP_SENT", "CFW__LOSS_DOUBT__LOSS_STOP_SENT", 3 },
+  { "LOSS_NOT_SEEN", "CFW__LOSS_DOUBT__LOSS_NOT_SEEN", 4 },
+  { "LOSS_CALLS_UNANSWERED", "CFW__LOSS_DOUBT__LOSS_CALLS_UNANSWERED", 5 },
+  { "LOSS_NOT_LISTED", "CFW__LOSS_DOUBT__LOSS_NOT_LISTED", 6 },
+};
+static const ProtobufCIntRange cfw__loss_doubt__value_ranges[] = {
+{0, 0},{0, 7}
+};
+static const ProtobufCEnumValueIndex cfw__loss_doubt__enum_values_by_name[7] =
+{
+  { "LOSS_CALLS_UNANSWERED", 5 },
+  { "LOSS_CONFIRMED", 1 },
+  { "LOSS_NOT_LISTED", 6 },
+  { "LOSS_NOT_SEEN", 4 },
+  { "LOSS_START_UNANSWERED", 2 },
+  { "LOSS_STOP_SENT", 3 },
+  { "LOSS_UNTOLD", 0 },
+};
+const ProtobufCEnumDescriptor cfw__loss_doubt__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "cfw.LossDoubt",
+  "LossDoubt",
+  "Cfw__LossDoubt",
+  "cfw",
+  7,
+  cfw__loss_doubt__enum_values_by_number,
+  7,
+  cfw__loss_doubt__enum_values_by_name,
+  1,
+  cfw__loss_doubt__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
--- a/src/proto/wire.pb-c.h
+++ b/src/proto/wire.pb-c.h
@@ -135,6 +135,40 @@
   CFW__RUN_OUTCOME__RUN_LOST = 6
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CFW__RUN_OUTCOME)
 } Cfw__RunOutcome;
+/*
+ * Whether a lost run was at work when its server crashed.
+ */
+typedef enum _Cfw__LossDoubt {
+  /*
+   * by an older agent
+   */
+  CFW__LOSS_DOUBT__LOSS_UNTOLD = 0,
+  /*
+   * it was
+   */
+  CFW__LOSS_DOUBT__LOSS_CONFIRMED = 1,
+  /*
+   * it may not have begun
+   */
+  CFW__LOSS_DOUBT__LOSS_START_UNANSWERED = 2,
+  /*
+   * it may have been stopped before
+   */
+  CFW__LOSS_DOUBT__LOSS_STOP_SENT = 3,
+  /*
+   * not lately: it may have ended before
+   */
+  CFW__LOSS_DOUBT__LOSS_NOT_SEEN = 4,
+  /*
+   * the same: the server ignored calls
+   */
+  CFW__LOSS_DOUBT__LOSS_CALLS_UNANSWERED = 5,
+  /*
+   * the next incarnation may have begun it
+   */
+  CFW__LOSS_DOUBT__LOSS_NOT_LISTED = 6
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CFW__LOSS_DOUBT)
+} Cfw__LossDoubt;
 
 /* --- messages --- */
 
@@ -1066,10 +1100,14 @@
   uint32_t number;
   Cfw__RunOutcome outcome;
   uint32_t run_ms;
+  /*
+   * RUN_LOST
+   */
+  Cfw__LossDoubt doubt;
 };
 #define CFW__RUN_END__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cfw__run_end__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, CFW__RUN_OUTCOME__RUN_DONE, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, CFW__RUN_OUTCOME__RUN_DONE, 0, CFW__LOSS_DOUBT__LOSS_UNTOLD }
 
 
 struct  Cfw__ClassRuns
@@ -2458,6 +2496,7 @@
 extern const ProtobufCEnumDescriptor    cfw__lease_verdict__descriptor;
 extern const ProtobufCEnumDescriptor    cfw__task_outcome__descriptor;
 extern const ProtobufCEnumDescriptor    cfw__run_outcome__descriptor;
+extern const ProtobufCEnumDescriptor    cfw__loss_doubt__descriptor;
 extern const ProtobufCMessageDescriptor cfw__hello__descriptor;
 extern const ProtobufCMessageDescriptor cfw__heartbeat__descriptor;
 extern const ProtobufCMessageDescriptor cfw__log_entry__descriptor;
--- a/tests/support/dispatch_world.c
+++ b/tests/support/dispatch_world.c
@@ -88,6 +88,7 @@
 	struct run_result result = {
 		.name = run->name,
 		.outcome = outcome,
+		.doubt = LOSS_CONFIRMED,
 		.run_ms = (uint32_t)((run->lost_ms ? run->lost_ms : w->now_ms) -
 				     run->started_ms)
 	};
--- a/tests/support/many_crash.c
+++ b/tests/support/many_crash.c
@@ -187,6 +187,7 @@
 		if (!run_name_equal(&run->name, &result->name))
 			continue;
 		result->outcome = RUN_OUTCOME_LOST;
+		result->doubt = LOSS_CONFIRMED;
 		result->run_ms = run->lost.ran_ms;
 		job->lost_twice |= run->lost.losses &&
 				   loss_is_young(run->lost.ran_ms);
