Dispatcher: a start that a server can't read is no failed attempt

What callers could see: a job answered `failed` of which no run had begun.

Cause: a start that a server refuses as malformed (400) ended as a failed run and counted as an attempt, so as many of them as maxAttempts showed the job as failed.

Change: it ends as unreadable, an outcome of its own. The task is tried on another server; after as many refusals as it may have attempts its job is given up (504), as the next server would hardly read it either.

--- a/src/leased/dispatch_internal.h
+++ b/src/leased/dispatch_internal.h
@@ -117,6 +117,7 @@
 	 * earlier try of the job. */
 	uint32_t number;
 	uint32_t failures, moves;
+	uint32_t unreadable_starts; /* refused by servers as malformed */
 	struct loss_count losses;
 	uint32_t lost_after_ms; /* age of its last run that was lost so */
 	bool suspect; /* it may have crashed a server */
--- a/src/leased/dispatch_runs.c
+++ b/src/leased/dispatch_runs.c
@@ -110,6 +110,20 @@
 	requeue_task(d, job, task, RUN_OUTCOME_FAILED, now_ms);
 }
 
+/* The task's server can't read its start, so nothing ran and no attempt was
+ * made. Other servers will hardly read it either. */
+static void task_unreadable(struct dispatch *d, struct dispatch_job *job,
+			    struct dispatch_task *task, int64_t now_ms)
+{
+	task->unreadable_starts++;
+	if (task->unreadable_starts >= job->route.attempts_max)
+		dispatch_abort_job(
+			d, job,
+			"backend servers can't read the start of a task",
+			now_ms);
+	requeue_task(d, job, task, RUN_OUTCOME_UNREADABLE, now_ms);
+}
+
 /* The task's server has crashed. That counts neither as an attempt of the task
  * nor against the health of the server. */
 static void task_lost(struct dispatch *d, struct dispatch_job *job,
@@ -173,6 +187,9 @@
 	case RUN_OUTCOME_LOST:
 		task_lost(d, job, task, result, now_ms);
 		break;
+	case RUN_OUTCOME_UNREADABLE:
+		task_unreadable(d, job, task, now_ms);
+		break;
 	case RUN_OUTCOME_STALE:
 		task->number += NUMBER_STEP_STALE;
 		requeue_task(d, job, task, result->outcome, now_ms);
--- a/src/leased/run_table.c
+++ b/src/leased/run_table.c
@@ -343,7 +343,7 @@
 	if (refusal == RUN_STALE || refusal == RUN_FENCED)
 		run_table_finish_at(table, position, RUN_OUTCOME_STALE, now_ms);
 	else if (refusal == RUN_MALFORMED)
-		run_table_finish_at(table, position, RUN_OUTCOME_FAILED,
+		run_table_finish_at(table, position, RUN_OUTCOME_UNREADABLE,
 				    now_ms);
 	else if (refusal == RUN_UNHEALTHY)
 		run_table_finish_at(table, position, RUN_OUTCOME_REFUSED,
--- a/src/leased/run_table.h
+++ b/src/leased/run_table.h
@@ -40,6 +40,7 @@
 	RUN_OUTCOME_REFUSED, /* not started: the server refuses work */
 	RUN_OUTCOME_STALE, /* not started: superseded by a higher number */
 	RUN_OUTCOME_LOST, /* its server crashed while it may have run */
+	RUN_OUTCOME_UNREADABLE, /* not started: its start was malformed */
 };
 
 /* Why it isn't certain that a run was at work when its server crashed. */
--- a/src/proto/wire.pb-c.c
+++ b/src/proto/wire.pb-c.c
@@ -7817,7 +7817,7 @@
   cfw__task_outcome__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCEnumValue cfw__run_outcome__enum_values_by_number[7] =
+static const ProtobufCEnumValue cfw__run_outcome__enum_values_by_number[8] =
 {
   { "RUN_DONE", "CFW__RUN_OUTCOME__RUN_DONE", 0 },
   { "RUN_FAILED", "CFW__RUN_OUTCOME__RUN_FAILED", 1 },
@@ -7826,11 +7826,12 @@
   { "RUN_REFUSED", "CFW__RUN_OUTCOME__RUN_REFUSED", 4 },
   { "RUN_STALE", "CFW__RUN_OUTCOME__RUN_STALE", 5 },
   { "RUN_LOST", "CFW__RUN_OUTCOME__RUN_LOST", 6 },
+  { "RUN_UNREADABLE", "CFW__RUN_OUTCOME__RUN_UNREADABLE", 7 },
 };
 static const ProtobufCIntRange cfw__run_outcome__value_ranges[] = {
-{0, 0},{0, 7}
+{0, 0},{0, 8}
 };
-static const ProtobufCEnumValueIndex cfw__run_outcome__enum_values_by_name[7] =
+static const ProtobufCEnumValueIndex cfw__run_outcome__enum_values_by_name[8] =
 {
   { "RUN_DONE", 0 },
   { "RUN_FAILED", 1 },
@@ -7839,6 +7840,7 @@
   { "RUN_REFUSED", 4 },
   { "RUN_STALE", 5 },
   { "RUN_STOPPED", 2 },
+  { "RUN_UNREADABLE", 7 },
 };
 const ProtobufCEnumDescriptor cfw__run_outcome__descriptor =
 {
@@ -7847,9 +7849,9 @@
   "RunOutcome",
   "Cfw__RunOutcome",
   "cfw",
-  7,
+  8,
   cfw__run_outcome__enum_values_by_number,
-  7,
+  8,
   cfw__run_outcome__enum_values_by_name,
   1,
   cfw__run_outcome__value_ranges,
--- a/src/proto/wire.pb-c.h
+++ b/src/proto/wire.pb-c.h
@@ -132,7 +132,11 @@
   /*
    * its server crashed while it may have run
    */
-  CFW__RUN_OUTCOME__RUN_LOST = 6
+  CFW__RUN_OUTCOME__RUN_LOST = 6,
+  /*
+   * not started: the server can't read the start
+   */
+  CFW__RUN_OUTCOME__RUN_UNREADABLE = 7
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CFW__RUN_OUTCOME)
 } Cfw__RunOutcome;
 /*
--- a/tests/test_dispatch_losses.c
+++ b/tests/test_dispatch_losses.c
@@ -178,6 +178,7 @@
 	STEP_UNANSWERED, /* lost before its start was answered */
 	STEP_FOREIGN_UNANSWERED,
 	STEP_UNTOLD, /* lost; an older agent tells no doubt */
+	STEP_UNREADABLE, /* the server can't read the start */
 	STEP_RESENT, /* the caller leaves and sends the job again */
 	STEP_MUCH_LATER,
 };
@@ -347,6 +348,7 @@
 		[STEP_UNANSWERED] = RUN_OUTCOME_LOST,
 		[STEP_FOREIGN_UNANSWERED] = RUN_OUTCOME_LOST,
 		[STEP_UNTOLD] = RUN_OUTCOME_LOST,
+		[STEP_UNREADABLE] = RUN_OUTCOME_UNREADABLE,
 	};
 	enum loss_doubt doubt = doubt_of(step->kind);
 	struct recorder before = *r;
@@ -415,6 +417,35 @@
 	check_cases(confirmed_cases, G_N_ELEMENTS(confirmed_cases));
 }
 
+static const struct loss_case unreadable_cases[] = {
+	{ "read by the second server",
+	  { { STEP_UNREADABLE, 0 }, { STEP_DONE, 100 } },
+	  2,
+	  0,
+	  1,
+	  JOB_VERDICT_COMPLETED },
+	{ "one refusal and one attempt",
+	  { { STEP_UNREADABLE, 0 }, { STEP_FAILED, 5 }, { STEP_DONE, 100 } },
+	  3,
+	  0,
+	  1,
+	  JOB_VERDICT_COMPLETED },
+	{ "read by none",
+	  { { STEP_UNREADABLE, 0 }, { STEP_UNREADABLE, 0 } },
+	  2,
+	  0,
+	  1,
+	  JOB_VERDICT_GIVEN_UP },
+};
+
+/* Guards against "failed" for a job of which no run began, and against sending
+ * its starts until the deadline. */
+static void test_unreadable_starts_do_not_fail_a_job(void **state)
+{
+	(void)state;
+	check_cases(unreadable_cases, G_N_ELEMENTS(unreadable_cases));
+}
+
 /* Guards against "failed" for a job whose runs may not have been at work when
  * their servers crashed, and against starting its task for ever. */
 static void test_unconfirmed_losses_do_not_fail_a_job(void **state)
@@ -628,6 +659,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_losses_of_a_task),
 		cmocka_unit_test(test_unconfirmed_losses_do_not_fail_a_job),
+		cmocka_unit_test(test_unreadable_starts_do_not_fail_a_job),
 		cmocka_unit_test(test_retries_avoid_the_servers),
 		cmocka_unit_test(test_losses_outlive_the_job),
 		cmocka_unit_test(test_a_crash_is_not_slowness),
