Server: no call is made while the HTTP client ends

Cause: http_client_destroy() delivers the answers that are still waiting, the server's answer function polls again, and that call is neither sent nor released. It needs an answer that waits at that moment, so it is rare where nothing runs at the server.

Change: answers that come while the client ends change nothing.

--- a/src/leased/server.c
+++ b/src/leased/server.c
@@ -254,6 +254,10 @@
 	int64_t now_ms = loop_now_ms(s->options.loop);
 
 	s->open_calls--;
+	if (http_client_is_ending(s->options.client)) {
+		g_free(call);
+		return;
+	}
 	if (call->kind == CALL_POLL)
 		s->poll_open = false;
 	if (call->kind == CALL_VERIFY)
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -290,6 +290,11 @@
 	g_free(client);
 }
 
+bool http_client_is_ending(const struct http_client *client)
+{
+	return atomic_load(&client->stopping);
+}
+
 void http_client_set_timeouts_max(struct http_client *client, uint32_t calls)
 {
 	client->timeouts_max = MAX(calls, 1);
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -50,7 +50,10 @@
 
 struct http_client *
 http_client_create(struct loop *loop, uint32_t connections_max, GError **error);
+/* Calls the answer functions of all calls, which must make no further ones. */
 void http_client_destroy(struct http_client *client);
+/* True in the answer functions that http_client_destroy() calls. */
+bool http_client_is_ending(const struct http_client *client);
 /* Sets the number of consecutive timeouts after which later calls avoid the
  * existing connections (default 1). Must precede the first call. */
 void http_client_set_timeouts_max(struct http_client *client, uint32_t calls);
--- a/tests/test_server_crash.c
+++ b/tests/test_server_crash.c
@@ -404,6 +404,20 @@
 	assert_true(loop_until(c->loop, has_result, c));
 }
 
+/* Guards against calls that are made while their client ends, which it neither
+ * sends nor releases. */
+static void test_client_ends_beside_a_run(void **state)
+{
+	struct client c;
+
+	(void)state;
+	begin(&c);
+	start(&c, 0);
+	assert_true(loop_until(c.loop, runs, &c));
+	standin_destroy(c.standin);
+	end(&c);
+}
+
 /* Guards against starts on a server that refuses connections, and against runs
  * that wait for the end of a lease though their start was never sent. */
 static void test_refused_starts(void **state)
@@ -516,6 +530,7 @@
 		cmocka_unit_test(test_replacement),
 		cmocka_unit_test(test_runs_lost_with_the_lease),
 		cmocka_unit_test(test_server_process_ends),
+		cmocka_unit_test(test_client_ends_beside_a_run),
 		cmocka_unit_test(test_refused_starts),
 		cmocka_unit_test(test_server_replaced),
 		cmocka_unit_test(test_server_restarts),
