Agent: a connection that hangs counts as a call without an answer too

A loss was confirmed beside calls that could not even connect in time: only calls that timed out after connecting counted as unanswered. Both show that the server may have ended runs without the agent's knowing.

test_evidence: 'not connected, then an answer' expects the time of the call; it was 0 before.

--- a/src/leased/server_crash.c
+++ b/src/leased/server_crash.c
@@ -20,7 +20,7 @@
 	bool connection_failed = answer->refused ||
 				 answer->result == HTTP_BROKEN;
 
-	if (answer->result == HTTP_TIMED_OUT)
+	if (!connection_failed)
 		crash->timed_out_ms = now_ms;
 	if (!crash->failed_ms ||
 	    (connection_failed && !crash->connection_failed))
--- a/tests/test_server_crash.c
+++ b/tests/test_server_crash.c
@@ -40,16 +40,22 @@
 		const struct http_answer *calls[4]; /* at 10, 20, ... ms */
 		enum server_crash_evidence evidence;
 		int64_t failed_ms;
+		int64_t timed_out_ms;
 	} cases[] = {
 		{ { &timed_out, &not_connected, &timed_out },
 		  SERVER_CRASH_NONE,
+		  10,
+		  30 },
+		{ { &not_connected, &ok }, SERVER_CRASH_NONE, 0, 10 },
+		{ { &broken, &broken }, SERVER_CRASH_NONE, 10, 0 },
+		{ { &refused, &refused }, SERVER_CRASH_REFUSED, 10, 0 },
+		{ { &broken, &refused }, SERVER_CRASH_REFUSED, 10, 0 },
+		{ { &timed_out, &broken, &refused },
+		  SERVER_CRASH_REFUSED,
+		  20,
 		  10 },
-		{ { &broken, &broken }, SERVER_CRASH_NONE, 10 },
-		{ { &refused, &refused }, SERVER_CRASH_REFUSED, 10 },
-		{ { &broken, &refused }, SERVER_CRASH_REFUSED, 10 },
-		{ { &timed_out, &broken, &refused }, SERVER_CRASH_REFUSED, 20 },
-		{ { &refused, &ok, &timed_out }, SERVER_CRASH_NONE, 30 },
-		{ { &refused, &ok }, SERVER_CRASH_NONE, 0 },
+		{ { &refused, &ok, &timed_out }, SERVER_CRASH_NONE, 30, 30 },
+		{ { &refused, &ok }, SERVER_CRASH_NONE, 0, 0 },
 	};
 
 	(void)state;
@@ -63,10 +69,12 @@
 				server_crash_call_failed(
 					&crash, cases[i].calls[k], 10 + k * 10);
 		if (server_crash_get(&crash) != cases[i].evidence ||
-		    crash.failed_ms != cases[i].failed_ms)
-			fail_msg("case %zu: evidence %d, failed at %d", i,
-				 server_crash_get(&crash),
-				 (int)crash.failed_ms);
+		    crash.failed_ms != cases[i].failed_ms ||
+		    crash.timed_out_ms != cases[i].timed_out_ms)
+			fail_msg("case %zu: evidence %d, failed at %d, timed "
+				 "out at %d",
+				 i, server_crash_get(&crash),
+				 (int)crash.failed_ms, (int)crash.timed_out_ms);
 	}
 }
 
