Dispatcher: expired losses don't count again

A task that lost a run to a crash more than 60 s ago, under a job that has ended, and loses another one when the job is sent again, is counted as having lost two.

Cause: an expired entry is left out when a job is sent again, but the next loss found the entry that was still there and went on counting from it.

Change: an expired entry is dropped when a loss is to be added.

--- a/src/leased/dispatch_losses.c
+++ b/src/leased/dispatch_losses.c
@@ -71,7 +71,7 @@
 {
 	struct job_losses *known = g_hash_table_lookup(d->losses, job);
 
-	if (!known) {
+	if (!known || known->expires_ms <= now_ms) {
 		forget_expired(d, now_ms);
 		known = g_new0(struct job_losses, 1);
 		g_strlcpy(known->job, job, sizeof(known->job));
@@ -137,11 +137,14 @@
 		find_job_losses(d, name->job, now_ms), name->index);
 	struct dispatch_task *task;
 
-	add_loss(&known->count, lost);
-	if (!job || name->index >= job->spec.n_tasks)
+	if (!job || name->index >= job->spec.n_tasks) {
+		add_loss(&known->count, lost);
 		return;
+	}
+	/* A job that lasts longer than losses are remembered keeps its own. */
 	task = &job->tasks[name->index];
-	task->losses = known->count;
+	add_loss(&task->losses, lost);
+	known->count = task->losses;
 	log_event(LOG_WARN, "task_lost",
 		  "job=%s class=%s index=%u number=%u server=%s losses=%u "
 		  "confirmed=%u suspect=%u age_ms=%u doubt=%s",
