Tests: losses and ends count once, and for their task

- A job that is sent again with fewer or more tasks: losses stay with the task of their number.
- An end that overlapping polls list again counts once for a dispatcher.
A queued run of another dispatcher under the same name ends with it, too: that is one failed run of the task, which each of the two dispatchers counts once.
- A start that the next incarnation of a server answers before the agent knows of it isn't told as lost with the previous one.

--- a/tests/test_dispatch_losses.c
+++ b/tests/test_dispatch_losses.c
@@ -545,6 +545,42 @@
 	}
 }
 
+/* Guards against losses that another task gets, or that are read beyond the
+ * job's tasks, because the job is sent again with fewer or more of them. */
+static void test_losses_stay_with_their_task(void **state)
+{
+	static const uint32_t tasks[] = { 2, 4 };
+	struct recorder r;
+	struct dispatch *d = create_dispatch(&r);
+	struct run_result lost = { .name = { .job = "j", .index = 3 },
+				   .outcome = RUN_OUTCOME_LOST,
+				   .doubt = LOSS_CONFIRMED,
+				   .run_ms = 5 };
+
+	(void)state;
+	dispatch_handle_result(d, 1, &lost, 10);
+	dispatch_handle_result(d, 1, &lost, 20);
+	submit_tasks(d, &r, "j", tasks[0], 30);
+	assert_int_equal(r.starts, tasks[0]);
+	assert_int_equal(r.losses, 0);
+	assert_int_equal(r.answers, 0);
+	dispatch_abandon(d, "j", &r, 40);
+	for (lost.name.index = 0; lost.name.index < tasks[0];
+	     lost.name.index++) {
+		struct run_result stopped = { .name = lost.name,
+					      .outcome = RUN_OUTCOME_STOPPED };
+
+		stopped.name.number = 1;
+		for (uint64_t agent = 1; agent <= AGENTS; agent++)
+			dispatch_handle_result(d, agent, &stopped, 50);
+	}
+	submit_tasks(d, &r, "j", tasks[1], 60);
+	assert_int_equal(r.starts, tasks[0]);
+	assert_int_equal(r.answers, 2);
+	assert_int_equal(r.answer.verdict, JOB_VERDICT_FAILED);
+	dispatch_destroy(d);
+}
+
 /* Sends a job of WIDE_TASKS tasks while the agent's first server is the only
  * one that accepts work. */
 static void send_wide_job(struct dispatch *d, struct recorder *r,
@@ -642,6 +678,7 @@
 		cmocka_unit_test(test_unconfirmed_losses_do_not_fail_a_job),
 		cmocka_unit_test(test_retries_avoid_the_servers),
 		cmocka_unit_test(test_losses_outlive_the_job),
+		cmocka_unit_test(test_losses_stay_with_their_task),
 		cmocka_unit_test(test_a_crash_is_not_slowness),
 		cmocka_unit_test(test_load_with_crashing_jobs),
 	};
--- a/tests/test_run_table.c
+++ b/tests/test_run_table.c
@@ -540,6 +540,50 @@
 	run_table_destroy(table);
 }
 
+/* Guards against one failed run that a dispatcher counts twice: overlapping
+ * polls list its end again. A queued run of another dispatcher under that name
+ * ends with it, as the task has failed once and the server would refuse the
+ * name. */
+static void test_an_end_counts_once_for_a_dispatcher(void **state)
+{
+	struct run_table *table = make_table(4000);
+	struct run_name name = name_of(0, 1), second = name_of(0, 2);
+	struct listed_run_end end = { 1, name, RUN_END_FAILED };
+	struct run_request other = { .name = name,
+				     .dispatcher = DISPATCHER + 1,
+				     .spec = g_bytes_new("x", 1),
+				     .cpu_milli = 1000,
+				     .memory_mb = 1,
+				     .deadline_ms = 10000,
+				     .lease_end_ms = 10000 };
+	struct run_result result;
+
+	(void)state;
+	enqueue(table, 0, 1000, 0, 0);
+	start_next(table, 1);
+	run_table_start_answered(table, &name, RUN_ACCEPTED, 2);
+	run_table_enqueue(table, &other, 3);
+	apply_lists(table, NULL, 0, &end, 1, 4, 5, NULL);
+	assert_result(table, 0, RUN_OUTCOME_FAILED);
+	apply_lists(table, NULL, 0, &end, 1, 4, 6, NULL);
+	assert_true(run_table_pop_result(table, &result));
+	assert_int_equal(result.dispatcher, DISPATCHER + 1);
+	assert_int_equal(result.outcome, RUN_OUTCOME_FAILED);
+	assert_no_result(table);
+	other.name = second;
+	for (uint64_t dispatcher = DISPATCHER; dispatcher < DISPATCHER + 2;
+	     dispatcher++) {
+		other.dispatcher = dispatcher;
+		run_table_enqueue(table, &other, 7);
+	}
+	apply_lists(table, NULL, 0, &end, 1, 4, 8, NULL);
+	assert_no_result(table);
+	assert_true(run_table_has(table, DISPATCHER, &second));
+	assert_true(run_table_has(table, DISPATCHER + 1, &second));
+	g_bytes_unref(other.spec);
+	run_table_destroy(table);
+}
+
 /* While a server drains, queued runs are returned and running ones go on. */
 static void test_drain_returns_queued_runs(void **state)
 {
@@ -691,6 +735,7 @@
 		cmocka_unit_test(test_listed_run_without_a_number),
 		cmocka_unit_test(test_positions_far_ahead),
 		cmocka_unit_test(test_runs_of_two_dispatchers_under_one_name),
+		cmocka_unit_test(test_an_end_counts_once_for_a_dispatcher),
 		cmocka_unit_test(test_drain_returns_queued_runs),
 	};
 
--- a/tests/test_server_crash.c
+++ b/tests/test_server_crash.c
@@ -484,6 +484,23 @@
 	end(&c);
 }
 
+/* Guards against a run told as lost with the previous incarnation though it
+ * began on the next one, which answered its start before the agent knew. */
+static void test_next_incarnation_answers_a_start(void **state)
+{
+	struct client c;
+
+	(void)state;
+	begin(&c);
+	standin_restart(c.standin);
+	start(&c, 0);
+	wait_results(&c, 1);
+	assert_int_equal(standin_runs(c.record), 1);
+	assert_int_equal(c.results[0].outcome, RUN_OUTCOME_STOPPED);
+	standin_destroy(c.standin);
+	end(&c);
+}
+
 static bool is_over(void *arg)
 {
 	return clock_now_ms() >= ((struct client *)arg)->until_ms;
@@ -519,6 +536,7 @@
 		cmocka_unit_test(test_refused_starts),
 		cmocka_unit_test(test_server_replaced),
 		cmocka_unit_test(test_server_restarts),
+		cmocka_unit_test(test_next_incarnation_answers_a_start),
 		cmocka_unit_test(test_refused_polls_are_paced),
 	};
 
