Test: a server that left is told as crashed (fails)

Fails on the present code: "drains=0: outcome 6, doubt none", the same with drains=1. A server whose process has ended, as the refused connection shows, and whose notice that it leaves or drains is read only then, has its runs told as confirmed losses, of which two show the job as failed. The marks that were set at the refusal aren't taken back: server_mark_left() and server_apply_report() would have to do it, as record_contact() does with run_table_server_answered().

--- a/tests/test_server_crash.c
+++ b/tests/test_server_crash.c
@@ -506,6 +506,41 @@
 	return clock_now_ms() >= ((struct client *)arg)->until_ms;
 }
 
+/* Guards against a crash told of a server that has left or drained: its report
+ * comes after its process has ended. */
+static void test_leaving_is_told_after_the_end(void **state)
+{
+	(void)state;
+	for (int drains = 0; drains < 2; drains++) {
+		struct client c;
+		const struct run_result *result = &c.results[0];
+		struct server_report report;
+
+		begin(&c);
+		start(&c, 0);
+		assert_true(loop_until(c.loop, runs, &c));
+		report = *server_last_report(c.server);
+		standin_destroy(c.standin);
+		c.until_ms = clock_now_ms() + 100;
+		assert_true(loop_until(c.loop, is_over, &c));
+		assert_false(accepts(&c));
+		report.draining = true;
+		report.seq++;
+		report.clock_ms++;
+		if (!drains)
+			server_mark_left(c.server);
+		else
+			assert_true(server_apply_report(c.server, &report,
+							clock_now_ms()));
+		wait_results(&c, 1);
+		if (result->outcome != RUN_OUTCOME_STOPPED)
+			fail_msg("drains=%d: outcome %d, doubt %s", drains,
+				 result->outcome,
+				 loss_doubt_name(result->doubt));
+		end(&c);
+	}
+}
+
 /* Guards against polls without a pause at a server that refuses them. */
 static void test_refused_polls_are_paced(void **state)
 {
@@ -537,6 +572,7 @@
 		cmocka_unit_test(test_server_replaced),
 		cmocka_unit_test(test_server_restarts),
 		cmocka_unit_test(test_next_incarnation_answers_a_start),
+		cmocka_unit_test(test_leaving_is_told_after_the_end),
 		cmocka_unit_test(test_refused_polls_are_paced),
 	};
 
