Agent: a notice that comes after the end of a server takes back the crash

Cause: the first refused connection marks the runs as lost in a crash. A report that the server drains or leaves, which was read only then, didn't take that back, though a server that drains or has left is never taken for crashed.

Change: the notice takes the marks back, like an answer of the server does.

--- a/src/leased/run_table.h
+++ b/src/leased/run_table.h
@@ -170,8 +170,8 @@
 void run_table_server_crashed(struct run_table *table,
 			      const struct crash_sign *sign, int64_t now_ms,
 			      GArray *losses);
-/* The server has not crashed after all. */
-void run_table_server_answered(struct run_table *table);
+/* The server answers, or it ended as planned: no run was lost in a crash. */
+void run_table_not_crashed(struct run_table *table);
 /* Ends all runs: the server's lease has expired, so nothing runs there. */
 void run_table_lease_expired(struct run_table *table, int64_t now_ms);
 /* The server process was restarted some time before now. Runs that were
--- a/src/leased/run_table_crash.c
+++ b/src/leased/run_table_crash.c
@@ -106,7 +106,7 @@
 	g_array_sort(losses, compare_ages);
 }
 
-void run_table_server_answered(struct run_table *table)
+void run_table_not_crashed(struct run_table *table)
 {
 	for (guint i = 0; i < table->runs->len; i++)
 		run_table_at(table, i)->lost_ms = 0;
--- a/src/leased/server.c
+++ b/src/leased/server.c
@@ -97,6 +97,7 @@
 		server_lease_answered(&s->lease, report->clock_ms,
 				      clock_now_ms());
 	if (report->draining && !was_draining) {
+		run_table_not_crashed(s->runs);
 		log_event(LOG_INFO, "server_draining", "server=%s seq=%" PRIu64,
 			  report->name, report->seq);
 		run_table_return_queued(s->runs);
@@ -115,6 +116,7 @@
 {
 	s->has_left = true;
 	s->crash.has_left = true;
+	run_table_not_crashed(s->runs);
 	log_event(LOG_INFO, "server_left", "server=%s", s->report.name);
 	run_table_return_queued(s->runs);
 	s->options.changed(s->options.arg, s);
@@ -131,7 +133,7 @@
 	/* The loop's time may be earlier than the answer. */
 	server_lease_answered(&s->lease, clock_ms, clock_now_ms());
 	if (s->crash.refused && !s->crash.replaced_ms)
-		run_table_server_answered(s->runs);
+		run_table_not_crashed(s->runs);
 	server_crash_answered(&s->crash);
 }
 
--- a/tests/test_server_crash.c
+++ b/tests/test_server_crash.c
@@ -244,7 +244,7 @@
 				       &report, table,
 				       c->shown_ms ? c->shown_ms : SHOWN_MS);
 		if (c->answers)
-			run_table_server_answered(table);
+			run_table_not_crashed(table);
 		assert_false(run_table_pop_result(table, &result));
 		run_table_lease_expired(table, 700);
 		assert_true(run_table_pop_result(table, &result));
