--- a/tests/test_server_crash.c
+++ b/tests/test_server_crash.c
@@ -167,7 +167,7 @@
 };
 
 static void list_running(struct run_table *table, const struct run_name *name,
-			 int64_t now_ms)
+			 int64_t sent_ms, int64_t now_ms)
 {
 	struct run_lists lists = {
 		.running = g_array_new(FALSE, TRUE, sizeof(struct run_name)),
@@ -177,7 +177,7 @@
 		unknown_runs = g_array_new(FALSE, FALSE, sizeof(*name));
 
 	g_array_append_val(lists.running, *name);
-	run_table_apply_lists(table, &lists, now_ms, now_ms, unknown_runs);
+	run_table_apply_lists(table, &lists, sent_ms, now_ms, unknown_runs);
 	run_lists_clear(&lists);
 }
 
@@ -202,7 +202,7 @@
 		run_table_start_answered(table, name, RUN_ACCEPTED,
 					 c->accepted_ms);
 	if (c->listed_ms)
-		list_running(table, name, c->listed_ms);
+		list_running(table, name, c->listed_ms, c->listed_ms);
 	if (c->stop_acked || c->ordered_stop) {
 		run_table_stop(table, 0, name);
 		assert_true(run_table_next_stop(table, 30, &stop));
@@ -249,6 +249,34 @@
 	}
 }
 
+/* Guards against "failed" for a run that had ended after the server made the
+ * list that was read last: the list may be as old as its poll. */
+static void test_a_list_that_is_read_late_confirms_no_loss(void **state)
+{
+	const struct run_case late = { .sent_ms = 2, .accepted_ms = 20 };
+	const int64_t polled_ms = 30, read_ms = 165, crashed_ms = 300;
+	struct cf_capacity capacity = { .cpu_milli = 1000, .memory_mb = 10 };
+	struct run_name name = { .job = "j", .number = 1 };
+	struct server_crash crash = { .failed_ms = crashed_ms,
+				      .refused = true };
+	struct server_report report = { .name = "s" };
+	struct run_table *table = run_table_create();
+	struct run_result result;
+
+	(void)state;
+	run_table_set_capacity(table, &capacity);
+	prepare_run(table, &name, &late);
+	list_running(table, &name, polled_ms, read_ms);
+	server_crash_lose_runs(&crash, SERVER_CRASH_REFUSED, &report, table,
+			       crashed_ms);
+	run_table_lease_expired(table, 900);
+	assert_true(run_table_pop_result(table, &result));
+	run_table_destroy(table);
+	assert_int_equal(result.outcome, RUN_OUTCOME_LOST);
+	assert_string_equal(loss_doubt_name(result.doubt),
+			    loss_doubt_name(LOSS_NOT_SEEN));
+}
+
 /* ---- A server on a socket ------------------------------------------- */
 
 struct client {
@@ -515,6 +543,8 @@
 		cmocka_unit_test(test_evidence),
 		cmocka_unit_test(test_replacement),
 		cmocka_unit_test(test_runs_lost_with_the_lease),
+		cmocka_unit_test(
+			test_a_list_that_is_read_late_confirms_no_loss),
 		cmocka_unit_test(test_server_process_ends),
 		cmocka_unit_test(test_refused_starts),
 		cmocka_unit_test(test_server_replaced),
