Agent: a list shows a run when it was asked for, not when it was read

Cause: the time of reading a list or a start's answer was taken for the last time at which the run was at work. A poll may take 140 ms, so a run that ended up to 280 ms before the crash counted as surely at work.

Change: it is the time at which the call was sent, and at most 200 ms may lie between it and the sign of the crash: two long polls of 80 ms and the time in which a refused connection shows the crash.

--- a/src/leased/run_table.c
+++ b/src/leased/run_table.c
@@ -369,7 +369,7 @@
 	}
 	run->state = RUN_RUNNING;
 	run->started_ms = now_ms;
-	run->seen_ms = now_ms;
+	run->seen_ms = run->start_sent_ms;
 	if (run->stop_requested)
 		request_stop(table, run);
 }
--- a/src/leased/run_table_crash.c
+++ b/src/leased/run_table_crash.c
@@ -5,9 +5,10 @@
 
 /* ---- Constants ------------------------------------------------------ */
 
-/* While a server answers, it lists each run in intervals shorter than this, and
- * a refused connection shows its crash soon after. */
-#define SEEN_MAX_MS 140
+/* A run was seen when the call was sent whose answer shows it. While a server
+ * answers, that is at most two long polls and the time in which a refused
+ * connection shows the crash. */
+#define SEEN_MAX_MS 200
 
 /* ---- Certainty ------------------------------------------------------ */
 
--- a/src/leased/run_table_internal.h
+++ b/src/leased/run_table_internal.h
@@ -23,7 +23,7 @@
 	int64_t queued_ms;
 	int64_t start_sent_ms;
 	int64_t started_ms; /* start acknowledged or run first listed; 0: not */
-	int64_t seen_ms; /* the same, of the last time; 0: never */
+	int64_t seen_ms; /* at work then or later; 0: never */
 	bool listed; /* as running, by the server's present incarnation */
 	int64_t lost_ms; /* when its server crashed; 0: it hasn't */
 	enum loss_doubt loss_doubt; /* of that crash */
--- a/src/leased/run_table_lists.c
+++ b/src/leased/run_table_lists.c
@@ -133,7 +133,7 @@
 		}
 		run->polls_missing = 0;
 		run->listed = true;
-		run->seen_ms = now_ms;
+		run->seen_ms = MAX(run->seen_ms, sent_ms);
 		run->lost_ms = 0;
 		if (!run->started_ms && run->state != RUN_QUEUED)
 			run->started_ms = now_ms;
