--- a/src/leased/dispatch_internal.h
+++ b/src/leased/dispatch_internal.h
@@ -94,9 +94,11 @@
 	DISPATCH_TASK_DONE,
 };
 
-/* A task under which this many servers have crashed is given up, with its job.
- * Its job has failed if all of these losses are confirmed. */
+/* A task under which this many servers may have crashed is given up, with its
+ * job. */
 #define TASK_LOSSES_MAX 3
+/* Confirmed losses among them with which the job has failed. */
+#define TASK_CONFIRMED_LOSSES_MIN 2
 /* The same for confirmed crashes within LOSS_SUSPECT_MS of the start of its
  * run. A task that was just started is the likelier cause of a crash than one
  * that had run for long, which may only have run beside the cause. */
--- a/src/leased/dispatch_losses.c
+++ b/src/leased/dispatch_losses.c
@@ -156,12 +156,14 @@
 }
 
 /* Returns why the task isn't started again, or NULL. Only losses that are
- * confirmed show that its job can't be done. */
+ * confirmed show that its job can't be done. One of the last three may be in
+ * doubt: two crashes are enough to end a task that may have caused a third. */
 static const char *find_limit(const struct dispatch_task *task,
 			      enum job_verdict *verdict)
 {
 	*verdict = JOB_VERDICT_FAILED;
-	if (task->losses.confirmed >= TASK_LOSSES_MAX)
+	if (task->losses.all >= TASK_LOSSES_MAX &&
+	    task->losses.confirmed >= TASK_CONFIRMED_LOSSES_MIN)
 		return "as many servers crashed under a task as may";
 	if (task->losses.suspect >= TASK_SUSPECT_LOSSES_MAX)
 		return "servers crashed when a task was started there";
