Dispatcher: losses are remembered while a job is sent again

Cause: only a loss renewed the minute for which a dispatcher remembers.

Change: each new try of the job renews it.

Test: the row "lost three times, before the answer, and sent again and again" of test_losses_outlive_the_job fails without it (4 starts).

--- a/src/leased/dispatch_losses.c
+++ b/src/leased/dispatch_losses.c
@@ -13,7 +13,7 @@
 
 /* ---- Constants ------------------------------------------------------ */
 
-/* A job that is sent again after this time starts without losses. */
+/* A job that isn't sent again for this time starts without losses then. */
 #define REMEMBERED_MS 60000
 /* Beyond these, the losses of the job that expires next are forgotten. */
 #define REMEMBERED_JOBS_MAX 2000
@@ -103,17 +103,17 @@
 void losses_restore(struct dispatch *d, struct dispatch_job *job,
 		    int64_t now_ms)
 {
-	const struct job_losses *known =
-		g_hash_table_lookup(d->losses, job->id);
+	struct job_losses *known = g_hash_table_lookup(d->losses, job->id);
 
-	for (guint i = 0; known && i < known->tasks->len; i++) {
+	if (!known || known->expires_ms <= now_ms)
+		return;
+	known->expires_ms = now_ms + REMEMBERED_MS;
+	for (guint i = 0; i < known->tasks->len; i++) {
 		const struct task_losses *from =
 			&g_array_index(known->tasks, struct task_losses, i);
 
-		if (known->expires_ms <= now_ms ||
-		    from->index >= job->spec.n_tasks)
-			continue;
-		job->tasks[from->index].losses = from->count;
+		if (from->index < job->spec.n_tasks)
+			job->tasks[from->index].losses = from->count;
 	}
 }
 
--- a/tests/test_dispatch_losses.c
+++ b/tests/test_dispatch_losses.c
@@ -180,6 +180,7 @@
 	STEP_UNTOLD, /* lost; an older agent tells no doubt */
 	STEP_UNREADABLE, /* the server can't read the start */
 	STEP_RESENT, /* the caller leaves and sends the job again */
+	STEP_LATER,
 	STEP_MUCH_LATER,
 };
 
@@ -371,8 +372,8 @@
 		before.last.number = 0;
 		g_strlcpy(before.last.job, "j", sizeof(before.last.job));
 	}
-	if (step->kind == STEP_MUCH_LATER) {
-		*now_ms += 60000;
+	if (step->kind == STEP_LATER || step->kind == STEP_MUCH_LATER) {
+		*now_ms += step->kind == STEP_LATER ? 40000 : 60000;
 		return;
 	}
 	if (step->kind == STEP_RESENT) {
@@ -517,6 +518,18 @@
 	  3,
 	  2,
 	  JOB_VERDICT_GIVEN_UP },
+	{ "lost three times, before the answer, and sent again and again",
+	  { { 0 } },
+	  { { STEP_UNANSWERED, 5 },
+	    { STEP_UNANSWERED, 5 },
+	    { STEP_UNANSWERED, 5 },
+	    { STEP_LATER, 0 },
+	    { STEP_RESENT, 0 },
+	    { STEP_LATER, 0 },
+	    { STEP_RESENT, 0 } },
+	  3,
+	  3,
+	  JOB_VERDICT_GIVEN_UP },
 	{ "lost twice under another dispatcher, before the answer",
 	  { { STEP_FOREIGN_UNANSWERED, 5 }, { STEP_FOREIGN_UNANSWERED, 5 } },
 	  { { STEP_DONE, 100 } },
