Coordinator: the last line tells why it exits with status 1

Cause: status 1 stands for a failed disk, a failed rejoin, and a removal of a member with a fixed id. The reason is logged before the stop only (`ends_for_its_disk`), and one line for each link follows it.

The disk is full from 12.588 to 16.836 s. `disk_failed why="write ...: No space left on device"` at 12.608, 14.253 and 15.934 s, each followed about 1.0 s later by `ends_for_its_disk` and `stopped`; no `member_starts_over`, no `rejoin_failed`, no `start_failed`, and the member id is 3 at all four starts.

Change: the coordinator keeps the reason in place of a flag, and `stopped` is logged as an error with `status=1 why="the disk fails"` when nobody stopped it. The line of a planned stop and the exit codes are unchanged, as is when it ends.

Why this works: `stopped` is the last line of the process, and the reason and the status come from one variable, so no end with status 1 after a start can be without its reason.

--- a/src/coordinator/coordinator.c
+++ b/src/coordinator/coordinator.c
@@ -16,6 +16,7 @@
 
 #define TICK_MS 50
 #define DISK_RETRY_MS 1000
+#define DISK_FAILS "the disk fails"
 #define EXPIRE_INTERVAL_MS 1000
 #define FLUSH_TIMEOUT_MS 500
 #define STOPPED 1 /* queue item that signals completion; any non-zero value */
@@ -37,7 +38,7 @@
 	const char *why = NULL;
 
 	if (!group_healthy(c->group))
-		why = "the disk fails";
+		why = DISK_FAILS;
 	else if (!group_leader(c->group))
 		why = coordinator_waits_to_join(c)
 			      ? "it waits to be added to the group"
@@ -55,14 +56,14 @@
  * this member would be missing when the next one fails. So it exits. */
 static void check_disk(struct coordinator *c, int64_t now_ms)
 {
-	if (group_healthy(c->group) || !c->target_voters || c->exit_failed ||
+	if (group_healthy(c->group) || !c->target_voters || c->exit_why ||
 	    c->rejoining)
 		return;
 	if (!c->disk_failed_ms)
 		c->disk_failed_ms = now_ms;
 	if (now_ms - c->disk_failed_ms < DISK_RETRY_MS)
 		return;
-	c->exit_failed = true;
+	c->exit_why = DISK_FAILS;
 	log_event(LOG_ERROR, "ends_for_its_disk", "failed_ms=%" G_GINT64_FORMAT,
 		  now_ms - c->disk_failed_ms);
 	role_request_stop();
@@ -379,7 +380,7 @@
 {
 	GError *error = NULL;
 	struct coordinator *c = coordinator_start(settings, &error);
-	int status = EXIT_SUCCESS;
+	const char *exit_why;
 
 	if (!c)
 		return role_start_failed(error);
@@ -387,9 +388,13 @@
 		  c->port, admin_port(c->admin));
 	role_wait_for_stop();
 	log_event(LOG_INFO, "stopping", NULL);
-	if (c->exit_removed || c->exit_failed)
-		status = EXIT_FAILURE;
+	exit_why = c->exit_why;
 	coordinator_stop(c);
-	log_event(LOG_INFO, "stopped", NULL);
-	return status;
+	if (!exit_why) {
+		log_event(LOG_INFO, "stopped", NULL);
+		return EXIT_SUCCESS;
+	}
+	log_event(LOG_ERROR, "stopped", "status=%d why=\"%s\"", EXIT_FAILURE,
+		  exit_why);
+	return EXIT_FAILURE;
 }
--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -141,7 +141,8 @@
 	 * empty data folder. */
 	bool exit_removed;
 	int64_t disk_failed_ms; /* 0: the disk works */
-	bool exit_failed; /* exits with status 1, to be restarted */
+	/* It exits with status 1 for this reason, to be restarted; or NULL. */
+	const char *exit_why;
 	int64_t next_join_ms;
 	GHashTable *unreachable; /* member id -> int64_t *, since (ms) */
 
--- a/src/coordinator/coordinator_joiners.c
+++ b/src/coordinator/coordinator_joiners.c
@@ -266,6 +266,7 @@
 	if (c->exit_removed)
 		return;
 	c->exit_removed = true;
+	c->exit_why = "it was removed, and its id is fixed";
 	log_event(LOG_WARN, "member_starts_over", "id=%u", c->id);
 	role_request_stop();
 }
--- a/src/coordinator/coordinator_rejoin.c
+++ b/src/coordinator/coordinator_rejoin.c
@@ -78,7 +78,7 @@
 	admin_set_ready(c->admin, false, c->why_not_ready);
 	coordinator_fail_reads(c, c->why_not_ready);
 	g_clear_pointer(&c->group, group_destroy);
-	c->exit_failed = true;
+	c->exit_why = c->why_not_ready;
 	role_request_stop();
 }
 
--- a/tests/fault_leased.c
+++ b/tests/fault_leased.c
@@ -13,6 +13,7 @@
 #include "platform/standin.h"
 
 #include <glib.h>
+#include <glib/gstdio.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stdio.h>
@@ -30,6 +31,7 @@
 #define FAULT_INTERVAL_US 700000
 #define RUN_MS 60
 #define LONG_RUN_MS 2500 /* longer than RESEND_US */
+#define LOG_BYTES_MAX 4096
 
 /* ---- Callers ---- */
 
@@ -288,6 +290,34 @@
 	leased_system_finish(s);
 }
 
+/* Guards against a process that exits with status 1 after a last line that
+ * doesn't tell why. */
+static void test_last_line_tells_the_full_disk(void **state)
+{
+	struct leased_system *s = leased_system_begin_group(1);
+	struct proc *full = cluster_proc(s->cluster, "c3");
+	g_autofree char *log = NULL;
+	int status = -1;
+
+	(void)state;
+	/* Only errors are logged, so that the limit leaves room for them. */
+	assert_int_equal(proc_stop(full), 0);
+	assert_int_equal(g_remove(full->log), 0);
+	proc_set(full, "--log-level", "error");
+	proc_start(s->cluster, full);
+	cluster_wait_ready(s->cluster, "c3", SYSTEM_WAIT_MS);
+	proc_limit_file_size(full, LOG_BYTES_MAX);
+	for (uint32_t version = 2; status < 0 && version < 200; version++) {
+		leased_system_set_routes(s, version);
+		status = proc_wait(full, 100);
+	}
+	assert_int_equal(status, 1);
+	assert_true(g_file_get_contents(full->log, &log, NULL, NULL));
+	assert_true(g_str_has_suffix(
+		log, "event=stopped status=1 why=\"the disk fails\"\n"));
+	leased_system_finish(s);
+}
+
 /* A dispatcher that has no routes yet must log the job id of each request that
  * it refuses. */
 static void test_a_refusal_names_its_request(void **state)
@@ -335,6 +365,8 @@
 					  cluster_teardown),
 		cmocka_unit_test_teardown(test_empty_disk, cluster_teardown),
 		cmocka_unit_test_teardown(test_full_disk, cluster_teardown),
+		cmocka_unit_test_teardown(test_last_line_tells_the_full_disk,
+					  cluster_teardown),
 		cmocka_unit_test_teardown(test_a_refusal_names_its_request,
 					  cluster_teardown),
 	};
