--- a/src/leased/agent_reports.c
+++ b/src/leased/agent_reports.c
@@ -160,6 +160,9 @@
 
 /* ---- Reports -------------------------------------------------------- */
 
+G_STATIC_ASSERT((int)LOSS_CONFIRMED == (int)CFW__LOSS_DOUBT__LOSS_CONFIRMED);
+G_STATIC_ASSERT((int)LOSS_NOT_LISTED == (int)CFW__LOSS_DOUBT__LOSS_NOT_LISTED);
+
 static Cfw__RunEnd *fill_ends(const struct peer *p, Cfw__RunReport *report)
 {
 	Cfw__RunEnd *ends = g_new(Cfw__RunEnd, p->results->len);
--- a/src/leased/dispatch.h
+++ b/src/leased/dispatch.h
@@ -26,7 +26,8 @@
 
 enum job_verdict {
 	JOB_VERDICT_COMPLETED,
-	/* A task used up its attempts, or servers surely crashed under it. */
+	/* A task used up its attempts, or servers are known to have
+	 * crashed under it. */
 	JOB_VERDICT_FAILED,
 	JOB_VERDICT_REFUSED, /* none of its tasks has run or will run */
 	JOB_VERDICT_GIVEN_UP, /* tasks may have run; no more will start */
--- a/src/leased/run_table.c
+++ b/src/leased/run_table.c
@@ -336,6 +336,9 @@
 	if (retry && !run->stop_requested) {
 		run->state = RUN_QUEUED;
 		run->may_have_started = false;
+		run->started_ms = 0;
+		run->seen_ms = 0;
+		run->listed = false;
 		run->lost_ms = 0;
 		table->next_start_ms = now_ms + NO_CAPACITY_PAUSE_MS;
 		return;
--- a/src/leased/run_table.h
+++ b/src/leased/run_table.h
@@ -45,12 +45,12 @@
 
 /* Why it isn't certain that a run was at work when its server crashed. */
 enum loss_doubt {
-	LOSS_UNTOLD, /* an older agent doesn't say */
+	LOSS_UNTOLD, /* the agent doesn't report it */
 	LOSS_CONFIRMED, /* it was */
 	LOSS_START_UNANSWERED, /* it may not have begun */
 	LOSS_STOP_SENT, /* it may have been stopped before */
-	LOSS_NOT_SEEN, /* not in the last moments: it may have ended */
-	LOSS_CALLS_UNANSWERED, /* the same: the server ignored calls */
+	LOSS_NOT_SEEN, /* last shown too long before: it may have ended */
+	LOSS_CALLS_UNANSWERED, /* the server ignored calls: it may have ended */
 	LOSS_NOT_LISTED, /* the next incarnation may have begun it */
 };
 
--- a/src/leased/server_crash.c
+++ b/src/leased/server_crash.c
@@ -84,8 +84,7 @@
 	return g_string_free(text, FALSE);
 }
 
-/* Returns how many of them are confirmed. */
-static uint32_t count_losses(const GArray *losses)
+static void count_losses(const GArray *losses, uint32_t *n_confirmed)
 {
 	uint32_t n_of[LOSS_DOUBTS] = { 0 };
 
@@ -99,7 +98,7 @@
 					"runs lost with their backend server"),
 			    n_of[doubt]);
 	}
-	return n_of[LOSS_CONFIRMED];
+	*n_confirmed = n_of[LOSS_CONFIRMED];
 }
 
 static void report_losses(enum server_crash_evidence evidence,
@@ -112,17 +111,19 @@
 		[SERVER_CRASH_REPLACED] = "replaced",
 	};
 	g_autofree char *youngest = format_youngest(losses);
+	uint32_t n_confirmed;
 	g_autofree char *label =
 		g_strdup_printf("evidence=\"%s\"", names[evidence]);
 
 	counter_add(counter_get("servers_lost_total", label,
 				"backend servers that crashed with runs"),
 		    1);
+	count_losses(losses, &n_confirmed);
 	log_event(LOG_WARN, "server_lost",
 		  "server=%s evidence=%s runs=%u confirmed=%u ago_ms=%" PRId64
 		  " youngest=\"%s\"",
-		  server, names[evidence], losses->len, count_losses(losses),
-		  ago_ms, youngest);
+		  server, names[evidence], losses->len, n_confirmed, ago_ms,
+		  youngest);
 }
 
 /* What replaced a server answers in its place, which is no sign of life. */
--- a/src/proto/wire.pb-c.h
+++ b/src/proto/wire.pb-c.h
@@ -144,7 +144,7 @@
  */
 typedef enum _Cfw__LossDoubt {
   /*
-   * by an older agent
+   * not reported, by an older agent
    */
   CFW__LOSS_DOUBT__LOSS_UNTOLD = 0,
   /*
@@ -160,11 +160,11 @@
    */
   CFW__LOSS_DOUBT__LOSS_STOP_SENT = 3,
   /*
-   * not lately: it may have ended before
+   * last shown long before: it may have ended
    */
   CFW__LOSS_DOUBT__LOSS_NOT_SEEN = 4,
   /*
-   * the same: the server ignored calls
+   * calls were ignored: it may have ended
    */
   CFW__LOSS_DOUBT__LOSS_CALLS_UNANSWERED = 5,
   /*
