Test: unconfirmed losses are evidence against a class (fails)

Fails on the present code: "not seen in the last moments: 1 losses told". Losses that aren't confirmed count as evidence for containment like confirmed ones, so that a class can be contained for crashes under runs that never began.

--- a/tests/test_server_crash.c
+++ b/tests/test_server_crash.c
@@ -249,6 +249,40 @@
 	}
 }
 
+/* Guards against a class that is contained, and whose jobs are refused, for
+ * crashes under runs that may not have begun or had ended. */
+static void test_unconfirmed_losses_are_no_evidence(void **state)
+{
+	struct cf_capacity capacity = { .cpu_milli = 9, .memory_mb = 9 };
+	struct run_name name = { .job = "a1", .number = 1 };
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(run_cases); i++) {
+		const struct run_case *c = &run_cases[i];
+		struct run_table *table = run_table_create();
+		struct server_crash crash = { .failed_ms = CRASHED_MS,
+					      .timed_out_ms = c->timed_out_ms,
+					      .has_left = c->has_left,
+					      .refused = !c->no_evidence };
+		struct server_report report = { .draining = c->draining };
+		g_autoptr(GArray) lost = NULL;
+
+		run_table_set_capacity(table, &capacity);
+		prepare_run(table, &name, c);
+		server_crash_lose_runs(&crash,
+				       c->restarted ? SERVER_CRASH_RESTARTED
+						    : server_crash_get(&crash),
+				       &report, table,
+				       c->shown_ms ? c->shown_ms : SHOWN_MS);
+		lost = run_table_take_lost(table);
+		if (lost->len && c->doubt != LOSS_CONFIRMED && !c->answers)
+			fail_msg("%s: %u losses told", c->name, lost->len);
+		if (!lost->len && c->doubt == LOSS_CONFIRMED)
+			fail_msg("%s: no loss told", c->name);
+		run_table_destroy(table);
+	}
+}
+
 /* ---- A server on a socket ------------------------------------------- */
 
 struct client {
@@ -567,6 +601,7 @@
 		cmocka_unit_test(test_evidence),
 		cmocka_unit_test(test_replacement),
 		cmocka_unit_test(test_runs_lost_with_the_lease),
+		cmocka_unit_test(test_unconfirmed_losses_are_no_evidence),
 		cmocka_unit_test(test_server_process_ends),
 		cmocka_unit_test(test_refused_starts),
 		cmocka_unit_test(test_server_replaced),
