--- a/src/leased/run_table.h
+++ b/src/leased/run_table.h
@@ -40,6 +40,7 @@
 	RUN_OUTCOME_REFUSED, /* not started: the server refuses work */
 	RUN_OUTCOME_STALE, /* not started: superseded by a higher number */
 	RUN_OUTCOME_LOST, /* its server crashed while it may have run */
+	RUN_OUTCOME_UNREADABLE, /* not started: its start was malformed */
 };
 
 /* Why it isn't certain that a run was at work when its server crashed. */
@@ -169,8 +170,8 @@
 void run_table_server_crashed(struct run_table *table,
 			      const struct crash_sign *sign, int64_t now_ms,
 			      GArray *losses);
-/* The server has not crashed after all. */
-void run_table_server_answered(struct run_table *table);
+/* The server answers, or it ended as planned: no run was lost in a crash. */
+void run_table_not_crashed(struct run_table *table);
 /* Ends all runs: the server's lease has expired, so nothing runs there. */
 void run_table_lease_expired(struct run_table *table, int64_t now_ms);
 /* The server process was restarted some time before now. Runs that were
--- a/tests/test_server_crash.c
+++ b/tests/test_server_crash.c
@@ -40,16 +40,22 @@
 		const struct http_answer *calls[4]; /* at 10, 20, ... ms */
 		enum server_crash_evidence evidence;
 		int64_t failed_ms;
+		int64_t timed_out_ms;
 	} cases[] = {
 		{ { &timed_out, &not_connected, &timed_out },
 		  SERVER_CRASH_NONE,
+		  10,
+		  30 },
+		{ { &not_connected, &ok }, SERVER_CRASH_NONE, 0, 10 },
+		{ { &broken, &broken }, SERVER_CRASH_NONE, 10, 0 },
+		{ { &refused, &refused }, SERVER_CRASH_REFUSED, 10, 0 },
+		{ { &broken, &refused }, SERVER_CRASH_REFUSED, 10, 0 },
+		{ { &timed_out, &broken, &refused },
+		  SERVER_CRASH_REFUSED,
+		  20,
 		  10 },
-		{ { &broken, &broken }, SERVER_CRASH_NONE, 10 },
-		{ { &refused, &refused }, SERVER_CRASH_REFUSED, 10 },
-		{ { &broken, &refused }, SERVER_CRASH_REFUSED, 10 },
-		{ { &timed_out, &broken, &refused }, SERVER_CRASH_REFUSED, 20 },
-		{ { &refused, &ok, &timed_out }, SERVER_CRASH_NONE, 30 },
-		{ { &refused, &ok }, SERVER_CRASH_NONE, 0 },
+		{ { &refused, &ok, &timed_out }, SERVER_CRASH_NONE, 30, 30 },
+		{ { &refused, &ok }, SERVER_CRASH_NONE, 0, 0 },
 	};
 
 	(void)state;
@@ -63,10 +69,12 @@
 				server_crash_call_failed(
 					&crash, cases[i].calls[k], 10 + k * 10);
 		if (server_crash_get(&crash) != cases[i].evidence ||
-		    crash.failed_ms != cases[i].failed_ms)
-			fail_msg("case %zu: evidence %d, failed at %d", i,
-				 server_crash_get(&crash),
-				 (int)crash.failed_ms);
+		    crash.failed_ms != cases[i].failed_ms ||
+		    crash.timed_out_ms != cases[i].timed_out_ms)
+			fail_msg("case %zu: evidence %d, failed at %d, timed "
+				 "out at %d",
+				 i, server_crash_get(&crash),
+				 (int)crash.failed_ms, (int)crash.timed_out_ms);
 	}
 }
 
@@ -167,7 +175,7 @@
 };
 
 static void list_running(struct run_table *table, const struct run_name *name,
-			 int64_t now_ms)
+			 int64_t sent_ms, int64_t now_ms)
 {
 	struct run_lists lists = {
 		.running = g_array_new(FALSE, TRUE, sizeof(struct run_name)),
@@ -177,7 +185,7 @@
 		unknown_runs = g_array_new(FALSE, FALSE, sizeof(*name));
 
 	g_array_append_val(lists.running, *name);
-	run_table_apply_lists(table, &lists, now_ms, now_ms, unknown_runs);
+	run_table_apply_lists(table, &lists, sent_ms, now_ms, unknown_runs);
 	run_lists_clear(&lists);
 }
 
@@ -202,7 +210,7 @@
 		run_table_start_answered(table, name, RUN_ACCEPTED,
 					 c->accepted_ms);
 	if (c->listed_ms)
-		list_running(table, name, c->listed_ms);
+		list_running(table, name, c->listed_ms, c->listed_ms);
 	if (c->stop_acked || c->ordered_stop) {
 		run_table_stop(table, 0, name);
 		assert_true(run_table_next_stop(table, 30, &stop));
@@ -236,7 +244,7 @@
 				       &report, table,
 				       c->shown_ms ? c->shown_ms : SHOWN_MS);
 		if (c->answers)
-			run_table_server_answered(table);
+			run_table_not_crashed(table);
 		assert_false(run_table_pop_result(table, &result));
 		run_table_lease_expired(table, 700);
 		assert_true(run_table_pop_result(table, &result));
@@ -283,6 +291,34 @@
 	}
 }
 
+/* Guards against "failed" for a run that had ended after the server made the
+ * list that was read last: the list may be as old as its poll. */
+static void test_a_list_that_is_read_late_confirms_no_loss(void **state)
+{
+	const struct run_case late = { .sent_ms = 2, .accepted_ms = 20 };
+	const int64_t polled_ms = 30, read_ms = 165, crashed_ms = 300;
+	struct cf_capacity capacity = { .cpu_milli = 1000, .memory_mb = 10 };
+	struct run_name name = { .job = "j", .number = 1 };
+	struct server_crash crash = { .failed_ms = crashed_ms,
+				      .refused = true };
+	struct server_report report = { .name = "s" };
+	struct run_table *table = run_table_create();
+	struct run_result result;
+
+	(void)state;
+	run_table_set_capacity(table, &capacity);
+	prepare_run(table, &name, &late);
+	list_running(table, &name, polled_ms, read_ms);
+	server_crash_lose_runs(&crash, SERVER_CRASH_REFUSED, &report, table,
+			       crashed_ms);
+	run_table_lease_expired(table, 900);
+	assert_true(run_table_pop_result(table, &result));
+	run_table_destroy(table);
+	assert_int_equal(result.outcome, RUN_OUTCOME_LOST);
+	assert_string_equal(loss_doubt_name(result.doubt),
+			    loss_doubt_name(LOSS_NOT_SEEN));
+}
+
 /* ---- A server on a socket ------------------------------------------- */
 
 struct client {
@@ -438,6 +474,20 @@
 	assert_true(loop_until(c->loop, has_result, c));
 }
 
+/* Guards against calls that are made while their client ends, which it neither
+ * sends nor releases. */
+static void test_client_ends_beside_a_run(void **state)
+{
+	struct client c;
+
+	(void)state;
+	begin(&c);
+	start(&c, 0);
+	assert_true(loop_until(c.loop, runs, &c));
+	standin_destroy(c.standin);
+	end(&c);
+}
+
 /* Guards against starts on a server that refuses connections, and against runs
  * that wait for the end of a lease though their start was never sent. */
 static void test_refused_starts(void **state)
@@ -602,7 +652,10 @@
 		cmocka_unit_test(test_replacement),
 		cmocka_unit_test(test_runs_lost_with_the_lease),
 		cmocka_unit_test(test_unconfirmed_losses_are_no_evidence),
+		cmocka_unit_test(
+			test_a_list_that_is_read_late_confirms_no_loss),
 		cmocka_unit_test(test_server_process_ends),
+		cmocka_unit_test(test_client_ends_beside_a_run),
 		cmocka_unit_test(test_refused_starts),
 		cmocka_unit_test(test_server_replaced),
 		cmocka_unit_test(test_server_restarts),
