--- a/tests/test_server_crash.c
+++ b/tests/test_server_crash.c
@@ -257,6 +257,40 @@
 	}
 }
 
+/* Guards against a class that is contained, and whose jobs are refused, for
+ * crashes under runs that may not have begun or had ended. */
+static void test_unconfirmed_losses_are_no_evidence(void **state)
+{
+	struct cf_capacity capacity = { .cpu_milli = 9, .memory_mb = 9 };
+	struct run_name name = { .job = "a1", .number = 1 };
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(run_cases); i++) {
+		const struct run_case *c = &run_cases[i];
+		struct run_table *table = run_table_create();
+		struct server_crash crash = { .failed_ms = CRASHED_MS,
+					      .timed_out_ms = c->timed_out_ms,
+					      .has_left = c->has_left,
+					      .refused = !c->no_evidence };
+		struct server_report report = { .draining = c->draining };
+		g_autoptr(GArray) lost = NULL;
+
+		run_table_set_capacity(table, &capacity);
+		prepare_run(table, &name, c);
+		server_crash_lose_runs(&crash,
+				       c->restarted ? SERVER_CRASH_RESTARTED
+						    : server_crash_get(&crash),
+				       &report, table,
+				       c->shown_ms ? c->shown_ms : SHOWN_MS);
+		lost = run_table_take_lost(table);
+		if (lost->len && c->doubt != LOSS_CONFIRMED && !c->answers)
+			fail_msg("%s: %u losses told", c->name, lost->len);
+		if (!lost->len && c->doubt == LOSS_CONFIRMED)
+			fail_msg("%s: no loss told", c->name);
+		run_table_destroy(table);
+	}
+}
+
 /* Guards against "failed" for a run that had ended after the server made the
  * list that was read last: the list may be as old as its poll. */
 static void test_a_list_that_is_read_late_confirms_no_loss(void **state)
@@ -617,6 +651,7 @@
 		cmocka_unit_test(test_evidence),
 		cmocka_unit_test(test_replacement),
 		cmocka_unit_test(test_runs_lost_with_the_lease),
+		cmocka_unit_test(test_unconfirmed_losses_are_no_evidence),
 		cmocka_unit_test(
 			test_a_list_that_is_read_late_confirms_no_loss),
 		cmocka_unit_test(test_server_process_ends),
