--- a/src/leased/dispatch_internal.h
+++ b/src/leased/dispatch_internal.h
@@ -345,7 +345,7 @@
 
 /* ---- Containment (dispatch_contain.c) ------------------------------- */
 
-#define CONTAINED_REFUSAL "its class crashes servers and none for it is up"
+#define CONTAINED_REFUSAL "its class may crash servers and none for it is up"
 
 /* Whether the task may run on few servers only. */
 bool contain_task(const struct dispatch_job *job,
