--- a/tests/support/leased_standin.c
+++ b/tests/support/leased_standin.c
@@ -61,6 +61,8 @@
 	bool use_renewed_lease;
 	uint32_t held_kinds; /* mask of 1 << enum standin_call */
 	GQueue held; /* struct held_call */
+	GQueue muted; /* struct http_request, carried out but not answered */
+	bool halted;
 };
 
 /* ---- Runs ---- */
@@ -284,19 +286,47 @@
 					   : lists;
 }
 
+/* The agent has the answer to a poll when it sends the next one. */
+static void note_poll_followed(struct standin *s)
+{
+	g_mutex_lock(&s->record->lock);
+	for (guint i = 0; i < s->runs->len; i++) {
+		struct standin_run *run = g_ptr_array_index(s->runs, i);
+
+		run->interval->poll_followed |= run->interval->listed;
+	}
+	g_mutex_unlock(&s->record->lock);
+}
+
+static void note_listed(struct standin *s)
+{
+	g_mutex_lock(&s->record->lock);
+	for (guint i = 0; i < s->runs->len; i++) {
+		struct standin_run *run = g_ptr_array_index(s->runs, i);
+
+		run->interval->listed = true;
+	}
+	g_mutex_unlock(&s->record->lock);
+}
+
 /* Long poll: waits for an end that the caller has not seen. */
 static char *poll_runs(struct standin *s, const struct standin_request *order)
 {
 	int64_t until_ms = clock_now_ms() + order->wait_ms;
 
+	if (g_atomic_int_get(&s->record->answers_polls_at_once))
+		until_ms = 0;
 	renew(s, order, clock_now_ms());
 	drop_seen_ends(s, order->last_seen);
+	note_poll_followed(s);
 	for (;;) {
 		int64_t now_ms = clock_now_ms();
 
 		advance(s, now_ms);
-		if (now_ms >= until_ms || s->ends->len)
+		if (now_ms >= until_ms || s->ends->len || s->halted) {
+			note_listed(s);
 			return write_lists(s, now_ms);
+		}
 		g_mutex_unlock(&s->lock);
 		g_usleep(WAIT_STEP_US);
 		g_mutex_lock(&s->lock);
@@ -311,6 +341,8 @@
 {
 	int64_t now_ms = clock_now_ms();
 
+	if (s->halted)
+		return STANDIN_UNHEALTHY;
 	advance(s, now_ms);
 	if (order->fence < s->fence)
 		return STANDIN_FENCED;
@@ -343,38 +375,50 @@
 	}
 }
 
-static void execute(struct standin *s, struct standin_request *order,
-		    struct http_request *request)
+static bool has_kind(const gint *kinds, enum standin_call call)
 {
-	g_autofree char *answer = NULL;
-	enum standin_refusal refusal;
-
-	g_mutex_lock(&s->lock);
-	refusal = carry_out(s, order, &answer);
-	if (!answer)
-		answer = standin_write_answer(clock_now_ms() - s->clock_zero_ms,
-					      refusal);
-	g_mutex_unlock(&s->lock);
-	http_reply(request, status_of(refusal), "application/json", answer,
-		   strlen(answer), NULL);
+	return ((uint32_t)g_atomic_int_get(kinds) & (1U << call)) != 0;
 }
 
+/* Called with the lock held. */
 static bool hold(struct standin *s, const struct standin_request *order,
 		 struct http_request *request)
 {
 	struct held_call *call;
-	bool held;
+
+	if (s->halted || (!(s->held_kinds & (1U << order->call)) &&
+			  !has_kind(&s->record->held_kinds, order->call)))
+		return false;
+	call = g_new0(struct held_call, 1);
+	call->order = *order;
+	call->request = request;
+	g_queue_push_tail(&s->held, call);
+	return true;
+}
+
+static void execute(struct standin *s, struct standin_request *order,
+		    struct http_request *request, bool may_hold)
+{
+	g_autofree char *answer = NULL;
+	enum standin_refusal refusal;
+	bool muted;
 
 	g_mutex_lock(&s->lock);
-	held = (s->held_kinds & (1U << order->call)) != 0;
-	if (held) {
-		call = g_new0(struct held_call, 1);
-		call->order = *order;
-		call->request = request;
-		g_queue_push_tail(&s->held, call);
+	if (may_hold && hold(s, order, request)) {
+		g_mutex_unlock(&s->lock);
+		return;
 	}
+	refusal = carry_out(s, order, &answer);
+	muted = !s->halted && has_kind(&s->record->muted_kinds, order->call);
+	if (muted)
+		g_queue_push_tail(&s->muted, request);
+	if (!answer)
+		answer = standin_write_answer(clock_now_ms() - s->clock_zero_ms,
+					      refusal);
 	g_mutex_unlock(&s->lock);
-	return held;
+	if (!muted)
+		http_reply(request, status_of(refusal), "application/json",
+			   answer, strlen(answer), NULL);
 }
 
 static void handle(void *arg, struct http_request *request)
@@ -385,8 +429,11 @@
 	const void *data = http_body(request, &size);
 
 	standin_read_request(http_path(request), data, size, &order);
-	if (!hold(s, &order, request))
-		execute(s, &order, request);
+	g_mutex_lock(&s->lock);
+	if (order.call == STANDIN_START && !s->halted)
+		standin_note_start(s->record, s->name, &order);
+	g_mutex_unlock(&s->lock);
+	execute(s, &order, request, true);
 }
 
 char *standin_report(struct standin *s)
@@ -463,9 +510,54 @@
 
 	standin_hold(s, 0);
 	while ((call = pop_held(s))) {
-		execute(s, &call->order, call->request);
+		execute(s, &call->order, call->request, false);
+		g_free(call);
+	}
+}
+
+uint32_t standin_unanswered(struct standin *s)
+{
+	uint32_t n;
+
+	g_mutex_lock(&s->lock);
+	n = g_queue_get_length(&s->held) + g_queue_get_length(&s->muted);
+	g_mutex_unlock(&s->lock);
+	return n;
+}
+
+void standin_end_runs(struct standin *s)
+{
+	int64_t now_ms = clock_now_ms();
+
+	g_mutex_lock(&s->lock);
+	while (s->runs->len)
+		end_run(s, g_ptr_array_index(s->runs, 0), true, now_ms);
+	g_mutex_unlock(&s->lock);
+}
+
+/* The request must be ended, but the server no longer exists for its caller. */
+static void drop_request(gpointer request)
+{
+	http_reply(request, STATUS_UNAVAILABLE, "application/json", "", 0,
+		   NULL);
+}
+
+void standin_halt(struct standin *s)
+{
+	struct held_call *call;
+
+	g_mutex_lock(&s->lock);
+	s->halted = true;
+	advance(s, clock_now_ms());
+	while (s->runs->len)
+		end_run(s, g_ptr_array_index(s->runs, 0), false,
+			clock_now_ms());
+	g_mutex_unlock(&s->lock);
+	while ((call = pop_held(s))) {
+		drop_request(call->request);
 		g_free(call);
 	}
+	g_queue_clear_full(&s->muted, drop_request);
 }
 
 void standin_use_renewed_lease(struct standin *s)
@@ -492,6 +584,7 @@
 	s->advanced_ms = clock_now_ms();
 	s->clock_zero_ms = s->advanced_ms - CLOCK_START_MS;
 	g_queue_init(&s->held);
+	g_queue_init(&s->muted);
 	g_mutex_init(&s->lock);
 	s->runs = g_ptr_array_new_with_free_func(g_free);
 	s->ends = g_array_new(FALSE, TRUE, sizeof(struct standin_end));
@@ -514,6 +607,7 @@
 		return;
 	g_atomic_int_set(&s->stopping, 1);
 	standin_release(s);
+	g_queue_clear_full(&s->muted, drop_request);
 	http_server_destroy(s->server);
 	g_thread_join(s->reporter);
 	while (s->runs->len)
--- a/tests/support/leased_standin.h
+++ b/tests/support/leased_standin.h
@@ -32,6 +32,16 @@
 /* Polls are refused; and how many polls there were. */
 void standin_refuse_polls(struct standin_record *record);
 uint32_t standin_polls(const struct standin_record *record);
+/* Calls of the kinds in the mask (1 << enum standin_call) are held at all
+ * stand-ins, also at those that are created later; or carried out, but not
+ * answered. */
+void standin_hold_all(struct standin_record *record, uint32_t kinds);
+void standin_mute_all(struct standin_record *record, uint32_t kinds);
+/* Polls don't wait for a run to end. */
+void standin_answer_polls_at_once(struct standin_record *record);
+/* Number of runs whose start call came to a stand-in, whatever became of it. A
+ * repeated call counts once, one that came after the crash doesn't count. */
+uint32_t standin_starts(struct standin_record *record);
 /* The stand-in where this task of the job runs now, or NULL. */
 const struct standin *standin_running(struct standin_record *record,
 				      const char *job, uint32_t index);
@@ -76,6 +86,17 @@
 /* A start is late if the stand-in's lease has expired, whatever the lease end
  * in the start itself. */
 void standin_use_renewed_lease(struct standin *standin);
+/* The same if the agent must know of it: the start was answered, and another
+ * poll followed one that listed the run. */
+const struct standin *standin_known_running(struct standin_record *record,
+					    const char *job, uint32_t index);
+/* Held calls and those without an answer. */
+uint32_t standin_unanswered(struct standin *standin);
+/* All runs succeed now. */
+void standin_end_runs(struct standin *standin);
+/* Ends all runs and drops the calls that have no answer. From now on, calls
+ * have no effect. */
+void standin_halt(struct standin *standin);
 /* Also simulates a crash: connections are refused from then on. NULL is
  * allowed. */
 void standin_destroy(struct standin *standin);
--- a/tests/support/leased_standin_record.c
+++ b/tests/support/leased_standin_record.c
@@ -4,6 +4,7 @@
  */
 #include "support/leased_standin_internal.h"
 
+#include <inttypes.h>
 #include <stddef.h>
 #include <string.h>
 
@@ -15,12 +16,15 @@
 
 	g_mutex_init(&record->lock);
 	record->intervals = g_ptr_array_new_with_free_func(g_free);
+	record->starts =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	return record;
 }
 
 void standin_record_destroy(struct standin_record *record)
 {
 	g_ptr_array_unref(record->intervals);
+	g_hash_table_destroy(record->starts);
 	g_mutex_clear(&record->lock);
 	g_free(record);
 }
@@ -78,6 +82,41 @@
 	g_mutex_unlock(&record->lock);
 }
 
+void standin_hold_all(struct standin_record *record, uint32_t kinds)
+{
+	g_atomic_int_set(&record->held_kinds, (gint)kinds);
+}
+
+void standin_mute_all(struct standin_record *record, uint32_t kinds)
+{
+	g_atomic_int_set(&record->muted_kinds, (gint)kinds);
+}
+
+void standin_answer_polls_at_once(struct standin_record *record)
+{
+	g_atomic_int_set(&record->answers_polls_at_once, 1);
+}
+
+void standin_note_start(struct standin_record *record, const char *server,
+			const struct standin_request *order)
+{
+	g_mutex_lock(&record->lock);
+	g_hash_table_add(record->starts,
+			 g_strdup_printf("%s %s %" PRId64, server, order->task,
+					 order->number));
+	g_mutex_unlock(&record->lock);
+}
+
+uint32_t standin_starts(struct standin_record *record)
+{
+	uint32_t n;
+
+	g_mutex_lock(&record->lock);
+	n = g_hash_table_size(record->starts);
+	g_mutex_unlock(&record->lock);
+	return n;
+}
+
 void standin_refuse_polls(struct standin_record *record)
 {
 	record->refuses_polls = true;
@@ -134,8 +173,9 @@
 	return n;
 }
 
-const struct standin *standin_running(struct standin_record *record,
-				      const char *job, uint32_t index)
+static const struct standin *find_running(struct standin_record *record,
+					  const char *job, uint32_t index,
+					  bool known)
 {
 	g_autofree char *end = g_strdup_printf(".%u", index);
 	const struct standin *server = NULL;
@@ -145,7 +185,8 @@
 		const struct interval *run =
 			g_ptr_array_index(record->intervals, i);
 
-		if (!run->end_ms && g_str_has_prefix(run->task, job) &&
+		if (!run->end_ms && (run->poll_followed || !known) &&
+		    g_str_has_prefix(run->task, job) &&
 		    g_str_has_suffix(run->task, end))
 			server = run->server;
 	}
@@ -153,6 +194,18 @@
 	return server;
 }
 
+const struct standin *standin_running(struct standin_record *record,
+				      const char *job, uint32_t index)
+{
+	return find_running(record, job, index, false);
+}
+
+const struct standin *standin_known_running(struct standin_record *record,
+					    const char *job, uint32_t index)
+{
+	return find_running(record, job, index, true);
+}
+
 /* ---- Labels ---- */
 
 void standin_set_slowdown(struct standin_record *record, const char *label,
--- a/tests/support/leased_system.c
+++ b/tests/support/leased_system.c
@@ -151,12 +151,13 @@
 
 /* ---- Calls ---- */
 
-static uint32_t send_call(const char *address, const char *method,
-			  const char *path, const char *body, char **answer,
-			  int64_t timeout_ms)
+static uint32_t send_with_deadline(const char *address, const char *method,
+				   const char *path, const char *body,
+				   char **answer, int64_t deadline_ms,
+				   int64_t timeout_ms)
 {
 	g_autofree char *url = g_strdup_printf("http://%s%s", address, path);
-	g_autofree char *deadline = standin_deadline_header(SYSTEM_DEADLINE_MS);
+	g_autofree char *deadline = standin_deadline_header(deadline_ms);
 	const char *headers[] = { "Host: " HOST, deadline, NULL };
 	struct http_call http = { .method = method,
 				  .url = url,
@@ -177,6 +178,14 @@
 	return response.result == HTTP_OK ? response.status : SYSTEM_NO_ANSWER;
 }
 
+static uint32_t send_call(const char *address, const char *method,
+			  const char *path, const char *body, char **answer,
+			  int64_t timeout_ms)
+{
+	return send_with_deadline(address, method, path, body, answer,
+				  SYSTEM_DEADLINE_MS, timeout_ms);
+}
+
 uint32_t leased_system_call(struct leased_system *s, int coordinator,
 			    const char *interface, const char *method,
 			    const char *path, const char *body, char **answer)
@@ -332,19 +341,46 @@
 
 /* ---- Single submissions and startup ---- */
 
+static uint32_t submit(struct leased_system *s, int dispatcher, const char *id,
+		       uint32_t tasks, uint32_t run_ms, int64_t deadline_ms,
+		       char **answer)
+{
+	g_autofree char *body =
+		standin_write_job(tasks, TASK_CPU_MILLI, run_ms);
+	g_autofree char *path = g_strdup_printf(PREFIX "%s", id);
+	char name[16];
+
+	snprintf(name, sizeof(name), "d%d",
+		 dispatcher % SYSTEM_DISPATCHERS + 1);
+	return send_with_deadline(cluster_address(s->cluster, name, "http"),
+				  "POST", path, body, answer, deadline_ms,
+				  deadline_ms + CALL_SLACK_MS);
+}
+
 uint32_t leased_system_submit(struct leased_system *s, int dispatcher,
 			      const char *id, uint32_t run_ms, char **answer)
 {
-	g_autofree char *body =
-		standin_write_job(SYSTEM_TASKS, TASK_CPU_MILLI, run_ms);
+	return submit(s, dispatcher, id, SYSTEM_TASKS, run_ms,
+		      SYSTEM_DEADLINE_MS, answer);
+}
+
+uint32_t leased_system_submit_one(struct leased_system *s, int dispatcher,
+				  const char *id, uint32_t run_ms,
+				  int64_t deadline_ms, char **answer)
+{
+	return submit(s, dispatcher, id, 1, run_ms, deadline_ms, answer);
+}
+
+uint32_t leased_system_cancel(struct leased_system *s, int dispatcher,
+			      const char *id)
+{
 	g_autofree char *path = g_strdup_printf(PREFIX "%s", id);
 	char name[16];
 
 	snprintf(name, sizeof(name), "d%d",
 		 dispatcher % SYSTEM_DISPATCHERS + 1);
-	return send_call(cluster_address(s->cluster, name, "http"), "POST",
-			 path, body, answer,
-			 SYSTEM_DEADLINE_MS + CALL_SLACK_MS);
+	return send_call(cluster_address(s->cluster, name, "http"), "DELETE",
+			 path, NULL, NULL, CONTROL_WAIT_MS);
 }
 
 void leased_system_set_named_routes(struct leased_system *s, uint32_t version,
@@ -385,12 +421,23 @@
 	snprintf(address, 40, "%s:%d", s->cluster->ip, base + i);
 }
 
+static void add_server_relay(struct leased_system *s, int i)
+{
+	char address[40], target[40];
+
+	address_at(s, SERVER_RELAY_BASE, i, address);
+	address_at(s, SERVER_BASE, i, target);
+	s->server_relays[i] = relay_create(address, target);
+}
+
 void leased_system_start_server(struct leased_system *s, int i)
 {
 	char agent[16], name[40], address[40], advertised[40];
 
 	snprintf(agent, sizeof(agent), "a%d", i + 1);
 	snprintf(name, sizeof(name), "i-%d-%d", i + 1, ++s->lives[i]);
+	if (s->agent_relays[i] && !s->server_relays[i])
+		add_server_relay(s, i);
 	address_at(s, SERVER_BASE, i, address);
 	address_at(s, s->server_relays[i] ? SERVER_RELAY_BASE : SERVER_BASE, i,
 		   advertised);
@@ -405,11 +452,19 @@
 	s->standins[i] = NULL;
 }
 
+void leased_system_crash_unanswered(struct leased_system *s, int i)
+{
+	relay_destroy(s->server_relays[i]);
+	s->server_relays[i] = NULL;
+	standin_halt(s->standins[i]);
+	leased_system_crash_server(s, i);
+}
+
 /* Adds the relay between the dispatchers and an agent, and the one between the
  * agent and its backend server. */
 static void add_relays(struct leased_system *s, int i)
 {
-	char name[16], address[40], target[40];
+	char name[16], address[40];
 	struct proc *agent;
 
 	snprintf(name, sizeof(name), "a%d", i + 1);
@@ -418,9 +473,7 @@
 	s->agent_relays[i] = relay_create(
 		address, cluster_address(s->cluster, name, "listen"));
 	proc_add(agent, "--advertise", address);
-	address_at(s, SERVER_RELAY_BASE, i, address);
-	address_at(s, SERVER_BASE, i, target);
-	s->server_relays[i] = relay_create(address, target);
+	add_server_relay(s, i);
 }
 
 /* A relay that no dispatcher uses would disturb nothing. */
--- a/tests/support/leased_system.h
+++ b/tests/support/leased_system.h
@@ -48,6 +48,9 @@
 
 /* Crashes a stand-in, and starts it again under another name. */
 void leased_system_crash_server(struct leased_system *s, int i);
+/* Crashes a stand-in and its relay: calls in progress get no answer, and
+ * connections are refused. Only with relays. */
+void leased_system_crash_unanswered(struct leased_system *s, int i);
 void leased_system_start_server(struct leased_system *s, int i);
 
 #define SYSTEM_NO_ANSWER 0
@@ -58,6 +61,13 @@
  * all cases. */
 uint32_t leased_system_submit(struct leased_system *s, int dispatcher,
 			      const char *id, uint32_t run_ms, char **answer);
+/* The same with one task and another deadline. */
+uint32_t leased_system_submit_one(struct leased_system *s, int dispatcher,
+				  const char *id, uint32_t run_ms,
+				  int64_t deadline_ms, char **answer);
+/* Returns the HTTP status of the answer to the cancel. */
+uint32_t leased_system_cancel(struct leased_system *s, int dispatcher,
+			      const char *id);
 /* Sets one route for each name (ends with NULL). */
 void leased_system_set_named_routes(struct leased_system *s, uint32_t version,
 				    const char *const *names);
--- a/tests/support/relay.c
+++ b/tests/support/relay.c
@@ -82,12 +82,12 @@
 static void accept_pair(struct relay *r)
 {
 	struct pair *p = &r->pairs[r->n_pairs];
-	int fd = accept(r->listener, NULL, NULL);
+	int fd = accept4(r->listener, NULL, NULL, SOCK_CLOEXEC);
 
 	if (fd < 0)
 		return;
 	p->caller = fd;
-	p->target = socket(AF_INET, SOCK_STREAM, 0);
+	p->target = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 	p->blackhole = 0;
 	p->first_bytes_size = 0;
 	if (r->n_pairs == PAIRS_MAX ||
@@ -237,7 +237,7 @@
 	int on = 1;
 
 	r->target = read_address(target);
-	r->listener = socket(AF_INET, SOCK_STREAM, 0);
+	r->listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 	setsockopt(r->listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
 	if (bind(r->listener, (struct sockaddr *)&own, sizeof(own)) ||
 	    listen(r->listener, 64))
