--- a/tests/test_server_crash.c
+++ b/tests/test_server_crash.c
@@ -19,6 +19,7 @@
 #include <cmocka.h>
 
 #define CRASHED_MS 50
+#define SHOWN_MS 60
 
 /* ---- Evidence ------------------------------------------------------- */
 
@@ -39,16 +40,22 @@
 		const struct http_answer *calls[4]; /* at 10, 20, ... ms */
 		enum server_crash_evidence evidence;
 		int64_t failed_ms;
+		int64_t timed_out_ms;
 	} cases[] = {
 		{ { &timed_out, &not_connected, &timed_out },
 		  SERVER_CRASH_NONE,
+		  10,
+		  30 },
+		{ { &not_connected, &ok }, SERVER_CRASH_NONE, 0, 10 },
+		{ { &broken, &broken }, SERVER_CRASH_NONE, 10, 0 },
+		{ { &refused, &refused }, SERVER_CRASH_REFUSED, 10, 0 },
+		{ { &broken, &refused }, SERVER_CRASH_REFUSED, 10, 0 },
+		{ { &timed_out, &broken, &refused },
+		  SERVER_CRASH_REFUSED,
+		  20,
 		  10 },
-		{ { &broken, &broken }, SERVER_CRASH_NONE, 10 },
-		{ { &refused, &refused }, SERVER_CRASH_REFUSED, 10 },
-		{ { &broken, &refused }, SERVER_CRASH_REFUSED, 10 },
-		{ { &timed_out, &broken, &refused }, SERVER_CRASH_REFUSED, 20 },
-		{ { &refused, &ok, &timed_out }, SERVER_CRASH_NONE, 30 },
-		{ { &refused, &ok }, SERVER_CRASH_NONE, 0 },
+		{ { &refused, &ok, &timed_out }, SERVER_CRASH_NONE, 30, 30 },
+		{ { &refused, &ok }, SERVER_CRASH_NONE, 0, 0 },
 	};
 
 	(void)state;
@@ -62,10 +69,12 @@
 				server_crash_call_failed(
 					&crash, cases[i].calls[k], 10 + k * 10);
 		if (server_crash_get(&crash) != cases[i].evidence ||
-		    crash.failed_ms != cases[i].failed_ms)
-			fail_msg("case %zu: evidence %d, failed at %d", i,
-				 server_crash_get(&crash),
-				 (int)crash.failed_ms);
+		    crash.failed_ms != cases[i].failed_ms ||
+		    crash.timed_out_ms != cases[i].timed_out_ms)
+			fail_msg("case %zu: evidence %d, failed at %d, timed "
+				 "out at %d",
+				 i, server_crash_get(&crash),
+				 (int)crash.failed_ms, (int)crash.timed_out_ms);
 	}
 }
 
@@ -112,20 +121,42 @@
 	bool ordered_stop; /* without an answer */
 	bool draining, has_left, no_evidence;
 	bool answers; /* after the refused connection */
+	int64_t listed_ms; /* as running; 0: never */
+	int64_t timed_out_ms; /* a call of before; 0: none */
+	bool restarted; /* the evidence: a new incarnation reports */
+	int64_t shown_ms; /* when the crash showed; 0: SHOWN_MS */
 	enum run_outcome outcome;
 	uint32_t run_ms;
+	enum loss_doubt doubt;
 };
 
 static const struct run_case run_cases[] = {
 	{ "running", .sent_ms = 2, .accepted_ms = 20,
-	  .outcome = RUN_OUTCOME_LOST, .run_ms = CRASHED_MS - 20 },
+	  .outcome = RUN_OUTCOME_LOST, .run_ms = CRASHED_MS - 20,
+	  .doubt = LOSS_CONFIRMED },
+	{ "running, and listed", .sent_ms = 2, .accepted_ms = 20,
+	  .listed_ms = 40, .shown_ms = 180, .outcome = RUN_OUTCOME_LOST,
+	  .run_ms = CRASHED_MS - 20, .doubt = LOSS_CONFIRMED },
+	{ "not seen in the last moments", .sent_ms = 2, .accepted_ms = 20,
+	  .listed_ms = 40, .shown_ms = 181, .outcome = RUN_OUTCOME_LOST,
+	  .run_ms = CRASHED_MS - 20, .doubt = LOSS_NOT_SEEN },
+	{ "calls were not answered lately", .sent_ms = 2, .accepted_ms = 20,
+	  .timed_out_ms = 5, .outcome = RUN_OUTCOME_LOST,
+	  .run_ms = CRASHED_MS - 20, .doubt = LOSS_CALLS_UNANSWERED },
+	{ "the next incarnation may have answered its start", .sent_ms = 2,
+	  .accepted_ms = 20, .restarted = true, .outcome = RUN_OUTCOME_LOST,
+	  .run_ms = CRASHED_MS - 20, .doubt = LOSS_NOT_LISTED },
+	{ "listed before the next incarnation came", .sent_ms = 2,
+	  .accepted_ms = 20, .listed_ms = 40, .restarted = true,
+	  .outcome = RUN_OUTCOME_LOST, .run_ms = CRASHED_MS - 20,
+	  .doubt = LOSS_CONFIRMED },
 	{ "no answer to its start", .sent_ms = 2, .outcome = RUN_OUTCOME_LOST,
-	  .run_ms = CRASHED_MS - 2 },
+	  .run_ms = CRASHED_MS - 2, .doubt = LOSS_START_UNANSWERED },
 	{ "its start call is open", .start_open = true, .sent_ms = 2,
 	  .outcome = RUN_OUTCOME_STOPPED },
 	{ "ordered to stop, which the server did not hear", .sent_ms = 2,
 	  .accepted_ms = 20, .ordered_stop = true, .outcome = RUN_OUTCOME_LOST,
-	  .run_ms = CRASHED_MS - 20 },
+	  .run_ms = CRASHED_MS - 20, .doubt = LOSS_STOP_SENT },
 	{ "stopped before", .sent_ms = 2, .accepted_ms = 20, .stop_acked = true,
 	  .outcome = RUN_OUTCOME_STOPPED, .run_ms = 700 - 20 },
 	{ "sent after the crash", .sent_ms = CRASHED_MS + 1,
@@ -143,6 +174,21 @@
 	  .run_ms = 700 - 20 },
 };
 
+static void list_running(struct run_table *table, const struct run_name *name,
+			 int64_t now_ms)
+{
+	struct run_lists lists = {
+		.running = g_array_new(FALSE, TRUE, sizeof(struct run_name)),
+		.ended = g_array_new(FALSE, TRUE, sizeof(struct listed_run_end))
+	};
+	g_autoptr(GArray)
+		unknown_runs = g_array_new(FALSE, FALSE, sizeof(*name));
+
+	g_array_append_val(lists.running, *name);
+	run_table_apply_lists(table, &lists, now_ms, now_ms, unknown_runs);
+	run_lists_clear(&lists);
+}
+
 static void prepare_run(struct run_table *table, const struct run_name *name,
 			const struct run_case *c)
 {
@@ -163,6 +209,8 @@
 	if (c->accepted_ms)
 		run_table_start_answered(table, name, RUN_ACCEPTED,
 					 c->accepted_ms);
+	if (c->listed_ms)
+		list_running(table, name, c->listed_ms);
 	if (c->stop_acked || c->ordered_stop) {
 		run_table_stop(table, 0, name);
 		assert_true(run_table_next_stop(table, 30, &stop));
@@ -182,6 +230,7 @@
 		const struct run_case *c = &run_cases[i];
 		struct run_table *table = run_table_create();
 		struct server_crash crash = { .failed_ms = CRASHED_MS,
+					      .timed_out_ms = c->timed_out_ms,
 					      .has_left = c->has_left,
 					      .refused = !c->no_evidence };
 		struct server_report report = { .draining = c->draining };
@@ -189,16 +238,21 @@
 
 		run_table_set_capacity(table, &capacity);
 		prepare_run(table, &name, c);
-		server_crash_lose_runs(&crash, server_crash_get(&crash),
-				       &report, table, 690);
+		server_crash_lose_runs(&crash,
+				       c->restarted ? SERVER_CRASH_RESTARTED
+						    : server_crash_get(&crash),
+				       &report, table,
+				       c->shown_ms ? c->shown_ms : SHOWN_MS);
 		if (c->answers)
 			run_table_server_answered(table);
 		assert_false(run_table_pop_result(table, &result));
 		run_table_lease_expired(table, 700);
 		assert_true(run_table_pop_result(table, &result));
-		if (result.outcome != c->outcome || result.run_ms != c->run_ms)
-			fail_msg("%s: outcome %d after %u ms", c->name,
-				 result.outcome, result.run_ms);
+		if (result.outcome != c->outcome ||
+		    result.run_ms != c->run_ms || result.doubt != c->doubt)
+			fail_msg("%s: outcome %d after %u ms, doubt %s",
+				 c->name, result.outcome, result.run_ms,
+				 loss_doubt_name(result.doubt));
 		run_table_destroy(table);
 	}
 }
@@ -358,6 +412,20 @@
 	assert_true(loop_until(c->loop, has_result, c));
 }
 
+/* Guards against calls that are made while their client ends, which it neither
+ * sends nor releases. */
+static void test_client_ends_beside_a_run(void **state)
+{
+	struct client c;
+
+	(void)state;
+	begin(&c);
+	start(&c, 0);
+	assert_true(loop_until(c.loop, runs, &c));
+	standin_destroy(c.standin);
+	end(&c);
+}
+
 /* Guards against starts on a server that refuses connections, and against runs
  * that wait for the end of a lease though their start was never sent. */
 static void test_refused_starts(void **state)
@@ -470,6 +538,7 @@
 		cmocka_unit_test(test_replacement),
 		cmocka_unit_test(test_runs_lost_with_the_lease),
 		cmocka_unit_test(test_server_process_ends),
+		cmocka_unit_test(test_client_ends_beside_a_run),
 		cmocka_unit_test(test_refused_starts),
 		cmocka_unit_test(test_server_replaced),
 		cmocka_unit_test(test_server_restarts),
