--- a/tests/fault_crash_losses.c
+++ b/tests/fault_crash_losses.c
@@ -65,7 +65,7 @@
 	uint32_t crashes, crashes_max;
 	int64_t crashed_ms[SYSTEM_AGENTS];
 	/* Of the runs that end before the crash. */
-	bool cancels;
+	bool cancels, crashes_at_once;
 	enum hidden_end ends[SYSTEM_AGENTS];
 	int64_t unanswered[SYSTEM_AGENTS]; /* the agent's count */
 };
@@ -233,20 +233,22 @@
 		c->ends[i] = END_HIDDEN;
 	}
 	return c->ends[i] == END_HIDDEN && !has_known_run(c, i) &&
-	       (c->cancels || count_unanswered(s, i) > c->unanswered[i]);
+	       (c->cancels || c->crashes_at_once ||
+		count_unanswered(s, i) > c->unanswered[i]);
 }
 
 struct ended_case {
 	const char *name;
 	bool cancels;
 	uint32_t crashes;
+	bool crashes_at_once; /* before a call has timed out */
 };
 
 /* The stopped runs are lost within 100 ms of their starts, of which two end a
  * job; the others are older. */
 static const struct ended_case ended_cases[] = {
-	{ "stopped", true, 2 },
-	{ "succeeded", false, 3 },
+	{ "stopped", true, 2, false },
+	{ "succeeded", false, 3, false },
 };
 
 /* Sends the job again after each 504 or cancel, until all crashes have happened
@@ -280,7 +282,8 @@
 	struct crasher crasher = { .system = s,
 				   .is_due = has_hidden_end,
 				   .crashes_max = k->crashes,
-				   .cancels = k->cancels };
+				   .cancels = k->cancels,
+				   .crashes_at_once = k->crashes_at_once };
 	struct caller caller;
 
 	standin_answer_polls_at_once(s->record);
@@ -306,6 +309,17 @@
 
 /* ---- Bound on starts ---- */
 
+/* Guards against the same where the end is hidden for some milliseconds only.
+ */
+static void test_an_end_just_before_the_crash_does_not_fail_a_job(void **state)
+{
+	static const struct ended_case k = { "succeeded, crash at once", false,
+					     2, true };
+
+	(void)state;
+	check_ended_runs(&k);
+}
+
 struct bound_case {
 	const char *name;
 	uint32_t held, muted; /* masks of calls */
@@ -416,6 +430,9 @@
 			cluster_teardown),
 		cmocka_unit_test_teardown(test_ended_runs_do_not_fail_a_job,
 					  cluster_teardown),
+		cmocka_unit_test_teardown(
+			test_an_end_just_before_the_crash_does_not_fail_a_job,
+			cluster_teardown),
 		cmocka_unit_test_teardown(
 			test_a_task_that_crashes_servers_before_answering_is_bounded,
 			cluster_teardown),
