Test relay: the end of a blackholed connection isn't passed on

Cause: the relay closed both sockets of a blackholed pair when one side closed, though its comment says that the end isn't forwarded.

Change: the other socket stays open, silent, until its own end.

--- a/tests/support/relay.c
+++ b/tests/support/relay.c
@@ -33,7 +33,7 @@
 /* ---- Types ---- */
 
 struct pair {
-	int caller, target; /* sockets, blocking writes */
+	int caller, target; /* sockets, blocking writes; -1: closed */
 	int blackhole; /* enum relay_direction, permanent */
 	char first_bytes[FIRST_BYTES_MAX];
 	size_t first_bytes_size;
@@ -159,6 +159,17 @@
 	return direction;
 }
 
+/* Returns false if the other socket of the pair is closed too. */
+static bool close_socket(struct pair *p, int fd)
+{
+	if (p->caller == fd)
+		p->caller = -1;
+	else
+		p->target = -1;
+	close(fd);
+	return p->caller >= 0 || p->target >= 0;
+}
+
 /* Returns false if the pair must be closed. */
 static bool forward_data(struct relay *r, struct pair *p, int from, int to,
 			 int direction)
@@ -167,14 +178,14 @@
 	int blackhole = p->blackhole | g_atomic_int_get(&r->blackhole_all);
 	ssize_t n = recv(from, buffer, sizeof(buffer), MSG_DONTWAIT);
 
-	if (n < 0)
-		return errno == EAGAIN || errno == EINTR;
+	if (n < 0 && (errno == EAGAIN || errno == EINTR))
+		return true;
 	if (direction == RELAY_TO_TARGET)
 		record_first_bytes(p, buffer, n);
 	blackhole |= caller_blackhole(r, p);
 	/* The end of a blackholed connection is not forwarded either. */
 	if (blackhole & direction)
-		return n > 0;
+		return n > 0 || close_socket(p, from);
 	if (n > 0 && g_atomic_int_get(&r->delay_ms))
 		g_usleep((gulong)g_atomic_int_get(&r->delay_ms) * US_PER_MS);
 	return n > 0 && write_all(to, buffer, n);
