Test: the set-up of lost runs stands once

Two tests of test_server_crash prepared a run, a crash and a report with the same 14 lines. They share lose_run(); no check changed.

--- a/tests/test_server_crash.c
+++ b/tests/test_server_crash.c
@@ -219,30 +219,37 @@
 		run_table_stop_acked(table, name, 31);
 }
 
-/* Guards against a crash told as a stop, and a stop told as a crash. */
-static void test_runs_lost_with_the_lease(void **state)
+/* Returns a table whose only run was there when its server crashed. */
+static struct run_table *lose_run(const struct run_case *c)
 {
 	struct cf_capacity capacity = { .cpu_milli = 9, .memory_mb = 9 };
 	struct run_name name = { .job = "a1", .number = 1 };
+	struct run_table *table = run_table_create();
+	struct server_crash crash = { .failed_ms = CRASHED_MS,
+				      .timed_out_ms = c->timed_out_ms,
+				      .has_left = c->has_left,
+				      .refused = !c->no_evidence };
+	struct server_report report = { .draining = c->draining };
+
+	run_table_set_capacity(table, &capacity);
+	prepare_run(table, &name, c);
+	server_crash_lose_runs(&crash,
+			       c->restarted ? SERVER_CRASH_RESTARTED
+					    : server_crash_get(&crash),
+			       &report, table,
+			       c->shown_ms ? c->shown_ms : SHOWN_MS);
+	return table;
+}
 
+/* Guards against a crash told as a stop, and a stop told as a crash. */
+static void test_runs_lost_with_the_lease(void **state)
+{
 	(void)state;
 	for (size_t i = 0; i < G_N_ELEMENTS(run_cases); i++) {
 		const struct run_case *c = &run_cases[i];
-		struct run_table *table = run_table_create();
-		struct server_crash crash = { .failed_ms = CRASHED_MS,
-					      .timed_out_ms = c->timed_out_ms,
-					      .has_left = c->has_left,
-					      .refused = !c->no_evidence };
-		struct server_report report = { .draining = c->draining };
+		struct run_table *table = lose_run(c);
 		struct run_result result;
 
-		run_table_set_capacity(table, &capacity);
-		prepare_run(table, &name, c);
-		server_crash_lose_runs(&crash,
-				       c->restarted ? SERVER_CRASH_RESTARTED
-						    : server_crash_get(&crash),
-				       &report, table,
-				       c->shown_ms ? c->shown_ms : SHOWN_MS);
 		if (c->answers)
 			run_table_not_crashed(table);
 		assert_false(run_table_pop_result(table, &result));
@@ -261,27 +268,12 @@
  * crashes under runs that may not have begun or had ended. */
 static void test_unconfirmed_losses_are_no_evidence(void **state)
 {
-	struct cf_capacity capacity = { .cpu_milli = 9, .memory_mb = 9 };
-	struct run_name name = { .job = "a1", .number = 1 };
-
 	(void)state;
 	for (size_t i = 0; i < G_N_ELEMENTS(run_cases); i++) {
 		const struct run_case *c = &run_cases[i];
-		struct run_table *table = run_table_create();
-		struct server_crash crash = { .failed_ms = CRASHED_MS,
-					      .timed_out_ms = c->timed_out_ms,
-					      .has_left = c->has_left,
-					      .refused = !c->no_evidence };
-		struct server_report report = { .draining = c->draining };
+		struct run_table *table = lose_run(c);
 		g_autoptr(GArray) lost = NULL;
 
-		run_table_set_capacity(table, &capacity);
-		prepare_run(table, &name, c);
-		server_crash_lose_runs(&crash,
-				       c->restarted ? SERVER_CRASH_RESTARTED
-						    : server_crash_get(&crash),
-				       &report, table,
-				       c->shown_ms ? c->shown_ms : SHOWN_MS);
 		lost = run_table_take_lost(table);
 		if (lost->len && c->doubt != LOSS_CONFIRMED && !c->answers)
 			fail_msg("%s: %u losses told", c->name, lost->len);
