Dispatcher: no job is told as failed for crashes of servers

Cause: two decisions hung on one count. That a task under which servers crash isn't started again is caution; that its job has failed is a statement about runs whose end nobody has seen. Even a confirmed loss says only that the run was at work some milliseconds before: it may have ended well just before the crash. Class of fault: a verdict that is inferred instead of observed.

Change: the limits stay; a job that reaches one is given up (504). `failed` is told for `maxAttempts` ends "failed" and nothing else, so the count of confirmed losses goes. `explain` names the crashes of a job that was given up.

Why it works: the only statement left that leads to `failed` is the server's own.

--- a/src/leased/dispatch.h
+++ b/src/leased/dispatch.h
@@ -26,9 +26,7 @@
 
 enum job_verdict {
 	JOB_VERDICT_COMPLETED,
-	/* A task used up its attempts, or servers are known to have
-	 * crashed under it. */
-	JOB_VERDICT_FAILED,
+	JOB_VERDICT_FAILED, /* runs of a task failed as often as they may */
 	JOB_VERDICT_REFUSED, /* none of its tasks has run or will run */
 	JOB_VERDICT_GIVEN_UP, /* tasks may have run; no more will start */
 };
@@ -117,8 +115,9 @@
 	uint64_t
 		late_jobs; /* that ever waited without a chance to be in time */
 	uint64_t lost_runs; /* that ever were lost with their servers */
-	uint64_t crashing_jobs; /* that ever failed because servers crashed */
-	uint64_t doubtful_jobs; /* given up because servers may have */
+	/* Given up: servers crashed when a task was started there; as many may
+	 * have crashed under one as may. */
+	uint64_t crashing_jobs, doubtful_jobs;
 	uint32_t remembered_jobs; /* ended ones whose run numbers are known */
 	uint32_t speeds_known; /* servers whose speed was measured */
 	uint32_t interfering_pairs;
--- a/src/leased/dispatch_internal.h
+++ b/src/leased/dispatch_internal.h
@@ -95,10 +95,8 @@
 };
 
 /* A task under which this many servers may have crashed is given up, with its
- * job. */
+ * job. That it was the cause isn't shown, so the job hasn't failed. */
 #define TASK_LOSSES_MAX 3
-/* Confirmed losses among them with which the job has failed. */
-#define TASK_CONFIRMED_LOSSES_MIN 2
 /* The same for confirmed crashes within LOSS_SUSPECT_MS of the start of its
  * run. A task that was just started is the likelier cause of a crash than one
  * that had run for long, which may only have run beside the cause. */
@@ -108,8 +106,8 @@
 /* Servers that crashed while a run of the task may have been at work there. */
 struct loss_count {
 	uint32_t all;
-	uint32_t confirmed; /* the run was at work */
-	uint32_t suspect; /* of these, within LOSS_SUSPECT_MS of its start */
+	/* The run was at work, and within LOSS_SUSPECT_MS of its start. */
+	uint32_t suspect;
 };
 
 struct dispatch_task {
@@ -216,8 +214,7 @@
 	uint64_t late_jobs; /* that ever were in it */
 	struct rate in_time_rate; /* work of jobs admitted to be in time */
 	uint64_t lost_runs; /* with their servers */
-	uint64_t crashing_jobs; /* failed: servers crashed under them */
-	uint64_t doubtful_jobs; /* given up: servers may have */
+	uint64_t crashing_jobs, doubtful_jobs; /* see struct dispatch_load */
 	double virtual_time; /* of the lane served last */
 	bool placing; /* dispatch_place_tasks() is running */
 	/* Set while few servers fail all their tasks. If many do, the fault is
@@ -249,8 +246,8 @@
 /* The same for a run of another dispatcher. */
 void losses_add_foreign(struct dispatch *d, const struct run_result *result,
 			int64_t now_ms);
-/* Ends the job as failed if a task has lost too many servers; returns whether
- * it has. */
+/* Gives the job up if a task has lost too many servers; returns whether it has.
+ */
 bool losses_end_job(struct dispatch *d, struct dispatch_job *job);
 
 /* ---- Order (dispatch_order.c) --------------------------------------- */
--- a/src/leased/dispatch_losses.c
+++ b/src/leased/dispatch_losses.c
@@ -121,11 +121,9 @@
 
 static void add_loss(struct loss_count *count, const struct run_result *lost)
 {
-	bool confirmed = lost->doubt == LOSS_CONFIRMED;
-
 	count->all++;
-	count->confirmed += confirmed;
-	count->suspect += confirmed && lost->run_ms <= LOSS_SUSPECT_MS;
+	count->suspect += lost->doubt == LOSS_CONFIRMED &&
+			  lost->run_ms <= LOSS_SUSPECT_MS;
 }
 
 void losses_add(struct dispatch *d, const struct run_result *lost,
@@ -147,27 +145,23 @@
 	known->count = task->losses;
 	log_event(LOG_WARN, "task_lost",
 		  "job=%s class=%s index=%u number=%u server=%s losses=%u "
-		  "confirmed=%u suspect=%u age_ms=%u doubt=%s",
+		  "suspect=%u age_ms=%u doubt=%s",
 		  job->id, job->class->name, task->index, name->number,
 		  name->number && task->server ? task->server->state.name : "",
-		  task->losses.all, task->losses.confirmed,
-		  task->losses.suspect, lost->run_ms,
+		  task->losses.all, task->losses.suspect, lost->run_ms,
 		  loss_doubt_name(lost->doubt));
 }
 
-/* Returns why the task isn't started again, or NULL. Only losses that are
- * confirmed show that its job can't be done. One of the last three may be in
- * doubt: two crashes are enough to end a task that may have caused a third. */
-static const char *find_limit(const struct dispatch_task *task,
-			      enum job_verdict *verdict)
+static bool crashed_servers(const struct dispatch_task *task)
+{
+	return task->losses.suspect >= TASK_SUSPECT_LOSSES_MAX;
+}
+
+/* Returns why the task isn't started again, or NULL. */
+static const char *find_limit(const struct dispatch_task *task)
 {
-	*verdict = JOB_VERDICT_FAILED;
-	if (task->losses.all >= TASK_LOSSES_MAX &&
-	    task->losses.confirmed >= TASK_CONFIRMED_LOSSES_MIN)
-		return "as many servers crashed under a task as may";
-	if (task->losses.suspect >= TASK_SUSPECT_LOSSES_MAX)
+	if (crashed_servers(task))
 		return "servers crashed when a task was started there";
-	*verdict = JOB_VERDICT_GIVEN_UP;
 	if (task->losses.all >= TASK_LOSSES_MAX)
 		return "as many servers may have crashed under a task as may";
 	return NULL;
@@ -177,22 +171,20 @@
 {
 	for (uint32_t i = 0; !job->ended && i < job->spec.n_tasks; i++) {
 		const struct dispatch_task *task = &job->tasks[i];
-		enum job_verdict verdict;
-		const char *reason = find_limit(task, &verdict);
+		const char *reason = find_limit(task);
 
 		if (!reason || task->state == DISPATCH_TASK_DONE)
 			continue;
-		if (verdict == JOB_VERDICT_FAILED)
+		if (crashed_servers(task))
 			d->crashing_jobs++;
 		else
 			d->doubtful_jobs++;
 		log_event(LOG_WARN, "task_given_up",
-			  "job=%s class=%s index=%u losses=%u confirmed=%u "
-			  "suspect=%u verdict=%d reason=\"%s\"",
+			  "job=%s class=%s index=%u losses=%u suspect=%u "
+			  "reason=\"%s\"",
 			  job->id, job->class->name, task->index,
-			  task->losses.all, task->losses.confirmed,
-			  task->losses.suspect, verdict, reason);
-		dispatch_end_job(d, job, verdict, reason, 0);
+			  task->losses.all, task->losses.suspect, reason);
+		dispatch_end_job(d, job, JOB_VERDICT_GIVEN_UP, reason, 0);
 		return true;
 	}
 	return false;
--- a/src/leased/dispatcher.c
+++ b/src/leased/dispatcher.c
@@ -216,12 +216,12 @@
 				   "in time");
 	d->lost_runs = counter_get("tasks_lost_total", NULL,
 				   "runs of tasks lost with their server");
-	d->crashing_jobs =
-		counter_get("jobs_crashing_total", NULL,
-			    "jobs that failed because servers crashed");
-	d->doubtful_jobs =
-		counter_get("jobs_crash_suspected_total", NULL,
-			    "jobs given up because servers may have crashed");
+	d->crashing_jobs = counter_get("jobs_crashing_total", NULL,
+				       "jobs given up because servers "
+				       "crashed when a task was started there");
+	d->doubtful_jobs = counter_get("jobs_crash_suspected_total", NULL,
+				       "jobs given up because servers may have "
+				       "crashed under a task");
 	d->sent = gauge_get("tasks_sent", NULL, "tasks at servers");
 	d->remembered_jobs =
 		gauge_get("jobs_remembered", NULL,
--- a/src/verbs/explain.c
+++ b/src/verbs/explain.c
@@ -241,6 +241,10 @@
 				       reason);
 	else
 		add_missing_answer(lines, out);
+	if (v == VERDICT_GIVEN_UP && find_last_event(lines, "task_given_up")) {
+		g_string_append(out, "; ");
+		add_losses(lines, out);
+	}
 	if (v == VERDICT_GIVEN_UP)
 		add_pending_runs(lines, all, answer, out);
 	g_string_append_c(out, '\n');
--- a/tests/support/dispatch_world.c
+++ b/tests/support/dispatch_world.c
@@ -46,6 +46,7 @@
 	int64_t down_until_ms[12];
 	int64_t now_ms;
 	uint32_t next_job;
+	uint64_t crash_given_up; /* as the dispatcher counts them */
 	double arrivals_due[WORLD_CLASSES];
 };
 
@@ -260,11 +261,27 @@
 
 /* ---- Callers -------------------------------------------------------- */
 
+/* Counts the job if the dispatcher gives it up because of crashes. */
+static void count_crash_given_up(struct world *w, const struct world_job *job)
+{
+	struct dispatch_load load;
+	uint64_t given_up;
+
+	dispatch_get_load(w->dispatch, &load);
+	given_up = load.crashing_jobs + load.doubtful_jobs;
+	if (given_up == w->crash_given_up)
+		return;
+	w->crash_given_up = given_up;
+	w->result->crash_given_up++;
+	w->result->crash_given_up_innocent += !job->crashing;
+}
+
 static void answer(struct dispatch_sink *sink, void *caller,
 		   const struct job_answer *reply)
 {
 	struct world *w = (struct world *)sink;
 
+	count_crash_given_up(w, caller);
 	world_job_answered(caller, reply, w->result, w->now_ms);
 }
 
--- a/tests/test_explain.c
+++ b/tests/test_explain.c
@@ -51,6 +51,14 @@
 			  "04", "1", "servers crashed"),
 		  "servers crashed under a task: s-a1 (task 0, 11 ms after "
 		  "its start)\n" },
+		{ SENT("02", "0", "a1") SETTLED("03", "0", "6") LOG_PREFIX("03")
+			  FROM_D1
+		  "event=task_lost job=ab index=0 server=s-a1 losses=1 "
+		  "age_ms=11\n" LOG_PREFIX("03") FROM_D1
+		  "event=task_given_up job=ab index=0 losses=2\n" ANSWERED(
+			  "04", "3", "crashes"),
+		  "given up, may have run: crashes; servers crashed under a "
+		  "task: s-a1 (task 0, 11 ms after its start)\n" },
 		{ SENT("02", "0", "a1") SETTLED("03", "0", "0")
 			  SENT("02", "1", "a2") LOG_PREFIX("03") FROM_D1
 		  "event=agent_lost agent=a2 incarnation=7\n" ANSWERED(
