Link: a write to a connection that the peer has reset raises no SIGPIPE

Cause: links write with apr_socket_send(), which raises SIGPIPE if the peer has closed and then reset the connection before the link has read its end. The roles ignore the signal (role_block_signals()); a process that uses links without that, as the tests do, ends.

Change: links send with MSG_NOSIGNAL; the error closes the link as before.

Test: test_link test_write_after_a_reset_ends_only_the_link ends with 141 before (1 of 1), passes after (4 of 4).

--- a/src/net/link.c
+++ b/src/net/link.c
@@ -287,17 +287,29 @@
 	link->output_sent = 0;
 }
 
+/* Unlike apr_socket_send(), raises no SIGPIPE where the peer has closed. */
+static apr_status_t send_output(struct link *link)
+{
+	apr_os_sock_t descriptor;
+	apr_status_t status = apr_os_sock_get(&descriptor, link->socket);
+	ssize_t size;
+
+	if (status != APR_SUCCESS)
+		return status;
+	size = send(descriptor, link->output->data + link->output_sent,
+		    link->output->len - link->output_sent, MSG_NOSIGNAL);
+	if (size < 0)
+		return APR_FROM_OS_ERROR(errno);
+	link->output_sent += (gsize)size;
+	counter_add(link->hub->bytes[LINK_OUT], size);
+	return APR_SUCCESS;
+}
+
 void link_write(struct link *link)
 {
 	while (link->socket && link_has_output(link)) {
-		apr_size_t size = link->output->len - link->output_sent;
-		apr_status_t status = apr_socket_send(
-			link->socket,
-			(const char *)link->output->data + link->output_sent,
-			&size);
-
-		link->output_sent += size;
-		counter_add(link->hub->bytes[LINK_OUT], (int64_t)size);
+		apr_status_t status = send_output(link);
+
 		if (status == APR_SUCCESS || APR_STATUS_IS_EINTR(status))
 			continue;
 		if (!APR_STATUS_IS_EAGAIN(status)) {
--- a/tests/test_link.c
+++ b/tests/test_link.c
@@ -473,6 +473,28 @@
 	close(s);
 }
 
+/* Guards against a process that ends by SIGPIPE, which only its roles ignore,
+ * because a peer has closed and then reset the connection. */
+static void test_write_after_a_reset_ends_only_the_link(void **state)
+{
+	int s = raw_connect();
+	struct linger linger = { .l_onoff = 1 };
+	int64_t closed_before = closed("closed_by_peer");
+
+	(void)state;
+	raw_hello(s);
+	assert_true(wait_count(&server.ups, 1));
+	assert_int_equal(shutdown(s, SHUT_WR), 0);
+	assert_int_equal(
+		setsockopt(s, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger)),
+		0);
+	close(s);
+	assert_true(send_query(server.last, 1, 10));
+	assert_false(link_flush(server.hub, 10));
+	assert_true(closed("closed_by_peer") > closed_before);
+	assert_int_equal(server.downs, 1);
+}
+
 static void test_dropping_within_a_handler_is_safe(void **state)
 {
 	struct link *link = dial();
@@ -516,6 +538,7 @@
 		LINK_TEST(test_unresponsive_dialled_peer_is_closed),
 		LINK_TEST(test_connections_above_the_limit_are_closed),
 		LINK_TEST(test_peer_that_does_not_read_is_closed),
+		LINK_TEST(test_write_after_a_reset_ends_only_the_link),
 		LINK_TEST(test_dropping_within_a_handler_is_safe),
 		LINK_TEST(test_flush_sends_queued_output),
 	};
