--- a/tests/test_coordinator.c
+++ b/tests/test_coordinator.c
@@ -168,7 +168,7 @@
 {
 	(void)state;
 	apr_initialize();
-	log_configure("test", "test", LOG_ERROR, LOG_FORMAT_TEXT);
+	log_configure("test", "test", LOG_INFO, LOG_FORMAT_TEXT);
 	return 0;
 }
 
--- a/tests/test_coordinator_leases.c
+++ b/tests/test_coordinator_leases.c
@@ -439,7 +439,7 @@
 {
 	(void)state;
 	apr_initialize();
-	log_configure("test", "test", LOG_ERROR, LOG_FORMAT_TEXT);
+	log_configure("test", "test", LOG_INFO, LOG_FORMAT_TEXT);
 	loop = loop_create(NULL);
 	return loop ? 0 : 1;
 }
