Dispatcher: a job in progress is joined before the process refuses new ones

What callers saw: a job runs at a dispatcher that gets SIGTERM; the caller sends it again there and is answered 503, "this process is stopping", while its first request is answered completed.

Cause: a submission was refused for a process that stops, has no routes or lost its coordinators for 15 s, or for a hold that ended, before anyone looked whether the job is in progress.

Change: the job's id is looked up first, on arrival and when a held caller is released; what is in progress is joined, and one whose runs are being stopped is answered 504, as before.

The two other ways (no coordinator, held caller) are read from the code, without a test of their own.

--- a/src/leased/dispatch.h
+++ b/src/leased/dispatch.h
@@ -146,6 +146,8 @@
 bool dispatch_cancel(struct dispatch *d, const char *id, int64_t now_ms);
 /* Aborts all jobs and answers all callers before the process exits. */
 void dispatch_abort_all(struct dispatch *d, int64_t now_ms);
+/* Whether the job is in progress, or its runs are still being stopped. */
+bool dispatch_has_job(const struct dispatch *d, const char *id);
 /* Number of jobs of a route of which no task was sent. */
 uint32_t dispatch_count_unsent_jobs(const struct dispatch *d,
 				    const char *route);
--- a/src/leased/dispatch_jobs.c
+++ b/src/leased/dispatch_jobs.c
@@ -352,6 +352,11 @@
 	}
 }
 
+bool dispatch_has_job(const struct dispatch *d, const char *id)
+{
+	return g_hash_table_contains(d->jobs, id);
+}
+
 uint32_t dispatch_count_unsent_jobs(const struct dispatch *d, const char *route)
 {
 	const struct dispatch_class *class =
--- a/src/leased/dispatcher_http.c
+++ b/src/leased/dispatcher_http.c
@@ -274,6 +274,23 @@
 			      loop_now_ms(d->loop));
 }
 
+/* A job that is in progress here is joined, or its end told, whether or not
+ * this process could serve a new one: "not run" would be untrue of it. */
+static bool join_job(struct caller *c)
+{
+	struct leased_dispatcher *d = c->dispatcher;
+	const struct route *route =
+		d->routes
+			? routes_find(d->routes, c->host, http_path(c->request))
+			: NULL;
+
+	if (!route || !parse_job_id(c, route) ||
+	    !dispatch_has_job(d->dispatch, c->id))
+		return false;
+	submit(c, route);
+	return true;
+}
+
 static void serve_submission(struct caller *c)
 {
 	const struct route *route = find_route(c);
@@ -345,6 +362,8 @@
 				 .caller = c };
 	enum start_verdict verdict = START_PASS;
 
+	if (join_job(c))
+		return;
 	if (start_hold_is_open(d->start_hold, loop_now_ms(d->loop)) &&
 	    may_have_route(c))
 		verdict = start_hold_arrive(d->start_hold, &job, can_serve(d),
@@ -368,7 +387,9 @@
 
 	while ((c = start_hold_next(d->start_hold, ready, loop_now_ms(d->loop),
 				    &verdict))) {
-		if (verdict == START_PASS || can_serve_some(d)) {
+		if (join_job(c)) {
+			served++;
+		} else if (verdict == START_PASS || can_serve_some(d)) {
 			served++;
 			serve_submission(c);
 		} else {
