Dispatcher: a retry with a raised maxAttempts raises that of its job

What callers would see: a job is sent, a configuration raises its queue's maxAttempts, the job is sent again and joins the first try, and is told `failed` after as many failed runs as the older configuration allowed.

Cause: joining a job added the caller and dropped the route that the retry had found.

Change: the job takes the higher of the two limits.

Test: test_dispatch_verdicts test_a_raised_limit_holds_for_a_joined_job fails before ("p.answered") and passes after.

--- a/src/leased/dispatch_jobs.c
+++ b/src/leased/dispatch_jobs.c
@@ -269,10 +269,13 @@
 
 	if (!job)
 		return false;
-	if (job->ended)
+	if (job->ended) {
 		d->sink->ops->answer(d->sink, request->caller, &busy);
-	else
-		g_ptr_array_add(job->callers, request->caller);
+		return true;
+	}
+	g_ptr_array_add(job->callers, request->caller);
+	job->route.attempts_max =
+		MAX(job->route.attempts_max, request->route.attempts_max);
 	return true;
 }
 
--- a/tests/test_dispatch_verdicts.c
+++ b/tests/test_dispatch_verdicts.c
@@ -21,9 +21,11 @@
 #define TASKS_MAX 4
 #define ATTEMPTS_MAX 4
 #define RUNS_MAX 64
+#define TOLD_MAX 16
 #define STEPS_MAX 60
 #define STEP_MS 10
 #define DEADLINE_MS 100000
+#define SHORT_DEADLINE_MS 300
 /* Losses younger than LOSS_SUSPECT_MS and older ones. */
 #define LOSS_AGE_MAX_MS 200
 
@@ -34,6 +36,11 @@
 	struct run_name name;
 };
 
+struct told {
+	uint64_t agent;
+	struct run_result result;
+};
+
 struct play {
 	struct dispatch_sink sink; /* first member */
 	struct dispatch *dispatch;
@@ -42,6 +49,9 @@
 	struct sent open[RUNS_MAX]; /* runs that haven't ended */
 	uint32_t n_open;
 	uint32_t tasks, attempts;
+	bool is_full; /* no server takes work */
+	struct told told[TOLD_MAX]; /* the latest ends, of all submissions */
+	uint32_t n_told;
 	/* Of this submission. */
 	uint32_t starts;
 	uint32_t failed[TASKS_MAX]; /* ends "failed" */
@@ -102,7 +112,7 @@
 				.free_cpu_milli = 8000,
 				.offered_cpu_milli = 8000,
 				.free_memory_mb = 100,
-				.accepting = true,
+				.accepting = !p->is_full,
 				.received = RUNS_MAX
 			};
 
@@ -132,19 +142,22 @@
 
 static void submit(struct play *p)
 {
-	struct job_request request = { .id = "j",
-				       .route = { .name = "r",
-						  .service = "desk",
-						  .target_ms = DEADLINE_MS,
-						  .stretch_milli = 1600,
-						  .attempts_max = p->attempts },
-				       .spec = { .n_tasks = p->tasks,
-						 .cpu_milli = 100,
-						 .memory_mb = 1,
-						 .estimate_ms = 100 },
-				       .arrived_ms = p->now_ms,
-				       .deadline_ms = p->now_ms + DEADLINE_MS,
-				       .caller = p };
+	struct job_request request = {
+		.id = "j",
+		.route = { .name = "r",
+			   .service = "desk",
+			   .target_ms = DEADLINE_MS,
+			   .stretch_milli = 1600,
+			   .attempts_max = p->attempts },
+		.spec = { .n_tasks = p->tasks,
+			  .cpu_milli = 100,
+			  .memory_mb = 1,
+			  .estimate_ms = 100 },
+		.arrived_ms = p->now_ms,
+		.deadline_ms = p->now_ms +
+			       (p->is_full ? SHORT_DEADLINE_MS : DEADLINE_MS),
+		.caller = p
+	};
 
 	p->starts = 0;
 	p->answered = false;
@@ -155,6 +168,14 @@
 	g_bytes_unref(request.spec.spec);
 }
 
+/* For one job in six no server takes work. */
+static void submit_next(struct play *p)
+{
+	p->is_full = !g_rand_int_range(p->random, 0, 6);
+	report_servers(p);
+	submit(p);
+}
+
 static struct run_result random_end(struct play *p)
 {
 	static const enum run_outcome outcomes[] = {
@@ -190,6 +211,7 @@
 		result.outcome = RUN_OUTCOME_STOPPED;
 	p->failed[index] += result.outcome == RUN_OUTCOME_FAILED;
 	p->done[index] |= result.outcome == RUN_OUTCOME_DONE;
+	p->told[p->n_told++ % TOLD_MAX] = (struct told){ run.agent, result };
 	dispatch_handle_result(p->dispatch, run.agent, &result, p->now_ms);
 	if (g_rand_boolean(p->random))
 		dispatch_handle_result(p->dispatch, run.agent, &result,
@@ -207,9 +229,45 @@
 	dispatch_handle_result(p->dispatch, 1, &result, p->now_ms);
 }
 
+/* An end is told again after the task was sent again, perhaps by another
+ * submission. */
+static void repeat_end(struct play *p)
+{
+	const struct told *told;
+
+	if (!p->n_told)
+		return;
+	told = &p->told[g_rand_int_range(p->random, 0,
+					 (gint32)MIN(p->n_told, TOLD_MAX))];
+	dispatch_handle_result(p->dispatch, told->agent, &told->result,
+			       p->now_ms);
+}
+
+/* Tells of a failed run that this dispatcher hasn't sent: by an agent that it
+ * wasn't sent to, or without a number. */
+static void tell_of_another_run(struct play *p)
+{
+	struct run_result result = { .outcome = RUN_OUTCOME_FAILED };
+	uint64_t agent;
+
+	if (!p->n_open)
+		return;
+	result.name = p->open[0].name;
+	agent = p->open[0].agent;
+	if (g_rand_boolean(p->random))
+		agent = agent % AGENTS + 1;
+	else
+		result.name.number = 0;
+	dispatch_handle_result(p->dispatch, agent, &result, p->now_ms);
+}
+
 static void take_step(struct play *p)
 {
 	p->now_ms += STEP_MS;
+	if (!g_rand_int_range(p->random, 0, 5))
+		repeat_end(p);
+	if (!g_rand_int_range(p->random, 0, 5))
+		tell_of_another_run(p);
 	if (!g_rand_int_range(p->random, 0, 20))
 		lose_foreign(p);
 	else if (p->n_open)
@@ -262,20 +320,21 @@
 	p->random = g_rand_new_with_seed(seed);
 	p->dispatch = dispatch_create(&p->sink, "dc");
 	p->n_open = 0;
+	p->n_told = 0;
 	p->now_ms = 1;
 	p->tasks = (uint32_t)g_rand_int_range(p->random, 1, TASKS_MAX + 1);
 	p->attempts =
 		(uint32_t)g_rand_int_range(p->random, 1, ATTEMPTS_MAX + 1);
 	connect_agents(p);
-	submit(p);
+	submit_next(p);
 	for (int i = 0; i < STEPS_MAX; i++) {
 		take_step(p);
 		check_answer(p, seed);
 		if (!p->answered || p->n_open)
 			continue;
-		if (!p->starts)
+		if (!p->starts && p->answer.verdict != JOB_VERDICT_REFUSED)
 			break;
-		submit(p);
+		submit_next(p);
 	}
 	dispatch_destroy(p->dispatch);
 	g_rand_free(p->random);
@@ -301,12 +360,44 @@
 		p.n_verdicts[JOB_VERDICT_GIVEN_UP]);
 	assert_true(p.n_verdicts[JOB_VERDICT_COMPLETED] > SEEDS / 10);
 	assert_true(p.n_verdicts[JOB_VERDICT_FAILED] > SEEDS / 10);
+	assert_true(p.n_verdicts[JOB_VERDICT_REFUSED] > SEEDS / 10);
 	assert_true(p.n_verdicts[JOB_VERDICT_GIVEN_UP] > SEEDS / 10);
 }
 
+/* Guards against a job told as failed by a limit of attempts that a later
+ * configuration has raised, with which it was sent again. */
+static void test_a_raised_limit_holds_for_a_joined_job(void **state)
+{
+	static const struct dispatch_sink_ops ops = { on_start, on_stop,
+						      on_answer, on_demand };
+	struct play p = {
+		.sink.ops = &ops, .tasks = 1, .attempts = 1, .now_ms = 1
+	};
+	struct run_result failed = { .outcome = RUN_OUTCOME_FAILED };
+
+	(void)state;
+	p.dispatch = dispatch_create(&p.sink, "dc");
+	connect_agents(&p);
+	submit(&p);
+	assert_int_equal(p.n_open, 1);
+	p.attempts = 2;
+	submit(&p);
+	for (uint32_t i = 0; i < p.attempts; i++) {
+		assert_false(p.answered);
+		assert_int_equal(p.n_open, i + 1);
+		failed.name = p.open[i].name;
+		dispatch_handle_result(p.dispatch, p.open[i].agent, &failed,
+				       p.now_ms);
+	}
+	assert_true(p.answered);
+	assert_int_equal(p.answer.verdict, JOB_VERDICT_FAILED);
+	dispatch_destroy(p.dispatch);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_a_raised_limit_holds_for_a_joined_job),
 		cmocka_unit_test(test_verdicts_follow_the_ends_of_runs),
 	};
 
