Job ids and names are checked where they arrive, and no agent ends by one

Cause: the dispatcher accepted any bytes in an id but '.' and '/'. json_pack() refuses such a text, json_dumps() of NULL is NULL, and write_call() in platform_runs.c took its length. Class names and specs of a dispatcher of another version did the same.

Change: an id is 1 to 23 letters, digits, '-' or '_', else 400 with the field, also for GET and DELETE. Agents check each order and each listed run, and dispatchers each entry of a report (wire_check.c): what can't be used is counted, logged with its field and not followed; a start that is refused is told as not read, so that its dispatcher doesn't count on it. A start or a stop that can't be written is an outcome, not a crash. A server's kind is cut off between two characters, or the new check would leave that server out.

Why it works: an id that passes is ASCII and fits, so no later conversion can refuse it or cut it off. A peer that doesn't check is refused by the agent, and what the checks let through is still handled if the library refuses it.

--- a/src/leased/agent.c
+++ b/src/leased/agent.c
@@ -264,6 +264,8 @@
 				 "reports of backend servers");
 	a->bad_reports = counter_get("server_reports_unreadable_total", NULL,
 				     "reports of backend servers ignored");
+	a->bad_orders = counter_get("run_orders_unusable_total", NULL,
+				    "orders of dispatchers not followed");
 	a->lost_leases = counter_get("run_leases_lost_total", NULL,
 				     "dispatchers whose lease for runs ended");
 	return a;
--- a/src/leased/agent_internal.h
+++ b/src/leased/agent_internal.h
@@ -11,6 +11,7 @@
 #include "leased/lease_overruns.h"
 #include "leased/server.h"
 #include "leased/speed_estimate.h"
+#include "leased/wire_check.h"
 #include "net/admin.h"
 #include "net/link.h"
 #include "roles/session.h"
@@ -68,6 +69,8 @@
 	bool in_service;
 	gint stopping, idle; /* atomic */
 	struct counter *reports, *bad_reports, *lost_leases, *runs_gauge;
+	struct counter *bad_orders;
+	struct wire_faults order_faults;
 	struct lease_overruns *overruns;
 };
 
--- a/src/leased/agent_peers.c
+++ b/src/leased/agent_peers.c
@@ -257,8 +257,9 @@
 
 /* ---- Orders --------------------------------------------------------- */
 
-static bool parse_run_name(const char *job, uint32_t index, uint32_t number,
-			   struct run_name *name)
+/* False if the name doesn't fit, so that no run of it can be told apart. */
+static bool set_run_name(const char *job, uint32_t index, uint32_t number,
+			 struct run_name *name)
 {
 	memset(name, 0, sizeof(*name));
 	name->index = index;
@@ -266,18 +267,64 @@
 	return g_strlcpy(name->job, job, sizeof(name->job)) < sizeof(name->job);
 }
 
-static void refuse_start(struct leased_agent *a, const struct peer *p,
-			 const struct run_name *name, const char *reason,
-			 int64_t now_ms)
+static void end_unstarted(struct leased_agent *a, const struct peer *p,
+			  const struct run_name *name, enum run_outcome outcome,
+			  int64_t now_ms)
 {
 	struct run_result result = { .dispatcher = p->incarnation,
 				     .name = *name,
-				     .outcome = RUN_OUTCOME_NOT_STARTED };
+				     .outcome = outcome };
 
+	add_result(a, &result, now_ms);
+}
+
+static void refuse_start(struct leased_agent *a, const struct peer *p,
+			 const struct run_name *name, const char *reason,
+			 int64_t now_ms)
+{
 	log_event(LOG_INFO, "run_not_taken",
 		  "job=%s index=%u number=%u why=\"%s\"", name->job,
 		  name->index, name->number, reason);
-	add_result(a, &result, now_ms);
+	end_unstarted(a, p, name, RUN_OUTCOME_NOT_STARTED, now_ms);
+}
+
+/* A dispatcher of an earlier version may send ids that its callers chose at
+ * will. */
+static void count_unusable(struct leased_agent *a, const struct peer *p,
+			   const char *order, const char *field)
+{
+	uint32_t n_unlogged;
+
+	counter_add(a->bad_orders, 1);
+	if (wire_fault_is_logged(&a->order_faults, loop_now_ms(a->loop),
+				 &n_unlogged))
+		log_event(LOG_WARN, "run_order_unusable",
+			  "dispatcher=%s order=%s field=%s unlogged=%u",
+			  p->name, order, field, n_unlogged);
+}
+
+/* The dispatcher counts on the run until it gets a result. */
+static void refuse_unusable_start(struct leased_agent *a, const struct peer *p,
+				  const Cfw__RunStart *start, const char *field,
+				  int64_t now_ms)
+{
+	struct run_name name;
+
+	count_unusable(a, p, "start", field);
+	if (set_run_name(start->job, start->index, start->number, &name))
+		end_unstarted(a, p, &name, RUN_OUTCOME_UNREADABLE, now_ms);
+}
+
+static bool read_stop(struct leased_agent *a, const struct peer *p,
+		      const char *order, const Cfw__RunStop *stop,
+		      struct run_name *name)
+{
+	const char *field = wire_check_stop(stop);
+
+	if (field)
+		count_unusable(a, p, order, field);
+	return !field &&
+	       set_run_name(stop->job, stop->index, stop->number, name);
 }
 
 static void accept_start(struct leased_agent *a, struct peer *p,
@@ -285,10 +332,14 @@
 {
 	struct server *server = g_hash_table_lookup(a->servers, start->server);
 	struct run_request run = { .dispatcher = p->incarnation };
+	const char *unusable_field = wire_check_start(start);
 
 	p->received++;
-	if (!parse_run_name(start->job, start->index, start->number, &run.name))
+	if (unusable_field) {
+		refuse_unusable_start(a, p, start, unusable_field, now_ms);
 		return;
+	}
+	set_run_name(start->job, start->index, start->number, &run.name);
 	if (!p->lease_held) {
 		refuse_start(a, p, &run.name, "dispatcher lease is not held",
 			     now_ms);
@@ -339,6 +390,18 @@
 	return false;
 }
 
+/* A run whose name can't be used was never taken: its result is told now. */
+static bool read_kept(struct leased_agent *a, const struct peer *p,
+		      const Cfw__RunStop *run, struct run_name *name,
+		      int64_t now_ms)
+{
+	if (read_stop(a, p, "kept", run, name))
+		return true;
+	if (set_run_name(run->job, run->index, run->number, name))
+		end_unstarted(a, p, name, RUN_OUTCOME_UNREADABLE, now_ms);
+	return false;
+}
+
 /* After a reconnect, the dispatcher lists the runs whose results it still
  * expects. All its other runs are stopped. Runs that go on are left alone,
  * results that it missed are sent again, and runs that never arrived are
@@ -347,13 +410,14 @@
 		   const Cfw__RunOrders *orders, int64_t now_ms)
 {
 	struct run_name *kept = g_new0(struct run_name, orders->n_kept + 1);
+	size_t n_kept = 0;
 
-	for (size_t i = 0; i < orders->n_kept; i++)
-		parse_run_name(orders->kept[i]->job, orders->kept[i]->index,
-			       orders->kept[i]->number, &kept[i]);
 	g_array_set_size(p->results, 0);
-	stop_runs_of(a, p->incarnation, kept, orders->n_kept);
-	for (size_t i = 0; i < orders->n_kept; i++) {
+	for (size_t i = 0; i < orders->n_kept; i++)
+		n_kept +=
+			read_kept(a, p, orders->kept[i], &kept[n_kept], now_ms);
+	stop_runs_of(a, p->incarnation, kept, n_kept);
+	for (size_t i = 0; i < n_kept; i++) {
 		const struct run_result *recent = find_recent(p, &kept[i]);
 
 		if (has_run(a, p->incarnation, &kept[i]))
@@ -393,9 +457,7 @@
 	for (size_t i = 0; i < orders->n_starts; i++)
 		accept_start(a, p, orders->starts[i], now_ms);
 	for (size_t i = 0; i < orders->n_stops; i++) {
-		const Cfw__RunStop *stop = orders->stops[i];
-
-		if (parse_run_name(stop->job, stop->index, stop->number, &name))
+		if (read_stop(a, p, "stop", orders->stops[i], &name))
 			stop_everywhere(a, p->incarnation, &name);
 	}
 	process_servers(a, now_ms);
--- a/src/leased/dispatcher.c
+++ b/src/leased/dispatcher.c
@@ -198,6 +198,9 @@
 				 "requests that came before routes were known");
 	d->malformed = counter_get("requests_malformed_total", NULL,
 				   "requests that can't be read");
+	d->bad_entries =
+		counter_get("run_report_entries_unusable_total", NULL,
+			    "entries of agents' reports that were left out");
 	d->held_total =
 		counter_get("requests_held_total", NULL,
 			    "submissions held while the process started");
--- a/src/leased/dispatcher_http.c
+++ b/src/leased/dispatcher_http.c
@@ -51,9 +51,7 @@
 	const char *slash = strrchr(http_path(c->request), '/');
 	const char *id = slash ? slash + 1 : "";
 
-	if (strspn(id, G_CSET_DIGITS G_CSET_a_2_z G_CSET_A_2_Z "-_") ==
-		    strlen(id) &&
-	    strlen(id) < sizeof(c->id))
+	if (wire_is_job_id(id))
 		g_strlcpy(c->id, id, sizeof(c->id));
 }
 
@@ -258,8 +256,22 @@
 {
 	const char *id = http_path(c->request) + strlen(route->prefix);
 
-	return *id && !strchr(id, '.') && !strchr(id, '/') &&
-	       g_strlcpy(c->id, id, sizeof(c->id)) < sizeof(c->id);
+	if (!wire_is_job_id(id))
+		return false;
+	g_strlcpy(c->id, id, sizeof(c->id));
+	return true;
+}
+
+/* Without an id, the path names the route's queue. */
+static bool names_a_job(const struct caller *c, const struct route *route)
+{
+	return http_path(c->request)[strlen(route->prefix)];
+}
+
+static void refuse_job_id(struct caller *c)
+{
+	counter_add(c->dispatcher->malformed, 1);
+	reply_error(c, STATUS_BAD_REQUEST, "invalid", JOB_ID_RULE, 0);
 }
 
 /* True if the process stops before the job could end. */
@@ -290,8 +302,7 @@
 		return;
 	}
 	if (route)
-		reply_error(c, STATUS_BAD_REQUEST, "invalid",
-			    "id: must be 1 to 23 characters", 0);
+		refuse_job_id(c);
 	finish_caller(c);
 }
 
@@ -407,6 +418,8 @@
 	if (route && parse_job_id(c, route)) {
 		reply_error(c, STATUS_GONE, "unknown",
 			    "no stored job has this id", 0);
+	} else if (route && names_a_job(c, route)) {
+		refuse_job_id(c);
 	} else if (route) {
 		pending = d->formats->write_pending(
 			dispatch_count_unsent_jobs(d->dispatch, route->name));
@@ -421,9 +434,11 @@
 	const struct route *route = find_route(c);
 	struct leased_dispatcher *d = c->dispatcher;
 
-	if (route && parse_job_id(c, route) &&
-	    (cancel_held(c) ||
-	     dispatch_cancel(d->dispatch, c->id, loop_now_ms(d->loop))))
+	if (route && !parse_job_id(c, route))
+		refuse_job_id(c);
+	else if (route &&
+		 (cancel_held(c) ||
+		  dispatch_cancel(d->dispatch, c->id, loop_now_ms(d->loop))))
 		reply(c, STATUS_OK, "{}", 0);
 	else if (route)
 		reply_error(c, STATUS_GONE, "unknown", "no job has this id", 0);
--- a/src/leased/dispatcher_internal.h
+++ b/src/leased/dispatcher_internal.h
@@ -13,6 +13,7 @@
 #include "leased/drain.h"
 #include "leased/routes.h"
 #include "leased/start_hold.h"
+#include "leased/wire_check.h"
 #include "net/admin.h"
 #include "net/link.h"
 #include "roles/session.h"
@@ -70,7 +71,8 @@
 	struct counter *verdicts[VERDICT_COUNT];
 	struct counter *answer_buckets[VERDICT_COUNT][ANSWER_BUCKETS];
 	struct counter *answer_sum_ms[VERDICT_COUNT];
-	struct counter *no_route, *unready, *malformed;
+	struct counter *no_route, *unready, *malformed, *bad_entries;
+	struct wire_faults report_faults;
 	struct counter *held_total, *held, *too_late;
 	struct counter *late_jobs, *late_waiting, *lost_runs, *crashing_jobs,
 		*doubtful_jobs;
--- a/src/leased/formats.h
+++ b/src/leased/formats.h
@@ -157,11 +157,14 @@
 	/* A header that restricts a call to this incarnation of a server. */
 	char *(*write_incarnation_header)(const char *server,
 					  int64_t start_time_ms);
-	/* Calls carry a fencing token (server_fence.h). */
-	void (*write_start)(const struct run_name *name, GBytes *spec,
+	/* Calls carry a fencing token (server_fence.h). A start or a stop can't
+	 * be written if the platform's format has no way to express the name
+	 * or the spec. These functions then return false and leave call empty.
+	 */
+	bool (*write_start)(const struct run_name *name, GBytes *spec,
 			    int64_t lease_end_ms, int64_t fence,
 			    struct run_call *call);
-	void (*write_stop)(const struct run_name *name, int64_t fence,
+	bool (*write_stop)(const struct run_name *name, int64_t fence,
 			   struct run_call *call);
 	/* lease_end_ms 0 leaves the lease unchanged. */
 	void (*write_poll)(int64_t lease_end_ms, int64_t fence,
--- a/src/leased/server.c
+++ b/src/leased/server.c
@@ -311,18 +311,33 @@
 	run_call_clear(encoded);
 }
 
+static void count_unwritable(struct server *s, const struct run_name *name,
+			     const char *call)
+{
+	counter_add(s->calls_unwritable, 1);
+	log_event(LOG_ERROR, "run_call_unwritable",
+		  "server=%s call=%s job=%s index=%u number=%u", s->report.name,
+		  call, name->job, name->index, name->number);
+}
+
 static void send_start(struct server *s, const struct run_request *run,
 		       int64_t now_ms)
 {
+	struct run_name name = run->name;
 	struct run_call encoded;
 
+	if (!s->options.formats->write_start(
+		    &name, run->spec,
+		    server_lease_for_start(&s->lease,
+					   run_table_renew_until_ms(s->runs),
+					   now_ms),
+		    s->fence.token, &encoded)) {
+		count_unwritable(s, &name, "start");
+		run_table_start_answered(s->runs, &name, RUN_MALFORMED, now_ms);
+		return;
+	}
 	counter_add(s->starts, 1);
-	s->options.formats->write_start(
-		&run->name, run->spec,
-		server_lease_for_start(
-			&s->lease, run_table_renew_until_ms(s->runs), now_ms),
-		s->fence.token, &encoded);
-	send_call(s, CALL_START, &run->name, &encoded, CALL_TIMEOUT_MS, now_ms);
+	send_call(s, CALL_START, &name, &encoded, CALL_TIMEOUT_MS, now_ms);
 }
 
 void server_send_stop(struct server *s, const struct run_name *name,
@@ -330,7 +345,12 @@
 {
 	struct run_call encoded;
 
-	s->options.formats->write_stop(name, s->fence.token, &encoded);
+	if (!s->options.formats->write_stop(name, s->fence.token, &encoded)) {
+		/* No start can have been written under this name either. */
+		count_unwritable(s, name, "stop");
+		run_table_stop_acked(s->runs, name, now_ms);
+		return;
+	}
 	send_call(s, CALL_STOP, name, &encoded, CALL_TIMEOUT_MS, now_ms);
 }
 
--- a/src/leased/server_create.c
+++ b/src/leased/server_create.c
@@ -27,6 +27,9 @@
 		counter_get("list_entries_unreadable_total", NULL,
 			    "entries in lists of backend servers that were "
 			    "left out");
+	s->calls_unwritable =
+		counter_get("run_calls_unwritable_total", NULL,
+			    "calls of backend servers that can't be encoded");
 }
 
 void server_set_address(struct server *s)
--- a/src/leased/server_internal.h
+++ b/src/leased/server_internal.h
@@ -41,7 +41,7 @@
 	uint64_t restarts; /* of the server, as seen by this agent */
 	struct counter *starts, *unanswered, *expirations, *fence_refusals;
 	struct counter *unknown_runs_stopped, *runs_in_stale_lists;
-	struct counter *list_entries_unreadable;
+	struct counter *list_entries_unreadable, *calls_unwritable;
 	uint32_t n_unreadable; /* entries of the last list */
 };
 
--- a/tests/fault_odd_entries.c
+++ b/tests/fault_odd_entries.c
@@ -27,6 +27,9 @@
 #define CALL_TIMEOUT_MS 1000
 #define NESTED_DEPTH 100000
 #define BAD_REQUEST 400
+#define STRANGER_PORT 30077
+/* In one report: two servers and the end of a run. */
+#define ODD_RUN_ENTRIES 3
 
 /* ---- Support ---- */
 
@@ -156,16 +159,42 @@
 
 /* ---- The roster ---- */
 
-/* A process of another version that registers an odd address. */
+/* A process of another version that registers itself as an agent. */
 struct stranger {
 	struct leased_system *system;
+	const char *name, *data_centre, *address;
 	struct link_hub *hub;
 	struct session *session;
 };
 
+static void send_odd_run_report(struct link *link)
+{
+	Cfw__Envelope envelope = CFW__ENVELOPE__INIT;
+	Cfw__RunReport report = CFW__RUN_REPORT__INIT;
+	Cfw__ServerState odd = CFW__SERVER_STATE__INIT, large = odd;
+	Cfw__ServerState *servers[] = { &odd, &large };
+	Cfw__RunEnd end = CFW__RUN_END__INIT, *ends[] = { &end };
+	g_autofree char *long_name = g_strnfill(NESTED_DEPTH, 'i');
+
+	odd.name = odd.service = odd.kind = "\xff\xfe";
+	large.name = long_name;
+	odd.accepting = large.accepting = true;
+	end.job = long_name;
+	report.servers = servers;
+	report.n_servers = G_N_ELEMENTS(servers);
+	report.ends = ends;
+	report.n_ends = G_N_ELEMENTS(ends);
+	envelope.body_case = CFW__ENVELOPE__BODY_RUN_REPORT;
+	envelope.run_report = &report;
+	link_send(link, &envelope);
+}
+
 static void on_link_up(void *arg, struct link *link)
 {
-	session_link_up(((struct stranger *)arg)->session, link);
+	struct stranger *stranger = arg;
+
+	if (!session_link_up(stranger->session, link))
+		send_odd_run_report(link);
 }
 
 static void on_link_down(void *arg, struct link *link)
@@ -205,15 +234,16 @@
 		ignore_event, ignore_roster, ignore_lease, ignore_event
 	};
 	struct link_options options = { .self = { CFW__ROLE__ROLE_AGENT,
-						  "\xff\xfe", 77, 0, "\xff" } };
+						  stranger->name, 77, 0,
+						  stranger->data_centre } };
 	g_auto(GStrv) coordinators =
 		g_strsplit(stranger->system->coordinator_addresses, ",", -1);
 	struct session_options session = { .loop = loop,
 					   .role = CFW__ROLE__ROLE_AGENT,
 					   .incarnation = 77,
-					   .name = "\xff\xfe",
-					   .data_centre = "\xff",
-					   .address = "127.0.0.1:99999",
+					   .name = stranger->name,
+					   .data_centre = stranger->data_centre,
+					   .address = stranger->address,
 					   .coordinators = coordinators };
 	struct cf_capacity capacity = { .slots = UINT32_MAX,
 					.connections = UINT32_MAX,
@@ -222,34 +252,48 @@
 					.accelerators = UINT32_MAX };
 
 	stranger->hub = link_hub_create(loop, &options, &links, stranger);
+	link_hub_listen(stranger->hub, stranger->address, NULL, NULL);
 	session.hub = stranger->hub;
 	stranger->session = session_create(&session, &handlers, stranger);
 	session_set_capacity(stranger->session, &capacity);
 	session_begin(stranger->session);
 }
 
-static bool is_left_out_by_all(void *arg)
+static void unregister_stranger(struct stranger *stranger, struct loop *loop)
 {
-	struct stranger *stranger = arg;
+	session_destroy(stranger->session);
+	link_hub_destroy(stranger->hub);
+	loop_destroy(loop);
+}
 
+static bool have_all_logged(const struct stranger *stranger, const char *event)
+{
 	for (int i = 1; i <= SYSTEM_DISPATCHERS; i++) {
 		g_autofree char *log = NULL;
 		char name[16];
 
 		snprintf(name, sizeof(name), "d%d", i);
 		log = read_log(stranger->system, name);
-		if (!strstr(log, "event=roster_entries_unusable"))
+		if (!strstr(log, event))
 			return false;
 	}
 	return true;
 }
 
+static bool is_left_out_by_all(void *arg)
+{
+	return have_all_logged(arg, "event=roster_entries_unusable");
+}
+
 /* Guards against an entry of the roster that its readers end of or can't follow
  * the others for. */
 static void test_odd_entry_in_the_roster(void **state)
 {
 	struct leased_system *s = leased_system_begin(false);
-	struct stranger stranger = { .system = s };
+	struct stranger stranger = { .system = s,
+				     .name = "\xff\xfe",
+				     .data_centre = "\xff",
+				     .address = "127.0.0.1:99999" };
 	struct loop *loop = loop_create(NULL);
 
 	(void)state;
@@ -265,9 +309,39 @@
 	}
 	expect_service(s);
 	expect_all_running(s);
-	session_destroy(stranger.session);
-	link_hub_destroy(stranger.hub);
-	loop_destroy(loop);
+	unregister_stranger(&stranger, loop);
+	leased_system_finish(s);
+}
+
+static bool are_reports_left_out_by_all(void *arg)
+{
+	return have_all_logged(arg, "event=run_report_unusable");
+}
+
+/* Guards against a dispatcher that ends by the names in an agent's report, or
+ * counts on servers whose names are cut off. */
+static void test_odd_run_reports(void **state)
+{
+	struct leased_system *s = leased_system_begin(false);
+	g_autofree char *address =
+		g_strdup_printf("%s:%d", s->cluster->ip, STRANGER_PORT);
+	struct stranger stranger = { .system = s,
+				     .name = "\xff\xfe",
+				     .data_centre = "x",
+				     .address = address };
+	struct loop *loop = loop_create(NULL);
+
+	(void)state;
+	register_stranger(&stranger, loop);
+	assert_true(loop_until(loop, are_reports_left_out_by_all, &stranger));
+	expect_service(s);
+	expect_all_running(s);
+	assert_int_equal(
+		cluster_metric(s->cluster, "d1",
+			       "chervilferry_run_report_entries_unusable_"
+			       "total"),
+		ODD_RUN_ENTRIES);
+	unregister_stranger(&stranger, loop);
 	leased_system_finish(s);
 }
 
@@ -279,6 +353,8 @@
 		cmocka_unit_test_teardown(test_odd_reports, cluster_teardown),
 		cmocka_unit_test_teardown(test_odd_entry_in_the_roster,
 					  cluster_teardown),
+		cmocka_unit_test_teardown(test_odd_run_reports,
+					  cluster_teardown),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -223,6 +223,26 @@
 	}
 }
 
+/* Guards against a kind that is cut off within a character: dispatchers would
+ * leave the server out, as its kind isn't UTF-8. */
+static void test_long_kind(void **state)
+{
+	g_autofree char *kind = g_strnfill(CF_NAME_SIZE - 2, 'b');
+	g_autofree char *text = g_strdup_printf(
+		"{\"service\":\"s\",\"addr\":\"127.0.0.1:1\",\"zone\":\"z\","
+		"\"state\":\"ready\",\"seq\":4,\"clockMs\":1,\"born\":9,"
+		"\"capacity\":{\"cpu\":1,\"memMb\":1},"
+		"\"labels\":[\"%s\xc3\xa9\"]}",
+		kind);
+	struct server_report report;
+	char fault[128] = "";
+
+	(void)state;
+	assert_true(platform_read_server_report("i-1", text, strlen(text),
+						&report, fault));
+	assert_string_equal(report.kind, kind);
+}
+
 static void test_start_answers(void **state)
 {
 	static const struct {
@@ -469,6 +489,41 @@
 	g_bytes_unref(spec);
 }
 
+/* Guards against a call that is made from a text which the JSON library has
+ * refused: the process ended by a signal (review/5). */
+static void test_calls_of_odd_texts(void **state)
+{
+	static const struct {
+		struct run_name name;
+		const char *spec;
+		bool start, stop;
+	} cases[] = {
+		{ { "5c0e7a21d94b36f8", 0, 1 }, "a", true, true },
+		{ { "5c0e7a21d94b36f\xff", 0, 1 }, "a", false, false },
+		{ { "\xc3\x28", 0, 1 }, "a", false, false },
+		{ { "\xed\xa0\x80", 0, 1 }, "a", false, false },
+		{ { "5c0e7a21d94b36f8", 0, 1 }, "a\xff", false, true },
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		GBytes *spec =
+			g_bytes_new(cases[i].spec, strlen(cases[i].spec));
+		struct run_call call;
+
+		assert_int_equal(
+			platform_write_start(&cases[i].name, spec, 1, 1, &call),
+			cases[i].start);
+		assert_int_equal(call.body != NULL, cases[i].start);
+		run_call_clear(&call);
+		assert_int_equal(platform_write_stop(&cases[i].name, 1, &call),
+				 cases[i].stop);
+		assert_int_equal(call.body != NULL, cases[i].stop);
+		run_call_clear(&call);
+		g_bytes_unref(spec);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -477,12 +532,14 @@
 		cmocka_unit_test(test_fields_of_a_route),
 		cmocka_unit_test(test_jobs),
 		cmocka_unit_test(test_reports),
+		cmocka_unit_test(test_long_kind),
 		cmocka_unit_test(test_start_answers),
 		cmocka_unit_test(test_lists),
 		cmocka_unit_test(test_odd_entries_of_lists),
 		cmocka_unit_test(test_nested_entries_of_lists),
 		cmocka_unit_test(test_odd_reports),
 		cmocka_unit_test(test_start_and_poll_bodies),
+		cmocka_unit_test(test_calls_of_odd_texts),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
