Session: links of coordinators that are gone are dropped

Cause: a session kept a link for each address that the settings, a configuration or a redirect had named, for good, in 32 places. For the 33rd address add_link() returned SIZE_MAX, which its callers took for "no leader is named". No log line, no metric.

Change: member_links.c, split from session.c, decides which links stay. Named ones do: the seeds of the settings in force (SIGHUP replaces them), the members of the newest configuration, the leader. Of the others those without a connection are dropped while a lease is held, and at most 16 are kept: the unreachable one that was named longest ago makes room, never the coordinator that sent the redirect. coordinator_link_dropped, coordinator_links_full, coordinator_links, coordinator_links_dropped_total. session_add_coordinators() becomes session_set_coordinators().

Why it works: what is named is limited by the operator's settings and the size of a group, what isn't named is limited here, and a new address always gets a place.

Tests, before and after (test_session, 9 tests after, also with ASan and UBSan): - test_replaced_members_are_followed: before (300 members) the change isn't in force within 30 s; after (500) it is, memory and descriptors are level. - test_renewed_seeds_replace_the_old: before not in force after 16 groups. - test_redirects_to_dead_addresses: before the leader that is named last isn't asked (trial without the waits for the new metric). - test_address_is_used_again, test_newest_address_wins: they guard the new mechanism. On the code before they fail only for want of the metric.

--- a/src/leased/reload.c
+++ b/src/leased/reload.c
@@ -162,7 +162,7 @@
 	struct watch *w = arg;
 	g_auto(GStrv) coordinators = read_coordinators(w->settings);
 
-	session_add_coordinators(w->session, coordinators);
+	session_set_coordinators(w->session, coordinators);
 }
 
 static void reload(void *arg)
--- a/src/roles/session.c
+++ b/src/roles/session.c
@@ -5,6 +5,7 @@
  */
 #include "roles/session.h"
 #include "roles/fence_calls.h"
+#include "roles/member_links.h"
 
 #include "base/address.h"
 #include "base/clock.h"
@@ -17,7 +18,6 @@
 
 /* ---- Constants ---- */
 
-#define SESSION_LINKS_MAX 32
 #define RENEW_MS (CF_LEASE_MS / 4)
 /* Renewal interval while a new leader still collects the lease holders. */
 #define RENEW_UNSETTLED_MS 150
@@ -35,9 +35,7 @@
 	struct session_handlers handlers;
 	void *arg;
 	char *name, *data_centre, *rack, *address;
-	struct link *links[SESSION_LINKS_MAX];
-	size_t n_links;
-	size_t leader_index; /* index into links */
+	struct member_links *links;
 	struct loop_timer *timer;
 	struct cf_lease *lease;
 	struct cf_config *config;
@@ -57,52 +55,6 @@
 	struct counter *grants, *refusals;
 };
 
-/* ---- Connections ---- */
-
-static size_t find_link(const struct session *s, const struct link *link)
-{
-	size_t i;
-
-	for (i = 0; i < s->n_links; i++)
-		if (s->links[i] == link)
-			return i;
-	return SIZE_MAX;
-}
-
-static size_t add_link(struct session *s, const char *address)
-{
-	size_t i;
-
-	for (i = 0; i < s->n_links; i++)
-		if (!strcmp(link_address(s->links[i]), address))
-			return i;
-	if (s->n_links == SESSION_LINKS_MAX)
-		return SIZE_MAX;
-	s->links[s->n_links] = link_dial(s->options.hub, address);
-	return s->n_links++;
-}
-
-struct link *session_member_link(struct session *s, uint32_t member)
-{
-	size_t i;
-
-	for (i = 0; i < s->n_links; i++)
-		if (link_is_up(s->links[i]) &&
-		    link_peer(s->links[i])->member_id == member)
-			return s->links[i];
-	return NULL;
-}
-
-size_t session_links(struct session *s, struct link **links, size_t max)
-{
-	size_t i, n = 0;
-
-	for (i = 0; i < s->n_links && n < max; i++)
-		if (link_is_up(s->links[i]))
-			links[n++] = s->links[i];
-	return n;
-}
-
 /* ---- Lease ---- */
 
 static void fill_capacity(const struct cf_capacity *from, Cfw__Capacity *to)
@@ -114,26 +66,15 @@
 	to->accelerators = from->accelerators;
 }
 
-/* The next coordinator that is connected, else the next one. */
-static size_t next_link(const struct session *s)
-{
-	for (size_t i = 1; i < s->n_links; i++) {
-		size_t next = (s->leader_index + i) % s->n_links;
-
-		if (link_is_up(s->links[next]))
-			return next;
-	}
-	return (s->leader_index + 1) % s->n_links;
-}
-
 static void send_request(struct session *s, bool leaving)
 {
 	Cfw__Envelope envelope = CFW__ENVELOPE__INIT;
 	Cfw__LeaseRequest request = CFW__LEASE_REQUEST__INIT;
 	Cfw__Capacity capacity = CFW__CAPACITY__INIT;
+	struct link *leader = member_links_leader(s->links);
 	int64_t now_ms = clock_now_ms();
 
-	if (!s->n_links)
+	if (!leader)
 		return;
 	request.seq = cf_lease_request(s->lease, now_ms);
 	request.role = s->options.role;
@@ -152,9 +93,9 @@
 	envelope.body_case = CFW__ENVELOPE__BODY_LEASE_REQUEST;
 	envelope.lease_request = &request;
 	s->requested_ms = now_ms;
-	s->answered = !link_send(s->links[s->leader_index], &envelope);
+	s->answered = !link_send(leader, &envelope);
 	if (s->answered)
-		s->leader_index = next_link(s);
+		member_links_advance(s->links);
 }
 
 static void enter_fenced(struct session *s)
@@ -196,11 +137,13 @@
 	fence_calls_expire(s->fence_calls, now_ms);
 	if (!s->started || s->left || s->fenced)
 		return;
+	if (s->lease_was_held && !s->no_leader)
+		member_links_drop_gone(s->links);
 	waited_ms = s->requested_ms == INT64_MIN ? INT64_MAX
 						 : now_ms - s->requested_ms;
 	if (!s->answered && waited_ms >= ANSWER_TIMEOUT_MS) {
 		s->no_leader = true;
-		s->leader_index = next_link(s);
+		member_links_advance(s->links);
 		send_request(s, false);
 		return;
 	}
@@ -217,13 +160,11 @@
 	size_t size;
 	const void *data = g_bytes_get_data(packed, &size);
 	Cfw__Configuration *c = cfw__configuration__unpack(NULL, size, data);
-	size_t i;
 
-	for (i = 0; c && i < c->n_members; i++)
-		if (c->members[i]->address && *c->members[i]->address)
-			add_link(s, c->members[i]->address);
-	if (c)
+	if (c) {
+		member_links_set_members(s->links, c->members, c->n_members);
 		cfw__configuration__free_unpacked(c, NULL);
+	}
 	g_bytes_unref(packed);
 }
 
@@ -281,14 +222,14 @@
 
 /* Asks the coordinator that was named as the leader, at once unless a request
  * is on its way there. */
-static void follow_redirect(struct session *s, size_t leader)
+static void follow_redirect(struct session *s, struct link *leader)
 {
-	bool asked = leader == s->leader_index && !s->answered;
+	bool asked = leader == member_links_leader(s->links) && !s->answered;
 
-	s->leader_index = leader;
+	member_links_set_leader(s->links, leader);
 	s->no_leader = true;
 	if (asked || s->redirects >= REDIRECTS_PER_TICK || !s->started ||
-	    !link_is_up(s->links[leader]))
+	    !link_is_up(leader))
 		return;
 	s->redirects++;
 	send_request(s, false);
@@ -296,29 +237,31 @@
 
 /* A leader that has just been elected, and members that learn of it, announce
  * it by a refusal that answers no request (seq 0). */
-static void handle_not_leader(struct session *s, const Cfw__LeaseGrant *grant)
+static void handle_not_leader(struct session *s, const struct link *source,
+			      const Cfw__LeaseGrant *grant)
 {
-	size_t leader = SIZE_MAX;
+	struct link *before = member_links_leader(s->links), *leader = NULL;
 
 	if (grant->leader_address && *grant->leader_address)
-		leader = add_link(s, grant->leader_address);
+		leader = member_links_add(s->links, grant->leader_address,
+					  source);
 	if (!grant->seq) {
-		if (leader != SIZE_MAX &&
-		    (leader != s->leader_index || s->no_leader))
+		if (leader && (leader != before || s->no_leader))
 			follow_redirect(s, leader);
 		return;
 	}
 	counter_add(s->refusals, 1);
 	s->answered = true;
-	if (leader != SIZE_MAX && leader != s->leader_index) {
+	if (leader && leader != before) {
 		follow_redirect(s, leader);
 		return;
 	}
-	s->leader_index = leader == SIZE_MAX ? next_link(s) : leader;
+	if (!leader)
+		member_links_advance(s->links);
 	s->no_leader = true;
 }
 
-static void handle_grant(struct session *s, const struct link *link,
+static void handle_grant(struct session *s, struct link *link,
 			 const Cfw__LeaseGrant *grant)
 {
 	int64_t now_ms = clock_now_ms();
@@ -326,7 +269,7 @@
 	if (s->left || s->fenced)
 		return;
 	if (grant->verdict == CFW__LEASE_VERDICT__LEASE_NOT_LEADER) {
-		handle_not_leader(s, grant);
+		handle_not_leader(s, link, grant);
 		return;
 	}
 	s->answered = true;
@@ -344,7 +287,7 @@
 		return;
 	}
 	if (grant->verdict != CFW__LEASE_VERDICT__LEASE_GRANTED) {
-		handle_not_leader(s, grant);
+		handle_not_leader(s, link, grant);
 		return;
 	}
 	if (grant->configuration)
@@ -355,8 +298,8 @@
 			    grant->revision, now_ms))
 		return;
 	counter_add(s->grants, 1);
-	if (find_link(s, link) != SIZE_MAX)
-		s->leader_index = find_link(s, link);
+	if (member_links_has(s->links, link))
+		member_links_set_leader(s->links, link);
 	s->no_leader = false;
 	if (grant->roster)
 		apply_roster(s, grant);
@@ -370,7 +313,6 @@
 			       void *arg)
 {
 	struct session *s = g_new0(struct session, 1);
-	char **address;
 
 	s->options = *options;
 	s->handlers = *handlers;
@@ -389,8 +331,8 @@
 				"Lease renewals that were granted");
 	s->refusals = counter_get("lease_not_leader_total", NULL,
 				  "Lease requests that met no leader");
-	for (address = options->coordinators; address && *address; address++)
-		add_link(s, *address);
+	s->links = member_links_create(options->hub);
+	member_links_set_seeds(s->links, options->coordinators);
 	s->timer = loop_timer_create(options->loop, tick, s);
 	loop_timer_start(s->timer, TICK_MS, TICK_MS);
 	return s;
@@ -404,6 +346,7 @@
 	cf_lease_destroy(s->lease);
 	cf_config_destroy(s->config);
 	fence_calls_destroy(s->fence_calls);
+	member_links_destroy(s->links);
 	g_free(s->name);
 	g_free(s->data_centre);
 	g_free(s->rack);
@@ -436,13 +379,11 @@
 
 bool session_link_up(struct session *s, struct link *link)
 {
-	size_t i = find_link(s, link);
-
-	if (i == SIZE_MAX)
+	if (!member_links_has(s->links, link))
 		return false;
 	if (s->started && !s->left && !s->fenced && !s->lease_was_held &&
 	    (s->answered || s->no_leader)) {
-		s->leader_index = i;
+		member_links_set_leader(s->links, link);
 		send_request(s, false);
 	}
 	return true;
@@ -450,14 +391,12 @@
 
 bool session_link_down(struct session *s, struct link *link)
 {
-	size_t i = find_link(s, link);
-
-	if (i == SIZE_MAX)
+	if (!member_links_has(s->links, link))
 		return false;
-	if (i == s->leader_index) {
+	if (link == member_links_leader(s->links)) {
 		s->answered = true;
 		s->requested_ms = INT64_MIN;
-		s->leader_index = next_link(s);
+		member_links_advance(s->links);
 	}
 	return true;
 }
@@ -495,10 +434,19 @@
 		send_request(s, false);
 }
 
-void session_add_coordinators(struct session *s, char **addresses)
+void session_set_coordinators(struct session *s, char **addresses)
+{
+	member_links_set_seeds(s->links, addresses);
+}
+
+struct link *session_member_link(struct session *s, uint32_t member)
+{
+	return member_links_find_member(s->links, member);
+}
+
+size_t session_links(struct session *s, struct link **links, size_t max)
 {
-	for (size_t i = 0; addresses[i]; i++)
-		add_link(s, addresses[i]);
+	return member_links_list_up(s->links, links, max);
 }
 
 void session_leave(struct session *s)
@@ -515,7 +463,7 @@
 {
 	Cfw__Envelope envelope = CFW__ENVELOPE__INIT;
 	Cfw__FenceRequest request = CFW__FENCE_REQUEST__INIT;
-	struct link *leader = s->n_links ? s->links[s->leader_index] : NULL;
+	struct link *leader = member_links_leader(s->links);
 
 	if (!leader || !link_is_up(leader)) {
 		fn(arg, NULL);
--- a/src/roles/session.h
+++ b/src/roles/session.h
@@ -54,8 +54,8 @@
 void session_set_capacity(struct session *session,
 			  const struct cf_capacity *capacity);
 
-/* Also connects to these coordinators; used on reload. */
-void session_add_coordinators(struct session *session, char **addresses);
+/* Replaces the initial addresses; used on reload. */
+void session_set_coordinators(struct session *session, char **addresses);
 
 /* Releases the lease, which removes the process from the roster at once. */
 void session_leave(struct session *session);
@@ -68,7 +68,7 @@
 /* The connection to the member with this id; NULL if none is up. */
 struct link *session_member_link(struct session *session, uint32_t member);
 
-/* Lists the connections to coordinators that are up. */
+/* Lists the connections to coordinators that are up, members first. */
 size_t session_links(struct session *session, struct link **links, size_t max);
 
 #endif
--- a/tests/test_session.c
+++ b/tests/test_session.c
@@ -1,18 +1,21 @@
 /*
- * test_session: how often a process renews its lease, and which coordinator
- * it asks. Stand-in coordinators grant each request at once, refuse it or
- * don't answer.
+ * test_session: how often a process renews its lease, which coordinator
+ * it asks, and which links it keeps. Stand-in coordinators grant each request
+ * at once, refuse it or don't answer.
  */
+#include "base/counters.h"
 #include "net/link.h"
 #include "roles/session.h"
 #include "support/loop_until.h"
 
 #include "base/clock.h"
 
+#include <malloc.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <string.h>
 #include <cmocka.h>
 
 #define HEARTBEAT_MS 500
@@ -385,6 +388,382 @@
 	loop_destroy(loop);
 }
 
+/* ---- Coordinators that are replaced ----------------------------------- */
+
+#define REPLACED 500
+/* Allocators and caches have settled by then. */
+#define SETTLED_AFTER 100
+#define GROWTH_MAX_BYTES 65536
+#define SPARES_MAX 16 /* of a session */
+#define DEAD_ADDRESSES 200
+
+/* A coordinator that grants if it leads, with a configuration of which it and
+ * its successor are the members, and otherwise doesn't answer. */
+struct coordinator {
+	struct group *group;
+	struct link_hub *hub;
+	struct link *link; /* from the process */
+	char address[32];
+	int downs;
+};
+
+struct group {
+	struct loop *loop;
+	struct coordinator *leader, *successor;
+	uint64_t revision;
+	uint32_t n_opened;
+	struct process process;
+};
+
+static void grant_with_members(struct coordinator *c, uint64_t seq)
+{
+	Cfw__Envelope envelope = CFW__ENVELOPE__INIT;
+	Cfw__LeaseGrant reply = CFW__LEASE_GRANT__INIT;
+	Cfw__Configuration configuration = CFW__CONFIGURATION__INIT;
+	Cfw__Member members[] = { CFW__MEMBER__INIT, CFW__MEMBER__INIT };
+	Cfw__Member *list[] = { &members[0], &members[1] };
+
+	members[0].id = 1;
+	members[0].address = c->address;
+	members[0].admin_address = "127.0.0.1:1";
+	members[1].id = 2;
+	members[1].address = c->group->successor->address;
+	members[1].admin_address = "127.0.0.1:1";
+	configuration.revision = c->group->revision;
+	configuration.members = list;
+	configuration.n_members = G_N_ELEMENTS(list);
+	reply.seq = seq;
+	reply.verdict = CFW__LEASE_VERDICT__LEASE_GRANTED;
+	reply.duration_ms = LEASE_MS;
+	reply.revision = configuration.revision;
+	reply.configuration = &configuration;
+	envelope.body_case = CFW__ENVELOPE__BODY_LEASE_GRANT;
+	envelope.lease_grant = &reply;
+	link_send(c->link, &envelope);
+}
+
+/* As a leader that has just been elected does. */
+static void announce_leader(struct coordinator *c, const char *address)
+{
+	Cfw__Envelope envelope = CFW__ENVELOPE__INIT;
+	Cfw__LeaseGrant reply = CFW__LEASE_GRANT__INIT;
+
+	reply.verdict = CFW__LEASE_VERDICT__LEASE_NOT_LEADER;
+	reply.leader_address = (char *)address;
+	envelope.body_case = CFW__ENVELOPE__BODY_LEASE_GRANT;
+	envelope.lease_grant = &reply;
+	link_send(c->link, &envelope);
+}
+
+static void coordinator_up(void *arg, struct link *link)
+{
+	struct coordinator *c = arg;
+
+	c->link = link;
+	if (c->group->leader == c)
+		announce_leader(c, c->address);
+}
+
+static void coordinator_down(void *arg, struct link *link)
+{
+	struct coordinator *c = arg;
+
+	if (c->link == link)
+		c->link = NULL;
+	c->downs++;
+}
+
+static void coordinator_message(void *arg, struct link *link,
+				const Cfw__Envelope *received)
+{
+	struct coordinator *c = arg;
+
+	(void)link;
+	if (received->body_case == CFW__ENVELOPE__BODY_LEASE_REQUEST &&
+	    c->group->leader == c)
+		grant_with_members(c, received->lease_request->seq);
+}
+
+static struct coordinator *open_coordinator(struct group *group,
+					    const char *address)
+{
+	static const struct link_handlers links = { coordinator_up,
+						    coordinator_message,
+						    coordinator_down };
+	struct coordinator *c = g_new0(struct coordinator, 1);
+	struct link_options options = { .self = { CFW__ROLE__ROLE_COORDINATOR,
+						  "c", 9, ++group->n_opened,
+						  "olten" },
+					.heartbeat_ms = HEARTBEAT_MS };
+	uint16_t port;
+
+	c->group = group;
+	c->hub = link_hub_create(group->loop, &options, &links, c);
+	assert_true(link_hub_listen(c->hub, address, &port, NULL));
+	g_snprintf(c->address, sizeof(c->address), "127.0.0.1:%u", port);
+	return c;
+}
+
+static void close_coordinator(struct coordinator *c)
+{
+	link_hub_destroy(c->hub);
+	g_free(c);
+}
+
+static bool in_force(void *arg)
+{
+	struct group *group = arg;
+
+	return cf_config_revision(session_config(group->process.session)) ==
+		       group->revision &&
+	       group->leader->link && group->successor->link &&
+	       session_lease_held(group->process.session, clock_now_ms());
+}
+
+static uint16_t port_of(const struct coordinator *c)
+{
+	return (uint16_t)g_ascii_strtoull(strrchr(c->address, ':') + 1, NULL,
+					  10);
+}
+
+static void open_group(struct group *group)
+{
+	group->loop = loop_create(NULL);
+	group->leader = open_coordinator(group, "127.0.0.1:0");
+	group->successor = open_coordinator(group, "127.0.0.1:0");
+	group->revision = 1;
+	open_process(&group->process, group->loop, port_of(group->leader),
+		     port_of(group->successor));
+	assert_true(loop_until(group->loop, in_force, group));
+}
+
+static void close_group(struct group *group)
+{
+	session_destroy(group->process.session);
+	link_hub_destroy(group->process.hub);
+	close_coordinator(group->leader);
+	close_coordinator(group->successor);
+	loop_destroy(group->loop);
+}
+
+/* The successor leads, and a new one follows it. */
+static void replace_leader(struct group *group)
+{
+	struct coordinator *gone = group->leader;
+
+	group->leader = group->successor;
+	group->successor = open_coordinator(group, "127.0.0.1:0");
+	group->revision++;
+	if (group->leader->link)
+		announce_leader(group->leader, group->leader->address);
+	assert_true(loop_until(group->loop, in_force, group));
+	close_coordinator(gone);
+}
+
+static guint count_descriptors(void)
+{
+	GDir *dir = g_dir_open("/proc/self/fd", 0, NULL);
+	guint n = 0;
+
+	while (g_dir_read_name(dir))
+		n++;
+	g_dir_close(dir);
+	return n;
+}
+
+static int64_t held_links(void)
+{
+	return counter_value(gauge_get("coordinator_links", NULL, NULL));
+}
+
+static int64_t dropped_links(const char *labels)
+{
+	return counter_value(
+		counter_get("coordinator_links_dropped_total", labels, NULL));
+}
+
+/* The two of the settings, and the two members. */
+static bool only_named_left(void *arg)
+{
+	(void)arg;
+	return held_links() == 4;
+}
+
+/* Guards against links to members that are gone: they fill the table of links,
+ * and no new member is dialled. At the end changes are in force, and
+ * descriptors and memory are level. */
+static void test_replaced_members_are_followed(void **state)
+{
+	struct group group = { 0 };
+	size_t settled_bytes = 0;
+	guint settled_descriptors = 0;
+
+	(void)state;
+	open_group(&group);
+	for (int i = 1; i <= REPLACED; i++) {
+		replace_leader(&group);
+		if (i != SETTLED_AFTER)
+			continue;
+		assert_true(loop_until(group.loop, only_named_left, NULL));
+		settled_bytes = mallinfo2().uordblks;
+		settled_descriptors = count_descriptors();
+	}
+	assert_true(loop_until(group.loop, only_named_left, NULL));
+	assert_true(mallinfo2().uordblks <= settled_bytes + GROWTH_MAX_BYTES);
+	/* Seeds that nobody serves are being dialled in between. */
+	assert_true(count_descriptors() <= settled_descriptors + 2);
+	close_group(&group);
+}
+
+/* Guards against the same where whole groups are replaced while a process is
+ * cut off, and its settings then name a new one (SIGHUP). Seeds that the
+ * settings name no more are dropped, too. */
+static void test_renewed_seeds_replace_the_old(void **state)
+{
+	struct group group = { 0 };
+
+	(void)state;
+	open_group(&group);
+	for (int i = 0; i < 40; i++) {
+		char *seeds[] = { NULL, NULL };
+
+		close_coordinator(group.leader);
+		close_coordinator(group.successor);
+		group.leader = open_coordinator(&group, "127.0.0.1:0");
+		group.successor = open_coordinator(&group, "127.0.0.1:0");
+		group.revision++;
+		seeds[0] = group.leader->address;
+		session_set_coordinators(group.process.session, seeds);
+		assert_true(loop_until(group.loop, in_force, &group));
+	}
+	assert_true(held_links() <= 2 + SPARES_MAX);
+	close_group(&group);
+}
+
+static bool has_dropped_gone(void *arg)
+{
+	return dropped_links("reason=\"gone\"") >= *(int64_t *)arg;
+}
+
+/* Guards against an address that counts as gone for good: another member may
+ * use it later. */
+static void test_address_is_used_again(void **state)
+{
+	struct group group = { 0 };
+	char *no_seeds[] = { "127.0.0.1:1", NULL };
+	char address[32];
+	int64_t gone;
+
+	(void)state;
+	open_group(&group);
+	g_strlcpy(address, group.leader->address, sizeof(address));
+	session_set_coordinators(group.process.session, no_seeds);
+	gone = dropped_links("reason=\"gone\"") + 1;
+	replace_leader(&group);
+	assert_true(loop_until(group.loop, has_dropped_gone, &gone));
+	close_coordinator(group.successor);
+	group.successor = open_coordinator(&group, address);
+	group.revision++;
+	assert_true(loop_until(group.loop, in_force, &group));
+	assert_non_null(
+		session_member_link(group.process.session, group.n_opened));
+	close_group(&group);
+}
+
+static bool has_dropped_full(void *arg)
+{
+	return dropped_links("reason=\"full\"") >= *(int64_t *)arg;
+}
+
+/* Names addresses where nobody is as the leader's. */
+static void name_dead_addresses(struct group *group, struct coordinator *by)
+{
+	int64_t full =
+		dropped_links("reason=\"full\"") + DEAD_ADDRESSES - SPARES_MAX;
+
+	group->leader = NULL;
+	for (int i = 0; i < DEAD_ADDRESSES; i++) {
+		char address[32];
+
+		g_snprintf(address, sizeof(address), "127.99.%d.%d:9", i / 100,
+			   i % 100 + 1);
+		announce_leader(by, address);
+	}
+	assert_true(loop_until(group->loop, has_dropped_full, &full));
+}
+
+/* Guards against redirects to addresses where nobody is: they must neither push
+ * out live coordinators, members or not, nor keep the process from the leader
+ * that is named last. */
+static void test_redirects_to_dead_addresses(void **state)
+{
+	struct group group = { 0 };
+	char *no_seeds[] = { "127.0.0.1:1", NULL };
+	struct coordinator *silent, *redirecting, *unknown;
+
+	(void)state;
+	open_group(&group);
+	silent = group.successor;
+	redirecting = group.leader;
+	unknown = open_coordinator(&group, "127.0.0.1:0");
+	name_dead_addresses(&group, redirecting);
+	assert_true(held_links() <= 2 + SPARES_MAX + 1);
+	group.leader = unknown;
+	group.revision++;
+	announce_leader(redirecting, unknown->address);
+	assert_true(loop_until(group.loop, in_force, &group));
+	/* Nothing names the former member any more, but it is connected. */
+	session_set_coordinators(group.process.session, no_seeds);
+	name_dead_addresses(&group, unknown);
+	assert_int_equal(silent->downs, 0);
+	assert_int_equal(redirecting->downs, 0);
+	assert_int_equal(unknown->downs, 0);
+	group.leader = unknown;
+	close_coordinator(redirecting);
+	close_group(&group);
+}
+
+static bool is_linked(void *arg)
+{
+	return ((struct coordinator *)arg)->link != NULL;
+}
+
+static bool four_are_dropped(void *arg)
+{
+	struct coordinator *const *named = arg;
+
+	return named[0]->downs + named[1]->downs + named[2]->downs +
+		       named[3]->downs ==
+	       4;
+}
+
+/* Guards against a limit that keeps out the newest address: it takes the place
+ * of the one named longest ago, also where all of these are connected. */
+static void test_newest_address_wins(void **state)
+{
+	struct group group = { 0 };
+	struct coordinator *named[SPARES_MAX + 4], *redirecting;
+
+	(void)state;
+	open_group(&group);
+	redirecting = group.leader;
+	group.leader = NULL;
+	for (size_t i = 0; i < G_N_ELEMENTS(named); i++) {
+		named[i] = open_coordinator(&group, "127.0.0.1:0");
+		announce_leader(redirecting, named[i]->address);
+		assert_true(loop_until(group.loop, is_linked, named[i]));
+	}
+	assert_int_equal(held_links(), 2 + SPARES_MAX);
+	assert_true(loop_until(group.loop, four_are_dropped, named));
+	for (size_t i = 0; i < G_N_ELEMENTS(named); i++) {
+		assert_int_equal(named[i]->downs,
+				 i + SPARES_MAX < G_N_ELEMENTS(named));
+		close_coordinator(named[i]);
+	}
+	group.leader = redirecting;
+	close_group(&group);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -392,6 +771,11 @@
 		cmocka_unit_test(test_renews_faster_until_roster_settled),
 		cmocka_unit_test(test_asks_all_at_start),
 		cmocka_unit_test(test_redirects_are_limited),
+		cmocka_unit_test(test_replaced_members_are_followed),
+		cmocka_unit_test(test_renewed_seeds_replace_the_old),
+		cmocka_unit_test(test_address_is_used_again),
+		cmocka_unit_test(test_redirects_to_dead_addresses),
+		cmocka_unit_test(test_newest_address_wins),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
