HTTP: a path with an escaped NUL is refused, not cut off

What callers could see: a request for /q/a%00b was taken for the job "a", and a report under a server's name with %00 for the server before it.

Cause: libmicrohttpd unescapes a path in place and hands it over as a C string, so all behind an escaped NUL is lost.

Change: the server unescapes by itself and leaves an escaped NUL as it is; a path that has one is refused with 400, the message names the path. All other escapes are read as before.

A row of test_answers_by_status states that other escapes, also incomplete ones, are read as before.

--- a/src/net/http_private.h
+++ b/src/net/http_private.h
@@ -71,6 +71,8 @@
 			 struct MHD_Response *response);
 /* Answers with 503 because the server ends. Requires the server's lock. */
 void http_request_abandon(struct http_request *request);
+size_t http_request_unescape(void *arg, struct MHD_Connection *connection,
+			     char *text);
 enum MHD_Result http_request_access(void *arg,
 				    struct MHD_Connection *connection,
 				    const char *path, const char *method,
--- a/src/net/http_request.c
+++ b/src/net/http_request.c
@@ -19,6 +19,9 @@
 /* A request may take this multiple of the timeout to arrive. */
 #define SLOW_FACTOR 4
 #define MS_PER_S 1000
+#define ESCAPED_NUL "%00"
+#define ESCAPE_SIZE 3 /* of an escaped byte */
+#define HEX_BASE 16
 
 /* ---- Create and release ---- */
 
@@ -213,6 +216,30 @@
 
 /* ---- libmicrohttpd callbacks ---- */
 
+/* Leaves an escaped NUL as it is, as all behind it would be cut off. */
+size_t http_request_unescape(void *arg, struct MHD_Connection *connection,
+			     char *text)
+{
+	const char *from = text;
+	char *to = text;
+
+	(void)arg;
+	(void)connection;
+	while (*from) {
+		int high = *from == '%' ? g_ascii_xdigit_value(from[1]) : -1;
+		int low = high >= 0 ? g_ascii_xdigit_value(from[2]) : -1;
+
+		if (low < 0 || !(high || low)) {
+			*to++ = *from++;
+			continue;
+		}
+		*to++ = (char)(high * HEX_BASE + low);
+		from += ESCAPE_SIZE;
+	}
+	*to = 0;
+	return (size_t)(to - text);
+}
+
 static void count_header(struct MHD_Connection *connection)
 {
 	struct http_connection *c = http_connection_of(connection);
@@ -295,6 +322,9 @@
 			      (guint64)OVERSIZE_FACTOR * server->body_max_bytes)
 		return refuse(server, connection, MHD_HTTP_CONTENT_TOO_LARGE,
 			      "body_too_large", "the body is above the limit");
+	if (strstr(path, ESCAPED_NUL))
+		return refuse(server, connection, MHD_HTTP_BAD_REQUEST,
+			      "invalid", "path: must not contain a NUL");
 	*context = request_create(server, connection, method, path);
 	return MHD_YES;
 }
--- a/src/net/http_worker.c
+++ b/src/net/http_worker.c
@@ -259,7 +259,8 @@
 		MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int)server->timeout_s,
 		MHD_OPTION_CONNECTION_MEMORY_LIMIT,
 		(size_t)CONNECTION_MEMORY_BYTES, MHD_OPTION_STRICT_FOR_CLIENT,
-		1, MHD_OPTION_NOTIFY_COMPLETED, http_request_completed, server,
+		1, MHD_OPTION_UNESCAPE_CALLBACK, http_request_unescape, NULL,
+		MHD_OPTION_NOTIFY_COMPLETED, http_request_completed, server,
 		MHD_OPTION_NOTIFY_CONNECTION, on_connection, worker,
 		MHD_OPTION_END);
 }
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -218,6 +218,7 @@
 		{ "/echo", above, 413, 0, NULL },
 		{ "/echo", far_above, 413, 0, NULL },
 		{ "/later", "x", 429, 3, "wait" },
+		{ "/%6Cat%65r?a=%zz%4", "x", 429, 3, "wait" },
 		{ "/echo", "again", 200, 0, "again" },
 	};
 
@@ -297,6 +298,9 @@
 	} cases[] = {
 		{ "garbage\r\n\r\n", "" },
 		{ "GET / HTTP/1.1\r\n\r\n", "400" }, /* no Host */
+		/* Two paths would be one, cut off at the NUL. */
+		{ "GET /a%00b HTTP/1.1\r\nHost: x\r\n\r\n", "path: " },
+		{ "GET /%00 HTTP/1.1\r\nHost: x\r\n\r\n", "path: " },
 		{ "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: x\r\n\r\n",
 		  "400" },
 		{ "POST / HTTP/1.1\r\nHost: x\r\n"
