Coordinator: the status lists processes whose names aren't UTF-8

What operators saw: `roster_entries_unusable` tells them to look for the process in /v1/status of the leader, and a process whose name isn't UTF-8 wasn't there.

Cause: json_pack() refuses the row for one text and returns NULL, and appending NULL to the array does nothing.

Change: texts that other processes have told of themselves are made valid first. All JSON answers of the admin interface go through http_reply_json(), which answers 500 when there is nothing to write, in place of taking the length of NULL. No input is known that leads there: the other texts are literals or checked names.

--- a/src/coordinator/coordinator_admin.c
+++ b/src/coordinator/coordinator_admin.c
@@ -29,18 +29,6 @@
 
 /* ---- Answers ------------------------------------------------------- */
 
-/* Takes ownership of json. */
-static void reply_json(struct http_request *request, uint32_t status,
-		       json_t *json)
-{
-	char *text = json_dumps(json, JSON_COMPACT);
-
-	http_reply(request, status, "application/json", text, strlen(text),
-		   NULL);
-	free(text);
-	json_decref(json);
-}
-
 void coordinator_answer_command(struct http_request *request,
 				const struct cf_command_result *result)
 {
@@ -61,7 +49,7 @@
 		json = json_pack("{s:s,s:s,s:s,s:I}", "status", name, "reason",
 				 name, "message", result->message, "revision",
 				 revision);
-	reply_json(request, statuses[result->status], json);
+	http_reply_json(request, statuses[result->status], json);
 }
 
 /* Clients of the control interface follow redirects. */
@@ -96,8 +84,8 @@
 	json = json_pack("{s:s,s:s}", "reason", "not_leader", "message", why);
 	if (address)
 		json_object_set_new(json, "leader_admin", json_string(address));
-	reply_json(request, address ? HTTP_MISDIRECTED : HTTP_UNAVAILABLE,
-		   json);
+	http_reply_json(request, address ? HTTP_MISDIRECTED : HTTP_UNAVAILABLE,
+			json);
 }
 
 /* ---- Commands ------------------------------------------------------ */
@@ -194,8 +182,8 @@
 		    read->routes)
 			answer_routes(c, read->request);
 		else if (group_quorum_ms(c->group) > read->arrived_ms)
-			reply_json(read->request, HTTP_OK_STATUS,
-				   config_to_json(c->config));
+			http_reply_json(read->request, HTTP_OK_STATUS,
+					config_to_json(c->config));
 		else if (now_ms - read->arrived_ms > READ_TIMEOUT_MS)
 			coordinator_answer_not_leader(c, read->request,
 						      "no quorum was heard");
@@ -244,6 +232,15 @@
 	return array;
 }
 
+/* What another process told of itself may not be UTF-8, or was cut off within a
+ * character. */
+static json_t *told_text(const char *text)
+{
+	g_autofree char *valid = g_utf8_make_valid(text, -1);
+
+	return json_string(valid);
+}
+
 static json_t *roster_status(const struct coordinator *c)
 {
 	json_t *array = json_array();
@@ -262,12 +259,13 @@
 			   "%016" G_GINT64_MODIFIER "x", holder->incarnation);
 		json_array_append_new(
 			array,
-			json_pack("{s:s,s:s,s:s,s:s,s:s,s:s,s:b,s:I,s:I}",
-				  "name", holder->name, "role",
+			json_pack("{s:o,s:s,s:s,s:o,s:o,s:o,s:b,s:I,s:I}",
+				  "name", told_text(holder->name), "role",
 				  agent ? "agent" : "dispatcher", "incarnation",
 				  incarnation, "data_centre",
-				  holder->data_centre, "rack", holder->rack,
-				  "address", holder->address, "draining",
+				  told_text(holder->data_centre), "rack",
+				  told_text(holder->rack), "address",
+				  told_text(holder->address), "draining",
 				  (int)holder->draining, "slots",
 				  (json_int_t)holder->capacity.slots, "age_ms",
 				  (json_int_t)(loop_now_ms(c->loop) -
@@ -306,8 +304,8 @@
 	struct coordinator *c = posted_request->coordinator;
 
 	if (c->group) {
-		reply_json(posted_request->request, HTTP_OK_STATUS,
-			   status_to_json(c));
+		http_reply_json(posted_request->request, HTTP_OK_STATUS,
+				status_to_json(c));
 	} else {
 		coordinator_answer_not_leader(c, posted_request->request,
 					      c->why_not_ready);
--- a/src/net/admin.c
+++ b/src/net/admin.c
@@ -12,6 +12,7 @@
 
 #define ADMIN_CONNECTIONS_MAX 256
 #define ADMIN_BODY_MAX_BYTES (1U << 20)
+#define STATUS_INTERNAL 500
 #define TEXT_TYPE "text/plain; charset=utf-8"
 
 struct route {
@@ -30,19 +31,29 @@
 	char *not_ready_reason;
 };
 
-void http_reply_error(struct http_request *request, uint32_t status,
-		      const char *reason, const char *message)
+void http_reply_json(struct http_request *request, uint32_t status,
+		     json_t *body)
 {
-	char *valid = g_utf8_make_valid(message, -1);
-	json_t *body =
-		json_pack("{s:s,s:s}", "reason", reason, "message", valid);
+	static const char unwritable[] =
+		"{\"reason\":\"internal\","
+		"\"message\":\"the answer can't be written as JSON\"}";
 	char *text = json_dumps(body, JSON_COMPACT);
 
-	http_reply(request, status, "application/json", text, strlen(text),
+	http_reply(request, text ? status : STATUS_INTERNAL, "application/json",
+		   text ? text : unwritable, strlen(text ? text : unwritable),
 		   NULL);
 	free(text);
 	json_decref(body);
-	g_free(valid);
+}
+
+void http_reply_error(struct http_request *request, uint32_t status,
+		      const char *reason, const char *message)
+{
+	g_autofree char *valid = g_utf8_make_valid(message, -1);
+
+	http_reply_json(
+		request, status,
+		json_pack("{s:s,s:s}", "reason", reason, "message", valid));
 }
 
 /* ---- Routes of every role ---- */
--- a/src/net/admin.h
+++ b/src/net/admin.h
@@ -8,6 +8,7 @@
 #include "net/http_server.h"
 
 struct admin;
+struct json_t;
 
 typedef void admin_route_fn(void *arg, struct http_request *request);
 
@@ -24,5 +25,9 @@
 /* Replies {"reason":…,"message":…}. Used by all HTTP interfaces. */
 void http_reply_error(struct http_request *request, uint32_t status,
 		      const char *reason, const char *message);
+/* Takes ownership of the body. If that is NULL, as it had a text that isn't
+ * UTF-8, the status is 500. */
+void http_reply_json(struct http_request *request, uint32_t status,
+		     struct json_t *body);
 
 #endif
--- a/tests/fault_odd_entries.c
+++ b/tests/fault_odd_entries.c
@@ -285,8 +285,23 @@
 	return have_all_logged(arg, "event=roster_entries_unusable");
 }
 
+/* How many coordinators list the address in their status. */
+static int count_listing(struct leased_system *s, const char *address)
+{
+	int n = 0;
+
+	for (int i = 1; i <= SYSTEM_COORDINATORS; i++) {
+		g_autofree char *answer = NULL;
+
+		leased_system_call(s, i, "admin", "GET", "/v1/status", NULL,
+				   &answer);
+		n += strstr(answer, address) != NULL;
+	}
+	return n;
+}
+
 /* Guards against an entry of the roster that its readers end of or can't follow
- * the others for. */
+ * the others for, or that operators don't see in the leader's status. */
 static void test_odd_entry_in_the_roster(void **state)
 {
 	struct leased_system *s = leased_system_begin(false);
@@ -299,6 +314,7 @@
 	(void)state;
 	register_stranger(&stranger, loop);
 	assert_true(loop_until(loop, is_left_out_by_all, &stranger));
+	assert_int_equal(count_listing(s, stranger.address), 1);
 	for (int i = 1; i <= SYSTEM_COORDINATORS; i++) {
 		g_autofree char *answer = NULL;
 
