--- a/tools/fuzz.sh
+++ b/tools/fuzz.sh
@@ -32,7 +32,8 @@
 
 shopt -s nullglob
 sources=$(printf '%s\n' src/lib/*.c src/base/*.c src/net/*.c src/store/*.c \
-	src/proto/*.c src/verbs/command_json.c src/leased/formats.c platform/*.c)
+	src/proto/*.c src/verbs/command_json.c src/leased/formats.c \
+	src/leased/wire_check.c platform/*.c)
 fuzzers=$(printf 'fuzz/%s.c\n' "$@")
 printf '%s\n' $sources $fuzzers |
 	xargs -P "$(nproc)" -I{} bash -c 'compile {}'
