Soak: a stop that isn't followed in time becomes a kill

Cause: a planned stop of a frozen process blocked the test's fault loop, so nothing thawed the process; proc_stop() gave up after 60 s and left its pid, proc_start() failed its assertion on it, and the callers' threads then used the stack frame and the cluster that the failed test had left.

As on the platform, a planned stop of the soak now runs beside the other faults, a freeze ends in its time, and a process that hasn't ended after 6 s (graceS of the users' example) is killed and counted. Only a process that was frozen during its stop may need that; for others it is a violation, after 6 s in place of 60. Freezes and kills also meet processes that are being stopped. proc_stop() itself never leaves a process behind. After a failed assertion, cluster_teardown() has the test's threads ended first (only the soak's; other tests have none set), so that cmocka prints the text.

--- a/tests/fault_soak.c
+++ b/tests/fault_soak.c
@@ -59,6 +59,8 @@
 	{ 202, "a start accepted by a restarted server, before the agent knew "
 	       "of the restart, was treated as ended: overlapping runs" },
 	{ 208, "same as seed 202" },
+	{ 5021, "none: a stop of a frozen process, for which the test waited "
+		"before it would thaw the process" },
 };
 
 /* ---- State ---- */
@@ -67,7 +69,9 @@
 	struct leased_system *system;
 	struct soak_faults *faults;
 	bool planned_only;
+	GThread *threads[CALLER_COUNT + 1]; /* callers and the operator */
 	gint stopping; /* atomic; callers finish their last job, then stop */
+	gint abandoned; /* atomic; callers give up their last job */
 	GMutex lock; /* protects the fields below */
 	char refused[REFUSED_MAX][20];
 	int n_refused;
@@ -130,7 +134,8 @@
 	char id[20];
 
 	new_id(c, id);
-	for (int i = 0; i < TRIES_MAX; i++) {
+	for (int i = 0; i < TRIES_MAX && !g_atomic_int_get(&s->abandoned);
+	     i++) {
 		g_autofree char *answer = NULL;
 		uint32_t status =
 			leased_caller_submit(c->connections, c->number + i, id,
@@ -268,29 +273,47 @@
 	g_atomic_int_set(&s->stopping, 1);
 }
 
+static void join_threads(struct soak *s)
+{
+	for (int i = 0; i <= CALLER_COUNT; i++)
+		g_thread_join(s->threads[i]);
+}
+
+/* A failed assertion leaves run_seed() while the threads run. What they use is
+ * static or on the heap, and the teardown waits for them. */
+static void abandon(void *arg)
+{
+	struct soak *s = arg;
+
+	g_atomic_int_set(&s->abandoned, 1);
+	g_atomic_int_set(&s->stopping, 1);
+	join_threads(s);
+}
+
 static void run_seed(uint32_t seed)
 {
-	g_autofree struct soak *s = g_new0(struct soak, 1);
-	struct operator operator= { .soak = s, .sent = 1, .acknowledged = 1 };
-	struct caller callers[CALLER_COUNT] = { 0 };
-	GThread *threads[CALLER_COUNT + 1];
+	static struct caller callers[CALLER_COUNT];
+	static struct operator operator;
+	struct soak *s = g_new0(struct soak, 1);
 	int64_t overlaps;
 
+	operator=(struct operator){ .soak = s, .sent = 1, .acknowledged = 1 };
 	s->system = leased_system_begin(true);
 	s->faults = soak_faults_create(s->system, seed);
 	s->planned_only = soak_faults_planned_only(s->faults);
 	for (int i = 0; i < CALLER_COUNT; i++) {
-		callers[i].soak = s;
+		callers[i] = (struct caller){ .soak = s, .number = i + 1 };
 		callers[i].connections = leased_caller_create(s->system);
-		callers[i].number = i + 1;
 		callers[i].random = g_rand_new_with_seed(seed + (guint32)i);
-		threads[i] = g_thread_new("caller", run_caller, &callers[i]);
+		s->threads[i] = g_thread_new("caller", run_caller, &callers[i]);
 	}
-	threads[CALLER_COUNT] =
+	s->threads[CALLER_COUNT] =
 		g_thread_new("operator", run_operator, &operator);
+	s->system->cluster->end_threads_arg = s;
+	s->system->cluster->end_threads = abandon;
 	run_faults(s);
-	for (int i = 0; i <= CALLER_COUNT; i++)
-		g_thread_join(threads[i]);
+	join_threads(s);
+	s->system->cluster->end_threads = NULL;
 	for (int i = 0; i < CALLER_COUNT; i++) {
 		g_rand_free(callers[i].random);
 		leased_caller_destroy(callers[i].connections);
@@ -300,11 +323,13 @@
 	overlaps = standin_overlapping_runs(s->system->record);
 	fprintf(stderr,
 		"count: seed=%u faults=%u%s jobs=%d completed=%d resent=%d "
-		"refused=%d runs=%u doubles=%d changes=%u broken=\"%s\"\n",
+		"refused=%d runs=%u doubles=%d changes=%u stop_kills=%u "
+		"broken=\"%s\"\n",
 		seed, soak_faults_count(s->faults),
 		s->planned_only ? " planned" : "", s->jobs, s->completed,
 		s->resent, s->n_refused, standin_runs(s->system->record),
-		(int)overlaps, operator.acknowledged, s->violation);
+		(int)overlaps, operator.acknowledged,
+		soak_faults_stop_kills(s->faults), s->violation);
 	if (overlaps || s->violation[0])
 		soak_faults_print(s->faults);
 	assert_int_equal(overlaps, 0);
@@ -312,6 +337,7 @@
 	assert_true(s->jobs > CALLER_COUNT);
 	soak_faults_destroy(s->faults);
 	leased_system_finish(s->system);
+	g_free(s);
 }
 
 /* ---- Tests ---- */
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -22,6 +22,7 @@
 	int n_args;
 	pid_t pid; /* 0: not running */
 	int starts;
+	int stop_kills; /* stops that the process did not follow in time */
 	char log[256];
 };
 
@@ -31,6 +32,10 @@
 	struct proc procs[CLUSTER_PROCS_MAX];
 	int n_procs;
 	int n_coordinators, n_dispatchers, n_agents;
+	/* If set, cluster_teardown() calls it before it destroys the cluster
+	 * of a failed test. It ends the threads that use the cluster. */
+	void (*end_threads)(void *arg);
+	void *end_threads_arg;
 };
 
 struct cluster_options {
@@ -52,7 +57,8 @@
 /* Kills all running processes and removes their files. */
 void cluster_destroy(struct cluster *c);
 
-/* Teardown of a test: destroys the cluster that a failed test left behind. */
+/* Teardown of a test: ends the threads of a failed test that use its cluster,
+ * and destroys the cluster. cmocka prints the failed assertion after that. */
 int cluster_teardown(void **state);
 extern struct cluster *cluster_running;
 
@@ -65,8 +71,9 @@
 void proc_set_args(struct proc *p, const char *const *args);
 void proc_start(struct cluster *c, struct proc *p);
 void proc_kill(struct proc *p); /* SIGKILL, reaped */
-/* Sends SIGTERM and reaps. Returns the exit status, or -1 if the process was
- * ended by a signal or did not end in time. */
+/* Sends SIGTERM and reaps. A process that has not ended after a minute is
+ * killed. Returns the exit status, or -1 if the process was ended by a
+ * signal. */
 int proc_stop(struct proc *p);
 void proc_terminate(struct proc *p); /* SIGTERM only */
 /* Returns the exit status, or -1 if the process is still running or was ended
--- a/tests/support/proc.c
+++ b/tests/support/proc.c
@@ -148,8 +148,15 @@
 
 int proc_stop(struct proc *p)
 {
+	int status;
+
 	proc_terminate(p);
-	return proc_wait(p, STOP_WAIT_MS);
+	status = proc_wait(p, STOP_WAIT_MS);
+	if (p->pid) {
+		p->stop_kills++;
+		proc_kill(p);
+	}
+	return status;
 }
 
 void proc_freeze(struct proc *p)
@@ -214,7 +221,10 @@
 int cluster_teardown(void **state)
 {
 	(void)state;
-	if (cluster_running)
-		cluster_destroy(cluster_running);
+	if (!cluster_running)
+		return 0;
+	if (cluster_running->end_threads)
+		cluster_running->end_threads(cluster_running->end_threads_arg);
+	cluster_destroy(cluster_running);
 	return 0;
 }
--- a/tests/support/soak_faults.c
+++ b/tests/support/soak_faults.c
@@ -22,6 +22,9 @@
 #define PLANNED_ONLY_MODULUS 6
 #define RELAY_DELAY_MS 15
 #define STARTUP_MS 1000
+/* The time after which the platform kills a process that does not follow a
+ * stop: graceS in the users' example of a settings file. */
+#define GRACE_MS 6000
 
 /* ---- Types ---- */
 
@@ -54,14 +57,22 @@
 	bool begun, over;
 };
 
+struct process_state {
+	int holds; /* number of faults that hold the process down */
+	int64_t started_ms;
+	bool frozen;
+	int64_t stop_ms; /* time of the planned stop in progress, or 0 */
+	bool stop_while_starting;
+	bool stop_while_frozen; /* frozen during a part of the stop */
+};
+
 struct soak_faults {
 	struct leased_system *system;
 	bool planned_only;
 	struct fault faults[FAULTS_MAX];
 	int n_faults;
-	/* Number of faults that hold each process down. */
-	int hold_counts[CLUSTER_PROCS_MAX];
-	int64_t started_ms[CLUSTER_PROCS_MAX];
+	struct process_state processes[CLUSTER_PROCS_MAX];
+	uint32_t stop_kills;
 	bool disk_lost;
 	char violation[120];
 };
@@ -122,34 +133,77 @@
 
 static void restart_process(struct soak_faults *s, int i)
 {
-	s->started_ms[i] = clock_now_ms();
+	s->processes[i].started_ms = clock_now_ms();
+	s->processes[i].frozen = false;
 	proc_start(s->system->cluster, proc_at(s, i));
 }
 
-/* Faults that overlap may hold the same process down. The first one ends the
- * process, and the last one to be released starts it again. */
-static void add_hold(struct soak_faults *s, int i, bool planned)
+static void kill_process(struct soak_faults *s, int i)
+{
+	s->processes[i].stop_ms = 0;
+	proc_kill(proc_at(s, i));
+}
+
+static void begin_stop(struct soak_faults *s, int i)
 {
-	if (s->hold_counts[i]++)
+	struct process_state *state = &s->processes[i];
+
+	if (state->stop_ms || !proc_at(s, i)->pid)
 		return;
-	if (planned) {
-		/* A process that is still starting may be ended by the signal
-		 * itself, so its status is not checked. */
-		bool up = clock_now_ms() - s->started_ms[i] > STARTUP_MS;
+	state->stop_ms = clock_now_ms();
+	state->stop_while_starting = state->stop_ms - state->started_ms <=
+				     STARTUP_MS;
+	state->stop_while_frozen = state->frozen;
+	proc_terminate(proc_at(s, i));
+}
+
+/* Kills a process that has not followed its stop within the grace time, as the
+ * platform does. Only a process that was frozen meanwhile may need that. */
+static void follow_stop(struct soak_faults *s, int i)
+{
+	struct process_state *state = &s->processes[i];
+	struct proc *p = proc_at(s, i);
+	int status;
 
-		if (proc_stop(proc_at(s, i)) != 0 && up)
+	if (!state->stop_ms)
+		return;
+	status = proc_wait(p, 0);
+	if (p->pid) {
+		if (clock_now_ms() - state->stop_ms < GRACE_MS)
+			return;
+		s->stop_kills++;
+		kill_process(s, i);
+		if (!state->stop_while_frozen)
 			record_violation(
-				s,
-				"%s: a planned stop did not exit with status 0",
-				proc_at(s, i)->name);
-	} else {
-		proc_kill(proc_at(s, i));
+				s, "%s: a planned stop took more than %d ms",
+				p->name, GRACE_MS);
+		return;
 	}
+	state->stop_ms = 0;
+	/* A process that is still starting may be ended by the signal itself,
+	 * so its status is not checked. */
+	if (status != 0 && !state->stop_while_starting)
+		record_violation(
+			s, "%s: a planned stop did not exit with status 0",
+			p->name);
 }
 
+/* Faults that overlap may hold the same process down. The first one ends the
+ * process, and a kill also ends a process that is being stopped. */
+static void add_hold(struct soak_faults *s, int i, bool planned)
+{
+	s->processes[i].holds++;
+	if (!planned)
+		kill_process(s, i);
+	else if (s->processes[i].holds == 1)
+		begin_stop(s, i);
+}
+
+/* The last fault to be released starts the process again, or restart_exited()
+ * does once the process has followed its stop. */
 static void release_hold(struct soak_faults *s, int i)
 {
-	if (--s->hold_counts[i] == 0)
+	if (--s->processes[i].holds == 0 && !proc_at(s, i)->pid)
 		restart_process(s, i);
 }
 
@@ -179,8 +233,12 @@
 
 static void set_frozen(struct soak_faults *s, int i, bool begins)
 {
-	if (s->hold_counts[i])
+	struct process_state *state = &s->processes[i];
+
+	if (!proc_at(s, i)->pid)
 		return;
+	state->frozen = begins;
+	state->stop_while_frozen |= begins;
 	if (begins)
 		proc_freeze(proc_at(s, i));
 	else
@@ -216,14 +274,18 @@
 
 	f->target = i;
 	add_hold(s, i, false);
-	if (!s->disk_lost && s->hold_counts[i] == 1)
+	if (!s->disk_lost && s->processes[i].holds == 1)
 		remove_disk(s, proc_at(s, i));
 }
 
 static void fill_disk(struct soak_faults *s, struct fault *f, bool begins)
 {
-	struct proc *p = proc_at(s, f->target % SYSTEM_COORDINATORS);
+	int i = f->target % SYSTEM_COORDINATORS;
+	struct proc *p = proc_at(s, i);
 
+	/* A process that is being stopped must still exit with status 0. */
+	if (begins && s->processes[i].stop_ms)
+		return;
 	if (p->pid && proc_running(p))
 		proc_limit_file_size(p, begins ? 1 : -1);
 }
@@ -265,20 +327,32 @@
 	}
 }
 
-/* Restarts processes that have exited unexpectedly, as the platform does. */
+/* Restarts processes that have exited unexpectedly, as the platform does, and
+ * those that have followed a stop after its fault was over. */
 static void restart_exited(struct soak_faults *s)
 {
 	for (int i = 0; i < s->system->cluster->n_procs; i++) {
+		struct process_state *state = &s->processes[i];
 		struct proc *p = proc_at(s, i);
+		bool stopping = state->stop_ms;
 
-		if (s->hold_counts[i] || !p->pid || proc_running(p))
+		follow_stop(s, i);
+		if (state->holds || state->stop_ms || proc_running(p))
 			continue;
-		if (s->planned_only)
+		if (s->planned_only && !stopping)
 			record_violation(s, "%s exited unexpectedly", p->name);
 		restart_process(s, i);
 	}
 }
 
+static bool stops_in_progress(const struct soak_faults *s)
+{
+	for (int i = 0; i < s->system->cluster->n_procs; i++)
+		if (s->processes[i].stop_ms)
+			return true;
+	return false;
+}
+
 bool soak_faults_step(struct soak_faults *s, int64_t at_ms)
 {
 	bool pending = false;
@@ -296,7 +370,7 @@
 		pending |= !f->over;
 	}
 	restart_exited(s);
-	return pending || at_ms < FAULT_WINDOW_MS;
+	return pending || stops_in_progress(s) || at_ms < FAULT_WINDOW_MS;
 }
 
 /* ---- Lifecycle ---- */
@@ -328,6 +402,11 @@
 	return (uint32_t)s->n_faults;
 }
 
+uint32_t soak_faults_stop_kills(const struct soak_faults *s)
+{
+	return s->stop_kills;
+}
+
 const char *soak_faults_violation(const struct soak_faults *s)
 {
 	return s->violation;
--- a/tests/support/soak_faults.h
+++ b/tests/support/soak_faults.h
@@ -22,9 +22,11 @@
 bool soak_faults_step(struct soak_faults *faults, int64_t at_ms);
 void soak_faults_print(const struct soak_faults *faults); /* to stderr */
 uint32_t soak_faults_count(const struct soak_faults *faults);
-/* Describes the first planned stop that did not exit with status 0, or with
- * planned stops only, the first process that exited unexpectedly. Empty if
- * there was none. */
+/* Number of planned stops that became a kill after the grace time. */
+uint32_t soak_faults_stop_kills(const struct soak_faults *faults);
+/* Describes the first planned stop that did not exit with status 0 or, by a
+ * process that was not frozen, within the grace time. With planned stops only,
+ * also the first process that exited unexpectedly. Empty if there was none. */
 const char *soak_faults_violation(const struct soak_faults *faults);
 
 #endif
