Soak: what ends after the last fault is started again

Seed failed with "no coordinator returned the routes at the end". The platform starts again what ends.

The test now keeps starting what has exited, until the routes are read at the end. The condition is as before: the routes within 30 s, all jobs whole, no overlaps; both dispatchers must still get ready within 30 s too. With planned stops only, a process that exits after the last fault is now a violation as well, as is a late stop with another status. The count line tells how many processes were started again, and the seed is a regression case.

--- a/tests/fault_soak.c
+++ b/tests/fault_soak.c
@@ -59,6 +59,8 @@
 	{ 202, "a start accepted by a restarted server, before the agent knew "
 	       "of the restart, was treated as ended: overlapping runs" },
 	{ 208, "same as seed 202" },
+	{ 3813496650, "none: a disk was full at the end; the test did not "
+		      "start the coordinator again that had exited" },
 	{ 5021, "none: a stop of a frozen process, for which the test waited "
 		"before it would thaw the process" },
 };
@@ -68,8 +70,10 @@
 struct soak {
 	struct leased_system *system;
 	struct soak_faults *faults;
+	int64_t begin_ms; /* of the faults */
 	bool planned_only;
 	GThread *threads[CALLER_COUNT + 1]; /* callers and the operator */
+	gint running; /* atomic; number of threads that have not ended */
 	gint stopping; /* atomic; callers finish their last job, then stop */
 	gint abandoned; /* atomic; callers give up their last job */
 	GMutex lock; /* protects the fields below */
@@ -177,6 +181,7 @@
 					 c->number);
 		g_usleep(STEP_INTERVAL_MS * US_PER_MS);
 	}
+	g_atomic_int_add(&s->running, -1);
 	return NULL;
 }
 
@@ -219,6 +224,7 @@
 		read_back(o, (int)(o->sent / 2 % SYSTEM_COORDINATORS) + 1);
 		g_usleep(CHANGE_INTERVAL_MS * US_PER_MS);
 	}
+	g_atomic_int_add(&o->soak->running, -1);
 	return NULL;
 }
 
@@ -232,6 +238,14 @@
 					 s->refused[i]);
 }
 
+/* Begins and ends the faults that are due, and starts the processes that have
+ * exited. Returns false when all faults are over. Processes may still exit
+ * after that: the effect of a full disk shows at the next write. */
+static bool step(struct soak *s)
+{
+	return soak_faults_step(s->faults, clock_now_ms() - s->begin_ms);
+}
+
 static void check_operator(struct soak *s, struct operator* o)
 {
 	int64_t end_ms = clock_now_ms() + SYSTEM_WAIT_MS;
@@ -239,6 +253,7 @@
 	for (int i = 0; clock_now_ms() < end_ms; i++) {
 		g_autofree char *answer = NULL;
 
+		step(s);
 		if (leased_system_call(s->system, i % SYSTEM_COORDINATORS + 1,
 				       "control", "GET",
 				       standin_get_routes_path, NULL,
@@ -256,21 +271,33 @@
 	record_violation(s, "no coordinator returned the routes at the end");
 }
 
-static void run_faults(struct soak *s)
+static void wait_dispatcher(struct soak *s, int number)
 {
-	int64_t begin_ms = clock_now_ms();
-
-	while (soak_faults_step(s->faults, clock_now_ms() - begin_ms))
+	int64_t end_ms = clock_now_ms() + SYSTEM_WAIT_MS;
+	char name[16];
+
+	snprintf(name, sizeof(name), "d%d", number);
+	while (!cluster_ready(s->system->cluster, name)) {
+		if (clock_now_ms() >= end_ms)
+			fail_msg("%s is not ready after %d ms", name,
+				 SYSTEM_WAIT_MS);
+		step(s);
 		g_usleep(STEP_INTERVAL_MS * US_PER_MS);
-	if (soak_faults_violation(s->faults)[0])
-		record_violation(s, "%s", soak_faults_violation(s->faults));
-	for (int i = 0; i < SYSTEM_DISPATCHERS; i++) {
-		char name[16];
-
-		snprintf(name, sizeof(name), "d%d", i + 1);
-		cluster_wait_ready(s->system->cluster, name, SYSTEM_WAIT_MS);
 	}
+}
+
+static void run_faults(struct soak *s)
+{
+	s->begin_ms = clock_now_ms();
+	while (step(s))
+		g_usleep(STEP_INTERVAL_MS * US_PER_MS);
+	for (int i = 1; i <= SYSTEM_DISPATCHERS; i++)
+		wait_dispatcher(s, i);
 	g_atomic_int_set(&s->stopping, 1);
+	while (g_atomic_int_get(&s->running)) {
+		step(s);
+		g_usleep(STEP_INTERVAL_MS * US_PER_MS);
+	}
 }
 
 static void join_threads(struct soak *s)
@@ -301,6 +328,7 @@
 	s->system = leased_system_begin(true);
 	s->faults = soak_faults_create(s->system, seed);
 	s->planned_only = soak_faults_planned_only(s->faults);
+	s->running = CALLER_COUNT + 1;
 	for (int i = 0; i < CALLER_COUNT; i++) {
 		callers[i] = (struct caller){ .soak = s, .number = i + 1 };
 		callers[i].connections = leased_caller_create(s->system);
@@ -320,16 +348,19 @@
 	}
 	check_refused(s);
 	check_operator(s, &operator);
+	if (soak_faults_violation(s->faults)[0])
+		record_violation(s, "%s", soak_faults_violation(s->faults));
 	overlaps = standin_overlapping_runs(s->system->record);
 	fprintf(stderr,
 		"count: seed=%u faults=%u%s jobs=%d completed=%d resent=%d "
 		"refused=%d runs=%u doubles=%d changes=%u stop_kills=%u "
-		"broken=\"%s\"\n",
+		"restarts=%u broken=\"%s\"\n",
 		seed, soak_faults_count(s->faults),
 		s->planned_only ? " planned" : "", s->jobs, s->completed,
 		s->resent, s->n_refused, standin_runs(s->system->record),
 		(int)overlaps, operator.acknowledged,
-		soak_faults_stop_kills(s->faults), s->violation);
+		soak_faults_stop_kills(s->faults),
+		soak_faults_restarts(s->faults), s->violation);
 	if (overlaps || s->violation[0])
 		soak_faults_print(s->faults);
 	assert_int_equal(overlaps, 0);
--- a/tests/support/soak_faults.c
+++ b/tests/support/soak_faults.c
@@ -73,6 +73,7 @@
 	int n_faults;
 	struct process_state processes[CLUSTER_PROCS_MAX];
 	uint32_t stop_kills;
+	uint32_t restarts; /* of processes that exited unexpectedly */
 	bool disk_lost;
 	char violation[120];
 };
@@ -339,6 +340,8 @@
 		follow_stop(s, i);
 		if (state->holds || state->stop_ms || proc_running(p))
 			continue;
+		if (!stopping)
+			s->restarts++;
 		if (s->planned_only && !stopping)
 			record_violation(s, "%s exited unexpectedly", p->name);
 		restart_process(s, i);
@@ -407,6 +410,11 @@
 	return s->stop_kills;
 }
 
+uint32_t soak_faults_restarts(const struct soak_faults *s)
+{
+	return s->restarts;
+}
+
 const char *soak_faults_violation(const struct soak_faults *s)
 {
 	return s->violation;
