Test relays: a disturbed relay that has carried nothing fails its test

A relay that the processes bypass disturbs nothing, and the test passes. Until now only the agents' relays of leased_system.c were checked, once, at the start, for connections.

Each relay now counts the bytes that it gets from both sides and those it passes on, and the calls that disturb it. relay_destroy() prints them and fails the test if a disturbed relay has not carried data in both directions; the crash of a server's relay counts as a disturbance. So it holds for fault_soak, fault_resume, fault_crash_losses, fault_links, fault_stops, fault_random, fault_partition, fault_data_centre and fault_config. After a failed test, the teardown ends its relays and stand-ins, which kept the ports that the next test of the program needs. fault_leased disturbs no relay.

--- a/tests/fault_soak.c
+++ b/tests/fault_soak.c
@@ -337,11 +337,11 @@
 	}
 	s->threads[CALLER_COUNT] =
 		g_thread_new("operator", run_operator, &operator);
-	s->system->cluster->end_threads_arg = s;
-	s->system->cluster->end_threads = abandon;
+	s->system->end_callers_arg = s;
+	s->system->end_callers = abandon;
 	run_faults(s);
 	join_threads(s);
-	s->system->cluster->end_threads = NULL;
+	s->system->end_callers = NULL;
 	for (int i = 0; i < CALLER_COUNT; i++) {
 		g_rand_free(callers[i].random);
 		leased_caller_destroy(callers[i].connections);
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -58,7 +58,8 @@
 void cluster_destroy(struct cluster *c);
 
 /* Teardown of a test: ends the threads of a failed test that use its cluster,
- * and destroys the cluster. cmocka prints the failed assertion after that. */
+ * and destroys the cluster and the relays. cmocka prints the failed assertion
+ * after that. */
 int cluster_teardown(void **state);
 extern struct cluster *cluster_running;
 
--- a/tests/support/leased_system.c
+++ b/tests/support/leased_system.c
@@ -454,7 +454,7 @@
 
 void leased_system_crash_unanswered(struct leased_system *s, int i)
 {
-	relay_destroy(s->server_relays[i]);
+	relay_crash(s->server_relays[i]);
 	s->server_relays[i] = NULL;
 	standin_halt(s->standins[i]);
 	leased_system_crash_server(s, i);
@@ -505,12 +505,27 @@
 	wait_for_relayed_links(s);
 }
 
+/* Without it, the stand-ins of a failed test would use the cluster that is
+ * destroyed, and keep the ports that the next test needs. */
+static void end_threads(void *arg)
+{
+	struct leased_system *s = arg;
+
+	if (s->end_callers)
+		s->end_callers(s->end_callers_arg);
+	for (int i = 0; i < SYSTEM_AGENTS; i++)
+		if (s->standins[i])
+			standin_destroy(s->standins[i]);
+}
+
 struct leased_system *leased_system_begin(bool relays)
 {
 	const struct cluster_options none = { 0 };
 	struct leased_system *s = g_new0(struct leased_system, 1);
 
 	s->cluster = cluster_create(&none);
+	s->cluster->end_threads = end_threads;
+	s->cluster->end_threads_arg = s;
 	s->record = standin_record_create();
 	configure_processes(s);
 	for (int i = 0; relays && i < SYSTEM_AGENTS; i++)
@@ -537,8 +552,10 @@
 
 void leased_system_finish(struct leased_system *s)
 {
-	for (int i = 0; i < SYSTEM_AGENTS && s->standins[i]; i++)
+	for (int i = 0; i < SYSTEM_AGENTS && s->standins[i]; i++) {
 		standin_destroy(s->standins[i]);
+		s->standins[i] = NULL;
+	}
 	assert_int_equal(standin_overlapping_runs(s->record), 0);
 	standin_record_destroy(s->record);
 	cluster_destroy(s->cluster);
--- a/tests/support/leased_system.h
+++ b/tests/support/leased_system.h
@@ -31,6 +31,9 @@
 	char losses_borne[8]; /* empty: the default */
 	char seeds[200];
 	char coordinator_addresses[200]; /* for --coordinators */
+	/* If set, it ends the test's own threads when the test has failed. */
+	void (*end_callers)(void *arg);
+	void *end_callers_arg;
 };
 
 /* Starts everything, sets routes with version 1, and waits until the
--- a/tests/support/proc.c
+++ b/tests/support/proc.c
@@ -2,6 +2,7 @@
  * proc: see cluster.h. Starts, signals and reaps a process of a cluster.
  */
 #include "cluster.h"
+#include "relay.h"
 
 #include "base/clock.h"
 
@@ -221,10 +222,10 @@
 int cluster_teardown(void **state)
 {
 	(void)state;
-	if (!cluster_running)
-		return 0;
-	if (cluster_running->end_threads)
+	if (cluster_running && cluster_running->end_threads)
 		cluster_running->end_threads(cluster_running->end_threads_arg);
-	cluster_destroy(cluster_running);
+	if (cluster_running)
+		cluster_destroy(cluster_running);
+	relay_destroy_all();
 	return 0;
 }
--- a/tests/support/relay.c
+++ b/tests/support/relay.c
@@ -46,11 +46,17 @@
 };
 
 struct relay {
+	struct relay *next; /* in the list of all relays */
 	int listener;
 	struct sockaddr_in target;
 	GThread *thread;
 	gint stop, blackhole_all, blackhole_open; /* atomic */
 	gint accepted; /* atomic */
+	char address[40]; /* of the listener */
+	int disturbances; /* calls that disturb connections */
+	/* Bytes received from callers and from the target, and those of them
+	 * that were passed on. Written by the relay's thread only. */
+	uint64_t from_callers, from_target, forwarded;
 	gint reset_open, delay_ms; /* atomic */
 	struct pair pairs[PAIRS_MAX];
 	int n_pairs;
@@ -58,6 +64,10 @@
 	gint n_rules; /* atomic */
 };
 
+/* ---- Module state ---- */
+
+static struct relay *all_relays; /* used by the test's own thread only */
+
 /* ---- Sockets ---- */
 
 static struct sockaddr_in read_address(const char *text)
@@ -182,13 +192,20 @@
 		return true;
 	if (direction == RELAY_TO_TARGET)
 		record_first_bytes(p, buffer, n);
+	if (n > 0 && direction == RELAY_TO_TARGET)
+		r->from_callers += (uint64_t)n;
+	else if (n > 0)
+		r->from_target += (uint64_t)n;
 	blackhole |= caller_blackhole(r, p);
 	/* The end of a blackholed connection is not forwarded either. */
 	if (blackhole & direction)
 		return n > 0 || close_socket(p, from);
 	if (n > 0 && g_atomic_int_get(&r->delay_ms))
 		g_usleep((gulong)g_atomic_int_get(&r->delay_ms) * US_PER_MS);
-	return n > 0 && write_all(to, buffer, n);
+	if (n <= 0 || !write_all(to, buffer, n))
+		return false;
+	r->forwarded += (uint64_t)n;
+	return true;
 }
 
 static void forward_ready(struct relay *r, const struct pollfd *polls, int n)
@@ -247,6 +264,7 @@
 	struct sockaddr_in own = read_address(listen_at);
 	int on = 1;
 
+	g_strlcpy(r->address, listen_at, sizeof(r->address));
 	r->target = read_address(target);
 	r->listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 	setsockopt(r->listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
@@ -255,26 +273,73 @@
 		fail_msg("relay at %s: %s", listen_at, strerror(errno));
 	fcntl(r->listener, F_SETFL, O_NONBLOCK);
 	r->thread = g_thread_new("relay", run, r);
+	r->next = all_relays;
+	all_relays = r;
 	return r;
 }
 
-void relay_destroy(struct relay *r)
+/* A relay that the processes bypass disturbs nothing, and a test that takes
+ * its faults for injected proves nothing. */
+static void check_carried(const struct relay *r)
 {
+	if (!r->disturbances)
+		return;
+	fprintf(stderr,
+		"count: relay %s: disturbances=%d connections=%d "
+		"from_callers=%d from_target=%d forwarded=%d bytes\n",
+		r->address, r->disturbances, (int)r->accepted,
+		(int)r->from_callers, (int)r->from_target, (int)r->forwarded);
+	if (!r->from_callers || !r->from_target || !r->forwarded)
+		fail_msg("the disturbed relay at %s has carried nothing",
+			 r->address);
+}
+
+static void end(struct relay *r)
+{
+	struct relay **link = &all_relays;
+
 	g_atomic_int_set(&r->stop, 1);
 	g_thread_join(r->thread);
 	while (r->n_pairs)
 		close_pair(r, 0);
 	close(r->listener);
+	while (*link != r)
+		link = &(*link)->next;
+	*link = r->next;
+}
+
+void relay_destroy(struct relay *r)
+{
+	end(r);
+	check_carried(r);
 	g_free(r);
 }
 
+void relay_destroy_all(void)
+{
+	while (all_relays) {
+		struct relay *r = all_relays;
+
+		end(r);
+		g_free(r);
+	}
+}
+
+void relay_crash(struct relay *r)
+{
+	r->disturbances++;
+	relay_destroy(r);
+}
+
 void relay_blackhole_open(struct relay *r, enum relay_direction direction)
 {
+	r->disturbances += direction != RELAY_NONE;
 	g_atomic_int_or((guint *)&r->blackhole_open, (guint)direction);
 }
 
 void relay_blackhole_all(struct relay *r, enum relay_direction direction)
 {
+	r->disturbances += direction != RELAY_NONE;
 	g_atomic_int_set(&r->blackhole_all, (gint)direction);
 }
 
@@ -284,6 +349,7 @@
 	char pattern[40];
 	int i;
 
+	r->disturbances += direction != RELAY_NONE;
 	/* Field 2 of the Hello: the tag, the length and the string. */
 	snprintf(pattern, sizeof(pattern), "\x12%c%s", (int)strlen(name), name);
 	for (i = 0; i < r->n_rules; i++)
@@ -299,11 +365,13 @@
 
 void relay_reset_open(struct relay *r)
 {
+	r->disturbances++;
 	g_atomic_int_set(&r->reset_open, 1);
 }
 
 void relay_delay(struct relay *r, int32_t delay_ms)
 {
+	r->disturbances += delay_ms != 0;
 	g_atomic_int_set(&r->delay_ms, delay_ms);
 }
 
--- a/tests/support/relay.h
+++ b/tests/support/relay.h
@@ -20,7 +20,13 @@
 };
 
 struct relay *relay_create(const char *listen, const char *target);
+/* Fails the test if the relay was disturbed but has not carried data in both
+ * directions in its lifetime, and prints what it has carried. */
 void relay_destroy(struct relay *relay);
+/* Destroys the relays that a failed test left behind, without the check. */
+void relay_destroy_all(void);
+/* The same as relay_destroy(); the end of the relay counts as a disturbance. */
+void relay_crash(struct relay *relay);
 /* Blackholes the open connections permanently. */
 void relay_blackhole_open(struct relay *relay, enum relay_direction direction);
 /* Blackholes open and new connections until called with RELAY_NONE. */
