Dispatcher: a cancel stops the job at whichever dispatcher it is

Cause: handle_cancel() looked only among the jobs of its own process; leased dispatchers didn't know each other.

--- a/src/leased/agent.c
+++ b/src/leased/agent.c
@@ -232,7 +232,7 @@
 
 	a->session = reload_open_session(a->settings, a->loop, a->hub,
 					 CFW__ROLE__ROLE_AGENT, a->incarnation,
-					 &handlers, a);
+					 NULL, &handlers, a);
 }
 
 /* ---- Start and stop ------------------------------------------------- */
@@ -264,6 +264,9 @@
 				 "reports of backend servers");
 	a->bad_reports = counter_get("server_reports_unreadable_total", NULL,
 				     "reports of backend servers ignored");
+	a->cancels_passed_on =
+		counter_get("cancels_passed_on_total", NULL,
+			    "cancels, and replies, between dispatchers");
 	a->lost_leases = counter_get("run_leases_lost_total", NULL,
 				     "dispatchers whose lease for runs ended");
 	return a;
--- a/src/leased/agent_internal.h
+++ b/src/leased/agent_internal.h
@@ -67,7 +67,8 @@
 	GHashTable *peers; /* incarnation -> struct peer */
 	bool in_service;
 	gint stopping, idle; /* atomic */
-	struct counter *reports, *bad_reports, *lost_leases, *runs_gauge;
+	struct counter *reports, *bad_reports, *cancels_passed_on, *lost_leases,
+		*runs_gauge;
 	struct lease_overruns *overruns;
 };
 
@@ -134,4 +135,11 @@
 void agent_slowdowns_sent(struct peer *p, int64_t now_ms);
 void agent_clear_interference(Cfw__ServerState *state);
 
+/* ---- Cancels (agent_cancels.c) -------------------------------------- */
+
+/* Passes the cancel of a job, or a reply to one, on to another dispatcher.
+ * Returns false if it is another message. */
+bool agent_pass_cancel_on(struct leased_agent *a, const struct peer *from,
+			  const Cfw__Envelope *received);
+
 #endif
--- a/src/leased/agent_peers.c
+++ b/src/leased/agent_peers.c
@@ -456,7 +456,7 @@
 	if (session_handle_message(a->session, link, envelope))
 		return;
 	p = find_peer(a, link);
-	if (!p)
+	if (!p || agent_pass_cancel_on(a, p, envelope))
 		return;
 	if (envelope->body_case == CFW__ENVELOPE__BODY_RUN_ORDERS) {
 		apply_orders(a, p, envelope->run_orders);
--- a/src/leased/dispatch.h
+++ b/src/leased/dispatch.h
@@ -142,8 +142,9 @@
 void dispatch_abandon(struct dispatch *d, const char *id, void *caller,
 		      int64_t now_ms);
 /* Stops a job even if callers wait for it. Returns false if the job isn't in
- * progress. */
-bool dispatch_cancel(struct dispatch *d, const char *id, int64_t now_ms);
+ * progress, or if it came later than asked_ms, the time of the cancel. */
+bool dispatch_cancel(struct dispatch *d, const char *id, int64_t asked_ms,
+		     int64_t now_ms);
 /* Aborts all jobs and answers all callers before the process exits. */
 void dispatch_abort_all(struct dispatch *d, int64_t now_ms);
 /* Number of jobs of a route of which no task was sent. */
--- a/src/leased/dispatch_jobs.c
+++ b/src/leased/dispatch_jobs.c
@@ -323,11 +323,12 @@
 	dispatch_free_job_if_finished(d, job, now_ms);
 }
 
-bool dispatch_cancel(struct dispatch *d, const char *id, int64_t now_ms)
+bool dispatch_cancel(struct dispatch *d, const char *id, int64_t asked_ms,
+		     int64_t now_ms)
 {
 	struct dispatch_job *job = g_hash_table_lookup(d->jobs, id);
 
-	if (!job || job->ended)
+	if (!job || job->ended || job->arrived_ms > asked_ms)
 		return false;
 	dispatch_abort_job(d, job, "it was cancelled", now_ms);
 	dispatch_free_job_if_finished(d, job, now_ms);
--- a/src/leased/dispatcher.c
+++ b/src/leased/dispatcher.c
@@ -95,7 +95,10 @@
 
 static void roster_changed(void *arg, const Cfw__Roster *roster)
 {
-	dispatcher_apply_roster(arg, roster);
+	struct leased_dispatcher *d = arg;
+
+	dispatcher_apply_roster(d, roster);
+	dispatcher_cancels_apply_roster(d->cancels, roster);
 }
 
 static void open_session(struct leased_dispatcher *d)
@@ -105,9 +108,9 @@
 		.roster = roster_changed,
 	};
 
-	d->session = reload_open_session(d->settings, d->loop, d->hub,
-					 CFW__ROLE__ROLE_DISPATCHER,
-					 d->incarnation, &handlers, d);
+	d->session = reload_open_session(
+		d->settings, d->loop, d->hub, CFW__ROLE__ROLE_DISPATCHER,
+		d->incarnation, d->address, &handlers, d);
 }
 
 /* ---- Periodic work -------------------------------------------------- */
@@ -154,6 +157,7 @@
 	dispatcher_drop_unlisted(d, now_ms);
 	dispatcher_adjust_subset(d, now_ms);
 	dispatcher_release_held(d);
+	dispatcher_cancels_tick(d->cancels, now_ms);
 	update_readiness(d, now_ms);
 	set_gauges(d, now_ms);
 }
@@ -280,6 +284,7 @@
 	dispatch_set_containment(d->dispatch,
 				 settings_bool(settings, "containment"));
 	get_counters(d);
+	d->cancels = dispatcher_cancels_create(d);
 	return d;
 }
 
@@ -293,11 +298,15 @@
 			  .data_centre = settings_text(s, "data-centre") },
 		.heartbeat_ms = settings_number(s, "heartbeat-ms")
 	};
+	uint16_t port;
 
 	d->loop = loop_create(error);
 	if (!d->loop)
 		return false;
 	d->hub = link_hub_create(d->loop, &links, &dispatcher_link_handlers, d);
+	if (!link_hub_listen(d->hub, settings_text(s, "listen"), &port, error))
+		return false;
+	d->address = role_address(s, port);
 	open_session(d);
 	d->admin = admin_create(settings_text(s, "admin"), error);
 	if (!d->admin)
@@ -328,6 +337,7 @@
 	struct leased_dispatcher *d = arg;
 
 	dispatch_abort_all(d->dispatch, loop_now_ms(d->loop));
+	dispatcher_cancels_abort(d->cancels);
 }
 
 static void enter_phase(struct leased_dispatcher *d, enum drain_phase phase)
--- a/src/leased/dispatcher_agents.c
+++ b/src/leased/dispatcher_agents.c
@@ -24,7 +24,7 @@
 
 /* ---- Lookup --------------------------------------------------------- */
 
-/* Returns NULL if the connection is to a coordinator. */
+/* Returns NULL if the connection is to a coordinator or a dispatcher. */
 static struct agent_link *find_by_link(const struct link *link)
 {
 	return link_data(link);
@@ -279,8 +279,8 @@
 
 /* ---- Subset --------------------------------------------------------- */
 
-static void connect_agent(struct leased_dispatcher *d, struct agent_link *a,
-			  int64_t now_ms)
+void dispatcher_connect_agent(struct leased_dispatcher *d, struct agent_link *a,
+			      int64_t now_ms)
 {
 	a->unselected_ms = 0;
 	if (a->link)
@@ -344,7 +344,7 @@
 		struct agent_link *a = g_ptr_array_index(d->links, i);
 
 		if (candidates[i].selected)
-			connect_agent(d, a, now_ms);
+			dispatcher_connect_agent(d, a, now_ms);
 		else
 			disconnect_agent(d, a, now_ms);
 	}
@@ -431,8 +431,10 @@
 	if (session_link_up(d->session, link))
 		return;
 	a = find_by_link(link);
-	if (!a)
+	if (!a) {
+		dispatcher_cancels_up(d->cancels, link);
 		return;
+	}
 	if (a->incarnation && a->incarnation != link_peer(link)->incarnation)
 		dispatch_agent_disconnected(d->dispatch, a->incarnation,
 					    now_ms);
@@ -454,8 +456,10 @@
 	if (session_link_down(d->session, link))
 		return;
 	a = find_by_link(link);
-	if (!a)
+	if (!a) {
+		dispatcher_cancels_down(d->cancels, link);
 		return;
+	}
 	a->dial_started_ms = loop_now_ms(d->loop);
 	if (a->incarnation)
 		dispatch_agent_disconnected(d->dispatch, a->incarnation,
@@ -470,12 +474,12 @@
 	if (session_handle_message(d->session, link, envelope))
 		return;
 	a = find_by_link(link);
-	if (!a)
-		return;
-	if (envelope->body_case == CFW__ENVELOPE__BODY_RUN_LEASE_ASK)
+	if (a && envelope->body_case == CFW__ENVELOPE__BODY_RUN_LEASE_ASK)
 		grant_lease(d, a, envelope->run_lease_ask);
-	else if (envelope->body_case == CFW__ENVELOPE__BODY_RUN_REPORT)
+	else if (a && envelope->body_case == CFW__ENVELOPE__BODY_RUN_REPORT)
 		apply_report(d, a, envelope->run_report);
+	else
+		dispatcher_cancels_message(d->cancels, link, envelope);
 }
 
 const struct link_handlers dispatcher_link_handlers = {
--- a/src/leased/dispatcher_http.c
+++ b/src/leased/dispatcher_http.c
@@ -382,17 +382,19 @@
 			  served, refused);
 }
 
-static bool cancel_held(struct caller *c)
+bool dispatcher_cancel_here(struct leased_dispatcher *d, const char *id,
+			    int64_t asked_ms)
 {
-	struct leased_dispatcher *d = c->dispatcher;
-	struct caller *held = start_hold_cancel(d->start_hold, c->id);
+	struct caller *held = start_hold_cancel(d->start_hold, id);
 	bool found = held != NULL;
 
-	for (; held; held = start_hold_cancel(d->start_hold, c->id)) {
+	for (; held; held = start_hold_cancel(d->start_hold, id)) {
 		reply_not_run(held, "it was cancelled");
 		finish_caller(held);
 	}
-	return found;
+	return dispatch_cancel(d->dispatch, id, asked_ms,
+			       loop_now_ms(d->loop)) ||
+	       found;
 }
 
 /* ---- Queries and cancellations -------------------------------------- */
@@ -419,14 +421,28 @@
 {
 	struct caller *c = arg;
 	const struct route *route = find_route(c);
-	struct leased_dispatcher *d = c->dispatcher;
 
-	if (route && parse_job_id(c, route) &&
-	    (cancel_held(c) ||
-	     dispatch_cancel(d->dispatch, c->id, loop_now_ms(d->loop))))
+	if (route && parse_job_id(c, route)) {
+		dispatcher_cancels_request(c->dispatcher->cancels, c->id, c,
+					   c->deadline_ms);
+		return;
+	}
+	if (route)
+		reply_error(c, STATUS_GONE, "unknown", "no job has this id", 0);
+	finish_caller(c);
+}
+
+void dispatcher_answer_cancel(void *caller, enum cancel_verdict verdict)
+{
+	struct caller *c = caller;
+
+	if (verdict == CANCEL_STOPPED)
 		reply(c, STATUS_OK, "{}", 0);
-	else if (route)
+	else if (verdict == CANCEL_NOWHERE)
 		reply_error(c, STATUS_GONE, "unknown", "no job has this id", 0);
+	else
+		reply_error(c, STATUS_UNAVAILABLE, "unconfirmed",
+			    "a dispatcher that may have it hasn't answered", 1);
 	finish_caller(c);
 }
 
--- a/src/leased/dispatcher_internal.h
+++ b/src/leased/dispatcher_internal.h
@@ -9,6 +9,7 @@
 #include "base/counters.h"
 #include "base/settings.h"
 #include "leased/agent_subset.h"
+#include "leased/cancel_rounds.h"
 #include "leased/dispatch.h"
 #include "leased/drain.h"
 #include "leased/routes.h"
@@ -52,6 +53,8 @@
 	struct http_server *http;
 	struct dispatch *dispatch;
 	struct start_hold *start_hold; /* jobs that wait for the start */
+	struct dispatcher_cancels *cancels;
+	char *address; /* where other dispatchers reach this one */
 	struct routes *routes; /* NULL: none yet */
 	GPtrArray *links; /* struct agent_link */
 	struct agent_subset *subset; /* the agents to connect to */
@@ -99,9 +102,32 @@
 /* Connects to the agents of the subset and closes other connections. */
 void dispatcher_select_agents(struct leased_dispatcher *d, int64_t now_ms);
 void dispatcher_adjust_subset(struct leased_dispatcher *d, int64_t now_ms);
+/* Connects for a few seconds if the agent isn't in the subset. */
+void dispatcher_connect_agent(struct leased_dispatcher *d, struct agent_link *a,
+			      int64_t now_ms);
 /* Number of agents to be connected to. */
 uint32_t dispatcher_count_selected(const struct leased_dispatcher *d);
 
+/* ---- Cancels (dispatcher_cancels.c) --------------------------------- */
+
+struct dispatcher_cancels *
+dispatcher_cancels_create(struct leased_dispatcher *d);
+void dispatcher_cancels_apply_roster(struct dispatcher_cancels *c,
+				     const Cfw__Roster *roster);
+/* Cancels a job here and passes the cancel on to the other dispatchers. The
+ * caller is answered with dispatcher_answer_cancel(). */
+void dispatcher_cancels_request(struct dispatcher_cancels *c, const char *id,
+				void *caller, int64_t deadline_ms);
+void dispatcher_cancels_tick(struct dispatcher_cancels *c, int64_t now_ms);
+/* Answers all callers before the process exits. */
+void dispatcher_cancels_abort(struct dispatcher_cancels *c);
+/* For connections that are neither to a coordinator nor to an agent; messages
+ * of agents as well. */
+void dispatcher_cancels_up(struct dispatcher_cancels *c, struct link *link);
+void dispatcher_cancels_down(struct dispatcher_cancels *c, struct link *link);
+void dispatcher_cancels_message(struct dispatcher_cancels *c, struct link *link,
+				const Cfw__Envelope *envelope);
+
 /* ---- States of servers (dispatcher_states.c) ------------------------ */
 
 /* Takes over what an agent reports about a server. */
@@ -117,6 +143,11 @@
 bool dispatcher_start_http(struct leased_dispatcher *d, GError **error);
 void dispatcher_send_answer(struct dispatch_sink *sink, void *caller,
 			    const struct job_answer *answer);
+/* Stops a job that was here at that time. Returns false if it isn't in
+ * progress. */
+bool dispatcher_cancel_here(struct leased_dispatcher *d, const char *id,
+			    int64_t asked_ms);
+void dispatcher_answer_cancel(void *caller, enum cancel_verdict verdict);
 /* Serves or refuses the held jobs whose wait is over. */
 void dispatcher_release_held(struct leased_dispatcher *d);
 /* Why requests can't be served now; NULL if they can. */
--- a/src/leased/reload.c
+++ b/src/leased/reload.c
@@ -118,6 +118,7 @@
 struct session *
 reload_open_session(const struct settings *settings, struct loop *loop,
 		    struct link_hub *hub, Cfw__Role role, uint64_t incarnation,
+		    const char *address,
 		    const struct coordinators_handlers *handlers, void *arg)
 {
 	static const struct session_handlers session_callbacks = {
@@ -128,6 +129,8 @@
 	};
 	g_auto(GStrv) coordinators = read_coordinators(settings);
 	const char *advertised = settings_text(settings, "advertise");
+	const char *set = advertised ? advertised
+				     : settings_text(settings, "listen");
 	struct session_adapter *a = g_new0(struct session_adapter, 1);
 	struct session_options options = {
 		.loop = loop,
@@ -136,8 +139,7 @@
 		.incarnation = incarnation,
 		.name = settings_text(settings, "name"),
 		.data_centre = settings_text(settings, "data-centre"),
-		.address = advertised ? advertised
-				      : settings_text(settings, "listen"),
+		.address = address ? address : set,
 		.coordinators = coordinators
 	};
 	struct session *session;
--- a/src/leased/reload.h
+++ b/src/leased/reload.h
@@ -15,10 +15,12 @@
 };
 
 /* Opens a session with the coordinators given in the settings. role and
- * incarnation are those of the process that owns the hub. */
+ * incarnation are those of the process that owns the hub; address is where
+ * others reach it, NULL for that of the settings. */
 struct session *
 reload_open_session(const struct settings *settings, struct loop *loop,
 		    struct link_hub *hub, Cfw__Role role, uint64_t incarnation,
+		    const char *address,
 		    const struct coordinators_handlers *handlers, void *arg);
 /* Reads the coordinators again on SIGHUP and when the file changes. The
  * loop and the session must exist until the process ends. */
--- a/src/proto/wire.pb-c.c
+++ b/src/proto/wire.pb-c.c
@@ -2392,6 +2392,96 @@
   assert(message->base.descriptor == &cfw__run_report__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cfw__job_cancel__init
+                     (Cfw__JobCancel         *message)
+{
+  static const Cfw__JobCancel init_value = CFW__JOB_CANCEL__INIT;
+  *message = init_value;
+}
+size_t cfw__job_cancel__get_packed_size
+                     (const Cfw__JobCancel *message)
+{
+  assert(message->base.descriptor == &cfw__job_cancel__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cfw__job_cancel__pack
+                     (const Cfw__JobCancel *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cfw__job_cancel__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cfw__job_cancel__pack_to_buffer
+                     (const Cfw__JobCancel *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cfw__job_cancel__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cfw__JobCancel *
+       cfw__job_cancel__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cfw__JobCancel *)
+     protobuf_c_message_unpack (&cfw__job_cancel__descriptor,
+                                allocator, len, data);
+}
+void   cfw__job_cancel__free_unpacked
+                     (Cfw__JobCancel *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cfw__job_cancel__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cfw__job_cancel_reply__init
+                     (Cfw__JobCancelReply         *message)
+{
+  static const Cfw__JobCancelReply init_value = CFW__JOB_CANCEL_REPLY__INIT;
+  *message = init_value;
+}
+size_t cfw__job_cancel_reply__get_packed_size
+                     (const Cfw__JobCancelReply *message)
+{
+  assert(message->base.descriptor == &cfw__job_cancel_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cfw__job_cancel_reply__pack
+                     (const Cfw__JobCancelReply *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cfw__job_cancel_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cfw__job_cancel_reply__pack_to_buffer
+                     (const Cfw__JobCancelReply *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cfw__job_cancel_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cfw__JobCancelReply *
+       cfw__job_cancel_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cfw__JobCancelReply *)
+     protobuf_c_message_unpack (&cfw__job_cancel_reply__descriptor,
+                                allocator, len, data);
+}
+void   cfw__job_cancel_reply__free_unpacked
+                     (Cfw__JobCancelReply *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cfw__job_cancel_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cfw__envelope__init
                      (Cfw__Envelope         *message)
 {
@@ -7395,7 +7485,187 @@
   (ProtobufCMessageInit) cfw__run_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfw__envelope__field_descriptors[23] =
+static const ProtobufCFieldDescriptor cfw__job_cancel__field_descriptors[5] =
+{
+  {
+    "job",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__JobCancel, job),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "seq",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__JobCancel, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__JobCancel, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "to",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__JobCancel, to),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "from",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__JobCancel, from),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cfw__job_cancel__field_indices_by_name[] = {
+  2,   /* field[2] = age_ms */
+  4,   /* field[4] = from */
+  0,   /* field[0] = job */
+  1,   /* field[1] = seq */
+  3,   /* field[3] = to */
+};
+static const ProtobufCIntRange cfw__job_cancel__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor cfw__job_cancel__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cfw.JobCancel",
+  "JobCancel",
+  "Cfw__JobCancel",
+  "cfw",
+  sizeof(Cfw__JobCancel),
+  5,
+  cfw__job_cancel__field_descriptors,
+  cfw__job_cancel__field_indices_by_name,
+  1,  cfw__job_cancel__number_ranges,
+  (ProtobufCMessageInit) cfw__job_cancel__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cfw__job_cancel_reply__field_descriptors[5] =
+{
+  {
+    "job",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__JobCancelReply, job),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "seq",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__JobCancelReply, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "found",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__JobCancelReply, found),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "to",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__JobCancelReply, to),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "from",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__JobCancelReply, from),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cfw__job_cancel_reply__field_indices_by_name[] = {
+  2,   /* field[2] = found */
+  4,   /* field[4] = from */
+  0,   /* field[0] = job */
+  1,   /* field[1] = seq */
+  3,   /* field[3] = to */
+};
+static const ProtobufCIntRange cfw__job_cancel_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor cfw__job_cancel_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cfw.JobCancelReply",
+  "JobCancelReply",
+  "Cfw__JobCancelReply",
+  "cfw",
+  sizeof(Cfw__JobCancelReply),
+  5,
+  cfw__job_cancel_reply__field_descriptors,
+  cfw__job_cancel_reply__field_indices_by_name,
+  1,  cfw__job_cancel_reply__number_ranges,
+  (ProtobufCMessageInit) cfw__job_cancel_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cfw__envelope__field_descriptors[25] =
 {
   {
     "hello",
@@ -7673,6 +7943,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "job_cancel",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cfw__Envelope, body_case),
+    offsetof(Cfw__Envelope, job_cancel),
+    &cfw__job_cancel__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "job_cancel_reply",
+    25,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cfw__Envelope, body_case),
+    offsetof(Cfw__Envelope, job_cancel_reply),
+    &cfw__job_cancel_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cfw__envelope__field_indices_by_name[] = {
   12,   /* field[12] = cancel */
@@ -7685,6 +7979,8 @@
   17,   /* field[17] = forward_reply */
   1,   /* field[1] = heartbeat */
   0,   /* field[0] = hello */
+  23,   /* field[23] = job_cancel */
+  24,   /* field[24] = job_cancel_reply */
   18,   /* field[18] = join */
   4,   /* field[4] = lease_grant */
   3,   /* field[3] = lease_request */
@@ -7702,7 +7998,7 @@
 static const ProtobufCIntRange cfw__envelope__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 23 }
+  { 0, 25 }
 };
 const ProtobufCMessageDescriptor cfw__envelope__descriptor =
 {
@@ -7712,7 +8008,7 @@
   "Cfw__Envelope",
   "cfw",
   sizeof(Cfw__Envelope),
-  23,
+  25,
   cfw__envelope__field_descriptors,
   cfw__envelope__field_indices_by_name,
   1,  cfw__envelope__number_ranges,
--- a/src/proto/wire.pb-c.h
+++ b/src/proto/wire.pb-c.h
@@ -68,6 +68,8 @@
 typedef struct Cfw__ClassLoss Cfw__ClassLoss;
 typedef struct Cfw__ServerState Cfw__ServerState;
 typedef struct Cfw__RunReport Cfw__RunReport;
+typedef struct Cfw__JobCancel Cfw__JobCancel;
+typedef struct Cfw__JobCancelReply Cfw__JobCancelReply;
 typedef struct Cfw__Envelope Cfw__Envelope;
 
 
@@ -1237,6 +1239,50 @@
     , 0,NULL, 0,NULL }
 
 
+/*
+ * A dispatcher passes the cancel of a job on to another one. Over a connection
+ * to an agent, the agent passes it on; to and from are incarnations then.
+ */
+struct  Cfw__JobCancel
+{
+  ProtobufCMessage base;
+  char *job;
+  uint64_t seq;
+  /*
+   * tries that came later are left alone
+   */
+  uint32_t age_ms;
+  uint64_t to;
+  /*
+   * set by the agent
+   */
+  uint64_t from;
+};
+#define CFW__JOB_CANCEL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cfw__job_cancel__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+
+
+struct  Cfw__JobCancelReply
+{
+  ProtobufCMessage base;
+  char *job;
+  uint64_t seq;
+  /*
+   * it was in progress there
+   */
+  protobuf_c_boolean found;
+  uint64_t to;
+  /*
+   * set by the agent
+   */
+  uint64_t from;
+};
+#define CFW__JOB_CANCEL_REPLY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cfw__job_cancel_reply__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+
+
 typedef enum {
   CFW__ENVELOPE__BODY__NOT_SET = 0,
   CFW__ENVELOPE__BODY_HELLO = 1,
@@ -1261,7 +1307,9 @@
   CFW__ENVELOPE__BODY_RUN_LEASE_ASK = 20,
   CFW__ENVELOPE__BODY_RUN_LEASE = 21,
   CFW__ENVELOPE__BODY_RUN_ORDERS = 22,
-  CFW__ENVELOPE__BODY_RUN_REPORT = 23
+  CFW__ENVELOPE__BODY_RUN_REPORT = 23,
+  CFW__ENVELOPE__BODY_JOB_CANCEL = 24,
+  CFW__ENVELOPE__BODY_JOB_CANCEL_REPLY = 25
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CFW__ENVELOPE__BODY__CASE)
 } Cfw__Envelope__BodyCase;
 
@@ -1293,6 +1341,8 @@
     Cfw__RunLease *run_lease;
     Cfw__RunOrders *run_orders;
     Cfw__RunReport *run_report;
+    Cfw__JobCancel *job_cancel;
+    Cfw__JobCancelReply *job_cancel_reply;
   };
 };
 #define CFW__ENVELOPE__INIT \
@@ -2307,6 +2357,44 @@
 void   cfw__run_report__free_unpacked
                      (Cfw__RunReport *message,
                       ProtobufCAllocator *allocator);
+/* Cfw__JobCancel methods */
+void   cfw__job_cancel__init
+                     (Cfw__JobCancel         *message);
+size_t cfw__job_cancel__get_packed_size
+                     (const Cfw__JobCancel   *message);
+size_t cfw__job_cancel__pack
+                     (const Cfw__JobCancel   *message,
+                      uint8_t             *out);
+size_t cfw__job_cancel__pack_to_buffer
+                     (const Cfw__JobCancel   *message,
+                      ProtobufCBuffer     *buffer);
+Cfw__JobCancel *
+       cfw__job_cancel__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cfw__job_cancel__free_unpacked
+                     (Cfw__JobCancel *message,
+                      ProtobufCAllocator *allocator);
+/* Cfw__JobCancelReply methods */
+void   cfw__job_cancel_reply__init
+                     (Cfw__JobCancelReply         *message);
+size_t cfw__job_cancel_reply__get_packed_size
+                     (const Cfw__JobCancelReply   *message);
+size_t cfw__job_cancel_reply__pack
+                     (const Cfw__JobCancelReply   *message,
+                      uint8_t             *out);
+size_t cfw__job_cancel_reply__pack_to_buffer
+                     (const Cfw__JobCancelReply   *message,
+                      ProtobufCBuffer     *buffer);
+Cfw__JobCancelReply *
+       cfw__job_cancel_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cfw__job_cancel_reply__free_unpacked
+                     (Cfw__JobCancelReply *message,
+                      ProtobufCAllocator *allocator);
 /* Cfw__Envelope methods */
 void   cfw__envelope__init
                      (Cfw__Envelope         *message);
@@ -2487,6 +2575,12 @@
 typedef void (*Cfw__RunReport_Closure)
                  (const Cfw__RunReport *message,
                   void *closure_data);
+typedef void (*Cfw__JobCancel_Closure)
+                 (const Cfw__JobCancel *message,
+                  void *closure_data);
+typedef void (*Cfw__JobCancelReply_Closure)
+                 (const Cfw__JobCancelReply *message,
+                  void *closure_data);
 typedef void (*Cfw__Envelope_Closure)
                  (const Cfw__Envelope *message,
                   void *closure_data);
@@ -2554,6 +2648,8 @@
 extern const ProtobufCMessageDescriptor cfw__class_loss__descriptor;
 extern const ProtobufCMessageDescriptor cfw__server_state__descriptor;
 extern const ProtobufCMessageDescriptor cfw__run_report__descriptor;
+extern const ProtobufCMessageDescriptor cfw__job_cancel__descriptor;
+extern const ProtobufCMessageDescriptor cfw__job_cancel_reply__descriptor;
 extern const ProtobufCMessageDescriptor cfw__envelope__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/tests/fault_resume.c
+++ b/tests/fault_resume.c
@@ -4,7 +4,7 @@
  * under its id. The leased roles run as real processes, with relays between
  * dispatchers and agents.
  */
-#include "support/leased_system.h"
+#include "support/leased_routes.h"
 
 #include "base/clock.h"
 
@@ -28,45 +28,6 @@
 
 /* ---- The system ---- */
 
-static void wait_metric(struct leased_system *s, const char *process,
-			const char *metric, int64_t value)
-{
-	int64_t end_ms = clock_now_ms() + SYSTEM_WAIT_MS;
-
-	while (cluster_metric(s->cluster, process, metric) != value) {
-		if (clock_now_ms() >= end_ms)
-			fail_msg("%s of %s is %d, not %d", metric, process,
-				 (int)cluster_metric(s->cluster, process,
-						     metric),
-				 (int)value);
-		g_usleep(POLL_US);
-	}
-}
-
-static struct leased_system *begin(void)
-{
-	static const char *const routes[] = { ROUTE, NULL };
-	struct leased_system *s = leased_system_begin(true);
-	int64_t end_ms = clock_now_ms() + SYSTEM_WAIT_MS;
-
-	leased_system_set_named_routes(s, 2, routes);
-	for (int i = 0; i < SYSTEM_DISPATCHERS; i++)
-		while (leased_system_submit_named(s, i, ROUTE,
-						  "00000000000000aa", 1) != 200)
-			assert_true(clock_now_ms() < end_ms);
-	wait_metric(s, "d1", USABLE, SYSTEM_AGENTS);
-	wait_metric(s, "d2", USABLE, SYSTEM_AGENTS);
-	return s;
-}
-
-static void finish(struct leased_system *s)
-{
-	for (int i = 0; i < SYSTEM_AGENTS; i++)
-		if (!s->standins[i])
-			leased_system_start_server(s, i);
-	leased_system_finish(s);
-}
-
 /* Returns the number of the stand-in where the job's task runs. */
 static int wait_run(struct leased_system *s)
 {
@@ -141,13 +102,13 @@
  * reported the result of an earlier try of the job for a run that went on. */
 static void test_a_retry_gets_no_result_of_an_earlier_try(void **state)
 {
-	struct leased_system *s = begin();
+	struct leased_system *s = leased_routes_begin(ROUTE);
 	struct caller first, second;
 	int refusing, other;
 
 	(void)state;
 	leased_system_crash_server(s, 2);
-	wait_metric(s, "d1", USABLE, 2);
+	leased_routes_wait_metric(s, "d1", USABLE, 2);
 	standin_refuse_starts(s->record, 1);
 	start_caller(&first, s, 0, ABANDON_MS);
 	other = wait_run(s);
@@ -155,16 +116,16 @@
 	assert_int_equal(join_caller(&first), SYSTEM_NO_ANSWER);
 	wait_log(s, "d1", "event=run_settled job=" JOB " index=0 number=2");
 	leased_system_crash_server(s, other);
-	wait_metric(s, "d1", USABLE, 1);
+	leased_routes_wait_metric(s, "d1", USABLE, 1);
 	start_caller(&second, s, 0, SYSTEM_DEADLINE_MS);
 	assert_int_equal(wait_run(s), refusing);
 	leased_system_start_server(s, 2);
-	wait_metric(s, "d1", USABLE, 2);
+	leased_routes_wait_metric(s, "d1", USABLE, 2);
 	relay_reset_open(s->agent_relays[refusing]);
 	assert_int_equal(join_caller(&second), 200);
 	assert_int_equal(standin_overlapping_runs(s->record), 0);
 	assert_int_equal(standin_runs_of(s->record, JOB), 2);
-	finish(s);
+	leased_routes_finish(s);
 }
 
 /* Guards against a dispatcher that counts a run for good, and against the end
@@ -172,30 +133,30 @@
  * because the job and the number were the same. */
 static void test_two_dispatchers_submit_one_job(void **state)
 {
-	struct leased_system *s = begin();
+	struct leased_system *s = leased_routes_begin(ROUTE);
 	struct caller first, second;
 
 	(void)state;
 	leased_system_crash_server(s, 1);
 	leased_system_crash_server(s, 2);
-	wait_metric(s, "d1", USABLE, 1);
-	wait_metric(s, "d2", USABLE, 1);
+	leased_routes_wait_metric(s, "d1", USABLE, 1);
+	leased_routes_wait_metric(s, "d2", USABLE, 1);
 	start_caller(&first, s, 0, SYSTEM_DEADLINE_MS);
 	wait_run(s);
 	start_caller(&second, s, 1, 2 * ABANDON_MS);
-	wait_metric(s, "d2", SENT, 1);
+	leased_routes_wait_metric(s, "d2", SENT, 1);
 	assert_int_equal(join_caller(&second), SYSTEM_NO_ANSWER);
-	wait_metric(s, "d2", SENT, 0);
+	leased_routes_wait_metric(s, "d2", SENT, 0);
 	assert_int_equal(join_caller(&first), 200);
 	assert_int_equal(standin_runs_of(s->record, JOB), 1);
-	finish(s);
+	leased_routes_finish(s);
 }
 
 /* Guards against runs that a dispatcher counts for good: the result of a run
  * that was being stopped was lost with the connection. */
 static void test_a_stopped_run_is_settled_after_a_reconnect(void **state)
 {
-	struct leased_system *s = begin();
+	struct leased_system *s = leased_routes_begin(ROUTE);
 	struct caller caller;
 	char agent[16];
 	int at;
@@ -203,15 +164,15 @@
 	(void)state;
 	start_caller(&caller, s, 0, 2 * ABANDON_MS);
 	at = wait_run(s);
-	wait_metric(s, "d1", SENT, 1);
+	leased_routes_wait_metric(s, "d1", SENT, 1);
 	snprintf(agent, sizeof(agent), "a%d", at + 1);
 	relay_blackhole_all(s->agent_relays[at], RELAY_FROM_TARGET);
 	assert_int_equal(join_caller(&caller), SYSTEM_NO_ANSWER);
 	wait_log(s, agent, "event=run_ended job=" JOB);
 	relay_blackhole_all(s->agent_relays[at], RELAY_NONE);
 	relay_reset_open(s->agent_relays[at]);
-	wait_metric(s, "d1", SENT, 0);
-	finish(s);
+	leased_routes_wait_metric(s, "d1", SENT, 0);
+	leased_routes_finish(s);
 }
 
 int main(void)
--- a/tests/support/leased_system.c
+++ b/tests/support/leased_system.c
@@ -37,6 +37,7 @@
 #define ROUTE_TIMEOUT_MS 4000
 #define CALL_SLACK_MS 500
 #define CONTROL_WAIT_MS 2000
+#define CANCEL_WAIT_MAX_MS 4000 /* ackTimeoutMs of the callers */
 #define CONTROL_PAUSE_US 50000
 
 /* ---- Layout ---- */
@@ -371,16 +372,31 @@
 	return submit(s, dispatcher, id, 1, run_ms, deadline_ms, answer);
 }
 
-uint32_t leased_system_cancel(struct leased_system *s, int dispatcher,
-			      const char *id)
+static uint32_t cancel(struct leased_system *s, int dispatcher,
+		       const char *path)
 {
-	g_autofree char *path = g_strdup_printf(PREFIX "%s", id);
 	char name[16];
 
 	snprintf(name, sizeof(name), "d%d",
 		 dispatcher % SYSTEM_DISPATCHERS + 1);
 	return send_call(cluster_address(s->cluster, name, "http"), "DELETE",
-			 path, NULL, NULL, CONTROL_WAIT_MS);
+			 path, NULL, NULL, CANCEL_WAIT_MAX_MS);
+}
+
+uint32_t leased_system_cancel(struct leased_system *s, int dispatcher,
+			      const char *id)
+{
+	g_autofree char *path = g_strdup_printf(PREFIX "%s", id);
+
+	return cancel(s, dispatcher, path);
+}
+
+uint32_t leased_system_cancel_named(struct leased_system *s, int dispatcher,
+				    const char *name, const char *id)
+{
+	g_autofree char *path = g_strdup_printf("/%s/%s", name, id);
+
+	return cancel(s, dispatcher, path);
 }
 
 void leased_system_set_named_routes(struct leased_system *s, uint32_t version,
--- a/tests/support/leased_system.h
+++ b/tests/support/leased_system.h
@@ -68,6 +68,9 @@
 /* Returns the HTTP status of the answer to the cancel. */
 uint32_t leased_system_cancel(struct leased_system *s, int dispatcher,
 			      const char *id);
+/* The same for a job of a named route. */
+uint32_t leased_system_cancel_named(struct leased_system *s, int dispatcher,
+				    const char *name, const char *id);
 /* Sets one route for each name (ends with NULL). */
 void leased_system_set_named_routes(struct leased_system *s, uint32_t version,
 				    const char *const *names);
--- a/tests/support/many_world.c
+++ b/tests/support/many_world.c
@@ -147,7 +147,8 @@
 		dispatch_handle_result(d, agent, result, m->now_ms);
 		/* Tasks that crash servers don't get a third one. */
 		if (job->lost_twice)
-			dispatch_cancel(d, result->name.job, m->now_ms);
+			dispatch_cancel(d, result->name.job, m->now_ms,
+					m->now_ms);
 	}
 	dispatch_finish_report(d, agent, m->now_ms);
 }
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -388,7 +388,7 @@
 		else if (why == STOPPING)
 			dispatch_abort_all(d, 20);
 		else if (why == CANCELLED)
-			assert_true(dispatch_cancel(d, "j", 20));
+			assert_true(dispatch_cancel(d, "j", 20, 20));
 		else
 			dispatch_tick(d, 1000);
 		assert_int_equal(r.stops, 1);
@@ -398,6 +398,22 @@
 	}
 }
 
+/* Guards against a cancel that was passed on late and ends a try of the job
+ * that came after it. */
+static void test_a_cancel_leaves_later_tries_alone(void **state)
+{
+	struct recorder r;
+	struct dispatch *d = create_dispatch(&r, true);
+
+	(void)state;
+	submit(d, "j", &r, 1000); /* at 0 */
+	assert_false(dispatch_cancel(d, "j", -1, 20));
+	assert_int_equal(r.answers, 0);
+	assert_true(dispatch_cancel(d, "j", 0, 20));
+	assert_int_equal(r.answers, 1);
+	dispatch_destroy(d);
+}
+
 /* A job that is submitted again while it runs keeps its one run, which
  * continues until the last caller leaves. While a stopped run may still be
  * running, the new submission is answered "given up" at once; after the run has
@@ -628,6 +644,7 @@
 		cmocka_unit_test(test_load_scenarios),
 		cmocka_unit_test(test_job_verdicts),
 		cmocka_unit_test(test_runs_stop_without_callers),
+		cmocka_unit_test(test_a_cancel_leaves_later_tries_alone),
 		cmocka_unit_test(test_resubmission),
 		cmocka_unit_test(test_ineligible_servers),
 		cmocka_unit_test(test_servers_that_fail_all),
