--- a/src/leased/dispatcher_agents.c
+++ b/src/leased/dispatcher_agents.c
@@ -395,8 +395,8 @@
 					     clock_now_ms());
 }
 
-static bool is_usable(struct leased_dispatcher *d, const struct link *link,
-		      const char *entry, const char *unusable_field)
+bool dispatcher_is_usable(struct leased_dispatcher *d, const struct link *link,
+			  const char *entry, const char *unusable_field)
 {
 	uint32_t n_unlogged;
 
@@ -419,8 +419,8 @@
 	int64_t now_ms = loop_now_ms(d->loop);
 
 	for (size_t i = 0; i < report->n_servers; i++)
-		if (is_usable(d, a->link, "server",
-			      wire_check_state(report->servers[i])))
+		if (dispatcher_is_usable(d, a->link, "server",
+					 wire_check_state(report->servers[i])))
 			dispatcher_apply_state(d, a, report->servers[i]);
 	for (size_t i = 0; i < report->n_ends; i++) {
 		const Cfw__RunEnd *end = report->ends[i];
@@ -431,7 +431,8 @@
 			.run_ms = end->run_ms
 		};
 
-		if (!is_usable(d, a->link, "end", wire_check_end(end)))
+		if (!dispatcher_is_usable(d, a->link, "end",
+					  wire_check_end(end)))
 			continue;
 		g_strlcpy(result.name.job, end->job, sizeof(result.name.job));
 		dispatch_handle_result(d->dispatch, a->incarnation, &result,
--- a/src/leased/dispatcher_cancels.c
+++ b/src/leased/dispatcher_cancels.c
@@ -296,7 +296,8 @@
 	Cfw__Envelope envelope = CFW__ENVELOPE__INIT;
 	Cfw__JobCancelReply reply = CFW__JOB_CANCEL_REPLY__INIT;
 
-	if (!*order->job || strlen(order->job) >= LEASED_JOB_SIZE)
+	if (!dispatcher_is_usable(c->dispatcher, link, "cancel",
+				  wire_is_job_id(order->job) ? NULL : "job"))
 		return;
 	reply.job = order->job;
 	reply.seq = order->seq;
--- a/src/leased/dispatcher_internal.h
+++ b/src/leased/dispatcher_internal.h
@@ -98,6 +98,10 @@
 void dispatcher_send_stop(struct dispatch_sink *sink, uint64_t agent,
 			  const struct run_name *name);
 void dispatcher_send_demand(struct dispatch_sink *sink, bool has_demand);
+/* Counts and logs an entry of another process's message that can't be used;
+ * true if there is no such field. */
+bool dispatcher_is_usable(struct leased_dispatcher *d, const struct link *link,
+			  const char *entry, const char *unusable_field);
 void dispatcher_apply_roster(struct leased_dispatcher *d,
 			     const Cfw__Roster *roster);
 void dispatcher_drop_unlisted(struct leased_dispatcher *d, int64_t now_ms);
