--- a/src/leased/cancel_rounds.h
+++ b/src/leased/cancel_rounds.h
@@ -6,9 +6,9 @@
  *
  * Dispatchers that can't be reached are told once they can be, for
  * CANCEL_TELL_MS. One that doesn't answer soon is asked by way of agents as
- *well. A cancel that is repeated in that time asks the others again, because
- *the job may have been sent to one of them in between, but takes no more
- *memory.
+ * well. A cancel that is repeated in that time asks the others again, because
+ * the job may have been sent to one of them in between, but takes no more
+ * memory.
  *
  * The module does no I/O and reads no clock. It is not thread-safe.
  *
