--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-for source in review/[0-9]*/case.c; do
+for source in review/[0-9]*/play.c; do
 	n=$(basename "$(dirname "$source")")
 	[ "$n" -ge 6 ] || continue
 	gcc -std=gnu11 -O2 -Wall -Wextra -D_GNU_SOURCE -pthread \
