--- a/review/common-2/world.c
+++ b/review/common-2/world.c
@@ -67,6 +67,8 @@
 };
 
 static struct runner *runners[WORLD_ROLE_MAX];
+static bool proxied;
+static const char *volatile cut_name;
 static char started_jobs[1024][32];
 static int n_started;
 
@@ -163,6 +165,8 @@
 	snprintf(ip, sizeof(ip), "%s.%d%d", net, (int)role + 1, i);
 	snprintf(centre, sizeof(centre), "zone%d", (i - 1) % 3 + 1);
 	snprintf(listen, sizeof(listen), "%s:7720", ip);
+	if (proxied && role == WORLD_COORDINATOR)
+		snprintf(listen, sizeof(listen), "%s.6%d:7720", net, i);
 	snprintf(admin, sizeof(admin), "%s:%d", ip,
 		 role == WORLD_DISPATCHER ? 8167 : 7735);
 	snprintf(control, sizeof(control), "%s:8166", ip);
@@ -357,6 +361,130 @@
 	return status;
 }
 
+/* ---- Proxy ---------------------------------------------------------- */
+
+struct relay {
+	int i, from, to;
+	char name[16]; /* of the process that dialled */
+};
+
+/* The first message of a connection names the process that dialled. */
+static void read_name(struct relay *r, const char *data, ssize_t size)
+{
+	static const char *const names[] = { "d1", "d2", "d3", "a1", "a2",
+					     "a3", "c1", "c2", "c3" };
+
+	for (size_t i = 0; i < sizeof(names) / sizeof(names[0]); i++) {
+		char field[4] = { 2, names[i][0], names[i][1], 0 };
+
+		if (memmem(data, (size_t)size, field, 3))
+			snprintf(r->name, sizeof(r->name), "%s", names[i]);
+	}
+}
+
+static bool is_cut(const struct relay *r)
+{
+	const char *name = cut_name;
+
+	return name && !strcmp(name, r->name);
+}
+
+static bool carry(struct relay *r, int from, int to)
+{
+	char data[65536];
+	ssize_t n = read(from, data, sizeof(data));
+
+	if (n <= 0)
+		return false;
+	if (!*r->name && from == r->from)
+		read_name(r, data, n);
+	/* What comes while it is cut off is lost, and the connection with it.
+	 */
+	return is_cut(r) || send_all(to, data, (size_t)n);
+}
+
+static void *relay(void *arg)
+{
+	struct relay *r = arg;
+	struct pollfd fds[] = { { .fd = r->from, .events = POLLIN },
+				{ .fd = r->to, .events = POLLIN } };
+	bool was_cut = false, open = true;
+
+	while (open) {
+		poll(fds, 2, 20);
+		was_cut |= is_cut(r);
+		if (was_cut && !is_cut(r))
+			break;
+		if (fds[0].revents)
+			open = carry(r, r->from, r->to);
+		if (open && fds[1].revents)
+			open = carry(r, r->to, r->from);
+		/* An end isn't told either while it is cut off. */
+		while (!open && is_cut(r))
+			world_sleep_ms(20);
+	}
+	close(r->from);
+	close(r->to);
+	free(r);
+	return NULL;
+}
+
+static void *accept_relays(void *arg)
+{
+	struct relay *listener = arg;
+	char address[40];
+
+	snprintf(address, sizeof(address), "%s.6%d:7720", net, listener->i);
+	for (;;) {
+		int on = 1;
+		struct relay *r = calloc(1, sizeof(*r));
+		pthread_t thread;
+
+		r->from = accept4(listener->from, NULL, NULL, SOCK_CLOEXEC);
+		r->to = r->from < 0 ? -1 : connect_to(address, 1000);
+		if (r->from < 0 || r->to < 0) {
+			if (r->from >= 0)
+				close(r->from);
+			free(r);
+			continue;
+		}
+		setsockopt(r->from, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+		pthread_create(&thread, NULL, relay, r);
+		pthread_detach(thread);
+	}
+	return NULL;
+}
+
+void world_use_proxy(void)
+{
+	proxied = true;
+	for (int i = 1; i <= 3; i++) {
+		struct relay *listener = calloc(1, sizeof(*listener));
+		struct sockaddr_in at = { .sin_family = AF_INET,
+					  .sin_port = htons(7720) };
+		char ip[24];
+		pthread_t thread;
+
+		snprintf(ip, sizeof(ip), "%s.1%d", net, i);
+		inet_pton(AF_INET, ip, &at.sin_addr);
+		listener->i = i;
+		listener->from = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+		if (bind(listener->from, (struct sockaddr *)&at, sizeof(at)) ||
+		    listen(listener->from, 128))
+			exit(2);
+		pthread_create(&thread, NULL, accept_relays, listener);
+	}
+}
+
+void world_cut(const char *name)
+{
+	cut_name = name;
+	if (name)
+		world_note("%s is cut off from the coordinators", name);
+	else
+		world_note("the cut has ended");
+}
+
 /* ---- Runners -------------------------------------------------------- */
 
 static int64_t clock_of(const struct runner *r)
--- a/review/common-2/world.h
+++ b/review/common-2/world.h
@@ -27,6 +27,15 @@
 	int starts;
 };
 
+/* To be called before the first start: all connections between processes and
+ * the coordinators go through a proxy, which can cut one process off. The proxy
+ * has the coordinators' addresses; they listen at 127.X.Y.6i. */
+void world_use_proxy(void);
+/* From now on, the proxy carries nothing of this process (its name) any more,
+ * in silence; NULL: it carries all, and resets the connections that it had cut.
+ */
+void world_cut(const char *name);
+
 /* Opens record.txt in the folder of the script and chooses a loopback net. */
 void world_begin(const char *folder);
 /* Ends all processes that were started. */
