--- a/review/common-2/world.c
+++ b/review/common-2/world.c
@@ -104,7 +104,7 @@
 	pthread_mutex_unlock(&record_lock);
 }
 
-void world_begin(const char *folder)
+void world_begin(const char *record_path)
 {
 	char path[512], text[160];
 	unsigned int id = (unsigned int)getpid();
@@ -116,8 +116,7 @@
 	snprintf(work, sizeof(work), "/tmp/review-XXXXXX");
 	if (!mkdtemp(work))
 		exit(2);
-	snprintf(path, sizeof(path), "%s/record.txt", folder);
-	record = fopen(path, "w");
+	record = fopen(record_path, "w");
 	if (!record)
 		exit(2);
 	snprintf(path, sizeof(path), "%s/settings", work);
--- a/review/common-2/world.h
+++ b/review/common-2/world.h
@@ -36,8 +36,8 @@
  */
 void world_cut(const char *name);
 
-/* Opens record.txt in the folder of the script and chooses a loopback net. */
-void world_begin(const char *folder);
+/* Opens the record and chooses a loopback net. */
+void world_begin(const char *record_path);
 /* Ends all processes that were started. */
 void world_end(void);
 void world_note(const char *format, ...) __attribute__((format(printf, 1, 2)));
