tests: crowds of clients that don't behave, one at each door

In a trial of the users, clients ended a process: it ran out of memory. 31 crowds of 20 to 600 connections, one test each, at the doors of real processes on loopback: callers, backend servers' reports, operators, admin, links. What they send: chunked bodies in large chunks and in chunks of one byte, bodies of announced length that stop 4 KiB short of their end, bodies over the limit and without end, whole bodies of legal size, headers, answers that nobody reads, frames sent in part, nothing at all; three of the crowds open again at once what is closed.

The bounds are fixed here: each process is told of a machine of 64 MB and 600 descriptors, 200 of them reserved. It lives, its peak (VmHWM) stays under 64 MB, it has fewer than 400 descriptors open, and one ordinary request at the same door is answered beside the crowd and after it. The settings that tell it (memory-limit-mb, descriptors-limit) don't exist yet; as variables they are ignored.

crowd_ programs run after all others, one at a time (make check-crowds).

--- a/Makefile
+++ b/Makefile
@@ -45,6 +45,8 @@
 	$(wildcard tests/explore_*.c))
 FAULT_TESTS = $(patsubst tests/%.c,$(BUILD)/tests/%,\
 	$(wildcard tests/fault_*.c))
+CROWD_TESTS = $(patsubst tests/%.c,$(BUILD)/tests/%,\
+	$(wildcard tests/crowd_*.c))
 FUZZERS = $(patsubst fuzz/%.c,$(BUILD)/fuzz/%,$(wildcard fuzz/fuzz_*.c))
 BENCHES = $(patsubst bench/%.c,$(BUILD)/bench/%,$(wildcard bench/bench_*.c))
 
@@ -53,7 +55,8 @@
 OWN_H = $(filter-out %.pb-c.h,$(wildcard include/*.h src/*/*.h platform/*.h \
 	tests/support/*.h))
 
-.PHONY: all help setup demo check check-unit check-faults explore bench \
+.PHONY: all help setup demo check check-unit check-faults check-crowds \
+	explore bench \
 	bench-capacity fuzz fuzz-corpus lint format format-check sanitize \
 	install examples measure clean
 
@@ -61,7 +64,7 @@
 	$(BUILD)/libchervilferry.so
 
 help:
-	@echo "demo check check-unit check-faults explore bench"
+	@echo "demo check check-unit check-faults check-crowds explore bench"
 	@echo "bench-capacity fuzz fuzz-corpus soak lint format sanitize install"
 	@echo "examples clean; settings: BUILD SAN PREFIX CC"
 
@@ -117,9 +120,9 @@
 
 .PHONY: check-all tests benches soak
 check-all: all tests
-	@tools/run_tests.sh $(BUILD) unit explore fault fuzz examples
+	@tools/run_tests.sh $(BUILD) unit explore fault crowd fuzz examples
 
-tests: $(UNIT_TESTS) $(EXPLORERS) $(FAULT_TESTS) $(FUZZERS)
+tests: $(UNIT_TESTS) $(EXPLORERS) $(FAULT_TESTS) $(CROWD_TESTS) $(FUZZERS)
 
 benches: $(BENCHES)
 
@@ -132,6 +135,9 @@
 check-faults: all $(FAULT_TESTS)
 	@tools/run_tests.sh $(BUILD) fault
 
+check-crowds: all $(CROWD_TESTS)
+	@tools/run_tests.sh $(BUILD) crowd
+
 # Runs new seeds for SOAK_SECONDS. SOAK_FIRST and SOAK_SEEDS select specific
 # seeds.
 soak: all $(BUILD)/tests/fault_soak
--- a/tools/run_tests.sh
+++ b/tools/run_tests.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Runs groups of tests and ends with "N passed, N failed".
-#   tools/run_tests.sh BUILD unit|explore|fault|fuzz|examples ...
+#   tools/run_tests.sh BUILD unit|explore|fault|crowd|fuzz|examples ...
 # A failure of a test that is listed in KNOWN-RED.txt ("test_name: ...") is
 # printed but doesn't fail the run. The output of each program is kept in
 # BUILD/logs.
@@ -45,6 +45,8 @@
 	unit) run_programs 6 300 $(programs test) ;;
 	explore) run_programs 4 600 $(programs explore) ;;
 	fault) run_programs "${FAULTS_AT_ONCE:-2}" 900 $(programs fault) ;;
+	# Alone, because the crowds measure what a process holds.
+	crowd) run_programs 1 1800 $(programs crowd) ;;
 	fuzz)
 		for f in "$build"/fuzz/fuzz_*; do
 			is_program "$f" || continue
@@ -90,7 +92,7 @@
 		esac
 	done < <(grep -E '^(not )?ok ' "$f")
 done
-for f in "$logs"/fault_*.err; do
+for f in "$logs"/fault_*.err "$logs"/crowd_*.err; do
 	grep -h '^count: ' "$f" | cut -c1-300
 done
 [ $red -gt 0 ] && echo "$red known red (KNOWN-RED.txt)"
