Bound what all connections of a door hold together

What callers saw: clients that sent many large bodies at once, or held many connections, ended a process by its memory, or took all descriptors, so that an ordinary job got no answer until the crowd timed out.

Cause: each connection had limits of its own (body, frame, output, buffer) and nothing added them up, at any door.

At a bound the connection that has waited longest for its peer is given up; requests in progress never are; a whole request finds room if it takes a quarter of what those leave; else it is refused at once. The first frame of a link may have 4 KiB.

Why it works: a sound client takes its next step within moments, so it stands at the end of the queue of those that may be given up, whatever the crowd holds.

test_connections_above_the_limit_are_closed (test_link) took it for granted that whoever connects first stays. It now waits for each Hello: links that are up make no way (as strict, and it names why); one without a Hello does, which is the new test_connections_without_a_hello_make_way.

--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -198,6 +198,8 @@
 			  agent->incarnation, 0,
 			  settings_text(s, "data-centre") },
 		.heartbeat_ms = settings_number(s, "heartbeat-ms"),
+		.connections_max = agent->doors[DOOR_LINKS].connections_max,
+		.held_max_bytes = agent->doors[DOOR_LINKS].bytes_max,
 	};
 	static const struct link_handlers handlers = { on_up, on_message,
 						       on_down };
@@ -239,6 +241,7 @@
 	const struct settings *s = agent->settings;
 	struct cf_capacity none = { 0 };
 
+	role_divide_doors(s, DOORS_FOR_REQUESTS, agent->doors);
 	agent->loop = loop_create(error);
 	if (!agent->loop)
 		return false;
@@ -248,7 +251,8 @@
 	agent->client = http_client_create(agent->loop, 0, error);
 	if (!agent->client)
 		return false;
-	agent->admin = admin_create(settings_text(s, "admin"), error);
+	agent->admin = admin_create(settings_text(s, "admin"),
+				    &agent->doors[DOOR_ADMIN], error);
 	if (!agent->admin || !admin_start(agent->admin, error))
 		return false;
 	agent->gate = cf_gate_create(&none, AGENT_OUTCOME_RETENTION_MS);
--- a/src/agent/agent_backend.c
+++ b/src/agent/agent_backend.c
@@ -20,6 +20,7 @@
 /* ---- Constants ---- */
 
 #define URL_PREFIX "http://"
+#define BACKEND_CONNECTIONS_MAX 64
 #define ANNOUNCE_BODY_MAX 4096
 /* The backend server counts as gone after this long without an
  * announcement. */
@@ -238,8 +239,11 @@
 	struct http_server_options options = {
 		.address = settings_text(agent->settings, "backend-listen"),
 		.threads = 1,
-		.connections_max = 64,
+		.connections_max = MIN(BACKEND_CONNECTIONS_MAX,
+				       agent->doors[DOOR_MAIN].connections_max),
 		.body_max_bytes = ANNOUNCE_BODY_MAX,
+		.held_max_bytes = agent->doors[DOOR_MAIN].bytes_max,
+		.door = "backend",
 	};
 
 	agent->backend_server =
--- a/src/base/settings_table.c
+++ b/src/base/settings_table.c
@@ -26,6 +26,8 @@
 	{ "advertise", SETTING_ADDRESS, FOR_DISPATCHER | FOR_AGENT | LEASED, false, 0, 0, NULL, NULL, NULL, "ip:port that other processes are told; none: that of listen" },
 	{ "admin", SETTING_ADDRESS, DAEMONS, false, 0, 0, NULL, PORT_ANY_LOOPBACK, NULL, "ip:port for health, metrics and operators" },
 	{ "heartbeat-ms", SETTING_NUMBER, DAEMONS | FOR_STANDALONE, false, 50, 10000, "ms", "500", NULL, "interval of heartbeats on a connection; three missed ones end it" },
+	{ "memory-limit-mb", SETTING_NUMBER, DAEMONS, false, 32, 1048576, "MB", NULL, NULL, "memory that this process may use, from which the bounds on connections follow; none: that of the host, at most 1024" },
+	{ "descriptors-limit", SETTING_NUMBER, DAEMONS, false, 128, 10000000, NULL, NULL, NULL, "descriptors that this process may open; none: what the kernel allows it" },
 	{ "coordinators", SETTING_ADDRESSES, FOR_DISPATCHER | FOR_AGENT | LEASED, true, 0, 0, NULL, NULL, NULL, "ip:port of the coordinators, comma-separated" },
 	{ "coordinators-port", SETTING_NUMBER, LEASED, false, 0, 65535, NULL, "0", NULL, "port that replaces those in coordinators; 0: they stay" },
 	{ "stop-wait-ms", SETTING_NUMBER, DAEMONS | FOR_STANDALONE, false, 0, 3600000, "ms", "30000", NULL, "longest wait for what is in progress at a planned stop" },
@@ -49,7 +51,8 @@
 	/* dispatcher */
 	{ "http", SETTING_ADDRESS, FOR_DISPATCHER | FOR_LEASED_DISPATCHER | FOR_STANDALONE, false, 0, 0, NULL, "127.0.0.1:8200", NULL, "ip:port for callers" },
 	{ "http-threads", SETTING_NUMBER, FOR_DISPATCHER | FOR_LEASED_DISPATCHER | FOR_STANDALONE, false, 1, 64, NULL, "2", NULL, "threads that read callers' requests" },
-	{ "http-connections", SETTING_NUMBER, FOR_DISPATCHER | FOR_LEASED_DISPATCHER, false, 1, 100000, NULL, "4096", NULL, "callers' connections at once" },
+	{ "http-connections", SETTING_NUMBER, FOR_DISPATCHER | FOR_LEASED_DISPATCHER, false, 1, 100000, NULL, "4096", NULL, "callers' connections at once, at most those that memory-limit-mb and descriptors-limit leave for them" },
+	{ "job-max-bytes", SETTING_NUMBER, FOR_LEASED_DISPATCHER, false, 1024, 8388608, "bytes", "262144", NULL, "largest request of a caller" },
 	{ "containment", SETTING_BOOL, FOR_LEASED_DISPATCHER, false, 0, 0, NULL, "true", NULL, "run classes and tasks that crash backend servers on a third of them only" },
 	{ "agents-min", SETTING_NUMBER, FOR_LEASED_DISPATCHER, false, 1, 100000, "agents", "64", NULL, "agents that it keeps connections to, those of its data centre first" },
 	{ "agents-max", SETTING_NUMBER, FOR_LEASED_DISPATCHER, false, 1, 100000, "agents", "128", NULL, "the same while it finds too little room; below agents-min: that" },
--- a/src/coordinator/coordinator.c
+++ b/src/coordinator/coordinator.c
@@ -207,7 +207,9 @@
 			  .incarnation = c->incarnation,
 			  .member_id = c->id,
 			  .data_centre = c->data_centre },
-		.heartbeat_ms = settings_number(settings, "heartbeat-ms")
+		.heartbeat_ms = settings_number(settings, "heartbeat-ms"),
+		.connections_max = c->doors[DOOR_LINKS].connections_max,
+		.held_max_bytes = c->doors[DOOR_LINKS].bytes_max
 	};
 
 	c->hub = link_hub_create(c->loop, &options, &coordinator_link_handlers,
@@ -219,7 +221,8 @@
 static bool open_admin(struct coordinator *c, const struct settings *settings,
 		       GError **error)
 {
-	c->admin = admin_create(settings_text(settings, "admin"), error);
+	c->admin = admin_create(settings_text(settings, "admin"),
+				&c->doors[DOOR_ADMIN], error);
 	if (!c->admin)
 		return false;
 	coordinator_add_routes(c);
@@ -294,6 +297,7 @@
 {
 	struct coordinator *c = create_empty(settings);
 
+	role_divide_doors(settings, DOORS_FOR_LINKS, c->doors);
 	c->loop = loop_create(error);
 	if (!c->loop || !read_members(c, settings, error) ||
 	    !coordinator_open_links(c, error) ||
--- a/src/coordinator/coordinator_control.c
+++ b/src/coordinator/coordinator_control.c
@@ -159,8 +159,11 @@
 	struct http_server_options options = {
 		.address = c->control_address,
 		.threads = CONTROL_THREADS,
-		.connections_max = CONTROL_CONNECTIONS_MAX,
+		.connections_max = MIN(CONTROL_CONNECTIONS_MAX,
+				       c->doors[DOOR_MAIN].connections_max),
 		.body_max_bytes = CONTROL_BODY_MAX_BYTES,
+		.held_max_bytes = c->doors[DOOR_MAIN].bytes_max,
+		.door = "control",
 	};
 
 	if (!*c->control_address)
--- a/src/dispatcher/dispatcher.c
+++ b/src/dispatcher/dispatcher.c
@@ -239,6 +239,8 @@
 		.self = { CFW__ROLE__ROLE_DISPATCHER, settings_text(s, "name"),
 			  d->incarnation, 0, settings_text(s, "data-centre") },
 		.heartbeat_ms = settings_number(s, "heartbeat-ms"),
+		.connections_max = d->doors[DOOR_LINKS].connections_max,
+		.held_max_bytes = d->doors[DOOR_LINKS].bytes_max,
 	};
 	static const struct link_handlers handlers = { on_up, on_message,
 						       on_down };
@@ -316,13 +318,15 @@
 
 static bool open_all(struct dispatcher *d, GError **error)
 {
+	role_divide_doors(d->settings, DOORS_FOR_REQUESTS, d->doors);
 	d->loop = loop_create(error);
 	if (!d->loop)
 		return false;
 	d->hub = open_hub(d, error);
 	if (!d->hub)
 		return false;
-	d->admin = admin_create(settings_text(d->settings, "admin"), error);
+	d->admin = admin_create(settings_text(d->settings, "admin"),
+				&d->doors[DOOR_ADMIN], error);
 	if (!d->admin)
 		return false;
 	dispatcher_add_routes(d);
--- a/src/dispatcher/dispatcher_http.c
+++ b/src/dispatcher/dispatcher_http.c
@@ -13,6 +13,7 @@
 
 #define JOBS_PATH "/v1/jobs"
 #define JSON_TYPE "application/json"
+#define STATUS_UNAVAILABLE 503
 
 /* ---- Types ---- */
 
@@ -233,6 +234,20 @@
 		http_reply_error(http, 405, "method", "GET or DELETE only");
 }
 
+/* There is no room for the request. Its key isn't looked up: another caller's
+ * job of this key may be in progress. */
+static void refuse(void *arg, struct http_request *http)
+{
+	static const struct request_error error = {
+		.status = STATUS_UNAVAILABLE,
+		.reason = "overloaded",
+		.message = "there is no room for this request now",
+	};
+
+	(void)arg;
+	reply_refused(http, &error);
+}
+
 bool dispatcher_open_http(struct dispatcher *d, GError **error)
 {
 	const struct settings *s = d->settings;
@@ -240,9 +255,13 @@
 		.address = settings_text(s, "http"),
 		.threads = (uint32_t)settings_number(s, "http-threads"),
 		.connections_max =
-			(uint32_t)settings_number(s, "http-connections"),
+			MIN((uint32_t)settings_number(s, "http-connections"),
+			    d->doors[DOOR_MAIN].connections_max),
 		.body_max_bytes =
 			(uint32_t)settings_number(s, "body-max-bytes"),
+		.held_max_bytes = d->doors[DOOR_MAIN].bytes_max,
+		.door = "callers",
+		.refuse = refuse,
 	};
 
 	d->http = http_server_create(&options, handle_request, d, error);
--- a/src/leased/agent.c
+++ b/src/leased/agent.c
@@ -288,9 +288,17 @@
 		.address = settings_text(s, "control"),
 		.threads = CONTROL_THREADS,
 		.connections_max = CONTROL_CONNECTIONS_MAX,
-		.body_max_bytes = CONTROL_BODY_MAX_BYTES
+		.body_max_bytes = CONTROL_BODY_MAX_BYTES,
+		.door = "control"
 	};
-
+	struct intake_limits doors[DOOR_COUNT];
+
+	role_divide_doors(s, DOORS_FOR_REQUESTS, doors);
+	links.connections_max = doors[DOOR_LINKS].connections_max;
+	links.held_max_bytes = doors[DOOR_LINKS].bytes_max;
+	control.connections_max =
+		MIN(CONTROL_CONNECTIONS_MAX, doors[DOOR_MAIN].connections_max);
+	control.held_max_bytes = doors[DOOR_MAIN].bytes_max;
 	a->loop = loop_create(error);
 	if (!a->loop)
 		return false;
@@ -299,7 +307,8 @@
 	if (!link_hub_listen(a->hub, settings_text(s, "listen"), NULL, error))
 		return false;
 	a->client = http_client_create(a->loop, SERVER_CONNECTIONS_MAX, error);
-	a->admin = admin_create(settings_text(s, "admin"), error);
+	a->admin = admin_create(settings_text(s, "admin"), &doors[DOOR_ADMIN],
+				error);
 	if (!a->client || !a->admin)
 		return false;
 	http_client_set_timeouts_max(a->client, SERVER_UNANSWERED_CALLS_MAX);
--- a/src/leased/dispatcher.c
+++ b/src/leased/dispatcher.c
@@ -301,8 +301,12 @@
 			  .data_centre = settings_text(s, "data-centre") },
 		.heartbeat_ms = settings_number(s, "heartbeat-ms")
 	};
+	struct intake_limits doors[DOOR_COUNT];
 	uint16_t port;
 
+	role_divide_doors(s, DOORS_FOR_REQUESTS, doors);
+	links.connections_max = doors[DOOR_LINKS].connections_max;
+	links.held_max_bytes = doors[DOOR_LINKS].bytes_max;
 	d->loop = loop_create(error);
 	if (!d->loop)
 		return false;
@@ -311,11 +315,13 @@
 		return false;
 	d->address = role_address(s, port);
 	open_session(d);
-	d->admin = admin_create(settings_text(s, "admin"), error);
+	d->admin = admin_create(settings_text(s, "admin"), &doors[DOOR_ADMIN],
+				error);
 	if (!d->admin)
 		return false;
 	admin_set_ready(d->admin, false, "starting");
-	return admin_start(d->admin, error) && dispatcher_start_http(d, error);
+	return admin_start(d->admin, error) &&
+	       dispatcher_start_http(d, &doors[DOOR_MAIN], error);
 }
 
 static gpointer run(gpointer arg)
--- a/src/leased/dispatcher_http.c
+++ b/src/leased/dispatcher_http.c
@@ -480,6 +480,19 @@
 	finish_caller(c);
 }
 
+/* There is no room for the request. A job that is in progress is joined, as
+ * "never runs" would be untrue of it. */
+static void handle_overload(void *arg)
+{
+	struct caller *c = arg;
+
+	if (!strcmp(http_method(c->request), "POST") && join_job(c))
+		return;
+	reply_error(c, STATUS_UNAVAILABLE, "overloaded",
+		    "there is no room for this request now", 1);
+	finish_caller(c);
+}
+
 /* ---- HTTP threads --------------------------------------------------- */
 
 static void read_submission(struct caller *c)
@@ -490,6 +503,8 @@
 	enum job_refusal refusal = c->dispatcher->formats->read_job(
 		body, size, &c->spec, error_text);
 
+	http_free_body(c->request);
+
 	if (refusal == JOB_ACCEPTED) {
 		loop_post(c->dispatcher->loop, handle_submission, c);
 		return;
@@ -517,14 +532,28 @@
 		loop_post(d->loop, handle_query, c);
 }
 
-bool dispatcher_start_http(struct leased_dispatcher *d, GError **error)
+static void refuse(void *arg, struct http_request *request)
+{
+	struct leased_dispatcher *d = arg;
+
+	loop_post(d->loop, handle_overload, create_caller(d, request));
+}
+
+bool dispatcher_start_http(struct leased_dispatcher *d,
+			   const struct intake_limits *limits, GError **error)
 {
 	struct http_server_options options = {
 		.address = settings_text(d->settings, "http"),
 		.threads =
 			(uint32_t)settings_number(d->settings, "http-threads"),
-		.connections_max = (uint32_t)settings_number(
-			d->settings, "http-connections"),
+		.connections_max = MIN((uint32_t)settings_number(
+					       d->settings, "http-connections"),
+				       limits->connections_max),
+		.body_max_bytes =
+			(uint32_t)settings_number(d->settings, "job-max-bytes"),
+		.held_max_bytes = limits->bytes_max,
+		.door = "callers",
+		.refuse = refuse,
 	};
 
 	d->http = http_server_create(&options, handle, d, error);
--- a/src/net/admin.c
+++ b/src/net/admin.c
@@ -24,6 +24,7 @@
 
 struct admin {
 	char *address;
+	struct intake_limits limits;
 	struct http_server *server;
 	GPtrArray *routes;
 	GMutex lock; /* guards the readiness fields below */
@@ -120,12 +121,14 @@
 	g_ptr_array_add(admin->routes, route);
 }
 
-struct admin *admin_create(const char *address, GError **error)
+struct admin *admin_create(const char *address,
+			   const struct intake_limits *limits, GError **error)
 {
 	struct admin *admin = g_new0(struct admin, 1);
 
 	(void)error; /* an invalid address is reported by admin_start */
 	admin->address = g_strdup(address);
+	admin->limits = *limits;
 	admin->routes = g_ptr_array_new_with_free_func(free_route);
 	admin->not_ready_reason = g_strdup("starting");
 	g_mutex_init(&admin->lock);
@@ -164,7 +167,10 @@
 	struct http_server_options options = {
 		.address = admin->address,
 		.threads = 1,
-		.connections_max = ADMIN_CONNECTIONS_MAX,
+		.connections_max = MIN(ADMIN_CONNECTIONS_MAX,
+				       admin->limits.connections_max),
+		.held_max_bytes = admin->limits.bytes_max,
+		.door = "admin",
 		.body_max_bytes = ADMIN_BODY_MAX_BYTES,
 	};
 
--- a/src/net/frame.c
+++ b/src/net/frame.c
@@ -51,6 +51,24 @@
 		g_byte_array_append(decoder->bytes, data, (guint)size_bytes);
 }
 
+void frame_decoder_set_max(struct frame_decoder *decoder,
+			   uint32_t frame_max_bytes)
+{
+	decoder->frame_max_bytes = frame_max_bytes;
+}
+
+size_t frame_decoder_pending(const struct frame_decoder *decoder)
+{
+	return decoder->bytes->len - decoder->consumed;
+}
+
+void frame_decoder_clear(struct frame_decoder *decoder)
+{
+	g_byte_array_unref(decoder->bytes);
+	decoder->bytes = g_byte_array_new();
+	decoder->consumed = 0;
+}
+
 enum frame_status frame_decoder_next(struct frame_decoder *decoder,
 				     Cfw__Envelope **envelope)
 {
--- a/src/net/frame.h
+++ b/src/net/frame.h
@@ -26,6 +26,13 @@
 void frame_decoder_destroy(struct frame_decoder *decoder); /* NULL allowed */
 void frame_decoder_feed(struct frame_decoder *decoder, const void *data,
 			size_t size_bytes);
+/* Applies to frames that are decoded from now on. */
+void frame_decoder_set_max(struct frame_decoder *decoder,
+			   uint32_t frame_max_bytes);
+/* Bytes that were fed and not decoded yet. */
+size_t frame_decoder_pending(const struct frame_decoder *decoder);
+/* Forgets these bytes and frees them. */
+void frame_decoder_clear(struct frame_decoder *decoder);
 /* On FRAME_OK the caller frees *envelope with cfw__envelope__free_unpacked.
  * After FRAME_TOO_LARGE or FRAME_INVALID only destroy is allowed. */
 enum frame_status frame_decoder_next(struct frame_decoder *decoder,
--- a/src/net/http_private.h
+++ b/src/net/http_private.h
@@ -21,10 +21,11 @@
 	int listener;
 	http_handler_fn *handler;
 	void *arg;
+	http_handler_fn *refuse;
+	struct intake *intake;
 	uint32_t body_max_bytes;
-	uint32_t connections_max;
-	/* Above connections_max, connections are accepted up to this number to
-	 * be answered with a 503. */
+	/* Above the intake's limit, connections are accepted up to this number
+	 * to be answered with a 503. */
 	uint32_t accepted_max;
 	uint32_t timeout_s;
 	uint16_t port;
@@ -47,12 +48,17 @@
 struct http_request {
 	struct http_server *server;
 	struct MHD_Connection *connection;
+	/* Valid until the request is detached. */
+	struct http_connection *owner;
 	struct http_worker *worker;
 	char *method;
 	char *path;
+	/* NULL: empty, too large, given up or freed. Until the request is
+	 * complete, guarded by the lock of the intake. */
 	GByteArray *body;
 	size_t received_bytes; /* including bytes above the limit */
 	int64_t began_ms;
+	bool refused; /* found no room */
 	bool handed_over; /* passed to the handler */
 	bool answered;
 	atomic_int ref_count;
@@ -82,4 +88,25 @@
 			    void **context,
 			    enum MHD_RequestTerminationCode code);
 
+/* ---- http_hold.c: from its first byte to the end of its answer ---- */
+
+/* A request begins on its connection, which waits for the rest. */
+void http_hold_begin(struct http_request *request);
+/* Keeps a part of the body, unless the body is too large or finds no room. */
+void http_hold_body(struct http_request *request, const char *data,
+		    size_t size_bytes);
+bool http_hold_is_too_large(const struct http_request *request);
+/* Takes a whole request for the handler; request->refused is set if it finds no
+ * room. Returns false if its connection was given up. */
+bool http_hold_whole(struct http_request *request);
+/* Counts an answer in place of its request, until the client has read it.
+ * Returns false if there is no room. Requires the server's lock. */
+bool http_hold_answer(struct http_request *request, size_t size_bytes);
+/* The connection holds nothing more for this request, and waits for the next
+ * one. Requires the server's lock. */
+void http_hold_release(struct http_request *request);
+/* Frees the body. Requires the intake's lock, unless nobody else has the
+ * request. */
+void http_hold_drop_body(struct http_request *request);
+
 #endif
--- a/src/net/http_request.c
+++ b/src/net/http_request.c
@@ -13,7 +13,6 @@
 
 #include <string.h>
 
-#define BODY_FIRST_BYTES 4096
 /* A body larger than this multiple of the limit aborts the connection. */
 #define OVERSIZE_FACTOR 4
 /* A request may take this multiple of the timeout to arrive. */
@@ -22,6 +21,9 @@
 #define ESCAPED_NUL "%00"
 #define ESCAPE_SIZE 3 /* of an escaped byte */
 #define HEX_BASE 16
+#define OVERLOADED "overloaded"
+#define OVERLOADED_TEXT "there is no room for this request now"
+#define RETRY_AFTER "Retry-After: 1"
 
 /* ---- Create and release ---- */
 
@@ -33,7 +35,7 @@
 		return;
 	if (request->response)
 		MHD_destroy_response(request->response);
-	g_byte_array_unref(request->body);
+	http_hold_drop_body(request);
 	g_free(request->method);
 	g_free(request->path);
 	g_free(request);
@@ -48,12 +50,14 @@
 
 	request->server = http_server_ref(server);
 	request->connection = connection;
-	request->worker = http_connection_of(connection)->worker;
+	request->owner = http_connection_of(connection);
+	request->worker = request->owner->worker;
 	request->method = g_strdup(method);
 	request->path = g_strdup(path);
-	request->body = g_byte_array_sized_new(BODY_FIRST_BYTES);
+	request->refused = request->owner->excess;
 	request->began_ms = clock_now_ms();
 	atomic_store(&request->ref_count, 1);
+	http_hold_begin(request);
 	return request;
 }
 
@@ -83,8 +87,8 @@
 
 const void *http_body(const struct http_request *request, size_t *size_bytes)
 {
-	*size_bytes = request->body->len;
-	return request->body->data;
+	*size_bytes = request->body ? request->body->len : 0;
+	return request->body ? (const void *)request->body->data : "";
 }
 
 /* ---- Responses ---- */
@@ -127,7 +131,8 @@
 {
 	enum MHD_Result result;
 
-	if (atomic_load(&server->quiescing) || atomic_load(&server->closing))
+	if (atomic_load(&server->quiescing) || atomic_load(&server->closing) ||
+	    http_connection_of(connection)->excess)
 		MHD_add_response_header(response, MHD_HTTP_HEADER_CONNECTION,
 					"close");
 	counter_add(server->answers[MIN(status / 100, HTTP_STATUS_CLASSES - 1)],
@@ -142,7 +147,12 @@
 			      unsigned int status, const char *reason,
 			      const char *message)
 {
-	static const char *const headers[] = { "Connection: close", NULL };
+	/* Only what finds no room now may find some later. */
+	const char *headers[] = { "Connection: close",
+				  status == MHD_HTTP_SERVICE_UNAVAILABLE
+					  ? RETRY_AFTER
+					  : NULL,
+				  NULL };
 	char *body = g_strdup_printf("{\"reason\":\"%s\",\"message\":\"%s\"}\n",
 				     reason, message);
 	struct MHD_Response *response =
@@ -175,6 +185,33 @@
 					  sizeof(body) - 1, NULL));
 }
 
+static struct MHD_Response *make_overloaded(void)
+{
+	static const char *const headers[] = { RETRY_AFTER, NULL };
+	static const char body[] = "{\"reason\":\"" OVERLOADED "\",\"message\":"
+				   "\"" OVERLOADED_TEXT "\"}\n";
+
+	return make_response("application/json", body, sizeof(body) - 1,
+			     headers);
+}
+
+/* Requires the server's lock. Only the answer to a read may be left out: any
+ * other tells what was done. */
+static void answer_within_bounds(struct http_request *request, uint32_t status,
+				 struct MHD_Response *response,
+				 size_t size_bytes)
+{
+	bool is_read = !strcmp(request->method, MHD_HTTP_METHOD_GET);
+
+	if (http_hold_answer(request, size_bytes) || !is_read) {
+		http_request_answer(request, status, response);
+		return;
+	}
+	MHD_destroy_response(response);
+	http_request_answer(request, MHD_HTTP_SERVICE_UNAVAILABLE,
+			    make_overloaded());
+}
+
 void http_reply(struct http_request *request, uint32_t status,
 		const char *content_type, const void *body, size_t size_bytes,
 		const char *const *headers)
@@ -188,7 +225,7 @@
 	http_gone_remove(server->gone, request->gone_id);
 	request->gone_id = 0;
 	if (!request->detached && !request->response) {
-		http_request_answer(request, status, response);
+		answer_within_bounds(request, status, response, size_bytes);
 		response = NULL;
 	}
 	g_mutex_unlock(&server->lock);
@@ -262,9 +299,7 @@
 	if (clock_now_ms() - request->began_ms > limit_ms ||
 	    request->received_bytes > OVERSIZE_FACTOR * limit_bytes)
 		return MHD_NO;
-	if (request->received_bytes <= limit_bytes)
-		g_byte_array_append(request->body, (const guint8 *)data,
-				    (guint)size_bytes);
+	http_hold_body(request, data, size_bytes);
 	return MHD_YES;
 }
 
@@ -278,8 +313,9 @@
 			      request->status, response);
 }
 
-/* Runs the handler. Suspends the connection if it has not replied yet. */
-static enum MHD_Result run_handler(struct http_request *request)
+/* Suspends the connection if the handler has not replied yet. */
+static enum MHD_Result run_handler(struct http_request *request,
+				   http_handler_fn *handler)
 {
 	struct http_server *server = request->server;
 	bool answered;
@@ -290,7 +326,7 @@
 	g_mutex_lock(&server->lock);
 	g_hash_table_add(server->requests, request);
 	g_mutex_unlock(&server->lock);
-	server->handler(server->arg, request);
+	handler(server->arg, request);
 	g_mutex_lock(&server->lock);
 	if (server->destroying && !request->response)
 		http_request_abandon(request);
@@ -303,6 +339,24 @@
 	return answered ? send_answer(request) : MHD_YES;
 }
 
+static enum MHD_Result serve_request(struct http_request *request)
+{
+	struct http_server *server = request->server;
+
+	if (http_hold_is_too_large(request))
+		return refuse(server, request->connection,
+			      MHD_HTTP_CONTENT_TOO_LARGE, "body_too_large",
+			      "the body is above the limit");
+	if (!http_hold_whole(request))
+		return MHD_NO;
+	if (!request->refused)
+		return run_handler(request, server->handler);
+	if (server->refuse)
+		return run_handler(request, server->refuse);
+	return refuse(server, request->connection, MHD_HTTP_SERVICE_UNAVAILABLE,
+		      OVERLOADED, OVERLOADED_TEXT);
+}
+
 static enum MHD_Result begin_request(struct http_server *server,
 				     struct MHD_Connection *connection,
 				     const char *path, const char *method,
@@ -312,12 +366,12 @@
 		connection, MHD_HEADER_KIND, MHD_HTTP_HEADER_CONTENT_LENGTH);
 
 	count_header(connection);
-	if (atomic_load(&server->connections) > server->connections_max) {
+	if (http_connection_of(connection)->excess)
 		counter_add(server->refused_connections, 1);
+	if (http_connection_of(connection)->excess && !server->refuse)
 		return refuse(server, connection, MHD_HTTP_SERVICE_UNAVAILABLE,
 			      "too_many_connections",
 			      "the limit of connections is reached");
-	}
 	if (length && g_ascii_strtoull(length, NULL, 10) >
 			      (guint64)OVERSIZE_FACTOR * server->body_max_bytes)
 		return refuse(server, connection, MHD_HTTP_CONTENT_TOO_LARGE,
@@ -349,10 +403,7 @@
 	}
 	if (request->handed_over)
 		return request->response ? send_answer(request) : MHD_YES;
-	if (request->received_bytes > server->body_max_bytes)
-		return refuse(server, connection, MHD_HTTP_CONTENT_TOO_LARGE,
-			      "body_too_large", "the body is above the limit");
-	return run_handler(request);
+	return serve_request(request);
 }
 
 void http_request_completed(void *arg, struct MHD_Connection *connection,
@@ -373,6 +424,7 @@
 		atomic_fetch_sub(&server->open_requests, 1);
 	g_cond_signal(&server->completed);
 	request->detached = true;
+	http_hold_release(request);
 	http_gone_remove(server->gone, request->gone_id);
 	request->gone_id = 0;
 	g_mutex_unlock(&server->lock);
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -14,6 +14,10 @@
 #define DEFAULT_THREADS 2
 #define DEFAULT_CONNECTIONS_MAX 4096
 #define DEFAULT_BODY_MAX_BYTES (8U << 20)
+#define DEFAULT_HELD_MAX_BYTES (64U << 20)
+#define DEFAULT_DOOR "http"
+/* What the kernel keeps unread for a connection. */
+#define RECEIVE_BUFFER_BYTES 32768
 #define DEFAULT_TIMEOUT_S 30
 /* Connections above the limit that are accepted to be answered with a 503. */
 #define EXCESS_CONNECTIONS_MIN 64
@@ -33,6 +37,7 @@
 	if (atomic_fetch_sub(&server->ref_count, 1) > 1)
 		return;
 	http_gone_destroy(server->gone);
+	intake_destroy(server->intake);
 	g_hash_table_destroy(server->requests);
 	g_ptr_array_unref(server->workers);
 	g_mutex_clear(&server->lock);
@@ -60,11 +65,15 @@
 static int open_listener(const struct sockaddr_storage *address, socklen_t size)
 {
 	static const int on = 1;
+	static const int receive_bytes = RECEIVE_BUFFER_BYTES;
 	int listener = socket(address->ss_family,
 			      SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 
 	if (listener < 0)
 		return -1;
+	/* Accepted connections inherit it. */
+	setsockopt(listener, SOL_SOCKET, SO_RCVBUF, &receive_bytes,
+		   sizeof(receive_bytes));
 	if (setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)) ||
 	    setsockopt(listener, SOL_SOCKET, SO_REUSEPORT, &on, sizeof(on)) ||
 	    (address->ss_family == AF_INET6 &&
@@ -124,6 +133,28 @@
 		close(server->listener);
 }
 
+static void set_limits(struct http_server *server,
+		       const struct http_server_options *o)
+{
+	struct intake_limits limits = {
+		.connections_max =
+			or_default(o->connections_max, DEFAULT_CONNECTIONS_MAX),
+		.bytes_max = o->held_max_bytes ? o->held_max_bytes
+					       : DEFAULT_HELD_MAX_BYTES,
+	};
+	uint32_t body_max_bytes =
+		or_default(o->body_max_bytes, DEFAULT_BODY_MAX_BYTES);
+
+	server->intake =
+		intake_create(o->door ? o->door : DEFAULT_DOOR, &limits);
+	server->accepted_max =
+		limits.connections_max +
+		MAX(EXCESS_CONNECTIONS_MIN, limits.connections_max / 8);
+	server->body_max_bytes = (uint32_t)MIN(
+		body_max_bytes, intake_request_max_bytes(server->intake));
+	server->timeout_s = or_default(o->timeout_s, DEFAULT_TIMEOUT_S);
+}
+
 struct http_server *http_server_create(const struct http_server_options *o,
 				       http_handler_fn *handler, void *arg,
 				       GError **error)
@@ -140,14 +171,8 @@
 	server = g_new0(struct http_server, 1);
 	server->handler = handler;
 	server->arg = arg;
-	server->body_max_bytes =
-		or_default(o->body_max_bytes, DEFAULT_BODY_MAX_BYTES);
-	server->connections_max =
-		or_default(o->connections_max, DEFAULT_CONNECTIONS_MAX);
-	server->accepted_max =
-		server->connections_max +
-		MAX(EXCESS_CONNECTIONS_MIN, server->connections_max / 8);
-	server->timeout_s = or_default(o->timeout_s, DEFAULT_TIMEOUT_S);
+	server->refuse = o->refuse;
+	set_limits(server, o);
 	server->listener = -1;
 	server->workers = g_ptr_array_new();
 	atomic_store(&server->ref_count, 1);
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -13,17 +13,25 @@
 struct http_server;
 struct http_request;
 
+typedef void http_handler_fn(void *arg, struct http_request *request);
+
 struct http_server_options {
 	const char *address; /* ip:port, port 0 allowed */
 	uint32_t threads; /* 0: 2 */
 	uint32_t connections_max; /* 0: 4096 */
-	uint32_t body_max_bytes; /* 0: 8 MiB; larger bodies get a 413 */
+	/* 0: 8 MiB; larger bodies get a 413, as do those above a quarter of
+	 * held_max_bytes. */
+	uint32_t body_max_bytes;
+	uint64_t held_max_bytes; /* of all connections together; 0: 64 MiB */
+	const char *door; /* in counters and log lines; NULL: "http" */
 	/* For idle connections and incomplete requests; 0: 30. */
 	uint32_t timeout_s;
+	/* Replies to a request that finds no room, in place of the handler; its
+	 * body is gone. NULL: a 503 with a Retry-After. For handlers whose
+	 * refusal promises something. */
+	http_handler_fn *refuse;
 };
 
-typedef void http_handler_fn(void *arg, struct http_request *request);
-
 struct http_server *http_server_create(const struct http_server_options *o,
 				       http_handler_fn *handler, void *arg,
 				       GError **error);
@@ -48,6 +56,10 @@
 const char *http_header(const struct http_request *request, const char *name);
 const void *http_body(const struct http_request *request, size_t *size_bytes);
 
+/* Frees the body, which the handler no longer needs. It still counts as held
+ * until the reply. Only in the handler. */
+void http_free_body(struct http_request *request);
+
 /* Replies and ends the request, which must not be used afterwards. The body
  * is copied. headers is a NULL-terminated array of lines such as
  * "Retry-After: 1", or NULL. */
--- a/src/net/http_worker.c
+++ b/src/net/http_worker.c
@@ -40,6 +40,7 @@
 	int wake_event;
 	GThread *thread;
 	GHashTable *connections; /* struct http_connection, owned */
+	atomic_bool has_given_up; /* connections that are to be closed */
 	GMutex lock; /* guards the fields below */
 	GPtrArray *resumed; /* struct MHD_Connection */
 	bool stopping;
@@ -47,6 +48,21 @@
 
 /* ---- Connections ---------------------------------------------------- */
 
+static uint64_t give_up(struct intake_entry *entry)
+{
+	struct http_connection *c = (struct http_connection *)entry;
+
+	if (c->request)
+		http_hold_drop_body(c->request);
+	atomic_store(&c->given_up, true);
+	atomic_store(&c->worker->has_given_up, true);
+	http_worker_wake(c->worker);
+	/* An answer is freed once the connection is closed. */
+	return c->request && c->in_answer ? entry->bytes : 0;
+}
+
+static const struct intake_ops connection_ops = { give_up };
+
 struct http_connection *http_connection_of(struct MHD_Connection *connection)
 {
 	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
@@ -60,10 +76,14 @@
 			  enum MHD_ConnectionNotificationCode code)
 {
 	struct http_worker *worker = arg;
+	struct intake *intake = worker->server->intake;
 	struct http_connection *c = *context;
 
 	if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
 		atomic_fetch_sub(&worker->server->connections, 1);
+		intake_lock(intake);
+		intake_close(&c->entry);
+		intake_unlock(intake);
 		g_hash_table_remove(worker->connections, c);
 		return;
 	}
@@ -74,6 +94,10 @@
 	c->descriptor = MHD_get_connection_info(
 				connection, MHD_CONNECTION_INFO_CONNECTION_FD)
 				->connect_fd;
+	intake_lock(intake);
+	c->excess =
+		!intake_open(intake, &c->entry, &connection_ops, c->used_ms);
+	intake_unlock(intake);
 	g_hash_table_add(worker->connections, c);
 	*context = c;
 }
@@ -103,6 +127,22 @@
 }
 
 /* The library closes a connection when it reads the end of the stream. */
+static void close_given_up(struct http_worker *worker)
+{
+	GHashTableIter iter;
+	gpointer key;
+
+	if (!atomic_exchange(&worker->has_given_up, false))
+		return;
+	g_hash_table_iter_init(&iter, worker->connections);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		struct http_connection *c = key;
+
+		if (atomic_exchange(&c->given_up, false))
+			shutdown(c->descriptor, SHUT_RDWR);
+	}
+}
+
 static void close_idle(struct http_worker *worker)
 {
 	int64_t now_ms = clock_now_ms();
@@ -236,6 +276,7 @@
 		}
 		if (atomic_load(&server->closing_idle))
 			close_idle(worker);
+		close_given_up(worker);
 		MHD_run(worker->daemon);
 		if (wait_for_events(worker, quiescing))
 			accept_some(worker);
--- a/src/net/http_worker.h
+++ b/src/net/http_worker.h
@@ -12,16 +12,26 @@
 #ifndef NET_HTTP_WORKER_H
 #define NET_HTTP_WORKER_H
 
+#include "net/intake.h"
+
 #include <glib.h>
 #include <microhttpd.h>
+#include <stdatomic.h>
 #include <stdbool.h>
 #include <stdint.h>
 
 struct http_server;
 struct http_worker;
 
-/* A connection of a worker. Used on the worker's thread only. */
+/* A connection of a worker. Used on the worker's thread only, but for the
+ * fields that say otherwise. */
 struct http_connection {
+	struct intake_entry entry; /* guarded by the lock of the intake */
+	struct http_request *request; /* in progress; guarded in the same way */
+	atomic_bool given_up; /* to be closed; any thread */
+	/* The answer is kept for the client; guarded in the same way. */
+	bool in_answer;
+	bool excess; /* above the limit, while no other could be given up */
 	struct http_worker *worker;
 	int descriptor;
 	int64_t used_ms; /* when it was opened or its last request ended */
--- a/src/net/link.c
+++ b/src/net/link.c
@@ -25,6 +25,8 @@
 #define READS_PER_ITERATION 8
 /* An empty output buffer larger than this is freed. */
 #define IDLE_OUTPUT_MAX_BYTES 262144
+/* The first frame is a Hello, which is far smaller. */
+#define HELLO_MAX_BYTES 4096
 
 static void start_dial(struct link *link);
 
@@ -52,8 +54,6 @@
 	link->output = g_byte_array_new();
 	if (dialled)
 		link->redial = loop_timer_create(hub->loop, on_redial, link);
-	else
-		hub->n_accepted++;
 	g_ptr_array_add(hub->links, link);
 	return link;
 }
@@ -75,13 +75,22 @@
 	g_free(link);
 }
 
+static void close_entry(struct link *link)
+{
+	if (!link->entry.intake)
+		return;
+	intake_lock(link->entry.intake);
+	intake_close(&link->entry);
+	intake_unlock(link->entry.intake);
+	link->entry.intake = NULL;
+}
+
 static void remove_link(struct link *link)
 {
 	if (link->dropped)
 		return;
 	link->dropped = true;
-	if (!link->dialled)
-		link->hub->n_accepted--;
+	close_entry(link);
 	g_ptr_array_remove_fast(link->hub->links, link);
 	g_ptr_array_add(link->hub->dropped, link);
 	link_hub_schedule(link->hub);
@@ -168,6 +177,40 @@
 	disconnect_socket(link, "dropped_here");
 }
 
+void link_close_later(struct link *link, const char *reason)
+{
+	link->close_reason = reason;
+	if (!link->in_flush_list) {
+		link->in_flush_list = true;
+		g_ptr_array_add(link->hub->to_flush, link);
+	}
+	link_hub_schedule(link->hub);
+}
+
+/* ---- What is held for a peer ---- */
+
+/* Counts unfinished frames and unsent output. A peer that holds neither is
+ * waited for only until its Hello. */
+static void update_entry(struct link *link)
+{
+	struct intake_entry *entry = &link->entry;
+	uint64_t bytes = link->output->len - link->output_sent;
+	bool has_room;
+
+	if (!entry->intake || !link->decoder)
+		return;
+	bytes += frame_decoder_pending(link->decoder);
+	intake_lock(entry->intake);
+	has_room = intake_resize(entry, bytes, loop_now_ms(link->hub->loop));
+	if (link->state == LINK_UP && !bytes)
+		intake_stop_waiting(entry);
+	else if (!entry->waits)
+		intake_wait(entry);
+	intake_unlock(entry->intake);
+	if (!has_room && !link->close_reason)
+		link_close_later(link, "no_room");
+}
+
 /* ---- Reading ---- */
 
 static void count_message(struct link *link, int direction,
@@ -197,6 +240,8 @@
 	link->has_peer = true;
 	link->failures = 0;
 	link->state = LINK_UP;
+	frame_decoder_set_max(link->decoder,
+			      link->hub->options.frame_max_bytes);
 	log_event(LOG_INFO, "link_up", "peer=%s address=%s dialled=%s",
 		  link->peer.name, link->address,
 		  link->dialled ? "true" : "false");
@@ -264,6 +309,7 @@
 		link->received_ms = loop_now_ms(hub->loop);
 		frame_decoder_feed(link->decoder, hub->buffer, size);
 		handle_frames(link);
+		update_entry(link);
 		if (link->socket != socket || size < sizeof(hub->buffer))
 			return;
 	}
@@ -318,6 +364,7 @@
 		}
 		link->output_blocked = true;
 		loop_watch_set(link->watch, true, true);
+		update_entry(link);
 		return;
 	}
 	if (!link->socket)
@@ -325,6 +372,7 @@
 	release_output(link);
 	link->output_blocked = false;
 	loop_watch_set(link->watch, true, false);
+	update_entry(link);
 }
 
 /* Removes sent bytes once they make up at least half of a large buffer. */
@@ -392,7 +440,7 @@
 	link->refused = false;
 	link->opened_ms = loop_now_ms(hub->loop);
 	link->received_ms = link->opened_ms;
-	link->decoder = frame_decoder_create(hub->options.frame_max_bytes);
+	link->decoder = frame_decoder_create(HELLO_MAX_BYTES);
 	loop_watch_set(link->watch, true, false);
 	link_queue(link, &hub->hello);
 }
--- a/src/net/link.h
+++ b/src/net/link.h
@@ -5,9 +5,11 @@
  * The side that dialled it redials after a jittered delay. Loop thread only.
  *
  * Writes made in one iteration of the loop are sent together. A connection
- * is closed and counted if it sends an oversized or invalid frame, if it
- * exceeds the connection limit, or if its queued output exceeds a limit
- * because the peer does not read.
+ * is closed and counted if it sends an oversized or invalid frame, or if its
+ * queued output exceeds a limit because the peer does not read. Accepted
+ * connections are bounded together, in number and in the bytes of unfinished
+ * frames and unread output (intake.h): those without a Hello and those that
+ * wait for the rest of a frame make way first.
  */
 #ifndef NET_LINK_H
 #define NET_LINK_H
@@ -35,6 +37,7 @@
 	int64_t heartbeat_ms; /* 0: 500 */
 	uint32_t frame_max_bytes; /* 0: 16 MiB */
 	uint32_t connections_max; /* 0: 4096 accepted */
+	uint64_t held_max_bytes; /* of those together; 0: 64 MiB */
 	uint64_t output_max_bytes; /* 0: 64 MiB queued */
 };
 
--- a/src/net/link_hub.c
+++ b/src/net/link_hub.c
@@ -12,9 +12,13 @@
 #define DEFAULT_FRAME_MAX_BYTES (16U << 20)
 #define DEFAULT_CONNECTIONS_MAX 4096
 #define DEFAULT_OUTPUT_MAX_BYTES (64ULL << 20)
+#define DEFAULT_HELD_MAX_BYTES (64ULL << 20)
+#define DOOR "links"
 #define LISTEN_BACKLOG 1024
 #define ACCEPTS_PER_ITERATION 64
 #define US_PER_MS 1000
+/* A frame of largest size is one part in so many of what may be held. */
+#define FRAME_PART_OF_HELD 2
 
 /* ---- End of an iteration ---- */
 
@@ -159,6 +163,11 @@
 		options->frame_max_bytes = DEFAULT_FRAME_MAX_BYTES;
 	if (!options->connections_max)
 		options->connections_max = DEFAULT_CONNECTIONS_MAX;
+	if (!options->held_max_bytes)
+		options->held_max_bytes = DEFAULT_HELD_MAX_BYTES;
+	options->frame_max_bytes =
+		(uint32_t)MIN(options->frame_max_bytes,
+			      options->held_max_bytes / FRAME_PART_OF_HELD);
 	if (!options->output_max_bytes)
 		options->output_max_bytes = DEFAULT_OUTPUT_MAX_BYTES;
 	options->self.name =
@@ -183,6 +192,10 @@
 	hub->links = g_ptr_array_new();
 	hub->dropped = g_ptr_array_new();
 	hub->to_flush = g_ptr_array_new();
+	hub->intake = intake_create(
+		DOOR, &(struct intake_limits){
+			      .connections_max = hub->options.connections_max,
+			      .bytes_max = hub->options.held_max_bytes });
 	create_counters(hub);
 	create_messages(hub);
 	hub->tick_ms = MAX(1, hub->options.heartbeat_ms / 2);
@@ -209,6 +222,7 @@
 	loop_cancel(hub->loop, hub);
 	g_ptr_array_set_size(hub->to_flush, 0);
 	on_iteration_end(hub);
+	intake_destroy(hub->intake);
 	loop_timer_destroy(hub->tick);
 	g_ptr_array_free(hub->links, TRUE);
 	g_ptr_array_free(hub->dropped, TRUE);
@@ -235,19 +249,33 @@
 			       (unsigned int)address->port);
 }
 
+/* Closed at the end of the iteration, as a handler may be using it. */
+static uint64_t give_up(struct intake_entry *entry)
+{
+	struct link *link = (struct link *)entry;
+
+	if (link->decoder)
+		frame_decoder_clear(link->decoder);
+	link_close_later(link, "given_up");
+	return 0;
+}
+
 static void add_accepted_link(struct link_hub *hub, apr_pool_t *pool,
 			      apr_socket_t *socket)
 {
-	if (hub->n_accepted >= hub->options.connections_max) {
-		counter_add(counter_get("link_closed_total", "reason=\"limit\"",
-					NULL),
-			    1);
-		apr_pool_destroy(pool);
-		return;
-	}
+	static const struct intake_ops ops = { give_up };
+	struct link *link = link_create(hub, false, peer_address(socket));
+	bool has_room;
+
 	apr_socket_opt_set(socket, APR_SO_NONBLOCK, 1);
 	apr_socket_timeout_set(socket, 0);
-	link_open(link_create(hub, false, peer_address(socket)), pool, socket);
+	intake_lock(hub->intake);
+	has_room = intake_open(hub->intake, &link->entry, &ops,
+			       loop_now_ms(hub->loop));
+	intake_unlock(hub->intake);
+	link_open(link, pool, socket);
+	if (!has_room)
+		link_close_later(link, "limit");
 }
 
 static void on_listener(void *arg, bool readable, bool writable)
--- a/src/net/link_private.h
+++ b/src/net/link_private.h
@@ -7,6 +7,7 @@
 
 #include "base/counters.h"
 #include "net/frame.h"
+#include "net/intake.h"
 #include "net/link.h"
 
 #define LINK_PROTOCOL 1
@@ -21,6 +22,7 @@
 };
 
 struct link {
+	struct intake_entry entry; /* accepted only */
 	struct link_hub *hub;
 	enum link_state state;
 	bool dialled;
@@ -58,7 +60,7 @@
 	GPtrArray *dropped; /* freed at the end of the iteration */
 	GPtrArray *to_flush; /* links with new output */
 	bool iteration_end_scheduled;
-	uint32_t n_accepted;
+	struct intake *intake; /* of accepted links */
 	struct loop_timer *tick;
 	int64_t tick_ms, ticked_ms; /* interval and time of the last tick */
 	apr_pool_t *listen_pool;
@@ -76,6 +78,8 @@
 /* ---- link.c ---- */
 
 struct link *link_create(struct link_hub *hub, bool dialled, char *address);
+/* Closes the link with this reason at the end of the iteration. */
+void link_close_later(struct link *link, const char *reason);
 void link_free(struct link *link);
 /* Takes ownership of a connected socket, sends Hello and starts reading. */
 void link_open(struct link *link, apr_pool_t *pool, apr_socket_t *socket);
--- a/src/roles/role.c
+++ b/src/roles/role.c
@@ -11,6 +11,8 @@
 #include <string.h>
 #include <unistd.h>
 
+#define BYTES_PER_MB 1000000
+
 char *role_address(const struct settings *settings, uint16_t port)
 {
 	const char *advertised = settings_text(settings, "advertise");
@@ -23,6 +25,34 @@
 			       listen_address, port);
 }
 
+void role_divide_doors(const struct settings *settings,
+		       enum door_division division,
+		       struct intake_limits doors[DOOR_COUNT])
+{
+	struct machine_limits machine;
+
+	doors_read_machine(&machine);
+	if (settings_text(settings, "memory-limit-mb"))
+		machine.memory_bytes =
+			(uint64_t)settings_number(settings, "memory-limit-mb") *
+			BYTES_PER_MB;
+	if (settings_text(settings, "descriptors-limit"))
+		machine.descriptors = (uint32_t)settings_number(
+			settings, "descriptors-limit");
+	doors_divide(&machine, division, doors);
+	log_event(LOG_INFO, "doors",
+		  "memory_mb=%u descriptors=%u main_connections=%u "
+		  "main_bytes=%" G_GUINT64_FORMAT " links_connections=%u "
+		  "links_bytes=%" G_GUINT64_FORMAT " admin_connections=%u "
+		  "admin_bytes=%" G_GUINT64_FORMAT,
+		  (uint32_t)(machine.memory_bytes / BYTES_PER_MB),
+		  machine.descriptors, doors[DOOR_MAIN].connections_max,
+		  doors[DOOR_MAIN].bytes_max, doors[DOOR_LINKS].connections_max,
+		  doors[DOOR_LINKS].bytes_max,
+		  doors[DOOR_ADMIN].connections_max,
+		  doors[DOOR_ADMIN].bytes_max);
+}
+
 bool role_open_trace(const struct settings *settings, uint64_t incarnation,
 		     GError **error)
 {
--- a/src/roles/role.h
+++ b/src/roles/role.h
@@ -6,6 +6,7 @@
 #define ROLES_ROLE_H
 
 #include "base/settings.h"
+#include "net/doors.h"
 
 /* Each runs until SIGTERM or SIGINT, then stops gracefully. */
 int coordinator_main(const struct settings *settings);
@@ -43,6 +44,11 @@
  * address if set, else the listen address with the port in use. Free it
  * with g_free. */
 char *role_address(const struct settings *settings, uint16_t port);
+/* Reads the limits of the process and divides them among its doors. Logs the
+ * result. */
+void role_divide_doors(const struct settings *settings,
+		       enum door_division division,
+		       struct intake_limits doors[DOOR_COUNT]);
 /* Opens the event trace file if the settings name one. */
 bool role_open_trace(const struct settings *settings, uint64_t incarnation,
 		     GError **error);
--- a/tests/test_link.c
+++ b/tests/test_link.c
@@ -10,6 +10,7 @@
 #include <arpa/inet.h>
 #include <errno.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -21,6 +22,9 @@
 
 #define HEARTBEAT_MS 60
 #define FRAME_MAX_BYTES 65536
+#define HELD_MAX_BYTES 131072
+#define FRAME_PART_BYTES 60000 /* three are more than may be held */
+#define CLOSE_WAIT_MS 10000
 #define QUEUE_FILLERS 4
 /* Shorter than the 1 s after which TCP repeats a lost SYN. */
 #define SLOW_HEARTBEAT_MS 900
@@ -80,6 +84,7 @@
 		.heartbeat_ms = HEARTBEAT_MS,
 		.frame_max_bytes = FRAME_MAX_BYTES,
 		.connections_max = connections_max,
+		.held_max_bytes = HELD_MAX_BYTES,
 		.output_max_bytes = 1 << 20,
 	};
 
@@ -442,21 +447,72 @@
 static void test_connections_above_the_limit_are_closed(void **state)
 {
 	struct reason reason = { "limit", closed("limit") + 2 };
+	int64_t given_up = closed("given_up");
 	int sockets[5];
 
 	(void)state;
 	for (int i = 0; i < 5; i++) {
 		sockets[i] = raw_connect();
 		raw_hello(sockets[i]);
+		/* One that is up makes no way for others. */
+		assert_true(wait_count(&server.ups, MIN(i + 1, 3)));
 	}
 	assert_true(loop_until(loop, reason_counted, &reason));
-	assert_true(wait_count(&server.ups, 3));
+	assert_int_equal(closed("given_up"), given_up);
 	for (int i = 0; i < 5; i++)
 		close(sockets[i]);
 	assert_true(wait_count(&server.downs, 3));
 	assert_int_equal(server.ups, 3);
 }
 
+/* Guards against strangers that shut out the other processes by connections
+ * without a Hello. */
+static void test_connections_without_a_hello_make_way(void **state)
+{
+	struct reason reason = { "given_up", closed("given_up") + 2 };
+	int sockets[5];
+
+	(void)state;
+	for (int i = 0; i < 3; i++)
+		sockets[i] = raw_connect();
+	for (int i = 3; i < 5; i++) {
+		sockets[i] = raw_connect();
+		raw_hello(sockets[i]);
+	}
+	assert_true(loop_until(loop, reason_counted, &reason));
+	assert_true(wait_count(&server.ups, 2));
+	for (int i = 0; i < 5; i++)
+		close(sockets[i]);
+	assert_true(wait_count(&server.downs, 2));
+}
+
+/* Guards against links that together hold more of unfinished frames than their
+ * process may: the one that has waited longest makes way. */
+static void test_unfinished_frames_are_bounded_together(void **state)
+{
+	static const uint8_t begin[] = { 0, 0, 0xff, 0xf0 };
+	struct reason reason = { "given_up", closed("given_up") + 1 };
+	g_autofree uint8_t *part = g_malloc0(FRAME_PART_BYTES);
+	struct pollfd first;
+	int sockets[3];
+
+	(void)state;
+	for (int i = 0; i < 3; i++) {
+		sockets[i] = raw_connect();
+		raw_hello(sockets[i]);
+		assert_true(wait_count(&server.ups, i + 1));
+		raw_send(sockets[i], begin, sizeof(begin));
+		raw_send(sockets[i], part, FRAME_PART_BYTES);
+	}
+	assert_true(loop_until(loop, reason_counted, &reason));
+	first = (struct pollfd){ .fd = sockets[0], .events = POLLRDHUP };
+	assert_int_equal(poll(&first, 1, CLOSE_WAIT_MS), 1);
+	for (int i = 0; i < 3; i++)
+		close(sockets[i]);
+	assert_true(wait_count(&server.downs, 3));
+	assert_int_equal(closed("given_up"), reason.wanted);
+}
+
 static void test_peer_that_does_not_read_is_closed(void **state)
 {
 	int s = raw_connect();
@@ -537,6 +593,8 @@
 		LINK_TEST(test_hanging_dial_times_out),
 		LINK_TEST(test_unresponsive_dialled_peer_is_closed),
 		LINK_TEST(test_connections_above_the_limit_are_closed),
+		LINK_TEST(test_connections_without_a_hello_make_way),
+		LINK_TEST(test_unfinished_frames_are_bounded_together),
 		LINK_TEST(test_peer_that_does_not_read_is_closed),
 		LINK_TEST(test_write_after_a_reset_ends_only_the_link),
 		LINK_TEST(test_dropping_within_a_handler_is_safe),
