Bound what the JSON values of one request take

What callers saw: nothing yet; found by a crowd of our own. One body of legal size ends a process: "[{},{},..." of 1.9 MB takes some 150 MB once it is parsed, at operators' and backend servers' addresses.

Cause: what a body becomes when it is read wasn't bounded, only its bytes.

Change: the JSON library allocates through a budget of the thread that handles the request (base/json_budget): a sixteenth of the memory for the main door, divided among its threads, half of that for admin. Beyond it the parser fails, the request is answered 400 and counted (door_refused_total, door_full what=values). doors_divide() says the share beside the others.

--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -199,7 +199,7 @@
 			  settings_text(s, "data-centre") },
 		.heartbeat_ms = settings_number(s, "heartbeat-ms"),
 		.connections_max = agent->doors[DOOR_LINKS].connections_max,
-		.held_max_bytes = agent->doors[DOOR_LINKS].bytes_max,
+		.held_max_bytes = agent->doors[DOOR_LINKS].held_max_bytes,
 	};
 	static const struct link_handlers handlers = { on_up, on_message,
 						       on_down };
--- a/src/agent/agent_backend.c
+++ b/src/agent/agent_backend.c
@@ -242,7 +242,8 @@
 		.connections_max = MIN(BACKEND_CONNECTIONS_MAX,
 				       agent->doors[DOOR_MAIN].connections_max),
 		.body_max_bytes = ANNOUNCE_BODY_MAX,
-		.held_max_bytes = agent->doors[DOOR_MAIN].bytes_max,
+		.held_max_bytes = agent->doors[DOOR_MAIN].held_max_bytes,
+		.parsed_max_bytes = agent->doors[DOOR_MAIN].parsed_max_bytes,
 		.door = "backend",
 	};
 
--- a/src/agent/agent_internal.h
+++ b/src/agent/agent_internal.h
@@ -73,7 +73,7 @@
 
 struct agent {
 	const struct settings *settings;
-	struct intake_limits doors[DOOR_COUNT];
+	struct door_limits doors[DOOR_COUNT];
 	uint64_t incarnation;
 	struct loop *loop;
 	apr_pool_t *pool;
--- a/src/coordinator/coordinator.c
+++ b/src/coordinator/coordinator.c
@@ -209,7 +209,7 @@
 			  .data_centre = c->data_centre },
 		.heartbeat_ms = settings_number(settings, "heartbeat-ms"),
 		.connections_max = c->doors[DOOR_LINKS].connections_max,
-		.held_max_bytes = c->doors[DOOR_LINKS].bytes_max
+		.held_max_bytes = c->doors[DOOR_LINKS].held_max_bytes
 	};
 
 	c->hub = link_hub_create(c->loop, &options, &coordinator_link_handlers,
--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -109,7 +109,7 @@
 
 struct coordinator {
 	const struct settings *settings;
-	struct intake_limits doors[DOOR_COUNT];
+	struct door_limits doors[DOOR_COUNT];
 	struct loop *loop;
 	GThread *thread;
 	struct loop_timer *tick;
--- a/src/coordinator/coordinator_control.c
+++ b/src/coordinator/coordinator_control.c
@@ -162,7 +162,8 @@
 		.connections_max = MIN(CONTROL_CONNECTIONS_MAX,
 				       c->doors[DOOR_MAIN].connections_max),
 		.body_max_bytes = CONTROL_BODY_MAX_BYTES,
-		.held_max_bytes = c->doors[DOOR_MAIN].bytes_max,
+		.held_max_bytes = c->doors[DOOR_MAIN].held_max_bytes,
+		.parsed_max_bytes = c->doors[DOOR_MAIN].parsed_max_bytes,
 		.door = "control",
 	};
 
--- a/src/dispatcher/dispatcher.c
+++ b/src/dispatcher/dispatcher.c
@@ -240,7 +240,7 @@
 			  d->incarnation, 0, settings_text(s, "data-centre") },
 		.heartbeat_ms = settings_number(s, "heartbeat-ms"),
 		.connections_max = d->doors[DOOR_LINKS].connections_max,
-		.held_max_bytes = d->doors[DOOR_LINKS].bytes_max,
+		.held_max_bytes = d->doors[DOOR_LINKS].held_max_bytes,
 	};
 	static const struct link_handlers handlers = { on_up, on_message,
 						       on_down };
--- a/src/dispatcher/dispatcher_http.c
+++ b/src/dispatcher/dispatcher_http.c
@@ -259,7 +259,8 @@
 			    d->doors[DOOR_MAIN].connections_max),
 		.body_max_bytes =
 			(uint32_t)settings_number(s, "body-max-bytes"),
-		.held_max_bytes = d->doors[DOOR_MAIN].bytes_max,
+		.held_max_bytes = d->doors[DOOR_MAIN].held_max_bytes,
+		.parsed_max_bytes = d->doors[DOOR_MAIN].parsed_max_bytes,
 		.door = "callers",
 		.refuse = refuse,
 	};
--- a/src/dispatcher/dispatcher_internal.h
+++ b/src/dispatcher/dispatcher_internal.h
@@ -188,7 +188,7 @@
 
 struct dispatcher {
 	const struct settings *settings;
-	struct intake_limits doors[DOOR_COUNT];
+	struct door_limits doors[DOOR_COUNT];
 	uint64_t incarnation;
 	struct loop *loop;
 	apr_pool_t *pool;
--- a/src/leased/agent.c
+++ b/src/leased/agent.c
@@ -291,14 +291,15 @@
 		.body_max_bytes = CONTROL_BODY_MAX_BYTES,
 		.door = "control"
 	};
-	struct intake_limits doors[DOOR_COUNT];
+	struct door_limits doors[DOOR_COUNT];
 
 	role_divide_doors(s, DOORS_FOR_REQUESTS, doors);
 	links.connections_max = doors[DOOR_LINKS].connections_max;
-	links.held_max_bytes = doors[DOOR_LINKS].bytes_max;
+	links.held_max_bytes = doors[DOOR_LINKS].held_max_bytes;
 	control.connections_max =
 		MIN(CONTROL_CONNECTIONS_MAX, doors[DOOR_MAIN].connections_max);
-	control.held_max_bytes = doors[DOOR_MAIN].bytes_max;
+	control.held_max_bytes = doors[DOOR_MAIN].held_max_bytes;
+	control.parsed_max_bytes = doors[DOOR_MAIN].parsed_max_bytes;
 	a->loop = loop_create(error);
 	if (!a->loop)
 		return false;
--- a/src/leased/dispatcher.c
+++ b/src/leased/dispatcher.c
@@ -301,12 +301,12 @@
 			  .data_centre = settings_text(s, "data-centre") },
 		.heartbeat_ms = settings_number(s, "heartbeat-ms")
 	};
-	struct intake_limits doors[DOOR_COUNT];
+	struct door_limits doors[DOOR_COUNT];
 	uint16_t port;
 
 	role_divide_doors(s, DOORS_FOR_REQUESTS, doors);
 	links.connections_max = doors[DOOR_LINKS].connections_max;
-	links.held_max_bytes = doors[DOOR_LINKS].bytes_max;
+	links.held_max_bytes = doors[DOOR_LINKS].held_max_bytes;
 	d->loop = loop_create(error);
 	if (!d->loop)
 		return false;
--- a/src/leased/dispatcher_http.c
+++ b/src/leased/dispatcher_http.c
@@ -540,7 +540,7 @@
 }
 
 bool dispatcher_start_http(struct leased_dispatcher *d,
-			   const struct intake_limits *limits, GError **error)
+			   const struct door_limits *limits, GError **error)
 {
 	struct http_server_options options = {
 		.address = settings_text(d->settings, "http"),
@@ -551,7 +551,8 @@
 				       limits->connections_max),
 		.body_max_bytes =
 			(uint32_t)settings_number(d->settings, "job-max-bytes"),
-		.held_max_bytes = limits->bytes_max,
+		.held_max_bytes = limits->held_max_bytes,
+		.parsed_max_bytes = limits->parsed_max_bytes,
 		.door = "callers",
 		.refuse = refuse,
 	};
--- a/src/leased/dispatcher_internal.h
+++ b/src/leased/dispatcher_internal.h
@@ -147,7 +147,7 @@
 /* ---- Callers (dispatcher_http.c) ------------------------------------ */
 
 bool dispatcher_start_http(struct leased_dispatcher *d,
-			   const struct intake_limits *limits, GError **error);
+			   const struct door_limits *limits, GError **error);
 void dispatcher_send_answer(struct dispatch_sink *sink, void *caller,
 			    const struct job_answer *answer);
 /* Stops a job that was here at that time. Returns false if it isn't in
--- a/src/net/admin.c
+++ b/src/net/admin.c
@@ -24,7 +24,7 @@
 
 struct admin {
 	char *address;
-	struct intake_limits limits;
+	struct door_limits limits;
 	struct http_server *server;
 	GPtrArray *routes;
 	GMutex lock; /* guards the readiness fields below */
@@ -122,7 +122,7 @@
 }
 
 struct admin *admin_create(const char *address,
-			   const struct intake_limits *limits, GError **error)
+			   const struct door_limits *limits, GError **error)
 {
 	struct admin *admin = g_new0(struct admin, 1);
 
@@ -169,7 +169,8 @@
 		.threads = 1,
 		.connections_max = MIN(ADMIN_CONNECTIONS_MAX,
 				       admin->limits.connections_max),
-		.held_max_bytes = admin->limits.bytes_max,
+		.held_max_bytes = admin->limits.held_max_bytes,
+		.parsed_max_bytes = admin->limits.parsed_max_bytes,
 		.door = "admin",
 		.body_max_bytes = ADMIN_BODY_MAX_BYTES,
 	};
--- a/src/net/admin.h
+++ b/src/net/admin.h
@@ -6,7 +6,7 @@
 #define NET_ADMIN_H
 
 #include "net/http_server.h"
-#include "net/intake.h"
+#include "net/doors.h"
 
 struct admin;
 struct json_t;
@@ -15,7 +15,7 @@
 
 /* The limits apply where they are below those of every admin interface. */
 struct admin *admin_create(const char *address,
-			   const struct intake_limits *limits, GError **error);
+			   const struct door_limits *limits, GError **error);
 /* Adds a route. Must be called before admin_start. */
 void admin_route(struct admin *admin, const char *method, const char *path,
 		 admin_route_fn *fn, void *arg);
--- a/src/net/doors.c
+++ b/src/net/doors.c
@@ -25,11 +25,12 @@
 
 struct parts {
 	uint32_t connections, held;
+	uint32_t parsed_divisor; /* of the memory; 0: nothing is parsed */
 };
 
 static const struct parts divisions[][DOOR_COUNT] = {
-	[DOORS_FOR_REQUESTS] = { { 5, 4 }, { 2, 3 }, { 1, 1 } },
-	[DOORS_FOR_LINKS] = { { 2, 4 }, { 5, 3 }, { 1, 1 } },
+	[DOORS_FOR_REQUESTS] = { { 5, 4, 16 }, { 2, 3, 0 }, { 1, 1, 32 } },
+	[DOORS_FOR_LINKS] = { { 2, 4, 16 }, { 5, 3, 0 }, { 1, 1, 32 } },
 };
 
 /* ---- Functions ------------------------------------------------------ */
@@ -48,7 +49,7 @@
 
 void doors_divide(const struct machine_limits *machine,
 		  enum door_division division,
-		  struct intake_limits doors[DOOR_COUNT])
+		  struct door_limits doors[DOOR_COUNT])
 {
 	uint32_t connections = connections_of(machine);
 	uint64_t held_bytes = machine->memory_bytes / HELD_DIVISOR;
@@ -58,7 +59,11 @@
 
 		doors[i].connections_max =
 			MAX(1, connections * parts->connections / PARTS);
-		doors[i].bytes_max = held_bytes * parts->held / PARTS;
+		doors[i].held_max_bytes = held_bytes * parts->held / PARTS;
+		doors[i].parsed_max_bytes =
+			parts->parsed_divisor
+				? machine->memory_bytes / parts->parsed_divisor
+				: 0;
 	}
 }
 
--- a/src/net/doors.h
+++ b/src/net/doors.h
@@ -6,8 +6,6 @@
 #ifndef NET_DOORS_H
 #define NET_DOORS_H
 
-#include "net/intake.h"
-
 #include <glib.h>
 #include <stdint.h>
 
@@ -18,6 +16,12 @@
 	DOOR_COUNT,
 };
 
+struct door_limits {
+	uint32_t connections_max;
+	uint64_t held_max_bytes; /* for connections, see intake.h */
+	uint64_t parsed_max_bytes; /* of JSON values, by all threads */
+};
+
 /* What a process may use. */
 struct machine_limits {
 	uint64_t memory_bytes;
@@ -32,7 +36,7 @@
 
 void doors_divide(const struct machine_limits *machine,
 		  enum door_division division,
-		  struct intake_limits doors[DOOR_COUNT]);
+		  struct door_limits doors[DOOR_COUNT]);
 /* The memory of this machine, at most 1 GiB, and the descriptors that the
  * kernel allows this process. Any thread. */
 void doors_read_machine(struct machine_limits *machine);
--- a/src/net/http_private.h
+++ b/src/net/http_private.h
@@ -24,6 +24,7 @@
 	http_handler_fn *refuse;
 	struct intake *intake;
 	uint32_t body_max_bytes;
+	uint64_t parsed_max_bytes; /* by one thread */
 	/* Above the intake's limit, connections are accepted up to this number
 	 * to be answered with a 503. */
 	uint32_t accepted_max;
--- a/src/net/http_request.c
+++ b/src/net/http_request.c
@@ -10,6 +10,7 @@
 #include "net/http_private.h"
 
 #include "base/clock.h"
+#include "base/json_budget.h"
 
 #include <string.h>
 
@@ -326,7 +327,10 @@
 	g_mutex_lock(&server->lock);
 	g_hash_table_add(server->requests, request);
 	g_mutex_unlock(&server->lock);
+	json_budget_begin(server->parsed_max_bytes);
 	handler(server->arg, request);
+	if (json_budget_end())
+		intake_count_refused(server->intake, "values", clock_now_ms());
 	g_mutex_lock(&server->lock);
 	if (server->destroying && !request->response)
 		http_request_abandon(request);
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -5,6 +5,7 @@
 #include "net/http_private.h"
 
 #include "base/address.h"
+#include "base/json_budget.h"
 
 #include <errno.h>
 #include <netinet/in.h>
@@ -15,6 +16,7 @@
 #define DEFAULT_CONNECTIONS_MAX 4096
 #define DEFAULT_BODY_MAX_BYTES (8U << 20)
 #define DEFAULT_HELD_MAX_BYTES (64U << 20)
+#define DEFAULT_PARSED_MAX_BYTES (64U << 20)
 #define DEFAULT_DOOR "http"
 /* What the kernel keeps unread for a connection. */
 #define RECEIVE_BUFFER_BYTES 32768
@@ -152,6 +154,10 @@
 		MAX(EXCESS_CONNECTIONS_MIN, limits.connections_max / 8);
 	server->body_max_bytes = (uint32_t)MIN(
 		body_max_bytes, intake_request_max_bytes(server->intake));
+	server->parsed_max_bytes = (o->parsed_max_bytes
+					    ? o->parsed_max_bytes
+					    : DEFAULT_PARSED_MAX_BYTES) /
+				   or_default(o->threads, DEFAULT_THREADS);
 	server->timeout_s = or_default(o->timeout_s, DEFAULT_TIMEOUT_S);
 }
 
@@ -168,6 +174,7 @@
 			    "%s is not IP:PORT", o->address);
 		return NULL;
 	}
+	json_budget_install();
 	server = g_new0(struct http_server, 1);
 	server->handler = handler;
 	server->arg = arg;
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -23,6 +23,8 @@
 	 * held_max_bytes. */
 	uint32_t body_max_bytes;
 	uint64_t held_max_bytes; /* of all connections together; 0: 64 MiB */
+	/* Of JSON values that the threads together parse; 0: 64 MiB. */
+	uint64_t parsed_max_bytes;
 	const char *door; /* in counters and log lines; NULL: "http" */
 	/* For idle connections and incomplete requests; 0: 30. */
 	uint32_t timeout_s;
--- a/src/net/intake.c
+++ b/src/net/intake.c
@@ -125,6 +125,14 @@
 	log_full(intake, what, now_ms);
 }
 
+void intake_count_refused(struct intake *intake, const char *what,
+			  int64_t now_ms)
+{
+	intake_lock(intake);
+	count_refused(intake, what, now_ms);
+	intake_unlock(intake);
+}
+
 /* ---- Giving up ---- */
 
 static void give_up(struct intake_entry *entry, const char *what,
--- a/src/net/intake.h
+++ b/src/net/intake.h
@@ -52,6 +52,9 @@
 void intake_lock(struct intake *intake);
 void intake_unlock(struct intake *intake);
 
+/* Counts what the door's owner has refused for want of room. No lock. */
+void intake_count_refused(struct intake *intake, const char *what,
+			  int64_t now_ms);
 /* The largest whole request that finds room if no other is in progress. No
  * lock. */
 uint64_t intake_request_max_bytes(const struct intake *intake);
--- a/src/roles/role.c
+++ b/src/roles/role.c
@@ -27,7 +27,7 @@
 
 void role_divide_doors(const struct settings *settings,
 		       enum door_division division,
-		       struct intake_limits doors[DOOR_COUNT])
+		       struct door_limits doors[DOOR_COUNT])
 {
 	struct machine_limits machine;
 
@@ -47,10 +47,11 @@
 		  "admin_bytes=%" G_GUINT64_FORMAT,
 		  (uint32_t)(machine.memory_bytes / BYTES_PER_MB),
 		  machine.descriptors, doors[DOOR_MAIN].connections_max,
-		  doors[DOOR_MAIN].bytes_max, doors[DOOR_LINKS].connections_max,
-		  doors[DOOR_LINKS].bytes_max,
+		  doors[DOOR_MAIN].held_max_bytes,
+		  doors[DOOR_LINKS].connections_max,
+		  doors[DOOR_LINKS].held_max_bytes,
 		  doors[DOOR_ADMIN].connections_max,
-		  doors[DOOR_ADMIN].bytes_max);
+		  doors[DOOR_ADMIN].held_max_bytes);
 }
 
 bool role_open_trace(const struct settings *settings, uint64_t incarnation,
--- a/src/roles/role.h
+++ b/src/roles/role.h
@@ -48,7 +48,7 @@
  * result. */
 void role_divide_doors(const struct settings *settings,
 		       enum door_division division,
-		       struct intake_limits doors[DOOR_COUNT]);
+		       struct door_limits doors[DOOR_COUNT]);
 /* Opens the event trace file if the settings name one. */
 bool role_open_trace(const struct settings *settings, uint64_t incarnation,
 		     GError **error);
--- a/tests/crowd_clients.c
+++ b/tests/crowd_clients.c
@@ -44,6 +44,8 @@
 	const char *process, *interface;
 	/* Sends an ordinary request; true if it was answered. */
 	bool (*answers)(struct leased_system *s, const struct door *door);
+	/* The path of its largest requests, where the plan names none. */
+	char *(*path)(void);
 };
 
 struct crowd_case {
@@ -99,19 +101,40 @@
 	return is_answered(s, door, "admin", "/healthz");
 }
 
+/* ---- Paths ---- */
+
+static char *report_path(void)
+{
+	return standin_report_path("i-crowd");
+}
+
+static char *routes_path(void)
+{
+	return g_strdup(standin_set_routes_path);
+}
+
 /* ---- Cases ---- */
 
-static const struct door callers = { "d1", "http", serves_job };
-static const struct door agent_control = { "a1", "control", takes_reports };
-static const struct door operators = { "c1", "control", shows_routes };
-static const struct door dispatcher_admin = { "d1", "admin", is_healthy };
-static const struct door coordinator_admin = { "c1", "admin", is_healthy };
-static const struct door agent_admin = { "a1", "admin", is_healthy };
-static const struct door dispatcher_links = { "d1", "listen", serves_job };
-static const struct door agent_links = { "a1", "listen", takes_reports };
-static const struct door coordinator_links = { "c1", "listen", shows_routes };
+static const struct door callers = { "d1", "http", serves_job, NULL };
+static const struct door agent_control = { "a1", "control", takes_reports,
+					   report_path };
+static const struct door operators = { "c1", "control", shows_routes,
+				       routes_path };
+static const struct door dispatcher_admin = { "d1", "admin", is_healthy, NULL };
+static const struct door coordinator_admin = { "c1", "admin", is_healthy,
+					       NULL };
+static const struct door agent_admin = { "a1", "admin", is_healthy, NULL };
+static const struct door dispatcher_links = { "d1", "listen", serves_job,
+					      NULL };
+static const struct door agent_links = { "a1", "listen", takes_reports, NULL };
+static const struct door coordinator_links = { "c1", "listen", shows_routes,
+					       NULL };
 
 #define POST .method = "POST", .lines = HOST_LINE
+/* JSON that takes far more memory than bytes. */
+#define MANY_VALUES .body = "[", .unit = "{},"
+#define VALUES_BYTES (1900 * KIB)
+#define ADMIN_VALUES_BYTES (480 * KIB)
 
 /* A name of a test, a door, a form, the connections, and what they send. */
 static const struct crowd_case cases[] = {
@@ -147,6 +170,11 @@
 	  &callers,
 	  { CROWD_WHOLE, POST, .path = JOB_PATH, .connections = 400,
 	    .announced_bytes = BODY_MAX, .send_bytes = BODY_MAX } },
+	{ "callers_many_values",
+	  &callers,
+	  { CROWD_WHOLE, POST, .path = JOB_PATH, .connections = 20,
+	    .announced_bytes = BODY_MAX, .send_bytes = BODY_MAX,
+	    MANY_VALUES } },
 	{ "callers_headers_half",
 	  &callers,
 	  { CROWD_HEADERS, POST, .path = JOB_PATH, .connections = 600,
@@ -185,6 +213,11 @@
 	  &agent_control,
 	  { CROWD_CHUNKS, POST, .path = "/x", .connections = 60,
 	    .chunk_bytes = 64 * KIB, .send_bytes = 7 * MIB } },
+	{ "agent_control_many_values",
+	  &agent_control,
+	  { CROWD_WHOLE, POST, .connections = 5,
+	    .announced_bytes = VALUES_BYTES, .send_bytes = VALUES_BYTES,
+	    MANY_VALUES } },
 	{ "operators_length_all_but_4_kib",
 	  &operators,
 	  { CROWD_LENGTH, POST, .path = "/x", .connections = 150,
@@ -197,6 +230,16 @@
 	  &operators,
 	  { CROWD_WHOLE, POST, .path = "/x", .connections = 60,
 	    .announced_bytes = MIB, .send_bytes = MIB } },
+	{ "operators_many_values",
+	  &operators,
+	  { CROWD_WHOLE, POST, .connections = 5,
+	    .announced_bytes = VALUES_BYTES, .send_bytes = VALUES_BYTES,
+	    MANY_VALUES } },
+	{ "coordinator_admin_many_values",
+	  &coordinator_admin,
+	  { CROWD_WHOLE, POST, .path = "/v1/commands", .connections = 5,
+	    .announced_bytes = ADMIN_VALUES_BYTES,
+	    .send_bytes = ADMIN_VALUES_BYTES, MANY_VALUES } },
 	{ "dispatcher_admin_length_all_but_4_kib",
 	  &dispatcher_admin,
 	  { CROWD_LENGTH, POST, .path = "/x", .connections = 100,
@@ -288,12 +331,15 @@
 {
 	const struct crowd_case *c = *state;
 	g_autofree char *job = standin_write_job(1, JOB_CPU_MILLI, JOB_RUN_MS);
+	g_autofree char *path = c->door->path ? c->door->path() : NULL;
 	struct crowd_plan plan = c->plan;
 	struct leased_system *s = begin_on_small_machines();
 	struct proc *p = cluster_proc(s->cluster, c->door->process);
 	struct crowd *crowd;
 
-	if (plan.form == CROWD_WHOLE)
+	if (!plan.path)
+		plan.path = path;
+	if (plan.form == CROWD_WHOLE && !plan.body)
 		plan.body = job;
 	limit_descriptors(p);
 	assert_true(c->door->answers(s, c->door));
--- a/tests/support/crowd.c
+++ b/tests/support/crowd.c
@@ -158,6 +158,8 @@
 		memset(filler->data + strlen(size), ' ',
 		       (size_t)plan->chunk_bytes);
 		append_text(filler, "\r\n");
+	} else if (plan->unit) {
+		append_text(filler, plan->unit);
 	} else {
 		append_text(filler,
 			    plan->form == CROWD_CHUNKS ? ONE_BYTE_CHUNK : " ");
--- a/tests/support/crowd.h
+++ b/tests/support/crowd.h
@@ -25,7 +25,9 @@
 	enum crowd_form form;
 	const char *method, *path; /* requests; "%d" is the connection */
 	const char *lines; /* further header lines, each with its end */
-	const char *body; /* CROWD_WHOLE: filled up to send_bytes with spaces */
+	/* CROWD_WHOLE: how the body begins; filled up to send_bytes with this
+	 * unit again and again, or with spaces. */
+	const char *body, *unit;
 	uint32_t connections;
 	/* Announced length of the body, or of the frame. */
 	uint64_t announced_bytes;
--- a/tests/test_intake.c
+++ b/tests/test_intake.c
@@ -242,42 +242,56 @@
 static const struct {
 	struct machine_limits machine;
 	enum door_division division;
-	struct intake_limits doors[DOOR_COUNT];
+	struct door_limits doors[DOOR_COUNT];
 } machines[] = {
 	/* The pages' machines: callers, backend servers, operators. */
 	{ { 260 * MB, 4100 },
 	  DOORS_FOR_REQUESTS,
-	  { { 1239, 32500000 }, { 495, 24375000 }, { 247, 8125000 } } },
+	  { { 1239, 32500000, 16250000 },
+	    { 495, 24375000, 0 },
+	    { 247, 8125000, 8125000 } } },
 	{ { 160 * MB, 4100 },
 	  DOORS_FOR_REQUESTS,
-	  { { 762, 20000000 }, { 305, 15000000 }, { 152, 5000000 } } },
+	  { { 762, 20000000, 10000000 },
+	    { 305, 15000000, 0 },
+	    { 152, 5000000, 5000000 } } },
 	{ { 128 * MB, 4096 },
 	  DOORS_FOR_REQUESTS,
-	  { { 610, 16000000 }, { 244, 12000000 }, { 122, 4000000 } } },
+	  { { 610, 16000000, 8000000 },
+	    { 244, 12000000, 0 },
+	    { 122, 4000000, 4000000 } } },
 	{ { 256 * MB, 4096 },
 	  DOORS_FOR_LINKS,
-	  { { 488, 32000000 }, { 1220, 24000000 }, { 244, 8000000 } } },
+	  { { 488, 32000000, 16000000 },
+	    { 1220, 24000000, 0 },
+	    { 244, 8000000, 8000000 } } },
 	/* Few descriptors. */
 	{ { 1000 * MB, 1024 },
 	  DOORS_FOR_REQUESTS,
-	  { { 386, 125000000 }, { 154, 93750000 }, { 77, 31250000 } } },
+	  { { 386, 125000000, 62500000 },
+	    { 154, 93750000, 0 },
+	    { 77, 31250000, 31250000 } } },
 	{ { 32 * MB, 128 },
 	  DOORS_FOR_LINKS,
-	  { { 19, 4000000 }, { 48, 3000000 }, { 9, 1000000 } } },
+	  { { 19, 4000000, 2000000 },
+	    { 48, 3000000, 0 },
+	    { 9, 1000000, 1000000 } } },
 };
 
 static void test_division(void **state)
 {
 	(void)state;
 	for (size_t k = 0; k < G_N_ELEMENTS(machines); k++) {
-		struct intake_limits doors[DOOR_COUNT];
+		struct door_limits doors[DOOR_COUNT];
 
 		doors_divide(&machines[k].machine, machines[k].division, doors);
 		for (int i = 0; i < DOOR_COUNT; i++) {
 			assert_int_equal(doors[i].connections_max,
 					 machines[k].doors[i].connections_max);
-			assert_int_equal(doors[i].bytes_max,
-					 machines[k].doors[i].bytes_max);
+			assert_int_equal(doors[i].held_max_bytes,
+					 machines[k].doors[i].held_max_bytes);
+			assert_int_equal(doors[i].parsed_max_bytes,
+					 machines[k].doors[i].parsed_max_bytes);
 		}
 	}
 }
