Bound what a frame between processes takes once it is decoded

What on-call people would see: a process ended by its memory after one message. A frame of 2.9 MB of empty entries, after a valid Hello, takes some hundred times its size; found by a crowd of our own.

Cause: a frame's length was bounded, not what it becomes.

Change: frames are decoded with an allocator that has a budget, as much as the links of the process may hold together; beyond it the link is closed as too_large.

--- a/src/net/frame.c
+++ b/src/net/frame.c
@@ -5,6 +5,8 @@
 #include "net/frame.h"
 
 #include <arpa/inet.h>
+#include <stdbool.h>
+#include <stdlib.h>
 #include <string.h>
 
 /* An empty buffer larger than this is freed. */
@@ -14,6 +16,13 @@
 	GByteArray *bytes;
 	size_t consumed; /* decoded bytes at the front */
 	uint32_t frame_max_bytes;
+	uint64_t decoded_max_bytes;
+};
+
+/* What decoding of one frame may still allocate. */
+struct budget {
+	uint64_t left_bytes;
+	bool met;
 };
 
 struct frame_decoder *frame_decoder_create(uint32_t frame_max_bytes)
@@ -22,6 +31,7 @@
 
 	decoder->bytes = g_byte_array_new();
 	decoder->frame_max_bytes = frame_max_bytes;
+	decoder->decoded_max_bytes = UINT64_MAX;
 	return decoder;
 }
 
@@ -52,9 +62,10 @@
 }
 
 void frame_decoder_set_max(struct frame_decoder *decoder,
-			   uint32_t frame_max_bytes)
+			   uint32_t frame_max_bytes, uint64_t decoded_max_bytes)
 {
 	decoder->frame_max_bytes = frame_max_bytes;
+	decoder->decoded_max_bytes = decoded_max_bytes;
 }
 
 size_t frame_decoder_pending(const struct frame_decoder *decoder)
@@ -69,11 +80,43 @@
 	decoder->consumed = 0;
 }
 
+static void *allocate(void *data, size_t size_bytes)
+{
+	struct budget *budget = data;
+
+	budget->met = budget->met || size_bytes > budget->left_bytes;
+	if (budget->met)
+		return NULL;
+	budget->left_bytes -= size_bytes;
+	return malloc(size_bytes);
+}
+
+static void release(void *data, void *memory)
+{
+	(void)data;
+	free(memory);
+}
+
+/* The envelope can be freed without an allocator. */
+static Cfw__Envelope *unpack(const struct frame_decoder *decoder,
+			     const uint8_t *frame, uint32_t size,
+			     bool *too_large)
+{
+	struct budget budget = { .left_bytes = decoder->decoded_max_bytes };
+	ProtobufCAllocator allocator = { allocate, release, &budget };
+	Cfw__Envelope *envelope =
+		cfw__envelope__unpack(&allocator, size, frame);
+
+	*too_large = budget.met;
+	return envelope;
+}
+
 enum frame_status frame_decoder_next(struct frame_decoder *decoder,
 				     Cfw__Envelope **envelope)
 {
 	size_t left = decoder->bytes->len - decoder->consumed;
 	const uint8_t *at;
+	bool too_large;
 	uint32_t size;
 
 	*envelope = NULL;
@@ -88,9 +131,9 @@
 		return FRAME_INVALID;
 	if (left - FRAME_HEADER_BYTES < size)
 		return FRAME_INCOMPLETE;
-	*envelope = cfw__envelope__unpack(NULL, size, at + FRAME_HEADER_BYTES);
+	*envelope = unpack(decoder, at + FRAME_HEADER_BYTES, size, &too_large);
 	if (!*envelope)
-		return FRAME_INVALID;
+		return too_large ? FRAME_TOO_LARGE : FRAME_INVALID;
 	if ((*envelope)->body_case == CFW__ENVELOPE__BODY__NOT_SET) {
 		cfw__envelope__free_unpacked(*envelope, NULL);
 		*envelope = NULL;
--- a/src/net/frame.h
+++ b/src/net/frame.h
@@ -16,7 +16,8 @@
 enum frame_status {
 	FRAME_OK,
 	FRAME_INCOMPLETE, /* more bytes are needed */
-	FRAME_TOO_LARGE, /* the length exceeds the limit */
+	FRAME_TOO_LARGE, /* its length, or its decoded size, exceeds the limit
+			  */
 	FRAME_INVALID, /* empty, or not an Envelope with a known body */
 };
 
@@ -26,9 +27,12 @@
 void frame_decoder_destroy(struct frame_decoder *decoder); /* NULL allowed */
 void frame_decoder_feed(struct frame_decoder *decoder, const void *data,
 			size_t size_bytes);
-/* Applies to frames that are decoded from now on. */
+/* Applies to frames that are decoded from now on. A decoded envelope takes more
+ * than its frame, some hundred times as much for many empty entries; it is
+ * bounded for itself. */
 void frame_decoder_set_max(struct frame_decoder *decoder,
-			   uint32_t frame_max_bytes);
+			   uint32_t frame_max_bytes,
+			   uint64_t decoded_max_bytes);
 /* Bytes that were fed and not decoded yet. */
 size_t frame_decoder_pending(const struct frame_decoder *decoder);
 /* Forgets these bytes and frees them. */
--- a/src/net/link.c
+++ b/src/net/link.c
@@ -240,8 +240,8 @@
 	link->has_peer = true;
 	link->failures = 0;
 	link->state = LINK_UP;
-	frame_decoder_set_max(link->decoder,
-			      link->hub->options.frame_max_bytes);
+	frame_decoder_set_max(link->decoder, link->hub->options.frame_max_bytes,
+			      link->hub->options.held_max_bytes);
 	log_event(LOG_INFO, "link_up", "peer=%s address=%s dialled=%s",
 		  link->peer.name, link->address,
 		  link->dialled ? "true" : "false");
--- a/tests/crowd_clients.c
+++ b/tests/crowd_clients.c
@@ -135,6 +135,7 @@
 #define MANY_VALUES .body = "[", .unit = "{},"
 #define VALUES_BYTES (1900 * KIB)
 #define ADMIN_VALUES_BYTES (480 * KIB)
+#define ENTRIES_BYTES (2900 * KIB)
 
 /* A name of a test, a door, a form, the connections, and what they send. */
 static const struct crowd_case cases[] = {
@@ -268,6 +269,18 @@
 	  &agent_links,
 	  { CROWD_FRAME_AFTER_HELLO, .connections = 40,
 	    .announced_bytes = 8 * MIB, .send_bytes = 4 * MIB } },
+	{ "dispatcher_links_many_entries",
+	  &dispatcher_links,
+	  { CROWD_ENTRIES, .connections = 3,
+	    .announced_bytes = ENTRIES_BYTES } },
+	{ "agent_links_many_entries",
+	  &agent_links,
+	  { CROWD_ENTRIES, .connections = 3,
+	    .announced_bytes = ENTRIES_BYTES } },
+	{ "coordinator_links_many_entries",
+	  &coordinator_links,
+	  { CROWD_ENTRIES, .connections = 3,
+	    .announced_bytes = ENTRIES_BYTES } },
 	{ "coordinator_links_first_frame",
 	  &coordinator_links,
 	  { CROWD_FRAME, .connections = 40, .announced_bytes = 8 * MIB,
--- a/tests/support/crowd.c
+++ b/tests/support/crowd.c
@@ -30,6 +30,7 @@
 /* For the server to read what has arrived; it needn't read all. */
 #define READ_WAIT_MS 5000
 #define READ_POLL_US 20000
+#define EMPTY_ENTRY_BYTES 2 /* its tag and its length */
 #define ESTABLISHED "01" /* in /proc/net/tcp */
 /* Sent by one connection before the next one's turn. */
 #define TURN_BYTES 65536
@@ -94,6 +95,26 @@
 	frame_append(to, &envelope);
 }
 
+/* Orders with so many starts without content that they have the announced
+ * size. */
+static void append_entries(const struct crowd_plan *plan, uint32_t number,
+			   GByteArray *to)
+{
+	Cfw__Envelope envelope = CFW__ENVELOPE__INIT;
+	Cfw__RunOrders orders = CFW__RUN_ORDERS__INIT;
+	Cfw__RunStart empty = CFW__RUN_START__INIT;
+
+	orders.n_starts = plan->announced_bytes / EMPTY_ENTRY_BYTES;
+	orders.starts = g_new(Cfw__RunStart *, orders.n_starts);
+	for (size_t i = 0; i < orders.n_starts; i++)
+		orders.starts[i] = &empty;
+	envelope.body_case = CFW__ENVELOPE__BODY_RUN_ORDERS;
+	envelope.run_orders = &orders;
+	append_hello(number, to);
+	frame_append(to, &envelope);
+	g_free(orders.starts);
+}
+
 static void append_frame_start(const struct crowd_plan *plan, uint32_t number,
 			       GByteArray *to)
 {
@@ -135,6 +156,9 @@
 	case CROWD_FRAME_AFTER_HELLO:
 		append_frame_start(plan, number, head);
 		break;
+	case CROWD_ENTRIES:
+		append_entries(plan, number, head);
+		break;
 	}
 	return head;
 }
--- a/tests/support/crowd.h
+++ b/tests/support/crowd.h
@@ -19,6 +19,7 @@
 	CROWD_UNREAD, /* whole requests; no answer is read */
 	CROWD_FRAME, /* a frame between processes, as the first one */
 	CROWD_FRAME_AFTER_HELLO,
+	CROWD_ENTRIES, /* a whole frame of many empty entries, after a Hello */
 };
 
 struct crowd_plan {
