HTTP: connections above the limit, and those of a stop, stay bounded

Cause: a server accepted at least 64 connections above its limit, to be answered 503; with the small limits that few descriptors leave, three servers together passed the quarter that the sum has for them. At a stop it accepted what waits until nothing did, so clients that go on connecting could hold the stop up.

Change: an eighth above the limit, at least 8; at a stop, at most as many as the listen backlog holds.

--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -22,7 +22,7 @@
 #define RECEIVE_BUFFER_BYTES 32768
 #define DEFAULT_TIMEOUT_S 30
 /* Connections above the limit that are accepted to be answered with a 503. */
-#define EXCESS_CONNECTIONS_MIN 64
+#define EXCESS_CONNECTIONS_MIN 8
 /* Time for clients to read their last responses at shutdown. */
 #define DRAIN_US 2000000
 
--- a/src/net/http_worker.c
+++ b/src/net/http_worker.c
@@ -195,12 +195,13 @@
 }
 
 /* Serves the connections in the listen backlog, because closing the listener
- * would reset them. New connections are refused from now on. */
+ * would reset them. New connections are refused from now on. Clients that go on
+ * connecting meanwhile don't hold it up. */
 static void close_listener(struct http_worker *worker)
 {
 	struct http_server *server = worker->server;
 
-	while (accept_one(worker))
+	for (int i = 0; i < HTTP_LISTEN_BACKLOG && accept_one(worker); i++)
 		;
 	shutdown(server->listener, SHUT_RDWR);
 	g_mutex_lock(&server->lock);
--- a/tests/test_link.c
+++ b/tests/test_link.c
@@ -492,7 +492,7 @@
 {
 	static const uint8_t begin[] = { 0, 0, 0xff, 0xf0 };
 	struct reason reason = { "given_up", closed("given_up") + 1 };
-	g_autofree uint8_t *part = g_malloc0(FRAME_PART_BYTES);
+	static const uint8_t part[FRAME_PART_BYTES];
 	struct pollfd first;
 	int sockets[3];
 
