tests: a job that is sent again while its door is full is joined

A refusal (503) promises that the job never runs, which would be untrue of a job in progress. test_a_job_in_progress_is_joined: a job runs, a crowd of large requests in progress fills the callers' door, the same job comes again with a body that finds no room: 200 for both, one run.

--- a/src/dispatcher/dispatcher_http.c
+++ b/src/dispatcher/dispatcher_http.c
@@ -240,8 +240,8 @@
 {
 	static const struct request_error error = {
 		.status = STATUS_UNAVAILABLE,
-		.reason = "overloaded",
-		.message = "there is no room for this request now",
+		.reason = HTTP_OVERLOADED,
+		.message = HTTP_OVERLOADED_TEXT,
 	};
 
 	(void)arg;
--- a/src/leased/dispatcher_http.c
+++ b/src/leased/dispatcher_http.c
@@ -488,8 +488,8 @@
 
 	if (!strcmp(http_method(c->request), "POST") && join_job(c))
 		return;
-	reply_error(c, STATUS_UNAVAILABLE, "overloaded",
-		    "there is no room for this request now", 1);
+	reply_error(c, STATUS_UNAVAILABLE, HTTP_OVERLOADED,
+		    HTTP_OVERLOADED_TEXT, 1);
 	finish_caller(c);
 }
 
--- a/src/net/http_request.c
+++ b/src/net/http_request.c
@@ -22,8 +22,6 @@
 #define ESCAPED_NUL "%00"
 #define ESCAPE_SIZE 3 /* of an escaped byte */
 #define HEX_BASE 16
-#define OVERLOADED "overloaded"
-#define OVERLOADED_TEXT "there is no room for this request now"
 #define RETRY_AFTER "Retry-After: 1"
 
 /* ---- Create and release ---- */
@@ -189,8 +187,9 @@
 static struct MHD_Response *make_overloaded(void)
 {
 	static const char *const headers[] = { RETRY_AFTER, NULL };
-	static const char body[] = "{\"reason\":\"" OVERLOADED "\",\"message\":"
-				   "\"" OVERLOADED_TEXT "\"}\n";
+	static const char body[] = "{\"reason\":\"" HTTP_OVERLOADED
+				   "\",\"message\":"
+				   "\"" HTTP_OVERLOADED_TEXT "\"}\n";
 
 	return make_response("application/json", body, sizeof(body) - 1,
 			     headers);
@@ -358,7 +357,7 @@
 	if (server->refuse)
 		return run_handler(request, server->refuse);
 	return refuse(server, request->connection, MHD_HTTP_SERVICE_UNAVAILABLE,
-		      OVERLOADED, OVERLOADED_TEXT);
+		      HTTP_OVERLOADED, HTTP_OVERLOADED_TEXT);
 }
 
 static enum MHD_Result begin_request(struct http_server *server,
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -10,6 +10,10 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/* Reason and message of a refusal for want of room. */
+#define HTTP_OVERLOADED "overloaded"
+#define HTTP_OVERLOADED_TEXT "there is no room for this request now"
+
 struct http_server;
 struct http_request;
 
--- a/tests/crowd_clients.c
+++ b/tests/crowd_clients.c
@@ -8,6 +8,8 @@
 #include "support/crowd.h"
 #include "support/leased_system.h"
 
+#include "base/clock.h"
+#include "net/http_client.h"
 #include "platform/standin.h"
 
 #include <glib.h>
@@ -37,6 +39,13 @@
 /* One task of a fifth of a second. */
 #define JOB_RUN_MS 200
 #define JOB_CPU_MILLI 100
+/* A job that is sent again while it runs. */
+#define JOINED "00000000000000ab"
+#define JOINED_RUN_MS 12000
+#define JOINED_DEADLINE_MS 40000
+#define SENT "chervilferry_tasks_sent"
+#define REFUSED "chervilferry_door_refused_total{door=\"callers\"}"
+#define METRIC_POLL_US 5000
 
 /* ---- Types ---- */
 
@@ -370,9 +379,94 @@
 	leased_system_finish(s);
 }
 
+/* ---- What a refusal promises ---- */
+
+struct submission {
+	struct leased_system *system;
+	char *body;
+	GThread *thread;
+	uint32_t status;
+};
+
+/* Hands in the job JOINED. */
+static gpointer submit(gpointer arg)
+{
+	struct submission *submission = arg;
+	g_autofree char *deadline = standin_deadline_header(JOINED_DEADLINE_MS);
+	g_autofree char *url = g_strdup_printf(
+		"http://%s/q/" JOINED,
+		cluster_address(submission->system->cluster, "d1", "http"));
+	const char *headers[] = { "Host: h.example", deadline, NULL };
+	const struct http_call call = { .method = "POST",
+					.url = url,
+					.body = submission->body,
+					.size_bytes = strlen(submission->body),
+					.headers = headers,
+					.timeout_ms = JOINED_DEADLINE_MS };
+	struct http_answer answer;
+
+	http_call_now(&call, &answer);
+	submission->status = answer.result == HTTP_OK ? answer.status : 0;
+	g_free((void *)(uintptr_t)answer.body);
+	return NULL;
+}
+
+static void wait_metric(struct leased_system *s, const char *metric,
+			int64_t at_least)
+{
+	int64_t end_ms = clock_now_ms() + SYSTEM_WAIT_MS;
+
+	while (cluster_metric(s->cluster, "d1", metric) < at_least) {
+		assert_true(clock_now_ms() < end_ms);
+		g_usleep(METRIC_POLL_US);
+	}
+}
+
+/* Guards against "never runs" for a job that is in progress, because it was
+ * sent again while there was no room for the request. */
+static void test_a_job_in_progress_is_joined(void **state)
+{
+	struct leased_system *s = begin_on_small_machines();
+	g_autofree char *job =
+		standin_write_job(1, JOB_CPU_MILLI, JOINED_RUN_MS);
+	g_autofree char *filler = g_strnfill(BODY_MAX - strlen(job), ' ');
+	struct submission first = { .system = s, .body = job };
+	struct submission again = { .system = s,
+				    .body = g_strconcat(job, filler, NULL) };
+	const struct crowd_plan plan = { CROWD_WHOLE,
+					 POST,
+					 .path = JOB_PATH,
+					 .connections = 100,
+					 .announced_bytes = BODY_MAX,
+					 .send_bytes = BODY_MAX,
+					 .body = job };
+	struct crowd *crowd;
+	int64_t refused;
+
+	(void)state;
+	first.thread = g_thread_new("first", submit, &first);
+	wait_metric(s, SENT, 1);
+	crowd = crowd_begin(cluster_address(s->cluster, "d1", "http"), &plan);
+	s->end_callers = end_crowd;
+	s->end_callers_arg = crowd;
+	wait_metric(s, REFUSED, 1);
+	refused = cluster_metric(s->cluster, "d1", REFUSED);
+	again.thread = g_thread_new("again", submit, &again);
+	wait_metric(s, REFUSED, refused + 1);
+	g_thread_join(first.thread);
+	g_thread_join(again.thread);
+	assert_int_equal(first.status, 200);
+	assert_int_equal(again.status, 200);
+	assert_int_equal(standin_runs_of(s->record, JOINED), 1);
+	s->end_callers = NULL;
+	crowd_end(crowd);
+	g_free(again.body);
+	leased_system_finish(s);
+}
+
 int main(void)
 {
-	struct CMUnitTest tests[G_N_ELEMENTS(cases)];
+	struct CMUnitTest tests[G_N_ELEMENTS(cases) + 1];
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++)
 		tests[i] = (struct CMUnitTest){
@@ -381,7 +475,10 @@
 			.teardown_func = cluster_teardown,
 			.initial_state = (void *)&cases[i],
 		};
+	tests[G_N_ELEMENTS(cases)] =
+		(struct CMUnitTest)cmocka_unit_test_teardown(
+			test_a_job_in_progress_is_joined, cluster_teardown);
 	cmocka_set_test_filter(g_getenv("CROWD"));
-	return _cmocka_run_group_tests("crowds", tests, G_N_ELEMENTS(cases),
+	return _cmocka_run_group_tests("crowds", tests, G_N_ELEMENTS(tests),
 				       NULL, NULL);
 }
