tests: the crowds of callers at the other HTTP doors too

One byte a chunk, chunks without end, lengths over the limit, halves of headers, bodies that have begun, silence and answers that are never read, at the agents' and operators' control addresses and at each admin address: 35 more crowds, written after the fix, with the bounds of the first ones.

--- a/tests/crowd_clients.c
+++ b/tests/crowd_clients.c
@@ -146,6 +146,41 @@
 #define ADMIN_VALUES_BYTES (480 * KIB)
 #define ENTRIES_BYTES (2900 * KIB)
 
+/* The crowds of the callers' door at another one. */
+#define SAME_CROWDS(name, door)                                                \
+	{ name "_chunks_of_one_byte",                                          \
+	  &(door),                                                             \
+	  { CROWD_CHUNKS, POST, .path = "/x", .connections = 80,               \
+	    .chunk_bytes = 1, .send_bytes = MIB } },                           \
+		{ name "_chunks_without_end",                                  \
+		  &(door),                                                     \
+		  { CROWD_CHUNKS, POST, .path = "/x", .connections = 20,       \
+		    .chunk_bytes = 64 * KIB, .send_bytes = 40 * MIB } },       \
+		{ name "_length_over_limit",                                   \
+		  &(door),                                                     \
+		  { CROWD_LENGTH, POST, .path = "/x", .connections = 40,       \
+		    .announced_bytes = 10 * MIB,                               \
+		    .send_bytes = 10 * MIB - 4 * KIB } },                      \
+		{ name "_headers_half",                                        \
+		  &(door),                                                     \
+		  { CROWD_HEADERS, POST, .path = "/x", .connections = 600,     \
+		    .send_bytes = 12 * KIB } },                                \
+		{ name "_body_begun",                                          \
+		  &(door),                                                     \
+		  { CROWD_LENGTH, POST, .path = "/x", .connections = 600,      \
+		    .announced_bytes = 9000, .send_bytes = 1000 } },           \
+		{ name "_silent",                                              \
+		  &(door),                                                     \
+		  { CROWD_SILENT, .connections = 600 } },                      \
+	{                                                                      \
+		name "_answers_never_read", &(door),                           \
+		{                                                              \
+			CROWD_UNREAD, .method = "GET", .lines = HOST_LINE,     \
+				      .path = "/metrics", .connections = 300,  \
+				      .send_bytes = MIB                        \
+		}                                                              \
+	}
+
 /* A name of a test, a door, a form, the connections, and what they send. */
 static const struct crowd_case cases[] = {
 	{ "callers_chunks_large",
@@ -266,6 +301,11 @@
 	  &agent_admin,
 	  { CROWD_CHUNKS, POST, .path = "/x", .connections = 100,
 	    .chunk_bytes = 64 * KIB, .send_bytes = MIB } },
+	SAME_CROWDS("agent_control", agent_control),
+	SAME_CROWDS("operators", operators),
+	SAME_CROWDS("dispatcher_admin", dispatcher_admin),
+	SAME_CROWDS("coordinator_admin", coordinator_admin),
+	SAME_CROWDS("agent_admin", agent_admin),
 	{ "dispatcher_links_first_frame",
 	  &dispatcher_links,
 	  { CROWD_FRAME, .connections = 40, .announced_bytes = 8 * MIB,
