--- a/tests/support/crowd.c
+++ b/tests/support/crowd.c
@@ -15,6 +15,7 @@
 #include <poll.h>
 #include <setjmp.h>
 #include <stdarg.h>
+#include <stdatomic.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -54,9 +55,9 @@
 	GThread *thread; /* NULL: the crowd's connections stay as they are */
 	struct sockaddr_storage address;
 	socklen_t address_size;
-	gint ending; /* atomic */
-	gint closed; /* atomic */
-	uint64_t sent_bytes; /* before the thread begins */
+	atomic_bool ending;
+	atomic_uint closed;
+	atomic_uint_least64_t sent_bytes;
 };
 
 /* ---- What is sent ---- */
@@ -232,7 +233,7 @@
 {
 	close(client->fd);
 	client->fd = -1;
-	g_atomic_int_inc(&crowd->closed);
+	atomic_fetch_add(&crowd->closed, 1);
 }
 
 /* What comes next: at most one turn. */
@@ -265,7 +266,7 @@
 		return false;
 	}
 	client->sent += (uint64_t)sent;
-	crowd->sent_bytes += (uint64_t)sent;
+	atomic_fetch_add(&crowd->sent_bytes, (uint64_t)sent);
 	return true;
 }
 
@@ -362,7 +363,7 @@
 	struct crowd *crowd = arg;
 	bool unfinished;
 
-	while (!g_atomic_int_get(&crowd->ending)) {
+	while (!atomic_load(&crowd->ending)) {
 		for (uint32_t i = 0; i < crowd->plan.connections; i++)
 			if (crowd->clients[i].fd < 0)
 				open_client(crowd, &crowd->clients[i]);
@@ -402,7 +403,7 @@
 
 void crowd_end(struct crowd *crowd)
 {
-	g_atomic_int_set(&crowd->ending, 1);
+	atomic_store(&crowd->ending, true);
 	if (crowd->thread)
 		g_thread_join(crowd->thread);
 	for (uint32_t i = 0; i < crowd->plan.connections; i++) {
@@ -418,12 +419,12 @@
 
 uint32_t crowd_closed(const struct crowd *crowd)
 {
-	return (uint32_t)g_atomic_int_get(&((struct crowd *)crowd)->closed);
+	return atomic_load(&((struct crowd *)crowd)->closed);
 }
 
 uint64_t crowd_sent_bytes(const struct crowd *crowd)
 {
-	return crowd->sent_bytes;
+	return atomic_load(&((struct crowd *)crowd)->sent_bytes);
 }
 
 /* ---- What the process holds ---- */
