--- a/src/net/doors.c
+++ b/src/net/doors.c
@@ -8,10 +8,11 @@
 
 /* ---- Constants ------------------------------------------------------ */
 
-/* Of the memory: half for the buffers of connections, a quarter for what is
- * held for them, a quarter for everything else. */
-#define CONNECTIONS_DIVISOR 2
-#define HELD_DIVISOR 4
+/* Of the memory, in sixteenths: for the buffers of connections, and for what is
+ * held for them; the rest is for everything else. */
+#define MEMORY_PARTS 16
+#define CONNECTIONS_PARTS 7
+#define HELD_PARTS 4
 /* A connection's buffer here and what the kernel keeps unread for it. */
 #define CONNECTION_BYTES (32768 + 32768)
 /* Of the descriptors: some for files, then three quarters for the doors and a
@@ -41,8 +42,8 @@
 			     machine->descriptors / FILE_DESCRIPTORS_DIVISOR);
 	uint64_t by_descriptors = (uint64_t)(machine->descriptors - files) *
 				  DESCRIPTORS_FOR_DOORS / DESCRIPTORS_PARTS;
-	uint64_t by_memory =
-		machine->memory_bytes / CONNECTIONS_DIVISOR / CONNECTION_BYTES;
+	uint64_t by_memory = machine->memory_bytes / MEMORY_PARTS *
+			     CONNECTIONS_PARTS / CONNECTION_BYTES;
 
 	return (uint32_t)MIN(by_descriptors, by_memory);
 }
@@ -52,7 +53,7 @@
 		  struct door_limits doors[DOOR_COUNT])
 {
 	uint32_t connections = connections_of(machine);
-	uint64_t held_bytes = machine->memory_bytes / HELD_DIVISOR;
+	uint64_t held_bytes = machine->memory_bytes / MEMORY_PARTS * HELD_PARTS;
 
 	for (int i = 0; i < DOOR_COUNT; i++) {
 		const struct parts *parts = &divisions[division][i];
--- a/tests/test_intake.c
+++ b/tests/test_intake.c
@@ -19,6 +19,7 @@
 #define ENTRIES 5
 #define STEPS_MAX 12
 #define MB 1000000ULL
+#define CONNECTION_BYTES 65536 /* a buffer here and one in the kernel */
 
 /* ---- Types ---- */
 
@@ -247,24 +248,24 @@
 	/* The pages' machines: callers, backend servers, operators. */
 	{ { 260 * MB, 4100 },
 	  DOORS_FOR_REQUESTS,
-	  { { 1239, 32500000, 16250000 },
-	    { 495, 24375000, 0 },
-	    { 247, 8125000, 8125000 } } },
+	  { { 1084, 32500000, 16250000 },
+	    { 433, 24375000, 0 },
+	    { 216, 8125000, 8125000 } } },
 	{ { 160 * MB, 4100 },
 	  DOORS_FOR_REQUESTS,
-	  { { 762, 20000000, 10000000 },
-	    { 305, 15000000, 0 },
-	    { 152, 5000000, 5000000 } } },
+	  { { 667, 20000000, 10000000 },
+	    { 267, 15000000, 0 },
+	    { 133, 5000000, 5000000 } } },
 	{ { 128 * MB, 4096 },
 	  DOORS_FOR_REQUESTS,
-	  { { 610, 16000000, 8000000 },
-	    { 244, 12000000, 0 },
-	    { 122, 4000000, 4000000 } } },
+	  { { 533, 16000000, 8000000 },
+	    { 213, 12000000, 0 },
+	    { 106, 4000000, 4000000 } } },
 	{ { 256 * MB, 4096 },
 	  DOORS_FOR_LINKS,
-	  { { 488, 32000000, 16000000 },
-	    { 1220, 24000000, 0 },
-	    { 244, 8000000, 8000000 } } },
+	  { { 427, 32000000, 16000000 },
+	    { 1067, 24000000, 0 },
+	    { 213, 8000000, 8000000 } } },
 	/* Few descriptors. */
 	{ { 1000 * MB, 1024 },
 	  DOORS_FOR_REQUESTS,
@@ -278,6 +279,30 @@
 	    { 9, 1000000, 1000000 } } },
 };
 
+/* All doors full at once, each buffer and each socket too, and each thread at
+ * its largest request: an eighth of the memory is left for the process. */
+static void test_the_sum_fits(void **state)
+{
+	(void)state;
+	for (size_t k = 0; k < G_N_ELEMENTS(machines); k++) {
+		const struct machine_limits *machine = &machines[k].machine;
+		struct door_limits doors[DOOR_COUNT];
+		uint64_t connections = 0, bytes = 0;
+
+		doors_divide(machine, machines[k].division, doors);
+		for (int i = 0; i < DOOR_COUNT; i++) {
+			connections += doors[i].connections_max;
+			bytes += doors[i].held_max_bytes +
+				 doors[i].parsed_max_bytes;
+		}
+		bytes +=
+			doors[DOOR_LINKS].held_max_bytes; /* a frame, decoded */
+		bytes += connections * CONNECTION_BYTES;
+		assert_true(bytes <= machine->memory_bytes / 8 * 7);
+		assert_true(connections <= machine->descriptors * 3 / 4);
+	}
+}
+
 static void test_division(void **state)
 {
 	(void)state;
@@ -301,6 +326,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_sequences),
 		cmocka_unit_test(test_answers_leave_late),
+		cmocka_unit_test(test_the_sum_fits),
 		cmocka_unit_test(test_division),
 	};
 
