Links: a link that goes on sending frames isn't the longest waiting

Cause: a link waits while a part of a frame is there, and was counted as waiting since the first such part. A busy link has one after nearly each read, so at the bounds it would have made way before a stranger that holds a part for good. Found by reading the diff.

Change: a whole frame begins the waiting anew.

test_a_link_that_goes_on_makes_no_way: three links hold parts, the first has sent a whole frame meanwhile; before, the first is closed, now the second is.

--- a/src/net/link.c
+++ b/src/net/link.c
@@ -190,8 +190,9 @@
 /* ---- What is held for a peer ---- */
 
 /* Counts unfinished frames and unsent output. A peer that holds neither is
- * waited for only until its Hello. */
-static void update_entry(struct link *link)
+ * waited for only until its Hello. One that has just sent a whole frame isn't
+ * waited for since the one before. */
+static void update_entry(struct link *link, bool whole_frame)
 {
 	struct intake_entry *entry = &link->entry;
 	uint64_t bytes = link->output->len - link->output_sent;
@@ -204,7 +205,7 @@
 	has_room = intake_resize(entry, bytes, loop_now_ms(link->hub->loop));
 	if (link->state == LINK_UP && !bytes)
 		intake_stop_waiting(entry);
-	else if (!entry->waits)
+	else if (!entry->waits || whole_frame)
 		intake_wait(entry);
 	intake_unlock(entry->intake);
 	if (!has_room && !link->close_reason)
@@ -262,9 +263,12 @@
 	return true;
 }
 
-/* Handles every complete frame. Stops if a handler closes the link. */
-static void handle_frames(struct link *link)
+/* Handles every complete frame. Stops if a handler closes the link. Returns
+ * true if there was one. */
+static bool handle_frames(struct link *link)
 {
+	bool whole_frame = false;
+
 	while (link->decoder && !link->close_reason) {
 		struct frame_decoder *decoder = link->decoder;
 		Cfw__Envelope *envelope;
@@ -273,20 +277,22 @@
 		bool valid;
 
 		if (status == FRAME_INCOMPLETE)
-			return;
+			return whole_frame;
 		if (status != FRAME_OK) {
 			link_disconnect(link, status == FRAME_TOO_LARGE
 						      ? "too_large"
 						      : "garbage");
-			return;
+			return false;
 		}
+		whole_frame = true;
 		valid = handle_envelope(link, envelope);
 		cfw__envelope__free_unpacked(envelope, NULL);
 		if (!valid && link->decoder == decoder) {
 			link_disconnect(link, "protocol");
-			return;
+			return false;
 		}
 	}
+	return whole_frame;
 }
 
 static void read_socket(struct link *link)
@@ -308,8 +314,7 @@
 		counter_add(hub->bytes[LINK_IN], (int64_t)size);
 		link->received_ms = loop_now_ms(hub->loop);
 		frame_decoder_feed(link->decoder, hub->buffer, size);
-		handle_frames(link);
-		update_entry(link);
+		update_entry(link, handle_frames(link));
 		if (link->socket != socket || size < sizeof(hub->buffer))
 			return;
 	}
@@ -364,7 +369,7 @@
 		}
 		link->output_blocked = true;
 		loop_watch_set(link->watch, true, true);
-		update_entry(link);
+		update_entry(link, false);
 		return;
 	}
 	if (!link->socket)
@@ -372,7 +377,7 @@
 	release_output(link);
 	link->output_blocked = false;
 	loop_watch_set(link->watch, true, false);
-	update_entry(link);
+	update_entry(link, false);
 }
 
 /* Removes sent bytes once they make up at least half of a large buffer. */
--- a/tests/test_link.c
+++ b/tests/test_link.c
@@ -486,31 +486,70 @@
 	assert_true(wait_count(&server.downs, 2));
 }
 
-/* Guards against links that together hold more of unfinished frames than their
- * process may: the one that has waited longest makes way. */
-static void test_unfinished_frames_are_bounded_together(void **state)
+static GByteArray *make_large_frame(void)
+{
+	GByteArray *out = g_byte_array_new();
+	Cfw__Envelope envelope = CFW__ENVELOPE__INIT;
+	Cfw__Query query = CFW__QUERY__INIT;
+	g_autofree uint8_t *key = g_malloc0(FRAME_PART_BYTES);
+
+	query.seq = 1;
+	query.key.data = key;
+	query.key.len = FRAME_PART_BYTES;
+	envelope.body_case = CFW__ENVELOPE__BODY_QUERY;
+	envelope.query = &query;
+	frame_append(out, &envelope);
+	return out;
+}
+
+/* Three links have sent a part of a frame, together more than may be held; the
+ * first has sent a whole one before if it goes on. Returns which was closed. */
+static int find_given_up(bool first_goes_on)
 {
-	static const uint8_t begin[] = { 0, 0, 0xff, 0xf0 };
+	GByteArray *frame = make_large_frame();
 	struct reason reason = { "given_up", closed("given_up") + 1 };
-	static const uint8_t part[FRAME_PART_BYTES];
-	struct pollfd first;
-	int sockets[3];
+	struct pollfd polled[3];
+	int given_up = -1;
 
-	(void)state;
 	for (int i = 0; i < 3; i++) {
-		sockets[i] = raw_connect();
-		raw_hello(sockets[i]);
+		polled[i] = (struct pollfd){ raw_connect(), POLLRDHUP, 0 };
+		raw_hello(polled[i].fd);
 		assert_true(wait_count(&server.ups, i + 1));
-		raw_send(sockets[i], begin, sizeof(begin));
-		raw_send(sockets[i], part, FRAME_PART_BYTES);
+		raw_send(polled[i].fd, frame->data, FRAME_PART_BYTES);
+		if (i != 1 || !first_goes_on)
+			continue;
+		raw_send(polled[0].fd, frame->data + FRAME_PART_BYTES,
+			 frame->len - FRAME_PART_BYTES);
+		raw_send(polled[0].fd, frame->data, FRAME_PART_BYTES);
+		assert_true(wait_count(&server.messages, 1));
 	}
 	assert_true(loop_until(loop, reason_counted, &reason));
-	first = (struct pollfd){ .fd = sockets[0], .events = POLLRDHUP };
-	assert_int_equal(poll(&first, 1, CLOSE_WAIT_MS), 1);
-	for (int i = 0; i < 3; i++)
-		close(sockets[i]);
+	assert_true(poll(polled, 3, CLOSE_WAIT_MS) > 0);
+	for (int i = 2; i >= 0; i--) {
+		if (polled[i].revents)
+			given_up = i;
+		close(polled[i].fd);
+	}
 	assert_true(wait_count(&server.downs, 3));
 	assert_int_equal(closed("given_up"), reason.wanted);
+	g_byte_array_unref(frame);
+	return given_up;
+}
+
+/* Guards against links that together hold more of unfinished frames than their
+ * process may: the one that has waited longest makes way. */
+static void test_unfinished_frames_are_bounded_together(void **state)
+{
+	(void)state;
+	assert_int_equal(find_given_up(false), 0);
+}
+
+/* Guards against a busy link that makes way because it always has a part of a
+ * frame unread. */
+static void test_a_link_that_goes_on_makes_no_way(void **state)
+{
+	(void)state;
+	assert_int_equal(find_given_up(true), 1);
 }
 
 static void test_peer_that_does_not_read_is_closed(void **state)
@@ -595,6 +634,7 @@
 		LINK_TEST(test_connections_above_the_limit_are_closed),
 		LINK_TEST(test_connections_without_a_hello_make_way),
 		LINK_TEST(test_unfinished_frames_are_bounded_together),
+		LINK_TEST(test_a_link_that_goes_on_makes_no_way),
 		LINK_TEST(test_peer_that_does_not_read_is_closed),
 		LINK_TEST(test_write_after_a_reset_ends_only_the_link),
 		LINK_TEST(test_dropping_within_a_handler_is_safe),
