--- a/src/base/json_budget.h
+++ b/src/base/json_budget.h
@@ -1,7 +1,7 @@
 /*
  * json_budget: bounds the memory that JSON values take while a thread handles
  * a request. A body of many small values, such as "[{},{},...", takes some
- * hundred times its own size once it is parsed. Beyond the budget the parser
+ * eighty times its own size once it is parsed. Beyond the budget the parser
  * fails as for lack of memory.
  */
 #ifndef BASE_JSON_BUDGET_H
--- a/src/net/frame.h
+++ b/src/net/frame.h
@@ -28,7 +28,7 @@
 void frame_decoder_feed(struct frame_decoder *decoder, const void *data,
 			size_t size_bytes);
 /* Applies to frames that are decoded from now on. A decoded envelope takes more
- * than its frame, some hundred times as much for many empty entries; it is
+ * than its frame, some ninety times as much for many empty entries; it is
  * bounded for itself. */
 void frame_decoder_set_max(struct frame_decoder *decoder,
 			   uint32_t frame_max_bytes,
