--- a/review/common-3/lab.c
+++ b/review/common-3/lab.c
@@ -658,11 +658,19 @@
 		 body, 1000, NULL);
 }
 
+static void *send_beats(void *arg)
+{
+	for (;;) {
+		beat(arg);
+		usleep(HEARTBEAT_MS * 1000);
+	}
+	return NULL;
+}
+
 /* Ends and lapses happen at their time, whoever asks. */
 static void *run_runner(void *arg)
 {
 	struct lab_runner *r = arg;
-	int64_t next_ms = 0;
 
 	for (;;) {
 		pthread_mutex_lock(&r->lock);
@@ -670,10 +678,6 @@
 		update_runs(r);
 		pthread_mutex_unlock(&runs_lock);
 		pthread_mutex_unlock(&r->lock);
-		if (lab_now_ms() >= next_ms) {
-			next_ms = lab_now_ms() + HEARTBEAT_MS;
-			beat(r);
-		}
 		usleep(3000);
 	}
 	return NULL;
@@ -694,7 +698,8 @@
 	if (r->listener < 0)
 		lab_finish(LAB_NOT_RUN, "a port isn't free");
 	pthread_create(&r->server, NULL, serve_runner, r);
-	pthread_create(&r->beats, NULL, run_runner, r);
+	pthread_create(&r->beats, NULL, send_beats, r);
+	pthread_create(&r->ends, NULL, run_runner, r);
 }
 
 /* ---- Processes ------------------------------------------------------- */
--- a/review/common-3/lab.h
+++ b/review/common-3/lab.h
@@ -48,7 +48,7 @@
 
 struct lab_runner {
 	char name[32], ip[24], zone[24], agent_ip[24];
-	pthread_t server, beats;
+	pthread_t server, beats, ends;
 	int listener;
 	pthread_mutex_t lock;
 	int64_t born_ms, clock_base_ms;
