Coordinators: count and log the whole configurations they send

Each whole configuration that goes out with a lease is now counted with its bytes, and logged at most once a second.

--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -91,6 +91,8 @@
 
 struct coordinator_counters {
 	struct counter *granted;
+	struct counter *config_copies; /* whole configurations sent */
+	struct counter *config_bytes; /* of them */
 	struct counter *refused;
 	struct counter *votes_for;
 	struct counter *votes_none;
@@ -107,6 +109,12 @@
 	struct counter *revision;
 };
 
+/* Whole configurations sent since the last log line. */
+struct copies_sent {
+	int64_t logged_ms;
+	uint64_t copies, bytes;
+};
+
 struct coordinator {
 	const struct settings *settings;
 	struct door_limits doors[DOOR_COUNT];
@@ -120,6 +128,8 @@
 	/* Configuration as sent in grants; cached per revision. */
 	struct Cfw__Configuration *grant_config;
 	uint64_t grant_config_revision;
+	size_t grant_config_bytes;
+	struct copies_sent copies_sent;
 
 	uint32_t id;
 	uint64_t incarnation;
--- a/src/coordinator/coordinator_leases.c
+++ b/src/coordinator/coordinator_leases.c
@@ -17,6 +17,8 @@
 
 #define RENEWALS_PER_LEASE 4
 #define EXPIRE_BATCH_SIZE 64
+/* What was sent is logged at most once in this time. */
+#define COPIES_LOG_INTERVAL_MS 1000
 #define HEX G_GINT64_MODIFIER "x"
 
 /* ---- Leadership ---------------------------------------------------- */
@@ -103,9 +105,29 @@
 	data = g_bytes_get_data(bytes, &size);
 	c->grant_config = cfw__configuration__unpack(NULL, size, data);
 	c->grant_config_revision = revision;
+	c->grant_config_bytes = size;
 	return c->grant_config;
 }
 
+static void count_copy(struct coordinator *c)
+{
+	struct copies_sent *sent = &c->copies_sent;
+	int64_t now_ms = loop_now_ms(c->loop);
+
+	counter_add(c->counters.config_copies, 1);
+	counter_add(c->counters.config_bytes, (int64_t)c->grant_config_bytes);
+	sent->copies++;
+	sent->bytes += c->grant_config_bytes;
+	if (now_ms - sent->logged_ms < COPIES_LOG_INTERVAL_MS)
+		return;
+	log_event(LOG_INFO, "configuration_copies",
+		  "copies=%" G_GUINT64_FORMAT " bytes=%" G_GUINT64_FORMAT
+		  " revision=%" G_GUINT64_FORMAT " holders=%u",
+		  sent->copies, sent->bytes, c->grant_config_revision,
+		  g_hash_table_size(c->leadership->holders));
+	*sent = (struct copies_sent){ .logged_ms = now_ms };
+}
+
 static void send_grant(struct link *link, struct Cfw__LeaseGrant *grant)
 {
 	struct Cfw__Envelope envelope = CFW__ENVELOPE__INIT;
@@ -163,8 +185,10 @@
 	if (leader)
 		grant.leader_address = (char *)leader;
 	if (request->role != CFW__ROLE__ROLE_COORDINATOR &&
-	    request->known_revision < grant.revision)
+	    request->known_revision < grant.revision) {
 		grant.configuration = unpacked_configuration(c);
+		count_copy(c);
+	}
 	if (request->role == CFW__ROLE__ROLE_DISPATCHER &&
 	    (!same_leader ||
 	     request->known_roster < c->leadership->roster_version))
