Configuration: routes apart from the rest, and how they changed

A version of the routes is known by its number. A receiver keeps its routes when it is sent a configuration without any. The wire has the fields and messages for it; nothing sends them yet.

--- a/include/chervilferry.h
+++ b/include/chervilferry.h
@@ -233,7 +233,8 @@
 CF_API GBytes *cf_config_save(const struct cf_config *config); /* snapshot, including the command outcomes */
 CF_API bool cf_config_load(struct cf_config *config, GBytes *snapshot, GError **error); /* unchanged on error */
 CF_API GBytes *cf_config_pack(const struct cf_config *config); /* the form that agents and dispatchers receive */
-CF_API bool cf_config_adopt(struct cf_config *config, const void *data, size_t size_bytes, GError **error); /* false: malformed, or the revision is not greater; unchanged then */
+CF_API GBytes *cf_config_pack_settings(const struct cf_config *config); /* the same without routes, which are sent apart */
+CF_API bool cf_config_adopt(struct cf_config *config, const void *data, size_t size_bytes, GError **error); /* false: malformed, or the revision is not greater; unchanged then; keeps the routes if it has no newer ones */
 CF_API uint64_t cf_config_revision(const struct cf_config *config); /* 0 when empty */
 CF_API const struct cf_class * cf_config_find_class(const struct cf_config *config, const char *name); /* NULL: not found */
 CF_API size_t cf_config_classes(const struct cf_config *config, const struct cf_class **classes); /* returns the count */
@@ -245,6 +246,9 @@
 CF_API const struct cf_member *cf_config_find_member(const struct cf_config *config, uint32_t id); /* NULL: not found */
 CF_API bool cf_config_is_retired(const struct cf_config *config, uint32_t id); /* whether it was removed; only in the log's state machine */
 CF_API GBytes *cf_config_routes(const struct cf_config *config, uint64_t *version); /* route document as the operator sent it; borrowed; NULL: none yet */
+CF_API GBytes *cf_config_routes_change(const struct cf_config *config, uint64_t known_version, uint64_t *version); /* how the routes of a version became the next one; borrowed; NULL: no longer or not known here */
+CF_API bool cf_config_set_routes(struct cf_config *config, uint64_t version, GBytes *document); /* false: the version is not greater; unchanged then */
+CF_API bool cf_config_change_routes(struct cf_config *config, uint64_t version, GBytes *change, GError **error); /* by what cf_config_routes_change() told for the present version; unchanged on error */
 CF_API bool cf_config_is_fenced(const struct cf_config *config, uint64_t incarnation); /* a fenced process must not act any more */
 
 /* ---- Leases (src/lib/lease.c) --------------------------------------- */
--- a/src/lib/config.c
+++ b/src/lib/config.c
@@ -27,6 +27,7 @@
 		g_hash_table_new_full(g_bytes_hash, g_bytes_equal,
 				      (GDestroyNotify)g_bytes_unref, NULL);
 	g_queue_init(&config->outcomes);
+	g_queue_init(&config->routes_changes);
 	return config;
 }
 
@@ -44,6 +45,7 @@
 	g_array_unref(config->retired);
 	g_hash_table_destroy(config->outcome_by_id);
 	g_queue_clear_full(&config->outcomes, g_free);
+	config_forget_routes_changes(config);
 	g_clear_pointer(&config->routes, g_bytes_unref);
 	g_free(config);
 }
@@ -166,12 +168,6 @@
 	return false;
 }
 
-GBytes *cf_config_routes(const struct cf_config *config, uint64_t *version)
-{
-	*version = config->routes_version;
-	return config->routes;
-}
-
 bool cf_config_is_fenced(const struct cf_config *config, uint64_t incarnation)
 {
 	for (guint i = 0; i < config->fences->len; i++) {
--- a/src/lib/config_change.c
+++ b/src/lib/config_change.c
@@ -243,15 +243,15 @@
 					 const struct Cfw__RouteTable *change,
 					 struct cf_command_result *result)
 {
+	g_autoptr(GBytes) document = NULL;
+
 	if (!change->version || !change->document.len)
 		return config_refuse(result, CF_COMMAND_INVALID,
 				     "routes: need a version and a document");
 	if (change->version <= config->routes_version)
 		return CF_COMMAND_DONE;
-	g_clear_pointer(&config->routes, g_bytes_unref);
-	config->routes =
-		g_bytes_new(change->document.data, change->document.len);
-	config->routes_version = change->version;
+	document = g_bytes_new(change->document.data, change->document.len);
+	config_replace_routes(config, change->version, document, true);
 	return CF_COMMAND_DONE;
 }
 
--- a/src/lib/config_read.c
+++ b/src/lib/config_read.c
@@ -269,6 +269,15 @@
 	return install_config(config, fresh, fault, error);
 }
 
+/* Routes that came apart are kept. */
+static void keep_newer_routes(const struct cf_config *from,
+			      struct cf_config *fresh)
+{
+	if (from->routes && from->routes_version > fresh->routes_version)
+		config_replace_routes(fresh, from->routes_version, from->routes,
+				      false);
+}
+
 bool cf_config_adopt(struct cf_config *config, const void *data,
 		     size_t size_bytes, GError **error)
 {
@@ -283,5 +292,6 @@
 		fault = read_configuration(fresh, read);
 	if (read)
 		cfw__configuration__free_unpacked(read, NULL);
+	keep_newer_routes(config, fresh);
 	return install_config(config, fresh, fault, error);
 }
--- a/src/lib/config_state.h
+++ b/src/lib/config_state.h
@@ -33,6 +33,12 @@
 	int64_t wall_ms;
 };
 
+/* How the routes of one version became the next. */
+struct config_routes_change {
+	uint64_t from_version, to_version;
+	GBytes *change; /* document_change.h */
+};
+
 struct cf_config {
 	uint64_t revision;
 	GArray *classes; /* struct cf_class, by name */
@@ -45,6 +51,8 @@
 	GBytes *routes; /* document as the operator sent it, or NULL */
 	/* The fields below exist only in the state machine of the log.
 	 * Agents and dispatchers don't receive them. */
+	GQueue routes_changes; /* struct config_routes_change, oldest first */
+	uint64_t routes_changes_bytes; /* of them together */
 	GQueue outcomes; /* struct config_outcome, oldest first */
 	GHashTable *outcome_by_id; /* command id -> struct config_outcome */
 	GArray *subjects; /* struct config_subject, by name */
@@ -61,6 +69,12 @@
 bool config_add_outcome(struct cf_config *config,
 			const struct config_outcome *outcome);
 
+/* Replaces the routes. With record, keeps how they changed, for receivers that
+ * have the version before (config_routes.c). */
+void config_replace_routes(struct cf_config *config, uint64_t version,
+			   GBytes *document, bool record);
+void config_forget_routes_changes(struct cf_config *config);
+
 bool config_has_id(const uint32_t *ids, uint32_t n, uint32_t id);
 
 /* Applies a change (config_change.c), or refuses it with a message. */
--- a/src/lib/config_write.c
+++ b/src/lib/config_write.c
@@ -146,7 +146,6 @@
 	write_names(p, config);
 	write_members(p, config);
 	write_views(p, config);
-	write_routes(p, config);
 }
 
 static void packing_end(struct packing *p)
@@ -161,13 +160,15 @@
 		g_free(blocks[i]);
 }
 
-GBytes *cf_config_pack(const struct cf_config *config)
+static GBytes *pack(const struct cf_config *config, bool with_routes)
 {
 	struct packing p;
 	uint8_t *data;
 	size_t size;
 
 	packing_begin(&p, config);
+	if (with_routes)
+		write_routes(&p, config);
 	size = cfw__configuration__get_packed_size(&p.message);
 	data = g_malloc(size + 1);
 	cfw__configuration__pack(&p.message, data);
@@ -175,6 +176,16 @@
 	return g_bytes_new_take(data, size);
 }
 
+GBytes *cf_config_pack(const struct cf_config *config)
+{
+	return pack(config, true);
+}
+
+GBytes *cf_config_pack_settings(const struct cf_config *config)
+{
+	return pack(config, false);
+}
+
 static struct Cfw__Outcome *write_outcomes(const struct cf_config *config,
 					   struct Cfw__ConfigSnapshot *m)
 {
@@ -228,6 +239,7 @@
 	size_t size;
 
 	packing_begin(&p, config);
+	write_routes(&p, config);
 	m.configuration = &p.message;
 	m.forgotten_revision = config->forgotten_revision;
 	m.wall_ms = config->wall_ms;
--- a/src/proto/wire.pb-c.c
+++ b/src/proto/wire.pb-c.c
@@ -682,6 +682,96 @@
   assert(message->base.descriptor == &cfw__route_table__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cfw__document_change__init
+                     (Cfw__DocumentChange         *message)
+{
+  static const Cfw__DocumentChange init_value = CFW__DOCUMENT_CHANGE__INIT;
+  *message = init_value;
+}
+size_t cfw__document_change__get_packed_size
+                     (const Cfw__DocumentChange *message)
+{
+  assert(message->base.descriptor == &cfw__document_change__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cfw__document_change__pack
+                     (const Cfw__DocumentChange *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cfw__document_change__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cfw__document_change__pack_to_buffer
+                     (const Cfw__DocumentChange *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cfw__document_change__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cfw__DocumentChange *
+       cfw__document_change__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cfw__DocumentChange *)
+     protobuf_c_message_unpack (&cfw__document_change__descriptor,
+                                allocator, len, data);
+}
+void   cfw__document_change__free_unpacked
+                     (Cfw__DocumentChange *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cfw__document_change__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cfw__document_piece__init
+                     (Cfw__DocumentPiece         *message)
+{
+  static const Cfw__DocumentPiece init_value = CFW__DOCUMENT_PIECE__INIT;
+  *message = init_value;
+}
+size_t cfw__document_piece__get_packed_size
+                     (const Cfw__DocumentPiece *message)
+{
+  assert(message->base.descriptor == &cfw__document_piece__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cfw__document_piece__pack
+                     (const Cfw__DocumentPiece *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cfw__document_piece__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cfw__document_piece__pack_to_buffer
+                     (const Cfw__DocumentPiece *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cfw__document_piece__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cfw__DocumentPiece *
+       cfw__document_piece__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cfw__DocumentPiece *)
+     protobuf_c_message_unpack (&cfw__document_piece__descriptor,
+                                allocator, len, data);
+}
+void   cfw__document_piece__free_unpacked
+                     (Cfw__DocumentPiece *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cfw__document_piece__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cfw__outcome__init
                      (Cfw__Outcome         *message)
 {
@@ -1087,6 +1177,96 @@
   assert(message->base.descriptor == &cfw__lease_grant__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cfw__routes_request__init
+                     (Cfw__RoutesRequest         *message)
+{
+  static const Cfw__RoutesRequest init_value = CFW__ROUTES_REQUEST__INIT;
+  *message = init_value;
+}
+size_t cfw__routes_request__get_packed_size
+                     (const Cfw__RoutesRequest *message)
+{
+  assert(message->base.descriptor == &cfw__routes_request__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cfw__routes_request__pack
+                     (const Cfw__RoutesRequest *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cfw__routes_request__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cfw__routes_request__pack_to_buffer
+                     (const Cfw__RoutesRequest *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cfw__routes_request__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cfw__RoutesRequest *
+       cfw__routes_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cfw__RoutesRequest *)
+     protobuf_c_message_unpack (&cfw__routes_request__descriptor,
+                                allocator, len, data);
+}
+void   cfw__routes_request__free_unpacked
+                     (Cfw__RoutesRequest *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cfw__routes_request__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cfw__routes_part__init
+                     (Cfw__RoutesPart         *message)
+{
+  static const Cfw__RoutesPart init_value = CFW__ROUTES_PART__INIT;
+  *message = init_value;
+}
+size_t cfw__routes_part__get_packed_size
+                     (const Cfw__RoutesPart *message)
+{
+  assert(message->base.descriptor == &cfw__routes_part__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cfw__routes_part__pack
+                     (const Cfw__RoutesPart *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cfw__routes_part__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cfw__routes_part__pack_to_buffer
+                     (const Cfw__RoutesPart *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cfw__routes_part__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cfw__RoutesPart *
+       cfw__routes_part__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cfw__RoutesPart *)
+     protobuf_c_message_unpack (&cfw__routes_part__descriptor,
+                                allocator, len, data);
+}
+void   cfw__routes_part__free_unpacked
+                     (Cfw__RoutesPart *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cfw__routes_part__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cfw__fence_request__init
                      (Cfw__FenceRequest         *message)
 {
@@ -3779,6 +3959,147 @@
   (ProtobufCMessageInit) cfw__route_table__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor cfw__document_change__field_descriptors[4] =
+{
+  {
+    "from_bytes",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__DocumentChange, from_bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "to_bytes",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__DocumentChange, to_bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "to_hash",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__DocumentChange, to_hash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pieces",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cfw__DocumentChange, n_pieces),
+    offsetof(Cfw__DocumentChange, pieces),
+    &cfw__document_piece__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cfw__document_change__field_indices_by_name[] = {
+  0,   /* field[0] = from_bytes */
+  3,   /* field[3] = pieces */
+  1,   /* field[1] = to_bytes */
+  2,   /* field[2] = to_hash */
+};
+static const ProtobufCIntRange cfw__document_change__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor cfw__document_change__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cfw.DocumentChange",
+  "DocumentChange",
+  "Cfw__DocumentChange",
+  "cfw",
+  sizeof(Cfw__DocumentChange),
+  4,
+  cfw__document_change__field_descriptors,
+  cfw__document_change__field_indices_by_name,
+  1,  cfw__document_change__number_ranges,
+  (ProtobufCMessageInit) cfw__document_change__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cfw__document_piece__field_descriptors[3] =
+{
+  {
+    "insert",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__DocumentPiece, insert),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "copy_at",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__DocumentPiece, copy_at),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "copy_bytes",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__DocumentPiece, copy_bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cfw__document_piece__field_indices_by_name[] = {
+  1,   /* field[1] = copy_at */
+  2,   /* field[2] = copy_bytes */
+  0,   /* field[0] = insert */
+};
+static const ProtobufCIntRange cfw__document_piece__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor cfw__document_piece__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cfw.DocumentPiece",
+  "DocumentPiece",
+  "Cfw__DocumentPiece",
+  "cfw",
+  sizeof(Cfw__DocumentPiece),
+  3,
+  cfw__document_piece__field_descriptors,
+  cfw__document_piece__field_indices_by_name,
+  1,  cfw__document_piece__number_ranges,
+  (ProtobufCMessageInit) cfw__document_piece__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor cfw__outcome__field_descriptors[5] =
 {
   {
@@ -4320,7 +4641,7 @@
   (ProtobufCMessageInit) cfw__capacity__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfw__lease_request__field_descriptors[13] =
+static const ProtobufCFieldDescriptor cfw__lease_request__field_descriptors[14] =
 {
   {
     "seq",
@@ -4478,6 +4799,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "separate_routes",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__LeaseRequest, separate_routes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cfw__lease_request__field_indices_by_name[] = {
   6,   /* field[6] = address */
@@ -4492,12 +4825,13 @@
   3,   /* field[3] = name */
   5,   /* field[5] = rack */
   1,   /* field[1] = role */
+  13,   /* field[13] = separate_routes */
   0,   /* field[0] = seq */
 };
 static const ProtobufCIntRange cfw__lease_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor cfw__lease_request__descriptor =
 {
@@ -4507,7 +4841,7 @@
   "Cfw__LeaseRequest",
   "cfw",
   sizeof(Cfw__LeaseRequest),
-  13,
+  14,
   cfw__lease_request__field_descriptors,
   cfw__lease_request__field_indices_by_name,
   1,  cfw__lease_request__number_ranges,
@@ -4720,7 +5054,7 @@
   (ProtobufCMessageInit) cfw__roster__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfw__lease_grant__field_descriptors[8] =
+static const ProtobufCFieldDescriptor cfw__lease_grant__field_descriptors[9] =
 {
   {
     "seq",
@@ -4818,6 +5152,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "routes_version",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__LeaseGrant, routes_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cfw__lease_grant__field_indices_by_name[] = {
   6,   /* field[6] = configuration */
@@ -4826,13 +5172,14 @@
   5,   /* field[5] = leader_incarnation */
   3,   /* field[3] = revision */
   7,   /* field[7] = roster */
+  8,   /* field[8] = routes_version */
   0,   /* field[0] = seq */
   1,   /* field[1] = verdict */
 };
 static const ProtobufCIntRange cfw__lease_grant__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor cfw__lease_grant__descriptor =
 {
@@ -4842,13 +5189,206 @@
   "Cfw__LeaseGrant",
   "cfw",
   sizeof(Cfw__LeaseGrant),
-  8,
+  9,
   cfw__lease_grant__field_descriptors,
   cfw__lease_grant__field_indices_by_name,
   1,  cfw__lease_grant__number_ranges,
   (ProtobufCMessageInit) cfw__lease_grant__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor cfw__routes_request__field_descriptors[5] =
+{
+  {
+    "seq",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__RoutesRequest, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "known_version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__RoutesRequest, known_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__RoutesRequest, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "offset",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__RoutesRequest, offset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "whole",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__RoutesRequest, whole),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cfw__routes_request__field_indices_by_name[] = {
+  1,   /* field[1] = known_version */
+  3,   /* field[3] = offset */
+  0,   /* field[0] = seq */
+  2,   /* field[2] = version */
+  4,   /* field[4] = whole */
+};
+static const ProtobufCIntRange cfw__routes_request__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor cfw__routes_request__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cfw.RoutesRequest",
+  "RoutesRequest",
+  "Cfw__RoutesRequest",
+  "cfw",
+  sizeof(Cfw__RoutesRequest),
+  5,
+  cfw__routes_request__field_descriptors,
+  cfw__routes_request__field_indices_by_name,
+  1,  cfw__routes_request__number_ranges,
+  (ProtobufCMessageInit) cfw__routes_request__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cfw__routes_part__field_descriptors[6] =
+{
+  {
+    "seq",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__RoutesPart, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__RoutesPart, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "whole",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__RoutesPart, whole),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "offset",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__RoutesPart, offset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "total_bytes",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__RoutesPart, total_bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Cfw__RoutesPart, data),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cfw__routes_part__field_indices_by_name[] = {
+  5,   /* field[5] = data */
+  3,   /* field[3] = offset */
+  0,   /* field[0] = seq */
+  4,   /* field[4] = total_bytes */
+  1,   /* field[1] = version */
+  2,   /* field[2] = whole */
+};
+static const ProtobufCIntRange cfw__routes_part__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor cfw__routes_part__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cfw.RoutesPart",
+  "RoutesPart",
+  "Cfw__RoutesPart",
+  "cfw",
+  sizeof(Cfw__RoutesPart),
+  6,
+  cfw__routes_part__field_descriptors,
+  cfw__routes_part__field_indices_by_name,
+  1,  cfw__routes_part__number_ranges,
+  (ProtobufCMessageInit) cfw__routes_part__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor cfw__fence_request__field_descriptors[2] =
 {
   {
@@ -7665,7 +8205,7 @@
   (ProtobufCMessageInit) cfw__job_cancel_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfw__envelope__field_descriptors[25] =
+static const ProtobufCFieldDescriptor cfw__envelope__field_descriptors[27] =
 {
   {
     "hello",
@@ -7967,6 +8507,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "routes_request",
+    26,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cfw__Envelope, body_case),
+    offsetof(Cfw__Envelope, routes_request),
+    &cfw__routes_request__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "routes_part",
+    27,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cfw__Envelope, body_case),
+    offsetof(Cfw__Envelope, routes_part),
+    &cfw__routes_part__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cfw__envelope__field_indices_by_name[] = {
   12,   /* field[12] = cancel */
@@ -7990,6 +8554,8 @@
   13,   /* field[13] = query */
   14,   /* field[14] = query_reply */
   10,   /* field[10] = results */
+  26,   /* field[26] = routes_part */
+  25,   /* field[25] = routes_request */
   20,   /* field[20] = run_lease */
   19,   /* field[19] = run_lease_ask */
   21,   /* field[21] = run_orders */
@@ -7998,7 +8564,7 @@
 static const ProtobufCIntRange cfw__envelope__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 25 }
+  { 0, 27 }
 };
 const ProtobufCMessageDescriptor cfw__envelope__descriptor =
 {
@@ -8008,7 +8574,7 @@
   "Cfw__Envelope",
   "cfw",
   sizeof(Cfw__Envelope),
-  25,
+  27,
   cfw__envelope__field_descriptors,
   cfw__envelope__field_indices_by_name,
   1,  cfw__envelope__number_ranges,
--- a/src/proto/wire.pb-c.h
+++ b/src/proto/wire.pb-c.h
@@ -30,6 +30,8 @@
 typedef struct Cfw__Fence Cfw__Fence;
 typedef struct Cfw__Configuration Cfw__Configuration;
 typedef struct Cfw__RouteTable Cfw__RouteTable;
+typedef struct Cfw__DocumentChange Cfw__DocumentChange;
+typedef struct Cfw__DocumentPiece Cfw__DocumentPiece;
 typedef struct Cfw__Outcome Cfw__Outcome;
 typedef struct Cfw__Subject Cfw__Subject;
 typedef struct Cfw__ConfigSnapshot Cfw__ConfigSnapshot;
@@ -39,6 +41,8 @@
 typedef struct Cfw__RosterEntry Cfw__RosterEntry;
 typedef struct Cfw__Roster Cfw__Roster;
 typedef struct Cfw__LeaseGrant Cfw__LeaseGrant;
+typedef struct Cfw__RoutesRequest Cfw__RoutesRequest;
+typedef struct Cfw__RoutesPart Cfw__RoutesPart;
 typedef struct Cfw__FenceRequest Cfw__FenceRequest;
 typedef struct Cfw__FenceReply Cfw__FenceReply;
 typedef struct Cfw__Claim Cfw__Claim;
@@ -450,6 +454,44 @@
     , 0, {0,NULL} }
 
 
+/*
+ * How a route document becomes the next one. The pieces follow one another.
+ */
+struct  Cfw__DocumentChange
+{
+  ProtobufCMessage base;
+  /*
+   * size of the document that it is for
+   */
+  uint32_t from_bytes;
+  uint32_t to_bytes;
+  /*
+   * XXH3 of the result
+   */
+  uint64_t to_hash;
+  size_t n_pieces;
+  Cfw__DocumentPiece **pieces;
+};
+#define CFW__DOCUMENT_CHANGE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cfw__document_change__descriptor) \
+    , 0, 0, 0, 0,NULL }
+
+
+/*
+ * Bytes to insert, then a range of the earlier document to copy.
+ */
+struct  Cfw__DocumentPiece
+{
+  ProtobufCMessage base;
+  ProtobufCBinaryData insert;
+  uint32_t copy_at;
+  uint32_t copy_bytes;
+};
+#define CFW__DOCUMENT_PIECE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cfw__document_piece__descriptor) \
+    , {0,NULL}, 0, 0 }
+
+
 /*
  * The outcome of a command id, so that a resend gets the first answer.
  */
@@ -607,10 +649,15 @@
    * agents only
    */
   Cfw__Capacity *capacity;
+  /*
+   * The configuration is wanted without routes: who needs them fetches
+   * them by RoutesRequest.
+   */
+  protobuf_c_boolean separate_routes;
 };
 #define CFW__LEASE_REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cfw__lease_request__descriptor) \
-    , 0, CFW__ROLE__ROLE_UNKNOWN, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, NULL }
+    , 0, CFW__ROLE__ROLE_UNKNOWN, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, NULL, 0 }
 
 
 struct  Cfw__RosterEntry
@@ -673,10 +720,65 @@
    * only if newer than known
    */
   Cfw__Roster *roster;
+  /*
+   * in force, confirmed by a quorum
+   */
+  uint64_t routes_version;
 };
 #define CFW__LEASE_GRANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cfw__lease_grant__descriptor) \
-    , 0, CFW__LEASE_VERDICT__LEASE_GRANTED, 0, 0, (char *)protobuf_c_empty_string, 0, NULL, NULL }
+    , 0, CFW__LEASE_VERDICT__LEASE_GRANTED, 0, 0, (char *)protobuf_c_empty_string, 0, NULL, NULL, 0 }
+
+
+/*
+ * A holder asks for the next part of newer routes.
+ */
+struct  Cfw__RoutesRequest
+{
+  ProtobufCMessage base;
+  uint64_t seq;
+  /*
+   * of the routes that it has; 0: none
+   */
+  uint64_t known_version;
+  /*
+   * being fetched; 0: a new fetch
+   */
+  uint64_t version;
+  /*
+   * bytes that it has of that
+   */
+  uint64_t offset;
+  /*
+   * it fetches the document, not a change
+   */
+  protobuf_c_boolean whole;
+};
+#define CFW__ROUTES_REQUEST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cfw__routes_request__descriptor) \
+    , 0, 0, 0, 0, 0 }
+
+
+/*
+ * A part of a DocumentChange from the known version or, if whole, of the
+ * document itself. Parts of another version than asked for begin anew.
+ */
+struct  Cfw__RoutesPart
+{
+  ProtobufCMessage base;
+  uint64_t seq;
+  /*
+   * 0: there is nothing newer here
+   */
+  uint64_t version;
+  protobuf_c_boolean whole;
+  uint64_t offset;
+  uint64_t total_bytes;
+  ProtobufCBinaryData data;
+};
+#define CFW__ROUTES_PART__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cfw__routes_part__descriptor) \
+    , 0, 0, 0, 0, 0, {0,NULL} }
 
 
 /*
@@ -1309,7 +1411,9 @@
   CFW__ENVELOPE__BODY_RUN_ORDERS = 22,
   CFW__ENVELOPE__BODY_RUN_REPORT = 23,
   CFW__ENVELOPE__BODY_JOB_CANCEL = 24,
-  CFW__ENVELOPE__BODY_JOB_CANCEL_REPLY = 25
+  CFW__ENVELOPE__BODY_JOB_CANCEL_REPLY = 25,
+  CFW__ENVELOPE__BODY_ROUTES_REQUEST = 26,
+  CFW__ENVELOPE__BODY_ROUTES_PART = 27
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CFW__ENVELOPE__BODY__CASE)
 } Cfw__Envelope__BodyCase;
 
@@ -1343,6 +1447,8 @@
     Cfw__RunReport *run_report;
     Cfw__JobCancel *job_cancel;
     Cfw__JobCancelReply *job_cancel_reply;
+    Cfw__RoutesRequest *routes_request;
+    Cfw__RoutesPart *routes_part;
   };
 };
 #define CFW__ENVELOPE__INIT \
@@ -1635,6 +1741,44 @@
 void   cfw__route_table__free_unpacked
                      (Cfw__RouteTable *message,
                       ProtobufCAllocator *allocator);
+/* Cfw__DocumentChange methods */
+void   cfw__document_change__init
+                     (Cfw__DocumentChange         *message);
+size_t cfw__document_change__get_packed_size
+                     (const Cfw__DocumentChange   *message);
+size_t cfw__document_change__pack
+                     (const Cfw__DocumentChange   *message,
+                      uint8_t             *out);
+size_t cfw__document_change__pack_to_buffer
+                     (const Cfw__DocumentChange   *message,
+                      ProtobufCBuffer     *buffer);
+Cfw__DocumentChange *
+       cfw__document_change__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cfw__document_change__free_unpacked
+                     (Cfw__DocumentChange *message,
+                      ProtobufCAllocator *allocator);
+/* Cfw__DocumentPiece methods */
+void   cfw__document_piece__init
+                     (Cfw__DocumentPiece         *message);
+size_t cfw__document_piece__get_packed_size
+                     (const Cfw__DocumentPiece   *message);
+size_t cfw__document_piece__pack
+                     (const Cfw__DocumentPiece   *message,
+                      uint8_t             *out);
+size_t cfw__document_piece__pack_to_buffer
+                     (const Cfw__DocumentPiece   *message,
+                      ProtobufCBuffer     *buffer);
+Cfw__DocumentPiece *
+       cfw__document_piece__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cfw__document_piece__free_unpacked
+                     (Cfw__DocumentPiece *message,
+                      ProtobufCAllocator *allocator);
 /* Cfw__Outcome methods */
 void   cfw__outcome__init
                      (Cfw__Outcome         *message);
@@ -1806,6 +1950,44 @@
 void   cfw__lease_grant__free_unpacked
                      (Cfw__LeaseGrant *message,
                       ProtobufCAllocator *allocator);
+/* Cfw__RoutesRequest methods */
+void   cfw__routes_request__init
+                     (Cfw__RoutesRequest         *message);
+size_t cfw__routes_request__get_packed_size
+                     (const Cfw__RoutesRequest   *message);
+size_t cfw__routes_request__pack
+                     (const Cfw__RoutesRequest   *message,
+                      uint8_t             *out);
+size_t cfw__routes_request__pack_to_buffer
+                     (const Cfw__RoutesRequest   *message,
+                      ProtobufCBuffer     *buffer);
+Cfw__RoutesRequest *
+       cfw__routes_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cfw__routes_request__free_unpacked
+                     (Cfw__RoutesRequest *message,
+                      ProtobufCAllocator *allocator);
+/* Cfw__RoutesPart methods */
+void   cfw__routes_part__init
+                     (Cfw__RoutesPart         *message);
+size_t cfw__routes_part__get_packed_size
+                     (const Cfw__RoutesPart   *message);
+size_t cfw__routes_part__pack
+                     (const Cfw__RoutesPart   *message,
+                      uint8_t             *out);
+size_t cfw__routes_part__pack_to_buffer
+                     (const Cfw__RoutesPart   *message,
+                      ProtobufCBuffer     *buffer);
+Cfw__RoutesPart *
+       cfw__routes_part__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cfw__routes_part__free_unpacked
+                     (Cfw__RoutesPart *message,
+                      ProtobufCAllocator *allocator);
 /* Cfw__FenceRequest methods */
 void   cfw__fence_request__init
                      (Cfw__FenceRequest         *message);
@@ -2461,6 +2643,12 @@
 typedef void (*Cfw__RouteTable_Closure)
                  (const Cfw__RouteTable *message,
                   void *closure_data);
+typedef void (*Cfw__DocumentChange_Closure)
+                 (const Cfw__DocumentChange *message,
+                  void *closure_data);
+typedef void (*Cfw__DocumentPiece_Closure)
+                 (const Cfw__DocumentPiece *message,
+                  void *closure_data);
 typedef void (*Cfw__Outcome_Closure)
                  (const Cfw__Outcome *message,
                   void *closure_data);
@@ -2488,6 +2676,12 @@
 typedef void (*Cfw__LeaseGrant_Closure)
                  (const Cfw__LeaseGrant *message,
                   void *closure_data);
+typedef void (*Cfw__RoutesRequest_Closure)
+                 (const Cfw__RoutesRequest *message,
+                  void *closure_data);
+typedef void (*Cfw__RoutesPart_Closure)
+                 (const Cfw__RoutesPart *message,
+                  void *closure_data);
 typedef void (*Cfw__FenceRequest_Closure)
                  (const Cfw__FenceRequest *message,
                   void *closure_data);
@@ -2610,6 +2804,8 @@
 extern const ProtobufCMessageDescriptor cfw__fence__descriptor;
 extern const ProtobufCMessageDescriptor cfw__configuration__descriptor;
 extern const ProtobufCMessageDescriptor cfw__route_table__descriptor;
+extern const ProtobufCMessageDescriptor cfw__document_change__descriptor;
+extern const ProtobufCMessageDescriptor cfw__document_piece__descriptor;
 extern const ProtobufCMessageDescriptor cfw__outcome__descriptor;
 extern const ProtobufCMessageDescriptor cfw__subject__descriptor;
 extern const ProtobufCMessageDescriptor cfw__config_snapshot__descriptor;
@@ -2619,6 +2815,8 @@
 extern const ProtobufCMessageDescriptor cfw__roster_entry__descriptor;
 extern const ProtobufCMessageDescriptor cfw__roster__descriptor;
 extern const ProtobufCMessageDescriptor cfw__lease_grant__descriptor;
+extern const ProtobufCMessageDescriptor cfw__routes_request__descriptor;
+extern const ProtobufCMessageDescriptor cfw__routes_part__descriptor;
 extern const ProtobufCMessageDescriptor cfw__fence_request__descriptor;
 extern const ProtobufCMessageDescriptor cfw__fence_reply__descriptor;
 extern const ProtobufCMessageDescriptor cfw__claim__descriptor;
