Routes go to dispatchers only, as what changed, and in parts

Cause: each change of the configuration, of whatever size, was sent whole to every process, in the grant of its lease. The bound on the links is what made it visible; the copies are the cause.

Change, in one place for every holder: a grant carries the settings without routes and names the version in force. Agents are sent no routes. A dispatcher that has known of newer routes for 1.2 s and still lacks them refuses jobs (503) and isn't ready: what it would answer could be untrue. Processes of earlier versions are served as before, in both directions.

--- a/src/coordinator/coordinator.c
+++ b/src/coordinator/coordinator.c
@@ -99,12 +99,20 @@
 {
 	counters->granted = counter_get("lease_granted_total", NULL,
 					"leases granted or renewed");
-	counters->config_copies = counter_get(
-		"configuration_copies_total", NULL,
-		"Whole configurations sent with leases");
-	counters->config_bytes = counter_get(
-		"configuration_copies_bytes_total", NULL,
-		"Bytes of whole configurations sent with leases");
+	counters->config_copies =
+		counter_get("configuration_copies_total", NULL,
+			    "Configurations sent with leases");
+	counters->config_bytes =
+		counter_get("configuration_copies_bytes_total", NULL,
+			    "Bytes of configurations sent with leases");
+	counters->routes_documents =
+		counter_get("routes_fetches_total", "what=\"document\"",
+			    "Fetches of routes that holders began");
+	counters->routes_changes =
+		counter_get("routes_fetches_total", "what=\"change\"",
+			    "Fetches of routes that holders began");
+	counters->routes_bytes = counter_get("routes_fetched_bytes_total", NULL,
+					     "Bytes of routes sent to holders");
 	counters->refused = counter_get("lease_refused_total", NULL,
 					"lease requests not granted");
 	counters->votes_for = counter_get("votes_total", "verdict=\"for\"",
--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -91,8 +91,11 @@
 
 struct coordinator_counters {
 	struct counter *granted;
-	struct counter *config_copies; /* whole configurations sent */
+	struct counter *config_copies; /* configurations sent with leases */
 	struct counter *config_bytes; /* of them */
+	struct counter *routes_documents; /* fetches begun, whole */
+	struct counter *routes_changes; /* fetches begun, of a change */
+	struct counter *routes_bytes; /* of their parts */
 	struct counter *refused;
 	struct counter *votes_for;
 	struct counter *votes_none;
@@ -109,7 +112,14 @@
 	struct counter *revision;
 };
 
-/* Whole configurations sent since the last log line. */
+/* A configuration to send, cached per revision. */
+struct grant_config {
+	struct Cfw__Configuration *message; /* NULL: none yet */
+	uint64_t revision;
+	size_t bytes;
+};
+
+/* Configurations sent since the last log line. */
 struct copies_sent {
 	int64_t logged_ms;
 	uint64_t copies, bytes;
@@ -125,11 +135,11 @@
 	struct group *group;
 	struct admin *admin;
 	struct cf_config *config;
-	/* Configuration as sent in grants; cached per revision. */
-	struct Cfw__Configuration *grant_config;
-	uint64_t grant_config_revision;
-	size_t grant_config_bytes;
+	/* Configuration as sent in grants: without routes, and with them for
+	 * holders of earlier versions. */
+	struct grant_config grant_settings, grant_whole;
 	struct copies_sent copies_sent;
+	struct routes_sender *routes_sender;
 
 	uint32_t id;
 	uint64_t incarnation;
@@ -319,6 +329,16 @@
 void coordinator_lease_grant(struct coordinator *c,
 			     const struct Cfw__LeaseGrant *grant);
 
+void coordinator_clear_grant_config(struct grant_config *config);
+
+/* ---- Routes for holders (coordinator_routes.c) ----------------------- */
+
+struct routes_sender *routes_sender_create(void);
+void routes_sender_destroy(struct routes_sender *sender); /* NULL is allowed */
+/* Answers with the next part of newer routes. */
+void coordinator_routes_request(struct coordinator *c, struct link *link,
+				const struct Cfw__RoutesRequest *request);
+
 /* ---- Fences and the roster (coordinator_roster.c) ------------------- */
 
 struct Cfw__Roster *coordinator_build_roster(const struct coordinator *c);
--- a/src/coordinator/coordinator_leases.c
+++ b/src/coordinator/coordinator_leases.c
@@ -90,44 +90,57 @@
 
 /* ---- Answers ------------------------------------------------------- */
 
-static struct Cfw__Configuration *unpacked_configuration(struct coordinator *c)
+void coordinator_clear_grant_config(struct grant_config *config)
 {
-	uint64_t revision = cf_config_revision(c->config);
-	g_autoptr(GBytes) bytes = NULL;
-	gsize size;
-	const uint8_t *data;
-
-	if (c->grant_config && c->grant_config_revision == revision)
-		return c->grant_config;
-	if (c->grant_config)
-		cfw__configuration__free_unpacked(c->grant_config, NULL);
-	bytes = cf_config_pack(c->config);
-	data = g_bytes_get_data(bytes, &size);
-	c->grant_config = cfw__configuration__unpack(NULL, size, data);
-	c->grant_config_revision = revision;
-	c->grant_config_bytes = size;
-	return c->grant_config;
+	if (config->message)
+		cfw__configuration__free_unpacked(config->message, NULL);
+	*config = (struct grant_config){ 0 };
 }
 
-static void count_copy(struct coordinator *c)
+static void count_copy(struct coordinator *c, const struct grant_config *copy)
 {
 	struct copies_sent *sent = &c->copies_sent;
 	int64_t now_ms = loop_now_ms(c->loop);
 
 	counter_add(c->counters.config_copies, 1);
-	counter_add(c->counters.config_bytes, (int64_t)c->grant_config_bytes);
+	counter_add(c->counters.config_bytes, (int64_t)copy->bytes);
 	sent->copies++;
-	sent->bytes += c->grant_config_bytes;
+	sent->bytes += copy->bytes;
 	if (now_ms - sent->logged_ms < COPIES_LOG_INTERVAL_MS)
 		return;
 	log_event(LOG_INFO, "configuration_copies",
 		  "copies=%" G_GUINT64_FORMAT " bytes=%" G_GUINT64_FORMAT
 		  " revision=%" G_GUINT64_FORMAT " holders=%u",
-		  sent->copies, sent->bytes, c->grant_config_revision,
+		  sent->copies, sent->bytes, copy->revision,
 		  g_hash_table_size(c->leadership->holders));
 	*sent = (struct copies_sent){ .logged_ms = now_ms };
 }
 
+/* What the holder lacks of the configuration. */
+static struct Cfw__Configuration *
+copy_configuration(struct coordinator *c,
+		   const struct Cfw__LeaseRequest *request)
+{
+	struct grant_config *copy =
+		request->separate_routes ? &c->grant_settings : &c->grant_whole;
+	uint64_t revision = cf_config_revision(c->config);
+	g_autoptr(GBytes) bytes = NULL;
+	const uint8_t *data;
+
+	if (!copy->message || copy->revision != revision) {
+		coordinator_clear_grant_config(copy);
+		bytes = request->separate_routes
+				? cf_config_pack_settings(c->config)
+				: cf_config_pack(c->config);
+		data = g_bytes_get_data(bytes, &copy->bytes);
+		copy->message =
+			cfw__configuration__unpack(NULL, copy->bytes, data);
+		copy->revision = revision;
+	}
+	count_copy(c, copy);
+	return copy->message;
+}
+
 static void send_grant(struct link *link, struct Cfw__LeaseGrant *grant)
 {
 	struct Cfw__Envelope envelope = CFW__ENVELOPE__INIT;
@@ -185,10 +198,9 @@
 	if (leader)
 		grant.leader_address = (char *)leader;
 	if (request->role != CFW__ROLE__ROLE_COORDINATOR &&
-	    request->known_revision < grant.revision) {
-		grant.configuration = unpacked_configuration(c);
-		count_copy(c);
-	}
+	    request->known_revision < grant.revision)
+		grant.configuration = copy_configuration(c, request);
+	cf_config_routes(c->config, &grant.routes_version);
 	if (request->role == CFW__ROLE__ROLE_DISPATCHER &&
 	    (!same_leader ||
 	     request->known_roster < c->leadership->roster_version))
--- a/src/coordinator/coordinator_links.c
+++ b/src/coordinator/coordinator_links.c
@@ -200,6 +200,9 @@
 	case CFW__ENVELOPE__BODY_LEASE_GRANT:
 		coordinator_lease_grant(c, envelope->lease_grant);
 		break;
+	case CFW__ENVELOPE__BODY_ROUTES_REQUEST:
+		coordinator_routes_request(c, link, envelope->routes_request);
+		break;
 	case CFW__ENVELOPE__BODY_FENCE_REQUEST:
 		coordinator_fence_request(c, link, envelope->fence_request);
 		break;
--- a/src/coordinator/coordinator_rejoin.c
+++ b/src/coordinator/coordinator_rejoin.c
@@ -35,7 +35,7 @@
 					   (GDestroyNotify)g_bytes_unref,
 					   (GDestroyNotify)g_ptr_array_unref);
 	c->peers_revision = 0;
-	c->grant_config_revision = 0;
+	c->routes_sender = routes_sender_create();
 	c->next_join_ms = 0;
 	c->next_renewal_ms = 0;
 	c->next_expiry_ms = 0;
@@ -49,9 +49,9 @@
 	g_clear_pointer(&c->group, group_destroy);
 	g_clear_pointer(&c->hub, link_hub_destroy);
 	g_clear_pointer(&c->ledger, cf_ledger_destroy);
-	if (c->grant_config)
-		cfw__configuration__free_unpacked(c->grant_config, NULL);
-	c->grant_config = NULL;
+	coordinator_clear_grant_config(&c->grant_settings);
+	coordinator_clear_grant_config(&c->grant_whole);
+	g_clear_pointer(&c->routes_sender, routes_sender_destroy);
 	g_clear_pointer(&c->first_members, g_array_unref);
 	g_clear_pointer(&c->peers, g_ptr_array_unref);
 	g_clear_pointer(&c->accepted, g_ptr_array_unref);
--- a/src/leased/dispatcher.c
+++ b/src/leased/dispatcher.c
@@ -16,6 +16,9 @@
 
 /* After this long without a coordinator, the configuration may be stale. */
 #define COORDINATOR_TIMEOUT_MS 15000
+/* Routes are to be in force 2 s after they were acknowledged. A dispatcher
+ * hears of them within a quarter of its lease. */
+#define ROUTES_BEHIND_MAX_MS 1200
 #define GAUGE_INTERVAL_MS 500
 #define STOP_POLL_US 20000
 #define US_PER_MS 1000
@@ -29,6 +32,8 @@
 		return "no routes are known yet";
 	if (now_ms - d->coordinator_contact_ms > COORDINATOR_TIMEOUT_MS)
 		return "no coordinator was reached for long";
+	if (session_routes_behind_ms(d->session, now_ms) > ROUTES_BEHIND_MAX_MS)
+		return "newer routes are still being fetched";
 	return NULL;
 }
 
--- a/src/leased/reload.c
+++ b/src/leased/reload.c
@@ -140,7 +140,8 @@
 		.name = settings_text(settings, "name"),
 		.data_centre = settings_text(settings, "data-centre"),
 		.address = address ? address : set,
-		.coordinators = coordinators
+		.coordinators = coordinators,
+		.routes = role == CFW__ROLE__ROLE_DISPATCHER
 	};
 	struct session *session;
 
--- a/src/roles/session.c
+++ b/src/roles/session.c
@@ -6,6 +6,7 @@
 #include "roles/session.h"
 #include "roles/fence_calls.h"
 #include "roles/member_links.h"
+#include "roles/routes_fetch.h"
 
 #include "base/address.h"
 #include "base/clock.h"
@@ -46,11 +47,14 @@
 	int64_t requested_ms; /* newest request, INT64_MIN: none */
 	int64_t lease_lost_ms; /* when the lease last expired, 0: never */
 	bool answered;
+	bool leader_sends_whole; /* it names no version of routes */
 	bool no_leader; /* no known leader: retry every TICK_MS */
 	/* Requests sent at once on a redirect since the last tick. */
 	uint32_t redirects;
 	bool started, draining, left, lease_was_held, fenced;
 	struct fence_calls *fence_calls;
+	struct routes_fetch *routes_fetch;
+	struct link *routes_link; /* where routes were requested last */
 	size_t n_unusable; /* entries of the newest roster */
 	struct counter *grants, *refusals;
 };
@@ -66,6 +70,15 @@
 	to->accelerators = from->accelerators;
 }
 
+/* A leader of an earlier version sends no routes apart: it is asked for the
+ * whole configuration if routes lack. */
+static uint64_t known_revision(const struct session *s, int64_t now_ms)
+{
+	if (s->leader_sends_whole && session_routes_behind_ms(s, now_ms))
+		return 0;
+	return cf_config_revision(s->config);
+}
+
 static void send_request(struct session *s, bool leaving)
 {
 	Cfw__Envelope envelope = CFW__ENVELOPE__INIT;
@@ -83,11 +96,12 @@
 	request.data_centre = s->data_centre;
 	request.rack = s->rack;
 	request.address = s->address;
-	request.known_revision = cf_config_revision(s->config);
+	request.known_revision = known_revision(s, now_ms);
 	request.known_roster = s->roster_version;
 	request.known_leader = s->roster_leader;
 	request.draining = s->draining;
 	request.leaving = leaving;
+	request.separate_routes = true;
 	fill_capacity(&s->capacity, &capacity);
 	request.capacity = &capacity;
 	envelope.body_case = CFW__ENVELOPE__BODY_LEASE_REQUEST;
@@ -98,6 +112,25 @@
 		member_links_advance(s->links);
 }
 
+/* Asks the leader for the next part of newer routes, if there are any. */
+static void request_routes(struct session *s, int64_t now_ms)
+{
+	Cfw__Envelope envelope = CFW__ENVELOPE__INIT;
+	Cfw__RoutesRequest request = CFW__ROUTES_REQUEST__INIT;
+	struct link *leader = member_links_leader(s->links);
+
+	if (!s->options.routes || !leader || !link_is_up(leader))
+		return;
+	if (leader != s->routes_link)
+		routes_fetch_forget_request(s->routes_fetch);
+	if (!routes_fetch_next(s->routes_fetch, now_ms, &request))
+		return;
+	s->routes_link = leader;
+	envelope.body_case = CFW__ENVELOPE__BODY_ROUTES_REQUEST;
+	envelope.routes_request = &request;
+	link_send(leader, &envelope);
+}
+
 static void enter_fenced(struct session *s)
 {
 	s->fenced = true;
@@ -137,8 +170,10 @@
 	fence_calls_expire(s->fence_calls, now_ms);
 	if (!s->started || s->left || s->fenced)
 		return;
-	if (s->lease_was_held && !s->no_leader)
+	if (s->lease_was_held && !s->no_leader) {
 		member_links_drop_gone(s->links);
+		request_routes(s, now_ms);
+	}
 	waited_ms = s->requested_ms == INT64_MIN ? INT64_MAX
 						 : now_ms - s->requested_ms;
 	if (!s->answered && waited_ms >= ANSWER_TIMEOUT_MS) {
@@ -153,35 +188,54 @@
 
 /* ---- Answers ---- */
 
-static void dial_members(struct session *s)
+/* A leader of an earlier version sends routes with the configuration, also if
+ * its revision is known already. */
+static bool adopt_routes(struct session *s, const Cfw__RouteTable *routes)
 {
+	g_autoptr(GBytes) document = NULL;
+
+	if (!routes || !routes->version)
+		return false;
+	document = g_bytes_new(routes->document.data, routes->document.len);
+	return cf_config_set_routes(s->config, routes->version, document);
+}
+
+static bool adopt_settings(struct session *s,
+			   const Cfw__Configuration *configuration)
+{
+	size_t size = cfw__configuration__get_packed_size(configuration);
+	g_autofree uint8_t *data = g_malloc(size ? size : 1);
+
+	cfw__configuration__pack(configuration, data);
+	if (!cf_config_adopt(s->config, data, size, NULL))
+		return false;
+	trace_event("config", "rev=%" PRIu64, cf_config_revision(s->config));
 	/* Covers members that joined after the settings were written. */
-	GBytes *packed = cf_config_pack(s->config);
-	size_t size;
-	const void *data = g_bytes_get_data(packed, &size);
-	Cfw__Configuration *c = cfw__configuration__unpack(NULL, size, data);
-
-	if (c) {
-		member_links_set_members(s->links, c->members, c->n_members);
-		cfw__configuration__free_unpacked(c, NULL);
-	}
-	g_bytes_unref(packed);
+	member_links_set_members(s->links, configuration->members,
+				 configuration->n_members);
+	return true;
 }
 
 static void apply_configuration(struct session *s,
 				const Cfw__Configuration *configuration)
 {
-	size_t size = cfw__configuration__get_packed_size(configuration);
-	uint8_t *data = g_malloc(size ? size : 1);
+	bool routes_are_new = adopt_routes(s, configuration->routes);
+	bool settings_are_new = adopt_settings(s, configuration);
 
-	cfw__configuration__pack(configuration, data);
-	if (cf_config_adopt(s->config, data, size, NULL)) {
-		trace_event("config", "rev=%" PRIu64,
-			    cf_config_revision(s->config));
-		dial_members(s);
+	if (routes_are_new || settings_are_new)
 		s->handlers.config(s->arg);
-	}
-	g_free(data);
+}
+
+static void handle_routes_part(struct session *s, const struct link *link,
+			       const Cfw__RoutesPart *part)
+{
+	int64_t now_ms = clock_now_ms();
+
+	if (link != s->routes_link)
+		return;
+	if (routes_fetch_take(s->routes_fetch, part, now_ms))
+		s->handlers.config(s->arg);
+	request_routes(s, now_ms);
 }
 
 static bool is_usable(const Cfw__RosterEntry *entry)
@@ -304,6 +358,10 @@
 	if (grant->roster)
 		apply_roster(s, grant);
 	update_lease_state(s, now_ms);
+	s->leader_sends_whole = !grant->routes_version;
+	routes_fetch_set_in_force(s->routes_fetch, grant->routes_version,
+				  now_ms);
+	request_routes(s, now_ms);
 }
 
 /* ---- Public functions ---- */
@@ -327,6 +385,7 @@
 	s->answered = true;
 	s->no_leader = true;
 	s->fence_calls = fence_calls_create();
+	s->routes_fetch = routes_fetch_create(s->config);
 	s->grants = counter_get("lease_grants_total", NULL,
 				"Lease renewals that were granted");
 	s->refusals = counter_get("lease_not_leader_total", NULL,
@@ -344,6 +403,7 @@
 		return;
 	loop_timer_destroy(s->timer);
 	cf_lease_destroy(s->lease);
+	routes_fetch_destroy(s->routes_fetch);
 	cf_config_destroy(s->config);
 	fence_calls_destroy(s->fence_calls);
 	member_links_destroy(s->links);
@@ -372,6 +432,9 @@
 	case CFW__ENVELOPE__BODY_FENCE_REPLY:
 		fence_calls_reply(s->fence_calls, envelope->fence_reply);
 		return true;
+	case CFW__ENVELOPE__BODY_ROUTES_PART:
+		handle_routes_part(s, link, envelope->routes_part);
+		return true;
 	default:
 		return false;
 	}
@@ -393,6 +456,8 @@
 {
 	if (!member_links_has(s->links, link))
 		return false;
+	if (link == s->routes_link)
+		s->routes_link = NULL;
 	if (link == member_links_leader(s->links)) {
 		s->answered = true;
 		s->requested_ms = INT64_MIN;
@@ -416,6 +481,13 @@
 	return s->config;
 }
 
+int64_t session_routes_behind_ms(const struct session *s, int64_t now_ms)
+{
+	return s->options.routes
+		       ? routes_fetch_behind_ms(s->routes_fetch, now_ms)
+		       : 0;
+}
+
 void session_set_draining(struct session *s, bool draining)
 {
 	if (s->draining == draining)
--- a/src/roles/session.h
+++ b/src/roles/session.h
@@ -21,10 +21,12 @@
 	const char *rack; /* agents only, otherwise NULL */
 	const char *address; /* where other processes reach this one */
 	char **coordinators; /* NULL-terminated; initial addresses */
+	bool routes; /* needs the operators' routes */
 };
 
 struct session_handlers {
-	void (*config)(void *arg); /* a newer configuration applies */
+	/* A newer configuration, or newer routes, apply. */
+	void (*config)(void *arg);
 	/* Without entries whose address can't be connected to. */
 	void (*roster)(void *arg, const Cfw__Roster *roster);
 	void (*lease)(void *arg, bool held); /* acquired or expired */
@@ -50,6 +52,9 @@
 bool session_lease_held(const struct session *session, int64_t now_ms);
 int64_t session_lease_end_ms(const struct session *session);
 struct cf_config *session_config(struct session *session);
+/* For how long newer routes than those of the configuration have been known to
+ * be in force, in ms; 0: none are. */
+int64_t session_routes_behind_ms(const struct session *session, int64_t now_ms);
 void session_set_draining(struct session *session, bool draining);
 void session_set_capacity(struct session *session,
 			  const struct cf_capacity *capacity);
