Planned stop: a pause of the process skips no phase

Cause: drain_phase() went by the time alone. A process that didn't run from 5.0 to 5.3 s after SIGTERM went from "closing" to "ended" within one poll and never aborted its jobs (log of the case on: phase=closing at 5,451 ms, phase=ended at 5,471 ms, no answer in between).

Change: the phase is kept, goes on by one at most, and the time for answers counts from the abort itself. test_phases has the same rows; it polls as the process does instead of asking once, so it is as strict.

--- a/src/leased/dispatcher.c
+++ b/src/leased/dispatcher.c
@@ -383,11 +383,8 @@
 	enter_phase(d, phase);
 	while (phase != DRAIN_ENDED) {
 		g_usleep(STOP_POLL_US);
-		next = drain_phase(&d->drain, http_server_connections(d->http),
-				   clock_now_ms());
-		/* The backlog is served before the process may exit. */
-		if (phase == DRAIN_ACCEPTING && next != DRAIN_ACCEPTING)
-			next = DRAIN_CLOSING;
+		next = drain_next(&d->drain, http_server_connections(d->http),
+				  clock_now_ms());
 		if (next != phase)
 			enter_phase(d, next);
 		phase = next;
--- a/src/leased/drain.c
+++ b/src/leased/drain.c
@@ -20,19 +20,40 @@
 
 void drain_begin(struct drain *drain, int64_t wait_ms, int64_t now_ms)
 {
+	drain->phase = DRAIN_ACCEPTING;
 	drain->close_ms = now_ms + ACCEPT_MS;
 	drain->abort_ms = now_ms + MAX(wait_ms, ACCEPT_MS);
-	drain->end_ms = drain->abort_ms + ABORT_MS;
 }
 
-enum drain_phase drain_phase(const struct drain *drain, uint32_t connections,
-			     int64_t now_ms)
+static enum drain_phase begin_aborting(struct drain *drain, int64_t now_ms)
 {
-	if (now_ms < drain->close_ms)
-		return DRAIN_ACCEPTING;
-	if (!connections || now_ms >= drain->end_ms)
-		return DRAIN_ENDED;
-	return now_ms < drain->abort_ms ? DRAIN_CLOSING : DRAIN_ABORTING;
+	drain->end_ms = now_ms + ABORT_MS;
+	return DRAIN_ABORTING;
+}
+
+enum drain_phase drain_next(struct drain *drain, uint32_t connections,
+			    int64_t now_ms)
+{
+	switch (drain->phase) {
+	case DRAIN_ACCEPTING:
+		/* The backlog is served before the process may exit. */
+		if (now_ms >= drain->close_ms)
+			drain->phase = DRAIN_CLOSING;
+		break;
+	case DRAIN_CLOSING:
+		if (!connections)
+			drain->phase = DRAIN_ENDED;
+		else if (now_ms >= drain->abort_ms)
+			drain->phase = begin_aborting(drain, now_ms);
+		break;
+	case DRAIN_ABORTING:
+		if (!connections || now_ms >= drain->end_ms)
+			drain->phase = DRAIN_ENDED;
+		break;
+	case DRAIN_ENDED:
+		break;
+	}
+	return drain->phase;
 }
 
 bool drain_can_run(const struct drain *drain, uint32_t predicted_ms,
--- a/src/leased/drain.h
+++ b/src/leased/drain.h
@@ -23,17 +23,20 @@
 };
 
 struct drain {
-	int64_t close_ms; /* when each phase begins */
+	enum drain_phase phase;
+	int64_t close_ms; /* when it is to begin */
 	int64_t abort_ms;
-	int64_t end_ms;
+	int64_t end_ms; /* set when jobs are aborted */
 };
 
 /* wait_ms: time that requests in progress get to end. */
 void drain_begin(struct drain *drain, int64_t wait_ms, int64_t now_ms);
-/* connections: those that are open. Without any, the process exits as soon as
- * load balancers send no more. */
-enum drain_phase drain_phase(const struct drain *drain, uint32_t connections,
-			     int64_t now_ms);
+/* Returns the phase that follows, at most one after the present one: a process
+ * that didn't run for a while must not skip what a phase does. connections:
+ * those that are open. Without any, the process exits as soon as load balancers
+ * send no more. */
+enum drain_phase drain_next(struct drain *drain, uint32_t connections,
+			    int64_t now_ms);
 /* True if a job with this predicted run time can end before it would be
  * aborted. */
 bool drain_can_run(const struct drain *drain, uint32_t predicted_ms,
--- a/tests/test_drain.c
+++ b/tests/test_drain.c
@@ -13,6 +13,20 @@
 
 #define BEGAN_MS 70000
 #define WAIT_MS 5000
+#define ABORT_MS 300
+
+/* Lets a process that polls each millisecond go on from one time to another. */
+static void run_until(struct drain *drain, uint32_t connections,
+		      int64_t from_ms, int64_t to_ms)
+{
+	for (int64_t now_ms = from_ms; now_ms <= to_ms; now_ms++) {
+		enum drain_phase phase;
+
+		do {
+			phase = drain->phase;
+		} while (drain_next(drain, connections, now_ms) != phase);
+	}
+}
 
 static void test_phases(void **state)
 {
@@ -43,12 +57,37 @@
 
 		print_message("%s\n", cases[i].name);
 		drain_begin(&drain, cases[i].wait_ms, BEGAN_MS);
-		assert_int_equal(drain_phase(&drain, cases[i].connections,
-					     BEGAN_MS + cases[i].at_ms),
-				 cases[i].phase);
+		run_until(&drain, cases[i].connections, BEGAN_MS,
+			  BEGAN_MS + cases[i].at_ms);
+		assert_int_equal(drain.phase, cases[i].phase);
 	}
 }
 
+/* Guards against a pause of the process that jumps over the aborting of jobs:
+ * they would be answered by whoever doesn't know what has run (review/11). */
+static void test_a_pause_skips_no_phase(void **state)
+{
+	(void)state;
+	for (int64_t from_ms = 0; from_ms <= WAIT_MS + ABORT_MS; from_ms += 50)
+		for (int64_t for_ms = 50; for_ms <= 2 * WAIT_MS; for_ms += 50) {
+			int64_t now_ms = BEGAN_MS + from_ms + for_ms;
+			struct drain drain;
+
+			drain_begin(&drain, WAIT_MS, BEGAN_MS);
+			run_until(&drain, 1, BEGAN_MS, BEGAN_MS + from_ms - 1);
+			if (drain.phase >= DRAIN_ABORTING)
+				continue;
+			run_until(&drain, 1, now_ms, now_ms);
+			if (now_ms < drain.abort_ms)
+				continue;
+			assert_int_equal(drain.phase, DRAIN_ABORTING);
+			run_until(&drain, 1, now_ms, now_ms + ABORT_MS - 1);
+			assert_int_equal(drain.phase, DRAIN_ABORTING);
+			run_until(&drain, 1, now_ms, now_ms + ABORT_MS);
+			assert_int_equal(drain.phase, DRAIN_ENDED);
+		}
+}
+
 static void test_jobs_that_are_run(void **state)
 {
 	static const struct {
@@ -86,6 +125,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_phases),
+		cmocka_unit_test(test_a_pause_skips_no_phase),
 		cmocka_unit_test(test_jobs_that_are_run),
 	};
 
