Coordinators: what a holder is sent next is decided apart from the link

routes_sender has the decision without links or a clock, so that test_routes_fetch plays holders against the real one instead of a stand-in. A document that others fetch serves a new fetch too while the changes since are known: with one for each version, many dispatchers that begin while routes change would have cut off each other's fetches (test_holders_that_begin_during_changes).

--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -9,6 +9,7 @@
 
 #include "chervilferry.h"
 #include "base/counters.h"
+#include "coordinator/routes_sender.h"
 #include "net/admin.h"
 #include "net/link.h"
 #include "leased/formats.h"
@@ -333,8 +334,6 @@
 
 /* ---- Routes for holders (coordinator_routes.c) ----------------------- */
 
-struct routes_sender *routes_sender_create(void);
-void routes_sender_destroy(struct routes_sender *sender); /* NULL is allowed */
 /* Answers with the next part of newer routes. */
 void coordinator_routes_request(struct coordinator *c, struct link *link,
 				const struct Cfw__RoutesRequest *request);
--- a/src/coordinator/coordinator_rejoin.c
+++ b/src/coordinator/coordinator_rejoin.c
@@ -35,7 +35,7 @@
 					   (GDestroyNotify)g_bytes_unref,
 					   (GDestroyNotify)g_ptr_array_unref);
 	c->peers_revision = 0;
-	c->routes_sender = routes_sender_create();
+	c->routes_sender = routes_sender_create(ROUTES_PART_MAX_BYTES);
 	c->next_join_ms = 0;
 	c->next_renewal_ms = 0;
 	c->next_expiry_ms = 0;
--- a/src/roles/routes_fetch.c
+++ b/src/roles/routes_fetch.c
@@ -210,14 +210,11 @@
 bool routes_fetch_take(struct routes_fetch *fetch, const Cfw__RoutesPart *part,
 		       int64_t now_ms)
 {
-	if (!fetch->requested || part->seq != fetch->seq)
+	/* A coordinator without newer routes is asked again after the timeout.
+	 */
+	if (!fetch->requested || part->seq != fetch->seq || !part->version)
 		return false;
 	fetch->requested = false;
-	if (!part->version) {
-		/* Not there yet: this coordinator is asked again later. */
-		fetch->requested = true;
-		return false;
-	}
 	if (!add_part(fetch, part)) {
 		clear_image(fetch);
 		return false;
--- a/tests/test_routes_fetch.c
+++ b/tests/test_routes_fetch.c
@@ -1,7 +1,8 @@
 /*
- * test_routes_fetch: how a lease holder fetches routes, against a stand-in of
- * the leader that serves them in parts.
+ * test_routes_fetch: how a lease holder fetches routes in parts, and what a
+ * coordinator sends it.
  */
+#include "coordinator/routes_sender.h"
 #include "roles/routes_fetch.h"
 
 #include <glib.h>
@@ -22,6 +23,7 @@
 struct world {
 	struct cf_config *leader, *holder;
 	struct routes_fetch *fetch;
+	struct routes_sender *sender;
 	GBytes *documents[VERSIONS_MAX + 1];
 	uint64_t index;
 	int64_t now_ms;
@@ -59,6 +61,7 @@
 			     .holder = cf_config_create(),
 			     .now_ms = 1000 };
 	w->fetch = routes_fetch_create(w->holder);
+	w->sender = routes_sender_create(PART_BYTES);
 	set_routes(w, 1);
 	routes_fetch_set_in_force(w->fetch, 1, w->now_ms);
 }
@@ -66,6 +69,7 @@
 static void finish(struct world *w)
 {
 	routes_fetch_destroy(w->fetch);
+	routes_sender_destroy(w->sender);
 	cf_config_destroy(w->leader);
 	cf_config_destroy(w->holder);
 	for (size_t i = 0; i < G_N_ELEMENTS(w->documents); i++)
@@ -76,28 +80,8 @@
 static bool serve(struct world *w, const Cfw__RoutesRequest *request)
 {
 	Cfw__RoutesPart part = CFW__ROUTES_PART__INIT;
-	uint64_t version = 0;
-	GBytes *image = cf_config_routes_change(
-		w->leader, request->known_version, &version);
-	const uint8_t *data;
-	gsize size;
 
-	if (!image || request->whole) {
-		image = cf_config_routes(w->leader, &version);
-		if (request->whole) {
-			version = request->version;
-			image = w->documents[version];
-		}
-		part.whole = true;
-	}
-	data = g_bytes_get_data(image, &size);
-	part.seq = request->seq;
-	part.version = version;
-	part.total_bytes = size;
-	if (request->version == version && request->whole == part.whole)
-		part.offset = request->offset;
-	part.data.data = (uint8_t *)data + part.offset;
-	part.data.len = MIN(PART_BYTES, size - part.offset);
+	routes_sender_answer(w->sender, w->leader, request, w->now_ms, &part);
 	w->requests++;
 	w->documents_begun += part.whole && !part.offset;
 	return routes_fetch_take(w->fetch, &part, w->now_ms);
@@ -204,6 +188,33 @@
 	finish(&w);
 }
 
+/* Guards against a document for each of many holders that begin to fetch while
+ * routes change, and against one that is cut off by the others. */
+static void test_holders_that_begin_during_changes(void **state)
+{
+	Cfw__RoutesRequest first = CFW__ROUTES_REQUEST__INIT, other = first;
+	Cfw__RoutesPart part = CFW__ROUTES_PART__INIT, late = part;
+	struct world w;
+
+	(void)state;
+	begin(&w);
+	routes_sender_answer(w.sender, w.leader, &first, w.now_ms, &part);
+	first.version = part.version;
+	first.offset = part.data.len;
+	first.whole = true;
+	for (uint64_t version = 2; version <= VERSIONS_MAX; version++) {
+		change_to(&w, version, version);
+		part = late;
+		routes_sender_answer(w.sender, w.leader, &other, w.now_ms,
+				     &part);
+		assert_int_equal(part.version, 1);
+	}
+	routes_sender_answer(w.sender, w.leader, &first, w.now_ms, &late);
+	assert_int_equal(late.version, 1);
+	assert_int_equal(late.offset, PART_BYTES);
+	finish(&w);
+}
+
 /* Guards against routes that stay wrong: a change that doesn't fit what is here
  * is replaced by the document. */
 static void test_change_that_does_not_fit(void **state)
@@ -254,6 +265,7 @@
 		cmocka_unit_test(test_resumes_on_another_connection),
 		cmocka_unit_test(test_unanswered_request_is_repeated),
 		cmocka_unit_test(test_changes_during_a_fetch),
+		cmocka_unit_test(test_holders_that_begin_during_changes),
 		cmocka_unit_test(test_change_that_does_not_fit),
 		cmocka_unit_test(test_behind),
 	};
