--- a/tests/test_document_change.c
+++ b/tests/test_document_change.c
@@ -29,7 +29,7 @@
 	for (guint i = 0; i < n; i++)
 		g_ptr_array_add(lines,
 				g_strdup_printf("{\"name\":\"r-%u\",\"kind\":"
-						"\"unsafe\",\"timeoutMs\":1500,"
+						"\"unsafe\",\"limitMs\":1500,"
 						"\"service\":\"desk\"},",
 						i * 7919));
 	return lines;
