--- a/src/lib/document_change.c
+++ b/src/lib/document_change.c
@@ -16,6 +16,7 @@
 /* Multiplier of the rolling hash of a block. */
 #define HASH_BASE 0x9e3779b1U
 #define NOT_FOUND UINT32_MAX
+#define SLOTS_MIN 16 /* a power of 2, as are all counts of slots */
 
 /* ---- Types ---------------------------------------------------------- */
 
@@ -65,23 +66,24 @@
 
 /* ---- Index of blocks ------------------------------------------------ */
 
-static void index_blocks(struct block_index *blocks, const struct text *from)
+static struct block_index index_blocks(const struct text *from)
 {
-	uint32_t n_slots = 16;
+	struct block_index blocks = { .mask = SLOTS_MIN - 1 };
 
-	while (n_slots < 2 * (from->size / BLOCK_BYTES))
-		n_slots *= 2;
-	blocks->mask = n_slots - 1;
-	blocks->slots = g_malloc(n_slots * sizeof(*blocks->slots));
-	memset(blocks->slots, 0xff, n_slots * sizeof(*blocks->slots));
+	while (blocks.mask < 2 * (from->size / BLOCK_BYTES))
+		blocks.mask = 2 * blocks.mask + 1;
+	blocks.slots = g_new(uint32_t, (size_t)blocks.mask + 1);
+	memset(blocks.slots, 0xff,
+	       ((size_t)blocks.mask + 1) * sizeof(*blocks.slots));
 	for (uint32_t at = 0; at + BLOCK_BYTES <= from->size;
 	     at += BLOCK_BYTES) {
-		uint32_t slot = slot_of(blocks, hash_block(from->data + at));
+		uint32_t slot = slot_of(&blocks, hash_block(from->data + at));
 
 		/* One position of each hash is enough. */
-		if (blocks->slots[slot] == NOT_FOUND)
-			blocks->slots[slot] = at;
+		if (blocks.slots[slot] == NOT_FOUND)
+			blocks.slots[slot] = at;
 	}
+	return blocks;
 }
 
 static bool same_block(const struct change_builder *b, uint32_t from_at,
@@ -206,7 +208,7 @@
 	GBytes *change;
 
 	b.pieces = g_array_new(FALSE, FALSE, sizeof(Cfw__DocumentPiece));
-	index_blocks(&b.blocks, &b.from);
+	b.blocks = index_blocks(&b.from);
 	find_pieces(&b);
 	change = pack_change(&b);
 	g_free(b.blocks.slots);
