Sessions: routes and the roster's check in files of their own

The test of late routes moves into test_session, whose stand-in leader it had repeated. No change of behaviour.

--- a/src/roles/session.c
+++ b/src/roles/session.c
@@ -6,9 +6,9 @@
 #include "roles/session.h"
 #include "roles/fence_calls.h"
 #include "roles/member_links.h"
-#include "roles/routes_fetch.h"
+#include "roles/roster.h"
+#include "roles/routes_client.h"
 
-#include "base/address.h"
 #include "base/clock.h"
 #include "base/counters.h"
 #include "base/logger.h"
@@ -47,14 +47,12 @@
 	int64_t requested_ms; /* newest request, INT64_MIN: none */
 	int64_t lease_lost_ms; /* when the lease last expired, 0: never */
 	bool answered;
-	bool leader_sends_whole; /* it names no version of routes */
 	bool no_leader; /* no known leader: retry every TICK_MS */
 	/* Requests sent at once on a redirect since the last tick. */
 	uint32_t redirects;
 	bool started, draining, left, lease_was_held, fenced;
 	struct fence_calls *fence_calls;
-	struct routes_fetch *routes_fetch;
-	struct link *routes_link; /* where routes were requested last */
+	struct routes_client *routes;
 	size_t n_unusable; /* entries of the newest roster */
 	struct counter *grants, *refusals;
 };
@@ -70,16 +68,6 @@
 	to->accelerators = from->accelerators;
 }
 
-/* A leader of an earlier version sends no routes apart: it is asked for the
- * whole configuration if routes lack. */
-static uint64_t known_revision(const struct session *s)
-{
-	if (s->options.routes && s->leader_sends_whole &&
-	    routes_fetch_is_behind(s->routes_fetch))
-		return 0;
-	return cf_config_revision(s->config);
-}
-
 static void send_request(struct session *s, bool leaving)
 {
 	Cfw__Envelope envelope = CFW__ENVELOPE__INIT;
@@ -97,7 +85,9 @@
 	request.data_centre = s->data_centre;
 	request.rack = s->rack;
 	request.address = s->address;
-	request.known_revision = known_revision(s);
+	request.known_revision = routes_client_need_whole(s->routes)
+					 ? 0
+					 : cf_config_revision(s->config);
 	request.known_roster = s->roster_version;
 	request.known_leader = s->roster_leader;
 	request.draining = s->draining;
@@ -113,23 +103,9 @@
 		member_links_advance(s->links);
 }
 
-/* Asks the leader for the next part of newer routes, if there are any. */
 static void request_routes(struct session *s, int64_t now_ms)
 {
-	Cfw__Envelope envelope = CFW__ENVELOPE__INIT;
-	Cfw__RoutesRequest request = CFW__ROUTES_REQUEST__INIT;
-	struct link *leader = member_links_leader(s->links);
-
-	if (!s->options.routes || !leader || !link_is_up(leader))
-		return;
-	if (leader != s->routes_link)
-		routes_fetch_forget_request(s->routes_fetch);
-	if (!routes_fetch_next(s->routes_fetch, now_ms, &request))
-		return;
-	s->routes_link = leader;
-	envelope.body_case = CFW__ENVELOPE__BODY_ROUTES_REQUEST;
-	envelope.routes_request = &request;
-	link_send(leader, &envelope);
+	routes_client_request(s->routes, member_links_leader(s->links), now_ms);
 }
 
 static void enter_fenced(struct session *s)
@@ -189,18 +165,6 @@
 
 /* ---- Answers ---- */
 
-/* A leader of an earlier version sends routes with the configuration, also if
- * its revision is known already. */
-static bool adopt_routes(struct session *s, const Cfw__RouteTable *routes)
-{
-	g_autoptr(GBytes) document = NULL;
-
-	if (!routes || !routes->version)
-		return false;
-	document = g_bytes_new(routes->document.data, routes->document.len);
-	return cf_config_set_routes(s->config, routes->version, document);
-}
-
 static bool adopt_settings(struct session *s,
 			   const Cfw__Configuration *configuration)
 {
@@ -220,7 +184,9 @@
 static void apply_configuration(struct session *s,
 				const Cfw__Configuration *configuration)
 {
-	bool routes_are_new = adopt_routes(s, configuration->routes);
+	/* They may come with a revision that is known already. */
+	bool routes_are_new =
+		routes_client_adopt(s->routes, configuration->routes);
 	bool settings_are_new = adopt_settings(s, configuration);
 
 	if (routes_are_new || settings_are_new)
@@ -232,21 +198,11 @@
 {
 	int64_t now_ms = clock_now_ms();
 
-	if (link != s->routes_link)
-		return;
-	if (routes_fetch_take(s->routes_fetch, part, now_ms))
+	if (routes_client_take(s->routes, link, part, now_ms))
 		s->handlers.config(s->arg);
 	request_routes(s, now_ms);
 }
 
-static bool is_usable(const Cfw__RosterEntry *entry)
-{
-	char host[ADDRESS_HOST_SIZE];
-	uint16_t port;
-
-	return address_parse(entry->address, host, &port) && port;
-}
-
 static void log_unusable(struct session *s, size_t n_unusable)
 {
 	if (n_unusable != s->n_unusable)
@@ -255,20 +211,14 @@
 	s->n_unusable = n_unusable;
 }
 
-/* Entries of processes that nobody can connect to are left out. */
 static void apply_roster(struct session *s, const Cfw__LeaseGrant *grant)
 {
 	Cfw__Roster roster = *grant->roster;
 	g_autofree Cfw__RosterEntry **usable =
-		g_new(Cfw__RosterEntry *, roster.n_entries);
-	size_t n = 0;
+		roster_list_usable(grant->roster, &roster.n_entries);
 
-	for (size_t i = 0; i < roster.n_entries; i++)
-		if (is_usable(roster.entries[i]))
-			usable[n++] = roster.entries[i];
-	log_unusable(s, roster.n_entries - n);
+	log_unusable(s, grant->roster->n_entries - roster.n_entries);
 	roster.entries = usable;
-	roster.n_entries = n;
 	s->roster_version = roster.version;
 	s->roster_unsettled = !roster.settled;
 	s->roster_leader = grant->leader_incarnation;
@@ -359,10 +309,7 @@
 	if (grant->roster)
 		apply_roster(s, grant);
 	update_lease_state(s, now_ms);
-	s->leader_sends_whole = !grant->routes_version;
-	if (s->options.routes)
-		routes_fetch_set_in_force(s->routes_fetch,
-					  grant->routes_version, now_ms);
+	routes_client_granted(s->routes, grant->routes_version, now_ms);
 	request_routes(s, now_ms);
 }
 
@@ -387,7 +334,7 @@
 	s->answered = true;
 	s->no_leader = true;
 	s->fence_calls = fence_calls_create();
-	s->routes_fetch = routes_fetch_create(s->config);
+	s->routes = routes_client_create(s->config, options->routes);
 	s->grants = counter_get("lease_grants_total", NULL,
 				"Lease renewals that were granted");
 	s->refusals = counter_get("lease_not_leader_total", NULL,
@@ -405,7 +352,7 @@
 		return;
 	loop_timer_destroy(s->timer);
 	cf_lease_destroy(s->lease);
-	routes_fetch_destroy(s->routes_fetch);
+	routes_client_destroy(s->routes);
 	cf_config_destroy(s->config);
 	fence_calls_destroy(s->fence_calls);
 	member_links_destroy(s->links);
@@ -458,8 +405,7 @@
 {
 	if (!member_links_has(s->links, link))
 		return false;
-	if (link == s->routes_link)
-		s->routes_link = NULL;
+	routes_client_link_down(s->routes, link);
 	if (link == member_links_leader(s->links)) {
 		s->answered = true;
 		s->requested_ms = INT64_MIN;
@@ -485,12 +431,12 @@
 
 void session_set_routes_applied(struct session *s, uint64_t version)
 {
-	routes_fetch_set_applied(s->routes_fetch, version);
+	routes_client_set_applied(s->routes, version);
 }
 
 int64_t session_routes_behind_ms(const struct session *s, int64_t now_ms)
 {
-	return routes_fetch_behind_ms(s->routes_fetch, now_ms);
+	return routes_client_behind_ms(s->routes, now_ms);
 }
 
 void session_set_draining(struct session *s, bool draining)
--- a/tests/test_session.c
+++ b/tests/test_session.c
@@ -22,12 +22,19 @@
 #define LEASE_MS 2000
 #define RENEWALS 4
 #define RENEW_INTERVAL_MS (LEASE_MS / 4)
+#define ROUTES_REVISION 5
+#define ROUTES_VERSION 3
 
 /* The stand-in coordinator, which is the leader. */
 struct leader {
 	struct loop *loop;
 	struct link_hub *hub;
 	bool settled; /* it knows all lease holders */
+	uint64_t routes_version; /* in force; 0: none */
+	bool sends_whole; /* routes come with the configuration, as they did in
+			   * earlier versions */
+	bool asked_for_whole;
+	int routes_requests; /* they get no answer */
 	Cfw__RosterEntry **entries; /* of the roster that it sends */
 	size_t n_entries;
 	int requests;
@@ -40,14 +47,41 @@
 	(void)link;
 }
 
+/* Adds what the holder lacks of a configuration with routes. */
+static void add_configuration(struct leader *leader,
+			      const Cfw__LeaseRequest *request,
+			      Cfw__Configuration *configuration,
+			      Cfw__LeaseGrant *reply)
+{
+	static Cfw__RouteTable routes = CFW__ROUTE_TABLE__INIT;
+
+	if (!leader->routes_version)
+		return;
+	leader->asked_for_whole |= !request->known_revision;
+	reply->revision = configuration->revision = ROUTES_REVISION;
+	if (request->known_revision < ROUTES_REVISION)
+		reply->configuration = configuration;
+	if (!leader->sends_whole) {
+		reply->routes_version = leader->routes_version;
+		return;
+	}
+	routes.version = leader->routes_version;
+	routes.document.data = (uint8_t *)"routes";
+	routes.document.len = strlen("routes");
+	configuration->routes = &routes;
+}
+
 static void handle_lease_request(void *arg, struct link *link,
 				 const Cfw__Envelope *received)
 {
 	struct leader *leader = arg;
+	Cfw__Configuration configuration = CFW__CONFIGURATION__INIT;
 	Cfw__Envelope envelope = CFW__ENVELOPE__INIT;
 	Cfw__LeaseGrant reply = CFW__LEASE_GRANT__INIT;
 	Cfw__Roster roster = CFW__ROSTER__INIT;
 
+	leader->routes_requests += received->body_case ==
+				   CFW__ENVELOPE__BODY_ROUTES_REQUEST;
 	if (received->body_case != CFW__ENVELOPE__BODY_LEASE_REQUEST)
 		return;
 	if (leader->requests <= RENEWALS)
@@ -62,6 +96,8 @@
 	reply.duration_ms = LEASE_MS;
 	reply.leader_incarnation = 9;
 	reply.roster = &roster;
+	add_configuration(leader, received->lease_request, &configuration,
+			  &reply);
 	envelope.body_case = CFW__ENVELOPE__BODY_LEASE_GRANT;
 	envelope.lease_grant = &reply;
 	link_send(link, &envelope);
@@ -74,6 +110,8 @@
 	struct session *session;
 	GString *addresses; /* of the newest roster; NULL: not recorded */
 	bool has_roster;
+	bool routes; /* it needs them */
+	bool lease_lost;
 };
 
 static void on_link_up(void *arg, struct link *link)
@@ -111,10 +149,9 @@
 				       roster->entries[i]->address);
 }
 
-static void ignore_lease(void *arg, bool held)
+static void note_lease(void *arg, bool held)
 {
-	(void)arg;
-	(void)held;
+	((struct process *)arg)->lease_lost |= !held;
 }
 
 static void open_process(struct process *p, struct loop *loop, uint16_t port,
@@ -123,7 +160,7 @@
 	static const struct link_handlers links = { on_link_up, on_message,
 						    on_link_down };
 	static const struct session_handlers handlers = {
-		ignore_event, record_roster, ignore_lease, ignore_event
+		ignore_event, record_roster, note_lease, ignore_event
 	};
 	struct link_options options = { .self = { CFW__ROLE__ROLE_DISPATCHER,
 						  "d", 3, 0, "olten" },
@@ -137,7 +174,8 @@
 					   .name = "d",
 					   .data_centre = "olten",
 					   .address = "",
-					   .coordinators = coordinators };
+					   .coordinators = coordinators,
+					   .routes = p->routes };
 
 	p->hub = link_hub_create(loop, &options, &links, p);
 	session.hub = p->hub;
@@ -247,6 +285,59 @@
 	}
 }
 
+static bool has_asked_twice(void *arg)
+{
+	return ((struct leader *)arg)->routes_requests >= 2;
+}
+
+static bool has_routes(void *arg)
+{
+	struct process *p = arg;
+	uint64_t version;
+
+	cf_config_routes(session_config(p->session), &version);
+	return version == ROUTES_VERSION;
+}
+
+/* Guards against a lease that is lost for the size of the routes (review/13),
+ * and against routes that never come once an earlier version leads. */
+static void test_late_routes_cost_no_lease(void **state)
+{
+	static const struct link_handlers links = { ignore_link,
+						    handle_lease_request,
+						    ignore_link };
+	struct leader leader = { .settled = true,
+				 .routes_version = ROUTES_VERSION };
+	struct link_options options = { .self = { CFW__ROLE__ROLE_COORDINATOR,
+						  "c", 9, 1, "olten" },
+					.heartbeat_ms = HEARTBEAT_MS };
+	struct process process = { .routes = true };
+	uint16_t port;
+
+	(void)state;
+	leader.loop = loop_create(NULL);
+	leader.hub = link_hub_create(leader.loop, &options, &links, &leader);
+	assert_true(link_hub_listen(leader.hub, "127.0.0.1:0", &port, NULL));
+	open_process(&process, leader.loop, port, 0);
+	assert_true(loop_until(leader.loop, has_asked_twice, &leader));
+	assert_true(session_lease_held(process.session, clock_now_ms()));
+	assert_true(session_routes_behind_ms(process.session, clock_now_ms()) >
+		    0);
+	assert_true(leader.requests > 1);
+	leader.sends_whole = true;
+	leader.asked_for_whole = false;
+	assert_true(loop_until(leader.loop, has_routes, &process));
+	assert_true(leader.asked_for_whole);
+	session_set_routes_applied(process.session, ROUTES_VERSION);
+	assert_int_equal(
+		session_routes_behind_ms(process.session, clock_now_ms()), 0);
+	assert_false(process.lease_lost);
+	session_destroy(process.session);
+	link_hub_destroy(process.hub);
+	link_hub_destroy(leader.hub);
+	loop_destroy(leader.loop);
+}
+
 /* ---- Coordinators that don't grant ------------------------------------ */
 
 #define ANSWER_TIMEOUT_MS 300 /* of a session */
@@ -769,6 +860,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_odd_roster_entries_are_left_out),
 		cmocka_unit_test(test_renews_faster_until_roster_settled),
+		cmocka_unit_test(test_late_routes_cost_no_lease),
 		cmocka_unit_test(test_asks_all_at_start),
 		cmocka_unit_test(test_redirects_are_limited),
 		cmocka_unit_test(test_replaced_members_are_followed),
