Dispatchers: a version applied before a lease names it isn't waited for

Found by reading. A dispatcher may go by a version before a lease tells it that this is in force: the document was newer than the lease, or a leader of an earlier version sent it with the configuration, as in each rolling upgrade. The version was then noted as not applied and nothing ever took it off, so that 1.2 s later the dispatcher refused all jobs until the next change. test_applied_before_it_is_told was red (1 ms behind instead of 0).

--- a/src/roles/routes_fetch.c
+++ b/src/roles/routes_fetch.c
@@ -28,6 +28,7 @@
 	struct cf_config *config;
 	uint64_t in_force; /* version, as of the newest lease */
 	uint64_t goal; /* in force when the fetch began */
+	uint64_t applied; /* the holder goes by it */
 	GArray *unapplied; /* struct known_version, oldest first */
 	uint64_t seq; /* of the newest request */
 	bool requested; /* and not answered */
@@ -82,7 +83,7 @@
 {
 	struct known_version known = { version, now_ms };
 
-	if (fetch->unapplied->len < UNAPPLIED_MAX)
+	if (version > fetch->applied && fetch->unapplied->len < UNAPPLIED_MAX)
 		g_array_append_val(fetch->unapplied, known);
 }
 
@@ -103,6 +104,7 @@
 {
 	guint n = 0;
 
+	fetch->applied = MAX(fetch->applied, version);
 	while (n < fetch->unapplied->len &&
 	       g_array_index(fetch->unapplied, struct known_version, n)
 			       .version <= version)
--- a/tests/test_routes_fetch.c
+++ b/tests/test_routes_fetch.c
@@ -258,6 +258,26 @@
 	finish(&w);
 }
 
+/* Guards against a holder that refuses work for ever, because it went by a
+ * version before it was told that this is in force: a document was newer than
+ * the lease, or came from a leader of an earlier version. */
+static void test_applied_before_it_is_told(void **state)
+{
+	struct world w;
+
+	(void)state;
+	begin(&w);
+	set_routes(&w, 2);
+	assert_int_equal(serve_many(&w, INT32_MAX), 1);
+	expect_version(&w, 2);
+	routes_fetch_set_applied(w.fetch, 2);
+	routes_fetch_set_in_force(w.fetch, 2, w.now_ms);
+	assert_int_equal(routes_fetch_behind_ms(w.fetch, w.now_ms + 1), 0);
+	change_to(&w, 3, 3);
+	assert_int_equal(routes_fetch_behind_ms(w.fetch, w.now_ms + 1), 1);
+	finish(&w);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -268,6 +288,7 @@
 		cmocka_unit_test(test_holders_that_begin_during_changes),
 		cmocka_unit_test(test_change_that_does_not_fit),
 		cmocka_unit_test(test_behind),
+		cmocka_unit_test(test_applied_before_it_is_told),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
